Lay the workspace and the shared vocabulary

Cause: nothing exists; every crate needs the same ids, times, refusals and messages before work can be split. Change: workspace with one crate per decision and per edge, notch-types (ids, clocks as values, refusals, counters, object API operations) and notch-messages (all messages between our processes). Measured: cargo check of the workspace passes; no behaviour yet. Conclusion: the interfaces stand, crates can be built side by side.

--- /dev/null
+++ b/crates/callers/src/lib.rs
@@ -0,0 +1,1 @@
+//! callers
--- /dev/null
+++ b/crates/catalogue/src/lib.rs
@@ -0,0 +1,1 @@
+//! catalogue
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,1 @@
+//! gateway
--- /dev/null
+++ b/crates/http/src/lib.rs
@@ -0,0 +1,1 @@
+//! HTTP/1.1 server and client edges over async-h1, with the limits it lacks.
--- /dev/null
+++ b/crates/magnolianotch/src/lib.rs
@@ -0,0 +1,1 @@
+//! magnolianotch
--- /dev/null
+++ b/crates/membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! membership
--- /dev/null
+++ b/crates/messages/src/gossip.rs
@@ -0,0 +1,123 @@
+//! Membership and rumours between gateways.
+
+use notch_types::prelude::*;
+use serde::{Deserialize, Serialize};
+
+use crate::entry::{EntryRecord, EntryStamp};
+
+/// What a member is held to be.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum MemberState {
+    /// Answers.
+    Alive,
+    /// Did not answer in time; has a while to refute.
+    Suspect,
+    /// Said that it is leaving.
+    Leaving,
+    /// Held dead.
+    Dead,
+}
+
+/// News of one member. For one incarnation the later state in [`MemberState`]'s order wins;
+/// a higher incarnation wins always.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberUpdate {
+    /// The gateway's VM.
+    pub vm: VmName,
+    /// Where it listens for links, `ip:port`.
+    pub address: String,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// Number only the member itself raises.
+    pub incarnation: Incarnation,
+    /// Held state.
+    pub state: MemberState,
+}
+
+/// A versioned fact spread by gossip: for one topic the highest version wins.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Rumor {
+    /// What it is about.
+    pub topic: RumorTopic,
+    /// Orders rumours of one topic.
+    pub version: u64,
+    /// The fact, encoded by the topic's own type (small: under 256 bytes).
+    pub value: Payload,
+}
+
+/// What rumours are about.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum RumorTopic {
+    /// Who owns a shard; version = epoch.
+    ShardOwner(ShardId),
+    /// Work a shard holds, by target; version rises within the epoch.
+    ShardBacklog(ShardId),
+    /// A fingerprint that crashes targets.
+    Quarantine(Fingerprint),
+    /// How near a limit an account is at a gateway.
+    AccountUse(AccountName, VmName),
+    /// How many entries a gateway has in force, and their digest.
+    EntriesInForce(VmName),
+}
+
+/// Messages between gateways' memberships and catalogues.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum GossipMessage {
+    /// Are you there?
+    Ping {
+        /// Matches the answer.
+        sequence: u64,
+        /// News on the way.
+        members: Vec<MemberUpdate>,
+        /// Facts on the way.
+        rumors: Vec<Rumor>,
+    },
+    /// Here I am.
+    Ack {
+        /// Of the ping.
+        sequence: u64,
+        /// News on the way.
+        members: Vec<MemberUpdate>,
+        /// Facts on the way.
+        rumors: Vec<Rumor>,
+    },
+    /// Please ping `target` for me.
+    PingRequest {
+        /// Matches the answer.
+        sequence: u64,
+        /// Whom to ping.
+        target: VmName,
+    },
+    /// Tell me all members (at start).
+    Join {
+        /// Who joins.
+        member: MemberUpdate,
+    },
+    /// All members.
+    Members {
+        /// All that the sender knows.
+        members: Vec<MemberUpdate>,
+    },
+    /// Anti-entropy: digests of the sender's catalogue by bucket.
+    EntryDigests {
+        /// One digest a bucket, by hash of the entry's key.
+        buckets: Vec<u64>,
+    },
+    /// Anti-entropy: the sender's versions in buckets that differed.
+    EntryStamps {
+        /// Buckets meant.
+        buckets: Vec<u16>,
+        /// The sender's versions in them.
+        stamps: Vec<EntryStamp>,
+    },
+    /// Entries: pushed when new, or sent because the other's stamps were older.
+    Entries {
+        /// The entries.
+        entries: Vec<EntryRecord>,
+    },
+    /// Send me these.
+    EntryWants {
+        /// Wanted entries, with the version known to the asker.
+        stamps: Vec<EntryStamp>,
+    },
+}
--- /dev/null
+++ b/crates/messages/src/lib.rs
@@ -0,0 +1,30 @@
+//! Typed messages between the system's own processes. Pure data: the link crate alone knows how
+//! they are encoded and carried.
+
+pub mod attempt;
+pub mod entry;
+pub mod frame;
+pub mod gossip;
+pub mod load;
+pub mod lot;
+pub mod order;
+pub mod shard;
+
+/// Every message type.
+pub mod prelude {
+    pub use crate::{
+        attempt::{AttemptOffer, AttemptRefusal},
+        entry::{EntryBody, EntryKey, EntryKind, EntryRecord, EntryStamp},
+        frame::{GatewayMessage, LinkMessage, NodeRole, SidecarMessage, SidecarWelcome},
+        gossip::{GossipMessage, MemberState, MemberUpdate, Rumor, RumorTopic},
+        load::{LoadReport, TargetLoad},
+        lot::{
+            ItemKey, ItemOutcome, ItemResult, ItemReturn, LotGrant, LotItem, LotPull, ReturnReason,
+        },
+        order::{OrderAction, OrderOutcome, TargetOrder},
+        shard::{
+            ClaimVerdict, ItemStatus, JobChunk, JobPhase, JobProgress, JobSubmission, ResultLine,
+            ShardAnswer, ShardCall, ShardRequest, StoredAnswer,
+        },
+    };
+}
--- /dev/null
+++ b/crates/placement/src/lib.rs
@@ -0,0 +1,1 @@
+//! placement
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! platform
--- /dev/null
+++ b/crates/routing/src/lib.rs
@@ -0,0 +1,1 @@
+//! routing
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! settings
--- /dev/null
+++ b/crates/sidecar/src/lib.rs
@@ -0,0 +1,1 @@
+//! sidecar
--- /dev/null
+++ b/crates/sidecar/src/main.rs
@@ -0,0 +1,3 @@
+//! Thin entry point.
+
+fn main() {}
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! standins
--- /dev/null
+++ b/crates/telemetry/src/lib.rs
@@ -0,0 +1,1 @@
+//! telemetry
--- /dev/null
+++ b/crates/types/src/lib.rs
@@ -0,0 +1,29 @@
+//! The vocabulary every crate shares: names, times, payloads, refusals and counted reasons.
+
+pub mod account;
+pub mod counter;
+pub mod hash;
+pub mod ids;
+pub mod note;
+pub mod object;
+pub mod outcome;
+pub mod payload;
+pub mod refusal;
+pub mod time;
+
+/// The types nearly every file needs.
+pub mod prelude {
+    pub use crate::{
+        counter::{Counter, DropReason, RetryReason},
+        hash::{FastMap, FastSet, stable_hash64, stable_hash128},
+        ids::{
+            AccountName, AttemptId, CallId, DomainName, EntryVersion, Epoch, Fingerprint,
+            Incarnation, ItemIndex, JobId, LotId, RequestId, ShardId, TargetName, VmName,
+        },
+        note::{DecisionNote, NoteStep, NoteSubject},
+        outcome::{AttemptOutcome, SealVerdict},
+        payload::Payload,
+        refusal::{Ran, Refusal, RefusalReason},
+        time::{MonoTime, Now, WallTime},
+    };
+}
--- /dev/null
+++ b/crates/types/src/note.rs
@@ -0,0 +1,59 @@
+//! What decisions leave behind so that `explain` can tell what happened and why.
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{JobId, RequestId, TargetName, VmName};
+
+/// What a note is about.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum NoteSubject {
+    /// A caller's request.
+    Request(RequestId),
+    /// A job.
+    Job(JobId),
+    /// A target, by catalogue name.
+    Target(TargetName),
+    /// A VM.
+    Vm(VmName),
+}
+
+/// One step of a decision. `code` is stable (snake_case); the rest is what a person needs.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct NoteStep {
+    /// Stable snake_case name of the step: `routed`, `retried`, `refused`, `preempted`, ….
+    pub code: &'static str,
+    /// The VM concerned, when there is one.
+    pub vm: Option<VmName>,
+    /// The reason's stable code, when there is one.
+    pub reason: Option<&'static str>,
+    /// One short sentence with the figures the decision used.
+    pub detail: String,
+}
+
+/// A note: subject and step. The driver adds the time.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct DecisionNote {
+    /// What it is about.
+    pub subject: NoteSubject,
+    /// What was decided.
+    pub step: NoteStep,
+}
+
+impl DecisionNote {
+    /// A note without VM or reason.
+    pub fn new(subject: NoteSubject, code: &'static str, detail: String) -> Self {
+        Self { subject, step: NoteStep { code, vm: None, reason: None, detail } }
+    }
+
+    /// The same note naming a VM.
+    pub fn at(mut self, vm: &VmName) -> Self {
+        self.step.vm = Some(vm.clone());
+        self
+    }
+
+    /// The same note with a reason's stable code.
+    pub fn because(mut self, reason: &'static str) -> Self {
+        self.step.reason = Some(reason);
+        self
+    }
+}
--- /dev/null
+++ b/crates/types/src/refusal.rs
@@ -0,0 +1,161 @@
+//! Why something was not done, and whether it may have run.
+
+use serde::{Deserialize, Serialize};
+
+/// Whether a refused or failed request may have run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Ran {
+    /// Proved: it was never started anywhere and never will be.
+    No,
+    /// It may have started; nobody can say.
+    Unknown,
+}
+
+/// Stable codes of every refusal; each has a counter, and docs/OPERATIONS.md explains each.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RefusalReason {
+    /// The request can't be parsed or breaks a rule of the protocol.
+    BadRequest,
+    /// A body, header or line over its limit.
+    TooLarge,
+    /// No key, or a key of no account.
+    Unauthorized,
+    /// The thing named is not there, or belongs to another account.
+    NotFound,
+    /// No catalogue entry in force has this name.
+    UnknownTarget,
+    /// The account is over its rate or concurrency limit.
+    AccountLimit,
+    /// No sidecar of the target is known, or all are leaving.
+    NoTarget,
+    /// Every sidecar tried has a full admission queue.
+    Overloaded,
+    /// The deadline passed, or would pass before the work could start.
+    DeadlinePassed,
+    /// Every circuit of the target is open.
+    CircuitOpen,
+    /// The retry budget is spent.
+    RetryBudget,
+    /// The request crashed targets and is quarantined.
+    Quarantined,
+    /// The process is leaving.
+    Leaving,
+    /// The ledger can't make the needed record durable now.
+    StoreUnavailable,
+    /// A non-idempotent request came without an idempotency key.
+    KeyRequired,
+    /// The same key came with a different body.
+    KeyReused,
+    /// A non-idempotent request may have run and won't be run again.
+    OutcomeUnknown,
+    /// The target failed the request in a way that a retry won't mend.
+    TargetFailed,
+    /// The target was lost in the midst of the answer.
+    TargetLost,
+    /// The job or request was cancelled.
+    Cancelled,
+    /// A fencing token older than one already seen.
+    StaleEpoch,
+    /// The edit lost a race: the entry has a newer version.
+    VersionConflict,
+    /// A catalogue entry that breaks the schema.
+    InvalidEntry,
+    /// The retention of the result is over.
+    Expired,
+    /// A fault of this system's own.
+    Internal,
+}
+
+impl RefusalReason {
+    /// Every reason, for registering counters.
+    pub const ALL: [RefusalReason; 25] = [
+        Self::BadRequest,
+        Self::TooLarge,
+        Self::Unauthorized,
+        Self::NotFound,
+        Self::UnknownTarget,
+        Self::AccountLimit,
+        Self::NoTarget,
+        Self::Overloaded,
+        Self::DeadlinePassed,
+        Self::CircuitOpen,
+        Self::RetryBudget,
+        Self::Quarantined,
+        Self::Leaving,
+        Self::StoreUnavailable,
+        Self::KeyRequired,
+        Self::KeyReused,
+        Self::OutcomeUnknown,
+        Self::TargetFailed,
+        Self::TargetLost,
+        Self::Cancelled,
+        Self::StaleEpoch,
+        Self::VersionConflict,
+        Self::InvalidEntry,
+        Self::Expired,
+        Self::Internal,
+    ];
+
+    /// The stable code, as in JSON and in metric labels.
+    pub fn code(self) -> &'static str {
+        match self {
+            Self::BadRequest => "bad_request",
+            Self::TooLarge => "too_large",
+            Self::Unauthorized => "unauthorized",
+            Self::NotFound => "not_found",
+            Self::UnknownTarget => "unknown_target",
+            Self::AccountLimit => "account_limit",
+            Self::NoTarget => "no_target",
+            Self::Overloaded => "overloaded",
+            Self::DeadlinePassed => "deadline_passed",
+            Self::CircuitOpen => "circuit_open",
+            Self::RetryBudget => "retry_budget",
+            Self::Quarantined => "quarantined",
+            Self::Leaving => "leaving",
+            Self::StoreUnavailable => "store_unavailable",
+            Self::KeyRequired => "key_required",
+            Self::KeyReused => "key_reused",
+            Self::OutcomeUnknown => "outcome_unknown",
+            Self::TargetFailed => "target_failed",
+            Self::TargetLost => "target_lost",
+            Self::Cancelled => "cancelled",
+            Self::StaleEpoch => "stale_epoch",
+            Self::VersionConflict => "version_conflict",
+            Self::InvalidEntry => "invalid_entry",
+            Self::Expired => "expired",
+            Self::Internal => "internal",
+        }
+    }
+}
+
+/// A refusal as it reaches the caller.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Refusal {
+    /// The stable code.
+    pub reason: RefusalReason,
+    /// Whether the request may have run. `No` is a promise.
+    pub ran: Ran,
+    /// When a new try makes sense, milliseconds from now.
+    pub retry_after_ms: Option<u64>,
+    /// One sentence for a person.
+    pub detail: String,
+}
+
+impl Refusal {
+    /// A refusal of something that was never started.
+    pub fn not_run(reason: RefusalReason, detail: &str) -> Self {
+        Self { reason, ran: Ran::No, retry_after_ms: None, detail: detail.to_owned() }
+    }
+
+    /// A refusal of something that may have started.
+    pub fn unknown(reason: RefusalReason, detail: &str) -> Self {
+        Self { reason, ran: Ran::Unknown, retry_after_ms: None, detail: detail.to_owned() }
+    }
+
+    /// The same refusal with the time after which to come back.
+    pub fn retry_after(self, millis: u64) -> Self {
+        Self { retry_after_ms: Some(millis), ..self }
+    }
+}
