Let an attempt offer ask to run alone

Cause: a request suspected of crashing targets must not take neighbours down, and the gateway had no way to say so. Change: AttemptOffer.alone, false when absent. Measured: not run beyond a build. Conclusion: the sidecar's gate has to honour it.

--- a/crates/messages/src/attempt.rs
+++ b/crates/messages/src/attempt.rs
@@ -26,6 +26,10 @@
     pub idempotent: bool,
     /// What it would run; suspects and quarantine go by it.
     pub fingerprint: Fingerprint,
+    /// Whether it must be the only one in flight at the target, for it is suspected of crashing
+    /// targets: the sidecar starts it when the target is empty and lets nothing join it.
+    #[serde(default)]
+    pub alone: bool,
     /// Output already produced by an earlier attempt, to resume after (batch only).
     pub progress: Option<Payload>,
 }
