--- a/crates/messages/src/frame.rs
+++ b/crates/messages/src/frame.rs
@@ -81,6 +81,9 @@
     Entries(Vec<EntryRecord>),
     /// Fingerprints quarantined fleet-wide.
     Quarantined(Vec<Fingerprint>),
+    /// Fingerprints in flight at a crash elsewhere: run each of them alone. Sent on the same link
+    /// before the offer or lot that carries one.
+    Suspected(Vec<Fingerprint>),
     /// Do this to the target.
     Order(TargetOrder),
     /// The newest epoch of the placement lease, read from the store.
