--- /dev/null
+++ b/crates/settings/src/sections.rs
@@ -0,0 +1,33 @@
+//! One struct a section, each with its defaults.
+
+mod admission;
+mod jobs;
+mod ledger;
+mod limits;
+mod links;
+mod listen;
+mod logging;
+mod membership;
+mod node;
+mod online;
+mod placement;
+mod platform;
+mod relay;
+mod target;
+
+pub use self::{
+    admission::AdmissionSettings,
+    jobs::JobSettings,
+    ledger::LedgerSettings,
+    limits::LimitSettings,
+    links::LinkSettings,
+    listen::ListenSettings,
+    logging::{LogFormat, LogLevel, LoggingSettings},
+    membership::MembershipSettings,
+    node::NodeSettings,
+    online::OnlineSettings,
+    placement::PlacementSettings,
+    platform::PlatformSettings,
+    relay::RelaySettings,
+    target::TargetSettings,
+};
