Publish the interface of the jobs crate

Cause: the daemons and the ledger are written beside it and need its types. Measured: compiles; no behaviour yet. Conclusion: the gateway can be written against it.

--- /dev/null
+++ b/crates/jobs/src/chunk.rs
@@ -0,0 +1,1 @@
+//! Chunk objects of a job's input.
--- a/crates/messages/src/lot.rs
+++ b/crates/messages/src/lot.rs
@@ -57,9 +57,6 @@
     pub idempotent: bool,
     /// The lease's length, milliseconds from the sending.
     pub lease_ms: u64,
-    /// Whether the job would be late: the sidecar may run these within the target's floor share.
-    #[serde(default)]
-    pub floor: bool,
     /// Whether the job would miss its due time at its present pace: its items may use the batch
     /// floor share.
     #[serde(default)]
--- a/crates/messages/src/shard.rs
+++ b/crates/messages/src/shard.rs
@@ -244,6 +244,9 @@
     Claim(ClaimVerdict),
     /// Committed, nothing to add.
     Done,
+    /// For `SubmitJob`: not accepted, because these chunks (by first item) are too old to be
+    /// named safely; write them anew and submit again.
+    ChunksStale(Vec<ItemIndex>),
     /// For `FetchAnswer`.
     Answer(Option<StoredAnswer>),
     /// Not done.
