--- a/crates/messages/src/gossip.rs
+++ b/crates/messages/src/gossip.rs
@@ -60,6 +60,23 @@
     EntriesInForce(VmName),
 }
 
+/// One node's catalogue in a few figures.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EntrySummary {
+    /// Digest of all entries' newest versions seen.
+    pub digest: u64,
+    /// Entries in force.
+    pub in_force: u32,
+    /// Entries whose newest version was refused as invalid.
+    pub refused: u32,
+    /// Whether the catalogue is complete.
+    pub complete: bool,
+    /// Sidecars whose first gateway the sender is.
+    pub sidecars: u32,
+    /// Those of them that have all their entries in force.
+    pub sidecars_current: u32,
+}
+
 /// Messages between gateways' memberships and catalogues.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum GossipMessage {
@@ -98,10 +115,26 @@
         /// All that the sender knows.
         members: Vec<MemberUpdate>,
     },
+    /// News and facts that can't wait for a ping; no answer.
+    News {
+        /// Of members.
+        members: Vec<MemberUpdate>,
+        /// Facts.
+        rumors: Vec<Rumor>,
+    },
+    /// Anti-entropy: the sender's whole catalogue in one digest. A receiver with another digest
+    /// answers with `EntryDigests`.
+    EntryRoot(EntrySummary),
+    /// Answer with `EntryRoot`, for the survey of what is in force.
+    EntryRootWanted,
+    /// Answer with `EntryDigests`, for the survey of what is in force.
+    EntryDigestsWanted,
     /// Anti-entropy: digests of the sender's catalogue by bucket.
     EntryDigests {
         /// One digest a bucket, by hash of the entry's key.
         buckets: Vec<u64>,
+        /// Whether the sender's catalogue is complete; a starting node's is not.
+        complete: bool,
     },
     /// Anti-entropy: the sender's versions in buckets that differed.
     EntryStamps {
@@ -114,6 +147,8 @@
     Entries {
         /// The entries.
         entries: Vec<EntryRecord>,
+        /// Buckets asked for by `EntryStamps` that are hereby answered in full; none in a push.
+        covers: Vec<u16>,
     },
     /// Send me these.
     EntryWants {
