--- /dev/null
+++ b/crates/platform/src/exchange.rs
@@ -0,0 +1,110 @@
+//! One HTTP exchange with the platform, and how sure one may be of its effect when it fails.
+
+use std::{fmt, time::Duration};
+
+use async_std::{future::timeout, net::TcpStream};
+use http_types::{Method, Request, Response, Url};
+
+/// Why an exchange gave no whole answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ExchangeFailure {
+    /// No byte of the request left this process.
+    NeverSent,
+    /// A part of the request left, and no whole answer came.
+    NoAnswer,
+}
+
+impl fmt::Display for ExchangeFailure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::NeverSent => "the request was never sent",
+            Self::NoAnswer => "the request was sent and no answer came",
+        })
+    }
+}
+
+impl std::error::Error for ExchangeFailure {}
+
+/// A whole answer.
+#[derive(Debug)]
+pub struct WholeAnswer {
+    /// Status and headers.
+    pub head: Response,
+    /// The body, whole.
+    pub body: Vec<u8>,
+}
+
+impl WholeAnswer {
+    /// The HTTP status.
+    pub fn status(&self) -> u16 {
+        self.head.status().into()
+    }
+
+    /// A header's value.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.head.header(name).map(|values| values.last().as_str())
+    }
+
+    /// A header's value as a number.
+    pub fn number(&self, name: &str) -> Option<u64> {
+        self.header(name)?.parse().ok()
+    }
+
+    /// How long the platform asks to wait, milliseconds.
+    pub fn retry_after_ms(&self) -> u64 {
+        let millis = self.number(crate::wire::RETRY_AFTER_MS_HEADER);
+        let seconds = || self.number("retry-after").map(|seconds| seconds.saturating_mul(1_000));
+        millis.or_else(seconds).unwrap_or(DEFAULT_RETRY_AFTER_MS)
+    }
+}
+
+/// Wait when a refusal names none, milliseconds.
+const DEFAULT_RETRY_AFTER_MS: u64 = 1_000;
+
+/// Where the platform answers, and how long it may take.
+#[derive(Debug, Clone)]
+pub struct Exchanger {
+    address: String,
+    time_limit: Duration,
+}
+
+impl Exchanger {
+    /// Exchanges with `address` (`ip:port`), each ending within `time_limit`.
+    pub fn new(address: &str, time_limit: Duration) -> Self {
+        Self { address: address.to_string(), time_limit }
+    }
+
+    /// The URL of `path`; `None` if address and path make none.
+    pub fn url(&self, path: &str) -> Option<Url> {
+        Url::parse(&format!("http://{}{path}", self.address)).ok()
+    }
+
+    /// A request to `url`.
+    pub fn request(&self, method: Method, url: Url) -> Request {
+        Request::new(method, url)
+    }
+
+    /// Sends `request` and reads the whole answer; ends within the limit plus `extra`.
+    pub async fn send(
+        &self,
+        request: Request,
+        extra: Duration,
+    ) -> Result<WholeAnswer, ExchangeFailure> {
+        let limit = self.time_limit + extra;
+        let connecting = timeout(limit, TcpStream::connect(&self.address)).await;
+        let stream = match connecting {
+            Ok(Ok(stream)) => stream,
+            _ => return Err(ExchangeFailure::NeverSent),
+        };
+        stream.set_nodelay(true).map_err(|_| ExchangeFailure::NeverSent)?;
+        let answer = timeout(limit, exchange(stream, request)).await;
+        answer.map_err(|_| ExchangeFailure::NoAnswer)?
+    }
+}
+
+async fn exchange(stream: TcpStream, request: Request) -> Result<WholeAnswer, ExchangeFailure> {
+    let answer = async_h1::connect(stream, request).await;
+    let mut head = answer.map_err(|_| ExchangeFailure::NoAnswer)?;
+    let body = head.body_bytes().await.map_err(|_| ExchangeFailure::NoAnswer)?;
+    Ok(WholeAnswer { head, body })
+}
