Publish telemetry: metrics, log lines and the book of notes

Cause: every daemon counts, logs and explains, and needs one way to do it. Change: a registry a node with every refusal, retry and drop reason at zero from the start; gauges and timings as closed enums; log lines with VM and failure domain as pairs or JSON; a bounded book of decision notes that counts repeats. Conclusion: the interface stands.

--- /dev/null
+++ b/crates/telemetry/src/logs/node.rs
@@ -0,0 +1,79 @@
+//! A node's own way to the log: many nodes may share a process and its logger.
+
+use std::fmt::Display;
+
+use log::{
+    Level, Record,
+    kv::{self, Key, Source, ToValue, Value, VisitSource},
+};
+use notch_types::prelude::*;
+
+/// Target of every line, for filters.
+const LOG_TARGET: &str = "notch";
+
+/// Writes lines that carry the node's VM and failure domain, whatever thread they come from.
+#[derive(Debug, Clone)]
+pub struct NodeLog {
+    vm: VmName,
+    domain: DomainName,
+}
+
+/// One line's pairs, borrowed.
+struct LinePairs<'a> {
+    node: &'a NodeLog,
+    event: &'static str,
+    fields: &'a [(&'static str, &'a dyn Display)],
+}
+
+impl NodeLog {
+    /// The log of the node on `vm`.
+    pub fn new(vm: &VmName, domain: &DomainName) -> Self {
+        Self { vm: vm.clone(), domain: domain.clone() }
+    }
+
+    /// A fault. `event` is a stable snake_case name.
+    pub fn error(&self, event: &'static str, fields: &[(&'static str, &dyn Display)]) {
+        self.write(Level::Error, event, fields);
+    }
+
+    /// What may become a fault.
+    pub fn warn(&self, event: &'static str, fields: &[(&'static str, &dyn Display)]) {
+        self.write(Level::Warn, event, fields);
+    }
+
+    /// A change of state.
+    pub fn info(&self, event: &'static str, fields: &[(&'static str, &dyn Display)]) {
+        self.write(Level::Info, event, fields);
+    }
+
+    /// A decision, for a search of faults.
+    pub fn debug(&self, event: &'static str, fields: &[(&'static str, &dyn Display)]) {
+        self.write(Level::Debug, event, fields);
+    }
+
+    fn write(&self, level: Level, event: &'static str, fields: &[(&'static str, &dyn Display)]) {
+        if level > log::max_level() {
+            return;
+        }
+        let pairs = LinePairs { node: self, event, fields };
+        let record = Record::builder()
+            .level(level)
+            .target(LOG_TARGET)
+            .args(format_args!(""))
+            .key_values(&pairs)
+            .build();
+        log::logger().log(&record);
+    }
+}
+
+impl Source for LinePairs<'_> {
+    fn visit<'kvs>(&'kvs self, visitor: &mut dyn VisitSource<'kvs>) -> Result<(), kv::Error> {
+        visitor.visit_pair(Key::from("vm"), self.node.vm.as_str().to_value())?;
+        visitor.visit_pair(Key::from("domain"), self.node.domain.as_str().to_value())?;
+        visitor.visit_pair(Key::from("event"), self.event.to_value())?;
+        for (key, value) in self.fields {
+            visitor.visit_pair(Key::from(*key), Value::from_dyn_display(value))?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/telemetry/src/metrics.rs
@@ -0,0 +1,8 @@
+//! Metrics of one node. Each node has a registry of its own, so that many nodes in one process
+//! don't share counts.
+
+mod gauge;
+mod registry;
+mod timing;
+
+pub use self::{gauge::Gauge, registry::Metrics, timing::Timing};
