Let gateways relay to sidecars and ask each other to explain

Cause: an owner must reach sidecars outside its subset (cancelled jobs), and a request's notes lie on the gateway that served it.

--- a/crates/messages/src/frame.rs
+++ b/crates/messages/src/frame.rs
@@ -9,7 +9,7 @@
     gossip::GossipMessage,
     load::LoadReport,
     lot::{ItemKey, ItemResult, ItemReturn, LotGrant, LotPull},
-    order::{OrderOutcome, TargetOrder},
+    order::{OrderOutcome, PlacementMessage, TargetHoldings, TargetOrder},
     shard::ShardCall,
 };
 
@@ -165,6 +165,8 @@
         /// How it ended.
         outcome: OrderOutcome,
     },
+    /// What the target holds.
+    Holdings(TargetHoldings),
     /// Entries this sidecar has in force.
     EntriesInForce(Vec<EntryStamp>),
     /// This VM is leaving: offer nothing more.
@@ -192,4 +194,27 @@
     Gossip(GossipMessage),
     /// Gateway to gateway: ledger shards.
     Shard(ShardCall),
+    /// Gateway to gateway: pass this on to a sidecar that the sender has no link to.
+    Relay {
+        /// The sidecar's VM.
+        vm: VmName,
+        /// What to pass on.
+        message: SidecarMessage,
+    },
+    /// Gateway to gateway: what do you know of this?
+    ExplainAsk {
+        /// Matches the answer; unique at the asker.
+        call: CallId,
+        /// What is asked about.
+        subject: NoteSubject,
+    },
+    /// Answer to `ExplainAsk`.
+    ExplainAnswer {
+        /// Of the question.
+        call: CallId,
+        /// JSON: the notes, oldest first; empty list when there are none.
+        notes: Payload,
+    },
+    /// Gateway to gateway: reports to the placement holder and its orders.
+    Placement(PlacementMessage),
 }
