Let sidecars report what their targets hold

Cause: a placement decision needs the version, adapters and role behind each sidecar, and must know that no order of an earlier lease holder can still change it. Conclusion: additive only.

--- a/crates/messages/src/lib.rs
+++ b/crates/messages/src/lib.rs
@@ -21,7 +21,9 @@
         lot::{
             ItemKey, ItemOutcome, ItemResult, ItemReturn, LotGrant, LotItem, LotPull, ReturnReason,
         },
-        order::{OrderAction, OrderOutcome, TargetOrder},
+        order::{
+            HeldModel, OrderAction, OrderOutcome, PlacementMessage, TargetHoldings, TargetOrder,
+        },
         shard::{
             ClaimVerdict, ItemStatus, JobChunk, JobPhase, JobProgress, JobSubmission, ResultLine,
             ShardAnswer, ShardCall, ShardRequest, StoredAnswer,
--- a/crates/messages/src/order.rs
+++ b/crates/messages/src/order.rs
@@ -58,3 +58,66 @@
         detail: String,
     },
 }
+
+/// A model that an engine holds.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeldModel {
+    /// The model's catalogue name.
+    pub model: TargetName,
+    /// The version held.
+    pub version: String,
+    /// Adapters loaded beside it, sorted.
+    pub adapters: Vec<String>,
+}
+
+/// What the target beside a sidecar holds, and which orders the sidecar has ended: sent when it
+/// changes, and now and then. The placement holder trusts a copy to stay only when the report
+/// carries its own epoch: then no order of an earlier holder can take the copy down any more.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetHoldings {
+    /// The sidecar's VM.
+    pub vm: VmName,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// The sidecar's incarnation.
+    pub incarnation: Incarnation,
+    /// Rises with each report of an incarnation; an older one is ignored.
+    pub sequence: u64,
+    /// Whether the target answers.
+    pub up: bool,
+    /// Whether the sidecar is leaving.
+    pub leaving: bool,
+    /// Models that fit into the target at once; 0 for a plain service.
+    pub slots: u32,
+    /// The target's role.
+    pub role: String,
+    /// What it holds.
+    pub models: Vec<HeldModel>,
+    /// Newest placement epoch that the sidecar knows; `None` after a restart.
+    pub epoch: Option<Epoch>,
+    /// Highest number of the orders of that epoch that have ended here; 0 when none has.
+    pub ended_order: u64,
+    /// Whether an order, of whatever epoch, is at the target now.
+    pub busy: bool,
+}
+
+/// Between gateways: reports to the placement holder, and its orders to sidecars that it has no
+/// link to.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PlacementMessage {
+    /// What targets linked to the sender hold.
+    Holdings(Vec<TargetHoldings>),
+    /// Pass this order on to its sidecar.
+    Forward(TargetOrder),
+    /// How a forwarded order ended.
+    Ended {
+        /// The sidecar.
+        vm: VmName,
+        /// The order's epoch.
+        epoch: Epoch,
+        /// The order's number.
+        order: u64,
+        /// How it ended.
+        outcome: OrderOutcome,
+    },
+}
