--- a/crates/messages/src/entry.rs
+++ b/crates/messages/src/entry.rs
@@ -48,3 +48,10 @@
     /// Its JSON text, validated again on arrival.
     pub body: EntryBody,
 }
+
+impl EntryRecord {
+    /// The version without the text.
+    pub fn stamp(&self) -> EntryStamp {
+        EntryStamp { key: self.key.clone(), version: self.version }
+    }
+}
--- a/crates/messages/src/gossip.rs
+++ b/crates/messages/src/gossip.rs
@@ -56,6 +56,8 @@
     Quarantine(Fingerprint),
     /// How near a limit an account is at a gateway.
     AccountUse(AccountName, VmName),
+    /// Who holds the placement lease; version = epoch.
+    PlacementHolder,
     /// How many entries a gateway has in force, and their digest.
     EntriesInForce(VmName),
 }
@@ -63,7 +65,7 @@
 /// One node's catalogue in a few figures.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EntrySummary {
-    /// Digest of all entries' newest versions seen.
+    /// Digest of all entries' versions, in force and refused.
     pub digest: u64,
     /// Entries in force.
     pub in_force: u32,
@@ -140,8 +142,15 @@
     EntryStamps {
         /// Buckets meant.
         buckets: Vec<u16>,
-        /// The sender's versions in them.
+        /// The sender's versions in force in them.
         stamps: Vec<EntryStamp>,
+        /// Newer versions in them that the sender refused as invalid.
+        refused: Vec<EntryStamp>,
+    },
+    /// Answer with `EntryStamps`, for the survey of what is in force.
+    EntryStampsWanted {
+        /// Buckets meant.
+        buckets: Vec<u16>,
     },
     /// Entries: pushed when new, or sent because the other's stamps were older.
     Entries {
