Drop the placement message that the relay replaces

Cause: the relay between gateways carries orders already. Change: PlacementMessage keeps reports and outcomes only. Conclusion: one way for orders.

--- a/crates/messages/src/frame.rs
+++ b/crates/messages/src/frame.rs
@@ -215,6 +215,6 @@
         /// JSON: the notes, oldest first; empty list when there are none.
         notes: Payload,
     },
-    /// Gateway to gateway: reports to the placement holder and its orders.
+    /// Gateway to gateway: what the placement holder needs to know.
     Placement(PlacementMessage),
 }
--- a/crates/messages/src/order.rs
+++ b/crates/messages/src/order.rs
@@ -101,15 +101,12 @@
     pub busy: bool,
 }
 
-/// Between gateways: reports to the placement holder, and its orders to sidecars that it has no
-/// link to.
+/// Gateway to the gateway that holds the placement lease. Its orders come by relay.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PlacementMessage {
     /// What targets linked to the sender hold.
     Holdings(Vec<TargetHoldings>),
-    /// Pass this order on to its sidecar.
-    Forward(TargetOrder),
-    /// How a forwarded order ended.
+    /// How a relayed order ended.
     Ended {
         /// The sidecar.
         vm: VmName,
