--- /dev/null
+++ b/crates/gate/src/gate/reports.rs
@@ -0,0 +1,84 @@
+//! Load reports to gateways: on change, but not too often.
+
+use notch_messages::prelude::*;
+use notch_types::prelude::*;
+
+use super::AdmissionGate;
+use crate::{core::GateCore, effect::GateEffect, timer_set::TimerKind};
+
+/// Most prompt heads told in one report.
+const WARM_PREFIXES: usize = 16;
+
+/// What was reported last, and when.
+#[derive(Debug, Default)]
+pub(super) struct LoadReporter {
+    sequence: u64,
+    warm: Vec<u64>,
+    last: Option<(MonoTime, LoadReport)>,
+    /// The time for which a timer was set.
+    timer: Option<MonoTime>,
+}
+
+impl LoadReporter {
+    pub(super) fn set_warm(&mut self, mut prefixes: Vec<u64>) {
+        prefixes.truncate(WARM_PREFIXES);
+        self.warm = prefixes;
+    }
+}
+
+impl AdmissionGate {
+    pub(super) fn welcome(&mut self, now: MonoTime) -> SidecarWelcome {
+        let load = self.load_report();
+        self.reporter.last = Some((now, load.clone()));
+        SidecarWelcome {
+            vm: self.core.settings.vm.clone(),
+            domain: self.core.settings.domain.clone(),
+            incarnation: self.core.settings.incarnation,
+            load,
+        }
+    }
+
+    /// Reports the load when it changed and the last report is old enough, or is very old.
+    pub(super) fn report(&mut self, now: MonoTime, effects: &mut Vec<GateEffect>) {
+        let settings = &self.core.settings;
+        let due = match &self.reporter.last {
+            None => now,
+            Some((at, last)) if self.is_changed(last) => *at + settings.load_interval,
+            Some((at, _)) => *at + settings.load_refresh,
+        };
+        if now < due {
+            if self.reporter.timer.is_none_or(|timer| timer > due || timer <= now) {
+                self.reporter.timer = Some(due);
+                self.core.timers.set(due, TimerKind::Load);
+            }
+            return;
+        }
+        let report = self.load_report();
+        for gateway in self.core.gateways.all() {
+            GateCore::send(gateway, GatewayMessage::Load(report.clone()), effects);
+        }
+        self.reporter.last = Some((now, report));
+    }
+
+    fn load_report(&mut self) -> LoadReport {
+        self.reporter.sequence += 1;
+        LoadReport {
+            incarnation: self.core.settings.incarnation,
+            sequence: self.reporter.sequence,
+            targets: self.targets.values().map(|state| state.load()).collect(),
+            warm_prefixes: self.reporter.warm.clone(),
+            leaving: self.core.leaving,
+        }
+    }
+
+    /// Whether something changed that a gateway's choice depends on.
+    fn is_changed(&self, last: &LoadReport) -> bool {
+        let targets = self.targets.values().map(|state| state.load());
+        let is_same = targets.len() == last.targets.len()
+            && targets.zip(&last.targets).all(|(now, then)| {
+                TargetLoad { first_token_us: 0, ..now }
+                    == TargetLoad { first_token_us: 0, ..then.clone() }
+            });
+        !is_same || last.leaving != self.core.leaving || last.warm_prefixes != self.reporter.warm
+    }
+}
--- a/crates/gate/src/settings.rs
+++ b/crates/gate/src/settings.rs
@@ -9,6 +9,8 @@
 pub struct GateSettings {
     /// The sidecar's VM.
     pub vm: VmName,
+    /// Its failure domain.
+    pub domain: DomainName,
     /// Drawn at the process's start.
     pub incarnation: Incarnation,
     /// Seed of the jitter in pull pauses.
@@ -75,6 +77,7 @@
     fn default() -> Self {
         Self {
             vm: VmName::new("target-vm"),
+            domain: DomainName::new("domain-1"),
             incarnation: Incarnation(1),
             seed: 1,
             output_retention: Duration::from_secs(30),
@@ -116,6 +119,8 @@
     pub kind: TargetKind,
     /// Upper bound of the learned concurrency limit; at least 1.
     pub max_concurrency: u32,
+    /// The limit before anything was learned.
+    pub start_concurrency: u32,
     /// Most online attempts waiting for a slot.
     pub queue_length: u32,
     /// Longest wait in the queue, whatever the deadline.
@@ -130,8 +135,9 @@
     fn default() -> Self {
         Self {
             kind: TargetKind::Engine,
-            max_concurrency: 16,
-            queue_length: 64,
+            max_concurrency: 64,
+            start_concurrency: 16,
+            queue_length: 32,
             queue_wait: Duration::from_secs(2),
             first_token_target: Duration::from_millis(720),
             between_token_target: Duration::from_millis(74),
