--- a/crates/platform/src/exchange.rs
+++ b/crates/platform/src/exchange.rs
@@ -2,8 +2,8 @@
 
 use std::{fmt, time::Duration};
 
-use async_std::{future::timeout, net::TcpStream};
-use http_types::{Method, Request, Response, Url};
+use async_std::future::timeout;
+use notch_http::prelude::*;
 
 /// Why an exchange gave no whole answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -60,18 +60,32 @@
 
 /// Wait when a refusal names none, milliseconds.
 const DEFAULT_RETRY_AFTER_MS: u64 = 1_000;
+/// The HTTP client's own limits; those of [`Exchanger::send`] are shorter.
+const LIBRARY_TIME_LIMIT: Duration = Duration::from_secs(3_600);
+
+/// Largest body taken from the platform, bytes: a page of changes in hexadecimal digits.
+const MAX_ANSWER_BYTES: u64 = 16 << 20;
 
 /// Where the platform answers, and how long it may take.
 #[derive(Debug, Clone)]
 pub struct Exchanger {
     address: String,
     time_limit: Duration,
+    client: HttpClient,
 }
 
 impl Exchanger {
     /// Exchanges with `address` (`ip:port`), each ending within `time_limit`.
     pub fn new(address: &str, time_limit: Duration) -> Self {
-        Self { address: address.to_string(), time_limit }
+        // Connecting gets half of the limit, so that a call that reaches the limit has always
+        // been sent: its end is never claimed to be without effect.
+        let settings = ClientSettings {
+            connect_timeout: time_limit / 2,
+            response_timeout: LIBRARY_TIME_LIMIT,
+            body_timeout: LIBRARY_TIME_LIMIT,
+            ..ClientSettings::default()
+        };
+        Self { address: address.to_string(), time_limit, client: HttpClient::new(settings) }
     }
 
     /// The URL of `path`; `None` if address and path make none.
@@ -79,32 +93,28 @@
         Url::parse(&format!("http://{}{path}", self.address)).ok()
     }
 
-    /// A request to `url`.
-    pub fn request(&self, method: Method, url: Url) -> Request {
-        Request::new(method, url)
-    }
-
     /// Sends `request` and reads the whole answer; ends within the limit plus `extra`.
+    ///
+    /// # Errors
+    /// [`ExchangeFailure`] says whether the request may have had its effect.
     pub async fn send(
         &self,
         request: Request,
         extra: Duration,
     ) -> Result<WholeAnswer, ExchangeFailure> {
         let limit = self.time_limit + extra;
-        let connecting = timeout(limit, TcpStream::connect(&self.address)).await;
-        let stream = match connecting {
-            Ok(Ok(stream)) => stream,
-            _ => return Err(ExchangeFailure::NeverSent),
-        };
-        stream.set_nodelay(true).map_err(|_| ExchangeFailure::NeverSent)?;
-        let answer = timeout(limit, exchange(stream, request)).await;
+        let answer = timeout(limit, self.exchange(request)).await;
         answer.map_err(|_| ExchangeFailure::NoAnswer)?
     }
-}
 
-async fn exchange(stream: TcpStream, request: Request) -> Result<WholeAnswer, ExchangeFailure> {
-    let answer = async_h1::connect(stream, request).await;
-    let mut head = answer.map_err(|_| ExchangeFailure::NoAnswer)?;
-    let body = head.body_bytes().await.map_err(|_| ExchangeFailure::NoAnswer)?;
-    Ok(WholeAnswer { head, body })
+    async fn exchange(&self, request: Request) -> Result<WholeAnswer, ExchangeFailure> {
+        let answer = self.client.send(request).await;
+        let mut head = answer.map_err(|error| match error {
+            ClientError::NotSent(_) => ExchangeFailure::NeverSent,
+            ClientError::Lost(_) => ExchangeFailure::NoAnswer,
+        })?;
+        let body = read_body(head.take_body(), MAX_ANSWER_BYTES).await;
+        let body = body.map_err(|_| ExchangeFailure::NoAnswer)?;
+        Ok(WholeAnswer { head, body })
+    }
 }
--- a/crates/platform/src/http_objects/request.rs
+++ b/crates/platform/src/http_objects/request.rs
@@ -1,6 +1,6 @@
 //! Requests to the object API.
 
-use http_types::{Method, Request, Url};
+use notch_http::prelude::*;
 use notch_types::object::{MAX_OBJECT_BYTES, StoreFailure, StoreOp, WriteCondition};
 
 use crate::{
@@ -11,18 +11,18 @@
 /// The request that makes `op`. Fails without any effect when `op` can't be asked for.
 pub(super) fn request_of(exchanger: &Exchanger, op: StoreOp) -> Result<Request, StoreFailure> {
     match op {
-        StoreOp::Get { key } => Ok(exchanger.request(Method::Get, object_url(exchanger, &key)?)),
+        StoreOp::Get { key } => Ok(Request::new(Method::Get, object_url(exchanger, &key)?)),
         StoreOp::Put { key, value, condition } => {
             if value.len() > MAX_OBJECT_BYTES {
                 return Err(StoreFailure::TooLarge);
             }
-            let mut request = exchanger.request(Method::Put, object_url(exchanger, &key)?);
+            let mut request = Request::new(Method::Put, object_url(exchanger, &key)?);
             set_condition(&mut request, condition);
             request.set_body(value.0);
             Ok(request)
         }
         StoreOp::Delete { key, condition } => {
-            let mut request = exchanger.request(Method::Delete, object_url(exchanger, &key)?);
+            let mut request = Request::new(Method::Delete, object_url(exchanger, &key)?);
             set_condition(&mut request, condition);
             Ok(request)
         }
@@ -35,7 +35,7 @@
             }
             query.append_pair("limit", &limit.to_string());
             drop(query);
-            Ok(exchanger.request(Method::Get, url))
+            Ok(Request::new(Method::Get, url))
         }
         StoreOp::Watch { prefix, after, wait_ms } => {
             let mut url = plain_url(exchanger, WATCH_PATH)?;
@@ -43,7 +43,7 @@
                 .append_pair("prefix", &prefix)
                 .append_pair("after", &after.0.to_string())
                 .append_pair("wait_ms", &wait_ms.to_string());
-            Ok(exchanger.request(Method::Get, url))
+            Ok(Request::new(Method::Get, url))
         }
     }
 }
--- a/crates/platform/src/http_vms.rs
+++ b/crates/platform/src/http_vms.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use futures_util::future::BoxFuture;
-use http_types::Method;
+use notch_http::prelude::*;
 
 use crate::{
     exchange::Exchanger,
@@ -24,7 +24,7 @@
 
     async fn read(&self) -> Result<Vec<VmRecord>, ListingFailure> {
         let url = self.exchanger.url(VMS_PATH).ok_or(ListingFailure::Unavailable)?;
-        let request = self.exchanger.request(Method::Get, url);
+        let request = Request::new(Method::Get, url);
         let answer = self.exchanger.send(request, Duration::ZERO).await;
         let answer = answer.map_err(|_| ListingFailure::Unavailable)?;
         match answer.status() {
--- a/crates/platform/src/http_weights.rs
+++ b/crates/platform/src/http_weights.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use futures_util::future::BoxFuture;
-use http_types::Method;
+use notch_http::prelude::*;
 
 use crate::{
     exchange::Exchanger,
@@ -24,7 +24,7 @@
 
     async fn request_permit(&self, request: PermitRequest) -> Result<LoadPermit, PermitFailure> {
         let url = self.exchanger.url(PERMITS_PATH).ok_or(PermitFailure::Unavailable)?;
-        let mut post = self.exchanger.request(Method::Post, url);
+        let mut post = Request::new(Method::Post, url);
         post.set_body(serde_json::to_vec(&request).map_err(|_| PermitFailure::Malformed)?);
         let answer = self.exchanger.send(post, Duration::ZERO).await;
         let answer = answer.map_err(|_| PermitFailure::Unavailable)?;
