Put limits, guards and a pool around the HTTP library

Cause: the library has no body limit, hangs on a split end of a chunked body, loses pipelined bytes, ends cut bodies as if whole and never looks for a caller that left. Change: the server decodes and encodes by the library on a stream of its own that holds the limits; the client keeps connections and tells not sent from lost.

--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod body;
 pub mod client;
+mod guard;
 pub mod server;
 
 pub use async_std::net::TcpListener;
@@ -15,6 +16,7 @@
         body::{BodyError, BodySender, read_body, streamed_body},
         client::{
             HttpClient,
+            counts::ClientCounts,
             error::{ClientError, LostCause, SendFailure},
             settings::ClientSettings,
         },
