--- a/crates/gate/src/core/batch.rs
+++ b/crates/gate/src/core/batch.rs
@@ -121,6 +121,7 @@
             path: String::new(),
             body: item.body.clone(),
             stream: true,
+            idempotent: grant.idempotent,
             progress: item.progress.clone(),
         };
         let ticket = ItemTicket {
@@ -256,7 +257,7 @@
     }
 
     fn wanted_items(&self, state: &TargetState) -> u32 {
-        if !state.is_up() || self.leaving || !self.has_result_room() {
+        if !state.is_up() || !state.policy.takes_batch || self.leaving || !self.has_result_room() {
             return 0;
         }
         let room = state.batch_room(&self.weights, false);
--- a/crates/gate/src/effect.rs
+++ b/crates/gate/src/effect.rs
@@ -66,6 +66,8 @@
     pub body: Payload,
     /// Whether the caller reads a stream.
     pub stream: bool,
+    /// Whether the target may run it more than once.
+    pub idempotent: bool,
     /// Text to resume after.
     pub progress: Option<Payload>,
 }
--- a/crates/gate/src/event.rs
+++ b/crates/gate/src/event.rs
@@ -85,6 +85,8 @@
     Weights(PolicyWeights),
     /// Prompt heads that the prefix caches likely hold, newest first.
     WarmPrefixes(Vec<u64>),
+    /// What the engine holds.
+    Holdings(EngineHoldings),
     /// The target ended an order.
     OrderEnded {
         /// The order's epoch.
@@ -100,6 +102,17 @@
     Wake,
 }
 
+/// What an engine holds, as it tells.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct EngineHoldings {
+    /// Models that fit at once; 0 for a plain service.
+    pub slots: u32,
+    /// The engine's role.
+    pub role: String,
+    /// Models held.
+    pub models: Vec<HeldModel>,
+}
+
 /// How a run ended at the target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RunEnd {
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -76,6 +76,7 @@
         }
         self.take(now, event, effects);
         self.report(now, effects);
+        self.report_holdings(now, effects);
         self.finish_drain(now, effects);
     }
 
@@ -118,6 +119,7 @@
                 self.pump_all(now, effects);
             }
             GateEvent::WarmPrefixes(prefixes) => self.reporter.set_warm(prefixes),
+            GateEvent::Holdings(holdings) => self.reporter.set_holdings(holdings),
             GateEvent::OrderEnded { epoch, order, outcome } => {
                 self.order_ended(now, epoch, order, outcome, effects);
             }
@@ -279,6 +281,7 @@
         if self.core.leaving {
             GateCore::send(&gateway, GatewayMessage::Leaving, effects);
         }
+        self.reporter.forget_holdings();
         self.core.resend(now, effects);
         self.pump_all(now, effects);
     }
--- a/crates/gate/src/gate/attempts.rs
+++ b/crates/gate/src/gate/attempts.rs
@@ -100,6 +100,9 @@
             TargetHealth::Down(_) => return Some(RefusalReason::NoTarget),
             TargetHealth::Up | TargetHealth::Doubtful => {}
         }
+        if !state.policy.takes_online {
+            return Some(RefusalReason::UnknownTarget);
+        }
         if offer.deadline_ms == 0 {
             return Some(RefusalReason::DeadlinePassed);
         }
@@ -129,6 +132,7 @@
             path: offer.path,
             body: offer.body,
             stream: offer.stream,
+            idempotent: offer.idempotent,
             progress: offer.progress,
         };
         let record = RunRecord {
--- a/crates/gate/src/gate/reports.rs
+++ b/crates/gate/src/gate/reports.rs
@@ -4,7 +4,7 @@
 use notch_types::prelude::*;
 
 use super::AdmissionGate;
-use crate::{core::GateCore, effect::GateEffect, timer_set::TimerKind};
+use crate::{core::GateCore, effect::GateEffect, event::EngineHoldings, timer_set::TimerKind};
 
 /// Most prompt heads told in one report.
 const WARM_PREFIXES: usize = 16;
@@ -17,6 +17,9 @@
     last: Option<(MonoTime, LoadReport)>,
     /// The time for which a timer was set.
     timer: Option<MonoTime>,
+    held: EngineHoldings,
+    held_sequence: u64,
+    last_held: Option<(MonoTime, TargetHoldings)>,
 }
 
 impl LoadReporter {
@@ -24,6 +27,15 @@
         prefixes.truncate(WARM_PREFIXES);
         self.warm = prefixes;
     }
+
+    pub(super) fn set_holdings(&mut self, holdings: EngineHoldings) {
+        self.held = holdings;
+    }
+
+    /// A gateway came: it has no report yet.
+    pub(super) fn forget_holdings(&mut self) {
+        self.last_held = None;
+    }
 }
 
 impl AdmissionGate {
@@ -71,6 +83,40 @@
         }
     }
 
+    /// Reports what the target holds, on change and now and then.
+    pub(super) fn report_holdings(&mut self, now: MonoTime, effects: &mut Vec<GateEffect>) {
+        let holdings = self.holdings();
+        if let Some((at, last)) = &self.reporter.last_held {
+            let is_same = TargetHoldings { sequence: last.sequence, ..holdings.clone() } == *last;
+            if is_same && now.since(*at) < self.core.settings.load_refresh {
+                return;
+            }
+        }
+        self.reporter.held_sequence += 1;
+        let holdings = TargetHoldings { sequence: self.reporter.held_sequence, ..holdings };
+        for gateway in self.core.gateways.all() {
+            GateCore::send(gateway, GatewayMessage::Holdings(holdings.clone()), effects);
+        }
+        self.reporter.last_held = Some((now, holdings));
+    }
+
+    fn holdings(&self) -> TargetHoldings {
+        TargetHoldings {
+            vm: self.core.settings.vm.clone(),
+            domain: self.core.settings.domain.clone(),
+            incarnation: self.core.settings.incarnation,
+            sequence: self.reporter.held_sequence,
+            up: self.targets.values().any(|state| state.is_up()),
+            leaving: self.core.leaving,
+            slots: self.reporter.held.slots,
+            role: self.reporter.held.role.clone(),
+            models: self.reporter.held.models.clone(),
+            epoch: self.fence.newest(),
+            ended_order: self.fence.ended_order(),
+            busy: self.fence.is_busy(),
+        }
+    }
+
     /// Whether something changed that a gateway's choice depends on.
     fn is_changed(&self, last: &LoadReport) -> bool {
         let targets = self.targets.values().map(|state| state.load());
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -22,7 +22,7 @@
 pub mod prelude {
     pub use crate::{
         effect::{GateEffect, RunRequest},
-        event::{DownCause, GapSum, GateEvent, RunEnd, TimingSample},
+        event::{DownCause, EngineHoldings, GapSum, GateEvent, RunEnd, TimingSample},
         gate::AdmissionGate,
         settings::{GateSettings, PolicyWeights, TargetPolicy},
     };
--- a/crates/gate/src/order_fence.rs
+++ b/crates/gate/src/order_fence.rs
@@ -33,6 +33,8 @@
     /// Orders done; at most `bound`, the lowest (epoch, order) goes first.
     done: BTreeMap<(Epoch, u64), TargetOrder>,
     bound: usize,
+    /// The newest epoch of which an order ended here, and the highest number of such.
+    ended: Option<(Epoch, u64)>,
 }
 
 impl OrderFence {
@@ -44,9 +46,25 @@
             waiting: VecDeque::new(),
             done: BTreeMap::new(),
             bound,
+            ended: None,
         }
     }
 
+    /// Newest epoch seen.
+    pub(crate) fn newest(&self) -> Option<Epoch> {
+        self.newest
+    }
+
+    /// Highest number of the newest epoch's orders that ended here; 0 when none has.
+    pub(crate) fn ended_order(&self) -> u64 {
+        self.ended.filter(|(epoch, _)| Some(*epoch) == self.newest).map_or(0, |(_, number)| number)
+    }
+
+    /// Whether an order is at the engine.
+    pub(crate) fn is_busy(&self) -> bool {
+        self.current.is_some()
+    }
+
     pub(crate) fn learn(&mut self, epoch: Epoch) {
         self.newest = self.newest.max(Some(epoch));
     }
@@ -97,6 +115,7 @@
     ) -> Option<Vec<VmName>> {
         let (order, askers) =
             self.current.take_if(|(order, _)| order.epoch == epoch && order.order == number)?;
+        self.ended = self.ended.max(Some((epoch, number)));
         // Only a success is remembered: a failed order, or one whose end was lost, is done again
         // when the holder asks again.
         if *outcome == OrderOutcome::Done {
--- a/crates/gate/src/settings.rs
+++ b/crates/gate/src/settings.rs
@@ -117,6 +117,13 @@
 pub struct TargetPolicy {
     /// Engine or plain service.
     pub kind: TargetKind,
+    /// Whether online requests are taken.
+    pub takes_online: bool,
+    /// Whether batch items are taken.
+    pub takes_batch: bool,
+    /// Share of the limit that items of late jobs may hold against online work, 0..=1. It never
+    /// eats the online reserve.
+    pub floor_share: f64,
     /// Upper bound of the learned concurrency limit; at least 1.
     pub max_concurrency: u32,
     /// The limit before anything was learned.
@@ -135,6 +142,9 @@
     fn default() -> Self {
         Self {
             kind: TargetKind::Engine,
+            takes_online: true,
+            takes_batch: true,
+            floor_share: 0.1,
             max_concurrency: 64,
             start_concurrency: 16,
             queue_length: 32,
@@ -152,13 +162,10 @@
     pub latency_weight: f64,
     /// Largest share of the limit that the learned online reserve may take, 0..=1.
     pub reserve_share: f64,
-    /// Share of the limit that items of late jobs may hold against online work, 0..=1. It never
-    /// eats the online reserve.
-    pub floor_share: f64,
 }
 
 impl Default for PolicyWeights {
     fn default() -> Self {
-        Self { latency_weight: 0.5, reserve_share: 0.25, floor_share: 0.1 }
+        Self { latency_weight: 0.5, reserve_share: 0.25 }
     }
 }
--- a/crates/gate/src/target_state.rs
+++ b/crates/gate/src/target_state.rs
@@ -142,7 +142,7 @@
     /// Slots that items of late jobs hold against online work; never into the reserve.
     pub(crate) fn floor_slots(&self, weights: &PolicyWeights) -> u32 {
         let limit = self.limits.limit();
-        let share = f64::from(limit) * weights.floor_share.clamp(0.0, 1.0);
+        let share = f64::from(limit) * self.policy.floor_share.clamp(0.0, 1.0);
         let above_reserve = limit.saturating_sub(self.reserve_slots(weights).max(1));
         (share.floor() as u32).min(above_reserve)
     }
