--- a/crates/catalogue/src/survey.rs
+++ b/crates/catalogue/src/survey.rs
@@ -5,7 +5,7 @@
 use notch_messages::entry::EntryKey;
 use notch_types::prelude::*;
 
-/// How far one entry's newest version known here has come.
+/// How far one entry's version in force here has come.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct EntryCount {
     /// The version.
@@ -21,7 +21,7 @@
     pub gateways: usize,
     /// Those that answered, the asking one included.
     pub answered: usize,
-    /// Answered, but with another digest and no details in time: not in any entry's count.
+    /// Answered, but with another digest and no details in time: in no entry's count.
     pub unclear: Vec<VmName>,
     /// Gateways that did not answer.
     pub silent: Vec<VmName>,
