Route online requests: choice, claims, retries, circuits, quarantine, account limits

Cause: the interface decided nothing. Additions to the interface: Suspected/SuspectSeen, GatewayCount, new settings. A request that must run at most once is held whole until it is recorded.

--- a/crates/routing/src/effect.rs
+++ b/crates/routing/src/effect.rs
@@ -86,7 +86,7 @@
         /// The attempt.
         attempt: AttemptId,
     },
-    /// Store the attempt's whole answer in the ledger.
+    /// Store the attempt's whole answer in the ledger. Told again until `AnswerRecorded` says ok.
     RecordAnswer {
         /// The request.
         request: RequestId,
@@ -117,7 +117,8 @@
         /// How it ends.
         end: RequestEnd,
     },
-    /// The router has forgotten the request: body and answers may be dropped.
+    /// The router has forgotten the request: body and answers may be dropped. Comes after the
+    /// `Finish` of its last call and after `RecordAnswer`.
     Forget {
         /// The request.
         request: RequestId,
@@ -129,6 +130,16 @@
         /// The target's name.
         target: TargetName,
     },
+    /// The fingerprint was in flight when the target of `vm` crashed: tell the other gateways,
+    /// which feed it as `SuspectSeen`.
+    Suspected {
+        /// The suspect.
+        fingerprint: Fingerprint,
+        /// The VM whose target crashed.
+        vm: VmName,
+        /// Whether it was the only one in flight.
+        alone: bool,
+    },
     /// Tell the other gateways.
     Rumor(AccountUse),
     /// Count.
--- a/crates/routing/src/event.rs
+++ b/crates/routing/src/event.rs
@@ -158,7 +158,8 @@
         /// Its VM.
         vm: VmName,
     },
-    /// The VM is gone or left the subset with its link: its attempts are lost.
+    /// The VM is gone for good: its attempts are lost, and nobody will be able to say how they
+    /// ended. A sidecar that merely leaves the subset is told as leaving until its attempts end.
     SidecarGone {
         /// Its VM.
         vm: VmName,
@@ -174,6 +175,8 @@
         /// Its use.
         usage: AccountUse,
     },
+    /// How many gateways share the accounts' limits, this one included.
+    GatewayCount(u32),
     /// Another gateway is gone: its use no longer counts.
     GatewayGone {
         /// The other gateway.
@@ -192,6 +195,15 @@
         /// Whether it was the only one in flight.
         alone: bool,
     },
+    /// Another gateway's `Suspected`.
+    SuspectSeen {
+        /// The suspect.
+        fingerprint: Fingerprint,
+        /// The VM whose target crashed.
+        vm: VmName,
+        /// Whether it was the only one in flight.
+        alone: bool,
+    },
     /// Time passed; fed at `next_wake` or later.
     Tick,
     /// The gateway is leaving: refuse what is new, finish the rest.
--- /dev/null
+++ b/crates/routing/src/router/fleet.rs
@@ -0,0 +1,164 @@
+//! Sidecars, targets, accounts, and requests that crash targets.
+
+use notch_messages::prelude::*;
+use notch_types::prelude::*;
+
+use super::{FIRST_SERVICE_TIME, OnlineRouter, RouterTurn, TargetState};
+use crate::{
+    effect::RouterEffect,
+    event::RouterEvent,
+    policy::TargetPolicy,
+    request_state::{RequestPhase, RequestState},
+    retry_budget::RetryBudget,
+};
+
+impl OnlineRouter {
+    pub(super) fn run_fleet_event(&mut self, turn: &mut RouterTurn<'_>, event: RouterEvent) {
+        match event {
+            RouterEvent::SidecarSeen { vm, domain, incarnation, load } => {
+                self.on_sidecar_seen(turn, &vm, &domain, incarnation, &load);
+            }
+            RouterEvent::SidecarLoad { vm, report } => self.on_sidecar_load(turn, &vm, &report),
+            RouterEvent::SidecarSilent { vm } => {
+                turn.count(Counter::Event("sidecars_silent"));
+                self.sidecars.set_silent(&vm, true);
+            }
+            RouterEvent::SidecarBack { vm } => self.sidecars.set_silent(&vm, false),
+            RouterEvent::SidecarLeaving { vm } => self.on_sidecar_leaving(turn, &vm),
+            RouterEvent::SidecarStaying { vm } => {
+                self.sidecars.set_leaving(&vm, false);
+            }
+            RouterEvent::SidecarGone { vm } => {
+                let lost = self.sidecars.gone(&vm);
+                self.lose_all(turn, lost);
+            }
+            RouterEvent::TargetsChanged(policies) => self.on_targets_changed(turn, policies),
+            RouterEvent::AccountsChanged(limits) => self.accounts.replace(limits),
+            RouterEvent::AccountRumor { gateway, usage } => {
+                self.accounts.heard(turn.now, gateway, usage);
+            }
+            RouterEvent::GatewayCount(count) => self.accounts.set_gateways(count),
+            RouterEvent::GatewayGone { gateway } => self.accounts.forget_gateway(&gateway),
+            RouterEvent::QuarantineSeen(fingerprints) => {
+                for fingerprint in fingerprints {
+                    self.suspects.quarantine(turn.now, fingerprint);
+                    self.refuse_quarantined(turn, fingerprint);
+                }
+            }
+            RouterEvent::Suspects { vm, target, fingerprints, alone } => {
+                for fingerprint in fingerprints {
+                    self.accuse(turn, fingerprint, &vm, &target, alone);
+                    self.refuse_quarantined(turn, fingerprint);
+                }
+            }
+            RouterEvent::SuspectSeen { fingerprint, vm, alone } => {
+                self.suspects.crashed(turn.now, fingerprint, &vm, alone);
+                self.refuse_quarantined(turn, fingerprint);
+            }
+            // The others are handled before.
+            _ => {}
+        }
+    }
+
+    fn on_sidecar_seen(
+        &mut self,
+        turn: &mut RouterTurn<'_>,
+        vm: &VmName,
+        domain: &DomainName,
+        incarnation: Incarnation,
+        load: &LoadReport,
+    ) {
+        let near = domain.as_str() == self.settings.domain;
+        let lost = self.sidecars.seen(turn.now, vm, near, incarnation, load);
+        self.lose_all(turn, lost);
+    }
+
+    fn on_sidecar_load(&mut self, turn: &mut RouterTurn<'_>, vm: &VmName, report: &LoadReport) {
+        if !self.sidecars.report(turn.now, vm, report) {
+            turn.count(Counter::Dropped(DropReason::StaleIncarnation));
+        }
+    }
+
+    fn on_sidecar_leaving(&mut self, turn: &mut RouterTurn<'_>, vm: &VmName) {
+        if self.sidecars.set_leaving(vm, true) {
+            turn.count(Counter::Event("sidecars_leaving"));
+            let detail = "no new work goes there".to_owned();
+            turn.note(DecisionNote::new(NoteSubject::Vm(vm.clone()), "leaving", detail).at(vm));
+        }
+    }
+
+    fn lose_all(&mut self, turn: &mut RouterTurn<'_>, attempts: Vec<AttemptId>) {
+        for attempt in attempts {
+            self.on_lost(turn, attempt);
+        }
+    }
+
+    fn on_targets_changed(&mut self, turn: &RouterTurn<'_>, policies: Vec<TargetPolicy>) {
+        let mut before = std::mem::take(&mut self.targets);
+        for policy in policies {
+            let state = match before.remove(&policy.target) {
+                Some(state) => TargetState { policy, ..state },
+                None => TargetState {
+                    budget: RetryBudget::new(turn.now, &self.settings.retry),
+                    service_time: FIRST_SERVICE_TIME,
+                    policy,
+                },
+            };
+            self.targets.insert(state.policy.target.clone(), state);
+        }
+    }
+
+    /// The target of `vm` crashed with the fingerprint in flight.
+    pub(super) fn accuse(
+        &mut self,
+        turn: &mut RouterTurn<'_>,
+        fingerprint: Fingerprint,
+        vm: &VmName,
+        target: &TargetName,
+        alone: bool,
+    ) {
+        if self.suspects.is_quarantined(turn.now, fingerprint) {
+            return;
+        }
+        turn.emit(RouterEffect::Suspected { fingerprint, vm: vm.clone(), alone });
+        if !self.suspects.crashed(turn.now, fingerprint, vm, alone) {
+            return;
+        }
+        turn.count(Counter::Event("fingerprints_quarantined"));
+        let detail = format!("{fingerprint} crashed it on distinct VMs, last on {vm}");
+        let subject = NoteSubject::Target(target.clone());
+        turn.note(DecisionNote::new(subject, "quarantined", detail).at(vm));
+        turn.emit(RouterEffect::Quarantine { fingerprint, target: target.clone() });
+    }
+
+    /// Requests that wait for their next step with a quarantined fingerprint end at once. This
+    /// looks at every request, in order of their ids; quarantines are rare.
+    fn refuse_quarantined(&mut self, turn: &mut RouterTurn<'_>, fingerprint: Fingerprint) {
+        if !self.suspects.is_quarantined(turn.now, fingerprint) {
+            return;
+        }
+        let mut waiting: Vec<RequestId> = self
+            .requests
+            .values()
+            .filter(|state| state.lead.fingerprint == fingerprint && is_waiting(state))
+            .map(|state| state.id())
+            .collect();
+        waiting.sort_unstable();
+        for request in waiting {
+            self.step(turn, request, |router, turn, state| {
+                let detail = "this request crashes targets";
+                router.refuse_for(turn, state, RefusalReason::Quarantined, detail);
+            });
+        }
+    }
+}
+
+fn is_waiting(state: &RequestState) -> bool {
+    match state.phase {
+        RequestPhase::Fetching | RequestPhase::Claiming { .. } | RequestPhase::Backoff => true,
+        RequestPhase::Held { .. }
+        | RequestPhase::Running { .. }
+        | RequestPhase::Settled { .. }
+        | RequestPhase::Done => false,
+    }
+}
--- a/crates/routing/src/settings.rs
+++ b/crates/routing/src/settings.rs
@@ -55,6 +55,8 @@
     pub warm_tilt: f64,
     /// A sidecar at or above this score gets no warm tilt: a hot prefix can't overload it.
     pub warm_ceiling: f64,
+    /// Added to the score in proportion to batch work running, which online work would displace.
+    pub batch_tilt: f64,
     /// Most work offered to one sidecar, as a multiple of its limit; the part over 1.0 waits in
     /// the sidecar's short admission queue.
     pub full_ratio: f64,
@@ -68,6 +70,7 @@
             near_tilt: 0.10,
             warm_tilt: 0.30,
             warm_ceiling: 0.75,
+            batch_tilt: 0.05,
             full_ratio: 1.5,
             report_age: Duration::from_secs(3),
         }
@@ -132,6 +135,22 @@
     pub fetch_wait: Duration,
     /// Most time the answer of a non-idempotent request waits for its record.
     pub record_wait: Duration,
+    /// Most time an answer is kept while its record is tried again.
+    pub record_keep: Duration,
+    /// Most answers kept for that; the record of a further one isn't tried again.
+    pub max_recording: usize,
+    /// How long after its deadline a non-idempotent attempt without callers is listened to.
+    pub linger: Duration,
+    /// How long it is remembered that a keyed request may have started here, or that an attempt
+    /// with a claim never will.
+    pub start_memory_age: Duration,
+    /// Most such requests remembered, and most such attempts. When more are started, refusals of keyed requests say
+    /// `unknown` instead of `not_run` for a while.
+    pub start_memory_size: usize,
+    /// Whether a keyed request that the ledger hasn't spoken on is refused as `unknown`, since an
+    /// earlier send of it may have run through another gateway. When off, `not_run` speaks of
+    /// the sends that this gateway knows.
+    pub doubt_other_gateways: bool,
 }
 
 impl Default for ClaimSettings {
@@ -145,6 +164,12 @@
             foreign_seal_after: Duration::from_secs(1),
             fetch_wait: Duration::from_millis(100),
             record_wait: Duration::from_secs(2),
+            record_keep: Duration::from_secs(60),
+            max_recording: 1_000,
+            linger: Duration::from_secs(5),
+            start_memory_age: Duration::from_secs(600),
+            start_memory_size: 65_536,
+            doubt_other_gateways: false,
         }
     }
 }
@@ -196,14 +221,19 @@
 /// Settings of account limits.
 #[derive(Debug, Clone, PartialEq)]
 pub struct AccountSettings {
-    /// Share of an account's limit before anything is known of other gateways' use.
-    pub initial_share: f64,
     /// Least share; a gateway that was never asked can still serve a first request.
     pub min_share: f64,
-    /// An account is spoken of when its use here passes this part of its share.
+    /// An account is spoken of when its demand here, if it were the same at every gateway, would
+    /// pass this part of its limit.
     pub near: f64,
-    /// How often the use of accounts near their limit is told.
+    /// How often the use of accounts near their limit is told, at the most.
     pub rumor_every: Duration,
+    /// Most accounts told of at a time, those nearest to their limit first.
+    pub rumor_batch: usize,
+    /// Most rumours a second of all gateways together; with many gateways each tells less often.
+    pub rumors_per_s: f64,
+    /// Time constant of the smoothed demand.
+    pub demand_window: Duration,
     /// A rumour older than this counts no more.
     pub rumor_age: Duration,
     /// Idle accounts are forgotten after this long.
@@ -213,10 +243,12 @@
 impl Default for AccountSettings {
     fn default() -> Self {
         Self {
-            initial_share: 1.0,
             min_share: 0.02,
             near: 0.5,
             rumor_every: Duration::from_secs(1),
+            rumor_batch: 8,
+            rumors_per_s: 40.0,
+            demand_window: Duration::from_secs(5),
             rumor_age: Duration::from_secs(10),
             idle_age: Duration::from_secs(120),
         }
