--- /dev/null
+++ b/crates/placement/src/fleet.rs
@@ -0,0 +1,6 @@
+//! The fleet as its sidecars report it.
+
+mod target;
+mod view;
+
+pub(crate) use self::{target::TargetState, view::FleetView};
--- /dev/null
+++ b/crates/placement/src/fleet/target.rs
@@ -0,0 +1,221 @@
+//! One target as last seen.
+
+use std::collections::BTreeMap;
+
+use notch_messages::prelude::*;
+use notch_types::prelude::*;
+
+/// Most pauses after failed loads kept for one target; the one that ends first goes first.
+const MAX_PAUSES: usize = 32;
+
+/// A model that a target failed to load.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct LoadPause {
+    pub(crate) until: MonoTime,
+    /// Failures in a row.
+    pub(crate) failures: u32,
+}
+
+/// The load of one model at one target.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct LoadSample {
+    pub(crate) at: MonoTime,
+    pub(crate) waiting: u32,
+    pub(crate) running: u32,
+    pub(crate) limit: u32,
+}
+
+/// One target as last seen.
+#[derive(Debug)]
+pub(crate) struct TargetState {
+    /// The newest report, changed by the orders that were done since.
+    pub(crate) report: TargetHoldings,
+    /// The incarnation before: a late report of it is ignored.
+    former: Option<Incarnation>,
+    /// Told from elsewhere than the report.
+    pub(crate) leaving: bool,
+    /// Since when the target doesn't answer or no gateway sees the sidecar.
+    pub(crate) away: Option<MonoTime>,
+    /// Highest order of `report.epoch` whose end was told.
+    ended: u64,
+    /// A slot kept for this model, until then.
+    pub(crate) reserved: Option<(TargetName, MonoTime)>,
+    /// At most [`MAX_PAUSES`].
+    pauses: BTreeMap<TargetName, LoadPause>,
+    /// The newest sample of each model reported; bounded by the report.
+    pub(crate) samples: BTreeMap<TargetName, LoadSample>,
+    load_sequence: u64,
+}
+
+/// What a report was worth.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ReportWorth {
+    New,
+    Stale,
+}
+
+impl TargetState {
+    pub(crate) fn new(now: Now, report: TargetHoldings, leaving: bool) -> Self {
+        let away = (!report.up).then_some(now.mono);
+        Self {
+            report: sorted(report),
+            former: None,
+            leaving,
+            away,
+            ended: 0,
+            reserved: None,
+            pauses: BTreeMap::new(),
+            samples: BTreeMap::new(),
+            load_sequence: 0,
+        }
+    }
+
+    /// Takes a report in.
+    ///
+    /// A report made before an order was done, but received after, would bring back a copy that
+    /// is gone: the planner would count it as serving and take the last real one down. Such a
+    /// report shows an older number of ended orders, and is ignored.
+    pub(crate) fn take_report(&mut self, now: Now, report: TargetHoldings) -> ReportWorth {
+        let known = &self.report;
+        if Some(report.incarnation) == self.former {
+            return ReportWorth::Stale;
+        }
+        if report.incarnation == known.incarnation {
+            let behind = report.epoch < known.epoch
+                || (report.epoch == known.epoch && report.ended_order < self.ended);
+            if report.sequence <= known.sequence || behind {
+                return ReportWorth::Stale;
+            }
+        } else {
+            self.former = Some(known.incarnation);
+            self.ended = 0;
+            self.load_sequence = 0;
+        }
+        if report.epoch != self.report.epoch {
+            self.ended = 0;
+        }
+        self.away = match report.up {
+            true => None,
+            false => self.away.or(Some(now.mono)),
+        };
+        self.report = sorted(report);
+        ReportWorth::New
+    }
+
+    pub(crate) fn take_load(&mut self, now: Now, load: &LoadReport) {
+        let stale = load.sequence <= self.load_sequence && self.load_sequence > 0;
+        if load.incarnation != self.report.incarnation || stale {
+            return;
+        }
+        self.load_sequence = load.sequence;
+        let held = load.targets.iter().filter(|line| self.holds(&line.target));
+        let samples = held.map(|line| {
+            let sample = LoadSample {
+                at: now.mono,
+                waiting: line.online_waiting,
+                running: line.online_running.saturating_add(line.batch_running),
+                limit: line.limit,
+            };
+            (line.target.clone(), sample)
+        });
+        self.samples = samples.collect();
+    }
+
+    /// The order was done: the target is as ordered, and its sidecar knows the order's epoch.
+    pub(crate) fn take_done(&mut self, order: &TargetOrder) {
+        if self.report.epoch != Some(order.epoch) {
+            self.ended = 0;
+        }
+        self.report.epoch = Some(order.epoch);
+        self.report.busy = false;
+        self.ended = self.ended.max(order.order);
+        match &order.action {
+            OrderAction::Load { model, version, adapters } => {
+                self.pauses.remove(model);
+                self.report.models.retain(|held| held.model != *model);
+                let (model, version) = (model.clone(), version.clone());
+                let adapters = adapters.clone();
+                self.report.models.push(HeldModel { model, version, adapters });
+            }
+            OrderAction::Unload { model } => {
+                self.report.models.retain(|held| held.model != *model);
+            }
+            OrderAction::Role { role } => self.report.role = role.clone(),
+        }
+    }
+
+    /// The order failed: what the target holds now is known from its next report only.
+    pub(crate) fn take_failed(&mut self, order: &TargetOrder) {
+        if self.report.epoch != Some(order.epoch) {
+            self.ended = 0;
+        }
+        self.report.epoch = Some(order.epoch);
+        self.report.busy = true;
+        self.ended = self.ended.max(order.order);
+    }
+
+    /// Keeps `model` away for a while, longer with each failure in a row.
+    pub(crate) fn pause_load(
+        &mut self,
+        now: Now,
+        model: &TargetName,
+        first: std::time::Duration,
+        longest: std::time::Duration,
+    ) {
+        let failures = self.pauses.get(model).map_or(0, |pause| pause.failures);
+        let pause = (first * 2_u32.saturating_pow(failures.min(16))).min(longest);
+        let pause = LoadPause { until: now.mono + pause, failures: failures + 1 };
+        self.pauses.insert(model.clone(), pause);
+        if self.pauses.len() > MAX_PAUSES {
+            let first = self.pauses.iter().min_by_key(|(_, pause)| pause.until);
+            if let Some(model) = first.map(|(model, _)| model.clone()) {
+                self.pauses.remove(&model);
+            }
+        }
+    }
+
+    pub(crate) fn is_paused(&self, now: Now, model: &TargetName) -> bool {
+        self.pauses.get(model).is_some_and(|pause| now.mono < pause.until)
+    }
+
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.leaving || self.report.leaving
+    }
+
+    /// Answers, stays, and takes models at all.
+    pub(crate) fn is_usable(&self) -> bool {
+        self.away.is_none() && !self.is_leaving() && self.report.slots > 0
+    }
+
+    /// Whether no order of another epoch can change the target any more.
+    pub(crate) fn is_confirmed(&self, epoch: Epoch) -> bool {
+        self.report.epoch == Some(epoch) && !self.report.busy
+    }
+
+    pub(crate) fn held(&self, model: &TargetName) -> Option<&HeldModel> {
+        self.report.models.iter().find(|held| held.model == *model)
+    }
+
+    pub(crate) fn holds(&self, model: &TargetName) -> bool {
+        self.held(model).is_some()
+    }
+
+    pub(crate) fn free_slots(&self) -> u32 {
+        self.report.slots.saturating_sub(self.report.models.len() as u32)
+    }
+
+    pub(crate) fn is_reserved_for_other(&self, now: Now, model: &TargetName) -> bool {
+        self.reserved.as_ref().is_some_and(|(name, until)| name != model && now.mono < *until)
+    }
+
+    pub(crate) fn is_reserved_for(&self, now: Now, model: &TargetName) -> bool {
+        self.reserved.as_ref().is_some_and(|(name, until)| name == model && now.mono < *until)
+    }
+}
+
+fn sorted(mut report: TargetHoldings) -> TargetHoldings {
+    for held in &mut report.models {
+        held.adapters.sort();
+    }
+    report
+}
--- /dev/null
+++ b/crates/placement/src/plan/repair.rs
@@ -0,0 +1,174 @@
+//! Loads copies that are missing, and makes room for them.
+
+use notch_messages::prelude::*;
+use notch_types::prelude::*;
+
+use crate::{
+    census::{CopyStanding, ModelCensus},
+    model::ModelWanted,
+    orders::{MoveReason, OpenOrder},
+    plan::{PlanPass, candidate::tie_break},
+};
+
+impl PlanPass<'_> {
+    /// Loads missing copies, for the worst served model first, as far as the bounds allow: a
+    /// whole domain lost would otherwise ask the weight store for everything at once.
+    pub(crate) fn repair(&mut self) {
+        self.use_reserved();
+        let mut open: Vec<TargetName> = self.wanted.keys().cloned().collect();
+        while let Some(model) = self.worst_served(&open) {
+            if !self.add_copy(&model) {
+                open.retain(|name| *name != model);
+            }
+        }
+    }
+
+    /// Loads models into the slots that were kept for them.
+    fn use_reserved(&mut self) {
+        let ready = self.fleet.targets.iter().filter(|(vm, target)| {
+            target.is_usable() && target.free_slots() > 0 && !self.orders.open.contains_key(vm)
+        });
+        let kept = ready.filter_map(|(vm, target)| Some((vm.clone(), target.reserved.clone()?.0)));
+        for (vm, model) in kept.collect::<Vec<_>>() {
+            let Some(wanted) = self.wanted.get(&model) else { continue };
+            let fits = self.fleet.get(&vm).is_some_and(|t| self.could_hold(&vm, t, wanted, None));
+            if fits && self.load_room() {
+                let few = self.census(wanted).present(wanted.floor()) < self.want(&model);
+                let reason = if few { MoveReason::Repair } else { MoveReason::Spread };
+                self.load_at(&vm, wanted, reason);
+            }
+        }
+    }
+
+    /// Copies still missing, of those not on their way.
+    fn missing(&self, model: &TargetName) -> u32 {
+        let Some(wanted) = self.wanted.get(model) else { return 0 };
+        let present = self.census(wanted).present(wanted.floor());
+        self.want(model).saturating_sub(present + self.reserved_for(model))
+    }
+
+    /// Targets being made ready for a model.
+    pub(crate) fn reserved_for(&self, model: &TargetName) -> u32 {
+        let kept = self.fleet.targets.iter().filter(|(vm, target)| {
+            let loading = self.orders.open.get(*vm).is_some_and(|open| open.is_load());
+            target.is_reserved_for(self.now, model) && !target.holds(model) && !loading
+        });
+        kept.count() as u32
+    }
+
+    fn worst_served(&self, models: &[TargetName]) -> Option<TargetName> {
+        let missing = models.iter().filter(|model| self.missing(model) > 0);
+        let worst = missing.min_by_key(|model| {
+            let present = self.wanted.get(*model).map_or(0, |wanted| {
+                let present = self.census(wanted).present(wanted.floor());
+                (u64::from(present >= wanted.floor()) << 32)
+                    + u64::from(present) * 1_000 / u64::from(self.want(model).max(1))
+            });
+            (present, (*model).clone())
+        });
+        worst.cloned()
+    }
+
+    /// One step towards another copy; false when none can be made in this plan.
+    fn add_copy(&mut self, model: &TargetName) -> bool {
+        if !self.load_room() {
+            return false;
+        }
+        let Some(wanted) = self.wanted.get(model) else { return false };
+        let census = self.census(wanted);
+        let below = census.present(wanted.floor()) < wanted.floor();
+        let reason = if below { MoveReason::BelowMinimum } else { MoveReason::Repair };
+        if let Some(vm) = self.candidate(wanted, &census) {
+            return self.load_at(&vm, wanted, reason);
+        }
+        if self.change_room() && self.displace(wanted, &census) {
+            return true;
+        }
+        if self.make_room(wanted) {
+            return false;
+        }
+        let detail = "no target has a slot to give".to_owned();
+        self.blocked(model, "repair_waits", detail);
+        false
+    }
+
+    /// Takes a copy that a better served model has too many of off a target, for this model.
+    fn displace(&mut self, wanted: &ModelWanted, census: &ModelCensus) -> bool {
+        let by_domain = census.by_domain();
+        let mut best: Option<((u32, u64), VmName, TargetName)> = None;
+        for giver in self.wanted.values().filter(|giver| giver.model != wanted.model) {
+            let given = self.census(giver);
+            if given.serving() <= self.want(&giver.model) {
+                continue;
+            }
+            for copy in &given.copies {
+                if !self.may_displace(&copy.vm, copy.standing, giver, &given, wanted) {
+                    continue;
+                }
+                let copies = by_domain.get(&copy.domain).copied().unwrap_or(0);
+                let rank = (copies, tie_break(&wanted.model, &copy.vm));
+                if best.as_ref().is_none_or(|(known, _, _)| rank < *known) {
+                    best = Some((rank, copy.vm.clone(), giver.model.clone()));
+                }
+            }
+        }
+        let Some((_, vm, giver)) = best else { return false };
+        self.unload_for(&vm, &giver, wanted, MoveReason::Displaced)
+    }
+
+    /// Unloads `giver` at `vm` and keeps the slot for `wanted`.
+    pub(crate) fn unload_for(
+        &mut self,
+        vm: &VmName,
+        giver: &TargetName,
+        wanted: &ModelWanted,
+        reason: MoveReason,
+    ) -> bool {
+        let action = OrderAction::Unload { model: giver.clone() };
+        let ordered = self.order(vm, action, giver, reason);
+        if ordered {
+            self.reserve(vm, &wanted.model);
+        }
+        ordered
+    }
+
+    pub(crate) fn may_displace(
+        &self,
+        vm: &VmName,
+        standing: CopyStanding,
+        giver: &ModelWanted,
+        given: &ModelCensus,
+        wanted: &ModelWanted,
+    ) -> bool {
+        let serves = matches!(standing, CopyStanding::Confirmed | CopyStanding::Serving);
+        let without = Some(&giver.model);
+        let fits =
+            self.fleet.get(vm).is_some_and(|target| self.could_hold(vm, target, wanted, without));
+        serves && fits && given.can_spare(vm, giver.floor())
+    }
+
+    /// Where every free slot is at a target that has the model already: loads another model's
+    /// copy there, so that its old one can be taken off a target that hasn't.
+    fn make_room(&mut self, wanted: &ModelWanted) -> bool {
+        let displaced = |open: &OpenOrder| open.is_load() && open.reason == MoveReason::Displaced;
+        if self.orders.open.values().any(displaced) {
+            return true;
+        }
+        let full = self.fleet.targets.iter().filter(|(vm, target)| {
+            target.report.slots > 1
+                && target.free_slots() == 0
+                && self.could_hold(vm, target, wanted, None)
+        });
+        let mut movable = full.flat_map(|(_, target)| target.report.models.iter());
+        let found = movable.find_map(|held| {
+            let mover = self.wanted.get(&held.model)?;
+            let census = self.census(mover);
+            if census.count(&[CopyStanding::Coming]) > 0 {
+                return None;
+            }
+            Some((self.candidate(mover, &census)?, mover.clone()))
+        });
+        let Some((vm, mover)) = found else { return false };
+        self.load_at(&vm, &mover, MoveReason::Displaced)
+    }
+}
