--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -2,6 +2,7 @@
 //! ledger orders and keeps the records, the gateway carries events in and effects out.
 
 pub mod chunk;
+mod dispatch;
 pub mod policy;
 pub mod record;
 pub mod service;
--- a/crates/jobs/src/service/effect.rs
+++ b/crates/jobs/src/service/effect.rs
@@ -41,6 +41,11 @@
         ticket: AppendTicket,
         /// Encoded records.
         records: Vec<Payload>,
+        /// Whether a caller waits for the commit.
+        prompt: bool,
+        /// Chunk objects that the records name for the first time: the ledger checks that they
+        /// are there and young enough.
+        chunks: Vec<String>,
     },
     /// Read an object of the store; answered by `ObjectRead`.
     ReadObject {
@@ -61,7 +66,8 @@
         job: JobId,
         /// The owner's epoch.
         epoch: Epoch,
-        /// VMs whose sidecars hold lots of it.
+        /// VMs whose sidecars hold lots of it; empty when lots of a former owner may be running:
+        /// then every sidecar in reach is told.
         vms: Vec<VmName>,
     },
     /// The work held, by target; empty when there is none.
@@ -70,8 +76,8 @@
     SnapshotReady {
         /// The state's bytes; may exceed one object.
         state: Payload,
-        /// The last sequence number in it.
-        applied: u64,
+        /// Every record before this sequence number is in it.
+        upto: u64,
         /// Sequence numbers whose records must stay readable.
         needed: Vec<SeqRange>,
         /// Chunk objects that must stay.
--- a/crates/jobs/src/service/event.rs
+++ b/crates/jobs/src/service/event.rs
@@ -27,6 +27,8 @@
 pub enum RejectKind {
     /// Surely not in the ledger, and never will be.
     NotCommitted,
+    /// Likewise, because a chunk object it names is gone or too old to be named.
+    ChunkStale,
     /// It may be in the ledger.
     Unknown,
 }
@@ -89,7 +91,7 @@
         /// Its value.
         result: Result<Payload, ReadFailure>,
     },
-    /// Answer to `ReadRecords`: the records asked for, in the order asked.
+    /// Answer to `ReadRecords`: the records asked for, in any order.
     RecordsRead {
         /// Of the read.
         read: ReadToken,
--- a/crates/jobs/src/settings.rs
+++ b/crates/jobs/src/settings.rs
@@ -42,6 +42,12 @@
     pub max_items: u32,
     /// Most lines of one page of results.
     pub page_lines: u32,
+    /// Bound of the bodies of one page of results, bytes; one line is always given.
+    pub page_bytes: usize,
+    /// Largest body of a stored result or answer, bytes; must fit a ledger record.
+    pub body_bytes: usize,
+    /// Most items of one job that are with sidecars or wait for another attempt.
+    pub tracked_items: usize,
     /// Most calls that wait for a chunk or for records at once.
     pub max_parked: usize,
     /// Longest wait of such a call.
@@ -80,6 +86,9 @@
             max_jobs: 20_000,
             max_items: 1_000_000,
             page_lines: 256,
+            page_bytes: 4 << 20,
+            body_bytes: 800_000,
+            tracked_items: 20_000,
             max_parked: 1_024,
             park_time: Duration::from_secs(5),
             takeover_window: 1_024,
