--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -59,6 +59,16 @@
         &self.core.settings
     }
 
+    /// Each target's load now.
+    pub fn loads(&self) -> Vec<TargetLoad> {
+        self.targets.values().map(|state| state.load()).collect()
+    }
+
+    /// Bytes of results that the ledger hasn't taken yet.
+    pub fn result_bytes(&self) -> usize {
+        self.core.results.bytes()
+    }
+
     /// When `Wake` is due at the latest.
     pub fn next_wake(&self) -> Option<MonoTime> {
         self.core.timers.next()
