--- a/crates/catalogue/src/node.rs
+++ b/crates/catalogue/src/node.rs
@@ -223,6 +223,7 @@
             | GossipMessage::PingRequest { .. }
             | GossipMessage::Join { .. }
             | GossipMessage::Members { .. }
+            | GossipMessage::MembersDigest { .. }
             | GossipMessage::News { .. } => {}
         }
     }
--- a/crates/membership/src/effect.rs
+++ b/crates/membership/src/effect.rs
@@ -13,7 +13,7 @@
         /// The message.
         message: GossipMessage,
     },
-    /// Held states changed, this gateway's own included. Read the roster anew.
+    /// Held states changed, this gateway's own included. Read the roster anew: it may be the same.
     Changed(Vec<MemberUpdate>),
     /// The gateways to keep a link to changed.
     Partners(Vec<VmName>),
--- a/crates/membership/src/settings.rs
+++ b/crates/membership/src/settings.rs
@@ -55,6 +55,8 @@
     pub max_rumor_bytes: usize,
     /// How long a rumour is held without a newer version.
     pub rumor_expiry: Duration,
+    /// Least time between full exchanges asked for because digests differ.
+    pub sync_interval: Duration,
 }
 
 impl Default for MembershipSettings {
@@ -77,6 +79,7 @@
             max_rumors: 4_096,
             max_rumor_bytes: 256,
             rumor_expiry: Duration::from_secs(600),
+            sync_interval: Duration::from_secs(10),
         }
     }
 }
--- a/crates/messages/src/gossip.rs
+++ b/crates/messages/src/gossip.rs
@@ -117,6 +117,12 @@
         /// All that the sender knows.
         members: Vec<MemberUpdate>,
     },
+    /// Anti-entropy: digest of the members that the sender holds alive or leaving. A receiver with
+    /// another digest answers with `Members`.
+    MembersDigest {
+        /// The digest.
+        digest: u64,
+    },
     /// News and facts that can't wait for a ping; no answer.
     News {
         /// Of members.
