--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -18,14 +18,20 @@
 mod orders;
 mod plan;
 
+pub use crate::{
+    effect::PlacementEffect,
+    event::PlacementEvent,
+    lease::{LeaseEffect, LeaseEvent, LeaseHolder, LeaseRecord},
+    model::ModelWanted,
+    planner::PlacementPlanner,
+    settings::{LeaseSettings, PlannerSettings},
+    share::{CopyNeed, share_out},
+};
+
 /// The types nearly every user of this crate needs.
 pub mod prelude {
     pub use crate::{
-        effect::PlacementEffect,
-        event::PlacementEvent,
-        lease::{LeaseEffect, LeaseEvent, LeaseHolder, LeaseRecord},
-        model::ModelWanted,
-        planner::PlacementPlanner,
-        settings::{LeaseSettings, PlannerSettings},
+        LeaseSettings, ModelWanted, PlacementEffect, PlacementEvent, PlacementPlanner,
+        PlannerSettings,
     };
 }
--- a/crates/settings/src/error.rs
+++ b/crates/settings/src/error.rs
@@ -12,8 +12,8 @@
     },
     /// The line is neither a section, nor `key = value`, nor a comment.
     Syntax {
-        /// What the parser found.
-        detail: String,
+        /// The line.
+        text: String,
     },
     /// No program reads a section of this name.
     UnknownSection,
@@ -54,7 +54,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Unreadable { detail } => write!(f, "can't be read: {detail}"),
-            Self::Syntax { detail } => write!(f, "not a section, key or comment: {detail}"),
+            Self::Syntax { text } => write!(f, "not a section, key or comment: `{text}`"),
             Self::UnknownSection => f.write_str("unknown section"),
             Self::UnknownKey => f.write_str("unknown key"),
             Self::Missing { expected } => write!(f, "missing; expected {expected}"),
--- a/crates/settings/src/file/lines.rs
+++ b/crates/settings/src/file/lines.rs
@@ -82,9 +82,8 @@
         if text.is_empty() || text.starts_with([';', '#']) {
             return;
         }
-        let ini = match Ini::load_from_str_opt(text, PARSE_OPTION) {
-            Ok(ini) => ini,
-            Err(error) => return self.take_syntax_error(line, error.msg.into_owned()),
+        let Ok(ini) = Ini::load_from_str_opt(text, PARSE_OPTION) else {
+            return self.take_syntax_error(line, text);
         };
         let mut found = false;
         for (section, properties) in &ini {
@@ -98,7 +97,7 @@
             }
         }
         if !found {
-            self.take_syntax_error(line, format!("`{text}`"));
+            self.take_syntax_error(line, text);
         }
     }
 
@@ -121,8 +120,8 @@
         self.keys.push(KeyLine { line, section, key: key.to_owned(), value: value.to_owned() });
     }
 
-    fn take_syntax_error(&mut self, line: usize, detail: String) {
-        let problem = SettingsProblem::Syntax { detail };
+    fn take_syntax_error(&mut self, line: usize, text: &str) {
+        let problem = SettingsProblem::Syntax { text: text.to_owned() };
         let (section, key) = (self.current_section(), String::new());
         self.errors.push(SettingsError { line, section, key, problem });
     }
