--- a/crates/telemetry/src/metrics/registry.rs
+++ b/crates/telemetry/src/metrics/registry.rs
@@ -33,12 +33,11 @@
             ("vm".to_owned(), vm.to_string()),
             ("domain".to_owned(), domain.to_string()),
         ]);
-        let registry = Registry::new_custom(Some(PREFIX.to_owned()), Some(labels))
-            .expect("the prefix is a valid name");
-        let refused = counter_vec(&registry, "refusals_total", "Refusals by reason", "reason");
-        let retried = counter_vec(&registry, "retries_total", "Retries by reason", "reason");
-        let dropped = counter_vec(&registry, "drops_total", "Drops by reason", "reason");
-        let events = counter_vec(&registry, "events_total", "Events by name", "event");
+        let lines = LineMaker { registry: Registry::new(), labels };
+        let refused = lines.counters("refusals_total", "Refusals by reason", "reason");
+        let retried = lines.counters("retries_total", "Retries by reason", "reason");
+        let dropped = lines.counters("drops_total", "Drops by reason", "reason");
+        let events = lines.counters("events_total", "Events by name", "event");
         let line = |vec: &IntCounterVec, code| vec.with_label_values(&[code]);
         Self {
             refused: RefusalReason::ALL
@@ -48,9 +47,9 @@
             retried: RetryReason::ALL.map(|r| (r, line(&retried, r.code()))).into_iter().collect(),
             dropped: DropReason::ALL.map(|r| (r, line(&dropped, r.code()))).into_iter().collect(),
             events,
-            gauges: Gauge::ALL.map(|g| (g, gauge(&registry, g))).into_iter().collect(),
-            timings: Timing::ALL.map(|t| (t, histogram(&registry, t))).into_iter().collect(),
-            registry,
+            gauges: Gauge::ALL.map(|g| (g, lines.gauge(g))).into_iter().collect(),
+            timings: Timing::ALL.map(|t| (t, lines.histogram(t))).into_iter().collect(),
+            registry: lines.registry,
         }
     }
 
@@ -119,21 +118,36 @@
     }
 }
 
-fn counter_vec(registry: &Registry, name: &str, help: &str, label: &str) -> IntCounterVec {
-    let vec = IntCounterVec::new(Opts::new(name, help), &[label]).expect("the name is valid");
-    registry.register(Box::new(vec.clone())).expect("each name is registered once");
-    vec
+/// Makes and registers metrics that carry the node's labels.
+struct LineMaker {
+    registry: Registry,
+    labels: HashMap<String, String>,
 }
 
-fn gauge(registry: &Registry, gauge: Gauge) -> IntGauge {
-    let line = IntGauge::new(gauge.name(), gauge.help()).expect("the name is valid");
-    registry.register(Box::new(line.clone())).expect("each name is registered once");
-    line
-}
+impl LineMaker {
+    fn opts(&self, name: &str, help: &str) -> Opts {
+        Opts::new(name, help).namespace(PREFIX).const_labels(self.labels.clone())
+    }
+
+    fn counters(&self, name: &str, help: &str, label: &str) -> IntCounterVec {
+        let opts = self.opts(name, help);
+        let line = IntCounterVec::new(opts, &[label]).expect("the name is valid");
+        self.registry.register(Box::new(line.clone())).expect("each name is registered once");
+        line
+    }
+
+    fn gauge(&self, gauge: Gauge) -> IntGauge {
+        let opts = self.opts(gauge.name(), gauge.help());
+        let line = IntGauge::with_opts(opts).expect("the name is valid");
+        self.registry.register(Box::new(line.clone())).expect("each name is registered once");
+        line
+    }
 
-fn histogram(registry: &Registry, timing: Timing) -> Histogram {
-    let opts = HistogramOpts::new(timing.name(), timing.help()).buckets(timing.buckets().to_vec());
-    let line = Histogram::with_opts(opts).expect("the buckets rise");
-    registry.register(Box::new(line.clone())).expect("each name is registered once");
-    line
+    fn histogram(&self, timing: Timing) -> Histogram {
+        let opts = HistogramOpts::from(self.opts(timing.name(), timing.help()));
+        let opts = opts.buckets(timing.buckets().to_vec());
+        let line = Histogram::with_opts(opts).expect("the buckets rise");
+        self.registry.register(Box::new(line.clone())).expect("each name is registered once");
+        line
+    }
 }
