Prove online routing against a naive world that writes down what ran

Cause: nothing proved the router's promises under every order of events. Change: a model test of two routers, a ledger and three sidecars with late, lost and reordered messages, crashes, restarts, silence and store outages; it found an answer told at a follower's deadline without its Deliver, mended here. Conclusion: exactly one end, at most once and the truth of not_run hold in the model.

--- a/crates/routing/src/router/arrival.rs
+++ b/crates/routing/src/router/arrival.rs
@@ -207,6 +207,11 @@
             .partition(|caller| caller.deadline <= turn.now);
         state.callers = waiting;
         let end = self.end_at_deadline(turn, state);
+        if let RequestEnd::Answered { attempt } = end
+            && state.delivered.is_none()
+        {
+            self.deliver(turn, state, attempt);
+        }
         let expired: Vec<WaitingCaller> = expired;
         for caller in expired {
             self.finish_caller(turn, state, &caller, end.clone());
--- a/crates/routing/src/router/attempt.rs
+++ b/crates/routing/src/router/attempt.rs
@@ -123,7 +123,8 @@
     }
 
     /// The target answered with an error. One that a retry won't mend is the caller's answer, and
-    /// so is any error of a request that must not be repeated.
+    /// so is any error of a request that must not be repeated; but a stream that has begun is cut,
+    /// for the caller took its first bytes for those of a good answer.
     fn on_failed(
         &mut self,
         turn: &mut RouterTurn<'_>,
--- /dev/null
+++ b/crates/routing/tests/router_world.rs
@@ -0,0 +1,661 @@
+//! Two routers, a ledger and three sidecars with random delays, losses, crashes and restarts,
+//! against a naive world that simply writes down what ran.
+
+mod support;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use notch_messages::prelude::*;
+use notch_routing::{settings::*, *};
+use notch_types::prelude::*;
+use proptest::{prelude::*, test_runner::RngSeed};
+use rand::{RngExt, SeedableRng, rngs::SmallRng};
+use support::*;
+
+const ROUTERS: usize = 2;
+const VMS: usize = 3;
+
+#[derive(Debug, Clone)]
+enum Step {
+    Plain { router: usize, stream: bool, deadline: u64 },
+    Keyed { router: usize, key: u64, body: u64, stream: bool, deadline: u64 },
+    Booking { router: usize, key: u64, body: u64, deadline: u64 },
+    CallerGone { router: usize },
+    Advance(u64),
+    Crash { vm: usize },
+    Restart { vm: usize },
+    Silence { vm: usize, millis: u64 },
+    Lose { vm: usize, router: usize },
+    Leaving { vm: usize },
+    StoreDown(u64),
+    Leave { router: usize },
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let router = 0..ROUTERS;
+    let vm = 0..VMS;
+    let deadline = 20_u64..8_000;
+    let step = prop_oneof![
+        4 => (router.clone(), any::<bool>(), deadline.clone())
+            .prop_map(|(router, stream, deadline)| Step::Plain { router, stream, deadline }),
+        4 => (router.clone(), 100..104_u64, 0..8_u64, any::<bool>(), deadline.clone()).prop_map(
+            |(router, key, body, stream, deadline)| Step::Keyed {
+                router, key, body, stream, deadline
+            }
+        ),
+        8 => (router.clone(), 0..4_u64, 0..8_u64, deadline).prop_map(
+            |(router, key, body, deadline)| Step::Booking { router, key, body, deadline }
+        ),
+        2 => router.clone().prop_map(|router| Step::CallerGone { router }),
+        12 => (0..400_u64).prop_map(Step::Advance),
+        2 => (1_000..4_000_u64).prop_map(Step::Advance),
+        1 => vm.clone().prop_map(|vm| Step::Crash { vm }),
+        1 => vm.clone().prop_map(|vm| Step::Restart { vm }),
+        2 => (vm.clone(), 10..6_000_u64).prop_map(|(vm, millis)| Step::Silence { vm, millis }),
+        1 => (vm.clone(), router.clone()).prop_map(|(vm, router)| Step::Lose { vm, router }),
+        1 => vm.prop_map(|vm| Step::Leaving { vm }),
+        1 => (10..4_000_u64).prop_map(Step::StoreDown),
+        1 => router.prop_map(|router| Step::Leave { router }),
+    ];
+    prop::collection::vec(step, 10..120)
+}
+
+#[derive(Debug, Clone, PartialEq)]
+enum Work {
+    Waiting { router: usize, deadline: u64 },
+    Running { router: usize, deadline: u64 },
+    Ended,
+    Sealed,
+}
+
+#[derive(Debug, Clone)]
+enum Message {
+    ToRouter(usize, RouterEvent),
+    Offer { router: usize, vm: usize, attempt: AttemptId, deadline: u64 },
+    Seal { router: usize, vm: usize, attempt: AttemptId },
+    Cancel { vm: usize, attempt: AttemptId },
+    Start { vm: usize, attempt: AttemptId },
+    End { vm: usize, attempt: AttemptId },
+    Store { router: usize, effect: RouterEffect },
+}
+
+#[derive(Default)]
+struct Row {
+    holder: Option<AttemptId>,
+    fingerprint: Option<Fingerprint>,
+    answer: Option<StoredAnswer>,
+}
+
+struct Sidecar {
+    incarnation: Incarnation,
+    work: BTreeMap<AttemptId, Work>,
+    silent_until: u64,
+}
+
+/// What one router told of a request since it took it in.
+#[derive(Default)]
+struct Course {
+    delivered: Option<AttemptId>,
+}
+
+struct World {
+    rng: SmallRng,
+    millis: u64,
+    routers: Vec<OnlineRouter>,
+    sidecars: Vec<Sidecar>,
+    rows: BTreeMap<RequestId, Row>,
+    store_down_until: u64,
+    mail: BTreeMap<(u64, u64), Message>,
+    mailed: u64,
+    arrivals: u64,
+    open: BTreeSet<(usize, ArrivalId)>,
+    finished: BTreeMap<ArrivalId, usize>,
+    once: BTreeSet<RequestId>,
+    /// The naive truth: which attempts ran, and how often each request did.
+    ran: BTreeSet<AttemptId>,
+    runs: BTreeMap<RequestId, usize>,
+    whole: BTreeSet<AttemptId>,
+    dispatched: Vec<(usize, AttemptId)>,
+    /// Attempts that "not run" spoke of: none of them may run, before or after.
+    sworn: BTreeSet<AttemptId>,
+    answered: BTreeMap<RequestId, BTreeSet<AttemptId>>,
+    courses: BTreeMap<(usize, RequestId), Course>,
+    /// Whether "not run" also speaks of sends through the other router.
+    strict: bool,
+}
+
+impl World {
+    fn new(seed: u64, strict: bool) -> Self {
+        let settings = RouterSettings {
+            claim: ClaimSettings { doubt_other_gateways: strict, ..ClaimSettings::default() },
+            ..eager()
+        };
+        let routers = (0..ROUTERS)
+            .map(|number| OnlineRouter::new(settings.clone(), seed ^ (number as u64 + 1)))
+            .collect();
+        let sidecars = (0..VMS)
+            .map(|number| Sidecar {
+                incarnation: incarnation(number),
+                work: BTreeMap::new(),
+                silent_until: 0,
+            })
+            .collect();
+        let mut world = Self {
+            rng: SmallRng::seed_from_u64(seed),
+            millis: 1_000,
+            routers,
+            sidecars,
+            rows: BTreeMap::new(),
+            store_down_until: 0,
+            mail: BTreeMap::new(),
+            mailed: 0,
+            arrivals: 0,
+            open: BTreeSet::new(),
+            finished: BTreeMap::new(),
+            once: BTreeSet::new(),
+            ran: BTreeSet::new(),
+            runs: BTreeMap::new(),
+            whole: BTreeSet::new(),
+            dispatched: Vec::new(),
+            sworn: BTreeSet::new(),
+            answered: BTreeMap::new(),
+            courses: BTreeMap::new(),
+            strict,
+        };
+        for router in 0..ROUTERS {
+            world.feed(router, RouterEvent::TargetsChanged(policies()));
+            for number in 0..VMS {
+                world.see(router, number);
+            }
+        }
+        world
+    }
+
+    fn see(&mut self, router: usize, number: usize) {
+        let incarnation = self.sidecars[number].incarnation;
+        self.feed(
+            router,
+            RouterEvent::SidecarSeen {
+                vm: vm(number),
+                domain: DomainName::new("lahore-a"),
+                incarnation,
+                load: report(incarnation, 1, 4),
+            },
+        );
+    }
+
+    fn step(&mut self, step: Step) {
+        match step {
+            Step::Plain { router, stream, deadline } => {
+                let request = plain(self.next_arrival());
+                self.arrive(router, OnlineRequest { stream, ..request }, deadline);
+            }
+            Step::Keyed { router, key, body, stream, deadline } => {
+                let request = booking(self.next_arrival(), key);
+                let path = "/read".to_owned();
+                let fingerprint = body_of(key, body);
+                let request = OnlineRequest { path, stream, fingerprint, ..request };
+                self.arrive(router, request, deadline);
+            }
+            Step::Booking { router, key, body, deadline } => {
+                let request = booking(self.next_arrival(), key);
+                self.once.insert(request.request);
+                let fingerprint = body_of(key, body);
+                self.arrive(router, OnlineRequest { fingerprint, ..request }, deadline);
+            }
+            Step::CallerGone { router } => {
+                let open = self.open.iter().rev().find(|(at, _)| *at == router).copied();
+                if let Some((_, arrival)) = open {
+                    self.feed(router, RouterEvent::CallerGone { arrival });
+                }
+            }
+            Step::Advance(millis) => self.advance(millis),
+            Step::Crash { vm } => self.crash(vm),
+            Step::Restart { vm } => self.restart(vm),
+            Step::Silence { vm, millis } => {
+                self.sidecars[vm].silent_until = self.millis + millis;
+                self.tell_all(RouterEvent::SidecarSilent { vm: support::vm(vm) });
+                for router in 0..ROUTERS {
+                    let back = RouterEvent::SidecarBack { vm: support::vm(vm) };
+                    self.post(millis, Message::ToRouter(router, back));
+                }
+            }
+            Step::Lose { vm, router } => self.lose(vm, router),
+            Step::Leaving { vm } => {
+                self.tell_all(RouterEvent::SidecarLeaving { vm: support::vm(vm) });
+                for router in 0..ROUTERS {
+                    let stays = RouterEvent::SidecarStaying { vm: support::vm(vm) };
+                    self.post(700, Message::ToRouter(router, stays));
+                }
+            }
+            Step::StoreDown(millis) => self.store_down_until = self.millis + millis,
+            Step::Leave { router } => self.feed(router, RouterEvent::Leave),
+        }
+    }
+
+    fn next_arrival(&mut self) -> u64 {
+        self.arrivals += 1;
+        self.arrivals
+    }
+
+    fn arrive(&mut self, router: usize, request: OnlineRequest, deadline: u64) {
+        self.open.insert((router, request.arrival));
+        self.finished.insert(request.arrival, 0);
+        let deadline = Some(MonoTime::from_millis(self.millis + deadline));
+        self.feed(router, RouterEvent::Arrived(OnlineRequest { deadline, ..request }));
+    }
+
+    fn tell_all(&mut self, event: RouterEvent) {
+        for router in 0..ROUTERS {
+            self.feed(router, event.clone());
+        }
+    }
+
+    fn crash(&mut self, number: usize) {
+        let running: Vec<AttemptId> = self.sidecars[number]
+            .work
+            .iter()
+            .filter(|(_, work)| matches!(work, Work::Running { .. }))
+            .map(|(attempt, _)| *attempt)
+            .collect();
+        for attempt in running {
+            self.finish_work(number, attempt, AttemptOutcome::Crashed);
+        }
+    }
+
+    fn restart(&mut self, number: usize) {
+        let sidecar = &mut self.sidecars[number];
+        sidecar.incarnation = Incarnation(sidecar.incarnation.0 + 100);
+        sidecar.work.clear();
+        for router in 0..ROUTERS {
+            if self.rng.random_bool(0.5) {
+                self.see(router, number);
+            } else {
+                let incarnation = self.sidecars[number].incarnation;
+                let seen = RouterEvent::SidecarSeen {
+                    vm: vm(number),
+                    domain: DomainName::new("lahore-a"),
+                    incarnation,
+                    load: report(incarnation, 1, 4),
+                };
+                self.post(300, Message::ToRouter(router, seen));
+            }
+        }
+    }
+
+    fn lose(&mut self, number: usize, router: usize) {
+        let incarnation = self.sidecars[number].incarnation;
+        let there: Vec<AttemptId> = self
+            .dispatched
+            .iter()
+            .filter(|(by, attempt)| *by == router && attempt.incarnation == incarnation)
+            .map(|(_, attempt)| *attempt)
+            .collect();
+        for attempt in there {
+            self.feed(router, RouterEvent::AttemptLost { attempt });
+        }
+    }
+
+    fn post(&mut self, delay: u64, message: Message) {
+        self.mailed += 1;
+        self.mail.insert((self.millis + delay, self.mailed), message);
+    }
+
+    /// Through a link: late, out of order, lost while it is silent and now and then besides.
+    fn post_link(&mut self, number: usize, message: Message) {
+        let is_silent = self.sidecars[number].silent_until > self.millis;
+        let delay = if self.rng.random_bool(0.05) { 3_000 } else { self.rng.random_range(0..60) };
+        if !is_silent && !self.rng.random_bool(0.03) {
+            self.post(delay, message);
+        }
+    }
+
+    fn advance(&mut self, millis: u64) {
+        let end = self.millis + millis;
+        loop {
+            let mail = self.mail.keys().next().map(|(at, _)| *at);
+            let wake = self
+                .routers
+                .iter()
+                .filter_map(OnlineRouter::next_wake)
+                .min()
+                .map(|at| at.0.div_ceil(1_000));
+            let Some(next) = mail.into_iter().chain(wake).min().filter(|at| *at <= end) else {
+                break;
+            };
+            self.millis = self.millis.max(next);
+            if mail == Some(next) {
+                let (_, message) = self.mail.pop_first().expect("mail");
+                self.handle_mail(message);
+            } else {
+                self.tell_all(RouterEvent::Tick);
+            }
+        }
+        self.millis = end;
+    }
+
+    fn handle_mail(&mut self, message: Message) {
+        match message {
+            Message::ToRouter(router, event) => self.feed(router, event),
+            Message::Offer { router, vm, attempt, deadline } => {
+                self.offer(router, vm, attempt, deadline);
+            }
+            Message::Seal { router, vm, attempt } => self.seal(router, vm, attempt),
+            Message::Cancel { vm, attempt } => match self.sidecars[vm].work.get(&attempt) {
+                Some(Work::Waiting { .. }) | None => {
+                    self.sidecars[vm].work.insert(attempt, Work::Sealed);
+                }
+                Some(Work::Running { .. }) => {
+                    self.finish_work(vm, attempt, AttemptOutcome::Cancelled);
+                }
+                Some(Work::Ended | Work::Sealed) => {}
+            },
+            Message::Start { vm, attempt } => self.start_work(vm, attempt),
+            Message::End { vm, attempt } => {
+                let outcome = match self.rng.random_range(0..20) {
+                    0 => AttemptOutcome::Failed { status: 500, retryable: true },
+                    1 => AttemptOutcome::Failed { status: 422, retryable: false },
+                    2 => AttemptOutcome::Failed { status: 0, retryable: true },
+                    3 => AttemptOutcome::DeadlinePassed,
+                    _ => AttemptOutcome::Complete { status: 200 },
+                };
+                self.finish_work(vm, attempt, outcome);
+            }
+            Message::Store { router, effect } => self.store(router, effect),
+        }
+    }
+
+    fn offer(&mut self, router: usize, number: usize, attempt: AttemptId, deadline: u64) {
+        let is_known = self.sidecars[number].work.contains_key(&attempt);
+        let is_other = self.sidecars[number].incarnation != attempt.incarnation;
+        if is_known || is_other || deadline <= self.millis || self.rng.random_bool(0.1) {
+            self.sidecars[number].work.entry(attempt).or_insert(Work::Sealed);
+            return self.refuse_offer(router, number, attempt, RefusalReason::Overloaded);
+        }
+        self.sidecars[number].work.insert(attempt, Work::Waiting { router, deadline });
+        let delay = if self.rng.random_bool(0.1) { 2_500 } else { self.rng.random_range(0..100) };
+        self.post(delay, Message::Start { vm: number, attempt });
+    }
+
+    fn refuse_offer(
+        &mut self,
+        router: usize,
+        number: usize,
+        attempt: AttemptId,
+        reason: RefusalReason,
+    ) {
+        let refusal = AttemptRefusal { attempt, reason, retry_after_ms: None };
+        let event = RouterEvent::AttemptRefused(refusal);
+        self.post_link(number, Message::ToRouter(router, event));
+    }
+
+    fn start_work(&mut self, number: usize, attempt: AttemptId) {
+        let Some(Work::Waiting { router, deadline }) = self.sidecars[number].work.get(&attempt)
+        else {
+            return;
+        };
+        let (router, deadline) = (*router, *deadline);
+        if deadline <= self.millis {
+            self.sidecars[number].work.insert(attempt, Work::Sealed);
+            return self.refuse_offer(router, number, attempt, RefusalReason::DeadlinePassed);
+        }
+        self.sidecars[number].work.insert(attempt, Work::Running { router, deadline });
+        assert!(self.ran.insert(attempt), "an attempt starts once");
+        *self.runs.entry(attempt.request).or_default() += 1;
+        let event = RouterEvent::AttemptStarted { attempt };
+        self.post_link(number, Message::ToRouter(router, event));
+        if self.rng.random_bool(0.5) {
+            let first_token = std::time::Duration::from_millis(1);
+            let event = RouterEvent::AnswerBegun { attempt, first_token };
+            self.post_link(number, Message::ToRouter(router, event));
+        }
+        let delay = self.rng.random_range(0..1_500);
+        self.post(delay, Message::End { vm: number, attempt });
+    }
+
+    fn finish_work(&mut self, number: usize, attempt: AttemptId, outcome: AttemptOutcome) {
+        let Some(Work::Running { router, .. }) = self.sidecars[number].work.get(&attempt) else {
+            return;
+        };
+        let router = *router;
+        self.sidecars[number].work.insert(attempt, Work::Ended);
+        let is_whole = match outcome {
+            AttemptOutcome::Complete { .. } => true,
+            AttemptOutcome::Failed { status, .. } => status != 0,
+            _ => false,
+        };
+        if is_whole {
+            self.whole.insert(attempt);
+        }
+        let event = RouterEvent::AttemptEnded { attempt, outcome, first_token: None };
+        self.post_link(number, Message::ToRouter(router, event));
+    }
+
+    fn seal(&mut self, router: usize, number: usize, attempt: AttemptId) {
+        let sidecar = &mut self.sidecars[number];
+        let verdict = if sidecar.incarnation != attempt.incarnation {
+            SealVerdict::Unknown
+        } else {
+            match sidecar.work.get(&attempt) {
+                Some(Work::Running { .. }) => SealVerdict::Running,
+                Some(Work::Ended) => SealVerdict::Finished,
+                Some(Work::Waiting { .. } | Work::Sealed) | None => {
+                    sidecar.work.insert(attempt, Work::Sealed);
+                    SealVerdict::NeverStarted
+                }
+            }
+        };
+        let event = RouterEvent::AttemptSealed { attempt, verdict };
+        self.post_link(number, Message::ToRouter(router, event));
+    }
+
+    /// The ledger: late, and while it is down it refuses, or acts and loses its answer.
+    fn store(&mut self, router: usize, effect: RouterEffect) {
+        let is_down = self.store_down_until > self.millis;
+        let acts = !is_down || self.rng.random_bool(0.5);
+        let answer_lost = (is_down && acts) || self.rng.random_bool(0.03);
+        let event = match effect {
+            RouterEffect::Claim { request, attempt, fingerprint, .. } => {
+                let result = if acts {
+                    Ok(self.claim(request, attempt, fingerprint))
+                } else {
+                    Err(Refusal::not_run(RefusalReason::StoreUnavailable, "down"))
+                };
+                RouterEvent::ClaimAnswered { request, attempt, result }
+            }
+            RouterEffect::ReleaseClaim { request, attempt } => {
+                let row = self.rows.entry(request).or_default();
+                if acts && row.holder == Some(attempt) {
+                    row.holder = None;
+                }
+                return;
+            }
+            RouterEffect::Fetch { request, .. } => {
+                let answer = self.rows.entry(request).or_default().answer.clone();
+                let down = Refusal::not_run(RefusalReason::StoreUnavailable, "down");
+                let result = if acts { Ok(answer) } else { Err(down) };
+                RouterEvent::AnswerFetched { request, result }
+            }
+            RouterEffect::RecordAnswer { request, attempt, .. } => {
+                let body = Payload::from(attempt.to_string().as_str());
+                self.record(acts, request, StoredAnswer::Answered { status: 200, body });
+                RouterEvent::AnswerRecorded { request, ok: acts }
+            }
+            RouterEffect::RecordUnknown { request, .. } => {
+                self.record(acts, request, StoredAnswer::Unknown);
+                RouterEvent::AnswerRecorded { request, ok: acts }
+            }
+            _ => return,
+        };
+        if !answer_lost {
+            let delay = self.rng.random_range(0..40);
+            self.post(delay, Message::ToRouter(router, event));
+        }
+    }
+
+    fn record(&mut self, acts: bool, request: RequestId, answer: StoredAnswer) {
+        let row = self.rows.entry(request).or_default();
+        if acts && row.answer.is_none() {
+            row.answer = Some(answer);
+        }
+    }
+
+    fn claim(
+        &mut self,
+        request: RequestId,
+        attempt: AttemptId,
+        fingerprint: Fingerprint,
+    ) -> ClaimVerdict {
+        let row = self.rows.entry(request).or_default();
+        if *row.fingerprint.get_or_insert(fingerprint) != fingerprint {
+            return ClaimVerdict::OtherBody;
+        }
+        if let Some(answer) = &row.answer {
+            return ClaimVerdict::Ended(answer.clone());
+        }
+        match row.holder {
+            Some(holder) if holder != attempt => ClaimVerdict::HeldBy(holder),
+            _ => {
+                row.holder = Some(attempt);
+                ClaimVerdict::Granted
+            }
+        }
+    }
+
+    fn feed(&mut self, router: usize, event: RouterEvent) {
+        let mut effects = Vec::new();
+        self.routers[router].handle(Now::at_millis(self.millis), event, &mut effects);
+        for effect in effects {
+            self.apply(router, effect);
+        }
+    }
+
+    fn apply(&mut self, router: usize, effect: RouterEffect) {
+        match effect {
+            RouterEffect::Dispatch { request, attempt, vm, deadline_left, .. } => {
+                assert!(!deadline_left.is_zero(), "nothing expired is dispatched");
+                let course = self.courses.entry((router, request)).or_default();
+                assert_eq!(course.delivered, None, "no attempt is joined to a begun answer");
+                let is_new = self.dispatched.iter().all(|(_, other)| *other != attempt);
+                assert!(is_new, "attempt ids are never used twice");
+                assert!(!self.sworn.contains(&attempt), "never dispatched after 'not run'");
+                if self.once.contains(&request) {
+                    assert_eq!(self.rows[&request].holder, Some(attempt), "claimed first");
+                }
+                self.dispatched.push((router, attempt));
+                let number = vm_number(&vm);
+                let deadline = self.millis + deadline_left.as_millis() as u64;
+                self.post_link(number, Message::Offer { router, vm: number, attempt, deadline });
+            }
+            RouterEffect::Seal { vm, attempt } => {
+                let number = vm_number(&vm);
+                self.post_link(number, Message::Seal { router, vm: number, attempt });
+            }
+            RouterEffect::Cancel { vm, attempt } => {
+                let number = vm_number(&vm);
+                self.post_link(number, Message::Cancel { vm: number, attempt });
+            }
+            RouterEffect::Deliver { request, attempt } => {
+                let course = self.courses.entry((router, request)).or_default();
+                assert_eq!(course.delivered, None, "one attempt is delivered");
+                course.delivered = Some(attempt);
+            }
+            RouterEffect::Forget { request } => {
+                self.courses.remove(&(router, request));
+            }
+            RouterEffect::Finish { arrival, request, end } => {
+                self.finish(router, arrival, request, end);
+            }
+            RouterEffect::Count(_) | RouterEffect::Note(_) => {}
+            effect => {
+                let delay = self.rng.random_range(0..40);
+                self.post(delay, Message::Store { router, effect });
+            }
+        }
+    }
+
+    fn finish(&mut self, router: usize, arrival: ArrivalId, request: RequestId, end: RequestEnd) {
+        assert!(self.open.remove(&(router, arrival)), "{arrival:?} ends once");
+        *self.finished.get_mut(&arrival).expect("it arrived") += 1;
+        match end {
+            RequestEnd::Answered { attempt } => {
+                assert!(self.whole.contains(&attempt), "only a whole answer is an answer");
+                assert_eq!(attempt.request, request);
+                let course = &self.courses[&(router, request)];
+                assert_eq!(course.delivered, Some(attempt));
+                self.answered.entry(request).or_default().insert(attempt);
+            }
+            RequestEnd::Stored(answer) => {
+                assert_eq!(self.rows[&request].answer.as_ref(), Some(&answer));
+            }
+            // The body that was refused is not the one that the key's request ran.
+            RequestEnd::Refused(refusal) if refusal.reason == RefusalReason::KeyReused => {}
+            RequestEnd::Refused(refusal) if refusal.ran == Ran::No => {
+                let spoken_of = self
+                    .dispatched
+                    .iter()
+                    .filter(|(by, attempt)| {
+                        attempt.request == request && (self.strict || *by == router)
+                    })
+                    .map(|(_, attempt)| *attempt);
+                self.sworn.extend(spoken_of);
+            }
+            RequestEnd::Refused(_) => {}
+        }
+    }
+
+    fn check(&self) {
+        for (arrival, finishes) in &self.finished {
+            assert_eq!(*finishes, 1, "{arrival:?} has one end");
+        }
+        for attempt in &self.sworn {
+            assert!(!self.ran.contains(attempt), "{attempt} was told as not run, yet it ran");
+        }
+        for request in &self.once {
+            let runs = self.runs.get(request).copied().unwrap_or_default();
+            assert!(runs <= 1, "{request} must run at most once and ran {runs} times");
+            let answers = self.answered.get(request).map_or(0, BTreeSet::len);
+            assert!(answers <= 1, "{request} has one answer");
+        }
+        for router in &self.routers {
+            assert_eq!(router.unfinished(), 0, "nothing is kept for ever");
+        }
+    }
+}
+
+fn vm_number(name: &VmName) -> usize {
+    (0..VMS).find(|number| vm(*number) == *name).expect("a known VM")
+}
+
+/// Mostly the key's own body, now and then another one under the same key.
+fn body_of(key: u64, body: u64) -> Fingerprint {
+    Fingerprint(u128::from(key * 10 + u64::from(body == 0)))
+}
+
+fn run_world(steps: Vec<Step>, seed: u64, strict: bool) {
+    let mut world = World::new(seed, strict);
+    for step in steps {
+        world.step(step);
+    }
+    world.store_down_until = 0;
+    world.advance(200_000);
+    world.check();
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 1_500,
+        rng_seed: RngSeed::Fixed(0x6d61_676e),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn promises_hold_whatever_order_things_happen_in(
+        steps in steps(),
+        seed in any::<u64>(),
+        strict in any::<bool>(),
+    ) {
+        run_world(steps, seed, strict);
+    }
+}
