Say what busy means in a report of holdings

Cause: a list of models read before an order ended may still show the copy that it took down. Change: the field's doc. Measured: no code changed. Conclusion: the sidecar must keep it set until it has read the list again.

--- a/crates/messages/src/order.rs
+++ b/crates/messages/src/order.rs
@@ -97,7 +97,8 @@
     pub epoch: Option<Epoch>,
     /// Highest number of the orders of that epoch that have ended here; 0 when none has.
     pub ended_order: u64,
-    /// Whether an order, of whatever epoch, is at the target now.
+    /// Whether an order, of whatever epoch, is at the target now, or `models` was read before the
+    /// last one ended: such a list may still show a copy that the order took down.
     pub busy: bool,
 }
 
