Join the gateway's decisions on one control thread

Cause: routing, ledger, jobs, catalogue, membership and placement are separate machines; a gateway needs them to feed each other and reach the outside. Change: a control thread with one event enum and one queue of steps; desks for online requests, shards, links and operators; answers' parts go from links to pages without passing it. The callers' HTTP side is still a stub. Conclusion: ready for the HTTP front.

--- /dev/null
+++ b/crates/gateway/src/control.rs
@@ -0,0 +1,16 @@
+//! The control thread: every decision of a gateway.
+
+pub mod core;
+mod core_links;
+mod core_operators;
+pub mod entries_view;
+pub mod event;
+pub mod inbox;
+pub mod link_desk;
+pub mod online_desk;
+pub mod operator_desk;
+pub mod shard_desk;
+pub mod shard_directory;
+pub mod shard_host;
+pub mod step;
+pub mod thread;
--- /dev/null
+++ b/crates/gateway/src/edge/vm_poll.rs
@@ -0,0 +1,28 @@
+//! Reads the platform's VM list now and then.
+
+use std::{sync::Arc, time::Duration};
+
+use async_std::task;
+use notch_platform::VmListing;
+use notch_telemetry::prelude::*;
+use notch_types::prelude::*;
+
+use crate::control::{event::ControlEvent, inbox::ControlInbox};
+
+/// Starts reading the list every `every`, a little spread so that gateways don't read in step.
+pub fn start(
+    vms: Arc<dyn VmListing>,
+    every: Duration,
+    metrics: Arc<Metrics>,
+    inbox: ControlInbox,
+) -> task::JoinHandle<()> {
+    task::spawn(async move {
+        loop {
+            match vms.list().await {
+                Ok(list) => inbox.send(ControlEvent::VmListed(list)),
+                Err(_) => metrics.count(Counter::Event("vm_list_failures")),
+            }
+            task::sleep(every.mul_f64(0.9 + 0.2 * rand::random::<f64>())).await;
+        }
+    })
+}
--- a/crates/messages/src/gossip.rs
+++ b/crates/messages/src/gossip.rs
@@ -54,6 +54,9 @@
     ShardBacklog(ShardId),
     /// A fingerprint that crashes targets.
     Quarantine(Fingerprint),
+    /// A fingerprint that was in flight when the target of a VM crashed; the value tells whether
+    /// it was alone, and the version is higher when it was.
+    Suspect(Fingerprint, VmName),
     /// How near a limit an account is at a gateway.
     AccountUse(AccountName, VmName),
     /// Who holds the placement lease; version = epoch.
