--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -89,6 +89,7 @@
     links: SocketAddr,
     inbox: ControlInbox,
     metrics: Arc<Metrics>,
+    view: Arc<SharedView>,
     server: ServerHandle,
     metrics_server: ServerHandle,
     listener: LinkListener,
@@ -130,7 +131,7 @@
         let front = Arc::new(TrafficFront::new(
             &config,
             Arc::clone(&edges.objects),
-            view,
+            Arc::clone(&view),
             inbox.clone(),
             Arc::clone(&metrics),
         ));
@@ -149,6 +150,7 @@
             links,
             inbox,
             metrics,
+            view,
             server,
             metrics_server,
             listener,
@@ -172,6 +174,21 @@
         &self.metrics
     }
 
+    /// Whether its catalogue was complete once.
+    pub fn is_ready(&self) -> bool {
+        self.view.get().ready
+    }
+
+    /// Ledger shards that it owns.
+    pub fn shards_owned(&self) -> i64 {
+        self.metrics.value(Gauge::ShardsOwned)
+    }
+
+    /// Sidecars that it has a link to.
+    pub fn sidecars_linked(&self) -> i64 {
+        self.metrics.value(Gauge::SidecarLinks)
+    }
+
     /// Stops gracefully: new work is refused as not run, callers get their answers, shards are
     /// handed over. Ends after a bounded time whatever happens; says whether all was done.
     pub async fn stop(self) -> bool {
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -6,6 +6,7 @@
 use notch_gateway::{
     options::GatewayOptions,
     prelude::{GatewayEdges, GatewayError, GatewayHandle},
+    wiring,
 };
 use notch_settings::GatewayConfig;
 use notch_telemetry::prelude::*;
@@ -24,7 +25,7 @@
     if options.check {
         return ExitCode::SUCCESS;
     }
-    init_logs(LogSettings::from(&config.logging));
+    init_logs(wiring::log_settings(&config));
     match task::block_on(run(config)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
--- a/crates/gateway/src/wiring.rs
+++ b/crates/gateway/src/wiring.rs
@@ -1,5 +1,6 @@
 //! From a gateway's settings to the settings of its parts.
 
+use log::LevelFilter;
 use notch_catalogue::CatalogueSettings;
 use notch_jobs::prelude::JobSettings;
 use notch_ledger::ShardSettings;
@@ -8,7 +9,8 @@
 use notch_messages::prelude::NodeRole;
 use notch_placement::prelude::{LeaseSettings, PlannerSettings};
 use notch_routing::RouterSettings;
-use notch_settings::GatewayConfig;
+use notch_settings::prelude::{GatewayConfig, LogFormat, LogLevel};
+use notch_telemetry::prelude::{LogSettings, LogStyle};
 use notch_types::prelude::*;
 
 /// A ledger shard's settings.
@@ -117,3 +119,22 @@
         ..LinkSettings::default()
     }
 }
+
+/// The logger's settings.
+pub fn log_settings(config: &GatewayConfig) -> LogSettings {
+    LogSettings {
+        level: match config.logging.level {
+            LogLevel::Error => LevelFilter::Error,
+            LogLevel::Warn => LevelFilter::Warn,
+            LogLevel::Info => LevelFilter::Info,
+            LogLevel::Debug => LevelFilter::Debug,
+            LogLevel::Trace => LevelFilter::Trace,
+        },
+        style: match config.logging.format {
+            LogFormat::Text => LogStyle::Text,
+            LogFormat::Json => LogStyle::Json,
+        },
+        vm: config.node.vm.clone(),
+        domain: config.node.domain.clone(),
+    }
+}
