--- a/crates/sidecar/src/main.rs
+++ b/crates/sidecar/src/main.rs
@@ -1,3 +1,98 @@
-//! Thin entry point.
+//! Thin entry point of the sidecar.
 
-fn main() {}
+use std::{path::PathBuf, process::ExitCode};
+
+use argh::FromArgs;
+use async_std::{stream::StreamExt, task};
+use log::{LevelFilter, error, info};
+use notch_settings::{check::ProgramKind, check::check_file, prelude::*};
+use notch_sidecar::prelude::*;
+use notch_telemetry::prelude::{LogSettings, LogStyle, init_logs};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook_async_std::Signals;
+
+/// Runs beside a target and lets work through to it.
+#[derive(Debug, FromArgs)]
+struct SidecarArgs {
+    /// settings file (INI)
+    #[argh(option)]
+    config: PathBuf,
+    /// check the settings file and end
+    #[argh(switch)]
+    check: bool,
+}
+
+fn main() -> ExitCode {
+    let args: SidecarArgs = argh::from_env();
+    if args.check {
+        return check(&args);
+    }
+    match load(&args) {
+        Ok(config) => task::block_on(serve(config)),
+        Err(errors) => {
+            tell(&errors.to_string());
+            ExitCode::FAILURE
+        }
+    }
+}
+
+#[expect(clippy::print_stdout, reason = "a check answers on standard output")]
+fn check(args: &SidecarArgs) -> ExitCode {
+    match check_file(ProgramKind::Sidecar, &args.config) {
+        Ok(told) => {
+            println!("{told}");
+            ExitCode::SUCCESS
+        }
+        Err(errors) => {
+            tell(&errors.to_string());
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn tell(text: &str) {
+    eprintln!("{text}");
+}
+
+fn load(args: &SidecarArgs) -> Result<SidecarConfig, SettingsErrors> {
+    SidecarConfig::from_file(&SettingsFile::load(&args.config)?)
+}
+
+async fn serve(config: SidecarConfig) -> ExitCode {
+    init_logs(log_settings(&config));
+    let signals = Signals::new([SIGTERM, SIGINT]);
+    let settings = SidecarSettings { config, ..SidecarSettings::default() };
+    let (mut signals, sidecar) = match (signals, SidecarHandle::start(settings).await) {
+        (Ok(signals), Ok(sidecar)) => (signals, sidecar),
+        (Err(fault), _) => return fail(&fault.to_string()),
+        (_, Err(fault)) => return fail(&fault.to_string()),
+    };
+    info!("sidecar of {} runs", sidecar.vm());
+    signals.next().await;
+    info!("leaving");
+    sidecar.stop().await;
+    ExitCode::SUCCESS
+}
+
+fn fail(fault: &str) -> ExitCode {
+    error!("{fault}");
+    ExitCode::FAILURE
+}
+
+fn log_settings(config: &SidecarConfig) -> LogSettings {
+    LogSettings {
+        level: match config.logging.level {
+            LogLevel::Error => LevelFilter::Error,
+            LogLevel::Warn => LevelFilter::Warn,
+            LogLevel::Info => LevelFilter::Info,
+            LogLevel::Debug => LevelFilter::Debug,
+            LogLevel::Trace => LevelFilter::Trace,
+        },
+        style: match config.logging.format {
+            LogFormat::Text => LogStyle::Text,
+            LogFormat::Json => LogStyle::Json,
+        },
+        vm: config.node.vm.clone(),
+        domain: config.node.domain.clone(),
+    }
+}
