--- a/crates/jobs/src/dispatch/job_queue.rs
+++ b/crates/jobs/src/dispatch/job_queue.rs
@@ -120,6 +120,11 @@
         let end = first_free.saturating_add(window).min(items.len());
         let held = Some(HeldRange { next: 0, end, until });
         let mut queue = Self { next: end, held, ..Self::new() };
+        // Without their crashes at hand, suspects would leave in company again.
+        for item in job.troubled() {
+            queue.track(job, item);
+            queue.set_place(item, ItemPlace::Waiting(until));
+        }
         for item in job.claims().keys() {
             queue.track(job, ItemIndex(*item));
             queue.set_place(ItemIndex(*item), ItemPlace::Unsure);
--- a/crates/jobs/src/dispatch/lot_table.rs
+++ b/crates/jobs/src/dispatch/lot_table.rs
@@ -1,9 +1,6 @@
 //! Lots at sidecars, with their leases.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    time::Duration,
-};
+use std::collections::{BTreeMap, BTreeSet};
 
 use notch_types::prelude::*;
 
@@ -158,11 +155,6 @@
     pub(crate) fn next_expiry(&self) -> Option<MonoTime> {
         self.expiries.first().map(|(expires, _)| *expires)
     }
-
-    /// When a lease that starts at `now` lapses.
-    pub(crate) fn lease_end(now: MonoTime, lease: Duration) -> MonoTime {
-        now + lease
-    }
 }
 
 fn subtract(leased: &mut BTreeMap<TargetName, u32>, target: &TargetName) {
--- a/crates/jobs/src/dispatch/target_share.rs
+++ b/crates/jobs/src/dispatch/target_share.rs
@@ -6,6 +6,8 @@
 
 /// Virtual time of one item of an account with weight 1.
 const ITEM_COST: u64 = 1 << 16;
+/// Most virtual time that items ahead of the turn can cost an account.
+const MAX_DEBT: u64 = 64 * ITEM_COST;
 /// Most items that late jobs may take ahead of their turn in one go.
 const FLOOR_BURST: f64 = 32.0;
 /// Weight of the newest window in the measured rate.
@@ -58,7 +60,14 @@
             self.clock = self.clock.max(turn);
         }
         let cost = u64::from(items) * ITEM_COST / u64::from(weight.max(1));
-        self.accounts.insert(account.clone(), turn + cost);
+        // Items ahead of the turn are charged too, so that a late job gets the floor or its fair
+        // share, whichever is more, and tight due times earn nothing. The debt is bounded: it
+        // must not starve the account once it's late no more.
+        let after = match served.in_turn {
+            true => turn + cost,
+            false => turn.max((turn + cost).min(self.clock + MAX_DEBT)),
+        };
+        self.accounts.insert(account.clone(), after);
         let items = f64::from(items);
         match served.in_turn {
             true => {
--- a/crates/jobs/src/service/housekeeping.rs
+++ b/crates/jobs/src/service/housekeeping.rs
@@ -1,6 +1,9 @@
 //! What time brings: lapses, retention, repeated pushes, calls that waited too long.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use notch_types::prelude::*;
 
@@ -79,13 +82,15 @@
         if let Some(term) = self.owner.as_mut() {
             let state = &self.state;
             let running = term.queues.keys().filter_map(|job| state.job(*job));
-            let running: Vec<_> = running.map(|job| job.accepted()).collect();
-            for (target, share) in &mut term.shares {
-                share.retain(|account| {
-                    running.iter().any(|job| job.target == *target && job.account == *account)
-                });
+            let mut accounts: BTreeMap<&TargetName, BTreeSet<&AccountName>> = BTreeMap::new();
+            for accepted in running.map(|job| job.accepted()) {
+                accounts.entry(&accepted.target).or_default().insert(&accepted.account);
             }
-            term.shares.retain(|target, _| running.iter().any(|job| job.target == *target));
+            term.shares.retain(|target, share| {
+                let Some(running) = accounts.get(target) else { return false };
+                share.retain(|account| running.contains(account));
+                true
+            });
         }
         effects.push(ServiceEffect::Backlog(backlog));
     }
--- a/crates/jobs/src/service/leases.rs
+++ b/crates/jobs/src/service/leases.rs
@@ -142,7 +142,7 @@
         }
         count(effects, Counter::Retried(spent.reason));
         let delay = match spent.backoff {
-            true => backoff(self.settings.backoff_base, self.settings.backoff_max, attempts),
+            true => self.settings.backoff_after(attempts),
             false => Duration::ZERO,
         };
         queue.set_place(item, ItemPlace::Waiting(now.mono + delay));
@@ -182,9 +182,3 @@
         }
     }
 }
-
-/// The delay before the attempt after `attempts` failed ones.
-fn backoff(base: Duration, max: Duration, attempts: u32) -> Duration {
-    let doublings = attempts.saturating_sub(1).min(16);
-    base.saturating_mul(1 << doublings).min(max)
-}
--- a/crates/jobs/src/service/outbox.rs
+++ b/crates/jobs/src/service/outbox.rs
@@ -59,6 +59,8 @@
     applying: Vec<(u64, AppendPurpose)>,
     /// Facts to append at the end of the event.
     queue: VecDeque<Payload>,
+    /// Whether a caller waits for one of the queued facts.
+    awaited: bool,
     /// Bytes of facts that are queued or on their way.
     fact_bytes: usize,
     /// After a rejection nothing is appended before this time: an outage isn't met with a storm.
@@ -82,6 +84,7 @@
     /// Queues a fact.
     pub(crate) fn push(&mut self, fact: &LedgerRecord) {
         let bytes = fact.encode();
+        self.awaited |= is_awaited(fact);
         self.fact_bytes += bytes.len();
         self.queue.push_back(bytes);
     }
@@ -118,8 +121,10 @@
             }
             let ticket = self.open_append(now, AppendPurpose::Facts(batch.clone()));
             let chunks = Vec::new();
-            effects.push(ServiceEffect::Append { ticket, records: batch, prompt: true, chunks });
+            let prompt = self.awaited;
+            effects.push(ServiceEffect::Append { ticket, records: batch, prompt, chunks });
         }
+        self.awaited = false;
     }
 
     /// An append was committed; its purpose comes back by [`Outbox::pop_applied`].
@@ -158,6 +163,7 @@
         match append.purpose {
             AppendPurpose::Facts(batch) => {
                 batch.into_iter().rev().for_each(|record| self.queue.push_front(record));
+                self.awaited = true;
                 None
             }
             purpose => Some(purpose),
@@ -189,6 +195,17 @@
     }
 }
 
+/// Whether someone waits for the fact's commit: a sidecar that reported, or a caller.
+fn is_awaited(fact: &LedgerRecord) -> bool {
+    !matches!(
+        fact,
+        LedgerRecord::ItemTried { .. }
+            | LedgerRecord::JobEnded { .. }
+            | LedgerRecord::JobExpired { .. }
+            | LedgerRecord::RequestsExpired { .. }
+    )
+}
+
 fn total(batch: &[Payload]) -> usize {
     batch.iter().map(|record| record.len()).sum()
 }
--- a/crates/jobs/src/service/ownership.rs
+++ b/crates/jobs/src/service/ownership.rs
@@ -47,7 +47,7 @@
         for (job, state) in self.state.jobs() {
             let recent = state
                 .cancelled_at()
-                .is_some_and(|at| now.wall.0.saturating_sub(at.0) <= lease.as_millis() as u64);
+                .is_some_and(|at| now.wall.0.saturating_sub(at.0) <= 2 * lease.as_millis() as u64);
             if recent {
                 let push = CancelPush { next: now.mono, everyone_until: until };
                 term.pushes.insert(*job, push);
@@ -212,7 +212,9 @@
         let queue = term.queues.get_mut(&key.job);
         let queue = queue.filter(|queue| queue.place(key.item) == Some(ItemPlace::Releasing));
         if let Some(queue) = queue {
-            queue.set_place(key.item, ItemPlace::Waiting(now.mono));
+            let attempts = queue.get(key.item).map_or(0, |track| track.attempts);
+            let delay = self.settings.backoff_after(attempts);
+            queue.set_place(key.item, ItemPlace::Waiting(now.mono + delay));
         }
     }
 
--- a/crates/jobs/src/service/pull.rs
+++ b/crates/jobs/src/service/pull.rs
@@ -14,7 +14,7 @@
     dispatch::{
         job_queue::{ItemPick, ItemPlace, PickQuery},
         job_rank::{JobRank, laxity_ms, sort_ranks},
-        lot_table::{LotEntry, LotLease, LotTable},
+        lot_table::{LotEntry, LotLease},
         target_share::{Served, TargetShare},
     },
     policy::TargetPolicy,
@@ -94,9 +94,10 @@
 
     /// Most items the lot may have, or how long to wait.
     fn lot_room(&self, pull: &LotPull, policy: &TargetPolicy) -> Result<u32, u64> {
-        // Results that can't be committed pile up. Above the bound nothing more leaves, so that
-        // memory stays bounded in an outage; seen by pulls that get no work while items wait.
-        if self.outbox.fact_bytes() >= self.settings.buffered_bytes {
+        // Results that can't be committed pile up. Above half of the bound nothing more leaves:
+        // the other half is for results of what is out already, so that memory stays bounded in
+        // an outage and sidecars seldom have to keep theirs. Seen by the counter.
+        if self.outbox.fact_bytes() >= self.settings.buffered_bytes / 2 {
             return Err(self.store_retry_ms());
         }
         let leased = self.owner.as_ref().map_or(0, |term| term.lots.leased(&pull.target));
@@ -267,7 +268,7 @@
     fn grant(&mut self, now: Now, lot: PendingLot, effects: &mut Effects) {
         let PendingLot { call, job, urgent, items } = lot;
         let lease_ms = millis(self.settings.lease);
-        let expires = LotTable::lease_end(now.mono, self.settings.lease);
+        let expires = now.mono + self.settings.lease;
         let Some(accepted) = self.state.job(job).map(|state| state.accepted()) else { return };
         let Some(term) = self.owner.as_mut() else { return };
         let number = term.lots.draw();
--- a/crates/jobs/src/service/results.rs
+++ b/crates/jobs/src/service/results.rs
@@ -11,10 +11,7 @@
     settlement::{DueAnswer, ReportKind},
 };
 use crate::{
-    dispatch::{
-        job_queue::ItemPlace,
-        lot_table::{LotEntry, LotTable},
-    },
+    dispatch::{job_queue::ItemPlace, lot_table::LotEntry},
     record::LedgerRecord,
 };
 
@@ -96,11 +93,7 @@
                 self.take_failure(now, result, effects);
                 ReportFate::Settled
             }
-            ResultVerdict::Release => {
-                self.leave_lot(now, result.lot, key, result.attempt);
-                self.release_claim(key, result.attempt);
-                ReportFate::Pending
-            }
+            ResultVerdict::Release => self.take_refusal(now, result, effects),
             ResultVerdict::Late => {
                 self.leave_lot(now, result.lot, key, result.attempt);
                 count(effects, Counter::Dropped(DropReason::LateAnswer));
@@ -121,6 +114,25 @@
         ReportFate::Pending
     }
 
+    /// A claimed item that the target surely never ran: it's freed, at the cost of an attempt, so
+    /// that one which is refused everywhere ends too.
+    fn take_refusal(&mut self, now: Now, result: ItemResult, effects: &mut Effects) -> ReportFate {
+        let ItemKey { job, item } = result.key;
+        let Some(state) = self.state.job(job) else { return ReportFate::Settled };
+        let max_attempts = state.accepted().max_attempts;
+        let queue = self.owner.as_mut().and_then(|term| term.queues.get_mut(&job));
+        let Some(queue) = queue else { return ReportFate::Settled };
+        let track = queue.track(state, item);
+        if track.attempts + 1 >= max_attempts {
+            return self.take_final(now, result, effects);
+        }
+        track.attempts += 1;
+        count(effects, Counter::Retried(RetryReason::Refused));
+        self.leave_lot(now, result.lot, result.key, result.attempt);
+        self.release_claim(result.key, result.attempt);
+        ReportFate::Pending
+    }
+
     /// A failure that another try may mend.
     fn take_failure(&mut self, now: Now, result: ItemResult, effects: &mut Effects) {
         let ItemResult { key, lot, attempt, outcome } = result;
@@ -210,7 +222,7 @@
         let term = self.owner.as_mut()?;
         let entry = term.lots.entry(lot, key.job, key.item, attempt)?;
         let vm = term.lots.get(lot)?.vm.clone();
-        let expires = LotTable::lease_end(now.mono, self.settings.lease);
+        let expires = now.mono + self.settings.lease;
         term.lots.settle(lot, key.item, expires);
         Some(LeftLot { entry, vm })
     }
--- a/crates/jobs/src/service/submit.rs
+++ b/crates/jobs/src/service/submit.rs
@@ -7,6 +7,7 @@
 use crate::{
     record::{AcceptedJob, LedgerRecord},
     service::event::RejectKind,
+    state::item_table::MAX_ITEMS,
 };
 
 /// A caller that waits for a job's acceptance.
@@ -45,6 +46,9 @@
             return;
         }
         if let Some(refused) = self.refuse_submission(now, &submission) {
+            if matches!(refused, ShardAnswer::ChunksStale(_)) {
+                count(effects, Counter::Event("chunks_stale"));
+            }
             answer(effects, &from, call, refused);
             return;
         }
@@ -120,9 +124,13 @@
         if let Some(detail) = submission_fault(submission, self.shard) {
             return refuse(RefusalReason::BadRequest, detail);
         }
-        if submission.item_count > self.settings.max_items {
+        if submission.item_count > self.settings.max_items.min(MAX_ITEMS) {
             return refuse(RefusalReason::TooLarge, "more items than one job may have");
         }
+        let names: usize = submission.chunks.iter().map(|chunk| chunk.key.len() + 16).sum();
+        if names > self.settings.body_bytes {
+            return refuse(RefusalReason::TooLarge, "more chunks than one record can name");
+        }
         // A chunk that no job names yet is deleted after the grace time. One older than half of
         // it could be gone before the acceptance commits, and the job's input with it.
         let limit = millis(self.settings.chunk_grace) / 2;
--- a/crates/jobs/src/settings.rs
+++ b/crates/jobs/src/settings.rs
@@ -99,3 +99,11 @@
         }
     }
 }
+
+impl JobSettings {
+    /// The delay before the attempt that follows `attempts` failed ones.
+    pub fn backoff_after(&self, attempts: u32) -> Duration {
+        let Some(doublings) = attempts.checked_sub(1) else { return Duration::ZERO };
+        self.backoff_base.saturating_mul(1 << doublings.min(16)).min(self.backoff_max)
+    }
+}
--- a/crates/jobs/src/state.rs
+++ b/crates/jobs/src/state.rs
@@ -16,6 +16,7 @@
 use crate::{
     record::LedgerRecord,
     state::{
+        item_table::MAX_ITEMS,
         job_state::JobState,
         request_table::{AnswerPlace, RequestState, RequestTable},
     },
@@ -72,7 +73,8 @@
         self.skip(seq);
         match record {
             LedgerRecord::JobAccepted(accepted) => {
-                let fresh = !self.jobs.contains_key(&accepted.job);
+                let sane = accepted.item_count <= MAX_ITEMS;
+                let fresh = sane && !self.jobs.contains_key(&accepted.job);
                 if fresh {
                     self.jobs.insert(accepted.job, JobState::new(accepted.clone()));
                 }
--- a/crates/jobs/src/state/item_table.rs
+++ b/crates/jobs/src/state/item_table.rs
@@ -43,6 +43,10 @@
     }
 }
 
+/// Most items of one table: a record or snapshot that asks for more is broken, and taking it at
+/// its word would take the node's memory.
+pub const MAX_ITEMS: u32 = 4_000_000;
+
 const STATE_BITS: u32 = 2;
 const STATE_MASK: u64 = 3;
 
@@ -183,6 +187,9 @@
         let mut rest: &[u8] = &payload;
         let count = take_number(&mut rest)?;
         let count = u32::try_from(count).map_err(|_| TableError)?;
+        if count > MAX_ITEMS {
+            return Err(TableError);
+        }
         let mut table = Self::new(0);
         let mut before = 0_i64;
         while (table.words.len() as u64) < u64::from(count) {
--- a/crates/jobs/src/state/job_state.rs
+++ b/crates/jobs/src/state/job_state.rs
@@ -99,6 +99,11 @@
         &self.claims
     }
 
+    /// Open items that had trouble, in input order.
+    pub fn troubled(&self) -> impl Iterator<Item = ItemIndex> + '_ {
+        self.tries.keys().copied().map(ItemIndex)
+    }
+
     /// What is known of an open item's attempts.
     pub fn tries(&self, item: ItemIndex) -> Option<&ItemTries> {
         self.tries.get(&item.0)
