--- a/crates/sidecar/src/traffic/run_task.rs
+++ b/crates/sidecar/src/traffic/run_task.rs
@@ -106,6 +106,7 @@
     let AttemptId { request: id, number, incarnation } = request.run;
     let call = TargetCall {
         id: format!("{:032x}-{number:x}-{:x}", id.0, incarnation.0),
+        request: id,
         path: request.path,
         body: request.body,
         mode,
--- a/crates/target/src/call.rs
+++ b/crates/target/src/call.rs
@@ -19,6 +19,8 @@
 pub struct TargetCall {
     /// Names the call at an engine, for its cancellation.
     pub id: String,
+    /// The same for every try of one request, for services that drop repeats themselves.
+    pub request: RequestId,
     /// Path below a plain service; empty for an engine.
     pub path: String,
     /// JSON body.
--- a/crates/target/src/service.rs
+++ b/crates/target/src/service.rs
@@ -13,6 +13,9 @@
     probe::{CacheReport, TargetProbe},
 };
 
+/// Header by which a service may know a repeated call.
+const IDEMPOTENCY_HEADER: &str = "idempotency-key";
+
 /// Where a plain service is and how long it may take.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ServiceSettings {
@@ -73,6 +76,7 @@
         };
         let mut request = Request::new(Method::Post, url);
         request.insert_header("content-type", "application/json");
+        request.insert_header(IDEMPOTENCY_HEADER, call.request.to_string());
         request.set_body(call.body.to_vec());
         let mut response = match send_call(&self.client, request, call.idempotent).await {
             Ok(response) => response,
