--- a/crates/http/src/server/connection.rs
+++ b/crates/http/src/server/connection.rs
@@ -17,7 +17,7 @@
 use super::{
     Handler,
     counts::{CountCells, count},
-    limits::ServerLimits,
+    limits::{LIBRARY_HEAD_BYTES, ServerLimits},
     refusal::EdgeRefusal,
     request::{BodyFraming, body_framing, guard_request},
     stream::{HeadFailure, ServerStream},
@@ -134,7 +134,8 @@
     stream: &ServerStream,
 ) -> Result<(Request, BodyFraming), HeadFailure> {
     let limits = &context.limits;
-    let head = stream.head(limits.head_bytes, limits.header_count);
+    let head_bytes = limits.head_bytes.min(LIBRARY_HEAD_BYTES);
+    let head = stream.head(head_bytes, limits.header_count);
     match timeout(limits.head_timeout, head).await {
         Ok(head) => head?,
         Err(_) => return Err(HeadFailure::Refused(EdgeRefusal::SlowHead)),
--- a/crates/http/src/server/limits.rs
+++ b/crates/http/src/server/limits.rs
@@ -2,12 +2,15 @@
 
 use std::time::Duration;
 
+/// Longest head that the library reads, bytes.
+pub const LIBRARY_HEAD_BYTES: usize = 8 * 1_024 - 1;
+
 /// Limits of one server. Every one of them bounds memory or time that a caller can hold.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ServerLimits {
     /// Connections at one time; the next one is answered 503 and closed.
     pub max_connections: usize,
-    /// Longest request line and headers together, bytes; at most 8,191, which is the library's own.
+    /// Longest request line and headers together, bytes; [`LIBRARY_HEAD_BYTES`] where it is more.
     pub head_bytes: usize,
     /// Most header lines; at most 128, which is the library's own.
     pub header_count: usize,
--- a/crates/http/tests/server.rs
+++ b/crates/http/tests/server.rs
@@ -14,8 +14,14 @@
 
 const SOON: Duration = Duration::from_millis(50);
 
+/// The head's limit is above the library's own: the smaller one holds.
 fn small() -> ServerLimits {
-    ServerLimits { body_bytes: 1_000, drain_bytes: 100, ..ServerLimits::default() }
+    ServerLimits {
+        body_bytes: 1_000,
+        drain_bytes: 100,
+        head_bytes: 16 << 10,
+        ..ServerLimits::default()
+    }
 }
 
 // Symptom: a caller's connection closes without a word, or the server dies or misreads a body.
