--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod effect;
 pub mod event;
+pub mod probe;
 pub mod rendezvous;
 pub mod roster;
 pub mod settings;
--- a/crates/membership/src/table.rs
+++ b/crates/membership/src/table.rs
@@ -10,6 +10,7 @@
 mod domains;
 mod marks;
 mod news;
+mod outbox;
 mod probes;
 mod rings;
 mod round;
@@ -25,6 +26,7 @@
     book::supersedes,
     core::MemberCore,
     marks::VmMarks,
+    outbox::{MAX_UPDATES, send, send_news},
     probes::{ProbeBook, ProbeStage},
     round::PingRound,
     rumors::RumorBook,
@@ -37,8 +39,6 @@
     settings::{MemberIdentity, MembershipSettings},
 };
 
-/// Most member updates on a push or an answer.
-const MAX_PUSHED: usize = 64;
 /// Facts on a message to a gateway that just joined. More than ride on any other message, which
 /// tells the receiver not to push them on.
 const RUMORS_AT_JOIN: usize = 64;
@@ -250,6 +250,8 @@
         }
         self.probes.heard(from);
         self.core.challenge(now, from, effects);
+        let doubts = self.core.take_doubts();
+        send_news(from, &doubts, effects);
     }
 
     fn take_news(
@@ -365,10 +367,7 @@
         };
         let mut lacking = self.core.live_updates();
         lacking.retain(newer);
-        for part in lacking.chunks(MAX_PUSHED) {
-            let (members, rumors) = (part.to_vec(), Vec::new());
-            send(from, GossipMessage::News { members, rumors }, effects);
-        }
+        send_news(from, &lacking, effects);
         for update in members {
             self.core.take_update(now, from, update, effects);
         }
@@ -454,7 +453,7 @@
             return;
         }
         self.next_push = now + self.settings.push_interval;
-        let members = self.core.push(MAX_PUSHED);
+        let members = self.core.push(MAX_UPDATES);
         let rumors = self.rumors.push(self.settings.piggyback_rumors);
         if members.is_empty() && rumors.is_empty() {
             return;
@@ -499,7 +498,3 @@
         }
     }
 }
-
-fn send(to: &VmName, message: GossipMessage, effects: &mut Vec<MembershipEffect>) {
-    effects.push(MembershipEffect::Send { to: to.clone(), message });
-}
--- a/crates/membership/src/table/core.rs
+++ b/crates/membership/src/table/core.rs
@@ -2,13 +2,14 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use notch_messages::gossip::{GossipMessage, MemberState, MemberUpdate};
+use notch_messages::gossip::{MemberState, MemberUpdate};
 use notch_types::prelude::*;
 
 use super::{
     book::{Applied, MemberBook, is_live, supersedes},
     domains::{DomainTurn, DomainWatch},
     news::{NewsQueue, ride_limit},
+    outbox::send_news,
     rings::PartnerRings,
 };
 use crate::{
@@ -19,6 +20,9 @@
 
 /// Least time between two challenges of one member.
 const CHALLENGE_INTERVAL: Duration = Duration::from_secs(2);
+/// Pings that carry one piece of news besides the push. Few are enough, since digests find what
+/// both have missed.
+const MEMBER_RIDES: u32 = 3;
 
 /// What is held of each member.
 ///
@@ -36,6 +40,8 @@
     challenged: BTreeMap<VmName, MonoTime>,
     /// Not told to the driver yet.
     changed: Vec<MemberUpdate>,
+    /// Not told to the sender of the message at hand yet.
+    doubts: Vec<MemberUpdate>,
 }
 
 impl MemberCore {
@@ -57,6 +63,7 @@
             suspects: BTreeMap::new(),
             challenged: BTreeMap::new(),
             changed: Vec::new(),
+            doubts: Vec::new(),
         };
         core.book.apply(MonoTime::default(), &own);
         core.rings.insert(&own.vm);
@@ -126,12 +133,8 @@
         if !doubted || recent || *vm == self.own {
             return;
         }
-        let members = vec![held.update.clone()];
+        send_news(vm, std::slice::from_ref(&held.update), effects);
         self.challenged.insert(vm.clone(), now);
-        effects.push(MembershipEffect::Send {
-            to: vm.clone(),
-            message: GossipMessage::News { members, rumors: Vec::new() },
-        });
     }
 
     /// A probe of the member failed.
@@ -205,8 +208,7 @@
 
     /// News to ride on a message.
     pub(crate) fn ride(&mut self) -> Vec<MemberUpdate> {
-        let limit = self.ride_limit();
-        let taken = self.news.take(self.settings.piggyback_members, limit);
+        let taken = self.news.take(self.settings.piggyback_members, MEMBER_RIDES);
         self.look_up(&taken)
     }
 
@@ -220,7 +222,7 @@
         self.news.is_urgent()
     }
 
-    /// Messages that carry one piece of news.
+    /// Messages that carry one fact, which nobody may have pushed.
     pub(crate) fn ride_limit(&self) -> u32 {
         ride_limit(self.rings.len())
     }
@@ -234,6 +236,11 @@
         std::mem::take(&mut self.changed)
     }
 
+    /// Doubts about members that the sender of the last message holds alive.
+    pub(crate) fn take_doubts(&mut self) -> Vec<MemberUpdate> {
+        std::mem::take(&mut self.doubts)
+    }
+
     pub(crate) fn has_changed(&self) -> bool {
         !self.changed.is_empty()
     }
@@ -274,13 +281,13 @@
         effects.push(MembershipEffect::Count(Counter::Event("member_refutations")));
         // Whoever doubts may hold every partner of this gateway dead as well, as after a parting:
         // the push alone would not reach it.
-        effects.push(MembershipEffect::Send {
-            to: from.clone(),
-            message: GossipMessage::News { members: vec![refuted], rumors: Vec::new() },
-        });
+        send_news(from, &[refuted], effects);
     }
 
-    /// News that changed nothing: somebody may hold a member alive that is held dead here.
+    /// News that changed nothing: the sender may hold a member alive that is held dead here. The
+    /// member is told, and the sender gets a suspicion, no death: after a parting each side holds
+    /// the other's members dead, and would otherwise bury its own on the other's word. Without
+    /// it a sender that missed the death, and is no partner of the dead, would never hear of it.
     fn take_old(
         &mut self,
         now: MonoTime,
@@ -289,11 +296,20 @@
     ) {
         let Some(held) = self.book.get(&update.vm) else { return };
         let disputed = held.update.state == MemberState::Dead
-            && update.state != MemberState::Dead
+            && matches!(update.state, MemberState::Alive | MemberState::Leaving)
             && update.incarnation == held.update.incarnation;
-        if disputed {
-            self.challenge(now, &update.vm, effects);
+        if !disputed {
+            return;
         }
+        let state = if update.state == MemberState::Alive {
+            MemberState::Suspect
+        } else {
+            // A suspicion does not win over a leave, and there is nothing to lose.
+            MemberState::Dead
+        };
+        let doubt = MemberUpdate { state, ..held.update.clone() };
+        self.doubts.push(doubt);
+        self.challenge(now, &update.vm, effects);
     }
 
     /// Moves a member to a later state of its incarnation.
--- a/crates/membership/src/table/news.rs
+++ b/crates/membership/src/table/news.rs
@@ -73,8 +73,8 @@
     }
 }
 
-/// Messages that carry one piece of news in a fleet of `members`: rides on pings only mend what
-/// the push missed, so the logarithm is enough.
+/// Messages that carry one piece of news until it has reached a fleet of `members` that nobody
+/// pushed it to.
 pub(crate) fn ride_limit(members: usize) -> u32 {
     usize::BITS - members.leading_zeros() + 1
 }
