--- a/crates/callers/src/call.rs
+++ b/crates/callers/src/call.rs
@@ -5,7 +5,7 @@
 pub mod options;
 mod query;
 
-use http_types::{Method, Request, Url};
+use http_types::{Method, Request};
 use notch_messages::entry::{EntryKey, EntryKind};
 use notch_types::prelude::*;
 use percent_encoding::percent_decode_str;
@@ -223,8 +223,3 @@
     let decoded = percent_decode_str(segment).decode_utf8();
     decoded.map(String::from).map_err(|_| bad("the path is not UTF-8"))
 }
-
-/// Whether a URL's path and query are this request's; for tests and clients that build them.
-pub fn path_and_query(url: &Url) -> String {
-    url.query().map_or_else(|| url.path().to_owned(), |query| format!("{}?{query}", url.path()))
-}
