--- a/crates/gate/src/concurrency_limit.rs
+++ b/crates/gate/src/concurrency_limit.rs
@@ -30,6 +30,12 @@
 /// Batch alone may stretch its time between tokens to this multiple of the online target.
 const BATCH_ALONE_STRETCH: f64 = 2.0;
 
+/// Above this multiple of what is allowed, batch above its new fill is stopped at once; below,
+/// it ends by itself, for a stopped run costs its prompt again.
+const TRIM_ABOVE: f64 = 1.25;
+/// Windows after a cut in which the fill grows one by one: what was too much is near.
+const CAUTIOUS_WINDOWS: u32 = 40;
+
 /// What one learning window saw.
 #[derive(Debug, Clone, Copy, Default)]
 struct LearningWindow {
@@ -53,6 +59,10 @@
     baseline_us: Option<f64>,
     /// Smoothed time to first token of online runs, microseconds.
     first_token_us: f64,
+    /// Whether the last window was so slow that batch must be stopped.
+    trims: bool,
+    /// Windows left in which the fill grows one by one.
+    caution: u32,
 }
 
 impl ConcurrencyLimit {
@@ -64,6 +74,8 @@
             window: LearningWindow::default(),
             baseline_us: None,
             first_token_us: 0.0,
+            trims: false,
+            caution: 0,
         }
     }
 
@@ -76,6 +88,11 @@
         self.fill
     }
 
+    /// Batch runs to stop now, out of `batch` running.
+    pub(crate) fn trim(&self, batch: u32) -> u32 {
+        if self.trims { batch.saturating_sub(self.fill) } else { 0 }
+    }
+
     pub(crate) fn first_token_us(&self) -> u64 {
         self.first_token_us as u64
     }
@@ -114,7 +131,10 @@
         let window = std::mem::take(&mut self.window);
         self.note_running(running, batch);
         self.learn_baseline(&window);
-        match self.strain(&window, policy, weights) {
+        self.caution = self.caution.saturating_sub(1);
+        let strain = self.strain(&window, policy, weights);
+        self.trims = strain.is_some_and(|strain| strain > TRIM_ABOVE);
+        match strain {
             Some(strain) if strain > 1.0 => self.cut(&window),
             Some(strain) if strain > GROW_BELOW => {}
             Some(_) => self.grow(&window, policy),
@@ -173,6 +193,7 @@
         if window.batch_peak > 0 && self.fill > 1 {
             let used = self.fill.min(window.batch_peak);
             self.fill = ((f64::from(used) * FILL_CUT) as u32).max(1);
+            self.caution = CAUTIOUS_WINDOWS;
             return;
         }
         let used = self.limit.min(window.peak.max(1));
@@ -184,7 +205,7 @@
             self.limit = (self.limit + step(self.limit)).min(policy.max_concurrency.max(1));
         }
         if window.batch_peak >= self.fill || window.batch_peak == 0 {
-            self.fill += step(self.fill);
+            self.fill += if self.caution > 0 { 1 } else { step(self.fill) };
         }
     }
 }
--- a/crates/gate/src/core/admission.rs
+++ b/crates/gate/src/core/admission.rs
@@ -81,6 +81,21 @@
         }
     }
 
+    /// Stops the batch runs above a fill that was just cut hard: online tokens come too slowly
+    /// while they run.
+    pub(crate) fn trim_batch(
+        &mut self,
+        now: MonoTime,
+        state: &mut TargetState,
+        effects: &mut Vec<GateEffect>,
+    ) {
+        let excess = state.limits.trim(state.batch.len() as u32);
+        for run in self.victims(now, state).into_iter().take(excess as usize) {
+            self.stop(now, state, run, StopCause::Preempted, effects);
+            Self::count("batch_trimmed", effects);
+        }
+    }
+
     /// Batch runs that may be stopped, in the order in which to stop them.
     fn victims(&self, now: MonoTime, state: &TargetState) -> Vec<AttemptId> {
         let mut victims: Vec<&RunRecord> = state
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -276,6 +276,7 @@
             let (running, batch) = (state.taken(), state.batch.len() as u32);
             state.limits.close_window(&state.policy, &self.core.weights, running, batch);
             state.reserve.close_window(demand);
+            self.core.trim_batch(now, state, effects);
             self.core.pump(now, state, effects);
         }
         self.core.timers.set(now + self.core.settings.learning_window, TimerKind::Window);
--- a/crates/gate/src/gate/lots.rs
+++ b/crates/gate/src/gate/lots.rs
@@ -58,6 +58,7 @@
 
     /// A cancelled job's items never start any more. The owner's epoch is not checked: a
     /// cancellation is told only once it is in the ledger, and nothing there takes it back.
+    /// Results that wait to be settled stay: what they are worth is the ledger's to say.
     pub(super) fn cancel_job(
         &mut self,
         now: MonoTime,
@@ -67,7 +68,6 @@
     ) {
         self.core.lots.admit_epoch(job.shard, epoch);
         self.core.lots.cancel(now, job);
-        self.core.results.drop_job(job);
         let first = ItemKey { job, item: ItemIndex(0) };
         let last = ItemKey { job, item: ItemIndex(u32::MAX) };
         let runs: Vec<AttemptId> =
--- a/crates/gate/src/result_buffer.rs
+++ b/crates/gate/src/result_buffer.rs
@@ -62,16 +62,6 @@
         true
     }
 
-    /// Drops the results of a cancelled job.
-    pub(crate) fn drop_job(&mut self, job: JobId) {
-        let first = ItemKey { job, item: ItemIndex(0) };
-        let last = ItemKey { job, item: ItemIndex(u32::MAX) };
-        let keys: Vec<ItemKey> = self.results.range(first..=last).map(|(key, _)| *key).collect();
-        for key in keys {
-            self.settle(key);
-        }
-    }
-
     /// A link is gone: what was sent over it may be lost.
     pub(crate) fn unsend(&mut self, gateway: &VmName) {
         for buffered in self.results.values_mut() {
--- a/crates/gate/tests/common/mod.rs
+++ b/crates/gate/tests/common/mod.rs
@@ -1,7 +1,10 @@
 //! A gate with a make-believe target and gateways around it.
 #![allow(dead_code, unreachable_pub)]
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use notch_gate::prelude::*;
 use notch_messages::prelude::*;
@@ -94,6 +97,10 @@
     pub in_flight: BTreeMap<AttemptId, bool>,
     /// Deadlines of online attempts when first offered, milliseconds.
     pub offered: Vec<(u64, AttemptId)>,
+    /// Whether anything so far may have to run alone.
+    pub sent_alone: bool,
+    /// Runs of items that may be stopped and run again.
+    pub repeatable_items: BTreeSet<AttemptId>,
 }
 
 impl Bench {
@@ -105,6 +112,8 @@
             seen: Vec::new(),
             in_flight: BTreeMap::new(),
             offered: Vec::new(),
+            sent_alone: false,
+            repeatable_items: BTreeSet::new(),
         };
         bench.feed(GateEvent::Weights(PolicyWeights {
             latency_weight: 0.0,
--- /dev/null
+++ b/crates/gate/tests/crashes.rs
@@ -0,0 +1,211 @@
+//! Targets that crash, freeze or hang up, and the requests that make them.
+
+mod common;
+
+use std::time::Duration;
+
+use common::*;
+use notch_gate::prelude::*;
+use notch_messages::prelude::*;
+use notch_types::prelude::*;
+
+fn down(bench: &mut Bench, cause: DownCause) -> Vec<GateEffect> {
+    bench.feed(GateEvent::TargetDown { target: target(), cause })
+}
+
+fn up(bench: &mut Bench) -> Vec<GateEffect> {
+    bench.feed(GateEvent::TargetUp { target: target(), instance: None })
+}
+
+fn suspects(effects: &[GateEffect]) -> Option<(Vec<Fingerprint>, bool)> {
+    messages(effects).into_iter().find_map(|message| match message {
+        GatewayMessage::Suspects { fingerprints, alone, .. } => {
+            Some((fingerprints.clone(), *alone))
+        }
+        _ => None,
+    })
+}
+
+#[test]
+fn a_crash_ends_online_returns_items_and_names_suspects() {
+    // Symptom: callers hang and a lot never ends after an engine died.
+    // Sequence: one online attempt and one item run, one attempt waits; the process is gone.
+    // Cause: whatever was in flight got no end of its own from a dead target.
+    let mut bench = Bench::new(still(), fixed(2));
+    bench.say(SidecarMessage::Offer(offer(1, 9_000)));
+    bench.say(SidecarMessage::Lot(lot(1, &[item(1, 0)])));
+    let first = down(&mut bench, DownCause::Crashed);
+    let (mut fingerprints, alone) = suspects(&first).expect("suspects are named");
+    fingerprints.sort();
+    assert_eq!(fingerprints, [fingerprint(1), fingerprint(1_000_000)]);
+    assert!(!alone, "two were in flight");
+    let run = item_run(item(1, 0));
+    let mut after = bench.end(attempt(1), RunEnd::Cut);
+    after.extend(bench.feed(GateEvent::RunEnded {
+        run,
+        end: RunEnd::Cut,
+        total: 4,
+        output: Some(Payload::from("text")),
+    }));
+    assert_eq!(outcomes(&after), [(attempt(1), AttemptOutcome::Crashed)]);
+    let back = returns(&after);
+    assert_eq!(back.len(), 1);
+    assert_eq!(back[0].reason, ReturnReason::TargetCrashed);
+    assert_eq!(back[0].progress, Some(Payload::from("text")), "progress goes back with it");
+    assert!(back[0].started);
+    let refused = bench.say(SidecarMessage::Offer(offer(2, 9_000)));
+    assert_eq!(refusals(&refused), [(attempt(2), RefusalReason::NoTarget)]);
+    up(&mut bench);
+    let next = bench.say(SidecarMessage::Offer(offer(3, 9_000)));
+    assert_eq!(starts(&next), [attempt(3)], "the restarted target is used again");
+}
+
+#[test]
+fn streams_cut_before_the_probe_are_suspects_too() {
+    // Symptom: the request that crashes targets is never named.
+    // Sequence: its stream is cut first, the others a moment later, then the probe is refused.
+    // Cause: what was cut had already been taken as ended when the crash was seen.
+    let mut bench = Bench::new(still(), fixed(4));
+    bench.say(SidecarMessage::Offer(offer(1, 9_000)));
+    bench.say(SidecarMessage::Offer(offer(2, 9_000)));
+    let cut = bench.end(attempt(1), RunEnd::Cut);
+    assert!(cut.contains(&GateEffect::Probe { target: target() }));
+    assert!(outcomes(&cut).is_empty(), "its end waits for the probe");
+    let meanwhile = bench.say(SidecarMessage::Offer(offer(3, 9_000)));
+    assert!(starts(&meanwhile).is_empty(), "nothing is sent to a target that may be dying");
+    let crash = down(&mut bench, DownCause::Crashed);
+    let (mut named, _) = suspects(&crash).expect("named");
+    named.sort();
+    assert_eq!(named, [fingerprint(1), fingerprint(2)]);
+    assert_eq!(outcomes(&crash), [(attempt(1), AttemptOutcome::Crashed)]);
+    assert_eq!(refusals(&crash), [(attempt(3), RefusalReason::NoTarget)]);
+}
+
+#[test]
+fn a_hang_up_on_one_request_blames_nobody_else() {
+    // Symptom: healthy requests are isolated though the target never crashed.
+    // Sequence: one connection is cut; the probe finds the target well.
+    // Cause: a cut connection was taken for a crash.
+    let mut bench = Bench::new(still(), fixed(4));
+    bench.say(SidecarMessage::Offer(offer(1, 9_000)));
+    bench.say(SidecarMessage::Offer(offer(2, 9_000)));
+    bench.end(attempt(1), RunEnd::Cut);
+    let well = up(&mut bench);
+    assert_eq!(outcomes(&well), [(attempt(1), AttemptOutcome::Crashed)]);
+    assert_eq!(suspects(&well), None);
+    assert!(bench.in_flight.contains_key(&attempt(2)), "its neighbour runs on");
+}
+
+#[test]
+fn a_restart_seen_only_by_its_number_is_a_crash() {
+    // Symptom: after a fast restart the culprit is never named.
+    // Sequence: the engine dies and is back before the probe; only its start number changed.
+    // Cause: the probe saw a target that answers.
+    let mut bench = Bench::new(still(), fixed(4));
+    bench.feed(GateEvent::TargetUp { target: target(), instance: Some(1) });
+    bench.say(SidecarMessage::Offer(offer(1, 9_000)));
+    bench.end(attempt(1), RunEnd::Cut);
+    let effects = bench.feed(GateEvent::TargetUp { target: target(), instance: Some(2) });
+    assert_eq!(suspects(&effects), Some((vec![fingerprint(1)], true)));
+    assert!(bench.load().up);
+}
+
+#[test]
+fn a_frozen_target_ends_its_runs_and_names_nobody() {
+    // Symptom: a paused VM puts twenty innocent requests into isolation.
+    // Sequence: the target takes connections and says nothing; stops are never confirmed.
+    // Cause: a freeze was treated like a crash.
+    let mut bench = Bench::new(still(), fixed(2));
+    bench.say(SidecarMessage::Offer(offer(1, 9_000)));
+    let effects = down(&mut bench, DownCause::Frozen);
+    assert_eq!(stops(&effects), [attempt(1)]);
+    assert_eq!(suspects(&effects), None);
+    let ended = bench.end(attempt(1), RunEnd::Stopped);
+    assert_eq!(outcomes(&ended), [(attempt(1), AttemptOutcome::Crashed)]);
+}
+
+#[test]
+fn a_stop_that_is_never_confirmed_gives_its_slot_back() {
+    // Symptom: online work waits for ever behind a batch run that was told to go.
+    // Sequence: all slots hold batch; online comes; the target never confirms the stop.
+    // Cause: the slot was only given back on the target's word.
+    let mut bench = Bench::new(still(), fixed(1));
+    bench.say(SidecarMessage::Lot(lot(1, &[item(1, 0)])));
+    let effects = bench.say(SidecarMessage::Offer(offer(1, 9_000)));
+    assert_eq!(stops(&effects), [item_run(item(1, 0))]);
+    assert!(starts(&effects).is_empty());
+    let effects = bench.pass(300);
+    assert_eq!(starts(&effects), [attempt(1)]);
+}
+
+#[test]
+fn a_poison_request_runs_alone_and_its_neighbours_are_cleared() {
+    // Symptom: a request that crashes targets takes ever more neighbours with it.
+    // Sequence: it is suspected elsewhere, comes here with others running, and crashes this one.
+    // Cause: suspects ran beside others, so that every crash blamed all of them.
+    let mut bench = Bench::new(still(), fixed(4));
+    bench.say(SidecarMessage::Suspected(vec![fingerprint(2), fingerprint(3)]));
+    bench.say(SidecarMessage::Offer(offer(1, 9_000)));
+    let held = bench.say(SidecarMessage::Offer(offer(2, 9_000)));
+    assert!(starts(&held).is_empty(), "waits until the target is empty");
+    let others = bench.say(SidecarMessage::Offer(offer(4, 9_000)));
+    assert_eq!(refusals(&others), [(attempt(4), RefusalReason::Overloaded)], "sent on at once");
+    let alone = bench.end(attempt(1), RunEnd::Complete { status: 200 });
+    assert_eq!(starts(&alone), [attempt(2)]);
+    bench.end(attempt(2), RunEnd::Complete { status: 200 });
+    assert_eq!(bench.in_flight.len(), 0);
+    // The innocent one is cleared: next time it runs beside others.
+    bench.pass(10_000);
+    bench.say(SidecarMessage::Offer(offer(5, 9_000)));
+    let again = AttemptOffer { fingerprint: fingerprint(2), ..offer(6, 9_000) };
+    assert_eq!(starts(&bench.say(SidecarMessage::Offer(again))), [attempt(6)]);
+    // The culprit crashes its target alone, and is named alone.
+    bench.end(attempt(5), RunEnd::Complete { status: 200 });
+    bench.end(attempt(6), RunEnd::Complete { status: 200 });
+    let culprit = bench.say(SidecarMessage::Offer(offer(3, 9_000)));
+    assert_eq!(starts(&culprit), [attempt(3)]);
+    let crash = down(&mut bench, DownCause::Crashed);
+    assert_eq!(suspects(&crash), Some((vec![fingerprint(3)], true)));
+}
+
+#[test]
+fn a_suspect_that_finds_no_empty_target_is_refused_in_time() {
+    // Symptom: a busy target stops serving for as long as a suspect waits.
+    // Sequence: an endless stream holds the target; a suspect waits for it to be empty.
+    // Cause: the wait for isolation had no bound.
+    let settings = GateSettings { isolation_wait: Duration::from_millis(500), ..still() };
+    let mut bench = Bench::new(settings, fixed(4));
+    bench.say(SidecarMessage::Offer(offer(1, 60_000)));
+    bench.say(SidecarMessage::Offer(AttemptOffer { alone: true, ..offer(2, 60_000) }));
+    let effects = bench.pass(600);
+    assert_eq!(refusals(&effects), [(attempt(2), RefusalReason::Overloaded)]);
+    assert_eq!(starts(&bench.say(SidecarMessage::Offer(offer(3, 9_000)))), [attempt(3)]);
+    let again = AttemptOffer { alone: true, ..offer(4, 60_000) };
+    bench.say(SidecarMessage::Offer(again));
+    let beside = bench.say(SidecarMessage::Offer(offer(5, 9_000)));
+    assert_eq!(starts(&beside), [attempt(5)], "the target isn't drained again at once");
+}
+
+#[test]
+fn quarantined_work_is_refused_with_its_reason() {
+    // Symptom: a known culprit goes on crashing targets.
+    // Sequence: it is quarantined fleet-wide; its caller sends it again, and a lot carries it.
+    // Cause: the gate took it in all the same.
+    let mut bench = Bench::new(still(), fixed(4));
+    bench.say(SidecarMessage::Quarantined(vec![fingerprint(1), fingerprint(1_000_000)]));
+    let effects = bench.say(SidecarMessage::Offer(offer(1, 9_000)));
+    assert_eq!(refusals(&effects), [(attempt(1), RefusalReason::Quarantined)]);
+    let effects = bench.say(SidecarMessage::Lot(lot(1, &[item(1, 0), item(1, 1)])));
+    let failed = results(&effects);
+    assert_eq!(failed.len(), 1);
+    assert!(matches!(
+        failed[0].outcome,
+        ItemOutcome::Failed {
+            reason: RefusalReason::Quarantined,
+            retryable: false,
+            ran: Ran::No,
+            ..
+        }
+    ));
+    assert_eq!(starts(&effects), [item_run(item(1, 1))], "the rest of its job goes on");
+}
