--- a/crates/platform/src/exchange.rs
+++ b/crates/platform/src/exchange.rs
@@ -63,6 +63,8 @@
 /// The HTTP client's own limits; those of [`Exchanger::send`] are shorter.
 const LIBRARY_TIME_LIMIT: Duration = Duration::from_secs(3_600);
 
+/// Headers that make a write conditional.
+const CONDITIONS: [&str; 2] = ["if-match", "if-none-match"];
 /// Largest body taken from the platform, bytes: a page of changes in hexadecimal digits.
 const MAX_ANSWER_BYTES: u64 = 16 << 20;
 
@@ -71,7 +73,10 @@
 pub struct Exchanger {
     address: String,
     time_limit: Duration,
-    client: HttpClient,
+    /// Keeps connections.
+    pooled: HttpClient,
+    /// Keeps none, and so sends nothing twice; see [`Exchanger::client_of`].
+    unpooled: HttpClient,
 }
 
 impl Exchanger {
@@ -85,7 +90,9 @@
             body_timeout: LIBRARY_TIME_LIMIT,
             ..ClientSettings::default()
         };
-        Self { address: address.to_string(), time_limit, client: HttpClient::new(settings) }
+        let pooled = HttpClient::new(settings.clone());
+        let unpooled = HttpClient::new(ClientSettings { idle_per_address: 0, ..settings });
+        Self { address: address.to_string(), time_limit, pooled, unpooled }
     }
 
     /// The URL of `path`; `None` if address and path make none.
@@ -107,8 +114,20 @@
         answer.map_err(|_| ExchangeFailure::NoAnswer)?
     }
 
+    /// What goes wrong: an unconditional write goes out on a kept connection, takes effect, and the
+    /// connection is cut. The pooled client holds PUT and DELETE for repeatable and sends again; the
+    /// second sending is refused, and the write is reported as surely without effect. One would
+    /// notice a "void" write that readers see. Without kept connections nothing is sent twice.
+    fn client_of(&self, request: &Request) -> &HttpClient {
+        let conditional = CONDITIONS.iter().any(|name| request.header(*name).is_some());
+        match request.method() {
+            Method::Put | Method::Delete if !conditional => &self.unpooled,
+            _ => &self.pooled,
+        }
+    }
+
     async fn exchange(&self, request: Request) -> Result<WholeAnswer, ExchangeFailure> {
-        let answer = self.client.send(request).await;
+        let answer = self.client_of(&request).send(request).await;
         let mut head = answer.map_err(|error| match error {
             ClientError::NotSent(_) => ExchangeFailure::NeverSent,
             ClientError::Lost(_) => ExchangeFailure::NoAnswer,
--- a/crates/standins/src/fault.rs
+++ b/crates/standins/src/fault.rs
@@ -10,7 +10,8 @@
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 #[serde(default)]
 pub struct FaultSettings {
-    /// Each call takes this long, milliseconds; its effect comes half-way.
+    /// Each call takes this long, milliseconds; a write takes effect half-way, also when its
+    /// caller has given up by then.
     pub slow_ms: u64,
     /// Every call is refused without effect.
     pub down: bool,
--- a/crates/standins/src/objects.rs
+++ b/crates/standins/src/objects.rs
@@ -5,12 +5,15 @@
 
 use std::{
     future::pending,
-    sync::{Mutex, MutexGuard},
+    sync::{Arc, Mutex, MutexGuard},
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use async_channel::{Receiver, Sender};
-use async_std::{future::timeout, task::sleep};
+use async_std::{
+    future::timeout,
+    task::{self, sleep},
+};
 use futures_util::future::BoxFuture;
 use notch_platform::{BudgetSettings, CallBudget, CallEnd, CallKind, CallMeter, ObjectApi};
 use notch_types::{
@@ -55,10 +58,12 @@
     faults: FaultSwitch,
     meter: CallMeter,
     started: Instant,
-    /// Never held over an await.
-    state: Mutex<MemoryState>,
+    state: SharedState,
 }
 
+/// Never locked over an await.
+type SharedState = Arc<Mutex<MemoryState>>;
+
 #[derive(Debug)]
 struct MemoryState {
     table: ObjectTable,
@@ -66,6 +71,8 @@
     reads: CallBudget,
     /// One for each waiting watch; emptied at each change.
     waiting: Vec<Sender<()>>,
+    /// Writes that were received and haven't taken effect.
+    late_writes: usize,
 }
 
 /// What a caller gets: a result, or silence.
@@ -83,12 +90,13 @@
             writes: budget(settings.writes_per_second),
             reads: budget(settings.reads_per_second),
             waiting: Vec::new(),
+            late_writes: 0,
         };
         Self {
             faults: FaultSwitch::new(settings.seed),
             meter: CallMeter::default(),
             started: Instant::now(),
-            state: Mutex::new(state),
+            state: Arc::new(Mutex::new(state)),
             settings,
         }
     }
@@ -98,11 +106,21 @@
         &self.faults
     }
 
-    /// Counts of the calls that came in.
+    /// Counts of the calls that ended; one that hangs isn't counted.
     pub fn meter(&self) -> &CallMeter {
         &self.meter
     }
 
+    /// Watches that wait now.
+    pub fn waiting_watches(&self) -> usize {
+        self.locked().waiting.iter().filter(|waiting| !waiting.is_closed()).count()
+    }
+
+    /// Writes that were received and haven't taken effect yet.
+    pub fn late_writes(&self) -> usize {
+        self.locked().late_writes
+    }
+
     /// Carries out one call; `None` when its answer is lost. A hung call never ends.
     pub(crate) async fn answer(&self, op: StoreOp) -> CallAnswer {
         let kind = CallKind::of(&op);
@@ -111,13 +129,12 @@
         }
         let (fate, slow_ms) = self.faults.next(kind);
         let half = Duration::from_millis(slow_ms) / 2;
-        sleep(half).await;
         let answer = match fate {
-            CallFate::Answered => Some(self.carry_out(op).await),
+            CallFate::Answered => Some(self.carry_out(op, half).await),
             CallFate::Refused => Some(Err(StoreFailure::Unavailable)),
             CallFate::LostBefore => None,
             CallFate::LostAfter => {
-                let _ = self.carry_out(op).await;
+                let _ = self.carry_out(op, half).await;
                 None
             }
             CallFate::Hung => pending().await,
@@ -126,26 +143,22 @@
         answer
     }
 
-    async fn carry_out(&self, op: StoreOp) -> StoreResult {
-        let now = self.store_time();
+    async fn carry_out(&self, op: StoreOp, delay: Duration) -> StoreResult {
+        if CallKind::of(&op).writes() {
+            // In a task of its own: a write that was received takes effect, if late, when its
+            // caller has given up.
+            return task::spawn(write_late(self.state.clone(), op, delay)).await;
+        }
+        sleep(delay).await;
         match op {
             StoreOp::Get { key } => self.locked().table.get(&key),
-            StoreOp::Put { key, value, condition } => {
-                let result = self.locked().table.put(&key, value, condition, now);
-                self.wake_watches();
-                result
-            }
-            StoreOp::Delete { key, condition } => {
-                let result = self.locked().table.delete(&key, condition, now);
-                self.wake_watches();
-                result
-            }
             StoreOp::List { prefix, after, limit } => {
-                self.locked().table.list(&prefix, after.as_deref(), limit, now)
+                self.locked().table.list(&prefix, after.as_deref(), limit, store_time())
             }
             StoreOp::Watch { prefix, after, wait_ms } => {
                 self.watch(&prefix, after, Duration::from_millis(wait_ms)).await
             }
+            StoreOp::Put { .. } | StoreOp::Delete { .. } => Err(StoreFailure::Malformed),
         }
     }
 
@@ -178,11 +191,6 @@
         (objects, upto, receiver)
     }
 
-    fn wake_watches(&self) {
-        // Dropping the senders ends each wait.
-        self.locked().waiting.clear();
-    }
-
     fn take_from_rate(&self, kind: CallKind) -> Result<(), StoreFailure> {
         let now = MonoTime(self.started.elapsed().as_micros() as u64);
         let mut state = self.locked();
@@ -192,14 +200,8 @@
         })
     }
 
-    /// The store's own clock.
-    pub(crate) fn store_time(&self) -> WallTime {
-        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        WallTime(since.as_millis() as u64)
-    }
-
     fn locked(&self) -> MutexGuard<'_, MemoryState> {
-        self.state.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+        locked(&self.state)
     }
 
     pub(crate) fn count(&self, kind: CallKind, answer: &CallAnswer) {
@@ -208,6 +210,35 @@
     }
 }
 
+fn locked(state: &SharedState) -> MutexGuard<'_, MemoryState> {
+    state.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+}
+
+/// The store's own clock.
+pub(crate) fn store_time() -> WallTime {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    WallTime(since.as_millis() as u64)
+}
+
+async fn write_late(shared: SharedState, op: StoreOp, delay: Duration) -> StoreResult {
+    locked(&shared).late_writes += 1;
+    sleep(delay).await;
+    let mut state = locked(&shared);
+    state.late_writes -= 1;
+    let result = match op {
+        StoreOp::Put { key, value, condition } => {
+            state.table.put(&key, value, condition, store_time())
+        }
+        StoreOp::Delete { key, condition } => state.table.delete(&key, condition, store_time()),
+        StoreOp::Get { .. } | StoreOp::List { .. } | StoreOp::Watch { .. } => {
+            Err(StoreFailure::Malformed)
+        }
+    };
+    // Dropping the senders ends each wait.
+    state.waiting.clear();
+    result
+}
+
 impl ObjectApi for MemoryObjects {
     fn call(&self, op: StoreOp) -> BoxFuture<'_, StoreResult> {
         let kind = CallKind::of(&op);
--- a/crates/standins/src/objects/serve.rs
+++ b/crates/standins/src/objects/serve.rs
@@ -13,14 +13,14 @@
 };
 use notch_types::{
     object::{
-        MAX_OBJECT_BYTES, ObjectVersion, StoreFailure, StoreOp, StoreReply, StoredObject,
-        WriteCondition,
+        ListedObject, MAX_OBJECT_BYTES, ObjectVersion, StoreFailure, StoreOp, StoreReply,
+        StoredObject, WriteCondition,
     },
     payload::Payload,
     time::WallTime,
 };
 
-use super::MemoryObjects;
+use super::{MemoryObjects, store_time};
 use crate::{
     control::{bad_request, cut_answer, json_answer, query_number, query_value},
     served::decoded_segment,
@@ -41,7 +41,7 @@
     let answer = objects.answer(op).await;
     objects.count(kind, &answer);
     let Some(result) = answer else { return cut_answer() };
-    let store_time = objects.store_time();
+    let store_time = store_time();
     let mut response = match result {
         Ok(reply) => reply_response(reply),
         Err(failure) => failure_response(failure),
@@ -109,7 +109,7 @@
         StoreReply::Written(version) => tagged(StatusCode::Ok, version),
         StoreReply::Deleted => Response::new(StatusCode::NoContent),
         StoreReply::Listing { objects, more, .. } => {
-            let line = |object: notch_types::object::ListedObject| ListedBody {
+            let line = |object: ListedObject| ListedBody {
                 key: object.key,
                 version: object.version.0,
                 written_at: object.written_at.0,
