--- a/crates/gate/src/core/batch.rs
+++ b/crates/gate/src/core/batch.rs
@@ -8,6 +8,7 @@
 use super::{GateCore, RETURNS_KEPT};
 use crate::{
     effect::{GateEffect, RunRequest},
+    result_buffer::split_results,
     run_record::{ItemTicket, RunPhase, RunRecord, StopCause},
     settings::GateSettings,
     target_state::{PullPhase, TargetState},
@@ -20,8 +21,6 @@
 const LEASE_USABLE: f64 = 0.8;
 /// One item is kept waiting for each of this many batch slots, so that a slot is filled at once.
 const SLOTS_PER_SPARE_ITEM: u32 = 4;
-/// Most results in one message.
-const RESULTS_PER_MESSAGE: usize = 64;
 /// Pauses double at most this often.
 const PULL_DOUBLINGS: u32 = 10;
 
@@ -355,9 +354,9 @@
         }
         let due = self.results.take_due(now, self.settings.result_resend, &gateway);
         for (shard, results) in due {
-            for part in results.chunks(RESULTS_PER_MESSAGE) {
+            for results in split_results(results) {
                 Self::count("results_sent_again", effects);
-                let message = GatewayMessage::ItemsDone { shard, results: part.to_vec() };
+                let message = GatewayMessage::ItemsDone { shard, results };
                 Self::send(&gateway, message, effects);
             }
         }
--- a/crates/gate/src/gate/reports.rs
+++ b/crates/gate/src/gate/reports.rs
@@ -19,7 +19,20 @@
     timer: Option<MonoTime>,
     held: EngineHoldings,
     held_sequence: u64,
-    last_held: Option<(MonoTime, TargetHoldings)>,
+    /// Rises whenever `held` changes.
+    held_changes: u64,
+    last_held: Option<(MonoTime, HoldingsMark)>,
+}
+
+/// What tells a report of holdings from the one before, without making either.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct HoldingsMark {
+    up: bool,
+    leaving: bool,
+    epoch: Option<Epoch>,
+    ended_order: u64,
+    busy: bool,
+    held_changes: u64,
 }
 
 impl LoadReporter {
@@ -29,6 +42,7 @@
     }
 
     pub(super) fn set_holdings(&mut self, holdings: EngineHoldings) {
+        self.held_changes += u64::from(self.held != holdings);
         self.held = holdings;
     }
 
@@ -85,35 +99,46 @@
 
     /// Reports what the target holds, on change and now and then.
     pub(super) fn report_holdings(&mut self, now: MonoTime, effects: &mut Vec<GateEffect>) {
-        let holdings = self.holdings();
-        if let Some((at, last)) = &self.reporter.last_held {
-            let is_same = TargetHoldings { sequence: last.sequence, ..holdings.clone() } == *last;
-            if is_same && now.since(*at) < self.core.settings.load_refresh {
-                return;
-            }
+        let mark = self.holdings_mark();
+        let refresh = self.core.settings.load_refresh;
+        let is_told =
+            |(at, last): (MonoTime, HoldingsMark)| last == mark && now.since(at) < refresh;
+        if self.reporter.last_held.is_some_and(is_told) {
+            return;
         }
         self.reporter.held_sequence += 1;
-        let holdings = TargetHoldings { sequence: self.reporter.held_sequence, ..holdings };
+        let holdings = self.holdings(mark);
         for gateway in self.core.gateways.all() {
             GateCore::send(gateway, GatewayMessage::Holdings(holdings.clone()), effects);
         }
-        self.reporter.last_held = Some((now, holdings));
+        self.reporter.last_held = Some((now, mark));
     }
 
-    fn holdings(&self) -> TargetHoldings {
+    fn holdings_mark(&self) -> HoldingsMark {
+        HoldingsMark {
+            up: self.targets.values().any(|state| state.is_up()),
+            leaving: self.core.leaving,
+            epoch: self.fence.newest(),
+            ended_order: self.fence.ended_order(),
+            busy: self.fence.is_busy(),
+            held_changes: self.reporter.held_changes,
+        }
+    }
+
+    fn holdings(&self, mark: HoldingsMark) -> TargetHoldings {
         TargetHoldings {
             vm: self.core.settings.vm.clone(),
             domain: self.core.settings.domain.clone(),
             incarnation: self.core.settings.incarnation,
             sequence: self.reporter.held_sequence,
-            up: self.targets.values().any(|state| state.is_up()),
-            leaving: self.core.leaving,
+            up: mark.up,
+            leaving: mark.leaving,
             slots: self.reporter.held.slots,
             role: self.reporter.held.role.clone(),
             models: self.reporter.held.models.clone(),
-            epoch: self.fence.newest(),
-            ended_order: self.fence.ended_order(),
-            busy: self.fence.is_busy(),
+            epoch: mark.epoch,
+            ended_order: mark.ended_order,
+            busy: mark.busy,
         }
     }
 
--- a/crates/gate/src/result_buffer.rs
+++ b/crates/gate/src/result_buffer.rs
@@ -5,6 +5,11 @@
 use notch_messages::prelude::*;
 use notch_types::prelude::*;
 
+/// Most results in one message.
+const RESULTS_PER_MESSAGE: usize = 64;
+/// Most bytes of results in one message; a single larger one goes alone.
+const MESSAGE_BYTES: usize = 1 << 20;
+
 /// One result and where it was last sent.
 #[derive(Debug, Clone)]
 struct BufferedResult {
@@ -90,6 +95,26 @@
     }
 }
 
+/// Parts of at most [`RESULTS_PER_MESSAGE`] results and [`MESSAGE_BYTES`], or of a single result:
+/// a message over the link's size would close the link, and be sent again over the next one.
+pub(crate) fn split_results(results: Vec<ItemResult>) -> Vec<Vec<ItemResult>> {
+    let mut parts: Vec<Vec<ItemResult>> = Vec::new();
+    let mut bytes = 0;
+    for result in results {
+        bytes += result_bytes(&result);
+        match parts.last_mut() {
+            Some(part) if part.len() < RESULTS_PER_MESSAGE && bytes <= MESSAGE_BYTES => {
+                part.push(result);
+            }
+            _ => {
+                bytes = result_bytes(&result);
+                parts.push(vec![result]);
+            }
+        }
+    }
+    parts
+}
+
 fn result_bytes(result: &ItemResult) -> usize {
     match &result.outcome {
         ItemOutcome::Answered { body, .. } => body.len(),
