--- a/crates/catalogue/src/lib.rs
+++ b/crates/catalogue/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod event;
 pub mod key;
 pub mod node;
+pub mod probe;
 pub mod schema;
 pub mod settings;
 pub mod survey;
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -15,5 +15,5 @@
     rendezvous::{gateways_of, placement_candidates, shard_ranks, sidecars_of, watchers_of},
     roster::{MemberRoster, RosterMember},
     settings::{MemberIdentity, MembershipSettings},
-    table::{DomainSummary, MemberTable},
+    table::{DomainSummary, MemberTable, partners_of},
 };
--- a/crates/membership/src/table.rs
+++ b/crates/membership/src/table.rs
@@ -21,7 +21,6 @@
 use notch_types::prelude::*;
 use rand::{rngs::SmallRng, seq::IndexedRandom};
 
-pub use self::domains::DomainSummary;
 use self::{
     book::supersedes,
     core::MemberCore,
@@ -32,6 +31,7 @@
     rumors::RumorBook,
     strain::PauseWatch,
 };
+pub use self::{domains::DomainSummary, rings::partners_of};
 use crate::{
     effect::MembershipEffect,
     event::{ListedVm, MembershipEvent},
--- a/crates/membership/src/table/rings.rs
+++ b/crates/membership/src/table/rings.rs
@@ -4,6 +4,8 @@
 
 use notch_types::prelude::*;
 
+use crate::roster::MemberRoster;
+
 /// A place on a ring.
 type RingPlace = (u64, VmName);
 
@@ -72,3 +74,12 @@
     let before = ring.range(..own.clone()).next_back().or(ring.last());
     [other(after), other(before)].into_iter().flatten()
 }
+
+/// Every member's partners, as a fleet whose members are `roster` has them.
+pub fn partners_of(roster: &MemberRoster, rings: u8) -> BTreeMap<VmName, Vec<VmName>> {
+    let mut all = PartnerRings::new(rings);
+    for member in roster.members() {
+        all.insert(&member.vm);
+    }
+    roster.members().iter().map(|member| (member.vm.clone(), all.partners(&member.vm))).collect()
+}
