--- a/crates/routing/src/account_table.rs
+++ b/crates/routing/src/account_table.rs
@@ -124,6 +124,11 @@
         }
     }
 
+    /// Accounts that have a state now.
+    pub fn active(&self) -> usize {
+        self.states.len()
+    }
+
     /// When [`Self::tick`] has something to do.
     pub fn next_wake(&self) -> Option<MonoTime> {
         if self.touched.is_empty() { None } else { Some(self.rumor_at) }
--- a/crates/routing/src/request_state.rs
+++ b/crates/routing/src/request_state.rs
@@ -127,8 +127,6 @@
     /// The attempt whose answer the caller is getting. Invariant: once set it is never changed,
     /// and no further attempt is dispatched.
     pub(crate) delivered: Option<AttemptId>,
-    /// Whether the ledger granted a claim, which proves that no earlier send may have run.
-    pub(crate) granted: bool,
     /// Why the last attempt came to nothing.
     pub(crate) failure: Option<AttemptFailure>,
 }
@@ -146,7 +144,6 @@
             wake_at: None,
             attempts: Vec::new(),
             delivered: None,
-            granted: false,
             failure: None,
         }
     }
--- a/crates/routing/src/router/claim.rs
+++ b/crates/routing/src/router/claim.rs
@@ -110,7 +110,6 @@
         state: &mut RequestState,
         attempt: AttemptId,
     ) {
-        state.granted = true;
         if state.deadline <= turn.now + self.settings.retry.dispatch_margin {
             let detail = "the deadline passed while the claim was made";
             return self.refuse_for(turn, state, RefusalReason::DeadlinePassed, detail);
--- a/crates/routing/src/router/finish.rs
+++ b/crates/routing/src/router/finish.rs
@@ -27,13 +27,13 @@
         }
     }
 
-    /// Whether no attempt made here may have started, and no earlier send either: a granted claim
-    /// proves the latter, else it rests on what this gateway remembers.
+    /// Whether no attempt made here may have started, and no earlier send either. A granted claim
+    /// doesn't prove the latter for long: another gateway may have had the attempt sealed, freed
+    /// its claim and run the request itself.
     fn is_proved_not_run(&self, now: MonoTime, state: &RequestState) -> bool {
         let is_held = matches!(state.phase, RequestPhase::Held { .. });
         let is_settled = matches!(state.phase, RequestPhase::Settled { .. });
-        let earlier =
-            state.lead.keyed && !state.granted && self.may_have_run_before(now, state.id());
+        let earlier = state.lead.keyed && self.may_have_run_before(now, state.id());
         state.is_clean() && !is_held && !is_settled && !earlier
     }
 
--- a/crates/routing/tests/router_world.rs
+++ b/crates/routing/tests/router_world/world.rs
@@ -1,67 +1,22 @@
-//! Two routers, a ledger and three sidecars with random delays, losses, crashes and restarts,
-//! against a naive world that simply writes down what ran.
-
-mod support;
+//! Two routers, a ledger and three sidecars, and the naive truth about what ran.
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use notch_messages::prelude::*;
 use notch_routing::{settings::*, *};
 use notch_types::prelude::*;
-use proptest::{prelude::*, test_runner::RngSeed};
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
-use support::*;
-
-const ROUTERS: usize = 2;
-const VMS: usize = 3;
 
-#[derive(Debug, Clone)]
-enum Step {
-    Plain { router: usize, stream: bool, deadline: u64 },
-    Keyed { router: usize, key: u64, body: u64, stream: bool, deadline: u64 },
-    Booking { router: usize, key: u64, body: u64, deadline: u64 },
-    CallerGone { router: usize },
-    Advance(u64),
-    Crash { vm: usize },
-    Restart { vm: usize },
-    Silence { vm: usize, millis: u64 },
-    Lose { vm: usize, router: usize },
-    Leaving { vm: usize },
-    StoreDown(u64),
-    Leave { router: usize },
-}
+use crate::{
+    steps::Step,
+    support::{self, *},
+};
 
-fn steps() -> impl Strategy<Value = Vec<Step>> {
-    let router = 0..ROUTERS;
-    let vm = 0..VMS;
-    let deadline = 20_u64..8_000;
-    let step = prop_oneof![
-        4 => (router.clone(), any::<bool>(), deadline.clone())
-            .prop_map(|(router, stream, deadline)| Step::Plain { router, stream, deadline }),
-        4 => (router.clone(), 100..104_u64, 0..8_u64, any::<bool>(), deadline.clone()).prop_map(
-            |(router, key, body, stream, deadline)| Step::Keyed {
-                router, key, body, stream, deadline
-            }
-        ),
-        8 => (router.clone(), 0..4_u64, 0..8_u64, deadline).prop_map(
-            |(router, key, body, deadline)| Step::Booking { router, key, body, deadline }
-        ),
-        2 => router.clone().prop_map(|router| Step::CallerGone { router }),
-        12 => (0..400_u64).prop_map(Step::Advance),
-        2 => (1_000..4_000_u64).prop_map(Step::Advance),
-        1 => vm.clone().prop_map(|vm| Step::Crash { vm }),
-        1 => vm.clone().prop_map(|vm| Step::Restart { vm }),
-        2 => (vm.clone(), 10..6_000_u64).prop_map(|(vm, millis)| Step::Silence { vm, millis }),
-        1 => (vm.clone(), router.clone()).prop_map(|(vm, router)| Step::Lose { vm, router }),
-        1 => vm.prop_map(|vm| Step::Leaving { vm }),
-        1 => (10..4_000_u64).prop_map(Step::StoreDown),
-        1 => router.prop_map(|router| Step::Leave { router }),
-    ];
-    prop::collection::vec(step, 10..120)
-}
+pub(crate) const ROUTERS: usize = 2;
+pub(crate) const VMS: usize = 3;
 
 #[derive(Debug, Clone, PartialEq)]
-enum Work {
+pub(crate) enum Work {
     Waiting { router: usize, deadline: u64 },
     Running { router: usize, deadline: u64 },
     Ended,
@@ -69,7 +24,7 @@
 }
 
 #[derive(Debug, Clone)]
-enum Message {
+pub(crate) enum Message {
     ToRouter(usize, RouterEvent),
     Offer { router: usize, vm: usize, attempt: AttemptId, deadline: u64 },
     Seal { router: usize, vm: usize, attempt: AttemptId },
@@ -80,52 +35,52 @@
 }
 
 #[derive(Default)]
-struct Row {
-    holder: Option<AttemptId>,
-    fingerprint: Option<Fingerprint>,
-    answer: Option<StoredAnswer>,
+pub(crate) struct Row {
+    pub(crate) holder: Option<AttemptId>,
+    pub(crate) fingerprint: Option<Fingerprint>,
+    pub(crate) answer: Option<StoredAnswer>,
 }
 
-struct Sidecar {
-    incarnation: Incarnation,
-    work: BTreeMap<AttemptId, Work>,
-    silent_until: u64,
+pub(crate) struct Sidecar {
+    pub(crate) incarnation: Incarnation,
+    pub(crate) work: BTreeMap<AttemptId, Work>,
+    pub(crate) silent_until: u64,
 }
 
 /// What one router told of a request since it took it in.
 #[derive(Default)]
-struct Course {
-    delivered: Option<AttemptId>,
+pub(crate) struct Course {
+    pub(crate) delivered: Option<AttemptId>,
 }
 
-struct World {
-    rng: SmallRng,
-    millis: u64,
-    routers: Vec<OnlineRouter>,
-    sidecars: Vec<Sidecar>,
-    rows: BTreeMap<RequestId, Row>,
-    store_down_until: u64,
-    mail: BTreeMap<(u64, u64), Message>,
-    mailed: u64,
-    arrivals: u64,
-    open: BTreeSet<(usize, ArrivalId)>,
-    finished: BTreeMap<ArrivalId, usize>,
-    once: BTreeSet<RequestId>,
+pub(crate) struct World {
+    pub(crate) rng: SmallRng,
+    pub(crate) millis: u64,
+    pub(crate) routers: Vec<OnlineRouter>,
+    pub(crate) sidecars: Vec<Sidecar>,
+    pub(crate) rows: BTreeMap<RequestId, Row>,
+    pub(crate) store_down_until: u64,
+    pub(crate) mail: BTreeMap<(u64, u64), Message>,
+    pub(crate) mailed: u64,
+    pub(crate) arrivals: u64,
+    pub(crate) open: BTreeSet<(usize, ArrivalId)>,
+    pub(crate) finished: BTreeMap<ArrivalId, usize>,
+    pub(crate) once: BTreeSet<RequestId>,
     /// The naive truth: which attempts ran, and how often each request did.
-    ran: BTreeSet<AttemptId>,
-    runs: BTreeMap<RequestId, usize>,
-    whole: BTreeSet<AttemptId>,
-    dispatched: Vec<(usize, AttemptId)>,
+    pub(crate) ran: BTreeSet<AttemptId>,
+    pub(crate) runs: BTreeMap<RequestId, usize>,
+    pub(crate) whole: BTreeSet<AttemptId>,
+    pub(crate) dispatched: Vec<(usize, AttemptId)>,
     /// Attempts that "not run" spoke of: none of them may run, before or after.
-    sworn: BTreeSet<AttemptId>,
-    answered: BTreeMap<RequestId, BTreeSet<AttemptId>>,
-    courses: BTreeMap<(usize, RequestId), Course>,
+    pub(crate) sworn: BTreeSet<AttemptId>,
+    pub(crate) answered: BTreeMap<RequestId, BTreeSet<AttemptId>>,
+    pub(crate) courses: BTreeMap<(usize, RequestId), Course>,
     /// Whether "not run" also speaks of sends through the other router.
-    strict: bool,
+    pub(crate) strict: bool,
 }
 
 impl World {
-    fn new(seed: u64, strict: bool) -> Self {
+    pub(crate) fn new(seed: u64, strict: bool) -> Self {
         let settings = RouterSettings {
             claim: ClaimSettings { doubt_other_gateways: strict, ..ClaimSettings::default() },
             ..eager()
@@ -171,7 +126,7 @@
         world
     }
 
-    fn see(&mut self, router: usize, number: usize) {
+    pub(crate) fn see(&mut self, router: usize, number: usize) {
         let incarnation = self.sidecars[number].incarnation;
         self.feed(
             router,
@@ -184,7 +139,7 @@
         );
     }
 
-    fn step(&mut self, step: Step) {
+    pub(crate) fn step(&mut self, step: Step) {
         match step {
             Step::Plain { router, stream, deadline } => {
                 let request = plain(self.next_arrival());
@@ -233,25 +188,25 @@
         }
     }
 
-    fn next_arrival(&mut self) -> u64 {
+    pub(crate) fn next_arrival(&mut self) -> u64 {
         self.arrivals += 1;
         self.arrivals
     }
 
-    fn arrive(&mut self, router: usize, request: OnlineRequest, deadline: u64) {
+    pub(crate) fn arrive(&mut self, router: usize, request: OnlineRequest, deadline: u64) {
         self.open.insert((router, request.arrival));
         self.finished.insert(request.arrival, 0);
         let deadline = Some(MonoTime::from_millis(self.millis + deadline));
         self.feed(router, RouterEvent::Arrived(OnlineRequest { deadline, ..request }));
     }
 
-    fn tell_all(&mut self, event: RouterEvent) {
+    pub(crate) fn tell_all(&mut self, event: RouterEvent) {
         for router in 0..ROUTERS {
             self.feed(router, event.clone());
         }
     }
 
-    fn crash(&mut self, number: usize) {
+    pub(crate) fn crash(&mut self, number: usize) {
         let running: Vec<AttemptId> = self.sidecars[number]
             .work
             .iter()
@@ -263,7 +218,7 @@
         }
     }
 
-    fn restart(&mut self, number: usize) {
+    pub(crate) fn restart(&mut self, number: usize) {
         let sidecar = &mut self.sidecars[number];
         sidecar.incarnation = Incarnation(sidecar.incarnation.0 + 100);
         sidecar.work.clear();
@@ -283,7 +238,7 @@
         }
     }
 
-    fn lose(&mut self, number: usize, router: usize) {
+    pub(crate) fn lose(&mut self, number: usize, router: usize) {
         let incarnation = self.sidecars[number].incarnation;
         let there: Vec<AttemptId> = self
             .dispatched
@@ -296,13 +251,13 @@
         }
     }
 
-    fn post(&mut self, delay: u64, message: Message) {
+    pub(crate) fn post(&mut self, delay: u64, message: Message) {
         self.mailed += 1;
         self.mail.insert((self.millis + delay, self.mailed), message);
     }
 
     /// Through a link: late, out of order, lost while it is silent and now and then besides.
-    fn post_link(&mut self, number: usize, message: Message) {
+    pub(crate) fn post_link(&mut self, number: usize, message: Message) {
         let is_silent = self.sidecars[number].silent_until > self.millis;
         let delay = if self.rng.random_bool(0.05) { 3_000 } else { self.rng.random_range(0..60) };
         if !is_silent && !self.rng.random_bool(0.03) {
@@ -310,7 +265,7 @@
         }
     }
 
-    fn advance(&mut self, millis: u64) {
+    pub(crate) fn advance(&mut self, millis: u64) {
         let end = self.millis + millis;
         loop {
             let mail = self.mail.keys().next().map(|(at, _)| *at);
@@ -334,7 +289,7 @@
         self.millis = end;
     }
 
-    fn handle_mail(&mut self, message: Message) {
+    pub(crate) fn handle_mail(&mut self, message: Message) {
         match message {
             Message::ToRouter(router, event) => self.feed(router, event),
             Message::Offer { router, vm, attempt, deadline } => {
@@ -365,164 +320,7 @@
         }
     }
 
-    fn offer(&mut self, router: usize, number: usize, attempt: AttemptId, deadline: u64) {
-        let is_known = self.sidecars[number].work.contains_key(&attempt);
-        let is_other = self.sidecars[number].incarnation != attempt.incarnation;
-        if is_known || is_other || deadline <= self.millis || self.rng.random_bool(0.1) {
-            self.sidecars[number].work.entry(attempt).or_insert(Work::Sealed);
-            return self.refuse_offer(router, number, attempt, RefusalReason::Overloaded);
-        }
-        self.sidecars[number].work.insert(attempt, Work::Waiting { router, deadline });
-        let delay = if self.rng.random_bool(0.1) { 2_500 } else { self.rng.random_range(0..100) };
-        self.post(delay, Message::Start { vm: number, attempt });
-    }
-
-    fn refuse_offer(
-        &mut self,
-        router: usize,
-        number: usize,
-        attempt: AttemptId,
-        reason: RefusalReason,
-    ) {
-        let refusal = AttemptRefusal { attempt, reason, retry_after_ms: None };
-        let event = RouterEvent::AttemptRefused(refusal);
-        self.post_link(number, Message::ToRouter(router, event));
-    }
-
-    fn start_work(&mut self, number: usize, attempt: AttemptId) {
-        let Some(Work::Waiting { router, deadline }) = self.sidecars[number].work.get(&attempt)
-        else {
-            return;
-        };
-        let (router, deadline) = (*router, *deadline);
-        if deadline <= self.millis {
-            self.sidecars[number].work.insert(attempt, Work::Sealed);
-            return self.refuse_offer(router, number, attempt, RefusalReason::DeadlinePassed);
-        }
-        self.sidecars[number].work.insert(attempt, Work::Running { router, deadline });
-        assert!(self.ran.insert(attempt), "an attempt starts once");
-        *self.runs.entry(attempt.request).or_default() += 1;
-        let event = RouterEvent::AttemptStarted { attempt };
-        self.post_link(number, Message::ToRouter(router, event));
-        if self.rng.random_bool(0.5) {
-            let first_token = std::time::Duration::from_millis(1);
-            let event = RouterEvent::AnswerBegun { attempt, first_token };
-            self.post_link(number, Message::ToRouter(router, event));
-        }
-        let delay = self.rng.random_range(0..1_500);
-        self.post(delay, Message::End { vm: number, attempt });
-    }
-
-    fn finish_work(&mut self, number: usize, attempt: AttemptId, outcome: AttemptOutcome) {
-        let Some(Work::Running { router, .. }) = self.sidecars[number].work.get(&attempt) else {
-            return;
-        };
-        let router = *router;
-        self.sidecars[number].work.insert(attempt, Work::Ended);
-        let is_whole = match outcome {
-            AttemptOutcome::Complete { .. } => true,
-            AttemptOutcome::Failed { status, .. } => status != 0,
-            _ => false,
-        };
-        if is_whole {
-            self.whole.insert(attempt);
-        }
-        let event = RouterEvent::AttemptEnded { attempt, outcome, first_token: None };
-        self.post_link(number, Message::ToRouter(router, event));
-    }
-
-    fn seal(&mut self, router: usize, number: usize, attempt: AttemptId) {
-        let sidecar = &mut self.sidecars[number];
-        let verdict = if sidecar.incarnation != attempt.incarnation {
-            SealVerdict::Unknown
-        } else {
-            match sidecar.work.get(&attempt) {
-                Some(Work::Running { .. }) => SealVerdict::Running,
-                Some(Work::Ended) => SealVerdict::Finished,
-                Some(Work::Waiting { .. } | Work::Sealed) | None => {
-                    sidecar.work.insert(attempt, Work::Sealed);
-                    SealVerdict::NeverStarted
-                }
-            }
-        };
-        let event = RouterEvent::AttemptSealed { attempt, verdict };
-        self.post_link(number, Message::ToRouter(router, event));
-    }
-
-    /// The ledger: late, and while it is down it refuses, or acts and loses its answer.
-    fn store(&mut self, router: usize, effect: RouterEffect) {
-        let is_down = self.store_down_until > self.millis;
-        let acts = !is_down || self.rng.random_bool(0.5);
-        let answer_lost = (is_down && acts) || self.rng.random_bool(0.03);
-        let event = match effect {
-            RouterEffect::Claim { request, attempt, fingerprint, .. } => {
-                let result = if acts {
-                    Ok(self.claim(request, attempt, fingerprint))
-                } else {
-                    Err(Refusal::not_run(RefusalReason::StoreUnavailable, "down"))
-                };
-                RouterEvent::ClaimAnswered { request, attempt, result }
-            }
-            RouterEffect::ReleaseClaim { request, attempt } => {
-                let row = self.rows.entry(request).or_default();
-                if acts && row.holder == Some(attempt) {
-                    row.holder = None;
-                }
-                return;
-            }
-            RouterEffect::Fetch { request, .. } => {
-                let answer = self.rows.entry(request).or_default().answer.clone();
-                let down = Refusal::not_run(RefusalReason::StoreUnavailable, "down");
-                let result = if acts { Ok(answer) } else { Err(down) };
-                RouterEvent::AnswerFetched { request, result }
-            }
-            RouterEffect::RecordAnswer { request, attempt, .. } => {
-                let body = Payload::from(attempt.to_string().as_str());
-                self.record(acts, request, StoredAnswer::Answered { status: 200, body });
-                RouterEvent::AnswerRecorded { request, ok: acts }
-            }
-            RouterEffect::RecordUnknown { request, .. } => {
-                self.record(acts, request, StoredAnswer::Unknown);
-                RouterEvent::AnswerRecorded { request, ok: acts }
-            }
-            _ => return,
-        };
-        if !answer_lost {
-            let delay = self.rng.random_range(0..40);
-            self.post(delay, Message::ToRouter(router, event));
-        }
-    }
-
-    fn record(&mut self, acts: bool, request: RequestId, answer: StoredAnswer) {
-        let row = self.rows.entry(request).or_default();
-        if acts && row.answer.is_none() {
-            row.answer = Some(answer);
-        }
-    }
-
-    fn claim(
-        &mut self,
-        request: RequestId,
-        attempt: AttemptId,
-        fingerprint: Fingerprint,
-    ) -> ClaimVerdict {
-        let row = self.rows.entry(request).or_default();
-        if *row.fingerprint.get_or_insert(fingerprint) != fingerprint {
-            return ClaimVerdict::OtherBody;
-        }
-        if let Some(answer) = &row.answer {
-            return ClaimVerdict::Ended(answer.clone());
-        }
-        match row.holder {
-            Some(holder) if holder != attempt => ClaimVerdict::HeldBy(holder),
-            _ => {
-                row.holder = Some(attempt);
-                ClaimVerdict::Granted
-            }
-        }
-    }
-
-    fn feed(&mut self, router: usize, event: RouterEvent) {
+    pub(crate) fn feed(&mut self, router: usize, event: RouterEvent) {
         let mut effects = Vec::new();
         self.routers[router].handle(Now::at_millis(self.millis), event, &mut effects);
         for effect in effects {
@@ -530,7 +328,7 @@
         }
     }
 
-    fn apply(&mut self, router: usize, effect: RouterEffect) {
+    pub(crate) fn apply(&mut self, router: usize, effect: RouterEffect) {
         match effect {
             RouterEffect::Dispatch { request, attempt, vm, deadline_left, .. } => {
                 assert!(!deadline_left.is_zero(), "nothing expired is dispatched");
@@ -574,7 +372,13 @@
         }
     }
 
-    fn finish(&mut self, router: usize, arrival: ArrivalId, request: RequestId, end: RequestEnd) {
+    pub(crate) fn finish(
+        &mut self,
+        router: usize,
+        arrival: ArrivalId,
+        request: RequestId,
+        end: RequestEnd,
+    ) {
         assert!(self.open.remove(&(router, arrival)), "{arrival:?} ends once");
         *self.finished.get_mut(&arrival).expect("it arrived") += 1;
         match end {
@@ -604,7 +408,7 @@
         }
     }
 
-    fn check(&self) {
+    pub(crate) fn check(&self) {
         for (arrival, finishes) in &self.finished {
             assert_eq!(*finishes, 1, "{arrival:?} has one end");
         }
@@ -631,31 +435,3 @@
 fn body_of(key: u64, body: u64) -> Fingerprint {
     Fingerprint(u128::from(key * 10 + u64::from(body == 0)))
 }
-
-fn run_world(steps: Vec<Step>, seed: u64, strict: bool) {
-    let mut world = World::new(seed, strict);
-    for step in steps {
-        world.step(step);
-    }
-    world.store_down_until = 0;
-    world.advance(200_000);
-    world.check();
-}
-
-proptest! {
-    #![proptest_config(ProptestConfig {
-        cases: 1_500,
-        rng_seed: RngSeed::Fixed(0x6d61_676e),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
-
-    #[test]
-    fn promises_hold_whatever_order_things_happen_in(
-        steps in steps(),
-        seed in any::<u64>(),
-        strict in any::<bool>(),
-    ) {
-        run_world(steps, seed, strict);
-    }
-}
--- a/crates/routing/tests/support/mod.rs
+++ b/crates/routing/tests/support/mod.rs
@@ -243,3 +243,19 @@
         ..RouterSettings::default()
     }
 }
+
+pub fn sealed_vm(effects: &[RouterEffect]) -> Option<(AttemptId, VmName)> {
+    effects.iter().find_map(|effect| match effect {
+        RouterEffect::Seal { vm, attempt } => Some((*attempt, vm.clone())),
+        _ => None,
+    })
+}
+
+pub fn has(effects: &[RouterEffect], is_it: impl Fn(&RouterEffect) -> bool) -> bool {
+    effects.iter().any(is_it)
+}
+
+pub fn told(effects: &[RouterEffect]) -> (RefusalReason, Ran) {
+    let refusal = refusal(effects);
+    (refusal.reason, refusal.ran)
+}
