--- a/crates/ledger/src/keys.rs
+++ b/crates/ledger/src/keys.rs
@@ -36,4 +36,44 @@
     pub fn chunk_prefix(self) -> String {
         format!("chunk/{:04x}/", self.shard.0)
     }
+
+    /// What a key names, when it's one of the shard's segments or snapshot parts.
+    pub fn parse(self, key: &str) -> Option<ParsedKey> {
+        let rest = key.strip_prefix(&self.prefix())?;
+        if let Some(name) = rest.strip_prefix("seg/") {
+            let (first, nonce) = parse_pair(name)?;
+            return Some(ParsedKey::Segment { first: Seq(first), nonce });
+        }
+        let (name, part) = rest.strip_prefix("snap/")?.split_once('/')?;
+        let (upto, nonce) = parse_pair(name)?;
+        let part = u32::from_str_radix(part, 16).ok()?;
+        Some(ParsedKey::SnapshotPart { upto: Seq(upto), nonce, part })
+    }
+}
+
+/// A key taken apart.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ParsedKey {
+    /// A segment.
+    Segment {
+        /// Place of its first record.
+        first: Seq,
+        /// Its writer's nonce.
+        nonce: u64,
+    },
+    /// One part of a snapshot.
+    SnapshotPart {
+        /// The place up to which the snapshot reaches.
+        upto: Seq,
+        /// Its writer's nonce.
+        nonce: u64,
+        /// The part's number.
+        part: u32,
+    },
+}
+
+fn parse_pair(name: &str) -> Option<(u64, u64)> {
+    let (first, second) = name.split_once('-')?;
+    let number = |text: &str| u64::from_str_radix(text, 16).ok();
+    Some((number(first)?, number(second)?))
 }
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod effect;
 pub mod event;
 pub mod head;
+mod index;
 pub mod keys;
 pub mod place;
 pub mod segment;
@@ -19,7 +20,7 @@
     effect::{RejectCertainty, RejectReason, ShardEffect},
     event::{AppendTicket, AppendUrgency, ShardEvent, ShardStanding, SweepId},
     head::{EpochEnd, LedgerHead, WriterMark},
-    keys::ObjectKey,
+    keys::{ObjectKey, ParsedKey},
     place::RecordPlace,
     segment::{DecodeError, SegmentRef, read_segment},
     seq::{Seq, SeqRange},
