--- a/crates/catalogue/src/probe/fleet.rs
+++ b/crates/catalogue/src/probe/fleet.rs
@@ -29,15 +29,17 @@
 /// An effect other than a message or a call: when, where, what.
 pub type ToldEffect = (MonoTime, VmName, CatalogueEffect);
 
-/// Catalogue nodes, a store, and what is on its way between them. All know each other from the
-/// start: membership is measured by itself.
+/// Catalogue nodes, a store, and what is on its way between them. All know at once who runs:
+/// membership is measured by itself.
 pub struct CatalogueFleet {
     now: MonoTime,
     /// The store.
     pub store: MemoryStore,
     settings: CatalogueSettings,
+    /// All nodes, running or not.
     roster: MemberRoster,
-    partners: BTreeMap<VmName, Vec<VmName>>,
+    /// Whether nodes started or stopped since the others were told.
+    moved: bool,
     nodes: BTreeMap<VmName, CatalogueNode>,
     starts: BTreeMap<VmName, u64>,
     wakes: BTreeSet<(MonoTime, VmName)>,
@@ -63,8 +65,8 @@
             now: MonoTime::default(),
             store: MemoryStore::default(),
             settings: settings.clone(),
-            partners: partners_of(&roster, RINGS),
             roster,
+            moved: false,
             nodes: BTreeMap::new(),
             starts: BTreeMap::new(),
             wakes: BTreeSet::new(),
@@ -99,18 +101,16 @@
         let start = self.starts.entry(vm.clone()).or_default();
         *start += 1;
         let random = SmallRng::seed_from_u64(member.hash() ^ *start);
-        let mut node = CatalogueNode::new(vm, &member.domain, self.settings.clone(), random);
-        let (roster, partners) = (self.roster.clone(), self.partners[vm].clone());
-        let now = Now { mono: self.now, wall: WallTime::default() };
-        // Its first messages go out with its first tick.
-        node.handle(now, CatalogueEvent::Members { roster, partners }, &mut Vec::new());
+        let node = CatalogueNode::new(vm, &member.domain, self.settings.clone(), random);
         self.nodes.insert(vm.clone(), node);
+        self.moved = true;
         self.plan(vm);
     }
 
     /// Ends a node's process without a word.
     pub fn stop(&mut self, vm: &VmName) {
         self.nodes.remove(vm);
+        self.moved = true;
         if let Some(due) = self.due.remove(vm) {
             self.wakes.remove(&(due, vm.clone()));
         }
@@ -171,6 +171,7 @@
 
     /// Goes on until `until`.
     pub fn run_until(&mut self, until: MonoTime, link: LinkRule<'_>, rule: StoreRule<'_>) {
+        self.tell_members(link, rule);
         while let Some(at) = self.next_at().filter(|at| *at <= until) {
             self.now = self.now.max(at);
             self.answer_watches();
@@ -200,6 +201,20 @@
         std::mem::take(&mut self.told)
     }
 
+    /// Tells every node who runs, as membership would a little later.
+    fn tell_members(&mut self, link: LinkRule<'_>, rule: StoreRule<'_>) {
+        if !std::mem::take(&mut self.moved) {
+            return;
+        }
+        let running =
+            self.roster.members().iter().filter(|member| self.nodes.contains_key(&member.vm));
+        let roster = MemberRoster::new(running.cloned().collect());
+        for (vm, partners) in partners_of(&roster, RINGS) {
+            let event = CatalogueEvent::Members { roster: roster.clone(), partners };
+            self.tell(&vm, event, link, rule);
+        }
+    }
+
     fn next_at(&self) -> Option<MonoTime> {
         let wake = self.wakes.first().map(|(at, _)| *at);
         [wake, self.queue.next_at(), self.store.next_at()].into_iter().flatten().min()
