Let a crashed stand-in answer nothing at all

Cause: a crashing service or engine could send the head of an answer before its port was cut, and a cut returned before the port refused. a_crash_ends_the_calls_in_flight failed for the first; a_cut_port_and_its_return and a_crash_cuts_every_stream_and_forgets_everything failed now and then for the second. Change: handlers that see the crash wait for the cut; PlatformHandle::cut is async and returns when connections are refused; a port that was stopped isn't served again. The engine test's call right after a crash may be cut as well as refused, as with a real process; it still may not be answered. The two others stand as they were. Conclusion: crash and cut look from outside as they should.

--- a/crates/standins/src/engine/core.rs
+++ b/crates/standins/src/engine/core.rs
@@ -175,11 +175,8 @@
         }
     }
 
-    /// Forgets everything, as a crash does, and ends every connection.
+    /// Forgets everything, as a crash does; every stream breaks off.
     pub(super) fn crash(&self) {
-        if let Some(port) = self.port.get() {
-            port.cut();
-        }
         let mut state = self.locked();
         state.generation += 1;
         state.counts.crashes += 1;
@@ -215,7 +212,7 @@
     pub(super) fn shut_down(&self) {
         self.locked().stopped = true;
         if let Some(port) = self.port.get() {
-            port.cut();
+            port.drop_server();
         }
         self.wake_loop();
     }
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -103,8 +103,8 @@
     }
 
     /// Ends every connection and refuses new ones until [`PlatformHandle::reopen`].
-    pub fn cut(&self) {
-        self.port.cut();
+    pub async fn cut(&self) {
+        self.port.cut().await;
     }
 
     /// Serves the same port again.
