--- a/crates/settings/src/config.rs
+++ b/crates/settings/src/config.rs
@@ -8,7 +8,7 @@
     sections::{
         AdmissionSettings, JobSettings, LedgerSettings, LimitSettings, LinkSettings,
         ListenSettings, LoggingSettings, MembershipSettings, NodeSettings, OnlineSettings,
-        PlacementSettings, PlatformSettings, RelaySettings, TargetSettings,
+        OperatorSettings, PlacementSettings, PlatformSettings, RelaySettings, TargetSettings,
     },
 };
 
@@ -31,6 +31,8 @@
     pub online: OnlineSettings,
     /// `[membership]`
     pub membership: MembershipSettings,
+    /// `[operators]`
+    pub operators: OperatorSettings,
     /// `[placement]`
     pub placement: PlacementSettings,
     /// `[limits]`
@@ -76,6 +78,7 @@
         self.jobs.visit(fields);
         self.online.visit(fields);
         self.membership.visit(fields);
+        self.operators.visit(fields);
         self.placement.visit(fields);
         self.limits.visit(fields);
         self.logging.visit(fields);
@@ -89,6 +92,7 @@
         self.jobs.check(fields);
         self.online.check(fields);
         self.membership.check(fields);
+        self.operators.check(fields);
         self.placement.check(fields);
     }
 }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -22,7 +22,8 @@
         sections::{
             AdmissionSettings, JobSettings, LedgerSettings, LimitSettings, LinkSettings,
             ListenSettings, LogFormat, LogLevel, LoggingSettings, MembershipSettings, NodeSettings,
-            OnlineSettings, PlacementSettings, PlatformSettings, RelaySettings, TargetSettings,
+            OnlineSettings, OperatorSettings, PlacementSettings, PlatformSettings, RelaySettings,
+            TargetSettings,
         },
     };
 }
--- a/crates/settings/src/sections.rs
+++ b/crates/settings/src/sections.rs
@@ -10,6 +10,7 @@
 mod membership;
 mod node;
 mod online;
+mod operators;
 mod placement;
 mod platform;
 mod relay;
@@ -26,6 +27,7 @@
     membership::MembershipSettings,
     node::NodeSettings,
     online::OnlineSettings,
+    operators::OperatorSettings,
     placement::PlacementSettings,
     platform::PlatformSettings,
     relay::RelaySettings,
