--- a/crates/routing/src/event.rs
+++ b/crates/routing/src/event.rs
@@ -148,12 +148,19 @@
         /// Its VM.
         vm: VmName,
     },
-    /// The VM list, the VM itself or a catalogue entry says that it is leaving.
+    /// The sidecar itself says that it is leaving. Holds for its incarnation only: a sidecar that
+    /// was restarted in place takes work again.
+    SidecarDraining {
+        /// Its VM.
+        vm: VmName,
+    },
+    /// The VM list or a catalogue entry says that the VM is leaving. Holds whatever its sidecar's
+    /// incarnation, until `SidecarStaying` or `SidecarGone`; may come before `SidecarSeen`.
     SidecarLeaving {
         /// Its VM.
         vm: VmName,
     },
-    /// An operator's entry no longer says that it is leaving.
+    /// Neither the VM list nor an entry says any more that it is leaving.
     SidecarStaying {
         /// Its VM.
         vm: VmName,
--- a/crates/routing/src/retry_budget.rs
+++ b/crates/routing/src/retry_budget.rs
@@ -21,7 +21,7 @@
 }
 
 impl RetryBudget {
-    /// A budget that starts with the floor's tokens of one second.
+    /// A budget that starts with the floor's tokens of one second, at least one.
     pub fn new(now: MonoTime, settings: &RetrySettings) -> Self {
         let cap = settings.budget_cap.max(1.0);
         Self {
--- a/crates/routing/src/router/attempt.rs
+++ b/crates/routing/src/router/attempt.rs
@@ -217,7 +217,7 @@
                 if let Some(record) = state.record(attempt)
                     && self.sidecars.incarnation(record.place) == Some(attempt.incarnation)
                 {
-                    self.sidecars.set_leaving(&record.vm.clone(), true);
+                    self.on_sidecar_draining(turn, &record.vm);
                 }
             }
             _ => {}
--- a/crates/routing/src/router/fleet.rs
+++ b/crates/routing/src/router/fleet.rs
@@ -24,6 +24,7 @@
                 self.sidecars.set_silent(&vm, true);
             }
             RouterEvent::SidecarBack { vm } => self.sidecars.set_silent(&vm, false),
+            RouterEvent::SidecarDraining { vm } => self.on_sidecar_draining(turn, &vm),
             RouterEvent::SidecarLeaving { vm } => self.on_sidecar_leaving(turn, &vm),
             RouterEvent::SidecarStaying { vm } => {
                 self.sidecars.set_leaving(&vm, false);
@@ -81,9 +82,13 @@
 
     fn on_sidecar_leaving(&mut self, turn: &mut RouterTurn<'_>, vm: &VmName) {
         if self.sidecars.set_leaving(vm, true) {
-            turn.count(Counter::Event("sidecars_leaving"));
-            let detail = "no new work goes there".to_owned();
-            turn.note(DecisionNote::new(NoteSubject::Vm(vm.clone()), "leaving", detail).at(vm));
+            note_leaving(turn, vm, "told by the VM list or an entry");
+        }
+    }
+
+    pub(super) fn on_sidecar_draining(&mut self, turn: &mut RouterTurn<'_>, vm: &VmName) {
+        if self.sidecars.set_draining(vm) {
+            note_leaving(turn, vm, "told by itself");
         }
     }
 
@@ -153,6 +158,12 @@
     }
 }
 
+fn note_leaving(turn: &mut RouterTurn<'_>, vm: &VmName, by: &str) {
+    turn.count(Counter::Event("sidecars_leaving"));
+    let detail = format!("no new work goes there, {by}");
+    turn.note(DecisionNote::new(NoteSubject::Vm(vm.clone()), "leaving", detail).at(vm));
+}
+
 fn is_waiting(state: &RequestState) -> bool {
     match state.phase {
         RequestPhase::Fetching | RequestPhase::Claiming { .. } | RequestPhase::Backoff => true,
--- a/crates/routing/src/sidecar_table.rs
+++ b/crates/routing/src/sidecar_table.rs
@@ -26,8 +26,10 @@
     /// Sequence of the newest report taken.
     sequence: u64,
     silent: bool,
-    /// Its own report says so.
+    /// Its newest report says that it is leaving.
     leaving_reported: bool,
+    /// It said so otherwise, once and for all of this incarnation.
+    draining: bool,
     warm: FastSet<u64>,
     /// Targets whose pool has a slot of this sidecar.
     targets: BTreeSet<TargetName>,
@@ -37,7 +39,7 @@
 
 impl SidecarState {
     fn takes_work(&self, leaving: &FastSet<VmName>) -> bool {
-        !self.silent && !self.leaving_reported && !leaving.contains(&self.vm)
+        !self.silent && !self.leaving_reported && !self.draining && !leaving.contains(&self.vm)
     }
 }
 
@@ -81,7 +83,7 @@
     sidecars: Vec<Option<SidecarState>>,
     free: Vec<usize>,
     pools: FastMap<TargetName, TargetPool>,
-    /// VMs that the VM list, the VM or an entry says are leaving, perhaps before they are seen and
+    /// VMs that the VM list or an entry says are leaving, perhaps before they are seen and
     /// whatever their incarnation. Bounded by the VM list: each is told as staying or gone at last.
     leaving: FastSet<VmName>,
 }
@@ -141,6 +143,12 @@
         }
     }
 
+    /// Its present incarnation is leaving. Returns whether that is news.
+    pub fn set_draining(&mut self, vm: &VmName) -> bool {
+        let state = self.place(vm).and_then(|place| self.state_mut(place));
+        state.is_some_and(|state| !std::mem::replace(&mut state.draining, true))
+    }
+
     /// It is leaving, or no longer. Returns whether that changed anything.
     pub fn set_leaving(&mut self, vm: &VmName, leaving: bool) -> bool {
         if leaving { self.leaving.insert(vm.clone()) } else { self.leaving.remove(vm) }
@@ -318,6 +326,7 @@
             sequence: 0,
             silent: false,
             leaving_reported: false,
+            draining: false,
             warm: FastSet::default(),
             targets: BTreeSet::new(),
             in_flight: BTreeSet::new(),
--- a/crates/routing/src/target_pool.rs
+++ b/crates/routing/src/target_pool.rs
@@ -18,8 +18,6 @@
     reported: u32,
     batch_running: u32,
     limit: u32,
-    /// Smoothed time to first token, or whole answer of a service, microseconds.
-    pub first_token_us: u64,
     up: bool,
     reported_at: MonoTime,
     /// Whether the target fails here.
@@ -35,7 +33,6 @@
             reported: 0,
             batch_running: 0,
             limit: 1,
-            first_token_us: 0,
             up: false,
             reported_at: MonoTime::default(),
             circuit: CircuitBreaker::default(),
@@ -98,7 +95,6 @@
         self.sent_since_report = 0;
         self.batch_running = load.batch_running;
         self.limit = load.limit;
-        self.first_token_us = load.first_token_us;
         self.up = load.up;
         self.reported_at = now;
     }
--- a/crates/routing/tests/failures.rs
+++ b/crates/routing/tests/failures.rs
@@ -12,6 +12,15 @@
     (0..100).find(|number| vm(*number) == *name).expect("a known VM")
 }
 
+/// How a sidecar is told as leaving.
+#[derive(Debug, Clone, Copy)]
+enum LeaveSign {
+    List,
+    Word,
+    Report,
+    Refusal,
+}
+
 /// How an attempt comes to nothing.
 #[derive(Debug, Clone, Copy)]
 enum Death {
@@ -107,20 +116,22 @@
 // Sequence (a pair): a burst arrives; one of two sidecars is told as leaving in one of the ways.
 // Cause: new work sent to it, or its running work given up.
 #[rstest]
-#[case::vm_list_or_entry(0)]
-#[case::its_own_report(1)]
-#[case::its_refusal(2)]
-fn a_drain_during_a_burst_loses_nothing(#[case] way: usize) {
+#[case::vm_list_or_entry(LeaveSign::List, false)]
+#[case::its_own_word(LeaveSign::Word, true)]
+#[case::its_own_report(LeaveSign::Report, true)]
+#[case::its_refusal(LeaveSign::Refusal, true)]
+fn a_drain_during_a_burst_loses_nothing(#[case] sign: LeaveSign, #[case] back_after: bool) {
     let mut driver = Driver::new(eager(), 2, 200);
     let mut running: Vec<AttemptId> =
         (0..40).map(|number| driver.dispatch(plain(number)).0).collect();
-    match way {
-        0 => driver.feed(RouterEvent::SidecarLeaving { vm: vm(0) }),
-        1 => {
+    match sign {
+        LeaveSign::List => driver.feed(RouterEvent::SidecarLeaving { vm: vm(0) }),
+        LeaveSign::Word => driver.feed(RouterEvent::SidecarDraining { vm: vm(0) }),
+        LeaveSign::Report => {
             let report = LoadReport { leaving: true, ..report(incarnation(0), 2, 200) };
             driver.feed(RouterEvent::SidecarLoad { vm: vm(0), report })
         }
-        _ => {
+        LeaveSign::Refusal => {
             let place = running.iter().position(|attempt| attempt.incarnation == incarnation(0));
             let refused = running.remove(place.expect("one went there"));
             driver.refuse(refused, RefusalReason::Leaving);
@@ -137,6 +148,10 @@
         assert!(answers(&driver.complete(attempt), attempt));
     }
     assert_eq!(ends(&driver.effects).len(), 80);
+    // Restarted in place it takes work again, unless the whole VM is leaving.
+    driver.see(0, Incarnation(2_000), 200);
+    let there = (100..120).map(|number| driver.dispatch(plain(number)).1).any(|name| name == vm(0));
+    assert_eq!(there, back_after);
 }
 
 // Symptom: a stopping gateway loses calls, or takes new ones that it can't finish.
