Order only targets that are known to be as reported

Cause: a sidecar's list of models lags behind its engine. Change: a busy report no longer replaces the models known; a target is ordered only when its report carries the own epoch and no order is at work. Conclusion: this relies on sidecars reporting busy until the list was read after the last order.

--- a/crates/placement/src/fleet/target.rs
+++ b/crates/placement/src/fleet/target.rs
@@ -106,7 +106,12 @@
             false => self.away.or(Some(now.mono)),
         };
         self.lost &= self.away.is_some();
-        self.report = sorted(report);
+        let known = std::mem::replace(&mut self.report, sorted(report));
+        if self.report.busy && self.report.incarnation == known.incarnation {
+            // The list may be older than what orders have done since.
+            self.report.models = known.models;
+            self.report.role = known.role;
+        }
         ReportWorth::New
     }
 
@@ -195,7 +200,11 @@
         self.away.is_none() && !self.is_leaving() && self.report.slots > 0
     }
 
-    /// Whether no order of another epoch can change the target any more.
+    /// Whether the target is known to be as reported, and to stay so until it's ordered: its
+    /// sidecar refuses older epochs, and no order is at work.
+    ///
+    /// An order by an older list could load what is there, or unload what isn't spare: a holder
+    /// that has just taken over would see copies go down that its plan never touched.
     pub(crate) fn is_confirmed(&self, epoch: Epoch) -> bool {
         self.report.epoch == Some(epoch) && !self.report.busy
     }
--- a/crates/placement/src/plan/candidate.rs
+++ b/crates/placement/src/plan/candidate.rs
@@ -39,6 +39,7 @@
         giver: Option<&TargetName>,
     ) -> bool {
         target.is_usable()
+            && target.is_confirmed(self.orders.epoch())
             && !self.orders.open.contains_key(vm)
             && !target.holds(&wanted.model)
             && !target.is_paused(self.now, &wanted.model)
--- a/crates/placement/src/plan/repair.rs
+++ b/crates/placement/src/plan/repair.rs
@@ -145,11 +145,10 @@
         given: &ModelCensus,
         wanted: &ModelWanted,
     ) -> bool {
-        let serves = matches!(standing, CopyStanding::Confirmed | CopyStanding::Serving);
         let without = Some(&giver.model);
         let fits =
             self.fleet.get(vm).is_some_and(|target| self.could_hold(vm, target, wanted, without));
-        serves && fits && given.can_spare(vm, giver.floor())
+        standing == CopyStanding::Confirmed && fits && given.can_spare(vm, giver.floor())
     }
 
     /// Where every free slot is at a target that has the model already, or in another failure
--- a/crates/placement/src/plan/spread.rs
+++ b/crates/placement/src/plan/spread.rs
@@ -99,7 +99,6 @@
             }
             let copy = given.copies.iter().find(|copy| {
                 copy.domain == *poor
-                    && copy.standing == CopyStanding::Confirmed
                     && self.may_displace(&copy.vm, copy.standing, giver, &given, wanted)
             });
             copy.map(|copy| (copy.vm.clone(), giver.model.clone()))
--- a/crates/placement/src/plan/trim.rs
+++ b/crates/placement/src/plan/trim.rs
@@ -46,8 +46,7 @@
     fn worst_copy(&self, wanted: &ModelWanted, census: &ModelCensus) -> Option<VmName> {
         let by_domain = census.by_domain();
         let removable = census.copies.iter().filter(|copy| {
-            let serves = matches!(copy.standing, CopyStanding::Confirmed | CopyStanding::Serving);
-            serves
+            copy.standing == CopyStanding::Confirmed
                 && !self.orders.open.contains_key(&copy.vm)
                 && census.can_spare(&copy.vm, wanted.floor())
         });
--- a/crates/placement/tests/plans.rs
+++ b/crates/placement/tests/plans.rs
@@ -16,7 +16,7 @@
 use support::{
     sidecar::{EngineKind, FakeSidecar},
     wanted,
-    world::World,
+    world::{World, WorldMood},
 };
 
 const MODELS: [&str; 3] = ["l", "m", "n"];
@@ -273,6 +273,7 @@
     fn no_order_ever_takes_a_needed_copy_down(
         mishaps in prop::collection::vec((100_u64..3_000, mishap()), 1..14),
         lost in 0_u64..30,
+        held_up in 0_u64..30,
         delay in 50_u64..1_200,
         checks in any::<bool>(),
         seed in 0_u64..1 << 20,
@@ -282,7 +283,7 @@
         let mut wanted = models(&[(4, 1), (3, 1)]);
         let mut world = World::new(3, vms.collect(), wanted.clone(), seed);
         world.run(10_000);
-        world.mood = support::world::WorldMood { delay, lost, denied: lost };
+        world.mood = WorldMood { delay, lost, held_up, denied: lost };
         world.store.mood.answer_lost = lost;
         let mut paused = [0_u64; 3];
         for (after, mishap) in mishaps {
@@ -315,7 +316,7 @@
             }
         }
         (0..3).for_each(|node| world.wake(node));
-        world.mood = support::world::WorldMood { delay: 100, lost: 0, denied: 0 };
+        world.mood = WorldMood { delay: 100, ..WorldMood::default() };
         world.store.mood.answer_lost = 0;
         world.run(60_000);
         prop_assert_eq!(&world.breaches, &Vec::<String>::new());
--- a/crates/placement/tests/support/sidecar.rs
+++ b/crates/placement/tests/support/sidecar.rs
@@ -31,7 +31,12 @@
     sequence: u64,
     pub(crate) epoch: Option<Epoch>,
     ended: u64,
+    /// How orders ended; a repeat, however late, is answered alike and not run.
     done: BTreeMap<(Epoch, u64), OrderOutcome>,
+    /// The engine's models as last read, which lags behind.
+    listed: Vec<HeldModel>,
+    /// Whether they were read after the last order ended.
+    read_since: bool,
     /// The order at the engine, who asked, and when it's over.
     pub(crate) busy: Option<(TargetOrder, usize, u64)>,
     engine_epoch: Epoch,
@@ -60,6 +65,8 @@
             epoch: None,
             ended: 0,
             done: BTreeMap::new(),
+            listed: Vec::new(),
+            read_since: false,
             busy: None,
             engine_epoch: Epoch(0),
             runs: BTreeMap::new(),
@@ -69,11 +76,17 @@
         }
     }
 
-    pub(crate) fn report(&mut self) -> TargetHoldings {
-        self.sequence += 1;
+    /// Reads what the engine holds.
+    pub(crate) fn read_engine(&mut self) {
         let held = |(model, (version, adapters)): (&TargetName, &(String, Vec<String>))| {
             HeldModel { model: model.clone(), version: version.clone(), adapters: adapters.clone() }
         };
+        self.listed = self.models.iter().map(held).collect();
+        self.read_since = true;
+    }
+
+    pub(crate) fn report(&mut self) -> TargetHoldings {
+        self.sequence += 1;
         TargetHoldings {
             vm: self.vm.clone(),
             domain: self.domain.clone(),
@@ -83,10 +96,10 @@
             leaving: self.leaving,
             slots: self.slots,
             role: self.role.clone(),
-            models: self.models.iter().map(held).collect(),
+            models: self.listed.clone(),
             epoch: self.epoch,
             ended_order: self.ended,
-            busy: self.busy.is_some(),
+            busy: self.busy.is_some() || !self.read_since,
         }
     }
 
@@ -104,6 +117,8 @@
         self.epoch = None;
         self.ended = 0;
         self.done.clear();
+        self.listed.clear();
+        self.read_since = false;
         if let Some((order, _, _)) = self.busy.take() {
             self.apply(&order);
         }
@@ -158,12 +173,11 @@
     pub(crate) fn finish(&mut self, now: u64) -> Option<(TargetOrder, usize, OrderOutcome)> {
         let (order, from, _) = self.busy.take_if(|(_, _, until)| *until <= now)?;
         let outcome = self.apply(&order);
+        self.read_since = false;
         if self.epoch == Some(order.epoch) {
             self.ended = self.ended.max(order.order);
         }
-        if outcome == OrderOutcome::Done {
-            self.done.insert((order.epoch, order.order), outcome.clone());
-        }
+        self.done.insert((order.epoch, order.order), outcome.clone());
         Some((order, from, outcome))
     }
 
--- a/crates/placement/tests/support/world.rs
+++ b/crates/placement/tests/support/world.rs
@@ -12,13 +12,16 @@
 pub(crate) const STEP: u64 = 50;
 /// Time between two reports of a sidecar, milliseconds.
 const REPORT: u64 = 500;
+/// Longest time that a message is held up, milliseconds: several leases.
+const HELD_UP: u64 = 10_000;
 
 /// Something on its way.
 #[derive(Debug, Clone)]
 enum Mail {
     ToNode(usize, Box<PlacementEvent>),
-    Order(usize, TargetOrder),
-    Epoch(VmName, Epoch),
+    /// From a node to a sidecar's incarnation: a link doesn't outlive the process.
+    Order(usize, u64, TargetOrder),
+    Epoch(VmName, u64, Epoch),
 }
 
 pub(crate) struct FakeNode {
@@ -34,12 +37,14 @@
 }
 
 /// What the network and the weight store do.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct WorldMood {
     /// Longest delay of a message, milliseconds.
     pub(crate) delay: u64,
     /// In a hundred orders, answers and told epochs, those that are lost.
     pub(crate) lost: u64,
+    /// In a hundred of them, those held up for up to [`HELD_UP`].
+    pub(crate) held_up: u64,
     /// In a hundred wishes for a permit, those denied.
     pub(crate) denied: u64,
 }
@@ -86,7 +91,7 @@
             nodes: nodes.collect(),
             sidecars: sidecars.into_iter().map(|s| (s.vm.clone(), s)).collect(),
             wanted: Vec::new(),
-            mood: WorldMood { delay: 2 * STEP, lost: 0, denied: 0 },
+            mood: WorldMood { delay: 2 * STEP, ..WorldMood::default() },
             dice: Dice(seed << 32),
             mail: BTreeMap::new(),
             sent: 0,
@@ -189,7 +194,8 @@
             PlacementEffect::Order(order) => {
                 assert!(self.nodes[node].planner.valid_epoch(self.now(node)) == Some(order.epoch));
                 self.nodes[node].orders.push(order.clone());
-                self.post_lossy(Mail::Order(node, order));
+                let to = self.sidecars[&order.vm].incarnation;
+                self.post_lossy(Mail::Order(node, to, order));
             }
             PlacementEffect::WantPermit { epoch, order, .. } => {
                 self.wishes += 1;
@@ -202,10 +208,13 @@
             }
             PlacementEffect::EpochKnown(epoch) => {
                 for vm in self.sidecars.keys().cloned().collect::<Vec<_>>() {
-                    self.post_lossy(Mail::Epoch(vm, epoch));
+                    self.carry_out(node, PlacementEffect::TellEpoch { vm, epoch });
                 }
             }
-            PlacementEffect::TellEpoch { vm, epoch } => self.post_lossy(Mail::Epoch(vm, epoch)),
+            PlacementEffect::TellEpoch { vm, epoch } => {
+                let to = self.sidecars[&vm].incarnation;
+                self.post_lossy(Mail::Epoch(vm, to, epoch));
+            }
             PlacementEffect::Count(counter) => {
                 *self.nodes[node].counts.entry(counter).or_default() += 1
             }
@@ -215,13 +224,19 @@
 
     fn post_lossy(&mut self, mail: Mail) {
         if self.dice.roll(100) >= self.mood.lost {
-            self.post(mail);
+            let held_up = self.dice.roll(100) < self.mood.held_up;
+            let delay = if held_up { self.dice.roll(HELD_UP) } else { 0 };
+            self.post_after(delay, mail);
         }
     }
 
     fn post(&mut self, mail: Mail) {
+        self.post_after(0, mail);
+    }
+
+    fn post_after(&mut self, delay: u64, mail: Mail) {
         self.sent += 1;
-        let at = self.time + 1 + self.dice.roll(self.mood.delay);
+        let at = self.time + 1 + delay + self.dice.roll(self.mood.delay);
         self.mail.insert((at, self.sent), mail);
     }
 
@@ -229,9 +244,10 @@
         while let Some(entry) = self.mail.first_entry().filter(|entry| entry.key().0 <= self.time) {
             match entry.remove() {
                 Mail::ToNode(node, event) => self.tell(node, *event),
-                Mail::Order(node, order) => self.give(node, order),
-                Mail::Epoch(vm, epoch) => {
-                    if let Some(sidecar) = self.sidecars.get_mut(&vm).filter(|s| s.up) {
+                Mail::Order(node, to, order) => self.give(node, to, order),
+                Mail::Epoch(vm, to, epoch) => {
+                    let sidecar = self.sidecars.get_mut(&vm);
+                    if let Some(sidecar) = sidecar.filter(|s| s.up && s.incarnation == to) {
                         sidecar.learn(epoch);
                     }
                 }
@@ -239,9 +255,10 @@
         }
     }
 
-    fn give(&mut self, node: usize, order: TargetOrder) {
+    fn give(&mut self, node: usize, to: u64, order: TargetOrder) {
         let until = self.time + 100 + self.dice.roll(500);
-        let Some(sidecar) = self.sidecars.get_mut(&order.vm).filter(|s| s.up) else { return };
+        let sidecar = self.sidecars.get_mut(&order.vm);
+        let Some(sidecar) = sidecar.filter(|s| s.up && s.incarnation == to) else { return };
         match sidecar.take(order.clone(), node, until) {
             Ok(down) => {
                 for model in down {
@@ -278,8 +295,12 @@
         for vm in self.sidecars.keys().cloned().collect::<Vec<_>>() {
             let Some(sidecar) = self.sidecars.get_mut(&vm).filter(|s| s.up) else { continue };
             let ended = sidecar.finish(self.time);
-            let due = self.time.is_multiple_of(REPORT) || ended.is_some();
-            if due {
+            // Each sidecar reads its engine at a time of its own, and reports when it likes.
+            let beat = self.time + STEP * (stable_hash64(&[vm.as_str().as_bytes()]) % 10);
+            if beat.is_multiple_of(REPORT) {
+                sidecar.read_engine();
+            }
+            if beat.is_multiple_of(REPORT / 2) || ended.is_some() {
                 let report = sidecar.report();
                 for node in 0..self.nodes.len() {
                     let event = PlacementEvent::TargetSeen(report.clone());
