--- a/crates/placement/src/plan/spread.rs
+++ b/crates/placement/src/plan/spread.rs
@@ -5,7 +5,7 @@
 use notch_types::prelude::*;
 
 use crate::{
-    census::{CopyStanding, ModelCensus},
+    census::ModelCensus,
     model::ModelWanted,
     orders::MoveReason,
     plan::{PlanMemory, PlanPass},
