--- a/crates/ledger/src/shard/owner.rs
+++ b/crates/ledger/src/shard/owner.rs
@@ -302,7 +302,7 @@
                 }
             }
             CallPurpose::ChunkList => self.on_chunk_list(result, ctx),
-            CallPurpose::SweepList => self.sweep.on_list(result, self.next_serial, ctx),
+            CallPurpose::SweepList => self.on_sweep_list(result, ctx),
             CallPurpose::SweepDelete => self.sweep.on_delete(result, ctx),
             CallPurpose::Poll => {}
         }
@@ -323,6 +323,12 @@
         }
     }
 
+    fn on_sweep_list(&mut self, result: StoreResult, ctx: &mut StageContext<'_>) {
+        let Some(mut page) = self.sweep.on_list(result, ctx) else { return };
+        page.objects.retain(|object| !self.names(&object.key, ctx.core.keys));
+        self.sweep.weigh(page, self.next_serial, ctx);
+    }
+
     /// Does what is due. Called after each event.
     pub(crate) fn advance(&mut self, ctx: &mut StageContext<'_>) {
         self.hand_over_if_due(ctx);
--- a/crates/ledger/src/shard/owner/sweep.rs
+++ b/crates/ledger/src/shard/owner/sweep.rs
@@ -47,6 +47,14 @@
     round: u64,
 }
 
+/// A page of a listing.
+#[derive(Debug)]
+pub(crate) struct ListedPage {
+    pub(crate) objects: Vec<ListedObject>,
+    /// The store's clock when it answered.
+    pub(crate) store_time: WallTime,
+}
+
 /// Goes through the shard's objects page by page, slowly.
 ///
 /// Why nothing that is or will be named is ever deleted:
@@ -132,10 +140,14 @@
         ctx.call(CallPurpose::SweepList, op);
     }
 
-    /// Takes a page. `serial` is the number that the next write of the head will have.
-    pub(crate) fn on_list(&mut self, result: StoreResult, serial: u64, ctx: &mut StageContext<'_>) {
+    /// Takes a page; gives its objects for [`GarbageSweep::weigh`].
+    pub(crate) fn on_list(
+        &mut self,
+        result: StoreResult,
+        ctx: &mut StageContext<'_>,
+    ) -> Option<ListedPage> {
         if self.state != SweepState::Listing {
-            return;
+            return None;
         }
         let (objects, store_time, more) = match result {
             Ok(StoreReply::Listing { objects, store_time, more }) => (objects, store_time, more),
@@ -143,15 +155,27 @@
                 ctx.count_retry(RetryReason::StoreUnavailable);
                 let delay = self.backoff.next(other.err(), &mut ctx.core.rng);
                 self.rest(ctx.now.mono + delay);
-                return;
+                return None;
             }
         };
         self.backoff.reset();
         self.more = more && !objects.is_empty();
         self.after = objects.last().map(|object| object.key.clone());
+        Some(ListedPage { objects, store_time })
+    }
+
+    /// Picks the candidates among a page's objects that have no name. `serial` is the number that
+    /// the next write of the head will have.
+    pub(crate) fn weigh(&mut self, unnamed: ListedPage, serial: u64, ctx: &mut StageContext<'_>) {
         let grace = ctx.core.settings.grace;
-        let old = |object: &&ListedObject| age(object, store_time) > grace;
-        let keys = objects.iter().filter(old).map(|object| object.key.clone()).collect::<Vec<_>>();
+        let mut keys = Vec::new();
+        for object in unnamed.objects {
+            let old = age(&object, unnamed.store_time) > grace;
+            let ripe = self.realm == SweepRealm::Chunks || self.is_ripe(&object.key, ctx);
+            if old && ripe {
+                keys.push(object.key);
+            }
+        }
         if keys.is_empty() {
             self.page_done(ctx);
         } else {
@@ -159,6 +183,20 @@
         }
     }
 
+    /// Whether a key has been without a name for a whole grace time; notes it otherwise.
+    fn is_ripe(&mut self, key: &str, ctx: &StageContext<'_>) -> bool {
+        let round = self.round;
+        let now = ctx.now.mono;
+        if let Some(unnamed) = self.unnamed.get_mut(key) {
+            unnamed.round = round;
+            return now.since(unnamed.since) >= ctx.core.settings.grace;
+        }
+        if self.unnamed.len() < ctx.core.settings.max_candidates {
+            self.unnamed.insert(key.to_owned(), UnnamedSince { since: now, round });
+        }
+        false
+    }
+
     /// The keys to be judged, when a write of the head with number `serial` has succeeded and
     /// that's late enough.
     pub(crate) fn take_confirmed(&mut self, serial: u64) -> Option<Vec<String>> {
@@ -173,7 +211,10 @@
     /// Judges the keys that aren't in force and aren't about to be named.
     pub(crate) fn judge(&mut self, keys: Vec<String>, sweep: SweepId, ctx: &mut StageContext<'_>) {
         match self.realm {
-            SweepRealm::Ledger => self.doom_ripe(keys, ctx),
+            SweepRealm::Ledger => {
+                self.doomed = keys.into();
+                self.start_deleting(ctx);
+            }
             SweepRealm::Chunks if keys.is_empty() => self.page_done(ctx),
             SweepRealm::Chunks => {
                 ctx.effects.push(ShardEffect::SweepChunks { sweep, keys: keys.clone() });
@@ -183,25 +224,6 @@
         }
     }
 
-    /// Dooms the keys that have been without a name for a whole grace time; notes the others.
-    fn doom_ripe(&mut self, keys: Vec<String>, ctx: &mut StageContext<'_>) {
-        let settings = &ctx.core.settings;
-        for key in keys {
-            let known = self.unnamed.get(&key).map(|unnamed| unnamed.since);
-            if known.is_none() && self.unnamed.len() >= settings.max_candidates {
-                continue;
-            }
-            let since = known.unwrap_or(ctx.now.mono);
-            if ctx.now.mono.since(since) >= settings.grace {
-                self.unnamed.remove(&key);
-                self.doomed.push_back(key);
-            } else {
-                self.unnamed.insert(key, UnnamedSince { since, round: self.round });
-            }
-        }
-        self.start_deleting(ctx);
-    }
-
     /// The user's answer about chunks. An append that has come since the question can't name any
     /// of them: they are too old for its check.
     pub(crate) fn on_answer(
--- a/crates/ledger/tests/model.rs
+++ b/crates/ledger/tests/model.rs
@@ -62,7 +62,10 @@
     let mut chunks = Vec::new();
     for step in steps {
         match step {
-            Step::Append { node, count, size } => tickets.push(world.append(node, count, size)),
+            Step::Append { node, count, size } => {
+                let node = world.believer(node);
+                tickets.push(world.append(node, count, size));
+            }
             Step::Chunked { node, delay } => {
                 chunks.push((node, world.now + delay * 1_000, world.write_chunk()));
             }
@@ -70,14 +73,21 @@
                 let Some(ticket) = tickets.iter().rev().nth(back as usize).copied() else {
                     continue;
                 };
-                let ticket = notch_ledger::AppendTicket(ticket);
-                world.tell((ticket.0 % 16) as usize, ShardEvent::Withdraw { ticket });
+                let node = (ticket % 16) as usize;
+                if world.nodes[node].paused_until <= world.now {
+                    let ticket = notch_ledger::AppendTicket(ticket);
+                    world.tell(node, ShardEvent::Withdraw { ticket });
+                }
             }
             Step::Run(millis) => world.run(millis),
             Step::Weather(weather) => world.weather = weather,
-            Step::Pause { node, millis } => world.pause(node, millis),
+            Step::Pause { node, millis } => {
+                let node = world.believer(node);
+                world.pause(node, millis);
+            }
             Step::Crash(node) => world.crash(node),
             Step::Restart(node) => world.restart(node),
+            Step::Release(node) if world.nodes[node].paused_until > world.now => {}
             Step::Release(node) => world.tell(node, ShardEvent::Release),
             Step::Stand { node, standing } => world.tell(node, ShardEvent::Stand(standing)),
             Step::Snapshot(node) => world.give_snapshot(node),
@@ -86,6 +96,7 @@
         let (due, later) = chunks.into_iter().partition(|(_, at, _)| *at <= world.now);
         chunks = later;
         for (node, _, key) in due {
+            let node = world.believer(node);
             world.append_with(node, 1, 10, AppendUrgency::Prompt, Some(key));
         }
         world.check_reads();
--- a/crates/ledger/tests/support/world.rs
+++ b/crates/ledger/tests/support/world.rs
@@ -84,6 +84,9 @@
     pub snapshots: bool,
     pub ops: BTreeMap<&'static str, u64>,
     pub tune: fn(&mut notch_ledger::ShardSettings),
+    /// Node 0 crashes at its call of this number; whether that call still gets out.
+    pub crash_at: Option<(u64, bool)>,
+    pub calls_of_first: u64,
     queue: BTreeMap<(u64, u64), Happening>,
     serial: u64,
     next_ticket: u64,
@@ -116,6 +119,8 @@
             snapshots: true,
             ops: BTreeMap::new(),
             tune,
+            crash_at: None,
+            calls_of_first: 0,
             queue: BTreeMap::new(),
             serial: 0,
             next_ticket: 0,
@@ -184,7 +189,16 @@
         let Some(shard) = &mut self.nodes[index].shard else { return };
         shard.handle(now, event, &mut effects);
         for effect in effects {
-            self.carry(index, effect);
+            let calls = index == 0 && matches!(effect, ShardEffect::Call(_));
+            self.calls_of_first += u64::from(calls);
+            let dies = self.crash_at.filter(|(number, _)| calls && *number == self.calls_of_first);
+            if dies.is_none_or(|(_, sent)| sent) {
+                self.carry(index, effect);
+            }
+            if dies.is_some() {
+                self.crash(index);
+                return;
+            }
         }
         self.check_leases();
     }
@@ -442,13 +456,18 @@
         let records = (0..count).map(record).collect::<Vec<_>>();
         let append = Append { records: records.clone(), fate: Fate::Open };
         self.naive.appends.insert(ticket, append);
-        if self.nodes[index].shard.is_none() || self.nodes[index].paused_until > self.now {
-            self.naive.appends.remove(&ticket);
-            return ticket;
-        }
         let chunks = chunk.into_iter().collect();
         let event = ShardEvent::Append { ticket: AppendTicket(ticket), records, urgency, chunks };
-        self.tell(index, event);
+        let node = &self.nodes[index];
+        if node.shard.is_none() {
+            self.naive.appends.remove(&ticket);
+        } else if node.paused_until > self.now {
+            // It wakes to this, and perhaps doesn't know yet what has happened meanwhile.
+            let (life, until) = (node.life, node.paused_until);
+            self.plan(until, Happening::Event { node: index, life, event });
+        } else {
+            self.tell(index, event);
+        }
         ticket
     }
 
@@ -471,6 +490,12 @@
         self.nodes[index].counts.get(&Counter::Event(event)).copied().unwrap_or(0)
     }
 
+    /// A node that takes itself for the owner, whether it's right or not; `other` when none does.
+    pub fn believer(&self, other: usize) -> usize {
+        let mut nodes = (0..self.nodes.len()).map(|step| (other + step) % self.nodes.len());
+        nodes.find(|index| self.nodes[*index].owned.is_some()).unwrap_or(other)
+    }
+
     pub fn owner(&self) -> Option<usize> {
         (0..self.nodes.len()).find(|index| {
             let shard = self.nodes[*index].shard.as_ref();
