--- a/crates/standins/src/engine/core.rs
+++ b/crates/standins/src/engine/core.rs
@@ -1,32 +1,23 @@
-//! What an engine knows, behind one lock.
+//! An engine's shared part: what tasks do to its state, each under one lock.
+
+mod state;
 
 use std::{
-    collections::{BTreeMap, VecDeque},
     sync::{Mutex, MutexGuard, OnceLock},
     time::Instant,
 };
 
 use async_channel::{Receiver, Sender};
-use notch_types::hash::FastMap;
-use rand::{RngExt, SeedableRng, rngs::SmallRng};
 
+use self::state::CoreState;
 use super::{
     batch::{BatchModel, StepOutcome, StreamKey},
-    protocol::{
-        CacheEvent, EngineState, FinishReason, LoadBody, ModelsBody, OrderAnswer, OrderBody,
-        OrderKind,
-    },
-    settings::{EngineSettings, LoadedModel},
+    protocol::{CacheEvent, EngineState, LoadBody, ModelsBody, OrderAnswer, OrderBody, OrderKind},
+    settings::EngineSettings,
     stream::{FeedItem, StreamFeed, StreamPlan},
-    text::token_text,
 };
 use crate::{runs::RunLog, served::ServedPort};
 
-/// Cache events kept for readers; older ones are lost to them.
-const MAX_EVENTS: usize = 4_096;
-/// Load reports kept until they are old enough to be told.
-const MAX_LOADS: usize = 1_024;
-
 /// Why a request was not taken.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum TakeRefusal {
@@ -54,27 +45,6 @@
     wake: (Sender<()>, Receiver<()>),
 }
 
-struct CoreState {
-    batch: BatchModel,
-    /// One for each request in `batch`, and for those whose last token is being made.
-    feeds: BTreeMap<StreamKey, StreamFeed>,
-    /// The keys of `feeds` by stream id; same size.
-    keys: FastMap<String, StreamKey>,
-    next_key: StreamKey,
-    models: BTreeMap<String, LoadedModel>,
-    role: String,
-    epoch: u64,
-    /// At most [`MAX_LOADS`], oldest first.
-    loads: VecDeque<(Instant, LoadBody)>,
-    /// At most [`MAX_EVENTS`], oldest first.
-    events: VecDeque<(Instant, CacheEvent)>,
-    random: SmallRng,
-    counts: EngineState,
-    /// Rises at each crash; a step begun before one is dropped.
-    generation: u64,
-    stopped: bool,
-}
-
 /// A step that was begun and not ended yet.
 pub(super) struct OpenStep {
     pub(super) outcome: StepOutcome,
@@ -85,21 +55,7 @@
 
 impl EngineCore {
     pub(super) fn new(settings: EngineSettings) -> Self {
-        let state = CoreState {
-            batch: BatchModel::new(&settings),
-            feeds: BTreeMap::new(),
-            keys: FastMap::default(),
-            next_key: 1,
-            models: models_of(&settings),
-            role: String::new(),
-            epoch: 0,
-            loads: VecDeque::new(),
-            events: VecDeque::new(),
-            random: SmallRng::seed_from_u64(settings.seed),
-            counts: EngineState::default(),
-            generation: 0,
-            stopped: false,
-        };
+        let state = CoreState::new(&settings);
         Self {
             settings,
             runs: RunLog::default(),
@@ -177,18 +133,7 @@
 
     /// Forgets everything, as a crash does; every stream breaks off.
     pub(super) fn crash(&self) {
-        let mut state = self.locked();
-        state.generation += 1;
-        state.counts.crashes += 1;
-        state.counts.down = true;
-        state.batch = BatchModel::new(&self.settings);
-        state.feeds.clear();
-        state.keys.clear();
-        state.models = models_of(&self.settings);
-        state.role.clear();
-        state.epoch = 0;
-        state.loads.clear();
-        state.events.clear();
+        self.locked().crash(&self.settings);
     }
 
     /// Ends the time away after a crash.
@@ -292,89 +237,3 @@
         self.state.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
     }
 }
-
-impl CoreState {
-    fn check_request(
-        &self,
-        plan: &StreamPlan,
-        settings: &EngineSettings,
-    ) -> Result<(), TakeRefusal> {
-        if self.counts.down || self.stopped {
-            return Err(TakeRefusal::Down);
-        }
-        if !settings.models.is_empty() && !self.models.contains_key(&plan.model) {
-            return Err(TakeRefusal::NoModel);
-        }
-        if self.keys.contains_key(&plan.id) {
-            return Err(TakeRefusal::IdInUse);
-        }
-        if !self.batch.fits(&plan.spec) {
-            return Err(TakeRefusal::TooLong);
-        }
-        if self.batch.waiting() >= settings.waiting {
-            return Err(TakeRefusal::Full);
-        }
-        Ok(())
-    }
-
-    fn cancel(&mut self, key: StreamKey) {
-        self.batch.cancel(key);
-        if let Some(feed) = self.forget(key) {
-            self.counts.cancelled += 1;
-            feed.end(FinishReason::Cancelled);
-        }
-    }
-
-    fn forget(&mut self, key: StreamKey) -> Option<StreamFeed> {
-        let feed = self.feeds.remove(&key)?;
-        self.keys.remove(&feed.plan.id);
-        Some(feed)
-    }
-
-    /// Hands out one token; the run's key after the last one.
-    fn hand_out(&mut self, key: StreamKey, index: u32, last: bool) -> Option<String> {
-        let feed = self.feeds.get_mut(&key)?;
-        self.counts.tokens += 1;
-        feed.usage.completion_tokens += 1;
-        let text = token_text(feed.plan.digest, index);
-        let gone = feed.sender.try_send(FeedItem::Token(text)).is_err();
-        if gone {
-            self.cancel(key);
-            return None;
-        }
-        if !last {
-            return None;
-        }
-        let feed = self.forget(key)?;
-        feed.end(FinishReason::Length);
-        Some(feed.plan.run_key)
-    }
-
-    fn note_load(&mut self) {
-        let load = self.batch.load();
-        if self.loads.back().is_some_and(|(_, newest)| *newest == load) {
-            return;
-        }
-        if self.loads.len() == MAX_LOADS {
-            self.loads.pop_front();
-        }
-        self.loads.push_back((Instant::now(), load));
-    }
-
-    fn note_events(&mut self, loss_per_mille: u32) {
-        let now = Instant::now();
-        for event in self.batch.take_events() {
-            if self.random.random_range(0..1_000) < loss_per_mille {
-                continue;
-            }
-            if self.events.len() == MAX_EVENTS {
-                self.events.pop_front();
-            }
-            self.events.push_back((now, event));
-        }
-    }
-}
-
-fn models_of(settings: &EngineSettings) -> BTreeMap<String, LoadedModel> {
-    settings.models.iter().map(|model| (model.model.clone(), model.clone())).collect()
-}
