Keep a booking's end open while its VM is merely out of sight

Cause: a VM told as gone may be cut off and still run a booking; recording its end as unknown then would shut out the answer, and the seal that could clear it. Change: only a new incarnation, a crash or a verdict of unknown has an unknown end recorded. Conclusion: a booking out of sight stays claimed; a resend asks the sidecar once it is seen.

--- a/crates/routing/src/event.rs
+++ b/crates/routing/src/event.rs
@@ -165,8 +165,9 @@
         /// Its VM.
         vm: VmName,
     },
-    /// The VM is gone for good: its attempts are lost, and nobody will be able to say how they
-    /// ended. A sidecar that merely leaves the subset is told as leaving until its attempts end.
+    /// Nothing more is expected of the VM: its attempts are lost. It may still run them, so what
+    /// must run at most once stays claimed. A sidecar that merely leaves the subset is told as
+    /// leaving until its attempts end.
     SidecarGone {
         /// Its VM.
         vm: VmName,
--- a/crates/routing/src/router/attempt.rs
+++ b/crates/routing/src/router/attempt.rs
@@ -43,6 +43,14 @@
     Untold,
 }
 
+/// What is known of the sidecar that an attempt was meant for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum SidecarState {
+    SameIncarnation,
+    OtherIncarnation,
+    NotThere,
+}
+
 impl OnlineRouter {
     pub(super) fn on_started(&mut self, turn: &mut RouterTurn<'_>, attempt: AttemptId) {
         self.hear(turn, attempt, |router, _, state| {
@@ -324,27 +332,53 @@
 
     pub(super) fn on_lost(&mut self, turn: &mut RouterTurn<'_>, attempt: AttemptId) {
         self.hear(turn, attempt, |router, turn, state| {
-            let Some((running, _)) = state.running().filter(|(running, _)| *running == attempt)
-            else {
+            if !state.is_running(attempt) {
                 return;
-            };
-            let is_there = state.record(running).is_some_and(|record| {
-                router.sidecars.incarnation(record.place) == Some(attempt.incarnation)
-            });
-            if !state.idempotent && is_there {
-                return router.ask_seal(turn, state, attempt, 1);
             }
-            router.lose(turn, state, attempt);
+            if state.idempotent {
+                return router.lose(turn, state, attempt);
+            }
+            match router.sidecar_of(state, attempt) {
+                SidecarState::SameIncarnation => router.ask_seal(turn, state, attempt, 1),
+                SidecarState::OtherIncarnation => router.lose(turn, state, attempt),
+                SidecarState::NotThere => router.lose_sight(turn, state, attempt),
+            }
         });
     }
 
-    /// Nothing more will be heard of the attempt.
+    fn sidecar_of(&self, state: &RequestState, attempt: AttemptId) -> SidecarState {
+        let place = state.record(attempt).and_then(|record| self.sidecars.place(&record.vm));
+        match place.and_then(|place| self.sidecars.incarnation(place)) {
+            Some(incarnation) if incarnation == attempt.incarnation => {
+                SidecarState::SameIncarnation
+            }
+            Some(_) => SidecarState::OtherIncarnation,
+            None => SidecarState::NotThere,
+        }
+    }
+
+    /// Nothing more will be heard of the attempt, of anybody.
     fn lose(&mut self, turn: &mut RouterTurn<'_>, state: &mut RequestState, attempt: AttemptId) {
         mark_started(state, attempt);
         self.close_attempt(turn, state, attempt, TargetHealth::Fails);
         self.fail(turn, state, attempt, LOST);
     }
 
+    /// The sidecar is out of sight, and may still run what must run at most once. Nothing is
+    /// recorded: when it is seen again, by whichever gateway, it can tell a resend the truth.
+    fn lose_sight(
+        &mut self,
+        turn: &mut RouterTurn<'_>,
+        state: &mut RequestState,
+        attempt: AttemptId,
+    ) {
+        mark_started(state, attempt);
+        self.close_attempt(turn, state, attempt, TargetHealth::Untold);
+        turn.count(Counter::Event("attempts_unheard"));
+        let refusal = self.doubt_refusal();
+        self.refuse(turn, state, refusal);
+    }
+
     /// Frees the attempt's place and tells its circuit.
     fn close_attempt(
         &mut self,
@@ -406,10 +440,7 @@
             let detail = "the deadline passed before the whole answer was there";
             return self.refuse_for(turn, state, RefusalReason::DeadlinePassed, detail);
         }
-        self.close_attempt(turn, state, attempt, TargetHealth::Untold);
-        turn.count(Counter::Event("attempts_unheard"));
-        let refusal = self.doubt_refusal();
-        self.refuse(turn, state, refusal);
+        self.lose_sight(turn, state, attempt);
     }
 
     /// Lets `decide` hear of one of a known request's attempts; others are late.
--- a/crates/routing/src/router/claim.rs
+++ b/crates/routing/src/router/claim.rs
@@ -243,6 +243,8 @@
         by: AttemptId,
         verdict: SealVerdict,
     ) {
+        // Any other verdict leaves the end to the holder's gateway: it may have the answer and be
+        // waiting for the ledger to take it.
         if verdict != SealVerdict::NeverStarted {
             return;
         }
--- a/crates/routing/tests/support/mod.rs
+++ b/crates/routing/tests/support/mod.rs
@@ -259,3 +259,7 @@
     let refusal = refusal(effects);
     (refusal.reason, refusal.ran)
 }
+
+pub fn number_of(name: &VmName) -> usize {
+    (0..100).find(|number| vm(*number) == *name).expect("a known VM")
+}
