--- a/crates/gateway/src/traffic/online.rs
+++ b/crates/gateway/src/traffic/online.rs
@@ -5,15 +5,19 @@
         Arc,
         atomic::{AtomicU64, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use async_channel::Receiver;
 use async_std::task;
-use notch_callers::{refusal, sse};
+use notch_callers::{
+    prelude::{answer_response, refusal_event, refusal_response},
+    sse::EVENT_STREAM,
+};
 use notch_http::prelude::*;
 use notch_messages::prelude::StoredAnswer;
 use notch_routing::{ArrivalId, OnlineRequest, RequestEnd};
+use notch_telemetry::prelude::*;
 use notch_types::prelude::*;
 
 use crate::{
@@ -44,6 +48,8 @@
     pub path: String,
     /// The body.
     pub body: Vec<u8>,
+    /// What it runs.
+    pub fingerprint: Fingerprint,
     /// Whether the caller reads a stream.
     pub stream: bool,
     /// The idempotency key.
@@ -57,11 +63,11 @@
 }
 
 /// Serves a call.
-pub async fn serve(call: OnlineCall, inbox: ControlInbox) -> Response {
+pub async fn serve(call: OnlineCall, inbox: ControlInbox, metrics: &Metrics) -> Response {
     if inbox.is_crowded() {
         let detail = "the gateway has too much to decide on";
         let refused = Refusal::not_run(RefusalReason::Overloaded, detail);
-        return refusal::response(&refused.retry_after(CROWDED_RETRY_MS));
+        return refusal_response(&refused.retry_after(CROWDED_RETRY_MS));
     }
     let request = match &call.key {
         Some(key) => RequestId::keyed(&call.account, key),
@@ -69,6 +75,7 @@
     };
     let arrival = ArrivalId(NEXT_ARRIVAL.fetch_add(1, Ordering::Relaxed));
     let stream = call.stream;
+    let started = Instant::now();
     let (news, waiting) = async_channel::unbounded();
     let guard = ArrivalGuard::new(arrival, inbox.clone());
     inbox.send(arrive(call, request, arrival, news));
@@ -77,6 +84,10 @@
     } else {
         answer_whole(waiting, guard).await
     };
+    metrics.observe(
+        if stream { Timing::OnlineFirstByte } else { Timing::OnlineTotal },
+        started.elapsed(),
+    );
     response.insert_header("x-request-id", request.to_string());
     response
 }
@@ -87,7 +98,7 @@
     arrival: ArrivalId,
     news: async_channel::Sender<ArrivalNews>,
 ) -> ControlEvent {
-    let fingerprint = Fingerprint::of(&call.target, &call.body);
+    let fingerprint = call.fingerprint;
     let routed = OnlineRequest {
         arrival,
         request,
@@ -121,7 +132,7 @@
                 guard.finish();
                 return ended(end, page.as_deref());
             }
-            Err(_) => return refusal::response(&stopped()),
+            Err(_) => return refusal_response(&stopped()),
         }
     }
 }
@@ -134,7 +145,7 @@
             task::spawn(pass_on(page, waiting, guard, sender));
             let mut response = Response::new(StatusCode::Ok);
             response.set_body(body);
-            response.insert_header("content-type", sse::CONTENT_TYPE);
+            response.insert_header("content-type", EVENT_STREAM);
             response.insert_header("cache-control", "no-store");
             response
         }
@@ -142,7 +153,7 @@
             guard.finish();
             ended(end, page.as_deref())
         }
-        Err(_) => refusal::response(&stopped()),
+        Err(_) => refusal_response(&stopped()),
     }
 }
 
@@ -170,7 +181,7 @@
     let end = finish_of(&waiting).await;
     guard.finish();
     if let RequestEnd::Refused(refused) = end {
-        let _ = sender.send(sse::error_event(&refused)).await;
+        let _ = sender.send(refusal_event(&refused)).await;
     }
     let _ = sender.finish().await;
 }
@@ -188,27 +199,16 @@
 fn ended(end: RequestEnd, page: Option<&AnswerPage>) -> Response {
     match end {
         RequestEnd::Answered { .. } => match page.and_then(AnswerPage::whole) {
-            Some((status, body)) => answered(status, body),
-            None => refusal::response(&lost()),
+            Some((status, body)) => {
+                answer_response(&StoredAnswer::Answered { status, body: body.into() })
+            }
+            None => refusal_response(&lost()),
         },
-        RequestEnd::Stored(StoredAnswer::Answered { status, body }) => answered(status, body.0),
-        RequestEnd::Stored(StoredAnswer::Unknown) => {
-            let detail = "it may have run and nobody can say how it ended; it won't run again";
-            refusal::response(&Refusal::unknown(RefusalReason::OutcomeUnknown, detail))
-        }
-        RequestEnd::Refused(refused) => refusal::response(&refused),
+        RequestEnd::Stored(answer) => answer_response(&answer),
+        RequestEnd::Refused(refused) => refusal_response(&refused),
     }
 }
 
-fn answered(status: u16, body: Vec<u8>) -> Response {
-    let status = StatusCode::try_from(status).unwrap_or(StatusCode::Ok);
-    let kind = if sse::is_stream(&body) { sse::CONTENT_TYPE } else { "application/json" };
-    let mut response = Response::new(status);
-    response.set_body(body);
-    response.insert_header("content-type", kind);
-    response
-}
-
 fn stopped() -> Refusal {
     Refusal::unknown(RefusalReason::Leaving, "the gateway stopped before the answer came")
 }
--- a/crates/gateway/src/traffic/shard_client.rs
+++ b/crates/gateway/src/traffic/shard_client.rs
@@ -27,11 +27,7 @@
     ///
     /// # Errors
     /// The owner's refusal, or one that says truthfully that nobody answered.
-    pub async fn ask(
-        &self,
-        shard: ShardId,
-        request: ShardRequest,
-    ) -> Result<ShardAnswer, Refusal> {
+    pub async fn ask(&self, shard: ShardId, request: ShardRequest) -> Result<ShardAnswer, Refusal> {
         let (reply, answer) = async_channel::bounded(1);
         let request = Box::new(request);
         self.inbox.send(ControlEvent::AskShard { shard, request, reply });
