--- /dev/null
+++ b/crates/magnolianotch/src/cli/args.rs
@@ -0,0 +1,323 @@
+//! The commands and their options.
+
+use std::path::PathBuf;
+
+use argh::FromArgs;
+
+/// magnolianotch: serves online and batch inference on one fleet.
+#[derive(Debug, FromArgs)]
+#[argh(
+    note = "Environment: MAGNOLIANOTCH_GATEWAY and MAGNOLIANOTCH_KEY stand in for --gateway and --key.",
+    error_code(0, "done"),
+    error_code(1, "refused, or checked and found wrong"),
+    error_code(2, "wrong usage, or a local file that can't be read"),
+    error_code(3, "the gateway can't be reached; nothing was sent"),
+    error_code(4, "another edit came first; both sides are shown"),
+    error_code(5, "sent, and the outcome is unknown")
+)]
+pub struct CommandLine {
+    /// the gateway's URL (default http://127.0.0.1:8080)
+    #[argh(option)]
+    pub gateway: Option<String>,
+    /// the account's key; better in MAGNOLIANOTCH_KEY, where other users don't see it
+    #[argh(option)]
+    pub key: Option<String>,
+    /// print JSON, for scripts
+    #[argh(switch)]
+    pub json: bool,
+    /// what to do
+    #[argh(subcommand)]
+    pub command: ProgramCommand,
+}
+
+/// The same arguments with the program's own options before the command, where the library wants
+/// them: people write them last.
+pub(super) fn globals_first<'a>(arguments: &[&'a str]) -> Vec<&'a str> {
+    let mut globals = Vec::new();
+    let mut others = Vec::new();
+    let mut rest = arguments.iter().copied();
+    while let Some(argument) = rest.next() {
+        match argument {
+            "--json" => globals.push(argument),
+            "--gateway" | "--key" => {
+                globals.push(argument);
+                globals.extend(rest.next());
+            }
+            "--" => {
+                others.push(argument);
+                others.extend(rest.by_ref());
+            }
+            _ => others.push(argument),
+        }
+    }
+    globals.extend(others);
+    globals
+}
+
+/// What to do.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+pub enum ProgramCommand {
+    /// The catalogue of accounts, targets and policy.
+    Catalogue(CatalogueArgs),
+    /// Batch jobs.
+    Job(JobArgs),
+    /// The fleet as a gateway sees it.
+    Status(StatusArgs),
+    /// What happened and why.
+    Explain(ExplainArgs),
+    /// Stand-ins of the outside systems.
+    StandIn(StandInArgs),
+    /// The demo.
+    Demo(DemoArgs),
+}
+
+/// check, read and edit the catalogue
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "catalogue")]
+pub struct CatalogueArgs {
+    /// what to do
+    #[argh(subcommand)]
+    pub command: CatalogueCommand,
+}
+
+/// What to do with the catalogue.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+pub enum CatalogueCommand {
+    /// Checks files here.
+    Check(CheckArgs),
+    /// Shows one entry.
+    Get(GetArgs),
+    /// Writes one entry.
+    Put(PutArgs),
+    /// Lists entries.
+    List(ListArgs),
+    /// Tells where entries are in force.
+    Status(SurveyArgs),
+}
+
+/// check entry files without a gateway; a file is named KIND/NAME.json
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "check")]
+pub struct CheckArgs {
+    /// files, or folders whose KIND/NAME.json files are all checked
+    #[argh(positional)]
+    pub paths: Vec<PathBuf>,
+}
+
+/// show one entry; its version, which an edit names, goes to standard error
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "get")]
+pub struct GetArgs {
+    /// account, target, policy or leaving
+    #[argh(positional)]
+    pub kind: String,
+    /// the entry's name
+    #[argh(positional)]
+    pub name: String,
+}
+
+/// write one entry, if nobody has changed it since the version named
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "put")]
+pub struct PutArgs {
+    /// account, target, policy or leaving
+    #[argh(positional)]
+    pub kind: String,
+    /// the entry's name
+    #[argh(positional)]
+    pub name: String,
+    /// file with the entry's JSON text, - for standard input
+    #[argh(positional)]
+    pub file: PathBuf,
+    /// the version the edit was made from, as get told it
+    #[argh(option)]
+    pub base: Option<u64>,
+    /// there is no such entry yet
+    #[argh(switch)]
+    pub new: bool,
+}
+
+/// list entries and their versions
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "list")]
+pub struct ListArgs {
+    /// only this kind: account, target, policy or leaving
+    #[argh(positional)]
+    pub kind: Option<String>,
+}
+
+/// tell for each entry how many nodes have it in force
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "status")]
+pub struct SurveyArgs {}
+
+/// submit, watch, cancel and read batch jobs
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "job")]
+pub struct JobArgs {
+    /// what to do
+    #[argh(subcommand)]
+    pub command: JobCommand,
+}
+
+/// What to do with jobs.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+pub enum JobCommand {
+    /// Submits a job.
+    Submit(SubmitArgs),
+    /// Tells how far a job is.
+    Status(JobStatusArgs),
+    /// Cancels a job.
+    Cancel(JobCancelArgs),
+    /// Reads results.
+    Results(JobResultsArgs),
+}
+
+/// submit a file of lines {"custom_id": …, "body": {…}}; sending the same file again is safe
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "submit")]
+pub struct SubmitArgs {
+    /// the file, - for standard input
+    #[argh(positional)]
+    pub file: PathBuf,
+    /// the target's catalogue name
+    #[argh(option)]
+    pub target: String,
+    /// when it is due: 2026-12-02T18:30:00Z, or a time from now such as 6h
+    #[argh(option)]
+    pub due: String,
+    /// names the job; without one, the same content is the same job
+    #[argh(option)]
+    pub idempotency_key: Option<String>,
+    /// items may run once only
+    #[argh(switch)]
+    pub non_idempotent: bool,
+    /// wait until the job has ended
+    #[argh(switch)]
+    pub wait: bool,
+}
+
+/// tell how far a job is
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "status")]
+pub struct JobStatusArgs {
+    /// the job's id
+    #[argh(positional)]
+    pub job: String,
+    /// wait until it has ended
+    #[argh(switch)]
+    pub wait: bool,
+}
+
+/// cancel a job
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "cancel")]
+pub struct JobCancelArgs {
+    /// the job's id
+    #[argh(positional)]
+    pub job: String,
+}
+
+/// read a job's results as lines of JSON, in input order
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "results")]
+pub struct JobResultsArgs {
+    /// the job's id
+    #[argh(positional)]
+    pub job: String,
+    /// first item wanted, from 0
+    #[argh(option)]
+    pub from: Option<u32>,
+    /// most lines
+    #[argh(option)]
+    pub limit: Option<u32>,
+    /// file to write, in place of standard output
+    #[argh(option)]
+    pub output: Option<PathBuf>,
+}
+
+/// show the fleet as a gateway sees it
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "status")]
+pub struct StatusArgs {}
+
+/// tell what happened and why: which target, which retry, which refusal
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "explain")]
+pub struct ExplainArgs {
+    /// request, job, target or vm
+    #[argh(positional)]
+    pub kind: String,
+    /// its id or name
+    #[argh(positional)]
+    pub id: String,
+}
+
+/// run a stand-in of an outside system until it is stopped; for development
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "stand-in")]
+pub struct StandInArgs {
+    /// which one
+    #[argh(subcommand)]
+    pub command: StandInCommand,
+}
+
+/// Which stand-in.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+pub enum StandInCommand {
+    /// The platform.
+    Platform(PlatformArgs),
+    /// A model engine.
+    Engine(EngineArgs),
+    /// A plain service.
+    Service(ServiceArgs),
+}
+
+/// object API, VM list and weight store
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "platform")]
+pub struct PlatformArgs {
+    /// where to serve, ip:port
+    #[argh(option, default = "String::from(\"127.0.0.1:0\")")]
+    pub address: String,
+}
+
+/// model engine
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "engine")]
+pub struct EngineArgs {
+    /// where to serve, ip:port
+    #[argh(option, default = "String::from(\"127.0.0.1:0\")")]
+    pub address: String,
+    /// model loaded at the start, NAME:VERSION; may be given more than once
+    #[argh(option)]
+    pub model: Vec<String>,
+    /// streams that run at once
+    #[argh(option)]
+    pub slots: Option<usize>,
+    /// ignore fencing numbers, as some deployments' engines do
+    #[argh(switch)]
+    pub ignore_fencing: bool,
+}
+
+/// plain service
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "service")]
+pub struct ServiceArgs {
+    /// where to serve, ip:port
+    #[argh(option, default = "String::from(\"127.0.0.1:0\")")]
+    pub address: String,
+    /// how long each call takes, for example 5ms
+    #[argh(option)]
+    pub delay: Option<String>,
+}
+
+/// run a small fleet in this process under load, lose a gateway and a target, and check every
+/// result
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "demo")]
+pub struct DemoArgs {}
--- a/crates/magnolianotch/src/main.rs
+++ b/crates/magnolianotch/src/main.rs
@@ -1,3 +1,8 @@
-//! Thin entry point.
+//! The command line.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    env_logger::init();
+    magnolianotch::cli::main()
+}
