--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -6,6 +6,7 @@
 mod dispatch;
 mod finish;
 mod fleet;
+mod seal;
 
 use std::time::Duration;
 
