Wait two seconds, not a lease, for what a former owner handed out

Cause: after a takeover every item that might be running waited a whole lot lease (30 s); with a window of 1024 items the demo's job stood still. Ruled out: lost results (none was), store faults (none counted). Change: takeover_wait (2 s) for idempotent items; those that must not run twice still go by their claims. The demo's lots are leased for 6 s.

--- a/crates/jobs/src/service/ownership.rs
+++ b/crates/jobs/src/service/ownership.rs
@@ -55,7 +55,10 @@
             if !state.is_running() {
                 continue;
             }
-            let queue = JobQueue::taken_over(state, self.settings.takeover_window, until);
+            let wait =
+                if state.accepted().idempotent { self.settings.takeover_wait } else { lease };
+            let window = self.settings.takeover_window;
+            let queue = JobQueue::taken_over(state, window, now.mono + wait.min(lease));
             term.queues.insert(*job, queue);
             let claimed = state.claims().keys();
             term.unsure.extend(claimed.map(|item| (until + lease, *job, *item)));
--- a/crates/jobs/src/settings.rs
+++ b/crates/jobs/src/settings.rs
@@ -52,8 +52,12 @@
     pub max_parked: usize,
     /// Longest wait of such a call.
     pub park_time: Duration,
+    /// After a takeover, items that may be running under the former owner wait this long for
+    /// their results before they are handed out again. Running one twice only wastes work, so it
+    /// is far shorter than a lease; items that must not run twice go by their claims instead.
+    pub takeover_wait: Duration,
     /// After a takeover, this many items beyond the last ended one may be running under the
-    /// former owner; they wait one lease.
+    /// former owner; they wait.
     pub takeover_window: u32,
     /// A job with less laxity than this counts as late.
     pub late_margin: Duration,
@@ -91,6 +95,7 @@
             tracked_items: 20_000,
             max_parked: 1_024,
             park_time: Duration::from_secs(5),
+            takeover_wait: Duration::from_secs(2),
             takeover_window: 1_024,
             late_margin: Duration::from_secs(60),
             assumed_rate: 10.0,
--- a/crates/magnolianotch/src/fleet/local_fleet.rs
+++ b/crates/magnolianotch/src/fleet/local_fleet.rs
@@ -56,6 +56,7 @@
         gateway.platform.vm_list_every = Duration::from_millis(500);
         gateway.platform.calls_per_s = 400;
         gateway.ledger.commit_delay_max = Duration::from_millis(100);
+        gateway.jobs.lot_lease = Duration::from_secs(6);
         Self {
             profile: FleetProfile::rahbar(),
             gateways: 2,
