Tighten the jobs tests where mutations survived

Cause: a hand mutation round left rules without a test: stale reports, suspects in company, the buffer's bound, a claimed lot in a job being cancelled, and the release of another attempt's claim. Change: a test or a stricter line for each; commits told before their records are applied are part of the differential test.

--- a/crates/jobs/tests/codec.rs
+++ b/crates/jobs/tests/codec.rs
@@ -109,3 +109,14 @@
     bytes.push(0);
     assert!(LedgerRecord::decode(&bytes).is_err());
 }
+
+/// A release of another attempt than the holder frees nothing.
+#[test]
+fn only_the_holder_is_released() {
+    let mut state = sample_state(&[]);
+    let (job, item) = (job_id(1), ItemIndex(3));
+    state.apply(1, &LedgerRecord::ItemClaimed { job, item, attempt: 1 });
+    assert!(!state.apply(2, &LedgerRecord::ItemReleased { job, item, attempt: 2 }));
+    assert!(state.apply(3, &LedgerRecord::ItemReleased { job, item, attempt: 1 }));
+    assert!(state.apply(4, &LedgerRecord::ItemClaimed { job, item, attempt: 2 }));
+}
--- a/crates/jobs/tests/failures.rs
+++ b/crates/jobs/tests/failures.rs
@@ -170,6 +170,34 @@
     assert_eq!(lines.len(), 40);
 }
 
+// Symptom: memory grows in an outage by the results of what was out before it.
+// Sequence: forty items are out; the store goes down; all end; it comes back; all report again.
+// Cause: results above the bound are not taken; the sidecar keeps them and reports again.
+#[test]
+fn results_above_the_bound_stay_with_their_sidecars() {
+    let mut rig = ShardRig::new(JobSettings { buffered_bytes: 2_000, ..settings() });
+    rig.submit(&submission(1, 40, true));
+    let lots: Vec<LotGrant> = std::iter::from_fn(|| rig.pull_lot(0, 3)).collect();
+    rig.prompt = false;
+    let finish = |rig: &mut ShardRig| {
+        for lot in &lots {
+            (0..lot.items.len()).for_each(|item| {
+                rig.done(lot, item, answered("a result of some forty bytes and no more"));
+            });
+        }
+    };
+    finish(&mut rig);
+    let buffered: usize = rig.open.iter().flat_map(|open| &open.records).map(|r| r.len()).sum();
+    assert!(buffered <= 2_000 + 200, "{buffered} bytes");
+    assert!(rig.count(Counter::Dropped(DropReason::BufferFull)) > 0);
+    for _ in 0..40 {
+        rig.commit_all();
+        finish(&mut rig);
+    }
+    rig.commit_all();
+    assert_eq!(rig.results(1, 100).expect("results").len(), 40);
+}
+
 // Symptom: the cancelled job's items go on running, or start again.
 // Sequence: cancel while a lot is out; the sidecar is slow to answer; a result comes late.
 // Cause: nothing leaves once the cancellation is on its way; it is pushed until every lot is
@@ -213,6 +241,20 @@
     assert_eq!(refusal(rig.answer(stranger)).reason, RefusalReason::NotFound);
 }
 
+// Symptom: an item that may run once starts in a job whose cancellation is on its way.
+// Sequence: its claim is on its way; the cancellation follows; the claim commits first.
+// Cause: a job that is being cancelled sends nothing, and the unused claim is freed.
+#[test]
+fn a_claimed_lot_does_not_leave_a_job_that_is_being_cancelled() {
+    let mut rig = rig();
+    rig.submit(&submission(1, 1, false));
+    rig.prompt = false;
+    let pull = rig.pull(0, 1);
+    rig.cancel(1);
+    rig.commit_next();
+    assert!(matches!(rig.answer(pull), Some(ShardAnswer::NoWork { .. })));
+}
+
 // Symptom: a cancelled job's items run on after its shard's owner died.
 // Sequence: the owner commits the cancellation and dies before it is pushed.
 // Cause: the new owner doesn't know the lots, so it tells every sidecar for one lease.
@@ -245,6 +287,8 @@
     assert_eq!(rig.count(Counter::Retried(RetryReason::LeaseLapsed)), 1);
     let second = rig.pull_lot(1, 1).expect("the item again");
     assert_ne!(second.items[0].attempt, lost.items[0].attempt);
+    rig.give_back(&lost, 0, ReturnReason::Preempted, true);
+    assert!(rig.pull_lot(2, 1).is_none(), "a stale return puts the item back");
     rig.done(&lost, 0, answered("late but first"));
     let dropped = rig.done(&second, 0, answered("second"));
     assert!(
@@ -314,13 +358,17 @@
 #[test]
 fn a_poisonous_item_ends_and_its_job_goes_on() {
     let mut rig = rig();
-    rig.submit(&submission(1, 3, true));
+    rig.submit(&submission(1, 5, true));
     let lot = rig.pull_lot(0, 3).expect("a lot");
     for item in 0..3 {
         rig.give_back(&lot, item, ReturnReason::TargetCrashed, true);
     }
     rig.advance(100);
-    assert!(rig.pull_lot(0, 3).is_none(), "a suspect at the VM that it crashed");
+    let others = rig.pull_lot(0, 3).expect("the other items");
+    assert!(others.items.iter().all(|item| item.key.item.0 > 2), "a suspect where it crashed");
+    for item in 0..others.items.len() {
+        rig.give_back(&others, item, ReturnReason::Preempted, true);
+    }
     rig.take_over(false);
     rig.advance(2_000);
     for _ in 0..3 {
@@ -331,8 +379,9 @@
             _ => rig.done(&alone, 0, answered("well")),
         };
     }
+    drain(&mut rig, 1);
     let progress = rig.status(1).expect("a status");
-    assert_eq!((progress.phase, progress.answered, progress.failed), (JobPhase::Done, 2, 1));
+    assert_eq!((progress.phase, progress.answered, progress.failed), (JobPhase::Done, 4, 1));
     let line = &rig.results(1, 10).expect("results")[1];
     let ItemStatus::Ended(ItemOutcome::Failed { reason, .. }) = &line.status else { panic!() };
     assert_eq!(*reason, RefusalReason::Quarantined);
--- a/crates/jobs/tests/naive_difference.rs
+++ b/crates/jobs/tests/naive_difference.rs
@@ -371,6 +371,8 @@
     }
 
     fn check_end(&mut self) {
+        // A chunk that was unreadable a moment ago is left alone for a while.
+        self.rig.advance(1_000);
         let naive = self.naive();
         for (id, job) in &naive.jobs {
             let number = id.digest as usize;
@@ -398,8 +400,12 @@
     })]
 
     #[test]
-    fn the_service_agrees_with_a_naive_reading(steps in prop::collection::vec(step(), 1..160)) {
+    fn the_service_agrees_with_a_naive_reading(
+        steps in prop::collection::vec(step(), 1..160),
+        told_first in any::<bool>(),
+    ) {
         let mut world = World::new();
+        world.rig.told_first = told_first;
         for step in steps {
             world.run(step);
         }
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -109,6 +109,8 @@
     pub open: VecDeque<OpenAppend>,
     /// Whether appends are committed as soon as they are made.
     pub prompt: bool,
+    /// Whether an append's end is told before its records are applied.
+    pub told_first: bool,
     /// Whether reads of objects and records are answered.
     pub readable: bool,
     pub objects: BTreeMap<String, Payload>,
@@ -133,6 +135,7 @@
             applied: 0,
             open: VecDeque::new(),
             prompt: true,
+            told_first: false,
             readable: true,
             objects: BTreeMap::new(),
             answers: BTreeMap::new(),
@@ -276,8 +279,13 @@
         let Some(OpenAppend { ticket, records }) = self.open.pop_front() else { return };
         let first_seq = self.log.len() as u64;
         self.log.extend(records);
+        if self.told_first {
+            self.handle(ServiceEvent::Committed { ticket, first_seq });
+        }
         self.apply_log();
-        self.handle(ServiceEvent::Committed { ticket, first_seq });
+        if !self.told_first {
+            self.handle(ServiceEvent::Committed { ticket, first_seq });
+        }
     }
 
     /// Ends the oldest open append: rejected, and if `written` in the ledger all the same.
