Keep the gateway's control work flat in the fleet's size

Cause: read while counting costs at 370 nodes and 600 sidecars: the roster was cloned for each relay and gauge, subsets were ranked anew at each reading of the VM list, open calls were scanned for each event, and every gateway read the whole VM list every 2 s (about 116 KB at that size, against 7 KB/s). Conclusion: by count only, to be measured.

--- a/crates/gateway/src/control/core.rs
+++ b/crates/gateway/src/control/core.rs
@@ -6,7 +6,9 @@
 use notch_catalogue::{CatalogueEffect, CatalogueEvent, CatalogueNode};
 use notch_jobs::prelude::ServiceEvent;
 use notch_link::codec;
-use notch_membership::{ListedVm, MemberTable, MembershipEffect, MembershipEvent};
+use notch_membership::{
+    ListedVm, MemberRoster, MemberTable, MembershipEffect, MembershipEvent, watchers_of,
+};
 use notch_messages::prelude::*;
 use notch_placement::prelude::{PlacementEffect, PlacementEvent, PlacementPlanner};
 use notch_platform::{PermitFailure, VmRecord, VmRole, VmState};
@@ -24,7 +26,7 @@
         shard_desk::{ShardDesk, ShardRead},
         step::{ControlStep, ShardReply},
     },
-    edge::platform_calls::PlatformCalls,
+    edge::{list_pace::ListPace, platform_calls::PlatformCalls},
 };
 
 /// Everything that the control thread owns. One event at a time, to the end.
@@ -45,6 +47,8 @@
     pub shards: ShardDesk,
     /// Gateways.
     pub members: MemberTable,
+    /// The gateways that take work, as last told; kept because every relay asks for it.
+    pub roster: MemberRoster,
     /// The catalogue.
     pub catalogue: CatalogueNode,
     /// Which target holds which model.
@@ -61,6 +65,12 @@
     pub leaving: Option<Sender<()>>,
     /// Sidecars' VMs that the VM list has as leaving.
     pub listed_leaving: Vec<VmName>,
+    /// This gateway's failure domain.
+    pub domain: DomainName,
+    /// How often the VM list is read.
+    pub list_pace: Arc<ListPace>,
+    /// When gauges are set again.
+    pub gauges_due: MonoTime,
     /// VMs that were told to drain already.
     pub drained: FastSet<VmName>,
 }
@@ -102,7 +112,11 @@
         }
         self.operators.tick(now);
         self.drain(now);
-        self.set_gauges();
+        if self.gauges_due <= now.mono {
+            self.gauges_due = now.mono + GAUGE_PERIOD;
+            self.links.expire(now.mono);
+            self.set_gauges();
+        }
         self.finish_leaving();
     }
 
@@ -146,7 +160,7 @@
                     shards.tell(now, shard, event, steps, reads);
                 });
             }
-            ControlEvent::VmListed(vms) => self.take_vms(now, vms),
+            ControlEvent::VmListed(vms) => self.take_vms(vms),
             ControlEvent::AskShard { shard, request, reply } => {
                 let reply = ShardReply::Traffic(reply);
                 self.steps.push_back(ControlStep::AskShard { shard, request, reply });
@@ -223,8 +237,7 @@
     }
 
     fn send_sidecar(&mut self, now: Now, to: &VmName, message: SidecarMessage) {
-        let roster = self.members.roster();
-        for (relay, message) in self.links.send_sidecar(to, message, &roster) {
+        for (relay, message) in self.links.send_sidecar(to, message, &self.roster) {
             self.send_gateway(now, &relay, message);
         }
     }
@@ -374,7 +387,11 @@
     fn roster_changed(&mut self, now: Now) {
         let roster = self.members.roster();
         let partners = self.members.partners();
-        self.links.balance(now.mono, &roster);
+        if roster != self.roster {
+            self.roster = roster.clone();
+            self.links.balance(&roster);
+        }
+        self.set_list_pace();
         self.with_shards(|shards, steps, reads| shards.roster_changed(now, &roster, steps, reads));
         let candidates = notch_membership::placement_candidates(&roster, PLACEMENT_CANDIDATES);
         let rank = candidates.iter().position(|vm| *vm == self.vm).map(|rank| rank as u32);
@@ -383,6 +400,13 @@
         self.steps.push_back(ControlStep::Catalogue(event));
     }
 
+    /// A few gateways of each domain read the VM list often and tell the others of VMs that are
+    /// leaving; if all did, the list itself would take most of a node's control traffic.
+    fn set_list_pace(&self) {
+        let watchers = watchers_of(&self.domain, &self.roster, LIST_WATCHERS);
+        self.list_pace.set_often(watchers.is_empty() || watchers.contains(&self.vm));
+    }
+
     fn partners_changed(&mut self, now: Now, partners: Vec<VmName>) {
         let address = |vm: VmName| {
             let address = self.members.address_of(&vm);
@@ -406,6 +430,12 @@
                     self.steps.push_back(ControlStep::ToSidecar { to, message });
                 }
             }
+            RumorTopic::VmLeaving(vm) => {
+                if !self.listed_leaving.contains(vm) {
+                    self.listed_leaving.push(vm.clone());
+                    self.mark_leaving();
+                }
+            }
             RumorTopic::Suspect(fingerprint, vm) => {
                 let alone = codec::decode(&rumor.value).unwrap_or(false);
                 let (fingerprint, vm) = (*fingerprint, vm.clone());
@@ -473,7 +503,20 @@
         self.steps.push_back(ControlStep::ToSidecar { to: vm.clone(), message });
     }
 
-    fn take_vms(&mut self, now: Now, vms: Vec<VmRecord>) {
+    /// Spreads what the VM list says of leaving sidecars, once for each.
+    fn tell_leaving(&mut self) {
+        for vm in &self.listed_leaving {
+            if self.drained.contains(vm) {
+                continue;
+            }
+            let topic = RumorTopic::VmLeaving(vm.clone());
+            let rumor = Rumor { topic, version: 1, value: Payload::default() };
+            let event = MembershipEvent::RumorLocal { rumor, urgent: true };
+            self.steps.push_back(ControlStep::Member(event));
+        }
+    }
+
+    fn take_vms(&mut self, vms: Vec<VmRecord>) {
         let mut sidecars = Vec::new();
         let mut gateways = Vec::new();
         self.listed_leaving.clear();
@@ -503,9 +546,11 @@
                 self.steps.push_back(ControlStep::Route(RouterEvent::SidecarGone { vm }));
             }
         }
+        self.tell_leaving();
         self.mark_leaving();
-        self.links.set_sidecars(sidecars);
-        self.links.balance(now.mono, &self.members.roster());
+        if self.links.set_sidecars(sidecars) {
+            self.links.balance(&self.roster);
+        }
         self.steps.push_back(ControlStep::Member(MembershipEvent::VmListed(gateways)));
     }
 
@@ -534,7 +579,7 @@
             self.metrics.set(gauge, self.links.count(role) as i64);
         }
         self.metrics.set(Gauge::ShardsOwned, self.shards.owned() as i64);
-        self.metrics.set(Gauge::MembersAlive, self.members.roster().len() as i64);
+        self.metrics.set(Gauge::MembersAlive, self.roster.len() as i64);
         self.metrics.set(Gauge::EntriesInForce, self.catalogue.table().len() as i64);
         self.metrics.set(Gauge::ItemsOpen, self.shards.directory().open_items() as i64);
     }
@@ -581,6 +626,10 @@
     }
 }
 
+/// Gateways of each failure domain that read the VM list often.
+const LIST_WATCHERS: usize = 3;
+/// Time between two settings of the gauges.
+const GAUGE_PERIOD: Duration = Duration::from_millis(200);
 /// Pause after a permit asked for without an answer.
 const PERMIT_PAUSE: Duration = Duration::from_secs(2);
 /// Pause after the weight store said that it has no such version.
--- a/crates/gateway/src/control/core_links.rs
+++ b/crates/gateway/src/control/core_links.rs
@@ -167,7 +167,7 @@
     }
 
     fn is_first_gateway(&self, sidecar: &VmName) -> bool {
-        gateways_of(sidecar, &self.members.roster(), 1).first() == Some(&self.vm)
+        gateways_of(sidecar, &self.roster, 1).first() == Some(&self.vm)
     }
 
     /// Tells the planner here, and the holder of the placement lease when it is elsewhere.
--- a/crates/gateway/src/control/link_desk.rs
+++ b/crates/gateway/src/control/link_desk.rs
@@ -182,13 +182,24 @@
         }
     }
 
-    /// The VM list's sidecars.
-    pub fn set_sidecars(&mut self, sidecars: Vec<ListedSidecar>) {
+    /// The VM list's sidecars; says whether they changed.
+    pub fn set_sidecars(&mut self, sidecars: Vec<ListedSidecar>) -> bool {
+        let changed = self.sidecars != sidecars;
         self.sidecars = sidecars;
+        changed
     }
 
-    /// Dials the sidecars of this gateway's subset and drops the others.
-    pub fn balance(&mut self, now: MonoTime, roster: &MemberRoster) {
+    /// Drops links dialled on demand that nobody used for a while.
+    pub fn expire(&mut self, now: MonoTime) {
+        self.dialers
+            .retain(|_, peer| peer.on_demand.is_none_or(|used| now.since(used) < ON_DEMAND_KEEP));
+        let dialers = &self.dialers;
+        self.waiting.retain(|vm, _| dialers.contains_key(vm));
+    }
+
+    /// Dials the sidecars of this gateway's subset and drops the others. Costs a ranking of all
+    /// gateways for each sidecar, so it is done on changes only.
+    pub fn balance(&mut self, roster: &MemberRoster) {
         let names: Vec<VmName> = self.sidecars.iter().map(|sidecar| sidecar.vm.clone()).collect();
         let mine = sidecars_of(&self.vm, &names, roster, self.subset);
         let chosen: Vec<ListedSidecar> =
@@ -197,12 +208,10 @@
             self.dial(&sidecar.vm, sidecar.address, None);
         }
         let partners = &self.partners;
-        self.dialers.retain(|vm, peer| match peer.on_demand {
-            Some(used) => now.since(used) < ON_DEMAND_KEEP,
-            None => partners.contains(vm) || chosen.iter().any(|sidecar| sidecar.vm == *vm),
+        self.dialers.retain(|vm, peer| {
+            let chosen = || chosen.iter().any(|sidecar| sidecar.vm == *vm);
+            peer.on_demand.is_some() || partners.contains(vm) || chosen()
         });
-        let dialers = &self.dialers;
-        self.waiting.retain(|vm, _| dialers.contains_key(vm));
     }
 
     /// Ends every link.
--- a/crates/gateway/src/control/shard_desk.rs
+++ b/crates/gateway/src/control/shard_desk.rs
@@ -1,6 +1,6 @@
 //! The ledger shards of this gateway, and calls to the owners of all shards.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeSet, time::Duration};
 
 use notch_jobs::prelude::{ServiceEvent, TargetBacklog};
 use notch_ledger::{ShardEvent, ShardStanding};
@@ -72,7 +72,9 @@
     hosts: Vec<ShardHost>,
     directory: ShardDirectory,
     /// Bound: `MAX_CALLS`; each leaves at its deadline at the latest.
-    calls: BTreeMap<CallId, OpenCall>,
+    calls: FastMap<CallId, OpenCall>,
+    /// Every open call by the time it is looked at again: exactly one element a call.
+    timers: BTreeSet<(MonoTime, CallId)>,
     next_call: u64,
     /// Raised by one with each backlog told, so that a rumour's versions rise within an epoch.
     told: Vec<u64>,
@@ -89,7 +91,8 @@
             vm: vm.clone(),
             hosts,
             directory,
-            calls: BTreeMap::new(),
+            calls: FastMap::default(),
+            timers: BTreeSet::new(),
             next_call: 1,
             told,
             turn: 0,
@@ -115,8 +118,7 @@
     /// When time alone changes something.
     pub fn next_wake(&self) -> Option<MonoTime> {
         let hosts = self.hosts.iter().filter_map(ShardHost::next_wake);
-        let calls = self.calls.values().map(|call| call.due.min(call.deadline));
-        hosts.chain(calls).min()
+        hosts.chain(self.timers.first().map(|(due, _)| *due)).min()
     }
 
     /// Lets time pass.
@@ -228,6 +230,7 @@
             sent: false,
         };
         self.calls.insert(call, open);
+        self.timers.insert((now.mono, call));
         self.send_call(now, call, steps, reads);
     }
 
@@ -301,17 +304,36 @@
     }
 
     fn send_due(&mut self, now: Now, steps: &mut Vec<ControlStep>, reads: &mut Vec<ShardRead>) {
-        let due: Vec<CallId> = self
-            .calls
-            .iter()
-            .filter(|(_, call)| call.due <= now.mono || call.deadline <= now.mono)
-            .map(|(id, _)| *id)
-            .collect();
-        for call in due {
+        while let Some((due, call)) = self.timers.first().copied() {
+            if due > now.mono {
+                return;
+            }
             self.send_call(now, call, steps, reads);
         }
     }
 
+    /// Moves a call's timer; the deadline is never passed over.
+    fn set_due(&mut self, call: CallId, due: MonoTime) {
+        let Some(open) = self.calls.get_mut(&call) else { return };
+        self.timers.remove(&(open.due, call));
+        open.due = due.min(open.deadline);
+        self.timers.insert((open.due, call));
+    }
+
+    fn close_call(&mut self, call: CallId) -> Option<OpenCall> {
+        let open = self.calls.remove(&call)?;
+        self.timers.remove(&(open.due, call));
+        Some(open)
+    }
+
+    /// Sets the time of the next try, twice as far off each time.
+    fn back_off(&mut self, now: Now, call: CallId) {
+        let Some(open) = self.calls.get_mut(&call) else { return };
+        let due = now.mono + open.backoff;
+        open.backoff = (open.backoff * 2).min(RETRY_MAX);
+        self.set_due(call, due);
+    }
+
     fn send_call(
         &mut self,
         now: Now,
@@ -328,27 +350,28 @@
         let place = usize::from(shard.0);
         if self.hosts[place].epoch().is_some() {
             open.sent = true;
-            open.due = open.deadline;
             let request = (*open.request).clone();
+            let deadline = open.deadline;
+            // The service always answers, at the latest when it loses the shard.
+            self.set_due(call, deadline);
             let event = ServiceEvent::Asked { from: self.vm.clone(), call, request };
             self.feed_service(now, place, event, steps, reads);
             return;
         }
         let owner = self.directory.owner(shard).filter(|vm| **vm != self.vm).cloned();
         let Some(owner) = owner else {
-            open.due = now.mono + open.backoff;
-            open.backoff = (open.backoff * 2).min(RETRY_MAX);
+            self.back_off(now, call);
             return;
         };
         open.sent = true;
-        open.due = now.mono + ANSWER_WAIT;
         let request = open.request.clone();
+        self.set_due(call, now.mono + ANSWER_WAIT);
         let message = LinkMessage::Shard(ShardCall::Ask { call, shard, request });
         steps.push(ControlStep::ToGateway { to: owner, message });
     }
 
     fn give_up(&mut self, now: Now, call: CallId, steps: &mut Vec<ControlStep>) {
-        let Some(open) = self.calls.remove(&call) else { return };
+        let Some(open) = self.close_call(call) else { return };
         let reason = RefusalReason::StoreUnavailable;
         let refusal = if open.sent {
             Refusal::unknown(reason, "the shard's owner did not answer in time; a resend is safe")
@@ -369,18 +392,17 @@
         answer: ShardAnswer,
         steps: &mut Vec<ControlStep>,
     ) {
-        let Some(open) = self.calls.get_mut(&call) else {
+        if !self.calls.contains_key(&call) {
             steps.push(ControlStep::Count(Counter::Dropped(DropReason::LateAnswer)));
             return;
-        };
+        }
         if let ShardAnswer::NotOwner { owner } = answer {
             steps.push(ControlStep::Count(Counter::Retried(RetryReason::OwnerMoved)));
-            open.due = now.mono + open.backoff;
-            open.backoff = (open.backoff * 2).min(RETRY_MAX);
             self.directory.owner_seen(shard, epoch, owner);
+            self.back_off(now, call);
             return;
         }
-        let Some(open) = self.calls.remove(&call) else { return };
+        let Some(open) = self.close_call(call) else { return };
         self.reply(now, shard, open.reply, answer, steps);
     }
 
--- a/crates/gateway/src/edge/vm_poll.rs
+++ b/crates/gateway/src/edge/vm_poll.rs
@@ -1,18 +1,21 @@
 //! Reads the platform's VM list now and then.
 
-use std::{sync::Arc, time::Duration};
+use std::sync::Arc;
 
 use async_std::task;
 use notch_platform::VmListing;
 use notch_telemetry::prelude::*;
 use notch_types::prelude::*;
 
-use crate::control::{event::ControlEvent, inbox::ControlInbox};
+use crate::{
+    control::{event::ControlEvent, inbox::ControlInbox},
+    edge::list_pace::ListPace,
+};
 
-/// Starts reading the list every `every`, a little spread so that gateways don't read in step.
+/// Starts reading the list at `pace`, a little spread so that gateways don't read in step.
 pub fn start(
     vms: Arc<dyn VmListing>,
-    every: Duration,
+    pace: Arc<ListPace>,
     metrics: Arc<Metrics>,
     inbox: ControlInbox,
 ) -> task::JoinHandle<()> {
@@ -22,7 +25,7 @@
                 Ok(list) => inbox.send(ControlEvent::VmListed(list)),
                 Err(_) => metrics.count(Counter::Event("vm_list_failures")),
             }
-            task::sleep(every.mul_f64(0.9 + 0.2 * rand::random::<f64>())).await;
+            task::sleep(pace.pause().mul_f64(0.9 + 0.2 * rand::random::<f64>())).await;
         }
     })
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -14,7 +14,7 @@
 use notch_jobs::prelude::ShardService;
 use notch_ledger::LedgerShard;
 use notch_link::prelude::*;
-use notch_membership::{MemberIdentity, MemberTable};
+use notch_membership::{MemberIdentity, MemberRoster, MemberTable};
 use notch_placement::prelude::PlacementPlanner;
 use notch_platform::{
     BudgetSettings, HttpObjects, HttpVms, HttpWeights, ObjectApi, ObjectsSettings, VmListing,
@@ -39,7 +39,7 @@
         shard_host::ShardHost,
         thread as control_thread,
     },
-    edge::{link_sink::link_sink, platform_calls::PlatformCalls, vm_poll},
+    edge::{link_sink::link_sink, list_pace::ListPace, platform_calls::PlatformCalls, vm_poll},
     error::GatewayError,
     traffic::{answer_book::AnswerBook, front::TrafficFront},
     wiring,
@@ -116,6 +116,7 @@
                 .await
                 .map_err(|source| listen_error(config.listen.links, source))?;
         let links = listener.address();
+        let list_pace = Arc::new(ListPace::new(config.platform.vm_list_every));
         let core = build_core(
             &config,
             &edges,
@@ -126,6 +127,7 @@
                 inbox: inbox.clone(),
                 links: LinkDesk::new(link_settings, config.membership.subset as usize, sink),
                 address: links,
+                list_pace: Arc::clone(&list_pace),
             },
         )?;
         let front = Arc::new(TrafficFront::new(
@@ -136,12 +138,8 @@
             Arc::clone(&metrics),
         ));
         let (server, metrics_server) = serve(&config, front).await?;
-        let polling = vm_poll::start(
-            Arc::clone(&edges.vms),
-            config.platform.vm_list_every,
-            Arc::clone(&metrics),
-            inbox.clone(),
-        );
+        let polling =
+            vm_poll::start(Arc::clone(&edges.vms), list_pace, Arc::clone(&metrics), inbox.clone());
         let control = control_thread::spawn(core, queue).map_err(GatewayError::Thread)?;
         let callers = server.address();
         let control = Some(control);
@@ -256,6 +254,7 @@
     inbox: ControlInbox,
     links: LinkDesk,
     address: SocketAddr,
+    list_pace: Arc<ListPace>,
 }
 
 fn build_core(
@@ -291,6 +290,7 @@
         notes: NoteBook::new(NoteBookSettings::default()),
         online,
         shards: ShardDesk::new(&node.vm, build_hosts(config, incarnation)?),
+        roster: MemberRoster::default(),
         members: MemberTable::new(identity, wiring::membership_settings(config), random()),
         catalogue: CatalogueNode::new(
             &node.vm,
@@ -305,6 +305,9 @@
         steps: VecDeque::new(),
         leaving: None,
         listed_leaving: Vec::new(),
+        domain: node.domain.clone(),
+        list_pace: parts.list_pace,
+        gauges_due: MonoTime::default(),
         drained: FastSet::default(),
     })
 }
--- a/crates/messages/src/gossip.rs
+++ b/crates/messages/src/gossip.rs
@@ -54,6 +54,8 @@
     ShardBacklog(ShardId),
     /// A fingerprint that crashes targets.
     Quarantine(Fingerprint),
+    /// The VM list has a target VM as leaving.
+    VmLeaving(VmName),
     /// A fingerprint that was in flight when the target of a VM crashed; the value tells whether
     /// it was alone, and the version is higher when it was.
     Suspect(Fingerprint, VmName),
