--- a/crates/gate/src/core/endings.rs
+++ b/crates/gate/src/core/endings.rs
@@ -259,7 +259,7 @@
         Self::count("attempts_ended", effects);
         Self::send(&gateway, GatewayMessage::Ended { attempt: run, total, outcome }, effects);
         while self.kept_bytes > self.settings.output_bytes
-            && let Some(oldest) = self.kept.front().copied()
+            && let Some(oldest) = self.kept.pop_front()
         {
             self.forget(now, oldest, effects);
         }
@@ -271,7 +271,10 @@
         let RunPhase::Ended { total, outcome } = &record.phase else { return };
         let (total, outcome) = (*total, outcome.clone());
         self.runs.remove(&run);
-        self.kept.retain(|kept| *kept != run);
+        // In the order of their ends, so this run is the first one unless it was dropped for room.
+        if self.kept.front() == Some(&run) {
+            self.kept.pop_front();
+        }
         self.kept_bytes -= total;
         self.finished.insert(now, run, TombstoneKind::Finished { total, outcome });
         effects.push(GateEffect::ForgetOutput { run });
