Split the failure tests by matter

Change: intake, dispatch and reading failures, and the naive reading, in files of their own; no test changed.

--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -2,7 +2,7 @@
 #![allow(dead_code, unreachable_pub, reason = "each test file uses its part")]
 
 use std::{
-    collections::{BTreeMap, BTreeSet, VecDeque},
+    collections::{BTreeMap, VecDeque},
     time::Duration,
 };
 
@@ -10,6 +10,10 @@
 use notch_messages::prelude::*;
 use notch_types::prelude::*;
 
+pub mod naive_shard;
+
+pub use naive_shard::{NaiveJob, NaiveShard};
+
 pub const SHARD: ShardId = ShardId(0);
 
 pub fn settings() -> JobSettings {
@@ -361,108 +365,47 @@
     }
 }
 
-/// The ledger read by plain maps, everything at once: obviously right, and slow.
-#[derive(Debug, Default, PartialEq)]
-pub struct NaiveShard {
-    pub jobs: BTreeMap<JobId, NaiveJob>,
-    pub holders: BTreeMap<RequestId, AttemptId>,
-    pub answers: BTreeMap<RequestId, StoredAnswer>,
+pub fn attempt(number: u64) -> AttemptId {
+    AttemptId { request: RequestId(7), number, incarnation: Incarnation(1) }
 }
 
-#[derive(Debug, PartialEq)]
-pub struct NaiveJob {
-    pub accepted: notch_jobs::record::AcceptedJob,
-    pub cancelled: bool,
-    pub results: BTreeMap<u32, ItemOutcome>,
-    pub claims: BTreeMap<u32, u64>,
+pub fn rig() -> ShardRig {
+    ShardRig::new(settings())
 }
 
-impl NaiveJob {
-    pub fn is_running(&self) -> bool {
-        !self.cancelled && self.results.len() < self.accepted.item_count as usize
+pub fn refusal(answer: Option<&ShardAnswer>) -> Refusal {
+    match answer {
+        Some(ShardAnswer::Refused(refusal)) => refusal.clone(),
+        other => panic!("not a refusal: {other:?}"),
     }
 }
 
-impl NaiveShard {
-    pub fn read(records: &[LedgerRecord]) -> Self {
-        let mut naive = Self::default();
-        records.iter().for_each(|record| naive.apply(record));
-        naive
-    }
+pub fn is_running(rig: &mut ShardRig, number: usize) -> bool {
+    rig.status(number).is_some_and(|progress| progress.phase == JobPhase::Running)
+}
 
-    fn apply(&mut self, record: &LedgerRecord) {
-        match record.clone() {
-            LedgerRecord::JobAccepted(accepted) => {
-                self.jobs.entry(accepted.job).or_insert(NaiveJob {
-                    accepted,
-                    cancelled: false,
-                    results: BTreeMap::new(),
-                    claims: BTreeMap::new(),
-                });
-            }
-            LedgerRecord::JobCancelled { job, .. } => {
-                if let Some(job) = self.jobs.get_mut(&job).filter(|job| job.is_running()) {
-                    job.cancelled = true;
-                }
-            }
-            LedgerRecord::ItemEnded { job, item, outcome } => {
-                if let Some(job) = self.jobs.get_mut(&job).filter(|job| !job.cancelled) {
-                    job.results.entry(item.0).or_insert(outcome);
-                }
-            }
-            LedgerRecord::ItemClaimed { job, item, attempt } => {
-                if let Some(job) = self.jobs.get_mut(&job).filter(|job| !job.cancelled)
-                    && !job.results.contains_key(&item.0)
-                {
-                    job.claims.entry(item.0).or_insert(attempt);
-                }
-            }
-            LedgerRecord::ItemReleased { job, item, attempt } => {
-                if let Some(job) = self.jobs.get_mut(&job)
-                    && job.claims.get(&item.0) == Some(&attempt)
-                {
-                    job.claims.remove(&item.0);
-                }
+/// Runs a job's open items to their end on one VM.
+pub fn drain(rig: &mut ShardRig, number: usize) {
+    for _ in 0..200 {
+        rig.advance(100);
+        while let Some(lot) = rig.pull_lot(0, 4) {
+            for item in 0..lot.items.len() {
+                rig.done(&lot, item, answered("drained"));
             }
-            LedgerRecord::RequestClaimed { request, attempt, .. } => {
-                if !self.answers.contains_key(&request) {
-                    self.holders.entry(request).or_insert(attempt);
-                }
-            }
-            LedgerRecord::ClaimReleased { request, attempt } => {
-                let held = self.holders.get(&request) == Some(&attempt);
-                if held && !self.answers.contains_key(&request) {
-                    self.holders.remove(&request);
-                }
-            }
-            LedgerRecord::AnswerStored { request, answer, .. } => {
-                self.answers.entry(request).or_insert(answer);
-            }
-            LedgerRecord::JobEnded { .. }
-            | LedgerRecord::JobExpired { .. }
-            | LedgerRecord::ItemTried { .. }
-            | LedgerRecord::RequestsExpired { .. }
-            | LedgerRecord::Quarantined { .. } => {}
+        }
+        if !is_running(rig, number) {
+            return;
         }
     }
-
-    /// The result lines of a job, as a caller should read them.
-    pub fn lines(&self, job: JobId) -> Vec<ResultLine> {
-        let Some(naive) = self.jobs.get(&job) else { return Vec::new() };
-        let line = |item: u32| {
-            let status = match naive.results.get(&item) {
-                Some(outcome) => ItemStatus::Ended(outcome.clone()),
-                None if naive.cancelled => ItemStatus::Cancelled,
-                None => return None,
-            };
-            Some(ResultLine { item: ItemIndex(item), custom_id: custom_id(job, item), status })
-        };
-        (0..naive.accepted.item_count).filter_map(line).collect()
-    }
+    panic!("job {number} does not end");
 }
 
-pub fn attempt(number: u64) -> AttemptId {
-    AttemptId { request: RequestId(7), number, incarnation: Incarnation(1) }
+pub fn claim(request: u128, number: u64) -> ShardRequest {
+    ShardRequest::Claim {
+        request: RequestId(request),
+        account: account(1),
+        attempt: attempt(number),
+        fingerprint: Fingerprint(1),
+        retention_ms: 1_000,
+    }
 }
-
-pub type Seen = BTreeSet<u64>;
