--- a/crates/membership/examples/membership_slopes.rs
+++ b/crates/membership/examples/membership_slopes.rs
@@ -2,13 +2,19 @@
 
 #![allow(clippy::print_stdout)]
 
-use notch_membership::probe::{measure, measure_moves};
+use std::time::{Duration, Instant};
+
+use notch_membership::{
+    MembershipSettings,
+    probe::{measure, measure_moves, settled_fleet, usual_link},
+};
 use notch_messages::gossip::GossipMessage;
 
 fn main() {
+    print_memory();
     println!("nodes  msg/s  B/s  B/restart  death known  leave known");
     for nodes in [4, 16, 64, 256, 370] {
-        let started = std::time::Instant::now();
+        let started = Instant::now();
         let figures = measure(nodes, 5, 120, encoded_bytes);
         println!(
             "{:5}  {:5.2}  {:4.0}  {:9.0}  {:?}  {:?}  ({:?} in all)",
@@ -31,6 +37,37 @@
             moves.most_to_mean,
         );
     }
+    print_processor_time();
+}
+
+/// Processor time of the decisions alone.
+fn print_processor_time() {
+    let settings = MembershipSettings::default();
+    for nodes in [4, 16, 64, 256, 370] {
+        let mut fleet = settled_fleet(nodes, 5, &settings, |_| 0);
+        let span = Duration::from_secs(120);
+        let started = Instant::now();
+        let until = fleet.now() + span;
+        fleet.run_until(until, &mut usual_link);
+        let share = started.elapsed().as_secs_f64() / nodes as f64 / span.as_secs_f64();
+        println!("{nodes:5} nodes: {:.4}% of a core a node when nothing changes", share * 100.0);
+    }
+}
+
+/// Memory of the largest fleet; first of all, for freed memory would be used again.
+fn print_memory() {
+    const NODES: usize = 370;
+    let before = resident_bytes();
+    let fleet = settled_fleet(NODES, 5, &MembershipSettings::default(), |_| 0);
+    let held = resident_bytes().saturating_sub(before) / fleet.running().count();
+    println!("{NODES} nodes: {} KB resident a node", held / 1_024);
+}
+
+fn resident_bytes() -> usize {
+    const PAGE: usize = 4_096;
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text.split_whitespace().nth(1).and_then(|pages| pages.parse::<usize>().ok());
+    pages.unwrap_or_default() * PAGE
 }
 
 fn encoded_bytes(message: &GossipMessage) -> usize {
