--- a/crates/jobs/tests/naive_difference.rs
+++ b/crates/jobs/tests/naive_difference.rs
@@ -13,7 +13,7 @@
     test_runner::{Config, RngSeed},
 };
 
-use support::{NaiveShard, ShardRig, account, answered, attempt, failed, settings};
+use support::{ShardRig, account, answered, attempt, failed, naive_shard::NaiveShard, settings};
 
 const JOBS: usize = 4;
 const REQUESTS: u128 = 3;
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -12,8 +12,6 @@
 
 pub mod naive_shard;
 
-pub use naive_shard::{NaiveJob, NaiveShard};
-
 pub const SHARD: ShardId = ShardId(0);
 
 pub fn settings() -> JobSettings {
