--- a/crates/http/src/server/connection.rs
+++ b/crates/http/src/server/connection.rs
@@ -45,8 +45,10 @@
 enum Next {
     /// Another request may come.
     Keep,
-    /// Closes once the peer has seen the answer.
+    /// Closes; nothing of the request is left unread.
     Close,
+    /// Closes once the peer has seen the answer: part of the request is unread.
+    Linger,
     /// Closes at once: the peer is gone, or must see that its answer is cut.
     Cut,
 }
@@ -57,8 +59,8 @@
         let next = serve_request(&context, &mut stream).await;
         match next {
             Next::Keep if !context.closing.is_closed() => {}
-            Next::Keep | Next::Close => return linger(&stream).await,
-            Next::Cut => return,
+            Next::Linger => return linger(&stream).await,
+            Next::Keep | Next::Close | Next::Cut => return,
         }
     }
 }
@@ -105,7 +107,8 @@
     let written = timeout(left, write_response(stream, response, method, patience)).await;
     match written {
         Ok(Ok(())) if keep => drain(context, framing).await,
-        Ok(Ok(())) => Next::Close,
+        Ok(Ok(())) if stream.is_body_done() => Next::Close,
+        Ok(Ok(())) => Next::Linger,
         Ok(Err(failure)) => note_failure(context, failure),
         Err(_) => {
             count(&context.counts.slow_requests);
@@ -195,7 +198,7 @@
     // belongs to the refused request.
     let mut encoder = Encoder::new(refusal.response(), http_types::Method::Get);
     let written = timeout(context.limits.write_timeout, io::copy(&mut encoder, stream)).await;
-    if matches!(written, Ok(Ok(_))) { Next::Close } else { Next::Cut }
+    if matches!(written, Ok(Ok(_))) { Next::Linger } else { Next::Cut }
 }
 
 /// Reads what the handler left of the body, so that the next request starts at its own bytes.
--- a/crates/http/src/server/stream.rs
+++ b/crates/http/src/server/stream.rs
@@ -145,6 +145,11 @@
         }
     }
 
+    /// Whether the request's body was read to its end.
+    pub(super) fn is_body_done(&self) -> bool {
+        self.state().body_done
+    }
+
     /// Whether the last read left its waker with the socket; see the request's body for why.
     pub(super) fn read_waits(&self) -> bool {
         self.state().read_waits
