--- a/crates/ledger/tests/failures.rs
+++ b/crates/ledger/tests/failures.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use notch_ledger::{
-    AppendTicket, AppendUrgency, LedgerHead, ObjectKey, RejectCertainty, ShardEvent, ShardSettings,
-    ShardStanding,
+    AppendTicket, AppendUrgency, LedgerHead, ObjectKey, RecordPlace, RejectCertainty, Seq,
+    ShardEvent, ShardSettings, ShardStanding,
 };
 use notch_types::object::StoreOp;
 use rstest::rstest;
@@ -190,7 +190,7 @@
         if world.now > 60_000_000 {
             panic!("the sweep never came by");
         }
-        if world.owner() == Some(0) && world.now % 200_000 == 0 {
+        if world.owner() == Some(0) && world.now.is_multiple_of(200_000) {
             world.append(0, 4, 60);
         }
     }
@@ -237,8 +237,11 @@
 #[rstest]
 fn an_outage_moves_no_shard_and_loses_nothing(
     #[values(Weather::Outage, Weather::Mute)] weather: Weather,
+    #[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64,
 ) {
-    let mut world = World::new(3, 7);
+    let mut world = World::new(3, seed);
+    // Snapshots would add calls that have nothing to do with the outage.
+    world.snapshots = false;
     world.run(500);
     fill(&mut world, 0, 5);
     world.weather = weather;
@@ -409,9 +412,105 @@
         world.ops["put"]
     };
     let (few, many) = (writes(1), writes(20));
+    // Two seconds at a longest delay of 20 ms, a burst of 3, and renewals.
+    assert!(few <= 110, "{few} writes under load");
     assert!(many <= few + few / 10, "{few} writes, then {many}");
 }
 
+// Symptom: a job's input is deleted although a committed record names it.
+// Sequence: the owner is paused; another takes over and accepts a job, whose chunk grows old. The
+// old owner wakes, sweeps at once, and its own state names no such chunk.
+// Cause: it judges by the past. Its next write of the head fails first, however late that is.
+#[test]
+fn a_woken_owner_asks_nobody_about_chunks() {
+    for seed in 0..10 {
+        let mut world = owned(seed);
+        world.pause(0, 20_000);
+        world.run(2_800);
+        let chunk = world.write_chunk();
+        let ticket = world.append_with(1, 1, 10, AppendUrgency::Prompt, Some(chunk.clone()));
+        world.run(17_190);
+        assert!(matches!(world.fate(ticket), Fate::Committed(_)));
+        world.aimed = vec![(puts_head, Fault::Slow(350)); 4];
+        world.run(5_000);
+        assert!(world.store.objects.contains_key(&chunk));
+        world.finish();
+    }
+}
+
+// Symptom: an accepted job's chunk is gone.
+// Sequence: its append waits behind a batch whose segments can't be written, for longer than the
+// grace time, while renewals go through and the sweep goes on.
+// Cause: nothing committed names the chunk yet. An open append counts as a name. The segments
+// themselves are written anew once older than half the grace time.
+#[test]
+fn what_waits_for_a_commit_is_not_swept() {
+    let mut world = owned(17);
+    world.aimed = vec![(puts_segment, Fault::Unavailable); 400];
+    let big = world.append_with(0, 4, 200, AppendUrgency::Prompt, None);
+    world.run(5);
+    let chunk = world.write_chunk();
+    let job = world.append_with(0, 1, 10, AppendUrgency::Prompt, Some(chunk.clone()));
+    world.run(9_000);
+    assert_eq!(world.fate(job), Fate::Open);
+    assert!(world.count(0, "ledger_segments_renewed") > 0);
+    world.aimed.clear();
+    world.run(1_000);
+    for ticket in [big, job] {
+        assert!(matches!(world.fate(ticket), Fate::Committed(_)));
+    }
+    assert!(world.store.objects.contains_key(&chunk));
+    world.finish();
+}
+
+// Symptom: a reader finds a record's segment gone though it was located a moment ago.
+// Sequence: the segment is old; a snapshot passes it; the sweep comes by.
+// Cause: the object's age says nothing about when it lost its name. It stays for a whole grace
+// time after it was first seen without one.
+#[test]
+fn a_segment_stays_readable_for_a_grace_time_after_it_lost_its_name() {
+    let mut world = owned(18);
+    let mut located = std::collections::BTreeMap::new();
+    for round in 0..500 {
+        if round < 300 {
+            world.append(0, 4, 60);
+        }
+        world.run(50);
+        let shard = world.nodes[0].shard.as_ref().expect("alive");
+        for seq in 0..world.naive.list.len() as u64 {
+            if let Some(RecordPlace::Segment { key, .. }) = shard.locate(Seq(seq)) {
+                located.insert(key, world.now);
+            }
+        }
+        for (key, last) in &located {
+            let young = world.now - last < 3_900_000;
+            assert!(!young || world.store.objects.contains_key(key), "{key} went too soon");
+        }
+    }
+    let gone = located.keys().filter(|key| !world.store.objects.contains_key(*key)).count();
+    assert!(gone > 5, "only {gone} segments were swept");
+    world.finish();
+}
+
+// Symptom: an owner believes in its lease for longer than others must wait.
+// Sequence: a write's answer is lost, it takes effect late, and the tries after it find it there.
+// Cause: the lease is counted from the newest try. It counts from the first that may have worked.
+#[test]
+fn the_lease_counts_from_the_first_try_that_may_have_worked() {
+    let mut world = World::new(1, 19);
+    world.run(500);
+    world.aimed = vec![(puts_head, Fault::AppliedLate(300))];
+    world.aimed.extend([(puts_head as fn(&StoreOp) -> bool, Fault::UnknownNotApplied); 200]);
+    let began = world.now;
+    let ticket = world.append_with(0, 1, 10, AppendUrgency::Prompt, None);
+    while world.fate(ticket) == Fate::Open {
+        world.run(1);
+    }
+    world.run((began + 1_010_000 - world.now) / 1_000);
+    assert_eq!(world.owner(), None);
+    world.finish();
+}
+
 // Symptom: an append is both refused and committed.
 // Sequence: the user takes an append back at every stage of its way.
 // Cause: taking back what has already left. Only what still waits is taken back.
@@ -434,8 +533,8 @@
 fn a_claim_that_arrives_late_is_taken_up(#[values(50, 450, 3_000)] millis: u64) {
     let mut world = World::new(1, 15);
     world.aimed = vec![(puts_head, Fault::AppliedLate(millis)); 3];
-    world.run(5_000);
-    assert_eq!(world.owner(), Some(0));
+    world.run(700);
+    assert_eq!(world.owner(), Some(0), "without waiting for a lapse");
     world.finish();
 }
 
--- a/crates/ledger/tests/model.rs
+++ b/crates/ledger/tests/model.rs
@@ -113,7 +113,7 @@
         cases: 1000,
         rng_seed: RngSeed::Fixed(0x6c65_6467),
         failure_persistence: None,
-        max_shrink_iters: 300,
+        max_shrink_iters: 60,
         ..ProptestConfig::default()
     })]
 
--- a/crates/ledger/tests/support/world.rs
+++ b/crates/ledger/tests/support/world.rs
@@ -1,6 +1,6 @@
 //! Nodes, one store and virtual time.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use notch_ledger::{
     AppendTicket, AppendUrgency, LedgerShard, ObjectKey, RecordPlace, Seq, SeqRange, ShardEffect,
@@ -65,6 +65,8 @@
     /// Every record applied since the last `Restore`, from place 0 on: the user's whole state.
     pub state: Vec<Payload>,
     pub owned: Option<Epoch>,
+    /// Epochs lost so far.
+    pub lost: BTreeSet<Epoch>,
     pub observed: Option<(Epoch, Option<VmName>)>,
     /// Counted events.
     pub counts: BTreeMap<Counter, u64>,
@@ -105,6 +107,7 @@
             paused_until: 0,
             state: Vec::new(),
             owned: None,
+            lost: BTreeSet::new(),
             observed: None,
             counts: BTreeMap::new(),
         };
@@ -211,6 +214,12 @@
         };
         let holders = (0..self.nodes.len()).filter(holds).collect::<Vec<_>>();
         assert!(holders.len() <= 1, "two leases are held: {holders:?}");
+        for shard in self.nodes.iter().filter_map(|node| node.shard.as_ref()) {
+            assert!(
+                shard.queued_bytes() <= shard.settings().max_queue_bytes,
+                "queue over its bound"
+            );
+        }
     }
 
     fn carry(&mut self, index: usize, effect: ShardEffect) {
@@ -249,6 +258,7 @@
             ShardEffect::Lost { epoch } => {
                 let node = &mut self.nodes[index];
                 assert!(node.owned.is_none_or(|owned| owned == epoch));
+                assert!(node.lost.insert(epoch), "an epoch is lost twice");
                 node.owned = None;
             }
             ShardEffect::Observed { epoch, owner } => {
