Call a drain off, and don't take a slow probe for a freeze

Cause: a leaving entry that is retired left the sidecar idle for good; on a busy VM slow probes would end every answer; a second leave after the drain never heard of its end. Change: GateEvent::Stay; a target whose answers still come is not frozen; Drained is told again. Conclusion: only the process's own signal is final.

--- a/crates/gate/src/event.rs
+++ b/crates/gate/src/event.rs
@@ -98,6 +98,8 @@
     },
     /// Leave: an own signal, or the catalogue says so.
     Leave,
+    /// The catalogue no longer says that this VM leaves.
+    Stay,
     /// The time asked for by `next_wake` came.
     Wake,
 }
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -134,6 +134,7 @@
                 self.order_ended(now, epoch, order, outcome, effects);
             }
             GateEvent::Leave => self.leave(now, effects),
+            GateEvent::Stay => self.stay(now, effects),
             GateEvent::Wake => {}
         }
     }
--- a/crates/gate/src/gate/leaving.rs
+++ b/crates/gate/src/gate/leaving.rs
@@ -17,6 +17,10 @@
 
     pub(super) fn leave(&mut self, now: MonoTime, effects: &mut Vec<GateEffect>) {
         if std::mem::replace(&mut self.core.leaving, true) {
+            // Told again, perhaps by another: that one must hear of the end too.
+            if self.is_drained {
+                effects.push(GateEffect::Drained);
+            }
             return;
         }
         let until = now + self.core.settings.drain_bound;
@@ -41,8 +45,21 @@
         }
     }
 
+    /// Takes work again. Gateways learn it from the next load report.
+    pub(super) fn stay(&mut self, now: MonoTime, effects: &mut Vec<GateEffect>) {
+        if std::mem::replace(&mut self.core.leaving, false) {
+            self.drain_until = None;
+            self.is_drained = false;
+            GateCore::count("drains_called_off", effects);
+            self.pump_all(now, effects);
+        }
+    }
+
     /// The bound is over: what still runs is stopped.
     pub(super) fn drain_over(&mut self, now: MonoTime, effects: &mut Vec<GateEffect>) {
+        if self.drain_until.is_none_or(|until| now < until) {
+            return;
+        }
         for state in self.targets.values_mut() {
             let runs: Vec<AttemptId> = state.online.iter().chain(&state.batch).copied().collect();
             for run in runs {
--- a/crates/gate/tests/batch.rs
+++ b/crates/gate/tests/batch.rs
@@ -142,6 +142,21 @@
     assert!(ended.contains(&GateEffect::Drained));
 }
 
+#[test]
+fn a_drain_called_off_takes_work_again_and_a_second_word_is_answered() {
+    // Symptom: a VM kept after all serves nothing until restarted; or its stop never ends.
+    // Sequence: an entry says that it leaves, then not; later two tell it to leave.
+    // Cause: leaving was for ever, and its end was told only once.
+    let mut bench = Bench::new(still(), fixed(2));
+    assert!(bench.say(SidecarMessage::Drain).contains(&GateEffect::Drained));
+    bench.feed(GateEvent::Stay);
+    assert_eq!(starts(&bench.say(SidecarMessage::Offer(offer(1, 9_000)))), [attempt(1)]);
+    bench.pass(60_000);
+    bench.end(attempt(1), RunEnd::Stopped);
+    assert!(bench.feed(GateEvent::Leave).contains(&GateEffect::Drained));
+    assert!(bench.feed(GateEvent::Leave).contains(&GateEffect::Drained));
+}
+
 #[test]
 fn a_drain_ends_within_its_bound() {
     let settings = GateSettings { drain_bound: Duration::from_secs(2), ..still() };
--- a/crates/sidecar/examples/cost.rs
+++ b/crates/sidecar/examples/cost.rs
@@ -3,6 +3,8 @@
 //!
 //! `cargo run --release -p notch-sidecar --example cost`
 
+#![expect(clippy::print_stdout, reason = "its answers are its figures")]
+
 #[path = "../tests/common/mod.rs"]
 mod common;
 
--- a/crates/sidecar/src/control.rs
+++ b/crates/sidecar/src/control.rs
@@ -62,6 +62,10 @@
     /// Kept over events so that it isn't allocated anew.
     effects: Vec<GateEffect>,
     last_tick: Instant,
+    /// Whether a catalogue entry says that this VM leaves.
+    leaves_by_entry: bool,
+    /// Whether the process itself was told to end.
+    leaves_for_good: bool,
 }
 
 impl ControlLoop {
@@ -78,6 +82,8 @@
             stops: FastMap::default(),
             effects: Vec::new(),
             last_tick: Instant::now(),
+            leaves_by_entry: false,
+            leaves_for_good: false,
             parts,
         }
     }
@@ -133,7 +139,10 @@
                 self.feed(GateEvent::Holdings(holdings));
             }
             ControlEvent::Cache(report) => self.take_cache(&report),
-            ControlEvent::Leave => self.feed(GateEvent::Leave),
+            ControlEvent::Leave => {
+                self.leaves_for_good = true;
+                self.feed(GateEvent::Leave);
+            }
             ControlEvent::Explain { subject, answer } => {
                 // The asker may be gone; nothing to do then.
                 let _ = answer.try_send(self.notes.explain(&subject));
@@ -206,9 +215,14 @@
             reserve_share: policy.online_reserve,
         }));
         self.refresh_targets();
-        if self.entries.leaving_vms().contains(&self.parts.settings.config.node.vm) {
+        let is_leaving = self.entries.leaving_vms().contains(&self.parts.settings.config.node.vm);
+        let was_leaving = std::mem::replace(&mut self.leaves_by_entry, is_leaving);
+        if is_leaving && !was_leaving {
             self.feed(GateEvent::Leave);
         }
+        if was_leaving && !is_leaving && !self.leaves_for_good {
+            self.feed(GateEvent::Stay);
+        }
     }
 
     /// Tells the gate of targets that came, went or changed.
@@ -301,7 +315,9 @@
             GateEffect::Note(note) => self.notes.record(now, note),
             GateEffect::Drained => {
                 self.log.info("drained", &[]);
-                self.parts.drained.close();
+                if self.leaves_for_good {
+                    self.parts.drained.close();
+                }
             }
         }
     }
--- a/crates/sidecar/src/handle.rs
+++ b/crates/sidecar/src/handle.rs
@@ -1,11 +1,17 @@
 //! Starts a sidecar and stops it.
 
-use std::{net::SocketAddr, sync::Arc, thread, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, atomic::AtomicU64},
+    thread,
+    time::Duration,
+};
 
 use async_channel::Receiver;
 use async_std::task;
 use notch_http::prelude::ServerHandle;
 use notch_link::prelude::*;
+use notch_messages::prelude::TargetOrder;
 use notch_target::prelude::*;
 use notch_telemetry::prelude::Metrics;
 use notch_types::prelude::*;
@@ -54,6 +60,7 @@
         let metrics = Arc::new(Metrics::new(&node.vm, &node.domain));
         let status = Arc::new(ServingStatus::default());
         let (events, queue) = event_queue();
+        let activity = Arc::new(AtomicU64::new(0));
         let target = target_link(&settings);
         let pages = serve_pages(listen.metrics, Arc::clone(&metrics), Arc::clone(&status)).await?;
         let listener =
@@ -73,6 +80,7 @@
                 board: Arc::new(RunBoard::default()),
                 timings: Arc::new(TimingBoard::default()),
                 warm: Arc::new(WarmBoard::default()),
+                activity: Arc::clone(&activity),
                 metrics: Arc::clone(&metrics),
                 events: events.clone(),
             },
@@ -86,7 +94,8 @@
             .name("notch-control".to_owned())
             .spawn(move || ControlLoop::new(parts).run(queue))
             .map_err(SidecarError::Thread)?;
-        start_pollers(&settings, &target, &events, probe_wakes, order_queue);
+        let poller = || target_poller(&settings, &target, &events, &activity);
+        start_pollers(poller, settings.is_engine(), probe_wakes, order_queue);
         Ok(Self {
             vm: node.vm,
             incarnation,
@@ -136,8 +145,8 @@
         self.events.post(ControlEvent::Leave);
     }
 
-    /// Waits until nothing runs and nothing is owed any more, by [`SidecarHandle::leave`], a
-    /// gateway's word or a catalogue entry.
+    /// Waits until nothing runs and nothing is owed any more after [`SidecarHandle::leave`]. A
+    /// drain told by gateways or the catalogue alone doesn't end this: it may be called off.
     pub async fn left(&self) {
         // The sender never sends: it is closed at the end.
         let _ = self.drained.recv().await;
@@ -204,27 +213,35 @@
     })
 }
 
-fn start_pollers(
+fn target_poller(
     settings: &SidecarSettings,
     target: &Arc<dyn TargetLink>,
     events: &EventSender,
-    probe_wakes: Receiver<()>,
-    orders: Receiver<notch_messages::prelude::TargetOrder>,
-) {
+    activity: &Arc<AtomicU64>,
+) -> TargetPoller {
     let config = &settings.config.target;
-    let poller = || TargetPoller {
+    TargetPoller {
         target: Arc::clone(target),
         events: events.clone(),
+        activity: Arc::clone(activity),
         poll: config.poll,
         probe_timeout: config.connect_timeout,
         holdings_poll: settings.holdings_poll,
         slots: if settings.is_engine() { config.slots } else { 0 },
-    };
+    }
+}
+
+/// Starts the tasks that watch the target and give it orders; they end with the control thread.
+fn start_pollers(
+    poller: impl Fn() -> TargetPoller,
+    is_engine: bool,
+    probe_wakes: Receiver<()>,
+    orders: Receiver<TargetOrder>,
+) {
     task::spawn(poller().watch_health(probe_wakes));
     let (order_done, order_wakes) = async_channel::bounded(1);
-    if settings.is_engine() {
+    if is_engine {
         task::spawn(poller().watch_holdings(order_wakes));
     }
-    let given = TargetPoller::give_orders(Arc::clone(target), events.clone(), orders, order_done);
-    task::spawn(given);
+    task::spawn(poller().give_orders(orders, order_done));
 }
--- a/crates/sidecar/src/poller.rs
+++ b/crates/sidecar/src/poller.rs
@@ -1,6 +1,12 @@
 //! Watches the target: whether it answers, what it holds, what it caches.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
 
 use async_channel::Receiver;
 use async_std::{future::timeout, task};
@@ -11,7 +17,7 @@
 use crate::control::{ControlEvent, EventSender};
 
 /// Silent or cut probes in a row that make a target frozen.
-const MISSES_FOR_FROZEN: u32 = 2;
+const MISSES_FOR_FROZEN: u32 = 3;
 /// Pause before a probe that was cut or silent is repeated.
 const REPEAT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -19,6 +25,8 @@
 pub(crate) struct TargetPoller {
     pub(crate) target: Arc<dyn TargetLink>,
     pub(crate) events: EventSender,
+    /// Rises with each part of an answer that comes from the target.
+    pub(crate) activity: Arc<AtomicU64>,
     /// Time between two probes.
     pub(crate) poll: Duration,
     /// Longest wait for a probe.
@@ -48,9 +56,11 @@
     }
 
     /// A probe that is cut or silent is repeated: a process that is just dying takes a connection
-    /// and cuts it, and the next one is refused.
+    /// and cuts it, and the next one is refused. A target whose answers still come is not frozen,
+    /// however late its probes: on a busy VM, a slow probe would else end every answer.
     async fn probe_settled(&self) -> TargetProbe {
         let mut misses = 0;
+        let before = self.activity.load(Ordering::Relaxed);
         loop {
             let probe = timeout(self.probe_timeout, self.target.probe()).await;
             match probe.unwrap_or(TargetProbe::Silent) {
@@ -58,6 +68,9 @@
                     misses += 1;
                     task::sleep(REPEAT_PAUSE).await;
                 }
+                TargetProbe::Silent if self.activity.load(Ordering::Relaxed) != before => {
+                    return TargetProbe::Up { instance: None };
+                }
                 settled => return settled,
             }
         }
@@ -87,15 +100,14 @@
 
     /// Gives orders one after the other.
     pub(crate) async fn give_orders(
-        target: Arc<dyn TargetLink>,
-        events: EventSender,
+        self,
         orders: Receiver<TargetOrder>,
         done: async_channel::Sender<()>,
     ) {
         while let Ok(order) = orders.recv().await {
-            let outcome = target.order(&order).await;
+            let outcome = self.target.order(&order).await;
             let (epoch, order) = (order.epoch, order.order);
-            events.gate(GateEvent::OrderEnded { epoch, order, outcome });
+            self.events.gate(GateEvent::OrderEnded { epoch, order, outcome });
             // Full means that a reading is due anyway.
             let _ = done.try_send(());
         }
--- a/crates/sidecar/src/traffic/run_task.rs
+++ b/crates/sidecar/src/traffic/run_task.rs
@@ -1,6 +1,12 @@
 //! One call of the target, from its start to its end.
 
-use std::{sync::Arc, time::Instant};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Instant,
+};
 
 use async_channel::Receiver;
 use futures_util::{
@@ -27,6 +33,7 @@
     pub(crate) board: Arc<RunBoard>,
     pub(crate) timings: Arc<TimingBoard>,
     pub(crate) warm: Arc<WarmBoard>,
+    pub(crate) activity: Arc<AtomicU64>,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) events: EventSender,
 }
@@ -158,6 +165,7 @@
     }
 
     fn bytes(&mut self, bytes: &[u8]) {
+        self.context.activity.fetch_add(1, Ordering::Relaxed);
         self.buffer.append(bytes, &self.context.links);
         let now = Instant::now();
         match self.last.replace(now) {
