Free the very attempt that a release names; hold no unclaimed once-items back

Cause: release records are appended again when their answer was lost, so one can be applied twice; the second time it freed the queue's entry of a later attempt whose own release was still on its way, and a pull took the item too early. Found by reading after a mutation survived. Ruled out: a second run (the ledger still refused the claim); the harm was an item stuck in its queue. Change: the queue remembers which attempt is being released. After a takeover items that may run once and are not claimed leave at once: they never left.

--- a/crates/jobs/src/dispatch/job_queue.rs
+++ b/crates/jobs/src/dispatch/job_queue.rs
@@ -28,8 +28,9 @@
     Claiming,
     /// Claimed, and nobody knows whether it ran; it ends as unknown unless news comes.
     Unsure,
-    /// The release of its claim waits for the commit.
-    Releasing,
+    /// The release of this attempt's claim waits for the commit. The attempt is named because
+    /// the release of an earlier one may be applied twice.
+    Releasing(u64),
     /// Its result waits for the commit.
     Ending,
 }
@@ -157,7 +158,7 @@
         self.tracked.entry(item.0).or_insert_with(|| {
             let tries = job.tries(item).cloned().unwrap_or_default();
             ItemTrack {
-                place: ItemPlace::Releasing,
+                place: ItemPlace::Unsure,
                 attempts: tries.attempts,
                 issued: 0,
                 crashed_on: tries.crashed_on,
--- a/crates/jobs/src/service/ownership.rs
+++ b/crates/jobs/src/service/ownership.rs
@@ -1,5 +1,7 @@
 //! Start and end of a term of ownership, and what records mean to the owner.
 
+use std::time::Duration;
+
 use notch_messages::prelude::*;
 use notch_types::prelude::*;
 
@@ -55,10 +57,13 @@
             if !state.is_running() {
                 continue;
             }
-            let wait =
-                if state.accepted().idempotent { self.settings.takeover_wait } else { lease };
+            // An item that may run once and is not claimed surely never left.
+            let wait = match state.accepted().idempotent {
+                true => self.settings.takeover_wait.min(lease),
+                false => Duration::ZERO,
+            };
             let window = self.settings.takeover_window;
-            let queue = JobQueue::taken_over(state, window, now.mono + wait.min(lease));
+            let queue = JobQueue::taken_over(state, window, now.mono + wait);
             term.queues.insert(*job, queue);
             let claimed = state.claims().keys();
             term.unsure.extend(claimed.map(|item| (until + lease, *job, *item)));
@@ -182,8 +187,9 @@
             LedgerRecord::ItemEnded { job, item, .. } => {
                 self.item_ended(now, ItemKey { job: *job, item: *item }, changed, effects);
             }
-            LedgerRecord::ItemReleased { job, item, .. } => {
-                self.item_released(now, ItemKey { job: *job, item: *item }, effects);
+            LedgerRecord::ItemReleased { job, item, attempt } => {
+                let key = ItemKey { job: *job, item: *item };
+                self.item_released(now, key, *attempt, effects);
             }
             _ => {}
         }
@@ -209,11 +215,12 @@
         }
     }
 
-    fn item_released(&mut self, now: Now, key: ItemKey, effects: &mut Effects) {
+    fn item_released(&mut self, now: Now, key: ItemKey, attempt: u64, effects: &mut Effects) {
         let Some(term) = self.owner.as_mut() else { return };
         give_due(term.settlements.settle(key), effects);
         let queue = term.queues.get_mut(&key.job);
-        let queue = queue.filter(|queue| queue.place(key.item) == Some(ItemPlace::Releasing));
+        let queue =
+            queue.filter(|queue| queue.place(key.item) == Some(ItemPlace::Releasing(attempt)));
         if let Some(queue) = queue {
             let attempts = queue.get(key.item).map_or(0, |track| track.attempts);
             let delay = self.settings.backoff_after(attempts);
--- a/crates/jobs/src/service/results.rs
+++ b/crates/jobs/src/service/results.rs
@@ -202,7 +202,7 @@
         let queue = self.owner.as_mut().and_then(|term| term.queues.get_mut(&job));
         if let (Some(state), Some(queue)) = (state, queue) {
             queue.track(state, item);
-            queue.set_place(item, ItemPlace::Releasing);
+            queue.set_place(item, ItemPlace::Releasing(attempt));
         }
         self.outbox.push(&LedgerRecord::ItemReleased { job, item, attempt });
     }
--- a/crates/jobs/src/service/returns.rs
+++ b/crates/jobs/src/service/returns.rs
@@ -93,7 +93,7 @@
         effects: &mut Effects,
     ) -> ReportFate {
         let waiting =
-            matches!(self.place(back.key), Some(ItemPlace::Ending | ItemPlace::Releasing));
+            matches!(self.place(back.key), Some(ItemPlace::Ending | ItemPlace::Releasing(_)));
         if holds && waiting {
             return ReportFate::Pending;
         }
--- a/crates/jobs/tests/dispatch_failures.rs
+++ b/crates/jobs/tests/dispatch_failures.rs
@@ -191,6 +191,33 @@
     assert_eq!(rig.results(1, 5).expect("results").len(), 12);
 }
 
+// Symptom: an item that may run once runs twice, or its job never ends.
+// Sequence: the release of one attempt is written, its answer lost, so it is appended again; the
+// item leaves as another attempt and comes back; the first release is applied a second time.
+// Cause: a release frees the very attempt that it names, in the ledger and in the queue.
+#[test]
+fn a_release_applied_twice_frees_its_own_attempt_only() {
+    let mut rig = rig();
+    rig.submit(&submission(1, 1, false));
+    let first = rig.pull_lot(0, 1).expect("a lot");
+    rig.prompt = false;
+    rig.give_back(&first, 0, ReturnReason::NotStarted, false);
+    rig.reject_next(RejectKind::Unknown, true);
+    rig.advance(300);
+    let pull = rig.pull(1, 1);
+    let (release, claim) = (rig.open.pop_front(), rig.open.pop_front());
+    rig.open.extend(claim.into_iter().chain(release));
+    rig.commit_next();
+    let Some(ShardAnswer::Lot(second)) = rig.answer(pull).cloned() else { panic!("no lot") };
+    rig.give_back(&second, 0, ReturnReason::NotStarted, false);
+    rig.commit_next();
+    let early = rig.pull(2, 1);
+    assert!(matches!(rig.answer(early), Some(ShardAnswer::NoWork { .. })), "freed too early");
+    rig.prompt = true;
+    rig.commit_all();
+    drain(&mut rig, 1);
+}
+
 // Symptom: another account's big job keeps a small one waiting for hours.
 // Sequence: 300 items of one account, then 6 of another.
 // Cause: accounts take turns by weighted items, whatever their jobs' sizes.
