Doubt a claim only after its subject had time to refute

Change: a claim is disputed for 3 s before it is doubted; a domain that came back does not go again within the window; a suspect gets back the time of a pause, a whole one after a long pause. Conclusion: parted halves come together without harm to either.

--- a/crates/membership/examples/membership_slopes.rs
+++ b/crates/membership/examples/membership_slopes.rs
@@ -5,10 +5,11 @@
 use std::time::{Duration, Instant};
 
 use notch_membership::{
-    MembershipSettings,
+    MemberTable, MembershipSettings,
     probe::{measure, measure_moves, settled_fleet, usual_link},
 };
 use notch_messages::gossip::GossipMessage;
+use notch_types::prelude::*;
 
 fn main() {
     print_memory();
@@ -37,9 +38,36 @@
             moves.most_to_mean,
         );
     }
+    print_parting();
     print_processor_time();
 }
 
+/// The return of two halves that held each other dead.
+fn print_parting() {
+    for nodes in [16, 64, 256] {
+        let mut fleet = settled_fleet(nodes, 4, &MembershipSettings::default(), encoded_bytes);
+        let west = |vm: &VmName| vm.as_str().ends_with(['0', '2', '4', '6', '8']);
+        let until = fleet.now() + Duration::from_secs(60);
+        fleet.run_until(until, &mut |from: &VmName, to: &VmName, at| {
+            if west(from) == west(to) { usual_link(from, to, at) } else { None }
+        });
+        fleet.take_sent();
+        let healed = fleet.now();
+        let whole = |table: &MemberTable| table.roster().len() == nodes;
+        while fleet.running().any(|(_, table)| !whole(table)) {
+            let until = fleet.now() + Duration::from_millis(500);
+            fleet.run_until(until, &mut usual_link);
+        }
+        let taken = fleet.now().since(healed);
+        let until = fleet.now() + Duration::from_secs(60);
+        fleet.run_until(until, &mut usual_link);
+        let bytes = fleet.take_sent().bytes / nodes as u64;
+        println!(
+            "{nodes:5} nodes: halves are one after {taken:?}, {bytes} bytes a node in that and 60 s"
+        );
+    }
+}
+
 /// Processor time of the decisions alone.
 fn print_processor_time() {
     let settings = MembershipSettings::default();
--- a/crates/membership/src/table.rs
+++ b/crates/membership/src/table.rs
@@ -170,7 +170,7 @@
     fn notice_pause(&mut self, now: MonoTime, effects: &mut Vec<MembershipEffect>) {
         let Some(late) = self.pauses.notice(now, self.settings.ack_timeout) else { return };
         self.probes.clear();
-        self.core.extend_suspects(late + self.settings.suspect_timeout);
+        self.core.extend_suspects(now, late);
         effects.push(MembershipEffect::Count(Counter::Event("membership_pauses")));
     }
 
--- a/crates/membership/src/table/core.rs
+++ b/crates/membership/src/table/core.rs
@@ -20,6 +20,10 @@
 
 /// Least time between two challenges of one member.
 const CHALLENGE_INTERVAL: Duration = Duration::from_secs(2);
+/// Time that a member claimed alive has to refute its death before the claim is doubted.
+const DISPUTE_TIME: Duration = Duration::from_secs(3);
+/// Time after which a dispute is forgotten unless somebody claims again.
+const DISPUTE_EXPIRY: Duration = Duration::from_secs(60);
 /// Pings that carry one piece of news besides the push. Few are enough, since digests find what
 /// both have missed.
 const MEMBER_RIDES: u32 = 3;
@@ -38,6 +42,8 @@
     news: NewsQueue<VmName>,
     suspects: BTreeMap<VmName, MonoTime>,
     challenged: BTreeMap<VmName, MonoTime>,
+    /// Members held dead here that somebody claims alive, with the first such claim.
+    disputed: BTreeMap<VmName, MonoTime>,
     /// Not told to the driver yet.
     changed: Vec<MemberUpdate>,
     /// Not told to the sender of the message at hand yet.
@@ -62,6 +68,7 @@
             news: NewsQueue::new(),
             suspects: BTreeMap::new(),
             challenged: BTreeMap::new(),
+            disputed: BTreeMap::new(),
             changed: Vec::new(),
             doubts: Vec::new(),
         };
@@ -167,10 +174,13 @@
         }
     }
 
-    /// Gives every suspect the time that this process did not run.
-    pub(crate) fn extend_suspects(&mut self, by: Duration) {
+    /// Gives every suspect back the time that this process did not run; after a long pause at
+    /// least a whole one, since what was said meanwhile may be lost with the links.
+    pub(crate) fn extend_suspects(&mut self, now: MonoTime, late: Duration) {
+        let whole = self.settings.suspect_timeout;
+        let least = if late >= whole { now + whole } else { now };
         for deadline in self.suspects.values_mut() {
-            *deadline = *deadline + by;
+            *deadline = (*deadline + late).max(least);
         }
     }
 
@@ -204,6 +214,7 @@
     pub(crate) fn tidy(&mut self, now: MonoTime) {
         self.book.forget_dead(now, self.settings.dead_expiry);
         self.challenged.retain(|_, at| now < *at + CHALLENGE_INTERVAL);
+        self.disputed.retain(|_, at| now < *at + DISPUTE_EXPIRY);
     }
 
     /// News to ride on a message.
@@ -284,10 +295,12 @@
         send_news(from, &[refuted], effects);
     }
 
-    /// News that changed nothing: the sender may hold a member alive that is held dead here. The
-    /// member is told, and the sender gets a suspicion, no death: after a parting each side holds
-    /// the other's members dead, and would otherwise bury its own on the other's word. Without
-    /// it a sender that missed the death, and is no partner of the dead, would never hear of it.
+    /// News that changed nothing: the sender may hold a member alive that is held dead here.
+    ///
+    /// The member is told and refutes if it lives. If it does not, the sender has missed the death
+    /// and, being no partner of the dead, would never hear of it: it gets a suspicion at its next
+    /// claim. Not a death, and not at the first claim: after a parting each side holds the other's
+    /// members dead, and would make the other suspect or bury all its own.
     fn take_old(
         &mut self,
         now: MonoTime,
@@ -308,7 +321,10 @@
             MemberState::Dead
         };
         let doubt = MemberUpdate { state, ..held.update.clone() };
-        self.doubts.push(doubt);
+        let first = *self.disputed.entry(update.vm.clone()).or_insert(now);
+        if now >= first + DISPUTE_TIME {
+            self.doubts.push(doubt);
+        }
         self.challenge(now, &update.vm, effects);
     }
 
@@ -350,6 +366,7 @@
         effects: &mut Vec<MembershipEffect>,
     ) {
         let vm = &update.vm;
+        self.disputed.remove(vm);
         match update.state {
             MemberState::Dead => self.rings.remove(vm),
             _ => self.rings.insert(vm),
--- a/crates/membership/src/table/domains.rs
+++ b/crates/membership/src/table/domains.rs
@@ -51,11 +51,14 @@
     window: Duration,
     /// Domains held lost, with the members they had.
     down: BTreeMap<DomainName, usize>,
+    /// When domains came back; one does not go again within the window, or suspicions that still
+    /// travel would make it come and go.
+    back: BTreeMap<DomainName, MonoTime>,
 }
 
 impl DomainWatch {
     pub(crate) fn new(window: Duration) -> Self {
-        Self { window, down: BTreeMap::new() }
+        Self { window, down: BTreeMap::new(), back: BTreeMap::new() }
     }
 
     pub(crate) fn is_down(&self, domain: &DomainName) -> bool {
@@ -64,16 +67,20 @@
 
     /// Looks at all domains after a change.
     pub(crate) fn turns(&mut self, now: MonoTime, book: &MemberBook) -> Vec<DomainTurn> {
+        let window = self.window;
+        self.back.retain(|_, at| now.since(*at) < window);
         let mut turns = Vec::new();
         for (domain, figures) in self.figures(now, book) {
             let size = figures.alive + figures.lost;
             match self.down.get(&domain) {
+                None if self.back.contains_key(&domain) => {}
                 None if figures.lost >= LEAST_LOST && figures.lost * 2 > size => {
                     self.down.insert(domain.clone(), size);
                     turns.push(DomainTurn::Down(domain));
                 }
                 Some(size) if figures.alive * 2 > *size => {
                     self.down.remove(&domain);
+                    self.back.insert(domain.clone(), now);
                     turns.push(DomainTurn::Up(domain));
                 }
                 _ => {}
--- a/crates/membership/tests/member_failures.rs
+++ b/crates/membership/tests/member_failures.rs
@@ -94,6 +94,9 @@
     let leaver = list[3].vm.clone();
     match source {
         0 => {
+            // It has just pushed something else, and ends before the next push is due.
+            let event = MembershipEvent::RumorLocal { rumor: quarantine(1, 1), urgent: true };
+            fleet.tell(&leaver, event, &mut usual_link);
             fleet.tell(&leaver, MembershipEvent::Leave, &mut usual_link);
             fleet.stop(&leaver);
         }
@@ -145,6 +148,102 @@
     assert!(rosters(&fleet).iter().all(|roster| roster.len() == NODES));
 }
 
+// Symptom: a gateway that runs again after a pause holds a healthy one dead at once.
+// Sequence: it suspects another for a moment; its own VM is frozen; the refutation is lost with the
+// links that broke meanwhile; it wakes.
+// Cause: the time to refute ran out while it could not have heard.
+#[test]
+fn a_suspect_has_its_time_again_after_a_pause() {
+    let list = listed_fleet(2, 1);
+    let random = SmallRng::seed_from_u64(5);
+    let settings = MembershipSettings::default();
+    let mut table = MemberTable::new(identity_of(&list[0], 0), settings, random);
+    let other = MemberTable::new(
+        identity_of(&list[1], 0),
+        MembershipSettings::default(),
+        SmallRng::seed_from_u64(6),
+    );
+    let (from, message) = (list[1].vm.clone(), GossipMessage::Members { members: other.members() });
+    let mut effects = Vec::new();
+    let joined = MembershipEvent::Received { from, message };
+    table.handle(Now::at_millis(0), joined, &mut effects);
+    let mut now = 0;
+    let state = |table: &MemberTable| {
+        table.members().iter().find(|member| member.vm == list[1].vm).map(|member| member.state)
+    };
+    while state(&table) == Some(MemberState::Alive) && now < 20_000 {
+        now = table.next_wake().map_or(now + 10, |wake| wake.0 / 1_000);
+        table.handle(Now::at_millis(now), MembershipEvent::Tick, &mut effects);
+    }
+    assert_eq!(state(&table), Some(MemberState::Suspect));
+    let woken = now + 60_000;
+    table.handle(Now::at_millis(woken), MembershipEvent::Tick, &mut effects);
+    table.handle(Now::at_millis(woken + 3_000), MembershipEvent::Tick, &mut effects);
+    assert_eq!(state(&table), Some(MemberState::Suspect));
+    for second in 4..30 {
+        table.handle(Now::at_millis(woken + second * 1_000), MembershipEvent::Tick, &mut effects);
+    }
+    assert_eq!(state(&table), Some(MemberState::Dead));
+}
+
+// Symptom: one gateway never uses another that everybody else does.
+// Sequence: all messages that carried the news to it were lost, and no further news comes.
+// Cause: news is sent a few times only, and nobody compares afterwards.
+#[test]
+fn a_member_that_no_news_told_of_is_found_by_digests() {
+    let list = listed_fleet(3, 1);
+    let table = |node: usize| {
+        let identity = identity_of(&list[node], 0);
+        let random = SmallRng::seed_from_u64(node as u64);
+        MemberTable::new(identity, MembershipSettings::default(), random)
+    };
+    let mut tables = [table(0), table(1)];
+    let mut queue = vec![(0, 1, GossipMessage::Members { members: tables[1].members() })];
+    let others =
+        GossipMessage::Members { members: [tables[0].members(), table(2).members()].concat() };
+    queue.push((1, 0, others));
+    for step in 0..200 {
+        let now = Now::at_millis(step * 100);
+        let mut effects = Vec::new();
+        for (node, table) in tables.iter_mut().enumerate() {
+            let mut own = Vec::new();
+            table.handle(now, MembershipEvent::Tick, &mut own);
+            effects.extend(own.into_iter().map(|effect| (node, effect)));
+        }
+        for (to, from, message) in std::mem::take(&mut queue) {
+            let from = list[from].vm.clone();
+            let mut own = Vec::new();
+            let table: &mut MemberTable = &mut tables[to];
+            table.handle(now, MembershipEvent::Received { from, message }, &mut own);
+            effects.extend(own.into_iter().map(|effect| (to, effect)));
+        }
+        // Pings and answers pass without what rides on them; news is lost.
+        for (node, effect) in effects {
+            let MembershipEffect::Send { to, message } = effect else { continue };
+            let (members, rumors) = (vec![], vec![]);
+            let bare = match message {
+                // The third answers, and says nothing else.
+                GossipMessage::Ping { sequence, .. } if to == list[2].vm => {
+                    queue.push((node, 2, GossipMessage::Ack { sequence, members, rumors }));
+                    continue;
+                }
+                GossipMessage::Ping { sequence, .. } => {
+                    GossipMessage::Ping { sequence, members, rumors }
+                }
+                GossipMessage::Ack { sequence, .. } => {
+                    GossipMessage::Ack { sequence, members, rumors }
+                }
+                GossipMessage::News { .. } => continue,
+                other => other,
+            };
+            if let Some(place) = list[..2].iter().position(|listed| listed.vm == to) {
+                queue.push((place, node, bare));
+            }
+        }
+    }
+    assert!(tables[0].members().iter().any(|member| member.vm == list[2].vm));
+}
+
 // Symptom: the loss of a domain shows as a minute of moves, many onto gateways that are lost too.
 // Sequence: all gateways of one domain go silent at once.
 // Cause: each loss is found and acted on by itself.
@@ -185,10 +284,11 @@
 }
 
 // Symptom: after the link between two regions is back, each goes on alone; or they come back one by
-// one over many minutes.
+// one over many minutes; or healthy gateways come and go for a while.
 // Sequence: the regions lose each other for an hour, each holds the other's gateways dead and none
-// pings a dead one.
-// Cause: nobody tries the dead, or one that is tried never learns that it is held dead.
+// pings a dead one; then each claims its own alive before the other.
+// Cause: nobody tries the dead, or one that is tried never learns that it is held dead, or the
+// claims are answered with suspicions that travel through the region whose gateways they are.
 #[test]
 fn regions_parted_for_an_hour_go_on_and_come_together() {
     let (mut fleet, list) = fleet();
@@ -205,10 +305,16 @@
     assert_eq!(halves.len(), 2, "each half is of one mind");
     assert!(halves.iter().all(|half| half.len() == NODES / 2));
 
-    let healed = fleet.now();
+    fleet.take_told();
     run(&mut fleet, 30);
     assert!(rosters(&fleet).iter().all(|roster| roster.len() == NODES), "{:?}", rosters(&fleet));
-    assert!(fleet.now().since(healed) <= Duration::from_secs(30));
+    let told = fleet.take_told();
+    let suspected = MembershipEffect::Count(Counter::Event("members_suspected"));
+    assert_eq!(count(&told, |effect| *effect == suspected), 0, "nobody doubts its own half");
+    let refuted = MembershipEffect::Count(Counter::Event("member_refutations"));
+    let refutations = count(&told, |effect| *effect == refuted);
+    assert!(refutations <= 2 * NODES, "{refutations} refutations");
+    assert_eq!(count(&told, |effect| matches!(effect, MembershipEffect::DomainDown(_))), 0);
 }
 
 // Symptom: a restarted gateway is taken for dead for hours.
