Heed what routing and HTTP ask of the gateway

Cause: found by the builders of those crates: a sidecar's own word that it leaves outlived its restart; accounts were judged as if this gateway were the only one; job uploads over 8 MB met the server's default limit; settings in [limits] were not passed on; and a keyed refusal could say 'not run' although an earlier send ran through a gateway that can't be asked any more. Change: SidecarDraining, GatewayCount, server limits from the settings, and doubt_other_gateways on: the promise that 'not run' is true goes before the wish to say it during an outage. Conclusion: keyed requests are refused as 'unknown' unless the ledger spoke.

--- a/crates/gateway/src/control/core.rs
+++ b/crates/gateway/src/control/core.rs
@@ -389,6 +389,8 @@
         let partners = self.members.partners();
         if roster != self.roster {
             self.roster = roster.clone();
+            let gateways = roster.len() as u32;
+            self.route(RouterEvent::GatewayCount(gateways));
             self.links.balance(&roster);
         }
         self.set_list_pace();
@@ -430,11 +432,9 @@
                     self.steps.push_back(ControlStep::ToSidecar { to, message });
                 }
             }
-            RumorTopic::VmLeaving(vm) => {
-                if !self.listed_leaving.contains(vm) {
-                    self.listed_leaving.push(vm.clone());
-                    self.mark_leaving();
-                }
+            RumorTopic::VmLeaving(vm) if !self.listed_leaving.contains(vm) => {
+                self.listed_leaving.push(vm.clone());
+                self.mark_leaving();
             }
             RumorTopic::Suspect(fingerprint, vm) => {
                 let alone = codec::decode(&rumor.value).unwrap_or(false);
--- a/crates/gateway/src/control/core_links.rs
+++ b/crates/gateway/src/control/core_links.rs
@@ -142,7 +142,8 @@
             GatewayMessage::Leaving => {
                 let event = PlacementEvent::TargetLeaving { vm: vm.clone(), leaving: true };
                 self.steps.push_back(ControlStep::Placement(event));
-                self.steps.push_back(ControlStep::Route(RouterEvent::SidecarLeaving { vm }));
+                // Its own word holds until it starts again; the VM list's and an operator's, longer.
+                self.steps.push_back(ControlStep::Route(RouterEvent::SidecarDraining { vm }));
             }
             // The link's own task gives these to the answers on their way.
             GatewayMessage::Started { .. }
--- a/crates/gateway/src/control/inbox.rs
+++ b/crates/gateway/src/control/inbox.rs
@@ -30,6 +30,18 @@
     depth: Arc<AtomicUsize>,
 }
 
+/// What waiting for an event brought.
+#[derive(Debug)]
+#[expect(clippy::large_enum_variant, reason = "one at a time, on the stack of one thread")]
+pub enum NextEvent {
+    /// An event.
+    Event(ControlEvent),
+    /// Nothing in time.
+    TimedOut,
+    /// Every sender is gone.
+    Closed,
+}
+
 /// A connected pair.
 pub fn control_channel() -> (ControlInbox, ControlQueue) {
     let (sender, receiver) = mpsc::channel();
@@ -51,18 +63,15 @@
 }
 
 impl ControlQueue {
-    /// The next event; `Ok(None)` when `wait` is over, `Err` when every sender is gone.
-    ///
-    /// # Errors
-    /// When no event can come any more.
-    pub fn next(&self, wait: Duration) -> Result<Option<ControlEvent>, ()> {
+    /// The next event, waited for.
+    pub fn next(&self, wait: Duration) -> NextEvent {
         match self.receiver.recv_timeout(wait) {
             Ok(event) => {
                 self.depth.fetch_sub(1, Ordering::Relaxed);
-                Ok(Some(event))
+                NextEvent::Event(event)
             }
-            Err(RecvTimeoutError::Timeout) => Ok(None),
-            Err(RecvTimeoutError::Disconnected) => Err(()),
+            Err(RecvTimeoutError::Timeout) => NextEvent::TimedOut,
+            Err(RecvTimeoutError::Disconnected) => NextEvent::Closed,
         }
     }
 
--- a/crates/gateway/src/control/thread.rs
+++ b/crates/gateway/src/control/thread.rs
@@ -8,7 +8,11 @@
 use notch_telemetry::prelude::Timing;
 use notch_types::prelude::*;
 
-use crate::control::{core::ControlCore, event::ControlEvent, inbox::ControlQueue};
+use crate::control::{
+    core::ControlCore,
+    event::ControlEvent,
+    inbox::{ControlQueue, NextEvent},
+};
 
 /// Longest sleep without an event; also how often gauges are set.
 const LONGEST_SLEEP: Duration = Duration::from_millis(200);
@@ -44,10 +48,13 @@
     loop {
         let now = clock.now().mono;
         let wait = core.next_wake().map_or(LONGEST_SLEEP, |due| due.since(now));
-        let Ok(first) = queue.next(wait.min(LONGEST_SLEEP)) else { break };
-        let mut event = first;
-        for _ in 0..BATCH {
-            let Some(next) = event else { break };
+        let mut event = match queue.next(wait.min(LONGEST_SLEEP)) {
+            NextEvent::Event(event) => Some(event),
+            NextEvent::TimedOut => None,
+            NextEvent::Closed => return,
+        };
+        for taken in 1..=BATCH {
+            let Some(next) = event.take() else { break };
             if matches!(next, ControlEvent::Stop) {
                 core.links.close();
                 return;
@@ -55,15 +62,9 @@
             let started = Instant::now();
             core.handle(clock.now(), next);
             core.metrics.observe(Timing::ControlStep, started.elapsed());
-            event = queue.try_next();
-        }
-        if let Some(left) = event {
-            // Looked at already, so it can't go back into the queue.
-            if matches!(left, ControlEvent::Stop) {
-                core.links.close();
-                return;
+            if taken < BATCH {
+                event = queue.try_next();
             }
-            core.handle(clock.now(), left);
         }
         core.tick(clock.now());
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -225,10 +225,7 @@
     config: &GatewayConfig,
     front: Arc<TrafficFront>,
 ) -> Result<(ServerHandle, ServerHandle), GatewayError> {
-    let limits = ServerLimits {
-        max_connections: config.limits.connections as usize,
-        ..ServerLimits::default()
-    };
+    let limits = wiring::server_limits(config);
     let callers = config.listen.callers;
     let traffic = Arc::clone(&front);
     let server = HttpServer::bind(&callers.to_string(), limits.clone(), move |request| {
--- a/crates/gateway/src/wiring.rs
+++ b/crates/gateway/src/wiring.rs
@@ -1,7 +1,10 @@
 //! From a gateway's settings to the settings of its parts.
 
+use std::time::Duration;
+
 use log::LevelFilter;
 use notch_catalogue::CatalogueSettings;
+use notch_http::prelude::ServerLimits;
 use notch_jobs::prelude::JobSettings;
 use notch_ledger::ShardSettings;
 use notch_link::prelude::{LinkSecret, LinkSettings};
@@ -13,6 +16,9 @@
 use notch_telemetry::prelude::{LogSettings, LogStyle};
 use notch_types::prelude::*;
 
+/// Longest time for one request, the upload of a large job over a slow line included.
+const LONGEST_UPLOAD: Duration = Duration::from_secs(3_600);
+
 /// A ledger shard's settings.
 pub fn shard_settings(
     config: &GatewayConfig,
@@ -64,6 +70,9 @@
     };
     settings.retry.max_attempts = config.online.attempts;
     settings.retry.budget_share = config.online.retry_budget;
+    // The brief's promise goes first: "not run" must be true even when an earlier send of the
+    // same key ran through a gateway that can't be asked any more.
+    settings.claim.doubt_other_gateways = true;
     settings
 }
 
@@ -138,3 +147,20 @@
         domain: config.node.domain.clone(),
     }
 }
+
+/// What the callers' server allows. A job's input streams through, so the server's own bound on
+/// bodies is the largest job; the bodies of online requests are bounded where they are read.
+pub fn server_limits(config: &GatewayConfig) -> ServerLimits {
+    let usual = ServerLimits::default();
+    let limits = &config.limits;
+    ServerLimits {
+        max_connections: limits.connections as usize,
+        head_bytes: usual.head_bytes.min(limits.header as usize),
+        body_bytes: config.jobs.max_line.saturating_mul(u64::from(config.jobs.max_items)),
+        head_timeout: limits.header_timeout,
+        body_timeout: limits.idle_timeout,
+        write_timeout: limits.idle_timeout,
+        request_timeout: LONGEST_UPLOAD,
+        ..usual
+    }
+}
