Make the cut-port test send its write on the kept connection

Cause: by hand mutation, an unconditional write over the pooled client went unnoticed: the watch in the test took the kept connection, so the write was never sent a second time. Change: the write goes first; stricter than before, nothing dropped.

--- a/crates/standins/src/vms.rs
+++ b/crates/standins/src/vms.rs
@@ -38,7 +38,7 @@
     real: BTreeMap<VmName, VmRecord>,
     /// The list as it shows.
     shown: BTreeMap<VmName, VmRecord>,
-    /// Changes not shown yet, with the time from which they show; emptied at each reading.
+    /// Changes not shown yet, with the time from which they show; at most those of one lag.
     late: Vec<(Instant, BTreeMap<VmName, VmRecord>)>,
     down: bool,
 }
--- a/crates/standins/tests/objects.rs
+++ b/crates/standins/tests/objects.rs
@@ -382,24 +382,25 @@
     api.call(put("a", "2", condition)).await.expect("written");
     let in_flight = WriteCondition::IfVersion(ObjectVersion(2));
     let in_flight = if condition == WriteCondition::Always { condition } else { in_flight };
-    let watching = api.clone();
-    let watcher = task::spawn(async move { watching.call(watch("b", 0, 60_000)).await });
-    while platform.objects().waiting_watches() == 0 {
-        task::sleep(Duration::from_millis(5)).await;
-    }
+    // The write goes first: it has to go out on the connection kept from the ones before.
     platform.objects().faults().set(FaultSettings::slow(50_000));
     let writing = api.clone();
     let writer = task::spawn(async move { writing.call(put("a", "3", in_flight)).await });
     while platform.objects().late_writes() == 0 {
         task::sleep(Duration::from_millis(5)).await;
     }
+    platform.objects().faults().clear();
+    let watching = api.clone();
+    let watcher = task::spawn(async move { watching.call(watch("b", 0, 60_000)).await });
+    while platform.objects().waiting_watches() == 0 {
+        task::sleep(Duration::from_millis(5)).await;
+    }
     platform.cut().await;
     assert_eq!(writer.await, Err(StoreFailure::Unknown));
     // A watch has no effect; both failures are true of it.
     let watched = watcher.await;
     assert!(matches!(watched, Err(StoreFailure::Unknown | StoreFailure::Unavailable)));
     assert_eq!(api.call(put("a", "4", in_flight)).await, Err(StoreFailure::Unavailable));
-    platform.objects().faults().clear();
     platform.reopen().await;
     assert_eq!(api.call(put("a", "5", in_flight)).await, Ok(StoreReply::Written(ObjectVersion(3))));
 }
