--- a/crates/placement/src/plan/repair.rs
+++ b/crates/placement/src/plan/repair.rs
@@ -164,46 +164,45 @@
         if self.orders.open.values().any(displaced) {
             return true;
         }
-        let full = self.fleet.targets.iter().filter(|(vm, target)| {
-            within.is_none_or(|(domain, _)| target.report.domain == *domain)
-                && target.free_slots() == 0
-                && target.reserved.is_none()
-                && self.could_hold(vm, target, wanted, None)
-        });
-        let mut movable = full.flat_map(|(vm, target)| {
-            target.report.models.iter().map(move |held| (vm, &target.report.domain, &held.model))
-        });
-        let found = movable.find_map(|(vm, domain, model)| {
-            let mover = self.wanted.get(model)?;
-            let to = self.place_aside(mover, domain, within.map(|(_, gain)| gain))?;
-            Some((vm.clone(), to, mover.clone()))
+        let mut movers = self.wanted.values().filter(|mover| mover.model != wanted.model);
+        let found = movers.find_map(|mover| {
+            let (to, census) = self.place_aside(mover)?;
+            let there = &self.fleet.get(&to)?.report.domain;
+            let from = self.fleet.targets.iter().find(|(vm, target)| {
+                let domain = &target.report.domain;
+                let fits = within.is_none_or(|(wanted_domain, gain)| {
+                    domain == wanted_domain && spread_loss(&census, there, domain) < gain
+                });
+                fits && target.holds(&mover.model)
+                    && target.free_slots() == 0
+                    && target.reserved.is_none()
+                    && self.could_hold(vm, target, wanted, None)
+            });
+            Some((from?.0.clone(), to, mover))
         });
         let Some((vm, to, mover)) = found else { return false };
-        let ordered = self.load_at(&to, &mover, MoveReason::Displaced);
+        let ordered = self.load_at(&to, mover, MoveReason::Displaced);
         if ordered {
             self.reserve(&vm, &wanted.model);
         }
         ordered
     }
 
-    /// Where a copy of `mover` can go from `domain`; its spread may get worse by less than `gain`.
-    fn place_aside(
-        &self,
-        mover: &ModelWanted,
-        domain: &DomainName,
-        gain: Option<i64>,
-    ) -> Option<VmName> {
+    /// Where another copy of `mover` can go, if it isn't moving already.
+    fn place_aside(&self, mover: &ModelWanted) -> Option<(VmName, ModelCensus)> {
         let census = self.census(mover);
         if census.count(&[CopyStanding::Coming]) > 0 || self.reserved_for(&mover.model) > 0 {
             return None;
         }
-        let to = self.candidate(mover, &census)?;
-        let there = &self.fleet.get(&to)?.report.domain;
-        let worse = match there == domain {
-            // Within a domain the spread stays, as between domains that differ by one copy.
-            true => -1,
-            false => difference(&census, there, domain),
-        };
-        gain.is_none_or(|gain| worse < gain).then_some(to)
+        Some((self.candidate(mover, &census)?, census))
+    }
+}
+
+/// How much worse a model is spread when a copy goes from one domain to another.
+fn spread_loss(census: &ModelCensus, to: &DomainName, from: &DomainName) -> i64 {
+    match to == from {
+        // Within a domain the spread stays, as between domains that differ by one copy.
+        true => -1,
+        false => difference(census, to, from),
     }
 }
