Split the gateway's control files by job

Change: what follows from changes of the fleet, what machines are told, open calls with their timers, and answers' ways get files of their own.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -1,8 +1,11 @@
 //! The control thread: every decision of a gateway.
 
+pub mod call_table;
 pub mod core;
+mod core_fleet;
 mod core_links;
 mod core_operators;
+mod core_tells;
 pub mod entries_view;
 pub mod event;
 pub mod inbox;
@@ -12,5 +15,6 @@
 pub mod shard_desk;
 pub mod shard_directory;
 pub mod shard_host;
+mod shard_replies;
 pub mod step;
 pub mod thread;
--- a/crates/gateway/src/control/core.rs
+++ b/crates/gateway/src/control/core.rs
@@ -3,24 +3,21 @@
 use std::{collections::VecDeque, sync::Arc, time::Duration};
 
 use async_channel::Sender;
-use notch_catalogue::{CatalogueEffect, CatalogueEvent, CatalogueNode};
+use notch_catalogue::{CatalogueEvent, CatalogueNode};
 use notch_jobs::prelude::ServiceEvent;
-use notch_link::codec;
-use notch_membership::{
-    ListedVm, MemberRoster, MemberTable, MembershipEffect, MembershipEvent, watchers_of,
-};
+use notch_membership::{MemberRoster, MemberTable, MembershipEvent};
 use notch_messages::prelude::*;
-use notch_placement::prelude::{PlacementEffect, PlacementEvent, PlacementPlanner};
-use notch_platform::{PermitFailure, VmRecord, VmRole, VmState};
-use notch_routing::{AccountUse, RouterEvent};
+use notch_placement::prelude::{PlacementEvent, PlacementPlanner};
+use notch_routing::RouterEvent;
 use notch_telemetry::prelude::*;
 use notch_types::prelude::*;
 
 use crate::{
     control::{
-        entries_view::{self, SharedView},
+        core_tells::permit_pause,
+        entries_view::SharedView,
         event::{ControlEvent, StoreUser},
-        link_desk::{LinkDesk, ListedSidecar},
+        link_desk::LinkDesk,
         online_desk::OnlineDesk,
         operator_desk::OperatorDesk,
         shard_desk::{ShardDesk, ShardRead},
@@ -185,7 +182,7 @@
         }
     }
 
-    fn route(&mut self, event: RouterEvent) {
+    pub(super) fn route(&mut self, event: RouterEvent) {
         self.steps.push_back(ControlStep::Route(event));
     }
 
@@ -242,336 +239,6 @@
         }
     }
 
-    fn tell_members(&mut self, now: Now, event: MembershipEvent) {
-        let mut effects = Vec::new();
-        self.members.handle(now, event, &mut effects);
-        for effect in effects {
-            let step = match effect {
-                MembershipEffect::Send { to, message } => {
-                    ControlStep::ToGateway { to, message: LinkMessage::Gossip(message) }
-                }
-                MembershipEffect::Changed(updates) => {
-                    self.log_members(&updates);
-                    for update in &updates {
-                        if update.state == MemberState::Dead {
-                            let gateway = update.vm.clone();
-                            self.route(RouterEvent::GatewayGone { gateway });
-                        }
-                    }
-                    ControlStep::RosterChanged
-                }
-                MembershipEffect::Partners(partners) => ControlStep::Partners(partners),
-                MembershipEffect::DomainDown(domain) => {
-                    self.log.warn("domain_down", &[("lost", &domain)]);
-                    ControlStep::Count(Counter::Event("domains_lost"))
-                }
-                MembershipEffect::DomainUp(domain) => {
-                    self.log.info("domain_up", &[("back", &domain)]);
-                    ControlStep::Count(Counter::Event("domains_back"))
-                }
-                MembershipEffect::RumorNew(rumor) => ControlStep::RumorNew(rumor),
-                MembershipEffect::Count(counter) => ControlStep::Count(counter),
-                MembershipEffect::Note(note) => ControlStep::Note(note),
-            };
-            self.steps.push_back(step);
-        }
-    }
-
-    fn log_members(&self, updates: &[MemberUpdate]) {
-        for update in updates {
-            let state = format!("{:?}", update.state).to_lowercase();
-            self.log.info("member", &[("member", &update.vm), ("state", &state)]);
-        }
-    }
-
-    fn tell_catalogue(&mut self, now: Now, event: CatalogueEvent) {
-        let mut effects = Vec::new();
-        self.catalogue.handle(now, event, &mut effects);
-        let mut changed = false;
-        for effect in effects {
-            let step = match effect {
-                CatalogueEffect::Call(call) => {
-                    ControlStep::Store { user: StoreUser::Catalogue, call }
-                }
-                CatalogueEffect::Send { to, message } => {
-                    ControlStep::ToGateway { to, message: LinkMessage::Gossip(message) }
-                }
-                CatalogueEffect::SendSidecar { to, entries } => {
-                    ControlStep::ToSidecar { to, message: SidecarMessage::Entries(entries) }
-                }
-                CatalogueEffect::Adopted { .. } => {
-                    changed = true;
-                    ControlStep::Count(Counter::Event("entries_adopted"))
-                }
-                CatalogueEffect::Invalid { key, version, faults, .. } => {
-                    let faults: Vec<String> = faults.iter().map(ToString::to_string).collect();
-                    let faults = faults.join("; ");
-                    self.log.warn(
-                        "entry_invalid",
-                        &[("entry", &key.name), ("version", &version), ("faults", &faults)],
-                    );
-                    ControlStep::Count(Counter::Refused(RefusalReason::InvalidEntry))
-                }
-                CatalogueEffect::Ready => {
-                    self.log.info("catalogue_ready", &[]);
-                    changed = true;
-                    ControlStep::Count(Counter::Event("catalogue_ready"))
-                }
-                CatalogueEffect::Surveyed { survey, report } => {
-                    self.operators.surveyed(survey, &report);
-                    ControlStep::Count(Counter::Event("surveys"))
-                }
-                CatalogueEffect::Count(counter) => ControlStep::Count(counter),
-                CatalogueEffect::Note(note) => ControlStep::Note(note),
-            };
-            self.steps.push_back(step);
-        }
-        if changed {
-            self.steps.push_back(ControlStep::EntriesChanged);
-        }
-    }
-
-    fn tell_placement(&mut self, now: Now, event: PlacementEvent) {
-        let mut effects = Vec::new();
-        self.placement.handle(now, event, &mut effects);
-        for effect in effects {
-            match effect {
-                PlacementEffect::Call(call) => {
-                    self.steps.push_back(ControlStep::Store { user: StoreUser::Placement, call });
-                }
-                PlacementEffect::Order(order) => {
-                    let to = order.vm.clone();
-                    let message = SidecarMessage::Order(order);
-                    self.steps.push_back(ControlStep::ToSidecar { to, message });
-                }
-                PlacementEffect::WantPermit { epoch, order, vm, model, version } => {
-                    self.platform.want_permit(epoch, order, vm, model, version);
-                }
-                PlacementEffect::EpochKnown(epoch) => {
-                    self.tell_placement_holder(now, epoch);
-                    for to in self.links.linked(NodeRole::Sidecar) {
-                        let message = SidecarMessage::PlacementEpoch(epoch);
-                        self.steps.push_back(ControlStep::ToSidecar { to, message });
-                    }
-                }
-                PlacementEffect::TellEpoch { vm, epoch } => {
-                    let message = SidecarMessage::PlacementEpoch(epoch);
-                    self.steps.push_back(ControlStep::ToSidecar { to: vm, message });
-                }
-                PlacementEffect::Count(counter) => self.metrics.count(counter),
-                PlacementEffect::Note(note) => self.notes.record(now, note),
-            }
-        }
-    }
-
-    /// Reports and outcomes of orders go to the holder of the lease.
-    fn tell_placement_holder(&mut self, now: Now, epoch: Epoch) {
-        if self.placement.valid_epoch(now) != Some(epoch) {
-            return;
-        }
-        let Ok(value) = codec::encode(&self.vm) else { return };
-        let topic = RumorTopic::PlacementHolder;
-        let rumor = Rumor { topic, version: epoch.0, value: value.into() };
-        let event = MembershipEvent::RumorLocal { rumor, urgent: true };
-        self.steps.push_back(ControlStep::Member(event));
-    }
-
-    fn tell_account_use(&mut self, at: Now, usage: &AccountUse) {
-        let Ok(value) = codec::encode(usage) else { return };
-        let topic = RumorTopic::AccountUse(usage.account.clone(), self.vm.clone());
-        let rumor = Rumor { topic, version: at.wall.0, value: value.into() };
-        let event = MembershipEvent::RumorLocal { rumor, urgent: false };
-        self.steps.push_back(ControlStep::Member(event));
-    }
-
-    fn roster_changed(&mut self, now: Now) {
-        let roster = self.members.roster();
-        let partners = self.members.partners();
-        if roster != self.roster {
-            self.roster = roster.clone();
-            let gateways = roster.len() as u32;
-            self.route(RouterEvent::GatewayCount(gateways));
-            self.links.balance(&roster);
-        }
-        self.set_list_pace();
-        self.with_shards(|shards, steps, reads| shards.roster_changed(now, &roster, steps, reads));
-        let candidates = notch_membership::placement_candidates(&roster, PLACEMENT_CANDIDATES);
-        let rank = candidates.iter().position(|vm| *vm == self.vm).map(|rank| rank as u32);
-        self.steps.push_back(ControlStep::Placement(PlacementEvent::Prefer(rank)));
-        let event = CatalogueEvent::Members { roster, partners };
-        self.steps.push_back(ControlStep::Catalogue(event));
-    }
-
-    /// A few gateways of each domain read the VM list often and tell the others of VMs that are
-    /// leaving; if all did, the list itself would take most of a node's control traffic.
-    fn set_list_pace(&self) {
-        let watchers = watchers_of(&self.domain, &self.roster, LIST_WATCHERS);
-        self.list_pace.set_often(watchers.is_empty() || watchers.contains(&self.vm));
-    }
-
-    fn partners_changed(&mut self, now: Now, partners: Vec<VmName>) {
-        let address = |vm: VmName| {
-            let address = self.members.address_of(&vm);
-            (vm, address)
-        };
-        let partners = partners.into_iter().map(address).collect();
-        self.links.set_partners(partners);
-        self.roster_changed(now);
-    }
-
-    fn take_rumor(&mut self, now: Now, rumor: Rumor) {
-        match &rumor.topic {
-            RumorTopic::ShardOwner(_) | RumorTopic::ShardBacklog(_) => {
-                self.shards.rumor(now, &rumor);
-            }
-            RumorTopic::Quarantine(fingerprint) => {
-                let fingerprints = vec![*fingerprint];
-                self.route(RouterEvent::QuarantineSeen(fingerprints.clone()));
-                for to in self.links.linked(NodeRole::Sidecar) {
-                    let message = SidecarMessage::Quarantined(fingerprints.clone());
-                    self.steps.push_back(ControlStep::ToSidecar { to, message });
-                }
-            }
-            RumorTopic::VmLeaving(vm) if !self.listed_leaving.contains(vm) => {
-                self.listed_leaving.push(vm.clone());
-                self.mark_leaving();
-            }
-            RumorTopic::Suspect(fingerprint, vm) => {
-                let alone = codec::decode(&rumor.value).unwrap_or(false);
-                let (fingerprint, vm) = (*fingerprint, vm.clone());
-                self.route(RouterEvent::SuspectSeen { fingerprint, vm, alone });
-                for to in self.links.linked(NodeRole::Sidecar) {
-                    let message = SidecarMessage::Suspected(vec![fingerprint]);
-                    self.steps.push_back(ControlStep::ToSidecar { to, message });
-                }
-            }
-            RumorTopic::AccountUse(_, gateway) if *gateway != self.vm => {
-                if let Ok(usage) = codec::decode::<AccountUse>(&rumor.value) {
-                    let gateway = gateway.clone();
-                    self.route(RouterEvent::AccountRumor { gateway, usage });
-                }
-            }
-            _ => {}
-        }
-    }
-
-    /// Hands the catalogue in force to every part that goes by it.
-    fn entries_changed(&mut self) {
-        let table = self.catalogue.table();
-        self.view.set(entries_view::traffic_view(table, self.catalogue.is_ready()));
-        let targets = entries_view::target_policies(table);
-        let accounts = entries_view::account_limits(table);
-        let models = entries_view::models_wanted(table);
-        let leaving = table.leaving_vms();
-        let jobs = entries_view::job_policy(table);
-        self.steps.extend([
-            ControlStep::Route(RouterEvent::TargetsChanged(targets)),
-            ControlStep::Route(RouterEvent::AccountsChanged(accounts)),
-            ControlStep::EveryService(ServiceEvent::Policy(jobs)),
-            ControlStep::Placement(PlacementEvent::CatalogueModels(models)),
-            ControlStep::Member(MembershipEvent::LeavingMarked(leaving)),
-        ]);
-        self.mark_leaving();
-    }
-
-    /// Drains sidecars that an operator's entry or the VM list names, and takes it back for those
-    /// that were named before and no longer are.
-    pub(super) fn mark_leaving(&mut self) {
-        let mut leaving = self.catalogue.table().leaving_vms();
-        leaving.extend(self.listed_leaving.iter().cloned());
-        let mut back: Vec<VmName> =
-            self.drained.iter().filter(|vm| !leaving.contains(vm)).cloned().collect();
-        back.sort();
-        for vm in back {
-            self.drained.remove(&vm);
-            let event = PlacementEvent::TargetLeaving { vm: vm.clone(), leaving: false };
-            self.steps.push_back(ControlStep::Placement(event));
-            self.route(RouterEvent::SidecarStaying { vm });
-        }
-        for vm in leaving {
-            if self.drained.insert(vm.clone()) {
-                self.drain_sidecar(&vm);
-            }
-        }
-    }
-
-    fn drain_sidecar(&mut self, vm: &VmName) {
-        self.route(RouterEvent::SidecarLeaving { vm: vm.clone() });
-        let event = PlacementEvent::TargetLeaving { vm: vm.clone(), leaving: true };
-        self.steps.push_back(ControlStep::Placement(event));
-        let message = SidecarMessage::Drain;
-        self.steps.push_back(ControlStep::ToSidecar { to: vm.clone(), message });
-    }
-
-    /// Spreads what the VM list says of leaving sidecars, once for each.
-    fn tell_leaving(&mut self) {
-        for vm in &self.listed_leaving {
-            if self.drained.contains(vm) {
-                continue;
-            }
-            let topic = RumorTopic::VmLeaving(vm.clone());
-            let rumor = Rumor { topic, version: 1, value: Payload::default() };
-            let event = MembershipEvent::RumorLocal { rumor, urgent: true };
-            self.steps.push_back(ControlStep::Member(event));
-        }
-    }
-
-    fn take_vms(&mut self, vms: Vec<VmRecord>) {
-        let mut sidecars = Vec::new();
-        let mut gateways = Vec::new();
-        self.listed_leaving.clear();
-        for record in vms {
-            let leaving = record.state == VmState::Leaving;
-            match record.role {
-                VmRole::Entry => gateways.push(ListedVm {
-                    vm: record.vm,
-                    address: record.address,
-                    domain: record.domain,
-                    leaving,
-                }),
-                VmRole::Target => {
-                    let Ok(address) = record.address.parse() else { continue };
-                    if leaving {
-                        self.listed_leaving.push(record.vm.clone());
-                    }
-                    sidecars.push(ListedSidecar { vm: record.vm, address });
-                }
-            }
-        }
-        for known in self.links.listed() {
-            let listed = sidecars.iter().any(|sidecar| sidecar.vm == known.vm);
-            let linked = self.links.is_linked(&known.vm);
-            if !listed && !linked {
-                let vm = known.vm.clone();
-                self.steps.push_back(ControlStep::Route(RouterEvent::SidecarGone { vm }));
-            }
-        }
-        self.tell_leaving();
-        self.mark_leaving();
-        if self.links.set_sidecars(sidecars) {
-            self.links.balance(&self.roster);
-        }
-        self.steps.push_back(ControlStep::Member(MembershipEvent::VmListed(gateways)));
-    }
-
-    /// Leaves gracefully: new work is refused, shards are handed over, callers get their answers.
-    fn leave(&mut self, now: Now, done: Sender<()>) {
-        self.log.info("leaving", &[]);
-        self.metrics.set(Gauge::Leaving, 1);
-        self.leaving = Some(done);
-        self.steps.push_back(ControlStep::Route(RouterEvent::Leave));
-        self.steps.push_back(ControlStep::Member(MembershipEvent::Leave));
-        self.steps.push_back(ControlStep::Placement(PlacementEvent::Leave));
-        self.with_shards(|shards, steps, reads| shards.leave(now, steps, reads));
-    }
-
-    fn finish_leaving(&mut self) {
-        let quiet = self.online.waiting() == 0 && self.shards.owned() == 0;
-        if quiet && let Some(done) = &self.leaving {
-            let _ = done.try_send(());
-        }
-    }
-
     fn set_gauges(&self) {
         let links =
             [(Gauge::SidecarLinks, NodeRole::Sidecar), (Gauge::GatewayLinks, NodeRole::Gateway)];
@@ -617,22 +284,5 @@
     }
 }
 
-/// How long to wait after the weight store gave no permit.
-fn permit_pause(failure: PermitFailure) -> Duration {
-    match failure {
-        PermitFailure::Throttled { retry_after_ms } => Duration::from_millis(retry_after_ms),
-        PermitFailure::NoSuchVersion => NO_VERSION_PAUSE,
-        PermitFailure::Unavailable | PermitFailure::Malformed => PERMIT_PAUSE,
-    }
-}
-
-/// Gateways of each failure domain that read the VM list often.
-const LIST_WATCHERS: usize = 3;
 /// Time between two settings of the gauges.
 const GAUGE_PERIOD: Duration = Duration::from_millis(200);
-/// Pause after a permit asked for without an answer.
-const PERMIT_PAUSE: Duration = Duration::from_secs(2);
-/// Pause after the weight store said that it has no such version.
-const NO_VERSION_PAUSE: Duration = Duration::from_secs(60);
-/// Gateways ranked for the placement lease.
-const PLACEMENT_CANDIDATES: usize = 3;
--- a/crates/gateway/src/control/shard_desk.rs
+++ b/crates/gateway/src/control/shard_desk.rs
@@ -1,16 +1,16 @@
 //! The ledger shards of this gateway, and calls to the owners of all shards.
 
-use std::{collections::BTreeSet, time::Duration};
+use std::time::Duration;
 
 use notch_jobs::prelude::{ServiceEvent, TargetBacklog};
 use notch_ledger::{ShardEvent, ShardStanding};
 use notch_link::codec;
 use notch_membership::{MemberRoster, MembershipEvent, shard_ranks};
 use notch_messages::prelude::*;
-use notch_routing::RouterEvent;
 use notch_types::{object::StoreResult, prelude::*};
 
 use crate::control::{
+    call_table::CallTable,
     event::StoreUser,
     shard_directory::ShardDirectory,
     shard_host::{HostEffect, RecordRead, ShardHost},
@@ -19,33 +19,13 @@
 
 /// Nodes ranked for each shard; lower ones neither poll nor take over.
 const RANKED: usize = 3;
-/// First and longest wait before a call is sent again.
-const RETRY_MIN: Duration = Duration::from_millis(50);
-const RETRY_MAX: Duration = Duration::from_millis(1_000);
 /// A call without an answer from another gateway is sent again after this.
 const ANSWER_WAIT: Duration = Duration::from_millis(3_000);
-/// Calls that may be open; more are refused as overloaded.
-const MAX_CALLS: usize = 50_000;
 /// What a sidecar is told to wait when no shard is known to have work.
-const IDLE_RETRY_MS: u64 = 250;
+pub(super) const IDLE_RETRY_MS: u64 = 250;
 /// What a refused caller is told to wait.
 const REFUSED_RETRY_MS: u64 = 1_000;
 
-/// A call not yet answered.
-#[derive(Debug)]
-struct OpenCall {
-    shard: ShardId,
-    request: Box<ShardRequest>,
-    reply: ShardReply,
-    /// When it is given up.
-    deadline: MonoTime,
-    /// When it is sent (again).
-    due: MonoTime,
-    backoff: Duration,
-    /// Whether it ever left for an owner: from then on nobody can say that it had no effect.
-    sent: bool,
-}
-
 /// A read that an edge must make for a shard.
 #[derive(Debug)]
 pub enum ShardRead {
@@ -70,15 +50,11 @@
 pub struct ShardDesk {
     vm: VmName,
     hosts: Vec<ShardHost>,
-    directory: ShardDirectory,
-    /// Bound: `MAX_CALLS`; each leaves at its deadline at the latest.
-    calls: FastMap<CallId, OpenCall>,
-    /// Every open call by the time it is looked at again: exactly one element a call.
-    timers: BTreeSet<(MonoTime, CallId)>,
-    next_call: u64,
+    pub(super) directory: ShardDirectory,
+    calls: CallTable,
     /// Raised by one with each backlog told, so that a rumour's versions rise within an epoch.
     told: Vec<u64>,
-    turn: usize,
+    pub(super) turn: usize,
     leaving: bool,
 }
 
@@ -91,9 +67,7 @@
             vm: vm.clone(),
             hosts,
             directory,
-            calls: FastMap::default(),
-            timers: BTreeSet::new(),
-            next_call: 1,
+            calls: CallTable::default(),
             told,
             turn: 0,
             leaving: false,
@@ -118,7 +92,7 @@
     /// When time alone changes something.
     pub fn next_wake(&self) -> Option<MonoTime> {
         let hosts = self.hosts.iter().filter_map(ShardHost::next_wake);
-        hosts.chain(self.timers.first().map(|(due, _)| *due)).min()
+        hosts.chain(self.calls.next_due()).min()
     }
 
     /// Lets time pass.
@@ -211,26 +185,14 @@
         steps: &mut Vec<ControlStep>,
         reads: &mut Vec<ShardRead>,
     ) {
-        if self.calls.len() >= MAX_CALLS || usize::from(shard.0) >= self.hosts.len() {
+        if self.calls.is_full() || usize::from(shard.0) >= self.hosts.len() {
             let refusal = Refusal::not_run(RefusalReason::Overloaded, "too many calls to shards");
             let answer = ShardAnswer::Refused(refusal.retry_after(REFUSED_RETRY_MS));
             self.reply(now, shard, reply, answer, steps);
             return;
         }
-        let call = CallId(self.next_call);
-        self.next_call += 1;
-        let deadline = now.mono + patience(&request);
-        let open = OpenCall {
-            shard,
-            request,
-            reply,
-            deadline,
-            due: now.mono,
-            backoff: RETRY_MIN,
-            sent: false,
-        };
-        self.calls.insert(call, open);
-        self.timers.insert((now.mono, call));
+        let patience = patience(&request);
+        let call = self.calls.open(now.mono, shard, request, reply, patience);
         self.send_call(now, call, steps, reads);
     }
 
@@ -304,36 +266,11 @@
     }
 
     fn send_due(&mut self, now: Now, steps: &mut Vec<ControlStep>, reads: &mut Vec<ShardRead>) {
-        while let Some((due, call)) = self.timers.first().copied() {
-            if due > now.mono {
-                return;
-            }
+        while let Some(call) = self.calls.first_due(now.mono) {
             self.send_call(now, call, steps, reads);
         }
     }
 
-    /// Moves a call's timer; the deadline is never passed over.
-    fn set_due(&mut self, call: CallId, due: MonoTime) {
-        let Some(open) = self.calls.get_mut(&call) else { return };
-        self.timers.remove(&(open.due, call));
-        open.due = due.min(open.deadline);
-        self.timers.insert((open.due, call));
-    }
-
-    fn close_call(&mut self, call: CallId) -> Option<OpenCall> {
-        let open = self.calls.remove(&call)?;
-        self.timers.remove(&(open.due, call));
-        Some(open)
-    }
-
-    /// Sets the time of the next try, twice as far off each time.
-    fn back_off(&mut self, now: Now, call: CallId) {
-        let Some(open) = self.calls.get_mut(&call) else { return };
-        let due = now.mono + open.backoff;
-        open.backoff = (open.backoff * 2).min(RETRY_MAX);
-        self.set_due(call, due);
-    }
-
     fn send_call(
         &mut self,
         now: Now,
@@ -341,7 +278,7 @@
         steps: &mut Vec<ControlStep>,
         reads: &mut Vec<ShardRead>,
     ) {
-        let Some(open) = self.calls.get_mut(&call) else { return };
+        let Some(open) = self.calls.get_mut(call) else { return };
         if open.deadline <= now.mono {
             self.give_up(now, call, steps);
             return;
@@ -353,25 +290,25 @@
             let request = (*open.request).clone();
             let deadline = open.deadline;
             // The service always answers, at the latest when it loses the shard.
-            self.set_due(call, deadline);
+            self.calls.set_due(call, deadline);
             let event = ServiceEvent::Asked { from: self.vm.clone(), call, request };
             self.feed_service(now, place, event, steps, reads);
             return;
         }
         let owner = self.directory.owner(shard).filter(|vm| **vm != self.vm).cloned();
         let Some(owner) = owner else {
-            self.back_off(now, call);
+            self.calls.back_off(now.mono, call);
             return;
         };
         open.sent = true;
         let request = open.request.clone();
-        self.set_due(call, now.mono + ANSWER_WAIT);
+        self.calls.set_due(call, now.mono + ANSWER_WAIT);
         let message = LinkMessage::Shard(ShardCall::Ask { call, shard, request });
         steps.push(ControlStep::ToGateway { to: owner, message });
     }
 
     fn give_up(&mut self, now: Now, call: CallId, steps: &mut Vec<ControlStep>) {
-        let Some(open) = self.close_call(call) else { return };
+        let Some(open) = self.calls.close(call) else { return };
         let reason = RefusalReason::StoreUnavailable;
         let refusal = if open.sent {
             Refusal::unknown(reason, "the shard's owner did not answer in time; a resend is safe")
@@ -392,91 +329,20 @@
         answer: ShardAnswer,
         steps: &mut Vec<ControlStep>,
     ) {
-        if !self.calls.contains_key(&call) {
+        if !self.calls.contains(call) {
             steps.push(ControlStep::Count(Counter::Dropped(DropReason::LateAnswer)));
             return;
         }
         if let ShardAnswer::NotOwner { owner } = answer {
             steps.push(ControlStep::Count(Counter::Retried(RetryReason::OwnerMoved)));
             self.directory.owner_seen(shard, epoch, owner);
-            self.back_off(now, call);
+            self.calls.back_off(now.mono, call);
             return;
         }
-        let Some(open) = self.close_call(call) else { return };
+        let Some(open) = self.calls.close(call) else { return };
         self.reply(now, shard, open.reply, answer, steps);
     }
 
-    fn reply(
-        &mut self,
-        now: Now,
-        shard: ShardId,
-        reply: ShardReply,
-        answer: ShardAnswer,
-        steps: &mut Vec<ControlStep>,
-    ) {
-        match reply {
-            ShardReply::Traffic(sender) => {
-                // A caller that hung up no longer listens.
-                let _ = sender.try_send(answer);
-            }
-            ShardReply::Claim { request, attempt } => {
-                let result = match answer {
-                    ShardAnswer::Claim(verdict) => Ok(verdict),
-                    ShardAnswer::Refused(refusal) => Err(refusal),
-                    _ => Err(strange_answer()),
-                };
-                steps.push(ControlStep::Route(RouterEvent::ClaimAnswered {
-                    request,
-                    attempt,
-                    result,
-                }));
-            }
-            ShardReply::Fetch { request } => {
-                let result = match answer {
-                    ShardAnswer::Answer(stored) => Ok(stored),
-                    ShardAnswer::Refused(refusal) => Err(refusal),
-                    _ => Err(strange_answer()),
-                };
-                steps.push(ControlStep::Route(RouterEvent::AnswerFetched { request, result }));
-            }
-            ShardReply::Record { request } => {
-                let ok = !matches!(answer, ShardAnswer::Refused(_));
-                steps.push(ControlStep::Route(RouterEvent::AnswerRecorded { request, ok }));
-            }
-            ShardReply::Pull { vm, target } => {
-                let message = self.pull_answer(now, shard, target, answer);
-                steps.push(ControlStep::ToSidecar { to: vm, message });
-            }
-            ShardReply::Items { vm } => {
-                if let ShardAnswer::ItemsSettled(items) = answer {
-                    let message = SidecarMessage::ItemsSettled(items);
-                    steps.push(ControlStep::ToSidecar { to: vm, message });
-                }
-            }
-            ShardReply::Nobody => {}
-        }
-    }
-
-    fn pull_answer(
-        &mut self,
-        now: Now,
-        shard: ShardId,
-        target: TargetName,
-        answer: ShardAnswer,
-    ) -> SidecarMessage {
-        match answer {
-            ShardAnswer::Lot(lot) => SidecarMessage::Lot(lot),
-            ShardAnswer::NoWork { retry_after_ms } => {
-                self.directory.empty_seen(now.mono, shard, &target);
-                let another =
-                    !self.directory.shards_with_work(now.mono, &target, self.turn).is_empty();
-                let retry_after_ms = if another { 0 } else { retry_after_ms };
-                SidecarMessage::NoWork { target, retry_after_ms }
-            }
-            _ => SidecarMessage::NoWork { target, retry_after_ms: IDLE_RETRY_MS },
-        }
-    }
-
     fn feed_ledger(
         &mut self,
         now: Now,
@@ -595,10 +461,6 @@
     }
 }
 
-fn strange_answer() -> Refusal {
-    Refusal::unknown(RefusalReason::Internal, "the shard's owner gave another kind of answer")
-}
-
 /// How long a call is tried before it is given up.
 fn patience(request: &ShardRequest) -> Duration {
     match request {
