Show that a refused version is compared and passed on

Cause: two hand mutations (refused versions left out of the digest, and of repairs) lived. Conclusion: the two are held by a test now.

--- a/crates/catalogue/tests/catalogue_failures.rs
+++ b/crates/catalogue/tests/catalogue_failures.rs
@@ -3,11 +3,12 @@
 use std::time::Duration;
 
 use notch_catalogue::{
-    CatalogueEffect, CatalogueEvent, CatalogueNode, CatalogueSettings, SurveyReport,
+    CatalogueEffect, CatalogueEvent, CatalogueNode, CatalogueSettings, EntryTable, SurveyReport,
     probe::{
         CatalogueFleet, StoreFate, ToldEffect, account_key, account_text, settled_fleet,
         usual_store,
     },
+    table::bucket_of,
 };
 use notch_membership::{MemberRoster, RosterMember, probe::usual_link};
 use notch_messages::{
@@ -155,6 +156,35 @@
     assert!(fleet.running().all(|(_, node)| in_force(node) == good));
 }
 
+// Symptom: some gateways report an entry as invalid and others know nothing of it; one of a newer
+// release, which could take the version, never gets it.
+// Sequence: the push of the refused version is lost for some nodes.
+// Cause: the digest tells only of what is in force, so that nobody sees a difference.
+#[test]
+fn a_refused_version_shows_in_the_digest_and_is_passed_on_once() {
+    let record = |version: u64, text: &str| EntryRecord {
+        key: target_key(),
+        version: EntryVersion(version),
+        body: Payload::from(text),
+    };
+    let mut tables = [EntryTable::new(10), EntryTable::new(10)];
+    for table in &mut tables {
+        table.adopt(record(1, r#"{"owner":"o"}"#));
+    }
+    assert_eq!(tables[0].root(), tables[1].root());
+    tables[0].adopt(record(2, "{}"));
+    assert_ne!(tables[0].root(), tables[1].root());
+    let bucket = bucket_of(&target_key()) as u16;
+    let key = target_key();
+    let in_force = FastMap::from_iter([(&key, EntryVersion(1))]);
+    let passed = tables[0].newer_than(bucket, &in_force, &FastMap::default());
+    assert_eq!(passed, vec![record(2, "{}")]);
+    tables[1].adopt(passed[0].clone());
+    assert_eq!(tables[0].root(), tables[1].root());
+    let refused = FastMap::from_iter([(&key, EntryVersion(2))]);
+    assert!(tables[0].newer_than(bucket, &in_force, &refused).is_empty());
+}
+
 // Symptom: an entry vanishes, or one deleted by mistake takes its callers' access with it.
 // Sequence: the object is deleted; a watch tells of it.
 // Cause: a deletion has no version that a late older copy could be measured by.
