Never deny a first try's effect; make the samples run as processes

Cause: HttpClient sends an unconditional PUT again when its kept connection closed; when that second try was refused it said 'not sent' although the first may have run. Found by reading, by the builder of the platform's edge. Measured: the new test fails without the change (left: NotSent, right: Lost) and passes with it; notch-http 27 of 27 in that file.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -109,6 +109,9 @@
     ) -> Result<Response, ClientError> {
         let address = peer_address(&request)?;
         let replay = take_replay(&mut request).await?;
+        // Whether the first try may have reached the peer: its effect must not be denied because
+        // the second one could not even be sent.
+        let mut doubtful = false;
         if let (Some(bytes), Some(socket)) = (&replay, self.pool.take(&address, &self.settings)) {
             count(&self.counts.reused);
             let mut copy = request.clone();
@@ -120,8 +123,23 @@
             if !may_send_again(failure, repeat) {
                 return Err(failure.error());
             }
+            doubtful = failure == ExchangeFailure::ClosedUnanswered;
             count(&self.counts.stale_retried);
         }
+        let answer = self.send_fresh(request, replay, address).await;
+        match answer {
+            Err(ClientError::NotSent(_)) if doubtful => Err(ClientError::Lost(LostCause::Closed)),
+            answer => answer,
+        }
+    }
+
+    /// Sends over a new connection.
+    async fn send_fresh(
+        &self,
+        mut request: Request,
+        replay: Option<Vec<u8>>,
+        address: PeerAddress,
+    ) -> Result<Response, ClientError> {
         let socket = self.connect(&address).await?;
         if let Some(bytes) = replay {
             request.replace_body(bytes);
--- a/crates/http/tests/client.rs
+++ b/crates/http/tests/client.rs
@@ -123,6 +123,24 @@
     });
 }
 
+// Symptom: a write is told as never sent although it took effect.
+// Sequence: the peer runs a PUT that came on a kept connection, closes without an answer and
+// leaves; the client sends it again and is refused.
+// Cause: the error of the second try alone was told.
+#[test]
+fn a_first_try_that_may_have_run_is_never_told_as_not_sent() {
+    block_on(async {
+        let url = scripted(vec![Act::Answer(GOOD), Act::AnswerAndClose("")]).await;
+        let client = HttpClient::default();
+        let mut first = client.send(request(Method::Get, &url)).await.unwrap();
+        assert_eq!(body_of(&mut first).await.unwrap(), b"good");
+        let mut ask = request(Method::Put, &url);
+        ask.set_body("value");
+        let answer = client.send(ask).await;
+        assert_eq!(answer.unwrap_err(), ClientError::Lost(LostCause::Closed));
+    });
+}
+
 // Symptom: a request that did not run is reported as doubtful, or one that may have run as not
 // run. Sequence: each way in which a peer fails to answer. Cause: the library has one error for
 // all of them and takes an answer without framing for an empty one.
--- a/crates/magnolianotch/src/cli.rs
+++ b/crates/magnolianotch/src/cli.rs
@@ -31,7 +31,7 @@
 /// Environment variable with the key, where the option is not given.
 const KEY_VARIABLE: &str = "MAGNOLIANOTCH_KEY";
 /// The gateway asked where nothing says otherwise.
-const DEFAULT_GATEWAY: &str = "http://127.0.0.1:8080";
+const DEFAULT_GATEWAY: &str = "http://127.0.0.1:7100";
 
 /// Runs the program with the arguments it was started with.
 pub fn main() -> ExitCode {
--- a/crates/magnolianotch/src/cli/args.rs
+++ b/crates/magnolianotch/src/cli/args.rs
@@ -16,7 +16,7 @@
     error_code(5, "sent, and the outcome is unknown")
 )]
 pub struct CommandLine {
-    /// the gateway's URL (default http://127.0.0.1:8080)
+    /// the gateway's URL (default http://127.0.0.1:7100)
     #[argh(option)]
     pub gateway: Option<String>,
     /// the account's key; better in MAGNOLIANOTCH_KEY, where other users don't see it
@@ -284,6 +284,9 @@
     /// where to serve, ip:port
     #[argh(option, default = "String::from(\"127.0.0.1:0\")")]
     pub address: String,
+    /// file with the VM list: a JSON array of vm, role, address, domain and state
+    #[argh(option)]
+    pub vms: Option<String>,
 }
 
 /// model engine
--- a/crates/magnolianotch/src/cli/stand_in.rs
+++ b/crates/magnolianotch/src/cli/stand_in.rs
@@ -1,8 +1,9 @@
 //! `stand-in`: one outside system, until it is stopped.
 
-use std::net::SocketAddr;
+use std::{fs, net::SocketAddr};
 
 use async_std::stream::StreamExt;
+use notch_platform::VmRecord;
 use notch_standins::{
     EngineHandle, EngineSettings, LoadedModel, PlatformHandle, PlatformSettings, ServiceHandle,
     ServiceSettings,
@@ -26,7 +27,9 @@
     let mut signals = Signals::new([SIGTERM, SIGINT]).map_err(|error| failed(&error))?;
     match command {
         StandInCommand::Platform(args) => {
+            let vms = vm_list(args)?;
             let handle = PlatformHandle::start(platform(args)).await.map_err(|e| failed(&e))?;
+            handle.vms().replace(vms);
             tell(output, handle.address(), None);
             signals.next().await;
             handle.stop().await;
@@ -66,6 +69,13 @@
     PlatformSettings { address: args.address.clone(), ..PlatformSettings::default() }
 }
 
+fn vm_list(args: &PlatformArgs) -> Result<Vec<VmRecord>, CliError> {
+    let Some(path) = &args.vms else { return Ok(Vec::new()) };
+    let unreadable = |detail: String| CliError::Usage(format!("{path}: {detail}"));
+    let text = fs::read(path).map_err(|error| unreadable(error.to_string()))?;
+    serde_json::from_slice(&text).map_err(|error| unreadable(error.to_string()))
+}
+
 fn engine(args: &EngineArgs) -> Result<EngineSettings, CliError> {
     let models: Result<_, _> = args.model.iter().map(|text| loaded_model(text)).collect();
     let defaults = EngineSettings::default();
