--- a/crates/sidecar/examples/cost.rs
+++ b/crates/sidecar/examples/cost.rs
@@ -13,11 +13,12 @@
     time::{Duration, Instant},
 };
 
-use async_std::task::block_on;
+use async_std::task::{self, block_on};
 use common::*;
 use notch_gate::prelude::*;
 use notch_http::prelude::*;
 use notch_messages::prelude::*;
+use notch_settings::prelude::TargetSettings;
 use notch_sidecar::prelude::*;
 use notch_standins::{ServiceHandle, ServiceSettings};
 use notch_types::{account::TargetKind, prelude::*};
@@ -26,6 +27,8 @@
 const ATTEMPTS: u64 = 4_000;
 /// Rounds; each measures both ways, so that a busy machine slows both.
 const ROUNDS: usize = 3;
+/// How long a sidecar is watched doing nothing.
+const IDLE: Duration = Duration::from_secs(10);
 /// Ticks of the system's processor-time clock in a second.
 const TICKS_PER_SECOND: f64 = 100.0;
 
@@ -164,7 +167,8 @@
         direct.push(begun.elapsed());
     }
     let direct_cost = processor_seconds() - before;
-    let settings = settings(TargetKind::Service, service.address());
+    let mut settings = settings(TargetKind::Service, service.address());
+    settings.config.target.poll = TargetSettings::default().poll;
     let sidecar = SidecarHandle::start(settings).await.expect("it starts");
     let (gateway, _) = FakeGateway::dial("gateway-1", &sidecar).await;
     let before = processor_seconds();
@@ -198,6 +202,14 @@
         each(direct_cost),
         each(through_cost)
     );
+    let before = processor_seconds();
+    task::sleep(IDLE).await;
+    let idle = (processor_seconds() - before) / IDLE.as_secs_f64();
+    println!(
+        "round {round} idle, one link, pulls without work, caller and target included: \
+         {:.2} % of a core",
+        idle * 100.0
+    );
     sidecar.stop().await;
 }
 
