--- a/crates/jobs/tests/dispatch_failures.rs
+++ b/crates/jobs/tests/dispatch_failures.rs
@@ -36,6 +36,22 @@
     assert_eq!(lines[0].status, ItemStatus::Ended(answered("late but first")));
 }
 
+// Symptom: an item that silently takes its VM down each time holds its job for ever.
+// Sequence: three lots in turn are lost with their VMs.
+// Cause: a lapse costs an attempt, and the last one ends the item.
+#[test]
+fn an_item_lost_with_each_vm_ends() {
+    let mut rig = rig();
+    rig.submit(&submission(1, 1, true));
+    for round in 0..3 {
+        rig.pull_lot(round, 1).expect("a lot");
+        rig.advance(2_000);
+    }
+    let progress = rig.status(1).expect("a status");
+    assert_eq!((progress.phase, progress.failed), (JobPhase::Done, 1));
+    assert_eq!(rig.count(Counter::Retried(RetryReason::LeaseLapsed)), 2);
+}
+
 // Symptom: a sidecar restarts and its items stand still for a lease.
 // Sequence: lot out; the sidecar comes back with a new incarnation and pulls.
 // Cause: an incarnation's lots die with it.
