Hold the pause and flapping rules of the member table by tests

Cause: hand mutations that left open probes in force after a pause, and that let a domain go again at once, lived. Change: a test for each.

--- a/crates/membership/tests/member_failures.rs
+++ b/crates/membership/tests/member_failures.rs
@@ -171,7 +171,20 @@
     let state = |table: &MemberTable| {
         table.members().iter().find(|member| member.vm == list[1].vm).map(|member| member.state)
     };
-    while state(&table) == Some(MemberState::Alive) && now < 20_000 {
+    // A probe that was open when the process froze proves nothing.
+    let pinged = |effects: &[MembershipEffect]| {
+        effects.iter().any(|effect| {
+            matches!(effect, MembershipEffect::Send { message: GossipMessage::Ping { .. }, .. })
+        })
+    };
+    while !pinged(&effects) && now < 20_000 {
+        now = table.next_wake().map_or(now + 10, |wake| wake.0 / 1_000);
+        table.handle(Now::at_millis(now), MembershipEvent::Tick, &mut effects);
+    }
+    now += 60_000;
+    table.handle(Now::at_millis(now), MembershipEvent::Tick, &mut effects);
+    assert_eq!(state(&table), Some(MemberState::Alive));
+    while state(&table) == Some(MemberState::Alive) && now < 90_000 {
         now = table.next_wake().map_or(now + 10, |wake| wake.0 / 1_000);
         table.handle(Now::at_millis(now), MembershipEvent::Tick, &mut effects);
     }
@@ -283,6 +296,43 @@
     assert_eq!(back, survivors);
 }
 
+// Symptom: a domain is reported lost and back several times within seconds, and work moves each time.
+// Sequence: most of its members are suspected and refute; suspicions that still travel name them
+// again.
+// Cause: each wave of news is judged by itself.
+#[test]
+fn a_domain_that_came_back_does_not_go_again_at_once() {
+    let list = listed_fleet(4, 1);
+    let random = SmallRng::seed_from_u64(7);
+    let mut table =
+        MemberTable::new(identity_of(&list[0], 0), MembershipSettings::default(), random);
+    let mut effects = Vec::new();
+    let mut tell = |millis: u64, incarnation: u64, state: MemberState| {
+        let news = |listed: &ListedVm| notch_messages::gossip::MemberUpdate {
+            vm: listed.vm.clone(),
+            address: listed.address.clone(),
+            domain: DomainName::new("there"),
+            incarnation: Incarnation(incarnation),
+            state,
+        };
+        let members = list[1..].iter().map(news).collect();
+        let message = GossipMessage::News { members, rumors: vec![] };
+        let event = MembershipEvent::Received { from: list[1].vm.clone(), message };
+        table.handle(Now::at_millis(millis), event, &mut effects);
+    };
+    for (wave, millis) in [0, 1_000, 2_000].into_iter().enumerate() {
+        let incarnation = wave as u64 + 1;
+        tell(millis, incarnation, MemberState::Alive);
+        tell(millis + 100, incarnation, MemberState::Suspect);
+    }
+    tell(2_200, 4, MemberState::Alive);
+    let downs = effects.iter().filter(|effect| matches!(effect, MembershipEffect::DomainDown(_)));
+    assert_eq!(downs.count(), 1);
+    let ups = effects.iter().filter(|effect| matches!(effect, MembershipEffect::DomainUp(_)));
+    assert_eq!(ups.count(), 1);
+    assert_eq!(table.roster().len(), 4);
+}
+
 // Symptom: after the link between two regions is back, each goes on alone; or they come back one by
 // one over many minutes; or healthy gateways come and go for a while.
 // Sequence: the regions lose each other for an hour, each holds the other's gateways dead and none
