Stop gateway and sidecar from sending each other the same entries for ever

Cause: found by running the samples as processes: the sidecar reported only the entries of the last message, the gateway took the rest for lacking and sent it again, and so on: 8,060 control events a second at an idle gateway, half a core each on gateway and sidecar, and 'sidecars 0 of 3 have all'. Change: the sidecar reports all that is in force; the gateway doesn't send an entry twice on one link, so that one refused over there can't go round either. Also: a newer epoch heard by gossip makes a paused owner read the head at once; chunks that became too old in a long upload are written anew; unused chunks are asked of the service; a pull without work no longer marks shard 0.

--- a/crates/catalogue/src/event.rs
+++ b/crates/catalogue/src/event.rs
@@ -35,7 +35,8 @@
     },
     /// An object that this gateway itself read or wrote for an operator: in force at once.
     Stored(StoredObject),
-    /// A sidecar's link stands, or it reported what it has in force.
+    /// A sidecar's link stands, or it reported all that it has in force. Before the first one on
+    /// a new link, `SidecarGone`.
     SidecarInForce {
         /// The sidecar's VM.
         vm: VmName,
--- a/crates/catalogue/src/node/sidecars.rs
+++ b/crates/catalogue/src/node/sidecars.rs
@@ -13,12 +13,30 @@
 };
 
 /// How a sidecar stands.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Default)]
 struct SidecarState {
     /// Whether this gateway counts it.
     first: bool,
     /// Whether its last report was complete.
     current: bool,
+    /// Newest version of each entry sent since its link stands; at most one an entry in force.
+    sent: FastMap<EntryKey, EntryVersion>,
+}
+
+impl SidecarState {
+    /// What of `records` was not sent on this link yet. Links keep messages in order and lose
+    /// none while they stand, so an entry that is still lacking was refused over there: sending
+    /// it again for each report would go round for ever.
+    fn unsent(&mut self, records: Vec<EntryRecord>) -> Vec<EntryRecord> {
+        let mut fresh = |record: &EntryRecord| match self.sent.get(&record.key) {
+            Some(version) if *version >= record.version => false,
+            _ => {
+                self.sent.insert(record.key.clone(), record.version);
+                true
+            }
+        };
+        records.into_iter().filter(|record| fresh(record)).collect()
+    }
 }
 
 /// The sidecars linked to this gateway. Bound: `max_sidecars`.
@@ -44,8 +62,10 @@
             return;
         }
         let lacking = lacking(table, stamps);
-        self.sidecars.insert(vm.clone(), SidecarState { first, current: lacking.is_empty() });
-        send_in_parts(&vm, lacking, settings, effects);
+        let state = self.sidecars.entry(vm.clone()).or_default();
+        state.first = first;
+        state.current = lacking.is_empty();
+        send_in_parts(&vm, state.unsent(lacking), settings, effects);
     }
 
     /// Forgets a sidecar.
@@ -67,7 +87,7 @@
         }
         for (vm, state) in &mut self.sidecars {
             state.current = false;
-            send_in_parts(vm, records.clone(), settings, effects);
+            send_in_parts(vm, state.unsent(records.clone()), settings, effects);
         }
     }
 
--- a/crates/catalogue/tests/catalogue_failures.rs
+++ b/crates/catalogue/tests/catalogue_failures.rs
@@ -463,3 +463,31 @@
     assert!(entries.len() == 1 && entries[0].version == newer, "pushed as it changes");
     assert_eq!(survey(&mut fleet, &gateway).sidecars_current, 0);
 }
+
+// Symptom: thousands of messages a second between a gateway and a sidecar with nothing to do.
+// Sequence: a sidecar refuses an entry, or leaves one out of its report; each report is answered
+// with what it lacks, and each answer with a report.
+// Cause: a report is answered without regard to what was sent on the same link already.
+#[test]
+fn a_sidecar_that_goes_on_lacking_an_entry_is_not_sent_it_again() {
+    let mut fleet = fleet();
+    let gateway = fleet.names()[0].clone();
+    let vm = VmName::new("target-1");
+    fleet.edit(&target_key(), r#"{"owner":"o"}"#, &mut usual_link, &mut usual_store);
+    run(&mut fleet, 4_000);
+    let report = || CatalogueEvent::SidecarInForce { vm: vm.clone(), stamps: vec![], first: true };
+    let mut sends = |fleet: &mut CatalogueFleet, event: CatalogueEvent| {
+        fleet.take_told();
+        fleet.tell(&gateway, event, &mut usual_link, &mut usual_store);
+        let told = fleet.take_told();
+        told.iter()
+            .filter(|(_, _, effect)| matches!(effect, CatalogueEffect::SendSidecar { .. }))
+            .count()
+    };
+    assert_eq!(sends(&mut fleet, report()), 1);
+    for _ in 0..10 {
+        assert_eq!(sends(&mut fleet, report()), 0);
+    }
+    sends(&mut fleet, CatalogueEvent::SidecarGone { vm: vm.clone() });
+    assert_eq!(sends(&mut fleet, report()), 1, "a new link starts anew");
+}
--- a/crates/gateway/src/control/core_links.rs
+++ b/crates/gateway/src/control/core_links.rs
@@ -159,8 +159,14 @@
         self.log.info("sidecar_up", &[("sidecar", &vm), ("incarnation", &welcome.incarnation)]);
         self.with_online(|online, send, steps| online.welcome(now, welcome, send, steps));
         let first = self.is_first_gateway(&vm);
-        let event = CatalogueEvent::SidecarInForce { vm: vm.clone(), stamps: vec![], first };
-        self.steps.push_back(ControlStep::Catalogue(event));
+        self.steps.extend([
+            ControlStep::Catalogue(CatalogueEvent::SidecarGone { vm: vm.clone() }),
+            ControlStep::Catalogue(CatalogueEvent::SidecarInForce {
+                vm: vm.clone(),
+                stamps: vec![],
+                first,
+            }),
+        ]);
         // A sidecar that restarted, or whose link was down, may not have heard it.
         if self.drained.remove(&vm) {
             self.mark_leaving();
--- a/crates/gateway/src/control/core_tells.rs
+++ b/crates/gateway/src/control/core_tells.rs
@@ -174,7 +174,7 @@
     pub(super) fn take_rumor(&mut self, now: Now, rumor: Rumor) {
         match &rumor.topic {
             RumorTopic::ShardOwner(_) | RumorTopic::ShardBacklog(_) => {
-                self.shards.rumor(now, &rumor);
+                self.with_shards(|shards, steps, reads| shards.rumor(now, &rumor, steps, reads));
             }
             RumorTopic::Quarantine(fingerprint) => {
                 let fingerprints = vec![*fingerprint];
--- a/crates/gateway/src/control/shard_desk.rs
+++ b/crates/gateway/src/control/shard_desk.rs
@@ -205,15 +205,16 @@
         reads: &mut Vec<ShardRead>,
     ) {
         self.turn = self.turn.wrapping_add(1);
-        let reply = ShardReply::Pull { vm: pull.vm.clone(), target: pull.target.clone() };
         let shards = self.directory.shards_with_work(now.mono, &pull.target, self.turn);
         match shards.first() {
             Some(&shard) => {
+                let reply = ShardReply::Pull { vm: pull.vm.clone(), target: pull.target.clone() };
                 self.ask(now, shard, Box::new(ShardRequest::Pull(pull)), reply, steps, reads);
             }
             None => {
-                let answer = ShardAnswer::NoWork { retry_after_ms: IDLE_RETRY_MS };
-                self.reply(now, ShardId(0), reply, answer, steps);
+                let (to, target) = (pull.vm, pull.target);
+                let message = SidecarMessage::NoWork { target, retry_after_ms: IDLE_RETRY_MS };
+                steps.push(ControlStep::ToSidecar { to, message });
             }
         }
     }
@@ -249,12 +250,19 @@
     }
 
     /// Takes an owner or a backlog that came by gossip.
-    pub fn rumor(&mut self, now: Now, rumor: &Rumor) {
+    pub fn rumor(
+        &mut self,
+        now: Now,
+        rumor: &Rumor,
+        steps: &mut Vec<ControlStep>,
+        reads: &mut Vec<ShardRead>,
+    ) {
         match &rumor.topic {
             RumorTopic::ShardOwner(shard) => {
                 if let Ok(owner) = codec::decode::<Option<VmName>>(&rumor.value) {
                     self.directory.owner_seen(*shard, Epoch(rumor.version), owner);
                 }
+                self.check_deposed(now, *shard, Epoch(rumor.version), steps, reads);
             }
             RumorTopic::ShardBacklog(shard) => {
                 if let Ok(backlog) = codec::decode::<Vec<TargetBacklog>>(&rumor.value) {
@@ -265,6 +273,24 @@
         }
     }
 
+    /// A newer epoch than the one held here: the owner was paused and does not know yet that it
+    /// was taken over. Until its next commit fails it would hand out items, perhaps of a job that
+    /// the new owner has cancelled; so it reads the head at once.
+    fn check_deposed(
+        &mut self,
+        now: Now,
+        shard: ShardId,
+        epoch: Epoch,
+        steps: &mut Vec<ControlStep>,
+        reads: &mut Vec<ShardRead>,
+    ) {
+        let place = usize::from(shard.0);
+        let held = self.hosts.get(place).and_then(ShardHost::epoch);
+        if held.is_some_and(|held| held < epoch) {
+            self.feed_ledger(now, place, ShardEvent::SegmentMissed, steps, reads);
+        }
+    }
+
     fn send_due(&mut self, now: Now, steps: &mut Vec<ControlStep>, reads: &mut Vec<ShardRead>) {
         while let Some(call) = self.calls.first_due(now.mono) {
             self.send_call(now, call, steps, reads);
--- a/crates/gateway/src/control/shard_host.rs
+++ b/crates/gateway/src/control/shard_host.rs
@@ -6,8 +6,8 @@
     ReadFailure, ReadToken, RejectKind, ServiceEffect, ServiceEvent, ShardService, TargetBacklog,
 };
 use notch_ledger::{
-    AppendTicket, AppendUrgency, LedgerShard, RecordPlace, RejectCertainty, Seq, SeqRange,
-    ShardEffect, ShardEvent,
+    AppendTicket, AppendUrgency, LedgerShard, RecordPlace, RejectCertainty, RejectReason, Seq,
+    SeqRange, ShardEffect, ShardEvent,
 };
 use notch_messages::prelude::*;
 use notch_types::{object::StoreCall, prelude::*};
@@ -168,16 +168,16 @@
             ShardEffect::Rejected { ticket, certainty, reason } => {
                 out.push(HostEffect::Count(Counter::Event(reason.counter())));
                 let ticket = notch_jobs::prelude::AppendTicket(ticket.0);
-                let kind = match certainty {
-                    RejectCertainty::NotCommitted => RejectKind::NotCommitted,
-                    RejectCertainty::Unknown => RejectKind::Unknown,
+                let kind = match (certainty, reason) {
+                    (RejectCertainty::Unknown, _) => RejectKind::Unknown,
+                    (_, RejectReason::ChunkStale) => RejectKind::ChunkStale,
+                    (RejectCertainty::NotCommitted, _) => RejectKind::NotCommitted,
                 };
                 self.tell_service(now, ServiceEvent::Rejected { ticket, kind });
             }
             ShardEffect::SnapshotWanted => self.tell_service(now, ServiceEvent::SnapshotWanted),
             ShardEffect::SweepChunks { sweep, keys } => {
-                let live = self.service.state().live_chunks();
-                let unused = keys.into_iter().filter(|key| !live.contains(key)).collect();
+                let unused = self.service.unused_chunks(&keys);
                 let event = ShardEvent::SweepAnswered { sweep, unused };
                 self.ledger.handle(now, event, &mut self.ledger_effects);
             }
--- a/crates/gateway/src/traffic/chunk_store.rs
+++ b/crates/gateway/src/traffic/chunk_store.rs
@@ -10,7 +10,7 @@
 use notch_messages::prelude::*;
 use notch_platform::ObjectApi;
 use notch_types::{
-    object::{StoreFailure, StoreOp, StoreReply, WriteCondition},
+    object::{StoreFailure, StoreOp, StoreReply, StoredObject, WriteCondition},
     prelude::*,
 };
 
@@ -68,7 +68,7 @@
     ///
     /// # Errors
     /// When one could not be written: nothing was accepted then.
-    pub async fn finish(mut self) -> Result<Vec<JobChunk>, Refusal> {
+    pub async fn finish(&mut self) -> Result<Vec<JobChunk>, Refusal> {
         while !self.writing.is_empty() {
             self.settle_one().await?;
         }
@@ -76,7 +76,26 @@
             age_ms: written.elapsed().as_millis() as u64,
             ..chunk
         };
-        Ok(self.written.into_iter().map(aged).collect())
+        Ok(std::mem::take(&mut self.written).into_iter().map(aged).collect())
+    }
+
+    /// Writes chunks anew, under new keys: the owner found these too old to be named, because the
+    /// rest of the upload took long. Their bytes are read back, not held meanwhile.
+    ///
+    /// # Errors
+    /// When one is gone already or can't be written; nothing was accepted then.
+    pub async fn renew(&self, chunks: &mut [JobChunk], stale: &[ItemIndex]) -> Result<(), Refusal> {
+        for chunk in chunks.iter_mut().filter(|chunk| stale.contains(&chunk.first)) {
+            let read = self.objects.call(StoreOp::Get { key: chunk.key.clone() }).await;
+            let Ok(StoreReply::Object(Some(StoredObject { value: Some(value), .. }))) = read else {
+                return Err(not_stored());
+            };
+            let key = format!("{}{:06}-{:016x}", self.prefix, chunk.first.0, rand::random::<u64>());
+            let objects = Arc::clone(&self.objects);
+            let (written, _) = write_chunk(objects, key, chunk.first, value).await?;
+            *chunk = written;
+        }
+        Ok(())
     }
 
     async fn settle_one(&mut self) -> Result<(), Refusal> {
@@ -114,6 +133,10 @@
         }
         pause *= 2;
     }
+    Err(not_stored())
+}
+
+fn not_stored() -> Refusal {
     let detail = "the job's input can't be stored now; nothing was accepted";
-    Err(Refusal::not_run(RefusalReason::StoreUnavailable, detail).retry_after(2_000))
+    Refusal::not_run(RefusalReason::StoreUnavailable, detail).retry_after(2_000)
 }
--- a/crates/gateway/src/traffic/job_desk.rs
+++ b/crates/gateway/src/traffic/job_desk.rs
@@ -16,6 +16,9 @@
 /// Result lines asked of a shard's owner at once.
 const PAGE_LINES: u32 = 256;
 
+/// Times that a job whose chunks became too old is submitted anew.
+const ACCEPT_TRIES: usize = 3;
+
 /// Serves callers' jobs.
 pub struct JobDesk {
     objects: Arc<dyn ObjectApi>,
@@ -77,12 +80,29 @@
             chunks: chunks.finish().await?,
             content: summary.content,
         };
-        match self.client.ask(job.shard, ShardRequest::SubmitJob(submission)).await? {
-            ShardAnswer::JobAccepted { progress, resend } => {
-                Ok(accepted_response(&progress, resend))
+        self.accept(submission, &chunks).await
+    }
+
+    /// Has the owner commit the job; chunks that have become too old meanwhile are written anew.
+    async fn accept(
+        &self,
+        mut submission: JobSubmission,
+        chunks: &ChunkStore,
+    ) -> Result<Response, Refusal> {
+        for _ in 0..ACCEPT_TRIES {
+            let ask = ShardRequest::SubmitJob(submission.clone());
+            match self.client.ask(submission.job.shard, ask).await? {
+                ShardAnswer::JobAccepted { progress, resend } => {
+                    return Ok(accepted_response(&progress, resend));
+                }
+                ShardAnswer::ChunksStale(stale) => {
+                    chunks.renew(&mut submission.chunks, &stale).await?;
+                }
+                _ => return Err(ShardClient::strange()),
             }
-            _ => Err(ShardClient::strange()),
         }
+        let detail = "the job's input grew too old while it was stored; nothing was accepted";
+        Err(Refusal::not_run(RefusalReason::StoreUnavailable, detail).retry_after(2_000))
     }
 
     /// Answers everything else that an account may ask.
--- a/crates/sidecar/src/control.rs
+++ b/crates/sidecar/src/control.rs
@@ -183,9 +183,9 @@
         }
     }
 
-    /// Puts newer entries in force and tells the gateway what is in force.
+    /// Puts newer entries in force and tells the gateway all that is in force: it holds whatever
+    /// the report leaves out as lacking.
     fn take_entries(&mut self, gateway: &VmName, records: Vec<EntryRecord>) {
-        let keys: Vec<EntryKey> = records.iter().map(|record| record.key.clone()).collect();
         let mut is_changed = false;
         for record in records {
             match self.entries.adopt(record) {
@@ -197,10 +197,7 @@
                 Adoption::Full => self.count(Counter::Dropped(DropReason::BufferFull)),
             }
         }
-        let in_force = keys.iter().filter_map(|key| {
-            let record = self.entries.record(key)?;
-            Some(EntryStamp { key: record.key.clone(), version: record.version })
-        });
+        let in_force = self.entries.entries().map(|(record, _)| record.stamp());
         let message = GatewayMessage::EntriesInForce(in_force.collect());
         self.send(gateway, message);
         if is_changed {
