Wait for the engine's list after an order, whatever the sidecar says

Cause: the sidecar reports an order's end at once and reads its engine's list up to a second later, without saying that the list is older; a copy just loaded would be loaded again. Change: for list_lag after an order's end a report's list doesn't count; a test for stale answers. Conclusion: the sidecar should still say it, for orders of an earlier holder.

--- a/crates/placement/src/fleet/target.rs
+++ b/crates/placement/src/fleet/target.rs
@@ -1,6 +1,6 @@
 //! One target as last seen.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
 use notch_messages::prelude::*;
 use notch_types::prelude::*;
@@ -42,6 +42,8 @@
     pub(crate) lost: bool,
     /// Highest order of `report.epoch` whose end was told.
     ended: u64,
+    /// When that end was told.
+    ended_at: Option<MonoTime>,
     /// A slot kept for this model, until then.
     pub(crate) reserved: Option<(TargetName, MonoTime)>,
     /// At most [`MAX_PAUSES`].
@@ -69,6 +71,7 @@
             away,
             lost: false,
             ended: 0,
+            ended_at: None,
             reserved: None,
             pauses: BTreeMap::new(),
             samples: BTreeMap::new(),
@@ -81,7 +84,12 @@
     /// A report made before an order was done, but received after, would bring back a copy that
     /// is gone: the planner would count it as serving and take the last real one down. Such a
     /// report shows an older number of ended orders, and is ignored.
-    pub(crate) fn take_report(&mut self, now: Now, report: TargetHoldings) -> ReportWorth {
+    pub(crate) fn take_report(
+        &mut self,
+        now: Now,
+        mut report: TargetHoldings,
+        list_lag: Duration,
+    ) -> ReportWorth {
         let known = &self.report;
         if Some(report.incarnation) == self.former {
             return ReportWorth::Stale;
@@ -95,11 +103,13 @@
         } else {
             self.former = Some(known.incarnation);
             self.ended = 0;
+            self.ended_at = None;
             self.load_sequence = 0;
         }
         if report.epoch != self.report.epoch {
             self.ended = 0;
         }
+        report.busy |= self.ended_at.is_some_and(|at| now.mono.since(at) < list_lag);
         self.seen = now.mono;
         self.away = match report.up {
             true => None,
@@ -135,7 +145,8 @@
     }
 
     /// The order was done: the target is as ordered, and its sidecar knows the order's epoch.
-    pub(crate) fn take_done(&mut self, order: &TargetOrder) {
+    pub(crate) fn take_done(&mut self, now: Now, order: &TargetOrder) {
+        self.ended_at = Some(now.mono);
         if self.report.epoch != Some(order.epoch) {
             self.ended = 0;
         }
@@ -158,7 +169,8 @@
     }
 
     /// The order failed: what the target holds now is known from its next report only.
-    pub(crate) fn take_failed(&mut self, order: &TargetOrder) {
+    pub(crate) fn take_failed(&mut self, now: Now, order: &TargetOrder) {
+        self.ended_at = Some(now.mono);
         if self.report.epoch != Some(order.epoch) {
             self.ended = 0;
         }
@@ -172,8 +184,8 @@
         &mut self,
         now: Now,
         model: &TargetName,
-        first: std::time::Duration,
-        longest: std::time::Duration,
+        first: Duration,
+        longest: Duration,
     ) {
         let failures = self.pauses.get(model).map_or(0, |pause| pause.failures);
         let pause = (first * 2_u32.saturating_pow(failures.min(16))).min(longest);
--- a/crates/placement/src/fleet/view.rs
+++ b/crates/placement/src/fleet/view.rs
@@ -24,15 +24,15 @@
         &mut self,
         now: Now,
         report: TargetHoldings,
-        bound: usize,
+        settings: &PlannerSettings,
     ) -> Result<(), Counter> {
         if let Some(target) = self.targets.get_mut(&report.vm) {
-            return match target.take_report(now, report) {
+            return match target.take_report(now, report, settings.list_lag) {
                 ReportWorth::New => Ok(()),
                 ReportWorth::Stale => Err(Counter::Dropped(DropReason::StaleIncarnation)),
             };
         }
-        if self.targets.len() >= bound {
+        if self.targets.len() >= settings.max_targets {
             return Err(Counter::Dropped(DropReason::BufferFull));
         }
         let leaving = self.leaving.contains(&report.vm);
--- a/crates/placement/src/planner/answers.rs
+++ b/crates/placement/src/planner/answers.rs
@@ -28,7 +28,7 @@
         effects: &mut Vec<PlacementEffect>,
     ) {
         let (vm, epoch) = (report.vm.clone(), report.epoch);
-        if let Err(counter) = self.fleet.take_report(now, report, self.settings.max_targets) {
+        if let Err(counter) = self.fleet.take_report(now, report, &self.settings) {
             effects.push(PlacementEffect::Count(counter));
             return;
         }
@@ -78,7 +78,7 @@
         let rollout = self.memory.rollouts.entry(open.model.clone()).or_default();
         let (code, detail) = match outcome {
             OrderOutcome::Failed { detail } => {
-                target.take_failed(&open.order);
+                target.take_failed(now, &open.order);
                 target.reserved = None;
                 let (first, longest) =
                     (self.settings.failure_pause, self.settings.failure_pause_max);
@@ -88,7 +88,7 @@
                 ("order_failed", detail)
             }
             _ => {
-                target.take_done(&open.order);
+                target.take_done(now, &open.order);
                 let until = now.mono + self.settings.reserve_for;
                 target.reserved.take_if(|(model, _)| *model == open.model && open.is_load());
                 if let Some((_, kept)) = &mut target.reserved {
--- a/crates/placement/src/settings.rs
+++ b/crates/placement/src/settings.rs
@@ -65,6 +65,9 @@
     pub loads_at_once: usize,
     /// Changes under way at once that take a copy down: unloads, reloads, role changes.
     pub changes_at_once: usize,
+    /// Sidecars read their engine's list at least this often: a report sooner after an order's end
+    /// may show the list from before, and only its other fields count.
+    pub list_lag: Duration,
     /// A target without a report for this long counts as away.
     pub silent_after: Duration,
     /// A VM away for less than this keeps its copies in the count: most come back by themselves.
@@ -118,6 +121,7 @@
             plan_every: Duration::from_secs(1),
             loads_at_once: 8,
             changes_at_once: 8,
+            list_lag: Duration::from_secs(2),
             silent_after: Duration::from_secs(30),
             repair_delay: Duration::from_secs(30),
             forget_after: Duration::from_secs(600),
--- a/crates/placement/tests/failures.rs
+++ b/crates/placement/tests/failures.rs
@@ -344,6 +344,22 @@
     OrderAction::Load { model: model.model, version: model.version, adapters: vec![] }
 }
 
+// Symptom: a holder goes on although a sidecar told it of a newer epoch.
+// Sequence: an order is answered as stale; here the sidecar is wrong, and the lease is still held.
+// Cause: only the object can tell who holds the lease: nothing is ordered until it was read.
+#[test]
+fn a_stale_answer_stops_the_holder_until_it_has_read_the_lease() {
+    let sidecars = fleet(&["a", "b"], 1, 1, EngineKind::IgnoresToken);
+    let mut world = World::new(1, sidecars, vec![wanted("m", 1, 1)], 14);
+    world.run(6_000);
+    let outcome = OrderOutcome::Stale { current: Epoch(9) };
+    let vm = VmName::new("a-0");
+    world.tell(0, PlacementEvent::OrderEnded { vm, epoch: Epoch(1), order: 1, outcome });
+    assert_eq!(world.holders(), []);
+    world.run(1_000);
+    assert_eq!(world.holders(), [(0, Epoch(1))]);
+}
+
 // Symptom: the same as of the copy that is not counted on.
 // Sequence: a copy is unloaded; a report made before that comes after the answer.
 // Cause: reports and answers may overtake each other; the number of ended orders tells.
--- a/crates/placement/tests/plans.rs
+++ b/crates/placement/tests/plans.rs
@@ -276,6 +276,7 @@
         held_up in 0_u64..30,
         delay in 50_u64..1_200,
         checks in any::<bool>(),
+        owns_up in any::<bool>(),
         seed in 0_u64..1 << 20,
     ) {
         let kind = if checks { EngineKind::ChecksToken } else { EngineKind::IgnoresToken };
@@ -283,6 +284,7 @@
         let mut wanted = models(&[(4, 1), (3, 1)]);
         let mut world = World::new(3, vms.collect(), wanted.clone(), seed);
         world.run(10_000);
+        world.sidecars.values_mut().for_each(|sidecar| sidecar.owns_up = owns_up);
         world.mood = WorldMood { delay, lost, held_up, denied: lost };
         world.store.mood.answer_lost = lost;
         let mut paused = [0_u64; 3];
--- a/crates/placement/tests/support/mod.rs
+++ b/crates/placement/tests/support/mod.rs
@@ -28,6 +28,7 @@
         },
         settle: Duration::from_millis(1_500),
         plan_every: Duration::from_millis(100),
+        list_lag: Duration::from_millis(600),
         silent_after: Duration::from_millis(3_000),
         repair_delay: Duration::from_millis(2_000),
         forget_after: Duration::from_millis(20_000),
--- a/crates/placement/tests/support/sidecar.rs
+++ b/crates/placement/tests/support/sidecar.rs
@@ -35,6 +35,8 @@
     done: BTreeMap<(Epoch, u64), OrderOutcome>,
     /// The engine's models as last read, which lags behind.
     listed: Vec<HeldModel>,
+    /// Whether a report says that the list was read before the last order ended.
+    pub(crate) owns_up: bool,
     /// Whether they were read after the last order ended.
     read_since: bool,
     /// The order at the engine, who asked, and when it's over.
@@ -66,6 +68,7 @@
             ended: 0,
             done: BTreeMap::new(),
             listed: Vec::new(),
+            owns_up: true,
             read_since: false,
             busy: None,
             engine_epoch: Epoch(0),
@@ -99,7 +102,7 @@
             models: self.listed.clone(),
             epoch: self.epoch,
             ended_order: self.ended,
-            busy: self.busy.is_some() || !self.read_since,
+            busy: self.busy.is_some() || (self.owns_up && !self.read_since),
         }
     }
 
