--- a/crates/placement/tests/failures.rs
+++ b/crates/placement/tests/failures.rs
@@ -23,11 +23,16 @@
     world.sidecars.values().flat_map(|s| s.runs.values()).filter(|runs| **runs > 1).count()
 }
 
-#[test]
-fn an_empty_fleet_is_filled_and_spread() {
+// With and without sidecars that say when their list is older than the last order.
+#[rstest]
+#[case(true)]
+#[case(false)]
+fn an_empty_fleet_is_filled_and_spread(#[case] owns_up: bool) {
     let sidecars = fleet(&["a", "b", "c"], 3, 1, EngineKind::IgnoresToken);
     let mut world = World::new(1, sidecars, vec![wanted("m", 6, 2), wanted("n", 3, 1)], 1);
+    world.sidecars.values_mut().for_each(|sidecar| sidecar.owns_up = owns_up);
     world.run(20_000);
+    assert!(world.sidecars.values().all(|sidecar| sidecar.loads == 1));
     assert_eq!((world.serving("m"), world.serving("n")), (6, 3));
     for domain in ["a", "b", "c"] {
         let here = world.sidecars.values().filter(|s| s.domain.as_str() == domain);
