--- a/crates/catalogue/tests/catalogue_failures.rs
+++ b/crates/catalogue/tests/catalogue_failures.rs
@@ -476,7 +476,7 @@
     fleet.edit(&target_key(), r#"{"owner":"o"}"#, &mut usual_link, &mut usual_store);
     run(&mut fleet, 4_000);
     let report = || CatalogueEvent::SidecarInForce { vm: vm.clone(), stamps: vec![], first: true };
-    let mut sends = |fleet: &mut CatalogueFleet, event: CatalogueEvent| {
+    let sends = |fleet: &mut CatalogueFleet, event: CatalogueEvent| {
         fleet.take_told();
         fleet.tell(&gateway, event, &mut usual_link, &mut usual_store);
         let told = fleet.take_told();
