--- a/crates/gateway/src/control/operator_desk.rs
+++ b/crates/gateway/src/control/operator_desk.rs
@@ -28,7 +28,7 @@
     reply: Sender<Value>,
 }
 
-/// Questions waiting for answers. Bound: [`MAX_OPEN`] of each kind, each with a time limit.
+/// Questions waiting for answers. Bound: `MAX_OPEN` of each kind, each with a time limit.
 #[derive(Debug, Default)]
 pub struct OperatorDesk {
     next: u64,
