Read the samples' VM lists in their test too

Cause: a VM list came to the samples, and the test took it for a sidecar's settings and failed. Change: settings are the files ending in .ini; every VM of a sample must stand in its VM list. Measured: cargo test -p notch-settings -p notch-telemetry -p notch-placement: 36, 6 and 28 passed. Conclusion: the samples are checked as they are now.

--- a/crates/settings/tests/samples.rs
+++ b/crates/settings/tests/samples.rs
@@ -21,6 +21,10 @@
     paths
 }
 
+fn has_ending(path: &Path, ending: &str) -> bool {
+    path.extension().is_some_and(|found| found == ending)
+}
+
 #[rstest]
 #[case("rahbar", 3)]
 #[case("raiffalm", 4)]
@@ -29,7 +33,7 @@
     let mut nodes: BTreeMap<String, BTreeSet<String>> = BTreeMap::new();
     let mut names = BTreeSet::new();
     let mut targets = BTreeSet::new();
-    for path in files(&samples(deployment)).iter().filter(|path| path.is_file()) {
+    for path in files(&samples(deployment)).iter().filter(|path| has_ending(path, "ini")) {
         let file = path.file_name().expect("a file").to_string_lossy().into_owned();
         let (node, listens, secret) = match file.starts_with("gateway-") {
             true => {
@@ -56,6 +60,10 @@
         let links = LinkSettings { secret_file: Some(root.join(path)), ..LinkSettings::default() };
         links.read_secret().unwrap_or_else(|e| panic!("{file}: {e}"));
     }
+    let listed = fs::read_to_string(samples(deployment).join("vms.json")).expect("a VM list");
+    for vm in &names {
+        assert!(listed.contains(&format!("\"{vm}\"")), "{vm} is not in the VM list");
+    }
     assert_eq!(nodes["gateway"].len(), domains);
     assert_eq!(nodes["gateway"], nodes["sidecar"]);
     for target in targets {
