Measure online latency and batch throughput in one run

Cause: nothing measured the harm that batch does to online work, nor what batch makes of the rest. Change: magnolianotch measure online runs every variant on a fleet inside the process: online alone, batch alone, both under the policy, both first come first served, both with faults, and the policy under three latency weights; added latency and processor time against the engine asked directly; table, JSON and SVG. The gate gets AdmissionRule::ArrivalOrder, for the naive variant only.

--- a/crates/gate/src/core/admission.rs
+++ b/crates/gate/src/core/admission.rs
@@ -7,6 +7,7 @@
 use crate::{
     effect::GateEffect,
     run_record::{RunRecord, StopCause},
+    settings::AdmissionRule,
     target_state::TargetState,
 };
 
@@ -25,18 +26,60 @@
     ) {
         if state.is_up() && !self.leaving {
             let block = self.isolate(now, state, effects);
-            if block != StartBlock::Everything {
-                self.start_online(now, state, effects);
-                self.preempt(now, state, effects);
-            }
-            if block == StartBlock::Nothing {
-                self.start_batch(now, state, effects);
+            match self.settings.rule {
+                AdmissionRule::OnlineFirst => self.start_by_class(now, state, block, effects),
+                AdmissionRule::ArrivalOrder => self.start_in_order(now, state, block, effects),
             }
         }
         self.pull(now, state, effects);
         state.note_running();
     }
 
+    fn start_by_class(
+        &mut self,
+        now: MonoTime,
+        state: &mut TargetState,
+        block: StartBlock,
+        effects: &mut Vec<GateEffect>,
+    ) {
+        if block != StartBlock::Everything {
+            self.start_online(now, state, effects);
+            self.preempt(now, state, effects);
+        }
+        if block == StartBlock::Nothing {
+            self.start_batch(now, state, effects);
+        }
+    }
+
+    /// Starts whatever came first, of either class.
+    fn start_in_order(
+        &mut self,
+        now: MonoTime,
+        state: &mut TargetState,
+        block: StartBlock,
+        effects: &mut Vec<GateEffect>,
+    ) {
+        if block != StartBlock::Nothing {
+            return;
+        }
+        let waiting = state.queue.iter().map(|(_, run)| run).chain(&state.pending);
+        let records = waiting.filter_map(|run| self.runs.get(run));
+        let mut line: Vec<_> =
+            records.map(|record| (record.arrived_at, record.run, record.deadline)).collect();
+        line.sort_unstable();
+        for (_, run, deadline) in line {
+            if !state.has_slot() {
+                return;
+            }
+            if self.must_run_alone(now, run) || now >= deadline {
+                continue;
+            }
+            state.queue.remove(&(deadline, run));
+            state.pending.retain(|pending| *pending != run);
+            self.start(now, state, run, false, effects);
+        }
+    }
+
     /// Slots that online runs may hold: all but the floor that items of late jobs use now.
     pub(crate) fn online_slots(&self, state: &TargetState) -> u32 {
         let runs = state.batch.iter().chain(state.pending.iter());
@@ -89,6 +132,9 @@
         state: &mut TargetState,
         effects: &mut Vec<GateEffect>,
     ) {
+        if self.settings.rule == AdmissionRule::ArrivalOrder {
+            return;
+        }
         let excess = state.limits.trim(state.batch.len() as u32);
         for run in self.victims(now, state).into_iter().take(excess as usize) {
             self.stop(now, state, run, StopCause::Preempted, effects);
--- a/crates/gate/src/core/batch.rs
+++ b/crates/gate/src/core/batch.rs
@@ -10,7 +10,7 @@
     effect::{GateEffect, RunRequest},
     result_buffer::split_results,
     run_record::{ItemTicket, RunPhase, RunRecord, StopCause},
-    settings::GateSettings,
+    settings::{AdmissionRule, GateSettings},
     target_state::{PullPhase, TargetState},
     timer_set::TimerKind,
     tombstone_set::TombstoneKind,
@@ -139,6 +139,7 @@
             idempotent: grant.idempotent,
             deadline: lease_until,
             phase: RunPhase::Waiting(Box::new(request)),
+            arrived_at: now,
             started_at: None,
             orphaned_at: None,
             has_first_token: false,
@@ -259,7 +260,7 @@
         if !state.is_up() || !state.policy.takes_batch || self.leaving || !self.has_result_room() {
             return 0;
         }
-        let room = state.batch_room(&self.weights, false);
+        let room = self.pull_room(state);
         if room == 0 && state.batch.is_empty() {
             return 0;
         }
@@ -268,6 +269,13 @@
         wanted.min(self.settings.lot_items)
     }
 
+    fn pull_room(&self, state: &TargetState) -> u32 {
+        match self.settings.rule {
+            AdmissionRule::OnlineFirst => state.batch_room(&self.weights, false),
+            AdmissionRule::ArrivalOrder => state.limits.limit().saturating_sub(state.taken()),
+        }
+    }
+
     /// Every item taken may become a result: what is here must fit before more is pulled.
     fn has_result_room(&self) -> bool {
         let GateSettings { result_count, result_bytes, lot_items, .. } = &self.settings;
--- a/crates/gate/src/gate/attempts.rs
+++ b/crates/gate/src/gate/attempts.rs
@@ -144,6 +144,7 @@
             idempotent: offer.idempotent,
             deadline,
             phase: RunPhase::Waiting(Box::new(request)),
+            arrived_at: now,
             started_at: None,
             orphaned_at: None,
             has_first_token: false,
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -24,6 +24,6 @@
         effect::{GateEffect, RunRequest},
         event::{DownCause, EngineHoldings, GapSum, GateEvent, RunEnd, TimingSample},
         gate::AdmissionGate,
-        settings::{GateSettings, PolicyWeights, TargetPolicy},
+        settings::{AdmissionRule, GateSettings, PolicyWeights, TargetPolicy},
     };
 }
--- a/crates/gate/src/run_record.rs
+++ b/crates/gate/src/run_record.rs
@@ -77,6 +77,8 @@
     /// Online: the caller's. Batch: when the item may no longer start, for its lease nears its end.
     pub(crate) deadline: MonoTime,
     pub(crate) phase: RunPhase,
+    /// When it was offered, or came with its lot.
+    pub(crate) arrived_at: MonoTime,
     /// Set once, when it leaves for the target.
     pub(crate) started_at: Option<MonoTime>,
     /// When its gateway's link was lost, until the gateway speaks of it again.
--- a/crates/gate/src/settings.rs
+++ b/crates/gate/src/settings.rs
@@ -4,6 +4,17 @@
 
 use notch_types::{account::TargetKind, prelude::*};
 
+/// Who starts when slots are free.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum AdmissionRule {
+    /// Online work first; batch in what is left, and stopped where online work would wait.
+    #[default]
+    OnlineFirst,
+    /// First come, first served; nothing is stopped, nothing is kept free. For measurements: what
+    /// the usual rule is held against.
+    ArrivalOrder,
+}
+
 /// Bounds of one sidecar's gate. All state the gate keeps is bounded by these.
 #[derive(Debug, Clone, PartialEq)]
 pub struct GateSettings {
@@ -15,6 +26,8 @@
     pub incarnation: Incarnation,
     /// Seed of the jitter in pull pauses.
     pub seed: u64,
+    /// Who starts when slots are free.
+    pub rule: AdmissionRule,
     /// How long an ended attempt's output stays for a resume.
     pub output_retention: Duration,
     /// Most bytes of ended attempts' output kept; the oldest goes first.
@@ -80,6 +93,7 @@
             domain: DomainName::new("domain-1"),
             incarnation: Incarnation(1),
             seed: 1,
+            rule: AdmissionRule::default(),
             output_retention: Duration::from_secs(30),
             output_bytes: 48 << 20,
             tombstone_retention: Duration::from_secs(600),
--- a/crates/magnolianotch/src/cli/args.rs
+++ b/crates/magnolianotch/src/cli/args.rs
@@ -70,6 +70,8 @@
     StandIn(StandInArgs),
     /// The demo.
     Demo(DemoArgs),
+    /// Measurements.
+    Measure(MeasureArgs),
 }
 
 /// check, read and edit the catalogue
@@ -324,3 +326,59 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "demo")]
 pub struct DemoArgs {}
+
+/// measure on a small fleet in this process; for development
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "measure")]
+pub struct MeasureArgs {
+    /// what to measure
+    #[argh(subcommand)]
+    pub command: MeasureCommand,
+}
+
+/// What to measure.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+pub enum MeasureCommand {
+    /// Online latency and batch throughput.
+    Online(MeasureOnlineArgs),
+    /// Costs against the size of the fleet.
+    Slopes(MeasureSlopesArgs),
+    /// The ledger and its jobs.
+    State(MeasureStateArgs),
+}
+
+/// measure what each role costs against the size of the fleet: the points behind CAPACITY.md;
+/// about two minutes
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "slopes")]
+pub struct MeasureSlopesArgs {
+    /// parts to measure, all if none is named: membership, facts, catalogue, router, gate, ledger,
+    /// recovery, jobs, intake, placement, wire
+    #[argh(positional)]
+    pub parts: Vec<String>,
+}
+
+/// measure the ledger and its jobs: store calls, commit delays, recovery, memory
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "state")]
+pub struct MeasureStateArgs {}
+
+/// measure online latency and batch throughput: each alone, together under this policy, first come
+/// first served, and with faults; under five minutes for both profiles
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "online")]
+pub struct MeasureOnlineArgs {
+    /// rahbar, raiffalm or both
+    #[argh(option, default = "String::from(\"both\")")]
+    pub profile: String,
+    /// measured seconds of each variant
+    #[argh(option, default = "14")]
+    pub seconds: u64,
+    /// seed of the arrivals
+    #[argh(option, default = "7")]
+    pub seed: u64,
+    /// file for a picture, SVG
+    #[argh(option)]
+    pub plot: Option<PathBuf>,
+}
--- a/crates/magnolianotch/src/demo/online.rs
+++ b/crates/magnolianotch/src/demo/online.rs
@@ -38,6 +38,8 @@
     pub duration: Duration,
     /// Seed of the arrivals.
     pub seed: u64,
+    /// Tells requests apart whose plans have the same arrivals.
+    pub label: u64,
 }
 
 /// What online callers met.
@@ -57,6 +59,8 @@
     pub retries: u64,
     /// Times to first token of first tries that were answered.
     pub first_token: LatencyReport,
+    /// Times to first token from the first try on, over all tries.
+    pub first_token_of_all: LatencyReport,
     /// Times between tokens.
     pub gaps: LatencyReport,
 }
@@ -97,10 +101,10 @@
             gateways: gateways(),
             key: key.to_owned(),
             model: profile.model.to_owned(),
-            name: format!("online-{}-{number}", plan.seed),
+            name: format!("online-{}-{number}", plan.label),
             prompt: OnlinePrompt::numbered(
                 "slot reply",
-                plan.seed << 32 | number as u64,
+                plan.label << 32 | number as u64,
                 profile.online_prompt,
                 profile.online_answer,
             ),
@@ -127,11 +131,13 @@
     /// Tries until answered: another gateway each time, under the same key.
     async fn call(self, outcome: &Mutex<OnlineOutcome>) {
         let mut last = ReplyEnd::Lost;
+        let arrived = Instant::now();
         for attempt in 0..CALLER_TRIES {
             let gateway = self.gateways[(self.first_gateway + attempt) % self.gateways.len()];
             let client = LoadClient::new(&self.http, gateway, &self.key);
+            let waited = arrived.elapsed();
             let reply = client.chat(&self.prompt, &self.model, Some(&self.name), DEADLINE).await;
-            locked(outcome).take(attempt, &reply);
+            locked(outcome).take(attempt, waited, &reply);
             let pause = match &reply.end {
                 ReplyEnd::Right | ReplyEnd::Wrong => return,
                 ReplyEnd::Refused { retry_after_ms: Some(wait), .. } => {
@@ -159,7 +165,21 @@
 }
 
 impl OnlineOutcome {
-    fn take(&mut self, attempt: usize, reply: &OnlineReply) {
+    /// Takes in what another plan's callers met.
+    pub fn merge(&mut self, other: &Self) {
+        self.sent += other.sent;
+        self.right += other.right;
+        self.wrong += other.wrong;
+        self.refused += other.refused;
+        self.unanswered += other.unanswered;
+        self.retries += other.retries;
+        self.first_token.merge(&other.first_token);
+        self.first_token_of_all.merge(&other.first_token_of_all);
+        self.gaps.merge(&other.gaps);
+    }
+
+    /// `waited` is the time that earlier tries took.
+    fn take(&mut self, attempt: usize, waited: Duration, reply: &OnlineReply) {
         if attempt == 0 {
             self.sent += 1;
             if let Some(first) = reply.first_token {
@@ -168,6 +188,9 @@
         } else {
             self.retries += 1;
         }
+        if let (Some(first), ReplyEnd::Right) = (reply.first_token, &reply.end) {
+            self.first_token_of_all.record(waited + first);
+        }
         for gap in &reply.gaps {
             self.gaps.record(*gap);
         }
--- a/crates/magnolianotch/src/demo/run.rs
+++ b/crates/magnolianotch/src/demo/run.rs
@@ -102,6 +102,7 @@
             burst_for: Duration::from_secs(1),
             duration: settings.online_for,
             seed: settings.seed,
+            label: settings.seed,
         };
         async move { run_callers(&plan, &profile, &http, || current(&addresses), ACCOUNT_KEY).await }
     });
--- a/crates/magnolianotch/src/lib.rs
+++ b/crates/magnolianotch/src/lib.rs
@@ -5,3 +5,5 @@
 pub mod demo;
 pub mod fleet;
 pub mod load;
+pub mod measure;
+pub mod slopes;
--- a/crates/magnolianotch/src/load/client.rs
+++ b/crates/magnolianotch/src/load/client.rs
@@ -95,6 +95,11 @@
         if let Some(key) = idempotency_key {
             request.insert_header("idempotency-key", key);
         }
+        self.stream(request, prompt).await
+    }
+
+    /// Sends a request for a streamed answer to `prompt` and checks the answer.
+    pub async fn stream(&self, request: Request, prompt: &OnlinePrompt) -> OnlineReply {
         let started = Instant::now();
         let Ok(mut response) = self.http.send(request).await else {
             return ended(ReplyEnd::Lost, started);
