--- a/crates/jobs/examples/big_job.rs
+++ b/crates/jobs/examples/big_job.rs
@@ -4,13 +4,12 @@
 
 use std::{fs, time::Instant};
 
-use notch_jobs::prelude::*;
-use notch_messages::prelude::*;
-use notch_types::prelude::*;
+use notch_jobs::{
+    prelude::*,
+    probe::{BigJob, CHUNK_LINES},
+};
 
 const ITEMS: u32 = 860_000;
-const CHUNK_LINES: u32 = 5_000;
-const LOT_ITEMS: u32 = 8;
 
 /// Resident memory of this process, KiB.
 fn resident_kib() -> u64 {
@@ -19,124 +18,15 @@
     line.and_then(|line| line.trim().split(' ').next()?.parse().ok()).unwrap_or(0)
 }
 
-fn chunk(first: u32) -> Payload {
-    let line = |item: u32| {
-        format!(
-            "{{\"custom_id\":\"statement-{item}\",\"body\":{{\"line\":{item},\"text\":\"{item:0>100}\"}}}}\n"
-        )
-    };
-    let lines = first..(first + CHUNK_LINES).min(ITEMS);
-    Payload::from(lines.map(line).collect::<String>().as_str())
-}
-
-/// The service with a ledger that commits at once and keeps nothing.
-struct BigRun {
-    service: ShardService,
-    now: Now,
-    seq: u64,
-    call: u64,
-    lots: Vec<LotGrant>,
-    settled: u64,
-    ledger_bytes: usize,
-    reads: u32,
-}
-
-impl BigRun {
-    fn handle(&mut self, event: ServiceEvent) {
-        let mut effects = Vec::new();
-        self.service.handle(self.now, event, &mut effects);
-        for effect in effects {
-            match effect {
-                ServiceEffect::Append { ticket, records, .. } => self.commit(ticket, records),
-                ServiceEffect::ReadObject { key } => {
-                    self.reads += 1;
-                    let result = Ok(chunk(key.parse().expect("a chunk's first item")));
-                    self.handle(ServiceEvent::ObjectRead { key, result });
-                }
-                ServiceEffect::Answer { answer: ShardAnswer::Lot(lot), .. } => self.lots.push(lot),
-                ServiceEffect::Answer { answer: ShardAnswer::ItemsSettled(keys), .. } => {
-                    self.settled += keys.len() as u64;
-                }
-                _ => {}
-            }
-        }
-    }
-
-    fn commit(&mut self, ticket: AppendTicket, records: Vec<Payload>) {
-        let first_seq = self.seq;
-        for record in records {
-            self.ledger_bytes += record.len();
-            self.seq += 1;
-            self.handle(ServiceEvent::Apply { seq: self.seq - 1, record });
-        }
-        self.handle(ServiceEvent::Committed { ticket, first_seq });
-    }
-
-    fn ask(&mut self, request: ShardRequest) {
-        self.call += 1;
-        let (from, call) = (VmName::new("entry-1"), CallId(self.call));
-        self.handle(ServiceEvent::Asked { from, call, request });
-    }
-}
-
 fn main() {
     let before = resident_kib();
-    let shard = ShardId(0);
-    let settings = JobSettings { chunk_cache_bytes: 4 << 20, ..JobSettings::default() };
-    let mut run = BigRun {
-        service: ShardService::new(shard, settings),
-        now: Now::at_millis(1_000),
-        seq: 0,
-        call: 0,
-        lots: Vec::new(),
-        settled: 0,
-        ledger_bytes: 0,
-        reads: 0,
-    };
-    run.handle(ServiceEvent::Owned { epoch: Epoch(1) });
-    let job = JobId { shard, digest: 1 };
-    let target = TargetName::new("statement-matching");
-    let firsts = (0..ITEMS).step_by(CHUNK_LINES as usize);
-    let chunks =
-        firsts.map(|first| JobChunk { key: first.to_string(), first: ItemIndex(first), age_ms: 0 });
-    run.ask(ShardRequest::SubmitJob(JobSubmission {
-        job,
-        account: AccountName::new("raiffalm"),
-        target: target.clone(),
-        due: WallTime(28_800_000),
-        item_count: ITEMS,
-        idempotent: true,
-        max_attempts: 3,
-        retention_ms: 86_400_000,
-        chunks: chunks.collect(),
-        content: 1,
-    }));
-    let (mut pull_time, mut done_time, mut pulls) = (0.0, 0.0, 0_u32);
-    loop {
-        let started = Instant::now();
-        run.ask(ShardRequest::Pull(LotPull {
-            vm: VmName::new("target-1"),
-            incarnation: Incarnation(1),
-            target: target.clone(),
-            slots: LOT_ITEMS,
-        }));
-        pull_time += started.elapsed().as_secs_f64();
-        pulls += 1;
-        let Some(lot) = run.lots.pop() else { break };
-        let result = |item: &LotItem| ItemResult {
-            key: item.key,
-            lot: lot.lot,
-            attempt: item.attempt,
-            outcome: ItemOutcome::Answered { status: 200, body: Payload(vec![b'x'; 200]) },
-        };
-        let results: Vec<ItemResult> = lot.items.iter().map(result).collect();
-        let started = Instant::now();
-        run.ask(ShardRequest::ItemsDone(results));
-        done_time += started.elapsed().as_secs_f64();
-    }
+    let mut run = BigJob::new(ITEMS);
+    run.run(u32::MAX);
+    let (pull_time, done_time) = (run.pull_time.as_secs_f64(), run.done_time.as_secs_f64());
+    let pulls = run.pulls;
     let after = resident_kib();
     let state = run.service.state();
-    let table = state.job(job).map_or(0, |job| job.items().memory_bytes());
+    let table = run.table_bytes();
     let started = Instant::now();
     let image = state.snapshot();
     let snapshot_ms = started.elapsed().as_secs_f64() * 1e3;
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod chunk;
 mod dispatch;
 pub mod policy;
+pub mod probe;
 pub mod record;
 pub mod service;
 pub mod settings;
--- a/crates/magnolianotch/src/cli/args.rs
+++ b/crates/magnolianotch/src/cli/args.rs
@@ -378,6 +378,9 @@
     /// seed of the arrivals
     #[argh(option, default = "7")]
     pub seed: u64,
+    /// rate of arrivals in a burst over that between bursts
+    #[argh(option, default = "4.0")]
+    pub burst: f64,
     /// file for a picture, SVG
     #[argh(option)]
     pub plot: Option<PathBuf>,
--- a/crates/magnolianotch/src/cli/development.rs
+++ b/crates/magnolianotch/src/cli/development.rs
@@ -69,6 +69,7 @@
         profiles: profiles(&args.profile)?,
         seconds: args.seconds.max(1),
         seed: args.seed,
+        burst: args.burst.max(1.0),
         ..OnlineSettings::default()
     };
     let report = run_online(&settings, &mut |text| output.note(text)).await;
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod lease;
 pub mod model;
 pub mod planner;
+pub mod probe;
 pub mod settings;
 pub mod share;
 
--- a/crates/routing/examples/router_cost.rs
+++ b/crates/routing/examples/router_cost.rs
@@ -5,150 +5,13 @@
 //! Each line feeds the whole course of many requests (arrival, start, first byte, end, one load
 //! report for every four requests) on one thread, without links or sockets.
 
-use std::{
-    collections::VecDeque,
-    io::Write,
-    time::{Duration, Instant},
-};
+use std::{io::Write, time::Instant};
 
-use notch_messages::prelude::*;
-use notch_routing::*;
-use notch_types::prelude::*;
+use notch_routing::probe::RouterProbe;
 
-const TARGETS: usize = 5;
 const ACCOUNTS: usize = 11_000;
 const REQUESTS: u64 = 200_000;
 const ROUNDS: u64 = 3;
-/// Requests in flight.
-const WIDTH: usize = 64;
-/// Time between arrivals: 100 a second, many times what one of 370 gateways sees.
-const GAP: Duration = Duration::from_millis(10);
-
-struct Bench {
-    router: OnlineRouter,
-    now: MonoTime,
-    effects: Vec<RouterEffect>,
-    running: VecDeque<AttemptId>,
-    targets: Vec<TargetName>,
-    accounts: Vec<AccountName>,
-    sidecars: usize,
-    reports: u64,
-    dispatched: u64,
-}
-
-impl Bench {
-    fn new(sidecars: usize, seed: u64) -> Self {
-        let targets = (0..TARGETS).map(|number| TargetName::new(&format!("model-{number}")));
-        let accounts = (0..ACCOUNTS).map(|number| AccountName::new(&format!("account-{number}")));
-        let mut bench = Self {
-            router: OnlineRouter::new(RouterSettings::default(), seed),
-            now: MonoTime(1_000_000),
-            effects: Vec::new(),
-            running: VecDeque::new(),
-            targets: targets.collect(),
-            accounts: accounts.collect(),
-            sidecars,
-            reports: 0,
-            dispatched: 0,
-        };
-        bench.fill();
-        bench
-    }
-
-    fn fill(&mut self) {
-        let engine = |target: &TargetName| TargetPolicy::engine(target.clone(), 32);
-        let policies = self.targets.iter().map(engine).collect();
-        self.feed(RouterEvent::TargetsChanged(policies));
-        let limit = |account: &AccountName| AccountLimit {
-            account: account.clone(),
-            requests_per_s: 20.0,
-            burst: 40.0,
-            concurrency: 100,
-        };
-        let limits = self.accounts.iter().map(limit).collect();
-        self.feed(RouterEvent::AccountsChanged(limits));
-        self.feed(RouterEvent::GatewayCount(370));
-        for number in 0..self.sidecars {
-            let event = RouterEvent::SidecarSeen {
-                vm: vm(number),
-                domain: DomainName::new("a"),
-                incarnation: Incarnation(number as u64),
-                load: self.report(number),
-            };
-            self.feed(event);
-        }
-    }
-
-    /// One target a sidecar, as with one model on a server's accelerators.
-    fn report(&mut self, number: usize) -> LoadReport {
-        self.reports += 1;
-        LoadReport {
-            incarnation: Incarnation(number as u64),
-            sequence: self.reports,
-            targets: vec![TargetLoad {
-                target: self.targets[number % TARGETS].clone(),
-                online_running: 3,
-                online_waiting: 0,
-                batch_running: 10,
-                limit: 32,
-                first_token_us: 200_000,
-                up: true,
-            }],
-            warm_prefixes: (0..64).map(|prefix| prefix * 7 + number as u64).collect(),
-            leaving: false,
-        }
-    }
-
-    fn feed(&mut self, event: RouterEvent) {
-        let now = Now { mono: self.now, wall: WallTime(self.now.0 / 1_000) };
-        self.effects.clear();
-        self.router.handle(now, event, &mut self.effects);
-        for effect in &self.effects {
-            if let RouterEffect::Dispatch { attempt, .. } = effect {
-                self.running.push_back(*attempt);
-                self.dispatched += 1;
-            }
-        }
-    }
-
-    fn request(&mut self, number: u64) {
-        self.now = self.now + GAP;
-        let request = OnlineRequest {
-            arrival: ArrivalId(number),
-            request: RequestId(u128::from(number)),
-            account: self.accounts[(number as usize * 7) % ACCOUNTS].clone(),
-            target: self.targets[number as usize % TARGETS].clone(),
-            path: String::new(),
-            keyed: false,
-            idempotent: None,
-            fingerprint: Fingerprint(u128::from(number)),
-            prefix: Some(number % 500),
-            deadline: None,
-            stream: true,
-        };
-        self.feed(RouterEvent::Arrived(request));
-        if let Some(attempt) = self.running.back().copied() {
-            self.feed(RouterEvent::AttemptStarted { attempt });
-            let first_token = Duration::from_millis(200);
-            self.feed(RouterEvent::AnswerBegun { attempt, first_token });
-        }
-        if self.running.len() > WIDTH
-            && let Some(attempt) = self.running.pop_front()
-        {
-            let outcome = AttemptOutcome::Complete { status: 200 };
-            self.feed(RouterEvent::AttemptEnded { attempt, outcome, first_token: None });
-        }
-        if number.is_multiple_of(4) {
-            let place = (number / 4) as usize % self.sidecars;
-            let report = self.report(place);
-            self.feed(RouterEvent::SidecarLoad { vm: vm(place), report });
-        }
-    }
-}
-
-fn vm(number: usize) -> VmName {
-    VmName::new(&format!("vm-{number}"))
-}
 
 /// Memory in use by the process, KiB, from the kernel's own count.
 fn resident_kib() -> u64 {
@@ -162,13 +25,13 @@
     writeln!(out, "sidecars  round  us/request  dispatched  resident KiB")?;
     for sidecars in [16, 64, 320, 2_000] {
         for round in 0..ROUNDS {
-            let mut bench = Bench::new(sidecars, round);
+            let mut probe = RouterProbe::new(sidecars, ACCOUNTS, round);
             let start = Instant::now();
             for number in 0..REQUESTS {
-                bench.request(number);
+                probe.request(number);
             }
             let micros = start.elapsed().as_secs_f64() * 1e6 / REQUESTS as f64;
-            let (dispatched, resident) = (bench.dispatched, resident_kib());
+            let (dispatched, resident) = (probe.dispatched, resident_kib());
             writeln!(
                 out,
                 "{sidecars:>8}  {round:>5}  {micros:>10.2}  {dispatched:>10}  {resident:>12}"
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod event;
 pub mod expiring_set;
 pub mod policy;
+pub mod probe;
 mod request_state;
 pub mod retry_budget;
 pub mod router;
