Split the ledger's tests by matter

Change: tests around deletion, scenes, and what befalls calls get files of their own; not a line of a test changed.

--- a/crates/ledger/tests/support/mod.rs
+++ b/crates/ledger/tests/support/mod.rs
@@ -2,7 +2,9 @@
 //! it in virtual time, checking each step against a naive ledger.
 #![allow(dead_code, missing_docs, unreachable_pub)]
 
+pub mod faults;
 pub mod naive;
+pub mod scenes;
 pub mod world;
 
 use std::time::Duration;
--- a/crates/ledger/tests/support/world.rs
+++ b/crates/ledger/tests/support/world.rs
@@ -3,8 +3,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use notch_ledger::{
-    AppendTicket, AppendUrgency, LedgerShard, ObjectKey, RecordPlace, Seq, SeqRange, ShardEffect,
-    ShardEvent, ShardStanding, SweepId, probe::MapStore, read_segment,
+    AppendTicket, AppendUrgency, LedgerShard, ObjectKey, Seq, SeqRange, ShardEffect, ShardEvent,
+    ShardStanding, SweepId, probe::MapStore,
 };
 use notch_types::{
     object::{StoreCall, StoreFailure, StoreOp, StoreReply, StoreResult},
@@ -12,65 +12,14 @@
 };
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 
+use super::faults::Happening;
+pub use super::faults::{CallFilter, Fault, Node, Weather};
 use super::{
     SHARD,
     naive::{Append, Fate, NaiveLedger, chunk_of},
     small,
 };
 
-/// How the store treats a call.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Fault {
-    None,
-    Unavailable,
-    Throttled,
-    /// Takes effect; the answer is lost.
-    UnknownApplied,
-    /// Has no effect; nobody knows.
-    UnknownNotApplied,
-    /// Called unknown at once, takes effect after this many milliseconds.
-    AppliedLate(u64),
-    /// Takes effect after this many milliseconds, and is answered then.
-    Slow(u64),
-    /// Takes effect, and nobody ever answers.
-    Silent,
-}
-
-pub type CallFilter = fn(&StoreOp) -> bool;
-
-/// How often calls meet faults.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Weather {
-    Fair,
-    /// Each fault now and then.
-    Foul,
-    /// Every call is refused.
-    Outage,
-    /// Every answer is lost.
-    Mute,
-}
-
-enum Happening {
-    Arrive { node: usize, life: u64, call: StoreCall, fault: Fault },
-    Answer { node: usize, life: u64, call: CallId, result: StoreResult },
-    Event { node: usize, life: u64, event: ShardEvent },
-    Snapshot { node: usize, life: u64 },
-}
-
-pub struct Node {
-    pub shard: Option<LedgerShard>,
-    pub life: u64,
-    pub paused_until: u64,
-    /// Every record applied since the last `Restore`, from place 0 on: the user's whole state.
-    pub state: Vec<Payload>,
-    pub owned: Option<Epoch>,
-    /// Epochs lost so far.
-    pub lost: BTreeSet<Epoch>,
-    pub observed: Option<(Epoch, Option<VmName>)>,
-    /// Counted events.
-    pub counts: BTreeMap<Counter, u64>,
-}
-
 pub struct World {
     pub now: u64,
     pub store: MapStore,
@@ -512,27 +461,6 @@
         })
     }
 
-    /// Every record that must be readable at the present owner is.
-    pub fn check_reads(&self) {
-        let Some(owner) = self.owner() else { return };
-        let shard = self.nodes[owner].shard.as_ref().expect("an owner");
-        let value = self.store.value(&ObjectKey { shard: SHARD }.head()).expect("a head");
-        let head = notch_ledger::LedgerHead::decode(value).expect("a head");
-        let snapshot = head.snapshot.map_or(0, |snapshot| snapshot.upto.0);
-        for (record, seq) in self.naive.list.iter().zip(0..self.nodes[owner].state.len() as u64) {
-            let place = shard.locate(Seq(seq));
-            assert!(place.is_some() || seq < needed_from(snapshot), "{seq} can't be located");
-            match place {
-                Some(RecordPlace::Inline(found)) => assert_eq!(found, record),
-                Some(RecordPlace::Segment { key, index }) => {
-                    let value = self.store.value(&key).expect("a located segment is there");
-                    assert_eq!(read_segment(value, index).as_ref(), Ok(record));
-                }
-                None => {}
-            }
-        }
-    }
-
     /// Fair weather at last: someone must own the shard, know the whole list, and take appends.
     pub fn finish(&mut self) {
         self.weather = Weather::Fair;
@@ -558,6 +486,6 @@
 }
 
 /// Where the needed places begin, by the rule of these tests.
-fn needed_from(upto: u64) -> u64 {
+pub fn needed_from(upto: u64) -> u64 {
     upto - upto / 3
 }
