Bound what a sidecar reports, what idle links carry and what shards tell

Cause: measure slopes showed three figures that don't fit 7 KB/s a node at the size planned for, or break there: load reports on 8 links (32 a second, 12 KB/s with 16 warm heads); heartbeats that were answered although each end sends its own; 64 facts of shards' work a second, more than pings carry (mean age 8.1 s, oldest 60 s at 256 gateways, where work counts for 15 s). Work for five models took 311 bytes and was dropped: facts hold 256. Change: at most 8 load reports a second on all links of a sidecar together; heartbeats without answer (still read); a shard's work told on change and every 4 s; short field names in the fact.

--- a/crates/gate/src/gate/reports.rs
+++ b/crates/gate/src/gate/reports.rs
@@ -1,10 +1,15 @@
 //! Load reports to gateways: on change, but not too often.
 
+use std::time::Duration;
+
 use notch_messages::prelude::*;
 use notch_types::prelude::*;
 
 use super::AdmissionGate;
-use crate::{core::GateCore, effect::GateEffect, event::EngineHoldings, timer_set::TimerKind};
+use crate::{
+    core::GateCore, effect::GateEffect, event::EngineHoldings, target_state::TargetHealth,
+    timer_set::TimerKind,
+};
 
 /// Most prompt heads told in one report.
 const WARM_PREFIXES: usize = 16;
@@ -17,6 +22,8 @@
     last: Option<(MonoTime, LoadReport)>,
     /// The time for which a timer was set.
     timer: Option<MonoTime>,
+    /// Whether the process beside the sidecar answers.
+    answers: bool,
     held: EngineHoldings,
     held_sequence: u64,
     /// Rises whenever `held` changes.
@@ -46,6 +53,10 @@
         self.held = holdings;
     }
 
+    pub(super) fn set_answers(&mut self, answers: bool) {
+        self.answers = answers;
+    }
+
     /// A gateway came: it has no report yet.
     pub(super) fn forget_holdings(&mut self) {
         self.last_held = None;
@@ -69,7 +80,7 @@
         let settings = &self.core.settings;
         let due = match &self.reporter.last {
             None => now,
-            Some((at, last)) if self.is_changed(last) => *at + settings.load_interval,
+            Some((at, last)) if self.is_changed(last) => *at + self.report_interval(),
             Some((at, _)) => *at + settings.load_refresh,
         };
         if now < due {
@@ -86,6 +97,15 @@
         self.reporter.last = Some((now, report));
     }
 
+    /// With many gateways each hears less often, so that a sidecar's bytes don't grow with the
+    /// number of its links.
+    fn report_interval(&self) -> Duration {
+        let settings = &self.core.settings;
+        let links = self.core.gateways.all().count() as f64;
+        let shared = Duration::from_secs_f64(links / settings.load_reports_per_s.max(0.1));
+        shared.clamp(settings.load_interval, settings.load_refresh)
+    }
+
     fn load_report(&mut self) -> LoadReport {
         self.reporter.sequence += 1;
         LoadReport {
@@ -116,7 +136,7 @@
 
     fn holdings_mark(&self) -> HoldingsMark {
         HoldingsMark {
-            up: self.targets.values().any(|state| state.is_up()),
+            up: self.is_answering(),
             leaving: self.core.leaving,
             epoch: self.fence.newest(),
             ended_order: self.fence.ended_order(),
@@ -125,6 +145,16 @@
         }
     }
 
+    /// Whether the target answers. An engine that holds nothing serves no target whose state would
+    /// tell it; reported as down, it would never be ordered to load anything.
+    fn is_answering(&self) -> bool {
+        let mut served = self.targets.values().filter(|state| state.health != TargetHealth::Gone);
+        match served.next() {
+            None => self.reporter.answers,
+            Some(first) => first.is_up() || served.any(|state| state.is_up()),
+        }
+    }
+
     fn holdings(&self, mark: HoldingsMark) -> TargetHoldings {
         TargetHoldings {
             vm: self.core.settings.vm.clone(),
--- a/crates/gate/src/settings.rs
+++ b/crates/gate/src/settings.rs
@@ -78,6 +78,8 @@
     pub order_timeout: Duration,
     /// Shortest time between two load reports.
     pub load_interval: Duration,
+    /// Most load reports a second on all links together; at least 0.1.
+    pub load_reports_per_s: f64,
     /// Longest time between two load reports.
     pub load_refresh: Duration,
     /// How long running online work may go on once the sidecar leaves.
@@ -119,6 +121,7 @@
             order_count: 256,
             order_timeout: Duration::from_secs(300),
             load_interval: Duration::from_millis(250),
+            load_reports_per_s: 8.0,
             load_refresh: Duration::from_secs(5),
             drain_bound: Duration::from_secs(30),
             learning_window: Duration::from_millis(500),
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -1,7 +1,9 @@
 //! The control thread: every decision of a gateway.
 
+pub mod backlog_pace;
 pub mod call_table;
 pub mod core;
+mod core_facts;
 mod core_fleet;
 mod core_links;
 mod core_operators;
--- a/crates/gateway/src/control/shard_desk.rs
+++ b/crates/gateway/src/control/shard_desk.rs
@@ -10,6 +10,7 @@
 use notch_types::{object::StoreResult, prelude::*};
 
 use crate::control::{
+    backlog_pace::BacklogPace,
     call_table::CallTable,
     event::StoreUser,
     shard_directory::ShardDirectory,
@@ -54,6 +55,7 @@
     calls: CallTable,
     /// Raised by one with each backlog told, so that a rumour's versions rise within an epoch.
     told: Vec<u64>,
+    pace: BacklogPace,
     pub(super) turn: usize,
     leaving: bool,
 }
@@ -63,12 +65,14 @@
     pub fn new(vm: &VmName, hosts: Vec<ShardHost>) -> Self {
         let directory = ShardDirectory::new(hosts.len() as u16);
         let told = vec![0; hosts.len()];
+        let pace = BacklogPace::new(hosts.len());
         Self {
             vm: vm.clone(),
             hosts,
             directory,
             calls: CallTable::default(),
             told,
+            pace,
             turn: 0,
             leaving: false,
         }
@@ -466,10 +470,12 @@
     ) {
         let place = usize::from(shard.0);
         let Some(epoch) = self.hosts[place].epoch() else { return };
-        self.told[place] += 1;
-        // The epoch in the high bits: a new owner's first word beats the old owner's last.
-        let version = (epoch.0 << 32) | (self.told[place] & 0xffff_ffff);
-        push_rumor(RumorTopic::ShardBacklog(shard), version, &backlog, false, steps);
+        if self.pace.is_due(now.mono, shard, epoch, &backlog) {
+            self.told[place] += 1;
+            // The epoch in the high bits: a new owner's first word beats the old owner's last.
+            let version = (epoch.0 << 32) | (self.told[place] & 0xffff_ffff);
+            push_rumor(RumorTopic::ShardBacklog(shard), version, &backlog, false, steps);
+        }
         self.directory.backlog_seen(now.mono, shard, backlog);
     }
 }
--- a/crates/jobs/src/service/effect.rs
+++ b/crates/jobs/src/service/effect.rs
@@ -13,13 +13,17 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct TargetBacklog {
     /// The target.
+    #[serde(rename = "t", alias = "target")]
     pub target: TargetName,
     /// Items without a result.
+    #[serde(rename = "o", alias = "open")]
     pub open: u64,
     /// Least laxity of its jobs, milliseconds; negative when a job will be late.
+    #[serde(rename = "l", alias = "least_laxity_ms")]
     pub least_laxity_ms: i64,
     /// Share of the target that late jobs want as floor, `0.0..=1.0`, already bounded by the
     /// target's policy and by the online reserve.
+    #[serde(rename = "f", alias = "floor")]
     pub floor: f64,
 }
 
--- a/crates/link/src/connection.rs
+++ b/crates/link/src/connection.rs
@@ -27,9 +27,6 @@
 /// Messages written before the socket is flushed, at most.
 const WRITE_BATCH: usize = 64;
 
-/// Heartbeat answers that may wait.
-const ACK_QUEUE: usize = 8;
-
 static NEXT_LINK: AtomicU64 = AtomicU64::new(1);
 
 /// WebSocket limits: one message a frame, bounded.
@@ -68,9 +65,8 @@
     sink(LinkEvent::Up { peer: peer.clone(), link });
     let mut guard = DownGuard { peer: &peer, link: id, reason: LinkDown::Closed, sink };
     let (outgoing, incoming) = socket.split();
-    let (acks, ack_queue) = async_channel::bounded(ACK_QUEUE);
-    let reading = read_all(incoming, settings.silence, &peer, id, sink, acks);
-    let writing = write_all(outgoing, messages, ack_queue, settings.heartbeat);
+    let reading = read_all(incoming, settings.silence, &peer, id, sink);
+    let writing = write_all(outgoing, messages, settings.heartbeat);
     pin_mut!(reading, writing);
     // The side that ends first drops the other: a reader that met silence must not wait for a
     // writer that is blocked on the very connection that went silent.
@@ -86,7 +82,6 @@
     peer: &LinkPeer,
     link: u64,
     sink: &LinkSink,
-    acks: async_channel::Sender<LinkMessage>,
 ) -> LinkDown {
     loop {
         let frame = match timeout(silence, incoming.next()).await {
@@ -101,28 +96,26 @@
             _ => continue,
         };
         match codec::decode(&bytes) {
-            Ok(LinkMessage::Heartbeat { sequence }) => {
-                // A full queue means that answers are on their way already.
-                let _ = acks.try_send(LinkMessage::HeartbeatAck { sequence });
-            }
-            Ok(LinkMessage::HeartbeatAck { .. }) => {}
+            Ok(LinkMessage::Heartbeat { .. } | LinkMessage::HeartbeatAck { .. }) => {}
             Ok(message) => sink(LinkEvent::Message { peer: peer.clone(), link, message }),
             Err(fault) => return LinkDown::Failed(fault),
         }
     }
 }
 
+/// Each end says something at least once a heartbeat, so each end's silence limit watches the
+/// other's direction; an answer to a heartbeat would only double the bytes of idle links. A link
+/// that carries one way only is closed by the end that hears nothing.
 async fn write_all(
     mut outgoing: SplitSink<LinkSocket, Message>,
     messages: Receiver<LinkMessage>,
-    acks: Receiver<LinkMessage>,
     heartbeat: Duration,
 ) -> LinkDown {
     let mut sequence = 0;
     loop {
-        let message = match timeout(heartbeat, next_message(&messages, &acks)).await {
-            Ok(Some(message)) => message,
-            Ok(None) => {
+        let message = match timeout(heartbeat, messages.recv()).await {
+            Ok(Ok(message)) => message,
+            Ok(Err(_)) => {
                 let _ = timeout(heartbeat, outgoing.close()).await;
                 return LinkDown::Closed;
             }
@@ -137,24 +130,6 @@
     }
 }
 
-/// Acks go first: a link under load must not look silent.
-async fn next_message(
-    messages: &Receiver<LinkMessage>,
-    acks: &Receiver<LinkMessage>,
-) -> Option<LinkMessage> {
-    if let Ok(ack) = acks.try_recv() {
-        return Some(ack);
-    }
-    let ack = acks.recv();
-    let message = messages.recv();
-    pin_mut!(ack, message);
-    match select(ack, message).await {
-        Either::Left((Ok(ack), _)) => Some(ack),
-        Either::Left((Err(_), message)) => message.await.ok(),
-        Either::Right((message, _)) => message.ok(),
-    }
-}
-
 /// Writes what is queued and flushes once: a flush a message would cost a system call each.
 async fn write_batch(
     outgoing: &mut SplitSink<LinkSocket, Message>,
--- a/crates/messages/src/frame.rs
+++ b/crates/messages/src/frame.rs
@@ -176,12 +176,12 @@
 /// Anything on a link after its handshake.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum LinkMessage {
-    /// Are you there?
+    /// Still here: sent on a link that has nothing else to carry. Not answered.
     Heartbeat {
-        /// Echoed by the answer.
+        /// Rises with each on a link.
         sequence: u64,
     },
-    /// Yes.
+    /// Answer to a heartbeat; read, not sent any more.
     HeartbeatAck {
         /// Of the heartbeat.
         sequence: u64,
