Make status, explain and the command line answer an operator's questions

`status` printed fields in the order of their names; nothing in it told whether the object API answers or what the sidecars carry. `explain job` of a running job said only that it was accepted, `explain vm` of a VM whose target had crashed said nothing. `job submit -` ended with "Unrecognized argument: -". The gauge store_up stood at 0 for ever.

--- a/crates/gateway/src/control/core.rs
+++ b/crates/gateway/src/control/core.rs
@@ -247,6 +247,12 @@
         }
         self.metrics.set(Gauge::ShardsOwned, self.shards.owned() as i64);
         self.metrics.set(Gauge::MembersAlive, self.roster.len() as i64);
+        let members = self.members.members();
+        let suspects = members.iter().filter(|member| member.state == MemberState::Suspect).count();
+        self.metrics.set(Gauge::MembersSuspect, suspects as i64);
+        let owned = self.shards.hosts().iter().filter(|host| host.epoch().is_some());
+        let jobs = owned.flat_map(|host| host.service().state().jobs().values());
+        self.metrics.set(Gauge::JobsOpen, jobs.filter(|job| job.is_running()).count() as i64);
         self.metrics.set(Gauge::EntriesInForce, self.catalogue.table().len() as i64);
         self.metrics.set(Gauge::ItemsOpen, self.shards.directory().open_items() as i64);
     }
--- a/crates/gateway/src/control/core_links.rs
+++ b/crates/gateway/src/control/core_links.rs
@@ -46,6 +46,7 @@
                 self.steps.push_back(ControlStep::Member(event));
             }
             NodeRole::Sidecar => {
+                self.operators.load_gone(&peer.vm);
                 self.with_online(|online, send, steps| {
                     online.link_down(now, &peer.vm, send, steps);
                 });
@@ -83,7 +84,7 @@
                 self.take_placement(message);
             }
             LinkMessage::ExplainAsk { call, subject } if peer.role == NodeRole::Gateway => {
-                let notes = self.notes_json(&subject);
+                let notes = self.notes_json(now, &subject);
                 let message = LinkMessage::ExplainAnswer { call, notes: notes.into() };
                 self.steps.push_back(ControlStep::ToGateway { to: from, message });
             }
@@ -105,6 +106,7 @@
                 self.steps.push_back(ControlStep::Route(event));
             }
             GatewayMessage::Load(report) => {
+                self.operators.load_seen(&vm, &report.targets);
                 let load = report.clone();
                 let seen = PlacementEvent::LoadSeen { vm: vm.clone(), load };
                 self.steps.push_back(ControlStep::Placement(seen));
--- a/crates/gateway/src/control/core_operators.rs
+++ b/crates/gateway/src/control/core_operators.rs
@@ -3,6 +3,7 @@
 use async_channel::Sender;
 use notch_catalogue::CatalogueEvent;
 use notch_messages::prelude::*;
+use notch_telemetry::prelude::*;
 use notch_types::prelude::*;
 use serde_json::{Value, json};
 
@@ -27,8 +28,11 @@
     }
 
     fn explain(&mut self, now: Now, subject: &NoteSubject, reply: Sender<Value>) {
-        let here: Vec<Value> =
-            self.notes_of(subject).into_iter().map(|note| with_gateway(note, &self.vm)).collect();
+        let here: Vec<Value> = self
+            .notes_of(now, subject)
+            .into_iter()
+            .map(|note| with_gateway(note, &self.vm))
+            .collect();
         let others = self.links.linked(NodeRole::Gateway);
         let Some(call) = self.operators.explain(now, here, others.len(), reply) else { return };
         for to in others {
@@ -38,12 +42,22 @@
     }
 
     /// The notes kept here on a subject, as JSON bytes for another gateway.
-    pub(super) fn notes_json(&self, subject: &NoteSubject) -> Vec<u8> {
-        Value::Array(self.notes_of(subject)).to_string().into_bytes()
+    pub(super) fn notes_json(&self, now: Now, subject: &NoteSubject) -> Vec<u8> {
+        Value::Array(self.notes_of(now, subject)).to_string().into_bytes()
     }
 
-    fn notes_of(&self, subject: &NoteSubject) -> Vec<Value> {
-        self.notes.explain(subject).into_iter().collect()
+    /// Notes and present facts; empty where this gateway has neither.
+    fn notes_of(&self, now: Now, subject: &NoteSubject) -> Vec<Value> {
+        let facts = self.facts(now, subject);
+        let notes = self.notes.explain(subject);
+        if notes.is_none() && facts.is_empty() {
+            return Vec::new();
+        }
+        let mut page = notes.unwrap_or_else(|| SubjectNotes::default().to_json(subject));
+        if let Value::Object(fields) = &mut page {
+            fields.insert("now".to_owned(), json!(facts));
+        }
+        vec![page]
     }
 
     fn status(&self) -> Value {
@@ -73,15 +87,12 @@
                 })
             })
             .collect();
-        let sidecars: Vec<Value> = self
-            .links
-            .linked(NodeRole::Sidecar)
-            .iter()
-            .map(|vm| json!({ "vm": vm.as_str(), "draining": self.drained.contains(vm) }))
-            .collect();
+        let sidecars: Vec<Value> =
+            self.links.linked(NodeRole::Sidecar).iter().map(|vm| self.sidecar_line(vm)).collect();
         json!({
             "gateway": self.vm.as_str(),
             "leaving": self.leaving.is_some(),
+            "store_up": self.metrics.value(Gauge::StoreUp) == 1,
             "catalogue_ready": self.catalogue.is_ready(),
             "entries_in_force": self.catalogue.table().len(),
             "gateways": members,
@@ -93,6 +104,25 @@
         })
     }
 
+    fn sidecar_line(&self, vm: &VmName) -> Value {
+        let loads: Vec<Value> = self
+            .operators
+            .load_of(vm)
+            .iter()
+            .map(|load| {
+                json!({
+                    "target": load.target.as_str(),
+                    "up": load.up,
+                    "online_running": load.online_running,
+                    "online_waiting": load.online_waiting,
+                    "batch_running": load.batch_running,
+                    "limit": load.limit,
+                })
+            })
+            .collect();
+        json!({ "vm": vm.as_str(), "draining": self.drained.contains(vm), "targets": loads })
+    }
+
     fn shard_lines(&self) -> Vec<Value> {
         let directory = self.shards.directory();
         self.shards
--- a/crates/gateway/src/control/operator_desk.rs
+++ b/crates/gateway/src/control/operator_desk.rs
@@ -4,6 +4,7 @@
 
 use async_channel::Sender;
 use notch_catalogue::{SurveyReport, key};
+use notch_messages::prelude::*;
 use notch_types::prelude::*;
 use serde_json::{Value, json};
 
@@ -11,6 +12,8 @@
 const EXPLAIN_WAIT: Duration = Duration::from_millis(700);
 /// How long a survey may take before its asker is told so.
 const SURVEY_WAIT: Duration = Duration::from_secs(5);
+/// Sidecars whose load is kept; far more than are linked to one gateway.
+const MAX_LOADS: usize = 4_096;
 /// Questions open at once; more are answered at once with what is known here.
 const MAX_OPEN: usize = 256;
 
@@ -28,15 +31,44 @@
     reply: Sender<Value>,
 }
 
-/// Questions waiting for answers. Bound: `MAX_OPEN` of each kind, each with a time limit.
+/// Questions waiting for answers, and what sidecars last said of their load. Bounds: `MAX_OPEN`
+/// questions of each kind, each with a time limit; `MAX_LOADS` sidecars, each while it is linked.
 #[derive(Debug, Default)]
 pub struct OperatorDesk {
     next: u64,
     explains: BTreeMap<CallId, OpenExplain>,
     surveys: BTreeMap<u64, OpenSurvey>,
+    loads: BTreeMap<VmName, Vec<TargetLoad>>,
 }
 
 impl OperatorDesk {
+    /// Keeps what a sidecar says of its load.
+    pub fn load_seen(&mut self, vm: &VmName, loads: &[TargetLoad]) {
+        if let Some(known) = self.loads.get_mut(vm) {
+            known.clear();
+            known.extend_from_slice(loads);
+        } else if self.loads.len() < MAX_LOADS {
+            self.loads.insert(vm.clone(), loads.to_vec());
+        }
+    }
+
+    /// Forgets a sidecar's load: it is linked no more.
+    pub fn load_gone(&mut self, vm: &VmName) {
+        self.loads.remove(vm);
+    }
+
+    /// What a sidecar last said of its targets.
+    pub fn load_of(&self, vm: &VmName) -> &[TargetLoad] {
+        self.loads.get(vm).map_or(&[], Vec::as_slice)
+    }
+
+    /// What sidecars last said of one target.
+    pub fn loads_of(&self, target: &TargetName) -> impl Iterator<Item = (&VmName, &TargetLoad)> {
+        let all =
+            self.loads.iter().flat_map(|(vm, loads)| loads.iter().map(move |load| (vm, load)));
+        all.filter(move |(_, load)| load.target == *target)
+    }
+
     /// When time alone changes something.
     pub fn next_wake(&self) -> Option<MonoTime> {
         let explains = self.explains.values().map(|open| open.until);
--- a/crates/gateway/src/edge/platform_calls.rs
+++ b/crates/gateway/src/edge/platform_calls.rs
@@ -91,6 +91,8 @@
         let waits = matches!(op, StoreOp::Watch { .. });
         let started = std::time::Instant::now();
         let result = self.objects.call(op).await;
+        let is_up = !matches!(result, Err(StoreFailure::Unavailable | StoreFailure::Unknown));
+        self.metrics.set(Gauge::StoreUp, i64::from(is_up));
         if !waits {
             self.metrics.observe(Timing::StoreCall, started.elapsed());
         }
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -23,7 +23,7 @@
         }
     };
     if options.check {
-        return ExitCode::SUCCESS;
+        return tell_valid(&options, &config);
     }
     init_logs(wiring::log_settings(&config));
     match task::block_on(run(config)) {
@@ -35,6 +35,14 @@
     }
 }
 
+#[expect(clippy::print_stdout, reason = "a check answers on standard output")]
+fn tell_valid(options: &GatewayOptions, config: &GatewayConfig) -> ExitCode {
+    let GatewayConfig { node, .. } = config;
+    let path = options.config.display();
+    println!("{path}: valid, for VM {} in failure domain {}", node.vm, node.domain);
+    ExitCode::SUCCESS
+}
+
 async fn run(config: GatewayConfig) -> Result<(), GatewayError> {
     let log = NodeLog::new(&config.node.vm, &config.node.domain);
     let edges = GatewayEdges::over_http(&config);
--- a/crates/magnolianotch/src/cli.rs
+++ b/crates/magnolianotch/src/cli.rs
@@ -13,6 +13,7 @@
 mod stand_in;
 mod status;
 mod submit;
+mod table;
 
 use std::process::ExitCode;
 
--- a/crates/magnolianotch/src/cli/args.rs
+++ b/crates/magnolianotch/src/cli/args.rs
@@ -35,6 +35,7 @@
 pub(super) fn globals_first<'a>(arguments: &[&'a str]) -> Vec<&'a str> {
     let mut globals = Vec::new();
     let mut others = Vec::new();
+    let mut files = Vec::new();
     let mut rest = arguments.iter().copied();
     while let Some(argument) = rest.next() {
         match argument {
@@ -43,6 +44,9 @@
                 globals.push(argument);
                 globals.extend(rest.next());
             }
+            // The library takes a lone dash for an option it does not know. It stands for a file,
+            // and files come last.
+            "-" => files.extend(["--", argument]),
             "--" => {
                 others.push(argument);
                 others.extend(rest.by_ref());
@@ -51,6 +55,7 @@
         }
     }
     globals.extend(others);
+    globals.extend(files);
     globals
 }
 
--- a/crates/magnolianotch/src/cli/explain.rs
+++ b/crates/magnolianotch/src/cli/explain.rs
@@ -12,6 +12,8 @@
     gateway: String,
     forgotten: u64,
     notes: Vec<NoteLine>,
+    /// How the subject stands there now.
+    now: Vec<String>,
 }
 
 /// One step.
@@ -50,11 +52,16 @@
         .collect();
     lines.sort_by_key(|(_, note)| note.at_ms);
     if lines.is_empty() {
-        output.note("no gateway keeps a note on this");
+        output.note("no gateway keeps a note on this; notes end with the gateway's process");
     }
     for (gateway, note) in lines {
         output.line(&note_text(gateway, note));
     }
+    for book in &books {
+        for fact in &book.now {
+            output.line(&format!("now [{}] {fact}", book.gateway));
+        }
+    }
     Ok(())
 }
 
--- a/crates/magnolianotch/src/cli/submit.rs
+++ b/crates/magnolianotch/src/cli/submit.rs
@@ -54,6 +54,9 @@
     let submitted = client.ask::<JobView>(request).await;
     progress.end();
     let view = submitted.inspect_err(|error| note_resend(error, output))?;
+    if view.resend == Some(true) && args.idempotency_key.is_none() {
+        output.note("the same lines are the same job; to run them anew, give an --idempotency-key");
+    }
     let view = if args.wait { job::wait(client, view, output).await? } else { view };
     job::show(&view, output);
     Ok(())
@@ -73,7 +76,9 @@
         let due = (since + after).as_millis();
         return Ok(format_time(WallTime(u64::try_from(due).unwrap_or(u64::MAX))));
     }
-    let due = parse_due(text).map_err(|refusal| CliError::Usage(refusal.detail))?;
+    let due = parse_due(text).map_err(|refusal| {
+        CliError::Usage(format!("{}, or as a time from now, as in 6h", refusal.detail))
+    })?;
     Ok(format_time(due))
 }
 
--- a/crates/routing/src/router/finish.rs
+++ b/crates/routing/src/router/finish.rs
@@ -57,7 +57,7 @@
         }
         match &end {
             RequestEnd::Refused(refusal) => note_refusal(turn, state, refusal),
-            RequestEnd::Answered { .. } => turn.count(Counter::Event("requests_answered")),
+            RequestEnd::Answered { .. } => note_answer(turn, state),
             RequestEnd::Stored(_) => turn.count(Counter::Event("requests_answered_from_store")),
         }
         turn.emit(RouterEffect::Finish { arrival: caller.arrival, request: state.id(), end });
@@ -256,6 +256,12 @@
     }
 }
 
+fn note_answer(turn: &mut RouterTurn<'_>, state: &RequestState) {
+    turn.count(Counter::Event("requests_answered"));
+    let detail = format!("after {} attempts", state.attempts.len());
+    turn.note(DecisionNote::new(NoteSubject::Request(state.id()), "answered", detail));
+}
+
 fn note_refusal(turn: &mut RouterTurn<'_>, state: &RequestState, refusal: &Refusal) {
     turn.count(Counter::Refused(refusal.reason));
     let ran = match refusal.ran {
--- a/crates/routing/src/router/fleet.rs
+++ b/crates/routing/src/router/fleet.rs
@@ -125,6 +125,8 @@
         if self.suspects.is_quarantined(turn.now, fingerprint) {
             return;
         }
+        let crash = format!("target {target} crashed with {fingerprint} in flight");
+        turn.note(DecisionNote::new(NoteSubject::Vm(vm.clone()), "crashed", crash).at(vm));
         turn.emit(RouterEffect::Suspected { fingerprint, vm: vm.clone(), alone });
         if !self.suspects.crashed(turn.now, fingerprint, vm, alone) {
             return;
