--- a/crates/gateway/src/wiring.rs
+++ b/crates/gateway/src/wiring.rs
@@ -113,6 +113,10 @@
         plan_every: placement.plan_every,
         loads_at_once: placement.loads_at_once as usize,
         order_timeout: placement.order_timeout,
+        settle: placement.settle,
+        silent_after: placement.silent_after,
+        repair_delay: placement.repair_delay,
+        rollout_soak: placement.rollout_soak,
         ..PlannerSettings::default()
     }
 }
--- a/crates/magnolianotch/src/fleet/local_fleet.rs
+++ b/crates/magnolianotch/src/fleet/local_fleet.rs
@@ -19,7 +19,7 @@
 use crate::fleet::profile::FleetProfile;
 
 /// The secret of links inside a local fleet.
-const SECRET: &str = "a local fleet's own secret";
+pub const SECRET: &str = "a local fleet's own secret";
 /// Key of the account that the fleet's catalogue holds.
 pub const ACCOUNT_KEY: &str = "demo-key";
 /// Name of that account.
@@ -196,6 +196,28 @@
         }
     }
 
+    /// Starts a sidecar again beside its engine, in place of the one that may still run. The VM
+    /// list goes on showing the former address until [`LocalFleet::list_sidecar`].
+    ///
+    /// # Errors
+    /// When it can't start.
+    pub async fn restart_sidecar(&mut self, number: usize) -> Result<(), FleetError> {
+        drop(self.sidecars[number].take());
+        let mut settings = self.settings.sidecar.clone();
+        settings.config = self.sidecar_config(number, self.engines[number].address());
+        let sidecar = SidecarHandle::start(settings).await.map_err(FleetError::Sidecar)?;
+        self.sidecars[number] = Some(sidecar);
+        Ok(())
+    }
+
+    /// Has the VM list show where a sidecar is now.
+    pub fn list_sidecar(&self, number: usize) {
+        let sidecar = self.sidecars.get(number).and_then(Option::as_ref);
+        if let Some(address) = sidecar.and_then(SidecarHandle::links_address) {
+            self.list(&target_vm(number), VmRole::Target, address, number);
+        }
+    }
+
     /// Stops everything gracefully; says whether every part did in time.
     pub async fn stop(mut self) -> bool {
         let gateways = self.gateways.drain(..).flatten().map(GatewayHandle::stop);
--- a/crates/settings/src/sections/placement.rs
+++ b/crates/settings/src/sections/placement.rs
@@ -19,6 +19,14 @@
     pub loads_at_once: u32,
     /// An order without an answer is sent again after this long.
     pub order_timeout: Duration,
+    /// Rest of a new holder before its first plan, while the fleet's reports come in.
+    pub settle: Duration,
+    /// A target without a report for this long counts as away.
+    pub silent_after: Duration,
+    /// A target away for this long is replaced; sooner where a model is below its least copies.
+    pub repair_delay: Duration,
+    /// Rest between the failure domains of a version's roll-out.
+    pub rollout_soak: Duration,
 }
 
 impl Default for PlacementSettings {
@@ -30,6 +38,10 @@
             plan_every: Duration::from_secs(1),
             loads_at_once: 8,
             order_timeout: Duration::from_secs(10),
+            settle: Duration::from_secs(15),
+            silent_after: Duration::from_secs(30),
+            repair_delay: Duration::from_secs(30),
+            rollout_soak: Duration::from_secs(30),
         }
     }
 }
@@ -43,6 +55,10 @@
         fields.duration("plan_every", &mut self.plan_every);
         fields.count("loads_at_once", &mut self.loads_at_once, 1..=1_000);
         fields.duration("order_timeout", &mut self.order_timeout);
+        fields.duration("settle", &mut self.settle);
+        fields.duration("silent_after", &mut self.silent_after);
+        fields.duration("repair_delay", &mut self.repair_delay);
+        fields.duration("rollout_soak", &mut self.rollout_soak);
     }
 
     pub(crate) fn check(&self, fields: &mut FieldVisitor<'_>) {
--- a/crates/standins/src/engine/core.rs
+++ b/crates/standins/src/engine/core.rs
@@ -13,7 +13,7 @@
 use super::{
     batch::{BatchModel, StepOutcome, StreamKey},
     protocol::{CacheEvent, EngineState, LoadBody, ModelsBody, OrderAnswer, OrderBody, OrderKind},
-    settings::EngineSettings,
+    settings::{EngineSettings, LoadedModel},
     stream::{FeedItem, StreamFeed, StreamPlan},
 };
 use crate::{runs::RunLog, served::ServedPort};
@@ -207,6 +207,13 @@
         Ok(())
     }
 
+    /// Makes room for a load, in engines that hold no two versions at once.
+    pub(super) fn begin_load(&self, model: &LoadedModel) {
+        if self.settings.loaded_only {
+            self.locked().models.remove(&model.model);
+        }
+    }
+
     /// Carries an order out.
     pub(super) fn carry_out(&self, order: OrderBody) -> OrderAnswer {
         let mut state = self.locked();
--- a/crates/standins/src/engine/core/state.rs
+++ b/crates/standins/src/engine/core/state.rs
@@ -86,7 +86,8 @@
         if self.counts.down || self.stopped {
             return Err(TakeRefusal::Down);
         }
-        if !settings.models.is_empty() && !self.models.contains_key(&plan.model) {
+        let is_strict = settings.loaded_only || !settings.models.is_empty();
+        if is_strict && !self.models.contains_key(&plan.model) {
             return Err(TakeRefusal::NoModel);
         }
         if self.keys.contains_key(&plan.id) {
--- a/crates/standins/src/engine/serve.rs
+++ b/crates/standins/src/engine/serve.rs
@@ -87,7 +87,8 @@
     if let Err(epoch) = core.fence(order.epoch) {
         return status_answer(StatusCode::Conflict, &OrderAnswer { done: false, epoch });
     }
-    if matches!(order.kind, OrderKind::Load(_)) {
+    if let OrderKind::Load(model) = &order.kind {
+        core.begin_load(model);
         sleep(core.settings.load_time).await;
     }
     json_answer(&core.carry_out(order))
--- a/crates/standins/src/engine/settings.rs
+++ b/crates/standins/src/engine/settings.rs
@@ -23,6 +23,9 @@
     pub seed: u64,
     /// Models loaded at each start; empty for "answers for any model".
     pub models: Vec<LoadedModel>,
+    /// Whether it answers for loaded models only even when `models` is empty, and drops a model's
+    /// old version before it loads the new one, as engines with little memory do.
+    pub loaded_only: bool,
     /// Most streams that run at once.
     pub slots: usize,
     /// Most requests that wait; further ones get 429.
@@ -59,6 +62,7 @@
             address: "127.0.0.1:0".to_string(),
             seed: 1,
             models: Vec::new(),
+            loaded_only: false,
             slots: 32,
             waiting: 1_024,
             kv_tokens: 200_000,
