Report an engine that holds nothing as up, and serve only what it holds

Cause: a sidecar served its named target whatever its engine held, so requests went to engines that refuse them; and once it served nothing, its holdings said that the target is down, for only served targets' states tell it: such an engine would never be ordered to load. Change: a target with a model spec is served only where the engine holds it; whether the process answers is told to the gate apart from the targets served.

--- a/crates/gate/src/event.rs
+++ b/crates/gate/src/event.rs
@@ -87,6 +87,8 @@
     WarmPrefixes(Vec<u64>),
     /// What the engine holds.
     Holdings(EngineHoldings),
+    /// Whether the process beside the sidecar answers, whatever it serves.
+    TargetAnswers(bool),
     /// The target ended an order.
     OrderEnded {
         /// The order's epoch.
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -130,6 +130,7 @@
             }
             GateEvent::WarmPrefixes(prefixes) => self.reporter.set_warm(prefixes),
             GateEvent::Holdings(holdings) => self.reporter.set_holdings(holdings),
+            GateEvent::TargetAnswers(answers) => self.reporter.set_answers(answers),
             GateEvent::OrderEnded { epoch, order, outcome } => {
                 self.order_ended(now, epoch, order, outcome, effects);
             }
--- a/crates/sidecar/src/control.rs
+++ b/crates/sidecar/src/control.rs
@@ -121,11 +121,13 @@
                 self.feed(event);
             }
             ControlEvent::TargetUp { instance } => {
+                self.feed(GateEvent::TargetAnswers(true));
                 for target in self.served.names() {
                     self.feed(GateEvent::TargetUp { target, instance });
                 }
             }
             ControlEvent::TargetDown { cause } => {
+                self.feed(GateEvent::TargetAnswers(false));
                 self.parts.context.warm.clear();
                 for target in self.served.names() {
                     self.feed(GateEvent::TargetDown { target, cause });
--- a/crates/sidecar/src/control/served.rs
+++ b/crates/sidecar/src/control/served.rs
@@ -11,8 +11,8 @@
 
 use crate::settings::SidecarSettings;
 
-/// The targets behind this sidecar: the one named in its settings, and whatever models the engine
-/// holds beside it. Bounded by the engine's slots.
+/// The targets behind this sidecar: whatever models the engine holds, or the one named in its
+/// settings while the engine tells none and the catalogue has none loaded for that target. Bounded by the engine's slots.
 #[derive(Debug)]
 pub(crate) struct ServedTargets {
     named: TargetName,
@@ -37,8 +37,7 @@
         self.told.keys().cloned().collect()
     }
 
-    /// Takes what the engine holds; tells whether it changed. None means that it answers for
-    /// whatever it is asked.
+    /// Takes what the engine holds; tells whether it changed.
     pub(crate) fn set_models(&mut self, models: BTreeSet<TargetName>) -> bool {
         std::mem::replace(&mut self.models, models.clone()) != models
     }
@@ -62,7 +61,7 @@
 
     fn policies(&self, entries: &EntryTable) -> BTreeMap<TargetName, TargetPolicy> {
         let mut names = self.models.clone();
-        if names.is_empty() {
+        if names.is_empty() && !self.is_loaded_by_order(entries) {
             names.insert(self.named.clone());
         }
         let policy = entries.policy();
@@ -74,6 +73,12 @@
         wanted.collect()
     }
 
+    /// Whether the named target is a model that placement loads. An engine that holds nothing then
+    /// lacks it: served all the same, its requests would be sent to engines that refuse them.
+    fn is_loaded_by_order(&self, entries: &EntryTable) -> bool {
+        entries.target(&self.named).is_some_and(|entry| entry.model.is_some())
+    }
+
     fn policy(&self, entry: Option<&TargetEntry>, policy: &PolicyEntry) -> TargetPolicy {
         let usual = TargetPolicy {
             first_token_target: Duration::from_millis(policy.first_token_target_ms),
