Tell placement of targets gone, and take a sidecar's own leaving from its holdings

Cause: the planner was never told of VMs that left the list, so their copies counted until they had been silent; and a sidecar's word that it leaves was kept for its successor on the same VM, which then got no load, ever. Change: a VM neither listed nor linked is told as gone; the own word comes with the holdings, which a new start replaces. Conclusion: a sidecar that was replaced on its VM takes loads again.

--- a/crates/gateway/src/control/core_fleet.rs
+++ b/crates/gateway/src/control/core_fleet.rs
@@ -122,6 +122,8 @@
             let linked = self.links.is_linked(&known.vm);
             if !listed && !linked {
                 let vm = known.vm.clone();
+                let event = PlacementEvent::TargetGone { vm: vm.clone() };
+                self.steps.push_back(ControlStep::Placement(event));
                 self.steps.push_back(ControlStep::Route(RouterEvent::SidecarGone { vm }));
             }
         }
--- a/crates/gateway/src/control/core_links.rs
+++ b/crates/gateway/src/control/core_links.rs
@@ -142,9 +142,9 @@
                 self.steps.push_back(ControlStep::Catalogue(event));
             }
             GatewayMessage::Leaving => {
-                let event = PlacementEvent::TargetLeaving { vm: vm.clone(), leaving: true };
-                self.steps.push_back(ControlStep::Placement(event));
                 // Its own word holds until it starts again; the VM list's and an operator's, longer.
+                // Placement takes it from the holdings, which a new start replaces: told on its
+                // own, it would keep loads from the VM for ever.
                 self.steps.push_back(ControlStep::Route(RouterEvent::SidecarDraining { vm }));
             }
             // The link's own task gives these to the answers on their way.
