Never hand out an answer that was given up as a whole one

Cause: an answer over the gateway's limit was abandoned, its bytes left out, yet its assembly counted as complete: a caller of a whole answer got an empty 200, and the same would have been stored under its key. Change: an abandoned page has no whole answer.

--- a/crates/gateway/src/traffic/answer_page.rs
+++ b/crates/gateway/src/traffic/answer_page.rs
@@ -142,6 +142,8 @@
     pub fn whole(&self) -> Option<(u16, Vec<u8>)> {
         let state = self.locked();
         match state.assembly.settled() {
+            // The bytes of an answer that was given up are not all here.
+            _ if state.abandoned => None,
             Some(AttemptOutcome::Complete { status }) if state.assembly.is_complete() => {
                 Some((*status, state.bytes.clone()))
             }
