--- a/crates/platform/src/wire.rs
+++ b/crates/platform/src/wire.rs
@@ -7,7 +7,7 @@
 //! | `DELETE /v1/objects/{key}` with `If-Match: "N"` or not | 204, also when there was none; 412 |
 //! | `GET /v1/objects?prefix=&after=&limit=` | 200 with [`ListingBody`] |
 //! | `GET /v1/watch?prefix=&after=&wait_ms=` | 200 with [`ChangesBody`] |
-//! | `GET /v1/vms` | 200 with an array of [`crate::VmRecord`] |
+//! | `GET /v1/vms` with `If-None-Match` or not | 200 with an array of [`crate::VmRecord`] and, if the platform has one, an `ETag`; 304 |
 //! | `POST /v1/permits` with [`crate::PermitRequest`] | 200 with [`crate::LoadPermit`]; 404 |
 //!
 //! Any call may be answered by 429 (nothing was done; `Retry-After-Ms`, or `Retry-After` in
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -10,6 +10,7 @@
     CallEnd, CallKind, ListingFailure, PermitFailure, PermitRequest, VmRecord,
     wire::{PERMITS_PATH, VMS_PATH},
 };
+use notch_types::hash::stable_hash64;
 use serde::Deserialize;
 
 use crate::{
@@ -118,6 +119,19 @@
     }
 }
 
+/// The list with a tag drawn from its text, or 304 when the caller has it.
+fn tagged_answer(request: &Request, records: &[VmRecord]) -> Response {
+    let text = serde_json::to_vec(records).unwrap_or_default();
+    let tag = format!("\"{:016x}\"", stable_hash64(&[&text]));
+    let asked = request.header("if-none-match").map(|values| values.last().as_str());
+    if asked == Some(tag.as_str()) {
+        return Response::new(StatusCode::NotModified);
+    }
+    let mut response = json_answer(&records);
+    response.insert_header("etag", tag);
+    response
+}
+
 /// Which parts are down.
 #[derive(Debug, Deserialize)]
 struct DownBody {
@@ -129,16 +143,16 @@
     async fn answer(self, request: Request) -> Response {
         let path = request.url().path().to_string();
         match path.as_str() {
-            VMS_PATH => self.vms_answer(),
+            VMS_PATH => self.vms_answer(&request),
             PERMITS_PATH => self.permit_answer(request).await,
             _ if path.starts_with("/control/") => self.control_answer(&path, request).await,
             _ => answer_request(self.objects, request).await,
         }
     }
 
-    fn vms_answer(&self) -> Response {
+    fn vms_answer(&self, request: &Request) -> Response {
         match self.vms.shown() {
-            Ok(records) => json_answer(&records),
+            Ok(records) => tagged_answer(request, &records),
             Err(ListingFailure::Throttled { retry_after_ms }) => throttled_response(retry_after_ms),
             Err(ListingFailure::Unavailable | ListingFailure::Malformed) => unavailable_response(),
         }
--- a/crates/standins/tests/edges.rs
+++ b/crates/standins/tests/edges.rs
@@ -54,6 +54,41 @@
     assert_eq!(list.list().await, Err(ListingFailure::Unavailable));
 }
 
+#[async_std::test]
+async fn an_unchanged_vm_list_is_not_sent_again() {
+    // Symptom: reading the VM list takes most of a gateway's bytes, and more with each VM.
+    // Sequence: nothing changes between two readings; the whole list is sent each time.
+    // Cause: the reader didn't say which list it has.
+    let vms = VmsSettings { lag: Duration::ZERO, vms: (0..970).map(numbered).collect() };
+    let settings = PlatformSettings { vms, ..PlatformSettings::default() };
+    let platform = PlatformHandle::start(settings).await.expect("a port");
+    let client = HttpClient::default();
+    let ask = async |tag: Option<&str>| {
+        let mut get = request(platform.address(), Method::Get, "/v1/vms", "".into());
+        if let Some(tag) = tag {
+            get.insert_header("if-none-match", tag);
+        }
+        let mut answer = client.send(get).await.expect("an answer");
+        let body = read_body(answer.take_body(), 1 << 20).await.expect("whole");
+        let tag = answer.header("etag").map(|values| values.last().to_string());
+        (u16::from(answer.status()), body.len(), tag)
+    };
+    let (status, length, tag) = ask(None).await;
+    assert_eq!((status, length > 90_000), (200, true));
+    assert_eq!(ask(tag.as_deref()).await, (304, 0, None));
+    let list = HttpVms::new(&platform.address().to_string(), LIMIT);
+    let first = list.list().await;
+    assert_eq!(list.list().await, first, "the same list from a 304");
+    platform.vms().mark(&numbered(7).vm, VmState::Leaving);
+    let shown = list.list().await.expect("a list");
+    assert_eq!((shown[7].state, shown.len()), (VmState::Leaving, 970), "a change comes at once");
+    assert_eq!(ask(tag.as_deref()).await.0, 200);
+}
+
+fn numbered(number: usize) -> VmRecord {
+    vm(&format!("target-{number:04}"))
+}
+
 #[async_std::test]
 async fn permits_come_at_the_stores_rate() {
     let known = [("model-a".to_string(), "2".to_string())].into();
