--- a/crates/sidecar/src/main.rs
+++ b/crates/sidecar/src/main.rs
@@ -22,6 +22,9 @@
     check: bool,
 }
 
+/// Exit code for settings that can't be used; the gateway's is the same.
+const BAD_SETTINGS: u8 = 2;
+
 fn main() -> ExitCode {
     let args: SidecarArgs = argh::from_env();
     if args.check {
@@ -31,7 +34,7 @@
         Ok(config) => task::block_on(serve(config)),
         Err(errors) => {
             tell(&errors.to_string());
-            ExitCode::FAILURE
+            ExitCode::from(BAD_SETTINGS)
         }
     }
 }
@@ -45,7 +48,7 @@
         }
         Err(errors) => {
             tell(&errors.to_string());
-            ExitCode::FAILURE
+            ExitCode::from(BAD_SETTINGS)
         }
     }
 }
