Count targets being made ready where the next copy is placed

Cause: an engine without the role a model needs gets the role first; until its load is ordered it was no copy of its failure domain, so the next copy went to the domain with the most free slots again. Seen in the fleet: both copies of a model in one of three domains. Change: targets kept for a model count in their domains. Conclusion: a fresh fleet is spread by its first loads, without a move.

--- a/crates/placement/src/plan/candidate.rs
+++ b/crates/placement/src/plan/candidate.rs
@@ -13,7 +13,10 @@
     /// The best target with a free slot for another copy: in the failure domain with the fewest
     /// copies, of these in the one with the most free slots, then the emptiest target.
     pub(crate) fn candidate(&self, wanted: &ModelWanted, census: &ModelCensus) -> Option<VmName> {
-        let by_domain = census.by_domain();
+        let mut by_domain = census.by_domain();
+        for domain in self.domains_kept_for(&wanted.model) {
+            *by_domain.entry(domain).or_default() += 1;
+        }
         let free = self.free_by_domain();
         let fitting = self.fleet.targets.iter().filter(|(vm, target)| {
             target.free_slots() > 0 && self.could_hold(vm, target, wanted, None)
--- a/crates/placement/src/plan/repair.rs
+++ b/crates/placement/src/plan/repair.rs
@@ -49,11 +49,18 @@
 
     /// Targets being made ready for a model.
     pub(crate) fn reserved_for(&self, model: &TargetName) -> u32 {
+        self.domains_kept_for(model).count() as u32
+    }
+
+    /// The failure domain of each target being made ready for a model. They count as copies where
+    /// the next one is placed: engines that change their role first would else all be chosen in
+    /// the domain with the most free slots, and its loss would take every copy.
+    pub(crate) fn domains_kept_for(&self, model: &TargetName) -> impl Iterator<Item = DomainName> {
         let kept = self.fleet.targets.iter().filter(|(vm, target)| {
             let loading = self.orders.open.get(*vm).is_some_and(|open| open.is_load());
             target.is_reserved_for(self.now, model) && !target.holds(model) && !loading
         });
-        kept.count() as u32
+        kept.map(|(_, target)| target.report.domain.clone())
     }
 
     fn worst_served(&self, models: &[TargetName]) -> Option<TargetName> {
--- a/crates/placement/tests/failures.rs
+++ b/crates/placement/tests/failures.rs
@@ -42,6 +42,26 @@
     assert_eq!(world.breaches, Vec::<String>::new());
 }
 
+// Symptom: a model's copies lie in one failure domain, and its loss takes them all.
+// Sequence: engines that have no role yet get one before their first load; the next copy is placed
+//   meanwhile.
+// Cause: only loads count as copies on their way, not targets that are being made ready for one.
+#[test]
+fn copies_that_need_a_role_first_are_spread_at_once() {
+    let mut sidecars = fleet(&["a"], 3, 1, EngineKind::IgnoresToken);
+    sidecars.extend(fleet(&["b", "c"], 1, 1, EngineKind::IgnoresToken));
+    sidecars.iter_mut().for_each(|sidecar| sidecar.role = String::new());
+    let mut world = World::new(1, sidecars, vec![wanted("m", 3, 1)], 1);
+    world.run(20_000);
+    assert_eq!(world.serving("m"), 3);
+    let holds = |sidecar: &&FakeSidecar| sidecar.serves(&TargetName::new("m"));
+    let domains: BTreeSet<_> =
+        world.sidecars.values().filter(holds).map(|sidecar| sidecar.domain.clone()).collect();
+    assert_eq!(domains.len(), 3);
+    let loads: u32 = world.sidecars.values().map(|sidecar| sidecar.loads).sum();
+    assert_eq!(loads, 3, "no copy had to be moved");
+}
+
 // Symptom: two nodes order at once, and a model's last copy goes down.
 // Sequence: gateway-0 holds the lease and is paused with orders on their way; gateway-1 takes
 //   over and orders by its own view; then gateway-0 wakes.
