Don't call a model unknown that a sidecar has just unloaded

Cause: a sidecar refuses a target that it doesn't serve as unknown_target; when no other copy was left, the gateway passed that on: a 404 for a model that the catalogue has. Change: the gateway, which knows the catalogue, says no_target, with a pause. Measured: a_model_just_unloaded_is_not_called_unknown on the former code: failed (UnknownTarget); now cargo test -p notch-routing: all passed. Conclusion: only the catalogue makes a target unknown.

--- a/crates/routing/src/router/attempt.rs
+++ b/crates/routing/src/router/attempt.rs
@@ -232,7 +232,13 @@
         if let RefusalReason::Quarantined | RefusalReason::DeadlinePassed = reason {
             return self.refuse_for(turn, state, reason, "the sidecar did not start it");
         }
-        self.retry(turn, state, AttemptFailure { refusal: reason, ..REFUSED });
+        // The sidecar knows what it serves, not what the catalogue holds: a model just unloaded
+        // there would else be told to callers as one that doesn't exist.
+        let refusal = match reason {
+            RefusalReason::UnknownTarget => RefusalReason::NoTarget,
+            other => other,
+        };
+        self.retry(turn, state, AttemptFailure { refusal, ..REFUSED });
     }
 
     /// Frees the attempt's place and tells its circuit.
--- a/crates/routing/tests/failures.rs
+++ b/crates/routing/tests/failures.rs
@@ -345,3 +345,16 @@
     assert_eq!(told(&effects), (RefusalReason::DeadlinePassed, Ran::No));
     assert_eq!(driver.dispatches().len(), 1);
 }
+
+// Symptom: callers are told that a model in the catalogue does not exist, and stop asking.
+// Sequence: the only copy is unloaded; a request on its way to that sidecar finds it gone.
+// Cause: the sidecar's word for a target that it doesn't serve, passed on as the catalogue's.
+#[test]
+fn a_model_just_unloaded_is_not_called_unknown() {
+    let mut driver = Driver::new(eager(), 1, 4);
+    let (attempt, _) = driver.dispatch(plain(1));
+    driver.refuse(attempt, RefusalReason::UnknownTarget);
+    driver.advance(0);
+    assert_eq!(told(&driver.effects), (RefusalReason::NoTarget, Ran::No));
+    assert!(refusal(&driver.effects).retry_after_ms.is_some());
+}
