Tell who holds the placement lease also when it was learnt late

Cause: the epoch is told once, at the gain; the gateway told its own name only when orders could be given at that moment. A holder whose taking write was settled late never did, and gateways went on reporting to the former one. Change: the name is told once the lease is held, valid or not; the planner says which epoch it holds. The gateway's line itself has no test of its own. Conclusion: reports reach a holder that learnt late of its own write.

--- a/crates/gateway/src/control/core_tells.rs
+++ b/crates/gateway/src/control/core_tells.rs
@@ -135,7 +135,7 @@
                     self.platform.want_permit(epoch, order, vm, model, version);
                 }
                 PlacementEffect::EpochKnown(epoch) => {
-                    self.tell_placement_holder(now, epoch);
+                    self.tell_placement_holder(epoch);
                     for to in self.links.linked(NodeRole::Sidecar) {
                         let message = SidecarMessage::PlacementEpoch(epoch);
                         self.steps.push_back(ControlStep::ToSidecar { to, message });
@@ -151,9 +151,11 @@
         }
     }
 
-    /// Reports and outcomes of orders go to the holder of the lease.
-    pub(super) fn tell_placement_holder(&mut self, now: Now, epoch: Epoch) {
-        if self.placement.valid_epoch(now) != Some(epoch) {
+    /// Reports and outcomes of orders go to the holder of the lease, also while it may not order:
+    /// the epoch is told once, and a holder that learnt late of its own write would else get the
+    /// reports of its own links only, and count all other targets as lost.
+    pub(super) fn tell_placement_holder(&mut self, epoch: Epoch) {
+        if self.placement.held_epoch() != Some(epoch) {
             return;
         }
         let Ok(value) = codec::encode(&self.vm) else { return };
--- a/crates/placement/src/planner.rs
+++ b/crates/placement/src/planner.rs
@@ -99,6 +99,12 @@
         self.lease.valid_epoch(now.mono)
     }
 
+    /// The epoch of the lease while it is held, also while nothing may be ordered under it because
+    /// its last renewal took too long: reports are wanted here all the same.
+    pub fn held_epoch(&self) -> Option<Epoch> {
+        self.lease.held_epoch()
+    }
+
     /// Orders without an answer.
     pub fn open_orders(&self) -> usize {
         self.orders.open.len()
--- a/crates/placement/tests/lease.rs
+++ b/crates/placement/tests/lease.rs
@@ -232,6 +232,29 @@
     assert_eq!(node.held_epoch(), Some(Epoch(1)));
 }
 
+// Symptom: gateways go on reporting to a former holder, and the new one counts targets as lost.
+// Sequence: the answer to the write that took the lease is lost; the store is slow; the node reads
+//   its own write when the lease has already run out on its clock, and renews it.
+// Cause: the epoch is told once, at the gain; a teller that asks only whether orders may be given
+//   would never tell who holds the lease.
+#[test]
+fn a_lease_known_too_late_is_held_before_it_is_valid() {
+    let mut node = holder();
+    let read = call_of(&handle(&mut node, 0, LeaseEvent::Prefer(Some(0))));
+    let write = call_of(&handle(&mut node, 10, answer(&read, Ok(StoreReply::Object(None)))));
+    let (value, _) = put_of(&write);
+    handle(&mut node, 20, answer(&write, Err(StoreFailure::Unknown)));
+    let read = call_of(&handle(&mut node, 2_400, LeaseEvent::Tick));
+    let effects = handle(&mut node, 2_500, answer(&read, object(1, &value)));
+    assert!(effects.contains(&LeaseEffect::EpochKnown(Epoch(1))));
+    assert_eq!(node.valid_epoch(MonoTime::from_millis(2_500)), None);
+    assert_eq!(node.held_epoch(), Some(Epoch(1)));
+    let renewal = call_of(&effects);
+    let done = answer(&renewal, Ok(StoreReply::Written(ObjectVersion(2))));
+    assert_eq!(handle(&mut node, 2_510, done), [], "nothing is told a second time");
+    assert_eq!(node.valid_epoch(MonoTime::from_millis(2_510)), Some(Epoch(1)));
+}
+
 // Symptom: a planned stop leaves the fleet without a planner for the lease's length.
 // Sequence: the holder leaves; a standby reads the object once.
 // Cause: a lease given up must say so.
