--- a/crates/magnolianotch/src/slopes/shard.rs
+++ b/crates/magnolianotch/src/slopes/shard.rs
@@ -31,6 +31,9 @@
 /// Items of the largest job.
 const LARGEST_JOB: u32 = 860_000;
 
+/// Reads one figure from a run.
+type RunFigure<T> = fn(&T) -> f64;
+
 fn settings() -> ShardSettings {
     let mut config = GatewayConfig::default();
     config.node.vm = VmName::new("gateway-1");
@@ -51,7 +54,7 @@
     const AGAINST: &str = "records/s of a shard";
     let runs = RATES.map(|rate| (rate as f64, run_load(rate, 20, settings())));
     let series = |of: fn(&LoadRun) -> f64| runs.each_ref().map(|(rate, run)| (*rate, of(run)));
-    let quantities: [(RoleName, &str, &str, fn(&LoadRun) -> f64); 8] = [
+    let quantities: [(RoleName, &str, &str, RunFigure<LoadRun>); 8] = [
         (ObjectApi, "writes of one shard, all kinds", "calls/s", LoadRun::writes_per_s),
         (ObjectApi, "head writes of one shard", "calls/s", |run| run.per_s(run.report.calls.heads)),
         (ObjectApi, "segment writes of one shard", "calls/s", |run| {
@@ -241,7 +244,7 @@
     let runs = counts.map(|items| (f64::from(items), run_job(items)));
     let size = f64::from(LARGEST_JOB);
     let series = |of: fn(&JobRun) -> f64| runs.each_ref().map(|(items, run)| (*items, of(run)));
-    let quantities: [(&str, &str, fn(&JobRun) -> f64); 6] = [
+    let quantities: [(&str, &str, RunFigure<JobRun>); 6] = [
         ("item table: memory", "MB", |run| run.table_mb),
         ("snapshot", "KB", |run| run.snapshot_kb),
         ("snapshot: written, processor", "ms", |run| run.snapshot_ms),
