--- a/crates/magnolianotch/tests/support/jobs.rs
+++ b/crates/magnolianotch/tests/support/jobs.rs
@@ -35,6 +35,25 @@
         Self { id: id.expect("a gateway accepts the job"), job }
     }
 
+    /// Submits `lines` under the key of `job`.
+    pub async fn submit_lines(caller: &FleetCaller, job: KnownJob, lines: &str) -> Self {
+        let path = format!("/v1/jobs?target={}&due=2099-01-01T00:00:00Z", job.model);
+        let mut turn = 0;
+        let id = find("a gateway accepts the job", || {
+            turn += 1;
+            let client = caller.client(turn);
+            let mut request = client.request(Method::Post, &path, lines);
+            request.insert_header("idempotency-key", job.key.as_str());
+            async move {
+                let (status, body) = client.whole(request).await?;
+                let json: Value = serde_json::from_str(&body).ok()?;
+                (status < 300).then(|| json["id"].as_str().map(str::to_owned))?
+            }
+        })
+        .await;
+        Self { job, id }
+    }
+
     /// The job's status, from any gateway that answers.
     pub async fn status(&self, caller: &FleetCaller) -> Option<Value> {
         for turn in 0..caller.gateways.len() {
--- a/crates/magnolianotch/tests/support/mod.rs
+++ b/crates/magnolianotch/tests/support/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod caller;
 pub mod jobs;
+pub mod proxy;
 pub mod services;
 
 use std::{
