Prove loads, roll-outs and repairs from the catalogue to the engine

Cause: no test followed a model spec to an engine that holds nothing, nor a version, a lost VM, a weight store that says no, or an unload, through the real daemons. How long copies must be too many before one goes could not be set. Change: six tests over a whole small fleet whose engines drop a version before they load the next; [placement] takes move_delay, with the same default.

--- a/crates/gateway/src/wiring.rs
+++ b/crates/gateway/src/wiring.rs
@@ -116,6 +116,7 @@
         settle: placement.settle,
         silent_after: placement.silent_after,
         repair_delay: placement.repair_delay,
+        move_delay: placement.move_delay,
         rollout_soak: placement.rollout_soak,
         ..PlannerSettings::default()
     }
--- a/crates/magnolianotch/tests/support/orders.rs
+++ b/crates/magnolianotch/tests/support/orders.rs
@@ -40,6 +40,8 @@
 const LOOK: Duration = Duration::from_millis(20);
 /// Deadline of an online request.
 const DEADLINE: Duration = Duration::from_secs(10);
+/// Refusals in a row that show a lasting state.
+const REFUSALS_IN_A_ROW: u32 = 10;
 /// Key of the operators.
 const OPERATOR_KEY: &str = "operators' key";
 
@@ -78,6 +80,7 @@
     placement.settle = Duration::from_secs(1);
     placement.silent_after = Duration::from_secs(4);
     placement.repair_delay = Duration::from_secs(1);
+    placement.move_delay = Duration::from_secs(2);
     placement.rollout_soak = Duration::from_millis(200);
     let digest = notch_catalogue::key_digest(OPERATOR_KEY);
     let digest: String = digest.iter().map(|byte| format!("{byte:02x}")).collect();
@@ -164,16 +167,24 @@
         until("an answer", || async { self.ask().await == ReplyEnd::Right }).await;
     }
 
-    /// Waits until an online request is refused, and returns the refusal's code, whether it ran
-    /// and whether it says when to come back.
-    pub async fn until_refused(&self) -> (String, String, bool) {
-        let mut refusal = None;
-        while refusal.is_none() {
-            if let ReplyEnd::Refused { code, ran, retry_after_ms } = self.ask().await {
-                refusal = Some((code, ran, retry_after_ms.is_some()));
+    /// Waits until online requests are refused for want of a copy, without an answer between. Ones
+    /// on their way while the last copy goes may end otherwise, but never as of no known target.
+    pub async fn until_no_target(&self) {
+        let mut in_a_row = 0;
+        let started = Instant::now();
+        while in_a_row < REFUSALS_IN_A_ROW {
+            assert!(started.elapsed() < PATIENCE, "never refused for want of a copy");
+            let ReplyEnd::Refused { code, ran, retry_after_ms } = self.ask().await else {
+                in_a_row = 0;
+                continue;
+            };
+            assert_ne!(code, "unknown_target", "the catalogue has it");
+            if code == "no_target" {
+                assert_eq!(ran, "no");
+                assert!(retry_after_ms.is_some(), "it says when to come back");
+                in_a_row += 1;
             }
         }
-        refusal.expect("just set")
     }
 
     /// What the placement lease says; `None` before anyone held it.
--- a/crates/settings/src/sections/placement.rs
+++ b/crates/settings/src/sections/placement.rs
@@ -25,6 +25,8 @@
     pub silent_after: Duration,
     /// A target away for this long is replaced; sooner where a model is below its least copies.
     pub repair_delay: Duration,
+    /// Copies must have been too many, or spread badly, this long before one is moved.
+    pub move_delay: Duration,
     /// Rest between the failure domains of a version's roll-out.
     pub rollout_soak: Duration,
 }
@@ -41,6 +43,7 @@
             settle: Duration::from_secs(15),
             silent_after: Duration::from_secs(30),
             repair_delay: Duration::from_secs(30),
+            move_delay: Duration::from_secs(15),
             rollout_soak: Duration::from_secs(30),
         }
     }
@@ -58,6 +61,7 @@
         fields.duration("settle", &mut self.settle);
         fields.duration("silent_after", &mut self.silent_after);
         fields.duration("repair_delay", &mut self.repair_delay);
+        fields.duration("move_delay", &mut self.move_delay);
         fields.duration("rollout_soak", &mut self.rollout_soak);
     }
 
