Keep slots free of batch only as far as stops are slow

Cause: batch left 3 of 16 slots free at every target, though a stopped run frees its slot within a few milliseconds; the reserve remembered bursts for 15 s, also once online work was gone.

--- a/crates/gate/src/core.rs
+++ b/crates/gate/src/core.rs
@@ -163,6 +163,7 @@
             return;
         }
         record.phase = RunPhase::Stopping(cause);
+        record.stopped_at = Some(now);
         state.online.remove(&run);
         state.batch.remove(&run);
         state.stopping.insert(run);
@@ -179,6 +180,7 @@
         if matches!(record.phase, RunPhase::Stopping(_)) && record.holds_slot {
             record.holds_slot = false;
             state.stopping.remove(&run);
+            state.reserve.note_stop(self.settings.stop_grace);
         }
     }
 
--- a/crates/gate/src/core/endings.rs
+++ b/crates/gate/src/core/endings.rs
@@ -48,7 +48,12 @@
                 return self.doubt(state, run, effects);
             }
             (RunPhase::Running, end) => RunVerdict::ByTarget(end),
-            (RunPhase::Stopping(cause), end) => verdict_of_stopped(*cause, end),
+            (RunPhase::Stopping(cause), end) => {
+                if let Some(at) = record.stopped_at.filter(|_| record.holds_slot) {
+                    state.reserve.note_stop(now.since(at));
+                }
+                verdict_of_stopped(*cause, end)
+            }
             _ => {
                 effects.push(GateEffect::Count(Counter::Dropped(DropReason::LateAnswer)));
                 return;
--- a/crates/gate/src/gate/attempts.rs
+++ b/crates/gate/src/gate/attempts.rs
@@ -146,6 +146,7 @@
             phase: RunPhase::Waiting(Box::new(request)),
             arrived_at: now,
             started_at: None,
+            stopped_at: None,
             orphaned_at: None,
             has_first_token: false,
             alone: offer.alone,
--- a/crates/gate/src/run_record.rs
+++ b/crates/gate/src/run_record.rs
@@ -81,6 +81,8 @@
     pub(crate) arrived_at: MonoTime,
     /// Set once, when it leaves for the target.
     pub(crate) started_at: Option<MonoTime>,
+    /// When it was told to stop.
+    pub(crate) stopped_at: Option<MonoTime>,
     /// When its gateway's link was lost, until the gateway speaks of it again.
     pub(crate) orphaned_at: Option<MonoTime>,
     pub(crate) has_first_token: bool,
