Measure commits, the placement epoch and open orders

Cause: three of the registered metrics were always 0: an operator could not see how long a record waits for its commit, nor who plans. Change: the shard's host times each append; gauges follow the planner.

--- a/crates/gateway/src/control/call_table.rs
+++ b/crates/gateway/src/control/call_table.rs
@@ -54,11 +54,10 @@
         shard: ShardId,
         request: Box<ShardRequest>,
         reply: ShardReply,
-        patience: Duration,
     ) -> CallId {
         self.last += 1;
         let call = CallId(self.last);
-        let deadline = now + patience;
+        let deadline = now + patience(&request);
         let open =
             OpenCall { shard, request, reply, deadline, sent: false, due: now, backoff: RETRY_MIN };
         self.calls.insert(call, open);
@@ -109,3 +108,13 @@
         Some(open)
     }
 }
+
+/// How long a call is tried before it is given up.
+fn patience(request: &ShardRequest) -> Duration {
+    match request {
+        ShardRequest::Pull(_) => Duration::from_secs(2),
+        ShardRequest::Claim { .. } | ShardRequest::FetchAnswer { .. } => Duration::from_secs(3),
+        ShardRequest::SubmitJob(_) | ShardRequest::CancelJob { .. } => Duration::from_secs(20),
+        _ => Duration::from_secs(10),
+    }
+}
--- a/crates/gateway/src/control/core.rs
+++ b/crates/gateway/src/control/core.rs
@@ -112,7 +112,7 @@
         if self.gauges_due <= now.mono {
             self.gauges_due = now.mono + GAUGE_PERIOD;
             self.links.expire(now.mono);
-            self.set_gauges();
+            self.set_gauges(now);
         }
         self.finish_leaving();
     }
@@ -223,6 +223,7 @@
             ControlStep::Partners(partners) => self.partners_changed(now, partners),
             ControlStep::RumorNew(rumor) => self.take_rumor(now, rumor),
             ControlStep::EntriesChanged => self.entries_changed(),
+            ControlStep::Time(timing, took) => self.metrics.observe(timing, took),
             ControlStep::Count(counter) => self.metrics.count(counter),
             ControlStep::Note(note) => self.notes.record(now, note),
         }
@@ -239,7 +240,7 @@
         }
     }
 
-    fn set_gauges(&self) {
+    fn set_gauges(&self, now: Now) {
         let links =
             [(Gauge::SidecarLinks, NodeRole::Sidecar), (Gauge::GatewayLinks, NodeRole::Gateway)];
         for (gauge, role) in links {
@@ -253,6 +254,9 @@
         let owned = self.shards.hosts().iter().filter(|host| host.epoch().is_some());
         let jobs = owned.flat_map(|host| host.service().state().jobs().values());
         self.metrics.set(Gauge::JobsOpen, jobs.filter(|job| job.is_running()).count() as i64);
+        let epoch = self.placement.valid_epoch(now).unwrap_or_default();
+        self.metrics.set(Gauge::PlacementEpoch, epoch.0 as i64);
+        self.metrics.set(Gauge::OrdersOpen, self.placement.open_orders() as i64);
         self.metrics.set(Gauge::EntriesInForce, self.catalogue.table().len() as i64);
         self.metrics.set(Gauge::ItemsOpen, self.shards.directory().open_items() as i64);
     }
--- a/crates/gateway/src/control/shard_desk.rs
+++ b/crates/gateway/src/control/shard_desk.rs
@@ -7,6 +7,7 @@
 use notch_link::codec;
 use notch_membership::{MemberRoster, MembershipEvent, shard_ranks};
 use notch_messages::prelude::*;
+use notch_telemetry::prelude::Timing;
 use notch_types::{object::StoreResult, prelude::*};
 
 use crate::control::{
@@ -195,8 +196,7 @@
             self.reply(now, shard, reply, answer, steps);
             return;
         }
-        let patience = patience(&request);
-        let call = self.calls.open(now.mono, shard, request, reply, patience);
+        let call = self.calls.open(now.mono, shard, request, reply);
         self.send_call(now, call, steps, reads);
     }
 
@@ -438,6 +438,9 @@
                 }
                 HostEffect::Backlog(backlog) => self.tell_backlog(now, shard, backlog, steps),
                 HostEffect::Owner { epoch, owner } => self.tell_owner(shard, epoch, owner, steps),
+                HostEffect::CommitTook(took) => {
+                    steps.push(ControlStep::Time(Timing::LedgerCommit, took));
+                }
                 HostEffect::Count(counter) => steps.push(ControlStep::Count(counter)),
                 HostEffect::Note(note) => steps.push(ControlStep::Note(note)),
             }
@@ -492,13 +495,3 @@
         steps.push(ControlStep::Member(MembershipEvent::RumorLocal { rumor, urgent }));
     }
 }
-
-/// How long a call is tried before it is given up.
-fn patience(request: &ShardRequest) -> Duration {
-    match request {
-        ShardRequest::Pull(_) => Duration::from_secs(2),
-        ShardRequest::Claim { .. } | ShardRequest::FetchAnswer { .. } => Duration::from_secs(3),
-        ShardRequest::SubmitJob(_) | ShardRequest::CancelJob { .. } => Duration::from_secs(20),
-        _ => Duration::from_secs(10),
-    }
-}
--- a/crates/gateway/src/control/shard_host.rs
+++ b/crates/gateway/src/control/shard_host.rs
@@ -1,6 +1,6 @@
 //! One ledger shard on this gateway: the log's decisions and what the records mean, joined.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
 use notch_jobs::prelude::{
     ReadFailure, ReadToken, RejectKind, ServiceEffect, ServiceEvent, ShardService, TargetBacklog,
@@ -41,6 +41,8 @@
         /// The sidecars' VMs.
         vms: Vec<VmName>,
     },
+    /// From an append's arrival to its commit.
+    CommitTook(Duration),
     /// The shard's work, for gossip.
     Backlog(Vec<TargetBacklog>),
     /// Who owns the shard now.
@@ -78,6 +80,8 @@
     service: ShardService,
     /// Epoch held; `None` while another gateway, or nobody, owns the shard.
     epoch: Option<Epoch>,
+    /// When each open append was made; at most the service's own bound on appends.
+    appended: FastMap<AppendTicket, MonoTime>,
     /// Scratch for effects, kept to spare allocations.
     ledger_effects: Vec<ShardEffect>,
     service_effects: Vec<ServiceEffect>,
@@ -92,6 +96,7 @@
             ledger,
             service,
             epoch: None,
+            appended: FastMap::default(),
             ledger_effects: Vec::new(),
             service_effects: Vec::new(),
         }
@@ -161,11 +166,15 @@
             }
             ShardEffect::Observed { epoch, owner } => out.push(HostEffect::Owner { epoch, owner }),
             ShardEffect::Committed { ticket, first_seq } => {
+                if let Some(at) = self.appended.remove(&ticket) {
+                    out.push(HostEffect::CommitTook(now.mono.since(at)));
+                }
                 let ticket = notch_jobs::prelude::AppendTicket(ticket.0);
                 let first_seq = first_seq.0;
                 self.tell_service(now, ServiceEvent::Committed { ticket, first_seq });
             }
             ShardEffect::Rejected { ticket, certainty, reason } => {
+                self.appended.remove(&ticket);
                 out.push(HostEffect::Count(Counter::Event(reason.counter())));
                 let ticket = notch_jobs::prelude::AppendTicket(ticket.0);
                 let kind = match (certainty, reason) {
@@ -194,6 +203,7 @@
             }
             ServiceEffect::Append { ticket, records, prompt, chunks } => {
                 let ticket = AppendTicket(ticket.0);
+                self.appended.insert(ticket, now.mono);
                 let urgency = if prompt { AppendUrgency::Prompt } else { AppendUrgency::Relaxed };
                 let event = ShardEvent::Append { ticket, records, urgency, chunks };
                 self.ledger.handle(now, event, &mut self.ledger_effects);
--- a/crates/gateway/src/control/step.rs
+++ b/crates/gateway/src/control/step.rs
@@ -1,5 +1,7 @@
 //! What the parts of the control state want of each other and of the edges.
 
+use std::time::Duration;
+
 use async_channel::Sender;
 use notch_catalogue::CatalogueEvent;
 use notch_jobs::prelude::ServiceEvent;
@@ -7,6 +9,7 @@
 use notch_messages::prelude::*;
 use notch_placement::PlacementEvent;
 use notch_routing::{AccountUse, RouterEvent};
+use notch_telemetry::prelude::Timing;
 use notch_types::{object::StoreCall, prelude::*};
 
 use crate::control::event::StoreUser;
@@ -109,6 +112,8 @@
     RumorNew(Rumor),
     /// The catalogue in force changed.
     EntriesChanged,
+    /// Take a duration into its histogram.
+    Time(Timing, Duration),
     /// Count.
     Count(Counter),
     /// For `explain`.
