Show what goes on inside a measured fleet, and size the online load

Cause: the figures did not tell why slots stayed empty; online work took 0.44 to 0.46 of the engines' tokens, above the 0.30 to 0.40 wanted, and nearly all slots in bursts; the variant with faults waited more than a minute for the count of a job whose shard had no owner while the store was slow. Conclusion: the reserve, not pulls or lots, kept batch out.

--- a/crates/magnolianotch/src/cli/args.rs
+++ b/crates/magnolianotch/src/cli/args.rs
@@ -385,7 +385,7 @@
     #[argh(option, default = "7")]
     pub seed: u64,
     /// rate of arrivals in a burst over that between bursts
-    #[argh(option, default = "4.0")]
+    #[argh(option, default = "3.0")]
     pub burst: f64,
     /// only online alone, batch alone and both under the policy
     #[argh(switch)]
--- a/crates/magnolianotch/src/cli/development.rs
+++ b/crates/magnolianotch/src/cli/development.rs
@@ -70,6 +70,7 @@
         seconds: args.seconds.max(1),
         seed: args.seed,
         burst: args.burst.max(1.0),
+        brief: args.brief,
         ..OnlineSettings::default()
     };
     let report = run_online(&settings, &mut |text| output.note(text)).await;
--- a/crates/magnolianotch/src/measure.rs
+++ b/crates/magnolianotch/src/measure.rs
@@ -5,6 +5,7 @@
 pub mod batch_load;
 pub mod capacity;
 pub mod hop_cost;
+pub mod inside;
 pub mod online_run;
 pub mod plot;
 pub mod process_time;
