--- a/crates/gate/src/concurrency_limit.rs
+++ b/crates/gate/src/concurrency_limit.rs
@@ -16,7 +16,7 @@
 /// Fewest first tokens of online runs that make a window count.
 const MIN_FIRST_TOKENS: u64 = 8;
 /// Below this share of what is allowed there is room to grow.
-const GROW_BELOW: f64 = 0.9;
+const GROW_BELOW: f64 = 0.95;
 /// What is left of the limit after a slow window.
 const LIMIT_CUT: f64 = 0.9;
 /// What is left of the batch fill after a slow window.
@@ -27,6 +27,9 @@
 const STRICT_GAP: f64 = 1.1;
 /// The same for first tokens, whose prompts differ more.
 const STRICT_FIRST_TOKEN: f64 = 1.25;
+/// Above one, a weight near one binds more: engines batch well, so that even full ones stay far
+/// below a loose target.
+const LOOSENESS_POWER: f64 = 1.5;
 /// Weight of a new window in the time between tokens without batch.
 const BASELINE_GAIN: f64 = 0.2;
 /// Batch alone may stretch its time between tokens to this multiple of the online target.
@@ -210,11 +213,12 @@
 }
 
 /// The target, moved by the latency weight towards what was measured without batch. By ratio:
-/// the two may lie far apart, and half the weight should mean half of the way in between.
+/// the two may lie far apart. What is left of the weight counts by [`LOOSENESS_POWER`].
 fn allowed_us(target: Duration, strict: Option<f64>, weights: &PolicyWeights) -> f64 {
     let target = target.as_micros().max(1) as f64;
     let strict = strict.map_or(target, |strict| strict.clamp(1.0, target));
-    target * (strict / target).powf(weights.latency_weight.clamp(0.0, 1.0))
+    let looseness = 1.0 - weights.latency_weight.clamp(0.0, 1.0);
+    strict * (target / strict).powf(looseness.powf(LOOSENESS_POWER))
 }
 
 fn smooth(baseline: &mut Option<f64>, sum: GapSum, least: u64) {
