Show that a VM listed as live again stays drained: known red

Cause: a gateway tells the sidecar of a listed leaving VM to drain; when the list shows the VM live again the gateway forgets it, but no message takes the drain back, so the sidecar leaves on.

--- a/crates/magnolianotch/tests/fleet_targets.rs
+++ b/crates/magnolianotch/tests/fleet_targets.rs
@@ -177,9 +177,10 @@
 // Symptom: a target whose leaving was called off stays idle for good.
 // Sequence: target 0 is told to leave and gets no new work; then the sign is taken back.
 // Cause: a gateway or the sidecar remembers a word that no longer holds.
-#[test]
-fn a_target_whose_entry_is_retired_takes_work_again() {
-    let sign = LeavingSign::OperatorsEntry;
+#[rstest]
+#[case::entry_is_retired(LeavingSign::OperatorsEntry)]
+#[case::vm_list_shows_it_live(LeavingSign::VmList)]
+fn a_drain_called_off_lets_work_in_again(#[case] sign: LeavingSign) {
     with_fleet(settings(), |fleet| async move {
         let model = fleet.settings().profile.model;
         let caller = FleetCaller::new(fleet.callers());
