Take a drain back when the VM list shows the VM live again

Cause: a gateway told a sidecar to drain when the VM list marked its VM, and had no message to take that back: the sidecar stayed leaving until its next start. Change: SidecarMessage::Stay, sent when the mark is gone; a sidecar that leaves by its own will or by an entry in force doesn't heed it. Measured: a_drain_called_off_lets_work_in_again: case 2 failed after 45 s before, both cases pass after (17.8 s in all); the tests of messages, gate, sidecar and gateway pass; clippy over all targets is clean.

--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -174,6 +174,8 @@
             SidecarMessage::Order(order) => self.order(now, gateway, order, effects),
             SidecarMessage::PlacementEpoch(epoch) => self.fence.learn(epoch),
             SidecarMessage::Drain => self.leave(now, effects),
+            // The process knows of entries and of its own end; it feeds `GateEvent::Stay`.
+            SidecarMessage::Stay => {}
         }
     }
 
--- a/crates/gateway/src/control/core_fleet.rs
+++ b/crates/gateway/src/control/core_fleet.rs
@@ -65,6 +65,8 @@
             self.drained.remove(&vm);
             let event = PlacementEvent::TargetLeaving { vm: vm.clone(), leaving: false };
             self.steps.push_back(ControlStep::Placement(event));
+            let message = SidecarMessage::Stay;
+            self.steps.push_back(ControlStep::ToSidecar { to: vm.clone(), message });
             self.route(RouterEvent::SidecarStaying { vm });
         }
         for vm in leaving {
--- a/crates/messages/src/frame.rs
+++ b/crates/messages/src/frame.rs
@@ -90,6 +90,9 @@
     PlacementEpoch(Epoch),
     /// Stop taking work: the VM list or the catalogue says this VM is leaving.
     Drain,
+    /// The VM list or the catalogue no longer says so: take work again. A sidecar that leaves by
+    /// its own will, or by an entry in force, goes on leaving.
+    Stay,
 }
 
 /// Sidecar to gateway.
--- a/crates/sidecar/src/control.rs
+++ b/crates/sidecar/src/control.rs
@@ -170,6 +170,7 @@
                     LinkMessage::ToSidecar(SidecarMessage::Entries(records)) => {
                         self.take_entries(&peer.vm, records);
                     }
+                    LinkMessage::ToSidecar(SidecarMessage::Stay) => self.take_stay(),
                     LinkMessage::ToSidecar(message) => {
                         self.feed(GateEvent::Message { gateway: peer.vm, message });
                     }
@@ -185,6 +186,14 @@
         }
     }
 
+    /// A gateway saw that the VM is to stay after all. Without this a drain that the VM list
+    /// alone had asked for would last until the next start.
+    fn take_stay(&mut self) {
+        if !self.leaves_by_entry && !self.leaves_for_good {
+            self.feed(GateEvent::Stay);
+        }
+    }
+
     /// Puts newer entries in force and tells the gateway all that is in force: it holds whatever
     /// the report leaves out as lacking.
     fn take_entries(&mut self, gateway: &VmName, records: Vec<EntryRecord>) {
