--- /dev/null
+++ b/crates/entry/src/batch.rs
@@ -0,0 +1,12 @@
+//! Jobs: taken in, run, read, ended, and taken over from gateways that died.
+
+pub mod commits;
+pub mod copies;
+pub mod desk;
+pub mod ends;
+pub mod intake;
+pub mod item_run;
+pub mod reads;
+pub mod records;
+pub mod runner;
+pub mod takeover;
--- /dev/null
+++ b/crates/entry/src/batch/commits.rs
@@ -0,0 +1,118 @@
+//! Stores results of a job.
+
+use std::sync::Arc;
+
+use async_std::task;
+use notch_messages::prelude::PeerMessage;
+use notch_relay::prelude::*;
+use notch_telemetry::prelude::*;
+use notch_types::prelude::*;
+
+use crate::{
+    batch::records::{ChunkOutcome, close_job, read_job, store_results},
+    constants::STORE_PAUSE,
+    node::EntryNode,
+    store::feed::jittered,
+};
+
+/// Stores results at a position, for as long as it takes: a write without an answer may still take
+/// effect, so only the same results are tried again there.
+pub async fn store(
+    node: Arc<EntryNode>,
+    job: String,
+    position: usize,
+    lines: Vec<Arc<ResultLine>>,
+) {
+    let began = node.clock.mono();
+    let outcome = loop {
+        if !node.jobs().is_owned(&job) {
+            return;
+        }
+        match store_results(&node.store, &job, position, &node.owner, &lines).await {
+            Ok(outcome) => break outcome,
+            Err(_) => task::sleep(jittered(STORE_PAUSE)).await,
+        }
+    };
+    let now = node.clock.mono();
+    node.metrics.observe(Timing::LedgerCommit, now.since(began));
+    match outcome {
+        ChunkOutcome::Stored => {
+            node.log.info(
+                "results_stored",
+                &[
+                    ("job", &job),
+                    ("position", &position),
+                    ("count", &lines.len()),
+                    ("ms", &now.since(began).as_millis()),
+                ],
+            );
+            take_stored(&node, &job, now).await;
+        }
+        ChunkOutcome::Displaced { writer, lines } => {
+            node.log.warn(
+                "results_displaced",
+                &[("job", &job), ("position", &position), ("writer", &writer)],
+            );
+            node.metrics.count(Counter::Dropped(DropReason::DuplicateResult));
+            take_displaced(&node, &job, lines, now).await;
+        }
+    }
+}
+
+async fn take_stored(node: &Arc<EntryNode>, job: &str, now: MonoTime) {
+    let is_closed = {
+        let mut desk = node.jobs();
+        let Some(owned) = desk.board.get_mut(job) else { return };
+        owned.stored(now);
+        owned.is_closed()
+    };
+    node.job_news.notify(usize::MAX);
+    node.runner_wake.notify(usize::MAX);
+    if is_closed {
+        close(node, job).await;
+    }
+}
+
+/// All results are stored: tells the store and the others, and keeps the results for readers.
+pub async fn close(node: &Arc<EntryNode>, job: &str) {
+    node.jobs().retire_job(job);
+    node.log.info("job_closed", &[("job", &job)]);
+    node.peers.broadcast(&PeerMessage::JobClosed(job.to_owned()));
+    // Nothing depends on it but the work of a gateway that takes jobs over; it may stay undone.
+    let _ = close_job(&node.store, job, &node.owner).await;
+}
+
+/// Another gateway wrote where we wanted to: it owns the job, or owned it before us and its write
+/// came late. The job's object tells which.
+async fn take_displaced(
+    node: &Arc<EntryNode>,
+    job: &str,
+    lines: Vec<Arc<ResultLine>>,
+    now: MonoTime,
+) {
+    {
+        let mut desk = node.jobs();
+        let Some(owned) = desk.board.get_mut(job) else { return };
+        owned.displaced(lines, now);
+    }
+    node.job_news.notify(usize::MAX);
+    let stored = loop {
+        match read_job(&node.store, job).await {
+            Ok(stored) => break stored,
+            Err(_) => task::sleep(jittered(STORE_PAUSE)).await,
+        }
+    };
+    let owner = stored.as_ref().map_or("", |stored| stored.owner());
+    if owner == node.owner {
+        let is_closed = node.jobs().board.get(job).is_some_and(OwnedJob::is_closed);
+        if is_closed {
+            close(node, job).await;
+        }
+        node.runner_wake.notify(usize::MAX);
+        return;
+    }
+    node.log.warn("job_lost", &[("job", &job), ("owner", &owner)]);
+    let mut desk = node.jobs();
+    desk.give_up_job(job);
+    desk.note_owner(&[job.to_owned()], owner);
+}
--- /dev/null
+++ b/crates/entry/src/batch/copies.rs
@@ -0,0 +1,92 @@
+//! Results and bodies of jobs that this gateway doesn't own, kept for readers.
+
+use std::sync::Arc;
+
+use notch_relay::prelude::*;
+use notch_types::prelude::*;
+
+use crate::constants::COPY_BYTES;
+
+/// What is held of one job.
+#[derive(Debug, Clone, Default)]
+pub struct JobCopy {
+    /// Items of the job; `None` when not known yet.
+    pub total: Option<usize>,
+    /// Stored results from the first on. Invariant: a prefix of the job's list.
+    pub lines: Vec<Arc<ResultLine>>,
+    /// The job as accepted, if a reader needed it.
+    pub spec: Option<Arc<JobSpec>>,
+    /// Whether the list can't grow any more.
+    pub is_closed: bool,
+    /// Its owner, if the store told.
+    pub owner: Option<String>,
+    /// Order of use; the lowest goes first.
+    used: u64,
+}
+
+impl JobCopy {
+    /// Whether every result is here.
+    pub fn is_whole(&self) -> bool {
+        self.is_closed || self.total.is_some_and(|total| self.lines.len() >= total)
+    }
+
+    fn weight(&self) -> usize {
+        let lines: usize = self.lines.iter().map(|line| line.output.len() + 96).sum();
+        lines + self.spec.as_ref().map_or(0, |spec| spec.weight())
+    }
+}
+
+/// Copies, the ones used last within a bound of memory. What was dropped is read from the store.
+#[derive(Debug, Default)]
+pub struct JobCopies {
+    copies: FastMap<String, JobCopy>,
+    uses: u64,
+}
+
+impl JobCopies {
+    /// A copy.
+    pub fn get(&self, job: &str) -> Option<&JobCopy> {
+        self.copies.get(job)
+    }
+
+    /// Changes a copy, which is made if there is none; then drops old ones over the bound.
+    pub fn update(&mut self, job: &str, change: impl FnOnce(&mut JobCopy)) {
+        self.uses += 1;
+        let copy = self.copies.entry(job.to_owned()).or_default();
+        copy.used = self.uses;
+        change(copy);
+        self.trim();
+    }
+
+    /// Appends lines that stand at `position` and on; those held already are passed over.
+    pub fn extend(&mut self, job: &str, position: usize, lines: &[Arc<ResultLine>]) {
+        self.update(job, |copy| {
+            let held = copy.lines.len();
+            if position <= held {
+                let new = lines.get(held - position..).unwrap_or_default();
+                copy.lines.extend_from_slice(new);
+            }
+        });
+    }
+
+    /// Keeps what an owned job holds.
+    pub fn take_owned(&mut self, job: &OwnedJob, is_closed: bool) {
+        self.update(&job.spec().id, |copy| {
+            copy.total = Some(job.spec().items.len());
+            if copy.lines.len() < job.results().len() {
+                copy.lines = job.results().to_vec();
+            }
+            copy.is_closed = is_closed;
+            copy.spec = (!is_closed).then(|| Arc::clone(job.spec()));
+        });
+    }
+
+    fn trim(&mut self) {
+        let mut weight: usize = self.copies.values().map(JobCopy::weight).sum();
+        while weight > COPY_BYTES && self.copies.len() > 1 {
+            let oldest = self.copies.iter().min_by_key(|(_, copy)| copy.used);
+            let Some(job) = oldest.map(|(job, _)| job.clone()) else { return };
+            weight -= self.copies.remove(&job).map_or(0, |copy| copy.weight());
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/batch/desk.rs
@@ -0,0 +1,139 @@
+//! All that a gateway holds of jobs.
+
+use async_channel::Sender;
+use notch_relay::prelude::*;
+use notch_types::prelude::*;
+
+use crate::batch::copies::JobCopies;
+
+/// A run of an item that is under way.
+#[derive(Debug)]
+pub struct ItemRunHandle {
+    /// The job.
+    pub job: String,
+    /// The target it runs at.
+    pub target: String,
+    /// Since when.
+    pub since: MonoTime,
+    /// Closed to break it off.
+    pub cancel: Sender<()>,
+}
+
+/// All that a gateway holds of jobs.
+#[derive(Debug, Default)]
+pub struct JobDesk {
+    /// Jobs that this gateway owns.
+    pub board: JobBoard,
+    /// Results and bodies of jobs for readers.
+    pub copies: JobCopies,
+    /// Runs under way, by number.
+    pub runs: FastMap<u64, ItemRunHandle>,
+    next_run: u64,
+    /// Owners of jobs, as other gateways told.
+    owners: FastMap<String, String>,
+    /// Jobs whose end is stored.
+    ended: FastSet<String>,
+    /// Jobs being taken in or over now.
+    busy: FastSet<String>,
+}
+
+impl JobDesk {
+    /// Whether this gateway owns the job.
+    pub fn is_owned(&self, job: &str) -> bool {
+        self.board.get(job).is_some()
+    }
+
+    /// Whether anything is known of the job.
+    pub fn is_known(&self, job: &str) -> bool {
+        self.is_owned(job) || self.owners.contains_key(job) || self.copies.get(job).is_some()
+    }
+
+    /// Jobs owned here that aren't closed.
+    pub fn open_owned(&self) -> Vec<String> {
+        let open = self.board.iter().filter(|job| !job.is_closed());
+        open.map(|job| job.spec().id.clone()).collect()
+    }
+
+    /// The job's owner, if another gateway told.
+    pub fn owner(&self, job: &str) -> Option<&str> {
+        self.owners.get(job).map(String::as_str)
+    }
+
+    /// These jobs have that owner.
+    pub fn note_owner(&mut self, jobs: &[String], owner: &str) {
+        for job in jobs {
+            self.owners.insert(job.clone(), owner.to_owned());
+        }
+    }
+
+    /// Jobs that other gateways own, by owner, as far as they are open.
+    pub fn owned_elsewhere(&self) -> impl Iterator<Item = (&str, &str)> {
+        self.owners.iter().map(|(job, owner)| (job.as_str(), owner.as_str()))
+    }
+
+    /// All results of the job are stored: nobody needs to own it any more.
+    pub fn note_closed(&mut self, job: &str) {
+        self.owners.remove(job);
+    }
+
+    /// Marks a job as ended; false when it was already.
+    pub fn note_ended(&mut self, job: &str) -> bool {
+        self.ended.insert(job.to_owned())
+    }
+
+    /// Whether the job's end is known.
+    pub fn is_ended(&self, job: &str) -> bool {
+        self.ended.contains(job)
+    }
+
+    /// Claims the job for one task; false when another one has it.
+    pub fn begin(&mut self, job: &str) -> bool {
+        self.busy.insert(job.to_owned())
+    }
+
+    /// The task is done with the job.
+    pub fn finish(&mut self, job: &str) {
+        self.busy.remove(job);
+    }
+
+    /// Whether a task takes the job in or over now.
+    pub fn is_busy(&self, job: &str) -> bool {
+        self.busy.contains(job)
+    }
+
+    /// Counts a run; its number.
+    pub fn add_run(&mut self, handle: ItemRunHandle) -> u64 {
+        self.next_run += 1;
+        self.runs.insert(self.next_run, handle);
+        self.next_run
+    }
+
+    /// Breaks off every run of the job.
+    pub fn cancel_runs(&mut self, job: &str) {
+        for run in self.runs.values().filter(|run| run.job == job) {
+            run.cancel.close();
+        }
+    }
+
+    /// Another gateway owns the job: nothing of it runs or is stored here any more. Its results so
+    /// far stay for readers.
+    pub fn give_up_job(&mut self, job: &str) {
+        self.cancel_runs(job);
+        if let Some(owned) = self.board.remove(job) {
+            self.copies.take_owned(&owned, false);
+        }
+    }
+
+    /// Moves a job that needs no owner any more to the copies for readers.
+    pub fn retire_job(&mut self, job: &str) {
+        self.cancel_runs(job);
+        if let Some(owned) = self.board.remove(job) {
+            self.copies.take_owned(&owned, true);
+        }
+    }
+
+    /// Bytes of jobs held, about.
+    pub fn weight(&self) -> usize {
+        self.board.iter().map(|job| job.spec().weight()).sum()
+    }
+}
--- /dev/null
+++ b/crates/entry/src/batch/ends.rs
@@ -0,0 +1,89 @@
+//! Ends jobs.
+
+use std::sync::Arc;
+
+use notch_messages::prelude::PeerMessage;
+use notch_types::prelude::*;
+
+use crate::{
+    batch::records::{END_KIND, read_job, store_end},
+    constants::RETRY_AFTER,
+    front::connection::OwnAnswer,
+    node::EntryNode,
+    store::feed::{FeedEvent, follow},
+};
+
+/// A client ends a job: told so only once the end is stored.
+pub async fn end_job(node: &Arc<EntryNode>, job: &str) -> OwnAnswer {
+    let is_known = {
+        let desk = node.jobs();
+        if desk.is_ended(job) {
+            return answer(node, job, "ended_before", OwnAnswer::of(200));
+        }
+        desk.is_known(job)
+    };
+    if !is_known {
+        match read_job(&node.store, job).await {
+            Ok(Some(_)) => {}
+            Ok(None) => return answer(node, job, "no_such_job", OwnAnswer::of(404)),
+            Err(_) => {
+                return answer(node, job, "store_unavailable", OwnAnswer::refused(RETRY_AFTER));
+            }
+        }
+    }
+    // Nothing runs once the client may take it as ended, whatever becomes of the answer.
+    match store_end(&node.store, job).await {
+        Ok(()) => {
+            take_end(node, job, "client");
+            node.peers.broadcast(&PeerMessage::JobEnded(job.to_owned()));
+            answer(node, job, "ended", OwnAnswer::of(200))
+        }
+        Err(_) => answer(node, job, "store_unavailable", OwnAnswer::of(502)),
+    }
+}
+
+/// A job's end is stored: nothing of it runs here any more.
+pub fn take_end(node: &EntryNode, job: &str, source: &str) {
+    let mut desk = node.jobs();
+    if !desk.note_ended(job) {
+        return;
+    }
+    let was_owned = desk.is_owned(job);
+    if let Some(owned) = desk.board.get_mut(job) {
+        owned.end();
+    }
+    desk.retire_job(job);
+    desk.note_closed(job);
+    drop(desk);
+    node.log.info("job_ended", &[("job", &job), ("source", &source), ("owned", &was_owned)]);
+    node.job_news.notify(usize::MAX);
+}
+
+/// Follows ends of jobs in the store: the gateway that owns a job may be out of touch with the one
+/// that the client told.
+pub async fn follow_ends(node: Arc<EntryNode>) {
+    follow(&node.store, END_KIND, |event| match event {
+        FeedEvent::Snapshot { objects, .. } => {
+            for object in &objects {
+                take_end(&node, &object.metadata.name, "store");
+            }
+        }
+        FeedEvent::Changed { object } => take_end(&node, &object.metadata.name, "store"),
+        FeedEvent::Deleted { .. } => {}
+    })
+    .await;
+}
+
+fn answer(
+    node: &EntryNode,
+    job: &str,
+    outcome: &'static str,
+    answer: OwnAnswer,
+) -> OwnAnswer {
+    node.metrics.count(Counter::Event(outcome));
+    node.log.info(
+        "job_end_asked",
+        &[("job", &job), ("outcome", &outcome), ("status", &answer.status)],
+    );
+    answer
+}
--- /dev/null
+++ b/crates/entry/src/batch/intake.rs
@@ -0,0 +1,169 @@
+//! Takes jobs in.
+
+use std::sync::Arc;
+
+use async_std::{future::timeout, task};
+use notch_h1::prelude::RequestHead;
+use notch_platform_wire::{job::items_text, prelude::*};
+use notch_relay::prelude::*;
+use notch_telemetry::prelude::*;
+use notch_types::prelude::*;
+
+use crate::{
+    batch::records::{create_job, inline_items, part_count},
+    constants::{INTAKE_PATIENCE, JOB_BYTES, RETRY_AFTER, RETRY_AFTER_START, STORE_PAUSE},
+    front::connection::OwnAnswer,
+    node::EntryNode,
+    store::{client::StoreFailure, feed::jittered},
+};
+
+/// What storing a job came to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum IntakeOutcome {
+    /// It is stored and ours.
+    Ours,
+    /// It was stored before.
+    Known,
+    /// It surely isn't stored, and won't be.
+    NotStored,
+}
+
+/// Takes a job in: the client is told that it's accepted only once it is stored.
+pub async fn accept_job(
+    node: &Arc<EntryNode>,
+    head: &RequestHead,
+    body: &[u8],
+    route: &Route,
+    arrived: MonoTime,
+) -> OwnAnswer {
+    let Some(id) = RequestTerms::decode(&head.headers).attempt.filter(|id| is_name(id)) else {
+        return answer(node, "-", "no_id", OwnAnswer::of(400), arrived);
+    };
+    if node.jobs().is_known(id) {
+        return answer(node, id, "known", OwnAnswer::of(202), arrived);
+    }
+    let Some(terms) = route.job_terms else {
+        return answer(node, id, "not_a_batch_route", OwnAnswer::of(400), arrived);
+    };
+    let Ok(text) = items_text(body) else {
+        return answer(node, id, "not_a_job", OwnAnswer::of(400), arrived);
+    };
+    let record = job_record(node, head, &terms, text);
+    let spec = match record.decode_job(id, text) {
+        Ok(spec) => Arc::new(spec),
+        Err(_) => return answer(node, id, "not_a_job", OwnAnswer::of(400), arrived),
+    };
+    if node.jobs().weight() + spec.weight() > JOB_BYTES {
+        return answer(node, id, "jobs_full", OwnAnswer::refused(RETRY_AFTER_START), arrived);
+    }
+    if node.stop.is_stopping() {
+        return answer(node, id, "stopping", OwnAnswer::refused(RETRY_AFTER), arrived);
+    }
+    // The storing outlives this client's patience: a job whose write got no answer may come to be
+    // stored, and then somebody must run it.
+    let storing = task::spawn(store_job(Arc::clone(node), spec, record, text.to_owned()));
+    match timeout(INTAKE_PATIENCE, storing).await {
+        Ok(IntakeOutcome::Ours) => answer(node, id, "accepted", OwnAnswer::of(202), arrived),
+        Ok(IntakeOutcome::Known) => answer(node, id, "known", OwnAnswer::of(202), arrived),
+        Ok(IntakeOutcome::NotStored) => {
+            answer(node, id, "store_unavailable", OwnAnswer::refused(RETRY_AFTER), arrived)
+        }
+        // Not a refusal: nobody can say that it isn't stored.
+        Err(_) => answer(node, id, "store_unclear", OwnAnswer::of(504), arrived),
+    }
+}
+
+fn job_record(node: &EntryNode, head: &RequestHead, terms: &JobTerms, text: &str) -> JobRecord {
+    let parts = part_count(text);
+    JobRecord {
+        owner: node.owner.clone(),
+        accepted_at_ms: node.clock.wall().0,
+        host: head.headers.get("Host").unwrap_or_default().to_owned(),
+        path: head.target.clone(),
+        due_ms: terms.due.as_millis() as u64,
+        lifetime_ms: terms.item_lifetime.as_millis() as u64,
+        max_attempts: terms.max_attempts,
+        parts,
+        items: inline_items(text, parts),
+    }
+}
+
+/// Stores a job, for as long as its fate isn't clear.
+async fn store_job(
+    node: Arc<EntryNode>,
+    spec: Arc<JobSpec>,
+    record: JobRecord,
+    text: String,
+) -> IntakeOutcome {
+    let mut was_unclear = false;
+    loop {
+        match create_job(&node.store, &spec.id, &record, &text).await {
+            Ok(true) => {
+                own_job(&node, spec);
+                return IntakeOutcome::Ours;
+            }
+            Ok(false) if was_unclear => {
+                // Likely our own write whose answer was lost; the record tells.
+                return settle(&node, spec, &record).await;
+            }
+            Ok(false) => return IntakeOutcome::Known,
+            Err(StoreFailure::NotDone) if !was_unclear => return IntakeOutcome::NotStored,
+            Err(StoreFailure::NotDone | StoreFailure::Unknown) => {
+                was_unclear = true;
+                task::sleep(jittered(STORE_PAUSE)).await;
+            }
+        }
+    }
+}
+
+/// The job is stored, after a write whose answer was lost: it's ours if our record stands there.
+async fn settle(node: &Arc<EntryNode>, spec: Arc<JobSpec>, record: &JobRecord) -> IntakeOutcome {
+    loop {
+        match crate::batch::records::read_job(&node.store, &spec.id).await {
+            Ok(Some(stored)) if stored.owner() == record.owner => {
+                own_job(node, spec);
+                return IntakeOutcome::Ours;
+            }
+            Ok(_) => return IntakeOutcome::Known,
+            Err(_) => task::sleep(jittered(STORE_PAUSE)).await,
+        }
+    }
+}
+
+/// Begins to run a job that is stored as ours.
+fn own_job(node: &Arc<EntryNode>, spec: Arc<JobSpec>) {
+    let id = spec.id.clone();
+    let items = spec.items.len();
+    node.jobs().board.add(OwnedJob::new(spec, Vec::new(), node.clock.now()));
+    node.peers.broadcast(&notch_messages::prelude::PeerMessage::JobsOwned(vec![id.clone()]));
+    node.runner_wake.notify(usize::MAX);
+    node.log.info("job_owned", &[("job", &id), ("items", &items), ("cause", &"accepted")]);
+}
+
+fn answer(
+    node: &EntryNode,
+    id: &str,
+    outcome: &'static str,
+    answer: OwnAnswer,
+    arrived: MonoTime,
+) -> OwnAnswer {
+    let took = node.clock.mono().since(arrived);
+    node.metrics.observe(Timing::LedgerCommit, took);
+    node.metrics.count(Counter::Event(outcome));
+    node.log.info(
+        "job_submission",
+        &[
+            ("job", &id),
+            ("outcome", &outcome),
+            ("status", &answer.status),
+            ("ms", &took.as_millis()),
+        ],
+    );
+    answer
+}
+
+/// Whether an id can name objects of the store.
+fn is_name(id: &str) -> bool {
+    let plain = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.');
+    (1..=128).contains(&id.len()) && id.bytes().all(plain)
+}
--- /dev/null
+++ b/crates/entry/src/batch/item_run.rs
@@ -0,0 +1,162 @@
+//! One run of a job's item at a target.
+
+use std::{sync::Arc, time::Duration};
+
+use async_channel::Receiver;
+use async_std::future::timeout;
+use futures_util::{
+    future::{Either, select},
+    pin_mut,
+};
+use notch_h1::prelude::*;
+use notch_platform_wire::target::item_request;
+use notch_relay::prelude::*;
+use notch_telemetry::prelude::*;
+use notch_types::prelude::*;
+
+use crate::{
+    constants::{ITEM_FIRST_BYTE, ITEM_STALL},
+    node::EntryNode,
+    online::lease::TargetLease,
+};
+
+/// A target stops work at the time it's given; a run of an item has no such end of its own.
+const ITEM_TIME: Duration = Duration::from_secs(60);
+
+/// What a run brought so far.
+#[derive(Debug, Default)]
+struct RunProgress {
+    last_event: Option<u64>,
+    data: Vec<u8>,
+    events: u64,
+}
+
+/// Runs an item, and tells its job how it ended. `cancel` is closed to break the run off.
+pub async fn run_item(
+    node: Arc<EntryNode>,
+    run: u64,
+    start: ItemStart,
+    choice: TargetChoice,
+    cancel: Receiver<()>,
+) {
+    let began = node.clock.mono();
+    let mut progress = RunProgress { last_event: start.last_event, ..RunProgress::default() };
+    let mut lease = TargetLease::new(&node, &choice, WorkKind::Batch);
+    let outcome = {
+        let running = run_at(&node, &start, &choice, &mut progress);
+        let cancelled = cancel.recv();
+        pin_mut!(running, cancelled);
+        match select(running, cancelled).await {
+            Either::Left((outcome, _)) => Some(outcome),
+            Either::Right(_) => None,
+        }
+    };
+    match &outcome {
+        Some(Ok(_)) => lease.set_outcome(Ok(())),
+        Some(Err(failure)) => lease.set_outcome(Err(*failure)),
+        None => {}
+    }
+    drop(lease);
+    let end = item_end(outcome.as_ref());
+    let reason = match &outcome {
+        Some(Ok(status)) => status.to_string(),
+        Some(Err(failure)) => failure.code().to_owned(),
+        None => "preempted".to_owned(),
+    };
+    let now = node.clock.mono();
+    node.metrics.observe(Timing::ItemRun, now.since(began));
+    if outcome.as_ref().is_none_or(Result::is_err) {
+        node.metrics.count(Counter::Event("item_runs_broken"));
+    }
+    node.log.info(
+        "item_run_ended",
+        &[
+            ("job", &start.job),
+            ("item", &start.item.id),
+            ("target", &choice.id),
+            ("outcome", &reason),
+            ("events", &progress.events),
+            ("last_event", &progress.last_event.map_or(-1, |id| id as i64)),
+            ("ms", &now.since(began).as_millis()),
+        ],
+    );
+    let mut desk = node.jobs();
+    desk.runs.remove(&run);
+    if let Some(job) = desk.board.get_mut(&start.job) {
+        if let Some(last) = progress.last_event.filter(|_| progress.events > 0) {
+            job.add_progress(start.index, last, &progress.data);
+        }
+        job.end_item(start.index, &end, now);
+    }
+    drop(desk);
+    node.runner_wake.notify(usize::MAX);
+}
+
+fn item_end(outcome: Option<&Result<u16, AttemptFailure>>) -> ItemEnd {
+    match outcome {
+        None => ItemEnd::Preempted,
+        Some(Ok(200..300)) => ItemEnd::Completed,
+        Some(Ok(422)) => ItemEnd::Impossible,
+        Some(Ok(500)) => ItemEnd::Failed,
+        Some(Ok(_)) => ItemEnd::Broken,
+        Some(Err(failure)) => match failure.verdict() {
+            RunVerdict::NotRun => ItemEnd::NotRun,
+            RunVerdict::Unknown => ItemEnd::Broken,
+        },
+    }
+}
+
+/// The status of a whole answer.
+async fn run_at(
+    node: &EntryNode,
+    start: &ItemStart,
+    choice: &TargetChoice,
+    progress: &mut RunProgress,
+) -> Result<u16, AttemptFailure> {
+    let mut connection = node.pool.connect(&choice.id, choice.address, false).await?;
+    let bytes =
+        item_request(&start.item, &start.host, &choice.id, ITEM_TIME, progress.last_event);
+    let head = connection.exchange(&bytes, Some(&start.item.id), ITEM_FIRST_BYTE).await?;
+    node.targets().note_alive(&choice.id);
+    let framing = head.framing().map_err(|_| AttemptFailure::SpoiledAnswer)?;
+    let mut body = BodyProgress::new(framing);
+    let mut splitter = EventSplitter::after(progress.last_event);
+    loop {
+        let reading = connection.reader.body_part(&mut body);
+        let part = match timeout(ITEM_STALL, reading).await {
+            Ok(Ok(part)) => part,
+            Ok(Err(_)) => return Err(AttemptFailure::CutAnswer),
+            Err(_) => return Err(AttemptFailure::StalledAnswer),
+        };
+        let Some(part) = part else { break };
+        if head.status == 200 {
+            splitter.push(&part);
+            take_events(&mut splitter, progress)?;
+        }
+    }
+    if splitter.has_rest() {
+        return Err(AttemptFailure::CutAnswer);
+    }
+    node.pool.give_back(&choice.id, connection, &head);
+    Ok(head.status)
+}
+
+fn take_events(
+    splitter: &mut EventSplitter,
+    progress: &mut RunProgress,
+) -> Result<(), AttemptFailure> {
+    loop {
+        match splitter.next_event() {
+            Ok(Some(event)) => {
+                if progress.events > 0 {
+                    progress.data.push(b'\n');
+                }
+                progress.data.extend_from_slice(&event.data());
+                progress.last_event = Some(event.id);
+                progress.events += 1;
+            }
+            Ok(None) => return Ok(()),
+            Err(_) => return Err(AttemptFailure::CutAnswer),
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/batch/reads.rs
@@ -0,0 +1,252 @@
+//! Reads of jobs: results and bodies, at any gateway.
+
+use std::{sync::Arc, time::Duration};
+
+use async_std::future::timeout;
+use notch_messages::prelude::PeerMessage;
+use notch_platform_wire::job::encode_results;
+use notch_relay::prelude::*;
+use notch_types::prelude::*;
+
+use crate::{
+    batch::{
+        copies::JobCopy,
+        records::{read_job, read_results as stored_results, read_spec},
+    },
+    constants::{ASK_GRACE, ASK_WAIT, RETRY_AFTER},
+    front::connection::OwnAnswer,
+    node::EntryNode,
+    store::client::StoreFailure,
+};
+
+/// Bytes of results in an answer to another gateway, at most: well under a link's largest message.
+const NEWS_BYTES: usize = 1 << 20;
+
+/// What this gateway can say of a job's results.
+enum ReadState {
+    /// These stand from the position asked for on; there are `total` items.
+    Known { total: usize, lines: Vec<Arc<ResultLine>> },
+    /// Nothing new, as far as the job's owner, who is this gateway, knows.
+    OwnedNothing { total: usize },
+    /// Another gateway or the store has to be asked.
+    Ask(JobCopy),
+}
+
+/// Answers a read of results from `after` on, which may wait for one.
+pub async fn read_results(
+    node: &Arc<EntryNode>,
+    job: &str,
+    after: usize,
+    wait: Duration,
+) -> OwnAnswer {
+    let until = node.clock.mono() + wait;
+    loop {
+        let listener = node.job_news.listen();
+        let left = until.since(node.clock.mono());
+        match read_state(node, job, after) {
+            ReadState::Known { total, lines } => return results_answer(total, after, &lines),
+            ReadState::OwnedNothing { total } => {
+                if !left.is_zero() {
+                    // News or the end of the wait: both lead to another look.
+                    let _ = timeout(left, listener).await;
+                    continue;
+                }
+                if node.peers.hears_all(node.clock.mono()) {
+                    return results_answer(total, after, &[]);
+                }
+                // A gateway out of touch may have taken the job over and listed more.
+                return match stored_results(&node.store, job, after).await {
+                    Ok(lines) => results_answer(total, after, &lines),
+                    Err(_) => unsure(node, job, "store_unavailable"),
+                };
+            }
+            ReadState::Ask(copy) => return ask(node, job, after, left, copy).await,
+        }
+    }
+}
+
+fn read_state(node: &EntryNode, job: &str, after: usize) -> ReadState {
+    let desk = node.jobs();
+    if let Some(owned) = desk.board.get(job) {
+        let total = owned.spec().items.len();
+        let lines = owned.results().get(after..).unwrap_or_default();
+        if lines.is_empty() && !owned.is_closed() {
+            return ReadState::OwnedNothing { total };
+        }
+        return ReadState::Known { total, lines: lines.to_vec() };
+    }
+    let copy = desk.copies.get(job).cloned().unwrap_or_default();
+    match copy.total {
+        Some(total) if after < copy.lines.len() || copy.is_whole() => {
+            let lines = copy.lines.get(after..).unwrap_or_default().to_vec();
+            ReadState::Known { total, lines }
+        }
+        _ => ReadState::Ask(copy),
+    }
+}
+
+/// Asks the job's owner, and the store when there is none to ask.
+async fn ask(
+    node: &Arc<EntryNode>,
+    job: &str,
+    after: usize,
+    left: Duration,
+    copy: JobCopy,
+) -> OwnAnswer {
+    let mut total = copy.total;
+    let told = node.jobs().owner(job).map(str::to_owned);
+    let mut owner = told.or(copy.owner);
+    if owner.is_none() || total.is_none() {
+        match learn_job(node, job).await {
+            Ok(Some((stored_owner, items))) => {
+                owner.get_or_insert(stored_owner);
+                total = Some(items);
+            }
+            Ok(None) => return OwnAnswer::of(404),
+            Err(_) => return unsure(node, job, "store_unavailable"),
+        }
+    }
+    let total = total.unwrap_or(0);
+    let held = copy.lines.len();
+    if let Some(owner) = owner
+        && let Some(news) = ask_owner(node, &owner, job, held, left.min(ASK_WAIT)).await
+    {
+        let mut desk = node.jobs();
+        desk.copies.extend(job, held, &news);
+        drop(desk);
+        return copy_answer(node, job, total, after);
+    }
+    match stored_results(&node.store, job, held).await {
+        Ok(lines) => {
+            node.jobs().copies.extend(job, held, &lines);
+            copy_answer(node, job, total, after)
+        }
+        Err(_) => unsure(node, job, "store_unavailable"),
+    }
+}
+
+/// Reads a job from the store, and keeps what readers need of it: its owner and its items.
+async fn learn_job(
+    node: &EntryNode,
+    job: &str,
+) -> Result<Option<(String, usize)>, StoreFailure> {
+    let Some(stored) = read_job(&node.store, job).await? else { return Ok(None) };
+    let spec = Arc::new(read_spec(&node.store, &stored).await?);
+    let owner = stored.owner().to_owned();
+    let items = spec.items.len();
+    node.jobs().copies.update(job, |copy| {
+        copy.total = Some(items);
+        copy.owner = Some(owner.clone());
+        copy.spec = Some(spec);
+    });
+    Ok(Some((owner, items)))
+}
+
+async fn ask_owner(
+    node: &EntryNode,
+    owner: &str,
+    job: &str,
+    held: usize,
+    wait: Duration,
+) -> Option<Vec<Arc<ResultLine>>> {
+    let (call, answer) = node.peers.open_call();
+    let message = PeerMessage::JobAsk {
+        call,
+        job: job.to_owned(),
+        after: held as u64,
+        wait_ms: wait.as_millis() as u64,
+    };
+    let sent = node.peers.send_to_owner(owner, message);
+    let news = if sent {
+        timeout(wait + ASK_GRACE, answer.recv()).await.ok().and_then(Result::ok)
+    } else {
+        None
+    };
+    node.peers.close_call(call);
+    let news = news.filter(|news| news.is_owner)?;
+    Some(news.lines.into_iter().map(Arc::new).collect())
+}
+
+/// Answers another gateway's question about a job.
+pub async fn answer_peer(
+    node: &Arc<EntryNode>,
+    peer: &VmName,
+    call: u64,
+    job: &str,
+    after: u64,
+    wait_ms: u64,
+) {
+    let after = usize::try_from(after).unwrap_or(usize::MAX);
+    let until = node.clock.mono() + Duration::from_millis(wait_ms);
+    let (is_owner, total, lines) = loop {
+        let listener = node.job_news.listen();
+        let left = until.since(node.clock.mono());
+        match read_state(node, job, after) {
+            ReadState::Known { total, lines } => break (true, total, lines),
+            ReadState::OwnedNothing { total } if left.is_zero() => {
+                break (node.peers.hears_all(node.clock.mono()), total, Vec::new());
+            }
+            ReadState::OwnedNothing { .. } => {
+                let _ = timeout(left, listener).await;
+            }
+            ReadState::Ask(_) => break (false, 0, Vec::new()),
+        }
+    };
+    let lines = bounded(&lines);
+    let total = total as u64;
+    node.peers.send(peer, PeerMessage::JobNews { call, is_owner, total, lines });
+}
+
+fn bounded(lines: &[Arc<ResultLine>]) -> Vec<ResultLine> {
+    let mut size = 0;
+    let mut taken = Vec::new();
+    for line in lines {
+        size += line.output.len() + 96;
+        if !taken.is_empty() && size > NEWS_BYTES {
+            break;
+        }
+        taken.push(ResultLine::clone(line));
+    }
+    taken
+}
+
+/// Answers a read of an item's body.
+pub async fn read_item(node: &Arc<EntryNode>, job: &str, item: &str) -> OwnAnswer {
+    if let Some(answer) = held_item(node, job, item) {
+        return answer;
+    }
+    match learn_job(node, job).await {
+        Ok(Some(_)) => held_item(node, job, item).unwrap_or_else(|| OwnAnswer::of(404)),
+        Ok(None) => OwnAnswer::of(404),
+        Err(_) => unsure(node, job, "store_unavailable"),
+    }
+}
+
+fn held_item(node: &EntryNode, job: &str, item: &str) -> Option<OwnAnswer> {
+    let desk = node.jobs();
+    let owned = desk.board.get(job).map(|owned| Arc::clone(owned.spec()));
+    let spec = owned.or_else(|| desk.copies.get(job).and_then(|copy| copy.spec.clone()))?;
+    let found = spec.items.iter().find(|candidate| candidate.id == item);
+    Some(found.map_or_else(
+        || OwnAnswer::of(404),
+        |item| OwnAnswer { status: 200, body: item.body.clone(), ..OwnAnswer::default() },
+    ))
+}
+
+fn copy_answer(node: &EntryNode, job: &str, total: usize, after: usize) -> OwnAnswer {
+    let desk = node.jobs();
+    let lines = desk.copies.get(job).and_then(|copy| copy.lines.get(after..)).unwrap_or_default();
+    results_answer(total, after, lines)
+}
+
+fn results_answer(total: usize, after: usize, lines: &[Arc<ResultLine>]) -> OwnAnswer {
+    let body = encode_results(total, after, lines);
+    OwnAnswer { status: 200, body, ..OwnAnswer::default() }
+}
+
+/// Nobody can say now: not that there is nothing.
+fn unsure(node: &EntryNode, job: &str, reason: &'static str) -> OwnAnswer {
+    node.log.warn("job_read_unsure", &[("job", &job), ("reason", &reason)]);
+    node.metrics.count(Counter::Event("job_reads_unsure"));
+    OwnAnswer::refused(RETRY_AFTER)
+}
--- /dev/null
+++ b/crates/entry/src/batch/runner.rs
@@ -0,0 +1,106 @@
+//! Starts items where targets have places, breaks them off for online work, stores results.
+
+use std::sync::Arc;
+
+use async_std::{future::timeout, task};
+use notch_relay::prelude::*;
+use notch_types::prelude::*;
+
+use crate::{
+    batch::{commits, desk::ItemRunHandle, item_run::run_item},
+    constants::{OBJECT_BYTES, RESULT_DELAY, RUNNER_TICK, STARTS_PER_PASS},
+    node::EntryNode,
+};
+
+/// Runs jobs until the process ends.
+pub async fn run_jobs(node: Arc<EntryNode>) {
+    loop {
+        let listener = node.runner_wake.listen();
+        let is_idle = node.jobs().board.is_idle();
+        if is_idle {
+            listener.await;
+        } else {
+            // Time passes for items and results that wait; a wake-up only makes it sooner.
+            let _ = timeout(RUNNER_TICK, listener).await;
+        }
+        let now = node.clock.mono();
+        give_up_items(&node, now);
+        start_items(&node, now);
+        make_room(&node);
+        store_results(&node, now);
+    }
+}
+
+/// Gives up items whose time is over or whose route is gone.
+fn give_up_items(node: &EntryNode, now: MonoTime) {
+    let Some(routes) = node.routes() else { return };
+    let mut desk = node.jobs();
+    for id in desk.board.ids() {
+        let Some(job) = desk.board.get_mut(&id) else { continue };
+        let spec = Arc::clone(job.spec());
+        let route_gone = routes.find(&spec.host, &spec.path).is_none();
+        job.give_up_items(route_gone, now);
+    }
+}
+
+fn start_items(node: &Arc<EntryNode>, now: MonoTime) {
+    if node.stop.is_stopping() {
+        return;
+    }
+    let Some(routes) = node.routes() else { return };
+    for _ in 0..STARTS_PER_PASS {
+        let mut desk = node.jobs();
+        let Some((job, index)) = desk.board.next_item(now) else { return };
+        let Some(owned) = desk.board.get(&job) else { return };
+        let spec = Arc::clone(owned.spec());
+        let path = &spec.items[index].path;
+        let Some(route) = routes.find(&spec.host, path) else {
+            // Its items are given up with the job's route; an item on another route just waits.
+            return;
+        };
+        let service = route.service_for(rand::random());
+        let choice =
+            node.targets().choose(service, WorkKind::Batch, &[], now, EntryNode::draw);
+        let Some(choice) = choice else { return };
+        let Some(start) = desk.board.start_item(&job, index) else { return };
+        let (cancel, cancelled) = async_channel::bounded(1);
+        let target = choice.id.clone();
+        let run = desk.add_run(ItemRunHandle { job, target, since: now, cancel });
+        drop(desk);
+        task::spawn(run_item(Arc::clone(node), run, start, choice, cancelled));
+    }
+}
+
+/// Breaks off one item at each target with more requests than places, the one that began last:
+/// engines take requests first come first served, so an online request may wait behind it.
+fn make_room(node: &EntryNode) {
+    let desk = node.jobs();
+    let targets = node.targets();
+    let mut over_full: FastMap<&str, (MonoTime, u64)> = FastMap::default();
+    for (number, run) in &desk.runs {
+        if run.cancel.is_closed() || !targets.is_over_full(&run.target) {
+            continue;
+        }
+        let newest = over_full.entry(&run.target).or_insert((run.since, *number));
+        *newest = (*newest).max((run.since, *number));
+    }
+    for (_, number) in over_full.values() {
+        if let Some(run) = desk.runs.get(number) {
+            run.cancel.close();
+        }
+    }
+}
+
+fn store_results(node: &Arc<EntryNode>, now: MonoTime) {
+    let mut desk = node.jobs();
+    for id in desk.board.ids() {
+        if desk.is_busy(&id) {
+            continue;
+        }
+        let Some(job) = desk.board.get_mut(&id) else { continue };
+        if let Some(lines) = job.take_pending(RESULT_DELAY, OBJECT_BYTES, now) {
+            let position = job.results().len();
+            task::spawn(commits::store(Arc::clone(node), id, position, lines));
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/batch/takeover.rs
@@ -0,0 +1,124 @@
+//! Takes over jobs whose owner died or stopped.
+
+use std::sync::Arc;
+
+use async_std::task;
+use notch_messages::prelude::PeerMessage;
+use notch_relay::prelude::*;
+use notch_types::prelude::*;
+
+use crate::{
+    batch::records::{JOB_KIND, StoredJob, read_end, read_results, read_spec, take_job},
+    constants::{ORPHANS_AGAIN, ORPHANS_FIRST, PEER_TICK},
+    node::EntryNode,
+    store::{client::StoreFailure, feed::list_all},
+};
+
+/// Searches for jobs without an owner: once after the start, and whenever an owner is lost.
+pub async fn watch_owners(node: Arc<EntryNode>) {
+    task::sleep(ORPHANS_FIRST).await;
+    let mut next_search = Some(node.clock.mono());
+    let mut live = node.peers.live_vms();
+    loop {
+        let now = node.clock.mono();
+        let still = node.peers.live_vms();
+        if live.iter().any(|vm| !still.contains(vm)) || has_orphans(&node, now) {
+            next_search.get_or_insert(now);
+        }
+        live = still;
+        if next_search.is_some_and(|at| now >= at) && !node.stop.is_stopping() {
+            next_search = match take_orphans(&node).await {
+                Ok(0) => None,
+                // Others are nearer to these, or the store is away: look again.
+                Ok(_) | Err(_) => Some(node.clock.mono() + ORPHANS_AGAIN),
+            };
+        }
+        task::sleep(PEER_TICK).await;
+    }
+}
+
+/// Whether a job that another gateway told of has lost its owner.
+fn has_orphans(node: &EntryNode, now: MonoTime) -> bool {
+    let desk = node.jobs();
+    desk.owned_elsewhere().any(|(job, owner)| {
+        owner != node.owner && !desk.is_ended(job) && !node.peers.may_live(owner, now)
+    })
+}
+
+/// Takes over jobs whose owner is gone and for which this gateway comes first among those alive;
+/// the number of orphans left to others.
+async fn take_orphans(node: &Arc<EntryNode>) -> Result<usize, StoreFailure> {
+    let (objects, _) = list_all(&node.store, JOB_KIND).await?;
+    let stored: Vec<StoredJob> = objects.iter().filter_map(StoredJob::decode).collect();
+    drop(objects);
+    let mut left = 0;
+    for job in stored {
+        let now = node.clock.mono();
+        if job.status.closed {
+            node.jobs().note_closed(&job.id);
+            continue;
+        }
+        let owner = job.owner().to_owned();
+        let is_ours = {
+            let desk = node.jobs();
+            desk.is_ended(&job.id) || desk.is_owned(&job.id) || desk.is_busy(&job.id)
+        };
+        if is_ours || (owner != node.owner && node.peers.may_live(&owner, now)) {
+            continue;
+        }
+        if !comes_first(node, &job.id) {
+            left += 1;
+            continue;
+        }
+        take_over(node, job).await?;
+    }
+    Ok(left)
+}
+
+/// Whether this gateway comes first for the job among those alive: so that two don't both read it.
+fn comes_first(node: &EntryNode, job: &str) -> bool {
+    let weight = |vm: &VmName| stable_hash64(&[job.as_bytes(), vm.as_str().as_bytes()]);
+    let own = weight(&node.config.node.vm);
+    node.peers.live_vms().iter().all(|vm| weight(vm) < own)
+}
+
+async fn take_over(node: &Arc<EntryNode>, job: StoredJob) -> Result<(), StoreFailure> {
+    if !node.jobs().begin(&job.id) {
+        return Ok(());
+    }
+    let taken = take_begun(node, &job).await;
+    node.jobs().finish(&job.id);
+    taken
+}
+
+async fn take_begun(node: &Arc<EntryNode>, job: &StoredJob) -> Result<(), StoreFailure> {
+    let id = &job.id;
+    if job.owner() != node.owner && !take_job(&node.store, job, &node.owner).await? {
+        return Ok(());
+    }
+    let spec = Arc::new(read_spec(&node.store, job).await?);
+    let results = read_results(&node.store, id, 0).await?;
+    if read_end(&node.store, id).await? {
+        node.jobs().note_ended(id);
+        return Ok(());
+    }
+    let listed = results.len();
+    let owned = OwnedJob::new(spec, results, node.clock.now());
+    let is_closed = owned.is_closed();
+    {
+        let mut desk = node.jobs();
+        desk.note_closed(id);
+        desk.board.add(owned);
+    }
+    node.log.info(
+        "job_owned",
+        &[("job", id), ("listed", &listed), ("cause", &"owner_gone"), ("before", &job.owner())],
+    );
+    node.metrics.count(Counter::Retried(RetryReason::OwnerMoved));
+    node.peers.broadcast(&PeerMessage::JobsOwned(vec![id.clone()]));
+    node.runner_wake.notify(usize::MAX);
+    if is_closed {
+        crate::batch::commits::close(node, id).await;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/entry/src/constants.rs
@@ -0,0 +1,109 @@
+//! Every time limit and bound of an entry VM, with its unit and where its figure comes from.
+
+use std::time::Duration;
+
+/// Longest wait for a connection to a target. A handshake takes 2 to 5 ms between failure domains;
+/// a VM without power never answers, and an opening packet that was dropped is sent again after a
+/// second, when the answer would be late anyway.
+pub const TARGET_CONNECT: Duration = Duration::from_millis(120);
+/// Longest wait for an answer's head where a place was free: prompts are read within 20 ms and the
+/// first event comes after 40 ms, so ten times that is no slowness but a target gone dark.
+pub const FIRST_BYTE_FREE: Duration = Duration::from_millis(400);
+/// The same where the request may wait for a place: a usual stream lasts 0.6 s.
+pub const FIRST_BYTE_QUEUED: Duration = Duration::from_millis(1_500);
+/// Share of a route's longest pause between events after which a silent stream is taken up at
+/// another target, so that the pause still is in time. Events come every 30 ms.
+pub const STALL_SHARE: f64 = 0.7;
+/// Longest silence of an item's run before it goes on elsewhere: thirty events' time.
+pub const ITEM_STALL: Duration = Duration::from_millis(1_000);
+/// Longest wait for the head of an item's answer: places are free when it starts.
+pub const ITEM_FIRST_BYTE: Duration = Duration::from_millis(1_500);
+/// Sends that provably did not run, beyond the route's attempts, before a request is refused.
+pub const NOT_RUN_TRIES: u32 = 4;
+/// Pause before a broken stream looks for a target again when none had a place.
+pub const NO_PLACE_PAUSE: Duration = Duration::from_millis(25);
+/// How long a broken stream looks for a place.
+pub const NO_PLACE_LONGEST: Duration = Duration::from_millis(1_000);
+/// When a client that was refused should come back: half of the time in which a usual stream ends,
+/// so that a place is likely free by then.
+pub const RETRY_AFTER: Duration = Duration::from_millis(300);
+/// When a client should come back to a VM that doesn't know its configuration yet.
+pub const RETRY_AFTER_START: Duration = Duration::from_millis(500);
+/// An idle connection to a target is dropped this long before the target would close it.
+pub const IDLE_MARGIN: Duration = Duration::from_millis(700);
+/// How long a connection to a target is kept idle when the target doesn't say.
+pub const IDLE_DEFAULT: Duration = Duration::from_millis(2_500);
+/// A request that can't be repeated takes only connections that were used this recently: an older
+/// one may have been dropped unseen, and then nobody knows whether the request ran.
+pub const IDLE_STRICT: Duration = Duration::from_millis(1_000);
+/// Idle connections to one target, at most; a target takes 200 from all gateways together.
+pub const IDLE_PER_TARGET: usize = 16;
+/// Bytes of a target's answer head, at most.
+pub const ANSWER_HEAD_BYTES: usize = 32 << 10;
+/// Bytes of a plain answer, at most; a VM has 110 MB.
+pub const ANSWER_BODY_BYTES: usize = 16 << 20;
+/// Longest time for a request's body, from its head on.
+pub const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Bytes of requests that a client sends ahead of an answer, at most, before we stop reading.
+pub const AHEAD_BYTES: usize = 64 << 10;
+
+/// How often use of targets is told to the other gateways when it changes: a usual stream lasts six
+/// times as long, so few starts go unseen.
+pub const REPORT_EVERY: Duration = Duration::from_millis(100);
+/// How often it is told when nothing changes.
+pub const REPORT_IDLE: Duration = Duration::from_millis(1_000);
+/// A peer that knows more for this long is asked for it: our own watch usually brings it sooner.
+pub const LAG_PATIENCE: Duration = Duration::from_millis(250);
+/// A gateway whose link is down this long is taken for dead and its jobs are taken over.
+pub const PEER_DEAD: Duration = Duration::from_millis(1_500);
+/// A gateway out of touch with a peer for this long asks the store before it says that a job has
+/// no more results. Invariant: shorter than [`PEER_DEAD`].
+pub const OWNER_DOUBT: Duration = Duration::from_millis(1_000);
+/// How often the other gateways are looked at.
+pub const PEER_TICK: Duration = Duration::from_millis(250);
+/// From a gateway's start to its first search for jobs that nobody owns: links form meanwhile.
+pub const ORPHANS_FIRST: Duration = Duration::from_millis(1_500);
+/// Between two searches while such jobs are left to others.
+pub const ORPHANS_AGAIN: Duration = Duration::from_millis(1_500);
+
+/// Pause after a failed call to the store before the next one, at most; half of it at least. A
+/// cold start and the end of an outage wait for it.
+pub const STORE_PAUSE: Duration = Duration::from_millis(400);
+/// Added to a watch's wait before its connection is taken for dead.
+pub const WATCH_GRACE: Duration = Duration::from_millis(700);
+/// How long entries that lapsed in an outage are kept after it: living targets are back in two
+/// seconds.
+pub const LAPSE_GRACE: Duration = Duration::from_millis(2_200);
+/// A store that was away this long may have let entries lapse: three heartbeats of a target.
+pub const LAPSE_OUTAGE: Duration = Duration::from_millis(1_000);
+/// Bytes of one object that we write, at most: the store takes 1 MiB.
+pub const OBJECT_BYTES: usize = 900 << 10;
+/// Results wait this long for others before they are stored: ten items of a job end within a
+/// second or two, so a job takes a few writes instead of ten. Reads come every half second.
+pub const RESULT_DELAY: Duration = Duration::from_millis(500);
+/// Longest time for a job to be stored before the client is told that its fate is unknown.
+pub const INTAKE_PATIENCE: Duration = Duration::from_millis(2_500);
+/// Bytes of open jobs that a gateway holds, at most; more are refused.
+pub const JOB_BYTES: usize = 24 << 20;
+/// Bytes of results of other gateways' and of closed jobs that are kept for readers, at most.
+pub const COPY_BYTES: usize = 12 << 20;
+/// Items started in one pass of the runner, at most, so that reports go out between passes.
+pub const STARTS_PER_PASS: usize = 6;
+/// Pause between passes of the runner while items wait for places.
+pub const RUNNER_TICK: Duration = Duration::from_millis(40);
+/// Pause of an item that found its target full or gone.
+pub const ITEM_PAUSE: Duration = Duration::from_millis(100);
+/// An owner out of touch asks the store about a job's list at most this often.
+pub const DOUBT_CHECK: Duration = Duration::from_millis(400);
+/// Longest wait for a peer's answer beyond the wait that it was asked for.
+pub const ASK_GRACE: Duration = Duration::from_millis(300);
+/// Longest wait of a read for news that is passed on to a peer.
+pub const ASK_WAIT: Duration = Duration::from_millis(900);
+
+/// From the signal to stop until new connections may be refused: the platform takes a VM out after
+/// two questions, a second apart.
+pub const STOP_ACCEPT: Duration = Duration::from_millis(3_500);
+/// From the signal to stop until idle connections are closed.
+pub const STOP_IDLE: Duration = Duration::from_millis(4_500);
+/// From the signal to stop until the process ends whatever runs; it is killed after 8 s.
+pub const STOP_LONGEST: Duration = Duration::from_millis(7_200);
--- /dev/null
+++ b/crates/entry/src/front.rs
@@ -0,0 +1,5 @@
+//! Clients' connections, and what the platform asks of this VM.
+
+pub mod connection;
+pub mod listener;
+pub mod pages;
--- /dev/null
+++ b/crates/entry/src/front/connection.rs
@@ -0,0 +1,231 @@
+//! One client's connection: requests one after the other.
+
+use std::sync::Arc;
+
+use async_std::{future::timeout, net::TcpStream};
+use futures_util::{
+    future::{Either, pending, select},
+    pin_mut,
+};
+use notch_h1::prelude::*;
+use notch_platform_wire::{client::own_answer, prelude::*};
+use notch_relay::prelude::*;
+use notch_types::prelude::*;
+
+use crate::{
+    batch::{ends, intake, reads},
+    constants::{AHEAD_BYTES, BODY_TIMEOUT, RETRY_AFTER_START},
+    node::EntryNode,
+    online::{
+        relay::{Delivery, RequestRelay},
+        request::OnlineRequest,
+    },
+};
+
+/// One answer of our own.
+#[derive(Debug, Default)]
+pub struct OwnAnswer {
+    /// Its status.
+    pub status: u16,
+    /// When the client should come back.
+    pub retry_after: Option<std::time::Duration>,
+    /// Its body.
+    pub body: Vec<u8>,
+}
+
+impl OwnAnswer {
+    /// An answer without a body.
+    pub fn of(status: u16) -> Self {
+        Self { status, ..Self::default() }
+    }
+
+    /// A refusal: nothing ran; come back after `wait`.
+    pub fn refused(wait: std::time::Duration) -> Self {
+        Self { status: 503, retry_after: Some(wait), ..Self::default() }
+    }
+}
+
+/// Serves one client's connection to its end.
+pub async fn serve_client(node: Arc<EntryNode>, stream: TcpStream) {
+    let mut client = ClientConnection { node: &node, reader: WireReader::new(stream.clone()), stream };
+    while client.await_request().await {
+        if !client.serve_request().await {
+            return;
+        }
+    }
+}
+
+struct ClientConnection<'a> {
+    node: &'a Arc<EntryNode>,
+    reader: WireReader,
+    stream: TcpStream,
+}
+
+impl ClientConnection<'_> {
+    /// Waits for a request's first byte; false when the connection should end.
+    async fn await_request(&mut self) -> bool {
+        if self.reader.has_rest() {
+            return true;
+        }
+        let Some(idle_end) = self.node.stop.idle_end() else { return false };
+        let idle = self.node.routes().map_or_else(ClientLimits::default, |r| r.limits().clone());
+        let filling = timeout(idle.idle_timeout, self.reader.fill());
+        pin_mut!(filling);
+        match select(filling, idle_end).await {
+            Either::Left((Ok(Ok(read)), _)) => read > 0,
+            Either::Left(_) | Either::Right(_) => false,
+        }
+    }
+
+    /// Serves the request that has begun; false when the connection must end.
+    async fn serve_request(&mut self) -> bool {
+        let _active = self.node.stop.enter();
+        let routes = self.node.routes();
+        let limits = routes.as_ref().map_or_else(ClientLimits::default, |r| r.limits().clone());
+        let reading = self.reader.request_head(limits.head_bytes);
+        let head = match timeout(limits.head_timeout, reading).await {
+            Ok(Ok(Some(head))) => head,
+            Ok(Ok(None)) => return false,
+            Ok(Err(error)) => return self.reject_unread(error).await,
+            Err(_) => return self.write_last(408).await,
+        };
+        let arrived = self.node.clock.mono();
+        let body = match self.read_body(&head, limits.body_bytes).await {
+            Ok(body) => body,
+            Err(error) => return self.reject_unread(error).await,
+        };
+        let keep = head.keep_alive && !self.node.stop.is_stopping();
+        let answer = match ClientCall::decode(&head) {
+            ClientCall::Ready => {
+                OwnAnswer::of(if self.node.is_ready() { 200 } else { 503 })
+            }
+            ClientCall::ReadJob { job, after, wait } => {
+                reads::read_results(self.node, &job, after, wait).await
+            }
+            ClientCall::ReadItem { job, item } => reads::read_item(self.node, &job, &item).await,
+            ClientCall::EndJob { job } => ends::end_job(self.node, &job).await,
+            ClientCall::Routed => match self.routed(routes.as_deref(), head, body, arrived).await {
+                Routed::Answer(answer, attempt) => {
+                    return self.write(&answer, attempt.as_deref(), keep).await;
+                }
+                Routed::Delivered(delivery) => return keep && delivery == Delivery::Answered,
+            },
+        };
+        self.write(&answer, None, keep).await
+    }
+
+    async fn routed(
+        &mut self,
+        routes: Option<&RouteTable>,
+        head: RequestHead,
+        body: Vec<u8>,
+        arrived: MonoTime,
+    ) -> Routed {
+        let attempt = RequestTerms::decode(&head.headers).attempt.map(str::to_owned);
+        let Some(routes) = routes else {
+            self.log_refusal(attempt.as_deref(), "no_configuration", 503);
+            return Routed::Answer(OwnAnswer::refused(RETRY_AFTER_START), attempt);
+        };
+        let host = head.headers.get("Host").unwrap_or_default();
+        let Some(route) = routes.find(host, &head.target) else {
+            self.log_refusal(attempt.as_deref(), "no_route", 404);
+            return Routed::Answer(OwnAnswer::of(404), attempt);
+        };
+        let route = Arc::clone(route);
+        if route.kind == RouteKind::Batch {
+            let answer = intake::accept_job(self.node, &head, &body, &route, arrived).await;
+            return Routed::Answer(answer, attempt);
+        }
+        let version = routes.version();
+        let request = OnlineRequest::new(head, body, route, version, arrived);
+        let delivery = self.relay(&request).await;
+        Routed::Delivered(delivery)
+    }
+
+    /// Relays a request, and drops the relay when the client closes its connection: the target's
+    /// work for it would be for nobody.
+    async fn relay(&mut self, request: &OnlineRequest) -> Delivery {
+        let close = !request.head.keep_alive || self.node.stop.is_stopping();
+        let relaying = RequestRelay::new(self.node, request, &self.stream, close).run();
+        let leaving = client_left(&mut self.reader);
+        pin_mut!(relaying, leaving);
+        match select(relaying, leaving).await {
+            Either::Left((delivery, _)) => delivery,
+            Either::Right(_) => {
+                RequestRelay::log_client_gone(self.node, request);
+                Delivery::Cut
+            }
+        }
+    }
+
+    async fn read_body(&mut self, head: &RequestHead, most: usize) -> Result<Vec<u8>, WireError> {
+        let framing = head.framing()?;
+        if framing == BodyFraming::Length(0) {
+            return Ok(Vec::new());
+        }
+        if head.headers.lists("expect", "100-continue") {
+            write_all(&self.stream, b"HTTP/1.1 100 Continue\r\n\r\n").await?;
+        }
+        let reading = self.reader.whole_body(framing, most);
+        timeout(BODY_TIMEOUT, reading).await.unwrap_or(Err(WireError::Closed))
+    }
+
+    async fn reject_unread(&mut self, error: WireError) -> bool {
+        match error {
+            WireError::Closed | WireError::Io(_) => false,
+            WireError::Malformed => self.write_last(400).await,
+            WireError::TooLarge => self.write_last(413).await,
+        }
+    }
+
+    /// Answers a request that was not read to its end: nothing after it can be told apart.
+    async fn write_last(&mut self, status: u16) -> bool {
+        self.log_refusal(None, "unreadable", status);
+        self.write(&OwnAnswer::of(status), None, false).await;
+        false
+    }
+
+    async fn write(&mut self, answer: &OwnAnswer, attempt: Option<&str>, keep: bool) -> bool {
+        let mut writer = own_answer(answer.status, attempt, answer.retry_after);
+        if !answer.body.is_empty() {
+            writer.header("Content-Type", "application/json");
+        }
+        if !keep {
+            writer.header("Connection", "close");
+        }
+        let written = write_all(&self.stream, &writer.with_body(&answer.body)).await;
+        written.is_ok() && keep
+    }
+
+    fn log_refusal(&self, attempt: Option<&str>, reason: &'static str, status: u16) {
+        let version = self.node.configuration_version();
+        self.node.log.info(
+            "request_refused",
+            &[
+                ("id", &attempt.unwrap_or("-")),
+                ("reason", &reason),
+                ("status", &status),
+                ("configuration", &version),
+            ],
+        );
+        self.node.metrics.count(Counter::Event(reason));
+    }
+}
+
+enum Routed {
+    Answer(OwnAnswer, Option<String>),
+    Delivered(Delivery),
+}
+
+/// Ends when the client closes its connection. What it sends ahead is kept, up to a bound.
+async fn client_left(reader: &mut WireReader) {
+    loop {
+        if reader.held() > AHEAD_BYTES {
+            pending::<()>().await;
+        }
+        match reader.fill().await {
+            Ok(0) | Err(_) => return,
+            Ok(_) => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/gateway.rs
@@ -0,0 +1,201 @@
+//! The gateway: starts every task, and stops them in order.
+
+use std::{net::SocketAddr, path::PathBuf, sync::Arc, time::Duration};
+
+use async_std::{stream::StreamExt, task};
+use notch_link::prelude::{LinkListener, LinkSecret, LinkSettings};
+use notch_messages::prelude::{NodeRole, PeerMessage};
+use notch_platform_wire::store::{CONFIGURATION_KIND, TARGET_KIND};
+use notch_settings::EntryConfig;
+use notch_telemetry::prelude::*;
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use signal_hook_async_std::Signals;
+
+use crate::{
+    batch::{ends, runner, takeover},
+    constants::{STOP_ACCEPT, STOP_IDLE, STOP_LONGEST},
+    error::EntryError,
+    front::{
+        connection::serve_client,
+        listener::listen,
+        pages::{serve_metrics, serve_ready},
+    },
+    node::EntryNode,
+    peers::{hub, reports},
+    store::feed::{FeedEvent, follow},
+};
+
+/// How often the end of a stop is looked for.
+const STOP_TICK: Duration = Duration::from_millis(100);
+/// How often idle connections and lapsed entries are looked at.
+const CLEAN_TICK: Duration = Duration::from_millis(500);
+
+/// Runs the gateway until it is told to stop.
+///
+/// # Errors
+/// An address can't be listened on, or signals can't be caught.
+pub async fn run(config: EntryConfig, path: PathBuf) -> Result<(), EntryError> {
+    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(EntryError::Signals)?;
+    let secret = config.links.read_secret().map_err(EntryError::Settings)?;
+    let settings = link_settings(&config, &secret);
+    let node = Arc::new(EntryNode::new(config));
+    start_tasks(&node, &settings);
+    start_listeners(&node, settings).await?;
+    node.log.info(
+        "started",
+        &[
+            ("owner", &node.owner),
+            ("clients", &node.config.listen.clients),
+            ("links", &node.config.listen.links),
+            ("store", &node.config.store.address),
+        ],
+    );
+    while let Some(signal) = signals.next().await {
+        if signal == SIGHUP {
+            reload(&node, &path);
+        } else {
+            break;
+        }
+    }
+    stop(&node).await;
+    Ok(())
+}
+
+fn link_settings(config: &EntryConfig, secret: &[u8]) -> LinkSettings {
+    LinkSettings {
+        vm: config.node.vm.clone(),
+        role: NodeRole::Gateway,
+        secret: LinkSecret::new(secret),
+        heartbeat: config.links.heartbeat,
+        silence: config.links.silence,
+        redial_max: Duration::from_millis(500),
+        handshake_timeout: Duration::from_millis(1_000),
+        ..LinkSettings::default()
+    }
+}
+
+fn start_tasks(node: &Arc<EntryNode>, settings: &LinkSettings) {
+    task::spawn(follow_configuration(Arc::clone(node)));
+    task::spawn(follow_targets(Arc::clone(node)));
+    task::spawn(hub::follow_gateways(Arc::clone(node), settings.clone()));
+    task::spawn(ends::follow_ends(Arc::clone(node)));
+    task::spawn(reports::tell_uses(Arc::clone(node)));
+    task::spawn(runner::run_jobs(Arc::clone(node)));
+    task::spawn(takeover::watch_owners(Arc::clone(node)));
+    task::spawn(clean(Arc::clone(node)));
+}
+
+async fn start_listeners(
+    node: &Arc<EntryNode>,
+    settings: LinkSettings,
+) -> Result<(), EntryError> {
+    let listen_at = &node.config.listen;
+    let links = LinkListener::start(listen_at.links, settings, hub::link_sink(node)).await;
+    // It lives as long as the process.
+    std::mem::forget(links.map_err(|e| EntryError::Listen("links", e))?);
+    let shared = Arc::clone(node);
+    listen(listen_at.ready, move |stream| serve_ready(Arc::clone(&shared), stream))
+        .await
+        .map_err(|e| EntryError::Listen("readiness", e))?;
+    start_metrics(node, listen_at.metrics).await;
+    let shared = Arc::clone(node);
+    listen(listen_at.clients, move |stream| serve_client(Arc::clone(&shared), stream))
+        .await
+        .map_err(|e| EntryError::Listen("clients", e))?;
+    Ok(())
+}
+
+/// Metrics are no reason not to serve.
+async fn start_metrics(node: &Arc<EntryNode>, address: SocketAddr) {
+    let shared = Arc::clone(node);
+    let listening = listen(address, move |stream| serve_metrics(Arc::clone(&shared), stream)).await;
+    if let Err(error) = listening {
+        node.log.error("metrics_unavailable", &[("address", &address), ("reason", &error)]);
+    }
+}
+
+async fn follow_configuration(node: Arc<EntryNode>) {
+    follow(&node.store, CONFIGURATION_KIND, |event| {
+        let objects = match &event {
+            FeedEvent::Snapshot { objects, .. } => objects.as_slice(),
+            FeedEvent::Changed { object } => std::slice::from_ref(*object),
+            FeedEvent::Deleted { .. } => &[],
+        };
+        for spec in objects.iter().filter_map(|object| object.spec.as_ref()) {
+            node.take_configuration(spec, "store");
+        }
+    })
+    .await;
+}
+
+async fn follow_targets(node: Arc<EntryNode>) {
+    follow(&node.store, TARGET_KIND, |event| node.take_target_event(event)).await;
+}
+
+async fn clean(node: Arc<EntryNode>) {
+    loop {
+        task::sleep(CLEAN_TICK).await;
+        let now = node.clock.mono();
+        let (gone, revision) = {
+            let mut feed = node.target_feed();
+            (feed.expire(now), feed.revision())
+        };
+        node.apply_lapsed(gone, revision);
+        let known: Vec<String> = node.targets().ids().map(str::to_owned).collect();
+        node.pool.clean(|id| known.iter().any(|k| k == id));
+        node.metrics.set(Gauge::GatewayLinks, node.peers.link_count() as i64);
+        node.metrics.set(Gauge::TargetsUp, node.targets().ready_count() as i64);
+        node.metrics.set(Gauge::StoreUp, i64::from(node.store.outage().is_up()));
+        node.metrics.set(Gauge::BatchRunning, node.jobs().runs.len() as i64);
+    }
+}
+
+fn reload(node: &EntryNode, path: &std::path::Path) {
+    match EntryConfig::load(path) {
+        Ok(config) => {
+            set_log_level(level_filter(config.logging.level));
+            node.store.reload(config.store.clone());
+            node.log.info(
+                "reloaded",
+                &[("store", &config.store.address), ("level", &config.logging.level.as_str())],
+            );
+        }
+        Err(errors) => node.log.error("reload_refused", &[("reason", &errors)]),
+    }
+}
+
+/// Stops: not ready at once, but everything that still comes is served; jobs are left to the others;
+/// idle connections end last.
+async fn stop(node: &Arc<EntryNode>) {
+    let began = node.clock.mono();
+    node.stop.begin(began);
+    node.metrics.set(Gauge::Leaving, 1);
+    node.log.info("stopping", &[("active", &node.stop.active())]);
+    leave_jobs(node);
+    loop {
+        task::sleep(STOP_TICK).await;
+        let age = node.stop.age(node.clock.mono());
+        if age >= STOP_IDLE {
+            node.stop.end_idle();
+        }
+        let is_quiet = node.stop.active() == 0;
+        if age >= STOP_LONGEST || (is_quiet && age >= STOP_IDLE.max(STOP_ACCEPT)) {
+            break;
+        }
+    }
+    node.log.info("stopped", &[("active", &node.stop.active())]);
+    // The log's thread needs a moment for the last lines.
+    task::sleep(STOP_TICK).await;
+}
+
+/// Gives the jobs to the other gateways: they take them over at once instead of after a silence.
+fn leave_jobs(node: &EntryNode) {
+    let mut desk = node.jobs();
+    let jobs = desk.board.ids();
+    for job in &jobs {
+        desk.give_up_job(job);
+    }
+    drop(desk);
+    node.peers.broadcast(&PeerMessage::Leaving);
+    node.log.info("jobs_left", &[("count", &jobs.len())]);
+}
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,26 @@
+//! The relaying gateway of an entry VM, and the small process of a VM with a disk. Both run
+//! against the platform's store alone.
+
+pub mod batch;
+pub mod clock;
+pub mod constants;
+pub mod disk;
+pub mod error;
+pub mod front;
+pub mod gateway;
+pub mod node;
+pub mod online;
+pub mod options;
+pub mod peers;
+pub mod stop;
+pub mod store;
+pub mod target;
+
+/// What programs and tests use.
+pub mod prelude {
+    pub use crate::{
+        error::EntryError,
+        node::EntryNode,
+        options::{EntryOptions, RoleOption},
+    };
+}
--- /dev/null
+++ b/crates/entry/src/main.rs
@@ -0,0 +1,47 @@
+//! The processes of entry VMs and of VMs with a disk.
+
+use std::{env, path::PathBuf, process::ExitCode};
+
+use async_std::task;
+use notch_entry::{disk, gateway, prelude::*};
+use notch_platform_wire::settings::SETTINGS_VARIABLE;
+use notch_settings::{DiskConfig, EntryConfig};
+use notch_telemetry::prelude::*;
+
+fn main() -> ExitCode {
+    let options: EntryOptions = argh::from_env();
+    match run(options) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(options: EntryOptions) -> Result<(), EntryError> {
+    let named = options.config.or_else(|| env::var_os(SETTINGS_VARIABLE).map(PathBuf::from));
+    let path = named.ok_or(EntryError::NoSettings)?;
+    match options.role {
+        RoleOption::Gateway(_) => {
+            let config = EntryConfig::load(&path).map_err(EntryError::Settings)?;
+            if options.check {
+                return Ok(());
+            }
+            init_logs(log_settings(LogSettings::of(&config.node, &config.logging)));
+            task::block_on(gateway::run(config, path))
+        }
+        RoleOption::Disk(_) => {
+            let config = DiskConfig::load(&path).map_err(EntryError::Settings)?;
+            if options.check {
+                return Ok(());
+            }
+            init_logs(log_settings(LogSettings::of(&config.node, &config.logging)));
+            task::block_on(disk::run(config, path))
+        }
+    }
+}
+
+fn log_settings(base: LogSettings) -> LogSettings {
+    LogSettings { output: LogOutput::BoundedStandardOutput, ..base }
+}
--- /dev/null
+++ b/crates/entry/src/node.rs
@@ -0,0 +1,233 @@
+//! What all tasks of a gateway share.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+
+use event_listener::Event;
+use notch_platform_wire::{
+    prelude::StoreObject,
+    target::decode_entry,
+};
+use notch_relay::prelude::*;
+use notch_settings::EntryConfig;
+use notch_telemetry::prelude::*;
+use notch_types::prelude::*;
+use serde_json::value::RawValue;
+
+use crate::{
+    batch::desk::JobDesk,
+    clock::NodeClock,
+    peers::table::PeerTable,
+    stop::StopState,
+    store::{
+        client::StoreClient,
+        configuration::{ConfigurationInForce, newer_configuration},
+        feed::FeedEvent,
+        target::{TargetChange, TargetFeed},
+    },
+    target::pool::TargetPool,
+};
+
+/// What all tasks of a gateway share. Locks are held for moments, never across an await; where two
+/// are taken, jobs come before targets.
+#[derive(Debug)]
+pub struct EntryNode {
+    /// The settings at the start.
+    pub config: EntryConfig,
+    /// This process: its VM with its incarnation, as it stands in jobs that it owns.
+    pub owner: String,
+    /// Both clocks.
+    pub clock: NodeClock,
+    /// The log.
+    pub log: NodeLog,
+    /// The metrics.
+    pub metrics: Metrics,
+    /// The store.
+    pub store: StoreClient,
+    /// Idle connections to targets.
+    pub pool: TargetPool,
+    /// The other gateways.
+    pub peers: PeerTable,
+    /// Whether the process is stopping.
+    pub stop: StopState,
+    /// Told when results were stored or a job ended.
+    pub job_news: Event,
+    /// Told when items may have become ready to run.
+    pub runner_wake: Event,
+    configuration: RwLock<Option<ConfigurationInForce>>,
+    targets: Mutex<TargetTable>,
+    target_feed: Mutex<TargetFeed>,
+    jobs: Mutex<JobDesk>,
+}
+
+impl EntryNode {
+    /// A node that knows nothing yet.
+    pub fn new(config: EntryConfig) -> Self {
+        let clock = NodeClock::start();
+        let log = NodeLog::new(&config.node.vm, &config.node.domain);
+        let metrics = Metrics::new(&config.node.vm, &config.node.domain);
+        let owner = format!("{}#{:016x}", config.node.vm, rand::random::<u64>());
+        let domain = config.node.domain.as_str().to_owned();
+        Self {
+            store: StoreClient::new(config.store.clone(), clock, log.clone()),
+            owner,
+            clock,
+            log,
+            metrics,
+            pool: TargetPool::default(),
+            peers: PeerTable::default(),
+            stop: StopState::default(),
+            job_news: Event::new(),
+            runner_wake: Event::new(),
+            configuration: RwLock::new(None),
+            targets: Mutex::new(TargetTable::new(&domain)),
+            target_feed: Mutex::default(),
+            jobs: Mutex::default(),
+            config,
+        }
+    }
+
+    /// The targets.
+    pub fn targets(&self) -> MutexGuard<'_, TargetTable> {
+        self.targets.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The targets' entries by revision.
+    pub fn target_feed(&self) -> MutexGuard<'_, TargetFeed> {
+        self.target_feed.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The jobs.
+    pub fn jobs(&self) -> MutexGuard<'_, JobDesk> {
+        self.jobs.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The configuration in force; `None` until a first one is known.
+    pub fn routes(&self) -> Option<Arc<RouteTable>> {
+        let current = self.configuration.read().unwrap_or_else(PoisonError::into_inner);
+        current.as_ref().map(|c| Arc::clone(&c.routes))
+    }
+
+    /// The configuration in force as the store holds it, with its version.
+    pub fn configuration_text(&self) -> Option<(u64, Arc<str>)> {
+        let current = self.configuration.read().unwrap_or_else(PoisonError::into_inner);
+        current.as_ref().map(|c| (c.routes.version(), Arc::clone(&c.text)))
+    }
+
+    /// Version of the configuration in force; 0 for none.
+    pub fn configuration_version(&self) -> u64 {
+        self.routes().map_or(0, |routes| routes.version())
+    }
+
+    /// Whether this VM should take new connections: it knows the configuration and every target.
+    pub fn is_ready(&self) -> bool {
+        !self.stop.is_stopping() && self.routes().is_some() && self.target_feed().is_whole()
+    }
+
+    /// Takes a configuration if it is newer; `source` is for the log.
+    pub fn take_configuration(&self, spec: &RawValue, source: &str) {
+        let mut current = self.configuration.write().unwrap_or_else(PoisonError::into_inner);
+        match newer_configuration(current.as_ref(), spec) {
+            Ok(None) => {}
+            Ok(Some(newer)) => {
+                let before = current.as_ref().map_or(0, |c| c.routes.version());
+                let version = newer.routes.version();
+                *current = Some(newer);
+                drop(current);
+                self.log.info(
+                    "configuration_adopted",
+                    &[("version", &version), ("before", &before), ("source", &source)],
+                );
+                self.metrics.count(Counter::Event("configurations_adopted"));
+                self.runner_wake.notify(usize::MAX);
+            }
+            Err(error) => {
+                self.log.error(
+                    "configuration_refused",
+                    &[("reason", &error), ("source", &source)],
+                );
+            }
+        }
+    }
+
+    /// Takes what the store tells of targets.
+    pub fn take_target_event(&self, event: FeedEvent<'_>) {
+        let now = self.clock.mono();
+        let lapsed_until = self.store.outage().lapsed_until();
+        let mut feed = self.target_feed();
+        let changes = match event {
+            FeedEvent::Snapshot { objects, as_of } => {
+                let entries = objects.iter().filter_map(|object| self.decode_target(object));
+                feed.take_list(entries.collect(), as_of, lapsed_until, now)
+            }
+            FeedEvent::Changed { object } => {
+                let entry = self.decode_target(object);
+                entry.and_then(|(entry, revision)| feed.put(entry, revision)).into_iter().collect()
+            }
+            FeedEvent::Deleted { object, as_of } => {
+                let id = &object.metadata.name;
+                feed.remove(id, as_of, lapsed_until, now).into_iter().collect()
+            }
+        };
+        let revision = feed.revision();
+        drop(feed);
+        self.apply_target_changes(changes, "store", revision);
+    }
+
+    /// Brings changes into the table that choices are made from.
+    pub fn apply_target_changes(&self, changes: Vec<TargetChange>, source: &str, revision: u64) {
+        for change in changes {
+            match change {
+                TargetChange::Put(entry) => {
+                    let state = match entry.state {
+                        TargetState::Ready => "ready",
+                        TargetState::Draining => "draining",
+                    };
+                    self.log.info(
+                        "target_known",
+                        &[
+                            ("target", &entry.id),
+                            ("address", &entry.address),
+                            ("service", &entry.service),
+                            ("state", &state),
+                            ("source", &source),
+                            ("revision", &revision),
+                        ],
+                    );
+                    self.targets().put(entry);
+                }
+                TargetChange::Remove(id) => {
+                    self.log.info(
+                        "target_gone",
+                        &[("target", &id), ("source", &source), ("revision", &revision)],
+                    );
+                    self.targets().remove(&id);
+                }
+            }
+        }
+        self.runner_wake.notify(usize::MAX);
+    }
+
+    /// Entries that lapsed in an outage and didn't come back are gone.
+    pub fn apply_lapsed(&self, changes: Vec<TargetChange>, revision: u64) {
+        if !changes.is_empty() {
+            self.apply_target_changes(changes, "lapsed", revision);
+        }
+    }
+
+    /// A random number from 0 to 1.
+    pub fn draw() -> f64 {
+        rand::random()
+    }
+
+    fn decode_target(&self, object: &StoreObject) -> Option<(TargetEntry, u64)> {
+        let spec = object.spec.as_ref()?;
+        let id = &object.metadata.name;
+        match decode_entry(id, spec) {
+            Ok(entry) => Some((entry, object.metadata.revision)),
+            Err(error) => {
+                self.log.error("target_entry_refused", &[("target", id), ("reason", &error)]);
+                None
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/online.rs
@@ -0,0 +1,6 @@
+//! Online requests: relayed to a target, an answer back.
+
+pub mod lease;
+pub mod relay;
+pub mod request;
+pub mod stream;
--- /dev/null
+++ b/crates/entry/src/online/relay.rs
@@ -0,0 +1,302 @@
+//! Relays one online request: attempts at targets until an answer is whole or none can come.
+
+use std::time::Duration;
+
+use async_std::{future::timeout, net::TcpStream, task};
+use notch_h1::prelude::*;
+use notch_platform_wire::{client::own_answer, target::relayed_request, target::relayed_answer};
+use notch_relay::prelude::*;
+use notch_telemetry::prelude::*;
+use notch_types::prelude::*;
+
+use crate::{
+    constants::{
+        ANSWER_BODY_BYTES, FIRST_BYTE_FREE, FIRST_BYTE_QUEUED, NO_PLACE_LONGEST, NO_PLACE_PAUSE,
+        NOT_RUN_TRIES, RETRY_AFTER,
+    },
+    node::EntryNode,
+    online::{lease::TargetLease, request::OnlineRequest},
+    target::connection::TargetConnection,
+};
+
+/// What became of the client's connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Delivery {
+    /// A whole answer was written; the connection may go on.
+    Answered,
+    /// The answer is cut short, or the client reads no more: the connection must be closed.
+    Cut,
+}
+
+/// How an attempt ended that is not a plain failure of the target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum AttemptEnd {
+    /// The answer is whole.
+    Whole(u16),
+    /// The client can't be written to any more.
+    ClientGone,
+}
+
+/// Relays one request.
+pub struct RequestRelay<'a> {
+    pub(crate) node: &'a EntryNode,
+    pub(crate) request: &'a OnlineRequest,
+    pub(crate) client: &'a TcpStream,
+    /// Whether our answer must tell that the connection closes after it.
+    pub(crate) close: bool,
+    /// The service, drawn once: a split must not change between attempts.
+    service: String,
+    /// Last event passed on, or that the client held before.
+    pub(crate) last_event: Option<u64>,
+    /// Whether the head of the answer was passed on.
+    pub(crate) head_sent: bool,
+    /// When the first event or answer was passed on.
+    pub(crate) first_sent: Option<MonoTime>,
+    /// Sends that may have run. Invariant: never above the route's attempts.
+    unknown: u32,
+    /// Sends that provably did not run.
+    not_run: u32,
+    /// Targets that failed this request.
+    avoid: Vec<String>,
+    /// What failed, for the log.
+    failures: Vec<String>,
+    last_target: String,
+}
+
+impl<'a> RequestRelay<'a> {
+    /// A relay that hasn't begun.
+    pub fn new(
+        node: &'a EntryNode,
+        request: &'a OnlineRequest,
+        client: &'a TcpStream,
+        close: bool,
+    ) -> Self {
+        let service = request.route.service_for(rand::random()).to_owned();
+        Self {
+            node,
+            request,
+            client,
+            close,
+            service,
+            last_event: request.last_event(),
+            head_sent: false,
+            first_sent: None,
+            unknown: 0,
+            not_run: 0,
+            avoid: Vec::new(),
+            failures: Vec::new(),
+            last_target: String::new(),
+        }
+    }
+
+    /// Relays the request to its end.
+    pub async fn run(mut self) -> Delivery {
+        let mut searching_since = None;
+        loop {
+            let now = self.now();
+            if self.request.left(now).is_zero() {
+                return self.give_up("deadline").await;
+            }
+            let Some(choice) = self.choose(now) else {
+                let since = *searching_since.get_or_insert(now);
+                // Only an answer that has begun is worth a wait for a place: a new request is told
+                // at once when to come back.
+                if !self.head_sent || now.since(since) > NO_PLACE_LONGEST {
+                    return self.give_up("no_place").await;
+                }
+                task::sleep(NO_PLACE_PAUSE).await;
+                continue;
+            };
+            searching_since = None;
+            self.last_target.clone_from(&choice.id);
+            match self.attempt(&choice).await {
+                Ok(AttemptEnd::Whole(status)) => {
+                    self.log_end("answered", status);
+                    return Delivery::Answered;
+                }
+                Ok(AttemptEnd::ClientGone) => {
+                    self.log_end("client_unreachable", 0);
+                    return Delivery::Cut;
+                }
+                Err(failure) => {
+                    self.note_failure(&choice, failure);
+                    if !self.may_try_again(failure) {
+                        return self.give_up(failure.code()).await;
+                    }
+                }
+            }
+        }
+    }
+
+    /// The client closed its connection; the relay was dropped in the middle.
+    pub fn log_client_gone(node: &EntryNode, request: &OnlineRequest) {
+        let took = node.clock.mono().since(request.arrived).as_millis();
+        let attempt = request.attempt().unwrap_or("-");
+        node.log.info(
+            "request_abandoned",
+            &[("id", &attempt), ("route", &request.route.name), ("ms", &took)],
+        );
+        node.metrics.count(Counter::Event("requests_abandoned"));
+    }
+
+    pub(crate) fn now(&self) -> MonoTime {
+        self.node.clock.mono()
+    }
+
+    /// Whether another attempt may follow one that may have run.
+    pub(crate) fn has_attempts(&self) -> bool {
+        self.request.route.may_repeat() && self.unknown + 1 < self.request.route.max_attempts
+    }
+
+    fn choose(&mut self, now: MonoTime) -> Option<TargetChoice> {
+        let mut targets = self.node.targets();
+        let choice =
+            targets.choose(&self.service, WorkKind::Online, &self.avoid, now, EntryNode::draw);
+        if choice.is_some() || self.avoid.is_empty() {
+            return choice;
+        }
+        targets.choose(&self.service, WorkKind::Online, &[], now, EntryNode::draw)
+    }
+
+    async fn attempt(&mut self, choice: &TargetChoice) -> Result<AttemptEnd, AttemptFailure> {
+        let mut lease = TargetLease::new(self.node, choice, WorkKind::Online);
+        let end = self.attempt_at(choice).await;
+        match end {
+            Ok(AttemptEnd::Whole(_)) => lease.set_outcome(Ok(())),
+            Ok(AttemptEnd::ClientGone) => {}
+            Err(failure) => lease.set_outcome(Err(failure)),
+        }
+        end
+    }
+
+    async fn attempt_at(&mut self, choice: &TargetChoice) -> Result<AttemptEnd, AttemptFailure> {
+        let strict = !self.request.route.may_repeat();
+        let mut connection = self.node.pool.connect(&choice.id, choice.address, strict).await?;
+        let left = self.request.left(self.now());
+        let bytes = relayed_request(
+            &self.request.head,
+            &self.request.body,
+            &choice.id,
+            left,
+            self.last_event,
+        );
+        let wait = self.first_byte_wait(choice, left);
+        let head = connection.exchange(&bytes, self.request.attempt(), wait).await?;
+        self.node.targets().note_alive(&choice.id);
+        let is_stream = self.request.route.kind == RouteKind::Streaming && head.status == 200;
+        if is_stream {
+            return self.pass_stream(choice, connection, head).await;
+        }
+        self.pass_plain(choice, connection, head).await
+    }
+
+    /// How long an answer may take to begin. Where the request can't go elsewhere, silence is no
+    /// reason to give up before its time is over.
+    fn first_byte_wait(&self, choice: &TargetChoice, left: Duration) -> Duration {
+        if !self.has_attempts() {
+            return left;
+        }
+        let wait = if choice.place_free { FIRST_BYTE_FREE } else { FIRST_BYTE_QUEUED };
+        wait.min(left)
+    }
+
+    async fn pass_plain(
+        &mut self,
+        choice: &TargetChoice,
+        mut connection: TargetConnection,
+        head: ResponseHead,
+    ) -> Result<AttemptEnd, AttemptFailure> {
+        let is_failure = matches!(head.status, 500 | 502 | 504);
+        if self.head_sent || (is_failure && self.has_attempts()) {
+            return Err(AttemptFailure::TargetError);
+        }
+        let framing = head.framing().map_err(|_| AttemptFailure::SpoiledAnswer)?;
+        let left = self.request.left(self.now());
+        let reading = connection.reader.whole_body(framing, ANSWER_BODY_BYTES);
+        let body = match timeout(left, reading).await {
+            Ok(Ok(body)) => body,
+            Ok(Err(_)) => return Err(AttemptFailure::CutAnswer),
+            Err(_) => return Err(AttemptFailure::StalledAnswer),
+        };
+        self.node.pool.give_back(&choice.id, connection, &head);
+        let mut writer = relayed_answer(&head);
+        if self.close {
+            writer.header("Connection", "close");
+        }
+        self.first_sent = Some(self.now());
+        match write_all(self.client, &writer.with_body(&body)).await {
+            Ok(()) => Ok(AttemptEnd::Whole(head.status)),
+            Err(_) => Ok(AttemptEnd::ClientGone),
+        }
+    }
+
+    fn note_failure(&mut self, choice: &TargetChoice, failure: AttemptFailure) {
+        match failure.verdict() {
+            RunVerdict::NotRun => self.not_run += 1,
+            RunVerdict::Unknown => self.unknown += 1,
+        }
+        self.avoid.push(choice.id.clone());
+        self.failures.push(format!("{}:{}", choice.id, failure.code()));
+        self.node.metrics.count(Counter::Event(failure.code()));
+    }
+
+    fn may_try_again(&self, failure: AttemptFailure) -> bool {
+        match failure.verdict() {
+            RunVerdict::NotRun => self.not_run <= NOT_RUN_TRIES,
+            RunVerdict::Unknown => {
+                self.request.route.may_repeat() && self.unknown < self.request.route.max_attempts
+            }
+        }
+    }
+
+    /// The final answer of a request that no target answered, at once.
+    async fn give_up(mut self, reason: &'static str) -> Delivery {
+        if self.head_sent {
+            self.log_end(reason, 0);
+            return Delivery::Cut;
+        }
+        let (status, retry_after) = if self.unknown == 0 {
+            (503, Some(RETRY_AFTER))
+        } else if reason == "deadline" {
+            (504, None)
+        } else {
+            (502, None)
+        };
+        let mut writer = own_answer(status, self.request.attempt(), retry_after);
+        if self.close {
+            writer.header("Connection", "close");
+        }
+        let written = write_all(self.client, &writer.with_body(&[])).await;
+        self.node.metrics.count(Counter::Event("requests_given_up"));
+        self.log_end(reason, status);
+        if written.is_ok() { Delivery::Answered } else { Delivery::Cut }
+    }
+
+    fn log_end(&mut self, outcome: &'static str, status: u16) {
+        let now = self.now();
+        let arrived = self.request.arrived;
+        let first = self.first_sent.map(|at| at.since(arrived));
+        if let Some(first) = first {
+            self.node.metrics.observe(Timing::OnlineFirstByte, first);
+        }
+        self.node.metrics.observe(Timing::OnlineTotal, now.since(arrived));
+        let attempt = self.request.attempt().unwrap_or("-");
+        let first_ms = first.map_or(-1, |f| f.as_millis() as i64);
+        let failures = self.failures.join(",");
+        self.node.log.info(
+            "request_ended",
+            &[
+                ("id", &attempt),
+                ("route", &self.request.route.name),
+                ("configuration", &self.request.configuration),
+                ("outcome", &outcome),
+                ("status", &status),
+                ("target", &self.last_target),
+                ("failures", &failures),
+                ("last_event", &self.last_event.map_or(-1, |id| id as i64)),
+                ("first_ms", &first_ms),
+                ("ms", &now.since(arrived).as_millis()),
+            ],
+        );
+    }
+}
--- /dev/null
+++ b/crates/entry/src/online/request.rs
@@ -0,0 +1,55 @@
+//! One online request as it was read.
+
+use std::{sync::Arc, time::Duration};
+
+use notch_h1::prelude::RequestHead;
+use notch_platform_wire::prelude::RequestTerms;
+use notch_relay::prelude::*;
+use notch_types::prelude::*;
+
+/// One online request as it was read.
+#[derive(Debug)]
+pub struct OnlineRequest {
+    /// Its head.
+    pub head: RequestHead,
+    /// Its body.
+    pub body: Vec<u8>,
+    /// The route it takes, to its end.
+    pub route: Arc<Route>,
+    /// Version of the configuration that named the route.
+    pub configuration: u64,
+    /// When its head was read.
+    pub arrived: MonoTime,
+    /// When its answer must have ended: the client's patience or the route's timeout is over.
+    pub deadline: MonoTime,
+}
+
+impl OnlineRequest {
+    /// A request that arrived at `arrived` for `route`.
+    pub fn new(
+        head: RequestHead,
+        body: Vec<u8>,
+        route: Arc<Route>,
+        configuration: u64,
+        arrived: MonoTime,
+    ) -> Self {
+        let patience = RequestTerms::decode(&head.headers).patience;
+        let limit = patience.map_or(route.timeout, |patience| patience.min(route.timeout));
+        Self { head, body, route, configuration, arrived, deadline: arrived + limit }
+    }
+
+    /// The client's id of this attempt.
+    pub fn attempt(&self) -> Option<&str> {
+        RequestTerms::decode(&self.head.headers).attempt
+    }
+
+    /// The last event that the client holds.
+    pub fn last_event(&self) -> Option<u64> {
+        RequestTerms::decode(&self.head.headers).last_event
+    }
+
+    /// Time left at `now`.
+    pub fn left(&self, now: MonoTime) -> Duration {
+        self.deadline.since(now)
+    }
+}
--- /dev/null
+++ b/crates/entry/src/online/stream.rs
@@ -0,0 +1,113 @@
+//! Passes a stream of events on, whole events only.
+
+use std::time::Duration;
+
+use async_std::future::timeout;
+use notch_h1::prelude::*;
+use notch_platform_wire::target::relayed_answer;
+use notch_relay::prelude::*;
+
+use crate::{
+    constants::STALL_SHARE,
+    online::relay::{AttemptEnd, RequestRelay},
+    target::connection::TargetConnection,
+};
+
+/// End of a body in chunks.
+const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
+
+impl RequestRelay<'_> {
+    /// Passes a target's stream on until it ends or breaks. Only whole events go to the client, so
+    /// that the stream can go on at another target.
+    pub(crate) async fn pass_stream(
+        &mut self,
+        choice: &TargetChoice,
+        mut connection: TargetConnection,
+        head: ResponseHead,
+    ) -> Result<AttemptEnd, AttemptFailure> {
+        let framing = head.framing().map_err(|_| AttemptFailure::SpoiledAnswer)?;
+        let mut progress = BodyProgress::new(framing);
+        let mut splitter = EventSplitter::after(self.last_event);
+        loop {
+            let wait = self.event_wait();
+            let part = match timeout(wait, connection.reader.body_part(&mut progress)).await {
+                Ok(Ok(part)) => part,
+                Ok(Err(_)) => return Err(AttemptFailure::CutAnswer),
+                Err(_) => return Err(AttemptFailure::StalledAnswer),
+            };
+            let Some(part) = part else { break };
+            splitter.push(&part);
+            if !self.pass_events(&mut splitter, &head).await? {
+                return Ok(AttemptEnd::ClientGone);
+            }
+        }
+        if splitter.has_rest() {
+            return Err(AttemptFailure::CutAnswer);
+        }
+        self.node.pool.give_back(&choice.id, connection, &head);
+        let mut bytes = self.head_bytes(&head);
+        bytes.extend_from_slice(LAST_CHUNK);
+        match write_all(self.client, &bytes).await {
+            Ok(()) => Ok(AttemptEnd::Whole(head.status)),
+            Err(_) => Ok(AttemptEnd::ClientGone),
+        }
+    }
+
+    /// Passes on the whole events that were read; false when the client can't be written to.
+    async fn pass_events(
+        &mut self,
+        splitter: &mut EventSplitter,
+        head: &ResponseHead,
+    ) -> Result<bool, AttemptFailure> {
+        let mut bytes = Vec::new();
+        let fault = loop {
+            match splitter.next_event() {
+                Ok(Some(event)) => {
+                    self.last_event = Some(event.id);
+                    write_chunk(&mut bytes, &event.bytes);
+                }
+                Ok(None) => break None,
+                Err(fault) => break Some(fault),
+            }
+        };
+        if !bytes.is_empty() {
+            let mut all = self.head_bytes(head);
+            all.extend_from_slice(&bytes);
+            if write_all(self.client, &all).await.is_err() {
+                return Ok(false);
+            }
+        }
+        match fault {
+            None => Ok(true),
+            Some(_) => Err(AttemptFailure::CutAnswer),
+        }
+    }
+
+    /// The head's bytes, the first time; a stream that goes on keeps its first target's head.
+    fn head_bytes(&mut self, head: &ResponseHead) -> Vec<u8> {
+        if self.head_sent {
+            return Vec::new();
+        }
+        self.head_sent = true;
+        self.first_sent = Some(self.now());
+        let mut writer = relayed_answer(head);
+        if self.close {
+            writer.header("Connection", "close");
+        }
+        writer.with_chunks()
+    }
+
+    /// How long the next event may take.
+    fn event_wait(&self) -> Duration {
+        let left = self.request.left(self.now());
+        if !self.has_attempts() {
+            return left;
+        }
+        let gap = if self.head_sent {
+            self.request.route.event_gap
+        } else {
+            self.request.route.objective
+        };
+        gap.mul_f64(STALL_SHARE).min(left)
+    }
+}
--- /dev/null
+++ b/crates/entry/src/options.rs
@@ -0,0 +1,39 @@
+//! The command line.
+
+use std::path::PathBuf;
+
+use argh::FromArgs;
+
+/// A process of an entry VM, or of a VM with a disk.
+#[derive(Debug, FromArgs)]
+pub struct EntryOptions {
+    /// settings file; where it is left out, the platform's variable names it
+    #[argh(option)]
+    pub config: Option<PathBuf>,
+    /// check the settings file, tell its faults and end
+    #[argh(switch)]
+    pub check: bool,
+    #[argh(subcommand)]
+    /// what to be
+    pub role: RoleOption,
+}
+
+/// What a process is.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+pub enum RoleOption {
+    /// The gateway.
+    Gateway(GatewayRole),
+    /// The process of a VM with a disk.
+    Disk(DiskRole),
+}
+
+/// serve clients on an entry VM
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "gateway")]
+pub struct GatewayRole {}
+
+/// answer for a VM with a disk
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "disk")]
+pub struct DiskRole {}
--- /dev/null
+++ b/crates/entry/src/peers/hub.rs
@@ -0,0 +1,219 @@
+//! Links to the other gateways, and what comes on them.
+
+use std::sync::Arc;
+
+use async_std::task;
+use notch_link::prelude::{LinkDialer, LinkEvent, LinkPeer, LinkSettings, LinkSink};
+use notch_messages::prelude::*;
+use notch_platform_wire::{
+    prelude::StoreObject,
+    store::{object_path, spec_body},
+};
+use notch_types::prelude::*;
+use serde_json::value::RawValue;
+
+use crate::{
+    batch::{ends, reads},
+    constants::STORE_PAUSE,
+    node::EntryNode,
+    peers::{
+        record::{GATEWAY_KIND, GatewayEntry},
+        reports,
+        table::JobNews,
+    },
+    store::feed::{FeedEvent, follow, jittered},
+};
+
+/// Receives what links tell.
+pub fn link_sink(node: &Arc<EntryNode>) -> LinkSink {
+    let node = Arc::clone(node);
+    Arc::new(move |event| take_event(&node, event))
+}
+
+/// Registers this gateway, then follows the others' entries and keeps links to them.
+pub async fn follow_gateways(node: Arc<EntryNode>, settings: LinkSettings) {
+    register(&node).await;
+    let sink = link_sink(&node);
+    follow(&node.store, GATEWAY_KIND, |event| match event {
+        FeedEvent::Snapshot { objects, .. } => {
+            for object in &objects {
+                put_gateway(&node, object, &settings, &sink);
+            }
+        }
+        FeedEvent::Changed { object } => put_gateway(&node, object, &settings, &sink),
+        FeedEvent::Deleted { object, .. } => {
+            node.peers.remove_entry(&VmName::new(&object.metadata.name));
+        }
+    })
+    .await;
+}
+
+async fn register(node: &EntryNode) {
+    let entry = GatewayEntry {
+        address: node.config.listen.links,
+        owner: node.owner.clone(),
+        domain: node.config.node.domain.as_str().to_owned(),
+    };
+    let name = node.config.node.vm.as_str();
+    let body = spec_body(name, &entry);
+    let list = notch_platform_wire::store::list_path(GATEWAY_KIND, None);
+    let path = object_path(GATEWAY_KIND, name);
+    loop {
+        let wait = node.store.settings().call_timeout;
+        let created = node.store.call("POST", &list, Some(&body), wait).await;
+        let written = match created {
+            Ok(reply) if reply.is_success() => true,
+            Ok(_) => {
+                let replaced = node.store.call("PUT", &path, Some(&body), wait).await;
+                replaced.is_ok_and(|reply| reply.is_success())
+            }
+            Err(_) => false,
+        };
+        if written {
+            node.log.info("registered", &[("owner", &node.owner)]);
+            return;
+        }
+        task::sleep(jittered(STORE_PAUSE)).await;
+    }
+}
+
+fn put_gateway(node: &EntryNode, object: &StoreObject, settings: &LinkSettings, sink: &LinkSink) {
+    let vm = VmName::new(&object.metadata.name);
+    if vm == node.config.node.vm {
+        return;
+    }
+    let Some(spec) = &object.spec else { return };
+    let entry: GatewayEntry = match serde_json::from_str(spec.get()) {
+        Ok(entry) => entry,
+        Err(error) => {
+            node.log.error("gateway_entry_refused", &[("gateway", &vm), ("reason", &error)]);
+            return;
+        }
+    };
+    // One of the two dials, so that one link stands between them.
+    let dials = node.config.node.vm < vm;
+    let name = vm.clone();
+    let dial =
+        dials.then_some(|at| LinkDialer::start(at, &name, settings.clone(), Arc::clone(sink)));
+    node.peers.put_entry(&vm, entry, node.clock.mono(), dial);
+}
+
+fn take_event(node: &Arc<EntryNode>, event: LinkEvent) {
+    match event {
+        LinkEvent::Up { peer, link } => {
+            node.log.info("gateway_link_up", &[("gateway", &peer.vm)]);
+            node.peers.link_up(&peer.vm, link, node.clock.mono());
+            let jobs = node.jobs().open_owned();
+            let hello = PeerMessage::Hello { owner: node.owner.clone(), jobs };
+            node.peers.send(&peer.vm, hello);
+            node.peers.send(&peer.vm, reports::report(node));
+        }
+        LinkEvent::Down { peer, link, reason } => {
+            let reason = format!("{reason:?}");
+            if node.peers.link_down(&peer.vm, link, node.clock.mono()) {
+                node.log.warn("gateway_link_down", &[("gateway", &peer.vm), ("reason", &reason)]);
+            }
+        }
+        LinkEvent::Message { peer, message: LinkMessage::Peer(message), .. } => {
+            take_message(node, &peer, message);
+        }
+        LinkEvent::Message { peer, .. } => {
+            node.log.warn("message_of_another_kind", &[("gateway", &peer.vm)]);
+        }
+    }
+}
+
+fn take_message(node: &Arc<EntryNode>, peer: &LinkPeer, message: PeerMessage) {
+    match message {
+        PeerMessage::Hello { owner, jobs } => {
+            node.peers.set_owner(&peer.vm, &owner);
+            node.jobs().note_owner(&jobs, &owner);
+        }
+        PeerMessage::Report { uses, configuration, targets } => {
+            let now = node.clock.mono();
+            reports::take_uses(node, &peer.vm, uses, now);
+            let behind = configuration > node.configuration_version()
+                || targets > node.target_feed().revision();
+            if node.peers.note_ahead(&peer.vm, behind, now) {
+                let configuration = node.configuration_version();
+                let targets = node.target_feed().revision();
+                node.peers.send(&peer.vm, PeerMessage::AskState { configuration, targets });
+            }
+        }
+        PeerMessage::AskState { configuration, targets } => {
+            let state = newer_state(node, configuration, targets);
+            node.peers.send(&peer.vm, state);
+        }
+        PeerMessage::State { configuration, targets } => {
+            take_state(node, peer, configuration, targets);
+        }
+        PeerMessage::JobsOwned(jobs) => take_owned(node, peer, &jobs),
+        PeerMessage::JobClosed(job) => node.jobs().note_closed(&job),
+        PeerMessage::JobEnded(job) => ends::take_end(node, &job, "gateway"),
+        PeerMessage::JobAsk { call, job, after, wait_ms } => {
+            let node = Arc::clone(node);
+            let vm = peer.vm.clone();
+            task::spawn(async move { reads::answer_peer(&node, &vm, call, &job, after, wait_ms).await });
+        }
+        PeerMessage::JobNews { call, is_owner, total, lines } => {
+            let total = usize::try_from(total).unwrap_or(usize::MAX);
+            node.peers.answer_call(call, JobNews { is_owner, total, lines });
+        }
+        PeerMessage::Leaving => {
+            node.log.info("gateway_leaves", &[("gateway", &peer.vm)]);
+            node.peers.set_leaving(&peer.vm);
+        }
+    }
+}
+
+fn newer_state(node: &EntryNode, configuration: u64, targets: u64) -> PeerMessage {
+    let text = node.configuration_text().filter(|(version, _)| *version > configuration);
+    let configuration = text.map(|(_, text)| Payload::from(&*text));
+    let feed = node.target_feed();
+    let is_newer = feed.is_whole() && feed.revision() > targets;
+    let targets = is_newer.then(|| feed.snapshot());
+    PeerMessage::State { configuration, targets }
+}
+
+fn take_state(
+    node: &EntryNode,
+    peer: &LinkPeer,
+    configuration: Option<Payload>,
+    targets: Option<TargetSnapshot>,
+) {
+    if let Some(text) = configuration {
+        match serde_json::from_slice::<Box<RawValue>>(&text) {
+            Ok(spec) => node.take_configuration(&spec, peer.vm.as_str()),
+            Err(error) => {
+                let source = peer.vm.as_str();
+                node.log.error(
+                    "configuration_refused",
+                    &[("reason", &error), ("source", &source)],
+                );
+            }
+        }
+    }
+    if let Some(snapshot) = targets {
+        let now = node.clock.mono();
+        let entries = snapshot.targets.into_iter().map(|t| (t.entry, t.revision)).collect();
+        let mut feed = node.target_feed();
+        let lapsed_until = node.store.outage().lapsed_until();
+        let changes = feed.take_list(entries, snapshot.as_of, lapsed_until, now);
+        let revision = feed.revision();
+        drop(feed);
+        node.apply_target_changes(changes, peer.vm.as_str(), revision);
+    }
+}
+
+/// Another gateway owns these jobs now. What runs of them here is stopped: the other runs it.
+fn take_owned(node: &EntryNode, peer: &LinkPeer, jobs: &[String]) {
+    let Some(owner) = node.peers.owner_of(&peer.vm) else { return };
+    let mut desk = node.jobs();
+    for job in jobs {
+        if desk.is_owned(job) {
+            node.log.warn("job_lost_to_gateway", &[("job", job), ("owner", &owner)]);
+            desk.give_up_job(job);
+        }
+    }
+    desk.note_owner(jobs, &owner);
+}
--- /dev/null
+++ b/crates/entry/src/peers/reports.rs
@@ -0,0 +1,55 @@
+//! Reports of this gateway's use of targets to the others.
+
+use std::sync::Arc;
+
+use async_std::task;
+use notch_messages::prelude::*;
+use notch_relay::targets::table::TargetUse;
+use notch_types::prelude::*;
+
+use crate::{
+    constants::{REPORT_EVERY, REPORT_IDLE},
+    node::EntryNode,
+};
+
+/// What this gateway uses and knows now.
+pub fn report(node: &EntryNode) -> PeerMessage {
+    let report = |(id, own): (&str, TargetUse)| TargetUseReport {
+        target: id.to_owned(),
+        online: own.online,
+        batch: own.batch,
+    };
+    let mut uses: Vec<TargetUseReport> = node.targets().own_uses().map(report).collect();
+    uses.sort_by(|a, b| a.target.cmp(&b.target));
+    let configuration = node.configuration_version();
+    let targets = node.target_feed().revision();
+    PeerMessage::Report { uses, configuration, targets }
+}
+
+/// Tells the others when something changed, and now and then when nothing did.
+pub async fn tell_uses(node: Arc<EntryNode>) {
+    let mut last: Option<PeerMessage> = None;
+    let mut last_at = MonoTime::default();
+    loop {
+        task::sleep(REPORT_EVERY).await;
+        let now = node.clock.mono();
+        let message = report(&node);
+        if last.as_ref() == Some(&message) && now.since(last_at) < REPORT_IDLE {
+            continue;
+        }
+        node.peers.broadcast(&message);
+        last = Some(message);
+        last_at = now;
+    }
+}
+
+/// Takes another gateway's use of targets.
+pub fn take_uses(node: &EntryNode, peer: &VmName, uses: Vec<TargetUseReport>, now: MonoTime) {
+    let uses = uses.into_iter().map(|report| {
+        let TargetUseReport { target, online, batch } = report;
+        (target, TargetUse { online, batch })
+    });
+    let mut targets = node.targets();
+    targets.take_report(peer, uses.collect(), now);
+    targets.expire_reports(now);
+}
--- /dev/null
+++ b/crates/entry/src/peers/table.rs
@@ -0,0 +1,245 @@
+//! What is known of the other gateways.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+};
+
+use async_channel::Sender;
+use notch_link::prelude::*;
+use notch_messages::prelude::*;
+use notch_types::prelude::*;
+
+use crate::{
+    constants::{LAG_PATIENCE, OWNER_DOUBT, PEER_DEAD},
+    peers::record::GatewayEntry,
+};
+
+/// A peer's answer to a question about a job.
+#[derive(Debug)]
+pub struct JobNews {
+    /// Whether the peer owns the job and is sure of its list.
+    pub is_owner: bool,
+    /// Items of the job.
+    pub total: usize,
+    /// Results from the position asked for on.
+    pub lines: Vec<notch_relay::prelude::ResultLine>,
+}
+
+/// One other gateway.
+#[derive(Debug)]
+struct PeerRecord {
+    /// As it registered; `None` when only its link is known yet.
+    entry: Option<GatewayEntry>,
+    /// Keeps a link to it standing, where it's ours to dial.
+    dialer: Option<(SocketAddr, LinkDialer)>,
+    link: Option<LinkHandle>,
+    /// Name with incarnation, as told on the link.
+    owner: Option<String>,
+    /// Since when there is no link.
+    down_since: MonoTime,
+    /// It said that it stops.
+    is_leaving: bool,
+    /// Since when it has said that it knows more than we do.
+    ahead_since: Option<MonoTime>,
+}
+
+/// The other gateways.
+#[derive(Debug, Default)]
+pub struct PeerTable {
+    peers: Mutex<FastMap<VmName, PeerRecord>>,
+    calls: Mutex<FastMap<u64, Sender<JobNews>>>,
+    next_call: AtomicU64,
+}
+
+impl PeerTable {
+    /// Takes a gateway's entry. `dial` makes a dialler; it's called when this side has to dial.
+    pub fn put_entry(
+        &self,
+        vm: &VmName,
+        entry: GatewayEntry,
+        now: MonoTime,
+        dial: Option<impl FnOnce(SocketAddr) -> LinkDialer>,
+    ) {
+        let mut peers = self.peers();
+        let record = peers.entry(vm.clone()).or_insert_with(|| PeerRecord::new(now));
+        if let Some(dial) = dial {
+            let stands = record.dialer.as_ref().is_some_and(|(at, _)| *at == entry.address);
+            if !stands {
+                record.dialer = Some((entry.address, dial(entry.address)));
+            }
+        }
+        let is_new = record.entry.as_ref().is_none_or(|known| known.owner != entry.owner);
+        if is_new {
+            record.is_leaving = false;
+        }
+        record.entry = Some(entry);
+    }
+
+    /// A gateway's entry is gone.
+    pub fn remove_entry(&self, vm: &VmName) {
+        self.peers().remove(vm);
+    }
+
+    /// A link stands.
+    pub fn link_up(&self, vm: &VmName, link: LinkHandle, now: MonoTime) {
+        let mut peers = self.peers();
+        let record = peers.entry(vm.clone()).or_insert_with(|| PeerRecord::new(now));
+        record.link = Some(link);
+        record.owner = None;
+        record.is_leaving = false;
+    }
+
+    /// A link is gone; true when it was the one in use.
+    pub fn link_down(&self, vm: &VmName, link: u64, now: MonoTime) -> bool {
+        let mut peers = self.peers();
+        let Some(record) = peers.get_mut(vm) else { return false };
+        if record.link.as_ref().is_none_or(|standing| standing.id() != link) {
+            return false;
+        }
+        record.link = None;
+        record.down_since = now;
+        record.ahead_since = None;
+        true
+    }
+
+    /// Who a peer said it is.
+    pub fn set_owner(&self, vm: &VmName, owner: &str) {
+        if let Some(record) = self.peers().get_mut(vm) {
+            record.owner = Some(owner.to_owned());
+        }
+    }
+
+    /// Who a peer said it is.
+    pub fn owner_of(&self, vm: &VmName) -> Option<String> {
+        self.peers().get(vm).and_then(|record| record.owner.clone())
+    }
+
+    /// A peer said that it stops.
+    pub fn set_leaving(&self, vm: &VmName) {
+        if let Some(record) = self.peers().get_mut(vm) {
+            record.is_leaving = true;
+        }
+    }
+
+    /// A peer said what it knows; true when it has known more than we do for some time and should
+    /// be asked. Our own watch usually brings the same, so a moment's lead means nothing.
+    pub fn note_ahead(&self, vm: &VmName, is_ahead: bool, now: MonoTime) -> bool {
+        let mut peers = self.peers();
+        let Some(record) = peers.get_mut(vm) else { return false };
+        if !is_ahead {
+            record.ahead_since = None;
+            return false;
+        }
+        let since = *record.ahead_since.get_or_insert(now);
+        let is_due = now.since(since) >= LAG_PATIENCE;
+        if is_due {
+            record.ahead_since = Some(now);
+        }
+        is_due
+    }
+
+    /// Sends to one gateway; false when there is no link.
+    pub fn send(&self, vm: &VmName, message: PeerMessage) -> bool {
+        let link = self.peers().get(vm).and_then(|record| record.link.clone());
+        link.is_some_and(|link| link.send(LinkMessage::Peer(message)).is_ok())
+    }
+
+    /// Sends to the gateway that `owner` names; false when there is no link to that incarnation.
+    pub fn send_to_owner(&self, owner: &str, message: PeerMessage) -> bool {
+        let peers = self.peers();
+        let found = peers.values().find(|record| record.owner.as_deref() == Some(owner));
+        let link = found.and_then(|record| record.link.clone());
+        drop(peers);
+        link.is_some_and(|link| link.send(LinkMessage::Peer(message)).is_ok())
+    }
+
+    /// Sends to every gateway with a link.
+    pub fn broadcast(&self, message: &PeerMessage) {
+        let links: Vec<LinkHandle> =
+            self.peers().values().filter_map(|record| record.link.clone()).collect();
+        for link in links {
+            // A full or closed queue: what is told is told again, or read from the store.
+            let _ = link.send(LinkMessage::Peer(message.clone()));
+        }
+    }
+
+    /// How many links stand.
+    pub fn link_count(&self) -> usize {
+        self.peers().values().filter(|record| record.link.is_some()).count()
+    }
+
+    /// Whether the gateway that `owner` names may be alive at `now`: a link to it stands, or was
+    /// lost only a moment ago.
+    pub fn may_live(&self, owner: &str, now: MonoTime) -> bool {
+        let vm = owner.split_once('#').map_or(owner, |(vm, _)| vm);
+        let peers = self.peers();
+        let Some(record) = peers.get(&VmName::new(vm)) else { return false };
+        let newest = record.owner.as_deref().or(record.entry.as_ref().map(|e| &*e.owner));
+        if record.is_leaving || newest.is_some_and(|newest| newest != owner) {
+            return false;
+        }
+        record.link.is_some() || now.since(record.down_since) < PEER_DEAD
+    }
+
+    /// Names of gateways that take jobs over: those with a link that don't stop.
+    pub fn live_vms(&self) -> Vec<VmName> {
+        let peers = self.peers();
+        let live = peers.iter().filter(|(_, r)| r.link.is_some() && !r.is_leaving);
+        live.map(|(vm, _)| vm.clone()).collect()
+    }
+
+    /// Whether every known gateway was heard of a moment ago. While one isn't, it may have taken
+    /// jobs of ours over.
+    pub fn hears_all(&self, now: MonoTime) -> bool {
+        let doubtful =
+            |r: &PeerRecord| r.link.is_none() && now.since(r.down_since) >= OWNER_DOUBT;
+        !self.peers().values().any(doubtful)
+    }
+
+    /// A number for a question, and where its answer comes.
+    pub fn open_call(&self) -> (u64, async_channel::Receiver<JobNews>) {
+        let call = self.next_call.fetch_add(1, Ordering::Relaxed);
+        let (sender, receiver) = async_channel::bounded(1);
+        self.calls().insert(call, sender);
+        (call, receiver)
+    }
+
+    /// A question is over.
+    pub fn close_call(&self, call: u64) {
+        self.calls().remove(&call);
+    }
+
+    /// The answer to a question came.
+    pub fn answer_call(&self, call: u64, news: JobNews) {
+        if let Some(sender) = self.calls().remove(&call) {
+            // The asker may have given up meanwhile.
+            let _ = sender.try_send(news);
+        }
+    }
+
+    fn peers(&self) -> MutexGuard<'_, FastMap<VmName, PeerRecord>> {
+        self.peers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn calls(&self) -> MutexGuard<'_, FastMap<u64, Sender<JobNews>>> {
+        self.calls.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl PeerRecord {
+    fn new(now: MonoTime) -> Self {
+        Self {
+            entry: None,
+            dialer: None,
+            link: None,
+            owner: None,
+            down_since: now,
+            is_leaving: false,
+            ahead_since: None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/store.rs
@@ -0,0 +1,7 @@
+//! The platform's store: one client, and what is followed there.
+
+pub mod client;
+pub mod configuration;
+pub mod feed;
+pub mod outage;
+pub mod target;
--- /dev/null
+++ b/crates/entry/src/store/client.rs
@@ -0,0 +1,205 @@
+//! The one client of the store.
+
+use std::{
+    net::SocketAddr,
+    sync::{Mutex, PoisonError},
+    time::Duration,
+};
+
+use async_std::{future::timeout, net::TcpStream};
+use notch_h1::prelude::*;
+use notch_settings::prelude::StoreSettings;
+use notch_telemetry::prelude::*;
+
+use crate::{
+    clock::NodeClock,
+    store::outage::{OutageChange, StoreOutage},
+};
+
+/// Bytes of one answer, at most: a list page is about 1 MB.
+const ANSWER_BYTES: usize = 8 << 20;
+/// Bytes of an answer's head, at most.
+const HEAD_BYTES: usize = 16 << 10;
+/// Idle connections kept.
+const IDLE_KEPT: usize = 4;
+
+/// Why a call brought nothing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StoreFailure {
+    /// Surely not done: not sent, or turned away.
+    NotDone,
+    /// Sent and not answered: it may have been done, or be done seconds later.
+    Unknown,
+}
+
+/// What the store answered.
+#[derive(Debug)]
+pub struct StoreReply {
+    /// The status: 2xx, 404, 409 or 410.
+    pub status: u16,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+impl StoreReply {
+    /// Whether the call was done.
+    pub fn is_success(&self) -> bool {
+        (200..300).contains(&self.status)
+    }
+}
+
+/// Calls the store. A connection on which an answer failed to come is never used again: nothing
+/// more comes on it.
+#[derive(Debug)]
+pub struct StoreClient {
+    settings: Mutex<StoreSettings>,
+    idle: Mutex<Vec<WireReader>>,
+    outage: Mutex<StoreOutage>,
+    clock: NodeClock,
+    log: NodeLog,
+}
+
+impl StoreClient {
+    /// A client with its settings.
+    pub fn new(settings: StoreSettings, clock: NodeClock, log: NodeLog) -> Self {
+        let outage = Mutex::new(StoreOutage::default());
+        Self { settings: Mutex::new(settings), idle: Mutex::default(), outage, clock, log }
+    }
+
+    /// The settings in force.
+    pub fn settings(&self) -> StoreSettings {
+        self.settings.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Takes new settings; idle connections may lead to an old address.
+    pub fn reload(&self, settings: StoreSettings) {
+        *self.settings.lock().unwrap_or_else(PoisonError::into_inner) = settings;
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner).clear();
+    }
+
+    /// Whether the store answers, and since when.
+    pub fn outage(&self) -> StoreOutage {
+        *self.outage.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// A call without a body, such as a read.
+    ///
+    /// # Errors
+    /// No answer, or turned away.
+    pub async fn get(&self, path: &str) -> Result<StoreReply, StoreFailure> {
+        let wait = self.settings().call_timeout;
+        self.call("GET", path, None, wait).await
+    }
+
+    /// A call; the answer must come within `wait`.
+    ///
+    /// # Errors
+    /// No answer, or turned away.
+    pub async fn call(
+        &self,
+        method: &str,
+        path: &str,
+        body: Option<&[u8]>,
+        wait: Duration,
+    ) -> Result<StoreReply, StoreFailure> {
+        let began = self.clock.mono();
+        let result = self.exchange(method, path, body, wait).await;
+        let now = self.clock.mono();
+        let change = {
+            let mut outage = self.outage.lock().unwrap_or_else(PoisonError::into_inner);
+            match &result {
+                Ok(_) => outage.note_answer(now),
+                Err(_) => outage.note_failure(now),
+            }
+        };
+        self.log_change(change, method, path);
+        if let Err(failure) = &result {
+            let took = now.since(began).as_millis();
+            self.log.warn(
+                "store_call_failed",
+                &[("call", &method), ("path", &path), ("failure", &code(*failure)), ("ms", &took)],
+            );
+        }
+        result
+    }
+
+    async fn exchange(
+        &self,
+        method: &str,
+        path: &str,
+        body: Option<&[u8]>,
+        wait: Duration,
+    ) -> Result<StoreReply, StoreFailure> {
+        let mut connection = self.connect().await?;
+        let mut writer = MessageWriter::request(method, path);
+        writer.header("Host", self.settings().address);
+        if body.is_some() {
+            writer.header("Content-Type", "application/json");
+        }
+        let bytes = writer.with_body(body.unwrap_or_default());
+        let exchange = async {
+            write_all(connection.stream(), &bytes).await?;
+            let head = connection.response_head(HEAD_BYTES).await?;
+            let body = connection.whole_body(head.framing()?, ANSWER_BYTES).await?;
+            Ok::<_, WireError>((head, body))
+        };
+        // An expired wait or a broken connection leaves the call's fate open: it may be done later.
+        let answered = timeout(wait, exchange).await.map_err(|_| StoreFailure::Unknown)?;
+        let (head, body) = answered.map_err(|_| StoreFailure::Unknown)?;
+        if head.keep_alive {
+            self.keep(connection);
+        }
+        match head.status {
+            200..300 | 404 | 409 | 410 => Ok(StoreReply { status: head.status, body }),
+            _ => Err(StoreFailure::NotDone),
+        }
+    }
+
+    async fn connect(&self) -> Result<WireReader, StoreFailure> {
+        loop {
+            let idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner).pop();
+            match idle {
+                Some(connection) if !connection.is_spoiled() => return Ok(connection),
+                Some(_) => {}
+                None => break,
+            }
+        }
+        let settings = self.settings();
+        let address: SocketAddr = settings.address;
+        let connecting = timeout(settings.connect_timeout, TcpStream::connect(address));
+        let stream = match connecting.await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(_)) | Err(_) => return Err(StoreFailure::NotDone),
+        };
+        // Without it small calls would wait for acknowledgements; a socket that refuses it works.
+        let _ = stream.set_nodelay(true);
+        Ok(WireReader::new(stream))
+    }
+
+    fn keep(&self, connection: WireReader) {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        if idle.len() < IDLE_KEPT {
+            idle.push(connection);
+        }
+    }
+
+    fn log_change(&self, change: Option<OutageChange>, method: &str, path: &str) {
+        match change {
+            None => {}
+            Some(OutageChange::Lost) => {
+                self.log.warn("store_lost", &[("call", &method), ("path", &path)]);
+            }
+            Some(OutageChange::Regained) => {
+                self.log.info("store_regained", &[("call", &method), ("path", &path)]);
+            }
+        }
+    }
+}
+
+/// Stable name of a failure for logs.
+pub fn code(failure: StoreFailure) -> &'static str {
+    match failure {
+        StoreFailure::NotDone => "not_done",
+        StoreFailure::Unknown => "unknown",
+    }
+}
--- /dev/null
+++ b/crates/entry/src/store/feed.rs
@@ -0,0 +1,114 @@
+//! Follows one kind of objects: a whole list first, then every change.
+
+use std::time::Duration;
+
+use async_std::task;
+use notch_platform_wire::{
+    prelude::{ListPage, StoreObject, WatchPage},
+    store::{decode, list_path, watch_path},
+};
+
+use crate::{
+    constants::{STORE_PAUSE, WATCH_GRACE},
+    store::client::{StoreClient, StoreFailure},
+};
+
+/// What a feed tells.
+#[derive(Debug)]
+pub enum FeedEvent<'a> {
+    /// The whole list, as of a revision of the store.
+    Snapshot {
+        /// Every object.
+        objects: Vec<StoreObject>,
+        /// The store's revision.
+        as_of: u64,
+    },
+    /// An object was created or changed.
+    Changed {
+        /// As it is now.
+        object: &'a StoreObject,
+    },
+    /// An object was deleted.
+    Deleted {
+        /// As it was.
+        object: &'a StoreObject,
+        /// A revision of the store at which it was gone.
+        as_of: u64,
+    },
+}
+
+/// Follows `kind` until the process ends.
+///
+/// The history that a watch goes on from may be dropped at any time, and a cut watch may have
+/// missed changes, so whatever is not a plain answer leads back to a whole list.
+pub async fn follow(store: &StoreClient, kind: &str, mut tell: impl FnMut(FeedEvent<'_>)) {
+    loop {
+        match list_all(store, kind).await {
+            Ok((objects, as_of)) => {
+                tell(FeedEvent::Snapshot { objects, as_of });
+                watch(store, kind, as_of, &mut tell).await;
+            }
+            Err(_) => task::sleep(jittered(STORE_PAUSE)).await,
+        }
+    }
+}
+
+/// Every object of `kind`, with the store's revision.
+///
+/// # Errors
+/// The store did not answer, or not with a list.
+pub async fn list_all(
+    store: &StoreClient,
+    kind: &str,
+) -> Result<(Vec<StoreObject>, u64), StoreFailure> {
+    let mut objects: Vec<StoreObject> = Vec::new();
+    let mut as_of = None;
+    loop {
+        let after = objects.last().map(|object| object.metadata.name.clone());
+        let reply = store.get(&list_path(kind, after.as_deref())).await?;
+        if reply.status == 404 {
+            return Ok((objects, as_of.unwrap_or(0)));
+        }
+        let page: ListPage = decode(&reply.body).map_err(|_| StoreFailure::NotDone)?;
+        // A watch from the first page's revision repeats what later pages already show, which is
+        // harmless; from the last page's it could miss a change of the first.
+        let as_of_first = *as_of.get_or_insert(page.store_revision);
+        let is_last = !page.more || page.items.is_empty();
+        objects.extend(page.items);
+        if is_last {
+            return Ok((objects, as_of_first));
+        }
+    }
+}
+
+async fn watch(
+    store: &StoreClient,
+    kind: &str,
+    mut revision: u64,
+    tell: &mut impl FnMut(FeedEvent<'_>),
+) {
+    loop {
+        let wait = store.settings().watch_wait;
+        let path = watch_path(kind, revision, wait);
+        let Ok(reply) = store.call("GET", &path, None, wait + WATCH_GRACE).await else { return };
+        if !reply.is_success() {
+            return;
+        }
+        let Ok(page) = decode::<WatchPage>(&reply.body) else { return };
+        revision = revision.max(page.store_revision);
+        for event in &page.events {
+            let object = &event.object;
+            tell(if event.deleted {
+                FeedEvent::Deleted { object, as_of: revision }
+            } else {
+                FeedEvent::Changed { object }
+            });
+        }
+    }
+}
+
+/// A pause of half of `longest` to all of it, so that VMs that lost the store together don't come
+/// back in step.
+pub fn jittered(longest: Duration) -> Duration {
+    longest.mul_f64(0.5 + 0.5 * rand::random::<f64>())
+}
--- /dev/null
+++ b/crates/entry/src/target.rs
@@ -0,0 +1,4 @@
+//! Connections to targets.
+
+pub mod connection;
+pub mod pool;
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -6,7 +6,6 @@
 use notch_gateway::{
     options::GatewayOptions,
     prelude::{GatewayEdges, GatewayError, GatewayHandle},
-    wiring,
 };
 use notch_settings::GatewayConfig;
 use notch_telemetry::prelude::*;
@@ -25,7 +24,7 @@
     if options.check {
         return tell_valid(&options, &config);
     }
-    init_logs(wiring::log_settings(&config));
+    init_logs(LogSettings::of(&config.node, &config.logging));
     match task::block_on(run(config)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
--- a/crates/gateway/src/wiring.rs
+++ b/crates/gateway/src/wiring.rs
@@ -134,25 +134,6 @@
     }
 }
 
-/// The logger's settings.
-pub fn log_settings(config: &GatewayConfig) -> LogSettings {
-    LogSettings {
-        level: match config.logging.level {
-            LogLevel::Error => LevelFilter::Error,
-            LogLevel::Warn => LevelFilter::Warn,
-            LogLevel::Info => LevelFilter::Info,
-            LogLevel::Debug => LevelFilter::Debug,
-            LogLevel::Trace => LevelFilter::Trace,
-        },
-        style: match config.logging.format {
-            LogFormat::Text => LogStyle::Text,
-            LogFormat::Json => LogStyle::Json,
-        },
-        vm: config.node.vm.clone(),
-        domain: config.node.domain.clone(),
-    }
-}
-
 /// What the callers' server allows. A job's input streams through, so the server's own bound on
 /// bodies is the largest job; the bodies of online requests are bounded where they are read.
 pub fn server_limits(config: &GatewayConfig) -> ServerLimits {
--- /dev/null
+++ b/crates/h1/src/writer.rs
@@ -0,0 +1,103 @@
+//! Writes messages.
+
+use std::fmt::Write as _;
+
+use async_std::{io::WriteExt, net::TcpStream};
+
+use crate::{error::WireError, headers::HeaderList};
+
+/// Builds the bytes of one message.
+#[derive(Debug, Clone, Default)]
+pub struct MessageWriter {
+    text: String,
+}
+
+impl MessageWriter {
+    /// The head of a request.
+    pub fn request(method: &str, target: &str) -> Self {
+        Self { text: format!("{method} {target} HTTP/1.1\r\n") }
+    }
+
+    /// The head of a response.
+    pub fn response(status: u16) -> Self {
+        Self { text: format!("HTTP/1.1 {status} {}\r\n", reason(status)) }
+    }
+
+    /// Adds a header.
+    pub fn header(&mut self, name: &str, value: impl std::fmt::Display) -> &mut Self {
+        // Writing to a string never fails.
+        let _ = write!(self.text, "{name}: {value}\r\n");
+        self
+    }
+
+    /// Adds every header that isn't for one connection only and not in `except`.
+    pub fn copy(&mut self, headers: &HeaderList, except: &[&str]) -> &mut Self {
+        for (name, value) in headers.iter() {
+            let excepted = except.iter().any(|e| e.eq_ignore_ascii_case(name));
+            if !excepted && !headers.is_hop_by_hop(name) {
+                self.header(name, value);
+            }
+        }
+        self
+    }
+
+    /// The message's bytes with a body of known length.
+    pub fn with_body(mut self, body: &[u8]) -> Vec<u8> {
+        self.header("Content-Length", body.len());
+        let mut bytes = self.into_head();
+        bytes.extend_from_slice(body);
+        bytes
+    }
+
+    /// The head's bytes, for a body that follows in chunks.
+    pub fn with_chunks(mut self) -> Vec<u8> {
+        self.header("Transfer-Encoding", "chunked");
+        self.into_head()
+    }
+
+    fn into_head(self) -> Vec<u8> {
+        let mut bytes = self.text.into_bytes();
+        bytes.extend_from_slice(b"\r\n");
+        bytes
+    }
+}
+
+/// Appends one chunk to `bytes`; an empty one would end the body and is left out.
+pub fn write_chunk(bytes: &mut Vec<u8>, data: &[u8]) {
+    if data.is_empty() {
+        return;
+    }
+    bytes.extend_from_slice(format!("{:x}\r\n", data.len()).as_bytes());
+    bytes.extend_from_slice(data);
+    bytes.extend_from_slice(b"\r\n");
+}
+
+/// Writes all bytes to a connection.
+///
+/// # Errors
+/// `Io` when the connection failed.
+pub async fn write_all(stream: &TcpStream, bytes: &[u8]) -> Result<(), WireError> {
+    let mut stream = stream;
+    stream.write_all(bytes).await?;
+    Ok(())
+}
+
+fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        202 => "Accepted",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        413 => "Content Too Large",
+        421 => "Misdirected Request",
+        429 => "Too Many Requests",
+        431 => "Request Header Fields Too Large",
+        500 => "Internal Server Error",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "Status",
+    }
+}
--- a/crates/messages/src/frame.rs
+++ b/crates/messages/src/frame.rs
@@ -10,6 +10,7 @@
     load::LoadReport,
     lot::{ItemKey, ItemResult, ItemReturn, LotGrant, LotPull},
     order::{OrderOutcome, PlacementMessage, TargetHoldings, TargetOrder},
+    peer::PeerMessage,
     shard::ShardCall,
 };
 
@@ -220,4 +221,6 @@
     },
     /// Gateway to gateway: what the placement holder needs to know.
     Placement(PlacementMessage),
+    /// Between gateways that relay straight to targets.
+    Peer(PeerMessage),
 }
--- a/crates/messages/src/lib.rs
+++ b/crates/messages/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod load;
 pub mod lot;
 pub mod order;
+pub mod peer;
 pub mod shard;
 
 /// Every message type.
@@ -24,6 +25,7 @@
         order::{
             HeldModel, OrderAction, OrderOutcome, PlacementMessage, TargetHoldings, TargetOrder,
         },
+        peer::{PeerMessage, TargetSnapshot, TargetUseReport, VersionedTarget},
         shard::{
             ClaimVerdict, ItemStatus, JobChunk, JobPhase, JobProgress, JobSubmission, ResultLine,
             ShardAnswer, ShardCall, ShardRequest, StoredAnswer,
--- /dev/null
+++ b/crates/messages/src/peer.rs
@@ -0,0 +1,99 @@
+//! Between gateways that relay straight to targets.
+
+use notch_relay::prelude::{ResultLine, TargetEntry};
+use notch_types::prelude::*;
+use serde::{Deserialize, Serialize};
+
+/// Requests of one gateway at one target.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetUseReport {
+    /// The target's id.
+    pub target: String,
+    /// Online requests under way there.
+    pub online: u32,
+    /// Items under way there.
+    pub batch: u32,
+}
+
+/// A target's entry with the store's revision of its last change.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VersionedTarget {
+    /// The entry.
+    pub entry: TargetEntry,
+    /// Of its last change.
+    pub revision: u64,
+}
+
+/// Every target entry as of one revision of the store.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetSnapshot {
+    /// What isn't listed was gone by then.
+    pub as_of: u64,
+    /// The entries.
+    pub targets: Vec<VersionedTarget>,
+}
+
+/// Gateway to gateway.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PeerMessage {
+    /// First on each link.
+    Hello {
+        /// The sender's name with its incarnation, as it stands in jobs that it owns.
+        owner: String,
+        /// Jobs that it owns and that aren't closed.
+        jobs: Vec<String>,
+    },
+    /// What the sender uses and knows; sent when it changes and at least every second.
+    Report {
+        /// Its use of targets, whole.
+        uses: Vec<TargetUseReport>,
+        /// Version of its configuration in force; 0 for none.
+        configuration: u64,
+        /// Store revision of the last change of targets that it knows.
+        targets: u64,
+    },
+    /// The sender's configuration or targets are older: send yours.
+    AskState {
+        /// Version of the sender's configuration.
+        configuration: u64,
+        /// The sender's revision of targets.
+        targets: u64,
+    },
+    /// Answer to `AskState`; what is newer.
+    State {
+        /// The configuration as the store holds it.
+        configuration: Option<Payload>,
+        /// Target entries.
+        targets: Option<TargetSnapshot>,
+    },
+    /// The sender owns these jobs now.
+    JobsOwned(Vec<String>),
+    /// Every result of the job is stored.
+    JobClosed(String),
+    /// The client ended the job; the store has it.
+    JobEnded(String),
+    /// Results of a job that the receiver owns, from a position on.
+    JobAsk {
+        /// Matches the answer; unique at the asker.
+        call: u64,
+        /// The job.
+        job: String,
+        /// Results that the asker holds already.
+        after: u64,
+        /// How long the answer may wait for a result, milliseconds.
+        wait_ms: u64,
+    },
+    /// Answer to `JobAsk`.
+    JobNews {
+        /// Of the question.
+        call: u64,
+        /// Whether the sender owns the job and is sure of its list; if not, nothing else counts.
+        is_owner: bool,
+        /// Items of the job.
+        total: u64,
+        /// Stored results from the position asked for on; the first ones at least.
+        lines: Vec<ResultLine>,
+    },
+    /// The sender stops: take its jobs over now.
+    Leaving,
+}
--- /dev/null
+++ b/crates/relay/src/jobs.rs
@@ -0,0 +1,6 @@
+//! Jobs that this gateway owns: their items, what is to run next, and the list of results.
+
+pub mod board;
+pub mod owned;
+pub mod result;
+pub mod spec;
--- /dev/null
+++ b/crates/relay/src/jobs/spec.rs
@@ -0,0 +1,53 @@
+//! What a job consists of.
+
+use std::time::Duration;
+
+use notch_types::prelude::*;
+
+/// Terms of a batch route, fixed for a job when it is accepted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct JobTerms {
+    /// All results are due this long after the job was first sent.
+    pub due: Duration,
+    /// An item may be given up this long after the job was first sent.
+    pub item_lifetime: Duration,
+    /// Runs of an item that end in failure before it is given up.
+    pub max_attempts: u32,
+}
+
+/// One item.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ItemSpec {
+    /// Unique in the job; its runs at targets carry it.
+    pub id: String,
+    /// The path of its request.
+    pub path: String,
+    /// Headers of its request.
+    pub headers: Vec<(String, String)>,
+    /// Body of its request.
+    pub body: Vec<u8>,
+}
+
+/// One job as it was accepted.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct JobSpec {
+    /// The client's id of the job: a resend carries the same.
+    pub id: String,
+    /// Host that the job was sent to; its items run on routes of this host.
+    pub host: String,
+    /// Path that the job was sent to.
+    pub path: String,
+    /// When it was first accepted, by the accepting gateway's wall clock.
+    pub accepted_at: WallTime,
+    /// Its terms.
+    pub terms: JobTerms,
+    /// The items, in the client's order.
+    pub items: Vec<ItemSpec>,
+}
+
+impl JobSpec {
+    /// Bytes that the job holds in memory, about.
+    pub fn weight(&self) -> usize {
+        self.items.iter().map(|item| item.body.len() + item.path.len() + 512).sum()
+    }
+}
--- /dev/null
+++ b/crates/relay/src/lib.rs
@@ -0,0 +1,35 @@
+//! Decisions of an entry VM that relays requests straight to targets: which route, which target,
+//! what a failure means, how streams are cut into events, and what becomes of a job's items.
+//! Nothing here does I/O or reads a clock.
+
+pub mod jobs;
+pub mod routes;
+pub mod stream;
+pub mod targets;
+
+/// The types nearly every user of this crate needs.
+pub mod prelude {
+    pub use crate::{
+        jobs::{
+            board::{ItemStart, JobBoard},
+            owned::{ItemEnd, OwnedJob},
+            result::{ItemState, ResultLine},
+            spec::{ItemSpec, JobSpec, JobTerms},
+        },
+        routes::{
+            configuration::{ClientLimits, Configuration},
+            route::{Route, RouteKind, WeightedService},
+            table::RouteTable,
+        },
+        stream::{
+            event::{EventFault, StreamEvent},
+            splitter::EventSplitter,
+        },
+        targets::{
+            choice::{TargetChoice, WorkKind},
+            entry::{TargetEntry, TargetState},
+            failure::{AttemptFailure, RunVerdict},
+            table::TargetTable,
+        },
+    };
+}
--- /dev/null
+++ b/crates/relay/src/routes.rs
@@ -0,0 +1,5 @@
+//! Configuration in force and the route that a request takes.
+
+pub mod configuration;
+pub mod route;
+pub mod table;
--- /dev/null
+++ b/crates/relay/src/routes/route.rs
@@ -0,0 +1,82 @@
+//! One route.
+
+use std::time::Duration;
+
+use crate::jobs::spec::JobTerms;
+
+/// What may be repeated, and how the answer comes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RouteKind {
+    /// May run more than once.
+    Idempotent,
+    /// May run once at most.
+    NonIdempotent,
+    /// The answer is a stream of events.
+    Streaming,
+    /// Jobs of many items that run later.
+    Batch,
+}
+
+/// A service with its share of a route's requests.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WeightedService {
+    /// The service's name.
+    pub service: String,
+    /// Its share, against the sum of all weights.
+    pub weight: u32,
+}
+
+/// One route.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Route {
+    /// Its name, unique in a configuration.
+    pub name: String,
+    /// The host that requests name.
+    pub host: String,
+    /// Begins every path of the route. Invariant: begins and ends with a slash.
+    pub path_prefix: String,
+    /// What may be repeated.
+    pub kind: RouteKind,
+    /// Longest time a request is kept waiting for its whole answer.
+    pub timeout: Duration,
+    /// Latency objective: to the answer, or to a stream's first event.
+    pub objective: Duration,
+    /// Rank: 0 is served first.
+    pub priority: u32,
+    /// Where requests go. Invariant: not empty, and some weight is above 0.
+    pub services: Vec<WeightedService>,
+    /// Targets that one client attempt may run on, at most.
+    pub max_attempts: u32,
+    /// Whether a broken stream may go on at another target.
+    pub resumable: bool,
+    /// Longest pause between events of an answer that is in time.
+    pub event_gap: Duration,
+    /// Terms of a batch route.
+    pub job_terms: Option<JobTerms>,
+}
+
+impl Route {
+    /// Whether a request that may have run may be sent again. A stream that can't be resumed may
+    /// not: its second run would be other text under the same id.
+    pub fn may_repeat(&self) -> bool {
+        match self.kind {
+            RouteKind::Idempotent | RouteKind::Batch => true,
+            RouteKind::Streaming => self.resumable,
+            RouteKind::NonIdempotent => false,
+        }
+    }
+
+    /// The service for a request, by a number that is the same for each of its attempts.
+    pub fn service_for(&self, draw: u64) -> &str {
+        let sum: u64 = self.services.iter().map(|s| u64::from(s.weight)).sum();
+        let mut left = draw.checked_rem(sum).unwrap_or(0);
+        for service in &self.services {
+            let weight = u64::from(service.weight);
+            if left < weight {
+                return &service.service;
+            }
+            left -= weight;
+        }
+        self.services.first().map_or("", |s| &s.service)
+    }
+}
--- /dev/null
+++ b/crates/relay/src/stream.rs
@@ -0,0 +1,4 @@
+//! Streams of events.
+
+pub mod event;
+pub mod splitter;
--- /dev/null
+++ b/crates/relay/src/targets.rs
@@ -0,0 +1,7 @@
+//! Targets: what is known of them, which one a request goes to, what their failures mean.
+
+pub mod choice;
+pub mod entry;
+pub mod failure;
+pub mod health;
+pub mod table;
--- /dev/null
+++ b/crates/relay/src/targets/choice.rs
@@ -0,0 +1,23 @@
+//! What a choice of target is made for, and what it yields.
+
+use std::net::SocketAddr;
+
+/// Which work asks for a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WorkKind {
+    /// Somebody waits for the answer.
+    Online,
+    /// An item of a job.
+    Batch,
+}
+
+/// The target chosen.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TargetChoice {
+    /// The target's id.
+    pub id: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Whether a place was free there as far as is known.
+    pub place_free: bool,
+}
--- /dev/null
+++ b/crates/relay/src/targets/entry.rs
@@ -0,0 +1,33 @@
+//! What a target says of itself.
+
+use std::{net::SocketAddr, time::Duration};
+
+use serde::{Deserialize, Serialize};
+
+/// Whether a target takes new requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum TargetState {
+    /// It does.
+    Ready,
+    /// It ends what it has and leaves.
+    Draining,
+}
+
+/// One start of a target, as it registered itself.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetEntry {
+    /// Unique for each start of the target.
+    pub id: String,
+    /// The service that it is a copy of.
+    pub service: String,
+    /// Where it listens. Another target may come to listen there once this one has ended.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub domain: String,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it takes new requests.
+    pub state: TargetState,
+    /// How much longer it is slow after its start.
+    pub cold_left: Duration,
+}
--- /dev/null
+++ b/crates/relay/src/targets/health.rs
@@ -0,0 +1,59 @@
+//! Whether a target is avoided, by outcomes of real requests.
+
+use std::time::Duration;
+
+use notch_types::prelude::*;
+
+/// First time a target is avoided after a failure: longer than an event's usual pace (30 ms), short
+/// against a restart (seconds), so that one lost answer costs little.
+const AVOID_FIRST: Duration = Duration::from_millis(300);
+/// Longest time a target is avoided between two probes.
+const AVOID_LONGEST: Duration = Duration::from_secs(2);
+/// Doublings from the first time to the longest.
+const AVOID_DOUBLINGS: u32 = 3;
+
+/// Evidence for and against one target.
+#[derive(Debug, Clone, Default)]
+pub struct TargetHealth {
+    /// Failures since the last success.
+    failures: u32,
+    /// New requests avoid the target until then.
+    avoid_until: MonoTime,
+    /// One request was let through to find out. Invariant: only while `failures` is above 0.
+    probing: bool,
+}
+
+impl TargetHealth {
+    /// Whether new requests should go elsewhere at `now`.
+    pub fn is_avoided(&self, now: MonoTime) -> bool {
+        self.failures > 0 && (now < self.avoid_until || self.probing)
+    }
+
+    /// Whether the next request is a probe: it goes alone until its outcome is known.
+    pub fn needs_probe(&self) -> bool {
+        self.failures > 0
+    }
+
+    /// A request starts there.
+    pub fn start(&mut self) {
+        self.probing = self.failures > 0;
+    }
+
+    /// A request was answered.
+    pub fn succeed(&mut self) {
+        *self = Self::default();
+    }
+
+    /// A request failed in a way that blames the target.
+    pub fn fail(&mut self, now: MonoTime) {
+        let wait = AVOID_FIRST * 2_u32.pow(self.failures.min(AVOID_DOUBLINGS));
+        self.failures = self.failures.saturating_add(1);
+        self.avoid_until = now + wait.min(AVOID_LONGEST);
+        self.probing = false;
+    }
+
+    /// A probe ended without saying anything about the target.
+    pub fn forget_probe(&mut self) {
+        self.probing = false;
+    }
+}
--- /dev/null
+++ b/crates/relay/src/targets/table.rs
@@ -0,0 +1,282 @@
+//! Every target known, how loaded it is, and the choice among them.
+
+use std::time::Duration;
+
+use notch_types::prelude::*;
+
+use crate::targets::{
+    choice::{TargetChoice, WorkKind},
+    entry::{TargetEntry, TargetState},
+    failure::AttemptFailure,
+    health::TargetHealth,
+};
+
+/// Places of a target that batch leaves to online requests that come next. Engines take requests
+/// first come first served, so an item in the last place makes the next online request wait for
+/// a whole stream's end.
+const BATCH_RESERVE: u32 = 1;
+/// Added to the load of a target in another failure domain, in requests: bytes between domains cost,
+/// but less than a wait for a place.
+const FAR_PENALTY: f64 = 0.3;
+/// Spread of the random tie-break, in requests. Without it gateways that hear the same reports
+/// pick the same target at the same moment.
+const TIE_SPREAD: f64 = 0.25;
+/// Requests that may wait at a target for each of its places before it counts as full.
+const QUEUE_PER_SLOT: f64 = 1.0;
+/// A peer's report counts for this long; it is sent anew at least twice as often.
+const REPORT_LIFETIME: Duration = Duration::from_millis(2_500);
+
+/// Requests of one gateway at one target.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct TargetUse {
+    /// Online requests.
+    pub online: u32,
+    /// Items of jobs.
+    pub batch: u32,
+}
+
+impl TargetUse {
+    /// Both together.
+    pub fn total(self) -> u32 {
+        self.online + self.batch
+    }
+
+    fn add(&mut self, work: WorkKind) {
+        match work {
+            WorkKind::Online => self.online += 1,
+            WorkKind::Batch => self.batch += 1,
+        }
+    }
+
+    fn remove(&mut self, work: WorkKind) {
+        match work {
+            WorkKind::Online => self.online = self.online.saturating_sub(1),
+            WorkKind::Batch => self.batch = self.batch.saturating_sub(1),
+        }
+    }
+}
+
+#[derive(Debug)]
+struct TargetRecord {
+    entry: TargetEntry,
+    /// Requests of this gateway that are under way.
+    own: TargetUse,
+    /// Sum of the other gateways' last reports.
+    others: TargetUse,
+    health: TargetHealth,
+    /// Another target answered at its address: not used until it registers again.
+    displaced: bool,
+}
+
+#[derive(Debug, Default)]
+struct PeerReport {
+    at: MonoTime,
+    uses: FastMap<String, TargetUse>,
+}
+
+/// Every target known to one gateway.
+#[derive(Debug, Default)]
+pub struct TargetTable {
+    /// The gateway's own failure domain.
+    domain: String,
+    records: FastMap<String, TargetRecord>,
+    reports: FastMap<VmName, PeerReport>,
+    /// Own use of targets whose entry is gone, until their last request ends.
+    leftovers: FastMap<String, TargetUse>,
+}
+
+impl TargetTable {
+    /// An empty table of a gateway in `domain`.
+    pub fn new(domain: &str) -> Self {
+        Self { domain: domain.to_owned(), ..Self::default() }
+    }
+
+    /// Takes a target's entry as it is now.
+    pub fn put(&mut self, entry: TargetEntry) {
+        let id = entry.id.clone();
+        if let Some(record) = self.records.get_mut(&id) {
+            record.entry = entry;
+            record.displaced = false;
+            return;
+        }
+        let own = self.leftovers.remove(&id).unwrap_or_default();
+        let mut others = TargetUse::default();
+        for report in self.reports.values() {
+            let reported = report.uses.get(&id).copied().unwrap_or_default();
+            others.online += reported.online;
+            others.batch += reported.batch;
+        }
+        let health = TargetHealth::default();
+        self.records.insert(id, TargetRecord { entry, own, others, health, displaced: false });
+    }
+
+    /// A target's entry is gone: it gets nothing new.
+    pub fn remove(&mut self, id: &str) {
+        if let Some(record) = self.records.remove(id)
+            && record.own.total() > 0
+        {
+            self.leftovers.insert(id.to_owned(), record.own);
+        }
+    }
+
+    /// Ids of every target.
+    pub fn ids(&self) -> impl Iterator<Item = &str> {
+        self.records.keys().map(String::as_str)
+    }
+
+    /// Entries of every target.
+    pub fn entries(&self) -> impl Iterator<Item = &TargetEntry> {
+        self.records.values().map(|record| &record.entry)
+    }
+
+    /// How many targets take new requests.
+    pub fn ready_count(&self) -> usize {
+        self.records.values().filter(|r| r.entry.state == TargetState::Ready).count()
+    }
+
+    /// Chooses a target of `service` for one attempt, none of `avoid`, and counts it there until
+    /// [`finish`](Self::finish). `draw` gives random numbers from 0 to 1.
+    ///
+    /// Online work takes the least loaded target, a queue if there must be one. Batch takes a
+    /// target only if places stay free.
+    pub fn choose(
+        &mut self,
+        service: &str,
+        work: WorkKind,
+        avoid: &[String],
+        now: MonoTime,
+        mut draw: impl FnMut() -> f64,
+    ) -> Option<TargetChoice> {
+        let mut best: Option<(f64, &TargetRecord)> = None;
+        let mut fallback: Option<(f64, &TargetRecord)> = None;
+        for record in self.records.values() {
+            if !record.takes(service) || avoid.iter().any(|id| *id == record.entry.id) {
+                continue;
+            }
+            if work == WorkKind::Batch && !record.has_batch_place() {
+                continue;
+            }
+            let score = record.score(&self.domain) + draw() * TIE_SPREAD;
+            let slot = if record.health.is_avoided(now) { &mut fallback } else { &mut best };
+            if slot.is_none_or(|(lowest, _)| score < lowest) {
+                *slot = Some((score, record));
+            }
+        }
+        if work == WorkKind::Batch {
+            fallback = None;
+        }
+        let (_, record) = best.or(fallback)?;
+        let choice = TargetChoice {
+            id: record.entry.id.clone(),
+            address: record.entry.address,
+            place_free: record.total() < record.entry.slots,
+        };
+        let record = self.records.get_mut(&choice.id)?;
+        record.own.add(work);
+        record.health.start();
+        Some(choice)
+    }
+
+    /// An attempt at `id` ended: with an answer, or in a way that says nothing (`None`).
+    pub fn finish(
+        &mut self,
+        id: &str,
+        work: WorkKind,
+        outcome: Option<Result<(), AttemptFailure>>,
+        now: MonoTime,
+    ) {
+        let Some(record) = self.records.get_mut(id) else {
+            if let Some(own) = self.leftovers.get_mut(id) {
+                own.remove(work);
+                if own.total() == 0 {
+                    self.leftovers.remove(id);
+                }
+            }
+            return;
+        };
+        record.own.remove(work);
+        match outcome {
+            Some(Ok(())) => record.health.succeed(),
+            Some(Err(AttemptFailure::OtherTarget)) => record.displaced = true,
+            Some(Err(failure)) if failure.blames_target() => record.health.fail(now),
+            Some(Err(_)) | None => record.health.forget_probe(),
+        }
+    }
+
+    /// A target answered the head of a request: it is alive.
+    pub fn note_alive(&mut self, id: &str) {
+        if let Some(record) = self.records.get_mut(id) {
+            record.health.succeed();
+        }
+    }
+
+    /// This gateway's use of every target it uses, for the other gateways.
+    pub fn own_uses(&self) -> impl Iterator<Item = (&str, TargetUse)> {
+        let records = self.records.iter().map(|(id, record)| (id.as_str(), record.own));
+        let leftovers = self.leftovers.iter().map(|(id, own)| (id.as_str(), *own));
+        records.chain(leftovers).filter(|(_, own)| own.total() > 0)
+    }
+
+    /// Another gateway's use of targets, whole: what isn't named there isn't used by it.
+    pub fn take_report(&mut self, peer: &VmName, uses: FastMap<String, TargetUse>, now: MonoTime) {
+        self.drop_report(peer);
+        for (id, reported) in &uses {
+            if let Some(record) = self.records.get_mut(id) {
+                record.others.online += reported.online;
+                record.others.batch += reported.batch;
+            }
+        }
+        self.reports.insert(peer.clone(), PeerReport { at: now, uses });
+    }
+
+    /// Forgets reports of gateways that were not heard of for long: a dead one holds no places.
+    pub fn expire_reports(&mut self, now: MonoTime) {
+        let old = self.reports.iter().filter(|(_, r)| now.since(r.at) > REPORT_LIFETIME);
+        let old: Vec<VmName> = old.map(|(peer, _)| peer.clone()).collect();
+        for peer in old {
+            self.drop_report(&peer);
+        }
+    }
+
+    /// Whether more requests than places are at `id`, so that an online request may wait there
+    /// behind an item of a job.
+    pub fn is_over_full(&self, id: &str) -> bool {
+        let Some(record) = self.records.get(id) else { return false };
+        record.own.total() + record.others.total() > record.entry.slots
+    }
+
+    fn drop_report(&mut self, peer: &VmName) {
+        let Some(report) = self.reports.remove(peer) else { return };
+        for (id, reported) in &report.uses {
+            if let Some(record) = self.records.get_mut(id) {
+                record.others.online = record.others.online.saturating_sub(reported.online);
+                record.others.batch = record.others.batch.saturating_sub(reported.batch);
+            }
+        }
+    }
+}
+
+impl TargetRecord {
+    fn takes(&self, service: &str) -> bool {
+        let ready = self.entry.state == TargetState::Ready && !self.displaced;
+        ready && self.entry.service == service && !self.is_full()
+    }
+
+    fn total(&self) -> u32 {
+        self.own.total() + self.others.total()
+    }
+
+    fn is_full(&self) -> bool {
+        f64::from(self.total()) >= f64::from(self.entry.slots) * (1.0 + QUEUE_PER_SLOT)
+    }
+
+    fn has_batch_place(&self) -> bool {
+        let open = self.entry.slots.saturating_sub(BATCH_RESERVE).max(1);
+        self.total() < open && !self.health.needs_probe()
+    }
+
+    fn score(&self, domain: &str) -> f64 {
+        let far = if self.entry.domain == domain { 0.0 } else { FAR_PENALTY };
+        f64::from(self.total()) + far
+    }
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -3,12 +3,14 @@
 
 pub mod check;
 pub mod config;
+pub mod entry_config;
 pub mod error;
 pub mod file;
 pub mod sections;
 
 pub use crate::{
     config::{GatewayConfig, SidecarConfig},
+    entry_config::{DiskConfig, EntryConfig},
     error::{SettingsError, SettingsErrors, SettingsProblem},
     file::SettingsFile,
 };
@@ -17,13 +19,14 @@
 pub mod prelude {
     pub use crate::{
         config::{GatewayConfig, SidecarConfig},
+        entry_config::{DiskConfig, EntryConfig},
         error::{SettingsError, SettingsErrors, SettingsProblem},
         file::SettingsFile,
         sections::{
-            AdmissionSettings, JobSettings, LedgerSettings, LimitSettings, LinkSettings,
+            AdmissionSettings, EntryListenSettings, JobSettings, LedgerSettings, LimitSettings, LinkSettings,
             ListenSettings, LogFormat, LogLevel, LoggingSettings, MembershipSettings, NodeSettings,
             OnlineSettings, OperatorSettings, PlacementSettings, PlatformSettings, RelaySettings,
-            TargetSettings,
+            StoreSettings, TargetSettings,
         },
     };
 }
--- a/crates/settings/src/sections.rs
+++ b/crates/settings/src/sections.rs
@@ -1,6 +1,7 @@
 //! One struct a section, each with its defaults.
 
 mod admission;
+mod entry_listen;
 mod jobs;
 mod ledger;
 mod limits;
@@ -14,10 +15,12 @@
 mod placement;
 mod platform;
 mod relay;
+mod store;
 mod target;
 
 pub use self::{
     admission::AdmissionSettings,
+    entry_listen::EntryListenSettings,
     jobs::JobSettings,
     ledger::LedgerSettings,
     limits::LimitSettings,
@@ -31,5 +34,6 @@
     placement::PlacementSettings,
     platform::PlatformSettings,
     relay::RelaySettings,
+    store::StoreSettings,
     target::TargetSettings,
 };
--- /dev/null
+++ b/crates/settings/src/sections/store.rs
@@ -0,0 +1,53 @@
+//! `[store]`: the platform's store.
+
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    time::Duration,
+};
+
+use crate::file::FieldVisitor;
+
+/// Default port of the store.
+const STORE_PORT: u16 = 7400;
+
+/// The platform's store, as this process uses it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StoreSettings {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Longest wait for a connection.
+    pub connect_timeout: Duration,
+    /// Longest wait for an answer; after it a write's outcome is unknown.
+    pub call_timeout: Duration,
+    /// How long a watch waits for a change before it answers empty. A connection that went silent
+    /// is noticed that much later, so it is shorter than the time in which a change must be in force.
+    pub watch_wait: Duration,
+}
+
+impl Default for StoreSettings {
+    fn default() -> Self {
+        Self {
+            address: SocketAddr::from((Ipv4Addr::LOCALHOST, STORE_PORT)),
+            connect_timeout: Duration::from_millis(500),
+            call_timeout: Duration::from_millis(1_500),
+            watch_wait: Duration::from_millis(3_000),
+        }
+    }
+}
+
+impl StoreSettings {
+    pub(crate) fn visit(&mut self, fields: &mut FieldVisitor<'_>) {
+        fields.section("store");
+        fields.address("address", &mut self.address);
+        fields.duration("connect_timeout", &mut self.connect_timeout);
+        fields.duration("call_timeout", &mut self.call_timeout);
+        fields.duration("watch_wait", &mut self.watch_wait);
+    }
+
+    pub(crate) fn check(&self, fields: &mut FieldVisitor<'_>) {
+        fields.section("store");
+        if self.connect_timeout > self.call_timeout {
+            fields.clash("connect_timeout", "connect_timeout is longer than call_timeout");
+        }
+    }
+}
--- a/crates/sidecar/src/main.rs
+++ b/crates/sidecar/src/main.rs
@@ -62,7 +62,7 @@
 }
 
 async fn serve(config: SidecarConfig) -> ExitCode {
-    init_logs(log_settings(&config));
+    init_logs(LogSettings::of(&config.node, &config.logging));
     let signals = Signals::new([SIGTERM, SIGINT]);
     let settings = SidecarSettings { config, ..SidecarSettings::default() };
     let (mut signals, sidecar) = match (signals, SidecarHandle::start(settings).await) {
@@ -81,21 +81,3 @@
     error!("{fault}");
     ExitCode::FAILURE
 }
-
-fn log_settings(config: &SidecarConfig) -> LogSettings {
-    LogSettings {
-        level: match config.logging.level {
-            LogLevel::Error => LevelFilter::Error,
-            LogLevel::Warn => LevelFilter::Warn,
-            LogLevel::Info => LevelFilter::Info,
-            LogLevel::Debug => LevelFilter::Debug,
-            LogLevel::Trace => LevelFilter::Trace,
-        },
-        style: match config.logging.format {
-            LogFormat::Text => LogStyle::Text,
-            LogFormat::Json => LogStyle::Json,
-        },
-        vm: config.node.vm.clone(),
-        domain: config.node.domain.clone(),
-    }
-}
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -8,7 +8,7 @@
 /// The types nearly every user of this crate needs.
 pub mod prelude {
     pub use crate::{
-        logs::{LogLine, LogSettings, LogStyle, NodeLog, init_logs},
+        logs::{LogLine, LogOutput, LogSettings, LogStyle, NodeLog, init_logs, level_filter, set_log_level},
         metrics::{Gauge, Metrics, Timing},
         notes::{NoteBook, NoteBookSettings, NoteEntry, SubjectNotes},
     };
--- a/crates/telemetry/src/logs.rs
+++ b/crates/telemetry/src/logs.rs
@@ -1,5 +1,6 @@
 //! Log lines: key=value pairs or JSON, each with its VM and failure domain.
 
+mod bounded;
 mod format;
 mod node;
 mod setup;
@@ -7,5 +8,5 @@
 pub use self::{
     format::{LogLine, LogStyle},
     node::NodeLog,
-    setup::{LogSettings, init_logs},
+    setup::{LogOutput, LogSettings, init_logs, level_filter, set_log_level},
 };
