--- a/crates/entry/src/batch.rs
+++ b/crates/entry/src/batch.rs
@@ -6,6 +6,7 @@
 pub mod ends;
 pub mod intake;
 pub mod item_run;
+pub mod ownership;
 pub mod reads;
 pub mod records;
 pub mod runner;
--- a/crates/entry/src/batch/commits.rs
+++ b/crates/entry/src/batch/commits.rs
@@ -9,7 +9,10 @@
 use notch_types::prelude::*;
 
 use crate::{
-    batch::records::{ChunkOutcome, close_job, read_job, store_results},
+    batch::{
+        ownership,
+        records::{ChunkOutcome, close_job, store_results},
+    },
     constants::STORE_PAUSE,
     node::EntryNode,
     store::feed::jittered,
@@ -70,6 +73,8 @@
     node.runner_wake.notify(usize::MAX);
     if is_closed {
         close(node, job).await;
+    } else if !node.peers.hears_all(node.clock.mono()) {
+        ownership::verify(node, job).await;
     }
 }
 
@@ -96,23 +101,5 @@
         owned.displaced(lines, now);
     }
     node.job_news.notify(usize::MAX);
-    let stored = loop {
-        match read_job(&node.store, job).await {
-            Ok(stored) => break stored,
-            Err(_) => task::sleep(jittered(STORE_PAUSE)).await,
-        }
-    };
-    let owner = stored.as_ref().map_or("", |stored| stored.owner());
-    if owner == node.owner {
-        let is_closed = node.jobs().board.get(job).is_some_and(OwnedJob::is_closed);
-        if is_closed {
-            close(node, job).await;
-        }
-        node.runner_wake.notify(usize::MAX);
-        return;
-    }
-    node.log.warn("job_lost", &[("job", &job), ("owner", &owner)]);
-    let mut desk = node.jobs();
-    desk.give_up_job(job);
-    desk.note_owner(&[job.to_owned()], owner);
+    ownership::verify(node, job).await;
 }
--- a/crates/entry/src/batch/copies.rs
+++ b/crates/entry/src/batch/copies.rs
@@ -14,6 +14,9 @@
     pub total: Option<usize>,
     /// Stored results from the first on. Invariant: a prefix of the job's list.
     pub lines: Vec<Arc<ResultLine>>,
+    /// Results up to the end of an object of the store: only from there on can more be read from
+    /// it. Invariant: at most the number of `lines`.
+    pub chunk_end: usize,
     /// The job as accepted, if a reader needed it.
     pub spec: Option<Arc<JobSpec>>,
     /// Whether the list can't grow any more.
@@ -58,13 +61,18 @@
         self.trim();
     }
 
-    /// Appends lines that stand at `position` and on; those held already are passed over.
-    pub fn extend(&mut self, job: &str, position: usize, lines: &[Arc<ResultLine>]) {
+    /// Appends lines that stand at `position` and on; those held already are passed over. With
+    /// `is_all` the last one ends an object of the store.
+    pub fn extend(&mut self, job: &str, position: usize, lines: &[Arc<ResultLine>], is_all: bool) {
         self.update(job, |copy| {
             let held = copy.lines.len();
-            if position <= held {
-                let new = lines.get(held - position..).unwrap_or_default();
-                copy.lines.extend_from_slice(new);
+            if position > held {
+                return;
+            }
+            let new = lines.get(held - position..).unwrap_or_default();
+            copy.lines.extend_from_slice(new);
+            if is_all {
+                copy.chunk_end = copy.chunk_end.max(position + lines.len());
             }
         });
     }
@@ -75,6 +83,7 @@
             copy.total = Some(job.spec().items.len());
             if copy.lines.len() < job.results().len() {
                 copy.lines = job.results().to_vec();
+                copy.chunk_end = copy.lines.len();
             }
             copy.is_closed = is_closed;
             copy.spec = (!is_closed).then(|| Arc::clone(job.spec()));
--- a/crates/entry/src/batch/reads.rs
+++ b/crates/entry/src/batch/reads.rs
@@ -27,7 +27,7 @@
     /// These stand from the position asked for on; there are `total` items.
     Known { total: usize, lines: Vec<Arc<ResultLine>> },
     /// Nothing new, as far as the job's owner, who is this gateway, knows.
-    OwnedNothing { total: usize },
+    OwnedNothing { total: usize, held: usize },
     /// Another gateway or the store has to be asked.
     Ask(JobCopy),
 }
@@ -45,7 +45,7 @@
         let left = until.since(node.clock.mono());
         match read_state(node, job, after) {
             ReadState::Known { total, lines } => return results_answer(total, after, &lines),
-            ReadState::OwnedNothing { total } => {
+            ReadState::OwnedNothing { total, held } => {
                 if !left.is_zero() {
                     // News or the end of the wait: both lead to another look.
                     let _ = timeout(left, listener).await;
@@ -55,8 +55,11 @@
                     return results_answer(total, after, &[]);
                 }
                 // A gateway out of touch may have taken the job over and listed more.
-                return match stored_results(&node.store, job, after).await {
-                    Ok(lines) => results_answer(total, after, &lines),
+                return match stored_results(&node.store, job, held).await {
+                    Ok(lines) => {
+                        let new = lines.get(after.saturating_sub(held)..).unwrap_or_default();
+                        results_answer(total, after, new)
+                    }
                     Err(_) => unsure(node, job, "store_unavailable"),
                 };
             }
@@ -71,7 +74,7 @@
         let total = owned.spec().items.len();
         let lines = owned.results().get(after..).unwrap_or_default();
         if lines.is_empty() && !owned.is_closed() {
-            return ReadState::OwnedNothing { total };
+            return ReadState::OwnedNothing { total, held: owned.results().len() };
         }
         return ReadState::Known { total, lines: lines.to_vec() };
     }
@@ -112,13 +115,13 @@
         && let Some(news) = ask_owner(node, &owner, job, held, left.min(ASK_WAIT)).await
     {
         let mut desk = node.jobs();
-        desk.copies.extend(job, held, &news);
+        desk.copies.extend(job, held, &news.0, news.1);
         drop(desk);
         return copy_answer(node, job, total, after);
     }
-    match stored_results(&node.store, job, held).await {
+    match stored_results(&node.store, job, copy.chunk_end).await {
         Ok(lines) => {
-            node.jobs().copies.extend(job, held, &lines);
+            node.jobs().copies.extend(job, copy.chunk_end, &lines, true);
             copy_answer(node, job, total, after)
         }
         Err(_) => unsure(node, job, "store_unavailable"),
@@ -148,7 +151,7 @@
     job: &str,
     held: usize,
     wait: Duration,
-) -> Option<Vec<Arc<ResultLine>>> {
+) -> Option<(Vec<Arc<ResultLine>>, bool)> {
     let (call, answer) = node.peers.open_call();
     let message = PeerMessage::JobAsk {
         call,
@@ -164,7 +167,7 @@
     };
     node.peers.close_call(call);
     let news = news.filter(|news| news.is_owner)?;
-    Some(news.lines.into_iter().map(Arc::new).collect())
+    Some((news.lines.into_iter().map(Arc::new).collect(), news.is_all))
 }
 
 /// Answers another gateway's question about a job.
@@ -183,7 +186,7 @@
         let left = until.since(node.clock.mono());
         match read_state(node, job, after) {
             ReadState::Known { total, lines } => break (true, total, lines),
-            ReadState::OwnedNothing { total } if left.is_zero() => {
+            ReadState::OwnedNothing { total, .. } if left.is_zero() => {
                 break (node.peers.hears_all(node.clock.mono()), total, Vec::new());
             }
             ReadState::OwnedNothing { .. } => {
@@ -192,9 +195,11 @@
             ReadState::Ask(_) => break (false, 0, Vec::new()),
         }
     };
+    let known = lines.len();
     let lines = bounded(&lines);
+    let is_all = lines.len() == known;
     let total = total as u64;
-    node.peers.send(peer, PeerMessage::JobNews { call, is_owner, total, lines });
+    node.peers.send(peer, PeerMessage::JobNews { call, is_owner, total, lines, is_all });
 }
 
 fn bounded(lines: &[Arc<ResultLine>]) -> Vec<ResultLine> {
--- a/crates/entry/src/peers/hub.rs
+++ b/crates/entry/src/peers/hub.rs
@@ -13,7 +13,7 @@
 use serde_json::value::RawValue;
 
 use crate::{
-    batch::{ends, reads},
+    batch::{ends, ownership, reads},
     constants::STORE_PAUSE,
     node::EntryNode,
     peers::{
@@ -127,7 +127,7 @@
     match message {
         PeerMessage::Hello { owner, jobs } => {
             node.peers.set_owner(&peer.vm, &owner);
-            node.jobs().note_owner(&jobs, &owner);
+            take_owned(node, &owner, &jobs);
         }
         PeerMessage::Report { uses, configuration, targets } => {
             let now = node.clock.mono();
@@ -147,7 +147,11 @@
         PeerMessage::State { configuration, targets } => {
             take_state(node, peer, configuration, targets);
         }
-        PeerMessage::JobsOwned(jobs) => take_owned(node, peer, &jobs),
+        PeerMessage::JobsOwned(jobs) => {
+            if let Some(owner) = node.peers.owner_of(&peer.vm) {
+                take_owned(node, &owner, &jobs);
+            }
+        }
         PeerMessage::JobClosed(job) => node.jobs().note_closed(&job),
         PeerMessage::JobEnded(job) => ends::take_end(node, &job, "gateway"),
         PeerMessage::JobAsk { call, job, after, wait_ms } => {
@@ -155,9 +159,9 @@
             let vm = peer.vm.clone();
             task::spawn(async move { reads::answer_peer(&node, &vm, call, &job, after, wait_ms).await });
         }
-        PeerMessage::JobNews { call, is_owner, total, lines } => {
+        PeerMessage::JobNews { call, is_owner, total, lines, is_all } => {
             let total = usize::try_from(total).unwrap_or(usize::MAX);
-            node.peers.answer_call(call, JobNews { is_owner, total, lines });
+            node.peers.answer_call(call, JobNews { is_owner, total, lines, is_all });
         }
         PeerMessage::Leaving => {
             node.log.info("gateway_leaves", &[("gateway", &peer.vm)]);
@@ -205,15 +209,17 @@
     }
 }
 
-/// Another gateway owns these jobs now. What runs of them here is stopped: the other runs it.
-fn take_owned(node: &EntryNode, peer: &LinkPeer, jobs: &[String]) {
-    let Some(owner) = node.peers.owner_of(&peer.vm) else { return };
+/// Another gateway says that it owns these jobs. Where we think the same, the store tells who is
+/// right: were the other simply believed, two that meet after a cut could each yield to the other.
+fn take_owned(node: &Arc<EntryNode>, owner: &str, jobs: &[String]) {
     let mut desk = node.jobs();
     for job in jobs {
         if desk.is_owned(job) {
-            node.log.warn("job_lost_to_gateway", &[("job", job), ("owner", &owner)]);
-            desk.give_up_job(job);
+            let node = Arc::clone(node);
+            let job = job.clone();
+            task::spawn(async move { ownership::verify(&node, &job).await });
+        } else {
+            desk.note_owner(std::slice::from_ref(job), owner);
         }
     }
-    desk.note_owner(jobs, &owner);
 }
--- a/crates/entry/src/peers/table.rs
+++ b/crates/entry/src/peers/table.rs
@@ -27,6 +27,8 @@
     pub total: usize,
     /// Results from the position asked for on.
     pub lines: Vec<notch_relay::prelude::ResultLine>,
+    /// Whether these are all that the peer knows.
+    pub is_all: bool,
 }
 
 /// One other gateway.
@@ -173,11 +175,13 @@
     }
 
     /// Whether the gateway that `owner` names may be alive at `now`: a link to it stands, or was
-    /// lost only a moment ago.
+    /// lost only a moment ago. A gateway that is heard of for the first time gets that moment to
+    /// form a link: one that has just started owns jobs before its entry is read here, and taken
+    /// over at once they would have two owners.
     pub fn may_live(&self, owner: &str, now: MonoTime) -> bool {
         let vm = owner.split_once('#').map_or(owner, |(vm, _)| vm);
-        let peers = self.peers();
-        let Some(record) = peers.get(&VmName::new(vm)) else { return false };
+        let mut peers = self.peers();
+        let record = peers.entry(VmName::new(vm)).or_insert_with(|| PeerRecord::new(now));
         let newest = record.owner.as_deref().or(record.entry.as_ref().map(|e| &*e.owner));
         if record.is_leaving || newest.is_some_and(|newest| newest != owner) {
             return false;
--- a/crates/messages/src/peer.rs
+++ b/crates/messages/src/peer.rs
@@ -93,6 +93,9 @@
         total: u64,
         /// Stored results from the position asked for on; the first ones at least.
         lines: Vec<ResultLine>,
+        /// Whether these are all that the sender knows: the list then ends where an object of the
+        /// store ends.
+        is_all: bool,
     },
     /// The sender stops: take its jobs over now.
     Leaving,
