--- a/crates/entry/src/batch/desk.rs
+++ b/crates/entry/src/batch/desk.rs
@@ -6,6 +6,9 @@
 
 use crate::batch::copies::JobCopies;
 
+/// Jobs whose progress is kept until they are taken over, at most: a gateway owns a dozen.
+const HANDED_JOBS: usize = 256;
+
 /// A run of an item that is under way.
 #[derive(Debug)]
 pub struct ItemRunHandle {
@@ -33,6 +36,8 @@
     owners: FastMap<String, String>,
     /// Jobs whose end is stored.
     ended: FastSet<String>,
+    /// What stopping gateways held of their jobs. Invariant: at most [`HANDED_JOBS`] entries.
+    handed: FastMap<String, Vec<HeldProgress>>,
     /// Jobs being taken in or over now.
     busy: FastSet<String>,
 }
@@ -74,6 +79,7 @@
     /// All results of the job are stored: nobody needs to own it any more.
     pub fn note_closed(&mut self, job: &str) {
         self.owners.remove(job);
+        self.handed.remove(job);
     }
 
     /// Marks a job as ended; false when it was already.
@@ -101,6 +107,18 @@
         self.busy.contains(job)
     }
 
+    /// Keeps what a stopping gateway held of a job, until somebody takes the job over.
+    pub fn keep_progress(&mut self, job: &str, items: Vec<HeldProgress>) {
+        if self.handed.len() < HANDED_JOBS {
+            self.handed.insert(job.to_owned(), items);
+        }
+    }
+
+    /// What a stopping gateway held of a job.
+    pub fn take_progress(&mut self, job: &str) -> Vec<HeldProgress> {
+        self.handed.remove(job).unwrap_or_default()
+    }
+
     /// Counts a run; its number.
     pub fn add_run(&mut self, handle: ItemRunHandle) -> u64 {
         self.next_run += 1;
--- a/crates/entry/src/batch/intake.rs
+++ b/crates/entry/src/batch/intake.rs
@@ -56,9 +56,6 @@
     if node.jobs().weight() + spec.weight() > JOB_BYTES {
         return answer(node, id, "jobs_full", OwnAnswer::refused(RETRY_AFTER_START), arrived);
     }
-    if node.stop.is_stopping() {
-        return answer(node, id, "stopping", OwnAnswer::refused(RETRY_AFTER), arrived);
-    }
     // The storing outlives this client's patience: a job whose write got no answer may come to be
     // stored, and then somebody must run it.
     let storing = task::spawn(store_job(Arc::clone(node), spec, record, text.to_owned()));
--- a/crates/entry/src/batch/runner.rs
+++ b/crates/entry/src/batch/runner.rs
@@ -44,7 +44,7 @@
 }
 
 fn start_items(node: &Arc<EntryNode>, now: MonoTime) {
-    if node.stop.is_stopping() {
+    if node.stop.is_handing_over() {
         return;
     }
     let Some(routes) = node.routes() else { return };
--- a/crates/entry/src/batch/takeover.rs
+++ b/crates/entry/src/batch/takeover.rs
@@ -11,6 +11,7 @@
     batch::records::{JOB_KIND, StoredJob, read_end, read_results, read_spec, take_job},
     constants::{ORPHANS_AGAIN, ORPHANS_FIRST, PEER_TICK},
     node::EntryNode,
+    peers::table::OwnerLiveness,
     store::{client::StoreFailure, feed::list_all},
 };
 
@@ -41,12 +42,12 @@
 fn has_orphans(node: &EntryNode, now: MonoTime) -> bool {
     let desk = node.jobs();
     desk.owned_elsewhere().any(|(job, owner)| {
-        owner != node.owner && !desk.is_ended(job) && !node.peers.may_live(owner, now)
+        !desk.is_ended(job) && node.liveness(owner, now) == OwnerLiveness::Gone
     })
 }
 
 /// Takes over jobs whose owner is gone and for which this gateway comes first among those alive;
-/// the number of orphans left to others.
+/// the number of jobs left to others or to time.
 async fn take_orphans(node: &Arc<EntryNode>) -> Result<usize, StoreFailure> {
     let (objects, _) = list_all(&node.store, JOB_KIND).await?;
     let stored: Vec<StoredJob> = objects.iter().filter_map(StoredJob::decode).collect();
@@ -63,9 +64,17 @@
             let desk = node.jobs();
             desk.is_ended(&job.id) || desk.is_owned(&job.id) || desk.is_busy(&job.id)
         };
-        if is_ours || (owner != node.owner && node.peers.may_live(&owner, now)) {
+        if is_ours {
             continue;
         }
+        match node.liveness(&owner, now) {
+            OwnerLiveness::Alive => continue,
+            OwnerLiveness::Doubtful => {
+                left += 1;
+                continue;
+            }
+            OwnerLiveness::Gone => {}
+        }
         if !comes_first(node, &job.id) {
             left += 1;
             continue;
@@ -77,9 +86,18 @@
 
 /// Whether this gateway comes first for the job among those alive: so that two don't both read it.
 fn comes_first(node: &EntryNode, job: &str) -> bool {
-    let weight = |vm: &VmName| stable_hash64(&[job.as_bytes(), vm.as_str().as_bytes()]);
-    let own = weight(&node.config.node.vm);
-    node.peers.live_vms().iter().all(|vm| weight(vm) < own)
+    let own = weight(job, &node.config.node.vm);
+    node.peers.live_vms().iter().all(|vm| weight(job, vm) < own)
+}
+
+/// The other gateway that comes first for the job among those alive.
+pub fn first_for(node: &EntryNode, job: &str) -> Option<VmName> {
+    node.peers.live_vms().into_iter().max_by_key(|vm| weight(job, vm))
+}
+
+/// Weight of a gateway for a job, the same everywhere.
+fn weight(job: &str, vm: &VmName) -> u64 {
+    stable_hash64(&[job.as_bytes(), vm.as_str().as_bytes()])
 }
 
 async fn take_over(node: &Arc<EntryNode>, job: StoredJob) -> Result<(), StoreFailure> {
@@ -103,10 +121,11 @@
         return Ok(());
     }
     let listed = results.len();
-    let owned = OwnedJob::new(spec, results, node.clock.now());
+    let mut owned = OwnedJob::new(spec, results, node.clock.now());
     let is_closed = owned.is_closed();
     {
         let mut desk = node.jobs();
+        owned.adopt_progress(desk.take_progress(id));
         desk.note_closed(id);
         desk.board.add(owned);
     }
--- a/crates/entry/src/constants.rs
+++ b/crates/entry/src/constants.rs
@@ -103,6 +103,11 @@
 /// From the signal to stop until new connections may be refused: the platform takes a VM out after
 /// two questions, a second apart.
 pub const STOP_ACCEPT: Duration = Duration::from_millis(3_500);
+/// From the signal to stop until jobs are left to other gateways: half of their runs end by
+/// themselves meanwhile.
+pub const STOP_JOBS: Duration = Duration::from_millis(2_500);
+/// The same when no other gateway is there to take them: one that restarts may be by then.
+pub const STOP_JOBS_ALONE: Duration = Duration::from_millis(6_700);
 /// From the signal to stop until idle connections are closed.
 pub const STOP_IDLE: Duration = Duration::from_millis(4_500);
 /// From the signal to stop until the process ends whatever runs; it is killed after 8 s.
--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -6,6 +6,7 @@
 use notch_link::prelude::{LinkListener, LinkSecret, LinkSettings};
 use notch_messages::prelude::{NodeRole, PeerMessage};
 use notch_platform_wire::store::{CONFIGURATION_KIND, TARGET_KIND};
+use notch_relay::prelude::OwnedJob;
 use notch_settings::EntryConfig;
 use notch_telemetry::prelude::*;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
@@ -13,7 +14,7 @@
 
 use crate::{
     batch::{ends, runner, takeover},
-    constants::{STOP_ACCEPT, STOP_IDLE, STOP_LONGEST},
+    constants::{STOP_ACCEPT, STOP_IDLE, STOP_JOBS, STOP_JOBS_ALONE, STOP_LONGEST},
     error::EntryError,
     front::{
         connection::serve_client,
@@ -167,18 +168,22 @@
 /// Stops: not ready at once, but everything that still comes is served; jobs are left to the others;
 /// idle connections end last.
 async fn stop(node: &Arc<EntryNode>) {
-    let began = node.clock.mono();
-    node.stop.begin(began);
+    node.stop.begin(node.clock.mono());
     node.metrics.set(Gauge::Leaving, 1);
     node.log.info("stopping", &[("active", &node.stop.active())]);
-    leave_jobs(node);
+    let mut jobs_left = false;
     loop {
         task::sleep(STOP_TICK).await;
         let age = node.stop.age(node.clock.mono());
+        let has_heirs = !node.peers.live_vms().is_empty();
+        if !jobs_left && (age >= STOP_JOBS_ALONE || (has_heirs && age >= STOP_JOBS)) {
+            leave_jobs(node).await;
+            jobs_left = true;
+        }
         if age >= STOP_IDLE {
             node.stop.end_idle();
         }
-        let is_quiet = node.stop.active() == 0;
+        let is_quiet = node.stop.active() == 0 && (jobs_left || node.jobs().board.is_idle());
         if age >= STOP_LONGEST || (is_quiet && age >= STOP_IDLE.max(STOP_ACCEPT)) {
             break;
         }
@@ -188,14 +193,29 @@
     task::sleep(STOP_TICK).await;
 }
 
-/// Gives the jobs to the other gateways: they take them over at once instead of after a silence.
-fn leave_jobs(node: &EntryNode) {
-    let mut desk = node.jobs();
-    let jobs = desk.board.ids();
+/// Leaves the jobs to the other gateways, which take them over at once instead of after a silence,
+/// and go on from what their items' runs brought so far.
+async fn leave_jobs(node: &EntryNode) {
+    node.stop.hand_over();
+    let jobs = {
+        let mut desk = node.jobs();
+        let jobs = desk.board.ids();
+        for job in &jobs {
+            desk.cancel_runs(job);
+        }
+        jobs
+    };
+    // Runs that were cancelled hand in their progress.
+    task::sleep(STOP_TICK).await;
     for job in &jobs {
-        desk.give_up_job(job);
+        let held = node.jobs().board.get(job).map(OwnedJob::progress);
+        if let Some(items) = held.filter(|items| !items.is_empty())
+            && let Some(heir) = takeover::first_for(node, job)
+        {
+            node.peers.send(&heir, PeerMessage::JobProgress { job: job.clone(), items });
+        }
+        node.jobs().give_up_job(job);
     }
-    drop(desk);
     node.peers.broadcast(&PeerMessage::Leaving);
     node.log.info("jobs_left", &[("count", &jobs.len())]);
 }
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -16,7 +16,7 @@
 use crate::{
     batch::desk::JobDesk,
     clock::NodeClock,
-    peers::table::PeerTable,
+    peers::table::{OwnerLiveness, PeerTable},
     stop::StopState,
     store::{
         client::StoreClient,
@@ -207,6 +207,15 @@
         self.runner_wake.notify(usize::MAX);
     }
 
+    /// Whether the gateway that `owner` names is there; an earlier incarnation of this one isn't.
+    pub fn liveness(&self, owner: &str, now: MonoTime) -> OwnerLiveness {
+        if owner == self.owner {
+            return OwnerLiveness::Alive;
+        }
+        let is_own_vm = owner.split_once('#').is_some_and(|(vm, _)| vm == self.config.node.vm.as_str());
+        if is_own_vm { OwnerLiveness::Gone } else { self.peers.liveness(owner, now) }
+    }
+
     /// Entries that lapsed in an outage and didn't come back are gone.
     pub fn apply_lapsed(&self, changes: Vec<TargetChange>, revision: u64) {
         if !changes.is_empty() {
--- a/crates/entry/src/peers/hub.rs
+++ b/crates/entry/src/peers/hub.rs
@@ -163,6 +163,7 @@
             let total = usize::try_from(total).unwrap_or(usize::MAX);
             node.peers.answer_call(call, JobNews { is_owner, total, lines, is_all });
         }
+        PeerMessage::JobProgress { job, items } => node.jobs().keep_progress(&job, items),
         PeerMessage::Leaving => {
             node.log.info("gateway_leaves", &[("gateway", &peer.vm)]);
             node.peers.set_leaving(&peer.vm);
--- a/crates/entry/src/peers/table.rs
+++ b/crates/entry/src/peers/table.rs
@@ -31,6 +31,17 @@
     pub is_all: bool,
 }
 
+/// Whether a job's owner is there.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OwnerLiveness {
+    /// A link to it stands.
+    Alive,
+    /// There is no link, but not for long.
+    Doubtful,
+    /// It restarted, stops, or has had no link for long.
+    Gone,
+}
+
 /// One other gateway.
 #[derive(Debug)]
 struct PeerRecord {
@@ -174,19 +185,23 @@
         self.peers().values().filter(|record| record.link.is_some()).count()
     }
 
-    /// Whether the gateway that `owner` names may be alive at `now`: a link to it stands, or was
-    /// lost only a moment ago. A gateway that is heard of for the first time gets that moment to
-    /// form a link: one that has just started owns jobs before its entry is read here, and taken
-    /// over at once they would have two owners.
-    pub fn may_live(&self, owner: &str, now: MonoTime) -> bool {
+    /// Whether the gateway that `owner` names is alive at `now`. One without a link is doubtful for
+    /// a moment, also when it's heard of for the first time: a gateway that has just started owns
+    /// jobs before its entry is read here, and taken over at once they would have two owners.
+    pub fn liveness(&self, owner: &str, now: MonoTime) -> OwnerLiveness {
         let vm = owner.split_once('#').map_or(owner, |(vm, _)| vm);
         let mut peers = self.peers();
         let record = peers.entry(VmName::new(vm)).or_insert_with(|| PeerRecord::new(now));
         let newest = record.owner.as_deref().or(record.entry.as_ref().map(|e| &*e.owner));
         if record.is_leaving || newest.is_some_and(|newest| newest != owner) {
-            return false;
+            OwnerLiveness::Gone
+        } else if record.link.is_some() {
+            OwnerLiveness::Alive
+        } else if now.since(record.down_since) < PEER_DEAD {
+            OwnerLiveness::Doubtful
+        } else {
+            OwnerLiveness::Gone
         }
-        record.link.is_some() || now.since(record.down_since) < PEER_DEAD
     }
 
     /// Names of gateways that take jobs over: those with a link that don't stop.
--- a/crates/entry/src/stop.rs
+++ b/crates/entry/src/stop.rs
@@ -3,7 +3,7 @@
 use std::{
     sync::{
         Mutex, PoisonError,
-        atomic::{AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -19,7 +19,9 @@
     active: AtomicUsize,
     /// Tells idle connections to end.
     idle_over: Event,
-    is_idle_over: std::sync::atomic::AtomicBool,
+    is_idle_over: AtomicBool,
+    /// Jobs are being left to other gateways: no item starts any more.
+    is_handing_over: AtomicBool,
 }
 
 /// Counts one request for as long as it lives.
@@ -61,6 +63,16 @@
         self.active.load(Ordering::Acquire)
     }
 
+    /// Begins to leave the jobs to other gateways.
+    pub fn hand_over(&self) {
+        self.is_handing_over.store(true, Ordering::Release);
+    }
+
+    /// Whether the jobs are being left to other gateways.
+    pub fn is_handing_over(&self) -> bool {
+        self.is_handing_over.load(Ordering::Acquire)
+    }
+
     /// Ends idle connections, now and from now on.
     pub fn end_idle(&self) {
         self.is_idle_over.store(true, Ordering::Release);
--- a/crates/messages/src/peer.rs
+++ b/crates/messages/src/peer.rs
@@ -1,6 +1,6 @@
 //! Between gateways that relay straight to targets.
 
-use notch_relay::prelude::{ResultLine, TargetEntry};
+use notch_relay::prelude::{HeldProgress, ResultLine, TargetEntry};
 use notch_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
@@ -97,6 +97,13 @@
         /// store ends.
         is_all: bool,
     },
+    /// What the sender holds of a job's items, before it leaves the job to others.
+    JobProgress {
+        /// The job.
+        job: String,
+        /// Items that haven't ended.
+        items: Vec<HeldProgress>,
+    },
     /// The sender stops: take its jobs over now.
     Leaving,
 }
--- a/crates/relay/src/jobs/owned.rs
+++ b/crates/relay/src/jobs/owned.rs
@@ -3,6 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use notch_types::prelude::*;
+use serde::{Deserialize, Serialize};
 
 use crate::jobs::{
     result::{ItemState, ResultLine},
@@ -20,6 +21,18 @@
 /// Added to an item's lifetime before it is given up, for wall clocks of two VMs that differ.
 const LIFETIME_MARGIN: Duration = Duration::from_secs(3);
 
+/// What is held of an item that hasn't ended.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeldProgress {
+    /// The item.
+    pub item: String,
+    /// Id of the last event held.
+    pub last_event: u64,
+    /// Data of the events held, joined by line feeds.
+    #[serde(with = "serde_bytes")]
+    pub output: Vec<u8>,
+}
+
 /// How a run of an item ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ItemEnd {
@@ -169,6 +182,31 @@
         item.breaks = 0;
     }
 
+    /// What is held of items that haven't ended, for another gateway that goes on with the job.
+    pub fn progress(&self) -> Vec<HeldProgress> {
+        let items = self.items.iter().zip(&self.spec.items);
+        let held = items.filter_map(|(item, spec)| {
+            let last_event = item.last_event.filter(|_| item.phase != ItemPhase::Ended)?;
+            let output = item.output.clone();
+            Some(HeldProgress { item: spec.id.clone(), last_event, output })
+        });
+        held.collect()
+    }
+
+    /// Goes on from what another gateway held. Only items that have none of their own take it.
+    pub fn adopt_progress(&mut self, progress: Vec<HeldProgress>) {
+        for held in progress {
+            let Some(index) = self.spec.items.iter().position(|item| item.id == held.item) else {
+                continue;
+            };
+            let item = &mut self.items[index];
+            if item.last_event.is_none() && matches!(item.phase, ItemPhase::Waiting(_)) {
+                item.last_event = Some(held.last_event);
+                item.output = held.output;
+            }
+        }
+    }
+
     /// A run of an item ended.
     pub fn end_item(&mut self, index: usize, end: &ItemEnd, now: MonoTime) {
         let attempts = self.spec.terms.max_attempts;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -12,7 +12,7 @@
     pub use crate::{
         jobs::{
             board::{ItemStart, JobBoard},
-            owned::{ItemEnd, OwnedJob},
+            owned::{HeldProgress, ItemEnd, OwnedJob},
             result::{ItemState, ResultLine},
             spec::{ItemSpec, JobSpec, JobTerms},
         },
