--- a/crates/entry/src/batch/ends.rs
+++ b/crates/entry/src/batch/ends.rs
@@ -74,16 +74,9 @@
     .await;
 }
 
-fn answer(
-    node: &EntryNode,
-    job: &str,
-    outcome: &'static str,
-    answer: OwnAnswer,
-) -> OwnAnswer {
+fn answer(node: &EntryNode, job: &str, outcome: &'static str, answer: OwnAnswer) -> OwnAnswer {
     node.metrics.count(Counter::Event(outcome));
-    node.log.info(
-        "job_end_asked",
-        &[("job", &job), ("outcome", &outcome), ("status", &answer.status)],
-    );
+    node.log
+        .info("job_end_asked", &[("job", &job), ("outcome", &outcome), ("status", &answer.status)]);
     answer
 }
--- a/crates/entry/src/batch/item_run.rs
+++ b/crates/entry/src/batch/item_run.rs
@@ -114,8 +114,7 @@
     progress: &mut RunProgress,
 ) -> Result<u16, AttemptFailure> {
     let mut connection = node.pool.connect(&choice.id, choice.address, false).await?;
-    let bytes =
-        item_request(&start.item, &start.host, &choice.id, ITEM_TIME, progress.last_event);
+    let bytes = item_request(&start.item, &start.host, &choice.id, ITEM_TIME, progress.last_event);
     let head = connection.exchange(&bytes, Some(&start.item.id), ITEM_FIRST_BYTE).await?;
     node.targets().note_alive(&choice.id);
     let framing = head.framing().map_err(|_| AttemptFailure::SpoiledAnswer)?;
--- a/crates/entry/src/batch/reads.rs
+++ b/crates/entry/src/batch/reads.rs
@@ -129,10 +129,7 @@
 }
 
 /// Reads a job from the store, and keeps what readers need of it: its owner and its items.
-async fn learn_job(
-    node: &EntryNode,
-    job: &str,
-) -> Result<Option<(String, usize)>, StoreFailure> {
+async fn learn_job(node: &EntryNode, job: &str) -> Result<Option<(String, usize)>, StoreFailure> {
     let Some(stored) = read_job(&node.store, job).await? else { return Ok(None) };
     let spec = Arc::new(read_spec(&node.store, &stored).await?);
     let owner = stored.owner().to_owned();
--- a/crates/entry/src/batch/runner.rs
+++ b/crates/entry/src/batch/runner.rs
@@ -59,8 +59,7 @@
             return;
         };
         let service = route.service_for(rand::random());
-        let choice =
-            node.targets().choose(service, WorkKind::Batch, &[], now, EntryNode::draw);
+        let choice = node.targets().choose(service, WorkKind::Batch, &[], now, EntryNode::draw);
         let Some(choice) = choice else { return };
         let Some(start) = desk.board.start_item(&job, index) else { return };
         let (cancel, cancelled) = async_channel::bounded(1);
--- a/crates/entry/src/batch/takeover.rs
+++ b/crates/entry/src/batch/takeover.rs
@@ -41,9 +41,8 @@
 /// Whether a job that another gateway told of has lost its owner.
 fn has_orphans(node: &EntryNode, now: MonoTime) -> bool {
     let desk = node.jobs();
-    desk.owned_elsewhere().any(|(job, owner)| {
-        !desk.is_ended(job) && node.liveness(owner, now) == OwnerLiveness::Gone
-    })
+    desk.owned_elsewhere()
+        .any(|(job, owner)| !desk.is_ended(job) && node.liveness(owner, now) == OwnerLiveness::Gone)
 }
 
 /// Takes over jobs whose owner is gone and for which this gateway comes first among those alive;
--- a/crates/entry/src/front/connection.rs
+++ b/crates/entry/src/front/connection.rs
@@ -47,7 +47,8 @@
 
 /// Serves one client's connection to its end.
 pub async fn serve_client(node: Arc<EntryNode>, stream: TcpStream) {
-    let mut client = ClientConnection { node: &node, reader: WireReader::new(stream.clone()), stream };
+    let mut client =
+        ClientConnection { node: &node, reader: WireReader::new(stream.clone()), stream };
     while client.await_request().await {
         if !client.serve_request().await {
             return;
@@ -96,9 +97,7 @@
         };
         let keep = head.keep_alive && !self.node.stop.is_stopping();
         let answer = match ClientCall::decode(&head) {
-            ClientCall::Ready => {
-                OwnAnswer::of(if self.node.is_ready() { 200 } else { 503 })
-            }
+            ClientCall::Ready => OwnAnswer::of(if self.node.is_ready() { 200 } else { 503 }),
             ClientCall::ReadJob { job, after, wait } => {
                 reads::read_results(self.node, &job, after, wait).await
             }
--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -86,10 +86,7 @@
     task::spawn(clean(Arc::clone(node)));
 }
 
-async fn start_listeners(
-    node: &Arc<EntryNode>,
-    settings: LinkSettings,
-) -> Result<(), EntryError> {
+async fn start_listeners(node: &Arc<EntryNode>, settings: LinkSettings) -> Result<(), EntryError> {
     let listen_at = &node.config.listen;
     let links = LinkListener::start(listen_at.links, settings, hub::link_sink(node)).await;
     // It lives as long as the process.
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -3,10 +3,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 
 use event_listener::Event;
-use notch_platform_wire::{
-    prelude::StoreObject,
-    target::decode_entry,
-};
+use notch_platform_wire::{prelude::StoreObject, target::decode_entry};
 use notch_relay::prelude::*;
 use notch_settings::EntryConfig;
 use notch_telemetry::prelude::*;
@@ -141,10 +138,7 @@
                 self.runner_wake.notify(usize::MAX);
             }
             Err(error) => {
-                self.log.error(
-                    "configuration_refused",
-                    &[("reason", &error), ("source", &source)],
-                );
+                self.log.error("configuration_refused", &[("reason", &error), ("source", &source)]);
             }
         }
     }
@@ -212,7 +206,8 @@
         if owner == self.owner {
             return OwnerLiveness::Alive;
         }
-        let is_own_vm = owner.split_once('#').is_some_and(|(vm, _)| vm == self.config.node.vm.as_str());
+        let is_own_vm =
+            owner.split_once('#').is_some_and(|(vm, _)| vm == self.config.node.vm.as_str());
         if is_own_vm { OwnerLiveness::Gone } else { self.peers.liveness(owner, now) }
     }
 
--- a/crates/entry/src/online/relay.rs
+++ b/crates/entry/src/online/relay.rs
@@ -4,7 +4,7 @@
 
 use async_std::{future::timeout, net::TcpStream, task};
 use notch_h1::prelude::*;
-use notch_platform_wire::{client::own_answer, target::relayed_request, target::relayed_answer};
+use notch_platform_wire::{client::own_answer, target::relayed_answer, target::relayed_request};
 use notch_relay::prelude::*;
 use notch_telemetry::prelude::*;
 use notch_types::prelude::*;
--- a/crates/entry/src/peers/hub.rs
+++ b/crates/entry/src/peers/hub.rs
@@ -157,7 +157,9 @@
         PeerMessage::JobAsk { call, job, after, wait_ms } => {
             let node = Arc::clone(node);
             let vm = peer.vm.clone();
-            task::spawn(async move { reads::answer_peer(&node, &vm, call, &job, after, wait_ms).await });
+            task::spawn(
+                async move { reads::answer_peer(&node, &vm, call, &job, after, wait_ms).await },
+            );
         }
         PeerMessage::JobNews { call, is_owner, total, lines, is_all } => {
             let total = usize::try_from(total).unwrap_or(usize::MAX);
@@ -191,10 +193,7 @@
             Ok(spec) => node.take_configuration(&spec, peer.vm.as_str()),
             Err(error) => {
                 let source = peer.vm.as_str();
-                node.log.error(
-                    "configuration_refused",
-                    &[("reason", &error), ("source", &source)],
-                );
+                node.log.error("configuration_refused", &[("reason", &error), ("source", &source)]);
             }
         }
     }
@@ -202,8 +201,8 @@
         let now = node.clock.mono();
         let entries = snapshot.targets.into_iter().map(|t| (t.entry, t.revision)).collect();
         let mut feed = node.target_feed();
-        let lapsed_until = node.store.outage().lapsed_until();
-        let changes = feed.take_list(entries, snapshot.as_of, lapsed_until, now);
+        // A gateway that still waits for lapsed entries lists them: what it doesn't list has left.
+        let changes = feed.take_list(entries, snapshot.as_of, MonoTime::default(), now);
         let revision = feed.revision();
         drop(feed);
         node.apply_target_changes(changes, peer.vm.as_str(), revision);
--- a/crates/entry/src/peers/table.rs
+++ b/crates/entry/src/peers/table.rs
@@ -214,8 +214,7 @@
     /// Whether every known gateway was heard of a moment ago. While one isn't, it may have taken
     /// jobs of ours over.
     pub fn hears_all(&self, now: MonoTime) -> bool {
-        let doubtful =
-            |r: &PeerRecord| r.link.is_none() && now.since(r.down_since) >= OWNER_DOUBT;
+        let doubtful = |r: &PeerRecord| r.link.is_none() && now.since(r.down_since) >= OWNER_DOUBT;
         !self.peers().values().any(doubtful)
     }
 
--- a/crates/entry/src/store/target.rs
+++ b/crates/entry/src/store/target.rs
@@ -12,6 +12,15 @@
     entry: Option<TargetEntry>,
 }
 
+/// An entry that went missing after an outage of the store.
+#[derive(Debug, Clone, Copy)]
+struct LapsingEntry {
+    /// When it counts as gone.
+    until: MonoTime,
+    /// Revision at which it was missing.
+    as_of: u64,
+}
+
 /// A change for the table of targets.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum TargetChange {
@@ -35,7 +44,7 @@
     /// Whether a whole list was taken.
     is_whole: bool,
     /// Entries that went missing after an outage of the store, and when they count as gone.
-    lapsing: FastMap<String, MonoTime>,
+    lapsing: FastMap<String, LapsingEntry>,
 }
 
 impl TargetFeed {
@@ -74,14 +83,18 @@
         if known.revision >= as_of || known.entry.is_none() {
             return None;
         }
-        known.revision = as_of;
-        self.revision = self.revision.max(as_of);
         let was_ready = known.entry.as_ref().is_some_and(|e| e.state == TargetState::Ready);
         if now < lapsed_until && was_ready {
-            self.lapsing.insert(id.to_owned(), lapsed_until);
+            // Its revision stays: passed on as a newer word, it would bring the target back on
+            // gateways that know it has left.
+            let lapse = LapsingEntry { until: lapsed_until, as_of };
+            self.lapsing.entry(id.to_owned()).or_insert(lapse);
             return None;
         }
+        known.revision = as_of;
         known.entry = None;
+        self.lapsing.remove(id);
+        self.revision = self.revision.max(as_of);
         Some(TargetChange::Remove(id.to_owned()))
     }
 
@@ -107,15 +120,12 @@
 
     /// Entries whose time to come back is over.
     pub fn expire(&mut self, now: MonoTime) -> Vec<TargetChange> {
-        let over = self.lapsing.iter().filter(|(_, until)| **until <= now);
-        let over: Vec<String> = over.map(|(id, _)| id.clone()).collect();
-        for id in &over {
-            self.lapsing.remove(id);
-            if let Some(known) = self.known.get_mut(id) {
-                known.entry = None;
-            }
-        }
-        over.into_iter().map(TargetChange::Remove).collect()
+        let over = self.lapsing.iter().filter(|(_, lapse)| lapse.until <= now);
+        let over: Vec<(String, u64)> = over.map(|(id, lapse)| (id.clone(), lapse.as_of)).collect();
+        let gone = over
+            .into_iter()
+            .filter_map(|(id, as_of)| self.remove(&id, as_of, MonoTime::default(), now));
+        gone.collect()
     }
 
     /// Everything known, for a gateway that lags.
--- a/crates/entry/src/target/pool.rs
+++ b/crates/entry/src/target/pool.rs
@@ -66,7 +66,11 @@
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let list = idle.entry(id.to_owned()).or_default();
         if list.len() < IDLE_PER_TARGET && !lifetime.is_zero() {
-            list.push(IdleConnection { reader: connection.reader, since: Instant::now(), lifetime });
+            list.push(IdleConnection {
+                reader: connection.reader,
+                since: Instant::now(),
+                lifetime,
+            });
         }
     }
 
--- a/crates/h1/src/head.rs
+++ b/crates/h1/src/head.rs
@@ -1,10 +1,6 @@
 //! Heads of requests and responses.
 
-use crate::{
-    body::BodyFraming,
-    error::WireError,
-    headers::HeaderList,
-};
+use crate::{body::BodyFraming, error::WireError, headers::HeaderList};
 
 /// Headers of one message, at most.
 pub(crate) const MAX_HEADERS: usize = 96;
--- a/crates/h1/src/reader.rs
+++ b/crates/h1/src/reader.rs
@@ -79,7 +79,10 @@
     ///
     /// # Errors
     /// `TooLarge` over `max_bytes`, `Malformed`, `Closed` in its middle, `Io`.
-    pub async fn request_head(&mut self, max_bytes: usize) -> Result<Option<RequestHead>, WireError> {
+    pub async fn request_head(
+        &mut self,
+        max_bytes: usize,
+    ) -> Result<Option<RequestHead>, WireError> {
         loop {
             if let Some(head) = self.parse_request()? {
                 return Ok(Some(head));
--- a/crates/relay/src/jobs/owned.rs
+++ b/crates/relay/src/jobs/owned.rs
@@ -328,8 +328,7 @@
 
 impl ItemProgress {
     fn new(listed: bool) -> Self {
-        let phase =
-            if listed { ItemPhase::Ended } else { ItemPhase::Waiting(MonoTime::default()) };
+        let phase = if listed { ItemPhase::Ended } else { ItemPhase::Waiting(MonoTime::default()) };
         Self { phase, failures: 0, breaks: 0, last_event: None, output: Vec::new() }
     }
 }
--- a/crates/settings/src/entry_config.rs
+++ b/crates/settings/src/entry_config.rs
@@ -6,9 +6,7 @@
 use crate::{
     error::SettingsErrors,
     file::{FieldVisitor, SettingsFile},
-    sections::{
-        EntryListenSettings, LinkSettings, LoggingSettings, NodeSettings, StoreSettings,
-    },
+    sections::{EntryListenSettings, LinkSettings, LoggingSettings, NodeSettings, StoreSettings},
 };
 
 /// Everything a relaying gateway is set to.
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -8,7 +8,10 @@
 /// The types nearly every user of this crate needs.
 pub mod prelude {
     pub use crate::{
-        logs::{LogLine, LogOutput, LogSettings, LogStyle, NodeLog, init_logs, level_filter, set_log_level},
+        logs::{
+            LogLine, LogOutput, LogSettings, LogStyle, NodeLog, init_logs, level_filter,
+            set_log_level,
+        },
         metrics::{Gauge, Metrics, Timing},
         notes::{NoteBook, NoteBookSettings, NoteEntry, SubjectNotes},
     };
