--- a/crates/entry/src/batch/runner.rs
+++ b/crates/entry/src/batch/runner.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     batch::{commits, desk::ItemRunHandle, item_run::run_item},
-    constants::{OBJECT_BYTES, RESULT_DELAY, RUNNER_TICK, STARTS_PER_PASS},
+    constants::{OBJECT_BYTES, PREEMPT_AGE, RESULT_DELAY, RUNNER_TICK, STARTS_PER_PASS},
     node::EntryNode,
 };
 
@@ -26,7 +26,7 @@
         let now = node.clock.mono();
         give_up_items(&node, now);
         start_items(&node, now);
-        make_room(&node);
+        make_room(&node, now);
         store_results(&node, now);
     }
 }
@@ -70,26 +70,35 @@
     }
 }
 
-/// Breaks off one item at each target with more requests than places, the one that began last:
-/// engines take requests first come first served, so an online request may wait behind it.
-fn make_room(node: &EntryNode) {
+/// Breaks off items at targets with more requests than places, those that began last: engines take
+/// requests first come first served, so online requests may wait behind them.
+fn make_room(node: &EntryNode, now: MonoTime) {
     let desk = node.jobs();
     let targets = node.targets();
-    let mut over_full: FastMap<&str, (MonoTime, u64)> = FastMap::default();
-    for (number, run) in &desk.runs {
-        if run.cancel.is_closed() || !targets.is_over_full(&run.target) {
-            continue;
-        }
-        let newest = over_full.entry(&run.target).or_insert((run.since, *number));
-        *newest = (*newest).max((run.since, *number));
+    let mut runs: FastMap<&str, Vec<&ItemRunHandle>> = FastMap::default();
+    for run in desk.runs.values().filter(|run| !run.cancel.is_closed()) {
+        runs.entry(&run.target).or_default().push(run);
     }
-    for (_, number) in over_full.values() {
-        if let Some(run) = desk.runs.get(number) {
+    for (target, mut list) in runs {
+        let count = targets.items_to_preempt(target, EntryNode::draw) as usize;
+        list.retain(|run| now.since(run.since) >= PREEMPT_AGE);
+        list.sort_by_key(|run| std::cmp::Reverse(run.since));
+        for run in list.into_iter().take(count) {
             run.cancel.close();
         }
     }
 }
 
+/// Breaks off the item that began last at `target`: an online request was sent there that finds no
+/// place free. Waiting for the next pass would add up to [`RUNNER_TICK`] to its first event.
+pub fn yield_place(node: &EntryNode, target: &str) {
+    let desk = node.jobs();
+    let runs = desk.runs.values().filter(|run| run.target == target && !run.cancel.is_closed());
+    if let Some(run) = runs.max_by_key(|run| run.since) {
+        run.cancel.close();
+    }
+}
+
 fn store_results(node: &Arc<EntryNode>, now: MonoTime) {
     let mut desk = node.jobs();
     for id in desk.board.ids() {
--- a/crates/entry/src/constants.rs
+++ b/crates/entry/src/constants.rs
@@ -89,6 +89,9 @@
 pub const COPY_BYTES: usize = 12 << 20;
 /// Items started in one pass of the runner, at most, so that reports go out between passes.
 pub const STARTS_PER_PASS: usize = 6;
+/// An item runs at least this long before it's broken off for online work: what the others report
+/// of a target is that old, and a start costs a prompt's reading.
+pub const PREEMPT_AGE: Duration = Duration::from_millis(200);
 /// Pause between passes of the runner while items wait for places.
 pub const RUNNER_TICK: Duration = Duration::from_millis(40);
 /// Pause of an item that found its target full or gone.
--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -139,6 +139,7 @@
             (feed.expire(now), feed.revision())
         };
         node.apply_lapsed(gone, revision);
+        share_out_targets(&node);
         let known: Vec<String> = node.targets().ids().map(str::to_owned).collect();
         node.pool.clean(|id| known.iter().any(|k| k == id));
         node.metrics.set(Gauge::GatewayLinks, node.peers.link_count() as i64);
@@ -148,6 +149,13 @@
     }
 }
 
+fn share_out_targets(node: &EntryNode) {
+    let own = node.config.node.vm.as_str();
+    let mut gateways = node.peers.live_domains();
+    gateways.push((own.to_owned(), node.config.node.domain.as_str().to_owned()));
+    node.targets().share_out(own, &gateways);
+}
+
 fn reload(node: &EntryNode, path: &std::path::Path) {
     match EntryConfig::load(path) {
         Ok(config) => {
--- a/crates/entry/src/online/relay.rs
+++ b/crates/entry/src/online/relay.rs
@@ -10,6 +10,7 @@
 use notch_types::prelude::*;
 
 use crate::{
+    batch::runner,
     constants::{
         ANSWER_BODY_BYTES, FIRST_BYTE_FREE, FIRST_BYTE_QUEUED, NO_PLACE_LONGEST, NO_PLACE_PAUSE,
         NOT_RUN_TRIES, RETRY_AFTER,
@@ -60,7 +61,8 @@
     avoid: Vec<String>,
     /// What failed, for the log.
     failures: Vec<String>,
-    last_target: String,
+    /// The target chosen last, with what was known of it: own and reported requests there.
+    last_choice: Option<TargetChoice>,
 }
 
 impl<'a> RequestRelay<'a> {
@@ -85,7 +87,7 @@
             not_run: 0,
             avoid: Vec::new(),
             failures: Vec::new(),
-            last_target: String::new(),
+            last_choice: None,
         }
     }
 
@@ -108,7 +110,7 @@
                 continue;
             };
             searching_since = None;
-            self.last_target.clone_from(&choice.id);
+            self.last_choice = Some(choice.clone());
             match self.attempt(&choice).await {
                 Ok(AttemptEnd::Whole(status)) => {
                     self.log_end("answered", status);
@@ -150,12 +152,16 @@
 
     fn choose(&mut self, now: MonoTime) -> Option<TargetChoice> {
         let mut targets = self.node.targets();
-        let choice =
+        let mut choice =
             targets.choose(&self.service, WorkKind::Online, &self.avoid, now, EntryNode::draw);
-        if choice.is_some() || self.avoid.is_empty() {
-            return choice;
+        if choice.is_none() && !self.avoid.is_empty() {
+            choice = targets.choose(&self.service, WorkKind::Online, &[], now, EntryNode::draw);
         }
-        targets.choose(&self.service, WorkKind::Online, &[], now, EntryNode::draw)
+        drop(targets);
+        if let Some(choice) = choice.as_ref().filter(|choice| !choice.place_free) {
+            runner::yield_place(self.node, &choice.id);
+        }
+        choice
     }
 
     async fn attempt(&mut self, choice: &TargetChoice) -> Result<AttemptEnd, AttemptFailure> {
@@ -236,7 +242,8 @@
             RunVerdict::Unknown => self.unknown += 1,
         }
         self.avoid.push(choice.id.clone());
-        self.failures.push(format!("{}:{}", choice.id, failure.code()));
+        let TargetChoice { id, own_load, reported_load, .. } = choice;
+        self.failures.push(format!("{id}:{}:{own_load}+{reported_load}", failure.code()));
         self.node.metrics.count(Counter::Event(failure.code()));
     }
 
@@ -283,6 +290,10 @@
         let attempt = self.request.attempt().unwrap_or("-");
         let first_ms = first.map_or(-1, |f| f.as_millis() as i64);
         let failures = self.failures.join(",");
+        let choice = self.last_choice.as_ref();
+        let target = choice.map_or("-", |c| &c.id);
+        let own_load = choice.map_or(0, |c| c.own_load);
+        let reported_load = choice.map_or(0, |c| c.reported_load);
         self.node.log.info(
             "request_ended",
             &[
@@ -291,7 +302,9 @@
                 ("configuration", &self.request.configuration),
                 ("outcome", &outcome),
                 ("status", &status),
-                ("target", &self.last_target),
+                ("target", &target),
+                ("own_load", &own_load),
+                ("reported_load", &reported_load),
                 ("failures", &failures),
                 ("last_event", &self.last_event.map_or(-1, |id| id as i64)),
                 ("first_ms", &first_ms),
--- a/crates/entry/src/peers/table.rs
+++ b/crates/entry/src/peers/table.rs
@@ -211,6 +211,17 @@
         live.map(|(vm, _)| vm.clone()).collect()
     }
 
+    /// Gateways with a link that don't stop, each with its failure domain.
+    pub fn live_domains(&self) -> Vec<(String, String)> {
+        let peers = self.peers();
+        let live = peers.iter().filter(|(_, r)| r.link.is_some() && !r.is_leaving);
+        let named = live.filter_map(|(vm, r)| {
+            let entry = r.entry.as_ref()?;
+            Some((vm.as_str().to_owned(), entry.domain.clone()))
+        });
+        named.collect()
+    }
+
     /// Whether every known gateway was heard of a moment ago. While one isn't, it may have taken
     /// jobs of ours over.
     pub fn hears_all(&self, now: MonoTime) -> bool {
--- a/crates/gateway/src/wiring.rs
+++ b/crates/gateway/src/wiring.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use log::LevelFilter;
 use notch_catalogue::CatalogueSettings;
 use notch_http::prelude::ServerLimits;
 use notch_jobs::prelude::JobSettings;
@@ -12,8 +11,7 @@
 use notch_messages::prelude::NodeRole;
 use notch_placement::prelude::{LeaseSettings, PlannerSettings};
 use notch_routing::RouterSettings;
-use notch_settings::prelude::{GatewayConfig, LogFormat, LogLevel};
-use notch_telemetry::prelude::{LogSettings, LogStyle};
+use notch_settings::prelude::GatewayConfig;
 use notch_types::prelude::*;
 
 /// Longest time for one request, the upload of a large job over a slow line included.
--- a/crates/relay/src/jobs/owned.rs
+++ b/crates/relay/src/jobs/owned.rs
@@ -15,6 +15,8 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// Wait after a target turned an item away: it was thought to have a place.
 const NOT_RUN_PAUSE: Duration = Duration::from_millis(100);
+/// Wait after an item was broken off for online work: a crest of requests lasts longer than that.
+const PREEMPTED_PAUSE: Duration = Duration::from_millis(200);
 /// Doublings of the wait after runs that broke off without an event, up to 10 s. An item that
 /// crashes each target that runs it would otherwise take down the fleet, one target after another.
 const BREAK_DOUBLINGS: u32 = 6;
@@ -234,7 +236,7 @@
                 item.phase = ItemPhase::Waiting(now + RETRY_PAUSE * 2_u32.pow(doublings));
             }
             ItemEnd::NotRun => item.phase = ItemPhase::Waiting(now + NOT_RUN_PAUSE),
-            ItemEnd::Preempted => item.phase = ItemPhase::Waiting(now),
+            ItemEnd::Preempted => item.phase = ItemPhase::Waiting(now + PREEMPTED_PAUSE),
         }
     }
 
--- a/crates/relay/src/targets/choice.rs
+++ b/crates/relay/src/targets/choice.rs
@@ -20,4 +20,10 @@
     pub address: SocketAddr,
     /// Whether a place was free there as far as is known.
     pub place_free: bool,
+    /// This gateway's requests there before this one.
+    pub own_load: u32,
+    /// The other gateways' requests there, as last reported.
+    pub reported_load: u32,
+    /// Whether the target is this gateway's by preference.
+    pub is_home: bool,
 }
--- a/crates/relay/src/targets/table.rs
+++ b/crates/relay/src/targets/table.rs
@@ -15,12 +15,26 @@
 /// first come first served, so an item in the last place makes the next online request wait for
 /// a whole stream's end.
 const BATCH_RESERVE: u32 = 1;
+/// Places of another gateway's home target that batch leaves free: its load is known late.
+const BATCH_RESERVE_FOREIGN: u32 = 3;
 /// Added to the load of a target in another failure domain, in requests: bytes between domains cost,
 /// but less than a wait for a place.
 const FAR_PENALTY: f64 = 0.3;
+/// Added to the load of another gateway's home target, in requests: its load is known late.
+const FOREIGN_PENALTY: f64 = 1.5;
+/// Weight of an own item in a target's load: it yields its place when an online request needs it.
+const YIELDING_WEIGHT: f64 = 0.7;
+/// Divided by the number of gateways, the share of the others' home targets that one choice looks
+/// at. Were all looked at, every gateway whose own are full would pick the one that was least
+/// loaded a tenth of a second ago: of 27 gateways' choices of a target reported under two thirds
+/// full, a tenth then waited over 0.4 s for a first event.
+const FOREIGN_CHOICES: f64 = 4.0;
 /// Spread of the random tie-break, in requests. Without it gateways that hear the same reports
 /// pick the same target at the same moment.
-const TIE_SPREAD: f64 = 0.25;
+const TIE_SPREAD: f64 = 0.5;
+/// Requests that may wait at a target before items of jobs are broken off there: one waits for an
+/// eighth of a usual stream, 75 ms, which an objective of 300 ms bears.
+const PREEMPT_QUEUE: u32 = 1;
 /// Requests that may wait at a target for each of its places before it counts as full.
 const QUEUE_PER_SLOT: f64 = 1.0;
 /// A peer's report counts for this long; it is sent anew at least twice as often.
@@ -81,6 +95,10 @@
     domain: String,
     records: FastMap<String, TargetRecord>,
     reports: FastMap<VmName, PeerReport>,
+    /// Targets that this gateway prefers and the others avoid. Empty where nobody shares them out.
+    home: FastSet<String>,
+    /// Share of the other gateways' home targets that one choice looks at.
+    foreign_share: f64,
     /// Own use of targets whose entry is gone, until their last request ends.
     leftovers: FastMap<String, TargetUse>,
 }
@@ -150,13 +168,17 @@
         let mut best: Option<(f64, &TargetRecord)> = None;
         let mut fallback: Option<(f64, &TargetRecord)> = None;
         for record in self.records.values() {
-            if !record.takes(service) || avoid.iter().any(|id| *id == record.entry.id) {
+            if !record.takes(service) || avoid.contains(&record.entry.id) {
                 continue;
             }
-            if work == WorkKind::Batch && !record.has_batch_place() {
+            let is_home = self.home.is_empty() || self.home.contains(&record.entry.id);
+            if work == WorkKind::Batch && !record.has_batch_place(is_home) {
                 continue;
             }
-            let score = record.score(&self.domain) + draw() * TIE_SPREAD;
+            if !is_home && draw() > self.foreign_share {
+                continue;
+            }
+            let score = record.score(&self.domain, is_home) + draw() * TIE_SPREAD;
             let slot = if record.health.is_avoided(now) { &mut fallback } else { &mut best };
             if slot.is_none_or(|(lowest, _)| score < lowest) {
                 *slot = Some((score, record));
@@ -170,6 +192,9 @@
             id: record.entry.id.clone(),
             address: record.entry.address,
             place_free: record.total() < record.entry.slots,
+            own_load: record.own.total(),
+            reported_load: record.others.total(),
+            is_home: self.home.contains(&record.entry.id),
         };
         let record = self.records.get_mut(&choice.id)?;
         record.own.add(work);
@@ -238,11 +263,47 @@
         }
     }
 
-    /// Whether more requests than places are at `id`, so that an online request may wait there
-    /// behind an item of a job.
-    pub fn is_over_full(&self, id: &str) -> bool {
-        let Some(record) = self.records.get(id) else { return false };
-        record.own.total() + record.others.total() > record.entry.slots
+    /// How many of this gateway's items at `id` should be broken off, because online requests wait
+    /// there behind items. Each gateway with items there takes its share, as a chance where it's a
+    /// fraction, so that together they don't break off more than wait.
+    pub fn items_to_preempt(&self, id: &str, mut draw: impl FnMut() -> f64) -> u32 {
+        let Some(record) = self.records.get(id) else { return 0 };
+        let waiting = record.total().saturating_sub(record.entry.slots);
+        let items = record.own.batch + record.others.batch;
+        if waiting <= PREEMPT_QUEUE || items == 0 {
+            return 0;
+        }
+        let share = f64::from(waiting.min(items)) * f64::from(record.own.batch) / f64::from(items);
+        (share + draw()) as u32
+    }
+
+    /// Shares targets out: those at home here are preferred here. All gateways do the same with the
+    /// same names, so they mostly choose among different targets, whose load each knows exactly;
+    /// reports of the others' use come a tenth of a second late. `gateways` are all that are alive,
+    /// this one among them, each with its failure domain.
+    pub fn share_out(&mut self, own: &str, gateways: &[(String, String)]) {
+        self.home.clear();
+        self.foreign_share = FOREIGN_CHOICES / gateways.len().max(1) as f64;
+        if gateways.len() < 2 {
+            return;
+        }
+        let mut domains: FastMap<&str, Vec<&str>> = FastMap::default();
+        for (name, domain) in gateways {
+            domains.entry(domain).or_default().push(name);
+        }
+        let mut ids: Vec<&TargetEntry> = self.records.values().map(|r| &r.entry).collect();
+        ids.sort_by(|a, b| a.id.cmp(&b.id));
+        let mut counts: FastMap<&str, usize> = FastMap::default();
+        for entry in ids {
+            // A domain without a gateway: nobody is nearer to its targets than the others.
+            let Some(names) = domains.get_mut(entry.domain.as_str()) else { continue };
+            names.sort_unstable();
+            let count = counts.entry(&entry.domain).or_default();
+            if names[*count % names.len()] == own {
+                self.home.insert(entry.id.clone());
+            }
+            *count += 1;
+        }
     }
 
     fn drop_report(&mut self, peer: &VmName) {
@@ -270,13 +331,16 @@
         f64::from(self.total()) >= f64::from(self.entry.slots) * (1.0 + QUEUE_PER_SLOT)
     }
 
-    fn has_batch_place(&self) -> bool {
-        let open = self.entry.slots.saturating_sub(BATCH_RESERVE).max(1);
+    fn has_batch_place(&self, is_home: bool) -> bool {
+        let reserve = if is_home { BATCH_RESERVE } else { BATCH_RESERVE_FOREIGN };
+        let open = self.entry.slots.saturating_sub(reserve).max(1);
         self.total() < open && !self.health.needs_probe()
     }
 
-    fn score(&self, domain: &str) -> f64 {
+    fn score(&self, domain: &str, is_home: bool) -> f64 {
         let far = if self.entry.domain == domain { 0.0 } else { FAR_PENALTY };
-        f64::from(self.total()) + far
+        let foreign = if is_home { 0.0 } else { FOREIGN_PENALTY };
+        let own_items = f64::from(self.own.batch) * (1.0 - YIELDING_WEIGHT);
+        f64::from(self.total()) - own_items + far + foreign
     }
 }
--- a/crates/sidecar/src/main.rs
+++ b/crates/sidecar/src/main.rs
@@ -4,10 +4,10 @@
 
 use argh::FromArgs;
 use async_std::{stream::StreamExt, task};
-use log::{LevelFilter, error, info};
+use log::{error, info};
 use notch_settings::{check::ProgramKind, check::check_file, prelude::*};
 use notch_sidecar::prelude::*;
-use notch_telemetry::prelude::{LogSettings, LogStyle, init_logs};
+use notch_telemetry::prelude::{LogSettings, init_logs};
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook_async_std::Signals;
 
