--- a/crates/entry/src/batch/desk.rs
+++ b/crates/entry/src/batch/desk.rs
@@ -22,6 +22,15 @@
     pub cancel: Sender<()>,
 }
 
+/// A job's owner, as another gateway told.
+#[derive(Debug)]
+struct ToldOwner {
+    /// The gateway.
+    owner: String,
+    /// All results are stored: the owner still answers readers, but nobody needs to take over.
+    is_closed: bool,
+}
+
 /// All that a gateway holds of jobs.
 #[derive(Debug, Default)]
 pub struct JobDesk {
@@ -33,7 +42,7 @@
     pub runs: FastMap<u64, ItemRunHandle>,
     next_run: u64,
     /// Owners of jobs, as other gateways told.
-    owners: FastMap<String, String>,
+    owners: FastMap<String, ToldOwner>,
     /// Jobs whose end is stored.
     ended: FastSet<String>,
     /// What stopping gateways held of their jobs. Invariant: at most [`HANDED_JOBS`] entries.
@@ -61,24 +70,28 @@
 
     /// The job's owner, if another gateway told.
     pub fn owner(&self, job: &str) -> Option<&str> {
-        self.owners.get(job).map(String::as_str)
+        self.owners.get(job).map(|told| told.owner.as_str())
     }
 
     /// These jobs have that owner.
     pub fn note_owner(&mut self, jobs: &[String], owner: &str) {
         for job in jobs {
-            self.owners.insert(job.clone(), owner.to_owned());
+            let told = ToldOwner { owner: owner.to_owned(), is_closed: false };
+            self.owners.insert(job.clone(), told);
         }
     }
 
     /// Jobs that other gateways own, by owner, as far as they are open.
     pub fn owned_elsewhere(&self) -> impl Iterator<Item = (&str, &str)> {
-        self.owners.iter().map(|(job, owner)| (job.as_str(), owner.as_str()))
+        let open = self.owners.iter().filter(|(_, told)| !told.is_closed);
+        open.map(|(job, told)| (job.as_str(), told.owner.as_str()))
     }
 
     /// All results of the job are stored: nobody needs to own it any more.
     pub fn note_closed(&mut self, job: &str) {
-        self.owners.remove(job);
+        if let Some(told) = self.owners.get_mut(job) {
+            told.is_closed = true;
+        }
         self.handed.remove(job);
     }
 
@@ -92,6 +105,12 @@
         self.ended.contains(job)
     }
 
+    /// This gateway owns the job now.
+    pub fn forget_owner(&mut self, job: &str) {
+        self.owners.remove(job);
+        self.handed.remove(job);
+    }
+
     /// Claims the job for one task; false when another one has it.
     pub fn begin(&mut self, job: &str) -> bool {
         self.busy.insert(job.to_owned())
--- a/crates/entry/src/batch/ends.rs
+++ b/crates/entry/src/batch/ends.rs
@@ -10,7 +10,7 @@
     constants::RETRY_AFTER,
     front::connection::OwnAnswer,
     node::EntryNode,
-    store::feed::{FeedEvent, follow},
+    store::feed::{FeedEvent, FeedPlan, follow},
 };
 
 /// A client ends a job: told so only once the end is stored.
@@ -57,12 +57,17 @@
     drop(desk);
     node.log.info("job_ended", &[("job", &job), ("source", &source), ("owned", &was_owned)]);
     node.job_news.notify(usize::MAX);
+    if source == "store" {
+        // Gateways that don't follow the store hear of it from here.
+        node.peers.broadcast(&PeerMessage::JobEnded(job.to_owned()));
+    }
 }
 
 /// Follows ends of jobs in the store: the gateway that owns a job may be out of touch with the one
 /// that the client told.
 pub async fn follow_ends(node: Arc<EntryNode>) {
-    follow(&node.store, END_KIND, |event| match event {
+    let plan = FeedPlan { duty: Some(&node), ..FeedPlan::default() };
+    follow(&node.store, END_KIND, plan, |event| match event {
         FeedEvent::Snapshot { objects, .. } => {
             for object in &objects {
                 take_end(&node, &object.metadata.name, "store");
--- a/crates/entry/src/batch/reads.rs
+++ b/crates/entry/src/batch/reads.rs
@@ -96,59 +96,46 @@
     left: Duration,
     copy: JobCopy,
 ) -> OwnAnswer {
-    let mut total = copy.total;
     let told = node.jobs().owner(job).map(str::to_owned);
-    let mut owner = told.or(copy.owner);
-    if owner.is_none() || total.is_none() {
-        match learn_job(node, job).await {
-            Ok(Some((stored_owner, items))) => {
-                owner.get_or_insert(stored_owner);
-                total = Some(items);
-            }
-            Ok(None) => return OwnAnswer::of(404),
-            Err(_) => return unsure(node, job, "store_unavailable"),
-        }
-    }
-    let total = total.unwrap_or(0);
-    let held = copy.lines.len();
-    if let Some(owner) = owner
-        && let Some(news) = ask_owner(node, &owner, job, held, left.min(ASK_WAIT)).await
+    if let Some(owner) = told.or_else(|| copy.owner.clone())
+        && ask_owner(node, &owner, job, copy.lines.len(), left.min(ASK_WAIT)).await
     {
-        let mut desk = node.jobs();
-        desk.copies.extend(job, held, &news.0, news.1);
-        drop(desk);
-        return copy_answer(node, job, total, after);
+        return copy_answer(node, job, after);
     }
-    match stored_results(&node.store, job, copy.chunk_end).await {
-        Ok(lines) => {
-            node.jobs().copies.extend(job, copy.chunk_end, &lines, true);
-            copy_answer(node, job, total, after)
-        }
+    match ask_store(node, job, &copy).await {
+        Ok(true) => copy_answer(node, job, after),
+        Ok(false) => OwnAnswer::of(404),
         Err(_) => unsure(node, job, "store_unavailable"),
     }
 }
 
-/// Reads a job from the store, and keeps what readers need of it: its owner and its items.
-async fn learn_job(node: &EntryNode, job: &str) -> Result<Option<(String, usize)>, StoreFailure> {
-    let Some(stored) = read_job(&node.store, job).await? else { return Ok(None) };
+/// Brings the copy of a job up to what the store holds; false when there is no such job.
+async fn ask_store(node: &Arc<EntryNode>, job: &str, copy: &JobCopy) -> Result<bool, StoreFailure> {
+    if copy.total.is_none() && !learn_job(node, job).await? {
+        return Ok(false);
+    }
+    let lines = stored_results(&node.store, job, copy.chunk_end).await?;
+    node.jobs().copies.extend(job, copy.chunk_end, &lines, true);
+    Ok(true)
+}
+
+/// Reads a job from the store, and keeps what readers need of it: its owner and its items; false
+/// when there is none.
+async fn learn_job(node: &EntryNode, job: &str) -> Result<bool, StoreFailure> {
+    let Some(stored) = read_job(&node.store, job).await? else { return Ok(false) };
     let spec = Arc::new(read_spec(&node.store, &stored).await?);
     let owner = stored.owner().to_owned();
     let items = spec.items.len();
     node.jobs().copies.update(job, |copy| {
         copy.total = Some(items);
-        copy.owner = Some(owner.clone());
+        copy.owner = Some(owner);
         copy.spec = Some(spec);
     });
-    Ok(Some((owner, items)))
+    Ok(true)
 }
 
-async fn ask_owner(
-    node: &EntryNode,
-    owner: &str,
-    job: &str,
-    held: usize,
-    wait: Duration,
-) -> Option<(Vec<Arc<ResultLine>>, bool)> {
+/// Brings the copy of a job up to what its owner knows; false when it didn't answer.
+async fn ask_owner(node: &EntryNode, owner: &str, job: &str, held: usize, wait: Duration) -> bool {
     let (call, answer) = node.peers.open_call();
     let message = PeerMessage::JobAsk {
         call,
@@ -163,8 +150,12 @@
         None
     };
     node.peers.close_call(call);
-    let news = news.filter(|news| news.is_owner)?;
-    Some((news.lines.into_iter().map(Arc::new).collect(), news.is_all))
+    let Some(news) = news.filter(|news| news.is_owner) else { return false };
+    let lines: Vec<Arc<ResultLine>> = news.lines.into_iter().map(Arc::new).collect();
+    let mut desk = node.jobs();
+    desk.copies.extend(job, held, &lines, news.is_all);
+    desk.copies.update(job, |copy| copy.total = Some(news.total));
+    true
 }
 
 /// Answers another gateway's question about a job.
@@ -218,8 +209,8 @@
         return answer;
     }
     match learn_job(node, job).await {
-        Ok(Some(_)) => held_item(node, job, item).unwrap_or_else(|| OwnAnswer::of(404)),
-        Ok(None) => OwnAnswer::of(404),
+        Ok(true) => held_item(node, job, item).unwrap_or_else(|| OwnAnswer::of(404)),
+        Ok(false) => OwnAnswer::of(404),
         Err(_) => unsure(node, job, "store_unavailable"),
     }
 }
@@ -235,10 +226,15 @@
     ))
 }
 
-fn copy_answer(node: &EntryNode, job: &str, total: usize, after: usize) -> OwnAnswer {
+/// The answer from a copy that was just brought up to date.
+fn copy_answer(node: &EntryNode, job: &str, after: usize) -> OwnAnswer {
     let desk = node.jobs();
-    let lines = desk.copies.get(job).and_then(|copy| copy.lines.get(after..)).unwrap_or_default();
-    results_answer(total, after, lines)
+    let Some(copy) = desk.copies.get(job) else {
+        // Dropped for want of memory in this very moment.
+        return OwnAnswer::refused(RETRY_AFTER);
+    };
+    let lines = copy.lines.get(after..).unwrap_or_default();
+    results_answer(copy.total.unwrap_or(0), after, lines)
 }
 
 fn results_answer(total: usize, after: usize, lines: &[Arc<ResultLine>]) -> OwnAnswer {
--- a/crates/entry/src/batch/takeover.rs
+++ b/crates/entry/src/batch/takeover.rs
@@ -125,7 +125,7 @@
     {
         let mut desk = node.jobs();
         owned.adopt_progress(desk.take_progress(id));
-        desk.note_closed(id);
+        desk.forget_owner(id);
         desk.board.add(owned);
     }
     node.log.info(
--- a/crates/entry/src/constants.rs
+++ b/crates/entry/src/constants.rs
@@ -66,6 +66,15 @@
 /// Between two searches while such jobs are left to others.
 pub const ORPHANS_AGAIN: Duration = Duration::from_millis(1_500);
 
+/// Gateways that watch the store at the same time; the others hear of changes from them. Every call
+/// costs, a waiting one too: 27 gateways that all watched made 2,400 calls in a minute. With four,
+/// a cut that takes a third of the gateways from the store takes all of these in 1 of 100 cases.
+pub const WATCHERS: usize = 4;
+/// How often a gateway that doesn't watch looks whether it has to.
+pub const DUTY_TICK: Duration = Duration::from_millis(200);
+/// Least time between two answers of a watch of the gateways' entries: links tell sooner who is
+/// there, and at a start every entry would wake everyone.
+pub const GATEWAY_WATCH_PAUSE: Duration = Duration::from_millis(1_500);
 /// Pause after a failed call to the store before the next one, at most; half of it at least. A
 /// cold start and the end of an outage wait for it.
 pub const STORE_PAUSE: Duration = Duration::from_millis(400);
@@ -80,13 +89,13 @@
 pub const OBJECT_BYTES: usize = 900 << 10;
 /// Results wait this long for others before they are stored: ten items of a job end within a
 /// second or two, so a job takes a few writes instead of ten. Reads come every half second.
-pub const RESULT_DELAY: Duration = Duration::from_millis(500);
+pub const RESULT_DELAY: Duration = Duration::from_millis(400);
 /// Longest time for a job to be stored before the client is told that its fate is unknown.
 pub const INTAKE_PATIENCE: Duration = Duration::from_millis(2_500);
 /// Bytes of open jobs that a gateway holds, at most; more are refused.
 pub const JOB_BYTES: usize = 24 << 20;
 /// Bytes of results of other gateways' and of closed jobs that are kept for readers, at most.
-pub const COPY_BYTES: usize = 12 << 20;
+pub const COPY_BYTES: usize = 4 << 20;
 /// Items started in one pass of the runner, at most, so that reports go out between passes.
 pub const STARTS_PER_PASS: usize = 6;
 /// An item runs at least this long before it's broken off for online work: what the others report
--- a/crates/entry/src/disk.rs
+++ b/crates/entry/src/disk.rs
@@ -21,7 +21,7 @@
     error::EntryError,
     store::{
         client::StoreClient,
-        feed::{FeedEvent, follow, jittered},
+        feed::{FeedEvent, FeedPlan, follow, jittered},
     },
 };
 
@@ -60,7 +60,7 @@
         }
         task::spawn(answer_one(Arc::clone(&store), log.clone(), object.metadata.name.clone()));
     };
-    follow(&store, RETIREMENT_KIND, |event| match event {
+    follow(&store, RETIREMENT_KIND, FeedPlan::default(), |event| match event {
         FeedEvent::Snapshot { objects, .. } => objects.iter().for_each(answer),
         FeedEvent::Changed { object } => answer(object),
         FeedEvent::Deleted { .. } => {}
--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -23,7 +23,7 @@
     },
     node::EntryNode,
     peers::{hub, reports},
-    store::feed::{FeedEvent, follow},
+    store::feed::{FeedEvent, FeedPlan, follow},
 };
 
 /// How often the end of a stop is looked for.
@@ -113,7 +113,8 @@
 }
 
 async fn follow_configuration(node: Arc<EntryNode>) {
-    follow(&node.store, CONFIGURATION_KIND, |event| {
+    let plan = FeedPlan { duty: Some(&node), ..FeedPlan::default() };
+    follow(&node.store, CONFIGURATION_KIND, plan, |event| {
         let objects = match &event {
             FeedEvent::Snapshot { objects, .. } => objects.as_slice(),
             FeedEvent::Changed { object } => std::slice::from_ref(*object),
@@ -127,7 +128,8 @@
 }
 
 async fn follow_targets(node: Arc<EntryNode>) {
-    follow(&node.store, TARGET_KIND, |event| node.take_target_event(event)).await;
+    let plan = FeedPlan { duty: Some(&node), ..FeedPlan::default() };
+    follow(&node.store, TARGET_KIND, plan, |event| node.take_target_event(event)).await;
 }
 
 async fn clean(node: Arc<EntryNode>) {
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -13,11 +13,13 @@
 use crate::{
     batch::desk::JobDesk,
     clock::NodeClock,
+    constants::WATCHERS,
     peers::table::{OwnerLiveness, PeerTable},
     stop::StopState,
     store::{
         client::StoreClient,
         configuration::{ConfigurationInForce, newer_configuration},
+        duty::WatchDuty,
         feed::FeedEvent,
         target::{TargetChange, TargetFeed},
     },
@@ -40,6 +42,8 @@
     pub metrics: Metrics,
     /// The store.
     pub store: StoreClient,
+    /// Whether this gateway follows the store.
+    pub watch: WatchDuty,
     /// Idle connections to targets.
     pub pool: TargetPool,
     /// The other gateways.
@@ -70,6 +74,7 @@
             clock,
             log,
             metrics,
+            watch: WatchDuty::default(),
             pool: TargetPool::default(),
             peers: PeerTable::default(),
             stop: StopState::default(),
@@ -201,6 +206,11 @@
         self.runner_wake.notify(usize::MAX);
     }
 
+    /// Whether this gateway has to follow the store itself: too few before it do.
+    pub fn must_watch(&self) -> bool {
+        self.peers.watchers_before(&self.config.node.vm) < WATCHERS
+    }
+
     /// Whether the gateway that `owner` names is there; an earlier incarnation of this one isn't.
     pub fn liveness(&self, owner: &str, now: MonoTime) -> OwnerLiveness {
         if owner == self.owner {
--- a/crates/entry/src/peers/hub.rs
+++ b/crates/entry/src/peers/hub.rs
@@ -1,6 +1,6 @@
 //! Links to the other gateways, and what comes on them.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use async_std::task;
 use notch_link::prelude::{LinkDialer, LinkEvent, LinkPeer, LinkSettings, LinkSink};
@@ -14,14 +14,14 @@
 
 use crate::{
     batch::{ends, ownership, reads},
-    constants::STORE_PAUSE,
+    constants::{GATEWAY_WATCH_PAUSE, LAG_PATIENCE, STORE_PAUSE},
     node::EntryNode,
     peers::{
         record::{GATEWAY_KIND, GatewayEntry},
         reports,
         table::JobNews,
     },
-    store::feed::{FeedEvent, follow, jittered},
+    store::feed::{FeedEvent, FeedPlan, follow, jittered},
 };
 
 /// Receives what links tell.
@@ -34,7 +34,8 @@
 pub async fn follow_gateways(node: Arc<EntryNode>, settings: LinkSettings) {
     register(&node).await;
     let sink = link_sink(&node);
-    follow(&node.store, GATEWAY_KIND, |event| match event {
+    let feed = FeedPlan { pause: GATEWAY_WATCH_PAUSE, duty: None };
+    follow(&node.store, GATEWAY_KIND, feed, |event| match event {
         FeedEvent::Snapshot { objects, .. } => {
             for object in &objects {
                 put_gateway(&node, object, &settings, &sink);
@@ -129,12 +130,14 @@
             node.peers.set_owner(&peer.vm, &owner);
             take_owned(node, &owner, &jobs);
         }
-        PeerMessage::Report { uses, configuration, targets } => {
+        PeerMessage::Report { uses, configuration, targets, is_watching } => {
+            node.peers.set_watching(&peer.vm, is_watching);
             let now = node.clock.mono();
             reports::take_uses(node, &peer.vm, uses, now);
             let behind = configuration > node.configuration_version()
                 || targets > node.target_feed().revision();
-            if node.peers.note_ahead(&peer.vm, behind, now) {
+            let patience = if node.watch.is_watching() { LAG_PATIENCE } else { Duration::ZERO };
+            if node.peers.note_ahead(&peer.vm, behind, patience, now) {
                 let configuration = node.configuration_version();
                 let targets = node.target_feed().revision();
                 node.peers.send(&peer.vm, PeerMessage::AskState { configuration, targets });
--- a/crates/entry/src/peers/reports.rs
+++ b/crates/entry/src/peers/reports.rs
@@ -23,7 +23,8 @@
     uses.sort_by(|a, b| a.target.cmp(&b.target));
     let configuration = node.configuration_version();
     let targets = node.target_feed().revision();
-    PeerMessage::Report { uses, configuration, targets }
+    let is_watching = node.watch.is_watching();
+    PeerMessage::Report { uses, configuration, targets, is_watching }
 }
 
 /// Tells the others when something changed, and now and then when nothing did.
--- a/crates/entry/src/peers/table.rs
+++ b/crates/entry/src/peers/table.rs
@@ -6,6 +6,7 @@
         Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU64, Ordering},
     },
+    time::Duration,
 };
 
 use async_channel::Sender;
@@ -14,7 +15,7 @@
 use notch_types::prelude::*;
 
 use crate::{
-    constants::{LAG_PATIENCE, OWNER_DOUBT, PEER_DEAD},
+    constants::{OWNER_DOUBT, PEER_DEAD},
     peers::record::GatewayEntry,
 };
 
@@ -56,6 +57,8 @@
     down_since: MonoTime,
     /// It said that it stops.
     is_leaving: bool,
+    /// It follows the store.
+    is_watching: bool,
     /// Since when it has said that it knows more than we do.
     ahead_since: Option<MonoTime>,
 }
@@ -114,6 +117,7 @@
             return false;
         }
         record.link = None;
+        record.is_watching = false;
         record.down_since = now;
         record.ahead_since = None;
         true
@@ -138,9 +142,32 @@
         }
     }
 
+    /// A peer said whether it follows the store.
+    pub fn set_watching(&self, vm: &VmName, is_watching: bool) {
+        if let Some(record) = self.peers().get_mut(vm) {
+            record.is_watching = is_watching;
+        }
+    }
+
+    /// How many gateways that come before `own` follow the store.
+    pub fn watchers_before(&self, own: &VmName) -> usize {
+        let rank = |vm: &VmName| stable_hash64(&[b"watch", vm.as_str().as_bytes()]);
+        let own = rank(own);
+        let peers = self.peers();
+        let before =
+            peers.iter().filter(|(vm, r)| r.is_watching && !r.is_leaving && rank(vm) > own);
+        before.count()
+    }
+
     /// A peer said what it knows; true when it has known more than we do for some time and should
     /// be asked. Our own watch usually brings the same, so a moment's lead means nothing.
-    pub fn note_ahead(&self, vm: &VmName, is_ahead: bool, now: MonoTime) -> bool {
+    pub fn note_ahead(
+        &self,
+        vm: &VmName,
+        is_ahead: bool,
+        patience: Duration,
+        now: MonoTime,
+    ) -> bool {
         let mut peers = self.peers();
         let Some(record) = peers.get_mut(vm) else { return false };
         if !is_ahead {
@@ -148,7 +175,7 @@
             return false;
         }
         let since = *record.ahead_since.get_or_insert(now);
-        let is_due = now.since(since) >= LAG_PATIENCE;
+        let is_due = now.since(since) >= patience;
         if is_due {
             record.ahead_since = Some(now);
         }
@@ -268,6 +295,7 @@
             owner: None,
             down_since: now,
             is_leaving: false,
+            is_watching: false,
             ahead_since: None,
         }
     }
--- a/crates/entry/src/store/feed.rs
+++ b/crates/entry/src/store/feed.rs
@@ -9,7 +9,8 @@
 };
 
 use crate::{
-    constants::{STORE_PAUSE, WATCH_GRACE},
+    constants::{DUTY_TICK, STORE_PAUSE, WATCH_GRACE},
+    node::EntryNode,
     store::client::{StoreClient, StoreFailure},
 };
 
@@ -37,19 +38,40 @@
     },
 }
 
+/// How a kind is followed.
+#[derive(Clone, Copy, Default)]
+pub struct FeedPlan<'a> {
+    /// Least time between two answers of a watch.
+    pub pause: Duration,
+    /// The gateway whose duty it is, or isn't while enough others follow; `None` for always.
+    pub duty: Option<&'a EntryNode>,
+}
+
 /// Follows `kind` until the process ends.
 ///
 /// The history that a watch goes on from may be dropped at any time, and a cut watch may have
 /// missed changes, so whatever is not a plain answer leads back to a whole list.
-pub async fn follow(store: &StoreClient, kind: &str, mut tell: impl FnMut(FeedEvent<'_>)) {
+pub async fn follow(
+    store: &StoreClient,
+    kind: &str,
+    plan: FeedPlan<'_>,
+    mut tell: impl FnMut(FeedEvent<'_>),
+) {
+    if let Some(node) = plan.duty {
+        node.watch.add_feed();
+    }
     loop {
         match list_all(store, kind).await {
             Ok((objects, as_of)) => {
                 tell(FeedEvent::Snapshot { objects, as_of });
-                watch(store, kind, as_of, &mut tell).await;
+                let _live = plan.duty.map(|node| node.watch.live_feed());
+                watch(store, kind, as_of, plan, &mut tell).await;
             }
             Err(_) => task::sleep(jittered(STORE_PAUSE)).await,
         }
+        while plan.duty.is_some_and(|node| !node.must_watch()) {
+            task::sleep(DUTY_TICK).await;
+        }
     }
 }
 
@@ -85,9 +107,14 @@
     store: &StoreClient,
     kind: &str,
     mut revision: u64,
+    plan: FeedPlan<'_>,
     tell: &mut impl FnMut(FeedEvent<'_>),
 ) {
     loop {
+        if plan.duty.is_some_and(|node| !node.must_watch()) {
+            return;
+        }
+        task::sleep(plan.pause).await;
         let wait = store.settings().watch_wait;
         let path = watch_path(kind, revision, wait);
         let Ok(reply) = store.call("GET", &path, None, wait + WATCH_GRACE).await else { return };
--- a/crates/messages/src/peer.rs
+++ b/crates/messages/src/peer.rs
@@ -51,6 +51,8 @@
         configuration: u64,
         /// Store revision of the last change of targets that it knows.
         targets: u64,
+        /// Whether it follows the store now, so that others needn't.
+        is_watching: bool,
     },
     /// The sender's configuration or targets are older: send yours.
     AskState {
--- a/crates/relay/src/jobs/owned.rs
+++ b/crates/relay/src/jobs/owned.rs
@@ -20,6 +20,8 @@
 /// Doublings of the wait after runs that broke off without an event, up to 10 s. An item that
 /// crashes each target that runs it would otherwise take down the fleet, one target after another.
 const BREAK_DOUBLINGS: u32 = 6;
+/// A result waits for others for this part of the time left until the job is due, at most.
+const DELAY_DIVISOR: u32 = 8;
 /// Added to an item's lifetime before it is given up, for wall clocks of two VMs that differ.
 const LIFETIME_MARGIN: Duration = Duration::from_secs(3);
 
@@ -266,6 +268,8 @@
         if self.storing > 0 || self.pending.is_empty() || self.ended {
             return None;
         }
+        // Near the due time a result counts only if it's listed at once.
+        let delay = delay.min(self.due.since(now) / DELAY_DIVISOR);
         let completes = self.results.len() + self.pending.len() >= self.spec.items.len();
         if !completes && now.since(self.pending_since) < delay {
             return None;
--- a/crates/settings/src/sections/store.rs
+++ b/crates/settings/src/sections/store.rs
@@ -30,7 +30,7 @@
             address: SocketAddr::from((Ipv4Addr::LOCALHOST, STORE_PORT)),
             connect_timeout: Duration::from_millis(500),
             call_timeout: Duration::from_millis(1_500),
-            watch_wait: Duration::from_millis(3_000),
+            watch_wait: Duration::from_millis(2_500),
         }
     }
 }
