--- a/crates/h1/tests/messages.rs
+++ b/crates/h1/tests/messages.rs
@@ -1,5 +1,7 @@
 //! Reading messages from a connection.
 
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
 use async_std::{
     io::WriteExt,
     net::{TcpListener, TcpStream},
