Ask silent targets for a sign of life; take half the objective for silence

Cause: each try of a dark target by a real request lost that request; an answer that hadn't begun after 400 ms was taken elsewhere when it was late already (objective 300 ms). Ruled out: queues (the known load of those targets was under half).

--- a/crates/entry/src/constants.rs
+++ b/crates/entry/src/constants.rs
@@ -6,11 +6,15 @@
 /// a VM without power never answers, and an opening packet that was dropped is sent again after a
 /// second, when the answer would be late anyway.
 pub const TARGET_CONNECT: Duration = Duration::from_millis(120);
-/// Longest wait for an answer's head where a place was free: prompts are read within 20 ms and the
-/// first event comes after 40 ms, so ten times that is no slowness but a target gone dark.
-pub const FIRST_BYTE_FREE: Duration = Duration::from_millis(400);
-/// The same where the request may wait for a place: a usual stream lasts 0.6 s.
-pub const FIRST_BYTE_QUEUED: Duration = Duration::from_millis(1_500);
+/// Share of a route's objective that an answer may take to begin where a place was free. Usually
+/// it takes a tenth; half of it leaves time for another target to answer within the objective.
+pub const FIRST_BYTE_FREE: f64 = 0.55;
+/// The same where the request may wait for a place: a usual stream lasts two objectives.
+pub const FIRST_BYTE_QUEUED: f64 = 5.0;
+/// How often it's looked whether a silent target is to be asked for a sign of life.
+pub const SIGN_TICK: Duration = Duration::from_millis(100);
+/// Longest wait for a sign of life: a report takes a few milliseconds.
+pub const SIGN_TIMEOUT: Duration = Duration::from_millis(150);
 /// Share of a route's longest pause between events after which a silent stream is taken up at
 /// another target, so that the pause still is in time. Events come every 30 ms.
 pub const STALL_SHARE: f64 = 0.7;
--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -24,6 +24,7 @@
     node::EntryNode,
     peers::{hub, reports},
     store::feed::{FeedEvent, FeedPlan, follow},
+    target::signs,
 };
 
 /// How often the end of a stop is looked for.
@@ -92,6 +93,7 @@
     task::spawn(reports::tell_uses(Arc::clone(node)));
     task::spawn(runner::run_jobs(Arc::clone(node)));
     task::spawn(takeover::watch_owners(Arc::clone(node)));
+    task::spawn(signs::ask_silent(Arc::clone(node)));
     task::spawn(clean(Arc::clone(node)));
 }
 
--- a/crates/entry/src/online/relay.rs
+++ b/crates/entry/src/online/relay.rs
@@ -202,8 +202,8 @@
         if !self.has_attempts() {
             return left;
         }
-        let wait = if choice.place_free { FIRST_BYTE_FREE } else { FIRST_BYTE_QUEUED };
-        wait.min(left)
+        let share = if choice.place_free { FIRST_BYTE_FREE } else { FIRST_BYTE_QUEUED };
+        self.request.route.objective.mul_f64(share).min(left)
     }
 
     async fn pass_plain(
--- a/crates/entry/src/target.rs
+++ b/crates/entry/src/target.rs
@@ -2,3 +2,4 @@
 
 pub mod connection;
 pub mod pool;
+pub mod signs;
--- /dev/null
+++ b/crates/entry/src/target/signs.rs
@@ -0,0 +1,38 @@
+//! Asks silent targets for a sign of life.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use async_std::{future::timeout, net::TcpStream, task};
+use notch_h1::prelude::*;
+use notch_platform_wire::target::sign_request;
+
+use crate::{
+    constants::{ANSWER_HEAD_BYTES, SIGN_TICK, SIGN_TIMEOUT},
+    node::EntryNode,
+};
+
+/// Asks targets that went silent, until the process ends.
+pub async fn ask_silent(node: Arc<EntryNode>) {
+    loop {
+        task::sleep(SIGN_TICK).await;
+        let silent = node.targets().silent_targets(node.clock.mono());
+        for (id, address) in silent {
+            let is_alive = timeout(SIGN_TIMEOUT, answers(address)).await.unwrap_or(false);
+            node.log.info("target_asked", &[("target", &id), ("alive", &is_alive)]);
+            if is_alive {
+                node.targets().note_sign(&id);
+                node.runner_wake.notify(usize::MAX);
+            } else {
+                node.targets().note_silence(&id, node.clock.mono());
+            }
+        }
+    }
+}
+
+async fn answers(address: SocketAddr) -> bool {
+    let Ok(stream) = TcpStream::connect(address).await else { return false };
+    if write_all(&stream, &sign_request(address)).await.is_err() {
+        return false;
+    }
+    WireReader::new(stream).response_head(ANSWER_HEAD_BYTES).await.is_ok()
+}
--- a/crates/relay/src/targets/failure.rs
+++ b/crates/relay/src/targets/failure.rs
@@ -62,6 +62,11 @@
         }
     }
 
+    /// Whether nothing came from the target, so that it may be gone or cut off.
+    pub fn is_silence(self) -> bool {
+        matches!(self, Self::ConnectFailed | Self::SilentBeforeAnswer | Self::StalledAnswer)
+    }
+
     /// Stable name for logs and counters.
     pub fn code(self) -> &'static str {
         match self {
--- a/crates/relay/src/targets/health.rs
+++ b/crates/relay/src/targets/health.rs
@@ -21,12 +21,25 @@
     avoid_until: MonoTime,
     /// One request was let through to find out. Invariant: only while `failures` is above 0.
     probing: bool,
+    /// The target went silent: no request is risked until it answers a call that runs nothing.
+    is_silent: bool,
 }
 
 impl TargetHealth {
     /// Whether new requests should go elsewhere at `now`.
     pub fn is_avoided(&self, now: MonoTime) -> bool {
-        self.failures > 0 && (now < self.avoid_until || self.probing)
+        self.failures > 0 && (now < self.avoid_until || self.probing || self.is_silent)
+    }
+
+    /// Whether the target should be asked for a sign of life at `now`. Real requests sent to find
+    /// out were lost at each try while a target was dark.
+    pub fn needs_sign(&self, now: MonoTime) -> bool {
+        self.is_silent && now >= self.avoid_until
+    }
+
+    /// The target gave a sign of life: one request may go there and find out the rest.
+    pub fn note_sign(&mut self) {
+        self.is_silent = false;
     }
 
     /// A request starts there.
@@ -39,12 +52,13 @@
         *self = Self::default();
     }
 
-    /// A request failed in a way that blames the target.
-    pub fn fail(&mut self, now: MonoTime) {
+    /// A request failed in a way that blames the target; `is_silent` when nothing came from it.
+    pub fn fail(&mut self, is_silent: bool, now: MonoTime) {
         let wait = AVOID_FIRST * 2_u32.pow(self.failures.min(AVOID_DOUBLINGS));
         self.failures = self.failures.saturating_add(1);
         self.avoid_until = now + wait.min(AVOID_LONGEST);
         self.probing = false;
+        self.is_silent = is_silent;
     }
 
     /// A probe ended without saying anything about the target.
--- a/crates/relay/src/targets/table.rs
+++ b/crates/relay/src/targets/table.rs
@@ -1,6 +1,6 @@
 //! Every target known, how loaded it is, and the choice among them.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use notch_types::prelude::*;
 
@@ -223,11 +223,34 @@
         match outcome {
             Some(Ok(())) => record.health.succeed(),
             Some(Err(AttemptFailure::OtherTarget)) => record.displaced = true,
-            Some(Err(failure)) if failure.blames_target() => record.health.fail(now),
+            Some(Err(failure)) if failure.blames_target() => {
+                record.health.fail(failure.is_silence(), now);
+            }
             Some(Err(_)) | None => record.health.forget_probe(),
         }
     }
 
+    /// Targets to be asked for a sign of life at `now`; asked again only after the next failure or
+    /// [`note_silence`](Self::note_silence).
+    pub fn silent_targets(&self, now: MonoTime) -> Vec<(String, SocketAddr)> {
+        let silent = self.records.values().filter(|record| record.health.needs_sign(now));
+        silent.map(|record| (record.entry.id.clone(), record.entry.address)).collect()
+    }
+
+    /// A target gave a sign of life.
+    pub fn note_sign(&mut self, id: &str) {
+        if let Some(record) = self.records.get_mut(id) {
+            record.health.note_sign();
+        }
+    }
+
+    /// A target gave no sign of life: it's asked again later.
+    pub fn note_silence(&mut self, id: &str, now: MonoTime) {
+        if let Some(record) = self.records.get_mut(id) {
+            record.health.fail(true, now);
+        }
+    }
+
     /// A target answered the head of a request: it is alive.
     pub fn note_alive(&mut self, id: &str) {
         if let Some(record) = self.records.get_mut(id) {
