Join what a reader learns of a job to the copy it began with; take no ended job's list for whole

Found while reading: a former owner took an ended job's list for whole while a write was under way. Ruled out: the owner's answer (it tells the total).

--- a/crates/entry/src/batch/copies.rs
+++ b/crates/entry/src/batch/copies.rs
@@ -28,6 +28,20 @@
 }
 
 impl JobCopy {
+    /// Appends lines that stand at `position` and on; those held already are passed over. With
+    /// `is_all` the last one ends an object of the store.
+    pub fn extend(&mut self, position: usize, lines: &[Arc<ResultLine>], is_all: bool) {
+        let held = self.lines.len();
+        if position > held {
+            return;
+        }
+        let new = lines.get(held - position..).unwrap_or_default();
+        self.lines.extend_from_slice(new);
+        if is_all {
+            self.chunk_end = self.chunk_end.max(position + lines.len());
+        }
+    }
+
     /// Whether every result is here.
     pub fn is_whole(&self) -> bool {
         self.is_closed || self.total.is_some_and(|total| self.lines.len() >= total)
@@ -52,42 +66,35 @@
         self.copies.get(job)
     }
 
-    /// Changes a copy, which is made if there is none; then drops old ones over the bound.
-    pub fn update(&mut self, job: &str, change: impl FnOnce(&mut JobCopy)) {
+    /// Keeps what a reader gathered of a job. What is held already and longer stays; then old copies
+    /// over the bound are dropped.
+    pub fn keep(&mut self, job: &str, gathered: JobCopy) {
         self.uses += 1;
         let copy = self.copies.entry(job.to_owned()).or_default();
         copy.used = self.uses;
-        change(copy);
+        copy.total = copy.total.or(gathered.total);
+        copy.spec = copy.spec.take().or(gathered.spec);
+        copy.owner = gathered.owner.or(copy.owner.take());
+        copy.is_closed |= gathered.is_closed;
+        if copy.lines.len() < gathered.lines.len() {
+            copy.lines = gathered.lines;
+        }
+        copy.chunk_end = copy.chunk_end.max(gathered.chunk_end);
         self.trim();
     }
 
-    /// Appends lines that stand at `position` and on; those held already are passed over. With
-    /// `is_all` the last one ends an object of the store.
-    pub fn extend(&mut self, job: &str, position: usize, lines: &[Arc<ResultLine>], is_all: bool) {
-        self.update(job, |copy| {
-            let held = copy.lines.len();
-            if position > held {
-                return;
-            }
-            let new = lines.get(held - position..).unwrap_or_default();
-            copy.lines.extend_from_slice(new);
-            if is_all {
-                copy.chunk_end = copy.chunk_end.max(position + lines.len());
-            }
-        });
-    }
-
     /// Keeps what an owned job holds.
     pub fn take_owned(&mut self, job: &OwnedJob, is_closed: bool) {
-        self.update(&job.spec().id, |copy| {
-            copy.total = Some(job.spec().items.len());
-            if copy.lines.len() < job.results().len() {
-                copy.lines = job.results().to_vec();
-                copy.chunk_end = copy.lines.len();
-            }
-            copy.is_closed = is_closed;
-            copy.spec = (!is_closed).then(|| Arc::clone(job.spec()));
-        });
+        let lines = job.results().to_vec();
+        let gathered = JobCopy {
+            total: Some(job.spec().items.len()),
+            chunk_end: lines.len(),
+            lines,
+            spec: (!is_closed).then(|| Arc::clone(job.spec())),
+            is_closed,
+            ..JobCopy::default()
+        };
+        self.keep(&job.spec().id, gathered);
     }
 
     fn trim(&mut self) {
--- a/crates/entry/src/batch/desk.rs
+++ b/crates/entry/src/batch/desk.rs
@@ -161,11 +161,13 @@
         }
     }
 
-    /// Moves a job that needs no owner any more to the copies for readers.
+    /// Moves a job that needs no owner any more to the copies for readers. The list of one that was
+    /// ended may still grow by a write that is under way.
     pub fn retire_job(&mut self, job: &str) {
         self.cancel_runs(job);
         if let Some(owned) = self.board.remove(job) {
-            self.copies.take_owned(&owned, true);
+            let is_whole = owned.results().len() >= owned.spec().items.len();
+            self.copies.take_owned(&owned, is_whole);
         }
     }
 
--- a/crates/entry/src/batch/reads.rs
+++ b/crates/entry/src/batch/reads.rs
@@ -89,54 +89,65 @@
 }
 
 /// Asks the job's owner, and the store when there is none to ask.
+///
+/// What comes is joined to the copy taken before, not to the one held now: that may have been
+/// dropped for want of memory meanwhile, and lines joined to nothing would leave a gap.
 async fn ask(
     node: &Arc<EntryNode>,
     job: &str,
     after: usize,
     left: Duration,
-    copy: JobCopy,
+    mut copy: JobCopy,
 ) -> OwnAnswer {
     let told = node.jobs().owner(job).map(str::to_owned);
-    if let Some(owner) = told.or_else(|| copy.owner.clone())
-        && ask_owner(node, &owner, job, copy.lines.len(), left.min(ASK_WAIT)).await
-    {
-        return copy_answer(node, job, after);
+    let mut is_told = false;
+    if let Some(owner) = told.or_else(|| copy.owner.clone()) {
+        is_told = ask_owner(node, &owner, job, &mut copy, left.min(ASK_WAIT)).await;
     }
-    match ask_store(node, job, &copy).await {
-        Ok(true) => copy_answer(node, job, after),
-        Ok(false) => OwnAnswer::of(404),
-        Err(_) => unsure(node, job, "store_unavailable"),
+    if !is_told {
+        match ask_store(node, job, &mut copy).await {
+            Ok(true) => {}
+            Ok(false) => return OwnAnswer::of(404),
+            Err(_) => return unsure(node, job, "store_unavailable"),
+        }
     }
+    let Some(total) = copy.total else { return unsure(node, job, "no_total") };
+    let answer = results_answer(total, after, copy.lines.get(after..).unwrap_or_default());
+    node.jobs().copies.keep(job, copy);
+    answer
 }
 
 /// Brings the copy of a job up to what the store holds; false when there is no such job.
-async fn ask_store(node: &Arc<EntryNode>, job: &str, copy: &JobCopy) -> Result<bool, StoreFailure> {
-    if copy.total.is_none() && !learn_job(node, job).await? {
+async fn ask_store(node: &EntryNode, job: &str, copy: &mut JobCopy) -> Result<bool, StoreFailure> {
+    if copy.total.is_none() && !learn_job(node, job, copy).await? {
         return Ok(false);
     }
-    let lines = stored_results(&node.store, job, copy.chunk_end).await?;
-    node.jobs().copies.extend(job, copy.chunk_end, &lines, true);
+    let position = copy.chunk_end;
+    let lines = stored_results(&node.store, job, position).await?;
+    copy.extend(position, &lines, true);
     Ok(true)
 }
 
-/// Reads a job from the store, and keeps what readers need of it: its owner and its items; false
-/// when there is none.
-async fn learn_job(node: &EntryNode, job: &str) -> Result<bool, StoreFailure> {
+/// Reads a job from the store: its owner and its items; false when there is none.
+async fn learn_job(node: &EntryNode, job: &str, copy: &mut JobCopy) -> Result<bool, StoreFailure> {
     let Some(stored) = read_job(&node.store, job).await? else { return Ok(false) };
     let spec = Arc::new(read_spec(&node.store, &stored).await?);
-    let owner = stored.owner().to_owned();
-    let items = spec.items.len();
-    node.jobs().copies.update(job, |copy| {
-        copy.total = Some(items);
-        copy.owner = Some(owner);
-        copy.spec = Some(spec);
-    });
+    copy.total = Some(spec.items.len());
+    copy.owner = Some(stored.owner().to_owned());
+    copy.spec = Some(spec);
     Ok(true)
 }
 
 /// Brings the copy of a job up to what its owner knows; false when it didn't answer.
-async fn ask_owner(node: &EntryNode, owner: &str, job: &str, held: usize, wait: Duration) -> bool {
+async fn ask_owner(
+    node: &EntryNode,
+    owner: &str,
+    job: &str,
+    copy: &mut JobCopy,
+    wait: Duration,
+) -> bool {
     let (call, answer) = node.peers.open_call();
+    let held = copy.lines.len();
     let message = PeerMessage::JobAsk {
         call,
         job: job.to_owned(),
@@ -152,9 +163,8 @@
     node.peers.close_call(call);
     let Some(news) = news.filter(|news| news.is_owner) else { return false };
     let lines: Vec<Arc<ResultLine>> = news.lines.into_iter().map(Arc::new).collect();
-    let mut desk = node.jobs();
-    desk.copies.extend(job, held, &lines, news.is_all);
-    desk.copies.update(job, |copy| copy.total = Some(news.total));
+    copy.extend(held, &lines, news.is_all);
+    copy.total = Some(news.total);
     true
 }
 
@@ -208,33 +218,30 @@
     if let Some(answer) = held_item(node, job, item) {
         return answer;
     }
-    match learn_job(node, job).await {
-        Ok(true) => held_item(node, job, item).unwrap_or_else(|| OwnAnswer::of(404)),
-        Ok(false) => OwnAnswer::of(404),
-        Err(_) => unsure(node, job, "store_unavailable"),
+    let mut copy = node.jobs().copies.get(job).cloned().unwrap_or_default();
+    match learn_job(node, job, &mut copy).await {
+        Ok(true) => {}
+        Ok(false) => return OwnAnswer::of(404),
+        Err(_) => return unsure(node, job, "store_unavailable"),
     }
+    let answer = copy.spec.as_deref().map(|spec| body_answer(spec, item));
+    node.jobs().copies.keep(job, copy);
+    answer.unwrap_or_else(|| OwnAnswer::of(404))
 }
 
 fn held_item(node: &EntryNode, job: &str, item: &str) -> Option<OwnAnswer> {
     let desk = node.jobs();
     let owned = desk.board.get(job).map(|owned| Arc::clone(owned.spec()));
     let spec = owned.or_else(|| desk.copies.get(job).and_then(|copy| copy.spec.clone()))?;
+    Some(body_answer(&spec, item))
+}
+
+fn body_answer(spec: &JobSpec, item: &str) -> OwnAnswer {
     let found = spec.items.iter().find(|candidate| candidate.id == item);
-    Some(found.map_or_else(
+    found.map_or_else(
         || OwnAnswer::of(404),
         |item| OwnAnswer { status: 200, body: item.body.clone(), ..OwnAnswer::default() },
-    ))
-}
-
-/// The answer from a copy that was just brought up to date.
-fn copy_answer(node: &EntryNode, job: &str, after: usize) -> OwnAnswer {
-    let desk = node.jobs();
-    let Some(copy) = desk.copies.get(job) else {
-        // Dropped for want of memory in this very moment.
-        return OwnAnswer::refused(RETRY_AFTER);
-    };
-    let lines = copy.lines.get(after..).unwrap_or_default();
-    results_answer(copy.total.unwrap_or(0), after, lines)
+    )
 }
 
 fn results_answer(total: usize, after: usize, lines: &[Arc<ResultLine>]) -> OwnAnswer {
--- a/crates/entry/src/constants.rs
+++ b/crates/entry/src/constants.rs
@@ -64,10 +64,10 @@
 /// A peer that knows more for this long is asked for it: our own watch usually brings it sooner.
 pub const LAG_PATIENCE: Duration = Duration::from_millis(250);
 /// A gateway whose link is down this long is taken for dead and its jobs are taken over.
-pub const PEER_DEAD: Duration = Duration::from_millis(1_500);
+pub const PEER_DEAD: Duration = Duration::from_millis(1_000);
 /// A gateway out of touch with a peer for this long asks the store before it says that a job has
 /// no more results. Invariant: shorter than [`PEER_DEAD`].
-pub const OWNER_DOUBT: Duration = Duration::from_millis(1_000);
+pub const OWNER_DOUBT: Duration = Duration::from_millis(600);
 /// How often the other gateways are looked at.
 pub const PEER_TICK: Duration = Duration::from_millis(250);
 /// From a gateway's start to its first search for jobs that nobody owns: links form meanwhile.
