--- a/crates/entry/src/batch/desk.rs
+++ b/crates/entry/src/batch/desk.rs
@@ -62,6 +62,20 @@
         self.is_owned(job) || self.owners.contains_key(job) || self.copies.get(job).is_some()
     }
 
+    /// Begins to run a job; false, and nothing begins, when its end is known or it's here already.
+    ///
+    /// A job that was sent twice is stored twice at the same time while the store is slow. The second
+    /// one's outcome may come after the first one was accepted, run and ended.
+    pub fn own_job(&mut self, job: OwnedJob) -> bool {
+        let id = job.spec().id.clone();
+        if self.is_ended(&id) || self.is_owned(&id) {
+            return false;
+        }
+        self.forget_owner(&id);
+        self.board.add(job);
+        true
+    }
+
     /// Jobs owned here that aren't closed.
     pub fn open_owned(&self) -> Vec<String> {
         let open = self.board.iter().filter(|job| !job.is_closed());
--- a/crates/entry/src/batch/intake.rs
+++ b/crates/entry/src/batch/intake.rs
@@ -10,7 +10,7 @@
 use notch_types::prelude::*;
 
 use crate::{
-    batch::records::{create_job, inline_items, part_count},
+    batch::records::{create_job, inline_items, part_count, read_end},
     constants::{INTAKE_PATIENCE, JOB_BYTES, RETRY_AFTER, RETRY_AFTER_START, STORE_PAUSE},
     front::connection::OwnAnswer,
     node::EntryNode,
@@ -118,8 +118,14 @@
     loop {
         match crate::batch::records::read_job(&node.store, &spec.id).await {
             Ok(Some(stored)) if stored.owner() == record.owner => {
-                own_job(node, spec);
-                return IntakeOutcome::Ours;
+                // It may have been accepted and ended elsewhere while our answer was lost.
+                if let Ok(is_ended) = read_end(&node.store, &spec.id).await {
+                    if !is_ended {
+                        own_job(node, spec);
+                    }
+                    return IntakeOutcome::Ours;
+                }
+                task::sleep(jittered(STORE_PAUSE)).await;
             }
             Ok(_) => return IntakeOutcome::Known,
             Err(_) => task::sleep(jittered(STORE_PAUSE)).await,
@@ -131,7 +137,11 @@
 fn own_job(node: &Arc<EntryNode>, spec: Arc<JobSpec>) {
     let id = spec.id.clone();
     let items = spec.items.len();
-    node.jobs().board.add(OwnedJob::new(spec, Vec::new(), node.clock.now()));
+    let mut desk = node.jobs();
+    if desk.is_known(&id) || !desk.own_job(OwnedJob::new(spec, Vec::new(), node.clock.now())) {
+        return;
+    }
+    drop(desk);
     node.peers.broadcast(&notch_messages::prelude::PeerMessage::JobsOwned(vec![id.clone()]));
     node.runner_wake.notify(usize::MAX);
     node.log.info("job_owned", &[("job", &id), ("items", &items), ("cause", &"accepted")]);
--- a/crates/entry/src/batch/takeover.rs
+++ b/crates/entry/src/batch/takeover.rs
@@ -125,8 +125,9 @@
     {
         let mut desk = node.jobs();
         owned.adopt_progress(desk.take_progress(id));
-        desk.forget_owner(id);
-        desk.board.add(owned);
+        if !desk.own_job(owned) {
+            return Ok(());
+        }
     }
     node.log.info(
         "job_owned",
--- /dev/null
+++ b/crates/entry/tests/desk.rs
@@ -0,0 +1,67 @@
+//! What a gateway holds of jobs.
+
+use std::{sync::Arc, time::Duration};
+
+use notch_entry::batch::desk::JobDesk;
+use notch_relay::prelude::*;
+use notch_types::prelude::*;
+
+fn job(listed: &[&str]) -> OwnedJob {
+    let item = |id: &str| ItemSpec {
+        id: id.to_owned(),
+        path: "/".to_owned(),
+        headers: Vec::new(),
+        body: Vec::new(),
+    };
+    let terms = JobTerms {
+        due: Duration::from_secs(18),
+        item_lifetime: Duration::from_secs(60),
+        max_attempts: 2,
+    };
+    let spec = JobSpec {
+        id: "j1".to_owned(),
+        host: "h".to_owned(),
+        path: "/".to_owned(),
+        accepted_at: WallTime(0),
+        terms,
+        items: vec![item("0"), item("1")],
+    };
+    let line = |id: &&str| {
+        let (state, output) = (ItemState::Completed, "x".to_owned());
+        Arc::new(ResultLine { id: (*id).to_owned(), state, output })
+    };
+    OwnedJob::new(Arc::new(spec), listed.iter().map(line).collect(), Now::at_millis(0))
+}
+
+/// Symptom: a result that was read isn't there any more. Sequence: a client ends a job while results
+/// are being stored; another gateway reads them from the store; the former owner is asked. Cause: the
+/// former owner took its list for whole because the job had ended.
+#[test]
+fn an_ended_jobs_list_is_not_taken_for_whole() {
+    let mut desk = JobDesk::default();
+    assert!(desk.own_job(job(&["0"])));
+    desk.retire_job("j1");
+    let held = desk.copies.get("j1").expect("it is held");
+    assert!(!held.is_whole(), "a write of results may be under way");
+}
+
+/// Symptom: items run seconds after their job was ended. Sequence: a job is sent twice while the store
+/// is slow; the first one is accepted and ended; then the second one's write turns out as ours. Cause:
+/// the job was begun anew.
+#[test]
+fn an_ended_job_does_not_begin_again() {
+    let mut desk = JobDesk::default();
+    assert!(desk.own_job(job(&[])));
+    desk.note_ended("j1");
+    desk.retire_job("j1");
+    assert!(!desk.own_job(job(&[])));
+    assert!(desk.open_owned().is_empty());
+}
+
+#[test]
+fn a_job_is_owned_once() {
+    let mut desk = JobDesk::default();
+    assert!(desk.own_job(job(&["0"])));
+    assert!(!desk.own_job(job(&[])));
+    assert_eq!(desk.board.get("j1").map(|job| job.results().len()), Some(1));
+}
