--- a/crates/entry/src/batch/commits.rs
+++ b/crates/entry/src/batch/commits.rs
@@ -18,20 +18,30 @@
     store::feed::jittered,
 };
 
-/// Stores results at a position, for as long as it takes: a write without an answer may still take
+/// A place in a job's stored list.
+#[derive(Debug, Clone, Copy)]
+pub struct ListPlace {
+    /// Results before it.
+    pub position: usize,
+    /// Fences before it, at that position.
+    pub fences: u32,
+}
+
+/// Stores results at a place, for as long as it takes: a write without an answer may still take
 /// effect, so only the same results are tried again there.
 pub async fn store(
     node: Arc<EntryNode>,
     job: String,
-    position: usize,
+    place: ListPlace,
     lines: Vec<Arc<ResultLine>>,
 ) {
+    let ListPlace { position, fences } = place;
     let began = node.clock.mono();
     let outcome = loop {
         if !node.jobs().is_owned(&job) {
             return;
         }
-        match store_results(&node.store, &job, position, &node.owner, &lines).await {
+        match store_results(&node.store, &job, position, fences, &node.owner, &lines).await {
             Ok(outcome) => break outcome,
             Err(_) => task::sleep(jittered(STORE_PAUSE)).await,
         }
--- a/crates/entry/src/batch/intake.rs
+++ b/crates/entry/src/batch/intake.rs
@@ -1,6 +1,6 @@
 //! Takes jobs in.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use async_std::{future::timeout, task};
 use notch_h1::prelude::RequestHead;
@@ -17,6 +17,9 @@
     store::{client::StoreFailure, feed::jittered},
 };
 
+/// How often it's looked whether another sending of a job is stored.
+const TAKEN_TICK: Duration = Duration::from_millis(20);
+
 /// What storing a job came to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum IntakeOutcome {
@@ -39,7 +42,7 @@
     let Some(id) = RequestTerms::decode(&head.headers).attempt.filter(|id| is_name(id)) else {
         return answer(node, "-", "no_id", OwnAnswer::of(400), arrived);
     };
-    if node.jobs().is_known(id) {
+    if is_taken(node, id, arrived).await {
         return answer(node, id, "known", OwnAnswer::of(202), arrived);
     }
     let Some(terms) = route.job_terms else {
@@ -56,9 +59,19 @@
     if node.jobs().weight() + spec.weight() > JOB_BYTES {
         return answer(node, id, "jobs_full", OwnAnswer::refused(RETRY_AFTER_START), arrived);
     }
+    if !node.jobs().begin(id) {
+        return answer(node, id, "store_unclear", OwnAnswer::of(504), arrived);
+    }
     // The storing outlives this client's patience: a job whose write got no answer may come to be
     // stored, and then somebody must run it.
-    let storing = task::spawn(store_job(Arc::clone(node), spec, record, text.to_owned()));
+    let shared = Arc::clone(node);
+    let text = text.to_owned();
+    let storing = task::spawn(async move {
+        let id = spec.id.clone();
+        let outcome = store_job(Arc::clone(&shared), spec, record, text).await;
+        shared.jobs().finish(&id);
+        outcome
+    });
     match timeout(INTAKE_PATIENCE, storing).await {
         Ok(IntakeOutcome::Ours) => answer(node, id, "accepted", OwnAnswer::of(202), arrived),
         Ok(IntakeOutcome::Known) => answer(node, id, "known", OwnAnswer::of(202), arrived),
@@ -70,6 +83,24 @@
     }
 }
 
+/// Whether the job is here already. While another sending of it is being stored, that one's outcome
+/// is waited for: it tells for both.
+async fn is_taken(node: &EntryNode, id: &str, arrived: MonoTime) -> bool {
+    loop {
+        {
+            let desk = node.jobs();
+            if desk.is_known(id) {
+                return true;
+            }
+            let is_over = node.clock.mono().since(arrived) >= INTAKE_PATIENCE;
+            if !desk.is_busy(id) || is_over {
+                return false;
+            }
+        }
+        task::sleep(TAKEN_TICK).await;
+    }
+}
+
 fn job_record(node: &EntryNode, head: &RequestHead, terms: &JobTerms, text: &str) -> JobRecord {
     let parts = part_count(text);
     JobRecord {
--- a/crates/entry/src/batch/ownership.rs
+++ b/crates/entry/src/batch/ownership.rs
@@ -1,6 +1,6 @@
 //! Whether a job still is ours.
 
-use std::sync::Arc;
+use std::sync::{Arc, atomic::Ordering};
 
 use async_std::task;
 use notch_messages::prelude::PeerMessage;
@@ -8,11 +8,27 @@
 
 use crate::{
     batch::{commits, records::read_job},
-    constants::STORE_PAUSE,
+    constants::{STORE_PAUSE, VERIFY_DELAY},
     node::EntryNode,
     store::feed::jittered,
 };
 
+/// Checks every job that we run, once for all calls that come together.
+///
+/// A gateway that stood still, or was cut off, may have lost jobs to others that have ended them by
+/// now: they don't speak of them any more, and it would go on telling readers of its own list.
+pub async fn verify_all(node: &Arc<EntryNode>) {
+    if node.is_verifying.swap(true, Ordering::AcqRel) {
+        return;
+    }
+    task::sleep(VERIFY_DELAY).await;
+    node.is_verifying.store(false, Ordering::Release);
+    let jobs = node.jobs().board.ids();
+    for job in jobs {
+        verify(node, &job).await;
+    }
+}
+
 /// Asks the store who owns a job that we run, and gives it up if it's another gateway.
 ///
 /// A gateway that was out of touch with the others may have lost a job without a word. Two that both
--- a/crates/entry/src/batch/reads.rs
+++ b/crates/entry/src/batch/reads.rs
@@ -56,8 +56,8 @@
                 }
                 // A gateway out of touch may have taken the job over and listed more.
                 return match stored_results(&node.store, job, held).await {
-                    Ok(lines) => {
-                        let new = lines.get(after.saturating_sub(held)..).unwrap_or_default();
+                    Ok(list) => {
+                        let new = list.lines.get(after.saturating_sub(held)..).unwrap_or_default();
                         results_answer(total, after, new)
                     }
                     Err(_) => unsure(node, job, "store_unavailable"),
@@ -123,8 +123,8 @@
         return Ok(false);
     }
     let position = copy.chunk_end;
-    let lines = stored_results(&node.store, job, position).await?;
-    copy.extend(position, &lines, true);
+    let list = stored_results(&node.store, job, position).await?;
+    copy.extend(position, &list.lines, true);
     Ok(true)
 }
 
--- a/crates/entry/src/batch/records.rs
+++ b/crates/entry/src/batch/records.rs
@@ -2,7 +2,9 @@
 //!
 //! A job is one object, created once: whoever sends it again finds it there. Its results are a chain
 //! of objects, each named after the position of its first result and created once, so that two
-//! gateways that both take themselves for the owner can't both write a position. The end of a job
+//! gateways that both take themselves for the owner can't both write a position. A gateway that takes
+//! a job over first puts a fence at the list's end, an object without results: the former owner, which
+//! may be cut off and not know, can write nothing more, for it knows no name after the fence. The end of a job
 //! is an object of its own, which is created without knowing anything else.
 
 use std::sync::Arc;
@@ -75,11 +77,11 @@
 pub enum ChunkOutcome {
     /// They stand at their position.
     Stored,
-    /// Another gateway's results stand there.
+    /// Another gateway's results stand there, or its fence.
     Displaced {
         /// Who wrote them.
         writer: String,
-        /// Those results.
+        /// Those results; none for a fence.
         lines: Vec<Arc<ResultLine>>,
     },
 }
@@ -150,28 +152,61 @@
     job.record.decode_job(&job.id, text).map_err(|_| StoreFailure::NotDone)
 }
 
-/// Stored results from `position` on.
+/// The stored list of a job from a position on.
+#[derive(Debug, Default)]
+pub struct StoredList {
+    /// The results.
+    pub lines: Vec<Arc<ResultLine>>,
+    /// Fences after the last of them.
+    pub fences: u32,
+}
+
+/// Stored results from `position` on, where an object begins.
 ///
 /// # Errors
 /// The store didn't answer.
 pub async fn read_results(
     store: &StoreClient,
     id: &str,
-    mut position: usize,
-) -> Result<Vec<Arc<ResultLine>>, StoreFailure> {
-    let mut lines = Vec::new();
+    position: usize,
+) -> Result<StoredList, StoreFailure> {
+    let mut list = StoredList::default();
     loop {
-        let reply = store.get(&object_path(RESULT_KIND, &chunk_name(id, position))).await?;
+        let name = chunk_name(id, position + list.lines.len(), list.fences);
+        let reply = store.get(&object_path(RESULT_KIND, &name)).await?;
         if !reply.is_success() {
-            return Ok(lines);
+            return Ok(list);
         }
         let chunk = decode_chunk(&reply.body)?;
-        position += chunk.lines.len().max(1);
-        lines.extend(chunk.lines);
+        list.fences = if chunk.lines.is_empty() { list.fences + 1 } else { 0 };
+        list.lines.extend(chunk.lines);
     }
 }
 
-/// Stores results at `position`.
+/// Reads a job's whole list and puts a fence at its end, after which only `owner` can extend it.
+///
+/// # Errors
+/// The store didn't answer.
+pub async fn fence_results(
+    store: &StoreClient,
+    id: &str,
+    owner: &str,
+) -> Result<StoredList, StoreFailure> {
+    loop {
+        let mut list = read_results(store, id, 0).await?;
+        let (position, fences) = (list.lines.len(), list.fences);
+        match store_results(store, id, position, fences, owner, &[]).await? {
+            ChunkOutcome::Stored => {
+                list.fences += 1;
+                return Ok(list);
+            }
+            // The former owner was faster: what it wrote counts.
+            ChunkOutcome::Displaced { .. } => {}
+        }
+    }
+}
+
+/// Stores results at `position`, after the fences that stand there; a fence where there are none.
 ///
 /// # Errors
 /// The store didn't answer: they may stand there or come to. Only the same ones may be tried again.
@@ -179,11 +214,12 @@
     store: &StoreClient,
     id: &str,
     position: usize,
+    fences: u32,
     writer: &str,
     lines: &[Arc<ResultLine>],
 ) -> Result<ChunkOutcome, StoreFailure> {
     let chunk = ResultChunk { writer: writer.to_owned(), lines: lines.to_vec() };
-    let name = chunk_name(id, position);
+    let name = chunk_name(id, position, fences);
     let body = spec_body(&name, &chunk);
     let wait = store.settings().call_timeout;
     let reply = store.call("POST", &list_path(RESULT_KIND, None), Some(&body), wait).await?;
@@ -258,8 +294,11 @@
     serde_json::from_str(spec.get()).map_err(|_| StoreFailure::Unknown)
 }
 
-fn chunk_name(id: &str, position: usize) -> String {
-    format!("{id}.{position:06}")
+fn chunk_name(id: &str, position: usize, fences: u32) -> String {
+    match fences {
+        0 => format!("{id}.{position:06}"),
+        _ => format!("{id}.{position:06}.{fences}"),
+    }
 }
 
 fn part_name(id: &str, index: usize) -> String {
--- a/crates/entry/src/batch/runner.rs
+++ b/crates/entry/src/batch/runner.rs
@@ -7,7 +7,7 @@
 use notch_types::prelude::*;
 
 use crate::{
-    batch::{commits, desk::ItemRunHandle, item_run::run_item},
+    batch::{commits, commits::ListPlace, desk::ItemRunHandle, item_run::run_item},
     constants::{OBJECT_BYTES, PREEMPT_AGE, RESULT_DELAY, RUNNER_TICK, STARTS_PER_PASS},
     node::EntryNode,
 };
@@ -107,8 +107,8 @@
         }
         let Some(job) = desk.board.get_mut(&id) else { continue };
         if let Some(lines) = job.take_pending(RESULT_DELAY, OBJECT_BYTES, now) {
-            let position = job.results().len();
-            task::spawn(commits::store(Arc::clone(node), id, position, lines));
+            let place = ListPlace { position: job.results().len(), fences: job.fences() };
+            task::spawn(commits::store(Arc::clone(node), id, place, lines));
         }
     }
 }
--- a/crates/entry/src/batch/takeover.rs
+++ b/crates/entry/src/batch/takeover.rs
@@ -8,7 +8,7 @@
 use notch_types::prelude::*;
 
 use crate::{
-    batch::records::{JOB_KIND, StoredJob, read_end, read_results, read_spec, take_job},
+    batch::records::{JOB_KIND, StoredJob, fence_results, read_end, read_spec, take_job},
     constants::{ORPHANS_AGAIN, ORPHANS_FIRST, PEER_TICK},
     node::EntryNode,
     peers::table::OwnerLiveness,
@@ -67,6 +67,9 @@
             continue;
         }
         match node.liveness(&owner, now) {
+            // Ours by the store, and not here: the write that made it so got no answer. Nobody else
+            // will take it over.
+            OwnerLiveness::Alive if owner == node.owner => {}
             OwnerLiveness::Alive => continue,
             OwnerLiveness::Doubtful => {
                 left += 1;
@@ -74,7 +77,7 @@
             }
             OwnerLiveness::Gone => {}
         }
-        if !comes_first(node, &job.id) {
+        if owner != node.owner && !comes_first(node, &job.id) {
             left += 1;
             continue;
         }
@@ -114,13 +117,14 @@
         return Ok(());
     }
     let spec = Arc::new(read_spec(&node.store, job).await?);
-    let results = read_results(&node.store, id, 0).await?;
+    let list = fence_results(&node.store, id, &node.owner).await?;
     if read_end(&node.store, id).await? {
         node.jobs().note_ended(id);
         return Ok(());
     }
-    let listed = results.len();
-    let mut owned = OwnedJob::new(spec, results, node.clock.now());
+    let listed = list.lines.len();
+    let mut owned = OwnedJob::new(spec, list.lines, node.clock.now());
+    owned.set_fences(list.fences);
     let is_closed = owned.is_closed();
     {
         let mut desk = node.jobs();
--- a/crates/entry/src/constants.rs
+++ b/crates/entry/src/constants.rs
@@ -118,6 +118,8 @@
 pub const DOUBT_CHECK: Duration = Duration::from_millis(400);
 /// Longest wait for a peer's answer beyond the wait that it was asked for.
 pub const ASK_GRACE: Duration = Duration::from_millis(300);
+/// Links that form again after a cut come within this time; jobs are checked once for all of them.
+pub const VERIFY_DELAY: Duration = Duration::from_millis(200);
 /// Longest wait of a read for news that is passed on to a peer.
 pub const ASK_WAIT: Duration = Duration::from_millis(900);
 
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -1,6 +1,6 @@
 //! What all tasks of a gateway share.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock, atomic::AtomicBool};
 
 use event_listener::Event;
 use notch_platform_wire::{prelude::StoreObject, target::decode_entry};
@@ -54,6 +54,8 @@
     pub job_news: Event,
     /// Told when items may have become ready to run.
     pub runner_wake: Event,
+    /// Whether all jobs are about to be checked for their owner.
+    pub is_verifying: AtomicBool,
     configuration: RwLock<Option<ConfigurationInForce>>,
     targets: Mutex<TargetTable>,
     target_feed: Mutex<TargetFeed>,
@@ -80,6 +82,7 @@
             stop: StopState::default(),
             job_news: Event::new(),
             runner_wake: Event::new(),
+            is_verifying: AtomicBool::new(false),
             configuration: RwLock::new(None),
             targets: Mutex::new(TargetTable::new(&domain)),
             target_feed: Mutex::default(),
--- a/crates/entry/src/peers/hub.rs
+++ b/crates/entry/src/peers/hub.rs
@@ -108,6 +108,8 @@
             let hello = PeerMessage::Hello { owner: node.owner.clone(), jobs };
             node.peers.send(&peer.vm, hello);
             node.peers.send(&peer.vm, reports::report(node));
+            let node = Arc::clone(node);
+            task::spawn(async move { ownership::verify_all(&node).await });
         }
         LinkEvent::Down { peer, link, reason } => {
             let reason = format!("{reason:?}");
--- a/crates/relay/src/jobs/owned.rs
+++ b/crates/relay/src/jobs/owned.rs
@@ -91,6 +91,8 @@
     results: Vec<Arc<ResultLine>>,
     /// Results that aren't stored yet.
     pending: Vec<Arc<ResultLine>>,
+    /// Fences that stand at the end of the stored list: gateways that took the job over there.
+    fences: u32,
     /// Results from the front of `pending` that are being stored.
     storing: usize,
     /// When the oldest pending result came.
@@ -113,6 +115,7 @@
             expires,
             items: items.collect(),
             results,
+            fences: 0,
             pending: Vec::new(),
             storing: 0,
             pending_since: now.mono,
@@ -136,6 +139,17 @@
         &self.results
     }
 
+    /// Fences at the end of the stored list, one of them this gateway's own if it took the job over
+    /// there.
+    pub fn fences(&self) -> u32 {
+        self.fences
+    }
+
+    /// This many fences stand at the end of the stored list.
+    pub fn set_fences(&mut self, fences: u32) {
+        self.fences = fences;
+    }
+
     /// Whether the client ended it.
     pub fn is_ended(&self) -> bool {
         self.ended
@@ -287,15 +301,17 @@
     pub fn stored(&mut self, now: MonoTime) {
         let stored: Vec<_> = self.pending.drain(..self.storing).collect();
         self.results.extend(stored);
+        self.fences = 0;
         self.storing = 0;
         self.pending_since = now;
     }
 
-    /// Another gateway stored `lines` at the position that the results taken last were for. Items
+    /// Another gateway stored `lines`, or a fence where there are none, at the position that the results taken last were for. Items
     /// listed there are dropped here: the first stored result of an item is the one that counts.
     pub fn displaced(&mut self, lines: Vec<Arc<ResultLine>>, now: MonoTime) {
         self.storing = 0;
         self.pending_since = now;
+        self.fences = if lines.is_empty() { self.fences + 1 } else { 0 };
         for line in &lines {
             self.pending.retain(|pending| pending.id != line.id);
             if let Some(index) = self.spec.items.iter().position(|item| item.id == line.id) {
--- a/crates/relay/tests/jobs.rs
+++ b/crates/relay/tests/jobs.rs
@@ -92,6 +92,22 @@
     assert_eq!(job.next_item(at(9_000)), Some(1));
 }
 
+/// Symptom: a result that was read isn't there any more. Sequence: an owner is cut off, another gateway
+/// takes its job over; the cut heals, the former owner's write takes effect, and the new one doesn't
+/// know of it. Cause: nothing kept the former owner from writing where the list ended.
+#[test]
+fn a_fence_displaces_the_former_owners_results() {
+    let mut job = job(2);
+    complete(&mut job, 0, at(0));
+    let first = job.take_pending(DELAY, BYTES, at(1_000)).expect("it waited long enough");
+    job.displaced(Vec::new(), at(1_010));
+    assert_eq!((job.results().len(), job.fences()), (0, 1));
+    // Should the store say that it's ours after all, the same results go after the fence.
+    assert_eq!(job.take_pending(DELAY, BYTES, at(9_000)), Some(first));
+    job.stored(at(9_010));
+    assert_eq!((job.results().len(), job.fences()), (1, 0));
+}
+
 #[test]
 fn an_item_is_given_up_after_its_attempts_only() {
     let mut job = job(1);
