Call liveness probes and successors by their names

Cause: the code said sign of life and heir where the field says liveness probe and successor. Before and after: the same tests pass.

--- a/crates/entry/src/constants.rs
+++ b/crates/entry/src/constants.rs
@@ -11,10 +11,10 @@
 pub const FIRST_BYTE_FREE: f64 = 0.55;
 /// The same where the request may wait for a place: a usual stream lasts two objectives.
 pub const FIRST_BYTE_QUEUED: f64 = 5.0;
-/// How often it's looked whether a silent target is to be asked for a sign of life.
-pub const SIGN_TICK: Duration = Duration::from_millis(100);
-/// Longest wait for a sign of life: a report takes a few milliseconds.
-pub const SIGN_TIMEOUT: Duration = Duration::from_millis(150);
+/// How often it's looked whether a liveness probe is due.
+pub const LIVENESS_TICK: Duration = Duration::from_millis(100);
+/// Longest wait for the answer to a liveness probe: a report takes a few milliseconds.
+pub const LIVENESS_TIMEOUT: Duration = Duration::from_millis(150);
 /// Share of a route's longest pause between events after which a silent stream is taken up at
 /// another target, so that the pause still is in time. Events come every 30 ms.
 pub const STALL_SHARE: f64 = 0.7;
--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -24,7 +24,7 @@
     node::EntryNode,
     peers::{hub, reports},
     store::feed::{FeedEvent, FeedPlan, follow},
-    target::signs,
+    target::liveness,
 };
 
 /// How often the end of a stop is looked for.
@@ -93,7 +93,7 @@
     task::spawn(reports::tell_uses(Arc::clone(node)));
     task::spawn(runner::run_jobs(Arc::clone(node)));
     task::spawn(takeover::watch_owners(Arc::clone(node)));
-    task::spawn(signs::ask_silent(Arc::clone(node)));
+    task::spawn(liveness::probe_silent(Arc::clone(node)));
     task::spawn(clean(Arc::clone(node)));
 }
 
@@ -193,8 +193,8 @@
     loop {
         task::sleep(STOP_TICK).await;
         let age = node.stop.age(node.clock.mono());
-        let has_heirs = !node.peers.live_vms().is_empty();
-        if !jobs_left && (age >= STOP_JOBS_ALONE || (has_heirs && age >= STOP_JOBS)) {
+        let has_successors = !node.peers.live_vms().is_empty();
+        if !jobs_left && (age >= STOP_JOBS_ALONE || (has_successors && age >= STOP_JOBS)) {
             leave_jobs(node).await;
             jobs_left = true;
         }
@@ -228,9 +228,9 @@
     for job in &jobs {
         let held = node.jobs().board.get(job).map(OwnedJob::progress);
         if let Some(items) = held.filter(|items| !items.is_empty())
-            && let Some(heir) = takeover::first_for(node, job)
+            && let Some(successor) = takeover::first_for(node, job)
         {
-            node.peers.send(&heir, PeerMessage::JobProgress { job: job.clone(), items });
+            node.peers.send(&successor, PeerMessage::JobProgress { job: job.clone(), items });
         }
         node.jobs().give_up_job(job);
     }
--- a/crates/entry/src/target.rs
+++ b/crates/entry/src/target.rs
@@ -1,5 +1,5 @@
 //! Connections to targets.
 
 pub mod connection;
+pub mod liveness;
 pub mod pool;
-pub mod signs;
--- a/crates/entry/src/target/signs.rs
+++ b/crates/entry/src/target/liveness.rs
@@ -1,26 +1,26 @@
-//! Asks silent targets for a sign of life.
+//! Liveness probes of silent targets.
 
 use std::{net::SocketAddr, sync::Arc};
 
 use async_std::{future::timeout, net::TcpStream, task};
 use notch_h1::prelude::*;
-use notch_platform_wire::target::sign_request;
+use notch_platform_wire::target::liveness_request;
 
 use crate::{
-    constants::{ANSWER_HEAD_BYTES, SIGN_TICK, SIGN_TIMEOUT},
+    constants::{ANSWER_HEAD_BYTES, LIVENESS_TICK, LIVENESS_TIMEOUT},
     node::EntryNode,
 };
 
 /// Asks targets that went silent, until the process ends.
-pub async fn ask_silent(node: Arc<EntryNode>) {
+pub async fn probe_silent(node: Arc<EntryNode>) {
     loop {
-        task::sleep(SIGN_TICK).await;
+        task::sleep(LIVENESS_TICK).await;
         let silent = node.targets().silent_targets(node.clock.mono());
         for (id, address) in silent {
-            let is_alive = timeout(SIGN_TIMEOUT, answers(address)).await.unwrap_or(false);
-            node.log.info("target_asked", &[("target", &id), ("alive", &is_alive)]);
+            let is_alive = timeout(LIVENESS_TIMEOUT, answers(address)).await.unwrap_or(false);
+            node.log.info("target_probed", &[("target", &id), ("alive", &is_alive)]);
             if is_alive {
-                node.targets().note_sign(&id);
+                node.targets().note_liveness(&id);
                 node.runner_wake.notify(usize::MAX);
             } else {
                 node.targets().note_silence(&id, node.clock.mono());
@@ -31,7 +31,7 @@
 
 async fn answers(address: SocketAddr) -> bool {
     let Ok(stream) = TcpStream::connect(address).await else { return false };
-    if write_all(&stream, &sign_request(address)).await.is_err() {
+    if write_all(&stream, &liveness_request(address)).await.is_err() {
         return false;
     }
     WireReader::new(stream).response_head(ANSWER_HEAD_BYTES).await.is_ok()
--- a/crates/relay/src/targets/health.rs
+++ b/crates/relay/src/targets/health.rs
@@ -31,14 +31,14 @@
         self.failures > 0 && (now < self.avoid_until || self.probing || self.is_silent)
     }
 
-    /// Whether the target should be asked for a sign of life at `now`. Real requests sent to find
+    /// Whether a liveness probe should go to the target at `now`. Real requests sent to find
     /// out were lost at each try while a target was dark.
-    pub fn needs_sign(&self, now: MonoTime) -> bool {
+    pub fn needs_liveness_probe(&self, now: MonoTime) -> bool {
         self.is_silent && now >= self.avoid_until
     }
 
-    /// The target gave a sign of life: one request may go there and find out the rest.
-    pub fn note_sign(&mut self) {
+    /// The target answered a liveness probe: one request may go there and find out the rest.
+    pub fn note_liveness(&mut self) {
         self.is_silent = false;
     }
 
--- a/crates/relay/src/targets/table.rs
+++ b/crates/relay/src/targets/table.rs
@@ -230,21 +230,21 @@
         }
     }
 
-    /// Targets to be asked for a sign of life at `now`; asked again only after the next failure or
+    /// Targets that a liveness probe should go to at `now`; again only after the next failure or
     /// [`note_silence`](Self::note_silence).
     pub fn silent_targets(&self, now: MonoTime) -> Vec<(String, SocketAddr)> {
-        let silent = self.records.values().filter(|record| record.health.needs_sign(now));
+        let silent = self.records.values().filter(|record| record.health.needs_liveness_probe(now));
         silent.map(|record| (record.entry.id.clone(), record.entry.address)).collect()
     }
 
-    /// A target gave a sign of life.
-    pub fn note_sign(&mut self, id: &str) {
+    /// A target answered a liveness probe.
+    pub fn note_liveness(&mut self, id: &str) {
         if let Some(record) = self.records.get_mut(id) {
-            record.health.note_sign();
+            record.health.note_liveness();
         }
     }
 
-    /// A target gave no sign of life: it's asked again later.
+    /// A target did not answer a liveness probe: another one follows later.
     pub fn note_silence(&mut self, id: &str, now: MonoTime) {
         if let Some(record) = self.records.get_mut(id) {
             record.health.fail(true, now);
