--- a/crates/relay/tests/targets.rs
+++ b/crates/relay/tests/targets.rs
@@ -68,14 +68,14 @@
     assert_eq!(online(&mut table, now).as_deref(), Some("t1"));
 }
 
-/// Symptom: each request to a dark target loses its time. Sequence: a target goes silent, requests
+/// Symptom: each request to an ill target loses its time. Sequence: a target cuts answers, requests
 /// keep choosing it because none of them stays there. Cause: failures were not remembered.
 #[test]
 fn a_failed_target_is_avoided_and_probed_by_one() {
     let mut table = table(&["t1", "t2"]);
     let start = MonoTime::from_millis(1_000);
     let first = online(&mut table, start).expect("a target is free");
-    let failure = Some(Err(AttemptFailure::SilentBeforeAnswer));
+    let failure = Some(Err(AttemptFailure::CutAnswer));
     table.finish(&first, WorkKind::Online, failure, start);
     for _ in 0..4 {
         assert_ne!(
@@ -89,6 +89,27 @@
     assert_ne!(online(&mut table, later).as_ref(), Some(&first), "the probe goes alone");
 }
 
+/// Symptom: a dark target takes a request every second. Sequence: a target goes silent, a real request
+/// is sent to find out whether it is back. Cause: nothing cheaper was tried first.
+#[test]
+fn a_silent_target_must_answer_a_probe_first() {
+    let mut table = table(&["t1", "t2"]);
+    let start = MonoTime::from_millis(1_000);
+    let first = online(&mut table, start).expect("a target is free");
+    let failure = Some(Err(AttemptFailure::SilentBeforeAnswer));
+    table.finish(&first, WorkKind::Online, failure, start);
+    assert_eq!(table.silent_targets(start), [], "not at once");
+    let later = start + Duration::from_millis(400);
+    assert_eq!(table.silent_targets(later).len(), 1);
+    assert_ne!(online(&mut table, later).as_ref(), Some(&first), "no request before it answers");
+    table.note_silence(&first, later);
+    assert_eq!(table.silent_targets(later), [], "the next probe comes later");
+    let back = later + Duration::from_millis(2_000);
+    table.note_liveness(&first);
+    assert_eq!(online(&mut table, back).as_ref(), Some(&first), "one request finds out the rest");
+    assert_ne!(online(&mut table, back).as_ref(), Some(&first), "it goes alone");
+}
+
 #[test]
 fn batch_leaves_a_place_free_and_fills_no_queue() {
     let mut table = table(&["t1"]);
