Let suspects follow each other as quickly as they run

Cause: every item in flight at a crash becomes a suspect and must run alone. After each of them its target was not drained for the next one for a fixed five seconds, however short the run was; with ten suspects on two or three targets the job ended after 40 s or more. Whether the test passed depended on how many items were in flight at the crash. Ruled out: items returned without counting attempts (they are handed out again at once); a wait that never ends (drains are given up after their bound and begin again). Conclusion: the pause is as long as the isolation was, five seconds at most, so suspects still take half of a target's time at most.

--- a/crates/gate/src/core/isolation.rs
+++ b/crates/gate/src/core/isolation.rs
@@ -1,5 +1,7 @@
 //! Suspects run alone: the target is drained for one, and nothing joins it.
 
+use std::time::Duration;
+
 use notch_types::{account::WorkClass, prelude::*};
 
 use super::GateCore;
@@ -34,10 +36,8 @@
         }
         match state.isolation {
             IsolationPhase::Idle => StartBlock::Nothing,
-            IsolationPhase::Alone { run } => self.keep_alone(now, state, run, effects),
-            IsolationPhase::Draining { run, until } => {
-                self.drain_for(now, state, run, until, effects)
-            }
+            IsolationPhase::Alone { run, .. } => self.keep_alone(now, state, run, effects),
+            IsolationPhase::Draining { run, .. } => self.drain_for(now, state, run, effects),
         }
     }
 
@@ -46,7 +46,7 @@
     pub(crate) fn is_held_by_online(&self, state: &TargetState) -> bool {
         let run = match state.isolation {
             IsolationPhase::Idle => return false,
-            IsolationPhase::Alone { run } | IsolationPhase::Draining { run, .. } => run,
+            IsolationPhase::Alone { run, .. } | IsolationPhase::Draining { run, .. } => run,
         };
         self.runs.get(&run).is_some_and(|record| record.class == WorkClass::Online)
     }
@@ -64,9 +64,9 @@
         let Some(run) = waiting.into_iter().find(|run| self.must_run_alone(now, *run)) else {
             return;
         };
-        let until = now + self.settings.isolation_wait;
-        state.isolation = IsolationPhase::Draining { run, until };
-        self.timers.set(until, TimerKind::Isolation(state.name.clone()));
+        state.isolation = IsolationPhase::Draining { run, since: now };
+        self.timers
+            .set(now + self.settings.isolation_wait, TimerKind::Isolation(state.name.clone()));
         Self::count("isolations_begun", effects);
         if self.is_held_by_online(state) {
             self.refuse_others(now, state, run, effects);
@@ -109,7 +109,6 @@
         now: MonoTime,
         state: &mut TargetState,
         run: AttemptId,
-        until: MonoTime,
         effects: &mut Vec<GateEffect>,
     ) -> StartBlock {
         let Some(record) = self.runs.get(&run).filter(|record| record.is_waiting()) else {
@@ -119,11 +118,13 @@
         if state.taken() == 0 && (is_online || state.queue.is_empty()) {
             state.queue.retain(|(_, waiting)| *waiting != run);
             state.pending.retain(|waiting| *waiting != run);
-            state.isolation = IsolationPhase::Alone { run };
+            let since = state.isolation.since().unwrap_or(now);
+            state.isolation = IsolationPhase::Alone { run, since };
             self.start(now, state, run, true, effects);
             return StartBlock::Everything;
         }
-        if now >= until {
+        let waited = state.isolation.since().map_or(Duration::ZERO, |since| now.since(since));
+        if waited >= self.settings.isolation_wait {
             match is_online {
                 true => self.refuse_waiting(now, state, run, RefusalReason::Overloaded, effects),
                 false => self.return_pending(state, run, effects),
@@ -143,15 +144,18 @@
         StartBlock::Everything
     }
 
-    /// The next isolation waits for a while, so that a stream of suspects can't keep the target.
+    /// The next isolation waits as long as this one took, so that a stream of suspects has half of
+    /// the target's time at most. A fixed pause of seconds made a job wait for it once for each
+    /// item that had run beside a culprit: it ended late, or seemed not to end.
     fn end_isolation(
         &mut self,
         now: MonoTime,
         state: &mut TargetState,
         effects: &mut Vec<GateEffect>,
     ) -> StartBlock {
+        let took = state.isolation.since().map_or(Duration::ZERO, |since| now.since(since));
         state.isolation = IsolationPhase::Idle;
-        state.isolation_from = now + self.settings.isolation_pause;
+        state.isolation_from = now + took.min(self.settings.isolation_pause);
         self.timers.set(state.isolation_from, TimerKind::Isolation(state.name.clone()));
         Self::count("isolations_ended", effects);
         StartBlock::Nothing
--- a/crates/gate/src/settings.rs
+++ b/crates/gate/src/settings.rs
@@ -44,7 +44,8 @@
     pub run_bound: Duration,
     /// How long a suspect may wait for its target to be idle.
     pub isolation_wait: Duration,
-    /// Pause after an isolation before the target is drained for the next suspect.
+    /// Longest pause after an isolation before the target is drained for the next suspect; it is as
+    /// long as the isolation was.
     pub isolation_pause: Duration,
     /// How long a fingerprint stays a suspect.
     pub suspect_retention: Duration,
--- a/crates/gate/src/target_state.rs
+++ b/crates/gate/src/target_state.rs
@@ -30,20 +30,32 @@
 pub(crate) enum IsolationPhase {
     /// Nobody's turn.
     Idle,
-    /// The target is drained for this run, until then.
+    /// The target is drained for this run.
     Draining {
         /// Whose turn it is.
         run: AttemptId,
-        /// When it is given up.
-        until: MonoTime,
+        /// When the draining began.
+        since: MonoTime,
     },
     /// This run has the target for itself.
     Alone {
         /// Which.
         run: AttemptId,
+        /// When the draining for it began.
+        since: MonoTime,
     },
 }
 
+impl IsolationPhase {
+    /// When the turn began; `None` when it's nobody's.
+    pub(crate) fn since(self) -> Option<MonoTime> {
+        match self {
+            Self::Idle => None,
+            Self::Draining { since, .. } | Self::Alone { since, .. } => Some(since),
+        }
+    }
+}
+
 /// The pull for batch work.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum PullPhase {
--- a/crates/gate/tests/crashes.rs
+++ b/crates/gate/tests/crashes.rs
@@ -209,3 +209,23 @@
     ));
     assert_eq!(starts(&effects), [item_run(item(1, 1))], "the rest of its job goes on");
 }
+
+#[test]
+fn items_that_ran_beside_a_culprit_follow_each_other_quickly() {
+    // Symptom: a job with one item that crashes its target ends late, or not within a minute.
+    // Sequence: the items that ran beside the culprit are suspects; each runs alone here, ends
+    // within 100 ms, and the next one waits.
+    // Cause: a pause of five seconds followed each of them, however short its run was.
+    let mut bench = Bench::new(still(), fixed(4));
+    let items: Vec<ItemKey> = (0..4).map(|number| item(1, number)).collect();
+    let marks = (0..4).map(|number| fingerprint(1_000_000 + number)).collect();
+    bench.say(SidecarMessage::Suspected(marks));
+    let mut started = starts(&bench.say(SidecarMessage::Lot(lot(1, &items))));
+    for _ in 0..items.len() {
+        assert_eq!(started.len(), 1, "one at a time, and none is kept waiting for long");
+        bench.pass(100);
+        bench.end(started[0], RunEnd::Complete { status: 200 });
+        started = starts(&bench.pass(150));
+    }
+    assert!(started.is_empty(), "all have run");
+}
