Read and write every program's settings in one place

Cause: four settings structs repeated how a file is read, checked and rendered; a change of one of them would have been missed in the others. Ruled out: a trait, which the house style keeps for the edges of a process. Before: four copies. After: two functions that take a program's visit and check. The settings' tests pass unchanged.

--- a/crates/settings/src/config.rs
+++ b/crates/settings/src/config.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     error::SettingsErrors,
-    file::{FieldVisitor, SettingsFile},
+    file::{FieldVisitor, SettingsFile, read_config, render_config},
     sections::{
         AdmissionSettings, JobSettings, LedgerSettings, LimitSettings, LinkSettings,
         ListenSettings, LoggingSettings, MembershipSettings, NodeSettings, OnlineSettings,
@@ -47,11 +47,7 @@
     /// # Errors
     /// Every fault of the file, in line order.
     pub fn from_file(file: &SettingsFile) -> Result<Self, SettingsErrors> {
-        let mut config = Self::default();
-        let mut fields = FieldVisitor::read(file);
-        config.visit(&mut fields);
-        config.check(&mut fields);
-        fields.finish().map(|()| config)
+        read_config(file, Self::visit, Self::check)
     }
 
     /// Reads the file at `path`.
@@ -64,9 +60,7 @@
 
     /// The settings as the text of a file.
     pub fn render(&self) -> String {
-        let mut fields = FieldVisitor::write();
-        self.clone().visit(&mut fields);
-        fields.into_text()
+        render_config(self, Self::visit)
     }
 
     fn visit(&mut self, fields: &mut FieldVisitor<'_>) {
@@ -126,11 +120,7 @@
     /// # Errors
     /// Every fault of the file, in line order.
     pub fn from_file(file: &SettingsFile) -> Result<Self, SettingsErrors> {
-        let mut config = Self::default();
-        let mut fields = FieldVisitor::read(file);
-        config.visit(&mut fields);
-        config.check(&mut fields);
-        fields.finish().map(|()| config)
+        read_config(file, Self::visit, Self::check)
     }
 
     /// Reads the file at `path`.
@@ -143,9 +133,7 @@
 
     /// The settings as the text of a file.
     pub fn render(&self) -> String {
-        let mut fields = FieldVisitor::write();
-        self.clone().visit(&mut fields);
-        fields.into_text()
+        render_config(self, Self::visit)
     }
 
     fn visit(&mut self, fields: &mut FieldVisitor<'_>) {
--- a/crates/settings/src/entry_config.rs
+++ b/crates/settings/src/entry_config.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     error::SettingsErrors,
-    file::{FieldVisitor, SettingsFile},
+    file::{FieldVisitor, SettingsFile, read_config, render_config},
     sections::{EntryListenSettings, LinkSettings, LoggingSettings, NodeSettings, StoreSettings},
 };
 
@@ -30,13 +30,7 @@
     /// # Errors
     /// Every fault of the file, in line order.
     pub fn from_file(file: &SettingsFile) -> Result<Self, SettingsErrors> {
-        let mut config = Self::default();
-        let mut fields = FieldVisitor::read(file);
-        config.visit(&mut fields);
-        config.listen.check(&mut fields);
-        config.store.check(&mut fields);
-        config.links.check(&mut fields);
-        fields.finish().map(|()| config)
+        read_config(file, Self::visit, Self::check)
     }
 
     /// Reads the file at `path`.
@@ -49,9 +43,7 @@
 
     /// The settings as the text of a file.
     pub fn render(&self) -> String {
-        let mut fields = FieldVisitor::write();
-        self.clone().visit(&mut fields);
-        fields.into_text()
+        render_config(self, Self::visit)
     }
 
     fn visit(&mut self, fields: &mut FieldVisitor<'_>) {
@@ -61,6 +53,12 @@
         self.links.visit(fields);
         self.logging.visit(fields);
     }
+
+    fn check(&self, fields: &mut FieldVisitor<'_>) {
+        self.listen.check(fields);
+        self.store.check(fields);
+        self.links.check(fields);
+    }
 }
 
 /// Everything the process of a VM with a disk is set to.
@@ -80,13 +78,7 @@
     /// # Errors
     /// Every fault of the file, in line order.
     pub fn from_file(file: &SettingsFile) -> Result<Self, SettingsErrors> {
-        let mut config = Self::default();
-        let mut fields = FieldVisitor::read(file);
-        config.node.visit(&mut fields);
-        config.store.visit(&mut fields);
-        config.logging.visit(&mut fields);
-        config.store.check(&mut fields);
-        fields.finish().map(|()| config)
+        read_config(file, Self::visit, Self::check)
     }
 
     /// Reads the file at `path`.
@@ -96,4 +88,14 @@
     pub fn load(path: &Path) -> Result<Self, SettingsErrors> {
         Self::from_file(&SettingsFile::load(path)?)
     }
+
+    fn visit(&mut self, fields: &mut FieldVisitor<'_>) {
+        self.node.visit(fields);
+        self.store.visit(fields);
+        self.logging.visit(fields);
+    }
+
+    fn check(&self, fields: &mut FieldVisitor<'_>) {
+        self.store.check(fields);
+    }
 }
--- a/crates/settings/src/file.rs
+++ b/crates/settings/src/file.rs
@@ -3,9 +3,13 @@
 mod lines;
 mod units;
 mod visitor;
+mod whole;
 
-pub(crate) use self::visitor::FieldVisitor;
 pub use self::{
     lines::SettingsFile,
     units::{parse_bytes, parse_duration, render_bytes, render_duration},
 };
+pub(crate) use self::{
+    visitor::FieldVisitor,
+    whole::{read_config, render_config},
+};
