Call the store through another gateway while it turns this one away

Cause: a store that refuses, or doesn't reach, a part of the VMs was of no use to a gateway there though its peers reached it: jobs sent to it were refused or of unknown fate, and the results of jobs that it ran weren't stored until the outage was over. Ruled out: handing its jobs to the others (they would run again what it holds, and new jobs would still be turned away); more tries at the store (they are refused or swallowed as well). A call goes round only after 250 ms without an answer, through a gateway that follows the store, one of them drawn each time; every 3 s one call is tried directly.

--- a/crates/entry/src/batch/reads.rs
+++ b/crates/entry/src/batch/reads.rs
@@ -146,7 +146,7 @@
     copy: &mut JobCopy,
     wait: Duration,
 ) -> bool {
-    let (call, answer) = node.peers.open_call();
+    let (call, answer) = node.peers.job_calls.open();
     let held = copy.lines.len();
     let message = PeerMessage::JobAsk {
         call,
@@ -160,7 +160,7 @@
     } else {
         None
     };
-    node.peers.close_call(call);
+    node.peers.job_calls.close(call);
     let Some(news) = news.filter(|news| news.is_owner) else { return false };
     let lines: Vec<Arc<ResultLine>> = news.lines.into_iter().map(Arc::new).collect();
     copy.extend(held, &lines, news.is_all);
--- a/crates/entry/src/batch/takeover.rs
+++ b/crates/entry/src/batch/takeover.rs
@@ -12,7 +12,10 @@
     constants::{ORPHANS_AGAIN, ORPHANS_FIRST, PEER_TICK},
     node::EntryNode,
     peers::table::OwnerLiveness,
-    store::{client::StoreFailure, feed::list_all},
+    store::{
+        client::StoreFailure,
+        feed::{StorePath, list_all},
+    },
 };
 
 /// Searches for jobs without an owner: once after the start, and whenever an owner is lost.
@@ -48,7 +51,7 @@
 /// Takes over jobs whose owner is gone and for which this gateway comes first among those alive;
 /// the number of jobs left to others or to time.
 async fn take_orphans(node: &Arc<EntryNode>) -> Result<usize, StoreFailure> {
-    let (objects, _) = list_all(&node.store, JOB_KIND).await?;
+    let (objects, _) = list_all(&node.store, JOB_KIND, StorePath::Any).await?;
     let stored: Vec<StoredJob> = objects.iter().filter_map(StoredJob::decode).collect();
     drop(objects);
     let mut left = 0;
--- a/crates/entry/src/constants.rs
+++ b/crates/entry/src/constants.rs
@@ -87,6 +87,14 @@
 /// Pause after a failed call to the store before the next one, at most; half of it at least. A
 /// cold start and the end of an outage wait for it.
 pub const STORE_PAUSE: Duration = Duration::from_millis(400);
+/// The store doesn't answer for this long before calls go through another gateway: one lost answer
+/// or two are no reason, and clients give a job 4 s to be taken.
+pub const DETOUR_AFTER: Duration = Duration::from_millis(250);
+/// Between two direct calls while others go through another gateway: a direct call that isn't
+/// answered takes half a second, and the first one that is ends the detour.
+pub const DETOUR_LONGEST: Duration = Duration::from_secs(3);
+/// Pause after another gateway could not help either: the store is likely away for all.
+pub const DETOUR_PAUSE: Duration = Duration::from_millis(1_000);
 /// Added to a watch's wait before its connection is taken for dead.
 pub const WATCH_GRACE: Duration = Duration::from_millis(700);
 /// How long entries that lapsed in an outage are kept after it: living targets are back in two
--- a/crates/entry/src/disk.rs
+++ b/crates/entry/src/disk.rs
@@ -32,7 +32,9 @@
 pub async fn run(config: DiskConfig, path: PathBuf) -> Result<(), EntryError> {
     let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(EntryError::Signals)?;
     let log = NodeLog::new(&config.node.vm, &config.node.domain);
-    let store = Arc::new(StoreClient::new(config.store.clone(), NodeClock::start(), log.clone()));
+    // Disk VMs have no links to gateways: nobody else can call the store for them.
+    let (store, _) = StoreClient::new(config.store.clone(), NodeClock::start(), log.clone());
+    let store = Arc::new(store);
     task::spawn(answer_retirements(Arc::clone(&store), log.clone()));
     log.info("started", &[("store", &config.store.address)]);
     while let Some(signal) = signals.next().await {
--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -23,7 +23,10 @@
     },
     node::EntryNode,
     peers::{hub, reports},
-    store::feed::{FeedEvent, FeedPlan, follow},
+    store::{
+        detour,
+        feed::{FeedEvent, FeedPlan, follow},
+    },
     target::liveness,
 };
 
@@ -66,8 +69,10 @@
 pub async fn start(config: EntryConfig) -> Result<Arc<EntryNode>, EntryError> {
     let secret = config.links.read_secret().map_err(EntryError::Settings)?;
     let settings = link_settings(&config, &secret);
-    let node = Arc::new(EntryNode::new(config));
+    let (node, detours) = EntryNode::new(config);
+    let node = Arc::new(node);
     start_tasks(&node, &settings);
+    task::spawn(detour::pass_calls(Arc::clone(&node), detours));
     start_listeners(&node, settings).await?;
     Ok(node)
 }
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -2,6 +2,7 @@
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock, atomic::AtomicBool};
 
+use async_channel::Receiver;
 use event_listener::Event;
 use notch_platform_wire::{prelude::StoreObject, target::decode_entry};
 use notch_relay::prelude::*;
@@ -19,6 +20,7 @@
     store::{
         client::StoreClient,
         configuration::{ConfigurationInForce, newer_configuration},
+        detour::DetourCall,
         duty::WatchDuty,
         feed::FeedEvent,
         target::{TargetChange, TargetFeed},
@@ -63,15 +65,17 @@
 }
 
 impl EntryNode {
-    /// A node that knows nothing yet.
-    pub fn new(config: EntryConfig) -> Self {
+    /// A node that knows nothing yet, and the calls to the store that another gateway should make
+    /// for it.
+    pub fn new(config: EntryConfig) -> (Self, Receiver<DetourCall>) {
         let clock = NodeClock::start();
         let log = NodeLog::new(&config.node.vm, &config.node.domain);
         let metrics = Metrics::new(&config.node.vm, &config.node.domain);
         let owner = format!("{}#{:016x}", config.node.vm, rand::random::<u64>());
         let domain = config.node.domain.as_str().to_owned();
-        Self {
-            store: StoreClient::new(config.store.clone(), clock, log.clone()),
+        let (store, detours) = StoreClient::new(config.store.clone(), clock, log.clone());
+        let node = Self {
+            store,
             owner,
             clock,
             log,
@@ -88,7 +92,8 @@
             target_feed: Mutex::default(),
             jobs: Mutex::default(),
             config,
-        }
+        };
+        (node, detours)
     }
 
     /// The targets.
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -1,5 +1,6 @@
 //! The other gateways: who they are, links to them, and what is told on those.
 
+pub mod calls;
 pub mod hub;
 pub mod record;
 pub mod reports;
--- a/crates/entry/src/peers/hub.rs
+++ b/crates/entry/src/peers/hub.rs
@@ -21,7 +21,10 @@
         reports,
         table::JobNews,
     },
-    store::feed::{FeedEvent, FeedPlan, follow, jittered},
+    store::{
+        detour,
+        feed::{FeedEvent, FeedPlan, follow, jittered},
+    },
 };
 
 /// Receives what links tell.
@@ -168,9 +171,15 @@
         }
         PeerMessage::JobNews { call, is_owner, total, lines, is_all } => {
             let total = usize::try_from(total).unwrap_or(usize::MAX);
-            node.peers.answer_call(call, JobNews { is_owner, total, lines, is_all });
+            node.peers.job_calls.answer(call, JobNews { is_owner, total, lines, is_all });
         }
         PeerMessage::JobProgress { job, items } => node.jobs().keep_progress(&job, items),
+        PeerMessage::StoreCall { .. } => {
+            let node = Arc::clone(node);
+            let vm = peer.vm.clone();
+            task::spawn(async move { detour::call_for(&node, &vm, message).await });
+        }
+        PeerMessage::StoreAnswer { call, end } => node.peers.store_calls.answer(call, end),
         PeerMessage::Leaving => {
             node.log.info("gateway_leaves", &[("gateway", &peer.vm)]);
             node.peers.set_leaving(&peer.vm);
--- a/crates/entry/src/peers/table.rs
+++ b/crates/entry/src/peers/table.rs
@@ -2,21 +2,17 @@
 
 use std::{
     net::SocketAddr,
-    sync::{
-        Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicU64, Ordering},
-    },
+    sync::{Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
-use async_channel::Sender;
 use notch_link::prelude::*;
 use notch_messages::prelude::*;
 use notch_types::prelude::*;
 
 use crate::{
     constants::{OWNER_DOUBT, PEER_DEAD},
-    peers::record::GatewayEntry,
+    peers::{calls::CallTable, record::GatewayEntry},
 };
 
 /// A peer's answer to a question about a job.
@@ -67,8 +63,10 @@
 #[derive(Debug, Default)]
 pub struct PeerTable {
     peers: Mutex<FastMap<VmName, PeerRecord>>,
-    calls: Mutex<FastMap<u64, Sender<JobNews>>>,
-    next_call: AtomicU64,
+    /// Questions about jobs.
+    pub job_calls: CallTable<JobNews>,
+    /// Calls to the store that another gateway makes.
+    pub store_calls: CallTable<StoreCallEnd>,
 }
 
 impl PeerTable {
@@ -182,6 +180,17 @@
         is_due
     }
 
+    /// A gateway that follows the store, drawn by a number from 0 to 1; `None` when none does.
+    pub fn follower(&self, draw: f64) -> Option<VmName> {
+        let peers = self.peers();
+        let follows = |r: &PeerRecord| r.is_watching && !r.is_leaving && r.link.is_some();
+        let mut followers: Vec<&VmName> =
+            peers.iter().filter(|(_, record)| follows(record)).map(|(vm, _)| vm).collect();
+        followers.sort();
+        let index = (draw * followers.len() as f64) as usize;
+        followers.get(index).map(|vm| (*vm).clone())
+    }
+
     /// Sends to one gateway; false when there is no link.
     pub fn send(&self, vm: &VmName, message: PeerMessage) -> bool {
         let link = self.peers().get(vm).and_then(|record| record.link.clone());
@@ -256,34 +265,9 @@
         !self.peers().values().any(doubtful)
     }
 
-    /// A number for a question, and where its answer comes.
-    pub fn open_call(&self) -> (u64, async_channel::Receiver<JobNews>) {
-        let call = self.next_call.fetch_add(1, Ordering::Relaxed);
-        let (sender, receiver) = async_channel::bounded(1);
-        self.calls().insert(call, sender);
-        (call, receiver)
-    }
-
-    /// A question is over.
-    pub fn close_call(&self, call: u64) {
-        self.calls().remove(&call);
-    }
-
-    /// The answer to a question came.
-    pub fn answer_call(&self, call: u64, news: JobNews) {
-        if let Some(sender) = self.calls().remove(&call) {
-            // The asker may have given up meanwhile.
-            let _ = sender.try_send(news);
-        }
-    }
-
     fn peers(&self) -> MutexGuard<'_, FastMap<VmName, PeerRecord>> {
         self.peers.lock().unwrap_or_else(PoisonError::into_inner)
     }
-
-    fn calls(&self) -> MutexGuard<'_, FastMap<u64, Sender<JobNews>>> {
-        self.calls.lock().unwrap_or_else(PoisonError::into_inner)
-    }
 }
 
 impl PeerRecord {
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -2,6 +2,7 @@
 
 pub mod client;
 pub mod configuration;
+pub mod detour;
 pub mod duty;
 pub mod feed;
 pub mod outage;
--- a/crates/entry/src/store/client.rs
+++ b/crates/entry/src/store/client.rs
@@ -2,10 +2,11 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Mutex, PoisonError},
+    sync::{Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
+use async_channel::{Receiver, Sender};
 use async_std::{future::timeout, net::TcpStream};
 use notch_h1::prelude::*;
 use notch_settings::prelude::StoreSettings;
@@ -13,13 +14,18 @@
 
 use crate::{
     clock::NodeClock,
-    store::outage::{OutageChange, StoreOutage},
+    store::{
+        detour::{CallWay, DetourCall, DetourState},
+        outage::{OutageChange, StoreOutage},
+    },
 };
 
 /// Bytes of one answer, at most: a list page is about 1 MB.
 const ANSWER_BYTES: usize = 8 << 20;
 /// Bytes of an answer's head, at most.
 const HEAD_BYTES: usize = 16 << 10;
+/// Calls that wait to be passed to another gateway, at most; more are made directly.
+const DETOURS_WAITING: usize = 64;
 /// Idle connections kept.
 const IDLE_KEPT: usize = 4;
 
@@ -55,15 +61,32 @@
     settings: Mutex<StoreSettings>,
     idle: Mutex<Vec<WireReader>>,
     outage: Mutex<StoreOutage>,
+    detour: Mutex<DetourState>,
+    /// Calls to be made by another gateway; nobody receives them where there is none.
+    detours: Sender<DetourCall>,
     clock: NodeClock,
     log: NodeLog,
 }
 
 impl StoreClient {
-    /// A client with its settings.
-    pub fn new(settings: StoreSettings, clock: NodeClock, log: NodeLog) -> Self {
-        let outage = Mutex::new(StoreOutage::default());
-        Self { settings: Mutex::new(settings), idle: Mutex::default(), outage, clock, log }
+    /// A client with its settings, and the calls that another gateway should make for it. Where
+    /// these are dropped the client has none to ask.
+    pub fn new(
+        settings: StoreSettings,
+        clock: NodeClock,
+        log: NodeLog,
+    ) -> (Self, Receiver<DetourCall>) {
+        let (detours, calls) = async_channel::bounded(DETOURS_WAITING);
+        let client = Self {
+            settings: Mutex::new(settings),
+            idle: Mutex::default(),
+            outage: Mutex::default(),
+            detour: Mutex::default(),
+            detours,
+            clock,
+            log,
+        };
+        (client, calls)
     }
 
     /// The settings in force.
@@ -91,7 +114,8 @@
         self.call("GET", path, None, wait).await
     }
 
-    /// A call; the answer must come within `wait`.
+    /// A call; the answer must come within `wait`. While the store turns this VM away the call is
+    /// made by another gateway, if one can.
     ///
     /// # Errors
     /// No answer, or turned away.
@@ -101,6 +125,59 @@
         path: &str,
         body: Option<&[u8]>,
         wait: Duration,
+    ) -> Result<StoreReply, StoreFailure> {
+        let down_since = self.outage().down_since();
+        let way = self.detour_state().way(down_since, self.clock.mono());
+        if way == CallWay::Detour
+            && let Some(result) = self.call_by_another(method, path, body, wait).await
+        {
+            return result;
+        }
+        let result = self.call_directly(method, path, body, wait).await;
+        if way == CallWay::DirectFirst
+            && matches!(result, Err(StoreFailure::NotDone))
+            && let Some(detoured) = self.call_by_another(method, path, body, wait).await
+        {
+            return detoured;
+        }
+        result
+    }
+
+    /// The call's end if another gateway made it; `None` when it has to be made directly.
+    async fn call_by_another(
+        &self,
+        method: &str,
+        path: &str,
+        body: Option<&[u8]>,
+        wait: Duration,
+    ) -> Option<Result<StoreReply, StoreFailure>> {
+        let (end, ended) = async_channel::bounded(1);
+        let (method, path) = (method.to_owned(), path.to_owned());
+        let body = body.map(<[u8]>::to_vec);
+        let call = DetourCall { method, path, body, wait, end };
+        let result = match self.detours.try_send(call) {
+            Ok(()) => ended.recv().await.ok().flatten(),
+            Err(_) => None,
+        };
+        let has_helped = matches!(result, Some(Ok(_)));
+        self.detour_state().note_end(has_helped, self.clock.mono());
+        result
+    }
+
+    fn detour_state(&self) -> MutexGuard<'_, DetourState> {
+        self.detour.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// A call from this VM itself.
+    ///
+    /// # Errors
+    /// No answer, or turned away.
+    pub async fn call_directly(
+        &self,
+        method: &str,
+        path: &str,
+        body: Option<&[u8]>,
+        wait: Duration,
     ) -> Result<StoreReply, StoreFailure> {
         let began = self.clock.mono();
         let result = self.exchange(method, path, body, wait).await;
--- a/crates/entry/src/store/feed.rs
+++ b/crates/entry/src/store/feed.rs
@@ -38,6 +38,15 @@
     },
 }
 
+/// Which way calls to the store go.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StorePath {
+    /// From this VM only: changes that can't be watched come from the other gateways.
+    Direct,
+    /// Through another gateway while the store turns this one away.
+    Any,
+}
+
 /// How a kind is followed.
 #[derive(Clone, Copy, Default)]
 pub struct FeedPlan<'a> {
@@ -61,7 +70,7 @@
         node.watch.add_feed();
     }
     loop {
-        match list_all(store, kind).await {
+        match list_all(store, kind, StorePath::Direct).await {
             Ok((objects, as_of)) => {
                 tell(FeedEvent::Snapshot { objects, as_of });
                 let _live = plan.duty.map(|node| node.watch.live_feed());
@@ -82,12 +91,20 @@
 pub async fn list_all(
     store: &StoreClient,
     kind: &str,
+    path: StorePath,
 ) -> Result<(Vec<StoreObject>, u64), StoreFailure> {
     let mut objects: Vec<StoreObject> = Vec::new();
     let mut as_of = None;
     loop {
         let after = objects.last().map(|object| object.metadata.name.clone());
-        let reply = store.get(&list_path(kind, after.as_deref())).await?;
+        let page_path = list_path(kind, after.as_deref());
+        let reply = match path {
+            StorePath::Direct => {
+                let wait = store.settings().call_timeout;
+                store.call_directly("GET", &page_path, None, wait).await?
+            }
+            StorePath::Any => store.get(&page_path).await?,
+        };
         if reply.status == 404 {
             return Ok((objects, as_of.unwrap_or(0)));
         }
@@ -117,7 +134,8 @@
         task::sleep(plan.pause).await;
         let wait = store.settings().watch_wait;
         let path = watch_path(kind, revision, wait);
-        let Ok(reply) = store.call("GET", &path, None, wait + WATCH_GRACE).await else { return };
+        let watching = store.call_directly("GET", &path, None, wait + WATCH_GRACE);
+        let Ok(reply) = watching.await else { return };
         if !reply.is_success() {
             return;
         }
--- a/crates/entry/src/store/outage.rs
+++ b/crates/entry/src/store/outage.rs
@@ -46,6 +46,11 @@
         self.down_since.is_none()
     }
 
+    /// Since when no call was answered; `None` while the store answers.
+    pub fn down_since(&self) -> Option<MonoTime> {
+        self.down_since
+    }
+
     /// Until when an entry that is gone may only have lapsed in an outage.
     pub fn lapsed_until(&self) -> MonoTime {
         self.lapsed_until
--- a/crates/messages/src/lib.rs
+++ b/crates/messages/src/lib.rs
@@ -25,7 +25,7 @@
         order::{
             HeldModel, OrderAction, OrderOutcome, PlacementMessage, TargetHoldings, TargetOrder,
         },
-        peer::{PeerMessage, TargetSnapshot, TargetUseReport, VersionedTarget},
+        peer::{PeerMessage, StoreCallEnd, TargetSnapshot, TargetUseReport, VersionedTarget},
         shard::{
             ClaimVerdict, ItemStatus, JobChunk, JobPhase, JobProgress, JobSubmission, ResultLine,
             ShardAnswer, ShardCall, ShardRequest, StoredAnswer,
--- a/crates/messages/src/peer.rs
+++ b/crates/messages/src/peer.rs
@@ -33,6 +33,22 @@
     pub targets: Vec<VersionedTarget>,
 }
 
+/// How a call to the store ended that one gateway made for another.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum StoreCallEnd {
+    /// The store answered.
+    Answered {
+        /// Status of the answer.
+        status: u16,
+        /// Its body.
+        body: Payload,
+    },
+    /// Surely not done.
+    NotDone,
+    /// It may have been done, or be done later.
+    Unknown,
+}
+
 /// Gateway to gateway.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PeerMessage {
@@ -106,6 +122,26 @@
         /// Items that haven't ended.
         items: Vec<HeldProgress>,
     },
+    /// The store turns the sender away: make this call for it.
+    StoreCall {
+        /// Matches the answer; unique at the asker.
+        call: u64,
+        /// Method of the call.
+        method: String,
+        /// Its path, with the query.
+        path: String,
+        /// Its body.
+        body: Option<Payload>,
+        /// Longest wait for the store's answer, milliseconds.
+        wait_ms: u64,
+    },
+    /// Answer to `StoreCall`.
+    StoreAnswer {
+        /// Of the question.
+        call: u64,
+        /// How the call ended.
+        end: StoreCallEnd,
+    },
     /// The sender stops: take its jobs over now.
     Leaving,
 }
