Run items that would be late after those that would not

Cause: items ran in the order of their jobs' due times alone. When a burst is larger than what targets do in time, each item then starts just too late, and nearly all are late instead of some. One whose lifetime ends within ten seconds doesn't count as late, so that none is given up without a run. Tests: items_that_would_be_late_let_others_pass, an_item_with_progress_needs_less_time, an_items_time_follows_its_tokens.

--- a/crates/entry/src/batch/item_run.rs
+++ b/crates/entry/src/batch/item_run.rs
@@ -82,6 +82,9 @@
     );
     let mut desk = node.jobs();
     desk.runs.remove(&run);
+    if end == ItemEnd::Completed && start.last_event.is_none() {
+        desk.board.note_whole_run(&start.item, now.since(began));
+    }
     if let Some(job) = desk.board.get_mut(&start.job) {
         if let Some(last) = progress.last_event.filter(|_| progress.events > 0) {
             job.add_progress(start.index, last, &progress.data);
--- a/crates/entry/tests/desk.rs
+++ b/crates/entry/tests/desk.rs
@@ -12,6 +12,7 @@
         path: "/".to_owned(),
         headers: Vec::new(),
         body: Vec::new(),
+        answer_tokens: 0,
     };
     let terms = JobTerms {
         due: Duration::from_secs(18),
--- a/crates/relay/src/jobs.rs
+++ b/crates/relay/src/jobs.rs
@@ -2,5 +2,6 @@
 
 pub mod board;
 pub mod owned;
+pub mod pace;
 pub mod result;
 pub mod spec;
--- a/crates/relay/src/jobs/board.rs
+++ b/crates/relay/src/jobs/board.rs
@@ -1,8 +1,10 @@
 //! The jobs that one gateway owns, and which item runs next.
 
+use std::time::Duration;
+
 use notch_types::prelude::*;
 
-use crate::jobs::{owned::OwnedJob, spec::ItemSpec};
+use crate::jobs::{owned::OwnedJob, pace::ItemPace, spec::ItemSpec};
 
 /// An item to be run now.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -23,6 +25,8 @@
 #[derive(Debug, Default)]
 pub struct JobBoard {
     jobs: FastMap<String, OwnedJob>,
+    /// How long items take.
+    pace: ItemPace,
 }
 
 impl JobBoard {
@@ -61,13 +65,22 @@
         self.jobs.values().all(OwnedJob::is_closed)
     }
 
-    /// The next item to run: of the job that is due first and has one. The item isn't marked yet.
+    /// The next item to run: of the job that is due first and has one. Items that would end late
+    /// come after all others: run in the order of their due times alone, each item of a burst that
+    /// is too large starts just too late, and nearly all end late instead of some. The item isn't
+    /// marked yet.
     pub fn next_item(&self, now: MonoTime) -> Option<(String, usize)> {
         let ready = self.jobs.values().filter_map(|job| Some((job, job.next_item(now)?)));
-        let (job, index) = ready.min_by_key(|(job, _)| job.due())?;
+        let rank = |job: &OwnedJob, index| (job.is_late(index, &self.pace, now), job.due());
+        let (job, index) = ready.min_by_key(|(job, index)| rank(job, *index))?;
         Some((job.spec().id.clone(), index))
     }
 
+    /// An item ran from its beginning to its end within `took`.
+    pub fn note_whole_run(&mut self, item: &ItemSpec, took: Duration) {
+        self.pace.note(took, item.answer_tokens);
+    }
+
     /// Marks an item as running.
     pub fn start_item(&mut self, job: &str, index: usize) -> Option<ItemStart> {
         let owned = self.jobs.get_mut(job)?;
--- a/crates/relay/src/jobs/owned.rs
+++ b/crates/relay/src/jobs/owned.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::jobs::{
+    pace::ItemPace,
     result::{ItemState, ResultLine},
     spec::{ItemSpec, JobSpec},
 };
@@ -22,6 +23,11 @@
 const BREAK_DOUBLINGS: u32 = 6;
 /// A result waits for others for this part of the time left until the job is due, at most.
 const DELAY_DIVISOR: u32 = 8;
+/// An item's lifetime ends within this time: it runs before others though it is late, or it would
+/// be given up without a run.
+const LAST_CALL: Duration = Duration::from_secs(10);
+/// Part of an item's usual time that an item needs which has progress.
+const REST_DIVISOR: u32 = 2;
 /// Added to an item's lifetime before it is given up, for wall clocks of two VMs that differ.
 const LIFETIME_MARGIN: Duration = Duration::from_secs(3);
 
@@ -179,6 +185,15 @@
         Some(best.0)
     }
 
+    /// Whether a run of an item that begins at `now` would likely end after the job is due. One
+    /// whose lifetime is nearly over doesn't count as late: it would be given up.
+    pub fn is_late(&self, index: usize, pace: &ItemPace, now: MonoTime) -> bool {
+        let item_time = pace.expected(self.spec.items[index].answer_tokens);
+        let has_progress = self.items[index].last_event.is_some();
+        let needed = if has_progress { item_time / REST_DIVISOR } else { item_time };
+        now + needed > self.due && now + LAST_CALL < self.expires
+    }
+
     /// Marks an item as running; gives its spec and the last event held.
     pub fn start_item(&mut self, index: usize) -> (ItemSpec, Option<u64>) {
         let item = &mut self.items[index];
--- a/crates/relay/src/jobs/spec.rs
+++ b/crates/relay/src/jobs/spec.rs
@@ -26,6 +26,8 @@
     pub headers: Vec<(String, String)>,
     /// Body of its request.
     pub body: Vec<u8>,
+    /// Tokens that its answer is expected to have; 0 if it doesn't say.
+    pub answer_tokens: u32,
 }
 
 /// One job as it was accepted.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -13,6 +13,7 @@
         jobs::{
             board::{ItemStart, JobBoard},
             owned::{HeldProgress, ItemEnd, OwnedJob},
+            pace::ItemPace,
             result::{ItemState, ResultLine},
             spec::{ItemSpec, JobSpec, JobTerms},
         },
--- a/crates/relay/tests/jobs.rs
+++ b/crates/relay/tests/jobs.rs
@@ -9,26 +9,36 @@
 const BYTES: usize = 1 << 20;
 
 fn job(items: usize) -> OwnedJob {
+    OwnedJob::new(Arc::new(spec("j", 0, items)), Vec::new(), Now::at_millis(0))
+}
+
+/// A job with one item that was accepted at a time.
+fn named_job(id: &str, accepted_ms: u64) -> OwnedJob {
+    let now = Now::at_millis(accepted_ms);
+    OwnedJob::new(Arc::new(spec(id, accepted_ms, 1)), Vec::new(), now)
+}
+
+fn spec(id: &str, accepted_ms: u64, items: usize) -> JobSpec {
     let item = |n| ItemSpec {
         id: format!("i{n}"),
         path: "/b/1".to_owned(),
         headers: Vec::new(),
         body: Vec::new(),
+        answer_tokens: 0,
     };
     let terms = JobTerms {
         due: Duration::from_secs(18),
         item_lifetime: Duration::from_secs(60),
         max_attempts: 2,
     };
-    let spec = JobSpec {
-        id: "j".to_owned(),
+    JobSpec {
+        id: id.to_owned(),
         host: "h".to_owned(),
         path: "/b/".to_owned(),
-        accepted_at: WallTime(0),
+        accepted_at: WallTime(accepted_ms),
         terms,
         items: (0..items).map(item).collect(),
-    };
-    OwnedJob::new(Arc::new(spec), Vec::new(), Now::at_millis(0))
+    }
 }
 
 fn at(millis: u64) -> MonoTime {
@@ -182,3 +192,49 @@
     assert_eq!(job.next_item(at(1_000)), None);
     assert_eq!(job.take_pending(DELAY, BYTES, at(9_000)), None);
 }
+
+/// Symptom: a burst of jobs larger than what the targets do in time is nearly all late. Sequence: two
+/// jobs wait, the one due first can't be done in time any more. Cause: items ran in the order of their
+/// due times alone, so each one started when it was just too late for it.
+#[test]
+fn items_that_would_be_late_let_others_pass() {
+    let mut board = JobBoard::default();
+    board.add(named_job("early", 0));
+    board.add(named_job("later", 6_000));
+    let first = |board: &JobBoard, now| board.next_item(at(now)).map(|(job, _)| job);
+    assert_eq!(first(&board, 17_000).as_deref(), Some("early"), "no item's time is known");
+    let item = spec("any", 0, 1).items.remove(0);
+    board.note_whole_run(&item, Duration::from_secs(4));
+    assert_eq!(first(&board, 13_900).as_deref(), Some("early"), "in time");
+    assert_eq!(first(&board, 14_100).as_deref(), Some("later"), "the early one's would be late");
+    assert_eq!(first(&board, 20_100).as_deref(), Some("early"), "both are late");
+    assert_eq!(first(&board, 53_500).as_deref(), Some("early"), "near the end of its lifetime");
+}
+
+/// Symptom: an item that only lacks its last events waits as if it were late. Sequence: it was broken
+/// off; less than an item's usual time is left. Cause: what it had done didn't count.
+#[test]
+fn an_item_with_progress_needs_less_time() {
+    let mut job = job(2);
+    job.start_item(0);
+    job.add_progress(0, 2, b"a\nb");
+    job.end_item(0, &ItemEnd::Preempted, at(14_000));
+    let mut pace = ItemPace::default();
+    pace.note(Duration::from_secs(4), 0);
+    assert!(!job.is_late(0, &pace, at(15_000)));
+    assert!(job.is_late(1, &pace, at(15_000)));
+}
+
+/// Symptom: a long item begins shortly before its job is due and ends late, before others that would
+/// have ended in time. Sequence: items of unlike size run. Cause: all were expected to take as long as
+/// the usual one.
+#[test]
+fn an_items_time_follows_its_tokens() {
+    let mut pace = ItemPace::default();
+    assert_eq!(pace.expected(1_000), Duration::ZERO, "nothing is known yet");
+    pace.note(Duration::from_secs(4), 0);
+    assert_eq!(pace.expected(1_000), Duration::from_secs(4));
+    pace.note(Duration::from_secs(4), 400);
+    assert_eq!(pace.expected(800).as_millis(), 8_000);
+    assert_eq!(pace.expected(0), Duration::from_secs(4), "one that doesn't say its tokens");
+}
