Untie the files that imported each other in circles

Cause: six groups of files needed each other to be read: callers' call and due, refusal, sse and view; the control thread's core and core_tells; the job service's claims, outbox, pull and reads, and its leases, results and returns; the command line's job, results and submit. Ruled out: merging them, which would have made files of 500 lines and more. What both sides of a circle used now stands in a file of its own (fault, json, permit_pause, waiting, outcomes, job_look); nothing else changed. Before: six circles, found by a script over the imports; after: none of these. Tests of the crates pass unchanged.

--- a/crates/callers/src/call.rs
+++ b/crates/callers/src/call.rs
@@ -12,7 +12,7 @@
 
 pub use self::operator::{kind_name, parse_kind};
 use self::{options::CallOptions, query::QueryFields};
-use crate::due::parse_due;
+use crate::{due::parse_due, fault::bad};
 
 /// Longest name of a target or entry in a path, bytes.
 const NAME_BYTES: usize = 200;
@@ -198,11 +198,6 @@
     if request.method() == method { Ok(route) } else { Err(wrong_method(method.as_ref())) }
 }
 
-/// A refusal of the request's shape.
-pub(crate) fn bad(detail: &str) -> Refusal {
-    Refusal::not_run(RefusalReason::BadRequest, detail)
-}
-
 fn wrong_method(allowed: &str) -> Refusal {
     bad(&format!("this path takes {allowed} only"))
 }
--- a/crates/callers/src/call/body.rs
+++ b/crates/callers/src/call/body.rs
@@ -7,7 +7,8 @@
 use notch_types::prelude::*;
 use serde::Deserialize;
 
-use super::{CallHead, CallRoute, bad, options::CallOptions, target_name};
+use super::{CallHead, CallRoute, options::CallOptions, target_name};
+use crate::fault::bad;
 
 /// Largest text of a catalogue entry, bytes; the schema's own limit is far below.
 const ENTRY_BYTES: u64 = 256 << 10;
--- a/crates/callers/src/call/options.rs
+++ b/crates/callers/src/call/options.rs
@@ -5,7 +5,7 @@
 use http_types::{Request, headers};
 use notch_types::prelude::*;
 
-use super::bad;
+use crate::fault::bad;
 
 /// Longest idempotency key, bytes.
 pub const KEY_BYTES: usize = 200;
--- a/crates/callers/src/due.rs
+++ b/crates/callers/src/due.rs
@@ -5,7 +5,7 @@
 use humantime::{format_rfc3339_seconds, parse_rfc3339};
 use notch_types::prelude::*;
 
-use crate::call::bad;
+use crate::fault::bad;
 
 /// Length of an offset such as `+05:00`, bytes.
 const OFFSET_BYTES: usize = 6;
--- a/crates/callers/src/lib.rs
+++ b/crates/callers/src/lib.rs
@@ -3,7 +3,9 @@
 
 pub mod call;
 pub mod due;
+mod fault;
 pub mod intake;
+pub mod json;
 pub mod refusal;
 pub mod sse;
 pub mod view;
@@ -21,11 +23,12 @@
             fault::{IntakeError, LineFault},
             upload::JobUpload,
         },
+        json::json_response,
         refusal::{ErrorView, refusal_response, refusal_status},
         sse::{DONE_MARK, refusal_event},
         view::{
             CatalogueView, ConflictView, EntryView, JobView, accepted_response, answer_response,
-            entry_response, job_response, json_response, result_line,
+            entry_response, job_response, result_line,
         },
     };
 }
--- a/crates/callers/src/refusal.rs
+++ b/crates/callers/src/refusal.rs
@@ -4,7 +4,7 @@
 use notch_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
-use crate::view::json_response;
+use crate::json::json_response;
 
 /// The JSON of a refusal: `{"error":{…}}`.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/callers/src/view.rs
+++ b/crates/callers/src/view.rs
@@ -9,6 +9,7 @@
 use crate::{
     call::kind_name,
     due::format_time,
+    json::json_response,
     refusal::{ErrorFields, ErrorView, refusal_response},
     sse::EVENT_STREAM,
 };
@@ -177,16 +178,6 @@
     }
 }
 
-/// A JSON answer.
-pub fn json_response(status: StatusCode, value: &impl Serialize) -> Response {
-    let mut bytes = serde_json::to_vec(value).unwrap_or_else(|_| b"null".to_vec());
-    bytes.push(b'\n');
-    let mut response = Response::new(status);
-    response.set_body(bytes);
-    response.insert_header(headers::CONTENT_TYPE, "application/json");
-    response
-}
-
 /// The answer to a status question or a cancellation.
 pub fn job_response(progress: &JobProgress) -> Response {
     json_response(StatusCode::Ok, &JobView::from(progress))
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -14,6 +14,7 @@
 pub mod link_desk;
 pub mod online_desk;
 pub mod operator_desk;
+mod permit_pause;
 pub mod shard_desk;
 pub mod shard_directory;
 pub mod shard_host;
--- a/crates/gateway/src/control/core.rs
+++ b/crates/gateway/src/control/core.rs
@@ -14,12 +14,12 @@
 
 use crate::{
     control::{
-        core_tells::permit_pause,
         entries_view::SharedView,
         event::{ControlEvent, StoreUser},
         link_desk::LinkDesk,
         online_desk::OnlineDesk,
         operator_desk::OperatorDesk,
+        permit_pause::permit_pause,
         shard_desk::{ShardDesk, ShardRead},
         step::{ControlStep, ShardReply},
     },
--- a/crates/gateway/src/control/core_tells.rs
+++ b/crates/gateway/src/control/core_tells.rs
@@ -1,33 +1,16 @@
 //! What the control state tells its machines, and what they want done.
 
-use std::time::Duration;
-
 use notch_catalogue::{CatalogueEffect, CatalogueEvent};
 use notch_jobs::prelude::ServiceEvent;
 use notch_link::codec;
 use notch_membership::{MembershipEffect, MembershipEvent};
 use notch_messages::prelude::*;
 use notch_placement::prelude::{PlacementEffect, PlacementEvent};
-use notch_platform::PermitFailure;
 use notch_routing::{AccountUse, RouterEvent};
 use notch_types::prelude::*;
 
 use crate::control::{core::ControlCore, entries_view, event::StoreUser, step::ControlStep};
 
-/// Pause after a permit asked for without an answer.
-const PERMIT_PAUSE: Duration = Duration::from_secs(2);
-/// Pause after the weight store said that it has no such version.
-const NO_VERSION_PAUSE: Duration = Duration::from_secs(60);
-
-/// How long to wait after the weight store gave no permit.
-pub(super) fn permit_pause(failure: PermitFailure) -> Duration {
-    match failure {
-        PermitFailure::Throttled { retry_after_ms } => Duration::from_millis(retry_after_ms),
-        PermitFailure::NoSuchVersion => NO_VERSION_PAUSE,
-        PermitFailure::Unavailable | PermitFailure::Malformed => PERMIT_PAUSE,
-    }
-}
-
 impl ControlCore {
     pub(super) fn tell_members(&mut self, now: Now, event: MembershipEvent) {
         let mut effects = Vec::new();
--- a/crates/jobs/src/service.rs
+++ b/crates/jobs/src/service.rs
@@ -7,6 +7,7 @@
 mod housekeeping;
 mod leases;
 mod outbox;
+mod outcomes;
 mod ownership;
 mod pages;
 mod pull;
@@ -15,6 +16,7 @@
 mod returns;
 mod settlement;
 mod submit;
+mod waiting;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -31,8 +33,8 @@
     record::LedgerRecord,
     service::{
         cancel::CancelPush, effect::ServiceEffect, event::ServiceEvent, outbox::Outbox,
-        pages::PageCall, pull::PullCall, reads::ReadTable, settlement::SettlementTable,
-        submit::SubmitCall,
+        pages::PageCall, reads::ReadTable, settlement::SettlementTable, submit::SubmitCall,
+        waiting::PullCall,
     },
     settings::JobSettings,
     state::ShardState,
@@ -233,7 +235,7 @@
             | ShardRequest::StoreAnswer { .. }
             | ShardRequest::FetchAnswer { .. }
             | ShardRequest::RecordQuarantine { .. }) => {
-                let asked = outbox::AskedCall { from, call, request };
+                let asked = waiting::AskedCall { from, call, request };
                 self.keyed_request(now, asked, effects);
             }
         }
--- a/crates/jobs/src/service/claims.rs
+++ b/crates/jobs/src/service/claims.rs
@@ -7,8 +7,9 @@
 
 use super::{
     Effects, ShardService, answer,
-    outbox::{AppendPurpose, AskedCall},
+    outbox::AppendPurpose,
     reads::ReadPurpose,
+    waiting::{AskedCall, StoredRead},
 };
 use crate::{
     record::LedgerRecord,
@@ -16,16 +17,6 @@
     state::request_table::{AnswerPlace, RequestState},
 };
 
-/// A call that waits for a stored answer's record.
-#[derive(Debug)]
-pub(super) struct StoredRead {
-    pub(super) from: VmName,
-    pub(super) call: CallId,
-    seq: u64,
-    /// Whether a claim asks, or a caller for its answer.
-    claim: bool,
-}
-
 /// What a keyed request comes to.
 enum KeyedStep {
     /// Answer now.
--- a/crates/jobs/src/service/leases.rs
+++ b/crates/jobs/src/service/leases.rs
@@ -5,7 +5,7 @@
 use notch_messages::prelude::*;
 use notch_types::prelude::*;
 
-use super::{Effects, ShardService, count, note, returns::outcome_unknown};
+use super::{Effects, ShardService, count, note, outcomes::outcome_unknown};
 use crate::{
     dispatch::{job_queue::ItemPlace, lot_table::LotLease},
     record::LedgerRecord,
--- a/crates/jobs/src/service/outbox.rs
+++ b/crates/jobs/src/service/outbox.rs
@@ -5,28 +5,20 @@
     time::Duration,
 };
 
-use notch_messages::prelude::*;
 use notch_types::prelude::*;
 
 use crate::{
     record::LedgerRecord,
-    service::{effect::ServiceEffect, event::AppendTicket, pull::PendingLot},
+    service::{
+        effect::ServiceEffect,
+        event::AppendTicket,
+        waiting::{AskedCall, PendingLot},
+    },
 };
 
 /// Most bytes of settled facts in one append; well below what the ledger takes.
 const BATCH_BYTES: usize = 400_000;
 
-/// A call to be answered after a commit.
-#[derive(Debug, Clone)]
-pub(crate) struct AskedCall {
-    /// The asking gateway's VM.
-    pub(crate) from: VmName,
-    /// Its call.
-    pub(crate) call: CallId,
-    /// What it asked.
-    pub(crate) request: ShardRequest,
-}
-
 /// What an append is for, and so what follows from its end.
 #[derive(Debug)]
 pub(crate) enum AppendPurpose {
--- a/crates/jobs/src/service/pull.rs
+++ b/crates/jobs/src/service/pull.rs
@@ -6,8 +6,10 @@
 use notch_types::prelude::*;
 
 use super::{
-    Effects, OwnerTerm, ShardService, answer, count, millis, outbox::AppendPurpose,
+    Effects, OwnerTerm, ShardService, answer, count, millis,
+    outbox::AppendPurpose,
     reads::ChunkWant,
+    waiting::{PendingLot, PullCall},
 };
 use crate::{
     chunk::ParsedChunk,
@@ -25,32 +27,6 @@
 /// Most items without a readable input that one pull ends.
 const MAX_BROKEN: usize = 256;
 
-/// A sidecar's pull.
-#[derive(Debug, Clone)]
-pub(super) struct PullCall {
-    pub(super) from: VmName,
-    pub(super) call: CallId,
-    pub(super) pull: LotPull,
-    /// When it came.
-    pub(super) since: MonoTime,
-}
-
-/// A lot that leaves once its items' claims are committed.
-#[derive(Debug)]
-pub(crate) struct PendingLot {
-    call: PullCall,
-    job: JobId,
-    urgent: bool,
-    pub(crate) items: Vec<LotItem>,
-}
-
-impl PendingLot {
-    /// Who waits for it.
-    pub(super) fn call(&self) -> &PullCall {
-        &self.call
-    }
-}
-
 /// What a job gave.
 enum Gathered {
     /// Nothing may leave now.
--- a/crates/jobs/src/service/reads.rs
+++ b/crates/jobs/src/service/reads.rs
@@ -5,7 +5,7 @@
 use notch_messages::prelude::*;
 use notch_types::prelude::*;
 
-use super::{Effects, ShardService, answer, claims::StoredRead, count, effect::ServiceEffect};
+use super::{Effects, ShardService, answer, count, effect::ServiceEffect, waiting::StoredRead};
 use crate::{
     chunk::ParsedChunk,
     record::LedgerRecord,
--- a/crates/jobs/src/service/returns.rs
+++ b/crates/jobs/src/service/returns.rs
@@ -6,6 +6,7 @@
 use super::{
     Effects, ShardService, count,
     leases::{Crash, SpentAttempt},
+    outcomes::outcome_unknown,
     results::{LeftLot, ReportFate},
     settlement::ReportKind,
 };
@@ -116,13 +117,3 @@
         held + progress.map_or(0, |progress| progress.len()) <= self.settings.progress_bytes
     }
 }
-
-/// The result of an item that may have run and won't be run again.
-pub(super) fn outcome_unknown() -> ItemOutcome {
-    ItemOutcome::Failed {
-        reason: RefusalReason::OutcomeUnknown,
-        retryable: false,
-        ran: Ran::Unknown,
-        detail: "it may have run, and its outcome was lost; it is not run again".to_owned(),
-    }
-}
--- a/crates/magnolianotch/src/cli/results.rs
+++ b/crates/magnolianotch/src/cli/results.rs
@@ -6,7 +6,8 @@
 use notch_http::prelude::*;
 
 use super::{
-    args::JobResultsArgs, error::CliError, gateway::GatewayClient, job, output::CommandOutput,
+    args::JobResultsArgs, error::CliError, gateway::GatewayClient, job_look::job_id,
+    output::CommandOutput,
 };
 
 /// Bytes read at one time.
@@ -18,7 +19,7 @@
     args: &JobResultsArgs,
     output: &mut CommandOutput,
 ) -> Result<(), CliError> {
-    let mut request = client.request(Method::Get, &["jobs", &job::job_id(&args.job)?, "results"]);
+    let mut request = client.request(Method::Get, &["jobs", &job_id(&args.job)?, "results"]);
     let fields = [("from", args.from), ("limit", args.limit)];
     for (name, value) in fields {
         if let Some(value) = value {
--- a/crates/magnolianotch/src/cli/submit.rs
+++ b/crates/magnolianotch/src/cli/submit.rs
@@ -23,7 +23,7 @@
     args::SubmitArgs,
     error::CliError,
     gateway::{GatewayClient, set_key},
-    job,
+    job_look,
     output::CommandOutput,
     progress::ByteProgress,
 };
@@ -57,8 +57,8 @@
     if view.resend == Some(true) && args.idempotency_key.is_none() {
         output.note("the same lines are the same job; to run them anew, give an --idempotency-key");
     }
-    let view = if args.wait { job::wait(client, view, output).await? } else { view };
-    job::show(&view, output);
+    let view = if args.wait { job_look::wait(client, view, output).await? } else { view };
+    job_look::show(&view, output);
     Ok(())
 }
 
