Refuse requests that crash targets; choose by prompt, cold start and closed connections

Four things that the choice of a target did not know, each with tests that failed before: - A request may take down each target that begins to run it, and comes again at any gateway. Cause: nobody counted the targets that broke it off. One gateway for each request, drawn by its fingerprint, counts for all; after three different targets everyone refuses it for a minute. Bounded, so a popular prompt doesn't fill a target. - A target that is cold after its start, or closes its connections as one that leaves does, gets new requests where others are two requests fuller. Also: what waits for the store until it answers is written once (store/retry.rs), and the circles among entry's own files are untied (answer, closing, reply, feed_event, detours).

--- a/crates/entry/src/batch.rs
+++ b/crates/entry/src/batch.rs
@@ -1,5 +1,6 @@
 //! Jobs: taken in, run, read, ended, and taken over from gateways that died.
 
+pub mod closing;
 pub mod commits;
 pub mod copies;
 pub mod desk;
--- a/crates/entry/src/batch/commits.rs
+++ b/crates/entry/src/batch/commits.rs
@@ -2,20 +2,18 @@
 
 use std::sync::Arc;
 
-use async_std::task;
-use notch_messages::prelude::PeerMessage;
 use notch_relay::prelude::*;
 use notch_telemetry::prelude::*;
 use notch_types::prelude::*;
 
 use crate::{
     batch::{
+        closing::close_whole_job,
         ownership,
-        records::{ChunkOutcome, close_job, store_results},
+        records::{ChunkOutcome, store_results},
     },
-    constants::STORE_PAUSE,
     node::EntryNode,
-    store::feed::jittered,
+    store::retry::until_answered,
 };
 
 /// A place in a job's stored list.
@@ -37,15 +35,9 @@
 ) {
     let ListPlace { position, fences } = place;
     let began = node.clock.mono();
-    let outcome = loop {
-        if !node.jobs().is_owned(&job) {
-            return;
-        }
-        match store_results(&node.store, &job, position, fences, &node.owner, &lines).await {
-            Ok(outcome) => break outcome,
-            Err(_) => task::sleep(jittered(STORE_PAUSE)).await,
-        }
-    };
+    let is_owned = || node.jobs().is_owned(&job);
+    let write = || store_results(&node.store, &job, position, fences, &node.owner, &lines);
+    let Some(outcome) = until_answered(is_owned, write).await else { return };
     let now = node.clock.mono();
     node.metrics.observe(Timing::LedgerCommit, now.since(began));
     match outcome {
@@ -82,21 +74,12 @@
     node.job_news.notify(usize::MAX);
     node.runner_wake.notify(usize::MAX);
     if is_closed {
-        close(node, job).await;
+        close_whole_job(node, job).await;
     } else if !node.peers.hears_all(node.clock.mono()) {
         ownership::verify(node, job).await;
     }
 }
 
-/// All results are stored: tells the store and the others, and keeps the results for readers.
-pub async fn close(node: &Arc<EntryNode>, job: &str) {
-    node.jobs().retire_job(job);
-    node.log.info("job_closed", &[("job", &job)]);
-    node.peers.broadcast(&PeerMessage::JobClosed(job.to_owned()));
-    // Nothing depends on it but the work of a gateway that takes jobs over; it may stay undone.
-    let _ = close_job(&node.store, job, &node.owner).await;
-}
-
 /// Another gateway wrote where we wanted to: it owns the job, or owned it before us and its write
 /// came late. The job's object tells which.
 async fn take_displaced(
--- a/crates/entry/src/batch/ends.rs
+++ b/crates/entry/src/batch/ends.rs
@@ -8,9 +8,12 @@
 use crate::{
     batch::records::{END_KIND, read_job, store_end},
     constants::RETRY_AFTER,
-    front::connection::OwnAnswer,
+    front::answer::OwnAnswer,
     node::EntryNode,
-    store::feed::{FeedEvent, FeedPlan, follow},
+    store::{
+        feed::{FeedPlan, follow},
+        feed_event::FeedEvent,
+    },
 };
 
 /// A client ends a job: told so only once the end is stored.
--- a/crates/entry/src/batch/intake.rs
+++ b/crates/entry/src/batch/intake.rs
@@ -10,11 +10,14 @@
 use notch_types::prelude::*;
 
 use crate::{
-    batch::records::{create_job, inline_items, part_count, read_end},
+    batch::records::{create_job, inline_items, part_count, read_end, read_job},
     constants::{INTAKE_PATIENCE, JOB_BYTES, RETRY_AFTER, RETRY_AFTER_START, STORE_PAUSE},
-    front::connection::OwnAnswer,
+    front::answer::OwnAnswer,
     node::EntryNode,
-    store::{client::StoreFailure, feed::jittered},
+    store::{
+        reply::StoreFailure,
+        retry::{jittered, until_answered},
+    },
 };
 
 /// How often it's looked whether another sending of a job is stored.
@@ -146,22 +149,16 @@
 
 /// The job is stored, after a write whose answer was lost: it's ours if our record stands there.
 async fn settle(node: &Arc<EntryNode>, spec: Arc<JobSpec>, record: &JobRecord) -> IntakeOutcome {
-    loop {
-        match crate::batch::records::read_job(&node.store, &spec.id).await {
-            Ok(Some(stored)) if stored.owner() == record.owner => {
-                // It may have been accepted and ended elsewhere while our answer was lost.
-                if let Ok(is_ended) = read_end(&node.store, &spec.id).await {
-                    if !is_ended {
-                        own_job(node, spec);
-                    }
-                    return IntakeOutcome::Ours;
-                }
-                task::sleep(jittered(STORE_PAUSE)).await;
-            }
-            Ok(_) => return IntakeOutcome::Known,
-            Err(_) => task::sleep(jittered(STORE_PAUSE)).await,
-        }
+    let stored = until_answered(|| true, || read_job(&node.store, &spec.id)).await.flatten();
+    if stored.is_none_or(|stored| stored.owner() != record.owner) {
+        return IntakeOutcome::Known;
+    }
+    // It may have been accepted and ended elsewhere while our answer was lost.
+    let is_ended = until_answered(|| true, || read_end(&node.store, &spec.id)).await;
+    if is_ended == Some(false) {
+        own_job(node, spec);
     }
+    IntakeOutcome::Ours
 }
 
 /// Begins to run a job that is stored as ours.
--- a/crates/entry/src/batch/item_run.rs
+++ b/crates/entry/src/batch/item_run.rs
@@ -139,7 +139,7 @@
     if splitter.has_rest() {
         return Err(AttemptFailure::CutAnswer);
     }
-    node.pool.give_back(&choice.id, connection, &head);
+    node.give_back(&choice.id, connection, &head);
     Ok(head.status)
 }
 
--- a/crates/entry/src/batch/ownership.rs
+++ b/crates/entry/src/batch/ownership.rs
@@ -7,10 +7,10 @@
 use notch_relay::prelude::OwnedJob;
 
 use crate::{
-    batch::{commits, records::read_job},
-    constants::{STORE_PAUSE, VERIFY_DELAY},
+    batch::{closing::close_whole_job, records::read_job},
+    constants::VERIFY_DELAY,
     node::EntryNode,
-    store::feed::jittered,
+    store::retry::until_answered,
 };
 
 /// Checks every job that we run, once for all calls that come together.
@@ -34,15 +34,9 @@
 /// A gateway that was out of touch with the others may have lost a job without a word. Two that both
 /// run it waste places, and each would tell readers of its own view of the list.
 pub async fn verify(node: &Arc<EntryNode>, job: &str) {
-    let stored = loop {
-        if !node.jobs().is_owned(job) {
-            return;
-        }
-        match read_job(&node.store, job).await {
-            Ok(stored) => break stored,
-            Err(_) => task::sleep(jittered(STORE_PAUSE)).await,
-        }
-    };
+    let is_owned = || node.jobs().is_owned(job);
+    let reading = until_answered(is_owned, || read_job(&node.store, job));
+    let Some(stored) = reading.await else { return };
     let owner = stored.as_ref().map_or("", |stored| stored.owner());
     if owner != node.owner {
         node.log.warn("job_lost", &[("job", &job), ("owner", &owner)]);
@@ -56,7 +50,7 @@
     node.peers.broadcast(&PeerMessage::JobsOwned(vec![job.to_owned()]));
     let is_closed = node.jobs().board.get(job).is_some_and(OwnedJob::is_closed);
     if is_closed {
-        commits::close(node, job).await;
+        close_whole_job(node, job).await;
     }
     node.runner_wake.notify(usize::MAX);
 }
--- a/crates/entry/src/batch/reads.rs
+++ b/crates/entry/src/batch/reads.rs
@@ -14,9 +14,9 @@
         records::{read_job, read_results as stored_results, read_spec},
     },
     constants::{ASK_GRACE, ASK_WAIT, RETRY_AFTER},
-    front::connection::OwnAnswer,
+    front::answer::OwnAnswer,
     node::EntryNode,
-    store::client::StoreFailure,
+    store::reply::StoreFailure,
 };
 
 /// Bytes of results in an answer to another gateway, at most: well under a link's largest message.
--- a/crates/entry/src/batch/records.rs
+++ b/crates/entry/src/batch/records.rs
@@ -19,7 +19,7 @@
 
 use crate::{
     constants::OBJECT_BYTES,
-    store::client::{StoreClient, StoreFailure},
+    store::{client::StoreClient, reply::StoreFailure},
 };
 
 /// Kind of jobs, each named after its id.
--- a/crates/entry/src/batch/runner.rs
+++ b/crates/entry/src/batch/runner.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use async_std::{future::timeout, task};
+use notch_platform_wire::target::item_prompt;
 use notch_relay::prelude::*;
 use notch_types::prelude::*;
 
@@ -59,7 +60,9 @@
             return;
         };
         let service = route.service_for(rand::random());
-        let choice = node.targets().choose(service, WorkKind::Batch, &[], now, EntryNode::draw);
+        let prompt = item_prompt(&spec.items[index]);
+        let query = TargetQuery { service, work: WorkKind::Batch, avoid: &[], prompt: &prompt };
+        let choice = node.targets().choose(&query, now, EntryNode::draw);
         let Some(choice) = choice else { return };
         let Some(start) = desk.board.start_item(&job, index) else { return };
         let (cancel, cancelled) = async_channel::bounded(1);
--- a/crates/entry/src/batch/takeover.rs
+++ b/crates/entry/src/batch/takeover.rs
@@ -8,13 +8,16 @@
 use notch_types::prelude::*;
 
 use crate::{
-    batch::records::{JOB_KIND, StoredJob, fence_results, read_end, read_spec, take_job},
+    batch::{
+        closing::close_whole_job,
+        records::{JOB_KIND, StoredJob, fence_results, read_end, read_spec, take_job},
+    },
     constants::{ORPHANS_AGAIN, ORPHANS_FIRST, PEER_TICK},
     node::EntryNode,
     peers::table::OwnerLiveness,
     store::{
-        client::StoreFailure,
         feed::{StorePath, list_all},
+        reply::StoreFailure,
     },
 };
 
@@ -144,7 +147,7 @@
     node.peers.broadcast(&PeerMessage::JobsOwned(vec![id.clone()]));
     node.runner_wake.notify(usize::MAX);
     if is_closed {
-        crate::batch::commits::close(node, id).await;
+        close_whole_job(node, id).await;
     }
     Ok(())
 }
--- a/crates/entry/src/disk.rs
+++ b/crates/entry/src/disk.rs
@@ -21,7 +21,9 @@
     error::EntryError,
     store::{
         client::StoreClient,
-        feed::{FeedEvent, FeedPlan, follow, jittered},
+        feed::{FeedPlan, follow},
+        feed_event::FeedEvent,
+        retry::jittered,
     },
 };
 
--- a/crates/entry/src/front/connection.rs
+++ b/crates/entry/src/front/connection.rs
@@ -15,6 +15,7 @@
 use crate::{
     batch::{ends, intake, reads},
     constants::{AHEAD_BYTES, BODY_TIMEOUT, KNOWLEDGE_TICK, KNOWLEDGE_WAIT, RETRY_AFTER_START},
+    front::answer::OwnAnswer,
     node::EntryNode,
     online::{
         relay::{Delivery, RequestRelay},
@@ -22,29 +23,6 @@
     },
 };
 
-/// One answer of our own.
-#[derive(Debug, Default)]
-pub struct OwnAnswer {
-    /// Its status.
-    pub status: u16,
-    /// When the client should come back.
-    pub retry_after: Option<std::time::Duration>,
-    /// Its body.
-    pub body: Vec<u8>,
-}
-
-impl OwnAnswer {
-    /// An answer without a body.
-    pub fn of(status: u16) -> Self {
-        Self { status, ..Self::default() }
-    }
-
-    /// A refusal: nothing ran; come back after `wait`.
-    pub fn refused(wait: std::time::Duration) -> Self {
-        Self { status: 503, retry_after: Some(wait), ..Self::default() }
-    }
-}
-
 /// Serves one client's connection to its end.
 pub async fn serve_client(node: Arc<EntryNode>, stream: TcpStream) {
     let mut client =
--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -22,10 +22,10 @@
         pages::{serve_metrics, serve_ready},
     },
     node::EntryNode,
-    peers::{hub, reports},
+    peers::{detours, hub, reports},
     store::{
-        detour,
-        feed::{FeedEvent, FeedPlan, follow},
+        feed::{FeedPlan, follow},
+        feed_event::FeedEvent,
     },
     target::liveness,
 };
@@ -72,7 +72,7 @@
     let (node, detours) = EntryNode::new(config);
     let node = Arc::new(node);
     start_tasks(&node, &settings);
-    task::spawn(detour::pass_calls(Arc::clone(&node), detours));
+    task::spawn(detours::pass_calls(Arc::clone(&node), detours));
     start_listeners(&node, settings).await?;
     Ok(node)
 }
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -4,6 +4,7 @@
 
 use async_channel::Receiver;
 use event_listener::Event;
+use notch_h1::prelude::ResponseHead;
 use notch_platform_wire::{prelude::StoreObject, target::decode_entry};
 use notch_relay::prelude::*;
 use notch_settings::EntryConfig;
@@ -22,10 +23,10 @@
         configuration::{ConfigurationInForce, newer_configuration},
         detour::DetourCall,
         duty::WatchDuty,
-        feed::FeedEvent,
+        feed_event::FeedEvent,
         target::{TargetChange, TargetFeed},
     },
-    target::pool::TargetPool,
+    target::{connection::TargetConnection, pool::TargetPool},
 };
 
 /// What all tasks of a gateway share. Locks are held for moments, never across an await; where two
@@ -62,6 +63,7 @@
     targets: Mutex<TargetTable>,
     target_feed: Mutex<TargetFeed>,
     jobs: Mutex<JobDesk>,
+    crashes: Mutex<CrashTable>,
 }
 
 impl EntryNode {
@@ -91,6 +93,7 @@
             targets: Mutex::new(TargetTable::new(&domain)),
             target_feed: Mutex::default(),
             jobs: Mutex::default(),
+            crashes: Mutex::default(),
             config,
         };
         (node, detours)
@@ -111,6 +114,11 @@
         self.jobs.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Requests that crash targets.
+    pub fn crashes(&self) -> MutexGuard<'_, CrashTable> {
+        self.crashes.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// The configuration in force; `None` until a first one is known.
     pub fn routes(&self) -> Option<Arc<RouteTable>> {
         let current = self.configuration.read().unwrap_or_else(PoisonError::into_inner);
@@ -156,6 +164,15 @@
         }
     }
 
+    /// A target's answer `head` was read to its end: its connection is kept, unless the target
+    /// closes it.
+    pub fn give_back(&self, target: &str, connection: TargetConnection, head: &ResponseHead) {
+        if !head.keep_alive {
+            self.targets().note_closing(target, self.clock.mono());
+        }
+        self.pool.give_back(target, connection, head);
+    }
+
     /// Takes what the store tells of targets.
     pub fn take_target_event(&self, event: FeedEvent<'_>) {
         let now = self.clock.mono();
@@ -200,7 +217,7 @@
                             ("revision", &revision),
                         ],
                     );
-                    self.targets().put(entry);
+                    self.targets().put(entry, self.clock.mono());
                 }
                 TargetChange::Remove(id) => {
                     self.log.info(
--- a/crates/entry/src/online.rs
+++ b/crates/entry/src/online.rs
@@ -1,5 +1,6 @@
 //! Online requests: relayed to a target, an answer back.
 
+pub mod crashes;
 pub mod lease;
 pub mod relay;
 pub mod request;
--- a/crates/entry/src/online/relay.rs
+++ b/crates/entry/src/online/relay.rs
@@ -16,7 +16,7 @@
         NOT_RUN_TRIES, RETRY_AFTER,
     },
     node::EntryNode,
-    online::{lease::TargetLease, request::OnlineRequest},
+    online::{crashes, lease::TargetLease, request::OnlineRequest},
     target::connection::TargetConnection,
 };
 
@@ -93,6 +93,9 @@
 
     /// Relays the request to its end.
     pub async fn run(mut self) -> Delivery {
+        if self.node.crashes().is_refused(self.request.fingerprint, self.now()) {
+            return self.give_up("quarantined").await;
+        }
         let mut searching_since = None;
         loop {
             let now = self.now();
@@ -151,11 +154,17 @@
     }
 
     fn choose(&mut self, now: MonoTime) -> Option<TargetChoice> {
+        let query = TargetQuery {
+            service: &self.service,
+            work: WorkKind::Online,
+            avoid: &self.avoid,
+            prompt: &self.request.prompt,
+        };
         let mut targets = self.node.targets();
-        let mut choice =
-            targets.choose(&self.service, WorkKind::Online, &self.avoid, now, EntryNode::draw);
+        let mut choice = targets.choose(&query, now, EntryNode::draw);
         if choice.is_none() && !self.avoid.is_empty() {
-            choice = targets.choose(&self.service, WorkKind::Online, &[], now, EntryNode::draw);
+            let query = TargetQuery { avoid: &[], ..query };
+            choice = targets.choose(&query, now, EntryNode::draw);
         }
         drop(targets);
         if let Some(choice) = choice.as_ref().filter(|choice| !choice.place_free) {
@@ -166,11 +175,20 @@
 
     async fn attempt(&mut self, choice: &TargetChoice) -> Result<AttemptEnd, AttemptFailure> {
         let mut lease = TargetLease::new(self.node, choice, WorkKind::Online);
+        let held_before = self.last_event;
         let end = self.attempt_at(choice).await;
         match end {
-            Ok(AttemptEnd::Whole(_)) => lease.set_outcome(Ok(())),
+            Ok(AttemptEnd::Whole(_)) => {
+                lease.set_outcome(Ok(()));
+                self.node.crashes().clear(self.request.fingerprint);
+            }
             Ok(AttemptEnd::ClientGone) => {}
-            Err(failure) => lease.set_outcome(Err(failure)),
+            Err(failure) => {
+                lease.set_outcome(Err(failure));
+                if failure.may_be_crash() && self.last_event == held_before {
+                    crashes::tell_break(self.node, self.request.fingerprint, &choice.id);
+                }
+            }
         }
         end
     }
@@ -224,7 +242,7 @@
             Ok(Err(_)) => return Err(AttemptFailure::CutAnswer),
             Err(_) => return Err(AttemptFailure::StalledAnswer),
         };
-        self.node.pool.give_back(&choice.id, connection, &head);
+        self.node.give_back(&choice.id, connection, &head);
         let mut writer = relayed_answer(&head);
         if self.close {
             writer.header("Connection", "close");
@@ -262,7 +280,9 @@
             self.log_end(reason, 0);
             return Delivery::Cut;
         }
-        let (status, retry_after) = if self.unknown == 0 {
+        let (status, retry_after) = if reason == "quarantined" {
+            (503, None)
+        } else if self.unknown == 0 {
             (503, Some(RETRY_AFTER))
         } else if reason == "deadline" {
             (504, None)
--- a/crates/entry/src/online/request.rs
+++ b/crates/entry/src/online/request.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use notch_h1::prelude::RequestHead;
-use notch_platform_wire::prelude::RequestTerms;
+use notch_platform_wire::{client::prompt_heads, prelude::RequestTerms};
 use notch_relay::prelude::*;
 use notch_types::prelude::*;
 
@@ -20,6 +20,10 @@
     pub configuration: u64,
     /// When its head was read.
     pub arrived: MonoTime,
+    /// What it says of its prompt.
+    pub prompt: PromptHeads,
+    /// Of its path and body: the same when the client sends it again.
+    pub fingerprint: u64,
     /// When its answer must have ended: the client's patience or the route's timeout is over.
     pub deadline: MonoTime,
 }
@@ -35,7 +39,10 @@
     ) -> Self {
         let patience = RequestTerms::decode(&head.headers).patience;
         let limit = patience.map_or(route.timeout, |patience| patience.min(route.timeout));
-        Self { head, body, route, configuration, arrived, deadline: arrived + limit }
+        let fingerprint = CrashTable::fingerprint(&head.target, &body);
+        let prompt = prompt_heads(&head.headers);
+        let deadline = arrived + limit;
+        Self { head, body, route, configuration, arrived, prompt, fingerprint, deadline }
     }
 
     /// The client's id of this attempt.
--- a/crates/entry/src/online/stream.rs
+++ b/crates/entry/src/online/stream.rs
@@ -44,7 +44,7 @@
         if splitter.has_rest() {
             return Err(AttemptFailure::CutAnswer);
         }
-        self.node.pool.give_back(&choice.id, connection, &head);
+        self.node.give_back(&choice.id, connection, &head);
         let mut bytes = self.head_bytes(&head);
         bytes.extend_from_slice(LAST_CHUNK);
         match write_all(self.client, &bytes).await {
--- /dev/null
+++ b/crates/entry/src/peers/detours.rs
@@ -0,0 +1,78 @@
+//! Calls to the store that one gateway makes for another.
+
+use std::{sync::Arc, time::Duration};
+
+use async_channel::Receiver;
+use async_std::{future::timeout, task};
+use notch_messages::prelude::{PeerMessage, StoreCallEnd};
+use notch_types::prelude::*;
+
+use crate::{
+    constants::ASK_GRACE,
+    node::EntryNode,
+    store::{
+        detour::DetourCall,
+        reply::{StoreFailure, StoreReply},
+    },
+};
+
+/// Passes calls on to gateways that follow the store, until the process ends.
+pub async fn pass_calls(node: Arc<EntryNode>, calls: Receiver<DetourCall>) {
+    while let Ok(call) = calls.recv().await {
+        let node = Arc::clone(&node);
+        task::spawn(async move { pass_call(&node, call).await });
+    }
+}
+
+async fn pass_call(node: &EntryNode, call: DetourCall) {
+    let DetourCall { method, path, body, wait, end } = call;
+    let outcome = match node.peers.follower(EntryNode::draw()) {
+        Some(vm) => ask(node, &vm, (method, path, body), wait).await,
+        None => None,
+    };
+    // The caller may have been dropped meanwhile.
+    let _ = end.try_send(outcome);
+}
+
+async fn ask(
+    node: &EntryNode,
+    vm: &VmName,
+    (method, path, body): (String, String, Option<Vec<u8>>),
+    wait: Duration,
+) -> Option<Result<StoreReply, StoreFailure>> {
+    let (call, answer) = node.peers.store_calls.open();
+    let wait_ms = wait.as_millis() as u64;
+    let body = body.map(Payload::from);
+    let message = PeerMessage::StoreCall { call, method, path, body, wait_ms };
+    if !node.peers.send(vm, message) {
+        node.peers.store_calls.close(call);
+        return None;
+    }
+    node.metrics.count(Counter::Event("store_calls_passed_on"));
+    let end = timeout(wait + ASK_GRACE, answer.recv()).await;
+    node.peers.store_calls.close(call);
+    Some(match end {
+        Ok(Ok(StoreCallEnd::Answered { status, body })) => {
+            Ok(StoreReply { status, body: body.to_vec() })
+        }
+        Ok(Ok(StoreCallEnd::NotDone)) => Err(StoreFailure::NotDone),
+        // The link may have broken after the call was made.
+        Ok(Ok(StoreCallEnd::Unknown) | Err(_)) | Err(_) => Err(StoreFailure::Unknown),
+    })
+}
+
+/// Makes a call for another gateway.
+pub async fn call_for(node: &EntryNode, vm: &VmName, message: PeerMessage) {
+    let PeerMessage::StoreCall { call, method, path, body, wait_ms } = message else { return };
+    let wait = Duration::from_millis(wait_ms);
+    let result = node.store.call_directly(&method, &path, body.as_deref(), wait).await;
+    let end = match result {
+        Ok(reply) => {
+            StoreCallEnd::Answered { status: reply.status, body: Payload::from(reply.body) }
+        }
+        Err(StoreFailure::NotDone) => StoreCallEnd::NotDone,
+        Err(StoreFailure::Unknown) => StoreCallEnd::Unknown,
+    };
+    node.metrics.count(Counter::Event("store_calls_for_others"));
+    node.peers.send(vm, PeerMessage::StoreAnswer { call, end });
+}
--- a/crates/entry/src/peers/hub.rs
+++ b/crates/entry/src/peers/hub.rs
@@ -16,14 +16,17 @@
     batch::{ends, ownership, reads},
     constants::{GATEWAY_WATCH_PAUSE, LAG_PATIENCE, STORE_PAUSE},
     node::EntryNode,
+    online::crashes,
     peers::{
+        detours,
         record::{GATEWAY_KIND, GatewayEntry},
         reports,
         table::JobNews,
     },
     store::{
-        detour,
-        feed::{FeedEvent, FeedPlan, follow, jittered},
+        feed::{FeedPlan, follow},
+        feed_event::FeedEvent,
+        retry::jittered,
     },
 };
 
@@ -174,10 +177,16 @@
             node.peers.job_calls.answer(call, JobNews { is_owner, total, lines, is_all });
         }
         PeerMessage::JobProgress { job, items } => node.jobs().keep_progress(&job, items),
+        PeerMessage::RequestBroke { fingerprint, target } => {
+            crashes::count_break(node, fingerprint, &target);
+        }
+        PeerMessage::RequestRefused { fingerprint } => {
+            node.crashes().refuse(fingerprint, node.clock.mono());
+        }
         PeerMessage::StoreCall { .. } => {
             let node = Arc::clone(node);
             let vm = peer.vm.clone();
-            task::spawn(async move { detour::call_for(&node, &vm, message).await });
+            task::spawn(async move { detours::call_for(&node, &vm, message).await });
         }
         PeerMessage::StoreAnswer { call, end } => node.peers.store_calls.answer(call, end),
         PeerMessage::Leaving => {
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -5,5 +5,8 @@
 pub mod detour;
 pub mod duty;
 pub mod feed;
+pub mod feed_event;
 pub mod outage;
+pub mod reply;
+pub mod retry;
 pub mod target;
--- a/crates/entry/src/store/client.rs
+++ b/crates/entry/src/store/client.rs
@@ -17,6 +17,7 @@
     store::{
         detour::{CallWay, DetourCall, DetourState},
         outage::{OutageChange, StoreOutage},
+        reply::{StoreFailure, StoreReply},
     },
 };
 
@@ -29,31 +30,6 @@
 /// Idle connections kept.
 const IDLE_KEPT: usize = 4;
 
-/// Why a call brought nothing.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum StoreFailure {
-    /// Surely not done: not sent, or turned away.
-    NotDone,
-    /// Sent and not answered: it may have been done, or be done seconds later.
-    Unknown,
-}
-
-/// What the store answered.
-#[derive(Debug)]
-pub struct StoreReply {
-    /// The status: 2xx, 404, 409 or 410.
-    pub status: u16,
-    /// The body.
-    pub body: Vec<u8>,
-}
-
-impl StoreReply {
-    /// Whether the call was done.
-    pub fn is_success(&self) -> bool {
-        (200..300).contains(&self.status)
-    }
-}
-
 /// Calls the store. A connection on which an answer failed to come is never used again: nothing
 /// more comes on it.
 #[derive(Debug)]
@@ -194,7 +170,7 @@
             let took = now.since(began).as_millis();
             self.log.warn(
                 "store_call_failed",
-                &[("call", &method), ("path", &path), ("failure", &code(*failure)), ("ms", &took)],
+                &[("call", &method), ("path", &path), ("failure", &failure.code()), ("ms", &took)],
             );
         }
         result
@@ -272,11 +248,3 @@
         }
     }
 }
-
-/// Stable name of a failure for logs.
-pub fn code(failure: StoreFailure) -> &'static str {
-    match failure {
-        StoreFailure::NotDone => "not_done",
-        StoreFailure::Unknown => "unknown",
-    }
-}
--- a/crates/entry/src/store/feed.rs
+++ b/crates/entry/src/store/feed.rs
@@ -11,33 +11,9 @@
 use crate::{
     constants::{DUTY_TICK, STORE_PAUSE, WATCH_GRACE},
     node::EntryNode,
-    store::client::{StoreClient, StoreFailure},
+    store::{client::StoreClient, feed_event::FeedEvent, reply::StoreFailure, retry::jittered},
 };
 
-/// What a feed tells.
-#[derive(Debug)]
-pub enum FeedEvent<'a> {
-    /// The whole list, as of a revision of the store.
-    Snapshot {
-        /// Every object.
-        objects: Vec<StoreObject>,
-        /// The store's revision.
-        as_of: u64,
-    },
-    /// An object was created or changed.
-    Changed {
-        /// As it is now.
-        object: &'a StoreObject,
-    },
-    /// An object was deleted.
-    Deleted {
-        /// As it was.
-        object: &'a StoreObject,
-        /// A revision of the store at which it was gone.
-        as_of: u64,
-    },
-}
-
 /// Which way calls to the store go.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StorePath {
@@ -151,9 +127,3 @@
         }
     }
 }
-
-/// A pause of half of `longest` to all of it, so that VMs that lost the store together don't come
-/// back in step.
-pub fn jittered(longest: Duration) -> Duration {
-    longest.mul_f64(0.5 + 0.5 * rand::random::<f64>())
-}
--- a/crates/messages/src/peer.rs
+++ b/crates/messages/src/peer.rs
@@ -122,6 +122,19 @@
         /// Items that haven't ended.
         items: Vec<HeldProgress>,
     },
+    /// A target broke a request off before its first event; the receiver counts such breaks of this
+    /// request for all gateways.
+    RequestBroke {
+        /// Of the request's path and body.
+        fingerprint: u64,
+        /// The target's id.
+        target: String,
+    },
+    /// Several targets broke a request off: refuse it.
+    RequestRefused {
+        /// Of the request's path and body.
+        fingerprint: u64,
+    },
     /// The store turns the sender away: make this call for it.
     StoreCall {
         /// Matches the answer; unique at the asker.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -27,9 +27,11 @@
             splitter::EventSplitter,
         },
         targets::{
-            choice::{TargetChoice, WorkKind},
+            choice::{TargetChoice, TargetQuery, WorkKind},
+            crashes::CrashTable,
             entry::{TargetEntry, TargetState},
             failure::{AttemptFailure, RunVerdict},
+            prompt::{PromptHead, PromptHeads},
             table::TargetTable,
         },
     };
--- a/crates/relay/src/routes/route.rs
+++ b/crates/relay/src/routes/route.rs
@@ -41,8 +41,6 @@
     pub timeout: Duration,
     /// Latency objective: to the answer, or to a stream's first event.
     pub objective: Duration,
-    /// Rank: 0 is served first.
-    pub priority: u32,
     /// Where requests go. Invariant: not empty, and some weight is above 0.
     pub services: Vec<WeightedService>,
     /// Targets that one client attempt may run on, at most.
--- a/crates/relay/src/targets.rs
+++ b/crates/relay/src/targets.rs
@@ -1,7 +1,10 @@
 //! Targets: what is known of them, which one a request goes to, what their failures mean.
 
 pub mod choice;
+pub mod crashes;
 pub mod entry;
 pub mod failure;
 pub mod health;
+pub mod prompt;
 pub mod table;
+pub mod warm_prompts;
--- a/crates/relay/src/targets/choice.rs
+++ b/crates/relay/src/targets/choice.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 
+use crate::targets::prompt::PromptHeads;
+
 /// Which work asks for a target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum WorkKind {
@@ -11,6 +13,19 @@
     Batch,
 }
 
+/// What a target is chosen for.
+#[derive(Debug, Clone, Copy)]
+pub struct TargetQuery<'a> {
+    /// The service that runs it.
+    pub service: &'a str,
+    /// The kind of work.
+    pub work: WorkKind,
+    /// Targets that have failed it.
+    pub avoid: &'a [String],
+    /// Its prompt: a target that has read its beginning is a little nearer.
+    pub prompt: &'a PromptHeads,
+}
+
 /// The target chosen.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct TargetChoice {
--- a/crates/relay/src/targets/failure.rs
+++ b/crates/relay/src/targets/failure.rs
@@ -62,6 +62,11 @@
         }
     }
 
+    /// Whether the target's end may be the request's doing: it closed the connection while it ran it.
+    pub fn may_be_crash(self) -> bool {
+        matches!(self, Self::ClosedBeforeAnswer | Self::CutAnswer)
+    }
+
     /// Whether nothing came from the target, so that it may be gone or cut off.
     pub fn is_silence(self) -> bool {
         matches!(self, Self::ConnectFailed | Self::SilentBeforeAnswer | Self::StalledAnswer)
--- a/crates/relay/src/targets/table.rs
+++ b/crates/relay/src/targets/table.rs
@@ -5,10 +5,11 @@
 use notch_types::prelude::*;
 
 use crate::targets::{
-    choice::{TargetChoice, WorkKind},
+    choice::{TargetChoice, TargetQuery, WorkKind},
     entry::{TargetEntry, TargetState},
     failure::AttemptFailure,
     health::TargetHealth,
+    warm_prompts::WarmPrompts,
 };
 
 /// Places of a target that batch leaves to online requests that come next. Engines take requests
@@ -24,6 +25,17 @@
 const FOREIGN_PENALTY: f64 = 1.5;
 /// Weight of an own item in a target's load: it yields its place when an online request needs it.
 const YIELDING_WEIGHT: f64 = 0.7;
+/// Added to the load of a target that is slow after its start or may be about to leave, in requests:
+/// it gets new ones where others are a quarter fuller, but never is a place left free for it.
+const SLOW_PENALTY: f64 = 2.0;
+/// How long a target that closes a connection counts as about to leave: its entry says so within a
+/// second if it does.
+const CLOSING_HINT: Duration = Duration::from_secs(1);
+/// Tokens of a prompt that a target has read count for as much as one request less there. Reading
+/// 1,200 tokens takes 14 ms; so much longer does a usual stream take beside one request more.
+const WARM_TOKENS: f64 = 1_200.0;
+/// The most that it counts, in requests: a popular prompt must not fill one target.
+const WARMTH_LONGEST: f64 = 1.0;
 /// Divided by the number of gateways, the share of the others' home targets that one choice looks
 /// at. Were all looked at, every gateway whose own are full would pick the one that was least
 /// loaded a tenth of a second ago: of 27 gateways' choices of a target reported under two thirds
@@ -80,6 +92,9 @@
     health: TargetHealth,
     /// Another target answered at its address: not used until it registers again.
     displaced: bool,
+    /// It is slow until then, or may be: it has just started, or it closes its connections, as one
+    /// that is about to leave does.
+    slow_until: MonoTime,
 }
 
 #[derive(Debug, Default)]
@@ -99,6 +114,8 @@
     home: FastSet<String>,
     /// Share of the other gateways' home targets that one choice looks at.
     foreign_share: f64,
+    /// What targets have read of prompts.
+    warm: WarmPrompts,
     /// Own use of targets whose entry is gone, until their last request ends.
     leftovers: FastMap<String, TargetUse>,
 }
@@ -109,12 +126,14 @@
         Self { domain: domain.to_owned(), ..Self::default() }
     }
 
-    /// Takes a target's entry as it is now.
-    pub fn put(&mut self, entry: TargetEntry) {
+    /// Takes a target's entry as it is at `now`.
+    pub fn put(&mut self, entry: TargetEntry, now: MonoTime) {
         let id = entry.id.clone();
+        let slow_until = now + entry.cold_left;
         if let Some(record) = self.records.get_mut(&id) {
             record.entry = entry;
             record.displaced = false;
+            record.slow_until = slow_until.max(record.slow_until);
             return;
         }
         let own = self.leftovers.remove(&id).unwrap_or_default();
@@ -125,7 +144,17 @@
             others.batch += reported.batch;
         }
         let health = TargetHealth::default();
-        self.records.insert(id, TargetRecord { entry, own, others, health, displaced: false });
+        let displaced = false;
+        let record = TargetRecord { entry, own, others, health, displaced, slow_until };
+        self.records.insert(id, record);
+    }
+
+    /// A target told that it closes the connection. One that is about to leave does so before its
+    /// entry says it; others do now and then.
+    pub fn note_closing(&mut self, id: &str, now: MonoTime) {
+        if let Some(record) = self.records.get_mut(id) {
+            record.slow_until = record.slow_until.max(now + CLOSING_HINT);
+        }
     }
 
     /// A target's entry is gone: it gets nothing new.
@@ -152,19 +181,19 @@
         self.records.values().filter(|r| r.entry.state == TargetState::Ready).count()
     }
 
-    /// Chooses a target of `service` for one attempt, none of `avoid`, and counts it there until
-    /// [`finish`](Self::finish). `draw` gives random numbers from 0 to 1.
+    /// Chooses a target for one attempt, and counts it there until [`finish`](Self::finish). `draw`
+    /// gives random numbers from 0 to 1.
     ///
     /// Online work takes the least loaded target, a queue if there must be one. Batch takes a
     /// target only if places stay free.
     pub fn choose(
         &mut self,
-        service: &str,
-        work: WorkKind,
-        avoid: &[String],
+        query: &TargetQuery<'_>,
         now: MonoTime,
         mut draw: impl FnMut() -> f64,
     ) -> Option<TargetChoice> {
+        let TargetQuery { service, work, avoid, prompt } = *query;
+        let warm = self.warm.warm_tokens(prompt);
         let mut best: Option<(f64, &TargetRecord)> = None;
         let mut fallback: Option<(f64, &TargetRecord)> = None;
         for record in self.records.values() {
@@ -178,7 +207,9 @@
             if !is_home && draw() > self.foreign_share {
                 continue;
             }
-            let score = record.score(&self.domain, is_home) + draw() * TIE_SPREAD;
+            let read = warm.get(record.entry.id.as_str()).copied().unwrap_or_default();
+            let score = record.score(&self.domain, is_home, now) - record.warmth(read)
+                + draw() * TIE_SPREAD;
             let slot = if record.health.is_avoided(now) { &mut fallback } else { &mut best };
             if slot.is_none_or(|(lowest, _)| score < lowest) {
                 *slot = Some((score, record));
@@ -196,6 +227,7 @@
             reported_load: record.others.total(),
             is_home: self.home.contains(&record.entry.id),
         };
+        self.warm.note(prompt, &choice.id);
         let record = self.records.get_mut(&choice.id)?;
         record.own.add(work);
         record.health.start();
@@ -360,10 +392,19 @@
         self.total() < open
     }
 
-    fn score(&self, domain: &str, is_home: bool) -> f64 {
+    /// What it's worth, in requests, that the target has read so many tokens of a prompt.
+    fn warmth(&self, read: u32) -> f64 {
+        if self.total() >= self.entry.slots {
+            return 0.0;
+        }
+        (f64::from(read) / WARM_TOKENS).min(WARMTH_LONGEST)
+    }
+
+    fn score(&self, domain: &str, is_home: bool, now: MonoTime) -> f64 {
         let far = if self.entry.domain == domain { 0.0 } else { FAR_PENALTY };
         let foreign = if is_home { 0.0 } else { FOREIGN_PENALTY };
         let own_items = f64::from(self.own.batch) * (1.0 - YIELDING_WEIGHT);
-        f64::from(self.total()) - own_items + far + foreign
+        let slow = if now < self.slow_until { SLOW_PENALTY } else { 0.0 };
+        f64::from(self.total()) - own_items + far + foreign + slow
     }
 }
--- a/crates/relay/tests/routes.rs
+++ b/crates/relay/tests/routes.rs
@@ -13,7 +13,6 @@
         kind,
         timeout: Duration::from_secs(5),
         objective: Duration::from_millis(300),
-        priority: 0,
         services: vec![WeightedService { service: "llm".to_owned(), weight: 1 }],
         max_attempts: 2,
         resumable,
--- a/crates/relay/tests/targets.rs
+++ b/crates/relay/tests/targets.rs
@@ -1,6 +1,6 @@
 //! Which target a request goes to.
 
-use std::time::Duration;
+use std::{sync::LazyLock, time::Duration};
 
 use notch_relay::{prelude::*, targets::table::TargetUse};
 use notch_types::prelude::*;
@@ -18,16 +18,22 @@
     }
 }
 
+/// What is chosen for: work without a word about its prompt.
+fn query(work: WorkKind, avoid: &[String]) -> TargetQuery<'_> {
+    static NO_PROMPT: LazyLock<PromptHeads> = LazyLock::new(PromptHeads::default);
+    TargetQuery { service: "llm", work, avoid, prompt: &NO_PROMPT }
+}
+
 fn table(ids: &[&str]) -> TargetTable {
     let mut table = TargetTable::new("a");
     for id in ids {
-        table.put(entry(id, TargetState::Ready));
+        table.put(entry(id, TargetState::Ready), MonoTime::default());
     }
     table
 }
 
 fn online(table: &mut TargetTable, now: MonoTime) -> Option<String> {
-    table.choose("llm", WorkKind::Online, &[], now, || 0.0).map(|choice| choice.id)
+    table.choose(&query(WorkKind::Online, &[]), now, || 0.0).map(|choice| choice.id)
 }
 
 #[test]
@@ -48,7 +54,7 @@
 fn a_leaving_target_gets_nothing_new(#[case] draining: bool) {
     let mut table = table(&["t1"]);
     if draining {
-        table.put(entry("t1", TargetState::Draining));
+        table.put(entry("t1", TargetState::Draining), MonoTime::default());
     } else {
         table.remove("t1");
     }
@@ -64,7 +70,7 @@
     online(&mut table, now).expect("a target is free");
     table.finish("t1", WorkKind::Online, Some(Err(AttemptFailure::OtherTarget)), now);
     assert_eq!(online(&mut table, now), None);
-    table.put(entry("t1", TargetState::Ready));
+    table.put(entry("t1", TargetState::Ready), now);
     assert_eq!(online(&mut table, now).as_deref(), Some("t1"));
 }
 
@@ -114,7 +120,7 @@
 fn batch_leaves_a_place_free_and_fills_no_queue() {
     let mut table = table(&["t1"]);
     let now = MonoTime::default();
-    let mut batch = || table.choose("llm", WorkKind::Batch, &[], now, || 0.0).is_some();
+    let mut batch = || table.choose(&query(WorkKind::Batch, &[]), now, || 0.0).is_some();
     assert_eq!([batch(), batch(), batch(), batch()], [true, true, true, false]);
 }
 
@@ -126,7 +132,7 @@
     let mut table = table(&["t1"]);
     let now = MonoTime::default();
     for _ in 0..2 {
-        table.choose("llm", WorkKind::Batch, &[], now, || 0.0).expect("places are free");
+        table.choose(&query(WorkKind::Batch, &[]), now, || 0.0).expect("places are free");
     }
     let uses = [("t1".to_owned(), TargetUse { online: 2, batch: 2 })];
     table.take_report(&VmName::new("peer"), uses.into_iter().collect(), now);
@@ -147,7 +153,7 @@
         table.share_out(own, &gateways);
         for _ in 0..ids.len() {
             let now = MonoTime::default();
-            let choice = table.choose("llm", WorkKind::Online, &[], now, || 0.0);
+            let choice = table.choose(&query(WorkKind::Online, &[]), now, || 0.0);
             homes.extend(choice.filter(|choice| choice.is_home).map(|choice| choice.id));
         }
     }
@@ -163,7 +169,7 @@
     let mut table = table(&["t1"]);
     let start = MonoTime::from_millis(1_000);
     let batch = |table: &mut TargetTable, now| {
-        table.choose("llm", WorkKind::Batch, &[], now, || 0.0).is_some()
+        table.choose(&query(WorkKind::Batch, &[]), now, || 0.0).is_some()
     };
     assert!(batch(&mut table, start));
     table.finish("t1", WorkKind::Batch, Some(Err(AttemptFailure::CutAnswer)), start);
@@ -197,3 +203,66 @@
 fn only_proof_counts_as_not_run(#[case] failure: AttemptFailure, #[case] verdict: RunVerdict) {
     assert_eq!(failure.verdict(), verdict);
 }
+
+/// Symptom: requests to a target that has just started come late while others have places. Sequence:
+/// it registers as slow for a while. Cause: it was chosen as if it were as quick as the others.
+#[test]
+fn a_cold_target_is_chosen_when_others_are_fuller() {
+    let mut table = table(&["t1"]);
+    let now = MonoTime::from_millis(1);
+    let cold = TargetEntry { cold_left: Duration::from_secs(5), ..entry("t2", TargetState::Ready) };
+    table.put(cold, now);
+    let picks: Vec<_> = (0..4).map(|_| online(&mut table, now).expect("places")).collect();
+    assert_eq!(picks.iter().filter(|id| *id == "t1").count(), 3, "{picks:?}");
+    assert_eq!(online(&mut table, now).as_deref(), Some("t2"), "never left idle beside a full one");
+    let warm = MonoTime::from_millis(5_100);
+    assert_eq!(online(&mut table, warm).as_deref(), Some("t2"), "then it counts like the others");
+}
+
+/// Symptom: a stream is cut by its target's end. Sequence: the target closes its connections after
+/// each answer, as one that is about to leave does; its entry comes later. Cause: new requests went
+/// there all the same.
+#[test]
+fn a_target_that_closes_connections_is_avoided_for_a_moment() {
+    let mut table = table(&["t1", "t2"]);
+    let now = MonoTime::from_millis(1);
+    table.note_closing("t1", now);
+    assert_eq!(online(&mut table, now).as_deref(), Some("t2"));
+    assert_eq!(online(&mut table, now).as_deref(), Some("t2"));
+    let later = MonoTime::from_millis(1_100);
+    assert_eq!(online(&mut table, later).as_deref(), Some("t1"));
+}
+
+/// Symptom: a long prompt is read again by target after target. Sequence: requests that share its
+/// beginning come one after another. Cause: each went wherever the load happened to be least.
+#[rstest]
+#[case::long(9_000, true)]
+#[case::short(60, false)]
+fn a_target_that_has_read_the_prompt_is_nearer(#[case] tokens: u32, #[case] follows: bool) {
+    let mut table = table(&["t1", "t2"]);
+    let now = MonoTime::from_millis(1);
+    let prompt = |own| PromptHeads::of_parts("m", [("shared", tokens), (own, 5)]);
+    let mut choose = |prompt: &PromptHeads| {
+        let query = TargetQuery { prompt, ..query(WorkKind::Online, &[]) };
+        let choice = table.choose(&query, now, || 0.0).expect("places");
+        choice.id
+    };
+    let first = choose(&prompt("a"));
+    assert_eq!(choose(&prompt("b")) == first, follows);
+    let other = PromptHeads::of_parts("m", [("other", tokens)]);
+    choose(&other);
+    let spread: Vec<_> = (0..4).map(|_| choose(&prompt("c"))).collect();
+    assert!(spread.contains(&"t1".to_owned()) && spread.contains(&"t2".to_owned()), "{spread:?}");
+}
+
+#[test]
+fn another_model_or_order_of_parts_is_another_prompt() {
+    let heads = |model, parts: &[(&'static str, u32)]| {
+        PromptHeads::of_parts(model, parts.iter().copied()).as_slice().to_vec()
+    };
+    let one = heads("m", &[("a", 10), ("b", 20)]);
+    assert_eq!(one.iter().map(|head| head.tokens).collect::<Vec<_>>(), [10, 30]);
+    assert_eq!(one[0], heads("m", &[("a", 10)])[0]);
+    assert_ne!(one[1].fingerprint, heads("m", &[("b", 20), ("a", 10)])[1].fingerprint);
+    assert_ne!(one[0].fingerprint, heads("n", &[("a", 10)])[0].fingerprint);
+}
