Add a fault soak of real gateway processes

A proxy delays, resets, silences or cuts connections one way; signals stop, kill, pause, reload and restart; the store loses answers or turns calls away; targets spoil answers and are replaced. A checker holds what clients and targets saw against seven promises; a planted fault of each is found (tests/checker.rs). The stand-ins move to platform/standins, used by the platform's tests and by the soak. Before: nothing of the kind.

--- a/crates/magnolianotch/src/cli.rs
+++ b/crates/magnolianotch/src/cli.rs
@@ -83,6 +83,7 @@
         ProgramCommand::StandIn(args) => stand_in::run(&args.command, output).await,
         ProgramCommand::Demo(args) => development::run_demo_command(&args, output).await,
         ProgramCommand::Measure(args) => development::measure(&args.command, output).await,
+        ProgramCommand::Soak(args) => soak::run(&args, output).await,
     }
 }
 
--- a/crates/magnolianotch/src/cli/args.rs
+++ b/crates/magnolianotch/src/cli/args.rs
@@ -77,6 +77,8 @@
     Demo(DemoArgs),
     /// Measurements.
     Measure(MeasureArgs),
+    /// The fault soak.
+    Soak(SoakArgs),
 }
 
 /// check, read and edit the catalogue
@@ -332,6 +334,37 @@
 #[argh(subcommand, name = "demo")]
 pub struct DemoArgs {}
 
+/// run gateways as processes on loopback under random faults, and check what clients and targets
+/// saw; for development
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "soak")]
+pub struct SoakArgs {
+    /// seed of the faults (default 1)
+    #[argh(option, default = "1")]
+    pub seed: u64,
+    /// how many seeds, from that one on, one after the other (default 1)
+    #[argh(option, default = "1")]
+    pub seeds: u64,
+    /// minutes of faults for each seed (default 1)
+    #[argh(option, default = "1.0")]
+    pub minutes: f64,
+    /// gateways (default 3)
+    #[argh(option, default = "3")]
+    pub gateways: usize,
+    /// targets (default 5)
+    #[argh(option, default = "5")]
+    pub targets: usize,
+    /// clients with online requests; a third as many send jobs (default 6)
+    #[argh(option, default = "6")]
+    pub clients: u64,
+    /// the gateways' program (default: notch-entry beside this one)
+    #[argh(option)]
+    pub program: Option<PathBuf>,
+    /// folder for the gateways' settings and logs (default: soak in the temporary folder)
+    #[argh(option)]
+    pub folder: Option<PathBuf>,
+}
+
 /// measure on a small fleet in this process; for development
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "measure")]
--- /dev/null
+++ b/crates/soak/tests/checker.rs
@@ -0,0 +1,107 @@
+//! The checker finds a fault of each promise, and none where all is right.
+
+use notch_platform_standins::{
+    client::item_id,
+    target::{EVENTS, marked_data, marked_events},
+};
+use notch_soak::prelude::*;
+use rstest::rstest;
+
+fn answered(attempt: &str, status: u16) -> Observation {
+    Observation::Answered {
+        attempt: attempt.to_owned(),
+        may_repeat: true,
+        status,
+        named: Some(attempt.to_owned()),
+        body: if status == 200 { marked_events(attempt) } else { String::new() },
+        is_whole: true,
+    }
+}
+
+fn result(job: &str, index: usize) -> SeenResult {
+    let item = item_id(job, index);
+    let output: Vec<String> = (1..=EVENTS).map(|id| marked_data(&item, id)).collect();
+    SeenResult { item, is_completed: true, output: output.join("\n") }
+}
+
+fn ran(attempt: &str) -> Observation {
+    Observation::Ran { attempt: attempt.to_owned() }
+}
+
+fn read(results: Vec<SeenResult>) -> Observation {
+    Observation::JobRead { job: "j".to_owned(), results }
+}
+
+fn asked(version: u64, is_known: bool) -> Observation {
+    Observation::RouteAsked { process: "g#1".to_owned(), version, is_known }
+}
+
+fn recovered(not_ready: &[&str], version: u64) -> Observation {
+    Observation::Recovered {
+        not_ready: not_ready.iter().map(|name| (*name).to_owned()).collect(),
+        processes: vec!["g#1".to_owned()],
+        version,
+    }
+}
+
+/// A run in which every promise is kept.
+fn right() -> Vec<Observation> {
+    vec![
+        answered("a", 200),
+        ran("a"),
+        answered("b", 503),
+        Observation::JobAccepted { job: "j".to_owned(), items: 2 },
+        read(vec![]),
+        read(vec![result("j", 1)]),
+        read(vec![result("j", 1), result("j", 0)]),
+        read(vec![result("j", 1)]),
+        asked(1, true),
+        asked(3, false),
+        asked(3, true),
+        recovered(&[], 3),
+    ]
+}
+
+#[test]
+fn a_right_run_breaks_nothing() {
+    assert_eq!(check(&right()), []);
+}
+
+fn spoiled(
+    attempt: &str,
+    edit: impl Fn(&mut String, &mut bool, &mut Option<String>),
+) -> Observation {
+    let mut observation = answered(attempt, 200);
+    if let Observation::Answered { body, is_whole, named, .. } = &mut observation {
+        edit(body, is_whole, named);
+    }
+    observation
+}
+
+#[rstest]
+#[case::anothers_answer(PromiseKind::OwnAnswer, vec![spoiled("x", |body, _, _| *body = marked_events("y"))])]
+#[case::an_event_twice(PromiseKind::OwnAnswer, vec![spoiled("x", |body, _, _| body.push_str("id: 6\n\n"))])]
+#[case::cut_but_whole(PromiseKind::OwnAnswer, vec![spoiled("x", |body, _, _| body.truncate(20))])]
+#[case::another_name(PromiseKind::OwnAnswer, vec![spoiled("x", |_, _, named| *named = None)])]
+#[case::refused_and_run(PromiseKind::TrueRefusal, vec![answered("x", 503), ran("x")])]
+#[case::run_twice(PromiseKind::RunsOnce, vec![
+    Observation::Answered { attempt: "x".into(), may_repeat: false, status: 502, named: None, body: String::new(), is_whole: true },
+    ran("x"), ran("x"),
+])]
+#[case::lost_item(PromiseKind::OneResult, vec![Observation::JobAccepted { job: "k".into(), items: 1 }])]
+#[case::listed_twice(PromiseKind::OneResult, vec![read(vec![result("j", 1), result("j", 0), result("j", 0)])])]
+#[case::wrong_output(PromiseKind::OneResult, vec![
+    Observation::JobAccepted { job: "k".into(), items: 1 },
+    Observation::JobRead { job: "k".into(), results: vec![SeenResult { output: "no".into(), ..result("k", 0) }] },
+])]
+#[case::other_order(PromiseKind::GrowingList, vec![read(vec![result("j", 0)])])]
+#[case::reverted(PromiseKind::NoReversion, vec![asked(2, false)])]
+#[case::not_ready(PromiseKind::Recovery, vec![recovered(&["g#1"], 3)])]
+#[case::left_behind(PromiseKind::Recovery, vec![recovered(&[], 4)])]
+#[case::ended(PromiseKind::Recovery, vec![Observation::EndedByItself { process: "g#1".into() }])]
+fn a_planted_fault_is_found(#[case] kind: PromiseKind, #[case] planted: Vec<Observation>) {
+    let mut observations = right();
+    observations.extend(planted);
+    let kinds: Vec<PromiseKind> = check(&observations).iter().map(|broken| broken.kind).collect();
+    assert_eq!(kinds, [kind]);
+}
