Delete what the store holds of jobs whose results needn't be kept

Cause: nothing in the store expires by itself. Objects of closed and ended jobs stayed for good, each search for jobs without an owner would read every job there ever was, and the gateways remembered owners and ends of all of them. Ruled out: the owner deletes its own jobs (it may be gone when their time is over); finalizers or leases (the store has none for these). Gateways that follow the store share the jobs by a hash; results go from the last to the first and the job last, so that a deletion that broke off is found again. Open jobs stay.

--- a/crates/entry/src/batch.rs
+++ b/crates/entry/src/batch.rs
@@ -10,5 +10,6 @@
 pub mod ownership;
 pub mod reads;
 pub mod records;
+pub mod retention;
 pub mod runner;
 pub mod takeover;
--- a/crates/entry/src/batch/desk.rs
+++ b/crates/entry/src/batch/desk.rs
@@ -27,8 +27,9 @@
 struct ToldOwner {
     /// The gateway.
     owner: String,
-    /// All results are stored: the owner still answers readers, but nobody needs to take over.
-    is_closed: bool,
+    /// Since when all results are stored: the owner still answers readers, but nobody needs to take
+    /// over.
+    closed_at: Option<MonoTime>,
 }
 
 /// All that a gateway holds of jobs.
@@ -43,8 +44,8 @@
     next_run: u64,
     /// Owners of jobs, as other gateways told.
     owners: FastMap<String, ToldOwner>,
-    /// Jobs whose end is stored.
-    ended: FastSet<String>,
+    /// Jobs whose end is stored, and since when that is known here.
+    ended: FastMap<String, MonoTime>,
     /// What stopping gateways held of their jobs. Invariant: at most [`HANDED_JOBS`] entries.
     handed: FastMap<String, Vec<HeldProgress>>,
     /// Jobs being taken in or over now.
@@ -90,33 +91,40 @@
     /// These jobs have that owner.
     pub fn note_owner(&mut self, jobs: &[String], owner: &str) {
         for job in jobs {
-            let told = ToldOwner { owner: owner.to_owned(), is_closed: false };
+            let told = ToldOwner { owner: owner.to_owned(), closed_at: None };
             self.owners.insert(job.clone(), told);
         }
     }
 
     /// Jobs that other gateways own, by owner, as far as they are open.
     pub fn owned_elsewhere(&self) -> impl Iterator<Item = (&str, &str)> {
-        let open = self.owners.iter().filter(|(_, told)| !told.is_closed);
+        let open = self.owners.iter().filter(|(_, told)| told.closed_at.is_none());
         open.map(|(job, told)| (job.as_str(), told.owner.as_str()))
     }
 
     /// All results of the job are stored: nobody needs to own it any more.
-    pub fn note_closed(&mut self, job: &str) {
+    pub fn note_closed(&mut self, job: &str, now: MonoTime) {
         if let Some(told) = self.owners.get_mut(job) {
-            told.is_closed = true;
+            told.closed_at.get_or_insert(now);
         }
         self.handed.remove(job);
     }
 
     /// Marks a job as ended; false when it was already.
-    pub fn note_ended(&mut self, job: &str) -> bool {
-        self.ended.insert(job.to_owned())
+    pub fn note_ended(&mut self, job: &str, now: MonoTime) -> bool {
+        self.ended.insert(job.to_owned(), now).is_none()
+    }
+
+    /// Forgets jobs that were closed or ended before `before`: nobody asks for them any more. Kept for
+    /// good they would take a gateway's memory within weeks.
+    pub fn forget_done(&mut self, before: MonoTime) {
+        self.ended.retain(|_, since| *since >= before);
+        self.owners.retain(|_, told| told.closed_at.is_none_or(|since| since >= before));
     }
 
     /// Whether the job's end is known.
     pub fn is_ended(&self, job: &str) -> bool {
-        self.ended.contains(job)
+        self.ended.contains_key(job)
     }
 
     /// This gateway owns the job now.
--- a/crates/entry/src/batch/ends.rs
+++ b/crates/entry/src/batch/ends.rs
@@ -47,8 +47,9 @@
 
 /// A job's end is stored: nothing of it runs here any more.
 pub fn take_end(node: &EntryNode, job: &str, source: &str) {
+    let now = node.clock.mono();
     let mut desk = node.jobs();
-    if !desk.note_ended(job) {
+    if !desk.note_ended(job, now) {
         return;
     }
     let was_owned = desk.is_owned(job);
@@ -56,7 +57,7 @@
         owned.end();
     }
     desk.retire_job(job);
-    desk.note_closed(job);
+    desk.note_closed(job, now);
     drop(desk);
     node.log.info("job_ended", &[("job", &job), ("source", &source), ("owned", &was_owned)]);
     node.job_news.notify(usize::MAX);
--- a/crates/entry/src/batch/records.rs
+++ b/crates/entry/src/batch/records.rs
@@ -260,6 +260,45 @@
     store.call("PUT", &status_path(JOB_KIND, id), Some(&body), wait).await.map(|_| ())
 }
 
+/// Deletes all that the store holds of a job. Results go from the last to the first and the job
+/// itself goes last, so that a deletion that broke off is found and ended later.
+///
+/// # Errors
+/// The store didn't answer: a part of it may be left.
+pub async fn delete_job(store: &StoreClient, job: &StoredJob) -> Result<(), StoreFailure> {
+    let chunks = chunk_names(store, &job.id).await?;
+    for name in chunks.iter().rev() {
+        delete(store, RESULT_KIND, name).await?;
+    }
+    for index in 0..job.record.parts {
+        delete(store, PART_KIND, &part_name(&job.id, index)).await?;
+    }
+    delete(store, END_KIND, &job.id).await?;
+    delete(store, JOB_KIND, &job.id).await
+}
+
+/// Names of a job's objects of results, in their order.
+async fn chunk_names(store: &StoreClient, id: &str) -> Result<Vec<String>, StoreFailure> {
+    let mut names = Vec::new();
+    let (mut position, mut fences) = (0, 0);
+    loop {
+        let name = chunk_name(id, position, fences);
+        let reply = store.get(&object_path(RESULT_KIND, &name)).await?;
+        if !reply.is_success() {
+            return Ok(names);
+        }
+        let chunk = decode_chunk(&reply.body)?;
+        fences = if chunk.lines.is_empty() { fences + 1 } else { 0 };
+        position += chunk.lines.len();
+        names.push(name);
+    }
+}
+
+async fn delete(store: &StoreClient, kind: &str, name: &str) -> Result<(), StoreFailure> {
+    let wait = store.settings().call_timeout;
+    store.call("DELETE", &object_path(kind, name), None, wait).await.map(|_| ())
+}
+
 /// Stores a job's end.
 ///
 /// # Errors
--- /dev/null
+++ b/crates/entry/src/batch/retention.rs
@@ -0,0 +1,73 @@
+//! Deletes what the store holds of jobs whose results needn't be kept any longer.
+//!
+//! Nothing in the store expires by itself: without this, each search for jobs without an owner would
+//! read every job there ever was. The gateways that follow the store share the jobs among them.
+
+use std::{sync::Arc, time::Duration};
+
+use async_std::task;
+use notch_types::prelude::*;
+
+use crate::{
+    batch::{
+        records::{JOB_KIND, StoredJob, delete_job, read_end},
+        takeover::comes_first,
+    },
+    constants::{RETENTION_MARGIN, RETENTION_TICK},
+    node::EntryNode,
+    store::{
+        feed::{StorePath, list_all},
+        reply::StoreFailure,
+        retry::jittered,
+    },
+};
+
+/// Deletes old jobs until the process ends.
+pub async fn delete_old_jobs(node: Arc<EntryNode>) {
+    loop {
+        task::sleep(jittered(RETENTION_TICK)).await;
+        forget_done_jobs(&node);
+        if node.watch.is_watching() && !node.stop.is_stopping() {
+            // A store that doesn't answer is asked again in the next turn.
+            let _ = delete_once(&node).await;
+        }
+    }
+}
+
+fn forget_done_jobs(node: &EntryNode) {
+    let kept = node.store.settings().result_lifetime + RETENTION_MARGIN;
+    let now = node.clock.mono();
+    if now.since(MonoTime::default()) > kept {
+        node.jobs().forget_done(MonoTime::default() + (now.since(MonoTime::default()) - kept));
+    }
+}
+
+/// Deletes the jobs that are due for it and for which this gateway comes first; how many.
+///
+/// # Errors
+/// The store didn't answer.
+pub async fn delete_once(node: &EntryNode) -> Result<usize, StoreFailure> {
+    let kept = node.store.settings().result_lifetime + RETENTION_MARGIN;
+    let (objects, _) = list_all(&node.store, JOB_KIND, StorePath::Direct).await?;
+    let jobs = objects.iter().filter_map(StoredJob::decode);
+    let mut deleted = 0;
+    for job in jobs.filter(|job| is_over(job, kept, node.clock.wall())) {
+        if !comes_first(node, &job.id) || node.jobs().is_owned(&job.id) {
+            continue;
+        }
+        // One that is open is kept, however old it is.
+        if !job.status.closed && !read_end(&node.store, &job.id).await? {
+            continue;
+        }
+        delete_job(&node.store, &job).await?;
+        node.log.info("job_deleted", &[("job", &job.id), ("owner", &job.owner())]);
+        node.metrics.count(Counter::Event("jobs_deleted"));
+        deleted += 1;
+    }
+    Ok(deleted)
+}
+
+fn is_over(job: &StoredJob, kept: Duration, now: WallTime) -> bool {
+    let kept_ms = kept.as_millis() as u64;
+    now.0.saturating_sub(job.record.accepted_at_ms) > kept_ms
+}
--- a/crates/entry/src/batch/takeover.rs
+++ b/crates/entry/src/batch/takeover.rs
@@ -61,7 +61,7 @@
     for job in stored {
         let now = node.clock.mono();
         if job.status.closed {
-            node.jobs().note_closed(&job.id);
+            node.jobs().note_closed(&job.id, now);
             continue;
         }
         let owner = job.owner().to_owned();
@@ -93,7 +93,7 @@
 }
 
 /// Whether this gateway comes first for the job among those alive: so that two don't both read it.
-fn comes_first(node: &EntryNode, job: &str) -> bool {
+pub fn comes_first(node: &EntryNode, job: &str) -> bool {
     let own = weight(job, &node.config.node.vm);
     node.peers.live_vms().iter().all(|vm| weight(job, vm) < own)
 }
@@ -125,7 +125,7 @@
     let spec = Arc::new(read_spec(&node.store, job).await?);
     let list = fence_results(&node.store, id, &node.owner).await?;
     if read_end(&node.store, id).await? {
-        node.jobs().note_ended(id);
+        node.jobs().note_ended(id, node.clock.mono());
         return Ok(());
     }
     let listed = list.lines.len();
--- a/crates/entry/src/constants.rs
+++ b/crates/entry/src/constants.rs
@@ -113,6 +113,11 @@
 pub const JOB_BYTES: usize = 24 << 20;
 /// Bytes of results of other gateways' and of closed jobs that are kept for readers, at most.
 pub const COPY_BYTES: usize = 4 << 20;
+/// Between two searches for jobs whose results needn't be kept any longer, at most: a search is a
+/// call or two, and jobs are kept for an hour or so.
+pub const RETENTION_TICK: Duration = Duration::from_secs(60);
+/// Jobs are kept this much longer, for wall clocks of two VMs that differ.
+pub const RETENTION_MARGIN: Duration = Duration::from_secs(30);
 /// Items started in one pass of the runner, at most, so that reports go out between passes.
 pub const STARTS_PER_PASS: usize = 6;
 /// An item runs at least this long before it's broken off for online work: what the others report
--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -13,7 +13,7 @@
 use signal_hook_async_std::Signals;
 
 use crate::{
-    batch::{ends, runner, takeover},
+    batch::{ends, retention, runner, takeover},
     constants::{STOP_ACCEPT, STOP_IDLE, STOP_JOBS, STOP_JOBS_ALONE, STOP_LONGEST},
     error::EntryError,
     front::{
@@ -99,6 +99,7 @@
     task::spawn(runner::run_jobs(Arc::clone(node)));
     task::spawn(takeover::watch_owners(Arc::clone(node)));
     task::spawn(liveness::probe_silent(Arc::clone(node)));
+    task::spawn(retention::delete_old_jobs(Arc::clone(node)));
     task::spawn(clean(Arc::clone(node)));
 }
 
--- a/crates/entry/src/peers/hub.rs
+++ b/crates/entry/src/peers/hub.rs
@@ -163,7 +163,9 @@
                 take_owned(node, &owner, &jobs);
             }
         }
-        PeerMessage::JobClosed(job) => node.jobs().note_closed(&job),
+        PeerMessage::JobClosed(job) => {
+            node.jobs().note_closed(&job, node.clock.mono());
+        }
         PeerMessage::JobEnded(job) => ends::take_end(node, &job, "gateway"),
         PeerMessage::JobAsk { call, job, after, wait_ms } => {
             let node = Arc::clone(node);
--- a/crates/entry/tests/desk.rs
+++ b/crates/entry/tests/desk.rs
@@ -53,7 +53,7 @@
 fn an_ended_job_does_not_begin_again() {
     let mut desk = JobDesk::default();
     assert!(desk.own_job(job(&[])));
-    desk.note_ended("j1");
+    desk.note_ended("j1", MonoTime::default());
     desk.retire_job("j1");
     assert!(!desk.own_job(job(&[])));
     assert!(desk.open_owned().is_empty());
@@ -66,3 +66,19 @@
     assert!(!desk.own_job(job(&[])));
     assert_eq!(desk.board.get("j1").map(|job| job.results().len()), Some(1));
 }
+
+/// Symptom: a gateway's memory grows from day to day. Sequence: jobs are closed and ended elsewhere,
+/// thousands a day. Cause: their owners and ends were kept for good.
+#[test]
+fn done_jobs_are_forgotten_in_the_end() {
+    let at = MonoTime::from_millis;
+    let mut desk = JobDesk::default();
+    desk.note_owner(&["closed".to_owned(), "open".to_owned()], "g-2#1");
+    desk.note_closed("closed", at(1_000));
+    desk.note_ended("ended", at(2_000));
+    desk.forget_done(at(1_000));
+    assert!(desk.is_known("closed") && desk.is_ended("ended"), "not yet");
+    desk.forget_done(at(2_001));
+    assert!(!desk.is_known("closed") && !desk.is_ended("ended"));
+    assert!(desk.is_known("open"));
+}
--- a/crates/settings/src/sections/store.rs
+++ b/crates/settings/src/sections/store.rs
@@ -22,6 +22,9 @@
     /// How long a watch waits for a change before it answers empty. A connection that went silent
     /// is noticed that much later, so it is shorter than the time in which a change must be in force.
     pub watch_wait: Duration,
+    /// How long the results of a job stay, from its acceptance on. After it, what the store holds of
+    /// a job that is done is deleted.
+    pub result_lifetime: Duration,
 }
 
 impl Default for StoreSettings {
@@ -31,6 +34,7 @@
             connect_timeout: Duration::from_millis(500),
             call_timeout: Duration::from_millis(1_500),
             watch_wait: Duration::from_millis(2_500),
+            result_lifetime: Duration::from_secs(3_600),
         }
     }
 }
@@ -42,6 +46,7 @@
         fields.duration("connect_timeout", &mut self.connect_timeout);
         fields.duration("call_timeout", &mut self.call_timeout);
         fields.duration("watch_wait", &mut self.watch_wait);
+        fields.duration("result_lifetime", &mut self.result_lifetime);
     }
 
     pub(crate) fn check(&self, fields: &mut FieldVisitor<'_>) {
