Probe silent targets at once

Cause: targets that went silent were asked one after the other, 150 ms each; with ten dark ones, one that was back stayed unused for up to a second and a half. Also: owners of jobs are each asked for once, not once for each job.

--- a/crates/entry/src/batch/takeover.rs
+++ b/crates/entry/src/batch/takeover.rs
@@ -47,8 +47,10 @@
 /// Whether a job that another gateway told of has lost its owner.
 fn has_orphans(node: &EntryNode, now: MonoTime) -> bool {
     let desk = node.jobs();
-    desk.owned_elsewhere()
-        .any(|(job, owner)| !desk.is_ended(job) && node.liveness(owner, now) == OwnerLiveness::Gone)
+    let open = desk.owned_elsewhere().filter(|(job, _)| !desk.is_ended(job));
+    // A gateway owns many jobs; each owner is asked for once.
+    let owners: FastSet<&str> = open.map(|(_, owner)| owner).collect();
+    owners.into_iter().any(|owner| node.liveness(owner, now) == OwnerLiveness::Gone)
 }
 
 /// Takes over jobs whose owner is gone and for which this gateway comes first among those alive;
--- a/crates/entry/src/target/liveness.rs
+++ b/crates/entry/src/target/liveness.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use async_std::{future::timeout, net::TcpStream, task};
+use futures_util::future::join_all;
 use notch_h1::prelude::*;
 use notch_platform_wire::target::liveness_request;
 
@@ -11,21 +12,24 @@
     node::EntryNode,
 };
 
-/// Asks targets that went silent, until the process ends.
+/// Asks targets that went silent, until the process ends. All are asked at once: one after the other,
+/// ten that stay silent would keep one that is back from being used for a second and a half.
 pub async fn probe_silent(node: Arc<EntryNode>) {
     loop {
         task::sleep(LIVENESS_TICK).await;
         let silent = node.targets().silent_targets(node.clock.mono());
-        for (id, address) in silent {
-            let is_alive = timeout(LIVENESS_TIMEOUT, answers(address)).await.unwrap_or(false);
-            node.log.info("target_probed", &[("target", &id), ("alive", &is_alive)]);
-            if is_alive {
-                node.targets().note_liveness(&id);
-                node.runner_wake.notify(usize::MAX);
-            } else {
-                node.targets().note_silence(&id, node.clock.mono());
-            }
-        }
+        join_all(silent.iter().map(|(id, address)| probe(&node, id, *address))).await;
+    }
+}
+
+async fn probe(node: &EntryNode, id: &str, address: SocketAddr) {
+    let is_alive = timeout(LIVENESS_TIMEOUT, answers(address)).await.unwrap_or(false);
+    node.log.info("target_probed", &[("target", &id), ("alive", &is_alive)]);
+    if is_alive {
+        node.targets().note_liveness(id);
+        node.runner_wake.notify(usize::MAX);
+    } else {
+        node.targets().note_silence(id, node.clock.mono());
     }
 }
 
