Count jobs that are being taken over as in use here

A share was given back between the write that covers jobs of a dead gateway and their takeover: the property test found the order; what is being taken over is reserved first.

--- a/crates/entry/src/batch/desk.rs
+++ b/crates/entry/src/batch/desk.rs
@@ -161,6 +161,11 @@
         self.reserved.insert(job.to_owned(), reserved);
     }
 
+    /// A job counts no longer as one that is being taken in or over.
+    pub fn unreserve(&mut self, job: &str) {
+        self.reserved.remove(job);
+    }
+
     /// Tokens here that count against a route's limit: of jobs owned and of those being taken in.
     pub fn limit_tokens(&self, route: &str) -> u64 {
         let reserved = self.reserved.values().filter(|reserved| reserved.route == route);
--- a/crates/entry/src/batch/limits.rs
+++ b/crates/entry/src/batch/limits.rs
@@ -164,20 +164,19 @@
     })
 }
 
-/// Counts work here that is about to be taken over from gateways that are gone, whether or not it
-/// fits: it waits already.
+/// Writes a share that covers what counts here, jobs that are about to be taken over among it, whether
+/// or not they fit: they wait already.
 ///
 /// # Errors
 /// The store didn't answer: nothing may be taken over yet.
-pub async fn cover(node: &EntryNode, route: &str, tokens: u64) -> Result<(), StoreFailure> {
-    let used = node.jobs().limit_tokens(route);
-    change(node, route, |holder| holder.cover(used, tokens)).await
+pub async fn cover(node: &EntryNode, route: &str) -> Result<(), StoreFailure> {
+    change(node, route, |holder, desk| holder.cover(desk.limit_tokens(route))).await
 }
 
 /// Work was taken over from these gateways: they hold that much less. Undone it only counts twice,
 /// until their shares lapse.
 pub async fn release(node: &EntryNode, route: &str, taken: &[(String, u64)]) {
-    if change(node, route, |holder| holder.release(taken)).await.is_err() {
+    if change(node, route, |holder, _| holder.release(taken)).await.is_err() {
         node.log.warn("share_not_released", &[("route", &route)]);
     }
 }
@@ -185,11 +184,11 @@
 async fn change(
     node: &EntryNode,
     route: &str,
-    propose: impl Fn(&mut ShareHolder) -> ShareProposal,
+    propose: impl Fn(&mut ShareHolder, &JobDesk) -> ShareProposal,
 ) -> Result<(), StoreFailure> {
     let _turn = node.limits.turn.lock().await;
     for _ in 0..LIMIT_ROUNDS {
-        let proposal = with_holder(node, route, |holder, _| propose(holder));
+        let proposal = with_holder(node, route, |holder, desk| propose(holder, desk));
         match write(node, route, &proposal).await {
             ShareWrite::Done { revision } => {
                 let book = proposal.book.clone();
--- a/crates/entry/src/batch/takeover.rs
+++ b/crates/entry/src/batch/takeover.rs
@@ -4,7 +4,10 @@
 
 use async_std::task;
 use notch_messages::prelude::PeerMessage;
-use notch_platform_wire::{prelude::StoreObject, store::ObjectMetadata};
+use notch_platform_wire::{
+    prelude::{JobRecord, StoreObject},
+    store::ObjectMetadata,
+};
 use notch_relay::prelude::*;
 use notch_types::prelude::*;
 
@@ -122,25 +125,37 @@
 /// Takes jobs over. Where their routes have a limit they are counted here before, and no longer at
 /// their former owners after: in between they count twice, but never not at all.
 async fn take_all(node: &Arc<EntryNode>, jobs: Vec<StoredJob>) -> Result<(), StoreFailure> {
-    let mut limited: FastMap<String, u64> = FastMap::default();
+    let mut limited: FastSet<String> = FastSet::default();
     for job in jobs.iter().filter(|job| has_limit(node, &job.record.route)) {
-        *limited.entry(job.record.route.clone()).or_default() += job.record.limit_tokens;
+        let JobRecord { route, limit_tokens, .. } = &job.record;
+        node.jobs().reserve(&job.id, route, *limit_tokens);
+        limited.insert(route.clone());
+    }
+    let taken = take_covered(node, &jobs, &limited).await;
+    jobs.iter().for_each(|job| node.jobs().unreserve(&job.id));
+    let mut moved: FastMap<&str, Vec<(String, u64)>> = FastMap::default();
+    for job in jobs.iter().filter(|job| limited.contains(&job.record.route)) {
+        if node.jobs().is_owned(&job.id) {
+            let former = (job.owner().to_owned(), job.record.limit_tokens);
+            moved.entry(&job.record.route).or_default().push(former);
+        }
     }
-    for (route, tokens) in &limited {
-        limits::cover(node, route, *tokens).await?;
+    for (route, former) in moved {
+        limits::release(node, route, &former).await;
+    }
+    taken
+}
+
+async fn take_covered(
+    node: &Arc<EntryNode>,
+    jobs: &[StoredJob],
+    limited: &FastSet<String>,
+) -> Result<(), StoreFailure> {
+    for route in limited {
+        limits::cover(node, route).await?;
     }
-    let mut taken: FastMap<String, Vec<(String, u64)>> = FastMap::default();
     for job in jobs {
-        let route = job.record.route.clone();
-        let moved = (job.owner().to_owned(), job.record.limit_tokens);
-        let id = job.id.clone();
         take_over(node, job).await?;
-        if limited.contains_key(&route) && node.jobs().is_owned(&id) {
-            taken.entry(route).or_default().push(moved);
-        }
-    }
-    for (route, moved) in taken {
-        limits::release(node, &route, &moved).await;
     }
     Ok(())
 }
@@ -166,11 +181,11 @@
     stable_hash64(&[job.as_bytes(), vm.as_str().as_bytes()])
 }
 
-async fn take_over(node: &Arc<EntryNode>, job: StoredJob) -> Result<(), StoreFailure> {
+async fn take_over(node: &Arc<EntryNode>, job: &StoredJob) -> Result<(), StoreFailure> {
     if !node.jobs().begin(&job.id) {
         return Ok(());
     }
-    let taken = take_begun(node, &job).await;
+    let taken = take_begun(node, job).await;
     node.jobs().finish(&job.id);
     taken
 }
--- a/crates/relay/src/limits/holder.rs
+++ b/crates/relay/src/limits/holder.rs
@@ -116,10 +116,10 @@
         ShareStep::Write(self.propose(self.book.clone(), needed + spare))
     }
 
-    /// The write that must be done before work of other holders is taken over that counts `amount`:
-    /// it's there already, so it counts whatever the limit is.
-    pub fn cover(&mut self, used: u64, amount: u64) -> ShareProposal {
-        let lent = self.lent.max(used.saturating_add(amount));
+    /// The write that must be done before work of other holders is taken over, which `used` counts
+    /// already: it waits anyway, so it counts whatever the limit is.
+    pub fn cover(&mut self, used: u64) -> ShareProposal {
+        let lent = self.lent.max(used);
         self.propose(self.book.clone(), lent)
     }
 
--- a/crates/relay/tests/limits.rs
+++ b/crates/relay/tests/limits.rs
@@ -147,11 +147,11 @@
     assert_eq!(fleet.admit(0, 9_500, &[true; 3], true), Admission::Admitted);
     assert_eq!(fleet.admit(1, 100, &[true; 3], true), Admission::Admitted);
     let links = [false, true, true];
-    let proposal = fleet.holders[1].cover(fleet.used[1], 9_500);
+    fleet.used[1] += 9_500;
+    let proposal = fleet.holders[1].cover(fleet.used[1]);
     assert!(fleet.stored.write(&proposal));
     fleet.holders[1].written(proposal, fleet.stored.revision.unwrap_or(0));
     assert_eq!(fleet.admit(2, 1, &links, true), Admission::Refused, "at both while it moves");
-    fleet.used[1] += 9_500;
     fleet.used[0] = 0;
     let proposal = fleet.holders[1].release(&[("g-0#1".to_owned(), 9_500)]);
     assert!(fleet.stored.write(&proposal));
@@ -250,15 +250,15 @@
                 _ => {
                     let to = (at + 1) % 4;
                     let amount = amount.min(fleet.used[at]);
-                    let used = fleet.used[to];
-                    let proposal = fleet.holders[to].cover(used, amount);
+                    let used = fleet.used[to] + amount;
+                    let proposal = fleet.holders[to].cover(used);
                     if !fleet.stored.write(&proposal) {
                         fleet.holders[to].not_written();
                         continue;
                     }
                     let revision = fleet.stored.revision.unwrap_or(0);
                     fleet.holders[to].written(proposal, revision);
-                    fleet.used[to] += amount;
+                    fleet.used[to] = used;
                     fleet.used[at] -= amount;
                     let left = fleet.used[at];
                     fleet.holders[at].cede(left);
