--- a/crates/entry/src/batch/limits.rs
+++ b/crates/entry/src/batch/limits.rs
@@ -21,7 +21,7 @@
 
 use crate::{
     batch::{desk::JobDesk, records::JOB_KIND, takeover::readable_jobs},
-    constants::{LIMIT_ASK, LIMIT_PATIENCE, LIMIT_ROUNDS, SHARE_SILENCE},
+    constants::{LIMIT_ASK, LIMIT_CALL, LIMIT_PATIENCE, LIMIT_ROUNDS, SHARE_SILENCE},
     node::EntryNode,
     peers::table::OwnerLiveness,
     store::{
@@ -301,7 +301,7 @@
 
 async fn write(node: &EntryNode, route: &str, proposal: &ShareProposal) -> ShareWrite {
     let name = object_name(route);
-    let wait = node.store.settings().call_timeout;
+    let wait = node.store.settings().call_timeout.min(LIMIT_CALL);
     let sent = match proposal.revision {
         None => {
             let body = spec_body(&name, &proposal.book);
--- a/crates/entry/src/constants.rs
+++ b/crates/entry/src/constants.rs
@@ -111,6 +111,8 @@
 pub const LIMIT_ROUNDS: usize = 6;
 /// Longest time for them: a client waits 4 s for a job to be taken, and storing it takes its part.
 pub const LIMIT_PATIENCE: Duration = Duration::from_millis(1_500);
+/// Longest wait for the store's answer to a write of shares: one that is lost is tried again in time.
+pub const LIMIT_CALL: Duration = Duration::from_millis(400);
 /// Longest wait for other gateways to say what they still hold of a limit: an answer takes a few
 /// milliseconds.
 pub const LIMIT_ASK: Duration = Duration::from_millis(150);
