Turn online requests away that would be late, rather than make all late

Hypothesis: in a crest a little above what all places take everybody waits as long as the engines' queue has become, so turning away those that would be late serves the others in time. A request that has been turned away before (its client has less time left) waits, however long. Every target is looked at before a request is turned away. Limits follow what is learned of the service: how long answers take and how soon they begin.

Room under a limit is now made ahead.

--- a/crates/entry/src/batch/limits.rs
+++ b/crates/entry/src/batch/limits.rs
@@ -5,11 +5,12 @@
 //! use, so a job is refused only if it doesn't fit.
 
 use std::{
-    sync::{Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
 use async_std::{future::timeout, sync::Mutex as TurnMutex};
+use event_listener::Event;
 use futures_util::future::join_all;
 use notch_messages::prelude::PeerMessage;
 use notch_platform_wire::{
@@ -21,7 +22,7 @@
 
 use crate::{
     batch::{desk::JobDesk, records::JOB_KIND, takeover::readable_jobs},
-    constants::{LIMIT_ASK, LIMIT_CALL, LIMIT_PATIENCE, LIMIT_ROUNDS, SHARE_SILENCE},
+    constants::{LIMIT_ASK, LIMIT_CALL, LIMIT_PATIENCE, LIMIT_ROUNDS, ROOM_TICK, SHARE_SILENCE},
     node::EntryNode,
     peers::table::OwnerLiveness,
     store::{
@@ -63,6 +64,8 @@
 pub struct LimitDesk {
     holders: Mutex<FastMap<String, ShareHolder>>,
     drains: Mutex<FastMap<String, DrainRate>>,
+    /// Told when room under a limit was used up by a job.
+    used: Event,
     /// One share is changed at a time: each change begins with what the one before wrote.
     turn: TurnMutex<()>,
 }
@@ -97,6 +100,7 @@
         reserve_in_turn(node, route, job, tokens).await
     };
     let outcome = timeout(LIMIT_PATIENCE, reserving).await.unwrap_or(LimitOutcome::Unknown);
+    node.limits.used.notify(usize::MAX);
     if outcome != LimitOutcome::Reserved {
         let used = node.jobs().limit_tokens(&route.name);
         let book = with_holder(node, &route.name, |holder, _| format!("{:?}", holder.book()));
@@ -203,6 +207,49 @@
     Err(StoreFailure::NotDone)
 }
 
+/// Keeps room under every limit for the jobs that come next, until the process ends.
+pub async fn keep_room(node: Arc<EntryNode>) {
+    loop {
+        let listener = node.limits.used.listen();
+        // News, or the end of the pause: both lead to another look.
+        let _ = timeout(ROOM_TICK, listener).await;
+        let now = node.clock.mono();
+        let is_able = node.store.outage().is_up() && node.peers.hears_all(now);
+        if !is_able || node.stop.is_stopping() {
+            continue;
+        }
+        let Some(routes) = node.routes() else { continue };
+        for route in routes.routes().filter(|route| route.waiting_limit > 0) {
+            top_up(&node, route).await;
+        }
+    }
+}
+
+async fn top_up(node: &EntryNode, route: &Route) {
+    let _turn = node.limits.turn.lock().await;
+    let gateways = node.peers.known_count() as u64 + 1;
+    let proposal = with_holder(node, &route.name, |holder, desk| {
+        holder.top_up(desk.limit_tokens(&route.name), route.waiting_limit, gateways)
+    });
+    let Some(proposal) = proposal else { return };
+    // A write that another gateway was faster than is tried again in the next turn.
+    if let ShareWrite::Done { revision } = write(node, &route.name, &proposal).await {
+        let book = proposal.book.clone();
+        with_holder(node, &route.name, |holder, _| holder.written(proposal, revision));
+        tell_shares(node, &route.name, revision, book);
+    }
+}
+
+/// The shares of every limit known here, for a gateway that has just come.
+pub fn known_shares(node: &EntryNode) -> Vec<PeerMessage> {
+    let holders = node.limits.holders();
+    let known = holders.iter().filter_map(|(route, holder)| {
+        let (limit, book) = (route.clone(), holder.book().clone());
+        Some(PeerMessage::Shares { limit, revision: holder.revision()?, book })
+    });
+    known.collect()
+}
+
 /// Another gateway asks for what isn't used here; answers what is.
 pub fn answer_ask(node: &EntryNode, vm: &VmName, call: u64, route: &str) {
     let kept = cede(node, route);
--- a/crates/entry/src/batch/runner.rs
+++ b/crates/entry/src/batch/runner.rs
@@ -61,7 +61,13 @@
         };
         let service = route.service_for(rand::random());
         let prompt = item_prompt(&spec.items[index]);
-        let query = TargetQuery { service, work: WorkKind::Batch, avoid: &[], prompt: &prompt };
+        let query = TargetQuery {
+            service,
+            work: WorkKind::Batch,
+            avoid: &[],
+            queue: QueueLimit::Any,
+            prompt: &prompt,
+        };
         let choice = node.targets().choose(&query, now, EntryNode::draw);
         let Some(choice) = choice else { return };
         let Some(start) = desk.board.start_item(&job, index) else { return };
--- a/crates/entry/src/batch/takeover.rs
+++ b/crates/entry/src/batch/takeover.rs
@@ -165,15 +165,16 @@
     routes.routes().any(|known| known.name == route && known.waiting_limit > 0)
 }
 
-/// Whether this gateway comes first for the job among those alive: so that two don't both read it.
+/// Whether this gateway comes first for the job among those that take jobs over: so that two don't both
+/// read it.
 pub fn comes_first(node: &EntryNode, job: &str) -> bool {
     let own = weight(job, &node.config.node.vm);
-    node.peers.live_vms().iter().all(|vm| weight(job, vm) < own)
+    node.peers.successor_vms().iter().all(|vm| weight(job, vm) < own)
 }
 
-/// The other gateway that comes first for the job among those alive.
+/// The other gateway that comes first for the job among those that take jobs over.
 pub fn first_for(node: &EntryNode, job: &str) -> Option<VmName> {
-    node.peers.live_vms().into_iter().max_by_key(|vm| weight(job, vm))
+    node.peers.successor_vms().into_iter().max_by_key(|vm| weight(job, vm))
 }
 
 /// Weight of a gateway for a job, the same everywhere.
--- a/crates/entry/src/constants.rs
+++ b/crates/entry/src/constants.rs
@@ -31,6 +31,9 @@
 /// When a client that was refused should come back: half of the time in which a usual stream ends,
 /// so that a place is likely free by then.
 pub const RETRY_AFTER: Duration = Duration::from_millis(300);
+/// A client with less time than this many objectives of its route isn't told to come back: it would
+/// have waited for most of its time already.
+pub const COME_BACK_OBJECTIVES: u32 = 6;
 /// How long a request waits for the first configuration and list of targets: under half of the
 /// usual objective of 300 ms, ten times what a start takes while the store answers.
 pub const KNOWLEDGE_WAIT: Duration = Duration::from_millis(140);
@@ -116,6 +119,8 @@
 /// Longest wait for other gateways to say what they still hold of a limit: an answer takes a few
 /// milliseconds.
 pub const LIMIT_ASK: Duration = Duration::from_millis(150);
+/// How often it's looked whether there is room under limits for the next jobs, beside after each job.
+pub const ROOM_TICK: Duration = Duration::from_millis(1_000);
 /// A gateway that hasn't been there this long has lost its shares of limits: it takes no more of its
 /// jobs in, for those it sent to the store before have been stored or turned away by then.
 pub const SHARE_SILENCE: Duration = Duration::from_secs(5);
--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -13,7 +13,7 @@
 use signal_hook_async_std::Signals;
 
 use crate::{
-    batch::{ends, retention, runner, takeover},
+    batch::{ends, limits, retention, runner, takeover},
     constants::{STOP_ACCEPT, STOP_IDLE, STOP_JOBS, STOP_JOBS_ALONE, STOP_LONGEST},
     error::EntryError,
     front::{
@@ -99,6 +99,7 @@
     task::spawn(runner::run_jobs(Arc::clone(node)));
     task::spawn(takeover::watch_owners(Arc::clone(node)));
     task::spawn(liveness::probe_silent(Arc::clone(node)));
+    task::spawn(limits::keep_room(Arc::clone(node)));
     task::spawn(retention::delete_old_jobs(Arc::clone(node)));
     task::spawn(clean(Arc::clone(node)));
 }
@@ -195,11 +196,12 @@
     node.stop.begin(node.clock.mono());
     node.metrics.set(Gauge::Leaving, 1);
     node.log.info("stopping", &[("active", &node.stop.active())]);
+    node.peers.broadcast(&PeerMessage::Stopping);
     let mut jobs_left = false;
     loop {
         task::sleep(STOP_TICK).await;
         let age = node.stop.age(node.clock.mono());
-        let has_successors = !node.peers.live_vms().is_empty();
+        let has_successors = !node.peers.successor_vms().is_empty();
         if !jobs_left && (age >= STOP_JOBS_ALONE || (has_successors && age >= STOP_JOBS)) {
             leave_jobs(node).await;
             jobs_left = true;
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -72,6 +72,7 @@
     target_feed: Mutex<TargetFeed>,
     jobs: Mutex<JobDesk>,
     crashes: Mutex<CrashTable>,
+    patience: Mutex<PatienceBook>,
 }
 
 impl EntryNode {
@@ -104,6 +105,7 @@
             target_feed: Mutex::default(),
             jobs: Mutex::default(),
             crashes: Mutex::default(),
+            patience: Mutex::default(),
             config,
         };
         (node, detours)
@@ -129,6 +131,11 @@
         self.crashes.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// How long clients wait.
+    pub fn patience(&self) -> MutexGuard<'_, PatienceBook> {
+        self.patience.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// The configuration in force; `None` until a first one is known.
     pub fn routes(&self) -> Option<Arc<RouteTable>> {
         let current = self.configuration.read().unwrap_or_else(PoisonError::into_inner);
--- a/crates/entry/src/online/relay.rs
+++ b/crates/entry/src/online/relay.rs
@@ -16,8 +16,8 @@
 use crate::{
     batch::runner,
     constants::{
-        ANSWER_BODY_BYTES, FIRST_BYTE_FREE, FIRST_BYTE_QUEUED, NO_PLACE_LONGEST, NO_PLACE_PAUSE,
-        NOT_RUN_TRIES, RETRY_AFTER,
+        ANSWER_BODY_BYTES, COME_BACK_OBJECTIVES, FIRST_BYTE_FREE, FIRST_BYTE_QUEUED,
+        NO_PLACE_LONGEST, NO_PLACE_PAUSE, NOT_RUN_TRIES, RETRY_AFTER,
     },
     node::EntryNode,
     online::{crashes, lease::TargetLease, request::OnlineRequest},
@@ -54,6 +54,20 @@
     }
 }
 
+/// How long a request may wait for a place. One whose client has come back before may not come again;
+/// one whose client hasn't the time to come back is better served late than not.
+fn queue_limit(node: &EntryNode, request: &OnlineRequest) -> QueueLimit {
+    let objective = request.route.objective;
+    let Some(patience) = request.patience() else { return QueueLimit::Any };
+    let has_come_back = node.patience().has_come_back(&request.route.name, patience);
+    // Clients wait for a third of their time at most before they come back.
+    let can_come_back = patience >= objective * COME_BACK_OBJECTIVES;
+    if has_come_back || !can_come_back || request.last_event().is_some() {
+        return QueueLimit::Any;
+    }
+    QueueLimit::Within(objective)
+}
+
 /// Relays one request.
 pub struct RequestRelay<'a> {
     pub(crate) node: &'a EntryNode,
@@ -77,6 +91,8 @@
     avoid: Vec<String>,
     /// What failed, for the log.
     failures: Vec<String>,
+    /// How long it may wait for a place.
+    queue: QueueLimit,
     /// The target chosen last, with what was known of it: own and reported requests there.
     last_choice: Option<TargetChoice>,
 }
@@ -103,6 +119,7 @@
             not_run: 0,
             avoid: Vec::new(),
             failures: Vec::new(),
+            queue: queue_limit(node, request),
             last_choice: None,
         }
     }
@@ -174,6 +191,7 @@
             service: &self.service,
             work: WorkKind::Online,
             avoid: &self.avoid,
+            queue: self.queue,
             prompt: &self.request.prompt,
         };
         let mut targets = self.node.targets();
@@ -192,6 +210,7 @@
     async fn attempt(&mut self, choice: &TargetChoice) -> Result<AttemptEnd, AttemptFailure> {
         let mut lease = TargetLease::new(self.node, choice, WorkKind::Online);
         let held_before = self.last_event;
+        let began = self.now();
         let end = {
             let node = self.node;
             let attempting = self.attempt_at(choice);
@@ -206,6 +225,7 @@
             Ok(AttemptEnd::Whole(_)) => {
                 lease.set_outcome(Ok(()));
                 self.node.crashes().clear(self.request.fingerprint);
+                self.note_pace(choice, began);
             }
             Ok(AttemptEnd::ClientGone) => {}
             Err(failure) => {
@@ -218,6 +238,14 @@
         end
     }
 
+    /// Learns from an answer that came whole from one target.
+    fn note_pace(&self, choice: &TargetChoice, began: MonoTime) {
+        let Some(first) = self.first_sent.filter(|first| *first >= began) else { return };
+        let run = self.now().since(began);
+        let first = choice.place_free.then(|| first.since(began));
+        self.node.targets().note_online_run(&self.service, run, first);
+    }
+
     async fn attempt_at(&mut self, choice: &TargetChoice) -> Result<AttemptEnd, AttemptFailure> {
         let strict = !self.request.route.may_repeat();
         let mut connection = self.node.pool.connect(&choice.id, choice.address, strict).await?;
@@ -308,7 +336,7 @@
         let (status, retry_after) = if reason == "quarantined" {
             (503, None)
         } else if self.unknown == 0 {
-            (503, Some(RETRY_AFTER))
+            (503, Some(self.come_back_after()))
         } else if reason == "deadline" {
             (504, None)
         } else {
@@ -324,6 +352,13 @@
         if written.is_ok() { Delivery::Answered } else { Delivery::Cut }
     }
 
+    /// When a client that was turned away should come back: when what runs now has ended, so that a
+    /// place is likely free; spread over as long again, so that they don't come back together.
+    fn come_back_after(&self) -> Duration {
+        let run = self.node.targets().pace(&self.service).run().unwrap_or(RETRY_AFTER);
+        run.mul_f64(1.0 + EntryNode::draw())
+    }
+
     fn log_end(&mut self, outcome: &'static str, status: u16) {
         let now = self.now();
         let arrived = self.request.arrived;
@@ -351,6 +386,7 @@
                 ("own_load", &own_load),
                 ("reported_load", &reported_load),
                 ("failures", &failures),
+                ("patience_ms", &self.request.patience().map_or(-1, |p| p.as_millis() as i64)),
                 ("last_event", &self.last_event.map_or(-1, |id| id as i64)),
                 ("first_ms", &first_ms),
                 ("ms", &now.since(arrived).as_millis()),
--- a/crates/entry/src/online/request.rs
+++ b/crates/entry/src/online/request.rs
@@ -50,6 +50,11 @@
         RequestTerms::decode(&self.head.headers).attempt
     }
 
+    /// How long the client waits.
+    pub fn patience(&self) -> Option<Duration> {
+        RequestTerms::decode(&self.head.headers).patience
+    }
+
     /// The last event that the client holds.
     pub fn last_event(&self) -> Option<u64> {
         RequestTerms::decode(&self.head.headers).last_event
--- a/crates/entry/src/peers/hub.rs
+++ b/crates/entry/src/peers/hub.rs
@@ -114,6 +114,9 @@
             let hello = PeerMessage::Hello { owner: node.owner.clone(), jobs };
             node.peers.send(&peer.vm, hello);
             node.peers.send(&peer.vm, reports::report(node));
+            for shares in limits::known_shares(node) {
+                node.peers.send(&peer.vm, shares);
+            }
             let node = Arc::clone(node);
             task::spawn(async move { ownership::verify_all(&node).await });
         }
@@ -198,6 +201,10 @@
             limits::take_shares(node, &limit, revision, book);
         }
         PeerMessage::StoreAnswer { call, end } => node.peers.store_calls.answer(call, end),
+        PeerMessage::Stopping => {
+            node.log.info("gateway_stops", &[("gateway", &peer.vm)]);
+            node.peers.set_stopping(&peer.vm);
+        }
         PeerMessage::Leaving => {
             node.log.info("gateway_leaves", &[("gateway", &peer.vm)]);
             node.peers.set_leaving(&peer.vm);
--- a/crates/entry/src/peers/table.rs
+++ b/crates/entry/src/peers/table.rs
@@ -52,7 +52,9 @@
     owner: Option<String>,
     /// Since when there is no link.
     down_since: MonoTime,
-    /// It said that it stops.
+    /// It was told to stop, and takes no jobs over.
+    is_stopping: bool,
+    /// It said that it leaves its jobs to others.
     is_leaving: bool,
     /// It follows the store.
     is_watching: bool,
@@ -91,6 +93,7 @@
         }
         let is_new = record.entry.as_ref().is_none_or(|known| known.owner != entry.owner);
         if is_new {
+            record.is_stopping = false;
             record.is_leaving = false;
         }
         record.entry = Some(entry);
@@ -107,6 +110,7 @@
         let record = peers.entry(vm.clone()).or_insert_with(|| PeerRecord::new(now));
         record.link = Some(link);
         record.owner = None;
+        record.is_stopping = false;
         record.is_leaving = false;
     }
 
@@ -136,7 +140,14 @@
         self.peers().get(vm).and_then(|record| record.owner.clone())
     }
 
-    /// A peer said that it stops.
+    /// A peer said that it was told to stop.
+    pub fn set_stopping(&self, vm: &VmName) {
+        if let Some(record) = self.peers().get_mut(vm) {
+            record.is_stopping = true;
+        }
+    }
+
+    /// A peer said that it leaves its jobs to others.
     pub fn set_leaving(&self, vm: &VmName) {
         if let Some(record) = self.peers().get_mut(vm) {
             record.is_leaving = true;
@@ -255,7 +266,15 @@
         }
     }
 
-    /// Names of gateways that take jobs over: those with a link that don't stop.
+    /// Names of gateways that take jobs over. One that was told to stop would have to leave them again
+    /// a moment later.
+    pub fn successor_vms(&self) -> Vec<VmName> {
+        let peers = self.peers();
+        let takes = |r: &PeerRecord| r.link.is_some() && !r.is_leaving && !r.is_stopping;
+        peers.iter().filter(|(_, record)| takes(record)).map(|(vm, _)| vm.clone()).collect()
+    }
+
+    /// Names of gateways with a link that haven't left.
     pub fn live_vms(&self) -> Vec<VmName> {
         let peers = self.peers();
         let live = peers.iter().filter(|(_, r)| r.link.is_some() && !r.is_leaving);
@@ -293,6 +312,7 @@
             link: None,
             owner: None,
             down_since: now,
+            is_stopping: false,
             is_leaving: false,
             is_watching: false,
             ahead_since: None,
--- /dev/null
+++ b/crates/losses/src/summary.rs
@@ -0,0 +1,102 @@
+//! All online requests of a day by the cause of their loss.
+
+use std::{collections::BTreeMap, fmt};
+
+use crate::{
+    cause::{LossCause, judge_request},
+    line::LogLine,
+    occupancy::{OccupancyMap, TargetRun},
+};
+
+/// How a day's requests and items fared.
+#[derive(Debug, Default)]
+pub struct LossSummary {
+    causes: BTreeMap<LossCause, usize>,
+    /// Runs of items by how they ended.
+    item_runs: BTreeMap<String, usize>,
+    /// Failed calls to the store, by method and kind of object.
+    store_failures: BTreeMap<String, usize>,
+}
+
+impl LossSummary {
+    /// Judges the lines of all gateways. `objective` is the time to the first event, milliseconds;
+    /// `slots` the places of each target.
+    pub fn of_lines(lines: &[LogLine], objective: f64, slots: usize) -> Self {
+        let occupancy = occupancy(lines, slots);
+        let mut summary = Self::default();
+        for line in lines {
+            summary.take(line, objective, &occupancy);
+        }
+        summary
+    }
+
+    /// How many requests had this cause.
+    pub fn count(&self, cause: LossCause) -> usize {
+        self.causes.get(&cause).copied().unwrap_or_default()
+    }
+
+    fn take(&mut self, line: &LogLine, objective: f64, occupancy: &OccupancyMap) {
+        match line.event.as_str() {
+            "request_ended" if line.text("status") != "404" => {
+                *self.causes.entry(judge_request(line, objective, occupancy)).or_default() += 1;
+            }
+            "request_abandoned" => {
+                *self.causes.entry(LossCause::Abandoned).or_default() += 1;
+            }
+            "item_run_ended" => {
+                *self.item_runs.entry(line.text("outcome").to_owned()).or_default() += 1;
+            }
+            "store_call_failed" => {
+                let kind = object_kind(line.text("path"));
+                let call = format!("{} {kind}", line.text("call"));
+                *self.store_failures.entry(call).or_default() += 1;
+            }
+            _ => {}
+        }
+    }
+}
+
+/// The kind of objects that a call's path names.
+fn object_kind(path: &str) -> &str {
+    let name = path.split('/').nth(3).unwrap_or_default();
+    name.split('?').next().unwrap_or_default()
+}
+
+fn occupancy(lines: &[LogLine], slots: usize) -> OccupancyMap {
+    let mut map = OccupancyMap::new(slots);
+    for line in lines {
+        let target = line.text("target");
+        let is_item = line.event == "item_run_ended";
+        match line.event.as_str() {
+            "target_known" if line.text("state") == "ready" => map.note_ready(target, line.at),
+            "target_known" | "target_gone" => map.note_gone(target, line.at),
+            "request_ended" | "item_run_ended" if !target.is_empty() && target != "-" => {
+                let took = line.number("ms").unwrap_or_default() / 1_000.0;
+                let target = target.to_owned();
+                map.add(TargetRun { target, from: line.at - took, to: line.at, is_item });
+            }
+            _ => {}
+        }
+    }
+    map
+}
+
+impl fmt::Display for LossSummary {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let all: usize = self.causes.values().sum();
+        writeln!(f, "online requests: {all}")?;
+        for (cause, count) in &self.causes {
+            let share = *count as f64 / all.max(1) as f64;
+            writeln!(f, "  {count:6} {share:7.3} {}", cause.code())?;
+        }
+        writeln!(f, "runs of items, by their end")?;
+        for (end, count) in &self.item_runs {
+            writeln!(f, "  {count:6} {end}")?;
+        }
+        writeln!(f, "calls to the store that failed")?;
+        for (call, count) in &self.store_failures {
+            writeln!(f, "  {count:6} {call}")?;
+        }
+        Ok(())
+    }
+}
--- a/crates/messages/src/peer.rs
+++ b/crates/messages/src/peer.rs
@@ -183,6 +183,8 @@
         /// The shares.
         book: ShareBook,
     },
+    /// The sender was told to stop: it still runs its jobs, but takes none over any more.
+    Stopping,
     /// The sender stops: take its jobs over now.
     Leaving,
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -34,10 +34,12 @@
             splitter::EventSplitter,
         },
         targets::{
-            choice::{TargetChoice, TargetQuery, WorkKind},
+            choice::{QueueLimit, TargetChoice, TargetQuery, WorkKind},
             crashes::CrashTable,
             entry::{TargetEntry, TargetState},
             failure::{AttemptFailure, RunVerdict},
+            pace::ServicePace,
+            patience::PatienceBook,
             prompt::{PromptHead, PromptHeads},
             table::TargetTable,
         },
--- a/crates/relay/src/limits/holder.rs
+++ b/crates/relay/src/limits/holder.rs
@@ -18,6 +18,16 @@
 /// is usually allowed.
 const SPARE_LIMIT_DIVISOR: u64 = 20;
 
+/// Divisor of what a holder may hold beyond its need, below which it writes to hold more.
+const TOP_UP_DIVISOR: u64 = 2;
+/// Divisor of a limit for the least that is worth a write: near the limit a job asks for what it needs.
+const TOP_UP_LEAST_DIVISOR: u64 = 200;
+
+/// What a holder may take beyond its need when `free` of `limit` is lent to nobody.
+fn spare(free: u64, limit: u64, holders: u64) -> u64 {
+    (free / (SPARE_DIVISOR * holders.max(1))).min(limit / SPARE_LIMIT_DIVISOR)
+}
+
 /// What a holder should do to use more.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ShareStep {
@@ -111,11 +121,25 @@
         let Some(free) = limit.checked_sub(all) else {
             return ShareStep::Full { missing: all - limit };
         };
-        let spare = free / (SPARE_DIVISOR * holders.max(1));
-        let spare = if is_in_touch { spare.min(limit / SPARE_LIMIT_DIVISOR) } else { 0 };
+        let spare = if is_in_touch { spare(free, limit, holders) } else { 0 };
         ShareStep::Write(self.propose(self.book.clone(), needed + spare))
     }
 
+    /// The write that makes room here for what comes next, while there is much less than there may be;
+    /// `None` when nothing needs to be written. Done ahead, the next jobs don't wait for the store: one
+    /// that answers in a quarter of a second would make each of them late.
+    pub fn top_up(&mut self, used: u64, limit: u64, holders: u64) -> Option<ShareProposal> {
+        self.take_limit(limit, used);
+        let needed = self.book.lent_to_others(&self.name).saturating_add(used);
+        let wanted = spare(limit.checked_sub(needed)?, limit, holders);
+        let held = self.lent.saturating_sub(used);
+        let is_enough = self.revision.is_some() && held >= wanted / TOP_UP_DIVISOR;
+        if is_enough || wanted < limit / TOP_UP_LEAST_DIVISOR {
+            return None;
+        }
+        Some(self.propose(self.book.clone(), used.saturating_add(wanted)))
+    }
+
     /// The write that must be done before work of other holders is taken over, which `used` counts
     /// already: it waits anyway, so it counts whatever the limit is.
     pub fn cover(&mut self, used: u64) -> ShareProposal {
--- a/crates/relay/src/targets.rs
+++ b/crates/relay/src/targets.rs
@@ -5,6 +5,8 @@
 pub mod entry;
 pub mod failure;
 pub mod health;
+pub mod pace;
+pub mod patience;
 pub mod prompt;
 pub mod table;
 pub mod warm_prompts;
--- a/crates/relay/src/targets/choice.rs
+++ b/crates/relay/src/targets/choice.rs
@@ -1,6 +1,6 @@
 //! What a choice of target is made for, and what it yields.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use crate::targets::prompt::PromptHeads;
 
@@ -13,6 +13,19 @@
     Batch,
 }
 
+/// How long a request may wait for a place.
+///
+/// Engines take requests first come first served, so in a crest a few hundredths above what all places
+/// take, everybody would wait as long as the queue has become. A request that can't be in time any
+/// more makes those after it late, too; told at once, its client comes back when the crest is over.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum QueueLimit {
+    /// Only as long as its answer likely begins within this time.
+    Within(Duration),
+    /// As long as it takes: it was turned away before, or can't come back in time.
+    Any,
+}
+
 /// What a target is chosen for.
 #[derive(Debug, Clone, Copy)]
 pub struct TargetQuery<'a> {
@@ -22,6 +35,8 @@
     pub work: WorkKind,
     /// Targets that have failed it.
     pub avoid: &'a [String],
+    /// How long it may wait for a place.
+    pub queue: QueueLimit,
     /// Its prompt: a target that has read its beginning is a little nearer.
     pub prompt: &'a PromptHeads,
 }
--- a/crates/relay/src/targets/table.rs
+++ b/crates/relay/src/targets/table.rs
@@ -5,10 +5,11 @@
 use notch_types::prelude::*;
 
 use crate::targets::{
-    choice::{TargetChoice, TargetQuery, WorkKind},
+    choice::{QueueLimit, TargetChoice, TargetQuery, WorkKind},
     entry::{TargetEntry, TargetState},
     failure::AttemptFailure,
     health::TargetHealth,
+    pace::ServicePace,
     warm_prompts::WarmPrompts,
 };
 
@@ -123,6 +124,8 @@
     home: FastSet<String>,
     /// Share of the other gateways' home targets that one choice looks at.
     foreign_share: f64,
+    /// How long answers take, by service.
+    paces: FastMap<String, ServicePace>,
     /// What targets have read of prompts.
     warm: WarmPrompts,
     /// Own use of targets whose entry is gone, until their last request ends.
@@ -216,8 +219,41 @@
         now: MonoTime,
         mut draw: impl FnMut() -> f64,
     ) -> Option<TargetChoice> {
-        let TargetQuery { service, work, avoid, prompt } = *query;
+        let sampled = self.best_record(query, now, self.foreign_share, &mut draw);
+        let (_, record) = match (sampled, query.work) {
+            (Some(found), _) => found,
+            (None, WorkKind::Batch) => return None,
+            // Before a request is turned away every target is looked at.
+            (None, WorkKind::Online) => self.best_record(query, now, 1.0, &mut draw)?,
+        };
+        let choice = TargetChoice {
+            id: record.entry.id.clone(),
+            name: record.entry.name.clone(),
+            address: record.entry.address,
+            place_free: record.total() < record.entry.slots,
+            own_load: record.own.total(),
+            reported_load: record.others.total(),
+            is_home: self.home.contains(&record.entry.id),
+        };
+        self.warm.note(query.prompt, &choice.id);
+        let record = self.records.get_mut(&choice.id)?;
+        record.own.add(query.work);
+        record.health.start();
+        Some(choice)
+    }
+
+    /// The target with the lowest score; of the other gateways' home targets only a share is looked
+    /// at.
+    fn best_record(
+        &self,
+        query: &TargetQuery<'_>,
+        now: MonoTime,
+        foreign_share: f64,
+        draw: &mut impl FnMut() -> f64,
+    ) -> Option<(f64, &TargetRecord)> {
+        let TargetQuery { service, work, avoid, queue, prompt } = *query;
         let warm = self.warm.warm_tokens(prompt);
+        let pace = self.paces.get(service).copied().unwrap_or_default();
         let mut best: Option<(f64, &TargetRecord)> = None;
         let mut fallback: Option<(f64, &TargetRecord)> = None;
         for record in self.records.values() {
@@ -228,7 +264,10 @@
             if work == WorkKind::Batch && !record.has_batch_place(is_home) {
                 continue;
             }
-            if !is_home && draw() > self.foreign_share {
+            if work == WorkKind::Online && !record.is_in_time(queue, &pace) {
+                continue;
+            }
+            if !is_home && draw() > foreign_share {
                 continue;
             }
             let read = warm.get(record.entry.id.as_str()).copied().unwrap_or_default();
@@ -242,21 +281,17 @@
         if work == WorkKind::Batch {
             fallback = None;
         }
-        let (_, record) = best.or(fallback)?;
-        let choice = TargetChoice {
-            id: record.entry.id.clone(),
-            name: record.entry.name.clone(),
-            address: record.entry.address,
-            place_free: record.total() < record.entry.slots,
-            own_load: record.own.total(),
-            reported_load: record.others.total(),
-            is_home: self.home.contains(&record.entry.id),
-        };
-        self.warm.note(prompt, &choice.id);
-        let record = self.records.get_mut(&choice.id)?;
-        record.own.add(work);
-        record.health.start();
-        Some(choice)
+        best.or(fallback)
+    }
+
+    /// A whole online answer of `service` took `run`, and began after `first` where a place was free.
+    pub fn note_online_run(&mut self, service: &str, run: Duration, first: Option<Duration>) {
+        self.paces.entry(service.to_owned()).or_default().note(run, first);
+    }
+
+    /// How long answers of `service` take.
+    pub fn pace(&self, service: &str) -> ServicePace {
+        self.paces.get(service).copied().unwrap_or_default()
     }
 
     /// An attempt at `id` ended: with an answer, or in a way that says nothing (`None`).
@@ -419,6 +454,18 @@
         self.total() < open
     }
 
+    /// Whether an online request that comes now likely begins in time. Own items yield their places at
+    /// once.
+    fn is_in_time(&self, queue: QueueLimit, pace: &ServicePace) -> bool {
+        match queue {
+            QueueLimit::Any => true,
+            QueueLimit::Within(objective) => {
+                let ahead = self.own.online + self.others.total();
+                pace.is_in_time(ahead, self.entry.slots, objective)
+            }
+        }
+    }
+
     /// What it's worth, in requests, that the target has read so many tokens of a prompt.
     fn warmth(&self, read: u32) -> f64 {
         if self.total() >= self.entry.slots {
--- a/crates/relay/tests/limits.rs
+++ b/crates/relay/tests/limits.rs
@@ -120,6 +120,28 @@
     assert!(writes <= 10, "{writes} writes for 200 jobs");
 }
 
+/// Symptom: jobs are accepted late while the store is slow. Sequence: a limit that is far from full; each
+/// gateway's first job after its start waits for a write of shares. Cause: no share was taken ahead.
+#[test]
+fn room_is_made_before_a_job_needs_it() {
+    let mut fleet = Fleet::new(3, 100_000);
+    for at in 0..3 {
+        let holder = &mut fleet.holders[at];
+        if let Some(revision) = fleet.stored.revision {
+            holder.adopt(fleet.stored.book.clone(), revision);
+        }
+        let proposal = holder.top_up(0, 100_000, 3).expect("there is none yet");
+        assert!(fleet.stored.write(&proposal));
+        holder.written(proposal, fleet.stored.revision.unwrap_or(0));
+        assert_eq!(holder.top_up(0, 100_000, 3), None, "enough");
+    }
+    assert_eq!(fleet.admit(1, 3_000, &[true; 3], false), Admission::Admitted, "without the store");
+    let holder = &mut fleet.holders[1];
+    assert!(holder.top_up(3_000, 100_000, 3).is_some(), "most of it is used");
+    holder.not_written();
+    assert_eq!(holder.top_up(3_000, 8_100, 3), None, "the limit is nearly used up");
+}
+
 /// Symptom: a limit that was lowered is exceeded for as long as old jobs wait. Sequence: gateways hold
 /// shares beyond their use; the limit falls far below what waits. Cause: the shares were still used.
 #[test]
--- a/crates/relay/tests/targets.rs
+++ b/crates/relay/tests/targets.rs
@@ -23,7 +23,7 @@
 /// What is chosen for: work without a word about its prompt.
 fn query(work: WorkKind, avoid: &[String]) -> TargetQuery<'_> {
     static NO_PROMPT: LazyLock<PromptHeads> = LazyLock::new(PromptHeads::default);
-    TargetQuery { service: "llm", work, avoid, prompt: &NO_PROMPT }
+    TargetQuery { service: "llm", work, avoid, queue: QueueLimit::Any, prompt: &NO_PROMPT }
 }
 
 fn table(ids: &[&str]) -> TargetTable {
@@ -300,3 +300,64 @@
     assert_ne!(one[1].fingerprint, heads("m", &[("b", 20), ("a", 10)])[1].fingerprint);
     assert_ne!(one[0].fingerprint, heads("n", &[("a", 10)])[0].fingerprint);
 }
+
+/// Symptom: in a crest a little above what all places take everybody is late. Sequence: more requests
+/// come than places become free, for seconds; engines take them first come first served. Cause: all were
+/// let in, so each waited as long as all before it.
+#[test]
+fn a_request_that_would_be_late_is_turned_away_and_one_that_came_back_is_not() {
+    let now = MonoTime::from_millis(1);
+    let mut table = table(&["t1", "t2"]);
+    table.note_online_run("llm", Duration::from_millis(400), Some(Duration::from_millis(50)));
+    let within = QueueLimit::Within(Duration::from_millis(300));
+    let mut admit = |queue| {
+        let query = TargetQuery { queue, ..query(WorkKind::Online, &[]) };
+        table.choose(&query, now, || 0.0).is_some()
+    };
+    let admitted = (0..20).filter(|_| admit(within)).count();
+    assert_eq!(admitted, 12, "eight places, and two at each of which an end comes every 100 ms");
+    assert!(admit(QueueLimit::Any), "one that came back waits");
+}
+
+/// Symptom: clients are turned away though places are free. Sequence: a gateway's own targets are full, and
+/// so are those of the others' that it happens to look at. Cause: the rest weren't looked at.
+#[test]
+fn nobody_is_turned_away_while_a_place_is_free_anywhere() {
+    let now = MonoTime::from_millis(1);
+    let ids: Vec<String> = (0..20).map(|n| format!("t{n:02}")).collect();
+    let mut table = table(&ids.iter().map(String::as_str).collect::<Vec<_>>());
+    let gateways: Vec<_> = (0..10).map(|n| (format!("g-{n}"), "a".to_owned())).collect();
+    table.share_out("g-0", &gateways);
+    table.note_online_run("llm", Duration::from_secs(4), Some(Duration::from_millis(50)));
+    let queue = QueueLimit::Within(Duration::from_millis(300));
+    let query = TargetQuery { queue, ..query(WorkKind::Online, &[]) };
+    let mut draws = (0..).map(|n| f64::from(n * 37 % 101) / 101.0);
+    let admitted = (0..100)
+        .filter(|_| table.choose(&query, now, || draws.next().unwrap_or(0.0)).is_some())
+        .count();
+    assert_eq!(admitted, 80);
+}
+
+#[rstest]
+#[case::all_places_free(0, true)]
+#[case::last_place(7, true)]
+#[case::two_ends_away(9, true)]
+#[case::three_ends_away(10, false)]
+fn an_answer_is_in_time_by_the_ends_that_it_waits_for(#[case] ahead: u32, #[case] in_time: bool) {
+    let mut pace = ServicePace::default();
+    assert!(pace.is_in_time(1_000, 8, Duration::from_millis(300)), "nothing is known yet");
+    for _ in 0..200 {
+        pace.note(Duration::from_millis(760), Some(Duration::from_millis(45)));
+    }
+    assert_eq!(pace.is_in_time(ahead, 8, Duration::from_millis(300)), in_time);
+}
+
+#[test]
+fn a_client_with_less_time_than_others_has_come_back() {
+    let mut book = PatienceBook::default();
+    let millis = Duration::from_millis;
+    assert!(!book.has_come_back("r1", millis(5_000)));
+    assert!(!book.has_come_back("r1", millis(4_990)));
+    assert!(book.has_come_back("r1", millis(4_100)));
+    assert!(!book.has_come_back("r2", millis(4_100)), "another route's clients");
+}
