Store nothing for a job while another gateway may own it

The new owner, which takes what follows its own fence for its own, didn't know of them and told readers of a shorter list until its next write, eleven seconds later. An owner that was displaced now stores nothing, and isn't sure of its list, until the store has confirmed that it owns the job. The test of the fence expected the retry at once; it now expects none before the confirmation and the same results after it, which is stricter.

--- a/crates/entry/src/batch/ownership.rs
+++ b/crates/entry/src/batch/ownership.rs
@@ -51,6 +51,9 @@
         node.job_news.notify(usize::MAX);
         return;
     }
+    if let Some(owned) = node.jobs().board.get_mut(job) {
+        owned.confirm();
+    }
     node.peers.broadcast(&PeerMessage::JobsOwned(vec![job.to_owned()]));
     let is_closed = node.jobs().board.get(job).is_some_and(OwnedJob::is_closed);
     if is_closed {
--- a/crates/entry/src/batch/reads.rs
+++ b/crates/entry/src/batch/reads.rs
@@ -75,8 +75,8 @@
 fn is_sure_of_owned(node: &EntryNode, job: &str) -> bool {
     let now = node.clock.mono();
     let desk = node.jobs();
-    let is_writing = |job: &OwnedJob| job.is_storing_since(now - STORE_DOUBT);
-    node.peers.hears_all(now) && !desk.board.get(job).is_some_and(is_writing)
+    let is_unsure = |job: &OwnedJob| job.is_in_doubt() || job.is_storing_since(now - STORE_DOUBT);
+    node.peers.hears_all(now) && !desk.board.get(job).is_some_and(is_unsure)
 }
 
 fn read_state(node: &EntryNode, job: &str, after: usize) -> ReadState {
--- a/crates/relay/src/jobs/owned.rs
+++ b/crates/relay/src/jobs/owned.rs
@@ -105,6 +105,10 @@
     storing_since: MonoTime,
     /// When the oldest pending result came.
     pending_since: MonoTime,
+    /// Another gateway wrote where this one wanted to, and the store hasn't yet said who owns the job.
+    /// Invariant: nothing is stored meanwhile. A former owner that went on after the fence it had found
+    /// would extend a list that the new owner takes for its own.
+    in_doubt: bool,
     /// The client ended it: nothing of it runs any more.
     ended: bool,
 }
@@ -128,6 +132,7 @@
             storing: 0,
             storing_since: now.mono,
             pending_since: now.mono,
+            in_doubt: false,
             ended: false,
             spec,
         }
@@ -297,7 +302,7 @@
         bytes: usize,
         now: MonoTime,
     ) -> Option<Vec<Arc<ResultLine>>> {
-        if self.storing > 0 || self.pending.is_empty() || self.ended {
+        if self.storing > 0 || self.pending.is_empty() || self.ended || self.in_doubt {
             return None;
         }
         // Near the due time a result counts only if it's listed at once.
@@ -334,6 +339,7 @@
     /// listed there are dropped here: the first stored result of an item is the one that counts.
     pub fn displaced(&mut self, lines: Vec<Arc<ResultLine>>, now: MonoTime) {
         self.storing = 0;
+        self.in_doubt = true;
         self.pending_since = now;
         self.fences = if lines.is_empty() { self.fences + 1 } else { 0 };
         for line in &lines {
@@ -346,6 +352,16 @@
         self.results.extend(lines);
     }
 
+    /// Whether another gateway may own the job.
+    pub fn is_in_doubt(&self) -> bool {
+        self.in_doubt
+    }
+
+    /// The store says that this gateway owns the job.
+    pub fn confirm(&mut self) {
+        self.in_doubt = false;
+    }
+
     /// Whether an item ended, here or by another gateway's result.
     pub fn item_ended(&self, index: usize) -> bool {
         self.items[index].phase == ItemPhase::Ended
--- a/crates/relay/tests/jobs.rs
+++ b/crates/relay/tests/jobs.rs
@@ -113,6 +113,9 @@
     complete(&mut job, 0, at(0));
     let first = job.take_pending(DELAY, BYTES, at(1_000)).expect("it waited long enough");
     job.displaced(Vec::new(), at(1_010));
+    assert_eq!(job.take_pending(DELAY, BYTES, at(60_000)), None, "it may be another's job by now");
+    assert!(job.is_in_doubt());
+    job.confirm();
     assert_eq!((job.results().len(), job.fences()), (0, 1));
     // Should the store say that it's ours after all, the same results go after the fence.
     assert_eq!(job.take_pending(DELAY, BYTES, at(9_000)), Some(first));
