Leave to the product what the platform's folder still decided

Cause, found in reading the whole change: platform/ worked out how many tokens an item's answer is expected to have, and how many results fit into an answer to a client; the second stood three times (there, in what one gateway tells another, in what is stored at once). Now platform/ decodes the estimate and the limit into AnswerSize, whose method decides, and ResultLine::fitting bounds all three. Ruled out: changes of behaviour.

--- a/crates/entry/src/batch/copies.rs
+++ b/crates/entry/src/batch/copies.rs
@@ -48,7 +48,7 @@
     }
 
     fn weight(&self) -> usize {
-        let lines: usize = self.lines.iter().map(|line| line.output.len() + 96).sum();
+        let lines: usize = self.lines.iter().map(|line| line.weight()).sum();
         lines + self.spec.as_ref().map_or(0, |spec| spec.weight())
     }
 }
--- a/crates/entry/src/batch/reads.rs
+++ b/crates/entry/src/batch/reads.rs
@@ -13,7 +13,7 @@
         copies::JobCopy,
         records::{read_job, read_results as stored_results, read_spec},
     },
-    constants::{ASK_GRACE, ASK_WAIT, RETRY_AFTER, STORE_DOUBT},
+    constants::{ASK_GRACE, ASK_WAIT, RESULT_PAGE_BYTES, RETRY_AFTER, STORE_DOUBT},
     front::answer::OwnAnswer,
     node::EntryNode,
     store::reply::StoreFailure,
@@ -209,26 +209,13 @@
             ReadState::Ask(_) => break (false, 0, Vec::new(), false),
         }
     };
-    let known = lines.len();
-    let lines = bounded(&lines);
-    let is_all = ends_object && lines.len() == known;
+    let sent = ResultLine::fitting(&lines, NEWS_BYTES);
+    let is_all = ends_object && sent.len() == lines.len();
+    let lines = sent.iter().map(|line| ResultLine::clone(line)).collect();
     let total = total as u64;
     node.peers.send(peer, PeerMessage::JobNews { call, is_sure, total, lines, is_all });
 }
 
-fn bounded(lines: &[Arc<ResultLine>]) -> Vec<ResultLine> {
-    let mut size = 0;
-    let mut taken = Vec::new();
-    for line in lines {
-        size += line.output.len() + 96;
-        if !taken.is_empty() && size > NEWS_BYTES {
-            break;
-        }
-        taken.push(ResultLine::clone(line));
-    }
-    taken
-}
-
 /// Answers a read of an item's body.
 pub async fn read_item(node: &Arc<EntryNode>, job: &str, item: &str) -> OwnAnswer {
     if let Some(answer) = held_item(node, job, item) {
@@ -261,7 +248,7 @@
 }
 
 fn results_answer(total: usize, after: usize, lines: &[Arc<ResultLine>]) -> OwnAnswer {
-    let body = encode_results(total, after, lines);
+    let body = encode_results(total, after, ResultLine::fitting(lines, RESULT_PAGE_BYTES));
     OwnAnswer { status: 200, body, ..OwnAnswer::default() }
 }
 
--- a/crates/entry/src/constants.rs
+++ b/crates/entry/src/constants.rs
@@ -107,6 +107,8 @@
 pub const LAPSE_OUTAGE: Duration = Duration::from_millis(1_000);
 /// Bytes of one object that we write, at most: the store takes 1 MiB.
 pub const OBJECT_BYTES: usize = 900 << 10;
+/// Bytes of results in one answer to a client, at most: clients take 1 MB.
+pub const RESULT_PAGE_BYTES: usize = 900 << 10;
 /// Results wait this long for others before they are stored: ten items of a job end within a
 /// second or two, so a job takes a few writes instead of ten. Reads come every half second.
 pub const RESULT_DELAY: Duration = Duration::from_millis(400);
--- a/crates/entry/tests/desk.rs
+++ b/crates/entry/tests/desk.rs
@@ -12,7 +12,7 @@
         path: "/".to_owned(),
         headers: Vec::new(),
         body: Vec::new(),
-        answer_tokens: 0,
+        answer: AnswerSize::default(),
         limit_tokens: 9,
     };
     let terms = JobTerms {
--- a/crates/relay/src/jobs/board.rs
+++ b/crates/relay/src/jobs/board.rs
@@ -84,7 +84,7 @@
 
     /// An item ran from its beginning to its end within `took`.
     pub fn note_whole_run(&mut self, item: &ItemSpec, took: Duration) {
-        self.pace.note(took, item.answer_tokens);
+        self.pace.note(took, item.answer.expected());
     }
 
     /// Marks an item as running.
--- a/crates/relay/src/jobs/owned.rs
+++ b/crates/relay/src/jobs/owned.rs
@@ -196,7 +196,7 @@
     /// Whether a run of an item that begins at `now` would likely end after the job is due. One
     /// whose lifetime is nearly over doesn't count as late: it would be given up.
     pub fn is_late(&self, index: usize, pace: &ItemPace, now: MonoTime) -> bool {
-        let item_time = pace.expected(self.spec.items[index].answer_tokens);
+        let item_time = pace.expected(self.spec.items[index].answer.expected());
         let has_progress = self.items[index].last_event.is_some();
         let needed = if has_progress { item_time / REST_DIVISOR } else { item_time };
         now + needed > self.due && now + LAST_CALL < self.expires
@@ -311,14 +311,10 @@
         if !completes && now.since(self.pending_since) < delay {
             return None;
         }
-        let mut size = 0;
-        let fits = self.pending.iter().take_while(|line| {
-            size += line.output.len() + line.id.len() + 64;
-            size <= bytes
-        });
-        self.storing = fits.count().max(1);
+        let taken = ResultLine::fitting(&self.pending, bytes).to_vec();
+        self.storing = taken.len();
         self.storing_since = now;
-        Some(self.pending[..self.storing].to_vec())
+        Some(taken)
     }
 
     /// Whether a write of results has been under way since before `before`.
--- a/crates/relay/src/jobs/spec.rs
+++ b/crates/relay/src/jobs/spec.rs
@@ -15,6 +15,27 @@
     pub max_attempts: u32,
 }
 
+/// What is said of the size of an item's answer, in tokens.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct AnswerSize {
+    /// The client's estimate: right at the median, but often far off.
+    pub estimate: Option<u32>,
+    /// The most that the answer may have.
+    pub limit: Option<u32>,
+}
+
+impl AnswerSize {
+    /// Tokens that the answer is expected to have: the estimate within the limit; 0 where nothing is
+    /// said.
+    pub fn expected(self) -> u32 {
+        match (self.estimate, self.limit) {
+            (Some(estimate), Some(limit)) => estimate.min(limit),
+            (Some(tokens), None) | (None, Some(tokens)) => tokens,
+            (None, None) => 0,
+        }
+    }
+}
+
 /// One item.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ItemSpec {
@@ -26,8 +47,8 @@
     pub headers: Vec<(String, String)>,
     /// Body of its request.
     pub body: Vec<u8>,
-    /// Tokens that its answer is expected to have; 0 if it doesn't say.
-    pub answer_tokens: u32,
+    /// What it says of its answer's size.
+    pub answer: AnswerSize,
     /// Tokens that count against its route's limit while it waits: those of its prompt and the most
     /// that its answer may have.
     pub limit_tokens: u64,
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -17,7 +17,7 @@
             owned::{HeldProgress, ItemEnd, OwnedJob},
             pace::ItemPace,
             result::{ItemState, ResultLine},
-            spec::{ItemSpec, JobSpec, JobTerms},
+            spec::{AnswerSize, ItemSpec, JobSpec, JobTerms},
         },
         limits::{
             book::{HolderShare, ShareBook},
--- a/crates/relay/tests/jobs.rs
+++ b/crates/relay/tests/jobs.rs
@@ -24,7 +24,7 @@
         path: "/b/1".to_owned(),
         headers: Vec::new(),
         body: Vec::new(),
-        answer_tokens: 0,
+        answer: AnswerSize::default(),
         limit_tokens: 9,
     };
     let terms = JobTerms {
@@ -243,3 +243,14 @@
     assert_eq!(pace.expected(800).as_millis(), 8_000);
     assert_eq!(pace.expected(0), Duration::from_secs(4), "one that doesn't say its tokens");
 }
+
+/// A reader gets as many results as fit, one at least, none where there is none.
+#[test]
+fn results_fit_by_their_bytes() {
+    let lines = [line("i0"), line("i1"), line("i2")];
+    let two = lines[0].weight() + lines[1].weight();
+    assert_eq!(ResultLine::fitting(&lines, two), &lines[..2]);
+    assert_eq!(ResultLine::fitting(&lines, two - 1), &lines[..1]);
+    assert_eq!(ResultLine::fitting(&lines, 0), &lines[..1], "a reader must get on");
+    assert_eq!(ResultLine::fitting(&[], two), &[]);
+}
