Ask, list, walk and write in one place each; untie the circles around limits

Cause, found in reading the whole change: three places opened a question to another gateway, sent it, waited and closed it; three listed the stored jobs; two walked a job's chain of results; three did what follows a write of shares; two built the same body. limits and takeover imported each other, as did limits and the table of peers, and limits and the node. Now CallTable::ask, list_jobs, walk_results, write and spec_body do each once; a question leaves nothing behind when its asker is dropped. The routes with a limit are looked up once a takeover, not once a job. What is known of a job's results is a struct instead of four values in a row. Ruled out: changes of behaviour; bounds, waits and the tests' assertions are as before.

--- /dev/null
+++ b/crates/entry/src/batch/limit_desk.rs
@@ -0,0 +1,38 @@
+//! This gateway's part in every limit on waiting jobs.
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use async_std::sync::Mutex as TurnMutex;
+use event_listener::Event;
+use notch_relay::prelude::*;
+use notch_types::prelude::*;
+
+/// This gateway's part in every limit.
+#[derive(Debug, Default)]
+pub struct LimitDesk {
+    holders: Mutex<FastMap<String, ShareHolder>>,
+    drains: Mutex<FastMap<String, DrainRate>>,
+    /// Told when room under a limit was used up by a job.
+    pub used: Event,
+    /// One share is changed at a time: each change begins with what the one before wrote.
+    pub turn: TurnMutex<()>,
+}
+
+impl LimitDesk {
+    /// Tokens of a route ended here at `now`.
+    pub fn note_ended(&self, route: &str, tokens: u64, now: MonoTime) {
+        let mut drains = self.drains.lock().unwrap_or_else(PoisonError::into_inner);
+        drains.entry(route.to_owned()).or_default().note(tokens, now);
+    }
+
+    /// Tokens of a route that end here each second.
+    pub fn ended_per_second(&self, route: &str, now: MonoTime) -> f64 {
+        let drains = self.drains.lock().unwrap_or_else(PoisonError::into_inner);
+        drains.get(route).map_or(0.0, |drain| drain.per_second(now))
+    }
+
+    /// This gateway's part in each limit, by its route's name.
+    pub fn holders(&self) -> MutexGuard<'_, FastMap<String, ShareHolder>> {
+        self.holders.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/entry/src/batch/limits.rs
+++ b/crates/entry/src/batch/limits.rs
@@ -4,29 +4,28 @@
 //! share without a call. When a limit is used up the others are asked to give back what they don't
 //! use, so a job is refused only if it doesn't fit.
 
-use std::{
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 
-use async_std::{future::timeout, sync::Mutex as TurnMutex};
-use event_listener::Event;
+use async_std::future::timeout;
 use futures_util::future::join_all;
 use notch_messages::prelude::PeerMessage;
 use notch_platform_wire::{
     prelude::StoreObject,
-    store::{conditional_body, decode, list_path, object_path, spec_body},
+    store::{decode, list_path, object_path, spec_body},
 };
 use notch_relay::{limits::drain::wait_for, prelude::*};
 use notch_types::prelude::*;
 
 use crate::{
-    batch::{desk::JobDesk, records::JOB_KIND, takeover::readable_jobs},
+    batch::{desk::JobDesk, stored_jobs::list_jobs},
     constants::{LIMIT_ASK, LIMIT_CALL, LIMIT_PATIENCE, LIMIT_ROUNDS, ROOM_TICK, SHARE_SILENCE},
     node::EntryNode,
-    peers::table::OwnerLiveness,
+    peers::{
+        calls::CallEnd,
+        table::{KeptShare, OwnerLiveness},
+    },
     store::{
-        feed::{StorePath, list_all},
+        feed::StorePath,
         reply::{StoreFailure, StoreReply},
     },
 };
@@ -48,46 +47,6 @@
     Unknown,
 }
 
-/// Another gateway's answer to the question what it still holds of a limit.
-#[derive(Debug)]
-pub struct KeptShare {
-    /// The gateway with its incarnation.
-    pub holder: String,
-    /// What it still holds.
-    pub kept: u64,
-    /// How much ends there each second.
-    pub ended_per_second: u64,
-}
-
-/// This gateway's part in every limit.
-#[derive(Debug, Default)]
-pub struct LimitDesk {
-    holders: Mutex<FastMap<String, ShareHolder>>,
-    drains: Mutex<FastMap<String, DrainRate>>,
-    /// Told when room under a limit was used up by a job.
-    used: Event,
-    /// One share is changed at a time: each change begins with what the one before wrote.
-    turn: TurnMutex<()>,
-}
-
-impl LimitDesk {
-    /// Tokens of a route ended here at `now`.
-    pub fn note_ended(&self, route: &str, tokens: u64, now: MonoTime) {
-        let mut drains = self.drains.lock().unwrap_or_else(PoisonError::into_inner);
-        drains.entry(route.to_owned()).or_default().note(tokens, now);
-    }
-
-    /// Tokens of a route that end here each second.
-    pub fn ended_per_second(&self, route: &str, now: MonoTime) -> f64 {
-        let drains = self.drains.lock().unwrap_or_else(PoisonError::into_inner);
-        drains.get(route).map_or(0.0, |drain| drain.per_second(now))
-    }
-
-    fn holders(&self) -> MutexGuard<'_, FastMap<String, ShareHolder>> {
-        self.holders.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
 /// Counts a job that is being taken in against its route's limit, if it fits.
 pub async fn reserve(node: &EntryNode, route: &Route, job: &str, tokens: u64) -> LimitOutcome {
     if route.waiting_limit == 0 {
@@ -126,19 +85,14 @@
     for _ in 0..LIMIT_ROUNDS {
         match next_step(node, route, job, tokens) {
             ShareStep::Granted => return LimitOutcome::Reserved,
-            ShareStep::Write(proposal) => match write(node, name, &proposal).await {
-                ShareWrite::Done { revision } => {
-                    let book = proposal.book.clone();
-                    with_holder(node, name, |holder, desk| {
-                        holder.written(proposal, revision);
-                        desk.reserve(job, name, tokens);
-                    });
-                    tell_shares(node, name, revision, book);
-                    return LimitOutcome::Reserved;
+            ShareStep::Write(proposal) => {
+                let count_job = |desk: &mut JobDesk| desk.reserve(job, name, tokens);
+                match write(node, name, proposal, count_job).await {
+                    ShareWrite::Done => return LimitOutcome::Reserved,
+                    ShareWrite::Changed => asked = None,
+                    ShareWrite::Unknown => return LimitOutcome::Unknown,
                 }
-                ShareWrite::Changed => asked = None,
-                ShareWrite::Unknown => return LimitOutcome::Unknown,
-            },
+            }
             ShareStep::Full { missing } => {
                 if let Some(per_second) = asked {
                     return LimitOutcome::Full { wait: wait_for(missing, per_second) };
@@ -193,13 +147,8 @@
     let _turn = node.limits.turn.lock().await;
     for _ in 0..LIMIT_ROUNDS {
         let proposal = with_holder(node, route, |holder, desk| propose(holder, desk));
-        match write(node, route, &proposal).await {
-            ShareWrite::Done { revision } => {
-                let book = proposal.book.clone();
-                with_holder(node, route, |holder, _| holder.written(proposal, revision));
-                tell_shares(node, route, revision, book);
-                return Ok(());
-            }
+        match write(node, route, proposal, |_| {}).await {
+            ShareWrite::Done => return Ok(()),
             ShareWrite::Changed => {}
             ShareWrite::Unknown => return Err(StoreFailure::Unknown),
         }
@@ -232,12 +181,8 @@
         holder.top_up(desk.limit_tokens(&route.name), route.waiting_limit, gateways)
     });
     let Some(proposal) = proposal else { return };
-    // A write that another gateway was faster than is tried again in the next turn.
-    if let ShareWrite::Done { revision } = write(node, &route.name, &proposal).await {
-        let book = proposal.book.clone();
-        with_holder(node, &route.name, |holder, _| holder.written(proposal, revision));
-        tell_shares(node, &route.name, revision, book);
-    }
+    // One that another gateway was faster than is tried again in the next turn.
+    write(node, &route.name, proposal, |_| {}).await;
 }
 
 /// The shares of every limit known here, for a gateway that has just come.
@@ -301,14 +246,11 @@
 }
 
 async fn ask(node: &EntryNode, vm: &VmName, route: &str) -> Option<KeptShare> {
-    let (call, answer) = node.peers.share_calls.open();
-    let message = PeerMessage::ShareAsk { call, limit: route.to_owned() };
-    let kept = match node.peers.send(vm, message) {
-        true => timeout(LIMIT_ASK, answer.recv()).await.ok().and_then(Result::ok),
-        false => None,
-    };
-    node.peers.share_calls.close(call);
-    kept
+    let send = |call| node.peers.send(vm, PeerMessage::ShareAsk { call, limit: route.to_owned() });
+    match node.peers.share_calls.ask(send, LIMIT_ASK).await {
+        CallEnd::Answered(kept) => Some(kept),
+        CallEnd::NotSent | CallEnd::Unanswered => None,
+    }
 }
 
 /// Drops shares of gateways that are gone for long and own no open job any more.
@@ -323,8 +265,7 @@
     }
     // The list is newer than the book: jobs that others took over are in their shares there, or the
     // book's revision is an old one by now.
-    let Ok((objects, _)) = list_all(&node.store, JOB_KIND, StorePath::Any).await else { return };
-    let jobs = readable_jobs(node, &objects);
+    let Ok(jobs) = list_jobs(node, StorePath::Any).await else { return };
     for gone in silent {
         let owns = jobs.iter().any(|job| !job.status.closed && job.owner() == gone);
         if !owns {
@@ -336,9 +277,8 @@
 
 /// What became of a write of shares.
 enum ShareWrite {
-    Done {
-        revision: u64,
-    },
+    /// It was done, and the other gateways are told.
+    Done,
     /// Another gateway wrote before, or nobody knows whether ours was done: the book as it stands now
     /// is known.
     Changed,
@@ -346,24 +286,32 @@
     Unknown,
 }
 
-async fn write(node: &EntryNode, route: &str, proposal: &ShareProposal) -> ShareWrite {
+/// Writes shares. `on_done` sees what counts here in the same moment in which the share is in force.
+async fn write(
+    node: &EntryNode,
+    route: &str,
+    proposal: ShareProposal,
+    on_done: impl FnOnce(&mut JobDesk),
+) -> ShareWrite {
     let name = object_name(route);
-    let wait = node.store.settings().call_timeout.min(LIMIT_CALL);
-    let sent = match proposal.revision {
-        None => {
-            let body = spec_body(&name, &proposal.book);
-            node.store.call("POST", &list_path(SHARE_KIND, None), Some(&body), wait).await
-        }
-        Some(revision) => {
-            let body = conditional_body(&name, revision, &proposal.book);
-            node.store.call("PUT", &object_path(SHARE_KIND, &name), Some(&body), wait).await
-        }
+    let body = spec_body(&name, proposal.revision, &proposal.book);
+    let (method, path) = match proposal.revision {
+        None => ("POST", list_path(SHARE_KIND, None)),
+        Some(_) => ("PUT", object_path(SHARE_KIND, &name)),
     };
+    let wait = node.store.settings().call_timeout.min(LIMIT_CALL);
+    let sent = node.store.call(method, &path, Some(&body), wait).await;
     if let Ok(reply) = &sent
         && reply.is_success()
         && let Ok(object) = decode::<StoreObject>(&reply.body)
     {
-        return ShareWrite::Done { revision: object.metadata.revision };
+        let (revision, book) = (object.metadata.revision, proposal.book.clone());
+        with_holder(node, route, |holder, desk| {
+            holder.written(proposal, revision);
+            on_done(desk);
+        });
+        tell_shares(node, route, revision, book);
+        return ShareWrite::Done;
     }
     with_holder(node, route, |holder, _| holder.not_written());
     let adopted = match sent {
--- a/crates/entry/src/batch/reads.rs
+++ b/crates/entry/src/batch/reads.rs
@@ -16,18 +16,28 @@
     constants::{ASK_GRACE, ASK_WAIT, RESULT_PAGE_BYTES, RETRY_AFTER, STORE_DOUBT},
     front::answer::OwnAnswer,
     node::EntryNode,
+    peers::calls::CallEnd,
     store::reply::StoreFailure,
 };
 
 /// Bytes of results in an answer to another gateway, at most: well under a link's largest message.
 const NEWS_BYTES: usize = 1 << 20;
 
+/// Results of a job from a position on, as this gateway knows them.
+struct KnownLines {
+    /// Items of the job; 0 when nothing is known of it.
+    total: usize,
+    lines: Vec<Arc<ResultLine>>,
+    /// Whether nothing follows them.
+    is_sure: bool,
+    /// Whether they end where an object of the store ends.
+    ends_object: bool,
+}
+
 /// What this gateway can say of a job's results.
 enum ReadState {
-    /// These stand from the position asked for on; there are `total` items. Unless `is_sure`, more
-    /// may follow them that is not known here; `ends_object` tells whether they end with an object of
-    /// the store.
-    Known { total: usize, lines: Vec<Arc<ResultLine>>, is_sure: bool, ends_object: bool },
+    /// There are results from the position asked for on, or the list has ended.
+    Known(KnownLines),
     /// Nothing new, as far as the job's owner, who is this gateway, knows.
     OwnedNothing { total: usize, held: usize },
     /// Another gateway or the store has to be asked.
@@ -46,7 +56,7 @@
         let listener = node.job_news.listen();
         let left = until.since(node.clock.mono());
         match read_state(node, job, after) {
-            ReadState::Known { total, lines, .. } => return results_answer(total, after, &lines),
+            ReadState::Known(known) => return results_answer(known.total, after, &known.lines),
             ReadState::OwnedNothing { total, held } => {
                 if !left.is_zero() {
                     // News or the end of the wait: both lead to another look.
@@ -87,14 +97,15 @@
         if lines.is_empty() && !owned.is_closed() {
             return ReadState::OwnedNothing { total, held: owned.results().len() };
         }
-        return ReadState::Known { total, lines: lines.to_vec(), is_sure: true, ends_object: true };
+        let lines = lines.to_vec();
+        return ReadState::Known(KnownLines { total, lines, is_sure: true, ends_object: true });
     }
     let copy = desk.copies.get(job).cloned().unwrap_or_default();
     match copy.total {
         Some(total) if after < copy.lines.len() || copy.is_whole() => {
             let lines = copy.lines.get(after..).unwrap_or_default().to_vec();
             let ends_object = copy.chunk_end >= copy.lines.len();
-            ReadState::Known { total, lines, is_sure: copy.is_whole(), ends_object }
+            ReadState::Known(KnownLines { total, lines, is_sure: copy.is_whole(), ends_object })
         }
         _ => ReadState::Ask(copy),
     }
@@ -160,22 +171,16 @@
     copy: &mut JobCopy,
     wait: Duration,
 ) -> bool {
-    let (call, answer) = node.peers.job_calls.open();
     let held = copy.lines.len();
-    let message = PeerMessage::JobAsk {
-        call,
-        job: job.to_owned(),
-        after: held as u64,
-        wait_ms: wait.as_millis() as u64,
+    let (after, wait_ms) = (held as u64, wait.as_millis() as u64);
+    let send = |call| {
+        let message = PeerMessage::JobAsk { call, job: job.to_owned(), after, wait_ms };
+        node.peers.send_to_owner(owner, message)
     };
-    let sent = node.peers.send_to_owner(owner, message);
-    let news = if sent {
-        timeout(wait + ASK_GRACE, answer.recv()).await.ok().and_then(Result::ok)
-    } else {
-        None
+    let news = match node.peers.job_calls.ask(send, wait + ASK_GRACE).await {
+        CallEnd::Answered(news) if news.total > 0 => news,
+        CallEnd::Answered(_) | CallEnd::NotSent | CallEnd::Unanswered => return false,
     };
-    node.peers.job_calls.close(call);
-    let Some(news) = news.filter(|news| news.total > 0) else { return false };
     let lines: Vec<Arc<ResultLine>> = news.lines.into_iter().map(Arc::new).collect();
     copy.extend(held, &lines, news.is_all);
     copy.total = Some(news.total);
@@ -193,26 +198,28 @@
 ) {
     let after = usize::try_from(after).unwrap_or(usize::MAX);
     let until = node.clock.mono() + Duration::from_millis(wait_ms);
-    let (is_sure, total, lines, ends_object) = loop {
+    let known = loop {
         let listener = node.job_news.listen();
         let left = until.since(node.clock.mono());
         match read_state(node, job, after) {
-            ReadState::Known { total, lines, is_sure, ends_object } => {
-                break (is_sure, total, lines, ends_object);
-            }
+            ReadState::Known(known) => break known,
             ReadState::OwnedNothing { total, .. } if left.is_zero() => {
-                break (is_sure_of_owned(node, job), total, Vec::new(), true);
+                let is_sure = is_sure_of_owned(node, job);
+                break KnownLines { total, lines: Vec::new(), is_sure, ends_object: true };
             }
             ReadState::OwnedNothing { .. } => {
                 let _ = timeout(left, listener).await;
             }
-            ReadState::Ask(_) => break (false, 0, Vec::new(), false),
+            ReadState::Ask(_) => {
+                let lines = Vec::new();
+                break KnownLines { total: 0, lines, is_sure: false, ends_object: false };
+            }
         }
     };
-    let sent = ResultLine::fitting(&lines, NEWS_BYTES);
-    let is_all = ends_object && sent.len() == lines.len();
+    let sent = ResultLine::fitting(&known.lines, NEWS_BYTES);
+    let is_all = known.ends_object && sent.len() == known.lines.len();
     let lines = sent.iter().map(|line| ResultLine::clone(line)).collect();
-    let total = total as u64;
+    let (is_sure, total) = (known.is_sure, known.total as u64);
     node.peers.send(peer, PeerMessage::JobNews { call, is_sure, total, lines, is_all });
 }
 
--- a/crates/entry/src/batch/records.rs
+++ b/crates/entry/src/batch/records.rs
@@ -169,6 +169,17 @@
     store: &StoreClient,
     id: &str,
     position: usize,
+) -> Result<StoredList, StoreFailure> {
+    walk_results(store, id, position, |_| {}).await
+}
+
+/// Reads a job's objects of results from `position` on, one after the other, and tells the name of
+/// each: only who has read one can name the next.
+async fn walk_results(
+    store: &StoreClient,
+    id: &str,
+    position: usize,
+    mut tell: impl FnMut(String),
 ) -> Result<StoredList, StoreFailure> {
     let mut list = StoredList::default();
     loop {
@@ -180,6 +191,7 @@
         let chunk = decode_chunk(&reply.body)?;
         list.fences = if chunk.lines.is_empty() { list.fences + 1 } else { 0 };
         list.lines.extend(chunk.lines);
+        tell(name);
     }
 }
 
@@ -220,7 +232,7 @@
 ) -> Result<ChunkOutcome, StoreFailure> {
     let chunk = ResultChunk { writer: writer.to_owned(), lines: lines.to_vec() };
     let name = chunk_name(id, position, fences);
-    let body = spec_body(&name, &chunk);
+    let body = spec_body(&name, None, &chunk);
     let wait = store.settings().call_timeout;
     let reply = store.call("POST", &list_path(RESULT_KIND, None), Some(&body), wait).await?;
     if reply.is_success() {
@@ -266,7 +278,8 @@
 /// # Errors
 /// The store didn't answer: a part of it may be left.
 pub async fn delete_job(store: &StoreClient, job: &StoredJob) -> Result<(), StoreFailure> {
-    let chunks = chunk_names(store, &job.id).await?;
+    let mut chunks = Vec::new();
+    walk_results(store, &job.id, 0, |name| chunks.push(name)).await?;
     for name in chunks.iter().rev() {
         delete(store, RESULT_KIND, name).await?;
     }
@@ -277,23 +290,6 @@
     delete(store, JOB_KIND, &job.id).await
 }
 
-/// Names of a job's objects of results, in their order.
-async fn chunk_names(store: &StoreClient, id: &str) -> Result<Vec<String>, StoreFailure> {
-    let mut names = Vec::new();
-    let (mut position, mut fences) = (0, 0);
-    loop {
-        let name = chunk_name(id, position, fences);
-        let reply = store.get(&object_path(RESULT_KIND, &name)).await?;
-        if !reply.is_success() {
-            return Ok(names);
-        }
-        let chunk = decode_chunk(&reply.body)?;
-        fences = if chunk.lines.is_empty() { fences + 1 } else { 0 };
-        position += chunk.lines.len();
-        names.push(name);
-    }
-}
-
 async fn delete(store: &StoreClient, kind: &str, name: &str) -> Result<(), StoreFailure> {
     let wait = store.settings().call_timeout;
     store.call("DELETE", &object_path(kind, name), None, wait).await.map(|_| ())
@@ -321,7 +317,7 @@
     name: &str,
     spec: &T,
 ) -> Result<bool, StoreFailure> {
-    let body = spec_body(name, spec);
+    let body = spec_body(name, None, spec);
     let wait = store.settings().call_timeout;
     let reply = store.call("POST", &list_path(kind, None), Some(&body), wait).await?;
     Ok(reply.is_success())
--- a/crates/entry/src/batch/retention.rs
+++ b/crates/entry/src/batch/retention.rs
@@ -10,16 +10,13 @@
 
 use crate::{
     batch::{
-        records::{JOB_KIND, StoredJob, delete_job, read_end},
-        takeover::{comes_first, readable_jobs},
+        records::{StoredJob, delete_job, read_end},
+        stored_jobs::list_jobs,
+        takeover::comes_first,
     },
     constants::{RETENTION_MARGIN, RETENTION_TICK},
     node::EntryNode,
-    store::{
-        feed::{StorePath, list_all},
-        reply::StoreFailure,
-        retry::jittered,
-    },
+    store::{feed::StorePath, reply::StoreFailure, retry::jittered},
 };
 
 /// Deletes old jobs until the process ends.
@@ -36,10 +33,7 @@
 
 fn forget_done_jobs(node: &EntryNode) {
     let kept = node.store.settings().result_lifetime + RETENTION_MARGIN;
-    let now = node.clock.mono();
-    if now.since(MonoTime::default()) > kept {
-        node.jobs().forget_done(MonoTime::default() + (now.since(MonoTime::default()) - kept));
-    }
+    node.jobs().forget_done(node.clock.mono() - kept);
 }
 
 /// Deletes the jobs that are due for it and for which this gateway comes first; how many.
@@ -48,8 +42,7 @@
 /// The store didn't answer.
 pub async fn delete_once(node: &EntryNode) -> Result<usize, StoreFailure> {
     let kept = node.store.settings().result_lifetime + RETENTION_MARGIN;
-    let (objects, _) = list_all(&node.store, JOB_KIND, StorePath::Direct).await?;
-    let jobs = readable_jobs(node, &objects);
+    let jobs = list_jobs(node, StorePath::Direct).await?;
     let mut deleted = 0;
     for job in jobs.iter().filter(|job| is_over(job, kept, node.clock.wall())) {
         if !comes_first(node, &job.id) || node.jobs().is_owned(&job.id) {
--- /dev/null
+++ b/crates/entry/src/batch/stored_jobs.rs
@@ -0,0 +1,38 @@
+//! All jobs that the store holds.
+
+use notch_platform_wire::{prelude::StoreObject, store::ObjectMetadata};
+use notch_types::prelude::*;
+
+use crate::{
+    batch::records::{JOB_KIND, StoredJob},
+    node::EntryNode,
+    store::{
+        feed::{StorePath, list_all},
+        reply::StoreFailure,
+    },
+};
+
+/// Lists every job. One that can't be read, as another writer may have left it, is logged once for
+/// each change of it and takes no other one with it.
+///
+/// # Errors
+/// The store did not answer, or not with a list.
+pub async fn list_jobs(node: &EntryNode, path: StorePath) -> Result<Vec<StoredJob>, StoreFailure> {
+    let (objects, _) = list_all(&node.store, JOB_KIND, path).await?;
+    let mut jobs = Vec::new();
+    for object in &objects {
+        match StoredJob::decode(object) {
+            Some(job) => jobs.push(job),
+            None => refuse_job(node, object),
+        }
+    }
+    Ok(jobs)
+}
+
+fn refuse_job(node: &EntryNode, object: &StoreObject) {
+    let ObjectMetadata { name, revision } = &object.metadata;
+    if node.jobs().note_unreadable(name, *revision) {
+        node.log.error("stored_job_refused", &[("job", name), ("revision", revision)]);
+        node.metrics.count(Counter::Event("stored_jobs_refused"));
+    }
+}
--- a/crates/entry/src/batch/takeover.rs
+++ b/crates/entry/src/batch/takeover.rs
@@ -4,10 +4,7 @@
 
 use async_std::task;
 use notch_messages::prelude::PeerMessage;
-use notch_platform_wire::{
-    prelude::{JobRecord, StoreObject},
-    store::ObjectMetadata,
-};
+use notch_platform_wire::prelude::JobRecord;
 use notch_relay::prelude::*;
 use notch_types::prelude::*;
 
@@ -15,15 +12,13 @@
     batch::{
         closing::close_whole_job,
         limits,
-        records::{JOB_KIND, StoredJob, fence_results, read_end, read_spec, take_job},
+        records::{StoredJob, fence_results, read_end, read_spec, take_job},
+        stored_jobs::list_jobs,
     },
     constants::{ORPHANS_AGAIN, ORPHANS_FIRST, PEER_TICK},
     node::EntryNode,
     peers::table::OwnerLiveness,
-    store::{
-        feed::{StorePath, list_all},
-        reply::StoreFailure,
-    },
+    store::{feed::StorePath, reply::StoreFailure},
 };
 
 /// Searches for jobs without an owner: once after the start, and whenever an owner is lost.
@@ -58,36 +53,12 @@
     owners.into_iter().any(|owner| node.liveness(owner, now) == OwnerLiveness::Gone)
 }
 
-/// The jobs in a list of the store. One that can't be read, as another writer may have left it, is
-/// logged once for each change of it and takes no other one with it.
-pub fn readable_jobs(node: &EntryNode, objects: &[StoreObject]) -> Vec<StoredJob> {
-    let mut jobs = Vec::new();
-    for object in objects {
-        match StoredJob::decode(object) {
-            Some(job) => jobs.push(job),
-            None => refuse_job(node, object),
-        }
-    }
-    jobs
-}
-
-fn refuse_job(node: &EntryNode, object: &StoreObject) {
-    let ObjectMetadata { name, revision } = &object.metadata;
-    if node.jobs().note_unreadable(name, *revision) {
-        node.log.error("stored_job_refused", &[("job", name), ("revision", revision)]);
-        node.metrics.count(Counter::Event("stored_jobs_refused"));
-    }
-}
-
 /// Takes over jobs whose owner is gone and for which this gateway comes first among those alive;
 /// the number of jobs left to others or to time.
 async fn take_orphans(node: &Arc<EntryNode>) -> Result<usize, StoreFailure> {
-    let (objects, _) = list_all(&node.store, JOB_KIND, StorePath::Any).await?;
-    let stored = readable_jobs(node, &objects);
-    drop(objects);
     let mut left = 0;
     let mut due = Vec::new();
-    for job in stored {
+    for job in list_jobs(node, StorePath::Any).await? {
         let now = node.clock.mono();
         if job.status.closed {
             node.jobs().note_closed(&job.id, now);
@@ -125,16 +96,18 @@
 /// Takes jobs over. Where their routes have a limit they are counted here before, and no longer at
 /// their former owners after: in between they count twice, but never not at all.
 async fn take_all(node: &Arc<EntryNode>, jobs: Vec<StoredJob>) -> Result<(), StoreFailure> {
-    let mut limited: FastSet<String> = FastSet::default();
-    for job in jobs.iter().filter(|job| has_limit(node, &job.record.route)) {
+    let with_limit = limited_routes(node);
+    let limited = jobs.iter().filter(|job| with_limit.contains(&job.record.route));
+    let limited: Vec<&StoredJob> = limited.collect();
+    for job in &limited {
         let JobRecord { route, limit_tokens, .. } = &job.record;
         node.jobs().reserve(&job.id, route, *limit_tokens);
-        limited.insert(route.clone());
     }
-    let taken = take_covered(node, &jobs, &limited).await;
-    jobs.iter().for_each(|job| node.jobs().unreserve(&job.id));
+    let routes = limited.iter().map(|job| job.record.route.as_str()).collect();
+    let taken = take_covered(node, &jobs, &routes).await;
+    limited.iter().for_each(|job| node.jobs().unreserve(&job.id));
     let mut moved: FastMap<&str, Vec<(String, u64)>> = FastMap::default();
-    for job in jobs.iter().filter(|job| limited.contains(&job.record.route)) {
+    for job in limited {
         if node.jobs().is_owned(&job.id) {
             let former = (job.owner().to_owned(), job.record.limit_tokens);
             moved.entry(&job.record.route).or_default().push(former);
@@ -149,9 +122,9 @@
 async fn take_covered(
     node: &Arc<EntryNode>,
     jobs: &[StoredJob],
-    limited: &FastSet<String>,
+    routes: &FastSet<&str>,
 ) -> Result<(), StoreFailure> {
-    for route in limited {
+    for route in routes {
         limits::cover(node, route).await?;
     }
     for job in jobs {
@@ -160,9 +133,11 @@
     Ok(())
 }
 
-fn has_limit(node: &EntryNode, route: &str) -> bool {
-    let Some(routes) = node.routes() else { return false };
-    routes.routes().any(|known| known.name == route && known.waiting_limit > 0)
+/// Names of the routes that limit what waits.
+fn limited_routes(node: &EntryNode) -> FastSet<String> {
+    let Some(table) = node.routes() else { return FastSet::default() };
+    let limited = table.routes().filter(|route| route.waiting_limit > 0);
+    limited.map(|route| route.name.clone()).collect()
 }
 
 /// Whether this gateway comes first for the job among those that take jobs over: so that two don't both
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -17,7 +17,7 @@
 use serde_json::value::RawValue;
 
 use crate::{
-    batch::{desk::JobDesk, limits::LimitDesk},
+    batch::{desk::JobDesk, limit_desk::LimitDesk},
     clock::NodeClock,
     constants::WATCHERS,
     peers::table::{OwnerLiveness, PeerTable},
--- a/crates/entry/src/peers/calls.rs
+++ b/crates/entry/src/peers/calls.rs
@@ -1,13 +1,41 @@
 //! Questions to other gateways that wait for their answer.
 
-use std::sync::{
-    Mutex, MutexGuard, PoisonError,
-    atomic::{AtomicU64, Ordering},
+use std::{
+    sync::{
+        Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
 };
 
 use async_channel::{Receiver, Sender};
+use async_std::future::timeout;
 use notch_types::prelude::*;
 
+/// How a question ended.
+#[derive(Debug)]
+pub enum CallEnd<T> {
+    /// There was no link to send it on.
+    NotSent,
+    /// No answer came in time: it may have been heard.
+    Unanswered,
+    /// This is the answer.
+    Answered(T),
+}
+
+/// A question that waits; however its asker ends, nothing is kept of it.
+struct OpenCall<'a, T> {
+    table: &'a CallTable<T>,
+    call: u64,
+    answer: Receiver<T>,
+}
+
+impl<T> Drop for OpenCall<'_, T> {
+    fn drop(&mut self) {
+        self.table.waiting().remove(&self.call);
+    }
+}
+
 /// Questions of one kind that wait for an answer of type `T`.
 #[derive(Debug)]
 pub struct CallTable<T> {
@@ -22,17 +50,24 @@
 }
 
 impl<T> CallTable<T> {
-    /// A number for a question, and where its answer comes.
-    pub fn open(&self) -> (u64, Receiver<T>) {
-        let call = self.next.fetch_add(1, Ordering::Relaxed);
-        let (sender, receiver) = async_channel::bounded(1);
-        self.waiting().insert(call, sender);
-        (call, receiver)
+    /// Asks: `send` sends the question with its number, and tells whether there was a link. The
+    /// answer must come within `wait`.
+    pub async fn ask(&self, send: impl FnOnce(u64) -> bool, wait: Duration) -> CallEnd<T> {
+        let open = self.open();
+        if !send(open.call) {
+            return CallEnd::NotSent;
+        }
+        match timeout(wait, open.answer.recv()).await {
+            Ok(Ok(answer)) => CallEnd::Answered(answer),
+            Ok(Err(_)) | Err(_) => CallEnd::Unanswered,
+        }
     }
 
-    /// A question is over.
-    pub fn close(&self, call: u64) {
-        self.waiting().remove(&call);
+    fn open(&self) -> OpenCall<'_, T> {
+        let call = self.next.fetch_add(1, Ordering::Relaxed);
+        let (sender, answer) = async_channel::bounded(1);
+        self.waiting().insert(call, sender);
+        OpenCall { table: self, call, answer }
     }
 
     /// The answer to a question came.
--- a/crates/entry/src/peers/detours.rs
+++ b/crates/entry/src/peers/detours.rs
@@ -3,13 +3,14 @@
 use std::{sync::Arc, time::Duration};
 
 use async_channel::Receiver;
-use async_std::{future::timeout, task};
+use async_std::task;
 use notch_messages::prelude::{PeerMessage, StoreCallEnd};
 use notch_types::prelude::*;
 
 use crate::{
     constants::ASK_GRACE,
     node::EntryNode,
+    peers::calls::CallEnd,
     store::{
         detour::DetourCall,
         reply::{StoreFailure, StoreReply},
@@ -42,25 +43,22 @@
 ) -> Option<Result<StoreReply, StoreFailure>> {
     let began = node.clock.mono();
     let line = format!("{method} {path}");
-    let (call, answer) = node.peers.store_calls.open();
     let wait_ms = wait.as_millis() as u64;
     let body = body.map(Payload::from);
-    let message = PeerMessage::StoreCall { call, method, path, body, wait_ms };
-    if !node.peers.send(vm, message) {
-        node.peers.store_calls.close(call);
-        return None;
-    }
-    node.metrics.count(Counter::Event("store_calls_passed_on"));
-    let end = timeout(wait + ASK_GRACE, answer.recv()).await;
-    node.peers.store_calls.close(call);
-    let end = match end {
-        Ok(Ok(StoreCallEnd::Answered { status, body })) => {
+    let send =
+        |call| node.peers.send(vm, PeerMessage::StoreCall { call, method, path, body, wait_ms });
+    let end = match node.peers.store_calls.ask(send, wait + ASK_GRACE).await {
+        CallEnd::NotSent => return None,
+        CallEnd::Answered(StoreCallEnd::Answered { status, body }) => {
             Ok(StoreReply { status, body: body.to_vec() })
         }
-        Ok(Ok(StoreCallEnd::NotDone)) => Err(StoreFailure::NotDone),
+        CallEnd::Answered(StoreCallEnd::NotDone) => Err(StoreFailure::NotDone),
         // The link may have broken after the call was made.
-        Ok(Ok(StoreCallEnd::Unknown) | Err(_)) | Err(_) => Err(StoreFailure::Unknown),
+        CallEnd::Answered(StoreCallEnd::Unknown) | CallEnd::Unanswered => {
+            Err(StoreFailure::Unknown)
+        }
     };
+    node.metrics.count(Counter::Event("store_calls_passed_on"));
     let outcome = match &end {
         Ok(reply) => reply.status.to_string(),
         Err(failure) => failure.code().to_owned(),
--- a/crates/entry/src/peers/hub.rs
+++ b/crates/entry/src/peers/hub.rs
@@ -13,7 +13,7 @@
 use serde_json::value::RawValue;
 
 use crate::{
-    batch::{ends, limits, limits::KeptShare, ownership, reads},
+    batch::{ends, limits, ownership, reads},
     constants::{GATEWAY_WATCH_PAUSE, LAG_PATIENCE, STORE_PAUSE},
     node::EntryNode,
     online::crashes,
@@ -21,7 +21,7 @@
         detours,
         record::{GATEWAY_KIND, GatewayEntry},
         reports,
-        table::JobNews,
+        table::{JobNews, KeptShare},
     },
     store::{
         feed::{FeedPlan, follow},
@@ -62,7 +62,7 @@
         domain: node.config.node.domain.as_str().to_owned(),
     };
     let name = node.config.node.vm.as_str();
-    let body = spec_body(name, &entry);
+    let body = spec_body(name, None, &entry);
     let list = notch_platform_wire::store::list_path(GATEWAY_KIND, None);
     let path = object_path(GATEWAY_KIND, name);
     loop {
--- a/crates/entry/src/peers/table.rs
+++ b/crates/entry/src/peers/table.rs
@@ -11,7 +11,6 @@
 use notch_types::prelude::*;
 
 use crate::{
-    batch::limits::KeptShare,
     constants::{OWNER_DOUBT, PEER_DEAD},
     peers::{calls::CallTable, record::GatewayEntry},
 };
@@ -29,6 +28,17 @@
     pub is_all: bool,
 }
 
+/// Another gateway's answer to the question what it still holds of a limit.
+#[derive(Debug)]
+pub struct KeptShare {
+    /// The gateway with its incarnation.
+    pub holder: String,
+    /// What it still holds.
+    pub kept: u64,
+    /// How much ends there each second.
+    pub ended_per_second: u64,
+}
+
 /// Whether a job's owner is there.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum OwnerLiveness {
