--- a/crates/entry/src/batch/limits.rs
+++ b/crates/entry/src/batch/limits.rs
@@ -62,7 +62,7 @@
     node.limits.used.notify(usize::MAX);
     if outcome != LimitOutcome::Reserved {
         let used = node.jobs().limit_tokens(&route.name);
-        let book = with_holder(node, &route.name, |holder, _| format!("{:?}", holder.book()));
+        let table = with_holder(node, &route.name, |holder, _| format!("{:?}", holder.table()));
         node.log.info(
             "job_over_limit",
             &[
@@ -71,7 +71,7 @@
                 ("tokens", &tokens),
                 ("limit", &route.waiting_limit),
                 ("used_here", &used),
-                ("shares", &book),
+                ("shares", &table),
                 ("outcome", &format!("{outcome:?}")),
             ],
         );
@@ -189,8 +189,8 @@
 pub fn known_shares(node: &EntryNode) -> Vec<PeerMessage> {
     let holders = node.limits.holders();
     let known = holders.iter().filter_map(|(route, holder)| {
-        let (limit, book) = (route.clone(), holder.book().clone());
-        Some(PeerMessage::Shares { limit, revision: holder.revision()?, book })
+        let (limit, table) = (route.clone(), holder.table().clone());
+        Some(PeerMessage::Shares { limit, revision: holder.revision()?, table })
     });
     known.collect()
 }
@@ -210,8 +210,8 @@
 }
 
 /// Another gateway has written shares.
-pub fn take_shares(node: &EntryNode, route: &str, revision: u64, book: ShareBook) {
-    with_holder(node, route, |holder, _| holder.adopt(book, revision));
+pub fn take_shares(node: &EntryNode, route: &str, revision: u64, table: ShareTable) {
+    with_holder(node, route, |holder, _| holder.adopt(table, revision));
 }
 
 /// Works on this gateway's part in a limit; no task sees it between what is done here.
@@ -226,9 +226,9 @@
     work(holder, &mut desk)
 }
 
-fn tell_shares(node: &EntryNode, route: &str, revision: u64, book: ShareBook) {
+fn tell_shares(node: &EntryNode, route: &str, revision: u64, table: ShareTable) {
     node.metrics.count(Counter::Event("limit_shares_written"));
-    node.peers.broadcast(&PeerMessage::Shares { limit: route.to_owned(), revision, book });
+    node.peers.broadcast(&PeerMessage::Shares { limit: route.to_owned(), revision, table });
 }
 
 /// Asks every gateway with a link to give back what it doesn't use. How much ends each second, at
@@ -263,8 +263,8 @@
     if silent.is_empty() {
         return;
     }
-    // The list is newer than the book: jobs that others took over are in their shares there, or the
-    // book's revision is an old one by now.
+    // The list is newer than the table: jobs that others took over are in their shares there, or the
+    // table's revision is an old one by now.
     let Ok(jobs) = list_jobs(node, StorePath::Any).await else { return };
     for gone in silent {
         let owns = jobs.iter().any(|job| !job.status.closed && job.owner() == gone);
@@ -279,7 +279,7 @@
 enum ShareWrite {
     /// It was done, and the other gateways are told.
     Done,
-    /// Another gateway wrote before, or nobody knows whether ours was done: the book as it stands now
+    /// Another gateway wrote before, or nobody knows whether ours was done: the table as it stands now
     /// is known.
     Changed,
     /// The store doesn't answer.
@@ -294,7 +294,7 @@
     on_done: impl FnOnce(&mut JobDesk),
 ) -> ShareWrite {
     let name = object_name(route);
-    let body = spec_body(&name, proposal.revision, &proposal.book);
+    let body = spec_body(&name, proposal.revision, &proposal.table);
     let (method, path) = match proposal.revision {
         None => ("POST", list_path(SHARE_KIND, None)),
         Some(_) => ("PUT", object_path(SHARE_KIND, &name)),
@@ -305,12 +305,12 @@
         && reply.is_success()
         && let Ok(object) = decode::<StoreObject>(&reply.body)
     {
-        let (revision, book) = (object.metadata.revision, proposal.book.clone());
+        let (revision, table) = (object.metadata.revision, proposal.table.clone());
         with_holder(node, route, |holder, desk| {
             holder.written(proposal, revision);
             on_done(desk);
         });
-        tell_shares(node, route, revision, book);
+        tell_shares(node, route, revision, table);
         return ShareWrite::Done;
     }
     with_holder(node, route, |holder, _| holder.not_written());
@@ -329,14 +329,14 @@
 
 fn adopt_reply(node: &EntryNode, route: &str, reply: &StoreReply) -> bool {
     if reply.status == 404 {
-        with_holder(node, route, |holder, _| holder.forget_book());
+        with_holder(node, route, |holder, _| holder.forget_table());
         return true;
     }
     let Ok(object) = decode::<StoreObject>(&reply.body) else { return false };
-    let spec = object.spec.as_ref().map(|spec| serde_json::from_str::<ShareBook>(spec.get()));
+    let spec = object.spec.as_ref().map(|spec| serde_json::from_str::<ShareTable>(spec.get()));
     match spec {
-        Some(Ok(book)) => {
-            with_holder(node, route, |holder, _| holder.adopt(book, object.metadata.revision));
+        Some(Ok(table)) => {
+            with_holder(node, route, |holder, _| holder.adopt(table, object.metadata.revision));
             true
         }
         Some(Err(error)) => {
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -72,7 +72,7 @@
     target_feed: Mutex<TargetFeed>,
     jobs: Mutex<JobDesk>,
     crashes: Mutex<CrashTable>,
-    patience: Mutex<PatienceBook>,
+    patience: Mutex<PatienceTable>,
 }
 
 impl EntryNode {
@@ -132,7 +132,7 @@
     }
 
     /// How long clients wait.
-    pub fn patience(&self) -> MutexGuard<'_, PatienceBook> {
+    pub fn patience(&self) -> MutexGuard<'_, PatienceTable> {
         self.patience.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
--- a/crates/entry/src/online/relay.rs
+++ b/crates/entry/src/online/relay.rs
@@ -58,7 +58,7 @@
 /// one whose client hasn't the time to come back is better served late than not.
 fn queue_limit(node: &EntryNode, request: &OnlineRequest) -> QueueLimit {
     let objective = request.route.objective;
-    let Some(patience) = request.patience() else { return QueueLimit::Any };
+    let Some(patience) = request.patience else { return QueueLimit::Any };
     let has_come_back = node.patience().has_come_back(&request.route.name, patience);
     // Clients wait for a third of their time at most before they come back.
     let can_come_back = patience >= objective * COME_BACK_OBJECTIVES;
@@ -386,7 +386,7 @@
                 ("own_load", &own_load),
                 ("reported_load", &reported_load),
                 ("failures", &failures),
-                ("patience_ms", &self.request.patience().map_or(-1, |p| p.as_millis() as i64)),
+                ("patience_ms", &self.request.patience.map_or(-1, |p| p.as_millis() as i64)),
                 ("last_event", &self.last_event.map_or(-1, |id| id as i64)),
                 ("first_ms", &first_ms),
                 ("ms", &now.since(arrived).as_millis()),
--- a/crates/entry/src/online/request.rs
+++ b/crates/entry/src/online/request.rs
@@ -24,6 +24,8 @@
     pub prompt: PromptHeads,
     /// Of its path and body: the same when the client sends it again.
     pub fingerprint: u64,
+    /// How long the client waits, if it says.
+    pub patience: Option<Duration>,
     /// When its answer must have ended: the client's patience or the route's timeout is over.
     pub deadline: MonoTime,
 }
@@ -42,7 +44,7 @@
         let fingerprint = CrashTable::fingerprint(&head.target, &body);
         let prompt = prompt_heads(&head.headers);
         let deadline = arrived + limit;
-        Self { head, body, route, configuration, arrived, prompt, fingerprint, deadline }
+        Self { head, body, route, configuration, arrived, prompt, fingerprint, patience, deadline }
     }
 
     /// The client's id of this attempt.
@@ -50,11 +52,6 @@
         RequestTerms::decode(&self.head.headers).attempt
     }
 
-    /// How long the client waits.
-    pub fn patience(&self) -> Option<Duration> {
-        RequestTerms::decode(&self.head.headers).patience
-    }
-
     /// The last event that the client holds.
     pub fn last_event(&self) -> Option<u64> {
         RequestTerms::decode(&self.head.headers).last_event
--- a/crates/entry/src/peers/hub.rs
+++ b/crates/entry/src/peers/hub.rs
@@ -197,8 +197,8 @@
         PeerMessage::ShareKept { call, holder, kept, ended_per_second } => {
             node.peers.share_calls.answer(call, KeptShare { holder, kept, ended_per_second });
         }
-        PeerMessage::Shares { limit, revision, book } => {
-            limits::take_shares(node, &limit, revision, book);
+        PeerMessage::Shares { limit, revision, table } => {
+            limits::take_shares(node, &limit, revision, table);
         }
         PeerMessage::StoreAnswer { call, end } => node.peers.store_calls.answer(call, end),
         PeerMessage::Stopping => {
--- a/crates/losses/src/summary.rs
+++ b/crates/losses/src/summary.rs
@@ -37,12 +37,9 @@
 
     fn take(&mut self, line: &LogLine, objective: f64, occupancy: &OccupancyMap) {
         match line.event.as_str() {
-            "request_ended" if line.text("status") != "404" => {
+            "request_ended" | "request_abandoned" if line.text("status") != "404" => {
                 *self.causes.entry(judge_request(line, objective, occupancy)).or_default() += 1;
             }
-            "request_abandoned" => {
-                *self.causes.entry(LossCause::Abandoned).or_default() += 1;
-            }
             "item_run_ended" => {
                 *self.item_runs.entry(line.text("outcome").to_owned()).or_default() += 1;
             }
--- a/crates/messages/src/peer.rs
+++ b/crates/messages/src/peer.rs
@@ -1,6 +1,6 @@
 //! Between gateways that relay straight to targets.
 
-use notch_relay::prelude::{HeldProgress, ResultLine, ShareBook, TargetEntry};
+use notch_relay::prelude::{HeldProgress, ResultLine, ShareTable, TargetEntry};
 use notch_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
@@ -181,7 +181,7 @@
         /// Revision of the write.
         revision: u64,
         /// The shares.
-        book: ShareBook,
+        table: ShareTable,
     },
     /// The sender was told to stop: it still runs its jobs, but takes none over any more.
     Stopping,
--- a/crates/relay/src/jobs/pace.rs
+++ b/crates/relay/src/jobs/pace.rs
@@ -2,16 +2,18 @@
 
 use std::time::Duration;
 
+use crate::learned::LearnedMean;
+
 /// Weight of the newest run in what is learned: the last dozen or so count.
 const PACE_WEIGHT: f64 = 0.1;
 
 /// How long a whole run of an item takes, learned from those that have ended.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct ItemPace {
-    /// Seconds for an item, whatever its size; 0 until one has ended.
-    item_seconds: f64,
-    /// Seconds for each token of an answer; 0 until an item has ended that told its tokens.
-    token_seconds: f64,
+    /// Seconds for an item, whatever its size.
+    item_seconds: LearnedMean,
+    /// Seconds for each token of an answer, of items that told their tokens.
+    token_seconds: LearnedMean,
 }
 
 impl ItemPace {
@@ -19,21 +21,16 @@
     /// `tokens`, 0 if it didn't say.
     pub fn note(&mut self, took: Duration, tokens: u32) {
         let seconds = took.as_secs_f64();
-        learn(&mut self.item_seconds, seconds);
+        self.item_seconds.note(seconds, PACE_WEIGHT);
         if tokens > 0 {
-            learn(&mut self.token_seconds, seconds / f64::from(tokens));
+            self.token_seconds.note(seconds / f64::from(tokens), PACE_WEIGHT);
         }
     }
 
     /// How long an item whose answer is expected to have `tokens` will likely take.
     pub fn expected(&self, tokens: u32) -> Duration {
-        let is_sized = tokens > 0 && self.token_seconds > 0.0;
-        let sized = self.token_seconds * f64::from(tokens);
-        Duration::from_secs_f64(if is_sized { sized } else { self.item_seconds })
+        let is_sized = tokens > 0 && self.token_seconds.is_known();
+        let sized = self.token_seconds.value() * f64::from(tokens);
+        Duration::from_secs_f64(if is_sized { sized } else { self.item_seconds.value() })
     }
 }
-
-fn learn(known: &mut f64, newest: f64) {
-    let weight = if *known > 0.0 { PACE_WEIGHT } else { 1.0 };
-    *known += (newest - *known) * weight;
-}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -4,6 +4,7 @@
 //! Nothing here does I/O or reads a clock.
 
 pub mod jobs;
+mod learned;
 pub mod limits;
 pub mod routes;
 pub mod stream;
@@ -20,9 +21,9 @@
             spec::{AnswerSize, ItemSpec, JobSpec, JobTerms},
         },
         limits::{
-            book::{HolderShare, ShareBook},
             drain::DrainRate,
             holder::{ShareHolder, ShareProposal, ShareStep},
+            table::{HolderShare, ShareTable},
         },
         routes::{
             configuration::{ClientLimits, Configuration},
@@ -39,7 +40,7 @@
             entry::{TargetEntry, TargetState},
             failure::{AttemptFailure, RunVerdict},
             pace::ServicePace,
-            patience::PatienceBook,
+            patience::PatienceTable,
             prompt::{PromptHead, PromptHeads},
             table::TargetTable,
         },
--- a/crates/relay/src/limits/holder.rs
+++ b/crates/relay/src/limits/holder.rs
@@ -8,7 +8,7 @@
 
 use notch_types::prelude::*;
 
-use crate::limits::book::ShareBook;
+use crate::limits::table::ShareTable;
 
 /// Divisor of what is free of a limit, beside the number of holders: what a holder takes beyond its
 /// need, so that the next jobs need no write. All together then hold at most half of what is free.
@@ -42,11 +42,11 @@
     },
 }
 
-/// A book to be written.
+/// A table to be written.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ShareProposal {
-    /// The book.
-    pub book: ShareBook,
+    /// The table.
+    pub table: ShareTable,
     /// The revision that the stored one must have; `None` where there must be none yet.
     pub revision: Option<u64>,
     /// The writer's share in it.
@@ -67,13 +67,13 @@
     name: String,
     /// The limit for which `lent` was lent.
     limit: u64,
-    /// What may be used here. Invariant: at most this holder's share in the stored book.
+    /// What may be used here. Invariant: at most this holder's share in the stored table.
     lent: u64,
-    /// Share in a book that is being written: it may be in force already.
+    /// Share in a table that is being written: it may be in force already.
     proposed: Option<u64>,
-    /// The book as last heard of. Shares in it may have been given back since by word of their
+    /// The table as last heard of. Shares in it may have been given back since by word of their
     /// holders; each rises only by a write, after which this revision is an old one.
-    book: ShareBook,
+    table: ShareTable,
     revision: Option<u64>,
     /// Holders of whom nothing was heard.
     silent: FastMap<String, SilentShare>,
@@ -87,15 +87,15 @@
             limit: 0,
             lent: 0,
             proposed: None,
-            book: ShareBook::default(),
+            table: ShareTable::default(),
             revision: None,
             silent: FastMap::default(),
         }
     }
 
-    /// The book as last heard of.
-    pub fn book(&self) -> &ShareBook {
-        &self.book
+    /// The table as last heard of.
+    pub fn table(&self) -> &ShareTable {
+        &self.table
     }
 
     /// What to do to use `amount` beside `used`. `holders` is how many gateways there are.
@@ -111,7 +111,7 @@
     ) -> ShareStep {
         self.take_limit(limit, used);
         let needed = used.saturating_add(amount);
-        let others = self.book.lent_to_others(&self.name);
+        let others = self.table.lent_to_others(&self.name);
         // Where a limit was lowered below what is lent, what ends must not be used again.
         let is_within = others.saturating_add(self.lent) <= limit;
         if is_in_touch && is_within && self.revision.is_some() && needed <= self.lent {
@@ -122,7 +122,7 @@
             return ShareStep::Full { missing: all - limit };
         };
         let spare = if is_in_touch { spare(free, limit, holders) } else { 0 };
-        ShareStep::Write(self.propose(self.book.clone(), needed + spare))
+        ShareStep::Write(self.propose(self.table.clone(), needed + spare))
     }
 
     /// The write that makes room here for what comes next, while there is much less than there may be;
@@ -130,44 +130,44 @@
     /// that answers in a quarter of a second would make each of them late.
     pub fn top_up(&mut self, used: u64, limit: u64, holders: u64) -> Option<ShareProposal> {
         self.take_limit(limit, used);
-        let needed = self.book.lent_to_others(&self.name).saturating_add(used);
+        let needed = self.table.lent_to_others(&self.name).saturating_add(used);
         let wanted = spare(limit.checked_sub(needed)?, limit, holders);
         let held = self.lent.saturating_sub(used);
         let is_enough = self.revision.is_some() && held >= wanted / TOP_UP_DIVISOR;
         if is_enough || wanted < limit / TOP_UP_LEAST_DIVISOR {
             return None;
         }
-        Some(self.propose(self.book.clone(), used.saturating_add(wanted)))
+        Some(self.propose(self.table.clone(), used.saturating_add(wanted)))
     }
 
     /// The write that must be done before work of other holders is taken over, which `used` counts
     /// already: it waits anyway, so it counts whatever the limit is.
     pub fn cover(&mut self, used: u64) -> ShareProposal {
         let lent = self.lent.max(used);
-        self.propose(self.book.clone(), lent)
+        self.propose(self.table.clone(), lent)
     }
 
     /// The write after work was taken over: its former holders hold that much less.
     pub fn release(&mut self, taken: &[(String, u64)]) -> ShareProposal {
-        let mut book = self.book.clone();
+        let mut table = self.table.clone();
         for (holder, amount) in taken.iter().filter(|(holder, _)| *holder != self.name) {
-            let left = book.share(holder).lent.saturating_sub(*amount);
-            book.give_back(holder, left);
+            let left = table.share(holder).lent.saturating_sub(*amount);
+            table.give_back(holder, left);
         }
-        self.propose(book, self.lent)
+        self.propose(table, self.lent)
     }
 
-    fn propose(&mut self, mut book: ShareBook, lent: u64) -> ShareProposal {
-        book.write_own(&self.name, lent);
+    fn propose(&mut self, mut table: ShareTable, lent: u64) -> ShareProposal {
+        table.write_own(&self.name, lent);
         self.proposed = Some(lent);
-        ShareProposal { book, revision: self.revision, lent }
+        ShareProposal { table, revision: self.revision, lent }
     }
 
     /// A proposal was written.
     pub fn written(&mut self, proposal: ShareProposal, revision: u64) {
         self.proposed = None;
         self.lent = proposal.lent;
-        self.adopt(proposal.book, revision);
+        self.adopt(proposal.table, revision);
     }
 
     /// A proposal was not written, or nobody can say.
@@ -175,17 +175,17 @@
         self.proposed = None;
     }
 
-    /// The book as another gateway or the store tells it.
-    pub fn adopt(&mut self, book: ShareBook, revision: u64) {
+    /// The table as another gateway or the store tells it.
+    pub fn adopt(&mut self, table: ShareTable, revision: u64) {
         if self.revision.is_none_or(|known| known < revision) {
-            self.book = book;
+            self.table = table;
             self.revision = Some(revision);
         }
     }
 
-    /// The stored book is gone.
-    pub fn forget_book(&mut self) {
-        self.book = ShareBook::default();
+    /// The stored table is gone.
+    pub fn forget_table(&mut self) {
+        self.table = ShareTable::default();
         self.revision = None;
     }
 
@@ -196,15 +196,15 @@
         kept
     }
 
-    /// Another holder gave back all above `lent`, after `revision` of the book was known here.
+    /// Another holder gave back all above `lent`, after `revision` of the table was known here.
     pub fn ceded(&mut self, holder: &str, lent: u64, revision: Option<u64>) {
-        // A book of a later revision may hold a share that it took after that.
+        // A table of a later revision may hold a share that it took after that.
         if self.revision == revision {
-            self.book.give_back(holder, lent);
+            self.table.give_back(holder, lent);
         }
     }
 
-    /// Revision of the book as last heard of.
+    /// Revision of the table as last heard of.
     pub fn revision(&self) -> Option<u64> {
         self.revision
     }
@@ -219,7 +219,7 @@
     ) -> Vec<String> {
         let mut long = Vec::new();
         let mut silent = FastMap::default();
-        for (holder, share) in self.book.shares() {
+        for (holder, share) in self.table.shares() {
             if holder == self.name || is_alive(holder) {
                 continue;
             }
--- a/crates/relay/src/limits/book.rs
+++ b/crates/relay/src/limits/table.rs
@@ -16,12 +16,12 @@
 /// All shares of one limit: one object of the store, which only a write under the condition of its
 /// revision changes. Invariant: what a holder uses is never above its share here.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ShareBook {
+pub struct ShareTable {
     /// By the holder's name with its incarnation.
     holders: BTreeMap<String, HolderShare>,
 }
 
-impl ShareBook {
+impl ShareTable {
     /// A holder's share.
     pub fn share(&self, holder: &str) -> HolderShare {
         self.holders.get(holder).copied().unwrap_or_default()
@@ -38,7 +38,7 @@
         others.fold(0, |sum, (_, share)| sum.saturating_add(share.lent))
     }
 
-    /// Sets the share of the holder that is about to write the book.
+    /// Sets the share of the holder that is about to write the table.
     pub fn write_own(&mut self, holder: &str, lent: u64) {
         let share = self.holders.entry(holder.to_owned()).or_default();
         share.lent = lent;
--- a/crates/relay/src/targets/pace.rs
+++ b/crates/relay/src/targets/pace.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::learned::LearnedMean;
+
 /// Weight of the newest answer in what is learned: the last dozen or two count.
 const PACE_WEIGHT: f64 = 0.05;
 /// Share of an objective that an answer's expected beginning may take: what is known of the queues is
@@ -11,18 +13,18 @@
 /// What is learned of a service's online answers.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct ServicePace {
-    /// Seconds that a whole answer takes; 0 until one has ended.
-    run: f64,
-    /// Seconds to the beginning of an answer that found a place free; 0 until one has begun.
-    first: f64,
+    /// Seconds that a whole answer takes.
+    run: LearnedMean,
+    /// Seconds to the beginning of an answer that found a place free.
+    first: LearnedMean,
 }
 
 impl ServicePace {
     /// A whole answer took `run`; it began after `first` where a place was free.
     pub fn note(&mut self, run: Duration, first: Option<Duration>) {
-        learn(&mut self.run, run);
+        self.run.note(run.as_secs_f64(), PACE_WEIGHT);
         if let Some(first) = first {
-            learn(&mut self.first, first);
+            self.first.note(first.as_secs_f64(), PACE_WEIGHT);
         }
     }
 
@@ -30,17 +32,12 @@
     /// requests that will be served first. Nothing is known before the first answer: all are let in.
     pub fn is_in_time(&self, ahead: u32, slots: u32, objective: Duration) -> bool {
         let ends_needed = (ahead + 1).saturating_sub(slots);
-        let wait = f64::from(ends_needed) * self.run / f64::from(slots.max(1));
-        ends_needed == 0 || wait + self.first <= objective.as_secs_f64() * OBJECTIVE_SHARE
+        let wait = f64::from(ends_needed) * self.run.value() / f64::from(slots.max(1));
+        ends_needed == 0 || wait + self.first.value() <= objective.as_secs_f64() * OBJECTIVE_SHARE
     }
 
     /// How long a whole answer takes; `None` until one has ended. All that runs now has ended by then.
     pub fn run(&self) -> Option<Duration> {
-        (self.run > 0.0).then(|| Duration::from_secs_f64(self.run))
+        self.run.is_known().then(|| Duration::from_secs_f64(self.run.value()))
     }
 }
-
-fn learn(known: &mut f64, newest: Duration) {
-    let weight = if *known > 0.0 { PACE_WEIGHT } else { 1.0 };
-    *known += (newest.as_secs_f64() - *known) * weight;
-}
--- a/crates/relay/src/targets/patience.rs
+++ b/crates/relay/src/targets/patience.rs
@@ -13,11 +13,11 @@
 
 /// The longest time that clients of each route give their requests.
 #[derive(Debug, Default)]
-pub struct PatienceBook {
+pub struct PatienceTable {
     longest: FastMap<String, Duration>,
 }
 
-impl PatienceBook {
+impl PatienceTable {
     /// Notes a request's time; whether the client has spent some of it on an attempt before.
     pub fn has_come_back(&mut self, route: &str, patience: Duration) -> bool {
         if let Some(longest) = self.longest.get_mut(route) {
--- a/crates/relay/src/targets/table.rs
+++ b/crates/relay/src/targets/table.rs
@@ -253,7 +253,7 @@
     ) -> Option<(f64, &TargetRecord)> {
         let TargetQuery { service, work, avoid, queue, prompt } = *query;
         let warm = self.warm.warm_tokens(prompt);
-        let pace = self.paces.get(service).copied().unwrap_or_default();
+        let pace = self.pace(service);
         let mut best: Option<(f64, &TargetRecord)> = None;
         let mut fallback: Option<(f64, &TargetRecord)> = None;
         for record in self.records.values() {
--- a/crates/relay/tests/limits.rs
+++ b/crates/relay/tests/limits.rs
@@ -9,17 +9,17 @@
 
 /// Stands for the stored object: takes a write under the condition of its revision.
 #[derive(Debug, Default)]
-struct StoredBook {
+struct StoredTable {
     revision: Option<u64>,
-    book: ShareBook,
+    table: ShareTable,
 }
 
-impl StoredBook {
+impl StoredTable {
     fn write(&mut self, proposal: &ShareProposal) -> bool {
         let matches = self.revision == proposal.revision;
         if matches {
             self.revision = Some(self.revision.unwrap_or(0) + 1);
-            self.book = proposal.book.clone();
+            self.table = proposal.table.clone();
         }
         matches
     }
@@ -27,7 +27,7 @@
 
 /// Gateways with what each uses.
 struct Fleet {
-    stored: StoredBook,
+    stored: StoredTable,
     holders: Vec<ShareHolder>,
     used: Vec<u64>,
     limit: u64,
@@ -45,7 +45,7 @@
 impl Fleet {
     fn new(count: usize, limit: u64) -> Self {
         let holders = (0..count).map(|n| ShareHolder::new(&format!("g-{n}#1"))).collect();
-        Self { stored: StoredBook::default(), holders, used: vec![0; count], limit }
+        Self { stored: StoredTable::default(), holders, used: vec![0; count], limit }
     }
 
     fn total(&self) -> u64 {
@@ -76,14 +76,14 @@
                         return Admission::Admitted;
                     }
                     holder.not_written();
-                    holder.adopt(self.stored.book.clone(), self.stored.revision.unwrap_or(0));
+                    holder.adopt(self.stored.table.clone(), self.stored.revision.unwrap_or(0));
                     has_asked = false;
                 }
                 ShareStep::Full { .. } if has_asked => return Admission::Refused,
                 ShareStep::Full { .. } => {
                     has_asked = true;
                     if has_store && let Some(revision) = self.stored.revision {
-                        holder.adopt(self.stored.book.clone(), revision);
+                        holder.adopt(self.stored.table.clone(), revision);
                     }
                     let revision = holder.revision();
                     for other in (0..self.holders.len()).filter(|n| *n != at && links[*n]) {
@@ -128,7 +128,7 @@
     for at in 0..3 {
         let holder = &mut fleet.holders[at];
         if let Some(revision) = fleet.stored.revision {
-            holder.adopt(fleet.stored.book.clone(), revision);
+            holder.adopt(fleet.stored.table.clone(), revision);
         }
         let proposal = holder.top_up(0, 100_000, 3).expect("there is none yet");
         assert!(fleet.stored.write(&proposal));
@@ -201,20 +201,20 @@
 }
 
 /// Symptom: the limit is exceeded. Sequence: a holder gives back what it doesn't use and takes more at
-/// the same time; the asker writes the book with what was given back. Cause: the word of the giving back
+/// the same time; the asker writes the table with what was given back. Cause: the word of the giving back
 /// outlived the write that followed it.
 #[test]
 fn a_share_taken_meanwhile_is_not_given_back() {
     let mut fleet = Fleet::new(2, 1_000);
     assert_eq!(fleet.admit(0, 100, &[true; 2], true), Admission::Admitted);
     let holder = &mut fleet.holders[1];
-    holder.adopt(fleet.stored.book.clone(), fleet.stored.revision.unwrap_or(0));
+    holder.adopt(fleet.stored.table.clone(), fleet.stored.revision.unwrap_or(0));
     let asked_at = holder.revision();
     let kept = fleet.holders[0].cede(fleet.used[0]);
     assert_eq!(kept, 100);
     assert_eq!(fleet.admit(0, 800, &[true; 2], true), Admission::Admitted);
     let holder = &mut fleet.holders[1];
-    holder.adopt(fleet.stored.book.clone(), fleet.stored.revision.unwrap_or(0));
+    holder.adopt(fleet.stored.table.clone(), fleet.stored.revision.unwrap_or(0));
     holder.ceded("g-0#1", kept, asked_at);
     assert!(matches!(holder.step(0, 500, 1_000, 2, true), ShareStep::Full { .. }));
 }
@@ -264,9 +264,9 @@
                 }
                 4..6 => fleet.used[at] = fleet.used[at].saturating_sub(amount),
                 6 => {
-                    let (holder, book) = (&mut fleet.holders[at], fleet.stored.book.clone());
+                    let (holder, table) = (&mut fleet.holders[at], fleet.stored.table.clone());
                     if let Some(revision) = fleet.stored.revision {
-                        holder.adopt(book, revision);
+                        holder.adopt(table, revision);
                     }
                 }
                 _ => {
@@ -295,7 +295,7 @@
             }
             let shares = fleet.holders.iter().enumerate();
             for (n, _) in shares {
-                let share = fleet.stored.book.share(&format!("g-{n}#1")).lent;
+                let share = fleet.stored.table.share(&format!("g-{n}#1")).lent;
                 prop_assert!(fleet.used[n] <= share, "{n} uses {} of {share}", fleet.used[n]);
             }
         }
--- a/crates/relay/tests/targets.rs
+++ b/crates/relay/tests/targets.rs
@@ -354,10 +354,10 @@
 
 #[test]
 fn a_client_with_less_time_than_others_has_come_back() {
-    let mut book = PatienceBook::default();
+    let mut table = PatienceTable::default();
     let millis = Duration::from_millis;
-    assert!(!book.has_come_back("r1", millis(5_000)));
-    assert!(!book.has_come_back("r1", millis(4_990)));
-    assert!(book.has_come_back("r1", millis(4_100)));
-    assert!(!book.has_come_back("r2", millis(4_100)), "another route's clients");
+    assert!(!table.has_come_back("r1", millis(5_000)));
+    assert!(!table.has_come_back("r1", millis(4_990)));
+    assert!(table.has_come_back("r1", millis(4_100)));
+    assert!(!table.has_come_back("r2", millis(4_100)), "another route's clients");
 }
