Log each answer that a job has nothing new, and whose word it rests on

Sight for an incident: a reader was shown N results and then told by a gateway in touch that there was none at position N. The logs told what was stored, displaced and lost, but not who was told that there was nothing, nor by whose word. job_read_empty tells the job, the position and whether the owner itself, the owner's word to another gateway or the store said so; a read asks twice a second, so the volume is bounded by open jobs.

--- a/crates/entry/src/batch/reads.rs
+++ b/crates/entry/src/batch/reads.rs
@@ -64,7 +64,7 @@
                     continue;
                 }
                 if is_sure_of_owned(node, job) {
-                    return results_answer(total, after, &[]);
+                    return nothing_new(node, job, total, after, "owner");
                 }
                 // A gateway out of touch may have taken the job over and listed more, or a write of
                 // our own may have been done that was not answered.
@@ -136,7 +136,12 @@
         }
     }
     let Some(total) = copy.total else { return unsure(node, job, "no_total") };
-    let answer = results_answer(total, after, copy.lines.get(after..).unwrap_or_default());
+    let lines = copy.lines.get(after..).unwrap_or_default();
+    let answer = if lines.is_empty() {
+        nothing_new(node, job, total, after, if is_sure { "told" } else { "store" })
+    } else {
+        results_answer(total, after, lines)
+    };
     node.jobs().copies.keep(job, copy);
     answer
 }
@@ -259,6 +264,19 @@
     OwnAnswer { status: 200, body, ..OwnAnswer::default() }
 }
 
+/// There is nothing from a position on, by the word of whom `source` names.
+fn nothing_new(
+    node: &EntryNode,
+    job: &str,
+    total: usize,
+    after: usize,
+    source: &'static str,
+) -> OwnAnswer {
+    node.log.info("job_read_empty", &[("job", &job), ("after", &after), ("source", &source)]);
+    node.metrics.count(Counter::Event("job_reads_empty"));
+    results_answer(total, after, &[])
+}
+
 /// Nobody can say now: not that there is nothing.
 fn unsure(node: &EntryNode, job: &str, reason: &'static str) -> OwnAnswer {
     node.log.warn("job_read_unsure", &[("job", &job), ("reason", &reason)]);
--- a/crates/entry/src/batch/takeover.rs
+++ b/crates/entry/src/batch/takeover.rs
@@ -157,7 +157,11 @@
     stable_hash64(&[job.as_bytes(), vm.as_str().as_bytes()])
 }
 
-async fn take_over(node: &Arc<EntryNode>, job: &StoredJob) -> Result<(), StoreFailure> {
+/// Takes one job over, unless another task here has it.
+///
+/// # Errors
+/// The store didn't answer: the job may be this gateway's by now, and is taken again later.
+pub async fn take_over(node: &Arc<EntryNode>, job: &StoredJob) -> Result<(), StoreFailure> {
     if !node.jobs().begin(&job.id) {
         return Ok(());
     }
