Believe in ownership only as long as no doubt came after the question

Cause, one class in six places: belief of ownership had no age. An owner said "there is nothing more" by links that looked up, by an answer of the store to a question older than its doubt, by a takeover that another one had overtaken, or, asked from the beginning of its list, without looking whether a write of its own was unanswered; and a list cut to a message went as whole. Mend: each event after which a job may be another gateway's (a link that forms, a gateway heard again after 0.6 s, an entry gone, a claim, a displaced write, a question from beyond the list) is a doubt with a number. Ownership counts as confirmed only by an answer that was asked for under the last number, and only while every known gateway was heard within 0.6 s; otherwise a reader's answer rests on the store. Heartbeats are told by links for that. A takeover asks for the owner once more after its fence. A gateway that was never linked to is given 2.5 s instead of 1 s before its jobs are taken over: it may not know a gateway that has just started. No clock of two VMs is compared; the store's calls grow by one a takeover and one a job and doubt, asked when a reader needs it. Ruled out: results shown by a displaced owner are in everybody's list (a test that passes before and after). The displaced owner's unit test now also expects that an older answer confirms nothing.

--- a/crates/entry/src/batch/commits.rs
+++ b/crates/entry/src/batch/commits.rs
@@ -89,9 +89,10 @@
     now: MonoTime,
 ) {
     {
-        let mut desk = node.jobs();
-        let Some(owned) = desk.board.get_mut(job) else { return };
-        owned.displaced(lines, now);
+        let is_owned = node.jobs().board.displace(job, lines, now);
+        if !is_owned {
+            return;
+        }
     }
     node.job_news.notify(usize::MAX);
     ownership::verify(node, job).await;
--- a/crates/entry/src/batch/intake.rs
+++ b/crates/entry/src/batch/intake.rs
@@ -163,10 +163,12 @@
     text: String,
 ) -> IntakeOutcome {
     let mut was_unclear = false;
+    // The write itself makes it ours; it may be another gateway's by the time the answer is read.
+    let asked = node.jobs().board.last_doubt();
     loop {
         match create_job(&node.store, &spec.id, &record, &text).await {
             Ok(true) => {
-                own_job(&node, spec);
+                own_job(&node, spec, asked);
                 return IntakeOutcome::Ours;
             }
             Ok(false) if was_unclear => {
@@ -185,6 +187,7 @@
 
 /// The job is stored, after a write whose answer was lost: it's ours if our record stands there.
 async fn settle(node: &Arc<EntryNode>, spec: Arc<JobSpec>, record: &JobRecord) -> IntakeOutcome {
+    let asked = node.jobs().board.last_doubt();
     let stored = until_answered(|| true, || read_job(&node.store, &spec.id)).await.flatten();
     if stored.is_none_or(|stored| stored.owner() != record.owner) {
         return IntakeOutcome::Known;
@@ -192,17 +195,19 @@
     // It may have been accepted and ended elsewhere while our answer was lost.
     let is_ended = until_answered(|| true, || read_end(&node.store, &spec.id)).await;
     if is_ended == Some(false) {
-        own_job(node, spec);
+        own_job(node, spec, asked);
     }
     IntakeOutcome::Ours
 }
 
-/// Begins to run a job that is stored as ours.
-fn own_job(node: &Arc<EntryNode>, spec: Arc<JobSpec>) {
+/// Begins to run a job that is stored as ours, by an answer asked for under `asked`.
+fn own_job(node: &Arc<EntryNode>, spec: Arc<JobSpec>, asked: DoubtNumber) {
     let id = spec.id.clone();
     let items = spec.items.len();
+    let mut owned = OwnedJob::new(spec, Vec::new(), node.clock.now());
+    owned.confirm(asked);
     let mut desk = node.jobs();
-    if desk.is_known(&id) || !desk.own_job(OwnedJob::new(spec, Vec::new(), node.clock.now())) {
+    if desk.is_known(&id) || !desk.own_job(owned) {
         return;
     }
     drop(desk);
--- a/crates/entry/src/batch/ownership.rs
+++ b/crates/entry/src/batch/ownership.rs
@@ -1,18 +1,54 @@
 //! Whether a job still is ours.
+//!
+//! Belief of ownership ages: another gateway may take a job over whenever it hears nothing of this one.
+//! Each event after which that may have happened is a doubt with a number; this gateway is sure of a job
+//! only by an answer to a question asked after the last doubt, and while it hears every other gateway.
 
 use std::sync::{Arc, atomic::Ordering};
 
 use async_std::task;
 use notch_messages::prelude::PeerMessage;
 use notch_relay::prelude::OwnedJob;
+use notch_types::prelude::Counter;
 
 use crate::{
     batch::{closing::close_whole_job, limits, records::read_job},
-    constants::VERIFY_DELAY,
+    constants::{STORE_DOUBT, VERIFY_DELAY},
     node::EntryNode,
-    store::retry::until_answered,
+    store::{reply::StoreFailure, retry::until_answered},
 };
 
+/// Whether the list of a job owned here surely has nothing beyond what is known here.
+pub fn is_sure(node: &EntryNode, job: &str) -> bool {
+    let now = node.clock.mono();
+    if !node.peers.hears_all(now) {
+        return false;
+    }
+    let desk = node.jobs();
+    let is_sure = |job: &OwnedJob| job.is_confirmed() && !job.is_storing_since(now - STORE_DOUBT);
+    desk.board.get(job).is_some_and(is_sure)
+}
+
+/// Any job that we own may have been taken over: links came back, or the others weren't heard for long.
+pub fn doubt_all(node: &EntryNode, cause: &'static str) {
+    let mut desk = node.jobs();
+    desk.board.doubt_all();
+    let jobs = desk.open_owned().len();
+    drop(desk);
+    if jobs > 0 {
+        node.log.info("ownership_doubted", &[("jobs", &jobs), ("cause", &cause)]);
+        node.metrics.count(Counter::Event("ownership_doubts"));
+    }
+}
+
+/// This job may have been taken over: the store is asked at once.
+pub fn doubt(node: &Arc<EntryNode>, job: &str, cause: &'static str) {
+    node.jobs().board.doubt(job);
+    node.log.info("ownership_doubted", &[("job", &job), ("cause", &cause)]);
+    let (node, job) = (Arc::clone(node), job.to_owned());
+    task::spawn(async move { verify(&node, &job).await });
+}
+
 /// Checks every job that we run, once for all calls that come together.
 ///
 /// A gateway that stood still, or was cut off, may have lost jobs to others that have ended them by
@@ -29,31 +65,16 @@
     }
 }
 
-/// Asks the store who owns a job that we run, and gives it up if it's another gateway.
+/// Asks the store who owns a job that we run, for as long as it takes, and tells the others if we do.
 ///
 /// A gateway that was out of touch with the others may have lost a job without a word. Two that both
 /// run it waste places, and each would tell readers of its own view of the list.
 pub async fn verify(node: &Arc<EntryNode>, job: &str) {
     let is_owned = || node.jobs().is_owned(job);
-    let reading = until_answered(is_owned, || read_job(&node.store, job));
-    let Some(stored) = reading.await else { return };
-    let owner = stored.as_ref().map_or("", |stored| stored.owner());
-    if owner != node.owner {
-        node.log.warn("job_lost", &[("job", &job), ("owner", &owner)]);
-        let mut desk = node.jobs();
-        let route = desk.board.get(job).map(|owned| owned.spec().route.clone());
-        desk.give_up_job(job);
-        desk.note_owner(&[job.to_owned()], owner);
-        drop(desk);
-        if let Some(route) = route {
-            limits::cede(node, &route);
-        }
-        node.job_news.notify(usize::MAX);
+    let checking = until_answered(is_owned, || check(node, job));
+    if checking.await != Some(true) {
         return;
     }
-    if let Some(owned) = node.jobs().board.get_mut(job) {
-        owned.confirm();
-    }
     node.peers.broadcast(&PeerMessage::JobsOwned(vec![job.to_owned()]));
     let is_closed = node.jobs().board.get(job).is_some_and(OwnedJob::is_closed);
     if is_closed {
@@ -61,3 +82,37 @@
     }
     node.runner_wake.notify(usize::MAX);
 }
+
+/// Asks the store once who owns a job that we run, and gives it up if it's another gateway; whether it's
+/// ours.
+///
+/// # Errors
+/// The store didn't answer.
+pub async fn check(node: &EntryNode, job: &str) -> Result<bool, StoreFailure> {
+    // Read before the question goes out: what is doubted meanwhile stays in doubt.
+    let asked = node.jobs().board.last_doubt();
+    let stored = read_job(&node.store, job).await?;
+    let owner = stored.as_ref().map_or("", |stored| stored.owner());
+    let is_ours = owner == node.owner;
+    if is_ours {
+        if let Some(owned) = node.jobs().board.get_mut(job) {
+            owned.confirm(asked);
+        }
+    } else {
+        yield_job(node, job, owner);
+    }
+    Ok(is_ours)
+}
+
+fn yield_job(node: &EntryNode, job: &str, owner: &str) {
+    node.log.warn("job_lost", &[("job", &job), ("owner", &owner)]);
+    let mut desk = node.jobs();
+    let route = desk.board.get(job).map(|owned| owned.spec().route.clone());
+    desk.give_up_job(job);
+    desk.note_owner(&[job.to_owned()], owner);
+    drop(desk);
+    if let Some(route) = route {
+        limits::cede(node, &route);
+    }
+    node.job_news.notify(usize::MAX);
+}
--- a/crates/entry/src/batch/reads.rs
+++ b/crates/entry/src/batch/reads.rs
@@ -11,9 +11,10 @@
 use crate::{
     batch::{
         copies::JobCopy,
+        ownership,
         records::{read_job, read_results as stored_results, read_spec},
     },
-    constants::{ASK_GRACE, ASK_WAIT, RESULT_PAGE_BYTES, RETRY_AFTER, STORE_DOUBT},
+    constants::{ASK_GRACE, ASK_WAIT, RESULT_PAGE_BYTES, RETRY_AFTER},
     front::answer::OwnAnswer,
     node::EntryNode,
     peers::calls::CallEnd,
@@ -63,9 +64,13 @@
                     let _ = timeout(left, listener).await;
                     continue;
                 }
-                if is_sure_of_owned(node, job) {
+                if is_sure_of_owned(node, job).await {
                     return nothing_new(node, job, total, after, "owner");
                 }
+                if !node.jobs().is_owned(job) {
+                    // The check has told that it is another gateway's.
+                    continue;
+                }
                 // A gateway out of touch may have taken the job over and listed more, or a write of
                 // our own may have been done that was not answered.
                 return match stored_results(&node.store, job, held).await {
@@ -81,12 +86,20 @@
     }
 }
 
-/// Whether the list of a job owned here has nothing beyond what is known here.
-fn is_sure_of_owned(node: &EntryNode, job: &str) -> bool {
-    let now = node.clock.mono();
-    let desk = node.jobs();
-    let is_unsure = |job: &OwnedJob| job.is_in_doubt() || job.is_storing_since(now - STORE_DOUBT);
-    node.peers.hears_all(now) && !desk.board.get(job).is_some_and(is_unsure)
+/// Whether the list of a job owned here has nothing beyond what is known here. In doubt the store is
+/// asked who owns it, once for all readers until the next doubt; not while some gateway isn't heard, for
+/// the answer would be good for that moment only.
+async fn is_sure_of_owned(node: &EntryNode, job: &str) -> bool {
+    if ownership::is_sure(node, job) {
+        return true;
+    }
+    let is_confirmed = node.jobs().board.get(job).is_none_or(OwnedJob::is_confirmed);
+    if is_confirmed || !node.peers.hears_all(node.clock.mono()) {
+        return false;
+    }
+    // A store that doesn't answer leaves the doubt.
+    let _ = ownership::check(node, job).await;
+    ownership::is_sure(node, job)
 }
 
 fn read_state(node: &EntryNode, job: &str, after: usize) -> ReadState {
@@ -98,7 +111,8 @@
             return ReadState::OwnedNothing { total, held: owned.results().len() };
         }
         let lines = lines.to_vec();
-        return ReadState::Known(KnownLines { total, lines, is_sure: true, ends_object: true });
+        let is_sure = owned.results().len() >= total;
+        return ReadState::Known(KnownLines { total, lines, is_sure, ends_object: true });
     }
     let copy = desk.copies.get(job).cloned().unwrap_or_default();
     match copy.total {
@@ -206,10 +220,18 @@
     let known = loop {
         let listener = node.job_news.listen();
         let left = until.since(node.clock.mono());
+        // An owner in doubt tells what it has, and that more may follow; who asks has a store to ask, too.
+        let is_sure = ownership::is_sure(node, job);
         match read_state(node, job, after) {
-            ReadState::Known(known) => break known,
+            ReadState::Known(known) => {
+                break KnownLines { is_sure: is_sure || known.is_sure, ..known };
+            }
+            ReadState::OwnedNothing { total, held } if after > held => {
+                // Readers were shown more than is known here: somebody else extends the list.
+                ownership::doubt(node, job, "asked_beyond");
+                break KnownLines { total, lines: Vec::new(), is_sure: false, ends_object: true };
+            }
             ReadState::OwnedNothing { total, .. } if left.is_zero() => {
-                let is_sure = is_sure_of_owned(node, job);
                 break KnownLines { total, lines: Vec::new(), is_sure, ends_object: true };
             }
             ReadState::OwnedNothing { .. } => {
@@ -222,9 +244,12 @@
         }
     };
     let sent = ResultLine::fitting(&known.lines, NEWS_BYTES);
-    let is_all = known.ends_object && sent.len() == known.lines.len();
+    let is_cut = sent.len() < known.lines.len();
+    let is_all = known.ends_object && !is_cut;
     let lines = sent.iter().map(|line| ResultLine::clone(line)).collect();
-    let (is_sure, total) = (known.is_sure, known.total as u64);
+    // What didn't fit follows what is told.
+    let is_sure = known.is_sure && !is_cut;
+    let total = known.total as u64;
     node.peers.send(peer, PeerMessage::JobNews { call, is_sure, total, lines, is_all });
 }
 
--- a/crates/entry/src/batch/takeover.rs
+++ b/crates/entry/src/batch/takeover.rs
@@ -12,7 +12,7 @@
     batch::{
         closing::close_whole_job,
         limits,
-        records::{StoredJob, fence_results, read_end, read_spec, take_job},
+        records::{StoredJob, fence_results, read_end, read_job, read_spec, take_job},
         stored_jobs::list_jobs,
     },
     constants::{ORPHANS_AGAIN, ORPHANS_FIRST, PEER_TICK},
@@ -181,9 +181,18 @@
         node.jobs().note_ended(id, node.clock.mono());
         return Ok(());
     }
+    // Who took the job over before our fence stood may extend the list before it; whoever does it later
+    // finds the fence. So only an answer to a question asked now tells that the list is ours.
+    let asked = node.jobs().board.last_doubt();
+    let owner = read_job(&node.store, id).await?.map(|job| job.owner().to_owned());
+    if owner.as_deref() != Some(&*node.owner) {
+        node.log.warn("job_overtaken", &[("job", id), ("owner", &owner.unwrap_or_default())]);
+        return Ok(());
+    }
     let listed = list.lines.len();
     let mut owned = OwnedJob::new(spec, list.lines, node.clock.now());
     owned.set_fences(list.fences);
+    owned.confirm(asked);
     let is_closed = owned.is_closed();
     {
         let mut desk = node.jobs();
--- a/crates/entry/src/constants.rs
+++ b/crates/entry/src/constants.rs
@@ -68,8 +68,12 @@
 pub const LAG_PATIENCE: Duration = Duration::from_millis(250);
 /// A gateway whose link is down this long is taken for dead and its jobs are taken over.
 pub const PEER_DEAD: Duration = Duration::from_millis(1_000);
-/// A gateway out of touch with a peer for this long asks the store before it says that a job has
-/// no more results. Invariant: shorter than [`PEER_DEAD`].
+/// A gateway that was never linked to is taken for dead after this long: gateways read each other's entries
+/// every 1.5 s, and a link takes up to a second more.
+pub const FIRST_LINK: Duration = Duration::from_millis(2_500);
+/// A gateway that hasn't heard a peer for this long asks the store before it says that a job has no more
+/// results. Invariants: shorter than [`PEER_DEAD`] by more than a message's way takes, and at least twice
+/// the links' heartbeat.
 pub const OWNER_DOUBT: Duration = Duration::from_millis(600);
 /// How often the other gateways are looked at.
 pub const PEER_TICK: Duration = Duration::from_millis(250);
--- a/crates/entry/src/peers/hub.rs
+++ b/crates/entry/src/peers/hub.rs
@@ -50,6 +50,7 @@
         FeedEvent::Changed { object } => put_gateway(&node, object, &settings, &sink),
         FeedEvent::Deleted { object, .. } => {
             node.peers.remove_entry(&VmName::new(&object.metadata.name));
+            ownership::doubt_all(&node, "entry_gone");
         }
     })
     .await;
@@ -110,6 +111,7 @@
         LinkEvent::Up { peer, link } => {
             node.log.info("gateway_link_up", &[("gateway", &peer.vm)]);
             node.peers.link_up(&peer.vm, link, node.clock.mono());
+            ownership::doubt_all(node, "link_up");
             let jobs = node.jobs().open_owned();
             let hello = PeerMessage::Hello { owner: node.owner.clone(), jobs };
             node.peers.send(&peer.vm, hello);
@@ -126,7 +128,9 @@
                 node.log.warn("gateway_link_down", &[("gateway", &peer.vm), ("reason", &reason)]);
             }
         }
+        LinkEvent::Heartbeat { peer } => note_heard(node, &peer),
         LinkEvent::Message { peer, message: LinkMessage::Peer(message), .. } => {
+            note_heard(node, &peer);
             take_message(node, &peer, message);
         }
         LinkEvent::Message { peer, .. } => {
@@ -135,6 +139,14 @@
     }
 }
 
+/// Something came from a gateway. What was sent to us while we stood still, or while its way took long, is
+/// read before what tells that our jobs were taken over: after a silence the store has to be asked.
+fn note_heard(node: &EntryNode, peer: &LinkPeer) {
+    if node.peers.note_heard(&peer.vm, node.clock.mono()) {
+        ownership::doubt_all(node, "silence");
+    }
+}
+
 fn take_message(node: &Arc<EntryNode>, peer: &LinkPeer, message: PeerMessage) {
     match message {
         PeerMessage::Hello { owner, jobs } => {
@@ -251,14 +263,12 @@
 /// Another gateway says that it owns these jobs. Where we think the same, the store tells who is
 /// right: were the other simply believed, two that meet after a cut could each yield to the other.
 fn take_owned(node: &Arc<EntryNode>, owner: &str, jobs: &[String]) {
-    let mut desk = node.jobs();
     for job in jobs {
-        if desk.is_owned(job) {
-            let node = Arc::clone(node);
-            let job = job.clone();
-            task::spawn(async move { ownership::verify(&node, &job).await });
+        let is_owned = node.jobs().is_owned(job);
+        if is_owned {
+            ownership::doubt(node, job, "claimed");
         } else {
-            desk.note_owner(std::slice::from_ref(job), owner);
+            node.jobs().note_owner(std::slice::from_ref(job), owner);
         }
     }
 }
--- a/crates/entry/src/peers/table.rs
+++ b/crates/entry/src/peers/table.rs
@@ -11,7 +11,7 @@
 use notch_types::prelude::*;
 
 use crate::{
-    constants::{OWNER_DOUBT, PEER_DEAD},
+    constants::{FIRST_LINK, OWNER_DOUBT, PEER_DEAD},
     peers::{calls::CallTable, record::GatewayEntry},
 };
 
@@ -62,6 +62,10 @@
     owner: Option<String>,
     /// Since when there is no link.
     down_since: MonoTime,
+    /// When anything came from it last, or its entry was first read.
+    heard_at: MonoTime,
+    /// A link to it stood once.
+    was_linked: bool,
     /// It was told to stop, and takes no jobs over.
     is_stopping: bool,
     /// It said that it leaves its jobs to others.
@@ -119,6 +123,8 @@
         let mut peers = self.peers();
         let record = peers.entry(vm.clone()).or_insert_with(|| PeerRecord::new(now));
         record.link = Some(link);
+        record.heard_at = now;
+        record.was_linked = true;
         record.owner = None;
         record.is_stopping = false;
         record.is_leaving = false;
@@ -138,6 +144,16 @@
         true
     }
 
+    /// Something came from a gateway; whether it hadn't been heard for so long that it may have taken jobs
+    /// of ours over.
+    pub fn note_heard(&self, vm: &VmName, now: MonoTime) -> bool {
+        let mut peers = self.peers();
+        let Some(record) = peers.get_mut(vm) else { return false };
+        let was_doubtful = now.since(record.heard_at) >= OWNER_DOUBT;
+        record.heard_at = now;
+        was_doubtful
+    }
+
     /// Who a peer said it is.
     pub fn set_owner(&self, vm: &VmName, owner: &str) {
         if let Some(record) = self.peers().get_mut(vm) {
@@ -269,7 +285,7 @@
             OwnerLiveness::Gone
         } else if record.link.is_some() {
             OwnerLiveness::Alive
-        } else if now.since(record.down_since) < PEER_DEAD {
+        } else if now.since(record.down_since) < record.patience() {
             OwnerLiveness::Doubtful
         } else {
             OwnerLiveness::Gone
@@ -302,11 +318,11 @@
         named.collect()
     }
 
-    /// Whether every known gateway was heard of a moment ago. While one isn't, it may have taken
-    /// jobs of ours over.
+    /// Whether every known gateway was heard a moment ago. While one isn't, it may have taken jobs of ours
+    /// over. A link that still looks up says nothing: a process that stood still hasn't read yet that the
+    /// others closed it.
     pub fn hears_all(&self, now: MonoTime) -> bool {
-        let doubtful = |r: &PeerRecord| r.link.is_none() && now.since(r.down_since) >= OWNER_DOUBT;
-        !self.peers().values().any(doubtful)
+        self.peers().values().all(|record| now.since(record.heard_at) < OWNER_DOUBT)
     }
 
     fn peers(&self) -> MutexGuard<'_, FastMap<VmName, PeerRecord>> {
@@ -315,6 +331,12 @@
 }
 
 impl PeerRecord {
+    /// How long it may be without a link before it is taken for dead. One that was never linked to may live
+    /// and not have heard of us yet, when it's we who have just started.
+    fn patience(&self) -> Duration {
+        if self.was_linked { PEER_DEAD } else { FIRST_LINK }
+    }
+
     fn new(now: MonoTime) -> Self {
         Self {
             entry: None,
@@ -322,6 +344,8 @@
             link: None,
             owner: None,
             down_since: now,
+            heard_at: now,
+            was_linked: false,
             is_stopping: false,
             is_leaving: false,
             is_watching: false,
--- a/crates/gateway/src/control/core_links.rs
+++ b/crates/gateway/src/control/core_links.rs
@@ -33,6 +33,7 @@
                     self.link_lost(now, &peer);
                 }
             }
+            LinkEvent::Heartbeat { .. } => {}
             LinkEvent::Message { peer, link, message } => {
                 self.take_message(now, &peer, link, message);
             }
--- a/crates/gateway/src/edge/link_sink.rs
+++ b/crates/gateway/src/edge/link_sink.rs
@@ -28,6 +28,7 @@
                 inbox.send(ControlEvent::Link(LinkEvent::Message { peer, link, message }));
             }
         }
+        LinkEvent::Heartbeat { .. } => {}
         event => inbox.send(ControlEvent::Link(event)),
     })
 }
--- a/crates/link/src/connection.rs
+++ b/crates/link/src/connection.rs
@@ -96,7 +96,9 @@
             _ => continue,
         };
         match codec::decode(&bytes) {
-            Ok(LinkMessage::Heartbeat { .. } | LinkMessage::HeartbeatAck { .. }) => {}
+            Ok(LinkMessage::Heartbeat { .. } | LinkMessage::HeartbeatAck { .. }) => {
+                sink(LinkEvent::Heartbeat { peer: peer.clone() });
+            }
             Ok(message) => sink(LinkEvent::Message { peer: peer.clone(), link, message }),
             Err(fault) => return LinkDown::Failed(fault),
         }
--- a/crates/link/src/event.rs
+++ b/crates/link/src/event.rs
@@ -44,9 +44,14 @@
         peer: LinkPeer,
         /// On which link.
         link: u64,
-        /// The message; heartbeats are not shown.
+        /// The message.
         message: LinkMessage,
     },
+    /// A heartbeat came: the other end lives and has nothing to say.
+    Heartbeat {
+        /// From whom.
+        peer: LinkPeer,
+    },
     /// The link is gone.
     Down {
         /// Whom it led to.
--- a/crates/relay/src/jobs/board.rs
+++ b/crates/relay/src/jobs/board.rs
@@ -1,10 +1,12 @@
 //! The jobs that one gateway owns, and which item runs next.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use notch_types::prelude::*;
 
-use crate::jobs::{owned::OwnedJob, pace::ItemPace, spec::ItemSpec};
+use crate::jobs::{
+    doubt::DoubtNumber, owned::OwnedJob, pace::ItemPace, result::ResultLine, spec::ItemSpec,
+};
 
 /// An item to be run now.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -25,16 +27,52 @@
 #[derive(Debug, Default)]
 pub struct JobBoard {
     jobs: FastMap<String, OwnedJob>,
+    /// The last doubt of all.
+    last_doubt: DoubtNumber,
+    /// The last doubt that was about every job. Invariant: at most `last_doubt`.
+    doubted: DoubtNumber,
     /// How long items take.
     pace: ItemPace,
 }
 
 impl JobBoard {
-    /// Takes a job over; nothing changes when it is here already.
-    pub fn add(&mut self, job: OwnedJob) {
+    /// Takes a job over; nothing changes when it is here already. A doubt about every job that came after
+    /// its ownership was asked for is about it, too.
+    pub fn add(&mut self, mut job: OwnedJob) {
+        job.doubt(self.doubted);
         self.jobs.entry(job.spec().id.clone()).or_insert(job);
     }
 
+    /// The last doubt: who asks the store now gets an answer that is good until the next one.
+    pub fn last_doubt(&self) -> DoubtNumber {
+        self.last_doubt
+    }
+
+    /// Any job may have been taken over by another gateway.
+    pub fn doubt_all(&mut self) {
+        self.last_doubt = self.last_doubt.next();
+        self.doubted = self.last_doubt;
+        for job in self.jobs.values_mut() {
+            job.doubt(self.last_doubt);
+        }
+    }
+
+    /// This job may have been taken over by another gateway.
+    pub fn doubt(&mut self, id: &str) {
+        self.last_doubt = self.last_doubt.next();
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.doubt(self.last_doubt);
+        }
+    }
+
+    /// Another gateway wrote where the job's results were to stand; false when the job isn't here.
+    pub fn displace(&mut self, id: &str, lines: Vec<Arc<ResultLine>>, now: MonoTime) -> bool {
+        let Some(job) = self.jobs.get_mut(id) else { return false };
+        self.last_doubt = self.last_doubt.next();
+        job.displaced(lines, self.last_doubt, now);
+        true
+    }
+
     /// Drops a job that another gateway owns now, or that is closed.
     pub fn remove(&mut self, id: &str) -> Option<OwnedJob> {
         self.jobs.remove(id)
--- a/crates/relay/src/jobs/owned.rs
+++ b/crates/relay/src/jobs/owned.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::jobs::{
+    doubt::DoubtNumber,
     pace::ItemPace,
     result::{ItemState, ResultLine},
     spec::{ItemSpec, JobSpec},
@@ -105,10 +106,14 @@
     storing_since: MonoTime,
     /// When the oldest pending result came.
     pending_since: MonoTime,
-    /// Another gateway wrote where this one wanted to, and the store hasn't yet said who owns the job.
+    /// The last doubt whether another gateway owns the job.
+    doubted: DoubtNumber,
+    /// The number under which the latest confirmation that this gateway owns it was asked for.
+    confirmed: DoubtNumber,
+    /// Another gateway wrote where this one wanted to, and no question asked since then was answered.
     /// Invariant: nothing is stored meanwhile. A former owner that went on after the fence it had found
     /// would extend a list that the new owner takes for its own.
-    in_doubt: bool,
+    is_displaced: bool,
     /// The client ended it: nothing of it runs any more.
     ended: bool,
 }
@@ -132,7 +137,9 @@
             storing: 0,
             storing_since: now.mono,
             pending_since: now.mono,
-            in_doubt: false,
+            doubted: DoubtNumber::default(),
+            confirmed: DoubtNumber::default(),
+            is_displaced: false,
             ended: false,
             spec,
         }
@@ -302,7 +309,7 @@
         bytes: usize,
         now: MonoTime,
     ) -> Option<Vec<Arc<ResultLine>>> {
-        if self.storing > 0 || self.pending.is_empty() || self.ended || self.in_doubt {
+        if self.storing > 0 || self.pending.is_empty() || self.ended || self.is_displaced {
             return None;
         }
         // Near the due time a result counts only if it's listed at once.
@@ -331,11 +338,13 @@
         self.pending_since = now;
     }
 
-    /// Another gateway stored `lines`, or a fence where there are none, at the position that the results taken last were for. Items
-    /// listed there are dropped here: the first stored result of an item is the one that counts.
-    pub fn displaced(&mut self, lines: Vec<Arc<ResultLine>>, now: MonoTime) {
+    /// Another gateway stored `lines`, or a fence where there are none, at the position that the results
+    /// taken last were for. Items listed there are dropped here: the first stored result of an item is
+    /// the one that counts. `doubt` is the number of the doubt that this is.
+    pub fn displaced(&mut self, lines: Vec<Arc<ResultLine>>, doubt: DoubtNumber, now: MonoTime) {
         self.storing = 0;
-        self.in_doubt = true;
+        self.is_displaced = true;
+        self.doubt(doubt);
         self.pending_since = now;
         self.fences = if lines.is_empty() { self.fences + 1 } else { 0 };
         for line in &lines {
@@ -348,14 +357,23 @@
         self.results.extend(lines);
     }
 
-    /// Whether another gateway may own the job.
-    pub fn is_in_doubt(&self) -> bool {
-        self.in_doubt
+    /// From now on another gateway may own the job.
+    pub fn doubt(&mut self, doubt: DoubtNumber) {
+        self.doubted = self.doubted.max(doubt);
     }
 
-    /// The store says that this gateway owns the job.
-    pub fn confirm(&mut self) {
-        self.in_doubt = false;
+    /// The store says that this gateway owns the job, asked while `asked` was the last doubt. An answer
+    /// may be late: one to a question older than the doubt ends no doubt.
+    pub fn confirm(&mut self, asked: DoubtNumber) {
+        self.confirmed = self.confirmed.max(asked);
+        if self.is_confirmed() {
+            self.is_displaced = false;
+        }
+    }
+
+    /// Whether ownership was confirmed by a question asked after the last doubt.
+    pub fn is_confirmed(&self) -> bool {
+        self.confirmed >= self.doubted
     }
 
     /// Whether an item ended, here or by another gateway's result.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -15,6 +15,7 @@
     pub use crate::{
         jobs::{
             board::{ItemStart, JobBoard},
+            doubt::DoubtNumber,
             owned::{HeldProgress, ItemEnd, OwnedJob},
             pace::ItemPace,
             result::{ItemState, ResultLine},
--- a/crates/relay/tests/jobs.rs
+++ b/crates/relay/tests/jobs.rs
@@ -98,7 +98,7 @@
     let mut job = job(2);
     complete(&mut job, 0, at(0));
     job.take_pending(DELAY, BYTES, at(1_000)).expect("it waited long enough");
-    job.displaced(vec![line("i0")], at(1_010));
+    job.displaced(vec![line("i0")], DoubtNumber::default().next(), at(1_010));
     assert_eq!(job.results(), [line("i0")]);
     assert_eq!(job.take_pending(DELAY, BYTES, at(9_000)), None, "nothing of it is left");
     assert_eq!(job.next_item(at(9_000)), Some(1));
@@ -112,10 +112,15 @@
     let mut job = job(2);
     complete(&mut job, 0, at(0));
     let first = job.take_pending(DELAY, BYTES, at(1_000)).expect("it waited long enough");
-    job.displaced(Vec::new(), at(1_010));
+    let before = DoubtNumber::default();
+    let doubt = before.next();
+    job.displaced(Vec::new(), doubt, at(1_010));
     assert_eq!(job.take_pending(DELAY, BYTES, at(60_000)), None, "it may be another's job by now");
-    assert!(job.is_in_doubt());
-    job.confirm();
+    job.confirm(before);
+    assert!(!job.is_confirmed(), "the question was asked before the fence was found");
+    assert_eq!(job.take_pending(DELAY, BYTES, at(60_000)), None);
+    job.confirm(doubt);
+    assert!(job.is_confirmed());
     assert_eq!((job.results().len(), job.fences()), (0, 1));
     // Should the store say that it's ours after all, the same results go after the fence.
     assert_eq!(job.take_pending(DELAY, BYTES, at(9_000)), Some(first));
@@ -123,6 +128,28 @@
     assert_eq!((job.results().len(), job.fences()), (1, 0));
 }
 
+/// A confirmation that is under way when a doubt comes up is none, whether the doubt is about one job or about
+/// all, and also where the job isn't on the board yet.
+#[test]
+fn only_what_is_asked_after_a_doubt_confirms() {
+    let mut board = JobBoard::default();
+    let asked_early = board.last_doubt();
+    board.doubt_all();
+    let mut owned = job(1);
+    owned.confirm(asked_early);
+    board.add(owned);
+    let is_confirmed = |board: &JobBoard| board.get("j").expect("it was added").is_confirmed();
+    assert!(!is_confirmed(&board), "it was taken while the links were down");
+    let asked = board.last_doubt();
+    board.get_mut("j").expect("it was added").confirm(asked);
+    assert!(is_confirmed(&board));
+    board.doubt("another job");
+    assert!(is_confirmed(&board));
+    board.doubt("j");
+    board.get_mut("j").expect("it was added").confirm(asked);
+    assert!(!is_confirmed(&board));
+}
+
 #[test]
 fn an_item_is_given_up_after_its_attempts_only() {
     let mut job = job(1);
--- a/crates/sidecar/src/control.rs
+++ b/crates/sidecar/src/control.rs
@@ -162,6 +162,7 @@
                 self.feed(GateEvent::GatewayUp { gateway: peer.vm });
             }
             LinkEvent::Up { link, .. } => link.close(),
+            LinkEvent::Heartbeat { .. } => {}
             LinkEvent::Message { peer, link, message } => {
                 if !links.is_current(&peer.vm, link) {
                     return self.count(Counter::Event("messages_of_old_links"));
