Ask who owns a job when a reader needs it, not whenever a link forms

Cause: each link that formed made a gateway ask the store for every job that it ran and tell all others of each; when one gateway of 27 restarts, 26 did so. Since ownership in doubt is told to no reader, the question can wait for one; a gateway that most others weren't heard by still checks all its jobs at once, since it may be running what others run. Ruled out: that jobs lost unheard stay unnoticed: an owner in doubt is checked when another gateway asks it, and open jobs are asked for every half second.

--- a/crates/entry/src/batch/desk.rs
+++ b/crates/entry/src/batch/desk.rs
@@ -57,6 +57,8 @@
     handed: FastMap<String, Vec<HeldProgress>>,
     /// Jobs being taken in or over now.
     busy: FastSet<String>,
+    /// Jobs about whose owner the store is being asked for readers.
+    checking: FastSet<String>,
     /// Stored jobs that can't be read, with the revision that was told last.
     unreadable: FastMap<String, u64>,
     /// Tokens of jobs being taken in, against their routes' limits, by job.
@@ -144,6 +146,16 @@
         self.handed.remove(job);
     }
 
+    /// Claims the question who owns a job; false when it's being asked already.
+    pub fn begin_check(&mut self, job: &str) -> bool {
+        self.checking.insert(job.to_owned())
+    }
+
+    /// The question who owns a job was answered or given up.
+    pub fn end_check(&mut self, job: &str) {
+        self.checking.remove(job);
+    }
+
     /// Claims the job for one task; false when another one has it.
     pub fn begin(&mut self, job: &str) -> bool {
         self.busy.insert(job.to_owned())
--- a/crates/entry/src/batch/ownership.rs
+++ b/crates/entry/src/batch/ownership.rs
@@ -15,6 +15,7 @@
     batch::{closing::close_whole_job, limits, records::read_job},
     constants::{STORE_DOUBT, VERIFY_DELAY},
     node::EntryNode,
+    peers::table::PeerSilence,
     store::{reply::StoreFailure, retry::until_answered},
 };
 
@@ -29,8 +30,15 @@
     desk.board.get(job).is_some_and(is_sure)
 }
 
-/// Any job that we own may have been taken over: links came back, or the others weren't heard for long.
-pub fn doubt_all(node: &EntryNode, cause: &'static str) {
+/// Any job that we own may have been taken over: a link came back, or a gateway wasn't heard for long.
+///
+/// Which are still ours is asked when a reader needs it. Only where it was rather this gateway that nobody
+/// heard, all are checked at once, for it may be running what others run, too.
+pub fn doubt_all(node: &Arc<EntryNode>, cause: &'static str, silence: PeerSilence) {
+    if silence == PeerSilence::OfMost {
+        let node = Arc::clone(node);
+        task::spawn(async move { verify_all(&node).await });
+    }
     let mut desk = node.jobs();
     desk.board.doubt_all();
     let jobs = desk.open_owned().len();
@@ -49,6 +57,26 @@
     task::spawn(async move { verify(&node, &job).await });
 }
 
+/// Asks the store who owns a job, beside whatever goes on, unless that is being asked already.
+pub fn check_soon(node: &Arc<EntryNode>, job: &str) {
+    if !node.jobs().begin_check(job) {
+        return;
+    }
+    let (node, job) = (Arc::clone(node), job.to_owned());
+    task::spawn(async move {
+        // A store that doesn't answer leaves the doubt.
+        let _ = check(&node, &job).await;
+        node.jobs().end_check(&job);
+    });
+}
+
+/// Whether an answer of the store would end the doubt about a job: not while some gateway isn't heard, for
+/// it would be good for that moment only.
+pub fn can_confirm(node: &EntryNode, job: &str) -> bool {
+    let is_confirmed = node.jobs().board.get(job).is_none_or(OwnedJob::is_confirmed);
+    !is_confirmed && node.peers.hears_all(node.clock.mono())
+}
+
 /// Checks every job that we run, once for all calls that come together.
 ///
 /// A gateway that stood still, or was cut off, may have lost jobs to others that have ended them by
--- a/crates/entry/src/batch/reads.rs
+++ b/crates/entry/src/batch/reads.rs
@@ -87,14 +87,12 @@
 }
 
 /// Whether the list of a job owned here has nothing beyond what is known here. In doubt the store is
-/// asked who owns it, once for all readers until the next doubt; not while some gateway isn't heard, for
-/// the answer would be good for that moment only.
+/// asked who owns it, once for all readers until the next doubt.
 async fn is_sure_of_owned(node: &EntryNode, job: &str) -> bool {
     if ownership::is_sure(node, job) {
         return true;
     }
-    let is_confirmed = node.jobs().board.get(job).is_none_or(OwnedJob::is_confirmed);
-    if is_confirmed || !node.peers.hears_all(node.clock.mono()) {
+    if !ownership::can_confirm(node, job) {
         return false;
     }
     // A store that doesn't answer leaves the doubt.
@@ -217,6 +215,9 @@
 ) {
     let after = usize::try_from(after).unwrap_or(usize::MAX);
     let until = node.clock.mono() + Duration::from_millis(wait_ms);
+    if ownership::can_confirm(node, job) {
+        ownership::check_soon(node, job);
+    }
     let known = loop {
         let listener = node.job_news.listen();
         let left = until.since(node.clock.mono());
--- a/crates/entry/src/peers/hub.rs
+++ b/crates/entry/src/peers/hub.rs
@@ -21,7 +21,7 @@
         detours,
         record::{GATEWAY_KIND, GatewayEntry},
         reports,
-        table::{JobNews, KeptShare},
+        table::{JobNews, KeptShare, PeerSilence},
     },
     store::{
         feed::{FeedPlan, follow},
@@ -50,7 +50,7 @@
         FeedEvent::Changed { object } => put_gateway(&node, object, &settings, &sink),
         FeedEvent::Deleted { object, .. } => {
             node.peers.remove_entry(&VmName::new(&object.metadata.name));
-            ownership::doubt_all(&node, "entry_gone");
+            ownership::doubt_all(&node, "entry_gone", PeerSilence::OfFew);
         }
     })
     .await;
@@ -110,8 +110,8 @@
     match event {
         LinkEvent::Up { peer, link } => {
             node.log.info("gateway_link_up", &[("gateway", &peer.vm)]);
-            node.peers.link_up(&peer.vm, link, node.clock.mono());
-            ownership::doubt_all(node, "link_up");
+            let silence = node.peers.link_up(&peer.vm, link, node.clock.mono());
+            ownership::doubt_all(node, "link_up", silence);
             let jobs = node.jobs().open_owned();
             let hello = PeerMessage::Hello { owner: node.owner.clone(), jobs };
             node.peers.send(&peer.vm, hello);
@@ -119,8 +119,6 @@
             for shares in limits::known_shares(node) {
                 node.peers.send(&peer.vm, shares);
             }
-            let node = Arc::clone(node);
-            task::spawn(async move { ownership::verify_all(&node).await });
         }
         LinkEvent::Down { peer, link, reason } => {
             let reason = format!("{reason:?}");
@@ -141,9 +139,9 @@
 
 /// Something came from a gateway. What was sent to us while we stood still, or while its way took long, is
 /// read before what tells that our jobs were taken over: after a silence the store has to be asked.
-fn note_heard(node: &EntryNode, peer: &LinkPeer) {
-    if node.peers.note_heard(&peer.vm, node.clock.mono()) {
-        ownership::doubt_all(node, "silence");
+fn note_heard(node: &Arc<EntryNode>, peer: &LinkPeer) {
+    if let Some(silence) = node.peers.note_heard(&peer.vm, node.clock.mono()) {
+        ownership::doubt_all(node, "silence", silence);
     }
 }
 
--- a/crates/entry/src/peers/table.rs
+++ b/crates/entry/src/peers/table.rs
@@ -39,6 +39,22 @@
     pub ended_per_second: u64,
 }
 
+/// Who wasn't heard when a gateway came back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PeerSilence {
+    /// Few: they were away.
+    OfFew,
+    /// Most: rather this gateway was cut off, or stood still.
+    OfMost,
+}
+
+impl PeerSilence {
+    fn among(peers: &FastMap<VmName, PeerRecord>, now: MonoTime) -> Self {
+        let silent = peers.values().filter(|record| record.is_silent(now)).count();
+        if silent * 2 > peers.len() { Self::OfMost } else { Self::OfFew }
+    }
+}
+
 /// Whether a job's owner is there.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum OwnerLiveness {
@@ -118,9 +134,10 @@
         self.peers().remove(vm);
     }
 
-    /// A link stands.
-    pub fn link_up(&self, vm: &VmName, link: LinkHandle, now: MonoTime) {
+    /// A link stands; the silence of the other gateways until now.
+    pub fn link_up(&self, vm: &VmName, link: LinkHandle, now: MonoTime) -> PeerSilence {
         let mut peers = self.peers();
+        let silence = PeerSilence::among(&peers, now);
         let record = peers.entry(vm.clone()).or_insert_with(|| PeerRecord::new(now));
         record.link = Some(link);
         record.heard_at = now;
@@ -128,6 +145,7 @@
         record.owner = None;
         record.is_stopping = false;
         record.is_leaving = false;
+        silence
     }
 
     /// A link is gone; true when it was the one in use.
@@ -144,14 +162,16 @@
         true
     }
 
-    /// Something came from a gateway; whether it hadn't been heard for so long that it may have taken jobs
-    /// of ours over.
-    pub fn note_heard(&self, vm: &VmName, now: MonoTime) -> bool {
+    /// Something came from a gateway; the silence that it ended, if that was so long that jobs of ours may have
+    /// been taken over in it.
+    pub fn note_heard(&self, vm: &VmName, now: MonoTime) -> Option<PeerSilence> {
         let mut peers = self.peers();
-        let Some(record) = peers.get_mut(vm) else { return false };
-        let was_doubtful = now.since(record.heard_at) >= OWNER_DOUBT;
-        record.heard_at = now;
-        was_doubtful
+        let was_silent = peers.get(vm).is_some_and(|record| record.is_silent(now));
+        let silence = was_silent.then(|| PeerSilence::among(&peers, now));
+        if let Some(record) = peers.get_mut(vm) {
+            record.heard_at = now;
+        }
+        silence
     }
 
     /// Who a peer said it is.
@@ -322,7 +342,7 @@
     /// over. A link that still looks up says nothing: a process that stood still hasn't read yet that the
     /// others closed it.
     pub fn hears_all(&self, now: MonoTime) -> bool {
-        self.peers().values().all(|record| now.since(record.heard_at) < OWNER_DOUBT)
+        !self.peers().values().any(|record| record.is_silent(now))
     }
 
     fn peers(&self) -> MutexGuard<'_, FastMap<VmName, PeerRecord>> {
@@ -331,6 +351,11 @@
 }
 
 impl PeerRecord {
+    /// Whether it hasn't been heard for so long that it may have taken jobs of ours over.
+    fn is_silent(&self, now: MonoTime) -> bool {
+        now.since(self.heard_at) >= OWNER_DOUBT
+    }
+
     /// How long it may be without a link before it is taken for dead. One that was never linked to may live
     /// and not have heard of us yet, when it's we who have just started.
     fn patience(&self) -> Duration {
