Admit what is held and refuse what can't fit while shares are written; decide within 0.6 s

Cause: one turn for reading, asking and writing shares. A job that fitted what its gateway held waited for a top-up under way, and so did one that could already be told that it doesn't fit; after up to 1.5 s of that came a look in the store of up to its call's timeout. Mend: only a write waits for its turn. ShareHolder::room decides beside a write under way: what the write is for stays set aside, and what it gives back counts as given back from the moment it is proposed, since it may come to be done after it was given up (that second fault was there before, and unseen). What others give back during an own write is kept when that write is done. A decision takes 0.6 s at most, the look before a refusal 0.4 s. Ruled out: exceeding the limit by it.

--- a/crates/entry/src/batch/intake.rs
+++ b/crates/entry/src/batch/intake.rs
@@ -14,7 +14,9 @@
         limits::{self, LimitOutcome},
         records::{create_job, inline_items, part_count, read_end, read_job},
     },
-    constants::{INTAKE_PATIENCE, JOB_BYTES, RETRY_AFTER, RETRY_AFTER_START, STORE_PAUSE},
+    constants::{
+        INTAKE_PATIENCE, JOB_BYTES, REFUSAL_LOOK, RETRY_AFTER, RETRY_AFTER_START, STORE_PAUSE,
+    },
     front::answer::OwnAnswer,
     node::EntryNode,
     store::{
@@ -100,7 +102,9 @@
 /// Refuses a job that doesn't fit under its route's limit, unless another gateway took it in before
 /// without our hearing of it: it runs then, and a refusal would say that it doesn't.
 async fn refuse(node: &EntryNode, id: &str, outcome: LimitOutcome, arrived: MonoTime) -> OwnAnswer {
-    match (read_job(&node.store, id).await, outcome) {
+    let looking = timeout(REFUSAL_LOOK, read_job(&node.store, id));
+    let stored = looking.await.unwrap_or(Err(StoreFailure::Unknown));
+    match (stored, outcome) {
         (Ok(Some(_)), _) => answer(node, id, "known", OwnAnswer::of(202), arrived),
         (Ok(None), LimitOutcome::Full { wait }) => {
             answer(node, id, "over_limit", OwnAnswer::over_limit(wait), arrived)
--- a/crates/entry/src/batch/limit_desk.rs
+++ b/crates/entry/src/batch/limit_desk.rs
@@ -16,6 +16,8 @@
     pub used: Event,
     /// One share is changed at a time: each change begins with what the one before wrote.
     pub turn: TurnMutex<()>,
+    /// One task at a time asks the other gateways what they hold.
+    pub asking: TurnMutex<()>,
 }
 
 impl LimitDesk {
--- a/crates/entry/src/batch/limits.rs
+++ b/crates/entry/src/batch/limits.rs
@@ -6,7 +6,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use async_std::future::timeout;
+use async_std::{future::timeout, sync::MutexGuard as TurnGuard};
 use futures_util::future::join_all;
 use notch_messages::prelude::PeerMessage;
 use notch_platform_wire::{
@@ -53,11 +53,7 @@
         node.jobs().reserve(job, &route.name, tokens);
         return LimitOutcome::Reserved;
     }
-    let reserving = async {
-        let _turn = node.limits.turn.lock().await;
-        with_holder(node, &route.name, |holder, _| holder.not_written());
-        reserve_in_turn(node, route, job, tokens).await
-    };
+    let reserving = decide(node, route, job, tokens);
     let outcome = timeout(LIMIT_PATIENCE, reserving).await.unwrap_or(LimitOutcome::Unknown);
     node.limits.used.notify(usize::MAX);
     if outcome != LimitOutcome::Reserved {
@@ -79,35 +75,85 @@
     outcome
 }
 
-async fn reserve_in_turn(node: &EntryNode, route: &Route, job: &str, tokens: u64) -> LimitOutcome {
-    let name = &route.name;
-    let mut asked: Option<f64> = None;
+/// Only a write waits for its turn: what is held is used, and what doesn't fit is found out, while
+/// another write is under way.
+async fn decide(node: &EntryNode, route: &Route, job: &str, tokens: u64) -> LimitOutcome {
+    let mut asked: Option<AskedShares> = None;
     for _ in 0..LIMIT_ROUNDS {
-        match next_step(node, route, job, tokens) {
-            ShareStep::Granted => return LimitOutcome::Reserved,
-            ShareStep::Write(proposal) => {
-                let count_job = |desk: &mut JobDesk| desk.reserve(job, name, tokens);
-                match write(node, name, proposal, count_job).await {
-                    ShareWrite::Done => return LimitOutcome::Reserved,
-                    ShareWrite::Changed => asked = None,
-                    ShareWrite::Unknown => return LimitOutcome::Unknown,
-                }
-            }
-            ShareStep::Full { missing } => {
-                if let Some(per_second) = asked {
-                    return LimitOutcome::Full { wait: wait_for(missing, per_second) };
+        match take_held(node, route, job, tokens) {
+            ShareRoom::Held => return LimitOutcome::Reserved,
+            ShareRoom::Free => match write_in_turn(node, route, job, tokens).await {
+                ShareWrite::Done => return LimitOutcome::Reserved,
+                ShareWrite::Changed => {}
+                ShareWrite::Unknown => return LimitOutcome::Unknown,
+            },
+            ShareRoom::Missing(missing) => {
+                // What was given back counts only for the table that it was asked for.
+                let revision = with_holder(node, &route.name, |holder, _| holder.revision());
+                if let Some(asked) = asked.as_ref().filter(|asked| asked.revision == revision) {
+                    return LimitOutcome::Full { wait: wait_for(missing, asked.per_second) };
                 }
-                if refresh(node, name).await.is_err() {
-                    return LimitOutcome::Unknown;
-                }
-                asked = Some(ask_all(node, name).await);
-                drop_silent(node, name).await;
+                asked = match ask_in_turn(node, &route.name).await {
+                    Ok(answers) => Some(answers),
+                    Err(_) => return LimitOutcome::Unknown,
+                };
             }
         }
     }
     LimitOutcome::Unknown
 }
 
+/// Counts the job if it's within what is held here; whether it is, and what is missing.
+fn take_held(node: &EntryNode, route: &Route, job: &str, tokens: u64) -> ShareRoom {
+    let is_in_touch = node.peers.hears_all(node.clock.mono());
+    with_holder(node, &route.name, |holder, desk| {
+        let used = desk.limit_tokens(&route.name);
+        let room = holder.room(used, tokens, route.waiting_limit, is_in_touch);
+        if room == ShareRoom::Held {
+            desk.reserve(job, &route.name, tokens);
+        }
+        room
+    })
+}
+
+/// Writes a share that the job fits in, and counts it.
+async fn write_in_turn(node: &EntryNode, route: &Route, job: &str, tokens: u64) -> ShareWrite {
+    let _turn = begin_turn(node, &route.name).await;
+    match next_step(node, route, job, tokens) {
+        ShareStep::Granted => ShareWrite::Done,
+        ShareStep::Write(proposal) => {
+            let count_job = |desk: &mut JobDesk| desk.reserve(job, &route.name, tokens);
+            write(node, &route.name, proposal, count_job).await
+        }
+        ShareStep::Full { .. } => ShareWrite::Changed,
+    }
+}
+
+/// Waits for the turn to change shares. A write that was given up by its task is no longer under way
+/// then: one that comes to be done changes the table's revision.
+async fn begin_turn<'a>(node: &'a EntryNode, route: &str) -> TurnGuard<'a, ()> {
+    let turn = node.limits.turn.lock().await;
+    with_holder(node, route, |holder, _| holder.not_written());
+    turn
+}
+
+/// What the other gateways answered.
+struct AskedShares {
+    /// Revision of the table for which they were asked.
+    revision: Option<u64>,
+    /// How much ends each second, at those that answered and here.
+    per_second: f64,
+}
+
+/// Reads the shares and asks all others to give back what they don't use, one task at a time.
+async fn ask_in_turn(node: &EntryNode, route: &str) -> Result<AskedShares, StoreFailure> {
+    let _turn = node.limits.asking.lock().await;
+    refresh(node, route).await?;
+    let asked = ask_all(node, route).await;
+    drop_silent(node, route).await;
+    Ok(asked)
+}
+
 /// The next step, which is counted already if it's granted.
 fn next_step(node: &EntryNode, route: &Route, job: &str, tokens: u64) -> ShareStep {
     let gateways = node.peers.known_count() as u64 + 1;
@@ -144,7 +190,7 @@
     route: &str,
     propose: impl Fn(&mut ShareHolder, &JobDesk) -> ShareProposal,
 ) -> Result<(), StoreFailure> {
-    let _turn = node.limits.turn.lock().await;
+    let _turn = begin_turn(node, route).await;
     for _ in 0..LIMIT_ROUNDS {
         let proposal = with_holder(node, route, |holder, desk| propose(holder, desk));
         match write(node, route, proposal, |_| {}).await {
@@ -175,7 +221,7 @@
 }
 
 async fn top_up(node: &EntryNode, route: &Route) {
-    let _turn = node.limits.turn.lock().await;
+    let _turn = begin_turn(node, &route.name).await;
     let gateways = node.peers.known_count() as u64 + 1;
     let proposal = with_holder(node, &route.name, |holder, desk| {
         holder.top_up(desk.limit_tokens(&route.name), route.waiting_limit, gateways)
@@ -231,9 +277,8 @@
     node.peers.broadcast(&PeerMessage::Shares { limit: route.to_owned(), revision, table });
 }
 
-/// Asks every gateway with a link to give back what it doesn't use. How much ends each second, at
-/// those that answered and here.
-async fn ask_all(node: &EntryNode, route: &str) -> f64 {
+/// Asks every gateway with a link to give back what it doesn't use.
+async fn ask_all(node: &EntryNode, route: &str) -> AskedShares {
     let revision = with_holder(node, route, |holder, _| holder.revision());
     let gateways = node.peers.linked_vms();
     let answers = join_all(gateways.iter().map(|vm| ask(node, vm, route))).await;
@@ -242,7 +287,7 @@
         per_second += answer.ended_per_second as f64;
         with_holder(node, route, |holder, _| holder.ceded(&answer.holder, answer.kept, revision));
     }
-    per_second
+    AskedShares { revision, per_second }
 }
 
 async fn ask(node: &EntryNode, vm: &VmName, route: &str) -> Option<KeptShare> {
@@ -323,7 +368,9 @@
 
 /// Reads the shares as the store holds them.
 async fn refresh(node: &EntryNode, route: &str) -> Result<(), StoreFailure> {
-    let reply = node.store.get(&object_path(SHARE_KIND, &object_name(route))).await?;
+    let path = object_path(SHARE_KIND, &object_name(route));
+    let wait = node.store.settings().call_timeout.min(LIMIT_CALL);
+    let reply = node.store.call("GET", &path, None, wait).await?;
     if adopt_reply(node, route, &reply) { Ok(()) } else { Err(StoreFailure::Unknown) }
 }
 
--- a/crates/entry/src/constants.rs
+++ b/crates/entry/src/constants.rs
@@ -114,9 +114,13 @@
 pub const RESULT_DELAY: Duration = Duration::from_millis(400);
 /// Attempts at a share of a limit for one job: each that another gateway was faster at costs a call.
 pub const LIMIT_ROUNDS: usize = 6;
-/// Longest time for them: a client waits 4 s for a job to be taken, and storing it takes its part.
-pub const LIMIT_PATIENCE: Duration = Duration::from_millis(1_500);
-/// Longest wait for the store's answer to a write of shares: one that is lost is tried again in time.
+/// Longest time until it's decided whether a job fits under a limit: two calls to a store that takes a
+/// quarter of a second, with the answers of other gateways. Clients count a job that is taken within
+/// 400 ms; one that can't be decided soon after that does better to come again.
+pub const LIMIT_PATIENCE: Duration = Duration::from_millis(600);
+/// Longest look in the store for a job that is about to be refused.
+pub const REFUSAL_LOOK: Duration = Duration::from_millis(400);
+/// Longest wait for the store's answer about shares: a write that isn't answered, or a read. One that is lost is tried again in time.
 pub const LIMIT_CALL: Duration = Duration::from_millis(400);
 /// Longest wait for other gateways to say what they still hold of a limit: an answer takes a few
 /// milliseconds.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -22,7 +22,7 @@
         },
         limits::{
             drain::DrainRate,
-            holder::{ShareHolder, ShareProposal, ShareStep},
+            holder::{ShareHolder, ShareProposal, ShareRoom, ShareStep},
             table::{HolderShare, ShareTable},
         },
         routes::{
--- a/crates/relay/src/limits/holder.rs
+++ b/crates/relay/src/limits/holder.rs
@@ -42,6 +42,17 @@
     },
 }
 
+/// Whether a holder may use more, as far as it knows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ShareRoom {
+    /// It is within its share, also while a write is under way: use it.
+    Held,
+    /// Enough is free; it has to be lent by a write.
+    Free,
+    /// Not enough is free, whatever becomes of a write under way: others may hold more than they use.
+    Missing(u64),
+}
+
 /// A table to be written.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ShareProposal {
@@ -69,8 +80,11 @@
     limit: u64,
     /// What may be used here. Invariant: at most this holder's share in the stored table.
     lent: u64,
-    /// Share in a table that is being written: it may be in force already.
+    /// Share in a table that is being written: it may be in force already. Invariant: `lent` is not
+    /// above it, as the write may come to be in force at any time.
     proposed: Option<u64>,
+    /// What of `proposed` is for the use for which it is being written.
+    pending: u64,
     /// The table as last heard of. Shares in it may have been given back since by word of their
     /// holders; each rises only by a write, after which this revision is an old one.
     table: ShareTable,
@@ -87,6 +101,7 @@
             limit: 0,
             lent: 0,
             proposed: None,
+            pending: 0,
             table: ShareTable::default(),
             revision: None,
             silent: FastMap::default(),
@@ -98,9 +113,29 @@
         &self.table
     }
 
-    /// What to do to use `amount` beside `used`. `holders` is how many gateways there are.
-    /// `is_in_touch` tells whether all others are heard of: one out of touch may have lost its share
-    /// unheard, so only what it has written counts.
+    /// Whether `amount` may be used beside `used`, while a write may be under way. The load that it
+    /// answers: jobs that come while the store is slow, so that a write of shares lasts as long as a
+    /// client waits. What is held is used meanwhile; what the write is for stays set aside. `is_in_touch`
+    /// tells whether all others are heard of: one out of touch may have lost its share unheard, so only
+    /// what it has written counts.
+    pub fn room(&mut self, used: u64, amount: u64, limit: u64, is_in_touch: bool) -> ShareRoom {
+        self.take_limit(limit, used);
+        let needed = used.saturating_add(amount);
+        let others = self.table.lent_to_others(&self.name);
+        // Where a limit was lowered below what is lent, what ends must not be used again.
+        let is_within = others.saturating_add(self.lent) <= limit;
+        let is_held = is_within && self.revision.is_some() && needed <= self.lent;
+        let is_left =
+            self.proposed.is_none_or(|share| needed.saturating_add(self.pending) <= share);
+        if is_in_touch && is_held && is_left {
+            return ShareRoom::Held;
+        }
+        let all = others.saturating_add(needed);
+        if all > limit { ShareRoom::Missing(all - limit) } else { ShareRoom::Free }
+    }
+
+    /// What to do to use `amount` beside `used`, while no write is under way. `holders` is how many
+    /// gateways there are.
     pub fn step(
         &mut self,
         used: u64,
@@ -109,20 +144,17 @@
         holders: u64,
         is_in_touch: bool,
     ) -> ShareStep {
-        self.take_limit(limit, used);
-        let needed = used.saturating_add(amount);
-        let others = self.table.lent_to_others(&self.name);
-        // Where a limit was lowered below what is lent, what ends must not be used again.
-        let is_within = others.saturating_add(self.lent) <= limit;
-        if is_in_touch && is_within && self.revision.is_some() && needed <= self.lent {
-            return ShareStep::Granted;
+        match self.room(used, amount, limit, is_in_touch) {
+            ShareRoom::Held => return ShareStep::Granted,
+            ShareRoom::Missing(missing) => return ShareStep::Full { missing },
+            ShareRoom::Free => {}
         }
-        let all = others.saturating_add(needed);
-        let Some(free) = limit.checked_sub(all) else {
-            return ShareStep::Full { missing: all - limit };
-        };
-        let spare = if is_in_touch { spare(free, limit, holders) } else { 0 };
-        ShareStep::Write(self.propose(self.table.clone(), needed + spare))
+        let needed = used.saturating_add(amount);
+        let all = self.table.lent_to_others(&self.name).saturating_add(needed);
+        let spare = if is_in_touch { spare(limit.saturating_sub(all), limit, holders) } else { 0 };
+        let proposal = self.propose(self.table.clone(), needed.saturating_add(spare));
+        self.pending = amount;
+        ShareStep::Write(proposal)
     }
 
     /// The write that makes room here for what comes next, while there is much less than there may be;
@@ -160,19 +192,28 @@
     fn propose(&mut self, mut table: ShareTable, lent: u64) -> ShareProposal {
         table.write_own(&self.name, lent);
         self.proposed = Some(lent);
+        self.pending = 0;
+        // What the write gives back isn't used from now on.
+        self.lent = self.lent.min(lent);
         ShareProposal { table, revision: self.revision, lent }
     }
 
     /// A proposal was written.
     pub fn written(&mut self, proposal: ShareProposal, revision: u64) {
-        self.proposed = None;
+        self.not_written();
         self.lent = proposal.lent;
-        self.adopt(proposal.table, revision);
+        let mut table = proposal.table;
+        if self.revision == proposal.revision {
+            // Nobody else wrote in between, so what was given back while it was written stays so.
+            table.lower_others(&self.name, &self.table);
+        }
+        self.adopt(table, revision);
     }
 
     /// A proposal was not written, or nobody can say.
     pub fn not_written(&mut self) {
         self.proposed = None;
+        self.pending = 0;
     }
 
     /// The table as another gateway or the store tells it.
--- a/crates/relay/src/limits/table.rs
+++ b/crates/relay/src/limits/table.rs
@@ -53,4 +53,14 @@
             self.holders.remove(holder);
         }
     }
+
+    /// Lowers each share but that of `own` to what it is in `heard`, a table of the same revision.
+    pub fn lower_others(&mut self, own: &str, heard: &Self) {
+        for (holder, share) in &mut self.holders {
+            if holder != own {
+                share.lent = share.lent.min(heard.share(holder).lent);
+            }
+        }
+        self.holders.retain(|holder, share| holder == own || share.lent > 0);
+    }
 }
--- a/crates/relay/tests/limits.rs
+++ b/crates/relay/tests/limits.rs
@@ -97,6 +97,66 @@
     }
 }
 
+/// A write of shares that is under way.
+struct SlowWrite {
+    proposal: ShareProposal,
+    /// What it is for.
+    amount: u64,
+    /// Whether the store took it, once it came there.
+    done: Option<bool>,
+}
+
+/// What is done apart while writes take long.
+impl Fleet {
+    fn use_held(&mut self, at: usize, amount: u64, in_touch: bool) {
+        let room = self.holders[at].room(self.used[at], amount, self.limit, in_touch);
+        if room == ShareRoom::Held {
+            self.used[at] += amount;
+        }
+    }
+
+    fn begin_write(&mut self, at: usize, amount: u64, in_touch: bool) -> Option<SlowWrite> {
+        let holder = &mut self.holders[at];
+        holder.not_written();
+        match holder.step(self.used[at], amount, self.limit, 3, in_touch) {
+            ShareStep::Write(proposal) => Some(SlowWrite { proposal, amount, done: None }),
+            ShareStep::Granted => {
+                self.used[at] += amount;
+                None
+            }
+            ShareStep::Full { .. } => None,
+        }
+    }
+
+    /// The answer to a write comes.
+    fn end_write(&mut self, at: usize, write: SlowWrite) {
+        let revision = write.proposal.revision.unwrap_or(0) + 1;
+        let is_done = write.done.unwrap_or_else(|| self.stored.write(&write.proposal));
+        if is_done {
+            self.holders[at].written(write.proposal, revision);
+            self.used[at] += write.amount;
+        } else {
+            self.holders[at].not_written();
+            self.refresh(at);
+        }
+    }
+
+    fn refresh(&mut self, at: usize) {
+        if let Some(revision) = self.stored.revision {
+            self.holders[at].adopt(self.stored.table.clone(), revision);
+        }
+    }
+
+    fn ask(&mut self, at: usize) {
+        self.refresh(at);
+        let revision = self.holders[at].revision();
+        for other in (0..self.holders.len()).filter(|n| *n != at) {
+            let kept = self.holders[other].cede(self.used[other]);
+            self.holders[at].ceded(&format!("g-{other}#1"), kept, revision);
+        }
+    }
+}
+
 /// Symptom: more tokens wait than the limit allows. Sequence: jobs come to all gateways at once, the
 /// first ones before any gateway has heard of another's. Cause: each counts its own only.
 #[test]
@@ -219,6 +279,51 @@
     assert!(matches!(holder.step(0, 500, 1_000, 2, true), ShareStep::Full { .. }));
 }
 
+/// Symptom: the limit is exceeded, or jobs that fit wait for a slow store. Sequence: a write of shares for
+/// one job is under way; others come that fit what is held. Cause: what the write was for was used by the
+/// others too, or nothing was.
+#[test]
+fn what_is_held_is_used_while_a_write_is_under_way() {
+    let mut fleet = Fleet::new(2, 8_000);
+    assert_eq!(fleet.admit(0, 1_000, &[true; 2], true), Admission::Admitted);
+    assert_eq!(fleet.stored.table.share("g-0#1").lent, 1_400);
+    let holder = &mut fleet.holders[0];
+    let ShareStep::Write(proposal) = holder.step(1_000, 6_900, 8_000, 2, true) else {
+        panic!("more than is held, and free");
+    };
+    assert_eq!(proposal.table.share("g-0#1").lent, 7_925);
+    assert_eq!(holder.room(1_000, 25, 8_000, true), ShareRoom::Held);
+    assert_eq!(holder.room(1_000, 26, 8_000, true), ShareRoom::Free, "the write is for another");
+    assert_eq!(
+        holder.room(1_000, 7_001, 8_000, true),
+        ShareRoom::Missing(1),
+        "whatever is written"
+    );
+    holder.not_written();
+    assert_eq!(holder.room(1_000, 400, 8_000, true), ShareRoom::Held);
+}
+
+/// Symptom: jobs that fit are asked about twice. Sequence: others give back what they don't use while a
+/// write of shares is under way; it is done. Cause: the table as it was before was taken for news.
+#[test]
+fn what_is_given_back_during_a_write_stays_so() {
+    let mut fleet = Fleet::new(2, 1_000);
+    assert_eq!(fleet.admit(1, 500, &[true; 2], true), Admission::Admitted);
+    let holder = &mut fleet.holders[0];
+    holder.adopt(fleet.stored.table.clone(), fleet.stored.revision.unwrap_or(0));
+    let proposal = holder.top_up(0, 1_000, 2).expect("there is none yet");
+    fleet.used[1] = 100;
+    let kept = fleet.holders[1].cede(fleet.used[1]);
+    let holder = &mut fleet.holders[0];
+    holder.ceded("g-1#1", kept, holder.revision());
+    assert!(fleet.stored.write(&proposal));
+    holder.written(proposal, fleet.stored.revision.unwrap_or(0));
+    assert_eq!(holder.room(0, 900, 1_000, true), ShareRoom::Free);
+    assert_eq!(holder.room(0, 901, 1_000, true), ShareRoom::Missing(1));
+    assert_eq!(fleet.admit(0, 900, &[true; 2], true), Admission::Admitted);
+    assert_eq!(fleet.admit(1, 1, &[true; 2], true), Admission::Refused);
+}
+
 #[rstest]
 #[case::soon(1_000, 4_000.0, Duration::from_millis(300))]
 #[case::in_a_while(4_000, 2_000.0, Duration::from_secs(2))]
@@ -300,4 +405,45 @@
             }
         }
     }
+
+    /// Writes may take long, land after they were given up, and be answered late; jobs come, end and are
+    /// asked about meanwhile: the limit holds, and each gateway stays within its stored share.
+    #[test]
+    fn the_limit_holds_while_writes_are_under_way(steps in proptest::collection::vec(
+        (0_usize..3, 0_u8..12, 1_u64..300, any::<bool>()), 1..160,
+    )) {
+        let mut fleet = Fleet::new(3, 1_000);
+        let mut writes = [const { None::<SlowWrite> }; 3];
+        let mut given_up = Vec::new();
+        for (at, action, amount, in_touch) in steps {
+            match action {
+                0..3 => fleet.use_held(at, amount, in_touch),
+                3..5 if writes[at].is_none() => {
+                    writes[at] = fleet.begin_write(at, amount, in_touch);
+                }
+                5 if writes[at].is_none() => {
+                    fleet.holders[at].not_written();
+                    let proposal = fleet.holders[at].top_up(fleet.used[at], fleet.limit, 3);
+                    writes[at] = proposal.map(|p| SlowWrite { proposal: p, amount: 0, done: None });
+                }
+                6 => if let Some(write) = &mut writes[at] {
+                    write.done.get_or_insert_with(|| fleet.stored.write(&write.proposal));
+                },
+                7 => if let Some(write) = writes[at].take() {
+                    fleet.end_write(at, write);
+                },
+                8 => given_up.extend(writes[at].take().filter(|write| write.done.is_none())),
+                9 => if let Some(write) = given_up.pop() {
+                    fleet.stored.write(&write.proposal);
+                },
+                10 => fleet.used[at] = fleet.used[at].saturating_sub(amount),
+                _ => fleet.ask(at),
+            }
+            prop_assert!(fleet.total() <= fleet.limit, "{}", fleet.total());
+            for n in 0..3 {
+                let share = fleet.stored.table.share(&format!("g-{n}#1")).lent;
+                prop_assert!(fleet.used[n] <= share, "{n} uses {} of {share}", fleet.used[n]);
+            }
+        }
+    }
 }
