Forget routes that the configuration no longer names

Mend: what is known of a route that wasn't named for two minutes is forgotten, decided by DroppedRoutes. A route that comes back sooner goes on as before. A limit under which jobs count here is kept; a share that is lent in the store but not used is given back when another gateway asks, also after it was forgotten. Left: the store keeps one small object for each route that ever had a limit.

--- a/crates/entry/src/batch/limit_desk.rs
+++ b/crates/entry/src/batch/limit_desk.rs
@@ -33,6 +33,22 @@
         drains.get(route).map_or(0.0, |drain| drain.per_second(now))
     }
 
+    /// Routes of whose limits or ends something is known.
+    pub fn known_routes(&self) -> FastSet<String> {
+        let drains = self.drains.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut known: FastSet<String> = drains.keys().cloned().collect();
+        drop(drains);
+        known.extend(self.holders().keys().cloned());
+        known
+    }
+
+    /// Forgets a route; whether anything was known of it.
+    pub fn forget(&self, route: &str) -> bool {
+        let had_part = self.holders().remove(route).is_some();
+        let mut drains = self.drains.lock().unwrap_or_else(PoisonError::into_inner);
+        drains.remove(route).is_some() || had_part
+    }
+
     /// This gateway's part in each limit, by its route's name.
     pub fn holders(&self) -> MutexGuard<'_, FastMap<String, ShareHolder>> {
         self.holders.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/entry/src/batch/limits.rs
+++ b/crates/entry/src/batch/limits.rs
@@ -260,6 +260,16 @@
     with_holder(node, route, |holder, _| holder.adopt(table, revision));
 }
 
+/// Forgets routes under which no job counts here; how many. What is lent to this gateway of such a one stays so in
+/// the store, and is given back when another one asks, as it isn't used. One whose share is being written
+/// is left for the next time.
+pub fn forget(node: &EntryNode, routes: &[String]) -> usize {
+    let Some(_turn) = node.limits.turn.try_lock() else { return 0 };
+    let desk = node.jobs();
+    let unused = routes.iter().filter(|route| desk.limit_tokens(route) == 0);
+    unused.filter(|route| node.limits.forget(route)).count()
+}
+
 /// Works on this gateway's part in a limit; no task sees it between what is done here.
 fn with_holder<T>(
     node: &EntryNode,
--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -16,6 +16,7 @@
     batch::{ends, limits, retention, runner, takeover},
     constants::{STOP_ACCEPT, STOP_IDLE, STOP_JOBS, STOP_JOBS_ALONE, STOP_LONGEST},
     error::EntryError,
+    forgetting::forget_routes,
     front::{
         connection::serve_client,
         listener::listen,
@@ -160,6 +161,7 @@
         };
         node.apply_lapsed(gone, revision);
         share_out_targets(&node);
+        forget_routes(&node, now);
         let known: Vec<String> = node.targets().ids().map(str::to_owned).collect();
         node.pool.clean(|id| known.iter().any(|k| k == id));
         node.metrics.set(Gauge::GatewayLinks, node.peers.link_count() as i64);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod constants;
 pub mod disk;
 pub mod error;
+pub mod forgetting;
 pub mod front;
 pub mod gateway;
 pub mod node;
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -73,6 +73,7 @@
     jobs: Mutex<JobDesk>,
     crashes: Mutex<CrashTable>,
     patience: Mutex<PatienceTable>,
+    dropped_routes: Mutex<DroppedRoutes>,
 }
 
 impl EntryNode {
@@ -106,6 +107,7 @@
             jobs: Mutex::default(),
             crashes: Mutex::default(),
             patience: Mutex::default(),
+            dropped_routes: Mutex::default(),
             config,
         };
         (node, detours)
@@ -136,6 +138,11 @@
         self.patience.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Routes that the configuration in force doesn't name any more.
+    pub fn dropped_routes(&self) -> MutexGuard<'_, DroppedRoutes> {
+        self.dropped_routes.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// The configuration in force; `None` until a first one is known.
     pub fn routes(&self) -> Option<Arc<RouteTable>> {
         let current = self.configuration.read().unwrap_or_else(PoisonError::into_inner);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -27,6 +27,7 @@
         },
         routes::{
             configuration::{ClientLimits, Configuration},
+            dropped::DroppedRoutes,
             route::{Route, RouteKind, WeightedService},
             table::RouteTable,
         },
--- a/crates/relay/src/targets/patience.rs
+++ b/crates/relay/src/targets/patience.rs
@@ -27,4 +27,14 @@
         self.longest.insert(route.to_owned(), patience);
         false
     }
+
+    /// Routes whose clients' time is known.
+    pub fn routes(&self) -> impl Iterator<Item = &str> {
+        self.longest.keys().map(String::as_str)
+    }
+
+    /// Forgets routes; how many of them were known.
+    pub fn forget(&mut self, routes: &[String]) -> usize {
+        routes.iter().filter(|route| self.longest.remove(*route).is_some()).count()
+    }
 }
--- a/crates/relay/tests/routes.rs
+++ b/crates/relay/tests/routes.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use notch_relay::prelude::*;
+use notch_types::prelude::*;
 use rstest::rstest;
 
 fn route(name: &str, host: &str, prefix: &str, kind: RouteKind, resumable: bool) -> Route {
@@ -72,3 +73,35 @@
     let count = |name: &str| (0..100).filter(|draw| route.service_for(*draw) == name).count();
     assert_eq!((count("a"), count("none"), count("b")), (90, 0, 10));
 }
+
+/// Symptom: a gateway's memory grows for months. Sequence: each change of the configuration drops the route
+/// that the one before added. Cause: what was known of a route was kept for good.
+#[test]
+fn dropped_routes_are_forgotten_after_a_while() {
+    let mut dropped = DroppedRoutes::default();
+    let mut known = Vec::new();
+    for change in 0..5_000_u64 {
+        let newest = format!("r{change}");
+        known.push(newest.clone());
+        let now = MonoTime::from_millis(change * 35_000);
+        let due = dropped.due(known.clone(), |route| route == newest, now);
+        known.retain(|route| !due.contains(route));
+        assert!(known.len() <= 5, "{known:?}");
+    }
+}
+
+#[test]
+fn a_route_that_comes_back_soon_is_kept() {
+    let mut dropped = DroppedRoutes::default();
+    let known = || vec!["r1".to_owned()];
+    for second in [0, 60, 125, 185, 244] {
+        // It is named again at second 125, and no longer after that.
+        let is_named = |_: &str| second == 125;
+        let now = MonoTime::from_millis(second * 1_000);
+        assert!(dropped.due(known(), is_named, now).is_empty(), "at {second} s");
+    }
+    let now = MonoTime::from_millis(305_000);
+    assert_eq!(dropped.due(known(), |_| false, now), ["r1"]);
+    assert!(dropped.due(Vec::new(), |_| false, now).is_empty(), "nothing is known of it any more");
+    assert!(dropped.due(known(), |_| false, now).is_empty(), "it begins anew");
+}
