Let refusals in a burst rest on the last count; share one among jobs that come together

Cause: while a limit is used up each refused job made its gateway read the shares and ask every other gateway: messages by jobs times gateways, and refusals one behind the other. Mend: CountPace decides when a refusal may rest on what was free when all were asked. Jobs that came before the count share it; of others eight in a row are counted for, then two a second. A count serves for half a second at most and only refuses: what is held or free as known here isn't looked up in it. With the look in the store, 0.4 s at most, a refusal is younger than a second. Asking has its own module now. Ruled out: refusing for long what fits. Weighed, not tried: a count that always serves for a time would refuse a job right after another one's end, which an existing test forbids.

--- a/crates/entry/src/batch.rs
+++ b/crates/entry/src/batch.rs
@@ -7,6 +7,7 @@
 pub mod ends;
 pub mod intake;
 pub mod item_run;
+pub mod limit_asks;
 pub mod limit_desk;
 pub mod limits;
 pub mod ownership;
--- /dev/null
+++ b/crates/entry/src/batch/limit_asks.rs
@@ -0,0 +1,109 @@
+//! Asks the other gateways to give back what they don't use of a limit.
+
+use futures_util::future::join_all;
+use notch_messages::prelude::PeerMessage;
+use notch_relay::prelude::*;
+use notch_types::prelude::*;
+
+use crate::{
+    batch::{
+        limits::{refresh, with_holder},
+        stored_jobs::list_jobs,
+    },
+    constants::{LIMIT_ASK, SHARE_SILENCE},
+    node::EntryNode,
+    peers::{
+        calls::CallEnd,
+        table::{KeptShare, OwnerLiveness},
+    },
+    store::{feed::StorePath, reply::StoreFailure},
+};
+
+/// What the other gateways answered.
+pub(crate) struct AskedShares {
+    /// Revision of the table for which they were asked.
+    pub(crate) revision: Option<u64>,
+    /// How much ends each second, at those that answered and here.
+    pub(crate) per_second: f64,
+}
+
+/// Reads the shares and asks all others, one task at a time; `None` when the task before has found out
+/// what `is_known` tells.
+///
+/// # Errors
+/// The store doesn't tell the shares.
+pub(crate) async fn ask_in_turn(
+    node: &EntryNode,
+    route: &Route,
+    is_known: impl Fn() -> bool,
+) -> Result<Option<AskedShares>, StoreFailure> {
+    let _turn = node.limits.asking.lock().await;
+    if is_known() {
+        return Ok(None);
+    }
+    node.limits.note_asked(&route.name, node.clock.mono());
+    refresh(node, &route.name).await?;
+    let asked_at = node.clock.mono();
+    let asked = ask_all(node, &route.name).await;
+    drop_silent(node, &route.name).await;
+    note_count(node, route, &asked, asked_at);
+    Ok(Some(asked))
+}
+
+/// Notes what is free. A table that changed meanwhile may hold shares that nobody was asked for.
+fn note_count(node: &EntryNode, route: &Route, asked: &AskedShares, asked_at: MonoTime) {
+    let used = with_holder(node, &route.name, |holder, desk| {
+        let used = desk.limit_tokens(&route.name);
+        (holder.revision() == asked.revision).then(|| holder.used_by_all(used))
+    });
+    let Some(used) = used else { return };
+    let limit = route.waiting_limit;
+    let free = limit.saturating_sub(used);
+    let count = RoomCount { asked_at, limit, free, ended_per_second: asked.per_second };
+    node.limits.note_count(&route.name, count);
+}
+
+async fn ask_all(node: &EntryNode, route: &str) -> AskedShares {
+    let revision = with_holder(node, route, |holder, _| holder.revision());
+    let gateways = node.peers.linked_vms();
+    let answers = join_all(gateways.iter().map(|vm| ask(node, vm, route))).await;
+    let mut per_second = node.limits.ended_per_second(route, node.clock.mono());
+    for answer in answers.into_iter().flatten() {
+        per_second += answer.ended_per_second as f64;
+        with_holder(node, route, |holder, _| holder.ceded(&answer.holder, answer.kept, revision));
+    }
+    AskedShares { revision, per_second }
+}
+
+async fn ask(node: &EntryNode, vm: &VmName, route: &str) -> Option<KeptShare> {
+    let send = |call| {
+        node.metrics.count(Counter::Event("limit_shares_asked"));
+        node.peers.send(vm, PeerMessage::ShareAsk { call, limit: route.to_owned() })
+    };
+    match node.peers.share_calls.ask(send, LIMIT_ASK).await {
+        CallEnd::Answered(kept) => Some(kept),
+        CallEnd::NotSent | CallEnd::Unanswered => None,
+    }
+}
+
+/// Drops shares of gateways that are gone for long and own no open job any more.
+async fn drop_silent(node: &EntryNode, route: &str) {
+    let now = node.clock.mono();
+    let is_alive = |holder: &str| node.liveness(holder, now) == OwnerLiveness::Alive;
+    let (silent, revision) = with_holder(node, route, |holder, _| {
+        (holder.silent_holders(is_alive, SHARE_SILENCE, now), holder.revision())
+    });
+    if silent.is_empty() {
+        return;
+    }
+    // The list is newer than the table: jobs that others took over are in their shares there, or the
+    // table's revision is an old one by now.
+    let Ok(jobs) = list_jobs(node, StorePath::Any).await else { return };
+    for gone in silent {
+        let owns = jobs.iter().any(|job| !job.status.closed && job.owner() == gone);
+        if !owns {
+            node.log.info("share_lapsed", &[("route", &route), ("holder", &gone)]);
+            with_holder(node, route, |holder, _| holder.ceded(&gone, 0, revision));
+        }
+    }
+}
--- a/crates/entry/src/batch/limit_desk.rs
+++ b/crates/entry/src/batch/limit_desk.rs
@@ -12,6 +12,7 @@
 pub struct LimitDesk {
     holders: Mutex<FastMap<String, ShareHolder>>,
     drains: Mutex<FastMap<String, DrainRate>>,
+    counts: Mutex<FastMap<String, CountPace>>,
     /// Told when room under a limit was used up by a job.
     pub used: Event,
     /// One share is changed at a time: each change begins with what the one before wrote.
@@ -33,11 +34,27 @@
         drains.get(route).map_or(0.0, |drain| drain.per_second(now))
     }
 
+    /// All gateways are about to be asked what they use of a limit.
+    pub fn note_asked(&self, route: &str, now: MonoTime) {
+        self.counts().entry(route.to_owned()).or_default().note_asked(now);
+    }
+
+    /// They were asked.
+    pub fn note_count(&self, route: &str, count: RoomCount) {
+        self.counts().entry(route.to_owned()).or_default().note_count(count);
+    }
+
+    /// The last count of each limit, by its route's name.
+    pub fn counts(&self) -> MutexGuard<'_, FastMap<String, CountPace>> {
+        self.counts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Routes of whose limits or ends something is known.
     pub fn known_routes(&self) -> FastSet<String> {
         let drains = self.drains.lock().unwrap_or_else(PoisonError::into_inner);
         let mut known: FastSet<String> = drains.keys().cloned().collect();
         drop(drains);
+        known.extend(self.counts().keys().cloned());
         known.extend(self.holders().keys().cloned());
         known
     }
@@ -45,6 +62,7 @@
     /// Forgets a route; whether anything was known of it.
     pub fn forget(&self, route: &str) -> bool {
         let had_part = self.holders().remove(route).is_some();
+        self.counts().remove(route);
         let mut drains = self.drains.lock().unwrap_or_else(PoisonError::into_inner);
         drains.remove(route).is_some() || had_part
     }
--- a/crates/entry/src/batch/limits.rs
+++ b/crates/entry/src/batch/limits.rs
@@ -2,12 +2,12 @@
 //!
 //! What is lent of a limit, and to whom, is one object of the store; a gateway admits jobs within its
 //! share without a call. When a limit is used up the others are asked to give back what they don't
-//! use, so a job is refused only if it doesn't fit.
+//! use, so a job is refused only if it doesn't fit; in a burst refusals rest on the last answers for a
+//! moment.
 
 use std::{sync::Arc, time::Duration};
 
 use async_std::{future::timeout, sync::MutexGuard as TurnGuard};
-use futures_util::future::join_all;
 use notch_messages::prelude::PeerMessage;
 use notch_platform_wire::{
     prelude::StoreObject,
@@ -17,17 +17,13 @@
 use notch_types::prelude::*;
 
 use crate::{
-    batch::{desk::JobDesk, stored_jobs::list_jobs},
-    constants::{LIMIT_ASK, LIMIT_CALL, LIMIT_PATIENCE, LIMIT_ROUNDS, ROOM_TICK, SHARE_SILENCE},
-    node::EntryNode,
-    peers::{
-        calls::CallEnd,
-        table::{KeptShare, OwnerLiveness},
-    },
-    store::{
-        feed::StorePath,
-        reply::{StoreFailure, StoreReply},
+    batch::{
+        desk::JobDesk,
+        limit_asks::{AskedShares, ask_in_turn},
     },
+    constants::{LIMIT_CALL, LIMIT_PATIENCE, LIMIT_ROUNDS, ROOM_TICK},
+    node::EntryNode,
+    store::reply::{StoreFailure, StoreReply},
 };
 
 /// Kind of the shares of limits, each object named after its route.
@@ -78,6 +74,7 @@
 /// Only a write waits for its turn: what is held is used, and what doesn't fit is found out, while
 /// another write is under way.
 async fn decide(node: &EntryNode, route: &Route, job: &str, tokens: u64) -> LimitOutcome {
+    let arrived = node.clock.mono();
     let mut asked: Option<AskedShares> = None;
     for _ in 0..LIMIT_ROUNDS {
         match take_held(node, route, job, tokens) {
@@ -88,21 +85,32 @@
                 ShareWrite::Unknown => return LimitOutcome::Unknown,
             },
             ShareRoom::Missing(missing) => {
+                if let Some(wait) = refusal(node, route, tokens, arrived) {
+                    return LimitOutcome::Full { wait };
+                }
                 // What was given back counts only for the table that it was asked for.
                 let revision = with_holder(node, &route.name, |holder, _| holder.revision());
                 if let Some(asked) = asked.as_ref().filter(|asked| asked.revision == revision) {
                     return LimitOutcome::Full { wait: wait_for(missing, asked.per_second) };
                 }
-                asked = match ask_in_turn(node, &route.name).await {
-                    Ok(answers) => Some(answers),
+                let is_refused = || refusal(node, route, tokens, arrived).is_some();
+                match ask_in_turn(node, route, is_refused).await {
+                    Ok(answers) => asked = answers,
                     Err(_) => return LimitOutcome::Unknown,
-                };
+                }
             }
         }
     }
     LimitOutcome::Unknown
 }
 
+/// When to come back, if the job is refused by the last count.
+fn refusal(node: &EntryNode, route: &Route, tokens: u64, arrived: MonoTime) -> Option<Duration> {
+    let counts = node.limits.counts();
+    let pace = counts.get(&route.name)?;
+    pace.refusal(tokens, route.waiting_limit, arrived, node.clock.mono())
+}
+
 /// Counts the job if it's within what is held here; whether it is, and what is missing.
 fn take_held(node: &EntryNode, route: &Route, job: &str, tokens: u64) -> ShareRoom {
     let is_in_touch = node.peers.hears_all(node.clock.mono());
@@ -137,23 +145,6 @@
     turn
 }
 
-/// What the other gateways answered.
-struct AskedShares {
-    /// Revision of the table for which they were asked.
-    revision: Option<u64>,
-    /// How much ends each second, at those that answered and here.
-    per_second: f64,
-}
-
-/// Reads the shares and asks all others to give back what they don't use, one task at a time.
-async fn ask_in_turn(node: &EntryNode, route: &str) -> Result<AskedShares, StoreFailure> {
-    let _turn = node.limits.asking.lock().await;
-    refresh(node, route).await?;
-    let asked = ask_all(node, route).await;
-    drop_silent(node, route).await;
-    Ok(asked)
-}
-
 /// The next step, which is counted already if it's granted.
 fn next_step(node: &EntryNode, route: &Route, job: &str, tokens: u64) -> ShareStep {
     let gateways = node.peers.known_count() as u64 + 1;
@@ -271,7 +262,7 @@
 }
 
 /// Works on this gateway's part in a limit; no task sees it between what is done here.
-fn with_holder<T>(
+pub(crate) fn with_holder<T>(
     node: &EntryNode,
     route: &str,
     work: impl FnOnce(&mut ShareHolder, &mut JobDesk) -> T,
@@ -287,49 +278,6 @@
     node.peers.broadcast(&PeerMessage::Shares { limit: route.to_owned(), revision, table });
 }
 
-/// Asks every gateway with a link to give back what it doesn't use.
-async fn ask_all(node: &EntryNode, route: &str) -> AskedShares {
-    let revision = with_holder(node, route, |holder, _| holder.revision());
-    let gateways = node.peers.linked_vms();
-    let answers = join_all(gateways.iter().map(|vm| ask(node, vm, route))).await;
-    let mut per_second = node.limits.ended_per_second(route, node.clock.mono());
-    for answer in answers.into_iter().flatten() {
-        per_second += answer.ended_per_second as f64;
-        with_holder(node, route, |holder, _| holder.ceded(&answer.holder, answer.kept, revision));
-    }
-    AskedShares { revision, per_second }
-}
-
-async fn ask(node: &EntryNode, vm: &VmName, route: &str) -> Option<KeptShare> {
-    let send = |call| node.peers.send(vm, PeerMessage::ShareAsk { call, limit: route.to_owned() });
-    match node.peers.share_calls.ask(send, LIMIT_ASK).await {
-        CallEnd::Answered(kept) => Some(kept),
-        CallEnd::NotSent | CallEnd::Unanswered => None,
-    }
-}
-
-/// Drops shares of gateways that are gone for long and own no open job any more.
-async fn drop_silent(node: &EntryNode, route: &str) {
-    let now = node.clock.mono();
-    let is_alive = |holder: &str| node.liveness(holder, now) == OwnerLiveness::Alive;
-    let (silent, revision) = with_holder(node, route, |holder, _| {
-        (holder.silent_holders(is_alive, SHARE_SILENCE, now), holder.revision())
-    });
-    if silent.is_empty() {
-        return;
-    }
-    // The list is newer than the table: jobs that others took over are in their shares there, or the
-    // table's revision is an old one by now.
-    let Ok(jobs) = list_jobs(node, StorePath::Any).await else { return };
-    for gone in silent {
-        let owns = jobs.iter().any(|job| !job.status.closed && job.owner() == gone);
-        if !owns {
-            node.log.info("share_lapsed", &[("route", &route), ("holder", &gone)]);
-            with_holder(node, route, |holder, _| holder.ceded(&gone, 0, revision));
-        }
-    }
-}
-
 /// What became of a write of shares.
 enum ShareWrite {
     /// It was done, and the other gateways are told.
@@ -377,7 +325,10 @@
 }
 
 /// Reads the shares as the store holds them.
-async fn refresh(node: &EntryNode, route: &str) -> Result<(), StoreFailure> {
+///
+/// # Errors
+/// The store doesn't tell them.
+pub(crate) async fn refresh(node: &EntryNode, route: &str) -> Result<(), StoreFailure> {
     let path = object_path(SHARE_KIND, &object_name(route));
     let wait = node.store.settings().call_timeout.min(LIMIT_CALL);
     let reply = node.store.call("GET", &path, None, wait).await?;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -21,6 +21,7 @@
             spec::{AnswerSize, ItemSpec, JobSpec, JobTerms},
         },
         limits::{
+            count::{CountPace, RoomCount},
             drain::DrainRate,
             holder::{ShareHolder, ShareProposal, ShareRoom, ShareStep},
             table::{HolderShare, ShareTable},
--- a/crates/relay/src/limits/holder.rs
+++ b/crates/relay/src/limits/holder.rs
@@ -245,6 +245,11 @@
         }
     }
 
+    /// What all use together, `used` of it here, as far as is known.
+    pub fn used_by_all(&self, used: u64) -> u64 {
+        self.table.lent_to_others(&self.name).saturating_add(used)
+    }
+
     /// Revision of the table as last heard of.
     pub fn revision(&self) -> Option<u64> {
         self.revision
