--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -22,12 +22,14 @@
             spec::{AnswerSize, ItemSpec, JobSpec, JobTerms},
         },
         limits::{
+            count::{CountPace, RoomCount},
             drain::DrainRate,
-            holder::{ShareHolder, ShareProposal, ShareStep},
+            holder::{ShareHolder, ShareProposal, ShareRoom, ShareStep},
             table::{HolderShare, ShareTable},
         },
         routes::{
             configuration::{ClientLimits, Configuration},
+            dropped::DroppedRoutes,
             route::{Route, RouteKind, WeightedService},
             table::RouteTable,
         },
