--- a/crates/entry/src/batch/reads.rs
+++ b/crates/entry/src/batch/reads.rs
@@ -53,6 +53,8 @@
     wait: Duration,
 ) -> OwnAnswer {
     let until = node.clock.mono() + wait;
+    // In doubt the store is asked who owns the job, once for all its readers until the next doubt.
+    let mut was_checked = false;
     loop {
         let listener = node.job_news.listen();
         let left = until.since(node.clock.mono());
@@ -64,11 +66,14 @@
                     let _ = timeout(left, listener).await;
                     continue;
                 }
-                if is_sure_of_owned(node, job).await {
+                if ownership::is_sure(node, job) {
                     return nothing_new(node, job, total, after, "owner");
                 }
-                if !node.jobs().is_owned(job) {
-                    // The check has told that it is another gateway's.
+                if !was_checked && ownership::can_confirm(node, job) {
+                    was_checked = true;
+                    // A store that doesn't answer leaves the doubt.
+                    let _ = ownership::check(node, job).await;
+                    // The list may have grown meanwhile, and the job may be another gateway's.
                     continue;
                 }
                 // A gateway out of touch may have taken the job over and listed more, or a write of
@@ -86,20 +91,6 @@
     }
 }
 
-/// Whether the list of a job owned here has nothing beyond what is known here. In doubt the store is
-/// asked who owns it, once for all readers until the next doubt.
-async fn is_sure_of_owned(node: &EntryNode, job: &str) -> bool {
-    if ownership::is_sure(node, job) {
-        return true;
-    }
-    if !ownership::can_confirm(node, job) {
-        return false;
-    }
-    // A store that doesn't answer leaves the doubt.
-    let _ = ownership::check(node, job).await;
-    ownership::is_sure(node, job)
-}
-
 fn read_state(node: &EntryNode, job: &str, after: usize) -> ReadState {
     let desk = node.jobs();
     if let Some(owned) = desk.board.get(job) {
