Be sure of a job only while the gateways' entries are read; keep a peer whose link stands

Mend: an owner is sure only if the entries were answered within 5 s, and one never linked to is given 6.5 s; a peer counts as silent as soon as its link is down; a record outlives its entry while its link stands; names that were only mentioned no longer count among those to be heard; a claim of a job that is being taken over here raises a doubt.

--- a/crates/entry/src/batch/ownership.rs
+++ b/crates/entry/src/batch/ownership.rs
@@ -9,7 +9,7 @@
 use async_std::task;
 use notch_messages::prelude::PeerMessage;
 use notch_relay::prelude::OwnedJob;
-use notch_types::prelude::Counter;
+use notch_types::prelude::{Counter, MonoTime};
 
 use crate::{
     batch::{closing::close_whole_job, limits, records::read_job},
@@ -22,7 +22,7 @@
 /// Whether the list of a job owned here surely has nothing beyond what is known here.
 pub fn is_sure(node: &EntryNode, job: &str) -> bool {
     let now = node.clock.mono();
-    if !node.peers.hears_all(now) {
+    if !is_in_touch(node, now) {
         return false;
     }
     let desk = node.jobs();
@@ -35,14 +35,14 @@
 /// Which are still ours is asked when a reader needs it. Only where it was rather this gateway that nobody
 /// heard, all are checked at once, for it may be running what others run, too.
 pub fn doubt_all(node: &Arc<EntryNode>, cause: &'static str, silence: PeerSilence) {
-    if silence == PeerSilence::OfMost {
-        let node = Arc::clone(node);
-        task::spawn(async move { verify_all(&node).await });
-    }
     let mut desk = node.jobs();
     desk.board.doubt_all();
     let jobs = desk.open_owned().len();
     drop(desk);
+    if silence == PeerSilence::OfMost {
+        let node = Arc::clone(node);
+        task::spawn(async move { verify_all(&node).await });
+    }
     if jobs > 0 {
         node.log.info("ownership_doubted", &[("jobs", &jobs), ("cause", &cause)]);
         node.metrics.count(Counter::Event("ownership_doubts"));
@@ -74,7 +74,12 @@
 /// it would be good for that moment only.
 pub fn can_confirm(node: &EntryNode, job: &str) -> bool {
     let is_confirmed = node.jobs().board.get(job).is_none_or(OwnedJob::is_confirmed);
-    !is_confirmed && node.peers.hears_all(node.clock.mono())
+    !is_confirmed && is_in_touch(node, node.clock.mono())
+}
+
+/// Whether no other gateway can have taken a job over that this one was confirmed to own.
+fn is_in_touch(node: &EntryNode, now: MonoTime) -> bool {
+    node.peers.knows_all(now) && node.peers.hears_all(now)
 }
 
 /// Checks every job that we run, once for all calls that come together.
--- a/crates/entry/src/batch/reads.rs
+++ b/crates/entry/src/batch/reads.rs
@@ -53,7 +53,7 @@
     wait: Duration,
 ) -> OwnAnswer {
     let until = node.clock.mono() + wait;
-    // In doubt the store is asked who owns the job, once for all its readers until the next doubt.
+    // In doubt the store is asked who owns the job; its answer serves all readers until the next doubt.
     let mut was_checked = false;
     loop {
         let listener = node.job_news.listen();
--- a/crates/entry/src/constants.rs
+++ b/crates/entry/src/constants.rs
@@ -68,9 +68,12 @@
 pub const LAG_PATIENCE: Duration = Duration::from_millis(250);
 /// A gateway whose link is down this long is taken for dead and its jobs are taken over.
 pub const PEER_DEAD: Duration = Duration::from_millis(1_000);
-/// A gateway that was never linked to is taken for dead after this long: gateways read each other's entries
-/// every 1.5 s, and a link takes up to a second more.
-pub const FIRST_LINK: Duration = Duration::from_millis(2_500);
+/// Who read the gateways' entries this recently knows every gateway that may take jobs over: a watch of
+/// them that tells nothing ends after 2.5 s, and the next one begins 1.5 s later.
+pub const ENTRIES_FRESH: Duration = Duration::from_millis(5_000);
+/// A gateway that was never linked to is taken for dead after this long. Invariant: above
+/// [`ENTRIES_FRESH`] by more than a handshake: it knows us by then, or knows that it may not.
+pub const FIRST_LINK: Duration = Duration::from_millis(6_500);
 /// A gateway that hasn't heard a peer for this long asks the store before it says that a job has no more
 /// results. Invariants: shorter than [`PEER_DEAD`] by more than a message's way takes, and at least twice
 /// the links' heartbeat.
--- a/crates/entry/src/peers/hub.rs
+++ b/crates/entry/src/peers/hub.rs
@@ -40,7 +40,8 @@
 pub async fn follow_gateways(node: Arc<EntryNode>, settings: LinkSettings) {
     register(&node).await;
     let sink = link_sink(&node);
-    let feed = FeedPlan { pause: GATEWAY_WATCH_PAUSE, duty: None };
+    let entries = Some(&node.peers.entries);
+    let feed = FeedPlan { pause: GATEWAY_WATCH_PAUSE, duty: None, answered: entries };
     follow(&node.store, GATEWAY_KIND, feed, |event| match event {
         FeedEvent::Snapshot { objects, .. } => {
             for object in &objects {
@@ -266,7 +267,12 @@
         if is_owned {
             ownership::doubt(node, job, "claimed");
         } else {
-            node.jobs().note_owner(std::slice::from_ref(job), owner);
+            let mut desk = node.jobs();
+            if desk.is_busy(job) {
+                // It is being taken over here: whichever of the two came first, the store tells.
+                desk.board.doubt_all();
+            }
+            desk.note_owner(std::slice::from_ref(job), owner);
         }
     }
 }
--- a/crates/entry/src/peers/table.rs
+++ b/crates/entry/src/peers/table.rs
@@ -11,8 +11,9 @@
 use notch_types::prelude::*;
 
 use crate::{
-    constants::{FIRST_LINK, OWNER_DOUBT, PEER_DEAD},
+    constants::{ENTRIES_FRESH, FIRST_LINK, OWNER_DOUBT, PEER_DEAD},
     peers::{calls::CallTable, record::GatewayEntry},
+    store::feed_clock::FeedClock,
 };
 
 /// A peer's answer to a question about a job.
@@ -78,7 +79,7 @@
     owner: Option<String>,
     /// Since when there is no link.
     down_since: MonoTime,
-    /// When anything came from it last, or its entry was first read.
+    /// When anything came from it last. Meaningless while `was_linked` is false.
     heard_at: MonoTime,
     /// A link to it stood once.
     was_linked: bool,
@@ -102,6 +103,8 @@
     pub store_calls: CallTable<StoreCallEnd>,
     /// Questions for shares of limits.
     pub share_calls: CallTable<KeptShare>,
+    /// When the gateways' entries were read last.
+    pub entries: FeedClock,
 }
 
 impl PeerTable {
@@ -129,9 +132,14 @@
         record.entry = Some(entry);
     }
 
-    /// A gateway's entry is gone.
+    /// A gateway's entry is gone. While a link to it stands it lives all the same: forgotten it would be
+    /// taken for dead, and its jobs taken over behind its back.
     pub fn remove_entry(&self, vm: &VmName) {
-        self.peers().remove(vm);
+        let mut peers = self.peers();
+        match peers.get_mut(vm) {
+            Some(record) if record.link.is_some() => record.entry = None,
+            _ => drop(peers.remove(vm)),
+        }
     }
 
     /// A link stands; the silence of the other gateways until now.
@@ -338,6 +346,13 @@
         named.collect()
     }
 
+    /// Whether the entries of gateways were read so recently that one that is missing here can't have taken
+    /// this one for dead yet. It may know this one's entry and get no link, when this one, which the
+    /// store turns away, is to dial.
+    pub fn knows_all(&self, now: MonoTime) -> bool {
+        self.entries.is_fresh(now, ENTRIES_FRESH)
+    }
+
     /// Whether every known gateway was heard a moment ago. While one isn't, it may have taken jobs of ours
     /// over. A link that still looks up says nothing: a process that stood still hasn't read yet that the
     /// others closed it.
@@ -351,9 +366,11 @@
 }
 
 impl PeerRecord {
-    /// Whether it hasn't been heard for so long that it may have taken jobs of ours over.
+    /// Whether it may have taken jobs of ours over: it hasn't been heard for long, or its link is down. A
+    /// gateway that was only named, and neither registered nor linked to, isn't counted.
     fn is_silent(&self, now: MonoTime) -> bool {
-        now.since(self.heard_at) >= OWNER_DOUBT
+        let is_known = self.entry.is_some() || self.was_linked;
+        is_known && (self.link.is_none() || now.since(self.heard_at) >= OWNER_DOUBT)
     }
 
     /// How long it may be without a link before it is taken for dead. One that was never linked to may live
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -5,6 +5,7 @@
 pub mod detour;
 pub mod duty;
 pub mod feed;
+pub mod feed_clock;
 pub mod feed_event;
 pub mod outage;
 pub mod reply;
--- a/crates/entry/src/store/client.rs
+++ b/crates/entry/src/store/client.rs
@@ -11,6 +11,7 @@
 use notch_h1::prelude::*;
 use notch_settings::prelude::StoreSettings;
 use notch_telemetry::prelude::*;
+use notch_types::prelude::MonoTime;
 
 use crate::{
     clock::NodeClock,
@@ -75,6 +76,11 @@
         &self.log
     }
 
+    /// The monotonic clock.
+    pub fn now(&self) -> MonoTime {
+        self.clock.mono()
+    }
+
     /// Takes new settings; idle connections may lead to an old address.
     pub fn reload(&self, settings: StoreSettings) {
         *self.settings.lock().unwrap_or_else(PoisonError::into_inner) = settings;
--- a/crates/entry/src/store/feed.rs
+++ b/crates/entry/src/store/feed.rs
@@ -11,7 +11,10 @@
 use crate::{
     constants::{DUTY_TICK, STORE_PAUSE, WATCH_GRACE},
     node::EntryNode,
-    store::{client::StoreClient, feed_event::FeedEvent, reply::StoreFailure, retry::jittered},
+    store::{
+        client::StoreClient, feed_clock::FeedClock, feed_event::FeedEvent, reply::StoreFailure,
+        retry::jittered,
+    },
 };
 
 /// Which way calls to the store go.
@@ -30,6 +33,16 @@
     pub pause: Duration,
     /// The gateway whose duty it is, or isn't while enough others follow; `None` for always.
     pub duty: Option<&'a EntryNode>,
+    /// Told of each answer, where it matters how old the knowledge is.
+    pub answered: Option<&'a FeedClock>,
+}
+
+impl FeedPlan<'_> {
+    fn note_answer(&self, store: &StoreClient) {
+        if let Some(clock) = self.answered {
+            clock.note_answer(store.now());
+        }
+    }
 }
 
 /// Follows `kind` until the process ends.
@@ -49,6 +62,7 @@
         match list_all(store, kind, StorePath::Direct).await {
             Ok((objects, as_of)) => {
                 tell(FeedEvent::Snapshot { objects, as_of });
+                plan.note_answer(store);
                 let _live = plan.duty.map(|node| node.watch.live_feed());
                 watch(store, kind, as_of, plan, &mut tell).await;
             }
@@ -134,5 +148,6 @@
                 FeedEvent::Changed { object }
             });
         }
+        plan.note_answer(store);
     }
 }
--- /dev/null
+++ b/crates/entry/src/store/feed_clock.rs
@@ -0,0 +1,28 @@
+//! When a feed of the store was answered last.
+
+use std::{
+    sync::atomic::{AtomicU64, Ordering},
+    time::Duration,
+};
+
+use notch_types::prelude::MonoTime;
+
+/// When a feed was answered last; never at first.
+#[derive(Debug, Default)]
+pub struct FeedClock {
+    /// Microseconds of the monotonic clock; 0 for never.
+    answered_at: AtomicU64,
+}
+
+impl FeedClock {
+    /// The store answered: what is known is its state of a moment ago.
+    pub fn note_answer(&self, now: MonoTime) {
+        self.answered_at.store(now.0.max(1), Ordering::Release);
+    }
+
+    /// Whether the last answer is younger than `age`.
+    pub fn is_fresh(&self, now: MonoTime, age: Duration) -> bool {
+        let answered_at = self.answered_at.load(Ordering::Acquire);
+        answered_at > 0 && now.since(MonoTime(answered_at)) < age
+    }
+}
