Count every call to the store by kind of object and cause

A call passed on by a gateway that is turned away counts where it is made, as for_another. Ruled out: a cause guessed from method and path, as reads of a job's object have four causes.

--- a/crates/entry/src/batch/ends.rs
+++ b/crates/entry/src/batch/ends.rs
@@ -11,6 +11,7 @@
     front::answer::OwnAnswer,
     node::EntryNode,
     store::{
+        call_cause::StoreCallCause,
         feed::{FeedPlan, follow},
         feed_event::FeedEvent,
     },
@@ -26,7 +27,7 @@
         desk.is_known(job)
     };
     if !is_known {
-        match read_job(&node.store, job).await {
+        match read_job(&node.store, job, StoreCallCause::EndStored).await {
             Ok(Some(_)) => {}
             Ok(None) => return answer(node, job, "no_such_job", OwnAnswer::of(404)),
             Err(_) => {
--- a/crates/entry/src/batch/intake.rs
+++ b/crates/entry/src/batch/intake.rs
@@ -18,6 +18,7 @@
     front::answer::OwnAnswer,
     node::EntryNode,
     store::{
+        call_cause::StoreCallCause,
         reply::StoreFailure,
         retry::{jittered, until_answered},
     },
@@ -100,7 +101,7 @@
 /// Refuses a job that doesn't fit under its route's limit, unless another gateway took it in before
 /// without our hearing of it: it runs then, and a refusal would say that it doesn't.
 async fn refuse(node: &EntryNode, id: &str, outcome: LimitOutcome, arrived: MonoTime) -> OwnAnswer {
-    match (read_job(&node.store, id).await, outcome) {
+    match (read_job(&node.store, id, StoreCallCause::JobStored).await, outcome) {
         (Ok(Some(_)), _) => answer(node, id, "known", OwnAnswer::of(202), arrived),
         (Ok(None), LimitOutcome::Full { wait }) => {
             answer(node, id, "over_limit", OwnAnswer::over_limit(wait), arrived)
@@ -185,12 +186,17 @@
 
 /// The job is stored, after a write whose answer was lost: it's ours if our record stands there.
 async fn settle(node: &Arc<EntryNode>, spec: Arc<JobSpec>, record: &JobRecord) -> IntakeOutcome {
-    let stored = until_answered(|| true, || read_job(&node.store, &spec.id)).await.flatten();
+    let stored =
+        until_answered(|| true, || read_job(&node.store, &spec.id, StoreCallCause::JobStored))
+            .await
+            .flatten();
     if stored.is_none_or(|stored| stored.owner() != record.owner) {
         return IntakeOutcome::Known;
     }
     // It may have been accepted and ended elsewhere while our answer was lost.
-    let is_ended = until_answered(|| true, || read_end(&node.store, &spec.id)).await;
+    let is_ended =
+        until_answered(|| true, || read_end(&node.store, &spec.id, StoreCallCause::JobStored))
+            .await;
     if is_ended == Some(false) {
         own_job(node, spec);
     }
--- a/crates/entry/src/batch/limits.rs
+++ b/crates/entry/src/batch/limits.rs
@@ -25,13 +25,14 @@
         table::{KeptShare, OwnerLiveness},
     },
     store::{
+        call_cause::StoreCallCause,
         feed::StorePath,
         reply::{StoreFailure, StoreReply},
     },
 };
 
 /// Kind of the shares of limits, each object named after its route.
-const SHARE_KIND: &str = "notch-limit-shares";
+pub const SHARE_KIND: &str = "notch-limit-shares";
 
 /// What became of a job that counts against a limit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -265,7 +266,9 @@
     }
     // The list is newer than the table: jobs that others took over are in their shares there, or the
     // table's revision is an old one by now.
-    let Ok(jobs) = list_jobs(node, StorePath::Any).await else { return };
+    let Ok(jobs) = list_jobs(node, StorePath::Any, StoreCallCause::LimitShares).await else {
+        return;
+    };
     for gone in silent {
         let owns = jobs.iter().any(|job| !job.status.closed && job.owner() == gone);
         if !owns {
@@ -300,7 +303,7 @@
         Some(_) => ("PUT", object_path(SHARE_KIND, &name)),
     };
     let wait = node.store.settings().call_timeout.min(LIMIT_CALL);
-    let sent = node.store.call(method, &path, Some(&body), wait).await;
+    let sent = node.store.call(StoreCallCause::LimitShares, method, &path, Some(&body), wait).await;
     if let Ok(reply) = &sent
         && reply.is_success()
         && let Ok(object) = decode::<StoreObject>(&reply.body)
@@ -323,7 +326,10 @@
 
 /// Reads the shares as the store holds them.
 async fn refresh(node: &EntryNode, route: &str) -> Result<(), StoreFailure> {
-    let reply = node.store.get(&object_path(SHARE_KIND, &object_name(route))).await?;
+    let reply = node
+        .store
+        .get(StoreCallCause::LimitShares, &object_path(SHARE_KIND, &object_name(route)))
+        .await?;
     if adopt_reply(node, route, &reply) { Ok(()) } else { Err(StoreFailure::Unknown) }
 }
 
--- a/crates/entry/src/batch/ownership.rs
+++ b/crates/entry/src/batch/ownership.rs
@@ -10,7 +10,7 @@
     batch::{closing::close_whole_job, limits, records::read_job},
     constants::VERIFY_DELAY,
     node::EntryNode,
-    store::retry::until_answered,
+    store::{call_cause::StoreCallCause, retry::until_answered},
 };
 
 /// Checks every job that we run, once for all calls that come together.
@@ -35,7 +35,8 @@
 /// run it waste places, and each would tell readers of its own view of the list.
 pub async fn verify(node: &Arc<EntryNode>, job: &str) {
     let is_owned = || node.jobs().is_owned(job);
-    let reading = until_answered(is_owned, || read_job(&node.store, job));
+    let reading =
+        until_answered(is_owned, || read_job(&node.store, job, StoreCallCause::OwnershipChecked));
     let Some(stored) = reading.await else { return };
     let owner = stored.as_ref().map_or("", |stored| stored.owner());
     if owner != node.owner {
--- a/crates/entry/src/batch/reads.rs
+++ b/crates/entry/src/batch/reads.rs
@@ -17,7 +17,7 @@
     front::answer::OwnAnswer,
     node::EntryNode,
     peers::calls::CallEnd,
-    store::reply::StoreFailure,
+    store::{call_cause::StoreCallCause, reply::StoreFailure},
 };
 
 /// Bytes of results in an answer to another gateway, at most: well under a link's largest message.
@@ -68,7 +68,9 @@
                 }
                 // A gateway out of touch may have taken the job over and listed more, or a write of
                 // our own may have been done that was not answered.
-                return match stored_results(&node.store, job, held).await {
+                return match stored_results(&node.store, job, held, StoreCallCause::ResultsRead)
+                    .await
+                {
                     Ok(list) => {
                         let new = list.lines.get(after.saturating_sub(held)..).unwrap_or_default();
                         results_answer(total, after, new)
@@ -152,15 +154,17 @@
         return Ok(false);
     }
     let position = copy.chunk_end;
-    let list = stored_results(&node.store, job, position).await?;
+    let list = stored_results(&node.store, job, position, StoreCallCause::ResultsRead).await?;
     copy.extend(position, &list.lines, true);
     Ok(true)
 }
 
 /// Reads a job from the store: its owner and its items; false when there is none.
 async fn learn_job(node: &EntryNode, job: &str, copy: &mut JobCopy) -> Result<bool, StoreFailure> {
-    let Some(stored) = read_job(&node.store, job).await? else { return Ok(false) };
-    let spec = Arc::new(read_spec(&node.store, &stored).await?);
+    let Some(stored) = read_job(&node.store, job, StoreCallCause::ResultsRead).await? else {
+        return Ok(false);
+    };
+    let spec = Arc::new(read_spec(&node.store, &stored, StoreCallCause::ResultsRead).await?);
     copy.total = Some(spec.items.len());
     copy.owner = Some(stored.owner().to_owned());
     copy.spec = Some(spec);
--- a/crates/entry/src/batch/records.rs
+++ b/crates/entry/src/batch/records.rs
@@ -19,15 +19,15 @@
 
 use crate::{
     constants::OBJECT_BYTES,
-    store::{client::StoreClient, reply::StoreFailure},
+    store::{call_cause::StoreCallCause, client::StoreClient, reply::StoreFailure},
 };
 
 /// Kind of jobs, each named after its id.
 pub const JOB_KIND: &str = "notch-jobs";
 /// Kind of parts of jobs too large for one object.
-const PART_KIND: &str = "notch-job-parts";
+pub const PART_KIND: &str = "notch-job-parts";
 /// Kind of results.
-const RESULT_KIND: &str = "notch-results";
+pub const RESULT_KIND: &str = "notch-results";
 /// Kind of ends of jobs, each named after its job.
 pub const END_KIND: &str = "notch-job-ends";
 
@@ -97,9 +97,9 @@
     items_text: &str,
 ) -> Result<bool, StoreFailure> {
     for (index, part) in split_text(items_text, record.parts).into_iter().enumerate() {
-        create(store, PART_KIND, &part_name(id, index), &part).await?;
+        create(store, StoreCallCause::JobStored, PART_KIND, &part_name(id, index), &part).await?;
     }
-    create(store, JOB_KIND, id, record).await
+    create(store, StoreCallCause::JobStored, JOB_KIND, id, record).await
 }
 
 /// The parts of a text too long for one object: 0 when it isn't.
@@ -121,8 +121,12 @@
 ///
 /// # Errors
 /// The store didn't answer.
-pub async fn read_job(store: &StoreClient, id: &str) -> Result<Option<StoredJob>, StoreFailure> {
-    let reply = store.get(&object_path(JOB_KIND, id)).await?;
+pub async fn read_job(
+    store: &StoreClient,
+    id: &str,
+    cause: StoreCallCause,
+) -> Result<Option<StoredJob>, StoreFailure> {
+    let reply = store.get(cause, &object_path(JOB_KIND, id)).await?;
     if !reply.is_success() {
         return Ok(None);
     }
@@ -134,10 +138,14 @@
 ///
 /// # Errors
 /// The store didn't answer, or a part isn't there.
-pub async fn read_spec(store: &StoreClient, job: &StoredJob) -> Result<JobSpec, StoreFailure> {
+pub async fn read_spec(
+    store: &StoreClient,
+    job: &StoredJob,
+    cause: StoreCallCause,
+) -> Result<JobSpec, StoreFailure> {
     let mut text = String::new();
     for index in 0..job.record.parts {
-        let reply = store.get(&object_path(PART_KIND, &part_name(&job.id, index))).await?;
+        let reply = store.get(cause, &object_path(PART_KIND, &part_name(&job.id, index))).await?;
         if !reply.is_success() {
             return Err(StoreFailure::NotDone);
         }
@@ -169,8 +177,9 @@
     store: &StoreClient,
     id: &str,
     position: usize,
+    cause: StoreCallCause,
 ) -> Result<StoredList, StoreFailure> {
-    walk_results(store, id, position, |_| {}).await
+    walk_results(store, id, position, cause, |_| {}).await
 }
 
 /// Reads a job's objects of results from `position` on, one after the other, and tells the name of
@@ -179,12 +188,13 @@
     store: &StoreClient,
     id: &str,
     position: usize,
+    cause: StoreCallCause,
     mut tell: impl FnMut(String),
 ) -> Result<StoredList, StoreFailure> {
     let mut list = StoredList::default();
     loop {
         let name = chunk_name(id, position + list.lines.len(), list.fences);
-        let reply = store.get(&object_path(RESULT_KIND, &name)).await?;
+        let reply = store.get(cause, &object_path(RESULT_KIND, &name)).await?;
         if !reply.is_success() {
             return Ok(list);
         }
@@ -205,9 +215,11 @@
     owner: &str,
 ) -> Result<StoredList, StoreFailure> {
     loop {
-        let mut list = read_results(store, id, 0).await?;
+        let mut list = read_results(store, id, 0, StoreCallCause::JobTakenOver).await?;
         let (position, fences) = (list.lines.len(), list.fences);
-        match store_results(store, id, position, fences, owner, &[]).await? {
+        let chunk = ResultChunk { writer: owner.to_owned(), lines: Vec::new() };
+        let name = chunk_name(id, position, fences);
+        match store_chunk(store, StoreCallCause::JobTakenOver, &name, chunk).await? {
             ChunkOutcome::Stored => {
                 list.fences += 1;
                 return Ok(list);
@@ -218,7 +230,7 @@
     }
 }
 
-/// Stores results at `position`, after the fences that stand there; a fence where there are none.
+/// Stores results at `position`, after the fences that stand there.
 ///
 /// # Errors
 /// The store didn't answer: they may stand there or come to. Only the same ones may be tried again.
@@ -232,9 +244,19 @@
 ) -> Result<ChunkOutcome, StoreFailure> {
     let chunk = ResultChunk { writer: writer.to_owned(), lines: lines.to_vec() };
     let name = chunk_name(id, position, fences);
-    let body = spec_body(&name, None, &chunk);
+    store_chunk(store, StoreCallCause::ResultsStored, &name, chunk).await
+}
+
+/// Creates an object of results, or of none, which is a fence.
+async fn store_chunk(
+    store: &StoreClient,
+    cause: StoreCallCause,
+    name: &str,
+    chunk: ResultChunk,
+) -> Result<ChunkOutcome, StoreFailure> {
+    let body = spec_body(name, None, &chunk);
     let wait = store.settings().call_timeout;
-    let reply = store.call("POST", &list_path(RESULT_KIND, None), Some(&body), wait).await?;
+    let reply = store.call(cause, "POST", &list_path(RESULT_KIND, None), Some(&body), wait).await?;
     if reply.is_success() {
         return Ok(ChunkOutcome::Stored);
     }
@@ -257,7 +279,15 @@
     let status = JobStatus { owner: owner.to_owned(), closed: false };
     let body = status_body(&job.id, Some(job.revision), &status);
     let wait = store.settings().call_timeout;
-    let reply = store.call("PUT", &status_path(JOB_KIND, &job.id), Some(&body), wait).await?;
+    let reply = store
+        .call(
+            StoreCallCause::JobTakenOver,
+            "PUT",
+            &status_path(JOB_KIND, &job.id),
+            Some(&body),
+            wait,
+        )
+        .await?;
     Ok(reply.is_success())
 }
 
@@ -269,7 +299,10 @@
     let status = JobStatus { owner: owner.to_owned(), closed: true };
     let body = status_body(id, None, &status);
     let wait = store.settings().call_timeout;
-    store.call("PUT", &status_path(JOB_KIND, id), Some(&body), wait).await.map(|_| ())
+    store
+        .call(StoreCallCause::JobClosed, "PUT", &status_path(JOB_KIND, id), Some(&body), wait)
+        .await
+        .map(|_| ())
 }
 
 /// Deletes all that the store holds of a job. Results go from the last to the first and the job
@@ -279,7 +312,7 @@
 /// The store didn't answer: a part of it may be left.
 pub async fn delete_job(store: &StoreClient, job: &StoredJob) -> Result<(), StoreFailure> {
     let mut chunks = Vec::new();
-    walk_results(store, &job.id, 0, |name| chunks.push(name)).await?;
+    walk_results(store, &job.id, 0, StoreCallCause::Retention, |name| chunks.push(name)).await?;
     for name in chunks.iter().rev() {
         delete(store, RESULT_KIND, name).await?;
     }
@@ -292,7 +325,10 @@
 
 async fn delete(store: &StoreClient, kind: &str, name: &str) -> Result<(), StoreFailure> {
     let wait = store.settings().call_timeout;
-    store.call("DELETE", &object_path(kind, name), None, wait).await.map(|_| ())
+    store
+        .call(StoreCallCause::Retention, "DELETE", &object_path(kind, name), None, wait)
+        .await
+        .map(|_| ())
 }
 
 /// Stores a job's end.
@@ -300,26 +336,31 @@
 /// # Errors
 /// The store didn't answer.
 pub async fn store_end(store: &StoreClient, id: &str) -> Result<(), StoreFailure> {
-    create(store, END_KIND, id, &()).await.map(|_| ())
+    create(store, StoreCallCause::EndStored, END_KIND, id, &()).await.map(|_| ())
 }
 
 /// Whether a job's end is stored.
 ///
 /// # Errors
 /// The store didn't answer.
-pub async fn read_end(store: &StoreClient, id: &str) -> Result<bool, StoreFailure> {
-    Ok(store.get(&object_path(END_KIND, id)).await?.is_success())
+pub async fn read_end(
+    store: &StoreClient,
+    id: &str,
+    cause: StoreCallCause,
+) -> Result<bool, StoreFailure> {
+    Ok(store.get(cause, &object_path(END_KIND, id)).await?.is_success())
 }
 
 async fn create<T: Serialize>(
     store: &StoreClient,
+    cause: StoreCallCause,
     kind: &str,
     name: &str,
     spec: &T,
 ) -> Result<bool, StoreFailure> {
     let body = spec_body(name, None, spec);
     let wait = store.settings().call_timeout;
-    let reply = store.call("POST", &list_path(kind, None), Some(&body), wait).await?;
+    let reply = store.call(cause, "POST", &list_path(kind, None), Some(&body), wait).await?;
     Ok(reply.is_success())
 }
 
--- a/crates/entry/src/batch/retention.rs
+++ b/crates/entry/src/batch/retention.rs
@@ -16,7 +16,7 @@
     },
     constants::{RETENTION_MARGIN, RETENTION_TICK},
     node::EntryNode,
-    store::{feed::StorePath, reply::StoreFailure, retry::jittered},
+    store::{call_cause::StoreCallCause, feed::StorePath, reply::StoreFailure, retry::jittered},
 };
 
 /// Deletes old jobs until the process ends.
@@ -42,14 +42,14 @@
 /// The store didn't answer.
 pub async fn delete_once(node: &EntryNode) -> Result<usize, StoreFailure> {
     let kept = node.store.settings().result_lifetime + RETENTION_MARGIN;
-    let jobs = list_jobs(node, StorePath::Direct).await?;
+    let jobs = list_jobs(node, StorePath::Direct, StoreCallCause::Retention).await?;
     let mut deleted = 0;
     for job in jobs.iter().filter(|job| is_over(job, kept, node.clock.wall())) {
         if !comes_first(node, &job.id) || node.jobs().is_owned(&job.id) {
             continue;
         }
         // One that is open is kept, however old it is.
-        if !job.status.closed && !read_end(&node.store, &job.id).await? {
+        if !job.status.closed && !read_end(&node.store, &job.id, StoreCallCause::Retention).await? {
             continue;
         }
         delete_job(&node.store, job).await?;
--- a/crates/entry/src/batch/stored_jobs.rs
+++ b/crates/entry/src/batch/stored_jobs.rs
@@ -7,6 +7,7 @@
     batch::records::{JOB_KIND, StoredJob},
     node::EntryNode,
     store::{
+        call_cause::StoreCallCause,
         feed::{StorePath, list_all},
         reply::StoreFailure,
     },
@@ -17,8 +18,12 @@
 ///
 /// # Errors
 /// The store did not answer, or not with a list.
-pub async fn list_jobs(node: &EntryNode, path: StorePath) -> Result<Vec<StoredJob>, StoreFailure> {
-    let (objects, _) = list_all(&node.store, JOB_KIND, path).await?;
+pub async fn list_jobs(
+    node: &EntryNode,
+    path: StorePath,
+    cause: StoreCallCause,
+) -> Result<Vec<StoredJob>, StoreFailure> {
+    let (objects, _) = list_all(&node.store, JOB_KIND, path, cause).await?;
     let mut jobs = Vec::new();
     for object in &objects {
         match StoredJob::decode(object) {
--- a/crates/entry/src/batch/takeover.rs
+++ b/crates/entry/src/batch/takeover.rs
@@ -18,7 +18,7 @@
     constants::{ORPHANS_AGAIN, ORPHANS_FIRST, PEER_TICK},
     node::EntryNode,
     peers::table::OwnerLiveness,
-    store::{feed::StorePath, reply::StoreFailure},
+    store::{call_cause::StoreCallCause, feed::StorePath, reply::StoreFailure},
 };
 
 /// Searches for jobs without an owner: once after the start, and whenever an owner is lost.
@@ -58,7 +58,7 @@
 async fn take_orphans(node: &Arc<EntryNode>) -> Result<usize, StoreFailure> {
     let mut left = 0;
     let mut due = Vec::new();
-    for job in list_jobs(node, StorePath::Any).await? {
+    for job in list_jobs(node, StorePath::Any, StoreCallCause::OrphanSearch).await? {
         let now = node.clock.mono();
         if job.status.closed {
             node.jobs().note_closed(&job.id, now);
@@ -175,9 +175,9 @@
     if job.owner() != node.owner && !take_job(&node.store, job, &node.owner).await? {
         return Ok(());
     }
-    let spec = Arc::new(read_spec(&node.store, job).await?);
+    let spec = Arc::new(read_spec(&node.store, job, StoreCallCause::JobTakenOver).await?);
     let list = fence_results(&node.store, id, &node.owner).await?;
-    if read_end(&node.store, id).await? {
+    if read_end(&node.store, id, StoreCallCause::JobTakenOver).await? {
         node.jobs().note_ended(id, node.clock.mono());
         return Ok(());
     }
--- a/crates/entry/src/disk.rs
+++ b/crates/entry/src/disk.rs
@@ -20,6 +20,8 @@
     constants::STORE_PAUSE,
     error::EntryError,
     store::{
+        call_cause::StoreCallCause,
+        call_counts::StoreCallCounts,
         client::StoreClient,
         feed::{FeedPlan, follow},
         feed_event::FeedEvent,
@@ -35,7 +37,12 @@
     let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(EntryError::Signals)?;
     let log = NodeLog::new(&config.node.vm, &config.node.domain);
     // Disk VMs have no links to gateways: nobody else can call the store for them.
-    let (store, _) = StoreClient::new(config.store.clone(), NodeClock::start(), log.clone());
+    let (store, _) = StoreClient::new(
+        config.store.clone(),
+        NodeClock::start(),
+        log.clone(),
+        StoreCallCounts::default(),
+    );
     let store = Arc::new(store);
     task::spawn(answer_retirements(Arc::clone(&store), log.clone()));
     log.info("started", &[("store", &config.store.address)]);
@@ -51,6 +58,7 @@
             Err(errors) => log.error("reload_refused", &[("reason", &errors)]),
         }
     }
+    store.calls().log(&log);
     log.info("stopped", &[]);
     Ok(())
 }
@@ -77,7 +85,7 @@
     let path = status_path(RETIREMENT_KIND, &vm);
     loop {
         let wait = store.settings().call_timeout;
-        if store.call("PUT", &path, Some(&body), wait).await.is_ok() {
+        if store.call(StoreCallCause::Retirement, "PUT", &path, Some(&body), wait).await.is_ok() {
             log.info("vm_emptied", &[("vm_named", &vm)]);
             return;
         }
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -23,6 +23,7 @@
     peers::table::{OwnerLiveness, PeerTable},
     stop::StopState,
     store::{
+        call_counts::StoreCallCounts,
         client::StoreClient,
         configuration::{ConfigurationInForce, newer_configuration},
         detour::DetourCall,
@@ -82,9 +83,15 @@
         let clock = NodeClock::start();
         let log = NodeLog::new(&config.node.vm, &config.node.domain);
         let metrics = Metrics::new(&config.node.vm, &config.node.domain);
+        let calls = metrics.pair_counter(
+            "store_calls_total",
+            "Calls to the store by kind of object and cause",
+            ["kind", "cause"],
+        );
+        let calls = StoreCallCounts::new(Some(calls));
         let owner = format!("{}#{:016x}", config.node.vm, rand::random::<u64>());
         let domain = config.node.domain.as_str().to_owned();
-        let (store, detours) = StoreClient::new(config.store.clone(), clock, log.clone());
+        let (store, detours) = StoreClient::new(config.store.clone(), clock, log.clone(), calls);
         let node = Self {
             store,
             owner,
--- a/crates/entry/src/peers/detours.rs
+++ b/crates/entry/src/peers/detours.rs
@@ -12,6 +12,7 @@
     node::EntryNode,
     peers::calls::CallEnd,
     store::{
+        call_cause::StoreCallCause,
         detour::DetourCall,
         reply::{StoreFailure, StoreReply},
     },
@@ -75,7 +76,10 @@
 pub async fn call_for(node: &EntryNode, vm: &VmName, message: PeerMessage) {
     let PeerMessage::StoreCall { call, method, path, body, wait_ms } = message else { return };
     let wait = Duration::from_millis(wait_ms);
-    let result = node.store.call_directly(&method, &path, body.as_deref(), wait).await;
+    let result = node
+        .store
+        .call_directly(StoreCallCause::ForAnother, &method, &path, body.as_deref(), wait)
+        .await;
     let end = match result {
         Ok(reply) => {
             StoreCallEnd::Answered { status: reply.status, body: Payload::from(reply.body) }
--- a/crates/entry/src/peers/hub.rs
+++ b/crates/entry/src/peers/hub.rs
@@ -24,6 +24,7 @@
         table::{JobNews, KeptShare},
     },
     store::{
+        call_cause::StoreCallCause,
         feed::{FeedPlan, follow},
         feed_event::FeedEvent,
         retry::jittered,
@@ -67,11 +68,15 @@
     let path = object_path(GATEWAY_KIND, name);
     loop {
         let wait = node.store.settings().call_timeout;
-        let created = node.store.call("POST", &list, Some(&body), wait).await;
+        let created =
+            node.store.call(StoreCallCause::Registration, "POST", &list, Some(&body), wait).await;
         let written = match created {
             Ok(reply) if reply.is_success() => true,
             Ok(_) => {
-                let replaced = node.store.call("PUT", &path, Some(&body), wait).await;
+                let replaced = node
+                    .store
+                    .call(StoreCallCause::Registration, "PUT", &path, Some(&body), wait)
+                    .await;
                 replaced.is_ok_and(|reply| reply.is_success())
             }
             Err(_) => false,
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -1,5 +1,7 @@
 //! The platform's store: one client, and what is followed there.
 
+pub mod call_cause;
+pub mod call_counts;
 pub mod client;
 pub mod configuration;
 pub mod detour;
--- a/crates/entry/src/store/client.rs
+++ b/crates/entry/src/store/client.rs
@@ -15,6 +15,8 @@
 use crate::{
     clock::NodeClock,
     store::{
+        call_cause::StoreCallCause,
+        call_counts::StoreCallCounts,
         detour::{CallWay, DetourCall, DetourState},
         outage::{OutageChange, StoreOutage},
         reply::{StoreFailure, StoreReply},
@@ -42,6 +44,7 @@
     detours: Sender<DetourCall>,
     clock: NodeClock,
     log: NodeLog,
+    calls: StoreCallCounts,
 }
 
 impl StoreClient {
@@ -51,8 +54,9 @@
         settings: StoreSettings,
         clock: NodeClock,
         log: NodeLog,
+        calls: StoreCallCounts,
     ) -> (Self, Receiver<DetourCall>) {
-        let (detours, calls) = async_channel::bounded(DETOURS_WAITING);
+        let (detours, detour_calls) = async_channel::bounded(DETOURS_WAITING);
         let client = Self {
             settings: Mutex::new(settings),
             idle: Mutex::default(),
@@ -61,8 +65,9 @@
             detours,
             clock,
             log,
+            calls,
         };
-        (client, calls)
+        (client, detour_calls)
     }
 
     /// The settings in force.
@@ -75,6 +80,11 @@
         &self.log
     }
 
+    /// The calls made so far.
+    pub fn calls(&self) -> &StoreCallCounts {
+        &self.calls
+    }
+
     /// Takes new settings; idle connections may lead to an old address.
     pub fn reload(&self, settings: StoreSettings) {
         *self.settings.lock().unwrap_or_else(PoisonError::into_inner) = settings;
@@ -90,9 +100,9 @@
     ///
     /// # Errors
     /// No answer, or turned away.
-    pub async fn get(&self, path: &str) -> Result<StoreReply, StoreFailure> {
+    pub async fn get(&self, cause: StoreCallCause, path: &str) -> Result<StoreReply, StoreFailure> {
         let wait = self.settings().call_timeout;
-        self.call("GET", path, None, wait).await
+        self.call(cause, "GET", path, None, wait).await
     }
 
     /// A call; the answer must come within `wait`. While the store turns this VM away the call is
@@ -102,6 +112,7 @@
     /// No answer, or turned away.
     pub async fn call(
         &self,
+        cause: StoreCallCause,
         method: &str,
         path: &str,
         body: Option<&[u8]>,
@@ -114,7 +125,7 @@
         {
             return result;
         }
-        let result = self.call_directly(method, path, body, wait).await;
+        let result = self.call_directly(cause, method, path, body, wait).await;
         if way == CallWay::DirectFirst
             && matches!(result, Err(StoreFailure::NotDone))
             && let Some(detoured) = self.call_by_another(method, path, body, wait).await
@@ -155,11 +166,13 @@
     /// No answer, or turned away.
     pub async fn call_directly(
         &self,
+        cause: StoreCallCause,
         method: &str,
         path: &str,
         body: Option<&[u8]>,
         wait: Duration,
     ) -> Result<StoreReply, StoreFailure> {
+        self.calls.note(cause, path);
         let began = self.clock.mono();
         let result = self.exchange(method, path, body, wait).await;
         let now = self.clock.mono();
--- a/crates/entry/src/store/feed.rs
+++ b/crates/entry/src/store/feed.rs
@@ -11,7 +11,10 @@
 use crate::{
     constants::{DUTY_TICK, STORE_PAUSE, WATCH_GRACE},
     node::EntryNode,
-    store::{client::StoreClient, feed_event::FeedEvent, reply::StoreFailure, retry::jittered},
+    store::{
+        call_cause::StoreCallCause, client::StoreClient, feed_event::FeedEvent,
+        reply::StoreFailure, retry::jittered,
+    },
 };
 
 /// Which way calls to the store go.
@@ -46,7 +49,7 @@
         node.watch.add_feed();
     }
     loop {
-        match list_all(store, kind, StorePath::Direct).await {
+        match list_all(store, kind, StorePath::Direct, StoreCallCause::List).await {
             Ok((objects, as_of)) => {
                 tell(FeedEvent::Snapshot { objects, as_of });
                 let _live = plan.duty.map(|node| node.watch.live_feed());
@@ -68,6 +71,7 @@
     store: &StoreClient,
     kind: &str,
     path: StorePath,
+    cause: StoreCallCause,
 ) -> Result<(Vec<StoreObject>, u64), StoreFailure> {
     let mut objects: Vec<StoreObject> = Vec::new();
     let mut as_of = None;
@@ -77,9 +81,9 @@
         let reply = match path {
             StorePath::Direct => {
                 let wait = store.settings().call_timeout;
-                store.call_directly("GET", &page_path, None, wait).await?
+                store.call_directly(cause, "GET", &page_path, None, wait).await?
             }
-            StorePath::Any => store.get(&page_path).await?,
+            StorePath::Any => store.get(cause, &page_path).await?,
         };
         if reply.status == 404 {
             return Ok((objects, as_of.unwrap_or(0)));
@@ -118,7 +122,8 @@
         task::sleep(plan.pause).await;
         let wait = store.settings().watch_wait;
         let path = watch_path(kind, revision, wait);
-        let watching = store.call_directly("GET", &path, None, wait + WATCH_GRACE);
+        let watching =
+            store.call_directly(StoreCallCause::Watch, "GET", &path, None, wait + WATCH_GRACE);
         let Ok(reply) = watching.await else { return };
         if !reply.is_success() {
             return;
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -12,7 +12,7 @@
             LogLine, LogOutput, LogSettings, LogStyle, NodeLog, init_logs, level_filter,
             set_log_level,
         },
-        metrics::{Gauge, Metrics, Timing},
+        metrics::{Gauge, Metrics, PairCounter, Timing},
         notes::{NoteBook, NoteBookSettings, NoteEntry, SubjectNotes},
     };
 }
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -2,7 +2,8 @@
 //! don't share counts.
 
 mod gauge;
+mod pair;
 mod registry;
 mod timing;
 
-pub use self::{gauge::Gauge, registry::Metrics, timing::Timing};
+pub use self::{gauge::Gauge, pair::PairCounter, registry::Metrics, timing::Timing};
--- a/crates/telemetry/src/metrics/registry.rs
+++ b/crates/telemetry/src/metrics/registry.rs
@@ -7,7 +7,7 @@
     Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
 };
 
-use crate::metrics::{Gauge, Timing};
+use crate::metrics::{Gauge, PairCounter, Timing};
 
 /// Prefix of every metric.
 const PREFIX: &str = "notch";
@@ -15,7 +15,7 @@
 /// Every metric of one node. Cheap to share behind an `Arc`; every method takes `&self`.
 #[derive(Debug)]
 pub struct Metrics {
-    registry: Registry,
+    lines: LineMaker,
     refused: FastMap<RefusalReason, IntCounter>,
     retried: FastMap<RetryReason, IntCounter>,
     dropped: FastMap<DropReason, IntCounter>,
@@ -34,10 +34,10 @@
             ("domain".to_owned(), domain.to_string()),
         ]);
         let lines = LineMaker { registry: Registry::new(), labels };
-        let refused = lines.counters("refusals_total", "Refusals by reason", "reason");
-        let retried = lines.counters("retries_total", "Retries by reason", "reason");
-        let dropped = lines.counters("drops_total", "Drops by reason", "reason");
-        let events = lines.counters("events_total", "Events by name", "event");
+        let refused = lines.counters("refusals_total", "Refusals by reason", &["reason"]);
+        let retried = lines.counters("retries_total", "Retries by reason", &["reason"]);
+        let dropped = lines.counters("drops_total", "Drops by reason", &["reason"]);
+        let events = lines.counters("events_total", "Events by name", &["event"]);
         let line = |vec: &IntCounterVec, code| vec.with_label_values(&[code]);
         Self {
             refused: RefusalReason::ALL
@@ -49,10 +49,18 @@
             events,
             gauges: Gauge::ALL.map(|g| (g, lines.gauge(g))).into_iter().collect(),
             timings: Timing::ALL.map(|t| (t, lines.histogram(t))).into_iter().collect(),
-            registry: lines.registry,
+            lines,
         }
     }
 
+    /// A counter by two labels, shown with the other metrics.
+    ///
+    /// # Panics
+    /// The name isn't valid, or is taken.
+    pub fn pair_counter(&self, name: &str, help: &str, labels: [&str; 2]) -> PairCounter {
+        PairCounter(self.lines.counters(name, help, &labels))
+    }
+
     /// Counts one thing that happened.
     pub fn count(&self, counter: Counter) {
         self.count_many(counter, 1);
@@ -114,11 +122,12 @@
     /// Everything in the text format that Prometheus reads.
     pub fn render(&self) -> String {
         // Encoding fails only for a metric without samples or name, and every one here has both.
-        TextEncoder::new().encode_to_string(&self.registry.gather()).unwrap_or_default()
+        TextEncoder::new().encode_to_string(&self.lines.registry.gather()).unwrap_or_default()
     }
 }
 
 /// Makes and registers metrics that carry the node's labels.
+#[derive(Debug)]
 struct LineMaker {
     registry: Registry,
     labels: HashMap<String, String>,
@@ -129,9 +138,9 @@
         Opts::new(name, help).namespace(PREFIX).const_labels(self.labels.clone())
     }
 
-    fn counters(&self, name: &str, help: &str, label: &str) -> IntCounterVec {
+    fn counters(&self, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
         let opts = self.opts(name, help);
-        let line = IntCounterVec::new(opts, &[label]).expect("the name is valid");
+        let line = IntCounterVec::new(opts, labels).expect("the name is valid");
         self.registry.register(Box::new(line.clone())).expect("each name is registered once");
         line
     }
