Tell why items came late and what calls to the store were for

Of items it was only known how many came late, and of calls to the store how many there were.

notch-losses now follows each item through the logs of all gateways and counts a late one under what took most of its time without bringing it on: lost progress, no owner, stored late, failed runs, no place. For it a gateway logs the start of each run (item_run_started): without it a run that was killed with its gateway left no line, and nobody knew when its job was due. Calls come from store_calls, added up over starts.

--- a/crates/entry/src/batch/runner.rs
+++ b/crates/entry/src/batch/runner.rs
@@ -53,6 +53,7 @@
         let mut desk = node.jobs();
         let Some((job, index)) = desk.board.next_item(now) else { return };
         let Some(owned) = desk.board.get(&job) else { return };
+        let left_ms = (owned.due().0 as i64 - now.0 as i64) / 1_000;
         let spec = Arc::clone(owned.spec());
         let path = &spec.items[index].path;
         let Some(route) = routes.find(&spec.host, path) else {
@@ -75,10 +76,25 @@
         let target = choice.id.clone();
         let run = desk.add_run(ItemRunHandle { job, target, since: now, cancel });
         drop(desk);
+        log_start(node, &start, &choice, left_ms);
         task::spawn(run_item(Arc::clone(node), run, start, choice, cancelled));
     }
 }
 
+/// What a run that began again lost, and whether it could be in time, show where its gateway is gone too.
+fn log_start(node: &EntryNode, start: &ItemStart, choice: &TargetChoice, left_ms: i64) {
+    node.log.info(
+        "item_run_started",
+        &[
+            ("job", &start.job),
+            ("item", &start.item.id),
+            ("target", &choice.id),
+            ("after", &start.last_event.map_or(-1, |id| id as i64)),
+            ("due_ms", &left_ms),
+        ],
+    );
+}
+
 /// Breaks off items at targets with more requests than places, those that began last: engines take
 /// requests first come first served, so online requests may wait behind them.
 fn make_room(node: &EntryNode, now: MonoTime) {
--- a/crates/losses/src/line.rs
+++ b/crates/losses/src/line.rs
@@ -31,6 +31,11 @@
         self.fields.get(name).map_or("", String::as_str)
     }
 
+    /// Every field with its text.
+    pub fn fields(&self) -> impl Iterator<Item = (&str, &str)> {
+        self.fields.iter().map(|(name, text)| (name.as_str(), text.as_str()))
+    }
+
     /// A field's number.
     pub fn number(&self, name: &str) -> Option<f64> {
         self.text(name).parse().ok()
--- a/crates/losses/src/main.rs
+++ b/crates/losses/src/main.rs
@@ -55,7 +55,8 @@
     let logs = fs::read(&options.logs)
         .map_err(|error| format!("{}: {error}\n", options.logs.display()))?;
     let logs = String::from_utf8_lossy(&logs);
-    let lines: Vec<LogLine> = logs.lines().filter_map(LogLine::parse).collect();
+    let mut lines: Vec<LogLine> = logs.lines().filter_map(LogLine::parse).collect();
+    lines.sort_by(|a, b| a.at.total_cmp(&b.at));
     text += &LossSummary::of_lines(&lines, options.objective, options.slots).to_string();
     Ok(text)
 }
--- a/crates/losses/src/summary.rs
+++ b/crates/losses/src/summary.rs
@@ -3,7 +3,9 @@
 use std::{collections::BTreeMap, fmt};
 
 use crate::{
+    calls::CallAccount,
     cause::{LossCause, judge_request},
+    jobs::ItemAccount,
     line::LogLine,
     occupancy::{OccupancyMap, TargetRun},
 };
@@ -14,6 +16,10 @@
     causes: BTreeMap<LossCause, usize>,
     /// Runs of items by how they ended.
     item_runs: BTreeMap<String, usize>,
+    /// Items of jobs by why they came late.
+    items: ItemAccount,
+    /// Calls to the store by cause.
+    calls: CallAccount,
     /// Failed calls to the store, by method and kind of object.
     store_failures: BTreeMap<String, usize>,
 }
@@ -23,7 +29,7 @@
     /// `slots` the places of each target.
     pub fn of_lines(lines: &[LogLine], objective: f64, slots: usize) -> Self {
         let occupancy = occupancy(lines, slots);
-        let mut summary = Self::default();
+        let mut summary = Self { items: ItemAccount::of_lines(lines), ..Self::default() };
         for line in lines {
             summary.take(line, objective, &occupancy);
         }
@@ -36,6 +42,7 @@
     }
 
     fn take(&mut self, line: &LogLine, objective: f64, occupancy: &OccupancyMap) {
+        self.calls.take(line);
         match line.event.as_str() {
             "request_ended" | "request_abandoned" if line.text("status") != "404" => {
                 *self.causes.entry(judge_request(line, objective, occupancy)).or_default() += 1;
@@ -90,6 +97,7 @@
         for (end, count) in &self.item_runs {
             writeln!(f, "  {count:6} {end}")?;
         }
+        write!(f, "{}{}", self.items, self.calls)?;
         writeln!(f, "calls to the store that failed")?;
         for (call, count) in &self.store_failures {
             writeln!(f, "  {count:6} {call}")?;
