--- a/crates/entry/src/batch/intake.rs
+++ b/crates/entry/src/batch/intake.rs
@@ -20,6 +20,7 @@
     front::answer::OwnAnswer,
     node::EntryNode,
     store::{
+        call_cause::StoreCallCause,
         reply::StoreFailure,
         retry::{jittered, until_answered},
     },
@@ -102,7 +103,7 @@
 /// Refuses a job that doesn't fit under its route's limit, unless another gateway took it in before
 /// without our hearing of it: it runs then, and a refusal would say that it doesn't.
 async fn refuse(node: &EntryNode, id: &str, outcome: LimitOutcome, arrived: MonoTime) -> OwnAnswer {
-    let looking = timeout(REFUSAL_LOOK, read_job(&node.store, id));
+    let looking = timeout(REFUSAL_LOOK, read_job(&node.store, id, StoreCallCause::JobStored));
     let stored = looking.await.unwrap_or(Err(StoreFailure::Unknown));
     match (stored, outcome) {
         (Ok(Some(_)), _) => answer(node, id, "known", OwnAnswer::of(202), arrived),
@@ -192,12 +193,17 @@
 /// The job is stored, after a write whose answer was lost: it's ours if our record stands there.
 async fn settle(node: &Arc<EntryNode>, spec: Arc<JobSpec>, record: &JobRecord) -> IntakeOutcome {
     let asked = node.jobs().board.last_doubt();
-    let stored = until_answered(|| true, || read_job(&node.store, &spec.id)).await.flatten();
+    let stored =
+        until_answered(|| true, || read_job(&node.store, &spec.id, StoreCallCause::JobStored))
+            .await
+            .flatten();
     if stored.is_none_or(|stored| stored.owner() != record.owner) {
         return IntakeOutcome::Known;
     }
     // It may have been accepted and ended elsewhere while our answer was lost.
-    let is_ended = until_answered(|| true, || read_end(&node.store, &spec.id)).await;
+    let is_ended =
+        until_answered(|| true, || read_end(&node.store, &spec.id, StoreCallCause::JobStored))
+            .await;
     if is_ended == Some(false) {
         own_job(node, spec, asked);
     }
--- a/crates/entry/src/batch/limit_asks.rs
+++ b/crates/entry/src/batch/limit_asks.rs
@@ -16,7 +16,7 @@
         calls::CallEnd,
         table::{KeptShare, OwnerLiveness},
     },
-    store::{feed::StorePath, reply::StoreFailure},
+    store::{call_cause::StoreCallCause, feed::StorePath, reply::StoreFailure},
 };
 
 /// What the other gateways answered.
@@ -98,7 +98,9 @@
     }
     // The list is newer than the table: jobs that others took over are in their shares there, or the
     // table's revision is an old one by now.
-    let Ok(jobs) = list_jobs(node, StorePath::Any).await else { return };
+    let Ok(jobs) = list_jobs(node, StorePath::Any, StoreCallCause::LimitShares).await else {
+        return;
+    };
     for gone in silent {
         let owns = jobs.iter().any(|job| !job.status.closed && job.owner() == gone);
         if !owns {
--- a/crates/entry/src/batch/limits.rs
+++ b/crates/entry/src/batch/limits.rs
@@ -23,11 +23,14 @@
     },
     constants::{LIMIT_CALL, LIMIT_PATIENCE, LIMIT_ROUNDS, ROOM_TICK},
     node::EntryNode,
-    store::reply::{StoreFailure, StoreReply},
+    store::{
+        call_cause::StoreCallCause,
+        reply::{StoreFailure, StoreReply},
+    },
 };
 
 /// Kind of the shares of limits, each object named after its route.
-const SHARE_KIND: &str = "notch-limit-shares";
+pub const SHARE_KIND: &str = "notch-limit-shares";
 
 /// What became of a job that counts against a limit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -303,7 +306,7 @@
         Some(_) => ("PUT", object_path(SHARE_KIND, &name)),
     };
     let wait = node.store.settings().call_timeout.min(LIMIT_CALL);
-    let sent = node.store.call(method, &path, Some(&body), wait).await;
+    let sent = node.store.call(StoreCallCause::LimitShares, method, &path, Some(&body), wait).await;
     if let Ok(reply) = &sent
         && reply.is_success()
         && let Ok(object) = decode::<StoreObject>(&reply.body)
@@ -331,7 +334,7 @@
 pub(crate) async fn refresh(node: &EntryNode, route: &str) -> Result<(), StoreFailure> {
     let path = object_path(SHARE_KIND, &object_name(route));
     let wait = node.store.settings().call_timeout.min(LIMIT_CALL);
-    let reply = node.store.call("GET", &path, None, wait).await?;
+    let reply = node.store.call(StoreCallCause::LimitShares, "GET", &path, None, wait).await?;
     if adopt_reply(node, route, &reply) { Ok(()) } else { Err(StoreFailure::Unknown) }
 }
 
--- a/crates/entry/src/batch/ownership.rs
+++ b/crates/entry/src/batch/ownership.rs
@@ -16,7 +16,7 @@
     constants::{STORE_DOUBT, VERIFY_DELAY},
     node::EntryNode,
     peers::table::PeerSilence,
-    store::{reply::StoreFailure, retry::until_answered},
+    store::{call_cause::StoreCallCause, reply::StoreFailure, retry::until_answered},
 };
 
 /// Whether the list of a job owned here surely has nothing beyond what is known here.
@@ -124,7 +124,7 @@
 pub async fn check(node: &EntryNode, job: &str) -> Result<bool, StoreFailure> {
     // Read before the question goes out: what is doubted meanwhile stays in doubt.
     let asked = node.jobs().board.last_doubt();
-    let stored = read_job(&node.store, job).await?;
+    let stored = read_job(&node.store, job, StoreCallCause::OwnershipChecked).await?;
     let owner = stored.as_ref().map_or("", |stored| stored.owner());
     let is_ours = owner == node.owner;
     if is_ours {
--- a/crates/entry/src/store/client.rs
+++ b/crates/entry/src/store/client.rs
@@ -16,6 +16,8 @@
 use crate::{
     clock::NodeClock,
     store::{
+        call_cause::StoreCallCause,
+        call_counts::StoreCallCounts,
         detour::{CallWay, DetourCall, DetourState},
         outage::{OutageChange, StoreOutage},
         reply::{StoreFailure, StoreReply},
@@ -43,6 +45,7 @@
     detours: Sender<DetourCall>,
     clock: NodeClock,
     log: NodeLog,
+    calls: StoreCallCounts,
 }
 
 impl StoreClient {
@@ -52,8 +55,9 @@
         settings: StoreSettings,
         clock: NodeClock,
         log: NodeLog,
+        calls: StoreCallCounts,
     ) -> (Self, Receiver<DetourCall>) {
-        let (detours, calls) = async_channel::bounded(DETOURS_WAITING);
+        let (detours, detour_calls) = async_channel::bounded(DETOURS_WAITING);
         let client = Self {
             settings: Mutex::new(settings),
             idle: Mutex::default(),
@@ -62,8 +66,9 @@
             detours,
             clock,
             log,
+            calls,
         };
-        (client, calls)
+        (client, detour_calls)
     }
 
     /// The settings in force.
@@ -81,6 +86,11 @@
         self.clock.mono()
     }
 
+    /// The calls made so far.
+    pub fn calls(&self) -> &StoreCallCounts {
+        &self.calls
+    }
+
     /// Takes new settings; idle connections may lead to an old address.
     pub fn reload(&self, settings: StoreSettings) {
         *self.settings.lock().unwrap_or_else(PoisonError::into_inner) = settings;
@@ -96,9 +106,9 @@
     ///
     /// # Errors
     /// No answer, or turned away.
-    pub async fn get(&self, path: &str) -> Result<StoreReply, StoreFailure> {
+    pub async fn get(&self, cause: StoreCallCause, path: &str) -> Result<StoreReply, StoreFailure> {
         let wait = self.settings().call_timeout;
-        self.call("GET", path, None, wait).await
+        self.call(cause, "GET", path, None, wait).await
     }
 
     /// A call; the answer must come within `wait`. While the store turns this VM away the call is
@@ -108,6 +118,7 @@
     /// No answer, or turned away.
     pub async fn call(
         &self,
+        cause: StoreCallCause,
         method: &str,
         path: &str,
         body: Option<&[u8]>,
@@ -120,7 +131,7 @@
         {
             return result;
         }
-        let result = self.call_directly(method, path, body, wait).await;
+        let result = self.call_directly(cause, method, path, body, wait).await;
         if way == CallWay::DirectFirst
             && matches!(result, Err(StoreFailure::NotDone))
             && let Some(detoured) = self.call_by_another(method, path, body, wait).await
@@ -161,11 +172,13 @@
     /// No answer, or turned away.
     pub async fn call_directly(
         &self,
+        cause: StoreCallCause,
         method: &str,
         path: &str,
         body: Option<&[u8]>,
         wait: Duration,
     ) -> Result<StoreReply, StoreFailure> {
+        self.calls.note(cause, path);
         let began = self.clock.mono();
         let result = self.exchange(method, path, body, wait).await;
         let now = self.clock.mono();
