Show that a given-up answer is told as ended while it goes on: known red

Cause: the page of an attempt that was given up tells any later part of the answer as its end. Until now nothing went by it, for the attempt counted as over already; what holds an attempt until its sidecar ends it, does. Shown by: the page alone; its first part after the giving up is told as Failed.

--- a/crates/gateway/tests/answer_page.rs
+++ b/crates/gateway/tests/answer_page.rs
@@ -63,6 +63,18 @@
     assert_eq!(page.whole(), None);
 }
 
+// Symptom: a suspect runs at two targets at once, and both crash.
+// Sequence: its attempt is given up, but goes on; a part of its answer comes; later its end.
+// Cause: any news of an answer that was given up is told as its end.
+#[test]
+fn a_given_up_answer_ends_when_its_sidecar_says_so() {
+    let page = page(LIMIT);
+    page.abandon();
+    assert_eq!(page.chunk(0, b"part").settled, None, "it goes on");
+    assert_eq!(page.ended(9, AttemptOutcome::Cancelled).settled, Some(AttemptOutcome::Cancelled));
+    assert_eq!(page.ended(9, AttemptOutcome::Cancelled).settled, None, "told once");
+}
+
 // Symptom: a waiting caller sleeps although its answer is here.
 // Sequence: it looks, finds nothing, a part comes, then it waits.
 // Cause: waking only those that wait already.
