Send no suspect beside an attempt of it that may still run

Cause: an attempt of a suspect counted as over when its send was given up, and only at its own gateway; the next send ran beside it at a third target. What waited at a sidecar when it was quarantined was started all the same. Other gateways are told by urgent rumour, and check the same. A claim granted second is checked again and freed. A gate ends what waits when it is quarantined. The page of a given-up answer tells its real end only. Ruled out: leave from one gateway by hash, as it doesn't cover news of the first crash; one VM for each suspect by hash, as gateways know different subsets of sidecars.

--- a/crates/gate/src/core/batch.rs
+++ b/crates/gate/src/core/batch.rs
@@ -178,16 +178,36 @@
         effects: &mut Vec<GateEffect>,
     ) {
         effects.push(GateEffect::Count(Counter::Refused(RefusalReason::Quarantined)));
-        let outcome = ItemOutcome::Failed {
-            reason: RefusalReason::Quarantined,
-            retryable: false,
-            ran: Ran::No,
-            detail: "this item crashes targets and is quarantined".to_owned(),
-        };
+        let outcome = quarantined_outcome();
         let result = ItemResult { key: item.key, lot: grant.lot, attempt: item.attempt, outcome };
         self.keep_result(now, grant.shard, result, effects);
     }
 
+    /// Ends what waits and has been quarantined since it came.
+    pub(crate) fn refuse_quarantined(
+        &mut self,
+        now: MonoTime,
+        state: &mut TargetState,
+        effects: &mut Vec<GateEffect>,
+    ) {
+        let queued = state.queue.iter().map(|(_, run)| *run);
+        let queued: Vec<AttemptId> = queued.filter(|run| self.is_quarantined(*run)).collect();
+        for run in queued {
+            self.refuse_waiting(now, state, run, RefusalReason::Quarantined, effects);
+        }
+        let pending = state.pending.iter().copied();
+        let pending: Vec<AttemptId> = pending.filter(|run| self.is_quarantined(*run)).collect();
+        for run in pending {
+            state.pending.retain(|waiting| *waiting != run);
+            effects.push(GateEffect::Count(Counter::Refused(RefusalReason::Quarantined)));
+            self.finish_item(now, run, quarantined_outcome(), effects);
+        }
+    }
+
+    fn is_quarantined(&self, run: AttemptId) -> bool {
+        self.runs.get(&run).is_some_and(|record| self.suspects.is_quarantined(record.fingerprint))
+    }
+
     /// Starts waiting items while there is room.
     pub(crate) fn start_batch(
         &mut self,
@@ -412,3 +432,12 @@
         started,
     }
 }
+
+fn quarantined_outcome() -> ItemOutcome {
+    ItemOutcome::Failed {
+        reason: RefusalReason::Quarantined,
+        retryable: false,
+        ran: Ran::No,
+        detail: "this item crashes targets and is quarantined".to_owned(),
+    }
+}
--- a/crates/gate/src/core/endings.rs
+++ b/crates/gate/src/core/endings.rs
@@ -367,7 +367,7 @@
         self.finish_item(now, run, outcome, effects);
     }
 
-    fn finish_item(
+    pub(crate) fn finish_item(
         &mut self,
         now: MonoTime,
         run: AttemptId,
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -162,9 +162,7 @@
             SidecarMessage::ItemsSettled(keys) => self.items_settled(now, &keys, effects),
             SidecarMessage::Entries(_) => {}
             SidecarMessage::Quarantined(fingerprints) => {
-                for fingerprint in fingerprints {
-                    self.core.suspects.quarantine(fingerprint);
-                }
+                self.quarantine(now, fingerprints, effects);
             }
             SidecarMessage::Suspected(fingerprints) => {
                 for fingerprint in fingerprints {
@@ -239,6 +237,22 @@
         }
     }
 
+    /// What waits here with one of the fingerprints gets its final answer, and never starts.
+    fn quarantine(
+        &mut self,
+        now: MonoTime,
+        fingerprints: Vec<Fingerprint>,
+        effects: &mut Vec<GateEffect>,
+    ) {
+        for fingerprint in fingerprints {
+            self.core.suspects.quarantine(fingerprint);
+        }
+        for state in self.targets.values_mut() {
+            self.core.refuse_quarantined(now, state, effects);
+            self.core.pump(now, state, effects);
+        }
+    }
+
     fn pump_all(&mut self, now: MonoTime, effects: &mut Vec<GateEffect>) {
         for state in self.targets.values_mut() {
             self.core.pump(now, state, effects);
--- a/crates/gateway/src/control/core_tells.rs
+++ b/crates/gateway/src/control/core_tells.rs
@@ -1,5 +1,7 @@
 //! What the control state tells its machines, and what they want done.
 
+use std::time::Duration;
+
 use notch_catalogue::{CatalogueEffect, CatalogueEvent};
 use notch_jobs::prelude::ServiceEvent;
 use notch_link::codec;
@@ -182,6 +184,13 @@
                     self.steps.push_back(ControlStep::ToSidecar { to, message });
                 }
             }
+            RumorTopic::SuspectRun(fingerprint, attempt) => {
+                if let Ok(left_ms) = codec::decode::<Option<u64>>(&rumor.value) {
+                    let (fingerprint, attempt) = (*fingerprint, *attempt);
+                    let left = left_ms.map(Duration::from_millis);
+                    self.route(RouterEvent::SuspectRunSeen { fingerprint, attempt, left });
+                }
+            }
             RumorTopic::AccountUse(_, gateway) if *gateway != self.vm => {
                 if let Ok(usage) = codec::decode::<AccountUse>(&rumor.value) {
                     let gateway = gateway.clone();
--- a/crates/gateway/src/control/online_desk.rs
+++ b/crates/gateway/src/control/online_desk.rs
@@ -268,6 +268,9 @@
             RouterEffect::Suspected { fingerprint, vm, alone } => {
                 steps.extend(suspect_rumor(fingerprint, vm, alone));
             }
+            RouterEffect::SuspectRun { fingerprint, attempt, left } => {
+                steps.extend(suspect_run_rumor(fingerprint, attempt, left));
+            }
             RouterEffect::Rumor(usage) => steps.push(account_step(now, usage)),
             RouterEffect::Count(counter) => steps.push(ControlStep::Count(counter)),
             RouterEffect::Note(note) => steps.push(ControlStep::Note(note)),
@@ -391,6 +394,19 @@
     Some(ControlStep::Member(event))
 }
 
+fn suspect_run_rumor(
+    fingerprint: Fingerprint,
+    attempt: AttemptId,
+    left: Option<Duration>,
+) -> Option<ControlStep> {
+    let left_ms = left.map(|left| left.as_millis() as u64);
+    let value = notch_link::codec::encode(&left_ms).ok()?.into();
+    let topic = RumorTopic::SuspectRun(fingerprint, attempt);
+    let rumor = Rumor { topic, version: 1 + u64::from(left.is_none()), value };
+    let event = notch_membership::MembershipEvent::RumorLocal { rumor, urgent: true };
+    Some(ControlStep::Member(event))
+}
+
 /// The rumour's topic needs this gateway's name, which the core adds.
 fn account_step(now: Now, usage: AccountUse) -> ControlStep {
     ControlStep::AccountUse { at: now, usage }
--- a/crates/gateway/src/traffic/answer_page.rs
+++ b/crates/gateway/src/traffic/answer_page.rs
@@ -33,8 +33,10 @@
     bytes: Vec<u8>,
     first: Option<Duration>,
     settled_told: bool,
-    /// The attempt was given up: readers must stop.
+    /// No more of it is taken: readers must stop.
     abandoned: bool,
+    /// The router gave the attempt up, and wants to hear of its real end only.
+    given_up: bool,
     resumed_at: Option<Instant>,
     watchers: Vec<Sender<()>>,
 }
@@ -74,6 +76,7 @@
             first: None,
             settled_told: false,
             abandoned: false,
+            given_up: false,
             resumed_at: None,
             watchers: Vec::new(),
         };
@@ -103,6 +106,11 @@
     /// Takes the end mark.
     pub fn ended(&self, total: u64, outcome: AttemptOutcome) -> AnswerNews {
         let mut state = self.locked();
+        if state.given_up {
+            let is_told = std::mem::replace(&mut state.settled_told, true);
+            let settled = (!is_told).then_some(outcome);
+            return AnswerNews { settled, ..AnswerNews::default() };
+        }
         if state.assembly.ended(total, outcome).is_err() {
             state.abandoned = true;
         }
@@ -113,6 +121,7 @@
     pub fn abandon(&self) {
         let mut state = self.locked();
         state.abandoned = true;
+        state.given_up = true;
         wake(&mut state);
     }
 
@@ -175,6 +184,9 @@
     }
 
     fn conclude(&self, state: &mut PageState, mut news: AnswerNews) -> AnswerNews {
+        if state.given_up {
+            return news;
+        }
         if state.abandoned && !state.settled_told {
             state.settled_told = true;
             news.settled = Some(AttemptOutcome::Failed { status: 0, retryable: false });
--- a/crates/messages/src/gossip.rs
+++ b/crates/messages/src/gossip.rs
@@ -65,6 +65,9 @@
     PlacementHolder,
     /// How many entries a gateway has in force, and their digest.
     EntriesInForce(VmName),
+    /// An attempt of a suspect, which no other gateway may send meanwhile; the value tells how many
+    /// milliseconds it may still run, or that it is over, and the version is higher then.
+    SuspectRun(Fingerprint, AttemptId),
 }
 
 /// One node's catalogue in a few figures.
--- a/crates/routing/src/effect.rs
+++ b/crates/routing/src/effect.rs
@@ -140,6 +140,16 @@
         /// Whether it was the only one in flight.
         alone: bool,
     },
+    /// An attempt of a suspect went out, or is over: tell the other gateways, which feed it as
+    /// `SuspectRunSeen` and send no other one meanwhile.
+    SuspectRun {
+        /// The suspect.
+        fingerprint: Fingerprint,
+        /// The attempt that runs it.
+        attempt: AttemptId,
+        /// How long it may still run; `None` when it is over.
+        left: Option<Duration>,
+    },
     /// Tell the other gateways.
     Rumor(AccountUse),
     /// Count.
--- a/crates/routing/src/event.rs
+++ b/crates/routing/src/event.rs
@@ -212,6 +212,15 @@
         /// Whether it was the only one in flight.
         alone: bool,
     },
+    /// Another gateway's `SuspectRun`.
+    SuspectRunSeen {
+        /// The suspect.
+        fingerprint: Fingerprint,
+        /// The attempt that runs it.
+        attempt: AttemptId,
+        /// How long it may still run; `None` when it is over.
+        left: Option<Duration>,
+    },
     /// Time passed; fed at `next_wake` or later.
     Tick,
     /// The gateway is leaving: refuse what is new, finish the rest.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod sidecar_choice;
 pub mod sidecar_table;
 pub mod stream_assembly;
+pub mod suspect_runs;
 pub mod suspect_table;
 pub mod target_pool;
 mod timer_queue;
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -23,6 +23,7 @@
     retry_budget::RetryBudget,
     settings::RouterSettings,
     sidecar_table::SidecarTable,
+    suspect_runs::SuspectRuns,
     suspect_table::SuspectTable,
     timer_queue::TimerQueue,
 };
@@ -82,6 +83,8 @@
     sidecars: SidecarTable,
     accounts: AccountTable,
     suspects: SuspectTable,
+    /// A suspect is at one VM at a time, whichever gateway sent it there.
+    suspect_runs: SuspectRuns,
     /// Bounded by `RouterSettings::max_requests`.
     requests: FastMap<RequestId, Box<RequestState>>,
     /// Calls not yet finished. Bounded by requests and followers.
@@ -117,6 +120,7 @@
             sidecars: SidecarTable::default(),
             accounts: AccountTable::new(settings.account.clone()),
             suspects: SuspectTable::new(settings.quarantine.clone()),
+            suspect_runs: SuspectRuns::new(settings.quarantine.max_suspects),
             requests: FastMap::default(),
             arrivals: FastMap::default(),
             timers: TimerQueue::default(),
--- a/crates/routing/src/router/attempt.rs
+++ b/crates/routing/src/router/attempt.rs
@@ -80,6 +80,7 @@
         attempt: AttemptId,
         outcome: AttemptOutcome,
     ) {
+        self.suspect_over(turn, attempt);
         self.hear(turn, attempt, |router, turn, state| {
             mark_started(state, attempt);
             if !state.is_running(attempt) {
@@ -188,6 +189,7 @@
 
     pub(super) fn on_refused(&mut self, turn: &mut RouterTurn<'_>, refusal: AttemptRefusal) {
         let attempt = refusal.attempt;
+        self.suspect_over(turn, attempt);
         self.hear(turn, attempt, |router, turn, state| {
             if !mark_never_started(state, attempt) || !state.is_running(attempt) {
                 return;
@@ -252,7 +254,6 @@
         let Some(record) = state.record(attempt) else { return };
         let (place, target) = (record.place, &state.lead.target);
         self.sidecars.ended(place, target, attempt);
-        self.suspects.released(state.lead.fingerprint, attempt);
         // A suspect's crash is its own: the sidecar must not be avoided for it.
         let health = if record.alone && health == TargetHealth::Fails {
             TargetHealth::Untold
--- a/crates/routing/src/router/claim.rs
+++ b/crates/routing/src/router/claim.rs
@@ -114,6 +114,10 @@
             let detail = "the deadline passed while the claim was made";
             return self.refuse_for(turn, state, RefusalReason::DeadlinePassed, detail);
         }
+        // Another send of the same suspect may have gone out meanwhile.
+        if let Err(refusal) = self.check_suspect(turn, state) {
+            return self.refuse(turn, state, refusal);
+        }
         let Some(record) = state.record(attempt) else { return };
         if self.sidecars.takes_work(record.place, attempt.incarnation) {
             return self.send(turn, state, attempt);
--- a/crates/routing/src/router/dispatch.rs
+++ b/crates/routing/src/router/dispatch.rs
@@ -42,17 +42,25 @@
         if state.deadline <= turn.now + self.settings.retry.dispatch_margin {
             return refuse(RefusalReason::DeadlinePassed, "no time is left to start");
         }
+        self.check_suspect(turn, state)
+    }
+
+    /// Two VMs must not be at risk from one suspect at a time, whichever gateway took it there.
+    pub(super) fn check_suspect(
+        &self,
+        turn: &RouterTurn<'_>,
+        state: &RequestState,
+    ) -> Result<(), Refusal> {
         let fingerprint = state.lead.fingerprint;
         if self.suspects.is_quarantined(turn.now, fingerprint) {
-            return refuse(RefusalReason::Quarantined, "this request crashes targets");
+            let detail = "this request crashes targets";
+            return Err(self.refusal_for(turn, state, RefusalReason::Quarantined, detail));
         }
-        // Two VMs must not be at risk from one suspect at a time.
-        if self.suspects.is_suspect(turn.now, fingerprint) && self.suspects.is_running(fingerprint)
-        {
+        if self.suspect_runs.is_out(turn.now, fingerprint) {
             let detail = "the same request may crash targets and is running alone elsewhere";
+            let refusal = self.refusal_for(turn, state, RefusalReason::Overloaded, detail);
             let wait = millis_up(self.service_time(&state.lead.target));
-            return refuse(RefusalReason::Overloaded, detail)
-                .map_err(|refusal: Refusal| refusal.retry_after(wait));
+            return Err(refusal.retry_after(wait));
         }
         Ok(())
     }
@@ -178,7 +186,7 @@
         let (place, vm) = (record.place, record.vm.clone());
         self.sidecars.dispatched(turn.now, place, &state.lead.target, attempt);
         if alone {
-            self.suspects.dispatched(fingerprint, attempt);
+            self.suspect_begins(turn, state, attempt);
             turn.count(Counter::Event("suspects_run_alone"));
         }
         if is_first && let Some(target) = self.targets.get_mut(&state.lead.target) {
--- a/crates/routing/src/router/fleet.rs
+++ b/crates/routing/src/router/fleet.rs
@@ -56,6 +56,12 @@
                 self.suspects.crashed(turn.now, fingerprint, &vm, alone);
                 self.refuse_quarantined(turn, fingerprint);
             }
+            RouterEvent::SuspectRunSeen { fingerprint, attempt, left } => match left {
+                Some(left) => self.suspect_runs.began(fingerprint, attempt, turn.now + left),
+                None => {
+                    self.suspect_runs.over(attempt);
+                }
+            },
             // The others are handled before.
             _ => {}
         }
@@ -71,6 +77,10 @@
     ) {
         let near = domain.as_str() == self.settings.domain;
         let lost = self.sidecars.seen(turn.now, vm, near, incarnation, load);
+        // Their process is gone: they run no more.
+        for attempt in &lost {
+            self.suspect_over(turn, *attempt);
+        }
         self.lose_all(turn, lost);
     }
 
@@ -138,6 +148,32 @@
         turn.emit(RouterEffect::Quarantine { fingerprint, target: target.clone() });
     }
 
+    /// The attempt was dispatched alone: it is out until its sidecar says otherwise. Should that
+    /// never come, it is held for a while past the deadline that its sidecar ends it at; one that
+    /// its sidecar doesn't end, for as long as a suspect is remembered.
+    pub(super) fn suspect_begins(
+        &mut self,
+        turn: &mut RouterTurn<'_>,
+        state: &RequestState,
+        attempt: AttemptId,
+    ) {
+        let fingerprint = state.lead.fingerprint;
+        let until = match state.idempotent {
+            true => state.deadline + self.settings.claim.linger,
+            false => turn.now + self.settings.quarantine.suspect_age,
+        };
+        self.suspect_runs.began(fingerprint, attempt, until);
+        let left = Some(until.since(turn.now));
+        turn.emit(RouterEffect::SuspectRun { fingerprint, attempt, left });
+    }
+
+    /// The attempt surely runs no more, or never ran. Giving it up proves neither.
+    pub(super) fn suspect_over(&mut self, turn: &mut RouterTurn<'_>, attempt: AttemptId) {
+        if let Some(fingerprint) = self.suspect_runs.over(attempt) {
+            turn.emit(RouterEffect::SuspectRun { fingerprint, attempt, left: None });
+        }
+    }
+
     /// Requests that wait for their next step with a quarantined fingerprint end at once. This
     /// looks at every request, in order of their ids; quarantines are rare.
     fn refuse_quarantined(&mut self, turn: &mut RouterTurn<'_>, fingerprint: Fingerprint) {
--- a/crates/routing/src/router/seal.rs
+++ b/crates/routing/src/router/seal.rs
@@ -75,6 +75,9 @@
         attempt: AttemptId,
         verdict: SealVerdict,
     ) {
+        if let SealVerdict::NeverStarted | SealVerdict::Finished = verdict {
+            self.suspect_over(turn, attempt);
+        }
         let is_holder = self.requests.get(&attempt.request).is_some_and(
             |state| matches!(state.phase, RequestPhase::Held { by, .. } if by == attempt),
         );
--- a/crates/routing/src/suspect_table.rs
+++ b/crates/routing/src/suspect_table.rs
@@ -14,8 +14,6 @@
     /// Whether it was the only one in flight at one of these crashes.
     alone: bool,
     last_crash: MonoTime,
-    /// The attempt that runs it alone now.
-    running: Option<AttemptId>,
 }
 
 /// Suspects and quarantined fingerprints. Both are bounded and expire; forgetting one costs at
@@ -105,36 +103,14 @@
             .is_some_and(|record| now.since(record.last_crash) <= self.settings.suspect_age)
     }
 
-    /// Whether an attempt runs it alone now, so that no other VM may be put at risk.
-    pub fn is_running(&self, fingerprint: Fingerprint) -> bool {
-        self.suspects.get(&fingerprint).is_some_and(|record| record.running.is_some())
-    }
-
-    /// The attempt was dispatched alone.
-    pub fn dispatched(&mut self, fingerprint: Fingerprint, attempt: AttemptId) {
-        if let Some(record) = self.suspects.get_mut(&fingerprint) {
-            record.running = Some(attempt);
-        }
-    }
-
-    /// The attempt ended, or was given up.
-    pub fn released(&mut self, fingerprint: Fingerprint, attempt: AttemptId) {
-        if let Some(record) = self.suspects.get_mut(&fingerprint)
-            && record.running == Some(attempt)
-        {
-            record.running = None;
-        }
-    }
-
     fn expire_suspect(&mut self, now: MonoTime, fingerprint: Fingerprint) {
-        if !self.is_suspect(now, fingerprint) && !self.is_running(fingerprint) {
+        if !self.is_suspect(now, fingerprint) {
             self.suspects.remove(&fingerprint);
         }
     }
 
     fn add_suspect(&mut self, now: MonoTime, fingerprint: Fingerprint) {
-        let record =
-            SuspectRecord { vms: BTreeSet::new(), alone: false, last_crash: now, running: None };
+        let record = SuspectRecord { vms: BTreeSet::new(), alone: false, last_crash: now };
         self.suspects.insert(fingerprint, record);
         self.suspect_ages.push_back((now, fingerprint));
         while self.suspects.len() > self.settings.max_suspects.max(1) {
--- a/crates/routing/tests/suspects.rs
+++ b/crates/routing/tests/suspects.rs
@@ -8,7 +8,7 @@
 };
 
 use notch_messages::prelude::*;
-use notch_routing::{settings::*, *};
+use notch_routing::*;
 use notch_types::prelude::*;
 use rstest::rstest;
 use support::*;
@@ -117,6 +117,10 @@
         RouterEffect::Quarantine { fingerprint, .. } => {
             Some(RouterEvent::QuarantineSeen(vec![*fingerprint]))
         }
+        RouterEffect::SuspectRun { fingerprint, attempt, left } => {
+            let (fingerprint, attempt, left) = (*fingerprint, *attempt, *left);
+            Some(RouterEvent::SuspectRunSeen { fingerprint, attempt, left })
+        }
         _ => None,
     }
 }
@@ -161,6 +165,28 @@
     assert!(dispatched(&world.send(1, 3)).is_some());
 }
 
+// Symptom: a booking that crashes whatever runs it takes down two targets at once.
+// Sequence: two sends of it under two keys ask for their claims; both claims are granted.
+// Cause: the second one was looked at before the first went out, and not again.
+#[test]
+fn a_suspect_whose_claim_comes_second_is_not_sent() {
+    let mut world = Poisoned::new(0);
+    let mut claims = Vec::new();
+    for number in [1, 2] {
+        let request = OnlineRequest { fingerprint: POISON, ..booking(number, number) };
+        let effects = world.feed(0, RouterEvent::Arrived(request));
+        claims.push(claimed(&effects).expect("the ledger is asked"));
+    }
+    let grant = |attempt: AttemptId| {
+        let (request, result) = (attempt.request, Ok(ClaimVerdict::Granted));
+        RouterEvent::ClaimAnswered { request, attempt, result }
+    };
+    assert!(dispatched(&world.feed(0, grant(claims[0]))).is_some());
+    let effects = world.feed(0, grant(claims[1]));
+    assert_eq!(told(&effects), (RefusalReason::Overloaded, Ran::No));
+    assert_eq!(released(&effects), [claims[1]], "its claim is free again");
+}
+
 // Symptom: an innocent request is refused for minutes after its caller hung up once.
 // Sequence: a suspect's send is given up; the sidecar says how its attempt ended, or that it never
 // started, or nobody ever says; its caller sends it again.
