Show that a crash of a given-up suspect isn't counted: known red

Cause: the end of an attempt that was given up is late news and dropped. Where the sidecar took the cut for a hang-up it is the only word of the crash, and the request goes to one more target.

--- a/crates/routing/tests/suspects.rs
+++ b/crates/routing/tests/suspects.rs
@@ -165,6 +165,24 @@
     assert!(dispatched(&world.send(1, 3)).is_some());
 }
 
+// Symptom: one request crashes three targets.
+// Sequence: it is a suspect and runs alone; its send is given up; its target crashes, and the one
+// word of that is the attempt's end, for its sidecar took the cut for a hang-up.
+// Cause: the end of an attempt that was given up is late news, and dropped.
+#[rstest]
+fn a_crash_of_a_given_up_suspect_counts(
+    #[values(GivenUp::CallerGone, GivenUp::SealLate, GivenUp::DeadlinePassed)] how: GivenUp,
+    #[values(0, 1)] second: usize,
+) {
+    let mut world = Poisoned::new(0);
+    let (attempt, place) = dispatched(&world.send(0, 1)).expect("it runs alone");
+    assert_ne!(place, vm(0), "at a second target");
+    world.give_up(0, 1, how);
+    let outcome = AttemptOutcome::Crashed;
+    world.feed(0, RouterEvent::AttemptEnded { attempt, outcome, first_token: None });
+    assert_eq!(told(&world.send(second, 2)).0, RefusalReason::Quarantined);
+}
+
 // Symptom: a booking that crashes whatever runs it takes down two targets at once.
 // Sequence: two sends of it under two keys ask for their claims; both claims are granted.
 // Cause: the second one was looked at before the first went out, and not again.
