Count the crash of a suspect whose send was given up

Cause: the end of an attempt that was given up was dropped as late. Where its sidecar took the cut for a hang-up, that end is the only word of the crash. Mend: a router that holds an attempt of a suspect as out knows where, and takes its crashed end as a crash alone.

--- a/crates/routing/src/router/attempt.rs
+++ b/crates/routing/src/router/attempt.rs
@@ -80,7 +80,10 @@
         attempt: AttemptId,
         outcome: AttemptOutcome,
     ) {
-        self.suspect_over(turn, attempt);
+        let run = self.suspect_over(turn, attempt);
+        if let (Some(run), AttemptOutcome::Crashed) = (run, &outcome) {
+            self.suspect_crashed(turn, &run);
+        }
         self.hear(turn, attempt, |router, turn, state| {
             mark_started(state, attempt);
             if !state.is_running(attempt) {
@@ -148,7 +151,9 @@
         let Some(record) = state.record(attempt).cloned() else { return };
         let fingerprint = state.lead.fingerprint;
         let target = state.lead.target.clone();
-        self.accuse(turn, fingerprint, &record.vm, &target, record.alone);
+        if !record.alone {
+            self.accuse(turn, fingerprint, &record.vm, &target, false);
+        }
         if self.suspects.is_quarantined(turn.now, fingerprint) && state.idempotent {
             let detail = "this request crashes targets";
             return self.refuse_for(turn, state, RefusalReason::Quarantined, detail);
--- a/crates/routing/src/router/fleet.rs
+++ b/crates/routing/src/router/fleet.rs
@@ -10,6 +10,7 @@
     policy::TargetPolicy,
     request_state::{RequestPhase, RequestState},
     retry_budget::RetryBudget,
+    suspect_runs::{RunPlace, SuspectRun},
 };
 
 impl OnlineRouter {
@@ -57,7 +58,10 @@
                 self.refuse_quarantined(turn, fingerprint);
             }
             RouterEvent::SuspectRunSeen { fingerprint, attempt, left } => match left {
-                Some(left) => self.suspect_runs.began(fingerprint, attempt, turn.now + left),
+                Some(left) => {
+                    let run = SuspectRun { fingerprint, place: None };
+                    self.suspect_runs.began(run, attempt, turn.now + left);
+                }
                 None => {
                     self.suspect_runs.over(attempt);
                 }
@@ -157,20 +161,38 @@
         state: &RequestState,
         attempt: AttemptId,
     ) {
+        let Some(record) = state.record(attempt) else { return };
         let fingerprint = state.lead.fingerprint;
+        let place = RunPlace { vm: record.vm.clone(), target: state.lead.target.clone() };
         let until = match state.idempotent {
             true => state.deadline + self.settings.claim.linger,
             false => turn.now + self.settings.quarantine.suspect_age,
         };
-        self.suspect_runs.began(fingerprint, attempt, until);
+        let run = SuspectRun { fingerprint, place: Some(place) };
+        self.suspect_runs.began(run, attempt, until);
         let left = Some(until.since(turn.now));
         turn.emit(RouterEffect::SuspectRun { fingerprint, attempt, left });
     }
 
     /// The attempt surely runs no more, or never ran. Giving it up proves neither.
-    pub(super) fn suspect_over(&mut self, turn: &mut RouterTurn<'_>, attempt: AttemptId) {
-        if let Some(fingerprint) = self.suspect_runs.over(attempt) {
-            turn.emit(RouterEffect::SuspectRun { fingerprint, attempt, left: None });
+    /// Returns what was held of it.
+    pub(super) fn suspect_over(
+        &mut self,
+        turn: &mut RouterTurn<'_>,
+        attempt: AttemptId,
+    ) -> Option<SuspectRun> {
+        let run = self.suspect_runs.over(attempt)?;
+        let fingerprint = run.fingerprint;
+        turn.emit(RouterEffect::SuspectRun { fingerprint, attempt, left: None });
+        Some(run)
+    }
+
+    /// An attempt of a suspect ended with its target's crash. Counts whether or not anybody still
+    /// waits for it: where the sidecar took the cut for a hang-up, nobody else tells of the crash.
+    pub(super) fn suspect_crashed(&mut self, turn: &mut RouterTurn<'_>, run: &SuspectRun) {
+        if let Some(place) = &run.place {
+            self.accuse(turn, run.fingerprint, &place.vm, &place.target, true);
+            self.refuse_quarantined(turn, run.fingerprint);
         }
     }
 
--- a/crates/routing/src/suspect_runs.rs
+++ b/crates/routing/src/suspect_runs.rs
@@ -4,6 +4,24 @@
 
 use notch_types::prelude::*;
 
+/// Where an attempt of this gateway runs.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RunPlace {
+    /// The sidecar's VM.
+    pub vm: VmName,
+    /// The target.
+    pub target: TargetName,
+}
+
+/// An attempt that is out.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SuspectRun {
+    /// What it runs.
+    pub fingerprint: Fingerprint,
+    /// `None` for another gateway's.
+    pub place: Option<RunPlace>,
+}
+
 /// Attempts that are out, by what they run.
 ///
 /// What goes wrong without it: an attempt whose caller has left, or whose seal came late, goes on
@@ -13,7 +31,7 @@
 /// Each is held until its sidecar says that it is over, or until it is sure to be. Bounded; the oldest is forgotten first, which costs at most one more crash.
 #[derive(Debug)]
 pub struct SuspectRuns {
-    fingerprints: FastMap<AttemptId, Fingerprint>,
+    runs: FastMap<AttemptId, SuspectRun>,
     out: FastMap<Fingerprint, Vec<(AttemptId, MonoTime)>>,
     /// In order of their beginnings; may name some that are over.
     ages: VecDeque<AttemptId>,
@@ -24,7 +42,7 @@
     /// Nothing is out; at most `bound` attempts are held.
     pub fn new(bound: usize) -> Self {
         Self {
-            fingerprints: FastMap::default(),
+            runs: FastMap::default(),
             out: FastMap::default(),
             ages: VecDeque::new(),
             bound: bound.max(1),
@@ -32,33 +50,33 @@
     }
 
     /// The attempt may run until it is told as over, and not after `until`.
-    pub fn began(&mut self, fingerprint: Fingerprint, attempt: AttemptId, until: MonoTime) {
-        if self.fingerprints.contains_key(&attempt) {
+    pub fn began(&mut self, run: SuspectRun, attempt: AttemptId, until: MonoTime) {
+        if self.runs.contains_key(&attempt) {
             return;
         }
-        self.fingerprints.insert(attempt, fingerprint);
-        self.out.entry(fingerprint).or_default().push((attempt, until));
+        self.out.entry(run.fingerprint).or_default().push((attempt, until));
+        self.runs.insert(attempt, run);
         self.ages.push_back(attempt);
-        while self.fingerprints.len() > self.bound {
+        while self.runs.len() > self.bound {
             let Some(oldest) = self.ages.pop_front() else { return };
             self.over(oldest);
         }
         if self.ages.len() > 2 * self.bound {
-            let fingerprints = &self.fingerprints;
-            self.ages.retain(|attempt| fingerprints.contains_key(attempt));
+            let runs = &self.runs;
+            self.ages.retain(|attempt| runs.contains_key(attempt));
         }
     }
 
-    /// The attempt is over. Returns what it ran, if it was held.
-    pub fn over(&mut self, attempt: AttemptId) -> Option<Fingerprint> {
-        let fingerprint = self.fingerprints.remove(&attempt)?;
-        if let Some(attempts) = self.out.get_mut(&fingerprint) {
+    /// The attempt is over. Returns what was held of it.
+    pub fn over(&mut self, attempt: AttemptId) -> Option<SuspectRun> {
+        let run = self.runs.remove(&attempt)?;
+        if let Some(attempts) = self.out.get_mut(&run.fingerprint) {
             attempts.retain(|(other, _)| *other != attempt);
             if attempts.is_empty() {
-                self.out.remove(&fingerprint);
+                self.out.remove(&run.fingerprint);
             }
         }
-        Some(fingerprint)
+        Some(run)
     }
 
     /// Whether an attempt of it may still run.
