Show that a cut at a dying target is told to one gateway only: known red

Cause: a dying target cuts a request and still answers the probe. The gate takes that for a hang-up and names nobody; the request's gateway takes its end for a crash and tells the others by rumour, which is pushed every 100 ms at most, eight at a time. A send through another gateway comes first, runs beside others and crashes a second target; neither crash had it alone, so a third is needed.

--- a/crates/gate/tests/crashes.rs
+++ b/crates/gate/tests/crashes.rs
@@ -82,6 +82,43 @@
     assert_eq!(refusals(&crash), [(attempt(3), RefusalReason::NoTarget)]);
 }
 
+#[rstest]
+#[case::beside_another(false)]
+#[case::alone(true)]
+fn what_its_gateway_hears_of_a_crash_all_gateways_hear_first(#[case] alone: bool) {
+    // Symptom: one request crashes three targets, two of them beside others.
+    // Sequence: a dying target cuts it and still answers the probe, so it seems hung up on; its
+    // gateway takes its end for a crash; its caller sends it again through another gateway.
+    // Cause: only the one gateway was told, and its rumour comes after the caller.
+    let mut bench = Bench::new(still(), fixed(4));
+    let other = gateway(2);
+    bench.feed(GateEvent::GatewayUp { gateway: other.clone() });
+    if !alone {
+        bench.say(SidecarMessage::Offer(offer(1, 9_000)));
+    }
+    bench.say(SidecarMessage::Offer(AttemptOffer { alone, ..offer(2, 9_000) }));
+    bench.end(attempt(2), RunEnd::Cut);
+    let effects = up(&mut bench);
+    let sent = effects.iter().filter_map(|effect| match effect {
+        GateEffect::Send { gateway, message } => Some((gateway.clone(), message.clone())),
+        _ => None,
+    });
+    let sent: Vec<(VmName, GatewayMessage)> = sent.collect();
+    let fingerprints = vec![fingerprint(2)];
+    let named = GatewayMessage::Suspects { target: target(), fingerprints, alone };
+    let place = |to: u8, is_it: &dyn Fn(&GatewayMessage) -> bool| {
+        sent.iter().position(|(name, message)| *name == gateway(to) && is_it(message))
+    };
+    let ended = |message: &GatewayMessage| {
+        matches!(message, GatewayMessage::Ended { outcome: AttemptOutcome::Crashed, .. })
+    };
+    let is_named = |message: &GatewayMessage| *message == named;
+    let end = place(1, &ended).expect("its gateway hears of its end");
+    for number in [1, 2] {
+        assert!(place(number, &is_named).is_some_and(|at| at < end), "{number} of {sent:?}");
+    }
+}
+
 #[test]
 fn a_hang_up_on_one_request_blames_nobody_else() {
     // Symptom: healthy requests are isolated though the target never crashed.
