Tell all gateways of a cut at once, before its end is told to one

Cause: a target that dies cuts a request and may still answer the probe. The request's gateway takes its end for a crash; the others heard of it by that gateway's rumour only, pushed every 100 ms at most, and a send through one of them ran beside others. Mend: the gate names a request that was cut at a target that answers, itself only, to all gateways and before its end.

--- a/crates/gate/src/core/endings.rs
+++ b/crates/gate/src/core/endings.rs
@@ -166,6 +166,18 @@
         let sets = [&state.online, &state.batch, &state.stopping, &state.doubtful];
         let in_flight = sets.into_iter().flatten().filter_map(|run| self.runs.get(run));
         let fingerprints: Vec<Fingerprint> = in_flight.map(|record| record.fingerprint).collect();
+        let alone = fingerprints.len() == 1;
+        self.tell_suspects(now, &state.name, fingerprints, alone, effects);
+    }
+
+    fn tell_suspects(
+        &mut self,
+        now: MonoTime,
+        target: &TargetName,
+        fingerprints: Vec<Fingerprint>,
+        alone: bool,
+        effects: &mut Vec<GateEffect>,
+    ) {
         if fingerprints.is_empty() {
             return;
         }
@@ -174,8 +186,8 @@
         }
         for gateway in self.gateways.all() {
             let message = GatewayMessage::Suspects {
-                target: state.name.clone(),
-                alone: fingerprints.len() == 1,
+                target: target.clone(),
+                alone,
                 fingerprints: fingerprints.clone(),
             };
             Self::send(gateway, message, effects);
@@ -258,6 +270,12 @@
             return self.refuse(now, &gateway, run, RefusalReason::NoTarget, retry, effects);
         };
         record.phase = RunPhase::Ended { total, outcome: outcome.clone() };
+        let (fingerprint, alone) = (record.fingerprint, record.alone);
+        // Its gateway takes this for a crash of the target, and so must the others before a send
+        // comes to one of them: a rumour would be later than its caller.
+        if verdict == RunVerdict::ByTarget(RunEnd::Cut) {
+            self.tell_suspects(now, &state.name, vec![fingerprint], alone, effects);
+        }
         self.kept.push_back(run);
         self.kept_bytes += total;
         self.timers.set(now + self.settings.output_retention, TimerKind::Forget(run));
