Show that the suspect after a culprit is blamed at a dying target: known red

Cause: a culprit crashes its target alone; the dying target still answers one probe, which the gate takes for a target that lives; the next suspect is sent there, is cut, and is named alone. With the crash that made it a suspect that is two targets: it is quarantined. Shown by: the gate without timing.

--- a/crates/gate/tests/crashes.rs
+++ b/crates/gate/tests/crashes.rs
@@ -119,6 +119,29 @@
     }
 }
 
+#[test]
+fn the_next_suspect_is_not_blamed_for_a_target_that_was_dying() {
+    // Symptom: an innocent request is quarantined.
+    // Sequence: a culprit crashes its target alone; the dying target still answers the probe; a
+    // suspect that waited is sent there, is cut too, and then the probe is refused.
+    // Cause: one answered probe was taken for a target that lives.
+    let mut bench = Bench::new(still(), fixed(4));
+    bench.say(SidecarMessage::Offer(AttemptOffer { alone: true, ..offer(1, 9_000) }));
+    bench.say(SidecarMessage::Offer(AttemptOffer { alone: true, ..offer(2, 9_000) }));
+    bench.end(attempt(1), RunEnd::Cut);
+    let mut effects = up(&mut bench);
+    effects.extend(bench.pass(40));
+    if starts(&effects).contains(&attempt(2)) {
+        effects.extend(bench.end(attempt(2), RunEnd::Cut));
+    }
+    effects.extend(down(&mut bench, DownCause::Crashed));
+    let blames_it = |message: &&GatewayMessage| {
+        matches!(message, GatewayMessage::Suspects { fingerprints, alone: true, .. }
+            if fingerprints.contains(&fingerprint(2)))
+    };
+    assert_eq!(messages(&effects).iter().filter(|message| blames_it(message)).count(), 0);
+}
+
 #[test]
 fn a_hang_up_on_one_request_blames_nobody_else() {
     // Symptom: healthy requests are isolated though the target never crashed.
