Send nothing to a target that cut a run until it answers twice

Cause: a dying process may answer a probe once more; the gate took one answer for a target that lives and sent it the next request, a suspect that waited, which was cut and blamed. Mend: after a cut, or after everything was cut, a target counts as up only when it answers again 100 ms later; it is probed then. Before: the_next_suspect_is_not_blamed_for_a_target_that_was_dying failed. After: all tests of notch-gate pass.

--- a/crates/gate/src/core/endings.rs
+++ b/crates/gate/src/core/endings.rs
@@ -93,11 +93,21 @@
         }
         state.instance = instance.or(state.instance);
         let doubtful = std::mem::take(&mut state.doubtful);
+        if all_cut || !doubtful.is_empty() {
+            state.up_from = now + self.settings.cut_pause;
+            self.timers.set(state.up_from, TimerKind::Reprobe(state.name.clone()));
+        }
         for run in doubtful {
             self.settle_doubtful(now, state, run, RunVerdict::ByTarget(RunEnd::Cut), effects);
         }
-        if state.health != TargetHealth::Up {
-            if matches!(state.health, TargetHealth::Down(_)) {
+        let is_down = matches!(state.health, TargetHealth::Down(_));
+        if now < state.up_from {
+            // One answer is no proof of life after a cut: nothing starts before the next one.
+            if !is_down {
+                state.health = TargetHealth::Doubtful;
+            }
+        } else if state.health != TargetHealth::Up {
+            if is_down {
                 Self::count("target_ups", effects);
             }
             state.health = TargetHealth::Up;
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -201,6 +201,7 @@
                 });
             }
             TimerKind::Isolation(target) => self.with_target(now, &target, effects, |_, _, _| {}),
+            TimerKind::Reprobe(target) => effects.push(GateEffect::Probe { target }),
             TimerKind::Window => self.close_windows(now, effects),
             TimerKind::Load => {}
             TimerKind::Resend => self.core.resend(now, effects),
--- a/crates/gate/src/settings.rs
+++ b/crates/gate/src/settings.rs
@@ -47,6 +47,9 @@
     /// Longest pause after an isolation before the target is drained for the next suspect; it is as
     /// long as the isolation was.
     pub isolation_pause: Duration,
+    /// How long a target that cut a run and answers the probe gets nothing new: a dying process may
+    /// answer once more.
+    pub cut_pause: Duration,
     /// How long a fingerprint stays a suspect.
     pub suspect_retention: Duration,
     /// Most suspects, and most quarantined fingerprints, remembered.
@@ -106,6 +109,7 @@
             run_bound: Duration::from_secs(600),
             isolation_wait: Duration::from_secs(5),
             isolation_pause: Duration::from_secs(5),
+            cut_pause: Duration::from_millis(100),
             suspect_retention: Duration::from_secs(600),
             suspect_count: 1_024,
             lot_items: 32,
--- a/crates/gate/src/target_state.rs
+++ b/crates/gate/src/target_state.rs
@@ -95,6 +95,8 @@
     pub(crate) stopping: BTreeSet<AttemptId>,
     /// Cut, until the probe's answer. They hold no slot, but nothing starts meanwhile.
     pub(crate) doubtful: BTreeSet<AttemptId>,
+    /// After a cut it counts as up only when it answers from then on.
+    pub(crate) up_from: MonoTime,
     pub(crate) limits: ConcurrencyLimit,
     pub(crate) reserve: OnlineReserve,
     pub(crate) isolation: IsolationPhase,
@@ -120,6 +122,7 @@
             batch: BTreeSet::new(),
             stopping: BTreeSet::new(),
             doubtful: BTreeSet::new(),
+            up_from: MonoTime::default(),
             reserve: OnlineReserve::default(),
             isolation: IsolationPhase::Idle,
             isolation_from: MonoTime::default(),
--- a/crates/gate/src/timer_set.rs
+++ b/crates/gate/src/timer_set.rs
@@ -23,6 +23,8 @@
     PullResume(TargetName),
     /// The suspect waited long enough for an idle target, or the pause between isolations is over.
     Isolation(TargetName),
+    /// A target that answered after it cut a run is probed again.
+    Reprobe(TargetName),
     /// A learning window closes, for all targets.
     Window,
     /// A load report is due.
--- a/crates/gate/tests/crashes.rs
+++ b/crates/gate/tests/crashes.rs
@@ -91,8 +91,7 @@
     // gateway takes its end for a crash; its caller sends it again through another gateway.
     // Cause: only the one gateway was told, and its rumour comes after the caller.
     let mut bench = Bench::new(still(), fixed(4));
-    let other = gateway(2);
-    bench.feed(GateEvent::GatewayUp { gateway: other.clone() });
+    bench.feed(GateEvent::GatewayUp { gateway: gateway(2) });
     if !alone {
         bench.say(SidecarMessage::Offer(offer(1, 9_000)));
     }
