--- a/crates/routing/src/router/fleet.rs
+++ b/crates/routing/src/router/fleet.rs
@@ -10,6 +10,7 @@
     policy::TargetPolicy,
     request_state::{RequestPhase, RequestState},
     retry_budget::RetryBudget,
+    suspect_runs::{RunPlace, SuspectRun},
 };
 
 impl OnlineRouter {
@@ -56,6 +57,15 @@
                 self.suspects.crashed(turn.now, fingerprint, &vm, alone);
                 self.refuse_quarantined(turn, fingerprint);
             }
+            RouterEvent::SuspectRunSeen { fingerprint, attempt, left } => match left {
+                Some(left) => {
+                    let run = SuspectRun { fingerprint, place: None };
+                    self.suspect_runs.began(run, attempt, turn.now + left);
+                }
+                None => {
+                    self.suspect_runs.over(attempt);
+                }
+            },
             // The others are handled before.
             _ => {}
         }
@@ -71,6 +81,10 @@
     ) {
         let near = domain.as_str() == self.settings.domain;
         let lost = self.sidecars.seen(turn.now, vm, near, incarnation, load);
+        // Their process is gone: they run no more.
+        for attempt in &lost {
+            self.suspect_over(turn, *attempt);
+        }
         self.lose_all(turn, lost);
     }
 
@@ -138,6 +152,50 @@
         turn.emit(RouterEffect::Quarantine { fingerprint, target: target.clone() });
     }
 
+    /// The attempt was dispatched alone: it is out until its sidecar says otherwise. Should that
+    /// never come, it is held for a while past the deadline that its sidecar ends it at; one that
+    /// its sidecar doesn't end, for as long as a suspect is remembered.
+    pub(super) fn suspect_begins(
+        &mut self,
+        turn: &mut RouterTurn<'_>,
+        state: &RequestState,
+        attempt: AttemptId,
+    ) {
+        let Some(record) = state.record(attempt) else { return };
+        let fingerprint = state.lead.fingerprint;
+        let place = RunPlace { vm: record.vm.clone(), target: state.lead.target.clone() };
+        let until = match state.idempotent {
+            true => state.deadline + self.settings.claim.linger,
+            false => turn.now + self.settings.quarantine.suspect_age,
+        };
+        let run = SuspectRun { fingerprint, place: Some(place) };
+        self.suspect_runs.began(run, attempt, until);
+        let left = Some(until.since(turn.now));
+        turn.emit(RouterEffect::SuspectRun { fingerprint, attempt, left });
+    }
+
+    /// The attempt surely runs no more, or never ran. Giving it up proves neither.
+    /// Returns what was held of it.
+    pub(super) fn suspect_over(
+        &mut self,
+        turn: &mut RouterTurn<'_>,
+        attempt: AttemptId,
+    ) -> Option<SuspectRun> {
+        let run = self.suspect_runs.over(attempt)?;
+        let fingerprint = run.fingerprint;
+        turn.emit(RouterEffect::SuspectRun { fingerprint, attempt, left: None });
+        Some(run)
+    }
+
+    /// An attempt of a suspect ended with its target's crash. Counts whether or not anybody still
+    /// waits for it: where the sidecar took the cut for a hang-up, nobody else tells of the crash.
+    pub(super) fn suspect_crashed(&mut self, turn: &mut RouterTurn<'_>, run: &SuspectRun) {
+        if let Some(place) = &run.place {
+            self.accuse(turn, run.fingerprint, &place.vm, &place.target, true);
+            self.refuse_quarantined(turn, run.fingerprint);
+        }
+    }
+
     /// Requests that wait for their next step with a quarantined fingerprint end at once. This
     /// looks at every request, in order of their ids; quarantines are rare.
     fn refuse_quarantined(&mut self, turn: &mut RouterTurn<'_>, fingerprint: Fingerprint) {
