--- a/crates/entry/src/constants.rs
+++ b/crates/entry/src/constants.rs
@@ -157,8 +157,6 @@
 pub const RUNNER_TICK: Duration = Duration::from_millis(40);
 /// Pause of an item that found its target full or gone.
 pub const ITEM_PAUSE: Duration = Duration::from_millis(100);
-/// An owner out of touch asks the store about a job's list at most this often.
-pub const DOUBT_CHECK: Duration = Duration::from_millis(400);
 /// An owner whose write of results wasn't answered for this long asks the store before it says that
 /// there is nothing more: an answer usually takes a few milliseconds.
 pub const STORE_DOUBT: Duration = Duration::from_millis(100);
--- a/crates/entry/src/peers/table.rs
+++ b/crates/entry/src/peers/table.rs
@@ -367,10 +367,13 @@
 
 impl PeerRecord {
     /// Whether it may have taken jobs of ours over: it hasn't been heard for long, or its link is down. A
-    /// gateway that was only named, and neither registered nor linked to, isn't counted.
+    /// gateway that was only named, and neither registered nor linked to, isn't counted; nor is one that
+    /// has left, as it takes no jobs over until it starts again, which its entry or its link tells.
     fn is_silent(&self, now: MonoTime) -> bool {
         let is_known = self.entry.is_some() || self.was_linked;
-        is_known && (self.link.is_none() || now.since(self.heard_at) >= OWNER_DOUBT)
+        is_known
+            && !self.is_leaving
+            && (self.link.is_none() || now.since(self.heard_at) >= OWNER_DOUBT)
     }
 
     /// How long it may be without a link before it is taken for dead. One that was never linked to may live
--- a/crates/relay/src/limits/count.rs
+++ b/crates/relay/src/limits/count.rs
@@ -7,7 +7,7 @@
 //! due.
 //!
 //! What fits can't be refused for long: a job that fits what is held or free as far as is known here isn't
-//! looked up in a count at all, and a count serves for [`COUNT_EVERY`] at most. Only refusals rest on one,
+//! looked up in a count at all, and a count serves for half a second at most. Only refusals rest on one,
 //! so the limit doesn't depend on it.
 
 use std::time::Duration;
