--- a/crates/entry/tests/frozen_owner.rs
+++ b/crates/entry/tests/frozen_owner.rs
@@ -7,13 +7,10 @@
 use async_std::task;
 use notch_platform_standins::{
     client::{StandInClient, seen_results},
-    lasting_address,
     store::{StandInStore, platform},
     target::{Conduct, StandInTarget},
 };
-use notch_settings::EntryConfig;
-use notch_soak::process::GatewayProcess;
-use notch_types::prelude::VmName;
+use notch_soak::{config::gateway_config, process::GatewayProcess};
 use rustix::process::Signal;
 
 /// Longest wait for anything: far above what is expected on a busy machine.
@@ -32,21 +29,7 @@
 fn gateway(name: &str, store: &StandInStore) -> GatewayProcess {
     let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("frozen-owner");
     fs::create_dir_all(&folder).unwrap();
-    let mut config = EntryConfig::default();
-    config.node.vm = VmName::new(name);
-    config.store.address = store.address;
-    config.links.secret = Some("for-tests-only-for-tests-only".to_owned());
-    config.links.secret_file = None;
-    config.links.heartbeat = Duration::from_millis(300);
-    config.links.silence = Duration::from_millis(1_000);
-    for address in [
-        &mut config.listen.clients,
-        &mut config.listen.ready,
-        &mut config.listen.links,
-        &mut config.listen.metrics,
-    ] {
-        *address = lasting_address();
-    }
+    let config = gateway_config(name, store.address);
     let program = PathBuf::from(env!("CARGO_BIN_EXE_notch-entry"));
     let mut process = GatewayProcess::new(&program, &folder, &config).unwrap();
     process.start().unwrap();
--- /dev/null
+++ b/crates/soak/src/config.rs
@@ -0,0 +1,31 @@
+//! Settings of a gateway on loopback.
+
+use std::{net::SocketAddr, time::Duration};
+
+use notch_platform_standins::lasting_address;
+use notch_settings::EntryConfig;
+use notch_types::prelude::VmName;
+
+/// Secret of the gateways' links.
+const SECRET: &str = "for-tests-only-for-tests-only";
+
+/// Settings of a gateway that calls the store at `store`, with links as they are deployed and addresses
+/// of its own.
+pub fn gateway_config(vm: &str, store: SocketAddr) -> EntryConfig {
+    let mut config = EntryConfig::default();
+    config.node.vm = VmName::new(vm);
+    config.store.address = store;
+    config.links.secret = Some(SECRET.to_owned());
+    config.links.secret_file = None;
+    config.links.heartbeat = Duration::from_millis(300);
+    config.links.silence = Duration::from_millis(1_000);
+    for address in [
+        &mut config.listen.clients,
+        &mut config.listen.ready,
+        &mut config.listen.links,
+        &mut config.listen.metrics,
+    ] {
+        *address = lasting_address();
+    }
+    config
+}
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod checker;
 pub mod clients;
+pub mod config;
 pub mod fault;
 pub mod observation;
 pub mod process;
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -14,15 +14,14 @@
 use notch_platform_standins::{
     any_port,
     client::StandInClient,
-    lasting_address,
     store::{StandInStore, configuration_with_probes},
     target::StandInTarget,
 };
 use notch_settings::EntryConfig;
-use notch_types::prelude::*;
 use rustix::process::Signal;
 
 use crate::{
+    config::gateway_config,
     fault::SoakFault,
     observation::{Observation, ObservationLog},
     process::GatewayProcess,
@@ -30,8 +29,6 @@
     settings::SoakSettings,
 };
 
-/// Secret of the gateways' links.
-const SECRET: &str = "for-the-soak-only-for-the-soak-only";
 /// A gateway that was told to stop is killed after this long, as the platform does it.
 const STOP_LONGEST: Duration = Duration::from_millis(8_000);
 /// How often something is looked at.
@@ -84,7 +81,7 @@
         let mut gateways = Vec::new();
         for number in 0..settings.gateways {
             let proxy = start_proxy(store.address).await;
-            let config = gateway_config(number, &proxy);
+            let config = gateway_config(&format!("gateway-{number}"), proxy.address);
             store_proxies.push(proxy);
             let process = start_gateway(&settings.program, &settings.folder, &config)?;
             gateways.push(Mutex::new(GatewaySlot { process, holds: 0 }));
@@ -285,25 +282,6 @@
     TargetSlot { target, proxy, replacements }
 }
 
-fn gateway_config(number: usize, store: &FaultProxy) -> EntryConfig {
-    let mut config = EntryConfig::default();
-    config.node.vm = VmName::new(&format!("gateway-{number}"));
-    config.store.address = store.address;
-    config.links.secret = Some(SECRET.to_owned());
-    config.links.secret_file = None;
-    config.links.heartbeat = Duration::from_millis(300);
-    config.links.silence = Duration::from_millis(1_000);
-    for address in [
-        &mut config.listen.clients,
-        &mut config.listen.ready,
-        &mut config.listen.links,
-        &mut config.listen.metrics,
-    ] {
-        *address = lasting_address();
-    }
-    config
-}
-
 fn start_gateway(
     program: &Path,
     folder: &Path,
