Run an accepted job also when it was read before it was settled

Cause: after a write of a job whose answer was lost, the gateway that found itself its owner began to run it only if it knew nothing of the job; a copy kept for a reader counted as knowing, so nobody ran it, and as the owner lived nobody took it over. Another gateway's claim no longer stops it either: the job is begun and the store asked at once. Ruled out: that a search for orphans finds it: it takes the owner for alive, but for the first search after a start.

--- a/crates/entry/src/batch/intake.rs
+++ b/crates/entry/src/batch/intake.rs
@@ -12,6 +12,7 @@
 use crate::{
     batch::{
         limits::{self, LimitOutcome},
+        ownership,
         records::{create_job, inline_items, part_count, read_end, read_job},
     },
     constants::{
@@ -216,11 +217,19 @@
     let items = spec.items.len();
     let mut owned = OwnedJob::new(spec, Vec::new(), node.clock.now());
     owned.confirm(asked);
-    let mut desk = node.jobs();
-    if desk.is_known(&id) || !desk.own_job(owned) {
-        return;
+    // A copy for readers says nothing of the owner; another gateway's claim may be older than our answer, or
+    // newer: then the store is asked.
+    let is_claimed = {
+        let mut desk = node.jobs();
+        let is_claimed = desk.owner(&id).is_some();
+        if !desk.own_job(owned) {
+            return;
+        }
+        is_claimed
+    };
+    if is_claimed {
+        ownership::doubt(node, &id, "claimed");
     }
-    drop(desk);
     node.peers.broadcast(&notch_messages::prelude::PeerMessage::JobsOwned(vec![id.clone()]));
     node.runner_wake.notify(usize::MAX);
     node.log.info("job_owned", &[("job", &id), ("items", &items), ("cause", &"accepted")]);
--- a/crates/entry/tests/soak.rs
+++ b/crates/entry/tests/soak.rs
@@ -9,6 +9,8 @@
 #[rstest]
 #[case(1)]
 #[case(2)]
+// An accepted job was run by nobody: a read of it came before its acceptance was settled.
+#[case(324)]
 fn a_short_soak_breaks_no_promise(#[case] seed: u64) {
     let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}"));
     let settings = SoakSettings {
