Log every empty read in one place; end the gateways of a soak that broke

Cause: an empty read that an owner in doubt answered from the store had no job_read_empty line, though OPERATIONS says that each has one; the line stood beside the answer in two places and not in the third. Ruled out: another answer to readers: it is built as before, only the line and the counter are new. Before: no line, three gateways left running; after: one function answers and logs, and the soak kills what it started.

--- a/crates/entry/src/batch/reads.rs
+++ b/crates/entry/src/batch/reads.rs
@@ -67,7 +67,7 @@
                     continue;
                 }
                 if ownership::is_sure(node, job) {
-                    return nothing_new(node, job, total, after, "owner");
+                    return told_answer(node, job, total, after, &[], "owner");
                 }
                 if !was_checked && ownership::can_confirm(node, job) {
                     was_checked = true;
@@ -83,7 +83,7 @@
                 {
                     Ok(list) => {
                         let new = list.lines.get(after.saturating_sub(held)..).unwrap_or_default();
-                        results_answer(total, after, new)
+                        told_answer(node, job, total, after, new, "store")
                     }
                     Err(_) => unsure(node, job, "store_unavailable"),
                 };
@@ -142,11 +142,8 @@
     }
     let Some(total) = copy.total else { return unsure(node, job, "no_total") };
     let lines = copy.lines.get(after..).unwrap_or_default();
-    let answer = if lines.is_empty() {
-        nothing_new(node, job, total, after, if is_sure { "told" } else { "store" })
-    } else {
-        results_answer(total, after, lines)
-    };
+    let source = if is_sure { "told" } else { "store" };
+    let answer = told_answer(node, job, total, after, lines, source);
     node.jobs().copies.keep(job, copy);
     answer
 }
@@ -285,17 +282,20 @@
     OwnAnswer { status: 200, body, ..OwnAnswer::default() }
 }
 
-/// There is nothing from a position on, by the word of whom `source` names.
-fn nothing_new(
+/// The results from a position on, by the word of whom `source` names; that there are none is logged.
+fn told_answer(
     node: &EntryNode,
     job: &str,
     total: usize,
     after: usize,
+    lines: &[Arc<ResultLine>],
     source: &'static str,
 ) -> OwnAnswer {
-    node.log.info("job_read_empty", &[("job", &job), ("after", &after), ("source", &source)]);
-    node.metrics.count(Counter::Event("job_reads_empty"));
-    results_answer(total, after, &[])
+    if lines.is_empty() {
+        node.log.info("job_read_empty", &[("job", &job), ("after", &after), ("source", &source)]);
+        node.metrics.count(Counter::Event("job_reads_empty"));
+    }
+    results_answer(total, after, lines)
 }
 
 /// Nobody can say now: not that there is nothing.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -81,6 +81,7 @@
     let _ = timeout(JOBS_LONGEST, ending).await;
     world.watch_processes();
     world.note_runs();
+    world.end();
     Ok(SoakReport {
         faults,
         requests: run.requests.load(Ordering::Relaxed),
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -182,6 +182,14 @@
         }
     }
 
+    /// Kills every gateway. Clients that wait for jobs without an end hold this world for as long as the
+    /// process lives, so that no gateway would be dropped, and each would outlive the soak.
+    pub fn end(&self) {
+        for gateway in 0..self.gateways.len() {
+            self.slot(gateway).process.kill();
+        }
+    }
+
     /// Starts gateways that ended by themselves, which is written down.
     pub fn watch_processes(&self) {
         for gateway in 0..self.gateways.len() {
