Log decisions with their figures, and who was in flight at a crash

Three targets crashed by one request can't be told apart afterwards: which of the crashes had company, by whose word, and what was in flight there was kept for explain only, and the fleet's tests wrote empty lines. Each decision is now also a line at debug level; suspects_named lists who was in flight and in which state, crashed and suspect_heard say whether it was alone. Nothing else changes.

--- a/crates/gate/src/core/endings.rs
+++ b/crates/gate/src/core/endings.rs
@@ -177,6 +177,12 @@
         let in_flight = sets.into_iter().flatten().filter_map(|run| self.runs.get(run));
         let fingerprints: Vec<Fingerprint> = in_flight.map(|record| record.fingerprint).collect();
         let alone = fingerprints.len() == 1;
+        if !fingerprints.is_empty() {
+            let subject = NoteSubject::Target(state.name.clone());
+            let detail = in_flight_detail(state, &fingerprints);
+            let note = DecisionNote::new(subject, "suspects_named", detail);
+            effects.push(GateEffect::Note(note.at(&self.settings.vm)));
+        }
         self.tell_suspects(now, &state.name, fingerprints, alone, effects);
     }
 
@@ -442,3 +448,17 @@
     };
     Some(outcome)
 }
+
+/// Who was in flight at a crash, and by which word: one that is merely doubtful or being stopped keeps
+/// the others from counting as alone.
+fn in_flight_detail(state: &TargetState, fingerprints: &[Fingerprint]) -> String {
+    let names: Vec<String> = fingerprints.iter().map(ToString::to_string).collect();
+    format!(
+        "online {}, batch {}, stopping {}, doubtful {}: {}",
+        state.online.len(),
+        state.batch.len(),
+        state.stopping.len(),
+        state.doubtful.len(),
+        names.join(" ")
+    )
+}
--- a/crates/gateway/src/control/core.rs
+++ b/crates/gateway/src/control/core.rs
@@ -225,7 +225,10 @@
             ControlStep::EntriesChanged => self.entries_changed(),
             ControlStep::Time(timing, took) => self.metrics.observe(timing, took),
             ControlStep::Count(counter) => self.metrics.count(counter),
-            ControlStep::Note(note) => self.notes.record(now, note),
+            ControlStep::Note(note) => {
+                self.log.decision(&note);
+                self.notes.record(now, note);
+            }
         }
     }
 
--- a/crates/magnolianotch/tests/support/mod.rs
+++ b/crates/magnolianotch/tests/support/mod.rs
@@ -9,6 +9,7 @@
 
 use std::{
     future::Future,
+    io::Write,
     sync::{Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
 };
@@ -16,6 +17,7 @@
 use async_std::task;
 use magnolianotch::fleet::{FleetSettings, LocalFleet};
 use notch_standins::EngineSettings;
+use notch_telemetry::prelude::{LogLine, LogStyle};
 
 /// Longest wait for any event; no test asserts a time.
 pub const PATIENCE: Duration = Duration::from_secs(45);
@@ -36,13 +38,24 @@
     Fut: Future<Output = LocalFleet>,
 {
     let _alone = one_fleet();
-    let _ = env_logger::builder().is_test(true).try_init();
+    start_log();
     task::block_on(async {
         let fleet = LocalFleet::start(settings).await.expect("the fleet starts");
         course(fleet).await.stop().await;
     });
 }
 
+/// Lines as the daemons write them, at the level that `RUST_LOG` asks for.
+fn start_log() {
+    let mut builder = env_logger::builder();
+    builder.is_test(true).format(|out, record| {
+        let time = out.timestamp_millis().to_string();
+        writeln!(out, "{}", LogLine::new(&time, record, "-", "-").render(LogStyle::Text))
+    });
+    // Another test of this program may have started it.
+    let _ = builder.try_init();
+}
+
 /// Two gateways and three sidecars; engines quick enough for short tests.
 pub fn small_fleet() -> FleetSettings {
     let engine =
--- a/crates/routing/src/router/fleet.rs
+++ b/crates/routing/src/router/fleet.rs
@@ -54,6 +54,9 @@
                 }
             }
             RouterEvent::SuspectSeen { fingerprint, vm, alone } => {
+                let detail = format!("{fingerprint} in flight, {}", company_of(alone));
+                let subject = NoteSubject::Vm(vm.clone());
+                turn.note(DecisionNote::new(subject, "suspect_heard", detail).at(&vm));
                 self.suspects.crashed(turn.now, fingerprint, &vm, alone);
                 self.refuse_quarantined(turn, fingerprint);
             }
@@ -139,7 +142,8 @@
         if self.suspects.is_quarantined(turn.now, fingerprint) {
             return;
         }
-        let crash = format!("target {target} crashed with {fingerprint} in flight");
+        let company = company_of(alone);
+        let crash = format!("target {target} crashed with {fingerprint} in flight, {company}");
         turn.note(DecisionNote::new(NoteSubject::Vm(vm.clone()), "crashed", crash).at(vm));
         turn.emit(RouterEffect::Suspected { fingerprint, vm: vm.clone(), alone });
         if !self.suspects.crashed(turn.now, fingerprint, vm, alone) {
@@ -218,6 +222,11 @@
     }
 }
 
+/// Whether a suspect was the only one in flight, for notes.
+fn company_of(alone: bool) -> &'static str {
+    if alone { "alone" } else { "beside others" }
+}
+
 fn note_leaving(turn: &mut RouterTurn<'_>, vm: &VmName, by: &str) {
     turn.count(Counter::Event("sidecars_leaving"));
     let detail = format!("no new work goes there, {by}");
--- a/crates/sidecar/src/control.rs
+++ b/crates/sidecar/src/control.rs
@@ -321,7 +321,10 @@
                 }
             }
             GateEffect::Count(counter) => self.count(counter),
-            GateEffect::Note(note) => self.notes.record(now, note),
+            GateEffect::Note(note) => {
+                self.log.decision(&note);
+                self.notes.record(now, note);
+            }
             GateEffect::Drained => {
                 self.log.info("drained", &[]);
                 if self.leaves_for_good {
--- a/crates/telemetry/src/logs/node.rs
+++ b/crates/telemetry/src/logs/node.rs
@@ -51,6 +51,21 @@
         self.write(Level::Debug, event, fields);
     }
 
+    /// One step of a decision, as it is kept for `explain`; for a search of faults.
+    pub fn decision(&self, note: &DecisionNote) {
+        let step = &note.step;
+        let vm = step.vm.as_ref().map_or("-", VmName::as_str);
+        self.debug(
+            step.code,
+            &[
+                ("subject", &note.subject),
+                ("at", &vm),
+                ("reason", &step.reason.unwrap_or("-")),
+                ("detail", &step.detail),
+            ],
+        );
+    }
+
     fn write(&self, level: Level, event: &'static str, fields: &[(&'static str, &dyn Display)]) {
         if level > log::max_level() {
             return;
--- a/crates/types/src/note.rs
+++ b/crates/types/src/note.rs
@@ -1,5 +1,7 @@
 //! What decisions leave behind so that `explain` can tell what happened and why.
 
+use std::fmt;
+
 use serde::{Deserialize, Serialize};
 
 use crate::ids::{JobId, RequestId, TargetName, VmName};
@@ -17,6 +19,17 @@
     Vm(VmName),
 }
 
+impl fmt::Display for NoteSubject {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Request(request) => write!(f, "request {request}"),
+            Self::Job(job) => write!(f, "job {job}"),
+            Self::Target(target) => write!(f, "target {target}"),
+            Self::Vm(vm) => write!(f, "vm {vm}"),
+        }
+    }
+}
+
 /// One step of a decision. `code` is stable (snake_case); the rest is what a person needs.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct NoteStep {
