Tell a caller of a crash after the other gateways: one request, two targets at most

Callers saw: a request that crashes its target took down three targets (a_poison_request_crashes_two_targets_at_most::case_2_under_fresh_keys, once).

Cause: the end of a send overtook the word of the crash. The caller was told at once and came to another gateway, which had not heard of it yet and sent the request out beside others; two crashes with company name nobody, so a third one, alone, was needed.

Mend: the gateway whose attempt crashed tells each linked gateway, and keeps refusals of that request back until all have answered, 200 ms at most. Who is told may come to any gateway, and each of them runs the request alone from then on. A refusal kept back is told before the same request may run again, so that "not run" stays true of it.

Ruled out by reading: that "alone" was false by the sidecar's word, for the gateway's own word (dispatched alone) counts beside it.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -20,4 +20,5 @@
 pub mod shard_host;
 mod shard_replies;
 pub mod step;
+pub mod suspect_calls;
 pub mod thread;
--- a/crates/gateway/src/control/core.rs
+++ b/crates/gateway/src/control/core.rs
@@ -22,6 +22,7 @@
         permit_pause::permit_pause,
         shard_desk::{ShardDesk, ShardRead},
         step::{ControlStep, ShardReply},
+        suspect_calls::SuspectCalls,
     },
     edge::{list_pace::ListPace, platform_calls::PlatformCalls},
 };
@@ -70,6 +71,8 @@
     pub gauges_due: MonoTime,
     /// VMs that were told to drain already.
     pub drained: FastSet<VmName>,
+    /// News of crashes that other gateways haven't answered yet.
+    pub suspect_calls: SuspectCalls,
 }
 
 impl ControlCore {
@@ -221,6 +224,9 @@
             ControlStep::AccountUse { at, usage } => self.tell_account_use(at, &usage),
             ControlStep::RosterChanged => self.roster_changed(now),
             ControlStep::Partners(partners) => self.partners_changed(now, partners),
+            ControlStep::TellSuspect { fingerprint, vm, alone } => {
+                self.tell_suspect(now, fingerprint, vm, alone);
+            }
             ControlStep::RumorNew(rumor) => self.take_rumor(now, rumor),
             ControlStep::EntriesChanged => self.entries_changed(),
             ControlStep::Time(timing, took) => self.metrics.observe(timing, took),
--- a/crates/gateway/src/control/core_links.rs
+++ b/crates/gateway/src/control/core_links.rs
@@ -45,6 +45,8 @@
             NodeRole::Gateway => {
                 let event = MembershipEvent::LinkDown { vm: peer.vm.clone() };
                 self.steps.push_back(ControlStep::Member(event));
+                let told = self.suspect_calls.gateway_gone(&peer.vm);
+                self.suspicions_told(&told);
             }
             NodeRole::Sidecar => {
                 self.operators.load_gone(&peer.vm);
@@ -92,6 +94,17 @@
             LinkMessage::ExplainAnswer { call, notes } if peer.role == NodeRole::Gateway => {
                 self.operators.explained(&from, call, &notes);
             }
+            LinkMessage::SuspectTell { call, fingerprint, vm, alone }
+                if peer.role == NodeRole::Gateway =>
+            {
+                self.hear_suspect(fingerprint, vm, alone);
+                let message = LinkMessage::SuspectHeard { call };
+                self.steps.push_back(ControlStep::ToGateway { to: from, message });
+            }
+            LinkMessage::SuspectHeard { call } if peer.role == NodeRole::Gateway => {
+                let told = self.suspect_calls.heard(call, &from);
+                self.suspicions_told(told.as_slice());
+            }
             _ => self.metrics.count(Counter::Dropped(DropReason::Undecodable)),
         }
     }
--- a/crates/gateway/src/control/core_tells.rs
+++ b/crates/gateway/src/control/core_tells.rs
@@ -177,12 +177,7 @@
             }
             RumorTopic::Suspect(fingerprint, vm) => {
                 let alone = codec::decode(&rumor.value).unwrap_or(false);
-                let (fingerprint, vm) = (*fingerprint, vm.clone());
-                self.route(RouterEvent::SuspectSeen { fingerprint, vm, alone });
-                for to in self.links.linked(NodeRole::Sidecar) {
-                    let message = SidecarMessage::Suspected(vec![fingerprint]);
-                    self.steps.push_back(ControlStep::ToSidecar { to, message });
-                }
+                self.hear_suspect(*fingerprint, vm.clone(), alone);
             }
             RumorTopic::SuspectRun(fingerprint, attempt) => {
                 if let Ok(left_ms) = codec::decode::<Option<u64>>(&rumor.value) {
@@ -201,6 +196,42 @@
         }
     }
 
+    /// Tells the linked gateways of a crash; those without a link hear it by rumour.
+    pub(super) fn tell_suspect(
+        &mut self,
+        now: Now,
+        fingerprint: Fingerprint,
+        vm: VmName,
+        alone: bool,
+    ) {
+        let gateways = self.links.linked(NodeRole::Gateway);
+        if gateways.is_empty() {
+            return self.route(RouterEvent::SuspicionTold { fingerprint });
+        }
+        let call = self.suspect_calls.begin(now.mono, fingerprint, &gateways);
+        for to in gateways {
+            let vm = vm.clone();
+            let message = LinkMessage::SuspectTell { call, fingerprint, vm, alone };
+            self.steps.push_back(ControlStep::ToGateway { to, message });
+        }
+    }
+
+    /// Another gateway tells of a crash. The router knows it before anything that is told afterwards.
+    pub(super) fn hear_suspect(&mut self, fingerprint: Fingerprint, vm: VmName, alone: bool) {
+        self.route(RouterEvent::SuspectSeen { fingerprint, vm, alone });
+        for to in self.links.linked(NodeRole::Sidecar) {
+            let message = SidecarMessage::Suspected(vec![fingerprint]);
+            self.steps.push_back(ControlStep::ToSidecar { to, message });
+        }
+    }
+
+    /// All linked gateways know of these.
+    pub(super) fn suspicions_told(&mut self, fingerprints: &[Fingerprint]) {
+        for fingerprint in fingerprints {
+            self.route(RouterEvent::SuspicionTold { fingerprint: *fingerprint });
+        }
+    }
+
     /// Hands the catalogue in force to every part that goes by it.
     pub(super) fn entries_changed(&mut self) {
         let table = self.catalogue.table();
--- a/crates/gateway/src/control/online_desk.rs
+++ b/crates/gateway/src/control/online_desk.rs
@@ -268,6 +268,9 @@
             RouterEffect::Suspected { fingerprint, vm, alone } => {
                 steps.extend(suspect_rumor(fingerprint, vm, alone));
             }
+            RouterEffect::TellSuspect { fingerprint, vm, alone } => {
+                steps.push(ControlStep::TellSuspect { fingerprint, vm, alone });
+            }
             RouterEffect::SuspectRun { fingerprint, attempt, left } => {
                 steps.extend(suspect_run_rumor(fingerprint, attempt, left));
             }
--- a/crates/gateway/src/control/step.rs
+++ b/crates/gateway/src/control/step.rs
@@ -114,6 +114,15 @@
     EntriesChanged,
     /// Take a duration into its histogram.
     Time(Timing, Duration),
+    /// Tell the linked gateways of a crash, and the router when they know it.
+    TellSuspect {
+        /// The suspect.
+        fingerprint: Fingerprint,
+        /// The VM whose target crashed.
+        vm: VmName,
+        /// Whether it was the only one in flight.
+        alone: bool,
+    },
     /// Count.
     Count(Counter),
     /// For `explain`.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -37,6 +37,7 @@
         operator_desk::OperatorDesk,
         shard_desk::ShardDesk,
         shard_host::ShardHost,
+        suspect_calls::SuspectCalls,
         thread as control_thread,
     },
     edge::{link_sink::link_sink, list_pace::ListPace, platform_calls::PlatformCalls, vm_poll},
@@ -306,6 +307,7 @@
         list_pace: parts.list_pace,
         gauges_due: MonoTime::default(),
         drained: FastSet::default(),
+        suspect_calls: SuspectCalls::default(),
     })
 }
 
--- a/crates/messages/src/frame.rs
+++ b/crates/messages/src/frame.rs
@@ -223,4 +223,20 @@
     Placement(PlacementMessage),
     /// Between gateways that relay straight to targets.
     Peer(PeerMessage),
+    /// Gateway to gateway: a target crashed with this in flight. Answered once it is known there.
+    SuspectTell {
+        /// Matches the answer; unique at the sender.
+        call: CallId,
+        /// The suspect.
+        fingerprint: Fingerprint,
+        /// The VM whose target crashed.
+        vm: VmName,
+        /// Whether it was the only one in flight.
+        alone: bool,
+    },
+    /// Answer to `SuspectTell`: no send of it goes out beside others any more.
+    SuspectHeard {
+        /// Of the news.
+        call: CallId,
+    },
 }
--- a/crates/routing/src/effect.rs
+++ b/crates/routing/src/effect.rs
@@ -118,7 +118,8 @@
         end: RequestEnd,
     },
     /// The router has forgotten the request: body and answers may be dropped. Comes after the
-    /// `Finish` of its last call and after `RecordAnswer`.
+    /// `Finish` of its last call and after `RecordAnswer`, but before a refusal that waits for the other
+    /// gateways: the same request may be sent again meanwhile, and is a new one then.
     Forget {
         /// The request.
         request: RequestId,
@@ -140,6 +141,17 @@
         /// Whether it was the only one in flight.
         alone: bool,
     },
+    /// The same, of a request of this gateway's own callers, who aren't told of its end before the other
+    /// gateways are: tell each that is linked, and feed `SuspicionTold` when all have answered, at once
+    /// when there is none.
+    TellSuspect {
+        /// The suspect.
+        fingerprint: Fingerprint,
+        /// The VM whose target crashed.
+        vm: VmName,
+        /// Whether it was the only one in flight.
+        alone: bool,
+    },
     /// An attempt of a suspect went out, or is over: tell the other gateways, which feed it as
     /// `SuspectRunSeen` and send no other one meanwhile.
     SuspectRun {
--- a/crates/routing/src/event.rs
+++ b/crates/routing/src/event.rs
@@ -212,6 +212,11 @@
         /// Whether it was the only one in flight.
         alone: bool,
     },
+    /// Every linked gateway has answered each `TellSuspect` of it.
+    SuspicionTold {
+        /// The suspect.
+        fingerprint: Fingerprint,
+    },
     /// Another gateway's `SuspectRun`.
     SuspectRunSeen {
         /// The suspect.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod effect;
 pub mod event;
 pub mod expiring_set;
+pub mod held_ends;
 pub mod policy;
 pub mod probe;
 mod request_state;
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -18,6 +18,7 @@
     effect::RouterEffect,
     event::{ArrivalId, RouterEvent},
     expiring_set::ExpiringSet,
+    held_ends::HeldEnds,
     policy::TargetPolicy,
     request_state::{RequestPhase, RequestState, RunStage},
     retry_budget::RetryBudget,
@@ -85,6 +86,8 @@
     suspects: SuspectTable,
     /// A suspect is at one VM at a time, whichever gateway sent it there.
     suspect_runs: SuspectRuns,
+    /// Ends of calls that wait until the other gateways know of a crash.
+    held_ends: HeldEnds,
     /// Bounded by `RouterSettings::max_requests`.
     requests: FastMap<RequestId, Box<RequestState>>,
     /// Calls not yet finished. Bounded by requests and followers.
@@ -121,6 +124,7 @@
             accounts: AccountTable::new(settings.account.clone()),
             suspects: SuspectTable::new(settings.quarantine.clone()),
             suspect_runs: SuspectRuns::new(settings.quarantine.max_suspects),
+            held_ends: HeldEnds::default(),
             requests: FastMap::default(),
             arrivals: FastMap::default(),
             timers: TimerQueue::default(),
@@ -142,15 +146,13 @@
 
     /// When to feed `Tick` at the latest; `None` while nothing waits.
     pub fn next_wake(&self) -> Option<MonoTime> {
-        match (self.timers.next(), self.accounts.next_wake()) {
-            (Some(timer), Some(rumor)) => Some(timer.min(rumor)),
-            (timer, rumor) => timer.or(rumor),
-        }
+        let wakes = [self.timers.next(), self.accounts.next_wake(), self.held_ends.next_wake()];
+        wakes.into_iter().flatten().min()
     }
 
     /// Calls not yet finished and answers not yet recorded, for a graceful shutdown to wait on.
     pub fn unfinished(&self) -> usize {
-        self.requests.len()
+        self.requests.len() + self.held_ends.len()
     }
 
     fn run_event(&mut self, turn: &mut RouterTurn<'_>, event: RouterEvent) {
@@ -190,6 +192,10 @@
     }
 
     fn run_timers(&mut self, turn: &mut RouterTurn<'_>) {
+        for fingerprint in self.held_ends.due(turn.now) {
+            turn.count(Counter::Event("suspicions_untold"));
+            self.release_ends(turn, fingerprint);
+        }
         while let Some(request) = self.timers.pop_due(turn.now) {
             self.step(turn, request, Self::on_timer);
         }
--- a/crates/routing/src/router/arrival.rs
+++ b/crates/routing/src/router/arrival.rs
@@ -17,6 +17,10 @@
 impl OnlineRouter {
     pub(super) fn on_arrived(&mut self, turn: &mut RouterTurn<'_>, request: OnlineRequest) {
         let id = request.request;
+        // "Not run" is said of an earlier send before this one may run, or it would be untrue.
+        if let Some(fingerprint) = self.held_ends.suspect_of(id) {
+            self.release_ends(turn, fingerprint);
+        }
         if self.requests.contains_key(&id) {
             self.step(turn, id, |router, turn, state| router.join(turn, state, request));
             return;
@@ -46,10 +50,10 @@
                 RefusalReason::KeyReused,
                 "the idempotency key belongs to a request with another body",
             );
-            return refuse_call(turn, &request, refusal);
+            return self.refuse_call(turn, &request, refusal);
         }
         if let Err(refusal) = self.admit_follower(turn, state, &request) {
-            return refuse_call(turn, &request, refusal);
+            return self.refuse_call(turn, &request, refusal);
         }
         let caller = WaitingCaller {
             arrival: request.arrival,
@@ -150,7 +154,7 @@
         request: &OnlineRequest,
         refusal: Refusal,
     ) {
-        refuse_call(turn, request, refusal);
+        self.refuse_call(turn, request, refusal);
         turn.emit(RouterEffect::Forget { request: request.request });
     }
 
@@ -242,19 +246,24 @@
             _ => {}
         }
     }
-}
 
-fn refuse_call(turn: &mut RouterTurn<'_>, request: &OnlineRequest, refusal: Refusal) {
-    turn.count(Counter::Refused(refusal.reason));
-    turn.note(
-        DecisionNote::new(NoteSubject::Request(request.request), "refused", refusal.detail.clone())
-            .because(refusal.reason.code()),
-    );
-    turn.emit(RouterEffect::Finish {
-        arrival: request.arrival,
-        request: request.request,
-        end: RequestEnd::Refused(refusal),
-    });
+    fn refuse_call(
+        &mut self,
+        turn: &mut RouterTurn<'_>,
+        request: &OnlineRequest,
+        refusal: Refusal,
+    ) {
+        turn.count(Counter::Refused(refusal.reason));
+        let subject = NoteSubject::Request(request.request);
+        let note = DecisionNote::new(subject, "refused", refusal.detail.clone());
+        turn.note(note.because(refusal.reason.code()));
+        let finish = RouterEffect::Finish {
+            arrival: request.arrival,
+            request: request.request,
+            end: RequestEnd::Refused(refusal),
+        };
+        self.emit_end(turn, request.fingerprint, finish);
+    }
 }
 
 /// Milliseconds, rounded up so that a caller never comes back too early.
--- a/crates/routing/src/router/attempt.rs
+++ b/crates/routing/src/router/attempt.rs
@@ -86,6 +86,9 @@
         }
         self.hear(turn, attempt, |router, turn, state| {
             mark_started(state, attempt);
+            if outcome == AttemptOutcome::Crashed {
+                router.tell_crash(turn, state, attempt);
+            }
             if !state.is_running(attempt) {
                 return turn.count(Counter::Dropped(DropReason::LateAnswer));
             }
--- a/crates/routing/src/router/finish.rs
+++ b/crates/routing/src/router/finish.rs
@@ -60,7 +60,30 @@
             RequestEnd::Answered { .. } => note_answer(turn, state),
             RequestEnd::Stored(_) => turn.count(Counter::Event("requests_answered_from_store")),
         }
-        turn.emit(RouterEffect::Finish { arrival: caller.arrival, request: state.id(), end });
+        let is_refused = matches!(end, RequestEnd::Refused(_));
+        let finish = RouterEffect::Finish { arrival: caller.arrival, request: state.id(), end };
+        match is_refused {
+            true => self.emit_end(turn, state.lead.fingerprint, finish),
+            false => turn.emit(finish),
+        }
+    }
+
+    /// Ends a call once the other gateways know of a crash with its request in flight: its caller may come to one
+    /// of them next.
+    pub(super) fn emit_end(
+        &mut self,
+        turn: &mut RouterTurn<'_>,
+        fingerprint: Fingerprint,
+        effect: RouterEffect,
+    ) {
+        if let Some(effect) = self.held_ends.hold(fingerprint, effect) {
+            turn.emit(effect);
+        }
+    }
+
+    /// The other gateways know of the crash, or aren't waited for any longer.
+    pub(super) fn release_ends(&mut self, turn: &mut RouterTurn<'_>, fingerprint: Fingerprint) {
+        turn.effects.extend(self.held_ends.release(fingerprint));
     }
 
     fn finish_all(
--- a/crates/routing/src/router/fleet.rs
+++ b/crates/routing/src/router/fleet.rs
@@ -49,6 +49,9 @@
             }
             RouterEvent::Suspects { vm, target, fingerprints, alone } => {
                 for fingerprint in fingerprints {
+                    if self.has_request(fingerprint) {
+                        self.tell_suspect(turn, fingerprint, &vm, alone);
+                    }
                     self.accuse(turn, fingerprint, &vm, &target, alone);
                     self.refuse_quarantined(turn, fingerprint);
                 }
@@ -60,6 +63,7 @@
                 self.suspects.crashed(turn.now, fingerprint, &vm, alone);
                 self.refuse_quarantined(turn, fingerprint);
             }
+            RouterEvent::SuspicionTold { fingerprint } => self.release_ends(turn, fingerprint),
             RouterEvent::SuspectRunSeen { fingerprint, attempt, left } => match left {
                 Some(left) => {
                     let run = SuspectRun { fingerprint, place: None };
@@ -195,11 +199,42 @@
     /// waits for it: where the sidecar took the cut for a hang-up, nobody else tells of the crash.
     pub(super) fn suspect_crashed(&mut self, turn: &mut RouterTurn<'_>, run: &SuspectRun) {
         if let Some(place) = &run.place {
+            self.tell_suspect(turn, run.fingerprint, &place.vm, true);
             self.accuse(turn, run.fingerprint, &place.vm, &place.target, true);
             self.refuse_quarantined(turn, run.fingerprint);
         }
     }
 
+    /// An attempt ended with its target's crash: the other gateways are told before its callers.
+    pub(super) fn tell_crash(
+        &mut self,
+        turn: &mut RouterTurn<'_>,
+        state: &RequestState,
+        attempt: AttemptId,
+    ) {
+        if let Some(record) = state.record(attempt) {
+            self.tell_suspect(turn, state.lead.fingerprint, &record.vm, record.alone);
+        }
+    }
+
+    fn tell_suspect(
+        &mut self,
+        turn: &mut RouterTurn<'_>,
+        fingerprint: Fingerprint,
+        vm: &VmName,
+        alone: bool,
+    ) {
+        let until = turn.now + self.settings.quarantine.tell_wait;
+        if self.held_ends.begin(fingerprint, vm, alone, until) {
+            turn.emit(RouterEffect::TellSuspect { fingerprint, vm: vm.clone(), alone });
+        }
+    }
+
+    /// Whether a caller here waits for a request that runs it. This looks at every request; crashes are rare.
+    fn has_request(&self, fingerprint: Fingerprint) -> bool {
+        self.requests.values().any(|state| state.lead.fingerprint == fingerprint)
+    }
+
     /// Requests that wait for their next step with a quarantined fingerprint end at once. This
     /// looks at every request, in order of their ids; quarantines are rare.
     fn refuse_quarantined(&mut self, turn: &mut RouterTurn<'_>, fingerprint: Fingerprint) {
--- a/crates/routing/src/settings.rs
+++ b/crates/routing/src/settings.rs
@@ -196,6 +196,9 @@
 pub struct QuarantineSettings {
     /// Distinct VMs a fingerprint must crash, of which the last while it ran alone.
     pub crash_vms: usize,
+    /// Longest wait for the other gateways to know of a crash before a caller is told of it. An answer takes a
+    /// few milliseconds on a sound link.
+    pub tell_wait: Duration,
     /// How long a suspect is remembered after its last crash.
     pub suspect_age: Duration,
     /// How long a quarantine holds.
@@ -210,6 +213,7 @@
     fn default() -> Self {
         Self {
             crash_vms: 2,
+            tell_wait: Duration::from_millis(200),
             suspect_age: Duration::from_secs(600),
             quarantine_age: Duration::from_secs(24 * 3600),
             max_suspects: 4_096,
--- a/crates/routing/tests/support/mod.rs
+++ b/crates/routing/tests/support/mod.rs
@@ -84,18 +84,20 @@
     pub router: OnlineRouter,
     pub millis: u64,
     pub effects: Vec<RouterEffect>,
+    /// Whether there is no other gateway to be told of a crash.
+    pub is_lone: bool,
 }
 
 impl Driver {
     /// A router that knows both targets and `sidecars` idle sidecars, each with `limit` places.
     pub fn new(settings: RouterSettings, sidecars: usize, limit: u32) -> Self {
-        Self::seeded(settings, sidecars, limit, 7)
+        Self { is_lone: true, ..Self::seeded(settings, sidecars, limit, 7) }
     }
 
     /// The same, one of several gateways.
     pub fn seeded(settings: RouterSettings, sidecars: usize, limit: u32, seed: u64) -> Self {
         let router = OnlineRouter::new(settings, seed);
-        let mut driver = Self { router, millis: 1_000, effects: Vec::new() };
+        let mut driver = Self { router, millis: 1_000, effects: Vec::new(), is_lone: false };
         driver.feed(RouterEvent::TargetsChanged(policies()));
         for number in 0..sidecars {
             driver.see(number, incarnation(number), limit);
@@ -120,6 +122,12 @@
     pub fn feed(&mut self, event: RouterEvent) -> Vec<RouterEffect> {
         let mut effects = Vec::new();
         self.router.handle(self.now(), event, &mut effects);
+        if self.is_lone {
+            for fingerprint in untold(&effects) {
+                let told = RouterEvent::SuspicionTold { fingerprint };
+                self.router.handle(self.now(), told, &mut effects);
+            }
+        }
         self.effects.extend(effects.iter().cloned());
         effects
     }
@@ -189,6 +197,15 @@
     }
 }
 
+/// Suspects of which the other gateways are to be told.
+pub fn untold(effects: &[RouterEffect]) -> Vec<Fingerprint> {
+    let suspect = |effect: &RouterEffect| match effect {
+        RouterEffect::TellSuspect { fingerprint, .. } => Some(*fingerprint),
+        _ => None,
+    };
+    effects.iter().filter_map(suspect).collect()
+}
+
 fn dispatch_of(effect: &RouterEffect) -> Option<(AttemptId, VmName)> {
     match effect {
         RouterEffect::Dispatch { attempt, vm, .. } => Some((*attempt, vm.clone())),
--- a/crates/routing/tests/suspects.rs
+++ b/crates/routing/tests/suspects.rs
@@ -8,7 +8,7 @@
 };
 
 use notch_messages::prelude::*;
-use notch_routing::*;
+use notch_routing::{settings::QuarantineSettings, *};
 use notch_types::prelude::*;
 use rstest::rstest;
 use support::*;
@@ -84,6 +84,10 @@
                 self.carry(other, &effects);
             }
         }
+        for fingerprint in untold(effects) {
+            let effects = self.gateways[gateway].feed(RouterEvent::SuspicionTold { fingerprint });
+            self.carry(gateway, &effects);
+        }
     }
 
     fn give_up(&mut self, gateway: usize, number: u64, how: GivenUp) {
@@ -334,3 +338,55 @@
         assert!(world.crashed.len() <= 2, "seed {seed}: {:?} crashed", world.crashed);
     }
 }
+
+/// A send whose stream has begun and whose target has crashed, beside a neighbour; its gateway has others to tell.
+fn crashed_send(gateway: &mut Driver) -> Vec<RouterEffect> {
+    let request = OnlineRequest { fingerprint: POISON, stream: true, ..plain(1) };
+    let (attempt, _) = gateway.dispatch(request);
+    gateway.feed(RouterEvent::AnswerBegun { attempt, first_token: Duration::from_millis(5) });
+    gateway.end(attempt, AttemptOutcome::Crashed)
+}
+
+#[test]
+fn an_end_is_told_once_the_other_gateways_have_answered() {
+    let mut gateway = Driver::seeded(eager(), 4, 10, 1);
+    let effects = crashed_send(&mut gateway);
+    assert_eq!(untold(&effects), [POISON]);
+    assert!(ends(&effects).is_empty(), "its caller waits");
+    assert_eq!(gateway.router.unfinished(), 1, "a stop waits for it");
+    let told = gateway.feed(RouterEvent::SuspicionTold { fingerprint: POISON });
+    assert_eq!(refusal(&told).reason, RefusalReason::TargetFailed);
+    assert_eq!(gateway.router.unfinished(), 0);
+}
+
+// Symptom: a caller waits for its deadline after a crash.
+// Sequence: a target crashes while another gateway's link stands but nobody answers on it.
+// Cause: the end waits for that gateway for as long as it takes.
+#[test]
+fn a_silent_gateway_holds_an_end_back_for_a_moment_only() {
+    let mut gateway = Driver::seeded(eager(), 4, 10, 1);
+    crashed_send(&mut gateway);
+    let wait = QuarantineSettings::default().tell_wait.as_millis() as u64;
+    assert!(ends(&gateway.advance(wait - 1)).is_empty());
+    assert_eq!(refusal(&gateway.advance(1)).reason, RefusalReason::TargetFailed);
+}
+
+// Symptom: a caller is told that its booking has not run, and it has.
+// Sequence: a send of a suspect is refused as not run while the other gateways are being told of its crash; the same
+// request comes again and runs; then the first caller is told.
+// Cause: an end that was kept back is told after a later send has run.
+#[test]
+fn not_run_is_told_before_the_same_request_is_sent_again() {
+    let mut gateway = Driver::seeded(eager(), 4, 10, 1);
+    crashed_send(&mut gateway);
+    let suspect = OnlineRequest { fingerprint: POISON, keyed: true, ..booking(2, 2) };
+    let deadline = Some(gateway.now().mono);
+    let effects = gateway.arrive(OnlineRequest { deadline, ..suspect.clone() });
+    assert!(ends(&effects).is_empty(), "it waits with the others");
+    let effects = gateway.arrive(OnlineRequest { arrival: ArrivalId(3), ..suspect });
+    let first = effects
+        .iter()
+        .position(|effect| matches!(effect, RouterEffect::Finish { arrival: ArrivalId(2), .. }));
+    let second = effects.iter().position(|effect| matches!(effect, RouterEffect::Claim { .. }));
+    assert!(first.is_some() && first < second, "{effects:?}");
+}
