Let the owner tell an item's body; log how long reads take

It now asks the owner over the link, and the store only when the owner doesn't say within 150 ms. What is accepted never changes, so the owner's word needs no doubt.

job_reads tells every 10 s how many reads there were by kind and by whose word they were answered, with mean and longest time; job_read_seconds is the histogram. Held reads are apart: they wait for as long as they ask.

--- a/crates/entry/src/batch.rs
+++ b/crates/entry/src/batch.rs
@@ -1,5 +1,6 @@
 //! Jobs: taken in, run, read, ended, and taken over from gateways that died.
 
+pub mod bodies;
 pub mod closing;
 pub mod commits;
 pub mod copies;
@@ -11,6 +12,7 @@
 pub mod limit_desk;
 pub mod limits;
 pub mod ownership;
+pub mod read_tally;
 pub mod reads;
 pub mod records;
 pub mod retention;
--- /dev/null
+++ b/crates/entry/src/batch/bodies.rs
@@ -0,0 +1,106 @@
+//! Reads of items' bodies, at any gateway.
+//!
+//! A gateway that doesn't hold the job asks its owner over a link, for the body alone. The store would
+//! give the whole job with all its items: some hundred kilobytes for each reader and gateway, which are
+//! sent, decoded and then mostly not asked for again.
+
+use std::sync::Arc;
+
+use notch_messages::prelude::PeerMessage;
+use notch_relay::prelude::*;
+use notch_types::prelude::*;
+
+use crate::{
+    batch::{
+        read_tally::{ReadKind, ReadSource},
+        reads::{ReadAnswer, learn_job, note_read, unsure},
+    },
+    constants::BODY_ASK,
+    front::answer::OwnAnswer,
+    node::EntryNode,
+    peers::{calls::CallEnd, table::ToldBody},
+};
+
+/// Bytes of a body in an answer to another gateway, at most: well under a link's largest message.
+const TOLD_BYTES: usize = 1 << 20;
+
+/// Answers a read of an item's body.
+pub async fn read_item(node: &Arc<EntryNode>, job: &str, item: &str) -> OwnAnswer {
+    let began = node.clock.mono();
+    let read = find_item(node, job, item).await;
+    note_read(node, ReadKind::Body, read, began)
+}
+
+/// What is accepted of a job never changes, so whoever holds it may tell it.
+async fn find_item(node: &Arc<EntryNode>, job: &str, item: &str) -> ReadAnswer {
+    if let Some(read) = held_item(node, job, item) {
+        return read;
+    }
+    if let Some(told) = ask_owner(node, job, item).await {
+        return ReadAnswer { answer: body_answer(told.as_deref()), source: ReadSource::Told };
+    }
+    let mut copy = node.jobs().copies.get(job).cloned().unwrap_or_default();
+    match learn_job(node, job, &mut copy).await {
+        Ok(true) => {}
+        Ok(false) => return ReadAnswer::no_such(),
+        Err(_) => return unsure(node, job, "store_unavailable"),
+    }
+    let answer = body_answer(copy.spec.as_deref().and_then(|spec| body_of(spec, item)));
+    node.jobs().copies.keep(job, copy);
+    ReadAnswer { answer, source: ReadSource::Store }
+}
+
+fn held_item(node: &EntryNode, job: &str, item: &str) -> Option<ReadAnswer> {
+    let desk = node.jobs();
+    if let Some(owned) = desk.board.get(job) {
+        let answer = body_answer(body_of(owned.spec(), item));
+        return Some(ReadAnswer { answer, source: ReadSource::Owner });
+    }
+    let spec = desk.copies.get(job)?.spec.as_deref()?;
+    Some(ReadAnswer { answer: body_answer(body_of(spec, item)), source: ReadSource::Copy })
+}
+
+/// Asks the job's owner: the body, or that the job has no such item. `None` when it doesn't say.
+async fn ask_owner(node: &EntryNode, job: &str, item: &str) -> Option<Option<Payload>> {
+    let owner = {
+        let desk = node.jobs();
+        let read = || desk.copies.get(job).and_then(|copy| copy.owner.as_deref());
+        desk.owner(job).or_else(read)?.to_owned()
+    };
+    let (job, item) = (job.to_owned(), item.to_owned());
+    let send = |call| node.peers.send_to_owner(&owner, PeerMessage::BodyAsk { call, job, item });
+    match node.peers.body_calls.ask(send, BODY_ASK).await {
+        CallEnd::Answered(told) if told.is_known => Some(told.body),
+        CallEnd::Answered(_) | CallEnd::NotSent | CallEnd::Unanswered => None,
+    }
+}
+
+/// Answers another gateway's question for a body.
+pub fn answer_peer(node: &EntryNode, peer: &VmName, call: u64, job: &str, item: &str) {
+    let told = {
+        let desk = node.jobs();
+        let spec = desk.board.get(job).map(OwnedJob::spec);
+        spec.map(|spec| body_of(spec, item).map(|body| Payload::from(body.to_vec())))
+    };
+    // One that is too large for a message is left to the store.
+    let told = told.filter(|body| body.as_ref().is_none_or(|body| body.len() <= TOLD_BYTES));
+    let is_known = told.is_some();
+    node.peers.send(peer, PeerMessage::BodyTold { call, is_known, body: told.flatten() });
+}
+
+/// Takes another gateway's answer.
+pub fn take_told(node: &EntryNode, call: u64, is_known: bool, body: Option<Payload>) {
+    node.peers.body_calls.answer(call, ToldBody { is_known, body });
+}
+
+fn body_of<'a>(spec: &'a JobSpec, item: &str) -> Option<&'a [u8]> {
+    let found = spec.items.iter().find(|candidate| candidate.id == item);
+    found.map(|item| item.body.as_slice())
+}
+
+fn body_answer(body: Option<&[u8]>) -> OwnAnswer {
+    body.map_or_else(
+        || OwnAnswer::of(404),
+        |body| OwnAnswer { status: 200, body: body.to_vec(), ..OwnAnswer::default() },
+    )
+}
--- a/crates/entry/src/batch/reads.rs
+++ b/crates/entry/src/batch/reads.rs
@@ -6,12 +6,14 @@
 use notch_messages::prelude::PeerMessage;
 use notch_platform_wire::job::encode_results;
 use notch_relay::prelude::*;
+use notch_telemetry::prelude::Timing;
 use notch_types::prelude::*;
 
 use crate::{
     batch::{
         copies::JobCopy,
         ownership,
+        read_tally::{ReadKind, ReadSource},
         records::{read_job, read_results as stored_results, read_spec},
     },
     constants::{ASK_GRACE, ASK_WAIT, RESULT_PAGE_BYTES, RETRY_AFTER},
@@ -45,6 +47,19 @@
     Ask(JobCopy),
 }
 
+/// An answer to a read, and by whose word it is one.
+pub(super) struct ReadAnswer {
+    pub(super) answer: OwnAnswer,
+    pub(super) source: ReadSource,
+}
+
+impl ReadAnswer {
+    /// There is no such job.
+    pub(super) fn no_such() -> Self {
+        Self { answer: OwnAnswer::of(404), source: ReadSource::Nobody }
+    }
+}
+
 /// Answers a read of results from `after` on, which may wait for one.
 pub async fn read_results(
     node: &Arc<EntryNode>,
@@ -52,6 +67,33 @@
     after: usize,
     wait: Duration,
 ) -> OwnAnswer {
+    let began = node.clock.mono();
+    let read = find_results(node, job, after, wait).await;
+    let kind = if wait.is_zero() { ReadKind::Results } else { ReadKind::HeldResults };
+    note_read(node, kind, read, began)
+}
+
+/// Notes how long a read took; gives its answer.
+pub(super) fn note_read(
+    node: &EntryNode,
+    kind: ReadKind,
+    read: ReadAnswer,
+    began: MonoTime,
+) -> OwnAnswer {
+    let took = node.clock.mono().since(began);
+    node.reads.note(kind, read.source, took);
+    if kind != ReadKind::HeldResults {
+        node.metrics.observe(Timing::JobRead, took);
+    }
+    read.answer
+}
+
+async fn find_results(
+    node: &Arc<EntryNode>,
+    job: &str,
+    after: usize,
+    wait: Duration,
+) -> ReadAnswer {
     let until = node.clock.mono() + wait;
     // In doubt the store is asked who owns the job; its answer serves all readers until the next doubt.
     let mut was_checked = false;
@@ -59,7 +101,12 @@
         let listener = node.job_news.listen();
         let left = until.since(node.clock.mono());
         match read_state(node, job, after) {
-            ReadState::Known(known) => return results_answer(known.total, after, &known.lines),
+            ReadState::Known(known) => {
+                let answer = results_answer(known.total, after, &known.lines);
+                let is_owned = node.jobs().is_owned(job);
+                let source = if is_owned { ReadSource::Owner } else { ReadSource::Copy };
+                return ReadAnswer { answer, source };
+            }
             ReadState::OwnedNothing { total, held } => {
                 if !left.is_zero() {
                     // News or the end of the wait: both lead to another look.
@@ -67,7 +114,7 @@
                     continue;
                 }
                 if ownership::is_sure(node, job) {
-                    return told_answer(node, job, total, after, &[], "owner");
+                    return told_answer(node, job, total, after, &[], ReadSource::Owner);
                 }
                 if !was_checked && ownership::can_confirm(node, job) {
                     was_checked = true;
@@ -83,7 +130,7 @@
                 {
                     Ok(list) => {
                         let new = list.lines.get(after.saturating_sub(held)..).unwrap_or_default();
-                        told_answer(node, job, total, after, new, "store")
+                        told_answer(node, job, total, after, new, ReadSource::Store)
                     }
                     Err(_) => unsure(node, job, "store_unavailable"),
                 };
@@ -126,7 +173,7 @@
     after: usize,
     left: Duration,
     mut copy: JobCopy,
-) -> OwnAnswer {
+) -> ReadAnswer {
     let told = node.jobs().owner(job).map(str::to_owned);
     let mut is_sure = false;
     if let Some(owner) = told.or_else(|| copy.owner.clone()) {
@@ -136,13 +183,13 @@
     if !is_sure && !has_news {
         match ask_store(node, job, &mut copy).await {
             Ok(true) => {}
-            Ok(false) => return OwnAnswer::of(404),
+            Ok(false) => return ReadAnswer::no_such(),
             Err(_) => return unsure(node, job, "store_unavailable"),
         }
     }
     let Some(total) = copy.total else { return unsure(node, job, "no_total") };
     let lines = copy.lines.get(after..).unwrap_or_default();
-    let source = if is_sure { "told" } else { "store" };
+    let source = if is_sure || has_news { ReadSource::Told } else { ReadSource::Store };
     let answer = told_answer(node, job, total, after, lines, source);
     node.jobs().copies.keep(job, copy);
     answer
@@ -160,7 +207,11 @@
 }
 
 /// Reads a job from the store: its owner and its items; false when there is none.
-async fn learn_job(node: &EntryNode, job: &str, copy: &mut JobCopy) -> Result<bool, StoreFailure> {
+pub(super) async fn learn_job(
+    node: &EntryNode,
+    job: &str,
+    copy: &mut JobCopy,
+) -> Result<bool, StoreFailure> {
     let Some(stored) = read_job(&node.store, job, StoreCallCause::ResultsRead).await? else {
         return Ok(false);
     };
@@ -246,37 +297,6 @@
     node.peers.send(peer, PeerMessage::JobNews { call, is_sure, total, lines, is_all });
 }
 
-/// Answers a read of an item's body.
-pub async fn read_item(node: &Arc<EntryNode>, job: &str, item: &str) -> OwnAnswer {
-    if let Some(answer) = held_item(node, job, item) {
-        return answer;
-    }
-    let mut copy = node.jobs().copies.get(job).cloned().unwrap_or_default();
-    match learn_job(node, job, &mut copy).await {
-        Ok(true) => {}
-        Ok(false) => return OwnAnswer::of(404),
-        Err(_) => return unsure(node, job, "store_unavailable"),
-    }
-    let answer = copy.spec.as_deref().map(|spec| body_answer(spec, item));
-    node.jobs().copies.keep(job, copy);
-    answer.unwrap_or_else(|| OwnAnswer::of(404))
-}
-
-fn held_item(node: &EntryNode, job: &str, item: &str) -> Option<OwnAnswer> {
-    let desk = node.jobs();
-    let owned = desk.board.get(job).map(|owned| Arc::clone(owned.spec()));
-    let spec = owned.or_else(|| desk.copies.get(job).and_then(|copy| copy.spec.clone()))?;
-    Some(body_answer(&spec, item))
-}
-
-fn body_answer(spec: &JobSpec, item: &str) -> OwnAnswer {
-    let found = spec.items.iter().find(|candidate| candidate.id == item);
-    found.map_or_else(
-        || OwnAnswer::of(404),
-        |item| OwnAnswer { status: 200, body: item.body.clone(), ..OwnAnswer::default() },
-    )
-}
-
 fn results_answer(total: usize, after: usize, lines: &[Arc<ResultLine>]) -> OwnAnswer {
     let body = encode_results(total, after, ResultLine::fitting(lines, RESULT_PAGE_BYTES));
     OwnAnswer { status: 200, body, ..OwnAnswer::default() }
@@ -289,18 +309,19 @@
     total: usize,
     after: usize,
     lines: &[Arc<ResultLine>],
-    source: &'static str,
-) -> OwnAnswer {
+    source: ReadSource,
+) -> ReadAnswer {
     if lines.is_empty() {
-        node.log.info("job_read_empty", &[("job", &job), ("after", &after), ("source", &source)]);
+        let word = source.code();
+        node.log.info("job_read_empty", &[("job", &job), ("after", &after), ("source", &word)]);
         node.metrics.count(Counter::Event("job_reads_empty"));
     }
-    results_answer(total, after, lines)
+    ReadAnswer { answer: results_answer(total, after, lines), source }
 }
 
 /// Nobody can say now: not that there is nothing.
-fn unsure(node: &EntryNode, job: &str, reason: &'static str) -> OwnAnswer {
+pub(super) fn unsure(node: &EntryNode, job: &str, reason: &'static str) -> ReadAnswer {
     node.log.warn("job_read_unsure", &[("job", &job), ("reason", &reason)]);
     node.metrics.count(Counter::Event("job_reads_unsure"));
-    OwnAnswer::refused(RETRY_AFTER)
+    ReadAnswer { answer: OwnAnswer::refused(RETRY_AFTER), source: ReadSource::Nobody }
 }
--- a/crates/entry/src/constants.rs
+++ b/crates/entry/src/constants.rs
@@ -160,6 +160,8 @@
 /// An owner whose write of results wasn't answered for this long asks the store before it says that
 /// there is nothing more: an answer usually takes a few milliseconds.
 pub const STORE_DOUBT: Duration = Duration::from_millis(100);
+/// Longest wait for another gateway to tell an item's body, which it holds in memory; the store is asked then.
+pub const BODY_ASK: Duration = Duration::from_millis(150);
 /// Longest wait for a peer's answer beyond the wait that it was asked for.
 pub const ASK_GRACE: Duration = Duration::from_millis(300);
 /// Links that form again after a cut come within this time; jobs are checked once for all of them.
--- a/crates/entry/src/front/connection.rs
+++ b/crates/entry/src/front/connection.rs
@@ -13,7 +13,7 @@
 use notch_types::prelude::*;
 
 use crate::{
-    batch::{ends, intake, reads},
+    batch::{bodies, ends, intake, reads},
     constants::{AHEAD_BYTES, BODY_TIMEOUT, KNOWLEDGE_TICK, KNOWLEDGE_WAIT, RETRY_AFTER_START},
     front::answer::OwnAnswer,
     node::EntryNode,
@@ -93,7 +93,7 @@
             ClientCall::ReadJob { job, after, wait } => {
                 reads::read_results(self.node, &job, after, wait).await
             }
-            ClientCall::ReadItem { job, item } => reads::read_item(self.node, &job, &item).await,
+            ClientCall::ReadItem { job, item } => bodies::read_item(self.node, &job, &item).await,
             ClientCall::EndJob { job } => ends::end_job(self.node, &job).await,
             ClientCall::Routed => match self.routed(routes.as_deref(), head, body, arrived).await {
                 Routed::Answer(answer, attempt) => {
--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -35,7 +35,7 @@
 const STOP_TICK: Duration = Duration::from_millis(100);
 /// How often calls to the store are logged when there were any: a line a gateway is little beside one
 /// for each request.
-const STORE_CALLS_EVERY: Duration = Duration::from_secs(10);
+const COUNTS_EVERY: Duration = Duration::from_secs(10);
 /// How often idle connections and lapsed entries are looked at.
 const CLEAN_TICK: Duration = Duration::from_millis(500);
 
@@ -105,7 +105,7 @@
     task::spawn(liveness::probe_silent(Arc::clone(node)));
     task::spawn(limits::keep_room(Arc::clone(node)));
     task::spawn(retention::delete_old_jobs(Arc::clone(node)));
-    task::spawn(tell_store_calls(Arc::clone(node)));
+    task::spawn(tell_counts(Arc::clone(node)));
     task::spawn(clean(Arc::clone(node)));
 }
 
@@ -155,11 +155,12 @@
     follow(&node.store, TARGET_KIND, plan, |event| node.take_target_event(event)).await;
 }
 
-/// Logs the calls to the store, so that little of the account is lost with a gateway that is killed.
-async fn tell_store_calls(node: Arc<EntryNode>) {
+/// Logs what is counted, so that little of the account is lost with a gateway that is killed.
+async fn tell_counts(node: Arc<EntryNode>) {
     loop {
-        task::sleep(STORE_CALLS_EVERY).await;
+        task::sleep(COUNTS_EVERY).await;
         node.store.calls().log(&node.log);
+        node.reads.log(&node.log);
     }
 }
 
@@ -229,6 +230,7 @@
         }
     }
     node.store.calls().log(&node.log);
+    node.reads.log(&node.log);
     node.log.info("stopped", &[("active", &node.stop.active())]);
     // The log's thread needs a moment for the last lines.
     task::sleep(STOP_TICK).await;
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -17,7 +17,7 @@
 use serde_json::value::RawValue;
 
 use crate::{
-    batch::{desk::JobDesk, limit_desk::LimitDesk},
+    batch::{desk::JobDesk, limit_desk::LimitDesk, read_tally::ReadTallies},
     clock::NodeClock,
     constants::WATCHERS,
     peers::table::{OwnerLiveness, PeerTable},
@@ -54,6 +54,8 @@
     pub watch: WatchDuty,
     /// This gateway's part in limits on waiting jobs.
     pub limits: LimitDesk,
+    /// How long reads of jobs took.
+    pub reads: ReadTallies,
     /// Idle connections to targets.
     pub pool: TargetPool,
     /// The other gateways.
@@ -101,6 +103,7 @@
             metrics,
             watch: WatchDuty::default(),
             limits: LimitDesk::default(),
+            reads: ReadTallies::default(),
             pool: TargetPool::default(),
             peers: PeerTable::default(),
             stop: StopState::default(),
--- a/crates/entry/src/peers/hub.rs
+++ b/crates/entry/src/peers/hub.rs
@@ -13,7 +13,7 @@
 use serde_json::value::RawValue;
 
 use crate::{
-    batch::{ends, limits, ownership, reads},
+    batch::{bodies, ends, limits, ownership, reads},
     constants::{GATEWAY_WATCH_PAUSE, LAG_PATIENCE, STORE_PAUSE},
     node::EntryNode,
     online::crashes,
@@ -197,6 +197,12 @@
             let total = usize::try_from(total).unwrap_or(usize::MAX);
             node.peers.job_calls.answer(call, JobNews { is_sure, total, lines, is_all });
         }
+        PeerMessage::BodyAsk { call, job, item } => {
+            bodies::answer_peer(node, &peer.vm, call, &job, &item);
+        }
+        PeerMessage::BodyTold { call, is_known, body } => {
+            bodies::take_told(node, call, is_known, body);
+        }
         PeerMessage::JobProgress { job, items } => node.jobs().keep_progress(&job, items),
         PeerMessage::RequestBroke { fingerprint, target } => {
             crashes::count_break(node, fingerprint, &target);
--- a/crates/entry/src/peers/table.rs
+++ b/crates/entry/src/peers/table.rs
@@ -67,6 +67,15 @@
     Gone,
 }
 
+/// What another gateway told of an item's body.
+#[derive(Debug)]
+pub struct ToldBody {
+    /// Whether it can tell.
+    pub is_known: bool,
+    /// The body; `None` when the job has no such item.
+    pub body: Option<Payload>,
+}
+
 /// One other gateway.
 #[derive(Debug)]
 struct PeerRecord {
@@ -99,6 +108,8 @@
     peers: Mutex<FastMap<VmName, PeerRecord>>,
     /// Questions about jobs.
     pub job_calls: CallTable<JobNews>,
+    /// Questions for items' bodies.
+    pub body_calls: CallTable<ToldBody>,
     /// Calls to the store that another gateway makes.
     pub store_calls: CallTable<StoreCallEnd>,
     /// Questions for shares of limits.
--- a/crates/messages/src/peer.rs
+++ b/crates/messages/src/peer.rs
@@ -116,6 +116,24 @@
         /// store ends.
         is_all: bool,
     },
+    /// The body of an item of a job that the receiver owns.
+    BodyAsk {
+        /// Matches the answer; unique at the asker.
+        call: u64,
+        /// The job.
+        job: String,
+        /// The item.
+        item: String,
+    },
+    /// Answer to `BodyAsk`.
+    BodyTold {
+        /// Of the question.
+        call: u64,
+        /// Whether the sender can tell: it owns the job, and the body isn't too large.
+        is_known: bool,
+        /// The body; `None` when the job has no such item.
+        body: Option<Payload>,
+    },
     /// What the sender holds of a job's items, before it leaves the job to others.
     JobProgress {
         /// The job.
--- a/crates/telemetry/src/metrics/timing.rs
+++ b/crates/telemetry/src/metrics/timing.rs
@@ -23,6 +23,8 @@
     EntryAdoption,
     /// From an order's first sending to its outcome.
     OrderRun,
+    /// A read of a job's results or of an item's body.
+    JobRead,
     /// One event through the control thread's decisions.
     ControlStep,
 }
@@ -35,7 +37,7 @@
 
 impl Timing {
     /// Every timing, for registering.
-    pub const ALL: [Timing; 11] = [
+    pub const ALL: [Timing; 12] = [
         Self::OnlineFirstByte,
         Self::OnlineTotal,
         Self::OnlineGap,
@@ -46,6 +48,7 @@
         Self::StoreCall,
         Self::EntryAdoption,
         Self::OrderRun,
+        Self::JobRead,
         Self::ControlStep,
     ];
 
@@ -62,6 +65,7 @@
             Self::StoreCall => "store_call_seconds",
             Self::EntryAdoption => "entry_adoption_seconds",
             Self::OrderRun => "order_run_seconds",
+            Self::JobRead => "job_read_seconds",
             Self::ControlStep => "control_step_seconds",
         }
     }
@@ -79,6 +83,7 @@
             Self::StoreCall => "One call to the object API",
             Self::EntryAdoption => "From an entry's write to its adoption here",
             Self::OrderRun => "From an order's first sending to its outcome",
+            Self::JobRead => "A read of a job\'s results or of an item\'s body",
             Self::ControlStep => "One event through the control thread's decisions",
         }
     }
