Refuse a job that can't be done before it is due, when it comes

Cause: no gateway knew what waited at the others, so nothing held jobs back where no limit does.

Mend: gateways tell each other what work waits, by service and due time, and how long items take; each keeps a mean of the places that items find. A job that would end late in the order of due times, or would make an accepted one late, is refused with 503 and when to come back, unless it was accepted before. A quarter of slack, and nothing is refused while nothing waits, so that errors of the forecast don't refuse what fits. job_without_time logs the figures of each refusal.

--- a/crates/entry/src/batch.rs
+++ b/crates/entry/src/batch.rs
@@ -16,6 +16,7 @@
 pub mod reads;
 pub mod records;
 pub mod retention;
+pub mod room;
 pub mod runner;
 pub mod stored_jobs;
 pub mod takeover;
--- a/crates/entry/src/batch/desk.rs
+++ b/crates/entry/src/batch/desk.rs
@@ -39,6 +39,13 @@
     tokens: u64,
 }
 
+/// Work of a job that is being taken in.
+#[derive(Debug)]
+struct ArrivingWork {
+    route: String,
+    work: DueWork,
+}
+
 /// All that a gateway holds of jobs.
 #[derive(Debug, Default)]
 pub struct JobDesk {
@@ -63,6 +70,8 @@
     unreadable: FastMap<String, u64>,
     /// Tokens of jobs being taken in, against their routes' limits, by job.
     reserved: FastMap<String, ReservedTokens>,
+    /// Work of jobs being taken in, by job.
+    arriving: FastMap<String, ArrivingWork>,
 }
 
 impl JobDesk {
@@ -165,6 +174,21 @@
     pub fn finish(&mut self, job: &str) {
         self.busy.remove(job);
         self.reserved.remove(job);
+        self.arriving.remove(job);
+    }
+
+    /// Counts the work of a job that is being taken in, until the task is done.
+    pub fn note_arriving(&mut self, job: &str, route: &str, work: DueWork) {
+        let route = route.to_owned();
+        self.arriving.insert(job.to_owned(), ArrivingWork { route, work });
+    }
+
+    /// What waits here to be done in time, of jobs owned and of those being taken in, with each job's route.
+    pub fn works(&self, now: MonoTime) -> Vec<(&str, DueWork)> {
+        let mut works = self.board.works(now);
+        let arriving = self.arriving.iter().filter(|(job, _)| !self.is_owned(job));
+        works.extend(arriving.map(|(_, arriving)| (arriving.route.as_str(), arriving.work)));
+        works
     }
 
     /// Counts a job that is being taken in against its route's limit, until the task is done.
--- a/crates/entry/src/batch/intake.rs
+++ b/crates/entry/src/batch/intake.rs
@@ -14,6 +14,7 @@
         limits::{self, LimitOutcome},
         ownership,
         records::{create_job, inline_items, part_count, read_end, read_job},
+        room,
     },
     constants::{
         INTAKE_PATIENCE, JOB_BYTES, REFUSAL_LOOK, RETRY_AFTER, RETRY_AFTER_START, STORE_PAUSE,
@@ -41,6 +42,23 @@
     NotStored,
 }
 
+/// Why a job isn't taken in.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum JobRefusal {
+    /// It can't be done before it is due; it may be if it comes after `wait`.
+    NoTime {
+        /// When to come back.
+        wait: Duration,
+    },
+    /// It doesn't fit under its route's limit.
+    OverLimit {
+        /// When to come back.
+        wait: Duration,
+    },
+    /// The store doesn't say whether it fits.
+    LimitUnknown,
+}
+
 /// Takes a job in: the client is told that it's accepted only once it is stored.
 pub async fn accept_job(
     node: &Arc<EntryNode>,
@@ -73,11 +91,19 @@
     if !node.jobs().begin(id) {
         return answer(node, id, "store_unclear", OwnAnswer::of(504), arrived);
     }
+    if let Err(wait) = room::take(node, route, &spec) {
+        node.jobs().finish(id);
+        return refuse(node, id, JobRefusal::NoTime { wait }, arrived).await;
+    }
     match limits::reserve(node, route, id, record.limit_tokens).await {
         LimitOutcome::Reserved => {}
-        refused => {
+        LimitOutcome::Full { wait } => {
+            node.jobs().finish(id);
+            return refuse(node, id, JobRefusal::OverLimit { wait }, arrived).await;
+        }
+        LimitOutcome::Unknown => {
             node.jobs().finish(id);
-            return refuse(node, id, refused, arrived).await;
+            return refuse(node, id, JobRefusal::LimitUnknown, arrived).await;
         }
     }
     // The storing outlives this client's patience: a job whose write got no answer may come to be
@@ -101,23 +127,19 @@
     }
 }
 
-/// Refuses a job that doesn't fit under its route's limit, unless another gateway took it in before
-/// without our hearing of it: it runs then, and a refusal would say that it doesn't.
-async fn refuse(node: &EntryNode, id: &str, outcome: LimitOutcome, arrived: MonoTime) -> OwnAnswer {
+/// Refuses a job, unless another gateway took it in before without our hearing of it: it runs then, and a
+/// refusal would say that it doesn't.
+async fn refuse(node: &EntryNode, id: &str, refusal: JobRefusal, arrived: MonoTime) -> OwnAnswer {
     let looking = timeout(REFUSAL_LOOK, read_job(&node.store, id, StoreCallCause::JobStored));
     let stored = looking.await.unwrap_or(Err(StoreFailure::Unknown));
-    match (stored, outcome) {
-        (Ok(Some(_)), _) => answer(node, id, "known", OwnAnswer::of(202), arrived),
-        (Ok(None), LimitOutcome::Full { wait }) => {
-            answer(node, id, "over_limit", OwnAnswer::over_limit(wait), arrived)
-        }
-        (Ok(None), _) => {
-            answer(node, id, "limit_unknown", OwnAnswer::refused(RETRY_AFTER), arrived)
-        }
-        (Err(_), _) => {
-            answer(node, id, "store_unavailable", OwnAnswer::refused(RETRY_AFTER), arrived)
-        }
-    }
+    let (outcome, answered) = match (stored, refusal) {
+        (Ok(Some(_)), _) => ("known", OwnAnswer::of(202)),
+        (Ok(None), JobRefusal::NoTime { wait }) => ("no_time", OwnAnswer::refused(wait)),
+        (Ok(None), JobRefusal::OverLimit { wait }) => ("over_limit", OwnAnswer::over_limit(wait)),
+        (Ok(None), JobRefusal::LimitUnknown) => ("limit_unknown", OwnAnswer::refused(RETRY_AFTER)),
+        (Err(_), _) => ("store_unavailable", OwnAnswer::refused(RETRY_AFTER)),
+    };
+    answer(node, id, outcome, answered, arrived)
 }
 
 /// Whether the job is here already. While another sending of it is being stored, that one's outcome
--- /dev/null
+++ b/crates/entry/src/batch/room.rs
@@ -0,0 +1,85 @@
+//! Refuses jobs that can't be done before they are due, when they come.
+
+use std::{sync::Arc, time::Duration};
+
+use notch_relay::prelude::*;
+use notch_types::prelude::*;
+
+use crate::node::EntryNode;
+
+/// Counts a job as one that is being taken in, if it can be done in time beside what was accepted before;
+/// else when it should come back.
+///
+/// What goes wrong without it: in a burst of many times the usual jobs all are accepted, nearly all end late
+/// or never, and readers can't get through them. One would notice `item_run_started` with a `due_ms` far
+/// below 0.
+pub fn take(node: &EntryNode, route: &Route, spec: &Arc<JobSpec>) -> Result<(), Duration> {
+    let now = node.clock.mono();
+    let mut desk = node.jobs();
+    let job = DueWork { due: now + spec.terms.due, work: desk.board.work_of(spec) };
+    for (service, part) in route.parts() {
+        let own = own_demand(node, &desk.works(now), service);
+        let intake = node.intake();
+        let mut demand = intake.demand(service);
+        let others = demand.total();
+        demand.extend(&own);
+        let places = intake.places(service);
+        let oldest = intake.oldest(now);
+        drop(intake);
+        let of_service = DueWork { work: job.work.mul_f64(part), ..job };
+        let forecast = IntakeForecast { demand: &demand, places };
+        if let Some(wait) = forecast.refusal(of_service, now) {
+            node.log.info(
+                "job_without_time",
+                &[
+                    ("job", &spec.id),
+                    ("route", &route.name),
+                    ("service", &service),
+                    ("items", &spec.items.len()),
+                    ("work_ms", &of_service.work.as_millis()),
+                    ("due_ms", &spec.terms.due.as_millis()),
+                    ("places", &format_args!("{places:.1}")),
+                    ("waiting_here_ms", &own.total().as_millis()),
+                    ("waiting_elsewhere_ms", &others.as_millis()),
+                    ("oldest_word_ms", &oldest.as_millis()),
+                    ("wait_ms", &wait.as_millis()),
+                ],
+            );
+            return Err(wait);
+        }
+    }
+    desk.note_arriving(&spec.id, &route.name, job);
+    Ok(())
+}
+
+/// What waits for a service here, of jobs owned and of those being taken in.
+fn own_demand(node: &EntryNode, works: &[(&str, DueWork)], service: &str) -> WorkDemand {
+    let Some(routes) = node.routes() else { return WorkDemand::default() };
+    let part_of = |name: &str| {
+        let route = routes.routes().find(|route| route.name == name)?;
+        route.parts().find(|(known, _)| *known == service).map(|(_, part)| part)
+    };
+    // Jobs of one route mostly come together: each is looked up once.
+    let mut parts: FastMap<&str, Option<f64>> = FastMap::default();
+    let works = works.iter().filter_map(|(route, work)| {
+        let part = (*parts.entry(*route).or_insert_with(|| part_of(route)))?;
+        Some(DueWork { work: work.work.mul_f64(part), ..*work })
+    });
+    WorkDemand::new(works.collect())
+}
+
+/// What waits here for each service that a batch route names.
+pub fn own_demands(node: &EntryNode, now: MonoTime) -> FastMap<String, WorkDemand> {
+    let Some(routes) = node.routes() else { return FastMap::default() };
+    let desk = node.jobs();
+    let works = desk.works(now);
+    if works.is_empty() {
+        return FastMap::default();
+    }
+    let batch = routes.routes().filter(|route| route.kind == RouteKind::Batch);
+    let services: FastSet<&str> =
+        batch.flat_map(|route| route.parts().map(|(service, _)| service)).collect();
+    let demands =
+        services.into_iter().map(|service| (service.to_owned(), own_demand(node, &works, service)));
+    demands.filter(|(_, demand)| !demand.works().is_empty()).collect()
+}
--- a/crates/entry/src/constants.rs
+++ b/crates/entry/src/constants.rs
@@ -64,6 +64,11 @@
 pub const REPORT_EVERY: Duration = Duration::from_millis(100);
 /// How often it is told when nothing changes.
 pub const REPORT_IDLE: Duration = Duration::from_millis(1_000);
+/// How often it is looked what work waits here and what places it finds: in a burst of ninety times the usual
+/// jobs, a twentieth of what can be done in time comes meanwhile.
+pub const DEMAND_EVERY: Duration = Duration::from_millis(100);
+/// How often it is told when little changes.
+pub const DEMAND_IDLE: Duration = Duration::from_millis(1_000);
 /// A peer that knows more for this long is asked for it: our own watch usually brings it sooner.
 pub const LAG_PATIENCE: Duration = Duration::from_millis(250);
 /// A gateway whose link is down this long is taken for dead and its jobs are taken over.
--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -23,7 +23,7 @@
         pages::{serve_metrics, serve_ready},
     },
     node::EntryNode,
-    peers::{detours, hub, reports},
+    peers::{demands, detours, hub, reports},
     store::{
         feed::{FeedPlan, follow},
         feed_event::FeedEvent,
@@ -100,6 +100,7 @@
     task::spawn(hub::follow_gateways(Arc::clone(node), settings.clone()));
     task::spawn(ends::follow_ends(Arc::clone(node)));
     task::spawn(reports::tell_uses(Arc::clone(node)));
+    task::spawn(demands::tell_demands(Arc::clone(node)));
     task::spawn(runner::run_jobs(Arc::clone(node)));
     task::spawn(takeover::watch_owners(Arc::clone(node)));
     task::spawn(liveness::probe_silent(Arc::clone(node)));
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -35,7 +35,7 @@
 };
 
 /// What all tasks of a gateway share. Locks are held for moments, never across an await; where two
-/// are taken, jobs come before targets and before limits.
+/// are taken, jobs come before targets, before limits and before the intake.
 #[derive(Debug)]
 pub struct EntryNode {
     /// The settings at the start.
@@ -77,6 +77,7 @@
     crashes: Mutex<CrashTable>,
     patience: Mutex<PatienceTable>,
     dropped_routes: Mutex<DroppedRoutes>,
+    intake: Mutex<IntakeTable>,
 }
 
 impl EntryNode {
@@ -118,6 +119,7 @@
             crashes: Mutex::default(),
             patience: Mutex::default(),
             dropped_routes: Mutex::default(),
+            intake: Mutex::default(),
             config,
         };
         (node, detours)
@@ -153,6 +155,11 @@
         self.dropped_routes.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// What is known of work and places when a job comes.
+    pub fn intake(&self) -> MutexGuard<'_, IntakeTable> {
+        self.intake.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// The configuration in force; `None` until a first one is known.
     pub fn routes(&self) -> Option<Arc<RouteTable>> {
         let current = self.configuration.read().unwrap_or_else(PoisonError::into_inner);
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -1,6 +1,7 @@
 //! The other gateways: who they are, links to them, and what is told on those.
 
 pub mod calls;
+pub mod demands;
 pub mod detours;
 pub mod hub;
 pub mod record;
--- a/crates/entry/src/peers/hub.rs
+++ b/crates/entry/src/peers/hub.rs
@@ -18,7 +18,7 @@
     node::EntryNode,
     online::crashes,
     peers::{
-        detours,
+        demands, detours,
         record::{GATEWAY_KIND, GatewayEntry},
         reports,
         table::{JobNews, KeptShare, PeerSilence},
@@ -170,6 +170,9 @@
                 node.peers.send(&peer.vm, PeerMessage::AskState { configuration, targets });
             }
         }
+        PeerMessage::Demand { demands, pace } => {
+            demands::take_demand(node, &peer.vm, demands, pace);
+        }
         PeerMessage::AskState { configuration, targets } => {
             let state = newer_state(node, configuration, targets);
             node.peers.send(&peer.vm, state);
--- a/crates/messages/src/lib.rs
+++ b/crates/messages/src/lib.rs
@@ -25,7 +25,10 @@
         order::{
             HeldModel, OrderAction, OrderOutcome, PlacementMessage, TargetHoldings, TargetOrder,
         },
-        peer::{PeerMessage, StoreCallEnd, TargetSnapshot, TargetUseReport, VersionedTarget},
+        peer::{
+            DueWorkReport, PeerMessage, ServiceDemandReport, StoreCallEnd, TargetSnapshot,
+            TargetUseReport, VersionedTarget,
+        },
         shard::{
             ClaimVerdict, ItemStatus, JobChunk, JobPhase, JobProgress, JobSubmission, ResultLine,
             ShardAnswer, ShardCall, ShardRequest, StoredAnswer,
--- a/crates/messages/src/peer.rs
+++ b/crates/messages/src/peer.rs
@@ -1,6 +1,6 @@
 //! Between gateways that relay straight to targets.
 
-use notch_relay::prelude::{HeldProgress, ResultLine, ShareTable, TargetEntry};
+use notch_relay::prelude::{HeldProgress, PaceFigures, ResultLine, ShareTable, TargetEntry};
 use notch_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
@@ -15,6 +15,24 @@
     pub batch: u32,
 }
 
+/// Work that is due by a time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DueWorkReport {
+    /// Milliseconds left until it is due.
+    pub due_in_ms: u64,
+    /// How long it would take one place, milliseconds.
+    pub work_ms: u64,
+}
+
+/// Work of one gateway that waits for the places of one service.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceDemandReport {
+    /// The service.
+    pub service: String,
+    /// In order of due times.
+    pub works: Vec<DueWorkReport>,
+}
+
 /// A target's entry with the store's revision of its last change.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct VersionedTarget {
@@ -70,6 +88,14 @@
         /// Whether it follows the store now, so that others needn't.
         is_watching: bool,
     },
+    /// What work waits at the sender, whole; sent when it changed by much, and at least every second while
+    /// there is any.
+    Demand {
+        /// By service.
+        demands: Vec<ServiceDemandReport>,
+        /// How long items take there.
+        pace: PaceFigures,
+    },
     /// The sender's configuration or targets are older: send yours.
     AskState {
         /// Version of the sender's configuration.
--- a/crates/relay/src/jobs/board.rs
+++ b/crates/relay/src/jobs/board.rs
@@ -4,8 +4,15 @@
 
 use notch_types::prelude::*;
 
-use crate::jobs::{
-    doubt::DoubtNumber, owned::OwnedJob, pace::ItemPace, result::ResultLine, spec::ItemSpec,
+use crate::{
+    intake::demand::DueWork,
+    jobs::{
+        doubt::DoubtNumber,
+        owned::OwnedJob,
+        pace::ItemPace,
+        result::ResultLine,
+        spec::{ItemSpec, JobSpec},
+    },
 };
 
 /// An item to be run now.
@@ -33,6 +40,8 @@
     doubted: DoubtNumber,
     /// How long items take.
     pace: ItemPace,
+    /// The same as another gateway learned it, for the time until an item has ended here.
+    told_pace: ItemPace,
 }
 
 impl JobBoard {
@@ -115,7 +124,8 @@
     /// marked yet.
     pub fn next_item(&self, now: MonoTime) -> Option<(String, usize)> {
         let ready = self.jobs.values().filter_map(|job| Some((job, job.next_item(now)?)));
-        let rank = |job: &OwnedJob, index| (job.is_late(index, &self.pace, now), job.due());
+        let pace = self.pace();
+        let rank = |job: &OwnedJob, index| (job.is_late(index, &pace, now), job.due());
         let (job, index) = ready.min_by_key(|(job, index)| rank(job, *index))?;
         Some((job.spec().id.clone(), index))
     }
@@ -125,6 +135,33 @@
         self.pace.note(took, item.answer.expected());
     }
 
+    /// How long items take, as far as is known here.
+    pub fn pace(&self) -> ItemPace {
+        if self.pace.is_known() { self.pace } else { self.told_pace }
+    }
+
+    /// How long items take elsewhere.
+    pub fn set_told_pace(&mut self, pace: ItemPace) {
+        self.told_pace = pace;
+    }
+
+    /// How long the items of a job that comes would take one place.
+    pub fn work_of(&self, spec: &JobSpec) -> Duration {
+        let pace = self.pace();
+        spec.items.iter().map(|item| pace.expected(item.answer.expected())).sum()
+    }
+
+    /// What waits to be done in time, job by job, with each job's route.
+    pub fn works(&self, now: MonoTime) -> Vec<(&str, DueWork)> {
+        let pace = self.pace();
+        let open = self.jobs.values().filter(|job| !job.is_closed());
+        let works = open.map(|job| {
+            let work = DueWork { due: job.due(), work: job.timely_work(&pace, now) };
+            (job.spec().route.as_str(), work)
+        });
+        works.filter(|(_, work)| !work.work.is_zero()).collect()
+    }
+
     /// Marks an item as running.
     pub fn start_item(&mut self, job: &str, index: usize) -> Option<ItemStart> {
         let owned = self.jobs.get_mut(job)?;
--- a/crates/relay/src/jobs/owned.rs
+++ b/crates/relay/src/jobs/owned.rs
@@ -209,6 +209,26 @@
         now + needed > self.due && now + LAST_CALL < self.expires
     }
 
+    /// How long its items that can still be in time would take one place. One that runs counts as the rest of
+    /// an item; those that would end late give way to others.
+    pub fn timely_work(&self, pace: &ItemPace, now: MonoTime) -> Duration {
+        if self.ended || self.due <= now {
+            return Duration::ZERO;
+        }
+        let items = self.items.iter().enumerate();
+        let timely = items.filter(|(index, item)| match item.phase {
+            ItemPhase::Waiting(_) => !self.is_late(*index, pace, now),
+            ItemPhase::Running => true,
+            ItemPhase::Ended => false,
+        });
+        let needed = timely.map(|(index, item)| {
+            let whole = pace.expected(self.spec.items[index].answer.expected());
+            let is_begun = item.phase == ItemPhase::Running || item.last_event.is_some();
+            if is_begun { whole / REST_DIVISOR } else { whole }
+        });
+        needed.sum()
+    }
+
     /// Marks an item as running; gives its spec and the last event held.
     pub fn start_item(&mut self, index: usize) -> (ItemSpec, Option<u64>) {
         let item = &mut self.items[index];
--- a/crates/relay/src/jobs/pace.rs
+++ b/crates/relay/src/jobs/pace.rs
@@ -2,11 +2,27 @@
 
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::learned::LearnedMean;
 
 /// Weight of the newest run in what is learned: the last dozen or so count.
 const PACE_WEIGHT: f64 = 0.1;
 
+/// What is learned of items' runs, as one gateway tells another.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PaceFigures {
+    /// Microseconds for an item; 0 when not known.
+    pub item_us: u64,
+    /// Nanoseconds for each token of an answer; 0 when not known.
+    pub token_ns: u64,
+}
+
+/// Microseconds of a second.
+const SECOND_US: f64 = 1e6;
+/// Nanoseconds of a second.
+const SECOND_NS: f64 = 1e9;
+
 /// How long a whole run of an item takes, learned from those that have ended.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct ItemPace {
@@ -27,6 +43,27 @@
         }
     }
 
+    /// As another gateway learned it.
+    pub fn told(figures: PaceFigures) -> Self {
+        let mut pace = Self::default();
+        pace.item_seconds.note(figures.item_us as f64 / SECOND_US, PACE_WEIGHT);
+        pace.token_seconds.note(figures.token_ns as f64 / SECOND_NS, PACE_WEIGHT);
+        pace
+    }
+
+    /// What is learned, for another gateway.
+    pub fn figures(&self) -> PaceFigures {
+        PaceFigures {
+            item_us: (self.item_seconds.value() * SECOND_US) as u64,
+            token_ns: (self.token_seconds.value() * SECOND_NS) as u64,
+        }
+    }
+
+    /// Whether a run has ended.
+    pub fn is_known(&self) -> bool {
+        self.item_seconds.is_known()
+    }
+
     /// How long an item whose answer is expected to have `tokens` will likely take.
     pub fn expected(&self, tokens: u32) -> Duration {
         let is_sized = tokens > 0 && self.token_seconds.is_known();
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -1,8 +1,9 @@
 //! Decisions of an entry VM that relays requests straight to targets: which route, which target,
-//! what a failure means, how streams are cut into events, what becomes of a job's items, and how
-//! gateways keep a limit together.
+//! what a failure means, how streams are cut into events, which jobs are accepted, what becomes of a
+//! job's items, and how gateways keep a limit together.
 //! Nothing here does I/O or reads a clock.
 
+pub mod intake;
 pub mod jobs;
 mod learned;
 pub mod limits;
@@ -13,11 +14,16 @@
 /// The types nearly every user of this crate needs.
 pub mod prelude {
     pub use crate::{
+        intake::{
+            demand::{DueWork, WorkDemand},
+            forecast::IntakeForecast,
+            table::IntakeTable,
+        },
         jobs::{
             board::{ItemStart, JobBoard},
             doubt::DoubtNumber,
             owned::{HeldProgress, ItemEnd, OwnedJob},
-            pace::ItemPace,
+            pace::{ItemPace, PaceFigures},
             result::{ItemState, ResultLine},
             spec::{AnswerSize, ItemSpec, JobSpec, JobTerms},
         },
--- a/crates/relay/src/routes/route.rs
+++ b/crates/relay/src/routes/route.rs
@@ -66,6 +66,13 @@
         }
     }
 
+    /// Each service with its part of the route's requests, from 0 to 1.
+    pub fn parts(&self) -> impl Iterator<Item = (&str, f64)> {
+        let sum: f64 = self.services.iter().map(|s| f64::from(s.weight)).sum();
+        let services = self.services.iter().filter(|service| service.weight > 0);
+        services.map(move |s| (s.service.as_str(), f64::from(s.weight) / sum))
+    }
+
     /// The service for a request, by a number that is the same for each of its attempts.
     pub fn service_for(&self, draw: u64) -> &str {
         let sum: u64 = self.services.iter().map(|s| u64::from(s.weight)).sum();
--- a/crates/relay/src/targets/table.rs
+++ b/crates/relay/src/targets/table.rs
@@ -208,6 +208,21 @@
         self.records.values().filter(|r| r.entry.state == TargetState::Ready).count()
     }
 
+    /// Places left to items now, by service: those that no online request has, at targets that take requests,
+    /// but for the one of each that is kept free.
+    pub fn item_places(&self, now: MonoTime) -> FastMap<String, u32> {
+        let mut places: FastMap<String, u32> = FastMap::default();
+        for record in self.records.values() {
+            let is_able = record.entry.state == TargetState::Ready
+                && !record.displaced
+                && !record.health.is_avoided(now);
+            let taken = record.own.online + record.others.online + BATCH_RESERVE;
+            let left = if is_able { record.entry.slots.saturating_sub(taken) } else { 0 };
+            *places.entry(record.entry.service.clone()).or_default() += left;
+        }
+        places
+    }
+
     /// Chooses a target for one attempt, and counts it there until [`finish`](Self::finish). `draw`
     /// gives random numbers from 0 to 1.
     ///
