Refuse jobs without a call to the store each; forecast from what all gateways learned

Who has heard all gateways for ten seconds knows every job that may come again; a job whose storing takes over 0.1 s is told to the others; only where neither tells is the store asked, 800 times a second at most by all gateways together, and beyond that the answer is 504, which promises nothing. How long items take is the mean of all gateways, by runs. A new job is told within 10 ms. While not one item would be in time a job is refused before it is decoded.

--- a/crates/entry/src/batch.rs
+++ b/crates/entry/src/batch.rs
@@ -11,6 +11,7 @@
 pub mod limit_asks;
 pub mod limit_desk;
 pub mod limits;
+pub mod looks;
 pub mod ownership;
 pub mod read_tally;
 pub mod reads;
--- a/crates/entry/src/batch/desk.rs
+++ b/crates/entry/src/batch/desk.rs
@@ -1,14 +1,20 @@
 //! All that a gateway holds of jobs.
 
+use std::time::Duration;
+
 use async_channel::Sender;
 use notch_relay::prelude::*;
 use notch_types::prelude::*;
 
-use crate::batch::copies::JobCopies;
+use crate::batch::{copies::JobCopies, looks::LookPace};
 
 /// Jobs whose progress is kept until they are taken over, at most: a gateway owns a dozen.
 const HANDED_JOBS: usize = 256;
 
+/// A job whose storing takes long may come to be stored for so long: its gateway tries until the store answers,
+/// and its client gives up within seconds.
+const STORING_SPAN: Duration = Duration::from_secs(60);
+
 /// A run of an item that is under way.
 #[derive(Debug)]
 pub struct ItemRunHandle {
@@ -70,6 +76,11 @@
     unreadable: FastMap<String, u64>,
     /// Tokens of jobs being taken in, against their routes' limits, by job.
     reserved: FastMap<String, ReservedTokens>,
+    /// Jobs whose storing takes long at another gateway, and since when that is known. Invariant: none is older
+    /// than [`STORING_SPAN`].
+    storing_elsewhere: FastMap<String, MonoTime>,
+    /// Looks in the store for jobs that are about to be refused.
+    pub looks: LookPace,
     /// Work of jobs being taken in, by job.
     arriving: FastMap<String, ArrivingWork>,
 }
@@ -115,6 +126,7 @@
         for job in jobs {
             let told = ToldOwner { owner: owner.to_owned(), closed_at: None };
             self.owners.insert(job.clone(), told);
+            self.storing_elsewhere.remove(job);
         }
     }
 
@@ -177,6 +189,17 @@
         self.arriving.remove(job);
     }
 
+    /// Another gateway is storing the job, and doesn't know yet what becomes of it.
+    pub fn note_storing_elsewhere(&mut self, job: &str, now: MonoTime) {
+        self.storing_elsewhere.retain(|_, since| now.since(*since) < STORING_SPAN);
+        self.storing_elsewhere.insert(job.to_owned(), now);
+    }
+
+    /// Whether another gateway may be storing the job.
+    pub fn may_be_stored_elsewhere(&self, job: &str) -> bool {
+        self.storing_elsewhere.contains_key(job)
+    }
+
     /// Counts the work of a job that is being taken in, until the task is done.
     pub fn note_arriving(&mut self, job: &str, route: &str, work: DueWork) {
         let route = route.to_owned();
--- a/crates/entry/src/batch/intake.rs
+++ b/crates/entry/src/batch/intake.rs
@@ -4,6 +4,7 @@
 
 use async_std::{future::timeout, task};
 use notch_h1::prelude::RequestHead;
+use notch_messages::prelude::PeerMessage;
 use notch_platform_wire::{job::items_text, prelude::*};
 use notch_relay::prelude::*;
 use notch_telemetry::prelude::*;
@@ -12,12 +13,13 @@
 use crate::{
     batch::{
         limits::{self, LimitOutcome},
+        looks::{JobTrace, find_trace},
         ownership,
         records::{create_job, inline_items, part_count, read_end, read_job},
         room,
     },
     constants::{
-        INTAKE_PATIENCE, JOB_BYTES, REFUSAL_LOOK, RETRY_AFTER, RETRY_AFTER_START, STORE_PAUSE,
+        INTAKE_PATIENCE, JOB_BYTES, RETRY_AFTER, RETRY_AFTER_START, STORE_PAUSE, STORING_QUIET,
     },
     front::answer::OwnAnswer,
     node::EntryNode,
@@ -76,6 +78,9 @@
     let Some(terms) = route.job_terms else {
         return answer(node, id, "not_a_batch_route", OwnAnswer::of(400), arrived);
     };
+    if let Some(wait) = room::refusal(node, route, terms.due) {
+        return refuse(node, id, JobRefusal::NoTime { wait }, arrived).await;
+    }
     let Ok(text) = items_text(body) else {
         return answer(node, id, "not_a_job", OwnAnswer::of(400), arrived);
     };
@@ -116,7 +121,14 @@
         shared.jobs().finish(&id);
         outcome
     });
-    match timeout(INTAKE_PATIENCE, storing).await {
+    let mut storing = storing;
+    let mut stored = timeout(STORING_QUIET, &mut storing).await;
+    if stored.is_err() {
+        // Its client may send it again to a gateway that would refuse it.
+        node.peers.broadcast(&PeerMessage::JobStoring(id.to_owned()));
+        stored = timeout(INTAKE_PATIENCE - STORING_QUIET, storing).await;
+    }
+    match stored {
         Ok(IntakeOutcome::Ours) => answer(node, id, "accepted", OwnAnswer::of(202), arrived),
         Ok(IntakeOutcome::Known) => answer(node, id, "known", OwnAnswer::of(202), arrived),
         Ok(IntakeOutcome::NotStored) => {
@@ -130,14 +142,20 @@
 /// Refuses a job, unless another gateway took it in before without our hearing of it: it runs then, and a
 /// refusal would say that it doesn't.
 async fn refuse(node: &EntryNode, id: &str, refusal: JobRefusal, arrived: MonoTime) -> OwnAnswer {
-    let looking = timeout(REFUSAL_LOOK, read_job(&node.store, id, StoreCallCause::JobStored));
-    let stored = looking.await.unwrap_or(Err(StoreFailure::Unknown));
-    let (outcome, answered) = match (stored, refusal) {
-        (Ok(Some(_)), _) => ("known", OwnAnswer::of(202)),
-        (Ok(None), JobRefusal::NoTime { wait }) => ("no_time", OwnAnswer::refused(wait)),
-        (Ok(None), JobRefusal::OverLimit { wait }) => ("over_limit", OwnAnswer::over_limit(wait)),
-        (Ok(None), JobRefusal::LimitUnknown) => ("limit_unknown", OwnAnswer::refused(RETRY_AFTER)),
-        (Err(_), _) => ("store_unavailable", OwnAnswer::refused(RETRY_AFTER)),
+    let (outcome, answered) = match (find_trace(node, id).await, refusal) {
+        (JobTrace::Taken, _) => ("known", OwnAnswer::of(202)),
+        (JobTrace::None, JobRefusal::NoTime { wait }) => ("no_time", OwnAnswer::refused(wait)),
+        (JobTrace::None, JobRefusal::OverLimit { wait }) => {
+            ("over_limit", OwnAnswer::over_limit(wait))
+        }
+        (JobTrace::None, JobRefusal::LimitUnknown) => {
+            ("limit_unknown", OwnAnswer::refused(RETRY_AFTER))
+        }
+        // Not a refusal: nobody can say that it doesn't run.
+        (JobTrace::Unclear, _) => {
+            ("unclear", OwnAnswer { status: 504, ..OwnAnswer::refused(RETRY_AFTER) })
+        }
+        (JobTrace::StoreAway, _) => ("store_unavailable", OwnAnswer::refused(RETRY_AFTER)),
     };
     answer(node, id, outcome, answered, arrived)
 }
@@ -252,7 +270,7 @@
     if is_claimed {
         ownership::doubt(node, &id, "claimed");
     }
-    node.peers.broadcast(&notch_messages::prelude::PeerMessage::JobsOwned(vec![id.clone()]));
+    node.peers.broadcast(&PeerMessage::JobsOwned(vec![id.clone()]));
     node.runner_wake.notify(usize::MAX);
     node.log.info("job_owned", &[("job", &id), ("items", &items), ("cause", &"accepted")]);
 }
--- /dev/null
+++ b/crates/entry/src/batch/looks.rs
@@ -0,0 +1,81 @@
+//! Whether a job that is about to be refused was taken in before.
+//!
+//! A client sends a job again, at another gateway, when it got no answer. A refusal says that nothing of the job
+//! runs, so it must not come after another gateway has taken it in. In a burst each refused job comes back
+//! a dozen times: asked of the store each time, that alone would be more calls than the store takes.
+
+use std::time::Duration;
+
+use async_std::future::timeout;
+use notch_types::prelude::*;
+
+use crate::{
+    batch::records::read_job,
+    constants::{REFUSAL_LOOK, RESEND_SPAN},
+    node::EntryNode,
+    store::{call_cause::StoreCallCause, reply::StoreFailure},
+};
+
+/// Looks in the store that all gateways together make each second for jobs that are about to be refused: the
+/// store takes 2,000 reads a second, for everything.
+const LOOKS_EACH_SECOND: usize = 800;
+/// Span in which so many may be made.
+const LOOKS_SPAN: Duration = Duration::from_secs(1);
+
+/// What is known of a job that came.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum JobTrace {
+    /// It was taken in.
+    Taken,
+    /// It wasn't, and no gateway is about to.
+    None,
+    /// Nobody can say now.
+    Unclear,
+    /// The store doesn't answer.
+    StoreAway,
+}
+
+/// Counts looks.
+#[derive(Debug, Default)]
+pub struct LookPace {
+    since: MonoTime,
+    looks: usize,
+}
+
+impl LookPace {
+    /// Whether one of `gateways` may make one more now; counts it.
+    pub fn take(&mut self, gateways: usize, now: MonoTime) -> bool {
+        if now.since(self.since) >= LOOKS_SPAN {
+            *self = Self { since: now, looks: 0 };
+        }
+        self.looks += 1;
+        self.looks <= (LOOKS_EACH_SECOND / gateways.max(1)).max(1)
+    }
+}
+
+/// Looks for a job that nothing is known of here.
+///
+/// A gateway tells the others of each job before its client is answered, and of each one whose storing takes
+/// long, so one that has heard all others for longer than a client tries knows every job that can come again.
+/// Otherwise the store is asked, as often as it bears.
+pub async fn find_trace(node: &EntryNode, job: &str) -> JobTrace {
+    let now = node.clock.mono();
+    let is_storing = {
+        let mut desk = node.jobs();
+        let is_storing = desk.may_be_stored_elsewhere(job);
+        if !is_storing && node.peers.has_heard_all_for(RESEND_SPAN, now) {
+            return JobTrace::None;
+        }
+        if !desk.looks.take(node.peers.known_count() + 1, now) {
+            return JobTrace::Unclear;
+        }
+        is_storing
+    };
+    let looking = timeout(REFUSAL_LOOK, read_job(&node.store, job, StoreCallCause::JobStored));
+    match looking.await.unwrap_or(Err(StoreFailure::Unknown)) {
+        Ok(Some(_)) => JobTrace::Taken,
+        Ok(None) if is_storing => JobTrace::Unclear,
+        Ok(None) => JobTrace::None,
+        Err(_) => JobTrace::StoreAway,
+    }
+}
--- a/crates/entry/src/batch/room.rs
+++ b/crates/entry/src/batch/room.rs
@@ -5,7 +5,16 @@
 use notch_relay::prelude::*;
 use notch_types::prelude::*;
 
-use crate::node::EntryNode;
+use crate::{batch::desk::JobDesk, node::EntryNode};
+
+/// Refuses whatever comes on a route while not even one item could be done in time: when to come back. Asked before
+/// a job is decoded, as in a burst each comes again and again.
+pub fn refusal(node: &EntryNode, route: &Route, due: Duration) -> Option<Duration> {
+    let now = node.clock.mono();
+    let desk = node.jobs();
+    let item = DueWork { due: now + due, work: desk.board.pace().expected(0) };
+    refusal_of(node, &desk, route, item, now)
+}
 
 /// Counts a job as one that is being taken in, if it can be done in time beside what was accepted before;
 /// else when it should come back.
@@ -17,39 +26,51 @@
     let now = node.clock.mono();
     let mut desk = node.jobs();
     let job = DueWork { due: now + spec.terms.due, work: desk.board.work_of(spec) };
-    for (service, part) in route.parts() {
-        let own = own_demand(node, &desk.works(now), service);
-        let intake = node.intake();
+    if let Some(wait) = refusal_of(node, &desk, route, job, now) {
+        return Err(wait);
+    }
+    desk.note_arriving(&spec.id, &route.name, job);
+    drop(desk);
+    node.jobs_taken.notify(usize::MAX);
+    Ok(())
+}
+
+fn refusal_of(
+    node: &EntryNode,
+    desk: &JobDesk,
+    route: &Route,
+    job: DueWork,
+    now: MonoTime,
+) -> Option<Duration> {
+    let works = desk.works(now);
+    route.parts().find_map(|(service, part)| {
+        let own = own_demand(node, &works, service);
+        let mut intake = node.intake();
         let mut demand = intake.demand(service);
-        let others = demand.total();
+        let elsewhere = demand.total();
         demand.extend(&own);
         let places = intake.places(service);
-        let oldest = intake.oldest(now);
-        drop(intake);
-        let of_service = DueWork { work: job.work.mul_f64(part), ..job };
-        let forecast = IntakeForecast { demand: &demand, places };
-        if let Some(wait) = forecast.refusal(of_service, now) {
+        let job = DueWork { work: job.work.mul_f64(part), ..job };
+        let wait = IntakeForecast { demand: &demand, places }.refusal(job, now)?;
+        // A line for each would be thousands a second.
+        if intake.may_log(now) {
             node.log.info(
-                "job_without_time",
+                "jobs_without_time",
                 &[
-                    ("job", &spec.id),
                     ("route", &route.name),
                     ("service", &service),
-                    ("items", &spec.items.len()),
-                    ("work_ms", &of_service.work.as_millis()),
-                    ("due_ms", &spec.terms.due.as_millis()),
+                    ("work_ms", &job.work.as_millis()),
+                    ("due_ms", &job.due.since(now).as_millis()),
                     ("places", &format_args!("{places:.1}")),
                     ("waiting_here_ms", &own.total().as_millis()),
-                    ("waiting_elsewhere_ms", &others.as_millis()),
-                    ("oldest_word_ms", &oldest.as_millis()),
+                    ("waiting_elsewhere_ms", &elsewhere.as_millis()),
+                    ("oldest_word_ms", &intake.oldest(now).as_millis()),
                     ("wait_ms", &wait.as_millis()),
                 ],
             );
-            return Err(wait);
         }
-    }
-    desk.note_arriving(&spec.id, &route.name, job);
-    Ok(())
+        Some(wait)
+    })
 }
 
 /// What waits for a service here, of jobs owned and of those being taken in.
--- a/crates/entry/src/constants.rs
+++ b/crates/entry/src/constants.rs
@@ -64,8 +64,10 @@
 pub const REPORT_EVERY: Duration = Duration::from_millis(100);
 /// How often it is told when nothing changes.
 pub const REPORT_IDLE: Duration = Duration::from_millis(1_000);
-/// How often it is looked what work waits here and what places it finds: in a burst of ninety times the usual
-/// jobs, a twentieth of what can be done in time comes meanwhile.
+/// Least time between two words of the work that waits here: in a burst of ninety times the usual jobs, a
+/// hundredth of what can be done in time comes meanwhile, at all gateways.
+pub const DEMAND_PAUSE: Duration = Duration::from_millis(10);
+/// How often it is looked what work waits here and what places it finds, beside after each job.
 pub const DEMAND_EVERY: Duration = Duration::from_millis(100);
 /// How often it is told when little changes.
 pub const DEMAND_IDLE: Duration = Duration::from_millis(1_000);
@@ -130,6 +132,11 @@
 /// quarter of a second, with the answers of other gateways. Clients count a job that is taken within
 /// 400 ms; one that can't be decided soon after that does better to come again.
 pub const LIMIT_PATIENCE: Duration = Duration::from_millis(600);
+/// Who has heard all gateways for so long knows every job that its client may send again: clients send one
+/// again within seconds.
+pub const RESEND_SPAN: Duration = Duration::from_secs(10);
+/// A job that isn't stored after this long is told to the other gateways: a write takes a few milliseconds.
+pub const STORING_QUIET: Duration = Duration::from_millis(100);
 /// Longest look in the store for a job that is about to be refused.
 pub const REFUSAL_LOOK: Duration = Duration::from_millis(400);
 /// Longest wait for the store's answer about shares: a write that isn't answered, or a read. One that is lost is tried again in time.
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -64,6 +64,8 @@
     pub stop: StopState,
     /// Told when results were stored or a job ended.
     pub job_news: Event,
+    /// Told when a job is being taken in.
+    pub jobs_taken: Event,
     /// Told when items may have become ready to run.
     pub runner_wake: Event,
     /// Told when a target has started again.
@@ -109,6 +111,7 @@
             peers: PeerTable::default(),
             stop: StopState::default(),
             job_news: Event::new(),
+            jobs_taken: Event::new(),
             runner_wake: Event::new(),
             target_restarts: Event::new(),
             is_verifying: AtomicBool::new(false),
--- a/crates/entry/src/peers/demands.rs
+++ b/crates/entry/src/peers/demands.rs
@@ -2,20 +2,20 @@
 
 use std::{sync::Arc, time::Duration};
 
-use async_std::task;
+use async_std::{future::timeout, task};
 use notch_messages::prelude::*;
 use notch_relay::prelude::*;
 use notch_types::prelude::*;
 
 use crate::{
     batch::room,
-    constants::{DEMAND_EVERY, DEMAND_IDLE},
+    constants::{DEMAND_EVERY, DEMAND_IDLE, DEMAND_PAUSE},
     node::EntryNode,
 };
 
 /// Parts in which a service's demand is told, at most.
 const TOLD_PARTS: usize = 16;
-/// Divisor of what was told last for a change that is told at once.
+/// Divisor of what was told last, for a change that is told without a new job.
 const CHANGE_DIVISOR: u32 = 16;
 
 /// What was told last.
@@ -27,10 +27,11 @@
 
 impl LastTold {
     /// Whether the others should be told of `total`. Nothing is told while nothing waits.
-    fn is_due(&self, total: Duration, now: MonoTime) -> bool {
+    fn is_due(&self, total: Duration, has_new_job: bool, now: MonoTime) -> bool {
+        let is_more = has_new_job && total > self.total;
         let is_changed = total.abs_diff(self.total) > self.total / CHANGE_DIVISOR;
         let is_old = now.since(self.at) >= DEMAND_IDLE;
-        is_changed || (is_old && !total.is_zero())
+        is_more || is_changed || (is_old && !total.is_zero())
     }
 }
 
@@ -38,14 +39,18 @@
 pub async fn tell_demands(node: Arc<EntryNode>) {
     let mut last = LastTold::default();
     loop {
-        task::sleep(DEMAND_EVERY).await;
+        let listener = node.jobs_taken.listen();
+        // A job was taken in, or time passed: both lead to another look.
+        let has_new_job = timeout(DEMAND_EVERY, listener).await.is_ok();
         let now = node.clock.mono();
         note_places(&node, now);
         let demands = room::own_demands(&node, now);
         let total = demands.values().map(WorkDemand::total).sum();
-        if last.is_due(total, now) {
+        if last.is_due(total, has_new_job, now) {
             node.peers.broadcast(&message(&node, &demands, now));
             last = LastTold { total, at: now };
+            // Jobs that come together are told together.
+            task::sleep(DEMAND_PAUSE).await;
         }
     }
 }
@@ -56,7 +61,7 @@
         works: demand.merged(TOLD_PARTS).into_iter().map(|work| told_work(work, now)).collect(),
     };
     let demands = demands.iter().map(report).collect();
-    let pace = node.jobs().board.pace().figures();
+    let pace = node.jobs().board.own_pace().figures();
     PeerMessage::Demand { demands, pace }
 }
 
@@ -81,17 +86,17 @@
         let works = report.works.into_iter().map(work).collect();
         (report.service, WorkDemand::new(works))
     });
-    node.intake().take_demand(peer, demands.collect(), ItemPace::told(pace), now);
+    node.intake().take_demand(peer, demands.collect(), pace, now);
 }
 
 fn note_places(node: &EntryNode, now: MonoTime) {
     let places = node.targets().item_places(now);
+    let mut desk = node.jobs();
     let mut intake = node.intake();
     for (service, places) in &places {
         intake.note_places(service, *places, now);
     }
     intake.expire(|service| places.contains_key(service), now);
-    let pace = intake.pace();
-    drop(intake);
-    node.jobs().board.set_told_pace(pace);
+    let pace = intake.pace(desk.board.own_pace().figures());
+    desk.board.set_shared_pace(pace);
 }
--- a/crates/entry/src/peers/hub.rs
+++ b/crates/entry/src/peers/hub.rs
@@ -185,6 +185,9 @@
                 take_owned(node, &owner, &jobs);
             }
         }
+        PeerMessage::JobStoring(job) => {
+            node.jobs().note_storing_elsewhere(&job, node.clock.mono());
+        }
         PeerMessage::JobClosed(job) => {
             node.jobs().note_closed(&job, node.clock.mono());
         }
--- a/crates/entry/src/peers/table.rs
+++ b/crates/entry/src/peers/table.rs
@@ -116,6 +116,8 @@
     pub share_calls: CallTable<KeptShare>,
     /// When the gateways' entries were read last.
     pub entries: FeedClock,
+    /// When a link came or went last.
+    links_changed_at: Mutex<MonoTime>,
 }
 
 impl PeerTable {
@@ -164,6 +166,8 @@
         record.owner = None;
         record.is_stopping = false;
         record.is_leaving = false;
+        drop(peers);
+        self.note_links_changed(now);
         silence
     }
 
@@ -178,6 +182,8 @@
         record.is_watching = false;
         record.down_since = now;
         record.ahead_since = None;
+        drop(peers);
+        self.note_links_changed(now);
         true
     }
 
@@ -371,6 +377,17 @@
         !self.peers().values().any(|record| record.is_silent(now))
     }
 
+    /// Whether every gateway has been heard, without a link that came or went, for `span`: whatever was told to all
+    /// in it was heard here.
+    pub fn has_heard_all_for(&self, span: Duration, now: MonoTime) -> bool {
+        let changed_at = *self.links_changed_at.lock().unwrap_or_else(PoisonError::into_inner);
+        now.since(changed_at) >= span && self.knows_all(now) && self.hears_all(now)
+    }
+
+    fn note_links_changed(&self, now: MonoTime) {
+        *self.links_changed_at.lock().unwrap_or_else(PoisonError::into_inner) = now;
+    }
+
     fn peers(&self) -> MutexGuard<'_, FastMap<VmName, PeerRecord>> {
         self.peers.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/messages/src/peer.rs
+++ b/crates/messages/src/peer.rs
@@ -112,6 +112,8 @@
     },
     /// The sender owns these jobs now.
     JobsOwned(Vec<String>),
+    /// The sender is storing the job, and doesn't know yet what becomes of it.
+    JobStoring(String),
     /// Every result of the job is stored.
     JobClosed(String),
     /// The client ended the job; the store has it.
--- a/crates/relay/src/intake/forecast.rs
+++ b/crates/relay/src/intake/forecast.rs
@@ -40,16 +40,13 @@
         if self.places < PLACES_LEAST || self.demand.total().is_zero() {
             return None;
         }
-        let mut ahead = job.work;
-        let mut missing = Duration::ZERO;
-        for (index, waiting) in self.demand.works().iter().enumerate() {
+        let works = self.demand.works();
+        let (before, after) = works.split_at(works.partition_point(|work| work.due <= job.due));
+        let mut ahead = job.work + before.iter().map(|work| work.work).sum::<Duration>();
+        let mut missing = ahead.saturating_sub(self.within(job.due, now));
+        for waiting in after {
             ahead += waiting.work;
-            let next_due = self.demand.works().get(index + 1).map(|next| next.due);
-            let is_last_before_job = next_due.is_none_or(|due| due > job.due);
-            if is_last_before_job {
-                let due = waiting.due.max(job.due);
-                missing = missing.max(ahead.saturating_sub(self.within(due, now)));
-            }
+            missing = missing.max(ahead.saturating_sub(self.within(waiting.due, now)));
         }
         let missing = u64::try_from(missing.as_millis()).unwrap_or(u64::MAX);
         (missing > 0).then(|| wait_for(missing, self.places * MILLIS_PER_SECOND))
--- a/crates/relay/src/intake/table.rs
+++ b/crates/relay/src/intake/table.rs
@@ -6,19 +6,22 @@
 
 use crate::{
     intake::{demand::WorkDemand, place_mean::PlaceMean},
-    jobs::pace::ItemPace,
+    jobs::pace::{ItemPace, PaceFigures},
 };
 
 /// What another gateway tells counts for this long; it is told anew at least twice as often.
 const DEMAND_LIFETIME: Duration = Duration::from_millis(2_500);
 
+/// Between two logged refusals: the figures in them change little faster.
+const LOG_EVERY: Duration = Duration::from_millis(100);
+
 /// What another gateway told last.
 #[derive(Debug)]
 struct PeerDemand {
     at: MonoTime,
     /// By service.
     demands: FastMap<String, WorkDemand>,
-    pace: ItemPace,
+    pace: PaceFigures,
 }
 
 /// Work at the other gateways, and places that items find.
@@ -27,6 +30,8 @@
     peers: FastMap<VmName, PeerDemand>,
     /// By service.
     places: FastMap<String, PlaceMean>,
+    /// When a refusal was logged last.
+    logged_at: Option<MonoTime>,
 }
 
 impl IntakeTable {
@@ -35,7 +40,7 @@
         &mut self,
         peer: &VmName,
         demands: FastMap<String, WorkDemand>,
-        pace: ItemPace,
+        pace: PaceFigures,
         now: MonoTime,
     ) {
         self.peers.insert(peer.clone(), PeerDemand { at: now, demands, pace });
@@ -71,10 +76,19 @@
         self.places.get(service).map_or(0.0, PlaceMean::value)
     }
 
-    /// How long items take at a gateway that knows it; for one where none has ended yet.
-    pub fn pace(&self) -> ItemPace {
-        let known = self.peers.values().filter(|peer| peer.pace.is_known());
-        known.max_by_key(|peer| peer.at).map(|peer| peer.pace).unwrap_or_default()
+    /// How long items take at all gateways, this one among them.
+    pub fn pace(&self, own: PaceFigures) -> ItemPace {
+        let told = self.peers.values().map(|peer| peer.pace);
+        ItemPace::mean_of(told.chain([own]))
+    }
+
+    /// Whether a refusal may be logged now; counts it as logged.
+    pub fn may_log(&mut self, now: MonoTime) -> bool {
+        let is_due = self.logged_at.is_none_or(|at| now.since(at) >= LOG_EVERY);
+        if is_due {
+            self.logged_at = Some(now);
+        }
+        is_due
     }
 
     /// Age of the oldest word that counts.
--- a/crates/relay/src/jobs/board.rs
+++ b/crates/relay/src/jobs/board.rs
@@ -38,10 +38,10 @@
     last_doubt: DoubtNumber,
     /// The last doubt that was about every job. Invariant: at most `last_doubt`.
     doubted: DoubtNumber,
-    /// How long items take.
+    /// How long items take here.
     pace: ItemPace,
-    /// The same as another gateway learned it, for the time until an item has ended here.
-    told_pace: ItemPace,
+    /// How long items take at all gateways, as far as is known.
+    shared_pace: ItemPace,
 }
 
 impl JobBoard {
@@ -135,14 +135,19 @@
         self.pace.note(took, item.answer.expected());
     }
 
-    /// How long items take, as far as is known here.
+    /// How long items take.
     pub fn pace(&self) -> ItemPace {
-        if self.pace.is_known() { self.pace } else { self.told_pace }
+        if self.shared_pace.is_known() { self.shared_pace } else { self.pace }
+    }
+
+    /// How long items take here, for the other gateways.
+    pub fn own_pace(&self) -> ItemPace {
+        self.pace
     }
 
-    /// How long items take elsewhere.
-    pub fn set_told_pace(&mut self, pace: ItemPace) {
-        self.told_pace = pace;
+    /// How long items take at all gateways.
+    pub fn set_shared_pace(&mut self, pace: ItemPace) {
+        self.shared_pace = pace;
     }
 
     /// How long the items of a job that comes would take one place.
--- a/crates/relay/src/jobs/pace.rs
+++ b/crates/relay/src/jobs/pace.rs
@@ -8,6 +8,8 @@
 
 /// Weight of the newest run in what is learned: the last dozen or so count.
 const PACE_WEIGHT: f64 = 0.1;
+/// Runs that count in what is learned.
+const RUNS_MOST: u32 = 10;
 
 /// What is learned of items' runs, as one gateway tells another.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -16,6 +18,8 @@
     pub item_us: u64,
     /// Nanoseconds for each token of an answer; 0 when not known.
     pub token_ns: u64,
+    /// Runs that it was learned from, as far as they count.
+    pub runs: u32,
 }
 
 /// Microseconds of a second.
@@ -30,6 +34,8 @@
     item_seconds: LearnedMean,
     /// Seconds for each token of an answer, of items that told their tokens.
     token_seconds: LearnedMean,
+    /// Runs that it was learned from. Invariant: at most [`RUNS_MOST`].
+    runs: u32,
 }
 
 impl ItemPace {
@@ -38,16 +44,27 @@
     pub fn note(&mut self, took: Duration, tokens: u32) {
         let seconds = took.as_secs_f64();
         self.item_seconds.note(seconds, PACE_WEIGHT);
+        self.runs = (self.runs + 1).min(RUNS_MOST);
         if tokens > 0 {
             self.token_seconds.note(seconds / f64::from(tokens), PACE_WEIGHT);
         }
     }
 
-    /// As another gateway learned it.
-    pub fn told(figures: PaceFigures) -> Self {
-        let mut pace = Self::default();
-        pace.item_seconds.note(figures.item_us as f64 / SECOND_US, PACE_WEIGHT);
-        pace.token_seconds.note(figures.token_ns as f64 / SECOND_NS, PACE_WEIGHT);
+    /// What several gateways learned together: each gateway runs few items, and some end long before the others
+    /// do, so what one has learned of a few is far off.
+    pub fn mean_of(all: impl Iterator<Item = PaceFigures>) -> Self {
+        let (mut item_us, mut token_ns, mut runs, mut sized_runs) = (0.0, 0.0, 0, 0);
+        for figures in all {
+            item_us += figures.item_us as f64 * f64::from(figures.runs);
+            runs += figures.runs;
+            if figures.token_ns > 0 {
+                token_ns += figures.token_ns as f64 * f64::from(figures.runs);
+                sized_runs += figures.runs;
+            }
+        }
+        let mut pace = Self { runs: runs.min(RUNS_MOST), ..Self::default() };
+        pace.item_seconds.note(item_us / SECOND_US / f64::from(runs.max(1)), PACE_WEIGHT);
+        pace.token_seconds.note(token_ns / SECOND_NS / f64::from(sized_runs.max(1)), PACE_WEIGHT);
         pace
     }
 
@@ -56,6 +73,7 @@
         PaceFigures {
             item_us: (self.item_seconds.value() * SECOND_US) as u64,
             token_ns: (self.token_seconds.value() * SECOND_NS) as u64,
+            runs: self.runs,
         }
     }
 
