Let late items wait for timely ones elsewhere; bound what a new gateway takes in

Hypothesis: in an overload places go to items past due at one gateway while items that can be in time wait at another, for only each gateway by itself puts late items last. Gateways now tell whether timely work waits for a place, and late items start only where none does.

A gateway that has just started knows of no work elsewhere and of no item's time: 97 jobs were taken in by one in the second after a kill. Until it has heard the others, two seconds at most, it fills its part of the places only, and an item counts as a second while none has ended.

--- a/crates/entry/src/batch/room.rs
+++ b/crates/entry/src/batch/room.rs
@@ -5,14 +5,14 @@
 use notch_relay::prelude::*;
 use notch_types::prelude::*;
 
-use crate::{batch::desk::JobDesk, node::EntryNode};
+use crate::{batch::desk::JobDesk, constants::DEMAND_UNHEARD, node::EntryNode};
 
 /// Refuses whatever comes on a route while not even one item could be done in time: when to come back. Asked before
 /// a job is decoded, as in a burst each comes again and again.
 pub fn refusal(node: &EntryNode, route: &Route, due: Duration) -> Option<Duration> {
     let now = node.clock.mono();
     let desk = node.jobs();
-    let item = DueWork { due: now + due, work: desk.board.pace().expected(0) };
+    let item = DueWork { due: now + due, work: desk.board.pace().expected_or_guessed(0) };
     refusal_of(node, &desk, route, item, now)
 }
 
@@ -49,7 +49,7 @@
         let mut demand = intake.demand(service);
         let elsewhere = demand.total();
         demand.extend(&own);
-        let places = intake.places(service);
+        let places = intake.places(service) * own_part(node, now);
         let job = DueWork { work: job.work.mul_f64(part), ..job };
         let wait = IntakeForecast { demand: &demand, places }.refusal(job, now)?;
         // A line for each would be thousands a second.
@@ -73,6 +73,13 @@
     })
 }
 
+/// The part of the places that this gateway may fill: all of them, as it knows what waits at the others. One that has
+/// just started doesn't yet, and would take in all that comes.
+fn own_part(node: &EntryNode, now: MonoTime) -> f64 {
+    let is_new = now.since(MonoTime::default()) < DEMAND_UNHEARD && !node.peers.hears_all(now);
+    if is_new { 1.0 / (node.peers.known_count() + 1) as f64 } else { 1.0 }
+}
+
 /// What waits for a service here, of jobs owned and of those being taken in.
 fn own_demand(node: &EntryNode, works: &[(&str, DueWork)], service: &str) -> WorkDemand {
     let Some(routes) = node.routes() else { return WorkDemand::default() };
@@ -100,7 +107,13 @@
     let batch = routes.routes().filter(|route| route.kind == RouteKind::Batch);
     let services: FastSet<&str> =
         batch.flat_map(|route| route.parts().map(|(service, _)| service)).collect();
-    let demands =
-        services.into_iter().map(|service| (service.to_owned(), own_demand(node, &works, service)));
+    let serves = |job: &OwnedJob, service: &str| {
+        let mut named = routes.routes().filter(|route| route.name == job.spec().route);
+        named.any(|route| route.parts().any(|(known, _)| known == service))
+    };
+    let demands = services.into_iter().map(|service| {
+        let is_waiting = desk.board.has_timely_item(|job| serves(job, service), now);
+        (service.to_owned(), own_demand(node, &works, service).with_waiting(is_waiting))
+    });
     demands.filter(|(_, demand)| !demand.works().is_empty()).collect()
 }
--- a/crates/entry/src/constants.rs
+++ b/crates/entry/src/constants.rs
@@ -69,6 +69,8 @@
 pub const DEMAND_PAUSE: Duration = Duration::from_millis(10);
 /// How often it is looked what work waits here and what places it finds, beside after each job.
 pub const DEMAND_EVERY: Duration = Duration::from_millis(100);
+/// A gateway that started so recently may not have heard yet what work waits at the others: links form meanwhile.
+pub const DEMAND_UNHEARD: Duration = Duration::from_millis(2_000);
 /// How often it is told when little changes.
 pub const DEMAND_IDLE: Duration = Duration::from_millis(1_000);
 /// A peer that knows more for this long is asked for it: our own watch usually brings it sooner.
--- a/crates/relay/src/intake/forecast.rs
+++ b/crates/relay/src/intake/forecast.rs
@@ -26,7 +26,7 @@
 pub struct IntakeForecast<'a> {
     /// What waits before it, at all gateways.
     pub demand: &'a WorkDemand,
-    /// Places that items find, in the mean.
+    /// Places that items find, in the mean; of those, what this gateway may fill.
     pub places: f64,
 }
 
--- a/crates/relay/src/jobs/board.rs
+++ b/crates/relay/src/jobs/board.rs
@@ -30,6 +30,17 @@
     pub last_event: Option<u64>,
 }
 
+/// The item to run next.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct NextItem {
+    /// The job's id.
+    pub job: String,
+    /// The item's place in the job.
+    pub index: usize,
+    /// Whether it would end late.
+    pub is_late: bool,
+}
+
 /// The jobs that one gateway owns.
 #[derive(Debug, Default)]
 pub struct JobBoard {
@@ -122,12 +133,22 @@
     /// come after all others: run in the order of their due times alone, each item of a burst that
     /// is too large starts just too late, and nearly all end late instead of some. The item isn't
     /// marked yet.
-    pub fn next_item(&self, now: MonoTime) -> Option<(String, usize)> {
+    pub fn next_item(&self, now: MonoTime) -> Option<NextItem> {
         let ready = self.jobs.values().filter_map(|job| Some((job, job.next_item(now)?)));
         let pace = self.pace();
-        let rank = |job: &OwnedJob, index| (job.is_late(index, &pace, now), job.due());
-        let (job, index) = ready.min_by_key(|(job, index)| rank(job, *index))?;
-        Some((job.spec().id.clone(), index))
+        let ranked =
+            ready.map(|(job, index)| (job.is_late(index, &pace, now), job.due(), job, index));
+        let (is_late, _, job, index) = ranked.min_by_key(|(is_late, due, ..)| (*is_late, *due))?;
+        Some(NextItem { job: job.spec().id.clone(), index, is_late })
+    }
+
+    /// Whether an item that can be in time waits for a place, of the jobs that `is_meant` picks.
+    pub fn has_timely_item(&self, is_meant: impl Fn(&OwnedJob) -> bool, now: MonoTime) -> bool {
+        let pace = self.pace();
+        let meant = self.jobs.values().filter(|job| is_meant(job));
+        meant
+            .filter_map(|job| Some((job, job.next_item(now)?)))
+            .any(|(job, index)| now < job.due() && !job.is_late(index, &pace, now))
     }
 
     /// An item ran from its beginning to its end within `took`.
@@ -153,7 +174,7 @@
     /// How long the items of a job that comes would take one place.
     pub fn work_of(&self, spec: &JobSpec) -> Duration {
         let pace = self.pace();
-        spec.items.iter().map(|item| pace.expected(item.answer.expected())).sum()
+        spec.items.iter().map(|item| pace.expected_or_guessed(item.answer.expected())).sum()
     }
 
     /// What waits to be done in time, job by job, with each job's route.
--- a/crates/relay/src/jobs/owned.rs
+++ b/crates/relay/src/jobs/owned.rs
@@ -222,7 +222,7 @@
             ItemPhase::Ended => false,
         });
         let needed = timely.map(|(index, item)| {
-            let whole = pace.expected(self.spec.items[index].answer.expected());
+            let whole = pace.expected_or_guessed(self.spec.items[index].answer.expected());
             let is_begun = item.phase == ItemPhase::Running || item.last_event.is_some();
             if is_begun { whole / REST_DIVISOR } else { whole }
         });
--- a/crates/relay/src/jobs/pace.rs
+++ b/crates/relay/src/jobs/pace.rs
@@ -8,6 +8,8 @@
 
 /// Weight of the newest run in what is learned: the last dozen or so count.
 const PACE_WEIGHT: f64 = 0.1;
+/// Time of an item before any has ended: answers of items have a hundred tokens and more.
+const FIRST_ITEM: Duration = Duration::from_secs(1);
 /// Runs that count in what is learned.
 const RUNS_MOST: u32 = 10;
 
@@ -82,6 +84,12 @@
         self.item_seconds.is_known()
     }
 
+    /// How long an item takes as far as a job that comes is concerned: as long as nothing is known, a guess that
+    /// is rather too short.
+    pub fn expected_or_guessed(&self, tokens: u32) -> Duration {
+        if self.is_known() { self.expected(tokens) } else { FIRST_ITEM }
+    }
+
     /// How long an item whose answer is expected to have `tokens` will likely take.
     pub fn expected(&self, tokens: u32) -> Duration {
         let is_sized = tokens > 0 && self.token_seconds.is_known();
