--- a/crates/entry/src/batch/room.rs
+++ b/crates/entry/src/batch/room.rs
@@ -107,13 +107,7 @@
     let batch = routes.routes().filter(|route| route.kind == RouteKind::Batch);
     let services: FastSet<&str> =
         batch.flat_map(|route| route.parts().map(|(service, _)| service)).collect();
-    let serves = |job: &OwnedJob, service: &str| {
-        let mut named = routes.routes().filter(|route| route.name == job.spec().route);
-        named.any(|route| route.parts().any(|(known, _)| known == service))
-    };
-    let demands = services.into_iter().map(|service| {
-        let is_waiting = desk.board.has_timely_item(|job| serves(job, service), now);
-        (service.to_owned(), own_demand(node, &works, service).with_waiting(is_waiting))
-    });
+    let demands =
+        services.into_iter().map(|service| (service.to_owned(), own_demand(node, &works, service)));
     demands.filter(|(_, demand)| !demand.works().is_empty()).collect()
 }
--- a/crates/entry/src/batch/runner.rs
+++ b/crates/entry/src/batch/runner.rs
@@ -51,8 +51,7 @@
     let Some(routes) = node.routes() else { return };
     for _ in 0..STARTS_PER_PASS {
         let mut desk = node.jobs();
-        let Some(next) = desk.board.next_item(now) else { return };
-        let NextItem { job, index, is_late } = next;
+        let Some((job, index)) = desk.board.next_item(now) else { return };
         let Some(owned) = desk.board.get(&job) else { return };
         let left_ms = (owned.due().0 as i64 - now.0 as i64) / 1_000;
         let spec = Arc::clone(owned.spec());
@@ -62,10 +61,6 @@
             return;
         };
         let service = route.service_for(rand::random());
-        // What would be late here leaves the place to what can be in time elsewhere.
-        if is_late && node.intake().is_waited_for(service) {
-            return;
-        }
         let prompt = item_prompt(&spec.items[index]);
         let query = TargetQuery {
             service,
--- a/crates/entry/src/peers/demands.rs
+++ b/crates/entry/src/peers/demands.rs
@@ -22,19 +22,16 @@
 #[derive(Debug, Default)]
 struct LastTold {
     total: Duration,
-    is_waiting: bool,
     at: MonoTime,
 }
 
 impl LastTold {
     /// Whether the others should be told of `total`. Nothing is told while nothing waits.
-    fn is_due(&self, told: &LastTold, has_new_job: bool) -> bool {
-        let (total, now) = (told.total, told.at);
+    fn is_due(&self, total: Duration, has_new_job: bool, now: MonoTime) -> bool {
         let is_more = has_new_job && total > self.total;
         let is_changed = total.abs_diff(self.total) > self.total / CHANGE_DIVISOR;
         let is_old = now.since(self.at) >= DEMAND_IDLE;
-        let is_other = told.is_waiting != self.is_waiting;
-        is_more || is_changed || is_other || (is_old && !total.is_zero())
+        is_more || is_changed || (is_old && !total.is_zero())
     }
 }
 
@@ -49,11 +46,9 @@
         note_places(&node, now);
         let demands = room::own_demands(&node, now);
         let total = demands.values().map(WorkDemand::total).sum();
-        let is_waiting = demands.values().any(WorkDemand::is_waiting);
-        let told = LastTold { total, is_waiting, at: now };
-        if last.is_due(&told, has_new_job) {
+        if last.is_due(total, has_new_job, now) {
             node.peers.broadcast(&message(&node, &demands, now));
-            last = told;
+            last = LastTold { total, at: now };
             // Jobs that come together are told together.
             task::sleep(DEMAND_PAUSE).await;
         }
@@ -70,7 +65,6 @@
     let report = |(service, demand): (&String, &WorkDemand)| ServiceDemandReport {
         service: service.clone(),
         works: demand.merged(TOLD_PARTS).into_iter().map(|work| told_work(work, now)).collect(),
-        is_waiting: demand.is_waiting(),
     };
     let demands = demands.iter().map(report).collect();
     let pace = node.jobs().board.own_pace().figures();
@@ -96,7 +90,7 @@
     };
     let demands = demands.into_iter().map(|report| {
         let works = report.works.into_iter().map(work).collect();
-        (report.service, WorkDemand::new(works).with_waiting(report.is_waiting))
+        (report.service, WorkDemand::new(works))
     });
     node.intake().take_demand(peer, demands.collect(), pace, now);
 }
--- a/crates/messages/src/peer.rs
+++ b/crates/messages/src/peer.rs
@@ -31,8 +31,6 @@
     pub service: String,
     /// In order of due times.
     pub works: Vec<DueWorkReport>,
-    /// Whether some of it waits for a place now.
-    pub is_waiting: bool,
 }
 
 /// A target's entry with the store's revision of its last change.
--- a/crates/relay/src/intake/demand.rs
+++ b/crates/relay/src/intake/demand.rs
@@ -18,31 +18,17 @@
 pub struct WorkDemand {
     /// Invariant: in order of due times.
     works: Vec<DueWork>,
-    /// Whether some of it waits for a place now; the rest runs, or pauses.
-    is_waiting: bool,
 }
 
 impl WorkDemand {
     /// What waits, in any order.
     pub fn new(mut works: Vec<DueWork>) -> Self {
         works.sort_by_key(|work| work.due);
-        Self { works, is_waiting: false }
-    }
-
-    /// The same, where some of it waits for a place now or doesn't.
-    #[must_use]
-    pub fn with_waiting(self, is_waiting: bool) -> Self {
-        Self { is_waiting, ..self }
-    }
-
-    /// Whether some of it waits for a place now.
-    pub fn is_waiting(&self) -> bool {
-        self.is_waiting
+        Self { works }
     }
 
     /// Joins two demands.
     pub fn extend(&mut self, other: &WorkDemand) {
-        self.is_waiting |= other.is_waiting;
         self.works.extend_from_slice(&other.works);
         self.works.sort_by_key(|work| work.due);
     }
--- a/crates/relay/src/intake/table.rs
+++ b/crates/relay/src/intake/table.rs
@@ -71,13 +71,6 @@
         all
     }
 
-    /// Whether work that can be in time waits for a place of a service at another gateway.
-    pub fn is_waited_for(&self, service: &str) -> bool {
-        self.peers
-            .values()
-            .any(|peer| peer.demands.get(service).is_some_and(WorkDemand::is_waiting))
-    }
-
     /// Places of a service that items find, in the mean; 0 when nothing is known.
     pub fn places(&self, service: &str) -> f64 {
         self.places.get(service).map_or(0.0, PlaceMean::value)
--- a/crates/relay/src/jobs/board.rs
+++ b/crates/relay/src/jobs/board.rs
@@ -30,17 +30,6 @@
     pub last_event: Option<u64>,
 }
 
-/// The item to run next.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct NextItem {
-    /// The job's id.
-    pub job: String,
-    /// The item's place in the job.
-    pub index: usize,
-    /// Whether it would end late.
-    pub is_late: bool,
-}
-
 /// The jobs that one gateway owns.
 #[derive(Debug, Default)]
 pub struct JobBoard {
@@ -133,22 +122,12 @@
     /// come after all others: run in the order of their due times alone, each item of a burst that
     /// is too large starts just too late, and nearly all end late instead of some. The item isn't
     /// marked yet.
-    pub fn next_item(&self, now: MonoTime) -> Option<NextItem> {
+    pub fn next_item(&self, now: MonoTime) -> Option<(String, usize)> {
         let ready = self.jobs.values().filter_map(|job| Some((job, job.next_item(now)?)));
         let pace = self.pace();
-        let ranked =
-            ready.map(|(job, index)| (job.is_late(index, &pace, now), job.due(), job, index));
-        let (is_late, _, job, index) = ranked.min_by_key(|(is_late, due, ..)| (*is_late, *due))?;
-        Some(NextItem { job: job.spec().id.clone(), index, is_late })
-    }
-
-    /// Whether an item that can be in time waits for a place, of the jobs that `is_meant` picks.
-    pub fn has_timely_item(&self, is_meant: impl Fn(&OwnedJob) -> bool, now: MonoTime) -> bool {
-        let pace = self.pace();
-        let meant = self.jobs.values().filter(|job| is_meant(job));
-        meant
-            .filter_map(|job| Some((job, job.next_item(now)?)))
-            .any(|(job, index)| now < job.due() && !job.is_late(index, &pace, now))
+        let rank = |job: &OwnedJob, index| (job.is_late(index, &pace, now), job.due());
+        let (job, index) = ready.min_by_key(|(job, index)| rank(job, *index))?;
+        Some((job.spec().id.clone(), index))
     }
 
     /// An item ran from its beginning to its end within `took`.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -20,7 +20,7 @@
             table::IntakeTable,
         },
         jobs::{
-            board::{ItemStart, JobBoard, NextItem},
+            board::{ItemStart, JobBoard},
             doubt::DoubtNumber,
             owned::{HeldProgress, ItemEnd, OwnedJob},
             pace::{ItemPace, PaceFigures},
--- a/crates/relay/tests/intake.rs
+++ b/crates/relay/tests/intake.rs
@@ -265,22 +265,3 @@
     let mean = ItemPace::mean_of([few, unsized_runs].into_iter()).figures();
     assert_eq!(mean.token_ns, 300, "items that told no tokens say nothing of them");
 }
-
-// The load: a burst of which too much was accepted, at many gateways. One whose items are all late would take places
-// from another's that can still be in time: of 198 items started in a second of the burst day 117 were past due.
-#[test]
-fn it_is_known_whether_timely_work_waits_elsewhere() {
-    let mut table = IntakeTable::default();
-    let told = |is_waiting| {
-        let demand = WorkDemand::new(vec![due(10, 5)]).with_waiting(is_waiting);
-        [("s1".to_owned(), demand)].into_iter().collect()
-    };
-    let figures = PaceFigures::default();
-    table.take_demand(&VmName::new("g-2"), told(false), figures, at(1));
-    assert!(!table.is_waited_for("s1"), "all of it has its places");
-    table.take_demand(&VmName::new("g-3"), told(true), figures, at(1));
-    assert!(table.is_waited_for("s1"));
-    assert!(!table.is_waited_for("s2"));
-    table.take_demand(&VmName::new("g-3"), told(false), figures, at(2));
-    assert!(!table.is_waited_for("s1"));
-}
--- a/crates/relay/tests/jobs.rs
+++ b/crates/relay/tests/jobs.rs
@@ -233,7 +233,7 @@
     let mut board = JobBoard::default();
     board.add(named_job("early", 0));
     board.add(named_job("later", 6_000));
-    let first = |board: &JobBoard, now| board.next_item(at(now)).map(|next| next.job);
+    let first = |board: &JobBoard, now| board.next_item(at(now)).map(|(job, _)| job);
     assert_eq!(first(&board, 17_000).as_deref(), Some("early"), "no item's time is known");
     let item = spec("any", 0, 1).items.remove(0);
     board.note_whole_run(&item, Duration::from_secs(4));
