Look whether a job is being stored here before there is time for it

A job whose storing takes long came again to the same gateway while there was no time for more: it was told 503, "not run", and came to be stored and run.

--- a/crates/entry/src/batch/intake.rs
+++ b/crates/entry/src/batch/intake.rs
@@ -75,6 +75,10 @@
     if is_taken(node, id, arrived).await {
         return answer(node, id, "known", OwnAnswer::of(202), arrived);
     }
+    if node.jobs().is_busy(id) {
+        // Another sending of it is being stored here: nobody can say yet that it isn't.
+        return answer(node, id, "store_unclear", OwnAnswer::of(504), arrived);
+    }
     let Some(terms) = route.job_terms else {
         return answer(node, id, "not_a_batch_route", OwnAnswer::of(400), arrived);
     };
@@ -96,47 +100,54 @@
     if !node.jobs().begin(id) {
         return answer(node, id, "store_unclear", OwnAnswer::of(504), arrived);
     }
-    if let Err(wait) = room::take(node, route, &spec) {
+    if let Err(refusal) = admit(node, route, &spec).await {
         node.jobs().finish(id);
-        return refuse(node, id, JobRefusal::NoTime { wait }, arrived).await;
+        return refuse(node, id, refusal, arrived).await;
     }
-    match limits::reserve(node, route, id, record.limit_tokens).await {
-        LimitOutcome::Reserved => {}
-        LimitOutcome::Full { wait } => {
-            node.jobs().finish(id);
-            return refuse(node, id, JobRefusal::OverLimit { wait }, arrived).await;
-        }
-        LimitOutcome::Unknown => {
-            node.jobs().finish(id);
-            return refuse(node, id, JobRefusal::LimitUnknown, arrived).await;
-        }
+    let (outcome, answered) = match store_patiently(node, spec, record, text.to_owned()).await {
+        Some(IntakeOutcome::Ours) => ("accepted", OwnAnswer::of(202)),
+        Some(IntakeOutcome::Known) => ("known", OwnAnswer::of(202)),
+        Some(IntakeOutcome::NotStored) => ("store_unavailable", OwnAnswer::refused(RETRY_AFTER)),
+        // Not a refusal: nobody can say that it isn't stored.
+        None => ("store_unclear", OwnAnswer::of(504)),
+    };
+    answer(node, id, outcome, answered, arrived)
+}
+
+/// Counts a job that is being taken in, if there is time for it and it fits under its route's limit.
+async fn admit(node: &EntryNode, route: &Route, spec: &Arc<JobSpec>) -> Result<(), JobRefusal> {
+    room::take(node, route, spec).map_err(|wait| JobRefusal::NoTime { wait })?;
+    match limits::reserve(node, route, &spec.id, spec.limit_tokens()).await {
+        LimitOutcome::Reserved => Ok(()),
+        LimitOutcome::Full { wait } => Err(JobRefusal::OverLimit { wait }),
+        LimitOutcome::Unknown => Err(JobRefusal::LimitUnknown),
     }
-    // The storing outlives this client's patience: a job whose write got no answer may come to be
-    // stored, and then somebody must run it.
+}
+
+/// Stores a job; `None` when that takes longer than a client waits.
+///
+/// The storing outlives the client's patience: a job whose write got no answer may come to be stored,
+/// and then somebody must run it.
+async fn store_patiently(
+    node: &Arc<EntryNode>,
+    spec: Arc<JobSpec>,
+    record: JobRecord,
+    text: String,
+) -> Option<IntakeOutcome> {
     let shared = Arc::clone(node);
-    let text = text.to_owned();
-    let storing = task::spawn(async move {
+    let id = spec.id.clone();
+    let mut storing = task::spawn(async move {
         let id = spec.id.clone();
         let outcome = store_job(Arc::clone(&shared), spec, record, text).await;
         shared.jobs().finish(&id);
         outcome
     });
-    let mut storing = storing;
-    let mut stored = timeout(STORING_QUIET, &mut storing).await;
-    if stored.is_err() {
-        // Its client may send it again to a gateway that would refuse it.
-        node.peers.broadcast(&PeerMessage::JobStoring(id.to_owned()));
-        stored = timeout(INTAKE_PATIENCE - STORING_QUIET, storing).await;
-    }
-    match stored {
-        Ok(IntakeOutcome::Ours) => answer(node, id, "accepted", OwnAnswer::of(202), arrived),
-        Ok(IntakeOutcome::Known) => answer(node, id, "known", OwnAnswer::of(202), arrived),
-        Ok(IntakeOutcome::NotStored) => {
-            answer(node, id, "store_unavailable", OwnAnswer::refused(RETRY_AFTER), arrived)
-        }
-        // Not a refusal: nobody can say that it isn't stored.
-        Err(_) => answer(node, id, "store_unclear", OwnAnswer::of(504), arrived),
+    if let Ok(outcome) = timeout(STORING_QUIET, &mut storing).await {
+        return Some(outcome);
     }
+    // Its client may send it again to a gateway that would refuse it.
+    node.peers.broadcast(&PeerMessage::JobStoring(id));
+    timeout(INTAKE_PATIENCE - STORING_QUIET, storing).await.ok()
 }
 
 /// Refuses a job, unless another gateway took it in before without our hearing of it: it runs then, and a
