--- a/crates/gateway/src/control/suspect_calls.rs
+++ b/crates/gateway/src/control/suspect_calls.rs
@@ -16,7 +16,7 @@
     since: MonoTime,
 }
 
-/// News of crashes that other gateways have yet to answer. Bounded by the crashes of [`CALL_AGE`].
+/// News of crashes that other gateways have yet to answer. Bounded by the crashes of two seconds.
 #[derive(Debug, Default)]
 pub struct SuspectCalls {
     calls: FastMap<CallId, SuspectCall>,
