--- a/crates/magnolianotch/tests/support/processes.rs
+++ b/crates/magnolianotch/tests/support/processes.rs
@@ -4,7 +4,7 @@
 #![allow(unreachable_pub, reason = "a module of a test program")]
 
 use std::{
-    fs,
+    fs::{self, File},
     net::{Ipv4Addr, SocketAddr, TcpListener},
     path::{Path, PathBuf},
     process::{Child, Command, ExitStatus, Stdio},
@@ -55,9 +55,12 @@
 }
 
 impl Daemon {
+    /// Starts one; its log stands beside its settings, and goes on over restarts.
     fn start(program: &str, config: &Path) -> Self {
+        let log = File::options().create(true).append(true).open(config.with_extension("log"));
+        let log = log.expect("the log is opened");
         let mut command = Command::new(programs().join(program));
-        command.arg("--config").arg(config).stdout(Stdio::null()).stderr(Stdio::null());
+        command.arg("--config").arg(config).stdout(Stdio::null()).stderr(log);
         Self { child: command.spawn().expect("the daemon starts") }
     }
 
@@ -108,6 +111,8 @@
     /// Starts two gateways and three sidecars, and waits until each gateway answers.
     pub async fn start(name: &str) -> Self {
         let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+        // Logs of an earlier run would be taken for this one's.
+        let _ = fs::remove_dir_all(&folder);
         fs::create_dir_all(&folder).expect("the folder is made");
         let platform = PlatformHandle::start(PlatformSettings::default()).await;
         let mut fleet = Self {
