Give daemons that tests start addresses that no connection can take

Cause: settings named ports of 127.0.0.1 that were free when they were written. Until the daemon listens the system may give such a port to any outgoing connection; the daemon then ends with "can't listen on 127.0.0.1:38381: Address already in use", and a fleet whose sidecars have it looks as in the known failure: gateways that are ready and none that answers.

Shown by a run that takes each port between the settings and the start (a new test): before, "still not: a gateway is ready" and the line above in the gateway's log; after, it passes, as do the six other tests of the file. Addresses now lie on loopback hosts of their own, as the soak's did. Ruled out elsewhere: the demo's gateways bind port 0 and read it back; the soak's proxies keep their listener.

--- a/crates/magnolianotch/tests/processes_ended.rs
+++ b/crates/magnolianotch/tests/processes_ended.rs
@@ -1,9 +1,11 @@
-//! Daemons as processes of their own, ended by SIGKILL and SIGTERM during a job.
+//! Daemons as processes of their own: their addresses, and their ends by SIGKILL and SIGTERM during a job.
 
 #[path = "support/processes.rs"]
 mod processes;
 mod support;
 
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+
 use async_std::task;
 use futures_util::future::join_all;
 use magnolianotch::load::{OnlinePrompt, ReplyEnd};
@@ -111,3 +113,24 @@
         accepted.check_whole(&caller).await;
     });
 }
+
+/// Takes a port as the system may give it to any outgoing connection.
+fn take_port(address: SocketAddr) -> TcpListener {
+    TcpListener::bind((Ipv4Addr::LOCALHOST, address.port())).expect("nobody listens there yet")
+}
+
+// Guards against ports that are free when settings are written and taken when the daemon starts.
+#[test]
+fn daemons_start_though_connections_were_given_their_ports() {
+    let _alone = one_fleet();
+    task::block_on(async {
+        let mut taken: Vec<TcpListener> = Vec::new();
+        let take = |address: SocketAddr| {
+            if taken.iter().all(|l| l.local_addr().is_ok_and(|at| at.port() != address.port())) {
+                taken.push(take_port(address));
+            }
+        };
+        ProcessFleet::start_after("ports", take).await;
+        assert!(!taken.is_empty(), "the fleet names its daemons' addresses");
+    });
+}
--- a/crates/magnolianotch/tests/support/processes.rs
+++ b/crates/magnolianotch/tests/support/processes.rs
@@ -5,7 +5,7 @@
 
 use std::{
     fs::{self, File},
-    net::{Ipv4Addr, SocketAddr, TcpListener},
+    net::SocketAddr,
     path::{Path, PathBuf},
     process::{Child, Command, ExitStatus, Stdio},
     sync::OnceLock,
@@ -20,7 +20,9 @@
 use notch_http::prelude::*;
 use notch_messages::prelude::*;
 use notch_platform::{ObjectApi, VmRecord, VmRole, VmState};
-use notch_standins::{EngineHandle, EngineSettings, PlatformHandle, PlatformSettings};
+use notch_standins::{
+    EngineHandle, EngineSettings, PlatformHandle, PlatformSettings, lasting_address,
+};
 use notch_types::{
     object::{StoreOp, WriteCondition},
     prelude::*,
@@ -110,6 +112,11 @@
 impl ProcessFleet {
     /// Starts two gateways and three sidecars, and waits until each gateway answers.
     pub async fn start(name: &str) -> Self {
+        Self::start_after(name, |_| ()).await
+    }
+
+    /// The same; each daemon's addresses are told before it starts.
+    pub async fn start_after(name: &str, mut tell: impl FnMut(SocketAddr)) -> Self {
         let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
         // Logs of an earlier run would be taken for this one's.
         let _ = fs::remove_dir_all(&folder);
@@ -126,10 +133,10 @@
         };
         fleet.write_entries().await;
         for number in 0..3 {
-            fleet.add_sidecar(number).await;
+            fleet.add_sidecar(number, &mut tell).await;
         }
         for number in 0..2 {
-            fleet.add_gateway(number);
+            fleet.add_gateway(number, &mut tell);
         }
         for number in 0..2 {
             fleet.until_ready(number).await;
@@ -147,11 +154,12 @@
         self.folder.join(format!("{role}-{number}.ini"))
     }
 
-    async fn add_sidecar(&mut self, number: usize) {
+    async fn add_sidecar(&mut self, number: usize, tell: &mut impl FnMut(SocketAddr)) {
         let settings =
             EngineSettings { base_step: Duration::from_millis(4), ..EngineSettings::default() };
         let engine = EngineHandle::start(settings).await.expect("it listens");
-        let [links, metrics] = free_ports();
+        let addresses @ [links, metrics] = daemon_addresses();
+        addresses.into_iter().for_each(tell);
         let vm = target_vm(number);
         let text = format!(
             "[node]\nvm = {vm}\ndomain = {}\n\n[listen]\nlinks = {links}\nmetrics = {metrics}\n\n\
@@ -168,8 +176,9 @@
         self.list(vm, VmRole::Target, links, number);
     }
 
-    fn add_gateway(&mut self, number: usize) {
-        let [callers, links, metrics] = free_ports();
+    fn add_gateway(&mut self, number: usize, tell: &mut impl FnMut(SocketAddr)) {
+        let addresses @ [callers, links, metrics] = daemon_addresses();
+        addresses.into_iter().for_each(tell);
         let vm = VmName::new(&format!("entry-{number}"));
         let text = format!(
             "[node]\nvm = {vm}\ndomain = {}\n\n[listen]\ncallers = {callers}\nlinks = {links}\n\
@@ -234,9 +243,7 @@
     }
 }
 
-/// Ports that were free just now.
-fn free_ports<const N: usize>() -> [SocketAddr; N] {
-    let listeners: [TcpListener; N] =
-        std::array::from_fn(|_| TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port"));
-    listeners.map(|listener| listener.local_addr().expect("it is bound"))
+/// Addresses of one daemon, which no connection can take before it starts, or while it is down.
+fn daemon_addresses<const N: usize>() -> [SocketAddr; N] {
+    std::array::from_fn(|_| lasting_address())
 }
--- a/crates/soak/src/config.rs
+++ b/crates/soak/src/config.rs
@@ -2,8 +2,8 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use notch_platform_standins::lasting_address;
 use notch_settings::EntryConfig;
+use notch_standins::lasting_address;
 use notch_types::prelude::VmName;
 
 /// Secret of the gateways' links.
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -4,6 +4,7 @@
 //! the system's choice. None starts a thread or a process. Each takes faults on command, inside
 //! the process or under `/control/` of its control address.
 
+pub mod addresses;
 pub mod control;
 pub mod engine;
 pub mod fault;
@@ -15,6 +16,7 @@
 pub mod vms;
 pub mod weights;
 
+pub use addresses::lasting_address;
 pub use engine::{EngineHandle, EngineSettings, LoadedModel, expected_text, prompt_text};
 pub use fault::{FaultSettings, FaultSwitch};
 pub use objects::{MemoryObjects, MemorySettings};
--- a/crates/standins/src/served.rs
+++ b/crates/standins/src/served.rs
@@ -14,9 +14,13 @@
 use notch_http::prelude::*;
 use percent_encoding::percent_decode_str;
 
+use crate::addresses::lasting_address;
+
 /// Answers one request.
 pub(crate) type RequestHandler = Arc<dyn Fn(Request) -> BoxFuture<'static, Response> + Send + Sync>;
 
+/// Loopback with a port of no particular number.
+const ANY_ADDRESS: &str = "127.0.0.1:0";
 /// Wait between tries to get the port back.
 const REOPEN_PAUSE: Duration = Duration::from_millis(5);
 /// How long running requests get when a stand-in stops.
@@ -34,13 +38,17 @@
 }
 
 impl ServedPort {
-    /// Serves `address` (`ip:port`; port 0 for one of the system's choice).
+    /// Serves `address` (`ip:port`; loopback with port 0 for one that nobody takes while it is cut).
     pub(crate) async fn open(
         address: &str,
         limits: ServerLimits,
         handler: RequestHandler,
     ) -> io::Result<Self> {
-        let server = bind(address, &limits, &handler).await?;
+        let address = match address {
+            ANY_ADDRESS => lasting_address().to_string(),
+            given => given.to_owned(),
+        };
+        let server = bind(&address, &limits, &handler).await?;
         let address = server.address();
         Ok(Self {
             address,
