Tell gateways what changed among targets instead of every target

Cause, counted there by kind of message: `State` was 90 of 91 MB. It carried every target entry, and was asked for far too often: - a gateway asked every other one whose report was ahead, not one; - one that had read a list from the store after a target left stayed behind its peers for good, as a list didn't raise its revision: it asked again at each report and was sent everything again; - each link encoded its own copy, kept it queued, and held 128 KiB of buffer for each way.

Now: changes since a revision, with what is gone, in parts of 256 entries; pushed once to each gateway by one of those that follow the store; who missed it for 250 ms asks one other; a gap is noticed and asked for; a digest over the targets finds what differs at the same revision. A message is encoded once for all links, a queue is bounded in bytes, a newer report replaces the one that waits, buffers hold 8 KiB. Messages and bytes are counted by kind (`peer_messages_total`, `peer_bytes_total`).

Ruled out: reports (0.26 of 91 MB) and greetings, demands, heartbeats (0.1 MB).

Tests, as values: one target of 3,000 leaves, 299 gateways take it (465 KB a message before, under 1 KB now); parts stay under 64 KiB; gaps, removals passed on second-hand, convergence under loss, repetition and restarts (property); one question at a time; queues by bytes.

The test of a lapsing entry speaks in changes now and asks for more: the removal comes by changes and by a whole list.

--- a/crates/entry/src/constants.rs
+++ b/crates/entry/src/constants.rs
@@ -73,8 +73,6 @@
 pub const DEMAND_UNHEARD: Duration = Duration::from_millis(2_000);
 /// How often it is told when little changes.
 pub const DEMAND_IDLE: Duration = Duration::from_millis(1_000);
-/// A peer that knows more for this long is asked for it: our own watch usually brings it sooner.
-pub const LAG_PATIENCE: Duration = Duration::from_millis(250);
 /// A gateway whose link is down this long is taken for dead and its jobs are taken over.
 pub const PEER_DEAD: Duration = Duration::from_millis(1_000);
 /// Who read the gateways' entries this recently knows every gateway that may take jobs over: a watch of
--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -9,6 +9,7 @@
 use notch_relay::prelude::OwnedJob;
 use notch_settings::EntryConfig;
 use notch_telemetry::prelude::*;
+use notch_types::prelude::FastSet;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook_async_std::Signals;
 
@@ -23,7 +24,7 @@
         pages::{serve_metrics, serve_ready},
     },
     node::EntryNode,
-    peers::{demands, detours, hub, reports},
+    peers::{demands, detours, hub, pushes, reports},
     store::{
         feed::{FeedPlan, follow},
         feed_event::FeedEvent,
@@ -100,6 +101,7 @@
     task::spawn(hub::follow_gateways(Arc::clone(node), settings.clone()));
     task::spawn(ends::follow_ends(Arc::clone(node)));
     task::spawn(reports::tell_uses(Arc::clone(node)));
+    task::spawn(pushes::push_changes(Arc::clone(node)));
     task::spawn(demands::tell_demands(Arc::clone(node)));
     task::spawn(runner::run_jobs(Arc::clone(node)));
     task::spawn(takeover::watch_owners(Arc::clone(node)));
@@ -176,8 +178,8 @@
         node.apply_lapsed(gone, revision);
         share_out_targets(&node);
         forget_routes(&node, now);
-        let known: Vec<String> = node.targets().ids().map(str::to_owned).collect();
-        node.pool.clean(|id| known.iter().any(|k| k == id));
+        let known: FastSet<String> = node.targets().ids().map(str::to_owned).collect();
+        node.pool.clean(|id| known.contains(id));
         node.metrics.set(Gauge::GatewayLinks, node.peers.link_count() as i64);
         node.metrics.set(Gauge::TargetsUp, node.targets().ready_count() as i64);
         node.metrics.set(Gauge::StoreUp, i64::from(node.store.outage().is_up()));
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -20,7 +20,11 @@
     batch::{desk::JobDesk, limit_desk::LimitDesk, read_tally::ReadTallies},
     clock::NodeClock,
     constants::WATCHERS,
-    peers::table::{OwnerLiveness, PeerTable},
+    peers::{
+        catch_up::KnownVersions,
+        table::{OwnerLiveness, PeerTable},
+        traffic::PeerTraffic,
+    },
     stop::StopState,
     store::{
         call_counts::StoreCallCounts,
@@ -68,6 +72,8 @@
     pub jobs_taken: Event,
     /// Told when items may have become ready to run.
     pub runner_wake: Event,
+    /// Told when the configuration or a target changed.
+    pub state_changed: Event,
     /// Told when a target has started again.
     pub target_restarts: Event,
     /// Whether all jobs are about to be checked for their owner.
@@ -95,6 +101,7 @@
             ["kind", "cause"],
         );
         let calls = StoreCallCounts::new(Some(calls));
+        let traffic = PeerTraffic::new(&metrics);
         let owner = format!("{}#{:016x}", config.node.vm, rand::random::<u64>());
         let domain = config.node.domain.as_str().to_owned();
         let (store, detours) = StoreClient::new(config.store.clone(), clock, log.clone(), calls);
@@ -108,11 +115,12 @@
             limits: LimitDesk::default(),
             reads: ReadTallies::default(),
             pool: TargetPool::default(),
-            peers: PeerTable::default(),
+            peers: PeerTable::new(traffic),
             stop: StopState::default(),
             job_news: Event::new(),
             jobs_taken: Event::new(),
             runner_wake: Event::new(),
+            state_changed: Event::new(),
             target_restarts: Event::new(),
             is_verifying: AtomicBool::new(false),
             configuration: RwLock::new(None),
@@ -180,6 +188,13 @@
         self.routes().map_or(0, |routes| routes.version())
     }
 
+    /// Versions of what is known from the store.
+    pub fn known_versions(&self) -> KnownVersions {
+        let configuration = self.configuration_version();
+        let feed = self.target_feed();
+        KnownVersions { configuration, targets: feed.known_since(), digest: feed.digest() }
+    }
+
     /// Whether this VM should take new connections: it knows the configuration and every target.
     pub fn is_ready(&self) -> bool {
         !self.stop.is_stopping() && self.routes().is_some() && self.target_feed().is_whole()
@@ -200,6 +215,7 @@
                     &[("version", &version), ("before", &before), ("source", &source)],
                 );
                 self.metrics.count(Counter::Event("configurations_adopted"));
+                self.state_changed.notify(usize::MAX);
                 self.runner_wake.notify(usize::MAX);
             }
             Err(error) => {
@@ -277,6 +293,7 @@
                 }
             }
         }
+        self.state_changed.notify(usize::MAX);
         self.runner_wake.notify(usize::MAX);
     }
 
--- a/crates/entry/src/peers/hub.rs
+++ b/crates/entry/src/peers/hub.rs
@@ -1,6 +1,6 @@
 //! Links to the other gateways, and what comes on them.
 
-use std::{sync::Arc, time::Duration};
+use std::sync::Arc;
 
 use async_std::task;
 use notch_link::prelude::{LinkDialer, LinkEvent, LinkPeer, LinkSettings, LinkSink};
@@ -14,11 +14,12 @@
 
 use crate::{
     batch::{bodies, ends, limits, ownership, reads},
-    constants::{GATEWAY_WATCH_PAUSE, LAG_PATIENCE, STORE_PAUSE},
+    constants::{GATEWAY_WATCH_PAUSE, STORE_PAUSE},
     node::EntryNode,
     online::crashes,
     peers::{
-        demands, detours,
+        catch_up::{KnownVersions, StateQuestion},
+        demands, detours, pushes,
         record::{GATEWAY_KIND, GatewayEntry},
         reports,
         table::{JobNews, KeptShare, PeerSilence},
@@ -134,7 +135,8 @@
             }
         }
         LinkEvent::Heartbeat { peer } => note_heard(node, &peer),
-        LinkEvent::Message { peer, message: LinkMessage::Peer(message), .. } => {
+        LinkEvent::Message { peer, message: LinkMessage::Peer(message), bytes, .. } => {
+            node.peers.traffic.note_received(message.kind(), bytes);
             note_heard(node, &peer);
             take_message(node, &peer, message);
         }
@@ -158,25 +160,19 @@
             node.peers.set_owner(&peer.vm, &owner, node.clock.mono());
             take_owned(node, &owner, &jobs);
         }
-        PeerMessage::Report { uses, configuration, targets, is_watching } => {
+        PeerMessage::Report { uses, configuration, targets, digest, is_watching } => {
             node.peers.set_watching(&peer.vm, is_watching);
-            let now = node.clock.mono();
-            reports::take_uses(node, &peer.vm, uses, now);
-            let behind = configuration > node.configuration_version()
-                || targets > node.target_feed().revision();
-            let patience = if node.watch.is_watching() { LAG_PATIENCE } else { Duration::ZERO };
-            if node.peers.note_ahead(&peer.vm, behind, patience, now) {
-                let configuration = node.configuration_version();
-                let targets = node.target_feed().revision();
-                node.peers.send(&peer.vm, PeerMessage::AskState { configuration, targets });
-            }
+            reports::take_uses(node, &peer.vm, uses, node.clock.mono());
+            catch_up_with(node, &peer.vm, KnownVersions { configuration, targets, digest });
         }
         PeerMessage::Demand { demands, pace } => {
             demands::take_demand(node, &peer.vm, demands, pace);
         }
         PeerMessage::AskState { configuration, targets } => {
-            let state = newer_state(node, configuration, targets);
-            node.peers.send(&peer.vm, state);
+            let versions = KnownVersions { configuration, targets, digest: 0 };
+            for state in pushes::newer_state(node, versions) {
+                node.peers.send(&peer.vm, state);
+            }
         }
         PeerMessage::State { configuration, targets } => {
             take_state(node, peer, configuration, targets);
@@ -241,20 +237,35 @@
     }
 }
 
-fn newer_state(node: &EntryNode, configuration: u64, targets: u64) -> PeerMessage {
-    let text = node.configuration_text().filter(|(version, _)| *version > configuration);
-    let configuration = text.map(|(_, text)| Payload::from(&*text));
-    let feed = node.target_feed();
-    let is_newer = feed.is_whole() && feed.revision() > targets;
-    let targets = is_newer.then(|| feed.snapshot());
-    PeerMessage::State { configuration, targets }
+/// Asks a gateway that knows more, when it is time to.
+fn catch_up_with(node: &EntryNode, peer: &VmName, theirs: KnownVersions) {
+    let own = node.known_versions();
+    let question = node.peers.catch_up().note_report(own, theirs, node.clock.mono());
+    let Some(question) = question else { return };
+    let targets = match question {
+        StateQuestion::Changes => own.targets,
+        StateQuestion::WholeList => 0,
+    };
+    node.log.info(
+        "state_asked",
+        &[
+            ("gateway", peer),
+            ("configuration", &own.configuration),
+            ("targets", &targets),
+            ("their_configuration", &theirs.configuration),
+            ("their_targets", &theirs.targets),
+        ],
+    );
+    node.metrics.count(Counter::Event("states_asked"));
+    let configuration = own.configuration;
+    node.peers.send(peer, PeerMessage::AskState { configuration, targets });
 }
 
 fn take_state(
     node: &EntryNode,
     peer: &LinkPeer,
     configuration: Option<Payload>,
-    targets: Option<TargetSnapshot>,
+    targets: Option<TargetChanges>,
 ) {
     if let Some(text) = configuration {
         match serde_json::from_slice::<Box<RawValue>>(&text) {
@@ -265,12 +276,12 @@
             }
         }
     }
-    if let Some(snapshot) = targets {
-        let now = node.clock.mono();
-        let entries = snapshot.targets.into_iter().map(|t| (t.entry, t.revision)).collect();
+    let now = node.clock.mono();
+    let is_last = targets.as_ref().is_none_or(|changes| changes.is_last);
+    node.peers.catch_up().note_part(is_last, now);
+    if let Some(changes) = targets {
         let mut feed = node.target_feed();
-        // A gateway that still waits for lapsed entries lists them: what it doesn't list has left.
-        let changes = feed.take_list(entries, snapshot.as_of, MonoTime::default(), now);
+        let changes = feed.take_changes(changes, now);
         let revision = feed.revision();
         drop(feed);
         node.apply_target_changes(changes, peer.vm.as_str(), revision);
--- /dev/null
+++ b/crates/entry/src/peers/pushes.rs
@@ -0,0 +1,67 @@
+//! Pushes changes of configuration and targets to the other gateways as they come from the store.
+
+use std::{sync::Arc, time::Duration};
+
+use async_std::{future::timeout, task};
+use notch_messages::prelude::*;
+use notch_types::prelude::*;
+
+use crate::{
+    node::EntryNode,
+    peers::catch_up::{KnownVersions, is_pusher},
+};
+
+/// Changes that come together are pushed together: short beside the seconds in which a change must be in force.
+const PUSH_PAUSE: Duration = Duration::from_millis(20);
+/// How often it is looked for versions that rose without a change.
+const PUSH_TICK: Duration = Duration::from_millis(200);
+
+/// Pushes changes until the process ends, while this gateway follows the store.
+pub async fn push_changes(node: Arc<EntryNode>) {
+    let mut told = node.known_versions();
+    loop {
+        let listener = node.state_changed.listen();
+        let known = node.known_versions();
+        if known != told {
+            if node.watch.is_watching() {
+                push(&node, told);
+            }
+            told = known;
+        }
+        let _ = timeout(PUSH_TICK, listener).await;
+        task::sleep(PUSH_PAUSE).await;
+    }
+}
+
+/// Pushes what changed since `told` to the gateways that are this one's to push to.
+fn push(node: &EntryNode, told: KnownVersions) {
+    let own = &node.config.node.vm;
+    let followers = node.peers.follower_vms();
+    let receivers: Vec<VmName> = node.peers.linked_vms();
+    let receivers = receivers.iter().filter(|vm| is_pusher(own, &followers, vm));
+    let receivers: Vec<&VmName> = receivers.collect();
+    let messages = newer_state(node, told);
+    // More than one is too much for a push: who needs it asks.
+    if let [message] = messages.as_slice() {
+        node.peers.send_to_all(&receivers, message);
+    }
+}
+
+/// What a gateway has to be told that knows `versions`, a message for each part.
+pub fn newer_state(node: &EntryNode, versions: KnownVersions) -> Vec<PeerMessage> {
+    let text = node.configuration_text();
+    let text = text.filter(|(version, _)| *version > versions.configuration);
+    let mut configuration = text.map(|(_, text)| Payload::from(&*text));
+    let feed = node.target_feed();
+    let is_newer = versions.targets == 0 || feed.known_since() > versions.targets;
+    let parts = if is_newer { feed.changes_since(versions.targets) } else { Vec::new() };
+    drop(feed);
+    if parts.is_empty() {
+        let is_newer = configuration.is_some();
+        let state = PeerMessage::State { configuration, targets: None };
+        return is_newer.then_some(state).into_iter().collect();
+    }
+    let state =
+        |part| PeerMessage::State { configuration: configuration.take(), targets: Some(part) };
+    parts.into_iter().map(state).collect()
+}
--- a/crates/entry/src/peers/reports.rs
+++ b/crates/entry/src/peers/reports.rs
@@ -10,6 +10,7 @@
 use crate::{
     constants::{REPORT_EVERY, REPORT_IDLE},
     node::EntryNode,
+    peers::catch_up::KnownVersions,
 };
 
 /// What this gateway uses and knows now.
@@ -21,10 +22,21 @@
     };
     let mut uses: Vec<TargetUseReport> = node.targets().own_uses().map(report).collect();
     uses.sort_by(|a, b| a.target.cmp(&b.target));
-    let configuration = node.configuration_version();
-    let targets = node.target_feed().revision();
+    let KnownVersions { configuration, targets, digest } = node.known_versions();
     let is_watching = node.watch.is_watching();
-    PeerMessage::Report { uses, configuration, targets, is_watching }
+    PeerMessage::Report { uses, configuration, targets, digest, is_watching }
+}
+
+/// Whether the others have to hear of `new` at once. Versions alone are no reason: changes are pushed, and
+/// each would be told by every gateway to every other.
+fn is_news(last: &PeerMessage, new: &PeerMessage) -> bool {
+    match (last, new) {
+        (
+            PeerMessage::Report { uses, is_watching, .. },
+            PeerMessage::Report { uses: new_uses, is_watching: new_watching, .. },
+        ) => (uses, is_watching) != (new_uses, new_watching),
+        _ => true,
+    }
 }
 
 /// Tells the others when something changed, and now and then when nothing did.
@@ -35,7 +47,8 @@
         task::sleep(REPORT_EVERY).await;
         let now = node.clock.mono();
         let message = report(&node);
-        if last.as_ref() == Some(&message) && now.since(last_at) < REPORT_IDLE {
+        let is_news = last.as_ref().is_none_or(|last| is_news(last, &message));
+        if !is_news && now.since(last_at) < REPORT_IDLE {
             continue;
         }
         node.peers.broadcast(&message);
--- a/crates/entry/src/peers/table.rs
+++ b/crates/entry/src/peers/table.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     constants::{ENTRIES_FRESH, FIRST_LINK, OWNER_DOUBT, PEER_DEAD},
-    peers::{calls::CallTable, record::GatewayEntry},
+    peers::{calls::CallTable, catch_up::CatchUp, record::GatewayEntry, traffic::PeerTraffic},
     store::feed_clock::FeedClock,
 };
 
@@ -100,8 +100,6 @@
     is_leaving: bool,
     /// It follows the store.
     is_watching: bool,
-    /// Since when it has said that it knows more than we do.
-    ahead_since: Option<MonoTime>,
 }
 
 /// A gateway that was lost may have left a write to the store behind, which is done a little later: jobs read sooner
@@ -140,9 +138,23 @@
     pub entries: FeedClock,
     /// Which jobs of the others are known.
     job_news: Mutex<JobNewsClock>,
+    /// Messages on links.
+    pub traffic: PeerTraffic,
+    /// When to ask for newer state.
+    catch_up: Mutex<CatchUp>,
 }
 
 impl PeerTable {
+    /// An empty table that counts messages by `traffic`.
+    pub fn new(traffic: PeerTraffic) -> Self {
+        Self { traffic, ..Self::default() }
+    }
+
+    /// When to ask for newer state.
+    pub fn catch_up(&self) -> MutexGuard<'_, CatchUp> {
+        self.catch_up.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Takes a gateway's entry. `dial` makes a dialler; it's called when this side has to dial.
     pub fn put_entry(
         &self,
@@ -201,7 +213,6 @@
         record.link = None;
         record.is_watching = false;
         record.down_since = now;
-        record.ahead_since = None;
         drop(peers);
         self.note_jobs_missed(now);
         true
@@ -268,29 +279,6 @@
         before.count()
     }
 
-    /// A peer said what it knows; true when it has known more than we do for some time and should
-    /// be asked. Our own watch usually brings the same, so a moment's lead means nothing.
-    pub fn note_ahead(
-        &self,
-        vm: &VmName,
-        is_ahead: bool,
-        patience: Duration,
-        now: MonoTime,
-    ) -> bool {
-        let mut peers = self.peers();
-        let Some(record) = peers.get_mut(vm) else { return false };
-        if !is_ahead {
-            record.ahead_since = None;
-            return false;
-        }
-        let since = *record.ahead_since.get_or_insert(now);
-        let is_due = now.since(since) >= patience;
-        if is_due {
-            record.ahead_since = Some(now);
-        }
-        is_due
-    }
-
     /// A gateway that follows the store, drawn by a number from 0 to 1; `None` when none does.
     pub fn follower(&self, draw: f64) -> Option<VmName> {
         let peers = self.peers();
@@ -302,10 +290,38 @@
         followers.get(index).map(|vm| (*vm).clone())
     }
 
+    /// The other gateways that follow the store.
+    pub fn follower_vms(&self) -> Vec<VmName> {
+        let peers = self.peers();
+        let follows = |r: &PeerRecord| r.is_watching && !r.is_leaving && r.link.is_some();
+        let followers = peers.iter().filter(|(_, record)| follows(record));
+        followers.map(|(vm, _)| vm.clone()).collect()
+    }
+
     /// Sends to one gateway; false when there is no link.
     pub fn send(&self, vm: &VmName, message: PeerMessage) -> bool {
         let link = self.peers().get(vm).and_then(|record| record.link.clone());
-        link.is_some_and(|link| link.send(LinkMessage::Peer(message)).is_ok())
+        link.is_some_and(|link| self.send_on(&[link], &message) == 1)
+    }
+
+    /// Sends to several gateways, as far as there are links.
+    pub fn send_to_all(&self, vms: &[&VmName], message: &PeerMessage) {
+        let peers = self.peers();
+        let links = vms.iter().filter_map(|vm| peers.get(*vm)?.link.clone());
+        let links: Vec<LinkHandle> = links.collect();
+        drop(peers);
+        self.send_on(&links, message);
+    }
+
+    /// Encodes a message once and queues it on `links`; on how many that succeeded. A full or closed queue
+    /// loses it: what is told is told again, asked for, or read from the store.
+    fn send_on(&self, links: &[LinkHandle], message: &PeerMessage) -> usize {
+        let Ok(encoded) = EncodedMessage::encode(&LinkMessage::Peer(message.clone())) else {
+            return 0;
+        };
+        let sent = links.iter().filter(|link| link.send_encoded(encoded.clone()).is_ok()).count();
+        self.traffic.note_sent(message.kind(), encoded.len(), sent);
+        sent
     }
 
     /// Sends to the gateway that `owner` names; false when there is no link to that incarnation.
@@ -314,17 +330,14 @@
         let found = peers.values().find(|record| record.owner.as_deref() == Some(owner));
         let link = found.and_then(|record| record.link.clone());
         drop(peers);
-        link.is_some_and(|link| link.send(LinkMessage::Peer(message)).is_ok())
+        link.is_some_and(|link| self.send_on(&[link], &message) == 1)
     }
 
     /// Sends to every gateway with a link.
     pub fn broadcast(&self, message: &PeerMessage) {
         let links: Vec<LinkHandle> =
             self.peers().values().filter_map(|record| record.link.clone()).collect();
-        for link in links {
-            // A full or closed queue: what is told is told again, or read from the store.
-            let _ = link.send(LinkMessage::Peer(message.clone()));
-        }
+        self.send_on(&links, message);
     }
 
     /// How many other gateways are known.
@@ -458,7 +471,6 @@
             is_stopping: false,
             is_leaving: false,
             is_watching: false,
-            ahead_since: None,
         }
     }
 }
--- a/crates/entry/tests/target_feed.rs
+++ b/crates/entry/tests/target_feed.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use notch_entry::store::target::{TargetChange, TargetFeed};
+use notch_messages::prelude::{TargetChanges, VersionedTarget};
 use notch_relay::prelude::*;
 use notch_types::prelude::*;
 
@@ -24,6 +25,21 @@
     }
 }
 
+/// Every entry that a gateway tells to one that knows none.
+fn told_whole(feed: &TargetFeed) -> Vec<VersionedTarget> {
+    feed.changes_since(0).into_iter().flat_map(|part| part.entries).collect()
+}
+
+fn take_all(feed: &mut TargetFeed, parts: Vec<TargetChanges>) -> Vec<TargetChange> {
+    parts.into_iter().flat_map(|part| feed.take_changes(part, NOW)).collect()
+}
+
+fn whole_feed() -> TargetFeed {
+    let mut feed = TargetFeed::default();
+    feed.take_list(Vec::new(), 1, NO_LAPSE, NOW);
+    feed
+}
+
 #[test]
 fn an_older_word_changes_nothing() {
     let mut feed = TargetFeed::default();
@@ -45,15 +61,14 @@
 /// entries apart.
 #[test]
 fn a_later_start_counts_in_whatever_order_it_is_heard_of() {
-    let mut feed = TargetFeed::default();
+    let mut feed = whole_feed();
     feed.put(started(1_000), 5);
     let restart = TargetChange::Restart { before: "t1#1000".to_owned(), entry: started(2_000) };
     assert_eq!(feed.put(started(2_000), 9), Some(restart));
     assert_eq!(feed.put(started(1_000), 7), None, "an older word");
     assert_eq!(feed.put(started(1_000), 12), None, "a write of the earlier start, done late");
     assert_eq!(feed.take_list(vec![(started(1_000), 12)], 14, NO_LAPSE, NOW), []);
-    let told = feed.snapshot();
-    assert_eq!(told.targets.iter().map(|t| t.entry.born).collect::<Vec<_>>(), [2_000]);
+    assert_eq!(told_whole(&feed).iter().map(|t| t.entry.born).collect::<Vec<_>>(), [2_000]);
     let gone = feed.remove("t1", 20, NO_LAPSE, NOW);
     assert_eq!(gone, Some(TargetChange::Remove("t1#2000".to_owned())));
     assert_eq!(feed.put(started(1_000), 25), None, "nor after the later one has left");
@@ -75,7 +90,7 @@
 /// the unreadable entry was held against the target, or told at each read.
 #[test]
 fn an_unreadable_entry_names_no_target_until_it_can_be_read() {
-    let mut feed = TargetFeed::default();
+    let mut feed = whole_feed();
     feed.put(entry("t1"), 5);
     feed.put(entry("t2"), 5);
     let gone = TargetChange::Remove("t1".to_owned());
@@ -83,7 +98,7 @@
     assert_eq!(feed.refuse("t1", 7), (false, None), "the same change");
     assert_eq!(feed.refuse("t1", 8), (true, None), "another one");
     assert_eq!(feed.refuse("t9", 8), (true, None), "never known");
-    assert_eq!(feed.snapshot().targets.len(), 1, "the other holds");
+    assert_eq!(told_whole(&feed).len(), 1, "the other holds");
     assert_eq!(feed.put(entry("t1"), 9), Some(TargetChange::Put(entry("t1"))));
 }
 
@@ -112,18 +127,18 @@
 /// the kept entry was given the list's revision, newer than the others' word of its leaving.
 #[test]
 fn a_lapsing_entry_is_no_news_to_gateways_that_know_it_left() {
-    let mut turned_away = TargetFeed::default();
-    let mut in_touch = TargetFeed::default();
+    let mut turned_away = whole_feed();
+    let mut in_touch = whole_feed();
     turned_away.put(entry("t1"), 7);
     in_touch.put(entry("t1"), 7);
     in_touch.remove("t1", 86, NO_LAPSE, NOW);
     turned_away.take_list(Vec::new(), 89, LAPSE_END, NOW);
-    let told = turned_away.snapshot();
-    let entries = told.targets.into_iter().map(|target| (target.entry, target.revision)).collect();
-    assert_eq!(in_touch.take_list(entries, told.as_of, NO_LAPSE, NOW), []);
+    let told = turned_away.changes_since(in_touch.known_since());
+    assert_eq!(take_all(&mut in_touch, told), []);
+    assert_eq!(take_all(&mut in_touch, turned_away.changes_since(0)), [], "nor in a whole list");
     // And the other way round it learns at once.
-    let told = in_touch.snapshot();
-    assert!(told.as_of > turned_away.revision(), "so that it asks");
-    let changes = turned_away.take_list(Vec::new(), told.as_of, NO_LAPSE, NOW);
+    assert!(in_touch.known_since() > turned_away.known_since(), "so that it asks");
+    let told = in_touch.changes_since(turned_away.known_since());
+    let changes = take_all(&mut turned_away, told);
     assert_eq!(changes, [TargetChange::Remove("t1".to_owned())]);
 }
--- /dev/null
+++ b/crates/entry/tests/target_spread.rs
@@ -0,0 +1,254 @@
+//! How changes of targets reach hundreds of gateways, as values: bytes, order, loss and repetition.
+
+use std::time::Duration;
+
+use notch_entry::{
+    peers::catch_up::{CatchUp, KnownVersions, StateQuestion, is_pusher},
+    store::target::TargetFeed,
+};
+use notch_link::prelude::EncodedMessage;
+use notch_messages::prelude::*;
+use notch_relay::prelude::*;
+use notch_types::prelude::*;
+use proptest::prelude::*;
+use rstest::rstest;
+
+const NO_LAPSE: MonoTime = MonoTime(0);
+const GATEWAYS: usize = 300;
+const TARGETS: u64 = 3_000;
+
+fn entry(number: u64, state: TargetState) -> TargetEntry {
+    let name = format!("model-server-fd-{}-{number}", number % 5);
+    TargetEntry {
+        id: TargetEntry::start_id(&name, 1_764_000_000_000 + number),
+        name,
+        born: 1_764_000_000_000 + number,
+        service: "assistant".to_owned(),
+        address: ([10, 1, (number >> 8) as u8, number as u8], 8_000).into(),
+        domain: format!("fd-{}", number % 5),
+        slots: 7,
+        state,
+        cold_left: Duration::ZERO,
+    }
+}
+
+fn filled_feed(targets: u64) -> TargetFeed {
+    let mut feed = TargetFeed::default();
+    let entries = (0..targets).map(|number| (entry(number, TargetState::Ready), number + 1));
+    feed.take_list(entries.collect(), targets, NO_LAPSE, MonoTime(0));
+    feed
+}
+
+fn encoded_bytes(changes: &TargetChanges) -> usize {
+    let state = PeerMessage::State { configuration: None, targets: Some(changes.clone()) };
+    EncodedMessage::encode(&LinkMessage::Peer(state)).expect("it is encoded").len()
+}
+
+fn versions(feed: &TargetFeed) -> KnownVersions {
+    KnownVersions { configuration: 1, targets: feed.known_since(), digest: feed.digest() }
+}
+
+fn vms(count: usize) -> Vec<VmName> {
+    (0..count).map(|number| VmName::new(&format!("entry-{number}"))).collect()
+}
+
+// Guards against a list of all targets sent for each change: it took gateways over their memory.
+#[test]
+fn one_target_that_leaves_costs_each_gateway_a_few_hundred_bytes() {
+    let mut follower = filled_feed(TARGETS);
+    let mut gateways: Vec<TargetFeed> = (1..GATEWAYS).map(|_| filled_feed(TARGETS)).collect();
+    let told = follower.known_since();
+    follower.put(entry(7, TargetState::Draining), TARGETS + 1);
+    let parts = follower.changes_since(told);
+    let largest = parts.iter().map(encoded_bytes).max().expect("there is a change");
+    assert!(largest < 1_000, "{largest} bytes");
+    for feed in &mut gateways {
+        let changes: Vec<_> =
+            parts.iter().flat_map(|part| feed.take_changes(part.clone(), MonoTime(0))).collect();
+        assert!(!changes.is_empty());
+        assert_eq!(versions(feed), versions(&follower));
+    }
+}
+
+// Guards against messages as long as the fleet is large.
+#[test]
+fn a_gateway_that_knows_nothing_is_told_in_bounded_parts() {
+    let sender = filled_feed(TARGETS);
+    let parts = sender.changes_since(0);
+    let largest = parts.iter().map(encoded_bytes).max().expect("there are targets");
+    assert!(largest < 64 << 10, "{largest} bytes");
+    let mut receiver = TargetFeed::default();
+    for part in parts {
+        assert!(!receiver.is_whole(), "not before the last part");
+        receiver.take_changes(part, MonoTime(0));
+    }
+    assert_eq!(versions(&receiver), versions(&sender));
+}
+
+// Guards against a gateway that listed the store after a target left and asked for news ever after.
+#[test]
+fn a_whole_list_without_changes_leaves_nobody_behind() {
+    let mut sender = filled_feed(10);
+    sender.remove(&entry(3, TargetState::Ready).name, 40, NO_LAPSE, MonoTime(0));
+    let mut receiver = TargetFeed::default();
+    for part in sender.changes_since(0) {
+        receiver.take_changes(part, MonoTime(0));
+    }
+    assert_eq!(versions(&receiver), versions(&sender));
+}
+
+// Guards against a removal that is lost with a gateway which never knew the target.
+#[test]
+fn a_removal_is_passed_on_by_a_gateway_that_never_knew_the_target() {
+    let (mut source, mut middle, mut last) = (filled_feed(10), filled_feed(10), filled_feed(10));
+    source.put(entry(50, TargetState::Ready), 20);
+    last.put(entry(50, TargetState::Ready), 20);
+    source.remove(&entry(50, TargetState::Ready).name, 30, NO_LAPSE, MonoTime(0));
+    for part in source.changes_since(middle.known_since()) {
+        middle.take_changes(part, MonoTime(0));
+    }
+    for part in middle.changes_since(last.known_since()) {
+        last.take_changes(part, MonoTime(0));
+    }
+    assert_eq!(versions(&last), versions(&source));
+}
+
+// Guards against changes that hide earlier ones which never came.
+#[test]
+fn changes_beyond_a_gap_are_not_taken() {
+    let (mut source, mut behind) = (filled_feed(10), filled_feed(10));
+    source.put(entry(1, TargetState::Draining), 20);
+    let told = source.known_since();
+    source.put(entry(2, TargetState::Draining), 21);
+    for part in source.changes_since(told) {
+        assert_eq!(behind.take_changes(part, MonoTime(0)), []);
+    }
+    assert_eq!(behind.known_since(), 10, "so that it asks");
+    for part in source.changes_since(behind.known_since()) {
+        behind.take_changes(part, MonoTime(0));
+    }
+    assert_eq!(versions(&behind), versions(&source));
+}
+
+// Guards against a gateway that asks everybody who knows more.
+#[test]
+fn a_gateway_that_is_behind_asks_one_other_at_a_time() {
+    let own = KnownVersions { configuration: 1, targets: 10, digest: 1 };
+    let theirs = KnownVersions { targets: 11, ..own };
+    let mut catch_up = CatchUp::default();
+    let mut asked = Vec::new();
+    // Each of 299 gateways reports once a second; the first answer is lost.
+    for report in 0_u64..600 {
+        let now = MonoTime::from_millis(report * 3);
+        asked.extend(catch_up.note_report(own, theirs, now).map(|question| (now, question)));
+    }
+    let times: Vec<u64> = asked.iter().map(|(at, _)| at.0 / 1_000).collect();
+    assert!(asked.iter().all(|(_, question)| *question == StateQuestion::Changes));
+    assert!(times.windows(2).all(|pair| pair[1] - pair[0] >= 300), "{times:?}");
+    assert!((250..600).contains(&times[0]), "a push would have come before: {times:?}");
+}
+
+// Guards against waiting for a push by one that can't serve yet.
+#[test]
+fn a_gateway_that_knows_nothing_asks_at_once() {
+    let theirs = KnownVersions { configuration: 1, targets: 10, digest: 1 };
+    let question = CatchUp::default().note_report(KnownVersions::default(), theirs, MonoTime(5));
+    assert_eq!(question, Some(StateQuestion::Changes));
+}
+
+// Guards against a change that was missed though the revisions are the same.
+#[test]
+fn a_lasting_difference_at_one_revision_is_repaired_by_a_whole_list() {
+    let own = KnownVersions { configuration: 1, targets: 10, digest: 1 };
+    let theirs = KnownVersions { digest: 2, ..own };
+    let mut catch_up = CatchUp::default();
+    let mut ask =
+        |at_ms, versions| catch_up.note_report(own, versions, MonoTime::from_millis(at_ms));
+    assert_eq!(ask(0, theirs), None, "an entry may only have lapsed there");
+    assert_eq!(ask(4_000, own), None, "another gateway knows the same");
+    assert_eq!(ask(6_000, theirs), None);
+    assert_eq!(ask(11_000, theirs), Some(StateQuestion::WholeList));
+    assert_eq!(ask(11_500, theirs), None, "not again at once");
+}
+
+#[rstest]
+#[case(1)]
+#[case(4)]
+fn each_gateway_is_pushed_to_by_exactly_one_follower(#[case] followers: usize) {
+    let all = vms(GATEWAYS);
+    let (following, others) = all.split_at(followers);
+    for receiver in others {
+        let pushers = following.iter().filter(|own| is_pusher(own, following, receiver));
+        assert_eq!(pushers.count(), 1);
+    }
+}
+
+/// What happens to one of two gateways that hear of changes from a source.
+#[derive(Debug, Clone)]
+enum SpreadStep {
+    /// A target is written at the source.
+    Put(u64, bool),
+    /// A target leaves at the source.
+    Remove(u64),
+    /// The source pushes to a gateway what it hasn't told yet; the message may be lost or come twice.
+    Push { to: usize, copies: usize },
+    /// A gateway asks another one.
+    Ask { from: usize, of: usize },
+    /// A gateway starts again.
+    Restart(usize),
+}
+
+fn any_step() -> impl Strategy<Value = SpreadStep> {
+    prop_oneof![
+        (0..8_u64, any::<bool>()).prop_map(|(target, draining)| SpreadStep::Put(target, draining)),
+        (0..8_u64).prop_map(SpreadStep::Remove),
+        (1..4_usize, 0..3_usize).prop_map(|(to, copies)| SpreadStep::Push { to, copies }),
+        (1..4_usize, 0..4_usize).prop_map(|(from, of)| SpreadStep::Ask { from, of }),
+        (1..4_usize).prop_map(SpreadStep::Restart),
+    ]
+}
+
+fn ask(feeds: &mut [TargetFeed], from: usize, of: usize) {
+    for part in feeds[of].changes_since(feeds[from].known_since()) {
+        feeds[from].take_changes(part, MonoTime(0));
+    }
+}
+
+proptest! {
+    // Guards against gateways that differ for good after loss, repetition, restarts and second-hand news.
+    #[test]
+    fn gateways_converge_whatever_is_lost_or_repeated(
+        steps in proptest::collection::vec(any_step(), 0..60)
+    ) {
+        let mut feeds: Vec<TargetFeed> = (0..4).map(|_| filled_feed(3)).collect();
+        let mut revision = 10;
+        let mut told = feeds[0].known_since();
+        for step in steps {
+            revision += 1;
+            match step {
+                SpreadStep::Put(target, draining) => {
+                    let state = if draining { TargetState::Draining } else { TargetState::Ready };
+                    feeds[0].put(entry(target, state), revision);
+                }
+                SpreadStep::Remove(target) => {
+                    let name = entry(target, TargetState::Ready).name;
+                    feeds[0].remove(&name, revision, NO_LAPSE, MonoTime(0));
+                }
+                SpreadStep::Push { to, copies } => {
+                    let parts = feeds[0].changes_since(told);
+                    told = feeds[0].known_since();
+                    for part in std::iter::repeat_n(parts, copies).flatten() {
+                        feeds[to].take_changes(part, MonoTime(0));
+                    }
+                }
+                SpreadStep::Ask { from, of } if from != of => ask(&mut feeds, from, of),
+                SpreadStep::Ask { .. } => {}
+                SpreadStep::Restart(gateway) => feeds[gateway] = TargetFeed::default(),
+            }
+        }
+        for gateway in 1..4 {
+            ask(&mut feeds, gateway, 0);
+            prop_assert_eq!(versions(&feeds[gateway]), versions(&feeds[0]));
+        }
+    }
+}
--- a/crates/gateway/src/control/core_links.rs
+++ b/crates/gateway/src/control/core_links.rs
@@ -34,7 +34,7 @@
                 }
             }
             LinkEvent::Heartbeat { .. } => {}
-            LinkEvent::Message { peer, link, message } => {
+            LinkEvent::Message { peer, link, message, .. } => {
                 self.take_message(now, &peer, link, message);
             }
         }
--- a/crates/gateway/src/edge/link_sink.rs
+++ b/crates/gateway/src/edge/link_sink.rs
@@ -20,12 +20,12 @@
 /// they would fill it, and a busy decision would hold every stream back.
 pub fn link_sink(inbox: ControlInbox, answers: Arc<AnswerBook>) -> LinkSink {
     Arc::new(move |event| match event {
-        LinkEvent::Message { peer, link, message: LinkMessage::ToGateway(message) }
+        LinkEvent::Message { peer, link, message: LinkMessage::ToGateway(message), bytes }
             if peer.role == NodeRole::Sidecar =>
         {
             if let Some(message) = take_answer(&inbox, &answers, &peer, message) {
                 let message = LinkMessage::ToGateway(message);
-                inbox.send(ControlEvent::Link(LinkEvent::Message { peer, link, message }));
+                inbox.send(ControlEvent::Link(LinkEvent::Message { peer, link, message, bytes }));
             }
         }
         LinkEvent::Heartbeat { .. } => {}
--- a/crates/link/src/connection.rs
+++ b/crates/link/src/connection.rs
@@ -1,11 +1,13 @@
 //! One standing link: reads, writes, heartbeats and the silence limit.
 
 use std::{
-    sync::atomic::{AtomicU64, Ordering},
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
     time::Duration,
 };
 
-use async_channel::Receiver;
 use async_std::future::timeout;
 use futures_util::{
     SinkExt, StreamExt,
@@ -18,20 +20,27 @@
 
 use crate::{
     codec,
+    encoded::EncodedMessage,
     error::LinkError,
     event::{LinkDown, LinkEvent, LinkHandle, LinkPeer, LinkSink},
     handshake::LinkSocket,
+    queue::{LinkQueue, QueueLimits},
     settings::LinkSettings,
 };
 
 /// Messages written before the socket is flushed, at most.
 const WRITE_BATCH: usize = 64;
+/// Bytes read from, or gathered for, one socket at a time. Each link holds a buffer of this size for each
+/// way, so a process with hundreds of links pays for it hundreds of times.
+const SOCKET_BUFFER: usize = 8 << 10;
 
 static NEXT_LINK: AtomicU64 = AtomicU64::new(1);
 
 /// WebSocket limits: one message a frame, bounded.
 pub(crate) fn socket_config(settings: &LinkSettings) -> WebSocketConfig {
     WebSocketConfig::default()
+        .read_buffer_size(SOCKET_BUFFER)
+        .write_buffer_size(SOCKET_BUFFER)
         .max_message_size(Some(settings.max_message_bytes))
         .max_frame_size(Some(settings.max_message_bytes))
 }
@@ -60,13 +69,14 @@
     sink: &LinkSink,
 ) {
     let id = NEXT_LINK.fetch_add(1, Ordering::Relaxed);
-    let (queue, messages) = async_channel::bounded(settings.queue);
-    let link = LinkHandle { id, queue: queue.clone() };
+    let limits = QueueLimits { messages: settings.queue, bytes: settings.queue_bytes };
+    let queue = Arc::new(LinkQueue::new(limits));
+    let link = LinkHandle { id, queue: Arc::clone(&queue) };
     sink(LinkEvent::Up { peer: peer.clone(), link });
     let mut guard = DownGuard { peer: &peer, link: id, reason: LinkDown::Closed, sink };
     let (outgoing, incoming) = socket.split();
     let reading = read_all(incoming, settings.silence, &peer, id, sink);
-    let writing = write_all(outgoing, messages, settings.heartbeat);
+    let writing = write_all(outgoing, &queue, settings.heartbeat);
     pin_mut!(reading, writing);
     // The side that ends first drops the other: a reader that met silence must not wait for a
     // writer that is blocked on the very connection that went silent.
@@ -99,7 +109,10 @@
             Ok(LinkMessage::Heartbeat { .. } | LinkMessage::HeartbeatAck { .. }) => {
                 sink(LinkEvent::Heartbeat { peer: peer.clone() });
             }
-            Ok(message) => sink(LinkEvent::Message { peer: peer.clone(), link, message }),
+            Ok(message) => {
+                let bytes = bytes.len();
+                sink(LinkEvent::Message { peer: peer.clone(), link, message, bytes });
+            }
             Err(fault) => return LinkDown::Failed(fault),
         }
     }
@@ -110,23 +123,27 @@
 /// that carries one way only is closed by the end that hears nothing.
 async fn write_all(
     mut outgoing: SplitSink<LinkSocket, Message>,
-    messages: Receiver<LinkMessage>,
+    queue: &LinkQueue,
     heartbeat: Duration,
 ) -> LinkDown {
     let mut sequence = 0;
     loop {
-        let message = match timeout(heartbeat, messages.recv()).await {
-            Ok(Ok(message)) => message,
-            Ok(Err(_)) => {
+        let message = match timeout(heartbeat, queue.pop()).await {
+            Ok(Some(message)) => Ok(message),
+            Ok(None) => {
                 let _ = timeout(heartbeat, outgoing.close()).await;
                 return LinkDown::Closed;
             }
             Err(_) => {
                 sequence += 1;
-                LinkMessage::Heartbeat { sequence }
+                EncodedMessage::encode(&LinkMessage::Heartbeat { sequence })
             }
         };
-        if let Err(fault) = write_batch(&mut outgoing, message, &messages).await {
+        let written = match message {
+            Ok(message) => write_batch(&mut outgoing, message, queue).await,
+            Err(fault) => Err(fault),
+        };
+        if let Err(fault) = written {
             return LinkDown::Failed(fault);
         }
     }
@@ -135,21 +152,21 @@
 /// Writes what is queued and flushes once: a flush a message would cost a system call each.
 async fn write_batch(
     outgoing: &mut SplitSink<LinkSocket, Message>,
-    first: LinkMessage,
-    messages: &Receiver<LinkMessage>,
+    first: EncodedMessage,
+    queue: &LinkQueue,
 ) -> Result<(), LinkError> {
-    feed(outgoing, &first).await?;
+    feed(outgoing, first).await?;
     for _ in 1..WRITE_BATCH {
-        let Ok(message) = messages.try_recv() else { break };
-        feed(outgoing, &message).await?;
+        let Some(message) = queue.try_pop() else { break };
+        feed(outgoing, message).await?;
     }
     outgoing.flush().await.map_err(|_| LinkError::Transport)
 }
 
 async fn feed(
     outgoing: &mut SplitSink<LinkSocket, Message>,
-    message: &LinkMessage,
+    message: EncodedMessage,
 ) -> Result<(), LinkError> {
-    let bytes = codec::encode(message)?;
-    outgoing.feed(Message::binary(bytes)).await.map_err(|_| LinkError::Transport)
+    let frame = Message::Binary(message.into_bytes());
+    outgoing.feed(frame).await.map_err(|_| LinkError::Transport)
 }
--- a/crates/link/src/event.rs
+++ b/crates/link/src/event.rs
@@ -2,11 +2,10 @@
 
 use std::sync::Arc;
 
-use async_channel::{Sender, TrySendError};
 use notch_messages::frame::{LinkMessage, NodeRole};
 use notch_types::prelude::*;
 
-use crate::error::LinkError;
+use crate::{encoded::EncodedMessage, error::LinkError, queue::LinkQueue};
 
 /// The proved other end.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -30,6 +29,10 @@
 
 /// News of links, in order for each link: `Up`, then messages, then `Down` once.
 #[derive(Debug)]
+#[allow(
+    clippy::large_enum_variant,
+    reason = "nearly all are messages; a box would cost each an allocation"
+)]
 pub enum LinkEvent {
     /// A link stands.
     Up {
@@ -46,6 +49,8 @@
         link: u64,
         /// The message.
         message: LinkMessage,
+        /// Its length on the wire, bytes.
+        bytes: usize,
     },
     /// A heartbeat came: the other end lives and has nothing to say.
     Heartbeat {
@@ -70,7 +75,7 @@
 #[derive(Debug, Clone)]
 pub struct LinkHandle {
     pub(crate) id: u64,
-    pub(crate) queue: Sender<LinkMessage>,
+    pub(crate) queue: Arc<LinkQueue>,
 }
 
 impl LinkHandle {
@@ -85,18 +90,15 @@
     /// `Full` when the other side reads too slowly, `Closed` when the link is gone. Neither tells
     /// whether earlier messages arrived.
     pub fn send(&self, message: LinkMessage) -> Result<(), LinkError> {
-        self.queue.try_send(message).map_err(|fault| match fault {
-            TrySendError::Full(_) => LinkError::Full,
-            TrySendError::Closed(_) => LinkError::Closed,
-        })
+        self.send_encoded(EncodedMessage::encode(&message)?)
     }
 
-    /// Queues a message, waiting for room.
+    /// Queues a message that was encoded before, without waiting.
     ///
     /// # Errors
-    /// `Closed` when the link is gone.
-    pub async fn send_waiting(&self, message: LinkMessage) -> Result<(), LinkError> {
-        self.queue.send(message).await.map_err(|_| LinkError::Closed)
+    /// As for [`send`](Self::send).
+    pub fn send_encoded(&self, message: EncodedMessage) -> Result<(), LinkError> {
+        self.queue.try_push(message)
     }
 
     /// Closes the link; a dialled one is dialled again.
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -4,10 +4,12 @@
 pub mod codec;
 mod connection;
 pub mod dialer;
+pub mod encoded;
 pub mod error;
 pub mod event;
 mod handshake;
 pub mod listener;
+pub mod queue;
 pub mod secret;
 pub mod settings;
 
@@ -15,6 +17,7 @@
 pub mod prelude {
     pub use crate::{
         dialer::LinkDialer,
+        encoded::EncodedMessage,
         error::LinkError,
         event::{LinkDown, LinkEvent, LinkHandle, LinkPeer, LinkSink},
         listener::LinkListener,
--- a/crates/link/src/settings.rs
+++ b/crates/link/src/settings.rs
@@ -31,6 +31,8 @@
     pub max_message_bytes: usize,
     /// Messages that may wait to be written on one link.
     pub queue: usize,
+    /// Bytes of messages that may wait to be written on one link. A single larger message waits alone.
+    pub queue_bytes: usize,
     /// Connections that may stand in their handshake at once; more are closed unheard.
     pub max_handshakes: usize,
 }
@@ -48,6 +50,7 @@
             redial_max: Duration::from_millis(2_000),
             max_message_bytes: 4 << 20,
             queue: 4_096,
+            queue_bytes: 4 << 20,
             max_handshakes: 64,
         }
     }
--- a/crates/messages/src/lib.rs
+++ b/crates/messages/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod order;
 pub mod peer;
 pub mod shard;
+pub mod slot;
 
 /// Every message type.
 pub mod prelude {
@@ -26,12 +27,13 @@
             HeldModel, OrderAction, OrderOutcome, PlacementMessage, TargetHoldings, TargetOrder,
         },
         peer::{
-            DueWorkReport, PeerMessage, ServiceDemandReport, StoreCallEnd, TargetSnapshot,
-            TargetUseReport, VersionedTarget,
+            DueWorkReport, GoneTarget, PeerMessage, ServiceDemandReport, StoreCallEnd,
+            TargetChanges, TargetUseReport, VersionedTarget,
         },
         shard::{
             ClaimVerdict, ItemStatus, JobChunk, JobPhase, JobProgress, JobSubmission, ResultLine,
             ShardAnswer, ShardCall, ShardRequest, StoredAnswer,
         },
+        slot::MessageSlot,
     };
 }
--- a/crates/messages/src/peer.rs
+++ b/crates/messages/src/peer.rs
@@ -42,13 +42,35 @@
     pub revision: u64,
 }
 
-/// Every target entry as of one revision of the store.
+/// A target whose entry is gone.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct TargetSnapshot {
-    /// What isn't listed was gone by then.
+pub struct GoneTarget {
+    /// Its name.
+    pub name: String,
+    /// Incarnation of its last start known.
+    pub born: u64,
+    /// Revision at which it was gone.
+    pub revision: u64,
+}
+
+/// A part of what changed among target entries.
+///
+/// Invariant: the parts of one answer have the same `since` and `as_of`, and count up from 0.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetChanges {
+    /// What changed after this revision is named in the parts together; 0 for every entry there is, so
+    /// that what isn't named was gone by `as_of`.
+    pub since: u64,
+    /// Revision that the receiver knows all of after the last part.
     pub as_of: u64,
-    /// The entries.
-    pub targets: Vec<VersionedTarget>,
+    /// Number of this part.
+    pub part: u32,
+    /// Whether no further part follows.
+    pub is_last: bool,
+    /// Entries that were put.
+    pub entries: Vec<VersionedTarget>,
+    /// Entries that are gone.
+    pub gone: Vec<GoneTarget>,
 }
 
 /// How a call to the store ended that one gateway made for another.
@@ -85,6 +107,9 @@
         configuration: u64,
         /// Store revision of the last change of targets that it knows.
         targets: u64,
+        /// Digest over the targets that it knows: one that differs at the same revision means that one
+        /// of the two has missed a change.
+        digest: u64,
         /// Whether it follows the store now, so that others needn't.
         is_watching: bool,
     },
@@ -96,19 +121,19 @@
         /// How long items take there.
         pace: PaceFigures,
     },
-    /// The sender's configuration or targets are older: send yours.
+    /// The sender's configuration or targets are older: send what changed.
     AskState {
         /// Version of the sender's configuration.
         configuration: u64,
-        /// The sender's revision of targets.
+        /// The sender's revision of targets; 0 for a whole list.
         targets: u64,
     },
-    /// Answer to `AskState`; what is newer.
+    /// What is newer: answer to `AskState`, or pushed by a gateway that follows the store.
     State {
         /// The configuration as the store holds it.
         configuration: Option<Payload>,
         /// Target entries.
-        targets: Option<TargetSnapshot>,
+        targets: Option<TargetChanges>,
     },
     /// The sender owns these jobs now.
     JobsOwned(Vec<String>),
@@ -234,3 +259,34 @@
     /// The sender stops: take its jobs over now.
     Leaving,
 }
+
+impl PeerMessage {
+    /// Stable name of the kind, for metrics and logs.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Hello { .. } => "hello",
+            Self::Report { .. } => "report",
+            Self::Demand { .. } => "demand",
+            Self::AskState { .. } => "ask_state",
+            Self::State { .. } => "state",
+            Self::JobsOwned(_) => "jobs_owned",
+            Self::JobStoring(_) => "job_storing",
+            Self::JobClosed(_) => "job_closed",
+            Self::JobEnded(_) => "job_ended",
+            Self::JobAsk { .. } => "job_ask",
+            Self::JobNews { .. } => "job_news",
+            Self::BodyAsk { .. } => "body_ask",
+            Self::BodyTold { .. } => "body_told",
+            Self::JobProgress { .. } => "job_progress",
+            Self::RequestBroke { .. } => "request_broke",
+            Self::RequestRefused { .. } => "request_refused",
+            Self::StoreCall { .. } => "store_call",
+            Self::StoreAnswer { .. } => "store_answer",
+            Self::ShareAsk { .. } => "share_ask",
+            Self::ShareKept { .. } => "share_kept",
+            Self::Shares { .. } => "shares",
+            Self::Stopping => "stopping",
+            Self::Leaving => "leaving",
+        }
+    }
+}
--- a/crates/sidecar/src/control.rs
+++ b/crates/sidecar/src/control.rs
@@ -163,7 +163,7 @@
             }
             LinkEvent::Up { link, .. } => link.close(),
             LinkEvent::Heartbeat { .. } => {}
-            LinkEvent::Message { peer, link, message } => {
+            LinkEvent::Message { peer, link, message, .. } => {
                 if !links.is_current(&peer.vm, link) {
                     return self.count(Counter::Event("messages_of_old_links"));
                 }
--- a/crates/telemetry/src/metrics/pair.rs
+++ b/crates/telemetry/src/metrics/pair.rs
@@ -10,7 +10,12 @@
 impl PairCounter {
     /// Counts one thing that happened.
     pub fn count(&self, first: &'static str, second: &'static str) {
-        self.0.with_label_values(&[first, second]).inc();
+        self.add(first, second, 1);
+    }
+
+    /// Counts `by` things that happened together.
+    pub fn add(&self, first: &'static str, second: &'static str, by: u64) {
+        self.0.with_label_values(&[first, second]).inc_by(by);
     }
 
     /// What the counter of a pair stands at; 0 when it never counted.
