Ask a target's home for a place before a request is sent there

Cause: a gateway whose own targets were full guessed among the others' by reports a tenth of a second old, and counted a queue at its own target for less than a place it wasn't sure of. In each crest of the large site a fifth to a half of the online requests was late though nearly all places sufficed; items of third gateways held places that only their own gateway could free, 40 ms later at best.

Now a target's home admits. A request takes a free own place, else asks up to two gateways that have one as far as is known, else has an item yield at an own target, else asks others, where an item may yield too; else it waits in the shortest queue that it was offered, if it is in time there. A home revokes an item of another gateway by a message. Whoever uses another's target without a grant tells its home at once; reports every 0.1 s say the same again, so nothing has to be settled after a lost message, and a dead gateway's uses lapse as before. Homes are divided by rendezvous hashing with a bound, so that few move when a gateway goes. A home that denies is passed over for 50 ms, a silent one for 500 ms, after a wait of 30 ms; with no home in reach the choice by reports is left. No place at an own target is kept free of items any more: they yield at once.

Ruled out: waiting longer at engines (nearly nobody behind an item, 1.4% before), size of the VM.

--- a/crates/entry/src/online.rs
+++ b/crates/entry/src/online.rs
@@ -2,6 +2,7 @@
 
 pub mod crashes;
 pub mod lease;
+pub mod places;
 pub mod relay;
 pub mod request;
 pub mod stream;
--- a/crates/entry/src/online/lease.rs
+++ b/crates/entry/src/online/lease.rs
@@ -1,6 +1,8 @@
 //! A request's place at a target.
 
+use notch_messages::prelude::PeerMessage;
 use notch_relay::prelude::*;
+use notch_types::prelude::VmName;
 
 use crate::node::EntryNode;
 
@@ -11,13 +13,27 @@
     node: &'a EntryNode,
     id: String,
     work: WorkKind,
+    /// The gateway that counts the places there, where it's another one.
+    home: Option<VmName>,
     outcome: Option<Result<(), AttemptFailure>>,
 }
 
 impl<'a> TargetLease<'a> {
-    /// The place that a choice counted.
+    /// The place that a choice counted. The target's home is told, unless it granted the place.
     pub fn new(node: &'a EntryNode, choice: &TargetChoice, work: WorkKind) -> Self {
-        Self { node, id: choice.id.clone(), work, outcome: None }
+        let (id, home) = (choice.id.clone(), choice.home.clone());
+        let lease = Self { node, id, work, home, outcome: None };
+        if !choice.is_granted {
+            lease.tell_home(UseChange::Begin);
+        }
+        lease
+    }
+
+    /// Whatever is lost on the way, the next report tells.
+    fn tell_home(&self, change: UseChange) {
+        let Some(home) = &self.home else { return };
+        let (target, work) = (self.id.clone(), self.work);
+        self.node.peers.send(home, PeerMessage::PlaceUse { target, work, change });
     }
 
     /// How the attempt ended.
@@ -30,5 +46,6 @@
     fn drop(&mut self) {
         let now = self.node.clock.mono();
         self.node.targets().finish(&self.id, self.work, self.outcome, now);
+        self.tell_home(UseChange::End);
     }
 }
--- a/crates/entry/src/peers/calls.rs
+++ b/crates/entry/src/peers/calls.rs
@@ -8,7 +8,7 @@
     time::Duration,
 };
 
-use async_channel::{Receiver, Sender};
+use async_channel::{Receiver, Sender, TrySendError};
 use async_std::future::timeout;
 use notch_types::prelude::*;
 
@@ -70,12 +70,15 @@
         OpenCall { table: self, call, answer }
     }
 
-    /// The answer to a question came.
+    /// The answer to a question came. The asker may have given up meanwhile.
     pub fn answer(&self, call: u64, answer: T) {
-        if let Some(sender) = self.waiting().remove(&call) {
-            // The asker may have given up meanwhile.
-            let _ = sender.try_send(answer);
-        }
+        self.try_answer(call, answer);
+    }
+
+    /// The same; the answer is given back when the asker has given up.
+    pub fn try_answer(&self, call: u64, answer: T) -> Option<T> {
+        let Some(sender) = self.waiting().remove(&call) else { return Some(answer) };
+        sender.try_send(answer).err().map(TrySendError::into_inner)
     }
 
     fn waiting(&self) -> MutexGuard<'_, FastMap<u64, Sender<T>>> {
--- a/crates/entry/src/peers/hub.rs
+++ b/crates/entry/src/peers/hub.rs
@@ -13,10 +13,10 @@
 use serde_json::value::RawValue;
 
 use crate::{
-    batch::{bodies, ends, limits, ownership, reads},
+    batch::{bodies, ends, limits, ownership, reads, runner},
     constants::{GATEWAY_WATCH_PAUSE, STORE_PAUSE},
     node::EntryNode,
-    online::crashes,
+    online::{crashes, places},
     peers::{
         catch_up::{KnownVersions, StateQuestion},
         demands, detours, pushes,
@@ -226,6 +226,17 @@
             limits::take_shares(node, &limit, revision, table);
         }
         PeerMessage::StoreAnswer { call, end } => node.peers.store_calls.answer(call, end),
+        PeerMessage::PlaceAsk { call, service, avoid, may_displace } => {
+            places::answer(node, &peer.vm, call, &service, &avoid, may_displace);
+        }
+        PeerMessage::PlaceRevoke { target } => runner::yield_place(node, &target),
+        PeerMessage::PlaceAnswer { call, answer } => {
+            places::take_answer(node, &peer.vm, call, answer);
+        }
+        PeerMessage::PlaceUse { target, work, change } => {
+            let now = node.clock.mono();
+            node.targets().note_peer_use(&peer.vm, &target, work, change, now);
+        }
         PeerMessage::Stopping => {
             node.log.info("gateway_stops", &[("gateway", &peer.vm)]);
             node.peers.set_stopping(&peer.vm);
--- a/crates/entry/src/peers/table.rs
+++ b/crates/entry/src/peers/table.rs
@@ -132,6 +132,8 @@
     pub body_calls: CallTable<ToldBody>,
     /// Calls to the store that another gateway makes.
     pub store_calls: CallTable<StoreCallEnd>,
+    /// Questions for places at other gateways' targets.
+    pub place_calls: CallTable<PlaceAnswer>,
     /// Questions for shares of limits.
     pub share_calls: CallTable<KeptShare>,
     /// When the gateways' entries were read last.
--- a/crates/messages/src/lib.rs
+++ b/crates/messages/src/lib.rs
@@ -27,7 +27,7 @@
             HeldModel, OrderAction, OrderOutcome, PlacementMessage, TargetHoldings, TargetOrder,
         },
         peer::{
-            DueWorkReport, GoneTarget, PeerMessage, ServiceDemandReport, StoreCallEnd,
+            DueWorkReport, GoneTarget, PeerMessage, PlaceAnswer, ServiceDemandReport, StoreCallEnd,
             TargetChanges, TargetUseReport, VersionedTarget,
         },
         shard::{
--- a/crates/messages/src/peer.rs
+++ b/crates/messages/src/peer.rs
@@ -1,6 +1,8 @@
 //! Between gateways that relay straight to targets.
 
-use notch_relay::prelude::{HeldProgress, PaceFigures, ResultLine, ShareTable, TargetEntry};
+use notch_relay::prelude::{
+    HeldProgress, PaceFigures, QueueOffer, ResultLine, ShareTable, TargetEntry, UseChange, WorkKind,
+};
 use notch_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
@@ -73,6 +75,15 @@
     pub gone: Vec<GoneTarget>,
 }
 
+/// What a gateway has for a request that needs a place.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PlaceAnswer {
+    /// A place at the target with this id, which is counted until the request's end is told.
+    Granted(String),
+    /// No place; the shortest queue, if requests can wait at all.
+    Denied(Option<QueueOffer>),
+}
+
 /// How a call to the store ended that one gateway made for another.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StoreCallEnd {
@@ -254,6 +265,39 @@
         /// The shares.
         table: ShareTable,
     },
+    /// Grant an online request a place at one of your targets.
+    PlaceAsk {
+        /// Matches the answer; unique at the asker.
+        call: u64,
+        /// The service that has to run it.
+        service: String,
+        /// Targets that have failed it.
+        avoid: Vec<String>,
+        /// Whether an item may be broken off for it.
+        may_displace: bool,
+    },
+    /// Answer to `PlaceAsk`.
+    PlaceAnswer {
+        /// Of the question.
+        call: u64,
+        /// What the sender has.
+        answer: PlaceAnswer,
+    },
+    /// Break off the item that began last at this target of the sender's: an online request was granted its
+    /// place.
+    PlaceRevoke {
+        /// The target's id.
+        target: String,
+    },
+    /// The sender began or ended a request at a target of the receiver.
+    PlaceUse {
+        /// The target's id.
+        target: String,
+        /// The kind of work.
+        work: WorkKind,
+        /// What became of it.
+        change: UseChange,
+    },
     /// The sender was told to stop: it still runs its jobs, but takes none over any more.
     Stopping,
     /// The sender stops: take its jobs over now.
@@ -285,6 +329,10 @@
             Self::ShareAsk { .. } => "share_ask",
             Self::ShareKept { .. } => "share_kept",
             Self::Shares { .. } => "shares",
+            Self::PlaceAsk { .. } => "place_ask",
+            Self::PlaceAnswer { .. } => "place_answer",
+            Self::PlaceRevoke { .. } => "place_revoke",
+            Self::PlaceUse { .. } => "place_use",
             Self::Stopping => "stopping",
             Self::Leaving => "leaving",
         }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -51,7 +51,7 @@
             pace::ServicePace,
             patience::PatienceTable,
             prompt::{PromptHead, PromptHeads},
-            table::TargetTable,
+            table::{ItemYield, PlaceGrant, QueueOffer, TargetTable, UseChange},
         },
     };
 }
--- a/crates/relay/src/targets/choice.rs
+++ b/crates/relay/src/targets/choice.rs
@@ -2,10 +2,13 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use notch_types::prelude::VmName;
+use serde::{Deserialize, Serialize};
+
 use crate::targets::prompt::PromptHeads;
 
 /// Which work asks for a target.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum WorkKind {
     /// Somebody waits for the answer.
     Online,
@@ -58,4 +61,8 @@
     pub reported_load: u32,
     /// Whether the target is this gateway's by preference.
     pub is_home: bool,
+    /// The gateway that admits requests to the target, where it's another one.
+    pub home: Option<VmName>,
+    /// Whether that gateway granted the place, and so counts it already.
+    pub is_granted: bool,
 }
--- a/crates/relay/src/targets/table.rs
+++ b/crates/relay/src/targets/table.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use notch_types::prelude::*;
+use serde::{Deserialize, Serialize};
 
 use crate::targets::{
     choice::{QueueLimit, TargetChoice, TargetQuery, WorkKind},
@@ -16,7 +17,7 @@
 /// Places of a target that batch leaves to online requests that come next. Engines take requests
 /// first come first served, so an item in the last place makes the next online request wait for
 /// a whole stream's end.
-const BATCH_RESERVE: u32 = 1;
+const BATCH_RESERVE: u32 = 0;
 /// Places of another gateway's home target that batch leaves free: its load is known late.
 const BATCH_RESERVE_FOREIGN: u32 = 3;
 /// Added to the load of a target in another failure domain, in requests: bytes between domains cost,
@@ -45,6 +46,14 @@
 /// Spread of the random tie-break, in requests. Without it gateways that hear the same reports
 /// pick the same target at the same moment.
 const TIE_SPREAD: f64 = 0.5;
+/// Spread of the random choice among gateways that are asked for a place, in requests: all whose own targets
+/// are full ask at that moment, and one that all ask first has nothing left for most of them.
+const ASK_SPREAD: f64 = 4.0;
+/// Added to the load of a target without a free place, as far as is known, in requests: its home is asked
+/// after all others.
+const FULL_PENALTY: f64 = 100.0;
+/// Share of the other gateways' home targets where only the own ones are looked at.
+const OWN_ONLY: f64 = -1.0;
 /// Requests that may wait at a target before items of jobs are broken off there: one waits for an
 /// eighth of a usual stream, 75 ms, which an objective of 300 ms bears.
 const PREEMPT_QUEUE: u32 = 1;
@@ -83,6 +92,42 @@
     }
 }
 
+/// Whose item yields a place.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ItemYield {
+    /// One of this gateway.
+    Own,
+    /// One of another gateway.
+    Peer(VmName),
+}
+
+/// A queue that a request may wait in, where no place is free.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QueueOffer {
+    /// The target's id.
+    pub id: String,
+    /// Requests that wait there, with those on their way.
+    pub waiting: u32,
+}
+
+/// A place that a home grants another gateway.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PlaceGrant {
+    /// The target's id.
+    pub id: String,
+    /// Whose item has to yield the place, at once; `None` where it is free.
+    pub yields: Option<ItemYield>,
+}
+
+/// What became of a request at a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum UseChange {
+    /// It begins.
+    Begin,
+    /// It has ended.
+    End,
+}
+
 #[derive(Debug)]
 struct TargetRecord {
     entry: TargetEntry,
@@ -120,8 +165,15 @@
     domain: String,
     records: FastMap<String, TargetRecord>,
     reports: FastMap<VmName, PeerReport>,
-    /// Targets that this gateway prefers and the others avoid. Empty where nobody shares them out.
-    home: FastSet<String>,
+    /// The gateway that admits requests to each target, by the target's id. Empty where targets aren't
+    /// shared out, so that all belong to this gateway.
+    homes: FastMap<String, VmName>,
+    /// This gateway, as it stands in `homes`.
+    own: Option<VmName>,
+    /// What `homes` was computed from.
+    shared_for: u64,
+    /// Gateways that aren't asked for a place until then: they had none, or didn't answer.
+    denied: FastMap<VmName, MonoTime>,
     /// Share of the other gateways' home targets that one choice looks at.
     foreign_share: f64,
     /// How long answers take, by service.
@@ -234,29 +286,264 @@
         now: MonoTime,
         mut draw: impl FnMut() -> f64,
     ) -> Option<TargetChoice> {
-        let sampled = self.best_record(query, now, self.foreign_share, &mut draw);
-        let (_, record) = match (sampled, query.work) {
-            (Some(found), _) => found,
-            (None, WorkKind::Batch) => return None,
-            // Before a request is turned away every target is looked at.
-            (None, WorkKind::Online) => self.best_record(query, now, 1.0, &mut draw)?,
-        };
-        let choice = TargetChoice {
-            id: record.entry.id.clone(),
-            name: record.entry.name.clone(),
-            address: record.entry.address,
-            place_free: record.total() < record.entry.slots,
-            own_load: record.own.total(),
-            reported_load: record.others.total(),
-            is_home: self.home.contains(&record.entry.id),
+        let choice = match query.work {
+            WorkKind::Online => self.pick(query, now, &mut draw)?,
+            WorkKind::Batch => {
+                let (_, record) = self.best_record(query, now, self.foreign_share, &mut draw)?;
+                self.choice_of(record)
+            }
         };
-        self.warm.note(query.prompt, &choice.id);
+        self.take(query, choice)
+    }
+
+    /// A free place at one of this gateway's own targets, whose load it knows exactly. Nothing is counted
+    /// there before [`take`](Self::take).
+    pub fn pick_own(
+        &self,
+        query: &TargetQuery<'_>,
+        now: MonoTime,
+        mut draw: impl FnMut() -> f64,
+    ) -> Option<TargetChoice> {
+        let best = self.best_record(query, now, OWN_ONLY, &mut draw);
+        let free = best.filter(|(_, record)| record.has_place() && !record.health.is_avoided(now));
+        free.map(|(_, record)| self.choice_of(record))
+    }
+
+    /// A place at one of this gateway's own targets that an item has to yield, and whose item.
+    pub fn pick_yielding(
+        &mut self,
+        query: &TargetQuery<'_>,
+        now: MonoTime,
+    ) -> Option<(TargetChoice, ItemYield)> {
+        let record = self.yielding_record(query.service, query.avoid, now)?;
+        let choice = self.choice_of(record);
+        let yields = self.revoke_item(&choice.id, now)?;
+        Some((choice, yields))
+    }
+
+    /// The target of a request for which nobody granted a place: the least loaded own one, or any that is
+    /// looked at. Nothing is counted there before [`take`](Self::take).
+    pub fn pick(
+        &self,
+        query: &TargetQuery<'_>,
+        now: MonoTime,
+        mut draw: impl FnMut() -> f64,
+    ) -> Option<TargetChoice> {
+        let own = self.best_record(query, now, OWN_ONLY, &mut draw);
+        // Before a request is turned away every target is looked at.
+        let (_, record) = own.or_else(|| self.best_record(query, now, 1.0, &mut draw))?;
+        Some(self.choice_of(record))
+    }
+
+    /// The gateway to ask for a place: one that has places as far as is known, else any that may have one
+    /// that an item yields.
+    ///
+    /// Load pattern: a crest in which a gateway's own targets are full and a tenth of all places is free.
+    pub fn home_to_ask(
+        &self,
+        query: &TargetQuery<'_>,
+        may_displace: bool,
+        now: MonoTime,
+        mut draw: impl FnMut() -> f64,
+    ) -> Option<VmName> {
+        let mut best: Option<(f64, &VmName)> = None;
+        for record in self.records.values() {
+            let id = &record.entry.id;
+            let Some(home) = self.homes.get(id).filter(|home| Some(*home) != self.own.as_ref())
+            else {
+                continue;
+            };
+            let is_able = record.takes(query.service)
+                && !record.health.is_avoided(now)
+                && !query.avoid.contains(id)
+                && self.denied.get(home).is_none_or(|until| now >= *until);
+            if !is_able || !(record.has_place() || may_displace) {
+                continue;
+            }
+            let full = if record.has_place() { 0.0 } else { FULL_PENALTY };
+            let score = record.score(&self.domain, false, now) + full + draw() * ASK_SPREAD;
+            if best.is_none_or(|(lowest, _)| score < lowest) {
+                best = Some((score, home));
+            }
+        }
+        best.map(|(_, home)| home.clone())
+    }
+
+    /// Counts a request at the target that was picked for it, until [`finish`](Self::finish); `None` when the
+    /// target doesn't take it any more.
+    pub fn take(&mut self, query: &TargetQuery<'_>, choice: TargetChoice) -> Option<TargetChoice> {
         let record = self.records.get_mut(&choice.id)?;
         record.own.add(query.work);
         record.health.start();
+        self.warm.note(query.prompt, &choice.id);
         Some(choice)
     }
 
+    /// Counts a request at the target `id` whose home granted a place there; `None` when the target isn't
+    /// used here any more.
+    pub fn take_granted(&mut self, query: &TargetQuery<'_>, id: &str) -> Option<TargetChoice> {
+        let record = self.records.get(id)?;
+        if !record.takes(query.service) {
+            return None;
+        }
+        let choice = TargetChoice { place_free: true, is_granted: true, ..self.choice_of(record) };
+        self.take(query, choice)
+    }
+
+    /// Grants another gateway a place at one of this gateway's targets, and counts it there.
+    ///
+    /// Load pattern: crests in which nine tenths of all places are taken. Every gateway whose own targets
+    /// are full looks for the few free places; only the home of a target knows at once which are gone.
+    pub fn grant(
+        &mut self,
+        peer: &VmName,
+        query: &TargetQuery<'_>,
+        may_displace: bool,
+        now: MonoTime,
+    ) -> Option<PlaceGrant> {
+        let TargetQuery { service, avoid, .. } = *query;
+        let able = self.own_records(service, avoid, now).filter(|record| record.has_place());
+        let load = |record: &TargetRecord| record.score(&self.domain, true, now);
+        let free = able.min_by(|a, b| load(a).total_cmp(&load(b)));
+        let free = free.map(|record| PlaceGrant { id: record.entry.id.clone(), yields: None });
+        let grant = match free {
+            Some(grant) => grant,
+            None if may_displace => {
+                let id = self.yielding_record(service, avoid, now)?.entry.id.clone();
+                let yields = Some(self.revoke_item(&id, now)?);
+                PlaceGrant { id, yields }
+            }
+            None => return None,
+        };
+        self.note_peer_use(peer, &grant.id, WorkKind::Online, UseChange::Begin, now);
+        Some(grant)
+    }
+
+    /// The shortest queue at an own target.
+    pub fn shortest_queue(&self, query: &TargetQuery<'_>, now: MonoTime) -> Option<QueueOffer> {
+        let able = self.own_records(query.service, query.avoid, now);
+        let best = able.min_by_key(|record| (record.waiting(), record.total()))?;
+        Some(QueueOffer { id: best.entry.id.clone(), waiting: best.waiting() })
+    }
+
+    /// A queue that another gateway offered, where a request likely is in time and waits behind fewer than at
+    /// the own targets.
+    pub fn pick_offered(
+        &self,
+        query: &TargetQuery<'_>,
+        offer: &QueueOffer,
+        now: MonoTime,
+    ) -> Option<TargetChoice> {
+        let own = self.shortest_queue(query, now).map_or(u32::MAX, |own| own.waiting);
+        let record = self.records.get(&offer.id).filter(|record| record.takes(query.service))?;
+        let ahead = record.entry.slots + offer.waiting;
+        let pace = self.pace(query.service);
+        let is_in_time = match query.queue {
+            QueueLimit::Any => true,
+            QueueLimit::Within(objective) => pace.is_in_time(ahead, record.entry.slots, objective),
+        };
+        let is_shorter = offer.waiting < own && is_in_time;
+        is_shorter.then(|| TargetChoice { place_free: false, ..self.choice_of(record) })
+    }
+
+    /// This gateway's own targets that take requests of a service.
+    fn own_records(
+        &self,
+        service: &str,
+        avoid: &[String],
+        now: MonoTime,
+    ) -> impl Iterator<Item = &TargetRecord> {
+        self.records.values().filter(move |record| {
+            record.takes(service)
+                && self.is_home(&record.entry.id)
+                && !record.health.is_avoided(now)
+                && !avoid.contains(&record.entry.id)
+        })
+    }
+
+    /// The own target with fewest online requests at which items have the last places.
+    fn yielding_record(
+        &self,
+        service: &str,
+        avoid: &[String],
+        now: MonoTime,
+    ) -> Option<&TargetRecord> {
+        let online = |record: &TargetRecord| record.own.online + record.others.online;
+        let able = self.own_records(service, avoid, now).filter(|record| {
+            record.total() > online(record) && online(record) < record.entry.slots
+        });
+        able.min_by_key(|record| online(record))
+    }
+
+    /// Decides whose item yields its place at an own target: one of this gateway's, else one of the
+    /// gateway with most items there, which isn't counted from now on.
+    fn revoke_item(&mut self, id: &str, now: MonoTime) -> Option<ItemYield> {
+        if self.records.get(id)?.own.batch > 0 {
+            return Some(ItemYield::Own);
+        }
+        let items = |report: &PeerReport| report.uses.get(id).map_or(0, |used| used.batch);
+        let holders = self.reports.iter().filter(|(_, report)| items(report) > 0);
+        let (peer, _) = holders.max_by_key(|(peer, report)| (items(report), peer.as_str()))?;
+        let peer = peer.clone();
+        self.note_peer_use(&peer, id, WorkKind::Batch, UseChange::End, now);
+        Some(ItemYield::Peer(peer))
+    }
+
+    /// Another gateway began or ended a request at a target. Its next report tells the same again.
+    pub fn note_peer_use(
+        &mut self,
+        peer: &VmName,
+        id: &str,
+        work: WorkKind,
+        change: UseChange,
+        now: MonoTime,
+    ) {
+        let report = self
+            .reports
+            .entry(peer.clone())
+            .or_insert_with(|| PeerReport { at: now, uses: FastMap::default() });
+        let used = report.uses.entry(id.to_owned()).or_default();
+        let before = *used;
+        match change {
+            UseChange::Begin => used.add(work),
+            UseChange::End => used.remove(work),
+        }
+        if let Some(record) = self.records.get_mut(id) {
+            record.others.online =
+                (record.others.online + used.online).saturating_sub(before.online);
+            record.others.batch = (record.others.batch + used.batch).saturating_sub(before.batch);
+        }
+    }
+
+    /// A gateway isn't asked for places until `until`.
+    pub fn note_denied(&mut self, home: &VmName, until: MonoTime) {
+        self.denied.insert(home.clone(), until);
+    }
+
+    fn choice_of(&self, record: &TargetRecord) -> TargetChoice {
+        let id = &record.entry.id;
+        let is_home = !self.homes.is_empty() && self.is_home(id);
+        TargetChoice {
+            id: id.clone(),
+            name: record.entry.name.clone(),
+            address: record.entry.address,
+            place_free: record.has_place(),
+            own_load: record.own.total(),
+            reported_load: record.others.total(),
+            is_home,
+            home: self.homes.get(id).filter(|_| !is_home).cloned(),
+            is_granted: false,
+        }
+    }
+
+    /// Whether this gateway admits requests to a target. One whose home isn't known belongs to everybody.
+    fn is_home(&self, id: &str) -> bool {
+        match self.homes.get(id) {
+            Some(home) => self.own.as_ref() == Some(home),
+            None => self.homes.is_empty(),
+        }
+    }
+
     /// The target with the lowest score; of the other gateways' home targets only a share is looked
     /// at.
     fn best_record(
@@ -275,7 +562,7 @@
             if !record.takes(service) || avoid.contains(&record.entry.id) {
                 continue;
             }
-            let is_home = self.home.is_empty() || self.home.contains(&record.entry.id);
+            let is_home = self.is_home(&record.entry.id);
             if work == WorkKind::Batch && !record.has_batch_place(is_home) {
                 continue;
             }
@@ -414,28 +701,24 @@
     /// reports of the others' use come a tenth of a second late. `gateways` are all that are alive,
     /// this one among them, each with its failure domain.
     pub fn share_out(&mut self, own: &str, gateways: &[(String, String)]) {
-        self.home.clear();
-        self.foreign_share = FOREIGN_CHOICES / gateways.len().max(1) as f64;
-        if gateways.len() < 2 {
+        let mut ids: Vec<(&str, &str)> =
+            self.records.values().map(|r| (r.entry.id.as_str(), r.entry.domain.as_str())).collect();
+        ids.sort_unstable();
+        let mut names: Vec<(&str, &str)> =
+            gateways.iter().map(|(name, domain)| (name.as_str(), domain.as_str())).collect();
+        names.sort_unstable();
+        let input: Vec<&[u8]> =
+            ids.iter().chain(&names).flat_map(|(a, b)| [a.as_bytes(), b.as_bytes()]).collect();
+        let shared_for = stable_hash64(&input);
+        if shared_for == self.shared_for {
             return;
         }
-        let mut domains: FastMap<&str, Vec<&str>> = FastMap::default();
-        for (name, domain) in gateways {
-            domains.entry(domain).or_default().push(name);
-        }
-        let mut ids: Vec<&TargetEntry> = self.records.values().map(|r| &r.entry).collect();
-        ids.sort_by(|a, b| a.id.cmp(&b.id));
-        let mut counts: FastMap<&str, usize> = FastMap::default();
-        for entry in ids {
-            // A domain without a gateway: nobody is nearer to its targets than the others.
-            let Some(names) = domains.get_mut(entry.domain.as_str()) else { continue };
-            names.sort_unstable();
-            let count = counts.entry(&entry.domain).or_default();
-            if names[*count % names.len()] == own {
-                self.home.insert(entry.id.clone());
-            }
-            *count += 1;
-        }
+        let homes = if names.len() < 2 { FastMap::default() } else { divide(&ids, &names) };
+        self.homes = homes;
+        self.own = Some(VmName::new(own));
+        self.shared_for = shared_for;
+        self.denied.retain(|home, _| gateways.iter().any(|(name, _)| name == home.as_str()));
+        self.foreign_share = FOREIGN_CHOICES / gateways.len().max(1) as f64;
     }
 
     fn drop_report(&mut self, peer: &VmName) {
@@ -449,7 +732,42 @@
     }
 }
 
+/// Divides targets among the gateways of their failure domain by rendezvous hashing, none with more than its
+/// part: when a gateway comes or goes few targets change their home. Where a domain has no gateway, all
+/// gateways share its targets.
+fn divide(targets: &[(&str, &str)], gateways: &[(&str, &str)]) -> FastMap<String, VmName> {
+    let mut homes = FastMap::default();
+    let mut domains: FastMap<&str, Vec<&str>> = FastMap::default();
+    for (id, domain) in targets {
+        domains.entry(domain).or_default().push(id);
+    }
+    for (domain, ids) in domains {
+        let near: Vec<&str> =
+            gateways.iter().filter(|(_, place)| *place == domain).map(|(name, _)| *name).collect();
+        let all = || gateways.iter().map(|(name, _)| *name).collect();
+        let names: Vec<&str> = if near.is_empty() { all() } else { near };
+        let most = ids.len().div_ceil(names.len());
+        let mut counts: FastMap<&str, usize> = FastMap::default();
+        for id in ids {
+            let open = names.iter().filter(|name| counts.get(**name).is_none_or(|n| *n < most));
+            let first = open.max_by_key(|name| stable_hash64(&[id.as_bytes(), name.as_bytes()]));
+            let Some(first) = first else { continue };
+            *counts.entry(*first).or_default() += 1;
+            homes.insert(id.to_owned(), VmName::new(first));
+        }
+    }
+    homes
+}
+
 impl TargetRecord {
+    fn has_place(&self) -> bool {
+        self.total() < self.entry.slots
+    }
+
+    fn waiting(&self) -> u32 {
+        self.total().saturating_sub(self.entry.slots)
+    }
+
     fn takes(&self, service: &str) -> bool {
         let ready = self.entry.state == TargetState::Ready && !self.displaced;
         ready && self.entry.service == service && !self.is_full()
--- /dev/null
+++ b/crates/relay/tests/places.rs
@@ -0,0 +1,265 @@
+//! Places that a target's home grants to other gateways.
+
+use std::{sync::LazyLock, time::Duration};
+
+use notch_relay::{prelude::*, targets::table::TargetUse};
+use notch_types::prelude::*;
+use proptest::prelude::*;
+use rstest::rstest;
+
+const NOW: MonoTime = MonoTime(1_000_000);
+const SLOTS: u32 = 4;
+
+fn entry(id: &str, domain: &str) -> TargetEntry {
+    TargetEntry {
+        id: id.to_owned(),
+        name: id.to_owned(),
+        born: 0,
+        service: "llm".to_owned(),
+        address: ([127, 0, 0, 1], 9).into(),
+        domain: domain.to_owned(),
+        slots: SLOTS,
+        state: TargetState::Ready,
+        cold_left: Duration::ZERO,
+    }
+}
+
+fn query(work: WorkKind, queue: QueueLimit) -> TargetQuery<'static> {
+    static NO_PROMPT: LazyLock<PromptHeads> = LazyLock::new(PromptHeads::default);
+    TargetQuery { service: "llm", work, avoid: &[], queue, prompt: &NO_PROMPT }
+}
+
+fn online() -> TargetQuery<'static> {
+    query(WorkKind::Online, QueueLimit::Any)
+}
+
+fn pair(name: &str, domain: &str) -> (String, String) {
+    (name.to_owned(), domain.to_owned())
+}
+
+/// What `own` knows of two targets, the first at home at g1, the second at g2.
+fn table_of(own: &str) -> TargetTable {
+    let mut table = TargetTable::new("a");
+    table.put(entry("t1", "a"), NOW);
+    table.put(entry("t2", "b"), NOW);
+    table.share_out(own, &[pair("g1", "a"), pair("g2", "b")]);
+    table
+}
+
+fn grant(table: &mut TargetTable, peer: &str, may_displace: bool) -> Option<PlaceGrant> {
+    table.grant(&VmName::new(peer), &online(), may_displace, NOW)
+}
+
+fn free_place(id: &str) -> Option<PlaceGrant> {
+    Some(PlaceGrant { id: id.to_owned(), yields: None })
+}
+
+fn report(table: &mut TargetTable, peer: &str, id: &str, online: u32, batch: u32) {
+    let uses = [(id.to_owned(), TargetUse { online, batch })];
+    table.take_report(&VmName::new(peer), uses.into_iter().collect(), NOW);
+}
+
+// Guards against more grants than places, as of reports that are a tenth of a second old.
+#[test]
+fn a_home_grants_each_of_its_places_once() {
+    let mut home = table_of("g1");
+    for peer in ["g2", "g3", "g2", "g3"] {
+        assert_eq!(grant(&mut home, peer, false), free_place("t1"));
+    }
+    assert_eq!(grant(&mut home, "g2", true), None, "no item yields");
+    assert_eq!(home.pick_own(&online(), NOW, || 0.0), None, "nor is a place left here");
+    home.note_peer_use(&VmName::new("g3"), "t1", WorkKind::Online, UseChange::End, NOW);
+    assert_eq!(grant(&mut home, "g2", false), free_place("t1"));
+}
+
+// Guards against a granted place that is counted twice, or not any more, after a report.
+#[test]
+fn a_report_tells_the_same_as_the_grants_before_it() {
+    let mut home = table_of("g1");
+    grant(&mut home, "g2", false).expect("places are free");
+    grant(&mut home, "g2", false).expect("places are free");
+    report(&mut home, "g2", "t1", 2, 0);
+    assert_eq!(grant(&mut home, "g2", false), free_place("t1"));
+    assert_eq!(grant(&mut home, "g2", false), free_place("t1"));
+    assert_eq!(grant(&mut home, "g2", false), None);
+}
+
+// Guards against an end that is told for a place nobody counted.
+#[test]
+fn an_end_without_a_beginning_frees_nobody_elses_place() {
+    let mut home = table_of("g1");
+    report(&mut home, "g2", "t1", 4, 0);
+    home.note_peer_use(&VmName::new("g3"), "t1", WorkKind::Online, UseChange::End, NOW);
+    assert_eq!(grant(&mut home, "g3", false), None);
+}
+
+// Guards against online requests that wait behind items while these could yield.
+#[test]
+fn an_item_yields_its_place_only_to_who_may_displace() {
+    let mut home = table_of("g1");
+    home.choose(&query(WorkKind::Batch, QueueLimit::Any), NOW, || 0.0).expect("a place is free");
+    report(&mut home, "g2", "t1", 3, 0);
+    assert_eq!(grant(&mut home, "g3", false), None);
+    let yielded = PlaceGrant { id: "t1".to_owned(), yields: Some(ItemYield::Own) };
+    assert_eq!(grant(&mut home, "g3", true), Some(yielded));
+    assert_eq!(grant(&mut home, "g3", true), None, "one item yields once");
+}
+
+// Guards against items of other gateways that hold places through a crest.
+#[test]
+fn an_item_of_another_gateway_yields_where_there_is_none_here() {
+    let mut home = table_of("g1");
+    report(&mut home, "g2", "t1", 1, 1);
+    report(&mut home, "g3", "t1", 0, 2);
+    let yields = |grant: Option<PlaceGrant>| grant.and_then(|grant| grant.yields);
+    let of = |peer: &str| Some(ItemYield::Peer(VmName::new(peer)));
+    assert_eq!(yields(grant(&mut home, "g4", true)), of("g3"), "it has most items there");
+    let (_, own) = home.pick_yielding(&online(), NOW).expect("items yield to own requests, too");
+    assert!([of("g2"), of("g3")].contains(&Some(own)));
+}
+
+// Guards against grants at targets that another gateway counts, or that can't run the request.
+#[rstest]
+#[case::not_home("g2")]
+#[case::unknown_gateway("g9")]
+fn only_the_home_grants(#[case] own: &str) {
+    let mut table = table_of(own);
+    table.remove("t2");
+    assert_eq!(grant(&mut table, "g3", true), None);
+}
+
+#[test]
+fn a_leaving_or_failed_target_is_not_granted() {
+    let mut home = table_of("g1");
+    let choice = home.choose(&online(), NOW, || 0.0).expect("a place is free");
+    let failure = Some(Err(AttemptFailure::CutAnswer));
+    home.finish(&choice.id, WorkKind::Online, failure, NOW);
+    assert_eq!(grant(&mut home, "g2", false), None, "it has just failed");
+    let mut home = table_of("g1");
+    home.put(TargetEntry { state: TargetState::Draining, ..entry("t1", "a") }, NOW);
+    assert_eq!(grant(&mut home, "g2", false), None, "it leaves");
+}
+
+// Guards against asks that are known to be in vain, and against asking itself.
+#[test]
+fn a_home_that_has_places_is_asked_until_it_denies() {
+    let mut table = table_of("g1");
+    let ask = |table: &TargetTable, may_displace, now| {
+        table.home_to_ask(&online(), may_displace, now, || 0.0)
+    };
+    assert_eq!(ask(&table, false, NOW), Some(VmName::new("g2")));
+    let later = NOW + Duration::from_millis(50);
+    table.note_denied(&VmName::new("g2"), later);
+    assert_eq!(ask(&table, true, NOW), None);
+    assert_eq!(ask(&table, false, later), Some(VmName::new("g2")));
+    report(&mut table, "g2", "t2", SLOTS, 0);
+    assert_eq!(ask(&table, false, later), None, "full as far as is known");
+    assert_eq!(ask(&table, true, later), Some(VmName::new("g2")), "an item may yield");
+}
+
+#[rstest]
+#[case::shorter(1, 2, true)]
+#[case::as_long(2, 2, false)]
+#[case::too_late(3, 9, false)]
+fn an_offered_queue_is_taken_where_it_is_shorter_and_in_time(
+    #[case] offered: u32,
+    #[case] own: u32,
+    #[case] taken: bool,
+) {
+    let mut table = table_of("g1");
+    table.note_online_run("llm", Duration::from_millis(400), Some(Duration::from_millis(20)));
+    report(&mut table, "g2", "t1", SLOTS + own, 0);
+    let offer = QueueOffer { id: "t2".to_owned(), waiting: offered };
+    let within = QueueLimit::Within(Duration::from_millis(300));
+    let choice = table.pick_offered(&query(WorkKind::Online, within), &offer, NOW);
+    assert_eq!(choice.map(|choice| choice.id), taken.then(|| "t2".to_owned()));
+}
+
+fn homes(own: &str, targets: usize, gateways: &[(String, String)]) -> Vec<String> {
+    let mut table = TargetTable::new("a");
+    for number in 0..targets {
+        table.put(entry(&format!("t{number:03}"), "a"), NOW);
+    }
+    table.share_out(own, gateways);
+    let granted = std::iter::from_fn(|| grant(&mut table, "peer", false));
+    let mut ids: Vec<String> = granted.map(|grant| grant.id).collect();
+    ids.sort();
+    ids.dedup();
+    ids
+}
+
+// Guards against a gateway that leaves and takes the counts of all other targets with it.
+#[test]
+fn few_targets_change_their_home_when_a_gateway_leaves() {
+    let all: Vec<_> = (0..6).map(|n| pair(&format!("g{n}"), "a")).collect();
+    let left = &all[1..];
+    let mut moved = 0;
+    for (name, _) in left {
+        let before = homes(name, 60, &all);
+        let after = homes(name, 60, left);
+        assert!(before.len() <= 10 && after.len() <= 12, "no home has more than its part");
+        moved += before.iter().filter(|id| !after.contains(id)).count();
+    }
+    assert!(moved <= 12, "{moved} of 50 moved between gateways that stay");
+}
+
+#[test]
+fn targets_of_a_domain_without_a_gateway_have_a_home_elsewhere() {
+    let gateways = [pair("g1", "b"), pair("g2", "c")];
+    let shared = homes("g1", 10, &gateways).len() + homes("g2", 10, &gateways).len();
+    assert_eq!(shared, 10);
+}
+
+/// What may happen at a home.
+#[derive(Debug, Clone, Copy)]
+enum HomeStep {
+    Ask(u8),
+    End(u8),
+    Report(u8),
+    Own,
+}
+
+fn any_step() -> impl Strategy<Value = HomeStep> {
+    prop_oneof![
+        (0..3_u8).prop_map(HomeStep::Ask),
+        (0..3_u8).prop_map(HomeStep::End),
+        (0..3_u8).prop_map(HomeStep::Report),
+        Just(HomeStep::Own),
+    ]
+}
+
+proptest! {
+    // Guards against counts that drift from what runs.
+    #[test]
+    fn a_home_never_has_more_requests_than_places(
+        steps in proptest::collection::vec(any_step(), 0..80)
+    ) {
+        let mut home = table_of("g1");
+        let (mut running, mut own) = ([0_u32; 3], 0);
+        for step in steps {
+            match step {
+                HomeStep::Ask(peer) => {
+                    let free = running.iter().sum::<u32>() + own < SLOTS;
+                    let granted = grant(&mut home, &format!("p{peer}"), false);
+                    prop_assert_eq!(granted.is_some(), free);
+                    running[peer as usize] += u32::from(free);
+                }
+                HomeStep::End(peer) if running[peer as usize] > 0 => {
+                    let vm = VmName::new(&format!("p{peer}"));
+                    home.note_peer_use(&vm, "t1", WorkKind::Online, UseChange::End, NOW);
+                    running[peer as usize] -= 1;
+                }
+                HomeStep::End(_) => {}
+                HomeStep::Report(peer) => {
+                    report(&mut home, &format!("p{peer}"), "t1", running[peer as usize], 0);
+                }
+                HomeStep::Own => {
+                    let free = running.iter().sum::<u32>() + own < SLOTS;
+                    let choice = home.pick_own(&online(), NOW, || 0.5);
+                    prop_assert_eq!(choice.is_some(), free);
+                    own += u32::from(choice.and_then(|c| home.take(&online(), c)).is_some());
+                }
+            }
+        }
+    }
+}
