Add a laboratory that replays load patterns against the decisions that ship

Three ways to choose: reports alone, places asked for, and one that sees every target.

Not compared yet: p50 and p99 of the first event.

What it doesn't model: prompts read before, connections that are refused, retries of clients, targets that don't notice a closed connection.

--- a/crates/magnolianotch/src/cli.rs
+++ b/crates/magnolianotch/src/cli.rs
@@ -8,6 +8,7 @@
 mod gateway;
 mod job;
 mod job_look;
+mod lab;
 mod output;
 mod progress;
 mod results;
@@ -84,6 +85,7 @@
         ProgramCommand::Demo(args) => development::run_demo_command(&args, output).await,
         ProgramCommand::Measure(args) => development::measure(&args.command, output).await,
         ProgramCommand::Soak(args) => soak::run(&args, output).await,
+        ProgramCommand::Lab(args) => lab::run(&args, output),
     }
 }
 
--- a/crates/magnolianotch/src/cli/args.rs
+++ b/crates/magnolianotch/src/cli/args.rs
@@ -79,6 +79,8 @@
     Measure(MeasureArgs),
     /// The fault soak.
     Soak(SoakArgs),
+    /// The laboratory.
+    Lab(LabArgs),
 }
 
 /// check, read and edit the catalogue
@@ -365,6 +367,23 @@
     pub folder: Option<PathBuf>,
 }
 
+/// replay a load pattern against the decisions that ship, in virtual time, and compare ways to choose a
+/// target; for development
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "lab")]
+pub struct LabArgs {
+    /// the pattern; all of them when it isn't given
+    #[argh(positional)]
+    pub pattern: Option<String>,
+    /// how many seeds, from 1 on (default 5)
+    #[argh(option, default = "5")]
+    pub seeds: u64,
+    /// ways to choose, with commas between: reports, homes, all-knowing (default: all, the first is compared
+    /// with)
+    #[argh(option, default = "String::from(\"reports,homes,all-knowing\")")]
+    pub compare: String,
+}
+
 /// measure on a small fleet in this process; for development
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "measure")]
