Put the search for a place into one decision that daemon and laboratory share

The order of its steps stood in the gateway's relay and again in the laboratory, which so didn't play what ships. `relay::targets::search` decides now: a pure state machine over the table of targets; the gateway carries its questions out. The division of targets among homes, and who isn't asked for a moment, have a type of their own (`TargetHomes`).

--- a/crates/entry/src/online/places.rs
+++ b/crates/entry/src/online/places.rs
@@ -11,48 +11,67 @@
 /// Longest wait for a home's answer: several round trips between failure domains, a tenth of the usual
 /// objective.
 const ANSWER_WAIT: Duration = Duration::from_millis(30);
-/// A home without a free place isn't asked again for so long: at a usual target a place becomes free about
-/// as often.
-const FULL_PAUSE: Duration = Duration::from_millis(50);
-/// The same for a home that doesn't answer: it may be stopped, or cut off.
-const SILENT_PAUSE: Duration = Duration::from_millis(500);
 
-/// What came of an ask.
-#[derive(Debug)]
-pub enum PlaceEnd {
-    /// A place is counted for the request.
-    Granted(TargetChoice),
-    /// There is none; the queue that the home offered.
-    Denied(Option<QueueOffer>),
+/// Finds a place for a request, and counts it there; `None` when it can't be in time anywhere.
+pub async fn find(
+    node: &EntryNode,
+    search: &mut PlaceSearch,
+    query: &TargetQuery<'_>,
+) -> Option<TargetChoice> {
+    loop {
+        let now = node.clock.mono();
+        let step = search.next_step(&mut node.targets(), query, now, EntryNode::draw)?;
+        match step {
+            PlaceStep::Take(choice, yields) => {
+                if let Some(yields) = yields {
+                    revoke(node, &choice.id, &yields);
+                }
+                return Some(choice);
+            }
+            PlaceStep::Ask { home, may_displace } => {
+                let granted = ask(node, search, &home, query, may_displace).await;
+                if granted.is_some() {
+                    return granted;
+                }
+            }
+        }
+    }
 }
 
-/// Asks the home of targets for a place; with `may_displace` also for one that an item has. A home that has
-/// none, or doesn't answer, is passed over for a moment.
-pub async fn ask(
+async fn ask(
     node: &EntryNode,
+    search: &mut PlaceSearch,
     home: &VmName,
     query: &TargetQuery<'_>,
     may_displace: bool,
-) -> PlaceEnd {
+) -> Option<TargetChoice> {
     let (service, avoid) = (query.service.to_owned(), query.avoid.to_vec());
     let question = |call| PeerMessage::PlaceAsk { call, service, avoid, may_displace };
     let send = |call| node.peers.send(home, question(call));
     let end = node.peers.place_calls.ask(send, ANSWER_WAIT).await;
-    let (code, pause, offer) = match end {
+    let now = node.clock.mono();
+    let code = match end {
         CallEnd::Answered(PlaceAnswer::Granted(id)) => {
-            if let Some(choice) = node.targets().take_granted(query, &id) {
+            let granted = node.targets().take_granted(query, &id);
+            if granted.is_some() {
                 node.metrics.count(Counter::Event("places_granted"));
-                return PlaceEnd::Granted(choice);
+                return granted;
             }
             give_back(node, home, id);
-            ("places_unusable", FULL_PAUSE, None)
+            search.note_denied(&mut node.targets(), home, None, now);
+            "places_unusable"
+        }
+        CallEnd::Answered(PlaceAnswer::Denied(offer)) => {
+            search.note_denied(&mut node.targets(), home, offer, now);
+            "places_denied"
+        }
+        CallEnd::Unanswered | CallEnd::NotSent => {
+            search.note_silent(&mut node.targets(), home, now);
+            "places_unanswered"
         }
-        CallEnd::Answered(PlaceAnswer::Denied(offer)) => ("places_denied", FULL_PAUSE, offer),
-        CallEnd::Unanswered | CallEnd::NotSent => ("places_unanswered", SILENT_PAUSE, None),
     };
     node.metrics.count(Counter::Event(code));
-    node.targets().note_denied(home, node.clock.mono() + pause);
-    PlaceEnd::Denied(offer)
+    None
 }
 
 /// Answers another gateway that asks for a place.
--- a/crates/entry/src/online/relay.rs
+++ b/crates/entry/src/online/relay.rs
@@ -14,30 +14,15 @@
 use notch_types::prelude::*;
 
 use crate::{
-    batch::runner,
     constants::{
         ANSWER_BODY_BYTES, COME_BACK_OBJECTIVES, FIRST_BYTE_FREE, FIRST_BYTE_QUEUED,
         NO_PLACE_LONGEST, NO_PLACE_PAUSE, NOT_RUN_TRIES, RETRY_AFTER,
     },
     node::EntryNode,
-    online::{crashes, lease::TargetLease, places, places::PlaceEnd, request::OnlineRequest},
+    online::{crashes, lease::TargetLease, places, request::OnlineRequest},
     target::connection::TargetConnection,
 };
 
-/// Gateways asked for a place for one choice of a target, at most: at nine tenths of all places taken the
-/// second one mostly has one.
-const PLACE_ASKS: u32 = 8;
-/// The same before an own item yields its place.
-const FREE_ASKS: u32 = 2;
-
-/// What comes next in the choice of a target.
-enum PlaceStep {
-    /// The request is counted there.
-    Take(TargetChoice),
-    /// A gateway is asked for a place at one of its targets.
-    Ask { home: VmName, may_displace: bool },
-}
-
 /// What became of the client's connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Delivery {
@@ -107,10 +92,8 @@
     failures: Vec<String>,
     /// How long it may wait for a place.
     queue: QueueLimit,
-    /// How often a place was asked for.
+    /// Gateways asked for a place at the last choice.
     place_asks: u32,
-    /// The shortest queue that another gateway offered for this choice.
-    offer: Option<QueueOffer>,
     /// The target chosen last, with what was known of it: own and reported requests there.
     last_choice: Option<TargetChoice>,
 }
@@ -139,7 +122,6 @@
             failures: Vec::new(),
             queue: queue_limit(node, request),
             place_asks: 0,
-            offer: None,
             last_choice: None,
         }
     }
@@ -206,69 +188,12 @@
         self.request.route.may_repeat() && self.unknown + 1 < self.request.route.max_attempts
     }
 
-    /// Chooses a target and counts the request there: a free place of an own target, one that another
-    /// gateway grants, one that an item yields here, then elsewhere; else a place in a queue.
+    /// Chooses a target and counts the request there.
     async fn choose(&mut self) -> Option<TargetChoice> {
-        self.place_asks = 0;
-        self.offer = None;
-        loop {
-            let step = self.next_step()?;
-            match step {
-                PlaceStep::Take(choice) => return Some(choice),
-                PlaceStep::Ask { home, may_displace } => {
-                    self.place_asks += 1;
-                    let query = self.query();
-                    match places::ask(self.node, &home, &query, may_displace).await {
-                        PlaceEnd::Granted(choice) => return Some(choice),
-                        PlaceEnd::Denied(offer) => self.note_offer(offer),
-                    }
-                }
-            }
-        }
-    }
-
-    fn next_step(&self) -> Option<PlaceStep> {
-        let (query, now) = (self.query(), self.now());
-        let mut targets = self.node.targets();
-        if let Some(own) = targets.pick_own(&query, now, EntryNode::draw) {
-            return targets.take(&query, own).map(PlaceStep::Take);
-        }
-        let home = |targets: &TargetTable, most: u32, may_displace: bool| {
-            let may_ask = self.place_asks < most;
-            let home = targets.home_to_ask(&query, may_displace, now, EntryNode::draw);
-            home.filter(|_| may_ask).map(|home| PlaceStep::Ask { home, may_displace })
-        };
-        if let Some(ask) = home(&targets, FREE_ASKS, false) {
-            return Some(ask);
-        }
-        if let Some((own, yields)) = targets.pick_yielding(&query, now) {
-            let choice = targets.take(&query, TargetChoice { place_free: true, ..own })?;
-            drop(targets);
-            places::revoke(self.node, &choice.id, &yields);
-            return Some(PlaceStep::Take(choice));
-        }
-        if let Some(ask) = home(&targets, PLACE_ASKS, true) {
-            return Some(ask);
-        }
-        let offered = self.offer.as_ref();
-        let offered = offered.and_then(|offer| targets.pick_offered(&query, offer, now));
-        let own = || targets.pick(&query, now, EntryNode::draw);
-        let pick = offered.or_else(own).or_else(|| {
-            let query = TargetQuery { avoid: &[], ..query };
-            targets.pick(&query, now, EntryNode::draw)
-        })?;
-        let choice = targets.take(&query, pick)?;
-        drop(targets);
-        if !choice.place_free {
-            runner::yield_place(self.node, &choice.id);
-        }
-        Some(PlaceStep::Take(choice))
-    }
-
-    /// Keeps the shortest queue that was offered.
-    fn note_offer(&mut self, offer: Option<QueueOffer>) {
-        let known = self.offer.take().into_iter().chain(offer);
-        self.offer = known.min_by_key(|offer| offer.waiting);
+        let mut search = PlaceSearch::default();
+        let choice = places::find(self.node, &mut search, &self.query()).await;
+        self.place_asks = search.asks();
+        choice
     }
 
     fn query(&self) -> TargetQuery<'_> {
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -56,14 +56,14 @@
 }
 
 /// An online request at its gateway.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Default)]
 struct LabRequest {
     gateway: usize,
     arrived: MonoTime,
     avoid: Vec<String>,
-    asks: u32,
-    /// The shortest queue that another gateway offered.
-    offer: Option<QueueOffer>,
+    search: PlaceSearch,
+    /// Questions asked so far.
+    asked: u32,
     /// Number of the question that it waits for; 0 for none.
     asking: u32,
     /// A place was free elsewhere when it was sent to a target without one.
--- a/crates/lab/src/world/online.rs
+++ b/crates/lab/src/world/online.rs
@@ -12,16 +12,8 @@
     world::{LabEvent, LabRequest, LabRun, LabWorld, RunOutcome, RunWork, SERVICE},
 };
 
-/// Asks for a place for one choice, at most.
-const PLACE_ASKS: u32 = 8;
-/// The same before an own item yields its place.
-const FREE_ASKS: u32 = 2;
 /// Longest wait for a home's answer.
 const ANSWER_WAIT: Duration = Duration::from_millis(30);
-/// A home without a place isn't asked again for so long.
-const FULL_PAUSE: Duration = Duration::from_millis(50);
-/// The same for one that doesn't answer.
-const SILENT_PAUSE: Duration = Duration::from_millis(500);
 /// Attempts at targets, at most.
 const ATTEMPTS: usize = 3;
 
@@ -51,56 +43,45 @@
         if self.policy == PlacePolicy::AllKnowing {
             return self.attempt_knowing(request);
         }
-        if self.policy == PlacePolicy::Homes && self.attempt_place(request) {
-            return;
-        }
-        match self.pick_offered(request).or_else(|| self.pick(request)) {
-            Some(pick) => self.send(request, pick),
-            None => self.outcome.refused += 1,
+        if self.policy == PlacePolicy::Homes {
+            return self.search_place(request);
         }
-    }
-
-    fn pick_offered(&self, request: usize) -> Option<TargetChoice> {
-        let asking = &self.requests[request];
-        let query = online_query(asking, QueueLimit::Within(self.pattern.objective));
-        let table = &self.gateways[asking.gateway].table;
-        table.pick_offered(&query, asking.offer.as_ref()?, self.now())
-    }
-
-    /// Sends a request to a place that is free, or asks for one; false when there is none to be had.
-    fn attempt_place(&mut self, request: usize) -> bool {
-        let now = self.now();
+        let (now, queue) = (self.now(), QueueLimit::Within(self.pattern.objective));
         let asking = &self.requests[request];
-        let query = online_query(asking, QueueLimit::Any);
+        let query = online_query(asking, queue);
         let random = &mut self.random;
-        let gateway = asking.gateway;
-        let table = &mut self.gateways[gateway].table;
-        let mut home =
-            |may_displace| table.home_to_ask(&query, may_displace, now, || random.random());
-        let free_home = if asking.asks < FREE_ASKS { home(false) } else { None };
-        let yielding_home = if asking.asks < PLACE_ASKS { home(true) } else { None };
-        if let Some(own) = table.pick_own(&query, now, || self.random.random()) {
-            self.send(request, own);
-        } else if let Some(home) = free_home {
-            self.ask(request, &home, false);
-        } else if let Some((own, yields)) = table.pick_yielding(&query, now) {
-            self.revoke(gateway, &own.id, &yields);
-            let own = TargetChoice { place_free: true, ..own };
-            self.send(request, own);
-        } else if let Some(home) = yielding_home {
-            self.ask(request, &home, true);
-        } else {
-            return false;
+        let table = &mut self.gateways[asking.gateway].table;
+        match table.choose(&query, now, || random.random()) {
+            Some(choice) => {
+                if !choice.place_free {
+                    self.yield_place(asking.gateway, &choice.id);
+                }
+                self.send(request, &choice);
+            }
+            None => self.outcome.refused += 1,
         }
-        true
     }
 
-    fn pick(&mut self, request: usize) -> Option<TargetChoice> {
+    /// Takes the next step of the search that ships.
+    fn search_place(&mut self, request: usize) {
         let (now, queue) = (self.now(), QueueLimit::Within(self.pattern.objective));
-        let asking = &self.requests[request];
-        let query = online_query(asking, queue);
+        let gateway = self.requests[request].gateway;
+        let mut search = std::mem::take(&mut self.requests[request].search);
+        let query = online_query(&self.requests[request], queue);
         let random = &mut self.random;
-        self.gateways[asking.gateway].table.pick(&query, now, || random.random())
+        let table = &mut self.gateways[gateway].table;
+        let step = search.next_step(table, &query, now, || random.random());
+        self.requests[request].search = search;
+        match step {
+            Some(PlaceStep::Take(choice, yields)) => {
+                if let Some(yields) = yields {
+                    self.revoke(gateway, &choice.id, &yields);
+                }
+                self.send(request, &choice);
+            }
+            Some(PlaceStep::Ask { home, may_displace }) => self.ask(request, &home, may_displace),
+            None => self.outcome.refused += 1,
+        }
     }
 
     fn ask(&mut self, request: usize, home: &VmName, may_displace: bool) {
@@ -108,9 +89,9 @@
         let home = home.unwrap_or_default();
         self.outcome.asks += 1;
         let asking = &mut self.requests[request];
-        asking.asks += 1;
-        asking.asking = asking.asks;
-        let number = asking.asks;
+        asking.asked += 1;
+        asking.asking = asking.asked;
+        let number = asking.asked;
         self.schedule
             .add(self.pattern.delay, LabEvent::Ask { request, number, home, may_displace });
         self.schedule.add(ANSWER_WAIT, LabEvent::AskTimeout { request, number, home });
@@ -160,44 +141,35 @@
             }
             return;
         }
-        let asking = &mut self.requests[request];
-        asking.asking = 0;
-        let known = asking.offer.iter().chain(&offer).min_by_key(|offer| offer.waiting);
-        asking.offer = known.cloned();
-        let Some(target) = target else { return self.note_denied(request, home, FULL_PAUSE) };
+        self.requests[request].asking = 0;
+        let Some(target) = target else { return self.note_denied(request, home, offer) };
         let query = online_query(&self.requests[request], QueueLimit::Any);
         let granted = self.gateways[from].table.take_granted(&query, &target);
         match granted {
-            Some(choice) => self.send_taken(request, &choice),
-            None => self.note_denied(request, home, FULL_PAUSE),
+            Some(choice) => self.send(request, &choice),
+            None => self.note_denied(request, home, None),
         }
     }
 
     pub(super) fn time_out(&mut self, request: usize, number: u32, home: usize) {
-        if self.requests[request].asking == number {
-            self.requests[request].asking = 0;
-            self.note_denied(request, home, SILENT_PAUSE);
+        if self.requests[request].asking != number {
+            return;
         }
-    }
-
-    fn note_denied(&mut self, request: usize, home: usize, pause: Duration) {
-        let until = self.now() + pause;
-        let vm = self.gateways[home].vm.clone();
-        self.gateways[self.requests[request].gateway].table.note_denied(&vm, until);
+        let (now, vm) = (self.now(), self.gateways[home].vm.clone());
+        let asking = &mut self.requests[request];
+        asking.asking = 0;
+        asking.search.note_silent(&mut self.gateways[asking.gateway].table, &vm, now);
         self.attempt(request);
     }
 
-    fn send(&mut self, request: usize, pick: TargetChoice) {
-        let asking = &self.requests[request];
-        let (gateway, query) = (asking.gateway, online_query(asking, QueueLimit::Any));
-        let Some(choice) = self.gateways[gateway].table.take(&query, pick) else { return };
-        if !choice.place_free {
-            self.yield_place(gateway, &choice.id);
-        }
-        self.send_taken(request, &choice);
+    fn note_denied(&mut self, request: usize, home: usize, offer: Option<QueueOffer>) {
+        let (now, vm) = (self.now(), self.gateways[home].vm.clone());
+        let asking = &mut self.requests[request];
+        asking.search.note_denied(&mut self.gateways[asking.gateway].table, &vm, offer, now);
+        self.attempt(request);
     }
 
-    fn send_taken(&mut self, request: usize, choice: &TargetChoice) {
+    fn send(&mut self, request: usize, choice: &TargetChoice) {
         let chosen = self.target_ids.iter().position(|id| *id == choice.id).unwrap_or_default();
         let is_free = |target: &crate::target::TargetModel| target.free() > 0;
         let missed = !is_free(&self.targets[chosen]) && self.targets.iter().any(is_free);
@@ -229,7 +201,7 @@
         let query = online_query(&self.requests[request], QueueLimit::Any);
         let choice = self.gateways[gateway].table.take_granted(&query, &self.target_ids[best]);
         match choice {
-            Some(choice) => self.send_taken(request, &choice),
+            Some(choice) => self.send(request, &choice),
             None => self.outcome.refused += 1,
         }
     }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -50,8 +50,10 @@
             failure::{AttemptFailure, RunVerdict},
             pace::ServicePace,
             patience::PatienceTable,
+            places::{ItemYield, PlaceGrant, QueueOffer},
             prompt::{PromptHead, PromptHeads},
-            table::{ItemYield, PlaceGrant, QueueOffer, TargetTable, UseChange},
+            search::{PlaceSearch, PlaceStep},
+            table::{TargetTable, UseChange},
         },
     };
 }
--- a/crates/relay/src/targets/table.rs
+++ b/crates/relay/src/targets/table.rs
@@ -10,7 +10,9 @@
     entry::{TargetEntry, TargetState},
     failure::AttemptFailure,
     health::TargetHealth,
+    homes::TargetHomes,
     pace::ServicePace,
+    places::{ItemYield, PlaceGrant, QueueOffer},
     warm_prompts::WarmPrompts,
 };
 
@@ -92,33 +94,6 @@
     }
 }
 
-/// Whose item yields a place.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum ItemYield {
-    /// One of this gateway.
-    Own,
-    /// One of another gateway.
-    Peer(VmName),
-}
-
-/// A queue that a request may wait in, where no place is free.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct QueueOffer {
-    /// The target's id.
-    pub id: String,
-    /// Requests that wait there, with those on their way.
-    pub waiting: u32,
-}
-
-/// A place that a home grants another gateway.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct PlaceGrant {
-    /// The target's id.
-    pub id: String,
-    /// Whose item has to yield the place, at once; `None` where it is free.
-    pub yields: Option<ItemYield>,
-}
-
 /// What became of a request at a target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum UseChange {
@@ -165,15 +140,8 @@
     domain: String,
     records: FastMap<String, TargetRecord>,
     reports: FastMap<VmName, PeerReport>,
-    /// The gateway that admits requests to each target, by the target's id. Empty where targets aren't
-    /// shared out, so that all belong to this gateway.
-    homes: FastMap<String, VmName>,
-    /// This gateway, as it stands in `homes`.
-    own: Option<VmName>,
-    /// What `homes` was computed from.
-    shared_for: u64,
-    /// Gateways that aren't asked for a place until then: they had none, or didn't answer.
-    denied: FastMap<VmName, MonoTime>,
+    /// Which gateway admits requests to which target.
+    homes: TargetHomes,
     /// Share of the other gateways' home targets that one choice looks at.
     foreign_share: f64,
     /// How long answers take, by service.
@@ -349,14 +317,11 @@
         let mut best: Option<(f64, &VmName)> = None;
         for record in self.records.values() {
             let id = &record.entry.id;
-            let Some(home) = self.homes.get(id).filter(|home| Some(*home) != self.own.as_ref())
-            else {
-                continue;
-            };
+            let Some(home) = self.homes.other_home(id) else { continue };
             let is_able = record.takes(query.service)
                 && !record.health.is_avoided(now)
                 && !query.avoid.contains(id)
-                && self.denied.get(home).is_none_or(|until| now >= *until);
+                && self.homes.may_ask(home, now);
             if !is_able || !(record.has_place() || may_displace) {
                 continue;
             }
@@ -455,7 +420,7 @@
     ) -> impl Iterator<Item = &TargetRecord> {
         self.records.values().filter(move |record| {
             record.takes(service)
-                && self.is_home(&record.entry.id)
+                && self.homes.is_own(&record.entry.id)
                 && !record.health.is_avoided(now)
                 && !avoid.contains(&record.entry.id)
         })
@@ -517,12 +482,11 @@
 
     /// A gateway isn't asked for places until `until`.
     pub fn note_denied(&mut self, home: &VmName, until: MonoTime) {
-        self.denied.insert(home.clone(), until);
+        self.homes.note_denied(home, until);
     }
 
     fn choice_of(&self, record: &TargetRecord) -> TargetChoice {
         let id = &record.entry.id;
-        let is_home = !self.homes.is_empty() && self.is_home(id);
         TargetChoice {
             id: id.clone(),
             name: record.entry.name.clone(),
@@ -530,20 +494,12 @@
             place_free: record.has_place(),
             own_load: record.own.total(),
             reported_load: record.others.total(),
-            is_home,
-            home: self.homes.get(id).filter(|_| !is_home).cloned(),
+            is_home: self.homes.is_shared() && self.homes.is_own(id),
+            home: self.homes.other_home(id).cloned(),
             is_granted: false,
         }
     }
 
-    /// Whether this gateway admits requests to a target. One whose home isn't known belongs to everybody.
-    fn is_home(&self, id: &str) -> bool {
-        match self.homes.get(id) {
-            Some(home) => self.own.as_ref() == Some(home),
-            None => self.homes.is_empty(),
-        }
-    }
-
     /// The target with the lowest score; of the other gateways' home targets only a share is looked
     /// at.
     fn best_record(
@@ -562,7 +518,7 @@
             if !record.takes(service) || avoid.contains(&record.entry.id) {
                 continue;
             }
-            let is_home = self.is_home(&record.entry.id);
+            let is_home = self.homes.is_own(&record.entry.id);
             if work == WorkKind::Batch && !record.has_batch_place(is_home) {
                 continue;
             }
@@ -701,23 +657,9 @@
     /// reports of the others' use come a tenth of a second late. `gateways` are all that are alive,
     /// this one among them, each with its failure domain.
     pub fn share_out(&mut self, own: &str, gateways: &[(String, String)]) {
-        let mut ids: Vec<(&str, &str)> =
-            self.records.values().map(|r| (r.entry.id.as_str(), r.entry.domain.as_str())).collect();
-        ids.sort_unstable();
-        let mut names: Vec<(&str, &str)> =
-            gateways.iter().map(|(name, domain)| (name.as_str(), domain.as_str())).collect();
-        names.sort_unstable();
-        let input: Vec<&[u8]> =
-            ids.iter().chain(&names).flat_map(|(a, b)| [a.as_bytes(), b.as_bytes()]).collect();
-        let shared_for = stable_hash64(&input);
-        if shared_for == self.shared_for {
-            return;
-        }
-        let homes = if names.len() < 2 { FastMap::default() } else { divide(&ids, &names) };
-        self.homes = homes;
-        self.own = Some(VmName::new(own));
-        self.shared_for = shared_for;
-        self.denied.retain(|home, _| gateways.iter().any(|(name, _)| name == home.as_str()));
+        let entries = self.records.values().map(|record| &record.entry);
+        let targets = entries.map(|entry| (entry.id.as_str(), entry.domain.as_str()));
+        self.homes.divide(own, targets.collect(), gateways);
         self.foreign_share = FOREIGN_CHOICES / gateways.len().max(1) as f64;
     }
 
@@ -732,33 +674,6 @@
     }
 }
 
-/// Divides targets among the gateways of their failure domain by rendezvous hashing, none with more than its
-/// part: when a gateway comes or goes few targets change their home. Where a domain has no gateway, all
-/// gateways share its targets.
-fn divide(targets: &[(&str, &str)], gateways: &[(&str, &str)]) -> FastMap<String, VmName> {
-    let mut homes = FastMap::default();
-    let mut domains: FastMap<&str, Vec<&str>> = FastMap::default();
-    for (id, domain) in targets {
-        domains.entry(domain).or_default().push(id);
-    }
-    for (domain, ids) in domains {
-        let near: Vec<&str> =
-            gateways.iter().filter(|(_, place)| *place == domain).map(|(name, _)| *name).collect();
-        let all = || gateways.iter().map(|(name, _)| *name).collect();
-        let names: Vec<&str> = if near.is_empty() { all() } else { near };
-        let most = ids.len().div_ceil(names.len());
-        let mut counts: FastMap<&str, usize> = FastMap::default();
-        for id in ids {
-            let open = names.iter().filter(|name| counts.get(**name).is_none_or(|n| *n < most));
-            let first = open.max_by_key(|name| stable_hash64(&[id.as_bytes(), name.as_bytes()]));
-            let Some(first) = first else { continue };
-            *counts.entry(*first).or_default() += 1;
-            homes.insert(id.to_owned(), VmName::new(first));
-        }
-    }
-    homes
-}
-
 impl TargetRecord {
     fn has_place(&self) -> bool {
         self.total() < self.entry.slots
