Give what is known of one target a file of its own; drop a constant that reads 0

`TargetRecord`, its load and what may start there stand in `targets/record`. The reserve of own targets was a constant of 0 whose comment still told why a place is kept free: it is gone, and the comments that spoke of it say what holds. No behaviour changes; the tests of relay, laboratory and daemon pass unchanged but for an import.

--- a/crates/entry/src/peers/reports.rs
+++ b/crates/entry/src/peers/reports.rs
@@ -4,7 +4,7 @@
 
 use async_std::task;
 use notch_messages::prelude::*;
-use notch_relay::targets::table::TargetUse;
+use notch_relay::prelude::TargetUse;
 use notch_types::prelude::*;
 
 use crate::{
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -115,7 +115,7 @@
     TakeReport {
         to: usize,
         from: usize,
-        uses: Vec<(String, WorkUse)>,
+        uses: Vec<(String, TargetUse)>,
     },
     PeerUse {
         home: usize,
@@ -144,8 +144,6 @@
     ShareOut,
 }
 
-type WorkUse = notch_relay::targets::table::TargetUse;
-
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum RunOutcome {
     Whole,
@@ -341,7 +339,7 @@
             return;
         }
         let uses = self.gateways[from].table.own_uses();
-        let uses: Vec<(String, WorkUse)> = uses.map(|(id, used)| (id.to_owned(), used)).collect();
+        let uses: Vec<(String, TargetUse)> = uses.map(|(id, used)| (id.to_owned(), used)).collect();
         for to in (0..self.gateways.len()).filter(|to| *to != from) {
             let uses = uses.clone();
             self.schedule.add(self.pattern.delay, LabEvent::TakeReport { to, from, uses });
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -52,8 +52,9 @@
             patience::PatienceTable,
             places::{ItemYield, PlaceGrant, QueueOffer},
             prompt::{PromptHead, PromptHeads},
+            record::{TargetUse, UseChange},
             search::{PlaceSearch, PlaceStep},
-            table::{TargetTable, UseChange},
+            table::TargetTable,
         },
     };
 }
--- a/crates/relay/src/targets.rs
+++ b/crates/relay/src/targets.rs
@@ -10,6 +10,7 @@
 pub mod patience;
 pub mod places;
 pub mod prompt;
+pub mod record;
 pub mod search;
 pub mod table;
 pub mod warm_prompts;
--- a/crates/relay/src/targets/table.rs
+++ b/crates/relay/src/targets/table.rs
@@ -3,7 +3,6 @@
 use std::{net::SocketAddr, time::Duration};
 
 use notch_types::prelude::*;
-use serde::{Deserialize, Serialize};
 
 use crate::targets::{
     choice::{QueueLimit, TargetChoice, TargetQuery, WorkKind},
@@ -13,37 +12,15 @@
     homes::TargetHomes,
     pace::ServicePace,
     places::{ItemYield, PlaceGrant, QueueOffer},
+    record::{TargetRecord, TargetUse, UseChange},
     warm_prompts::WarmPrompts,
 };
 
-/// Places of a target that batch leaves to online requests that come next. Engines take requests
-/// first come first served, so an item in the last place makes the next online request wait for
-/// a whole stream's end.
-const BATCH_RESERVE: u32 = 0;
-/// Places of another gateway's home target that batch leaves free: its load is known late.
-const BATCH_RESERVE_FOREIGN: u32 = 3;
-/// Added to the load of a target in another failure domain, in requests: bytes between domains cost,
-/// but less than a wait for a place.
-const FAR_PENALTY: f64 = 0.3;
-/// Added to the load of another gateway's home target, in requests: its load is known late.
-const FOREIGN_PENALTY: f64 = 1.5;
-/// Weight of an own item in a target's load: it yields its place when an online request needs it.
-const YIELDING_WEIGHT: f64 = 0.7;
-/// Added to the load of a target that is slow after its start or may be about to leave, in requests:
-/// it gets new ones where others are a quarter fuller, but never is a place left free for it.
-const SLOW_PENALTY: f64 = 2.0;
 /// How long a target that closes a connection counts as about to leave: its entry says so within a
 /// second if it does.
 const CLOSING_HINT: Duration = Duration::from_secs(1);
-/// Tokens of a prompt that a target has read count for as much as one request less there. Reading
-/// 1,200 tokens takes 14 ms; so much longer does a usual stream take beside one request more.
-const WARM_TOKENS: f64 = 1_200.0;
-/// The most that it counts, in requests: a popular prompt must not fill one target.
-const WARMTH_LONGEST: f64 = 1.0;
-/// Divided by the number of gateways, the share of the others' home targets that one choice looks
-/// at. Were all looked at, every gateway whose own are full would pick the one that was least
-/// loaded a tenth of a second ago: of 27 gateways' choices of a target reported under two thirds
-/// full, a tenth then waited over 0.4 s for a first event.
+/// Divided by the number of gateways, the share of the others' home targets that one choice for an item looks
+/// at. Were all looked at, every gateway would pick the one that was least loaded a tenth of a second ago.
 const FOREIGN_CHOICES: f64 = 4.0;
 /// Spread of the random tie-break, in requests. Without it gateways that hear the same reports
 /// pick the same target at the same moment.
@@ -59,65 +36,9 @@
 /// Requests that may wait at a target before items of jobs are broken off there: one waits for an
 /// eighth of a usual stream, 75 ms, which an objective of 300 ms bears.
 const PREEMPT_QUEUE: u32 = 1;
-/// Requests that may wait at a target for each of its places before it counts as full.
-const QUEUE_PER_SLOT: f64 = 1.0;
 /// A peer's report counts for this long; it is sent anew at least twice as often.
 const REPORT_LIFETIME: Duration = Duration::from_millis(2_500);
 
-/// Requests of one gateway at one target.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct TargetUse {
-    /// Online requests.
-    pub online: u32,
-    /// Items of jobs.
-    pub batch: u32,
-}
-
-impl TargetUse {
-    /// Both together.
-    pub fn total(self) -> u32 {
-        self.online + self.batch
-    }
-
-    fn add(&mut self, work: WorkKind) {
-        match work {
-            WorkKind::Online => self.online += 1,
-            WorkKind::Batch => self.batch += 1,
-        }
-    }
-
-    fn remove(&mut self, work: WorkKind) {
-        match work {
-            WorkKind::Online => self.online = self.online.saturating_sub(1),
-            WorkKind::Batch => self.batch = self.batch.saturating_sub(1),
-        }
-    }
-}
-
-/// What became of a request at a target.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub enum UseChange {
-    /// It begins.
-    Begin,
-    /// It has ended.
-    End,
-}
-
-#[derive(Debug)]
-struct TargetRecord {
-    entry: TargetEntry,
-    /// Requests of this gateway that are under way.
-    own: TargetUse,
-    /// Sum of the other gateways' last reports.
-    others: TargetUse,
-    health: TargetHealth,
-    /// Another target answered at its address: not used until it registers again.
-    displaced: bool,
-    /// It is slow until then, or may be: it has just started, or it closes its connections, as one
-    /// that is about to leave does.
-    slow_until: MonoTime,
-}
-
 /// Own use of a target whose entry is gone.
 #[derive(Debug, Clone, Copy, Default)]
 struct LeftoverUse {
@@ -228,15 +149,14 @@
         self.records.values().filter(|r| r.entry.state == TargetState::Ready).count()
     }
 
-    /// Places left to items now, by service: those that no online request has, at targets that take requests,
-    /// but for the one of each that is kept free.
+    /// Places left to items now, by service: those that no online request has, at targets that take requests.
     pub fn item_places(&self, now: MonoTime) -> FastMap<String, u32> {
         let mut places: FastMap<String, u32> = FastMap::default();
         for record in self.records.values() {
             let is_able = record.entry.state == TargetState::Ready
                 && !record.displaced
                 && !record.health.is_avoided(now);
-            let taken = record.own.online + record.others.online + BATCH_RESERVE;
+            let taken = record.own.online + record.others.online;
             let left = if is_able { record.entry.slots.saturating_sub(taken) } else { 0 };
             *places.entry(record.entry.service.clone()).or_default() += left;
         }
@@ -673,60 +593,3 @@
         }
     }
 }
-
-impl TargetRecord {
-    fn has_place(&self) -> bool {
-        self.total() < self.entry.slots
-    }
-
-    fn waiting(&self) -> u32 {
-        self.total().saturating_sub(self.entry.slots)
-    }
-
-    fn takes(&self, service: &str) -> bool {
-        let ready = self.entry.state == TargetState::Ready && !self.displaced;
-        ready && self.entry.service == service && !self.is_full()
-    }
-
-    fn total(&self) -> u32 {
-        self.own.total() + self.others.total()
-    }
-
-    fn is_full(&self) -> bool {
-        f64::from(self.total()) >= f64::from(self.entry.slots) * (1.0 + QUEUE_PER_SLOT)
-    }
-
-    fn has_batch_place(&self, is_home: bool) -> bool {
-        let reserve = if is_home { BATCH_RESERVE } else { BATCH_RESERVE_FOREIGN };
-        let open = self.entry.slots.saturating_sub(reserve).max(1);
-        self.total() < open
-    }
-
-    /// Whether an online request that comes now likely begins in time. Own items yield their places at
-    /// once.
-    fn is_in_time(&self, queue: QueueLimit, pace: &ServicePace) -> bool {
-        match queue {
-            QueueLimit::Any => true,
-            QueueLimit::Within(objective) => {
-                let ahead = self.own.online + self.others.total();
-                pace.is_in_time(ahead, self.entry.slots, objective)
-            }
-        }
-    }
-
-    /// What it's worth, in requests, that the target has read so many tokens of a prompt.
-    fn warmth(&self, read: u32) -> f64 {
-        if self.total() >= self.entry.slots {
-            return 0.0;
-        }
-        (f64::from(read) / WARM_TOKENS).min(WARMTH_LONGEST)
-    }
-
-    fn score(&self, domain: &str, is_home: bool, now: MonoTime) -> f64 {
-        let far = if self.entry.domain == domain { 0.0 } else { FAR_PENALTY };
-        let foreign = if is_home { 0.0 } else { FOREIGN_PENALTY };
-        let own_items = f64::from(self.own.batch) * (1.0 - YIELDING_WEIGHT);
-        let slow = if now < self.slow_until { SLOW_PENALTY } else { 0.0 };
-        f64::from(self.total()) - own_items + far + foreign + slow
-    }
-}
--- a/crates/relay/tests/places.rs
+++ b/crates/relay/tests/places.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::LazyLock, time::Duration};
 
-use notch_relay::{prelude::*, targets::table::TargetUse};
+use notch_relay::prelude::*;
 use notch_types::prelude::*;
 use proptest::prelude::*;
 use rstest::rstest;
