--- a/crates/entry/src/online/places.rs
+++ b/crates/entry/src/online/places.rs
@@ -89,15 +89,14 @@
     let now = node.clock.mono();
     let mut targets = node.targets();
     let grant = targets.grant(peer, &query, may_displace, now);
-    let offer = targets.shortest_queue(&query, now);
+    let answer = match &grant {
+        Some(grant) => PlaceAnswer::Granted(grant.id.clone()),
+        None => PlaceAnswer::Denied(targets.shortest_queue(&query, now)),
+    };
     drop(targets);
     if let Some(PlaceGrant { id, yields: Some(yields) }) = &grant {
         revoke(node, id, yields);
     }
-    let answer = match grant {
-        Some(grant) => PlaceAnswer::Granted(grant.id),
-        None => PlaceAnswer::Denied(offer),
-    };
     node.peers.send(peer, PeerMessage::PlaceAnswer { call, answer });
 }
 
--- a/crates/magnolianotch/tests/cli.rs
+++ b/crates/magnolianotch/tests/cli.rs
@@ -280,8 +280,6 @@
 #[case("job status 7", ExitKind::Usage, "7 is no job's id")]
 #[case("job submit /no/such/file --target m --due 6h", ExitKind::Usage, "/no/such/file")]
 #[case("job submit /no/such/file --target m --due soon", ExitKind::Usage, "due time")]
-#[case("lab no-such-pattern", ExitKind::Usage, "there are: crests")]
-#[case("lab calm --compare guess", ExitKind::Usage, "no policy guess")]
 #[case("stand-in service --delay soon", ExitKind::Usage, "no duration")]
 #[case("stand-in engine --model diary", ExitKind::Usage, "NAME:VERSION")]
 #[case("status --gateway http://127.0.0.1:1", ExitKind::Unreachable, "connection refused")]
