--- /dev/null
+++ b/crates/entry/src/accounts.rs
@@ -0,0 +1,6 @@
+//! Client accounts: whose requests are let in.
+
+pub mod admission;
+pub mod credit;
+pub mod desk;
+pub mod proofs;
--- /dev/null
+++ b/crates/entry/src/accounts/credit.rs
@@ -0,0 +1,139 @@
+//! Credit of accounts' limits, asked for before a request is let in.
+
+use std::time::Duration;
+
+use notch_messages::prelude::PeerMessage;
+use notch_relay::prelude::*;
+use notch_types::prelude::*;
+
+use crate::{node::EntryNode, peers::calls::CallEnd};
+
+/// Longest wait for a keeper's answer: several round trips between failure domains, a fifth of the usual objective.
+const ANSWER_WAIT: Duration = Duration::from_millis(60);
+/// Gateways asked for one request, at most: the keeper as known here, and the one that it names instead.
+const ASKS: usize = 2;
+
+/// Whether a request is within its account's limit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LimitVerdict {
+    /// It is, and is counted.
+    Within,
+    /// It is let in though nobody keeps the limit now.
+    Unkept,
+    /// It isn't.
+    Over {
+        /// When to come back.
+        wait: Duration,
+    },
+    /// Nobody can tell now.
+    Unknown,
+}
+
+/// Counts a request against its account's limit.
+pub async fn take(node: &EntryNode, account: &AccountName, limit: AccountLimit) -> LimitVerdict {
+    let began = node.clock.mono();
+    let step = node.accounts.credits().begin(account, began);
+    let wanted = match step {
+        CreditStep::Admitted => return LimitVerdict::Within,
+        CreditStep::UsedUp { wait } => return LimitVerdict::Over { wait },
+        CreditStep::Unkept => return take_unkept(node, account, limit),
+        CreditStep::Ask { wanted } => wanted,
+    };
+    let mut keeper = find_keeper(node, account, began);
+    for _ in 0..ASKS {
+        let Some(vm) = keeper else { break };
+        match ask(node, &vm, account, limit, wanted).await {
+            Some(CreditAnswer::Granted(granted)) => {
+                node.accounts.credits().note_granted(account, granted, began);
+                return LimitVerdict::Within;
+            }
+            Some(CreditAnswer::UsedUp(wait)) => {
+                let now = node.clock.mono();
+                node.accounts.credits().note_used_up(account, wait, now);
+                return LimitVerdict::Over { wait };
+            }
+            Some(CreditAnswer::NotKept(other)) => keeper = other.filter(|other| *other != vm),
+            None => {
+                node.metrics.count(Counter::Event("credit_unanswered"));
+                node.accounts.credits().note_silent(account, node.clock.mono());
+                break;
+            }
+        }
+    }
+    take_unkept(node, account, limit)
+}
+
+async fn ask(
+    node: &EntryNode,
+    vm: &VmName,
+    account: &AccountName,
+    limit: AccountLimit,
+    wanted: u32,
+) -> Option<CreditAnswer> {
+    if *vm == node.config.node.vm {
+        let now = node.clock.mono();
+        return Some(node.accounts.keeper().grant(account, limit, wanted, now));
+    }
+    node.metrics.count(Counter::Event("credit_asked"));
+    let account = account.clone();
+    let send = |call| node.peers.send(vm, PeerMessage::CreditAsk { call, account, wanted });
+    match node.peers.credit_calls.ask(send, ANSWER_WAIT).await {
+        CallEnd::Answered(answer) => Some(answer),
+        CallEnd::NotSent | CallEnd::Unanswered => None,
+    }
+}
+
+fn take_unkept(node: &EntryNode, account: &AccountName, limit: AccountLimit) -> LimitVerdict {
+    let (tolerance, gateways) = (node.accounts.tolerance(), node.peers.known_count() + 1);
+    let now = node.clock.mono();
+    let may_admit = node.accounts.credits().admit_unkept(account, limit, tolerance, gateways, now);
+    if may_admit { LimitVerdict::Unkept } else { LimitVerdict::Unknown }
+}
+
+/// The gateway that keeps an account's limit, by what is known of the others now.
+fn find_keeper(node: &EntryNode, account: &AccountName, now: MonoTime) -> Option<VmName> {
+    look(node, now);
+    node.accounts.keeper().keeper(account)
+}
+
+/// Brings the view of who keeps limits up to what is known of the other gateways.
+pub fn look(node: &EntryNode, now: MonoTime) {
+    let own = &node.config.node.vm;
+    let is_new = {
+        let mut keeper = node.accounts.keeper();
+        keeper.begin_look(now)
+    };
+    if !is_new {
+        return;
+    }
+    let (census, mut candidates) = node.peers.keeper_candidates(now);
+    let is_informed = node.peers.entries.is_answered();
+    if !node.stop.is_stopping() {
+        candidates.push(own.clone());
+    }
+    let view =
+        if is_informed { KeeperView::new(census, candidates) } else { KeeperView::default() };
+    node.accounts.keeper().set_view(own, view, now);
+}
+
+/// Answers another gateway that asks for credit.
+pub fn answer(node: &EntryNode, peer: &VmName, call: u64, account: &AccountName, wanted: u32) {
+    let answer = grant(node, account, wanted);
+    node.peers.send(peer, PeerMessage::CreditAnswer { call, answer });
+}
+
+fn grant(node: &EntryNode, account: &AccountName, wanted: u32) -> CreditAnswer {
+    let now = node.clock.mono();
+    let keeper = find_keeper(node, account, now);
+    if keeper.as_ref() != Some(&node.config.node.vm) {
+        return CreditAnswer::NotKept(keeper);
+    }
+    let routes = node.routes();
+    let accounts = routes.as_ref().and_then(|routes| routes.accounts());
+    match accounts.and_then(|accounts| accounts.named(account)).map(|account| account.limit) {
+        Some(Some(limit)) => node.accounts.keeper().grant(account, limit, wanted, now),
+        Some(None) => CreditAnswer::Granted(wanted),
+        // The asker's configuration is newer, or older: nobody keeps the limit until they agree.
+        None => CreditAnswer::NotKept(None),
+    }
+}
--- a/crates/entry/src/batch/bodies.rs
+++ b/crates/entry/src/batch/bodies.rs
@@ -25,18 +25,18 @@
 const TOLD_BYTES: usize = 1 << 20;
 
 /// Answers a read of an item's body.
-pub async fn read_item(node: &Arc<EntryNode>, job: &str, item: &str) -> OwnAnswer {
+pub async fn read_item(node: &Arc<EntryNode>, job: &str, account: &str, item: &str) -> OwnAnswer {
     let began = node.clock.mono();
-    let read = find_item(node, job, item).await;
+    let read = find_item(node, job, account, item).await;
     note_read(node, ReadKind::Body, read, began)
 }
 
 /// What is accepted of a job never changes, so whoever holds it may tell it.
-async fn find_item(node: &Arc<EntryNode>, job: &str, item: &str) -> ReadAnswer {
-    if let Some(read) = held_item(node, job, item) {
+async fn find_item(node: &Arc<EntryNode>, job: &str, account: &str, item: &str) -> ReadAnswer {
+    if let Some(read) = held_item(node, job, account, item) {
         return read;
     }
-    if let Some(told) = ask_owner(node, job, item).await {
+    if let Some(told) = ask_owner(node, job, account, item).await {
         return ReadAnswer { answer: body_answer(told.as_deref()), source: ReadSource::Told };
     }
     let mut copy = node.jobs().copies.get(job).cloned().unwrap_or_default();
@@ -45,30 +45,47 @@
         Ok(false) => return ReadAnswer::no_such(),
         Err(_) => return unsure(node, job, "store_unavailable"),
     }
+    let is_of_another = copy.is_of_another(account);
     let answer = body_answer(copy.spec.as_deref().and_then(|spec| body_of(spec, item)));
     node.jobs().copies.keep(job, copy);
+    if is_of_another {
+        return ReadAnswer::no_such();
+    }
     ReadAnswer { answer, source: ReadSource::Store }
 }
 
-fn held_item(node: &EntryNode, job: &str, item: &str) -> Option<ReadAnswer> {
+fn held_item(node: &EntryNode, job: &str, account: &str, item: &str) -> Option<ReadAnswer> {
     let desk = node.jobs();
     if let Some(owned) = desk.board.get(job) {
+        if !may_access(&owned.spec().account, account) {
+            return Some(ReadAnswer::no_such());
+        }
         let answer = body_answer(body_of(owned.spec(), item));
         return Some(ReadAnswer { answer, source: ReadSource::Owner });
     }
-    let spec = desk.copies.get(job)?.spec.as_deref()?;
+    let copy = desk.copies.get(job)?;
+    if copy.is_of_another(account) {
+        return Some(ReadAnswer::no_such());
+    }
+    let spec = copy.spec.as_deref()?;
     Some(ReadAnswer { answer: body_answer(body_of(spec, item)), source: ReadSource::Copy })
 }
 
 /// Asks the job's owner: the body, or that the job has no such item. `None` when it doesn't say.
-async fn ask_owner(node: &EntryNode, job: &str, item: &str) -> Option<Option<Payload>> {
+async fn ask_owner(
+    node: &EntryNode,
+    job: &str,
+    account: &str,
+    item: &str,
+) -> Option<Option<Payload>> {
     let owner = {
         let desk = node.jobs();
         let read = || desk.copies.get(job).and_then(|copy| copy.owner.as_deref());
         desk.owner(job).or_else(read)?.to_owned()
     };
-    let (job, item) = (job.to_owned(), item.to_owned());
-    let send = |call| node.peers.send_to_owner(&owner, PeerMessage::BodyAsk { call, job, item });
+    let (job, item, account) = (job.to_owned(), item.to_owned(), account.to_owned());
+    let question = |call| PeerMessage::BodyAsk { call, job, item, account };
+    let send = |call| node.peers.send_to_owner(&owner, question(call));
     match node.peers.body_calls.ask(send, BODY_ASK).await {
         CallEnd::Answered(told) if told.is_known => Some(told.body),
         CallEnd::Answered(_) | CallEnd::NotSent | CallEnd::Unanswered => None,
@@ -76,11 +93,20 @@
 }
 
 /// Answers another gateway's question for a body.
-pub fn answer_peer(node: &EntryNode, peer: &VmName, call: u64, job: &str, item: &str) {
+pub fn answer_peer(
+    node: &EntryNode,
+    peer: &VmName,
+    call: u64,
+    (job, item): (&str, &str),
+    account: &str,
+) {
     let told = {
         let desk = node.jobs();
         let spec = desk.board.get(job).map(OwnedJob::spec);
-        spec.map(|spec| body_of(spec, item).map(|body| Payload::from(body.to_vec())))
+        spec.map(|spec| {
+            let body = body_of(spec, item).filter(|_| may_access(&spec.account, account));
+            body.map(|body| Payload::from(body.to_vec()))
+        })
     };
     // One that is too large for a message is left to the store.
     let told = told.filter(|body| body.as_ref().is_none_or(|body| body.len() <= TOLD_BYTES));
--- a/crates/entry/src/batch/copies.rs
+++ b/crates/entry/src/batch/copies.rs
@@ -21,6 +21,8 @@
     pub spec: Option<Arc<JobSpec>>,
     /// Whether the list can't grow any more.
     pub is_closed: bool,
+    /// The account that sent the job, if known; empty for none. Whoever else reads is shown nothing of it.
+    pub account: Option<String>,
     /// Its owner, if the store told.
     pub owner: Option<String>,
     /// Order of use; the lowest goes first.
@@ -47,6 +49,11 @@
         self.is_closed || self.total.is_some_and(|total| self.lines.len() >= total)
     }
 
+    /// Whether `account` is surely not the one that sent the job.
+    pub fn is_of_another(&self, account: &str) -> bool {
+        self.account.as_deref().is_some_and(|owner| !may_access(owner, account))
+    }
+
     fn weight(&self) -> usize {
         let lines: usize = self.lines.iter().map(|line| line.weight()).sum();
         lines + self.spec.as_ref().map_or(0, |spec| spec.weight())
@@ -74,6 +81,7 @@
         copy.used = self.uses;
         copy.total = copy.total.or(gathered.total);
         copy.spec = copy.spec.take().or(gathered.spec);
+        copy.account = copy.account.take().or(gathered.account);
         copy.owner = gathered.owner.or(copy.owner.take());
         copy.is_closed |= gathered.is_closed;
         if copy.lines.len() < gathered.lines.len() {
@@ -92,6 +100,7 @@
             lines,
             spec: (!is_closed).then(|| Arc::clone(job.spec())),
             is_closed,
+            account: Some(job.spec().account.clone()),
             ..JobCopy::default()
         };
         self.keep(&job.spec().id, gathered);
--- a/crates/entry/src/batch/desk.rs
+++ b/crates/entry/src/batch/desk.rs
@@ -101,6 +101,14 @@
             || self.copies.get(job).is_some()
     }
 
+    /// The account that sent the job, if that is known; empty for none.
+    pub fn account(&self, job: &str) -> Option<&str> {
+        if let Some(owned) = self.board.get(job) {
+            return Some(&owned.spec().account);
+        }
+        self.copies.get(job)?.account.as_deref()
+    }
+
     /// Begins to run a job; false, and nothing begins, when its end is known or it's here already.
     ///
     /// A job that was sent twice is stored twice at the same time while the store is slow. The second
--- a/crates/entry/src/batch/ends.rs
+++ b/crates/entry/src/batch/ends.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use notch_messages::prelude::PeerMessage;
+use notch_relay::prelude::may_access;
 use notch_types::prelude::*;
 
 use crate::{
@@ -18,17 +19,23 @@
 };
 
 /// A client ends a job: told so only once the end is stored.
-pub async fn end_job(node: &Arc<EntryNode>, job: &str) -> OwnAnswer {
+pub async fn end_job(node: &Arc<EntryNode>, job: &str, account: &str) -> OwnAnswer {
     let is_known = {
         let desk = node.jobs();
+        let owner = desk.account(job);
+        if owner.is_some_and(|owner| !may_access(owner, account)) {
+            return answer(node, job, "job_of_another", OwnAnswer::of(404));
+        }
         if desk.is_ended(job) {
             return answer(node, job, "ended_before", OwnAnswer::of(200));
         }
-        desk.is_known(job)
+        // Who may end a job must be known, where there are accounts.
+        desk.is_known(job) && (owner.is_some() || account.is_empty())
     };
     if !is_known {
         match read_job(&node.store, job, StoreCallCause::EndStored).await {
-            Ok(Some(_)) => {}
+            Ok(Some(stored)) if may_access(&stored.record.account, account) => {}
+            Ok(Some(_)) => return answer(node, job, "job_of_another", OwnAnswer::of(404)),
             Ok(None) => return answer(node, job, "no_such_job", OwnAnswer::of(404)),
             Err(_) => {
                 return answer(node, job, "store_unavailable", OwnAnswer::refused(RETRY_AFTER));
--- a/crates/entry/src/batch/intake.rs
+++ b/crates/entry/src/batch/intake.rs
@@ -67,6 +67,7 @@
     head: &RequestHead,
     body: &[u8],
     route: &Route,
+    account: &str,
     arrived: MonoTime,
 ) -> OwnAnswer {
     let Some(id) = RequestTerms::decode(&head.headers).attempt.filter(|id| is_name(id)) else {
@@ -88,7 +89,7 @@
     let Ok(text) = items_text(body) else {
         return answer(node, id, "not_a_job", OwnAnswer::of(400), arrived);
     };
-    let mut record = job_record(node, head, route, &terms, text);
+    let mut record = job_record(node, head, route, account, &terms, text);
     let spec = match record.decode_job(id, text) {
         Ok(spec) => Arc::new(spec),
         Err(_) => return answer(node, id, "not_a_job", OwnAnswer::of(400), arrived),
@@ -117,7 +118,8 @@
 /// Counts a job that is being taken in, if there is time for it and it fits under its route's limit.
 async fn admit(node: &EntryNode, route: &Route, spec: &Arc<JobSpec>) -> Result<(), JobRefusal> {
     room::take(node, route, spec).map_err(|wait| JobRefusal::NoTime { wait })?;
-    match limits::reserve(node, route, &spec.id, spec.limit_tokens()).await {
+    let limit = WaitingLimit::of(route, &spec.account);
+    match limits::reserve(node, &limit, &spec.id, spec.limit_tokens()).await {
         LimitOutcome::Reserved => Ok(()),
         LimitOutcome::Full { wait } => Err(JobRefusal::OverLimit { wait }),
         LimitOutcome::Unknown => Err(JobRefusal::LimitUnknown),
@@ -193,12 +195,14 @@
     node: &EntryNode,
     head: &RequestHead,
     route: &Route,
+    account: &str,
     terms: &JobTerms,
     text: &str,
 ) -> JobRecord {
     let parts = part_count(text);
     JobRecord {
         route: route.name.clone(),
+        account: account.to_owned(),
         limit_tokens: 0,
         owner: node.owner.clone(),
         accepted_at_ms: node.clock.wall().0,
--- a/crates/entry/src/batch/item_run.rs
+++ b/crates/entry/src/batch/item_run.rs
@@ -9,7 +9,7 @@
     pin_mut,
 };
 use notch_h1::prelude::*;
-use notch_platform_wire::target::item_request;
+use notch_platform_wire::{prelude::RelayTerms, target::item_request};
 use notch_relay::prelude::*;
 use notch_telemetry::prelude::*;
 use notch_types::prelude::*;
@@ -87,7 +87,7 @@
     }
     if let Some(job) = desk.board.get_mut(&start.job) {
         if matches!(end, ItemEnd::Completed | ItemEnd::Impossible) {
-            node.limits.note_ended(&job.spec().route, start.item.limit_tokens, now);
+            node.limits.note_ended(&job.spec().limit_name(), start.item.limit_tokens, now);
         }
         if let Some(last) = progress.last_event.filter(|_| progress.events > 0) {
             job.add_progress(start.index, last, &progress.data);
@@ -120,8 +120,15 @@
     progress: &mut RunProgress,
 ) -> Result<u16, AttemptFailure> {
     let mut connection = node.pool.connect(&choice.id, choice.address, false).await?;
-    let bytes =
-        item_request(&start.item, &start.host, &choice.name, ITEM_TIME, progress.last_event);
+    let has_accounts = node.routes().is_some_and(|routes| routes.accounts().is_some());
+    let account = Some(start.account.as_str());
+    let terms = RelayTerms {
+        target: &choice.name,
+        left: ITEM_TIME,
+        last_event: progress.last_event,
+        account: account.filter(|account| has_accounts || !account.is_empty()),
+    };
+    let bytes = item_request(&start.item, &start.host, terms);
     let head = connection.exchange(&bytes, Some(&start.item.id), ITEM_FIRST_BYTE).await?;
     node.targets().note_alive(&choice.id);
     let framing = head.framing().map_err(|_| AttemptFailure::SpoiledAnswer)?;
--- a/crates/entry/src/batch/limit_asks.rs
+++ b/crates/entry/src/batch/limit_asks.rs
@@ -34,33 +34,33 @@
 /// The store doesn't tell the shares.
 pub(crate) async fn ask_in_turn(
     node: &EntryNode,
-    route: &Route,
+    limit: &WaitingLimit,
     is_known: impl Fn() -> bool,
 ) -> Result<Option<AskedShares>, StoreFailure> {
     let _turn = node.limits.asking.lock().await;
     if is_known() {
         return Ok(None);
     }
-    node.limits.note_asked(&route.name, node.clock.mono());
-    refresh(node, &route.name).await?;
+    node.limits.note_asked(&limit.name, node.clock.mono());
+    refresh(node, &limit.name).await?;
     let asked_at = node.clock.mono();
-    let asked = ask_all(node, &route.name).await;
-    drop_silent(node, &route.name).await;
-    note_count(node, route, &asked, asked_at);
+    let asked = ask_all(node, &limit.name).await;
+    drop_silent(node, &limit.name).await;
+    note_count(node, limit, &asked, asked_at);
     Ok(Some(asked))
 }
 
 /// Notes what is free. A table that changed meanwhile may hold shares that nobody was asked for.
-fn note_count(node: &EntryNode, route: &Route, asked: &AskedShares, asked_at: MonoTime) {
-    let used = with_holder(node, &route.name, |holder, desk| {
-        let used = desk.limit_tokens(&route.name);
+fn note_count(node: &EntryNode, limit: &WaitingLimit, asked: &AskedShares, asked_at: MonoTime) {
+    let used = with_holder(node, &limit.name, |holder, desk| {
+        let used = desk.limit_tokens(&limit.name);
         (holder.revision() == asked.revision).then(|| holder.used_by_all(used))
     });
     let Some(used) = used else { return };
-    let limit = route.waiting_limit;
-    let free = limit.saturating_sub(used);
-    let count = RoomCount { asked_at, limit, free, ended_per_second: asked.per_second };
-    node.limits.note_count(&route.name, count);
+    let free = limit.tokens.saturating_sub(used);
+    let ended_per_second = asked.per_second;
+    let count = RoomCount { asked_at, limit: limit.tokens, free, ended_per_second };
+    node.limits.note_count(&limit.name, count);
 }
 
 async fn ask_all(node: &EntryNode, route: &str) -> AskedShares {
--- a/crates/entry/src/batch/limits.rs
+++ b/crates/entry/src/batch/limits.rs
@@ -47,24 +47,29 @@
 }
 
 /// Counts a job that is being taken in against its route's limit, if it fits.
-pub async fn reserve(node: &EntryNode, route: &Route, job: &str, tokens: u64) -> LimitOutcome {
-    if route.waiting_limit == 0 {
-        node.jobs().reserve(job, &route.name, tokens);
+pub async fn reserve(
+    node: &EntryNode,
+    limit: &WaitingLimit,
+    job: &str,
+    tokens: u64,
+) -> LimitOutcome {
+    if limit.tokens == 0 {
+        node.jobs().reserve(job, &limit.name, tokens);
         return LimitOutcome::Reserved;
     }
-    let reserving = decide(node, route, job, tokens);
+    let reserving = decide(node, limit, job, tokens);
     let outcome = timeout(LIMIT_PATIENCE, reserving).await.unwrap_or(LimitOutcome::Unknown);
     node.limits.used.notify(usize::MAX);
     if outcome != LimitOutcome::Reserved {
-        let used = node.jobs().limit_tokens(&route.name);
-        let table = with_holder(node, &route.name, |holder, _| format!("{:?}", holder.table()));
+        let used = node.jobs().limit_tokens(&limit.name);
+        let table = with_holder(node, &limit.name, |holder, _| format!("{:?}", holder.table()));
         node.log.info(
             "job_over_limit",
             &[
                 ("job", &job),
-                ("route", &route.name),
+                ("route", &limit.name),
                 ("tokens", &tokens),
-                ("limit", &route.waiting_limit),
+                ("limit", &limit.tokens),
                 ("used_here", &used),
                 ("shares", &table),
                 ("outcome", &format!("{outcome:?}")),
@@ -76,28 +81,28 @@
 
 /// Only a write waits for its turn: what is held is used, and what doesn't fit is found out, while
 /// another write is under way.
-async fn decide(node: &EntryNode, route: &Route, job: &str, tokens: u64) -> LimitOutcome {
+async fn decide(node: &EntryNode, limit: &WaitingLimit, job: &str, tokens: u64) -> LimitOutcome {
     let arrived = node.clock.mono();
     let mut asked: Option<AskedShares> = None;
     for _ in 0..LIMIT_ROUNDS {
-        match take_held(node, route, job, tokens) {
+        match take_held(node, limit, job, tokens) {
             ShareRoom::Held => return LimitOutcome::Reserved,
-            ShareRoom::Free => match write_in_turn(node, route, job, tokens).await {
+            ShareRoom::Free => match write_in_turn(node, limit, job, tokens).await {
                 ShareWrite::Done => return LimitOutcome::Reserved,
                 ShareWrite::Changed => {}
                 ShareWrite::Unknown => return LimitOutcome::Unknown,
             },
             ShareRoom::Missing(missing) => {
-                if let Some(wait) = refusal(node, route, tokens, arrived) {
+                if let Some(wait) = refusal(node, limit, tokens, arrived) {
                     return LimitOutcome::Full { wait };
                 }
                 // What was given back counts only for the table that it was asked for.
-                let revision = with_holder(node, &route.name, |holder, _| holder.revision());
+                let revision = with_holder(node, &limit.name, |holder, _| holder.revision());
                 if let Some(asked) = asked.as_ref().filter(|asked| asked.revision == revision) {
                     return LimitOutcome::Full { wait: wait_for(missing, asked.per_second) };
                 }
-                let is_refused = || refusal(node, route, tokens, arrived).is_some();
-                match ask_in_turn(node, route, is_refused).await {
+                let is_refused = || refusal(node, limit, tokens, arrived).is_some();
+                match ask_in_turn(node, limit, is_refused).await {
                     Ok(answers) => asked = answers,
                     Err(_) => return LimitOutcome::Unknown,
                 }
@@ -108,33 +113,43 @@
 }
 
 /// When to come back, if the job is refused by the last count.
-fn refusal(node: &EntryNode, route: &Route, tokens: u64, arrived: MonoTime) -> Option<Duration> {
+fn refusal(
+    node: &EntryNode,
+    limit: &WaitingLimit,
+    tokens: u64,
+    arrived: MonoTime,
+) -> Option<Duration> {
     let counts = node.limits.counts();
-    let pace = counts.get(&route.name)?;
-    pace.refusal(tokens, route.waiting_limit, arrived, node.clock.mono())
+    let pace = counts.get(&limit.name)?;
+    pace.refusal(tokens, limit.tokens, arrived, node.clock.mono())
 }
 
 /// Counts the job if it's within what is held here; whether it is, and what is missing.
-fn take_held(node: &EntryNode, route: &Route, job: &str, tokens: u64) -> ShareRoom {
+fn take_held(node: &EntryNode, limit: &WaitingLimit, job: &str, tokens: u64) -> ShareRoom {
     let is_in_touch = node.peers.hears_all(node.clock.mono());
-    with_holder(node, &route.name, |holder, desk| {
-        let used = desk.limit_tokens(&route.name);
-        let room = holder.room(used, tokens, route.waiting_limit, is_in_touch);
+    with_holder(node, &limit.name, |holder, desk| {
+        let used = desk.limit_tokens(&limit.name);
+        let room = holder.room(used, tokens, limit.tokens, is_in_touch);
         if room == ShareRoom::Held {
-            desk.reserve(job, &route.name, tokens);
+            desk.reserve(job, &limit.name, tokens);
         }
         room
     })
 }
 
 /// Writes a share that the job fits in, and counts it.
-async fn write_in_turn(node: &EntryNode, route: &Route, job: &str, tokens: u64) -> ShareWrite {
-    let _turn = begin_turn(node, &route.name).await;
-    match next_step(node, route, job, tokens) {
+async fn write_in_turn(
+    node: &EntryNode,
+    limit: &WaitingLimit,
+    job: &str,
+    tokens: u64,
+) -> ShareWrite {
+    let _turn = begin_turn(node, &limit.name).await;
+    match next_step(node, limit, job, tokens) {
         ShareStep::Granted => ShareWrite::Done,
         ShareStep::Write(proposal) => {
-            let count_job = |desk: &mut JobDesk| desk.reserve(job, &route.name, tokens);
-            write(node, &route.name, proposal, count_job).await
+            let count_job = |desk: &mut JobDesk| desk.reserve(job, &limit.name, tokens);
+            write(node, &limit.name, proposal, count_job).await
         }
         ShareStep::Full { .. } => ShareWrite::Changed,
     }
@@ -149,14 +164,14 @@
 }
 
 /// The next step, which is counted already if it's granted.
-fn next_step(node: &EntryNode, route: &Route, job: &str, tokens: u64) -> ShareStep {
+fn next_step(node: &EntryNode, limit: &WaitingLimit, job: &str, tokens: u64) -> ShareStep {
     let gateways = node.peers.known_count() as u64 + 1;
     let is_in_touch = node.peers.hears_all(node.clock.mono());
-    with_holder(node, &route.name, |holder, desk| {
-        let used = desk.limit_tokens(&route.name);
-        let step = holder.step(used, tokens, route.waiting_limit, gateways, is_in_touch);
+    with_holder(node, &limit.name, |holder, desk| {
+        let used = desk.limit_tokens(&limit.name);
+        let step = holder.step(used, tokens, limit.tokens, gateways, is_in_touch);
         if step == ShareStep::Granted {
-            desk.reserve(job, &route.name, tokens);
+            desk.reserve(job, &limit.name, tokens);
         }
         step
     })
@@ -208,21 +223,36 @@
             continue;
         }
         let Some(routes) = node.routes() else { continue };
-        for route in routes.routes().filter(|route| route.waiting_limit > 0) {
-            top_up(&node, route).await;
+        for limit in limits_in_use(&node, &routes) {
+            top_up(&node, &limit).await;
         }
     }
 }
 
-async fn top_up(node: &EntryNode, route: &Route) {
-    let _turn = begin_turn(node, &route.name).await;
+/// The limits for which room is kept: of routes, or of the accounts that have sent jobs on them here.
+fn limits_in_use(node: &EntryNode, routes: &RouteTable) -> Vec<WaitingLimit> {
+    let limited = routes.routes().filter(|route| route.waiting_limit > 0);
+    if routes.accounts().is_none() {
+        return limited.map(|route| WaitingLimit::of(route, "")).collect();
+    }
+    let known: Vec<String> = node.limits.holders().keys().cloned().collect();
+    let of_route = |route: &Route| {
+        let tokens = route.waiting_limit;
+        let names = known.iter().filter(|name| WaitingLimit::is_of_route(name, &route.name));
+        names.map(|name| WaitingLimit { name: name.clone(), tokens }).collect::<Vec<_>>()
+    };
+    limited.flat_map(|route| of_route(route)).collect()
+}
+
+async fn top_up(node: &EntryNode, limit: &WaitingLimit) {
+    let _turn = begin_turn(node, &limit.name).await;
     let gateways = node.peers.known_count() as u64 + 1;
-    let proposal = with_holder(node, &route.name, |holder, desk| {
-        holder.top_up(desk.limit_tokens(&route.name), route.waiting_limit, gateways)
+    let proposal = with_holder(node, &limit.name, |holder, desk| {
+        holder.top_up(desk.limit_tokens(&limit.name), limit.tokens, gateways)
     });
     let Some(proposal) = proposal else { return };
     // One that another gateway was faster than is tried again in the next turn.
-    write(node, &route.name, proposal, |_| {}).await;
+    write(node, &limit.name, proposal, |_| {}).await;
 }
 
 /// The shares of every limit known here, for a gateway that has just come.
--- a/crates/entry/src/batch/ownership.rs
+++ b/crates/entry/src/batch/ownership.rs
@@ -140,12 +140,12 @@
 fn yield_job(node: &EntryNode, job: &str, owner: &str) {
     node.log.warn("job_lost", &[("job", &job), ("owner", &owner)]);
     let mut desk = node.jobs();
-    let route = desk.board.get(job).map(|owned| owned.spec().route.clone());
+    let limit = desk.board.get(job).map(|owned| owned.spec().limit_name());
     desk.give_up_job(job);
     desk.note_owner(&[job.to_owned()], owner);
     drop(desk);
-    if let Some(route) = route {
-        limits::cede(node, &route);
+    if let Some(limit) = limit {
+        limits::cede(node, &limit);
     }
     node.job_news.notify(usize::MAX);
 }
--- a/crates/entry/src/batch/reads.rs
+++ b/crates/entry/src/batch/reads.rs
@@ -37,6 +37,13 @@
     ends_object: bool,
 }
 
+impl KnownLines {
+    /// Nothing is known of the job, or may be told.
+    fn nothing() -> Self {
+        Self { total: 0, lines: Vec::new(), is_sure: false, ends_object: false }
+    }
+}
+
 /// What this gateway can say of a job's results.
 enum ReadState {
     /// There are results from the position asked for on, or the list has ended.
@@ -64,11 +71,12 @@
 pub async fn read_results(
     node: &Arc<EntryNode>,
     job: &str,
+    account: &str,
     after: usize,
     wait: Duration,
 ) -> OwnAnswer {
     let began = node.clock.mono();
-    let read = find_results(node, job, after, wait).await;
+    let read = find_results(node, job, account, after, wait).await;
     let kind = if wait.is_zero() { ReadKind::Results } else { ReadKind::HeldResults };
     note_read(node, kind, read, began)
 }
@@ -91,9 +99,13 @@
 async fn find_results(
     node: &Arc<EntryNode>,
     job: &str,
+    account: &str,
     after: usize,
     wait: Duration,
 ) -> ReadAnswer {
+    if is_of_another(node, job, account) {
+        return ReadAnswer::no_such();
+    }
     let until = node.clock.mono() + wait;
     // In doubt the store is asked who owns the job; its answer serves all readers until the next doubt.
     let mut was_checked = false;
@@ -135,11 +147,16 @@
                     Err(_) => unsure(node, job, "store_unavailable"),
                 };
             }
-            ReadState::Ask(copy) => return ask(node, job, after, left, copy).await,
+            ReadState::Ask(copy) => return ask(node, job, account, after, left, copy).await,
         }
     }
 }
 
+/// Whether the job is known to be of another account.
+fn is_of_another(node: &EntryNode, job: &str, account: &str) -> bool {
+    node.jobs().account(job).is_some_and(|owner| !may_access(owner, account))
+}
+
 fn read_state(node: &EntryNode, job: &str, after: usize) -> ReadState {
     let desk = node.jobs();
     if let Some(owned) = desk.board.get(job) {
@@ -170,6 +187,7 @@
 async fn ask(
     node: &Arc<EntryNode>,
     job: &str,
+    account: &str,
     after: usize,
     left: Duration,
     mut copy: JobCopy,
@@ -177,7 +195,7 @@
     let told = node.jobs().owner(job).map(str::to_owned);
     let mut is_sure = false;
     if let Some(owner) = told.or_else(|| copy.owner.clone()) {
-        is_sure = ask_owner(node, &owner, job, &mut copy, left.min(ASK_WAIT)).await;
+        is_sure = ask_owner(node, &owner, (job, account), &mut copy, left.min(ASK_WAIT)).await;
     }
     let has_news = copy.total.is_some() && copy.lines.len() > after;
     if !is_sure && !has_news {
@@ -187,6 +205,9 @@
             Err(_) => return unsure(node, job, "store_unavailable"),
         }
     }
+    if copy.is_of_another(account) {
+        return ReadAnswer::no_such();
+    }
     let Some(total) = copy.total else { return unsure(node, job, "no_total") };
     let lines = copy.lines.get(after..).unwrap_or_default();
     let source = if is_sure || has_news { ReadSource::Told } else { ReadSource::Store };
@@ -217,6 +238,7 @@
     };
     let spec = Arc::new(read_spec(&node.store, &stored, StoreCallCause::ResultsRead).await?);
     copy.total = Some(spec.items.len());
+    copy.account = Some(spec.account.clone());
     copy.owner = Some(stored.owner().to_owned());
     copy.spec = Some(spec);
     Ok(true)
@@ -227,14 +249,15 @@
 async fn ask_owner(
     node: &EntryNode,
     owner: &str,
-    job: &str,
+    (job, account): (&str, &str),
     copy: &mut JobCopy,
     wait: Duration,
 ) -> bool {
     let held = copy.lines.len();
     let (after, wait_ms) = (held as u64, wait.as_millis() as u64);
     let send = |call| {
-        let message = PeerMessage::JobAsk { call, job: job.to_owned(), after, wait_ms };
+        let (job, account) = (job.to_owned(), account.to_owned());
+        let message = PeerMessage::JobAsk { call, job, account, after, wait_ms };
         node.peers.send_to_owner(owner, message)
     };
     let news = match node.peers.job_calls.ask(send, wait + ASK_GRACE).await {
@@ -244,20 +267,28 @@
     let lines: Vec<Arc<ResultLine>> = news.lines.into_iter().map(Arc::new).collect();
     copy.extend(held, &lines, news.is_all);
     copy.total = Some(news.total);
+    copy.account = Some(news.account);
     news.is_sure
 }
 
+/// A read that another gateway makes for a client.
+#[derive(Debug)]
+pub struct PeerRead {
+    /// The job.
+    pub job: String,
+    /// The client's account.
+    pub account: String,
+    /// Results that the gateway holds already.
+    pub after: u64,
+    /// How long the answer may wait for a result, milliseconds.
+    pub wait_ms: u64,
+}
+
 /// Answers another gateway's question about a job.
-pub async fn answer_peer(
-    node: &Arc<EntryNode>,
-    peer: &VmName,
-    call: u64,
-    job: &str,
-    after: u64,
-    wait_ms: u64,
-) {
-    let after = usize::try_from(after).unwrap_or(usize::MAX);
-    let until = node.clock.mono() + Duration::from_millis(wait_ms);
+pub async fn answer_peer(node: &Arc<EntryNode>, peer: &VmName, call: u64, read: &PeerRead) {
+    let job = read.job.as_str();
+    let after = usize::try_from(read.after).unwrap_or(usize::MAX);
+    let until = node.clock.mono() + Duration::from_millis(read.wait_ms);
     if ownership::can_confirm(node, job) {
         ownership::check_soon(node, job);
     }
@@ -281,12 +312,11 @@
             ReadState::OwnedNothing { .. } => {
                 let _ = timeout(left, listener).await;
             }
-            ReadState::Ask(_) => {
-                let lines = Vec::new();
-                break KnownLines { total: 0, lines, is_sure: false, ends_object: false };
-            }
+            ReadState::Ask(_) => break KnownLines::nothing(),
         }
     };
+    let account = node.jobs().account(job).unwrap_or_default().to_owned();
+    let known = if may_access(&account, &read.account) { known } else { KnownLines::nothing() };
     let sent = ResultLine::fitting(&known.lines, NEWS_BYTES);
     let is_cut = sent.len() < known.lines.len();
     let is_all = known.ends_object && !is_cut;
@@ -294,7 +324,7 @@
     // What didn't fit follows what is told.
     let is_sure = known.is_sure && !is_cut;
     let total = known.total as u64;
-    node.peers.send(peer, PeerMessage::JobNews { call, is_sure, total, lines, is_all });
+    node.peers.send(peer, PeerMessage::JobNews { call, account, is_sure, total, lines, is_all });
 }
 
 fn results_answer(total: usize, after: usize, lines: &[Arc<ResultLine>]) -> OwnAnswer {
--- a/crates/entry/src/batch/takeover.rs
+++ b/crates/entry/src/batch/takeover.rs
@@ -4,7 +4,6 @@
 
 use async_std::task;
 use notch_messages::prelude::PeerMessage;
-use notch_platform_wire::prelude::JobRecord;
 use notch_relay::prelude::*;
 use notch_types::prelude::*;
 
@@ -102,23 +101,22 @@
 async fn take_all(node: &Arc<EntryNode>, jobs: Vec<StoredJob>) -> Result<(), StoreFailure> {
     let with_limit = limited_routes(node);
     let limited = jobs.iter().filter(|job| with_limit.contains(&job.record.route));
-    let limited: Vec<&StoredJob> = limited.collect();
-    for job in &limited {
-        let JobRecord { route, limit_tokens, .. } = &job.record;
-        node.jobs().reserve(&job.id, route, *limit_tokens);
+    let limited: Vec<(&StoredJob, String)> = limited.map(|job| (job, limit_of(job))).collect();
+    for (job, limit) in &limited {
+        node.jobs().reserve(&job.id, limit, job.record.limit_tokens);
     }
-    let routes = limited.iter().map(|job| job.record.route.as_str()).collect();
-    let taken = take_covered(node, &jobs, &routes).await;
-    limited.iter().for_each(|job| node.jobs().unreserve(&job.id));
+    let limits = limited.iter().map(|(_, limit)| limit.as_str()).collect();
+    let taken = take_covered(node, &jobs, &limits).await;
+    limited.iter().for_each(|(job, _)| node.jobs().unreserve(&job.id));
     let mut moved: FastMap<&str, Vec<(String, u64)>> = FastMap::default();
-    for job in limited {
+    for (job, limit) in &limited {
         if node.jobs().is_owned(&job.id) {
             let former = (job.owner().to_owned(), job.record.limit_tokens);
-            moved.entry(&job.record.route).or_default().push(former);
+            moved.entry(limit).or_default().push(former);
         }
     }
-    for (route, former) in moved {
-        limits::release(node, route, &former).await;
+    for (limit, former) in moved {
+        limits::release(node, limit, &former).await;
     }
     taken
 }
@@ -126,10 +124,10 @@
 async fn take_covered(
     node: &Arc<EntryNode>,
     jobs: &[StoredJob],
-    routes: &FastSet<&str>,
+    limits: &FastSet<&str>,
 ) -> Result<(), StoreFailure> {
-    for route in routes {
-        limits::cover(node, route).await?;
+    for limit in limits {
+        limits::cover(node, limit).await?;
     }
     for job in jobs {
         take_over(node, job).await?;
@@ -137,6 +135,11 @@
     Ok(())
 }
 
+/// Name of the limit that counts a job.
+fn limit_of(job: &StoredJob) -> String {
+    limit_name(&job.record.route, &job.record.account)
+}
+
 /// Names of the routes that limit what waits.
 fn limited_routes(node: &EntryNode) -> FastSet<String> {
     let Some(table) = node.routes() else { return FastSet::default() };
--- a/crates/entry/src/forgetting.rs
+++ b/crates/entry/src/forgetting.rs
@@ -1,5 +1,6 @@
 //! Forgets what is known of routes that the configuration no longer names.
 
+use notch_relay::prelude::*;
 use notch_types::prelude::*;
 
 use crate::{batch::limits, node::EntryNode};
@@ -8,7 +9,8 @@
 pub fn forget_routes(node: &EntryNode, now: MonoTime) {
     // Before the first configuration nothing can be told of any route.
     let Some(routes) = node.routes() else { return };
-    let is_named = |name: &str| routes.routes().any(|route| route.name == name);
+    let is_named =
+        |name: &str| routes.routes().any(|route| WaitingLimit::is_of_route(name, &route.name));
     let mut known = node.limits.known_routes();
     known.extend(node.patience().routes().map(str::to_owned));
     let due = node.dropped_routes().due(known, is_named, now);
--- a/crates/entry/src/front/connection.rs
+++ b/crates/entry/src/front/connection.rs
@@ -13,13 +13,14 @@
 use notch_types::prelude::*;
 
 use crate::{
+    accounts::admission::{self, AdmissionRefusal},
     batch::{bodies, ends, intake, reads},
     constants::{AHEAD_BYTES, BODY_TIMEOUT, KNOWLEDGE_TICK, KNOWLEDGE_WAIT, RETRY_AFTER_START},
     front::answer::OwnAnswer,
     node::EntryNode,
     online::{
         relay::{Delivery, RequestRelay},
-        request::OnlineRequest,
+        request::{OnlineRequest, RequestAccount},
     },
 };
 
@@ -62,8 +63,7 @@
         let began = self.node.clock.mono();
         loop {
             let routes = self.node.routes();
-            let is_known = routes.is_some() && self.node.target_feed().is_whole();
-            if is_known || self.node.clock.mono().since(began) >= KNOWLEDGE_WAIT {
+            if self.node.is_informed() || self.node.clock.mono().since(began) >= KNOWLEDGE_WAIT {
                 return routes;
             }
             task::sleep(KNOWLEDGE_TICK).await;
@@ -90,11 +90,9 @@
         let keep = head.keep_alive && !self.node.stop.is_stopping();
         let answer = match ClientCall::decode(&head) {
             ClientCall::Ready => OwnAnswer::of(if self.node.is_ready() { 200 } else { 503 }),
-            ClientCall::ReadJob { job, after, wait } => {
-                reads::read_results(self.node, &job, after, wait).await
+            ClientCall::Job { job, call } => {
+                self.job_call(routes.as_deref(), &head, &job, call).await
             }
-            ClientCall::ReadItem { job, item } => bodies::read_item(self.node, &job, &item).await,
-            ClientCall::EndJob { job } => ends::end_job(self.node, &job).await,
             ClientCall::Routed => match self.routed(routes.as_deref(), head, body, arrived).await {
                 Routed::Answer(answer, attempt) => {
                     return self.write(&answer, attempt.as_deref(), keep).await;
@@ -105,6 +103,31 @@
         self.write(&answer, None, keep).await
     }
 
+    /// Serves a call about a job, for the account that sent the job.
+    async fn job_call(
+        &self,
+        routes: Option<&RouteTable>,
+        head: &RequestHead,
+        job: &str,
+        call: JobCall,
+    ) -> OwnAnswer {
+        // Which route the job came on isn't told; a gateway without a configuration can't tell accounts apart.
+        let Some(routes) = routes else { return OwnAnswer::refused(RETRY_AFTER_START) };
+        let is_public = routes.is_public_host(head.headers.get("Host").unwrap_or_default());
+        let caller = match admission::identify(routes, head, is_public) {
+            Ok(caller) => caller,
+            Err(refusal) => return self.refuse(Some(job), &CallerIdentity::Unknown, refusal),
+        };
+        let account = caller.account_name();
+        match call {
+            JobCall::Read { after, wait } => {
+                reads::read_results(self.node, job, account, after, wait).await
+            }
+            JobCall::ReadItem { item } => bodies::read_item(self.node, job, account, &item).await,
+            JobCall::End => ends::end_job(self.node, job, account).await,
+        }
+    }
+
     async fn routed(
         &mut self,
         routes: Option<&RouteTable>,
@@ -123,16 +146,63 @@
             return Routed::Answer(OwnAnswer::of(404), attempt);
         };
         let route = Arc::clone(route);
+        let caller = admission::identify(routes, &head, route.is_public);
+        let caller = caller.and_then(|caller| {
+            admission::check_age(self.node, &caller)?;
+            Ok(caller)
+        });
+        let caller = match caller {
+            Ok(caller) => caller,
+            Err(refusal) => {
+                let caller = CallerIdentity::Unknown;
+                return Routed::Answer(self.refuse(attempt.as_deref(), &caller, refusal), attempt);
+            }
+        };
         if route.kind == RouteKind::Batch {
-            let answer = intake::accept_job(self.node, &head, &body, &route, arrived).await;
+            let account = caller.account_name();
+            let answer =
+                intake::accept_job(self.node, &head, &body, &route, account, arrived).await;
             return Routed::Answer(answer, attempt);
         }
-        let version = routes.version();
-        let request = OnlineRequest::new(head, body, route, version, arrived);
+        let credit = match admission::take_credit(self.node, &caller).await {
+            Ok(credit) => credit,
+            Err(refusal) => {
+                return Routed::Answer(self.refuse(attempt.as_deref(), &caller, refusal), attempt);
+            }
+        };
+        let account = routes.accounts().map(|_| caller.account_name().to_owned());
+        let terms = RequestAccount { account, credit };
+        let request = OnlineRequest::new(head, body, route, routes.version(), arrived, terms);
         let delivery = self.relay(&request).await;
         Routed::Delivered(delivery)
     }
 
+    /// The answer to a request that isn't let in.
+    fn refuse(
+        &self,
+        id: Option<&str>,
+        caller: &CallerIdentity,
+        refusal: AdmissionRefusal,
+    ) -> OwnAnswer {
+        let answer = refusal.answer();
+        let age = self.node.accounts.age().age(self.node.clock.boot());
+        let retry_after = answer.retry_after.map_or(-1, |wait| wait.as_millis() as i64);
+        self.node.log.info(
+            "request_refused",
+            &[
+                ("id", &id.unwrap_or("-")),
+                ("reason", &refusal.code()),
+                ("status", &answer.status),
+                ("account", &caller.account_name()),
+                ("configuration", &self.node.configuration_version()),
+                ("age_ms", &age.map_or(-1, |age| age.as_millis() as i64)),
+                ("retry_after_ms", &retry_after),
+            ],
+        );
+        self.node.metrics.count(Counter::Event(refusal.code()));
+        answer
+    }
+
     /// Relays a request, and drops the relay when the client closes its connection: the target's
     /// work for it would be for nobody.
     async fn relay(&mut self, request: &OnlineRequest) -> Delivery {
--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -6,7 +6,7 @@
 use notch_link::prelude::{LinkListener, LinkSecret, LinkSettings};
 use notch_messages::prelude::{NodeRole, PeerMessage};
 use notch_platform_wire::store::{CONFIGURATION_KIND, TARGET_KIND};
-use notch_relay::prelude::OwnedJob;
+use notch_relay::prelude::{ConfigurationProof, OwnedJob};
 use notch_settings::EntryConfig;
 use notch_telemetry::prelude::*;
 use notch_types::prelude::FastSet;
@@ -14,6 +14,7 @@
 use signal_hook_async_std::Signals;
 
 use crate::{
+    accounts::{credit, proofs},
     batch::{ends, limits, retention, runner, takeover},
     constants::{STOP_ACCEPT, STOP_IDLE, STOP_JOBS, STOP_JOBS_ALONE, STOP_LONGEST},
     error::EntryError,
@@ -107,6 +108,7 @@
     task::spawn(takeover::watch_owners(Arc::clone(node)));
     task::spawn(liveness::probe_silent(Arc::clone(node)));
     task::spawn(limits::keep_room(Arc::clone(node)));
+    task::spawn(proofs::keep_young(Arc::clone(node)));
     task::spawn(retention::delete_old_jobs(Arc::clone(node)));
     task::spawn(tell_counts(Arc::clone(node)));
     task::spawn(clean(Arc::clone(node)));
@@ -141,13 +143,17 @@
 async fn follow_configuration(node: Arc<EntryNode>) {
     let plan = FeedPlan { duty: Some(&node), ..FeedPlan::default() };
     follow(&node.store, CONFIGURATION_KIND, plan, |event| {
-        let objects = match &event {
-            FeedEvent::Snapshot { objects, .. } => objects.as_slice(),
-            FeedEvent::Changed { object } => std::slice::from_ref(*object),
-            FeedEvent::Deleted { .. } => &[],
+        let (objects, listed) = match &event {
+            FeedEvent::Snapshot { objects, asked, .. } => (objects.as_slice(), Some(*asked)),
+            FeedEvent::Changed { object } => (std::slice::from_ref(*object), None),
+            FeedEvent::Deleted { .. } => (&[][..], None),
         };
         for spec in objects.iter().filter_map(|object| object.spec.as_ref()) {
-            node.take_configuration(spec, "store");
+            let version = node.take_configuration(spec, "store");
+            // A watch may have missed changes; a list hasn't.
+            if let (Some(version), Some(as_of)) = (version, listed) {
+                node.note_proof(ConfigurationProof { version, as_of });
+            }
         }
     })
     .await;
@@ -178,6 +184,9 @@
         node.apply_lapsed(gone, revision);
         share_out_targets(&node);
         forget_routes(&node, now);
+        node.peers.note_lost(now);
+        credit::look(&node, now);
+        node.accounts.credits().forget_idle(now);
         let known: FastSet<String> = node.targets().ids().map(str::to_owned).collect();
         node.pool.clean(|id| known.contains(id));
         node.metrics.set(Gauge::GatewayLinks, node.peers.link_count() as i64);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,6 +1,7 @@
 //! The relaying gateway of an entry VM, and the small process of a VM with a disk. Both run
 //! against the platform's store alone.
 
+pub mod accounts;
 pub mod batch;
 pub mod clock;
 pub mod constants;
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -17,6 +17,7 @@
 use serde_json::value::RawValue;
 
 use crate::{
+    accounts::desk::AccountDesk,
     batch::{desk::JobDesk, limit_desk::LimitDesk, read_tally::ReadTallies},
     clock::NodeClock,
     constants::WATCHERS,
@@ -58,6 +59,8 @@
     pub watch: WatchDuty,
     /// This gateway's part in limits on waiting jobs.
     pub limits: LimitDesk,
+    /// Client accounts.
+    pub accounts: AccountDesk,
     /// How long reads of jobs took.
     pub reads: ReadTallies,
     /// Idle connections to targets.
@@ -113,6 +116,7 @@
             metrics,
             watch: WatchDuty::default(),
             limits: LimitDesk::default(),
+            accounts: AccountDesk::new(&config.accounts),
             reads: ReadTallies::default(),
             pool: TargetPool::default(),
             peers: PeerTable::new(traffic),
@@ -197,14 +201,36 @@
 
     /// Whether this VM should take new connections: it knows the configuration and every target.
     pub fn is_ready(&self) -> bool {
-        !self.stop.is_stopping() && self.routes().is_some() && self.target_feed().is_whole()
+        !self.stop.is_stopping() && self.is_informed()
     }
 
-    /// Takes a configuration if it is newer; `source` is for the log.
-    pub fn take_configuration(&self, spec: &RawValue, source: &str) {
+    /// Whether requests can be served by what is known: the configuration, which mustn't be too old where
+    /// there are accounts, and every target.
+    pub fn is_informed(&self) -> bool {
+        let Some(routes) = self.routes() else { return false };
+        let is_fresh =
+            routes.accounts().is_none() || self.accounts.age().is_fresh(self.clock.boot());
+        is_fresh && self.target_feed().is_whole()
+    }
+
+    /// Takes a proof that the configuration in force is the newest one; whether it could be used.
+    pub fn note_proof(&self, proof: ConfigurationProof) -> bool {
+        let in_force = self.configuration_version();
+        self.accounts.age().note_proof(proof, in_force)
+    }
+
+    /// The gateway to ask for a proof; `None` when this one has to ask the store.
+    pub fn proving_gateway(&self) -> Option<VmName> {
+        let is_follower = self.watch.is_watching();
+        self.peers.proving_gateway(&self.config.node.vm, is_follower, Self::draw())
+    }
+
+    /// Takes a configuration if it is newer; `source` is for the log. The version now in force, unless the
+    /// configuration can't be read.
+    pub fn take_configuration(&self, spec: &RawValue, source: &str) -> Option<u64> {
         let mut current = self.configuration.write().unwrap_or_else(PoisonError::into_inner);
         match newer_configuration(current.as_ref(), spec) {
-            Ok(None) => {}
+            Ok(None) => current.as_ref().map(|current| current.routes.version()),
             Ok(Some(newer)) => {
                 let before = current.as_ref().map_or(0, |c| c.routes.version());
                 let version = newer.routes.version();
@@ -217,9 +243,11 @@
                 self.metrics.count(Counter::Event("configurations_adopted"));
                 self.state_changed.notify(usize::MAX);
                 self.runner_wake.notify(usize::MAX);
+                Some(version)
             }
             Err(error) => {
                 self.log.error("configuration_refused", &[("reason", &error), ("source", &source)]);
+                None
             }
         }
     }
@@ -239,7 +267,7 @@
         let lapsed_until = self.store.outage().lapsed_until();
         let mut feed = self.target_feed();
         let changes = match event {
-            FeedEvent::Snapshot { objects, as_of } => {
+            FeedEvent::Snapshot { objects, as_of, .. } => {
                 let mut changes = Vec::new();
                 let mut entries = Vec::new();
                 for object in &objects {
--- a/crates/entry/src/online/relay.rs
+++ b/crates/entry/src/online/relay.rs
@@ -8,7 +8,11 @@
     pin_mut,
 };
 use notch_h1::prelude::*;
-use notch_platform_wire::{client::own_answer, target::relayed_answer, target::relayed_request};
+use notch_platform_wire::{
+    client::own_answer,
+    prelude::RelayTerms,
+    target::{relayed_answer, relayed_request},
+};
 use notch_relay::prelude::*;
 use notch_telemetry::prelude::*;
 use notch_types::prelude::*;
@@ -249,13 +253,13 @@
         let strict = !self.request.route.may_repeat();
         let mut connection = self.node.pool.connect(&choice.id, choice.address, strict).await?;
         let left = self.request.left(self.now());
-        let bytes = relayed_request(
-            &self.request.head,
-            &self.request.body,
-            &choice.name,
+        let terms = RelayTerms {
+            target: &choice.name,
             left,
-            self.last_event,
-        );
+            last_event: self.last_event,
+            account: self.request.account.account.as_deref(),
+        };
+        let bytes = relayed_request(&self.request.head, &self.request.body, terms);
         let wait = self.first_byte_wait(choice, left);
         let head = connection.exchange(&bytes, self.request.attempt(), wait).await?;
         self.node.targets().note_alive(&choice.id);
@@ -341,6 +345,9 @@
         } else {
             (502, None)
         };
+        if let Some(account) = self.request.account.credit.as_ref().filter(|_| self.unknown == 0) {
+            self.node.accounts.give_back(account, self.now());
+        }
         let mut writer = own_answer(status, self.request.attempt(), retry_after);
         if self.close {
             writer.header("Connection", "close");
@@ -378,6 +385,7 @@
             &[
                 ("id", &attempt),
                 ("route", &self.request.route.name),
+                ("account", &self.request.account.account.as_deref().unwrap_or("-")),
                 ("configuration", &self.request.configuration),
                 ("outcome", &outcome),
                 ("status", &status),
--- a/crates/entry/src/online/request.rs
+++ b/crates/entry/src/online/request.rs
@@ -7,6 +7,15 @@
 use notch_relay::prelude::*;
 use notch_types::prelude::*;
 
+/// For whom a request runs.
+#[derive(Debug, Clone, Default)]
+pub struct RequestAccount {
+    /// The account that sends it; empty for nobody in particular, `None` where there are no accounts.
+    pub account: Option<String>,
+    /// The account whose credit it has.
+    pub credit: Option<AccountName>,
+}
+
 /// One online request as it was read.
 #[derive(Debug)]
 pub struct OnlineRequest {
@@ -16,6 +25,8 @@
     pub body: Vec<u8>,
     /// The route it takes, to its end.
     pub route: Arc<Route>,
+    /// For whom it runs.
+    pub account: RequestAccount,
     /// Version of the configuration that named the route.
     pub configuration: u64,
     /// When its head was read.
@@ -38,13 +49,25 @@
         route: Arc<Route>,
         configuration: u64,
         arrived: MonoTime,
+        account: RequestAccount,
     ) -> Self {
         let patience = RequestTerms::decode(&head.headers).patience;
         let limit = patience.map_or(route.timeout, |patience| patience.min(route.timeout));
         let fingerprint = CrashTable::fingerprint(&head.target, &body);
         let prompt = prompt_heads(&head.headers);
         let deadline = arrived + limit;
-        Self { head, body, route, configuration, arrived, prompt, fingerprint, patience, deadline }
+        Self {
+            head,
+            body,
+            route,
+            account,
+            configuration,
+            arrived,
+            prompt,
+            fingerprint,
+            patience,
+            deadline,
+        }
     }
 
     /// The client's id of this attempt.
--- a/crates/entry/src/peers/hub.rs
+++ b/crates/entry/src/peers/hub.rs
@@ -1,9 +1,9 @@
 //! Links to the other gateways, and what comes on them.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use async_std::task;
-use notch_link::prelude::{LinkDialer, LinkEvent, LinkPeer, LinkSettings, LinkSink};
+use notch_link::prelude::{LinkDialer, LinkDown, LinkEvent, LinkPeer, LinkSettings, LinkSink};
 use notch_messages::prelude::*;
 use notch_platform_wire::{
     prelude::StoreObject,
@@ -13,6 +13,10 @@
 use serde_json::value::RawValue;
 
 use crate::{
+    accounts::{
+        credit,
+        proofs::{self, ToldAge},
+    },
     batch::{bodies, ends, limits, ownership, reads, runner},
     constants::{GATEWAY_WATCH_PAUSE, STORE_PAUSE},
     node::EntryNode,
@@ -129,8 +133,10 @@
             }
         }
         LinkEvent::Down { peer, link, reason } => {
+            let is_closed = !matches!(reason, LinkDown::Silent);
             let reason = format!("{reason:?}");
-            if node.peers.link_down(&peer.vm, link, node.clock.mono()) {
+            let now = node.clock.mono();
+            if node.peers.link_down(&peer.vm, link, is_closed, now) {
                 node.log.warn("gateway_link_down", &[("gateway", &peer.vm), ("reason", &reason)]);
             }
         }
@@ -189,19 +195,19 @@
             node.jobs().note_closed(&job, node.clock.mono());
         }
         PeerMessage::JobEnded(job) => ends::take_end(node, &job, "gateway"),
-        PeerMessage::JobAsk { call, job, after, wait_ms } => {
+        PeerMessage::JobAsk { call, job, account, after, wait_ms } => {
             let node = Arc::clone(node);
             let vm = peer.vm.clone();
-            task::spawn(
-                async move { reads::answer_peer(&node, &vm, call, &job, after, wait_ms).await },
-            );
+            let question = reads::PeerRead { job, account, after, wait_ms };
+            task::spawn(async move { reads::answer_peer(&node, &vm, call, &question).await });
         }
-        PeerMessage::JobNews { call, is_sure, total, lines, is_all } => {
+        PeerMessage::JobNews { call, account, is_sure, total, lines, is_all } => {
             let total = usize::try_from(total).unwrap_or(usize::MAX);
-            node.peers.job_calls.answer(call, JobNews { is_sure, total, lines, is_all });
+            let news = JobNews { account, is_sure, total, lines, is_all };
+            node.peers.job_calls.answer(call, news);
         }
-        PeerMessage::BodyAsk { call, job, item } => {
-            bodies::answer_peer(node, &peer.vm, call, &job, &item);
+        PeerMessage::BodyAsk { call, job, item, account } => {
+            bodies::answer_peer(node, &peer.vm, call, (&job, &item), &account);
         }
         PeerMessage::BodyTold { call, is_known, body } => {
             bodies::take_told(node, call, is_known, body);
@@ -237,6 +243,17 @@
             let now = node.clock.mono();
             node.targets().note_peer_use(&peer.vm, &target, work, change, now);
         }
+        PeerMessage::AgeAsk { call } => proofs::answer(node, &peer.vm, call),
+        PeerMessage::Age { call, version, age_ms } => {
+            let age = age_ms.map(Duration::from_millis);
+            node.peers.age_calls.answer(call, ToldAge { version, age });
+        }
+        PeerMessage::CreditAsk { call, account, wanted } => {
+            credit::answer(node, &peer.vm, call, &account, wanted);
+        }
+        PeerMessage::CreditAnswer { call, answer } => {
+            node.peers.credit_calls.answer(call, answer);
+        }
         PeerMessage::Stopping => {
             node.log.info("gateway_stops", &[("gateway", &peer.vm)]);
             node.peers.set_stopping(&peer.vm);
@@ -253,19 +270,19 @@
     let own = node.known_versions();
     let question = node.peers.catch_up().note_report(own, theirs, node.clock.mono());
     let Some(question) = question else { return };
+    ask_state(node, peer, question);
+}
+
+/// Asks a gateway for newer state.
+pub fn ask_state(node: &EntryNode, peer: &VmName, question: StateQuestion) {
+    let own = node.known_versions();
     let targets = match question {
         StateQuestion::Changes => own.targets,
         StateQuestion::WholeList => 0,
     };
     node.log.info(
         "state_asked",
-        &[
-            ("gateway", peer),
-            ("configuration", &own.configuration),
-            ("targets", &targets),
-            ("their_configuration", &theirs.configuration),
-            ("their_targets", &theirs.targets),
-        ],
+        &[("gateway", peer), ("configuration", &own.configuration), ("targets", &targets)],
     );
     node.metrics.count(Counter::Event("states_asked"));
     let configuration = own.configuration;
@@ -280,7 +297,8 @@
 ) {
     if let Some(text) = configuration {
         match serde_json::from_slice::<Box<RawValue>>(&text) {
-            Ok(spec) => node.take_configuration(&spec, peer.vm.as_str()),
+            // A refusal is logged where it's found.
+            Ok(spec) => drop(node.take_configuration(&spec, peer.vm.as_str())),
             Err(error) => {
                 let source = peer.vm.as_str();
                 node.log.error("configuration_refused", &[("reason", &error), ("source", &source)]);
--- a/crates/entry/src/peers/table.rs
+++ b/crates/entry/src/peers/table.rs
@@ -8,9 +8,11 @@
 
 use notch_link::prelude::*;
 use notch_messages::prelude::*;
+use notch_relay::prelude::{CreditAnswer, PeerCensus};
 use notch_types::prelude::*;
 
 use crate::{
+    accounts::proofs::ToldAge,
     constants::{ENTRIES_FRESH, FIRST_LINK, OWNER_DOUBT, PEER_DEAD},
     peers::{calls::CallTable, catch_up::CatchUp, record::GatewayEntry, traffic::PeerTraffic},
     store::feed_clock::FeedClock,
@@ -21,7 +23,9 @@
 pub struct JobNews {
     /// Whether the peer is sure that the list has nothing beyond what it knows.
     pub is_sure: bool,
-    /// Items of the job; 0 when the peer knows nothing of it.
+    /// The account that sent the job; empty for none.
+    pub account: String,
+    /// Items of the job; 0 when the peer knows nothing of it, or may not tell.
     pub total: usize,
     /// Results from the position asked for on.
     pub lines: Vec<notch_relay::prelude::ResultLine>,
@@ -94,6 +98,12 @@
     heard_at: MonoTime,
     /// A link to it stood once.
     was_linked: bool,
+    /// When the link came to stand. Meaningless without one.
+    linked_at: MonoTime,
+    /// The last link was closed from the other side: its process ended, as far as can be told.
+    has_ended: bool,
+    /// It has had no link for so long that it doesn't count among the known ones. Reset by a link.
+    is_lost: bool,
     /// It was told to stop, and takes no jobs over.
     is_stopping: bool,
     /// It said that it leaves its jobs to others.
@@ -106,6 +116,22 @@
 /// than this after the loss may lack one.
 const LAST_WRITES: Duration = Duration::from_millis(500);
 
+/// Who had no link for so long isn't counted among the known gateways: a VM was removed for good.
+const PEER_LOST: Duration = Duration::from_secs(60);
+/// A gateway whose link stands this long is known to all others: they read the gateways' entries more often.
+const KEEPER_AGE: Duration = Duration::from_secs(3);
+
+fn census(peers: &FastMap<VmName, PeerRecord>) -> PeerCensus {
+    let known = peers.values().filter(|record| !record.is_lost);
+    let mut census = PeerCensus::default();
+    for record in known {
+        census.known += 1;
+        census.heard += usize::from(record.link.is_some());
+        census.ended += usize::from(record.link.is_none() && record.has_ended);
+    }
+    census
+}
+
 /// Until when the other gateways' jobs are known.
 #[derive(Debug, Default)]
 struct JobNewsClock {
@@ -136,6 +162,10 @@
     pub place_calls: CallTable<PlaceAnswer>,
     /// Questions for shares of limits.
     pub share_calls: CallTable<KeptShare>,
+    /// Questions for credit of accounts' limits.
+    pub credit_calls: CallTable<CreditAnswer>,
+    /// Questions how old the configuration is.
+    pub age_calls: CallTable<ToldAge>,
     /// When the gateways' entries were read last.
     pub entries: FeedClock,
     /// Which jobs of the others are known.
@@ -199,14 +229,17 @@
         record.link = Some(link);
         record.heard_at = now;
         record.was_linked = true;
+        record.linked_at = now;
+        record.has_ended = false;
+        record.is_lost = false;
         record.owner = None;
         record.is_stopping = false;
         record.is_leaving = false;
         silence
     }
 
-    /// A link is gone; true when it was the one in use.
-    pub fn link_down(&self, vm: &VmName, link: u64, now: MonoTime) -> bool {
+    /// A link is gone, closed by the other side or silent; true when it was the one in use.
+    pub fn link_down(&self, vm: &VmName, link: u64, is_closed: bool, now: MonoTime) -> bool {
         let mut peers = self.peers();
         let Some(record) = peers.get_mut(vm) else { return false };
         if record.link.as_ref().is_none_or(|standing| standing.id() != link) {
@@ -214,6 +247,7 @@
         }
         record.link = None;
         record.is_watching = false;
+        record.has_ended = is_closed;
         record.down_since = now;
         drop(peers);
         self.note_jobs_missed(now);
@@ -292,6 +326,44 @@
         followers.get(index).map(|vm| (*vm).clone())
     }
 
+    /// The gateway to ask how old the configuration is: for one that follows the store, the first of these;
+    /// for another one any of these. `None` when `own` is the first, or none follows.
+    pub fn proving_gateway(&self, own: &VmName, is_follower: bool, draw: f64) -> Option<VmName> {
+        if !is_follower {
+            return self.follower(draw);
+        }
+        let rank = |vm: &VmName| stable_hash64(&[b"prove", vm.as_str().as_bytes()]);
+        let first = self.follower_vms().into_iter().max_by_key(rank)?;
+        (rank(&first) > rank(own)).then_some(first)
+    }
+
+    /// Gateways that haven't been heard for long don't count among the known ones, as long as most of the
+    /// others are heard: one that is cut off itself must not take the rest for gone.
+    pub fn note_lost(&self, now: MonoTime) {
+        let mut peers = self.peers();
+        if !census(&peers).is_quorate() {
+            return;
+        }
+        let is_gone = |r: &PeerRecord| r.link.is_none() && now.since(r.down_since) >= PEER_LOST;
+        for record in peers.values_mut().filter(|record| is_gone(record)) {
+            record.is_lost = true;
+        }
+    }
+
+    /// What is heard of the other gateways, and those among which limits of accounts are divided. One that has
+    /// just come takes part when all others have heard of it.
+    pub fn keeper_candidates(&self, now: MonoTime) -> (PeerCensus, Vec<VmName>) {
+        let peers = self.peers();
+        let census = census(&peers);
+        let takes_part = |r: &PeerRecord| r.link.is_some() && !r.is_leaving && !r.is_stopping;
+        let is_old = |r: &PeerRecord| now.since(r.linked_at) >= KEEPER_AGE;
+        let able: Vec<_> = peers.iter().filter(|(_, record)| takes_part(record)).collect();
+        let old: Vec<_> = able.iter().copied().filter(|(_, record)| is_old(record)).collect();
+        // After a restart of all, nobody is old.
+        let chosen = if old.len() * 2 > able.len() { old } else { able };
+        (census, chosen.into_iter().map(|(vm, _)| vm.clone()).collect())
+    }
+
     /// The other gateways that follow the store.
     pub fn follower_vms(&self) -> Vec<VmName> {
         let peers = self.peers();
@@ -470,6 +542,9 @@
             down_since: now,
             heard_at: now,
             was_linked: false,
+            linked_at: now,
+            has_ended: false,
+            is_lost: false,
             is_stopping: false,
             is_leaving: false,
             is_watching: false,
--- a/crates/entry/src/store/call_cause.rs
+++ b/crates/entry/src/store/call_cause.rs
@@ -41,13 +41,15 @@
     Retention,
     /// A VM with a disk was asked to empty it.
     Retirement,
+    /// That the configuration in force is the newest one is confirmed.
+    ConfigurationConfirmed,
     /// Another gateway asked for the call.
     ForAnother,
 }
 
 impl StoreCallCause {
     /// Every cause, in the order of its value.
-    pub const ALL: [Self; 15] = [
+    pub const ALL: [Self; 16] = [
         Self::Watch,
         Self::List,
         Self::Registration,
@@ -62,6 +64,7 @@
         Self::LimitShares,
         Self::Retention,
         Self::Retirement,
+        Self::ConfigurationConfirmed,
         Self::ForAnother,
     ];
 
@@ -82,6 +85,7 @@
             Self::LimitShares => "limit_shares",
             Self::Retention => "retention",
             Self::Retirement => "retirement",
+            Self::ConfigurationConfirmed => "configuration_confirmed",
             Self::ForAnother => "for_another",
         }
     }
--- a/crates/entry/src/store/client.rs
+++ b/crates/entry/src/store/client.rs
@@ -86,6 +86,11 @@
         self.clock.mono()
     }
 
+    /// The clock that counts suspended time, too.
+    pub fn boot_now(&self) -> MonoTime {
+        self.clock.boot()
+    }
+
     /// The calls made so far.
     pub fn calls(&self) -> &StoreCallCounts {
         &self.calls
--- a/crates/entry/src/store/configuration.rs
+++ b/crates/entry/src/store/configuration.rs
@@ -2,7 +2,10 @@
 
 use std::sync::Arc;
 
-use notch_platform_wire::{configuration::decode_configuration, prelude::DecodeError};
+use notch_platform_wire::{
+    configuration::{decode_configuration, without_keys},
+    prelude::DecodeError,
+};
 use notch_relay::prelude::*;
 use serde_json::value::RawValue;
 
@@ -11,7 +14,7 @@
 pub struct ConfigurationInForce {
     /// Ordered for look-ups.
     pub routes: Arc<RouteTable>,
-    /// As the store holds it.
+    /// As the store holds it, with digests in place of keys.
     pub text: Arc<str>,
 }
 
@@ -29,5 +32,6 @@
         return Ok(None);
     }
     let routes = Arc::new(RouteTable::new(configuration));
-    Ok(Some(ConfigurationInForce { routes, text: Arc::from(spec.get()) }))
+    let text = Arc::from(without_keys(spec)?);
+    Ok(Some(ConfigurationInForce { routes, text }))
 }
--- a/crates/entry/src/store/feed.rs
+++ b/crates/entry/src/store/feed.rs
@@ -59,9 +59,10 @@
         node.watch.add_feed();
     }
     loop {
+        let asked = store.boot_now();
         match list_all(store, kind, StorePath::Direct, StoreCallCause::List).await {
             Ok((objects, as_of)) => {
-                tell(FeedEvent::Snapshot { objects, as_of });
+                tell(FeedEvent::Snapshot { objects, as_of, asked });
                 plan.note_answer(store);
                 let _live = plan.duty.map(|node| node.watch.live_feed());
                 watch(store, kind, as_of, plan, &mut tell).await;
--- a/crates/entry/src/store/feed_clock.rs
+++ b/crates/entry/src/store/feed_clock.rs
@@ -20,6 +20,11 @@
         self.answered_at.store(now.0.max(1), Ordering::Release);
     }
 
+    /// Whether the store has answered at all.
+    pub fn is_answered(&self) -> bool {
+        self.answered_at.load(Ordering::Acquire) > 0
+    }
+
     /// Whether the last answer is younger than `age`.
     pub fn is_fresh(&self, now: MonoTime, age: Duration) -> bool {
         let answered_at = self.answered_at.load(Ordering::Acquire);
--- a/crates/entry/src/store/feed_event.rs
+++ b/crates/entry/src/store/feed_event.rs
@@ -1,6 +1,7 @@
 //! What a feed of the store's objects tells.
 
 use notch_platform_wire::prelude::StoreObject;
+use notch_types::prelude::MonoTime;
 
 /// What a feed tells.
 #[derive(Debug)]
@@ -11,6 +12,8 @@
         objects: Vec<StoreObject>,
         /// The store's revision.
         as_of: u64,
+        /// Before the list was asked for, by the clock that counts suspended time.
+        asked: MonoTime,
     },
     /// An object was created or changed.
     Changed {
--- a/crates/entry/tests/desk.rs
+++ b/crates/entry/tests/desk.rs
@@ -25,6 +25,7 @@
         host: "h".to_owned(),
         path: "/".to_owned(),
         route: "r1".to_owned(),
+        account: String::new(),
         accepted_at: WallTime(0),
         terms,
         items: vec![item("0"), item("1")],
--- a/crates/messages/src/peer.rs
+++ b/crates/messages/src/peer.rs
@@ -1,7 +1,8 @@
 //! Between gateways that relay straight to targets.
 
 use notch_relay::prelude::{
-    HeldProgress, PaceFigures, QueueOffer, ResultLine, ShareTable, TargetEntry, UseChange, WorkKind,
+    CreditAnswer, HeldProgress, PaceFigures, QueueOffer, ResultLine, ShareTable, TargetEntry,
+    UseChange, WorkKind,
 };
 use notch_types::prelude::*;
 use serde::{Deserialize, Serialize};
@@ -160,6 +161,8 @@
         call: u64,
         /// The job.
         job: String,
+        /// The account for which the asker reads; empty for none.
+        account: String,
         /// Results that the asker holds already.
         after: u64,
         /// How long the answer may wait for a result, milliseconds.
@@ -172,7 +175,9 @@
         /// Whether the sender is sure that the list has nothing beyond what it knows: it owns the job
         /// and is in touch, or the list is whole.
         is_sure: bool,
-        /// Items of the job; 0 when the sender knows nothing of it.
+        /// The account that sent the job; empty for none.
+        account: String,
+        /// Items of the job; 0 when the sender knows nothing of it, or may not tell.
         total: u64,
         /// Stored results from the position asked for on; the first ones at least.
         lines: Vec<ResultLine>,
@@ -188,6 +193,8 @@
         job: String,
         /// The item.
         item: String,
+        /// The account for which the asker reads; empty for none.
+        account: String,
     },
     /// Answer to `BodyAsk`.
     BodyTold {
@@ -298,6 +305,36 @@
         /// What became of it.
         change: UseChange,
     },
+    /// How old is your knowledge of the configuration?
+    AgeAsk {
+        /// Matches the answer; unique at the asker.
+        call: u64,
+    },
+    /// Answer to `AgeAsk`.
+    Age {
+        /// Of the question.
+        call: u64,
+        /// The newest version of the configuration that long ago.
+        version: u64,
+        /// Milliseconds from then to this answer; `None` when the sender has no proof.
+        age_ms: Option<u64>,
+    },
+    /// Grant credit of an account's limit.
+    CreditAsk {
+        /// Matches the answer; unique at the asker.
+        call: u64,
+        /// The account.
+        account: AccountName,
+        /// Requests that are due, and those expected soon.
+        wanted: u32,
+    },
+    /// Answer to `CreditAsk`.
+    CreditAnswer {
+        /// Of the question.
+        call: u64,
+        /// What the sender has.
+        answer: CreditAnswer,
+    },
     /// The sender was told to stop: it still runs its jobs, but takes none over any more.
     Stopping,
     /// The sender stops: take its jobs over now.
@@ -333,6 +370,10 @@
             Self::PlaceAnswer { .. } => "place_answer",
             Self::PlaceRevoke { .. } => "place_revoke",
             Self::PlaceUse { .. } => "place_use",
+            Self::AgeAsk { .. } => "age_ask",
+            Self::Age { .. } => "age",
+            Self::CreditAsk { .. } => "credit_ask",
+            Self::CreditAnswer { .. } => "credit_answer",
             Self::Stopping => "stopping",
             Self::Leaving => "leaving",
         }
--- a/crates/relay/src/jobs/board.rs
+++ b/crates/relay/src/jobs/board.rs
@@ -26,6 +26,8 @@
     pub item: ItemSpec,
     /// Host of the job.
     pub host: String,
+    /// The account that sent the job; empty for none.
+    pub account: String,
     /// Last event held of an earlier run, which the run goes on after.
     pub last_event: Option<u64>,
 }
@@ -107,9 +109,9 @@
         self.jobs.values()
     }
 
-    /// Tokens that wait here on a route, against its limit.
-    pub fn waiting_tokens(&self, route: &str) -> u64 {
-        let jobs = self.jobs.values().filter(|job| job.spec().route == route);
+    /// Tokens that wait here against a limit, by its name.
+    pub fn waiting_tokens(&self, limit: &str) -> u64 {
+        let jobs = self.jobs.values().filter(|job| job.spec().limit_name() == limit);
         jobs.fold(0, |sum, job| sum.saturating_add(job.waiting_tokens()))
     }
 
@@ -170,8 +172,9 @@
     /// Marks an item as running.
     pub fn start_item(&mut self, job: &str, index: usize) -> Option<ItemStart> {
         let owned = self.jobs.get_mut(job)?;
-        let host = owned.spec().host.clone();
+        let JobSpec { host, account, .. } = owned.spec().as_ref();
+        let (host, account) = (host.clone(), account.clone());
         let (item, last_event) = owned.start_item(index);
-        Some(ItemStart { job: job.to_owned(), index, item, host, last_event })
+        Some(ItemStart { job: job.to_owned(), index, item, host, account, last_event })
     }
 }
--- a/crates/relay/src/jobs/spec.rs
+++ b/crates/relay/src/jobs/spec.rs
@@ -54,6 +54,11 @@
     pub limit_tokens: u64,
 }
 
+/// Name of the limit on waiting tokens of a route, which each account has for itself.
+pub fn limit_name(route: &str, account: &str) -> String {
+    if account.is_empty() { route.to_owned() } else { format!("{route}/{account}") }
+}
+
 /// One job as it was accepted.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct JobSpec {
@@ -65,6 +70,8 @@
     pub path: String,
     /// The route by which it was accepted: its limit counts the job until it ends.
     pub route: String,
+    /// The account that sent it; empty for none.
+    pub account: String,
     /// When it was first accepted, by the accepting gateway's wall clock.
     pub accepted_at: WallTime,
     /// Its terms.
@@ -74,6 +81,11 @@
 }
 
 impl JobSpec {
+    /// Name of the limit on waiting tokens that counts it.
+    pub fn limit_name(&self) -> String {
+        limit_name(&self.route, &self.account)
+    }
+
     /// Tokens of all its items against the route's limit.
     pub fn limit_tokens(&self) -> u64 {
         self.items.iter().fold(0, |sum, item| sum.saturating_add(item.limit_tokens))
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -1,8 +1,9 @@
 //! Decisions of an entry VM that relays requests straight to targets: which route, which target,
 //! what a failure means, how streams are cut into events, which jobs are accepted, what becomes of a
-//! job's items, and how gateways keep a limit together.
+//! job's items, who asks and how much each account may send, and how gateways keep a limit together.
 //! Nothing here does I/O or reads a clock.
 
+pub mod accounts;
 pub mod intake;
 pub mod jobs;
 mod learned;
@@ -14,6 +15,17 @@
 /// The types nearly every user of this crate needs.
 pub mod prelude {
     pub use crate::{
+        accounts::{
+            account::{AccountEntry, AccountLimit, ClientAccount},
+            bucket::CreditBucket,
+            credits::{CreditBook, CreditStep},
+            freshness::{ConfigurationAge, ConfigurationProof},
+            granting::{CreditAnswer, LimitKeeper},
+            key::AccountKey,
+            quota::QuotaTolerance,
+            table::{AccountTable, CallerIdentity, may_access},
+            view::{KeeperView, PeerCensus},
+        },
         intake::{
             demand::{DueWork, WorkDemand},
             forecast::IntakeForecast,
@@ -25,13 +37,14 @@
             owned::{HeldProgress, ItemEnd, OwnedJob},
             pace::{ItemPace, PaceFigures},
             result::{ItemState, ResultLine},
-            spec::{AnswerSize, ItemSpec, JobSpec, JobTerms},
+            spec::{AnswerSize, ItemSpec, JobSpec, JobTerms, limit_name},
         },
         limits::{
             count::{CountPace, RoomCount},
             drain::DrainRate,
             holder::{ShareHolder, ShareProposal, ShareRoom, ShareStep},
             table::{HolderShare, ShareTable},
+            waiting_limit::WaitingLimit,
         },
         routes::{
             configuration::{ClientLimits, Configuration},
--- a/crates/relay/src/limits.rs
+++ b/crates/relay/src/limits.rs
@@ -4,3 +4,4 @@
 pub mod drain;
 pub mod holder;
 pub mod table;
+pub mod waiting_limit;
--- a/crates/relay/src/routes/configuration.rs
+++ b/crates/relay/src/routes/configuration.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::routes::route::Route;
+use crate::{accounts::account::AccountEntry, routes::route::Route};
 
 /// What clients may send, and how long they may take.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -38,4 +38,6 @@
     pub routes: Vec<Route>,
     /// Bounds on clients.
     pub limits: ClientLimits,
+    /// Every client account; `None` where requests need no key.
+    pub accounts: Option<Vec<AccountEntry>>,
 }
--- a/crates/relay/src/routes/route.rs
+++ b/crates/relay/src/routes/route.rs
@@ -49,10 +49,13 @@
     pub resumable: bool,
     /// Longest pause between events of an answer that is in time.
     pub event_gap: Duration,
-    /// Tokens of jobs that may wait on a batch route at all gateways together; 0 for no limit.
+    /// Tokens of jobs of one account that may wait on a batch route at all gateways together, or of all
+    /// jobs where there are no accounts; 0 for no limit.
     pub waiting_limit: u64,
     /// Terms of a batch route.
     pub job_terms: Option<JobTerms>,
+    /// Whether requests need no key.
+    pub is_public: bool,
 }
 
 impl Route {
--- a/crates/relay/src/routes/table.rs
+++ b/crates/relay/src/routes/table.rs
@@ -4,9 +4,15 @@
 
 use notch_types::prelude::*;
 
-use crate::routes::{
-    configuration::{ClientLimits, Configuration},
-    route::Route,
+use crate::{
+    accounts::{
+        key::AccountKey,
+        table::{AccountTable, CallerIdentity},
+    },
+    routes::{
+        configuration::{ClientLimits, Configuration},
+        route::Route,
+    },
 };
 
 /// A configuration, ordered for look-ups.
@@ -16,6 +22,8 @@
     limits: ClientLimits,
     /// By host. Invariant: longest prefix first.
     routes: FastMap<String, Vec<Arc<Route>>>,
+    /// `None` where requests need no key.
+    accounts: Option<AccountTable>,
 }
 
 impl RouteTable {
@@ -28,7 +36,8 @@
         for list in routes.values_mut() {
             list.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
         }
-        Self { version: configuration.version, limits: configuration.limits, routes }
+        let accounts = configuration.accounts.map(AccountTable::new);
+        Self { version: configuration.version, limits: configuration.limits, routes, accounts }
     }
 
     /// The configuration's version.
@@ -51,6 +60,29 @@
         list.iter().find(|route| path.starts_with(&route.path_prefix))
     }
 
+    /// The accounts; `None` where requests need no key.
+    pub fn accounts(&self) -> Option<&AccountTable> {
+        self.accounts.as_ref()
+    }
+
+    /// Who sends a request with `key`, to a route that may be open to all. Known accounts are told apart there,
+    /// too.
+    pub fn identify(&self, key: Option<AccountKey>, is_public: bool) -> CallerIdentity {
+        let Some(accounts) = &self.accounts else { return CallerIdentity::Anyone };
+        match key.and_then(|key| accounts.find(key)) {
+            Some(account) => CallerIdentity::Account(Arc::clone(account)),
+            None if is_public => CallerIdentity::Anyone,
+            None => CallerIdentity::Unknown,
+        }
+    }
+
+    /// Whether a batch route of `host` needs no key, so that calls about its jobs don't, either.
+    pub fn is_public_host(&self, host: &str) -> bool {
+        let list = self.routes.get(host).or_else(|| self.routes.get(&host_name(host)));
+        let batch = list.into_iter().flatten().filter(|route| route.job_terms.is_some());
+        batch.into_iter().any(|route| route.is_public)
+    }
+
     /// Every route.
     pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
         self.routes.values().flatten()
--- /dev/null
+++ b/crates/relay/tests/accounts.rs
@@ -0,0 +1,343 @@
+//! Client accounts: keys, the age of the configuration, limits.
+
+use std::{collections::VecDeque, time::Duration};
+
+use notch_relay::{accounts::credits::CREDIT_LIFETIME, prelude::*};
+use notch_types::prelude::*;
+use proptest::prelude::*;
+use rstest::rstest;
+
+const LIMIT: AccountLimit = AccountLimit { per_second: 40.0, burst: 40.0 };
+
+fn at(millis: u64) -> MonoTime {
+    MonoTime::from_millis(millis)
+}
+
+fn account() -> AccountName {
+    AccountName::new("a1")
+}
+
+fn vm(index: usize) -> VmName {
+    VmName::new(&format!("g-{index:02}"))
+}
+
+fn table() -> RouteTable {
+    let account = ClientAccount { name: account(), priority: 0, limit: None };
+    let entry = AccountEntry { account, keys: vec![AccountKey::of("k1"), AccountKey::of("k2")] };
+    let accounts = Some(vec![entry]);
+    RouteTable::new(Configuration { version: 1, accounts, ..Configuration::default() })
+}
+
+#[rstest]
+#[case::first_key(Some("k1"), false, "a1")]
+#[case::second_key(Some("k2"), false, "a1")]
+#[case::account_on_a_public_route(Some("k1"), true, "a1")]
+fn a_key_names_its_account(
+    #[case] key: Option<&str>,
+    #[case] is_public: bool,
+    #[case] account: &str,
+) {
+    let caller = table().identify(key.map(AccountKey::of), is_public);
+    assert!(matches!(caller, CallerIdentity::Account(_)));
+    assert_eq!(caller.account_name(), account);
+}
+
+#[rstest]
+#[case::no_key(None, false, CallerIdentity::Unknown)]
+#[case::unknown_key(Some("k3"), false, CallerIdentity::Unknown)]
+#[case::no_key_needed(None, true, CallerIdentity::Anyone)]
+#[case::unknown_key_not_needed(Some("k3"), true, CallerIdentity::Anyone)]
+fn without_a_known_key_only_public_routes_are_open(
+    #[case] key: Option<&str>,
+    #[case] is_public: bool,
+    #[case] caller: CallerIdentity,
+) {
+    assert_eq!(table().identify(key.map(AccountKey::of), is_public), caller);
+}
+
+#[test]
+fn without_accounts_no_key_is_needed() {
+    let table = RouteTable::new(Configuration::default());
+    assert_eq!(table.identify(None, false), CallerIdentity::Anyone);
+}
+
+/// Guards against a gateway out of touch that honours a key after it was taken away.
+#[test]
+fn knowledge_that_is_too_old_lets_nobody_in() {
+    let mut age = ConfigurationAge::new(Some(Duration::from_secs(5)));
+    assert!(!age.is_fresh(at(0)), "nothing is known yet");
+    assert!(age.note_proof(ConfigurationProof { version: 3, as_of: at(1_000) }, 3));
+    assert!(age.is_fresh(at(5_999)));
+    assert!(!age.is_fresh(at(6_000)));
+}
+
+/// Guards against a proof of a newer configuration that makes an older one in force look fresh.
+#[test]
+fn a_proof_of_a_version_not_in_force_is_not_used() {
+    let mut age = ConfigurationAge::new(Some(Duration::from_secs(5)));
+    assert!(!age.note_proof(ConfigurationProof { version: 4, as_of: at(1_000) }, 3));
+    assert!(!age.is_fresh(at(1_001)));
+}
+
+/// Guards against an answer that was long on its way and replaces a newer proof.
+#[test]
+fn an_older_proof_does_not_replace_a_newer_one() {
+    let mut age = ConfigurationAge::new(Some(Duration::from_secs(5)));
+    age.note_proof(ConfigurationProof { version: 3, as_of: at(4_000) }, 3);
+    age.note_proof(ConfigurationProof { version: 3, as_of: at(1_000) }, 3);
+    assert!(age.is_fresh(at(8_000)));
+}
+
+#[test]
+fn without_a_bound_any_knowledge_does() {
+    assert!(ConfigurationAge::new(None).is_fresh(at(1_000_000)));
+}
+
+/// Guards against a hot account that is admitted above its limit, or rejected below it.
+#[test]
+fn a_bucket_admits_its_rate_and_burst() {
+    let mut bucket = CreditBucket::empty(LIMIT, at(0));
+    let burst = (0..100).filter(|_| bucket.take(LIMIT, 1, at(60_000)).is_ok()).count();
+    assert_eq!(burst, 40);
+    let second = (0..1_000).filter(|n| bucket.take(LIMIT, 1, at(60_000 + n)).is_ok()).count();
+    assert!((39..=41).contains(&second), "{second}");
+}
+
+/// Guards against rejected clients that all come back for the same credit.
+#[test]
+fn each_rejected_client_is_told_a_later_credit() {
+    let mut bucket = CreditBucket::empty(LIMIT, at(0));
+    let waits: Vec<Duration> = (0..20).filter_map(|_| bucket.take(LIMIT, 1, at(0)).err()).collect();
+    assert_eq!(waits[0], Duration::from_millis(25));
+    assert!(waits.windows(2).all(|pair| pair[0] < pair[1]), "{waits:?}");
+}
+
+/// Guards against a lowered limit that takes hold only when the burst before is used up, and against a raised
+/// one that rejects clients until it is earned.
+#[test]
+fn a_changed_limit_binds_at_once() {
+    let raised = AccountLimit { per_second: 80.0, burst: 80.0 };
+    let lowered = AccountLimit { per_second: 4.0, burst: 4.0 };
+    let mut bucket = CreditBucket::empty(LIMIT, at(0));
+    let admitted = (0..100).filter(|_| bucket.take(raised, 1, at(10_000)).is_ok()).count();
+    assert_eq!(admitted, 80);
+    let mut bucket = CreditBucket::empty(LIMIT, at(0));
+    let admitted = (0..100).filter(|_| bucket.take(lowered, 1, at(10_000)).is_ok()).count();
+    assert_eq!(admitted, 4);
+}
+
+/// Guards against credit that is held by gateways ahead of need while an account is near its limit.
+#[test]
+fn credit_ahead_of_need_is_granted_from_a_full_bucket_only() {
+    let mut bucket = CreditBucket::empty(LIMIT, at(0));
+    assert_eq!(bucket.take(LIMIT, 10, at(10_000)), Ok(10));
+    assert_eq!(bucket.take(LIMIT, 100, at(10_000)), Ok(10), "half of the burst is left for others");
+    assert_eq!(bucket.take(LIMIT, 10, at(10_000)), Ok(1));
+}
+
+#[rstest]
+#[case::all_heard(PeerCensus { known: 23, heard: 23, ended: 0 }, true)]
+#[case::alone(PeerCensus { known: 0, heard: 0, ended: 0 }, true)]
+#[case::cut_off(PeerCensus { known: 23, heard: 0, ended: 0 }, false)]
+#[case::cut_off_by_resets(PeerCensus { known: 23, heard: 0, ended: 23 }, false)]
+#[case::cut_off_as_a_third(PeerCensus { known: 23, heard: 7, ended: 16 }, false)]
+#[case::cut_into_halves(PeerCensus { known: 23, heard: 11, ended: 0 }, false)]
+#[case::half_was_killed(PeerCensus { known: 23, heard: 10, ended: 13 }, true)]
+fn a_gateway_that_hears_too_few_keeps_no_limit(
+    #[case] census: PeerCensus,
+    #[case] is_quorate: bool,
+) {
+    assert_eq!(census.is_quorate(), is_quorate);
+}
+
+/// Guards against a new keeper that grants again what the former one granted.
+#[test]
+fn a_limit_that_changes_its_keeper_begins_empty() {
+    let mut keeper = LimitKeeper::default();
+    let census = PeerCensus { known: 0, heard: 0, ended: 0 };
+    let view = KeeperView::new(census, vec![vm(1)]);
+    keeper.set_view(&vm(1), view, at(10_000));
+    assert!(matches!(keeper.grant(&account(), LIMIT, 1, at(10_000)), CreditAnswer::UsedUp(_)));
+    assert_eq!(keeper.grant(&account(), LIMIT, 1, at(10_100)), CreditAnswer::Granted(1));
+}
+
+/// Guards against a round trip for each request of an account far below its limit, and against each
+/// request of one above it asking again.
+#[test]
+fn credit_is_asked_for_ahead_and_rejections_are_remembered() {
+    let mut book = CreditBook::default();
+    assert_eq!(book.begin(&account(), at(0)), CreditStep::Ask { wanted: 1 });
+    book.note_granted(&account(), 3, at(0));
+    assert_eq!(book.begin(&account(), at(10)), CreditStep::Admitted);
+    assert_eq!(book.begin(&account(), at(20)), CreditStep::Admitted);
+    assert_eq!(book.begin(&account(), at(30)), CreditStep::Ask { wanted: 4 });
+    let wait = Duration::from_millis(700);
+    book.note_used_up(&account(), wait, at(30));
+    assert_eq!(book.begin(&account(), at(40)), CreditStep::UsedUp { wait });
+    assert!(matches!(book.begin(&account(), at(100)), CreditStep::Ask { .. }));
+}
+
+/// Guards against credit that is kept for a later window.
+#[test]
+fn unused_credit_lapses() {
+    let mut book = CreditBook::default();
+    book.begin(&account(), at(0));
+    book.note_granted(&account(), 3, at(0));
+    let late = at(0) + CREDIT_LIFETIME;
+    assert!(matches!(book.begin(&account(), late), CreditStep::Ask { .. }));
+}
+
+const GATEWAYS: usize = 12;
+const TOLERANCE: QuotaTolerance =
+    QuotaTolerance { window: Duration::from_secs(5), overrun: 0.1, slack: 20.0 };
+
+/// What happens to the fleet.
+#[derive(Debug, Clone)]
+enum FleetEvent {
+    /// A request comes to a gateway; its question to the keeper, or the answer, may be lost.
+    Request { gateway: usize, is_lost: bool },
+    /// A gateway is killed, and starts again without what it knew.
+    Restart { gateway: usize },
+    /// Gateways are cut off from all others, without resets.
+    Cut { gateways: Vec<usize> },
+    /// They are heard again.
+    Heal,
+}
+
+fn fleet_event() -> impl Strategy<Value = FleetEvent> {
+    let request = (0..GATEWAYS, proptest::bool::weighted(0.05))
+        .prop_map(|(gateway, is_lost)| FleetEvent::Request { gateway, is_lost });
+    let restart = (0..GATEWAYS).prop_map(|gateway| FleetEvent::Restart { gateway });
+    let cut = proptest::collection::vec(0..GATEWAYS, 1..=4)
+        .prop_map(|gateways| FleetEvent::Cut { gateways });
+    prop_oneof![400 => request, 1 => restart, 1 => cut, 1 => Just(FleetEvent::Heal)]
+}
+
+/// One gateway of the fleet.
+#[derive(Debug, Default)]
+struct FleetGateway {
+    book: CreditBook,
+    keeper: LimitKeeper,
+    is_cut: bool,
+}
+
+/// A fleet in which one account sends as fast as it can.
+struct Fleet {
+    gateways: Vec<FleetGateway>,
+    admitted: VecDeque<MonoTime>,
+}
+
+impl Fleet {
+    fn new() -> Self {
+        let gateways = (0..GATEWAYS).map(|_| FleetGateway::default()).collect();
+        Self { gateways, admitted: VecDeque::new() }
+    }
+
+    fn hears(&self, own: usize, other: usize) -> bool {
+        !self.gateways[own].is_cut && !self.gateways[other].is_cut
+    }
+
+    fn look(&mut self, own: usize, now: MonoTime) {
+        let heard: Vec<usize> =
+            (0..GATEWAYS).filter(|other| *other != own && self.hears(own, *other)).collect();
+        let census = PeerCensus { known: GATEWAYS - 1, heard: heard.len(), ended: 0 };
+        let candidates = heard.into_iter().chain([own]).map(vm).collect();
+        self.gateways[own].keeper.set_view(&vm(own), KeeperView::new(census, candidates), now);
+    }
+
+    fn apply(&mut self, event: &FleetEvent, now: MonoTime) {
+        match event {
+            FleetEvent::Request { gateway, is_lost } => self.request(*gateway, *is_lost, now),
+            FleetEvent::Restart { gateway } => {
+                self.gateways[*gateway] = FleetGateway::default();
+            }
+            FleetEvent::Cut { gateways } => {
+                for gateway in gateways {
+                    self.gateways[*gateway].is_cut = true;
+                }
+            }
+            FleetEvent::Heal => {
+                self.gateways.iter_mut().for_each(|gateway| gateway.is_cut = false);
+            }
+        }
+    }
+
+    fn request(&mut self, own: usize, is_lost: bool, now: MonoTime) {
+        self.look(own, now);
+        let step = self.gateways[own].book.begin(&account(), now);
+        let is_admitted = match step {
+            CreditStep::Admitted => true,
+            CreditStep::UsedUp { .. } => false,
+            CreditStep::Unkept => self.admit_unkept(own, now),
+            CreditStep::Ask { wanted } => self.ask(own, wanted, is_lost, now),
+        };
+        if is_admitted {
+            self.admitted.push_back(now);
+        }
+    }
+
+    fn ask(&mut self, own: usize, wanted: u32, is_lost: bool, now: MonoTime) -> bool {
+        let Some(keeper) = self.gateways[own].keeper.keeper(&account()) else {
+            return self.admit_unkept(own, now);
+        };
+        let keeper = (0..GATEWAYS).find(|index| vm(*index) == keeper).expect("one of the fleet");
+        if keeper != own && !self.hears(own, keeper) {
+            self.gateways[own].book.note_silent(&account(), now);
+            return self.admit_unkept(own, now);
+        }
+        self.look(keeper, now);
+        if self.gateways[keeper].keeper.keeper(&account()) != Some(vm(keeper)) {
+            return self.admit_unkept(own, now);
+        }
+        let answer = self.gateways[keeper].keeper.grant(&account(), LIMIT, wanted, now);
+        if is_lost {
+            self.gateways[own].book.note_silent(&account(), now);
+            return self.admit_unkept(own, now);
+        }
+        match answer {
+            CreditAnswer::Granted(granted) => {
+                self.gateways[own].book.note_granted(&account(), granted, now);
+                true
+            }
+            CreditAnswer::UsedUp(wait) => {
+                self.gateways[own].book.note_used_up(&account(), wait, now);
+                false
+            }
+            CreditAnswer::NotKept(_) => self.admit_unkept(own, now),
+        }
+    }
+
+    fn admit_unkept(&mut self, own: usize, now: MonoTime) -> bool {
+        let book = &mut self.gateways[own].book;
+        book.admit_unkept(&account(), LIMIT, TOLERANCE, GATEWAYS, now)
+    }
+}
+
+/// What may be admitted in a window.
+fn most() -> usize {
+    let allowed = LIMIT.per_second * TOLERANCE.window.as_secs_f64() + LIMIT.burst;
+    (allowed * (1.0 + TOLERANCE.overrun) + TOLERANCE.slack) as usize
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 48, ..ProptestConfig::default() })]
+
+    /// Guards against an account that is admitted above its limit in any window, through any order of
+    /// requests, lost answers, kills and cuts.
+    #[test]
+    fn no_window_exceeds_a_limit(
+        events in proptest::collection::vec((1_u64..8, fleet_event()), 2_000..4_000),
+    ) {
+        let mut fleet = Fleet::new();
+        let mut now = 1_000;
+        for (pause, event) in &events {
+            now += pause;
+            fleet.apply(event, at(now));
+            let begin = at(now.saturating_sub(5_000));
+            while fleet.admitted.front().is_some_and(|first| *first <= begin) {
+                fleet.admitted.pop_front();
+            }
+            prop_assert!(fleet.admitted.len() <= most(), "{} at {now}", fleet.admitted.len());
+        }
+    }
+}
--- a/crates/relay/tests/jobs.rs
+++ b/crates/relay/tests/jobs.rs
@@ -37,6 +37,7 @@
         host: "h".to_owned(),
         path: "/b/".to_owned(),
         route: "r1".to_owned(),
+        account: String::new(),
         accepted_at: WallTime(accepted_ms),
         terms,
         items: (0..items).map(item).collect(),
--- a/crates/relay/tests/routes.rs
+++ b/crates/relay/tests/routes.rs
@@ -20,6 +20,7 @@
         event_gap: Duration::from_millis(250),
         waiting_limit: 0,
         job_terms: None,
+        is_public: false,
     }
 }
 
--- a/crates/settings/src/entry_config.rs
+++ b/crates/settings/src/entry_config.rs
@@ -6,7 +6,10 @@
 use crate::{
     error::SettingsErrors,
     file::{FieldVisitor, SettingsFile, read_config, render_config},
-    sections::{EntryListenSettings, LinkSettings, LoggingSettings, NodeSettings, StoreSettings},
+    sections::{
+        AccountSettings, EntryListenSettings, LinkSettings, LoggingSettings, NodeSettings,
+        StoreSettings,
+    },
 };
 
 /// Everything a relaying gateway is set to.
@@ -20,6 +23,8 @@
     pub store: StoreSettings,
     /// `[links]`
     pub links: LinkSettings,
+    /// `[accounts]`
+    pub accounts: AccountSettings,
     /// `[logging]`
     pub logging: LoggingSettings,
 }
@@ -51,6 +56,7 @@
         self.listen.visit(fields);
         self.store.visit(fields);
         self.links.visit(fields);
+        self.accounts.visit(fields);
         self.logging.visit(fields);
     }
 
--- a/crates/settings/src/file/visitor.rs
+++ b/crates/settings/src/file/visitor.rs
@@ -14,6 +14,8 @@
 const NAME_EXPECTED: &str = "1 to 64 of a-z A-Z 0-9 . _ -";
 /// Longest name, bytes.
 const NAME_MAX_BYTES: usize = 64;
+/// Largest number of any setting.
+const NUMBER_MAX: f64 = 1e9;
 /// Longest duration of any setting; a longer one is a slip of the pen.
 const DURATION_MAX: Duration = Duration::from_secs(365 * 24 * 3_600);
 
@@ -98,6 +100,12 @@
         self.field(key, field, "a share from 0 to 1", read, |s| Some(s.to_string()));
     }
 
+    /// A number that isn't negative, with or without a fraction.
+    pub(crate) fn number(&mut self, key: &'static str, field: &mut f64) {
+        let read = |text: &str| text.parse().ok().filter(|n| (0.0..=NUMBER_MAX).contains(n));
+        self.field(key, field, "a number from 0 to a billion", read, |n| Some(n.to_string()));
+    }
+
     pub(crate) fn address(&mut self, key: &'static str, field: &mut SocketAddr) {
         let read = |text: &str| text.parse().ok();
         self.field(key, field, "an IP number and port, such as 10.0.0.1:7100", read, |a| {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -23,10 +23,10 @@
         error::{SettingsError, SettingsErrors, SettingsProblem},
         file::SettingsFile,
         sections::{
-            AdmissionSettings, EntryListenSettings, JobSettings, LedgerSettings, LimitSettings,
-            LinkSettings, ListenSettings, LogFormat, LogLevel, LoggingSettings, MembershipSettings,
-            NodeSettings, OnlineSettings, OperatorSettings, PlacementSettings, PlatformSettings,
-            RelaySettings, StoreSettings, TargetSettings,
+            AccountSettings, AdmissionSettings, EntryListenSettings, JobSettings, LedgerSettings,
+            LimitSettings, LinkSettings, ListenSettings, LogFormat, LogLevel, LoggingSettings,
+            MembershipSettings, NodeSettings, OnlineSettings, OperatorSettings, PlacementSettings,
+            PlatformSettings, RelaySettings, StoreSettings, TargetSettings,
         },
     };
 }
--- a/crates/settings/src/sections.rs
+++ b/crates/settings/src/sections.rs
@@ -1,5 +1,6 @@
 //! One struct a section, each with its defaults.
 
+mod accounts;
 mod admission;
 mod entry_listen;
 mod jobs;
@@ -19,6 +20,7 @@
 mod target;
 
 pub use self::{
+    accounts::AccountSettings,
     admission::AdmissionSettings,
     entry_listen::EntryListenSettings,
     jobs::JobSettings,
