Soak keys: clients use keys that were taken away, and targets tell for whom they ran

The soak's configuration has an account with a key that stays and one for each version, which goes two versions later. Its clients send with keys of the last five versions. Two promises more are checked from what clients and targets saw: a request runs for the account of its key, which no target is shown; and a key that was taken away longer ago than the bound runs nothing. Each has planted faults that the checker finds.

--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -2,11 +2,18 @@
 
 use notch_platform_standins::{
     client::item_id,
+    store::ACCOUNT,
     target::{EVENTS, marked_data, marked_events},
 };
 use notch_types::prelude::*;
 
-use crate::observation::{Observation, SeenResult};
+use crate::{
+    config::REVOCATION_BOUND,
+    observation::{Observation, SeenResult},
+};
+
+/// The attempt of every request that asks for a route.
+pub(crate) const PROBE: &str = "route";
 
 /// A promise.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -23,6 +30,10 @@
     GrowingList,
     /// A configuration that was in force at a process stays in force or is followed by a newer one.
     NoReversion,
+    /// A request runs for the account of its key, which no target is shown.
+    OwnAccount,
+    /// A key that was taken away is honoured for a bounded time, by every gateway.
+    TakenAway,
     /// After the faults every gateway is ready and knows the newest configuration.
     Recovery,
 }
@@ -51,6 +62,8 @@
     /// How often each attempt or item began to run.
     runs: FastMap<String, usize>,
     refused: Vec<String>,
+    /// Attempts that must not run, as their key was taken away long before.
+    without_key: FastSet<String>,
     /// Attempts that may not be repeated.
     once: FastSet<String>,
     /// Accepted jobs with their number of items.
@@ -64,6 +77,11 @@
 impl PromiseChecker {
     fn see(&mut self, observation: &Observation) {
         match observation {
+            Observation::Sent { attempt, taken_away_for } => {
+                if taken_away_for.is_some_and(|age| age > REVOCATION_BOUND) {
+                    self.without_key.insert(attempt.clone());
+                }
+            }
             Observation::Answered { attempt, may_repeat, status, named, body, is_whole } => {
                 if !may_repeat {
                     self.once.insert(attempt.clone());
@@ -73,7 +91,10 @@
                 }
                 self.see_answer(attempt, *status, named.as_deref(), body, *is_whole);
             }
-            Observation::Ran { attempt } => *self.runs.entry(attempt.clone()).or_default() += 1,
+            Observation::Ran { attempt, account, has_key } => {
+                *self.runs.entry(attempt.clone()).or_default() += 1;
+                self.see_account(attempt, account.as_deref(), *has_key);
+            }
             Observation::JobAccepted { job, items } => {
                 self.jobs.insert(job.clone(), *items);
             }
@@ -118,6 +139,18 @@
         }
     }
 
+    fn see_account(&mut self, attempt: &str, account: Option<&str>, has_key: bool) {
+        // Those that ask for a route need no key.
+        let is_own = account == Some(ACCOUNT) || attempt == PROBE;
+        if !is_own || has_key {
+            let detail = format!("{attempt} ran for {account:?}, with its key: {has_key}");
+            self.add(PromiseKind::OwnAccount, detail);
+        }
+        if self.without_key.contains(attempt) {
+            self.add(PromiseKind::TakenAway, format!("{attempt} ran by a key that was taken away"));
+        }
+    }
+
     fn see_list(&mut self, job: &str, results: &[SeenResult]) {
         let longest = self.lists.entry(job.to_owned()).or_default();
         let common = longest.len().min(results.len());
--- a/crates/soak/src/clients.rs
+++ b/crates/soak/src/clients.rs
@@ -12,11 +12,16 @@
 use notch_h1::prelude::WireReader;
 use notch_platform_standins::{
     SeenAnswer,
-    client::{named_attempt, post_on, seen_results},
+    client::{StandInClient, key_line, named_attempt, post_on, seen_results},
+    store::STEADY_KEY,
 };
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 
-use crate::{observation::Observation, world::SoakWorld};
+use crate::{
+    checker::PROBE,
+    observation::Observation,
+    world::{SoakKey, SoakWorld},
+};
 
 /// Longest wait of a client for anything.
 const PATIENCE: Duration = Duration::from_secs(6);
@@ -24,6 +29,10 @@
 const PAUSE_MS: u64 = 40;
 /// Pause between two reads of a job, and two sendings of one.
 const JOB_PAUSE: Duration = Duration::from_millis(200);
+/// Keys of so many versions are drawn beside the one that stays.
+const OLD_KEYS: u64 = 5;
+/// Draws among which each of these has one.
+const KEY_CHOICES: u64 = 12;
 /// Items of a job, at most.
 const ITEMS: usize = 6;
 
@@ -71,7 +80,8 @@
             if let Some(mut open) = connection.take() {
                 self.requests.fetch_add(1, Ordering::Relaxed);
                 let path = if may_repeat { "/resume/x" } else { "/once/x" };
-                let sending = timeout(PATIENCE, post_on(&mut open, path, &attempt, ""));
+                let key = self.draw_key(&attempt, &mut random);
+                let sending = timeout(PATIENCE, post_on(&mut open, path, &attempt, &key));
                 if let Ok(Some(answer)) = sending.await {
                     self.note_answer(&attempt, may_repeat, &answer);
                     let stays = answer.is_whole && answer.head.keep_alive;
@@ -83,6 +93,18 @@
         }
     }
 
+    /// The line of a key: mostly of the one that stays, else of one that may have been taken away.
+    fn draw_key(&self, attempt: &str, random: &mut SmallRng) -> String {
+        let version = self.world.version();
+        let key = match random.random_range(0..KEY_CHOICES) {
+            age @ 0..OLD_KEYS => self.world.passing_key(version.saturating_sub(age).max(1)),
+            _ => self.world.steady_key(),
+        };
+        let SoakKey { text, taken_away_for } = key;
+        self.world.log.add(Observation::Sent { attempt: attempt.to_owned(), taken_away_for });
+        key_line(&text)
+    }
+
     fn note_answer(&self, attempt: &str, may_repeat: bool, answer: &SeenAnswer) {
         self.world.log.add(Observation::Answered {
             attempt: attempt.to_owned(),
@@ -104,7 +126,7 @@
             let items = random.random_range(1..=ITEMS);
             loop {
                 let client = self.world.client(self.gateway(&mut random));
-                let status = timeout(PATIENCE, client.submit(&job, items)).await.unwrap_or(0);
+                let status = timeout(PATIENCE, submit(client, &job, items)).await.unwrap_or(0);
                 if status == 202 {
                     break;
                 }
@@ -122,7 +144,8 @@
     async fn read_to_end(&self, job: &str, items: usize, random: &mut SmallRng) {
         loop {
             let client = self.world.client(self.gateway(random));
-            let reading = timeout(PATIENCE, client.results(job, 0));
+            let key = key_line(&self.world.steady_key().text);
+            let reading = timeout(PATIENCE, client.results_with(job, 0, &key));
             if let Ok((200, page)) = reading.await {
                 let (results, _) = seen_results(&page);
                 let is_whole = results.len() >= items;
@@ -152,7 +175,7 @@
         let process = self.world.incarnation(gateway);
         let client = self.world.client(gateway);
         let path = format!("/v{version}/x");
-        let asking = client.post(&path, "route", "", "hi");
+        let asking = client.post(&path, PROBE, "", "hi");
         let Ok(Some(answer)) = timeout(PATIENCE, asking).await else { return false };
         let says = match answer.head.status {
             404 => Some(false),
@@ -166,3 +189,9 @@
         is_known
     }
 }
+
+/// Submits a job; the answer's status, 0 for none.
+async fn submit(client: StandInClient, job: &str, items: usize) -> u16 {
+    let answer = client.submit_with(job, items, &key_line(STEADY_KEY)).await;
+    answer.map_or(0, |answer| answer.head.status)
+}
--- a/crates/soak/src/config.rs
+++ b/crates/soak/src/config.rs
@@ -9,6 +9,9 @@
 /// Secret of the gateways' links.
 const SECRET: &str = "for-tests-only-for-tests-only";
 
+/// How long a soaked gateway may honour a key that was taken away.
+pub const REVOCATION_BOUND: Duration = Duration::from_millis(2_500);
+
 /// Settings of a gateway that calls the store at `store`, with links as they are deployed and addresses
 /// of its own.
 pub fn gateway_config(vm: &str, store: SocketAddr) -> EntryConfig {
--- a/crates/soak/src/observation.rs
+++ b/crates/soak/src/observation.rs
@@ -1,12 +1,22 @@
 //! What clients and targets saw.
 
-use std::sync::{Arc, Mutex, PoisonError};
+use std::{
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
 
 pub use notch_platform_standins::client::SeenResult;
 
 /// One thing that a client, a target or the run saw.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Observation {
+    /// A request is about to be sent.
+    Sent {
+        /// The client's attempt.
+        attempt: String,
+        /// How long ago its key was taken away; `None` while it holds.
+        taken_away_for: Option<Duration>,
+    },
     /// A request was answered, or its connection ended.
     Answered {
         /// The client's attempt.
@@ -26,6 +36,10 @@
     Ran {
         /// The client's attempt, or the item.
         attempt: String,
+        /// The account for which it ran.
+        account: Option<String>,
+        /// Whether the client's key came with it.
+        has_key: bool,
     },
     /// A job was accepted.
     JobAccepted {
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -7,21 +7,21 @@
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU64, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use async_std::task;
 use notch_platform_standins::{
     any_port,
     client::StandInClient,
-    store::{StandInStore, configuration_with_probes},
-    target::StandInTarget,
+    store::{STEADY_KEY, StandInStore, configuration_with_probes, passing_key},
+    target::{SeenAccount, StandInTarget},
 };
 use notch_settings::EntryConfig;
 use rustix::process::Signal;
 
 use crate::{
-    config::gateway_config,
+    config::{REVOCATION_BOUND, gateway_config},
     fault::SoakFault,
     observation::{Observation, ObservationLog},
     process::GatewayProcess,
@@ -62,6 +62,17 @@
     /// Targets that were replaced; they end their runs.
     former: Arc<Mutex<Vec<StandInTarget>>>,
     version: Arc<AtomicU64>,
+    /// When each version was written, from the first on.
+    written: Arc<Mutex<Vec<Instant>>>,
+}
+
+/// A key of a client.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SoakKey {
+    /// The key.
+    pub text: String,
+    /// How long ago it was taken away; `None` while it holds.
+    pub taken_away_for: Option<Duration>,
 }
 
 impl SoakWorld {
@@ -81,7 +92,8 @@
         let mut gateways = Vec::new();
         for number in 0..settings.gateways {
             let proxy = start_proxy(store.address).await;
-            let config = gateway_config(&format!("gateway-{number}"), proxy.address);
+            let mut config = gateway_config(&format!("gateway-{number}"), proxy.address);
+            config.accounts.revocation_bound_millis = REVOCATION_BOUND.as_secs_f64() * 1_000.0;
             store_proxies.push(proxy);
             let process = start_gateway(&settings.program, &settings.folder, &config)?;
             gateways.push(Mutex::new(GatewaySlot { process, holds: 0 }));
@@ -94,6 +106,7 @@
             targets: Arc::new(targets),
             former: Arc::default(),
             version: Arc::new(AtomicU64::new(1)),
+            written: Arc::new(Mutex::new(vec![Instant::now()])),
         })
     }
 
@@ -117,6 +130,19 @@
         self.version.load(Ordering::Acquire)
     }
 
+    /// The key that stays.
+    pub fn steady_key(&self) -> SoakKey {
+        SoakKey { text: STEADY_KEY.to_owned(), taken_away_for: None }
+    }
+
+    /// The key that came with a version.
+    pub fn passing_key(&self, version: u64) -> SoakKey {
+        let written = self.written.lock().unwrap_or_else(PoisonError::into_inner);
+        // The version that holds it no more is the second one after it; versions count from 1.
+        let taken_away_for = written.get(version as usize + 1).map(Instant::elapsed);
+        SoakKey { text: passing_key(version), taken_away_for }
+    }
+
     /// Does what a fault says; what lasts goes on beside it.
     pub fn apply(&self, fault: &SoakFault) {
         let world = self.clone();
@@ -157,6 +183,8 @@
             SoakFault::Configuration => {
                 let version = self.version.fetch_add(1, Ordering::AcqRel) + 1;
                 self.store.put("config", "main", configuration_with_probes(version));
+                let mut written = self.written.lock().unwrap_or_else(PoisonError::into_inner);
+                written.push(Instant::now());
             }
             SoakFault::TargetReplaced { target } => self.replace_target(target).await,
         }
@@ -207,8 +235,8 @@
         let former = self.former.lock().unwrap_or_else(PoisonError::into_inner).clone();
         let current = (0..self.targets.len()).map(|number| self.target(number).target.clone());
         for target in former.into_iter().chain(current) {
-            for attempt in target.ran() {
-                self.log.add(Observation::Ran { attempt });
+            for SeenAccount { attempt, account, has_key } in target.accounts() {
+                self.log.add(Observation::Ran { attempt, account, has_key });
             }
         }
     }
--- a/crates/soak/tests/checker.rs
+++ b/crates/soak/tests/checker.rs
@@ -1,10 +1,13 @@
 //! The checker finds a fault of each promise, and none where all is right.
 
+use std::time::Duration;
+
 use notch_platform_standins::{
     client::item_id,
+    store::ACCOUNT,
     target::{EVENTS, marked_data, marked_events},
 };
-use notch_soak::prelude::*;
+use notch_soak::{config::REVOCATION_BOUND, prelude::*};
 use rstest::rstest;
 
 fn answered(attempt: &str, status: u16) -> Observation {
@@ -25,7 +28,17 @@
 }
 
 fn ran(attempt: &str) -> Observation {
-    Observation::Ran { attempt: attempt.to_owned() }
+    ran_for(attempt, Some(ACCOUNT), false)
+}
+
+fn ran_for(attempt: &str, account: Option<&str>, has_key: bool) -> Observation {
+    let account = account.map(str::to_owned);
+    Observation::Ran { attempt: attempt.to_owned(), account, has_key }
+}
+
+fn sent(attempt: &str, taken_away_for: Duration) -> Observation {
+    let taken_away_for = Some(taken_away_for);
+    Observation::Sent { attempt: attempt.to_owned(), taken_away_for }
 }
 
 fn read(results: Vec<SeenResult>) -> Observation {
@@ -50,6 +63,10 @@
         answered("a", 200),
         ran("a"),
         answered("b", 503),
+        sent("c", REVOCATION_BOUND),
+        ran("c"),
+        sent("d", REVOCATION_BOUND + Duration::from_millis(1)),
+        answered("d", 401),
         Observation::JobAccepted { job: "j".to_owned(), items: 2 },
         read(vec![]),
         read(vec![result("j", 1)]),
@@ -88,6 +105,10 @@
     Observation::Answered { attempt: "x".into(), may_repeat: false, status: 502, named: None, body: String::new(), is_whole: true },
     ran("x"), ran("x"),
 ])]
+#[case::for_nobody(PromiseKind::OwnAccount, vec![ran_for("x", None, false)])]
+#[case::for_another(PromiseKind::OwnAccount, vec![ran_for("x", Some("two"), false)])]
+#[case::with_its_key(PromiseKind::OwnAccount, vec![ran_for("x", Some(ACCOUNT), true)])]
+#[case::taken_away(PromiseKind::TakenAway, vec![ran("d")])]
 #[case::lost_item(PromiseKind::OneResult, vec![Observation::JobAccepted { job: "k".into(), items: 1 }])]
 #[case::listed_twice(PromiseKind::OneResult, vec![read(vec![result("j", 1), result("j", 0), result("j", 0)])])]
 #[case::wrong_output(PromiseKind::OneResult, vec![
