--- a/crates/lab/src/pattern.rs
+++ b/crates/lab/src/pattern.rs
@@ -107,6 +107,10 @@
 /// From the beginning of a trough to the crest.
 const CREST_START: Duration = Duration::from_millis(3_400);
 
+/// The same of short replies.
+const REPLY_PERIOD: Duration = Duration::from_secs(6);
+const REPLY_CREST_START: Duration = Duration::from_millis(3_600);
+
 impl LoadPattern {
     /// Every pattern there is.
     pub fn all() -> Vec<Self> {
@@ -129,9 +133,31 @@
             Self { name: "overload", steps: crests(2.4), ..base() },
             Self { name: "lost-targets", losses: vec![lost], ..base() },
             Self { name: "frozen-gateways", freezes: vec![freeze], ..base() },
+            Self::short_replies(),
         ]
     }
 
+    /// Short replies on targets with eight places: crests of 2.4 s in each 6 s that need a third of the places,
+    /// beside jobs.
+    fn short_replies() -> Self {
+        let trough = |number: u32| LoadStep { at: REPLY_PERIOD * number, factor: 0.391 };
+        let crest =
+            |number: u32| LoadStep { at: REPLY_PERIOD * number + REPLY_CREST_START, factor: 1.91 };
+        Self {
+            name: "short-replies",
+            gateways: 24,
+            targets: 52,
+            domains: 3,
+            slots: 8,
+            online_per_second: 198.0,
+            steps: (0..5).flat_map(|number| [trough(number), crest(number)]).collect(),
+            online_events: 22,
+            items_per_second: 22.0,
+            item_events: 154,
+            ..Self::default()
+        }
+    }
+
     /// The pattern with that name.
     pub fn named(name: &str) -> Option<Self> {
         Self::all().into_iter().find(|pattern| pattern.name == name)
