--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -26,6 +26,7 @@
     },
     node::EntryNode,
     peers::{demands, detours, hub, pushes, reports},
+    retirements,
     store::{
         feed::{FeedPlan, follow},
         feed_event::FeedEvent,
@@ -110,6 +111,7 @@
     task::spawn(limits::keep_room(Arc::clone(node)));
     task::spawn(proofs::keep_young(Arc::clone(node)));
     task::spawn(retention::delete_old_jobs(Arc::clone(node)));
+    task::spawn(retirements::answer_retirements(Arc::clone(node)));
     task::spawn(tell_counts(Arc::clone(node)));
     task::spawn(clean(Arc::clone(node)));
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,5 +1,4 @@
-//! The relaying gateway of an entry VM, and the small process of a VM with a disk. Both run
-//! against the platform's store alone.
+//! The relaying gateway of an entry VM. It runs against the platform's store alone.
 
 pub mod accounts;
 pub mod batch;
@@ -14,6 +13,7 @@
 pub mod online;
 pub mod options;
 pub mod peers;
+pub mod retirements;
 pub mod stop;
 pub mod store;
 pub mod target;
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -37,7 +37,7 @@
                 return Ok(());
             }
             init_logs(log_settings(LogSettings::of(&config.node, &config.logging)));
-            task::block_on(disk::run(config, path))
+            task::block_on(disk::run(&config))
         }
     }
 }
--- a/crates/entry/src/options.rs
+++ b/crates/entry/src/options.rs
@@ -33,7 +33,7 @@
 #[argh(subcommand, name = "gateway")]
 pub struct GatewayRole {}
 
-/// answer for a VM with a disk
+/// stand for a VM with a disk
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "disk")]
 pub struct DiskRole {}
--- a/crates/entry/src/retirements.rs
+++ b/crates/entry/src/retirements.rs
@@ -1,5 +1,5 @@
-//! Answers requests to empty a VM with a disk. Nothing of ours lies on any disk, so no process runs there and
-//! the gateways that follow the store answer at once.
+//! Answers requests to empty a VM with a disk. Nothing of ours lies on any disk, so the gateways that follow the
+//! store answer at once.
 
 use std::{
     sync::{Arc, Mutex, PoisonError},
--- a/crates/settings/src/entry_config.rs
+++ b/crates/settings/src/entry_config.rs
@@ -1,5 +1,5 @@
-//! Settings of the programs that run against the platform's store alone: the relaying gateway of
-//! an entry VM, and the process of a VM with a disk.
+//! Settings of the relaying gateway of an entry VM, which runs against the platform's store alone, and of the
+//! process of a VM with a disk.
 
 use std::path::Path;
 
@@ -72,8 +72,6 @@
 pub struct DiskConfig {
     /// `[node]`
     pub node: NodeSettings,
-    /// `[store]`
-    pub store: StoreSettings,
     /// `[logging]`
     pub logging: LoggingSettings,
 }
@@ -84,7 +82,7 @@
     /// # Errors
     /// Every fault of the file, in line order.
     pub fn from_file(file: &SettingsFile) -> Result<Self, SettingsErrors> {
-        read_config(file, Self::visit, Self::check)
+        read_config(file, Self::visit, |_, _| {})
     }
 
     /// Reads the file at `path`.
@@ -97,11 +95,6 @@
 
     fn visit(&mut self, fields: &mut FieldVisitor<'_>) {
         self.node.visit(fields);
-        self.store.visit(fields);
         self.logging.visit(fields);
     }
-
-    fn check(&self, fields: &mut FieldVisitor<'_>) {
-        self.store.check(fields);
-    }
 }
