Hand over the credit of accounts' limits; pause longer after lists that fail

Each planned stop and start moved a part of the accounts to another keeper, which began empty; after all gateways were killed every account did. The keeper now sends what is left to its successor when it knows another one; a lost message loses the credit. A keeper that begins without one has a quarter of what the tolerance allows, the whole burst of a small account. A process takes part as keeper from 3 s after its start, by its own word, so that all switch at the same moment: before, a new one took itself for the keeper at once and its bucket filled beside the former one's.

Gateways wait with requests to empty VMs until it's their duty to follow them.

The property over kills and cuts hands over, too; it fails when the begin, the unkept part or the quorum is made too generous.

--- a/crates/entry/src/accounts/credit.rs
+++ b/crates/entry/src/accounts/credit.rs
@@ -106,14 +106,32 @@
     if !is_new {
         return;
     }
-    let (census, mut candidates) = node.peers.keeper_candidates(now);
+    let taking_part = (!node.stop.is_stopping()).then_some(own);
+    let up = now.since(MonoTime::default());
+    let (census, candidates) = node.peers.keeper_candidates(taking_part, up, now);
     let is_informed = node.peers.entries.is_answered();
-    if !node.stop.is_stopping() {
-        candidates.push(own.clone());
-    }
     let view =
         if is_informed { KeeperView::new(census, candidates) } else { KeeperView::default() };
-    node.accounts.keeper().set_view(own, view, now);
+    let handovers = node.accounts.keeper().set_view(own, view, now);
+    for CreditHandover { keeper, account, credit } in handovers {
+        let credit_milli = (credit * 1_000.0) as u64;
+        node.peers.send(&keeper, PeerMessage::CreditLeft { account, credit_milli });
+    }
+}
+
+/// Takes what the former keeper of an account's limit had left.
+pub fn take_over(node: &EntryNode, account: &AccountName, credit_milli: u64) {
+    let now = node.clock.mono();
+    look(node, now);
+    let Some(limit) = limit_of(node, account).flatten() else { return };
+    let (own, credit) = (&node.config.node.vm, credit_milli as f64 / 1_000.0);
+    node.accounts.keeper().take_over(own, account, limit, credit, now);
+}
+
+/// The account's limit by the configuration in force, if that names the account.
+fn limit_of(node: &EntryNode, account: &AccountName) -> Option<Option<AccountLimit>> {
+    let routes = node.routes()?;
+    routes.accounts()?.named(account).map(|account| account.limit)
 }
 
 /// Answers another gateway that asks for credit.
@@ -128,9 +146,7 @@
     if keeper.as_ref() != Some(&node.config.node.vm) {
         return CreditAnswer::NotKept(keeper);
     }
-    let routes = node.routes();
-    let accounts = routes.as_ref().and_then(|routes| routes.accounts());
-    match accounts.and_then(|accounts| accounts.named(account)).map(|account| account.limit) {
+    match limit_of(node, account) {
         Some(Some(limit)) => node.accounts.keeper().grant(account, limit, wanted, now),
         Some(None) => CreditAnswer::Granted(wanted),
         // The asker's configuration is newer, or older: nobody keeps the limit until they agree.
--- a/crates/entry/src/accounts/desk.rs
+++ b/crates/entry/src/accounts/desk.rs
@@ -24,7 +24,8 @@
             slack: settings.quota_slack,
         };
         let age = Mutex::new(ConfigurationAge::new(settings.revocation_bound()));
-        Self { age, tolerance, ..Self::default() }
+        let keeper = Mutex::new(LimitKeeper::new(tolerance));
+        Self { age, keeper, tolerance, ..Self::default() }
     }
 
     /// How old the knowledge of the configuration is.
--- a/crates/entry/src/constants.rs
+++ b/crates/entry/src/constants.rs
@@ -96,6 +96,8 @@
 /// costs, a waiting one too: 27 gateways that all watched made 2,400 calls in a minute. With four,
 /// a cut that takes a third of the gateways from the store takes all of these in 1 of 100 cases.
 pub const WATCHERS: usize = 4;
+/// From a gateway's start until others have told whether they watch: links form meanwhile.
+pub const DUTY_START: Duration = Duration::from_millis(1_500);
 /// How often a gateway that doesn't watch looks whether it has to.
 pub const DUTY_TICK: Duration = Duration::from_millis(200);
 /// Least time between two answers of a watch of the gateways' entries: links tell sooner who is
@@ -112,6 +114,8 @@
 pub const DETOUR_LONGEST: Duration = Duration::from_secs(3);
 /// Pause after another gateway could not help either: the store is likely away for all.
 pub const DETOUR_PAUSE: Duration = Duration::from_millis(1_000);
+/// A read that may be held asks the store for a job that nobody owns this often, at most.
+pub const STORE_ASK_PAUSE: Duration = Duration::from_millis(2_000);
 /// Added to a watch's wait before its connection is taken for dead.
 pub const WATCH_GRACE: Duration = Duration::from_millis(700);
 /// How long entries that lapsed in an outage are kept after it: living targets are back in two
--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -229,6 +229,8 @@
     let mut jobs_left = false;
     loop {
         task::sleep(STOP_TICK).await;
+        // Hands over what is left of accounts' limits.
+        credit::look(node, node.clock.mono());
         let age = node.stop.age(node.clock.mono());
         let has_successors = !node.peers.successor_vms().is_empty();
         if !jobs_left && (age >= STOP_JOBS_ALONE || (has_successors && age >= STOP_JOBS)) {
--- a/crates/entry/src/peers/hub.rs
+++ b/crates/entry/src/peers/hub.rs
@@ -47,7 +47,7 @@
     register(&node).await;
     let sink = link_sink(&node);
     let entries = Some(&node.peers.entries);
-    let feed = FeedPlan { pause: GATEWAY_WATCH_PAUSE, duty: None, answered: entries };
+    let feed = FeedPlan { pause: GATEWAY_WATCH_PAUSE, answered: entries, ..FeedPlan::default() };
     follow(&node.store, GATEWAY_KIND, feed, |event| match event {
         FeedEvent::Snapshot { objects, .. } => {
             for object in &objects {
@@ -124,7 +124,8 @@
             let silence = node.peers.link_up(&peer.vm, link, node.clock.mono());
             ownership::doubt_all(node, "link_up", silence);
             let jobs = node.jobs().open_owned();
-            let hello = PeerMessage::Hello { owner: node.owner.clone(), jobs };
+            let up_ms = node.clock.mono().since(MonoTime::default()).as_millis() as u64;
+            let hello = PeerMessage::Hello { owner: node.owner.clone(), jobs, up_ms };
             node.peers.send(&peer.vm, hello);
             node.peers.send(&peer.vm, reports::report(node));
             node.peers.send(&peer.vm, demands::demand(node));
@@ -162,7 +163,9 @@
 
 fn take_message(node: &Arc<EntryNode>, peer: &LinkPeer, message: PeerMessage) {
     match message {
-        PeerMessage::Hello { owner, jobs } => {
+        PeerMessage::Hello { owner, jobs, up_ms } => {
+            let up = Duration::from_millis(up_ms);
+            node.peers.set_up(&peer.vm, up, node.clock.mono());
             node.peers.set_owner(&peer.vm, &owner, node.clock.mono());
             take_owned(node, &owner, &jobs);
         }
@@ -251,6 +254,9 @@
         PeerMessage::CreditAsk { call, account, wanted } => {
             credit::answer(node, &peer.vm, call, &account, wanted);
         }
+        PeerMessage::CreditLeft { account, credit_milli } => {
+            credit::take_over(node, &account, credit_milli);
+        }
         PeerMessage::CreditAnswer { call, answer } => {
             node.peers.credit_calls.answer(call, answer);
         }
@@ -333,4 +339,6 @@
             desk.note_owner(std::slice::from_ref(job), owner);
         }
     }
+    // Readers that waited for an owner ask it now.
+    node.job_news.notify(usize::MAX);
 }
--- a/crates/entry/src/peers/table.rs
+++ b/crates/entry/src/peers/table.rs
@@ -80,6 +80,13 @@
     pub body: Option<Payload>,
 }
 
+/// How long a process had run when it told.
+#[derive(Debug, Clone, Copy)]
+struct Up {
+    at: MonoTime,
+    up: Duration,
+}
+
 /// One other gateway.
 #[derive(Debug)]
 struct PeerRecord {
@@ -98,8 +105,8 @@
     heard_at: MonoTime,
     /// A link to it stood once.
     was_linked: bool,
-    /// When the link came to stand. Meaningless without one.
-    linked_at: MonoTime,
+    /// Since when its process runs, as it told on its link; `None` before it did.
+    up_since: Option<Up>,
     /// The last link was closed from the other side: its process ended, as far as can be told.
     has_ended: bool,
     /// It has had no link for so long that it doesn't count among the known ones. Reset by a link.
@@ -118,7 +125,7 @@
 
 /// Who had no link for so long isn't counted among the known gateways: a VM was removed for good.
 const PEER_LOST: Duration = Duration::from_secs(60);
-/// A gateway whose link stands this long is known to all others: they read the gateways' entries more often.
+/// A gateway whose process runs this long is known to all others: they read the gateways' entries more often.
 const KEEPER_AGE: Duration = Duration::from_secs(3);
 
 fn census(peers: &FastMap<VmName, PeerRecord>) -> PeerCensus {
@@ -229,7 +236,7 @@
         record.link = Some(link);
         record.heard_at = now;
         record.was_linked = true;
-        record.linked_at = now;
+        record.up_since = None;
         record.has_ended = false;
         record.is_lost = false;
         record.owner = None;
@@ -350,18 +357,33 @@
         }
     }
 
-    /// What is heard of the other gateways, and those among which limits of accounts are divided. One that has
-    /// just come takes part when all others have heard of it.
-    pub fn keeper_candidates(&self, now: MonoTime) -> (PeerCensus, Vec<VmName>) {
+    /// What is heard of the other gateways, and those among which limits of accounts are divided, `own` among
+    /// them unless it stops. One that has just started takes part when all others have heard of it, at the same
+    /// moment for all.
+    pub fn keeper_candidates(
+        &self,
+        own: Option<&VmName>,
+        own_up: Duration,
+        now: MonoTime,
+    ) -> (PeerCensus, Vec<VmName>) {
         let peers = self.peers();
         let census = census(&peers);
         let takes_part = |r: &PeerRecord| r.link.is_some() && !r.is_leaving && !r.is_stopping;
-        let is_old = |r: &PeerRecord| now.since(r.linked_at) >= KEEPER_AGE;
-        let able: Vec<_> = peers.iter().filter(|(_, record)| takes_part(record)).collect();
-        let old: Vec<_> = able.iter().copied().filter(|(_, record)| is_old(record)).collect();
+        let able = peers.iter().filter(|(_, record)| takes_part(record));
+        let able = able.map(|(vm, record)| (vm, record.up(now)));
+        let able: Vec<(&VmName, Duration)> = able.chain(own.map(|vm| (vm, own_up))).collect();
+        let old = able.iter().filter(|(_, up)| *up >= KEEPER_AGE).count();
         // After a restart of all, nobody is old.
-        let chosen = if old.len() * 2 > able.len() { old } else { able };
-        (census, chosen.into_iter().map(|(vm, _)| vm.clone()).collect())
+        let least = if old * 2 > able.len() { KEEPER_AGE } else { Duration::ZERO };
+        let chosen = able.into_iter().filter(|(_, up)| *up >= least);
+        (census, chosen.map(|(vm, _)| vm.clone()).collect())
+    }
+
+    /// How long a peer's process has run, as it told.
+    pub fn set_up(&self, vm: &VmName, up: Duration, now: MonoTime) {
+        if let Some(record) = self.peers().get_mut(vm) {
+            record.up_since = Some(Up { at: now, up });
+        }
     }
 
     /// The other gateways that follow the store.
@@ -516,6 +538,11 @@
 }
 
 impl PeerRecord {
+    /// How long its process has run; zero before it told.
+    fn up(&self, now: MonoTime) -> Duration {
+        self.up_since.map_or(Duration::ZERO, |told| told.up + now.since(told.at))
+    }
+
     /// Whether it may have taken jobs of ours over: it hasn't been heard for long, or its link is down. A
     /// gateway that was only named, and neither registered nor linked to, isn't counted; nor is one that
     /// has left, as it takes no jobs over until it starts again, which its entry or its link tells.
@@ -542,7 +569,7 @@
             down_since: now,
             heard_at: now,
             was_linked: false,
-            linked_at: now,
+            up_since: None,
             has_ended: false,
             is_lost: false,
             is_stopping: false,
--- a/crates/entry/src/retirements.rs
+++ b/crates/entry/src/retirements.rs
@@ -18,7 +18,7 @@
     node::EntryNode,
     store::{
         call_cause::StoreCallCause,
-        feed::{FeedPlan, follow},
+        feed::{FeedPlan, FeedStart, follow},
         feed_event::FeedEvent,
         retry::jittered,
     },
@@ -33,7 +33,7 @@
 /// Answers requests to empty a VM, until the process ends.
 pub async fn answer_retirements(node: Arc<EntryNode>) {
     let answered = AnsweredVms::default();
-    let plan = FeedPlan { duty: Some(&node), ..FeedPlan::default() };
+    let plan = FeedPlan { duty: Some(&node), start: FeedStart::OnDuty, ..FeedPlan::default() };
     follow(&node.store, RETIREMENT_KIND, plan, |event| match event {
         FeedEvent::Snapshot { objects, .. } => {
             objects.iter().for_each(|object| take_request(&node, &answered, object));
--- a/crates/entry/src/store/feed.rs
+++ b/crates/entry/src/store/feed.rs
@@ -9,7 +9,7 @@
 };
 
 use crate::{
-    constants::{DUTY_TICK, STORE_PAUSE, WATCH_GRACE},
+    constants::{DUTY_START, DUTY_TICK, STORE_PAUSE, WATCH_GRACE},
     node::EntryNode,
     store::{
         call_cause::StoreCallCause, client::StoreClient, feed_clock::FeedClock,
@@ -17,6 +17,10 @@
     },
 };
 
+/// How often the pause after a failed list is doubled, at most: a store that turns this VM away does so for seconds,
+/// and counts each call.
+const LONGEST_BACKOFF: u32 = 2;
+
 /// Which way calls to the store go.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StorePath {
@@ -26,6 +30,16 @@
     Any,
 }
 
+/// When a kind is listed first.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum FeedStart {
+    /// At once: the gateway needs it, whether or not it follows it later.
+    #[default]
+    AtOnce,
+    /// When it's this gateway's duty, after others have had the time to begin theirs.
+    OnDuty,
+}
+
 /// How a kind is followed.
 #[derive(Clone, Copy, Default)]
 pub struct FeedPlan<'a> {
@@ -33,11 +47,20 @@
     pub pause: Duration,
     /// The gateway whose duty it is, or isn't while enough others follow; `None` for always.
     pub duty: Option<&'a EntryNode>,
+    /// When it is listed first.
+    pub start: FeedStart,
     /// Told of each answer, where it matters how old the knowledge is.
     pub answered: Option<&'a FeedClock>,
 }
 
 impl FeedPlan<'_> {
+    /// Waits until it's this gateway's duty to follow the kind.
+    async fn await_duty(&self) {
+        while self.duty.is_some_and(|node| !node.must_watch()) {
+            task::sleep(DUTY_TICK).await;
+        }
+    }
+
     fn note_answer(&self, store: &StoreClient) {
         if let Some(clock) = self.answered {
             clock.note_answer(store.now());
@@ -55,23 +78,32 @@
     plan: FeedPlan<'_>,
     mut tell: impl FnMut(FeedEvent<'_>),
 ) {
-    if let Some(node) = plan.duty {
+    // Others rely on what is followed from the start on.
+    let counted = plan.duty.filter(|_| plan.start == FeedStart::AtOnce);
+    if let Some(node) = counted {
         node.watch.add_feed();
     }
+    if plan.start == FeedStart::OnDuty {
+        task::sleep(DUTY_START).await;
+        plan.await_duty().await;
+    }
+    let mut failures = 0;
     loop {
         let asked = store.boot_now();
         match list_all(store, kind, StorePath::Direct, StoreCallCause::List).await {
             Ok((objects, as_of)) => {
+                failures = 0;
                 tell(FeedEvent::Snapshot { objects, as_of, asked });
                 plan.note_answer(store);
-                let _live = plan.duty.map(|node| node.watch.live_feed());
+                let _live = counted.map(|node| node.watch.live_feed());
                 watch(store, kind, as_of, plan, &mut tell).await;
             }
-            Err(_) => task::sleep(jittered(STORE_PAUSE)).await,
-        }
-        while plan.duty.is_some_and(|node| !node.must_watch()) {
-            task::sleep(DUTY_TICK).await;
+            Err(_) => {
+                task::sleep(jittered(STORE_PAUSE * (2_u32.pow(failures)))).await;
+                failures = LONGEST_BACKOFF.min(failures + 1);
+            }
         }
+        plan.await_duty().await;
     }
 }
 
--- a/crates/messages/src/peer.rs
+++ b/crates/messages/src/peer.rs
@@ -110,6 +110,8 @@
         owner: String,
         /// Jobs that it owns and that aren't closed.
         jobs: Vec<String>,
+        /// How long ago its process started, milliseconds.
+        up_ms: u64,
     },
     /// What the sender uses and knows; sent when it changes and at least every second.
     Report {
@@ -335,6 +337,13 @@
         /// What the sender has.
         answer: CreditAnswer,
     },
+    /// The sender kept an account's limit until now; this is what was left.
+    CreditLeft {
+        /// The account.
+        account: AccountName,
+        /// Thousandths of requests that may be admitted.
+        credit_milli: u64,
+    },
     /// The sender was told to stop: it still runs its jobs, but takes none over any more.
     Stopping,
     /// The sender stops: take its jobs over now.
@@ -374,6 +383,7 @@
             Self::Age { .. } => "age",
             Self::CreditAsk { .. } => "credit_ask",
             Self::CreditAnswer { .. } => "credit_answer",
+            Self::CreditLeft { .. } => "credit_left",
             Self::Stopping => "stopping",
             Self::Leaving => "leaving",
         }
--- a/crates/relay/src/accounts/bucket.rs
+++ b/crates/relay/src/accounts/bucket.rs
@@ -25,9 +25,21 @@
 }
 
 impl CreditBucket {
-    /// A bucket that was empty at `since`: whoever kept the limit before may have granted all of it.
-    pub fn empty(limit: AccountLimit, since: MonoTime) -> Self {
-        Self { limit, credit: 0.0, refilled_at: since, promised_until: since }
+    /// A bucket that had `credit` at `since`. Whoever kept the limit before may have granted all of it.
+    pub fn new(limit: AccountLimit, credit: f64, since: MonoTime) -> Self {
+        Self { limit, credit, refilled_at: since, promised_until: since }
+    }
+
+    /// Requests that may be admitted at `now`.
+    pub fn credit(&self, now: MonoTime) -> f64 {
+        let earned = now.since(self.refilled_at).as_secs_f64() * self.limit.per_second;
+        (self.credit + earned).min(self.limit.burst)
+    }
+
+    /// Adds what the former keeper had left.
+    pub fn add(&mut self, credit: f64, limit: AccountLimit, now: MonoTime) {
+        self.refill(limit, now);
+        self.credit = (self.credit + credit.max(0.0)).min(limit.burst);
     }
 
     /// Grants up to `wanted` requests, the first of which is due now; else how long until one is.
@@ -52,10 +64,8 @@
 
     /// A lower limit takes what is above it at once; a higher one adds its difference.
     fn refill(&mut self, limit: AccountLimit, now: MonoTime) {
-        let earned = now.since(self.refilled_at).as_secs_f64() * self.limit.per_second;
         let raised = (limit.burst - self.limit.burst).max(0.0);
-        self.credit = (self.credit + earned).min(self.limit.burst);
-        self.credit = (self.credit + raised).min(limit.burst);
+        self.credit = (self.credit(now) + raised).min(limit.burst);
         self.refilled_at = now.max(self.refilled_at);
         self.limit = limit;
     }
--- a/crates/relay/src/accounts/credits.rs
+++ b/crates/relay/src/accounts/credits.rs
@@ -123,8 +123,7 @@
         gateways: usize,
         now: MonoTime,
     ) -> bool {
-        let held = limit.per_second * CREDIT_LIFETIME.as_secs_f64();
-        let most = tolerance.unkept_requests(limit, held, gateways);
+        let most = tolerance.unkept_requests(limit, held_credit(limit), gateways);
         let known = self.entry(account);
         drop_older(&mut known.unkept, tolerance.window, now);
         let may_admit = known.unkept.len() < most as usize;
@@ -146,6 +145,11 @@
     }
 }
 
+/// Credit that gateways may hold together of an account's limit, as it hasn't lapsed.
+pub fn held_credit(limit: AccountLimit) -> f64 {
+    limit.per_second * CREDIT_LIFETIME.as_secs_f64()
+}
+
 fn drop_older(times: &mut VecDeque<MonoTime>, span: Duration, now: MonoTime) {
     while times.front().is_some_and(|at| now.since(*at) >= span) {
         times.pop_front();
--- a/crates/relay/src/accounts/granting.rs
+++ b/crates/relay/src/accounts/granting.rs
@@ -5,7 +5,10 @@
 use notch_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
-use crate::accounts::{account::AccountLimit, bucket::CreditBucket, view::KeeperView};
+use crate::accounts::{
+    account::AccountLimit, bucket::CreditBucket, credits::held_credit, quota::QuotaTolerance,
+    view::KeeperView,
+};
 
 /// What a gateway that is asked for credit answers.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -18,6 +21,17 @@
     NotKept(Option<VmName>),
 }
 
+/// Credit that a gateway has left of a limit that another one keeps from now on.
+#[derive(Debug, Clone, PartialEq)]
+pub struct CreditHandover {
+    /// The new keeper.
+    pub keeper: VmName,
+    /// Whose limit.
+    pub account: AccountName,
+    /// Requests that may be admitted.
+    pub credit: f64,
+}
+
 /// How often it is looked which gateways there are.
 const LOOK_EVERY: Duration = Duration::from_millis(50);
 
@@ -25,6 +39,7 @@
 #[derive(Debug, Default)]
 pub struct LimitKeeper {
     buckets: FastMap<AccountName, CreditBucket>,
+    tolerance: QuotaTolerance,
     view: KeeperView,
     /// Since when the view is in force.
     since: MonoTime,
@@ -35,6 +50,11 @@
 }
 
 impl LimitKeeper {
+    /// A keeper of no limits yet.
+    pub fn new(tolerance: QuotaTolerance) -> Self {
+        Self { tolerance, ..Self::default() }
+    }
+
     /// Whether it's time to look which gateways there are.
     pub fn begin_look(&mut self, now: MonoTime) -> bool {
         let is_due = self.looked_at.is_none_or(|at| now.since(at) >= LOOK_EVERY);
@@ -44,16 +64,56 @@
         is_due
     }
 
-    /// Takes a new view. A limit that is kept here from now on begins empty: until now others may have granted
-    /// all of it.
-    pub fn set_view(&mut self, own: &VmName, view: KeeperView, now: MonoTime) {
+    /// Takes a new view; the credit that is left of limits which others keep from now on. A limit that is kept
+    /// here from now on begins with what the tolerance bears: until now others may have granted all of it.
+    pub fn set_view(
+        &mut self,
+        own: &VmName,
+        view: KeeperView,
+        now: MonoTime,
+    ) -> Vec<CreditHandover> {
         if view == self.view {
-            return;
+            return Vec::new();
+        }
+        let buckets = std::mem::take(&mut self.buckets);
+        let mut handovers = Vec::new();
+        for (account, bucket) in buckets {
+            match view.keeper(&account) {
+                Some(keeper) if keeper == own => {
+                    self.buckets.insert(account, bucket);
+                }
+                Some(keeper) => {
+                    let (keeper, credit) = (keeper.clone(), bucket.credit(now));
+                    handovers.push(CreditHandover { keeper, account, credit });
+                }
+                None => {}
+            }
         }
-        self.buckets.retain(|account, _| view.keeper(account) == Some(own));
         self.keepers.clear();
         self.view = view;
         self.since = now;
+        handovers
+    }
+
+    /// Takes credit that the former keeper of a limit had left, if the limit is kept here.
+    pub fn take_over(
+        &mut self,
+        own: &VmName,
+        account: &AccountName,
+        limit: AccountLimit,
+        credit: f64,
+        now: MonoTime,
+    ) {
+        if self.keeper(account).as_ref() == Some(own) {
+            self.bucket(account, limit).add(credit, limit, now);
+        }
+    }
+
+    fn bucket(&mut self, account: &AccountName, limit: AccountLimit) -> &mut CreditBucket {
+        let since = self.since;
+        let bucket = self.buckets.entry(account.clone());
+        let begin = self.tolerance.begin_credit(limit, held_credit(limit));
+        bucket.or_insert_with(|| CreditBucket::new(limit, begin, since))
     }
 
     /// Whether limits are kept at all as far as is known here.
@@ -79,12 +139,7 @@
         wanted: u32,
         now: MonoTime,
     ) -> CreditAnswer {
-        let since = self.since;
-        let bucket = self
-            .buckets
-            .entry(account.clone())
-            .or_insert_with(|| CreditBucket::empty(limit, since));
-        match bucket.take(limit, wanted, now) {
+        match self.bucket(account, limit).take(limit, wanted, now) {
             Ok(granted) => CreditAnswer::Granted(granted),
             Err(wait) => CreditAnswer::UsedUp(wait),
         }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -20,7 +20,7 @@
             bucket::CreditBucket,
             credits::{CreditBook, CreditStep},
             freshness::{ConfigurationAge, ConfigurationProof},
-            granting::{CreditAnswer, LimitKeeper},
+            granting::{CreditAnswer, CreditHandover, LimitKeeper},
             key::AccountKey,
             quota::QuotaTolerance,
             table::{AccountTable, CallerIdentity, may_access},
--- a/crates/relay/tests/accounts.rs
+++ b/crates/relay/tests/accounts.rs
@@ -96,7 +96,7 @@
 /// Guards against a hot account that is admitted above its limit, or rejected below it.
 #[test]
 fn a_bucket_admits_its_rate_and_burst() {
-    let mut bucket = CreditBucket::empty(LIMIT, at(0));
+    let mut bucket = CreditBucket::new(LIMIT, 0.0, at(0));
     let burst = (0..100).filter(|_| bucket.take(LIMIT, 1, at(60_000)).is_ok()).count();
     assert_eq!(burst, 40);
     let second = (0..1_000).filter(|n| bucket.take(LIMIT, 1, at(60_000 + n)).is_ok()).count();
@@ -106,7 +106,7 @@
 /// Guards against rejected clients that all come back for the same credit.
 #[test]
 fn each_rejected_client_is_told_a_later_credit() {
-    let mut bucket = CreditBucket::empty(LIMIT, at(0));
+    let mut bucket = CreditBucket::new(LIMIT, 0.0, at(0));
     let waits: Vec<Duration> = (0..20).filter_map(|_| bucket.take(LIMIT, 1, at(0)).err()).collect();
     assert_eq!(waits[0], Duration::from_millis(25));
     assert!(waits.windows(2).all(|pair| pair[0] < pair[1]), "{waits:?}");
@@ -118,10 +118,10 @@
 fn a_changed_limit_binds_at_once() {
     let raised = AccountLimit { per_second: 80.0, burst: 80.0 };
     let lowered = AccountLimit { per_second: 4.0, burst: 4.0 };
-    let mut bucket = CreditBucket::empty(LIMIT, at(0));
+    let mut bucket = CreditBucket::new(LIMIT, 0.0, at(0));
     let admitted = (0..100).filter(|_| bucket.take(raised, 1, at(10_000)).is_ok()).count();
     assert_eq!(admitted, 80);
-    let mut bucket = CreditBucket::empty(LIMIT, at(0));
+    let mut bucket = CreditBucket::new(LIMIT, 0.0, at(0));
     let admitted = (0..100).filter(|_| bucket.take(lowered, 1, at(10_000)).is_ok()).count();
     assert_eq!(admitted, 4);
 }
@@ -129,7 +129,7 @@
 /// Guards against credit that is held by gateways ahead of need while an account is near its limit.
 #[test]
 fn credit_ahead_of_need_is_granted_from_a_full_bucket_only() {
-    let mut bucket = CreditBucket::empty(LIMIT, at(0));
+    let mut bucket = CreditBucket::new(LIMIT, 0.0, at(0));
     assert_eq!(bucket.take(LIMIT, 10, at(10_000)), Ok(10));
     assert_eq!(bucket.take(LIMIT, 100, at(10_000)), Ok(10), "half of the burst is left for others");
     assert_eq!(bucket.take(LIMIT, 10, at(10_000)), Ok(1));
@@ -161,6 +161,40 @@
     assert_eq!(keeper.grant(&account(), LIMIT, 1, at(10_100)), CreditAnswer::Granted(1));
 }
 
+/// Guards against a small account that is rejected below its limit whenever the keeper dies.
+#[test]
+fn a_new_keeper_begins_with_what_the_tolerance_bears() {
+    let small = AccountLimit { per_second: 2.0, burst: 2.0 };
+    let mut keeper = LimitKeeper::new(TOLERANCE);
+    let census = PeerCensus { known: 0, heard: 0, ended: 0 };
+    keeper.set_view(&vm(1), KeeperView::new(census, vec![vm(1)]), at(10_000));
+    let mut admitted = |limit| {
+        let name = AccountName::new(&format!("{limit:?}"));
+        let grants = (0..100).map(|_| keeper.grant(&name, limit, 1, at(10_000)));
+        grants.filter(|answer| *answer == CreditAnswer::Granted(1)).count()
+    };
+    assert_eq!((admitted(small), admitted(LIMIT)), (2, 8));
+}
+
+/// Guards against an account that is rejected below its limit whenever a gateway stops or comes.
+#[test]
+fn a_keeper_hands_over_what_is_left() {
+    let census = PeerCensus { known: 1, heard: 1, ended: 0 };
+    let alone = |index| KeeperView::new(census, vec![vm(index)]);
+    let (mut former, mut next) = (LimitKeeper::default(), LimitKeeper::default());
+    former.set_view(&vm(1), alone(1), at(0));
+    assert_eq!(former.grant(&account(), LIMIT, 1, at(10_000)), CreditAnswer::Granted(1));
+    next.set_view(&vm(2), alone(2), at(10_000));
+    let handovers = former.set_view(&vm(1), alone(2), at(10_000));
+    let expected = CreditHandover { keeper: vm(2), account: account(), credit: 39.0 };
+    assert_eq!(handovers, [expected]);
+    next.take_over(&vm(2), &account(), LIMIT, 39.0, at(10_000));
+    let admitted = (0..100)
+        .filter(|_| next.grant(&account(), LIMIT, 1, at(10_000)) == CreditAnswer::Granted(1))
+        .count();
+    assert_eq!(admitted, 39);
+}
+
 /// Guards against a round trip for each request of an account far below its limit, and against each
 /// request of one above it asking again.
 #[test]
@@ -214,13 +248,20 @@
 }
 
 /// One gateway of the fleet.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct FleetGateway {
     book: CreditBook,
     keeper: LimitKeeper,
     is_cut: bool,
 }
 
+impl Default for FleetGateway {
+    fn default() -> Self {
+        let (book, keeper) = (CreditBook::default(), LimitKeeper::new(TOLERANCE));
+        Self { book, keeper, is_cut: false }
+    }
+}
+
 /// A fleet in which one account sends as fast as it can.
 struct Fleet {
     gateways: Vec<FleetGateway>,
@@ -237,12 +278,21 @@
         !self.gateways[own].is_cut && !self.gateways[other].is_cut
     }
 
+    /// Credit that is handed over is lost when the new keeper can't be reached.
     fn look(&mut self, own: usize, now: MonoTime) {
         let heard: Vec<usize> =
             (0..GATEWAYS).filter(|other| *other != own && self.hears(own, *other)).collect();
         let census = PeerCensus { known: GATEWAYS - 1, heard: heard.len(), ended: 0 };
         let candidates = heard.into_iter().chain([own]).map(vm).collect();
-        self.gateways[own].keeper.set_view(&vm(own), KeeperView::new(census, candidates), now);
+        let view = KeeperView::new(census, candidates);
+        let handovers = self.gateways[own].keeper.set_view(&vm(own), view, now);
+        for CreditHandover { keeper, account, credit } in handovers {
+            let next = (0..GATEWAYS).find(|index| vm(*index) == keeper).expect("one of the fleet");
+            if self.hears(own, next) {
+                self.look(next, now);
+                self.gateways[next].keeper.take_over(&keeper, &account, LIMIT, credit, now);
+            }
+        }
     }
 
     fn apply(&mut self, event: &FleetEvent, now: MonoTime) {
