--- a/crates/entry/src/batch/copies.rs
+++ b/crates/entry/src/batch/copies.rs
@@ -25,6 +25,8 @@
     pub account: Option<String>,
     /// Its owner, if the store told.
     pub owner: Option<String>,
+    /// When the store was asked for more last.
+    pub asked_at: Option<MonoTime>,
     /// Order of use; the lowest goes first.
     used: u64,
 }
@@ -84,6 +86,7 @@
         copy.account = copy.account.take().or(gathered.account);
         copy.owner = gathered.owner.or(copy.owner.take());
         copy.is_closed |= gathered.is_closed;
+        copy.asked_at = copy.asked_at.max(gathered.asked_at);
         if copy.lines.len() < gathered.lines.len() {
             copy.lines = gathered.lines;
         }
--- a/crates/entry/src/batch/reads.rs
+++ b/crates/entry/src/batch/reads.rs
@@ -16,10 +16,10 @@
         read_tally::{ReadKind, ReadSource},
         records::{read_job, read_results as stored_results, read_spec},
     },
-    constants::{ASK_GRACE, ASK_WAIT, RESULT_PAGE_BYTES, RETRY_AFTER},
+    constants::{ASK_GRACE, ASK_WAIT, RESULT_PAGE_BYTES, RETRY_AFTER, STORE_ASK_PAUSE},
     front::answer::OwnAnswer,
     node::EntryNode,
-    peers::calls::CallEnd,
+    peers::{calls::CallEnd, table::OwnerLiveness},
     store::{call_cause::StoreCallCause, reply::StoreFailure},
 };
 
@@ -147,11 +147,30 @@
                     Err(_) => unsure(node, job, "store_unavailable"),
                 };
             }
+            ReadState::Ask(copy) if !left.is_zero() && waits_for_owner(node, job, &copy) => {
+                let _ = timeout(left, listener).await;
+            }
             ReadState::Ask(copy) => return ask(node, job, account, after, left, copy).await,
         }
     }
 }
 
+/// Whether nobody can be asked who extends the job's list, and the store was asked a moment ago: a read that may
+/// be held waits for the next owner to tell.
+///
+/// Load pattern: all gateways were killed; until their jobs are taken over, each reader would ask the store
+/// twice a second.
+fn waits_for_owner(node: &EntryNode, job: &str, copy: &JobCopy) -> bool {
+    let now = node.clock.mono();
+    let is_recent = copy.asked_at.is_some_and(|asked| now.since(asked) < STORE_ASK_PAUSE);
+    if !is_recent {
+        return false;
+    }
+    let told = node.jobs().owner(job).map(str::to_owned);
+    let owner = told.or_else(|| copy.owner.clone());
+    owner.is_none_or(|owner| node.liveness(&owner, now) != OwnerLiveness::Alive)
+}
+
 /// Whether the job is known to be of another account.
 fn is_of_another(node: &EntryNode, job: &str, account: &str) -> bool {
     node.jobs().account(job).is_some_and(|owner| !may_access(owner, account))
@@ -221,6 +240,7 @@
     if copy.total.is_none() && !learn_job(node, job, copy).await? {
         return Ok(false);
     }
+    copy.asked_at = Some(node.clock.mono());
     let position = copy.chunk_end;
     let list = stored_results(&node.store, job, position, StoreCallCause::ResultsRead).await?;
     copy.extend(position, &list.lines, true);
