Name limiters by the field's term; grant credit only by one's own view of who runs a limiter

Read as a newcomer: "keeper", "unkept" and "desk" are no terms of the field; a gateway runs an account's rate limiter. Found by that: a gateway that another one named as the limiter granted, though by its own view it wasn't; two could grant at the same time while views differ. It answers now as it answers others.

--- a/crates/entry/src/accounts.rs
+++ b/crates/entry/src/accounts.rs
@@ -2,5 +2,5 @@
 
 pub mod admission;
 pub mod credit;
-pub mod desk;
-pub mod proofs;
+pub mod freshness;
+pub mod state;
--- a/crates/entry/src/accounts/admission.rs
+++ b/crates/entry/src/accounts/admission.rs
@@ -20,7 +20,7 @@
     /// Its key is of no account.
     UnknownKey,
     /// Its key may have been taken away: what is known of the configuration is too old.
-    TooOld,
+    StaleConfiguration,
     /// Its account's limit is used up.
     OverLimit {
         /// When to come back.
@@ -35,7 +35,7 @@
     pub fn code(self) -> &'static str {
         match self {
             Self::UnknownKey => "unknown_key",
-            Self::TooOld => "configuration_too_old",
+            Self::StaleConfiguration => "configuration_stale",
             Self::OverLimit { .. } => "over_account_limit",
             Self::LimitUnknown => "account_limit_unknown",
         }
@@ -45,7 +45,7 @@
     pub fn answer(self) -> OwnAnswer {
         match self {
             Self::UnknownKey => OwnAnswer::of(401),
-            Self::TooOld | Self::LimitUnknown => OwnAnswer::refused(RETRY_AFTER_START),
+            Self::StaleConfiguration | Self::LimitUnknown => OwnAnswer::refused(RETRY_AFTER_START),
             Self::OverLimit { wait } => OwnAnswer::over_limit(wait),
         }
     }
@@ -70,10 +70,10 @@
 ///
 /// # Errors
 /// What is known of the configuration is too old to tell.
-pub fn check_age(node: &EntryNode, caller: &CallerIdentity) -> Result<(), AdmissionRefusal> {
+pub fn check_freshness(node: &EntryNode, caller: &CallerIdentity) -> Result<(), AdmissionRefusal> {
     let has_key = matches!(caller, CallerIdentity::Account(_));
     if has_key && !node.accounts.age().is_fresh(node.clock.boot()) {
-        return Err(AdmissionRefusal::TooOld);
+        return Err(AdmissionRefusal::StaleConfiguration);
     }
     Ok(())
 }
@@ -90,7 +90,7 @@
     let Some(limit) = account.limit else { return Ok(None) };
     match credit::take(node, &account.name, limit).await {
         LimitVerdict::Within => Ok(Some(account.name.clone())),
-        LimitVerdict::Unkept => Ok(None),
+        LimitVerdict::WithoutLimiter => Ok(None),
         LimitVerdict::Over { wait } => Err(AdmissionRefusal::OverLimit { wait }),
         LimitVerdict::Unknown => Err(AdmissionRefusal::LimitUnknown),
     }
--- a/crates/entry/src/accounts/credit.rs
+++ b/crates/entry/src/accounts/credit.rs
@@ -8,9 +8,9 @@
 
 use crate::{node::EntryNode, peers::calls::CallEnd};
 
-/// Longest wait for a keeper's answer: several round trips between failure domains, a fifth of the usual objective.
+/// Longest wait for a limiter's answer: several round trips between failure domains, a fifth of the usual objective.
 const ANSWER_WAIT: Duration = Duration::from_millis(60);
-/// Gateways asked for one request, at most: the keeper as known here, and the one that it names instead.
+/// Gateways asked for one request, at most: the limiter as known here, and the one that it names instead.
 const ASKS: usize = 2;
 
 /// Whether a request is within its account's limit.
@@ -18,8 +18,8 @@
 pub enum LimitVerdict {
     /// It is, and is counted.
     Within,
-    /// It is let in though nobody keeps the limit now.
-    Unkept,
+    /// It is let in though no limiter can be asked now.
+    WithoutLimiter,
     /// It isn't.
     Over {
         /// When to come back.
@@ -36,13 +36,13 @@
     let wanted = match step {
         CreditStep::Admitted => return LimitVerdict::Within,
         CreditStep::UsedUp { wait } => return LimitVerdict::Over { wait },
-        CreditStep::Unkept => return take_unkept(node, account, limit),
+        CreditStep::NoLimiter => return take_without_limiter(node, account, limit),
         CreditStep::Ask { wanted } => wanted,
     };
-    let mut keeper = find_keeper(node, account, began);
+    let mut limiter = find_limiter(node, account, began);
     for _ in 0..ASKS {
-        let Some(vm) = keeper else { break };
-        match ask(node, &vm, account, limit, wanted).await {
+        let Some(vm) = limiter else { break };
+        match ask(node, &vm, account, wanted).await {
             Some(CreditAnswer::Granted(granted)) => {
                 node.accounts.credits().note_granted(account, granted, began);
                 return LimitVerdict::Within;
@@ -52,7 +52,7 @@
                 node.accounts.credits().note_used_up(account, wait, now);
                 return LimitVerdict::Over { wait };
             }
-            Some(CreditAnswer::NotKept(other)) => keeper = other.filter(|other| *other != vm),
+            Some(CreditAnswer::Elsewhere(other)) => limiter = other.filter(|other| *other != vm),
             None => {
                 node.metrics.count(Counter::Event("credit_unanswered"));
                 node.accounts.credits().note_silent(account, node.clock.mono());
@@ -60,19 +60,17 @@
             }
         }
     }
-    take_unkept(node, account, limit)
+    take_without_limiter(node, account, limit)
 }
 
 async fn ask(
     node: &EntryNode,
     vm: &VmName,
     account: &AccountName,
-    limit: AccountLimit,
     wanted: u32,
 ) -> Option<CreditAnswer> {
     if *vm == node.config.node.vm {
-        let now = node.clock.mono();
-        return Some(node.accounts.keeper().grant(account, limit, wanted, now));
+        return Some(grant(node, account, wanted));
     }
     node.metrics.count(Counter::Event("credit_asked"));
     let account = account.clone();
@@ -83,49 +81,50 @@
     }
 }
 
-fn take_unkept(node: &EntryNode, account: &AccountName, limit: AccountLimit) -> LimitVerdict {
+fn take_without_limiter(
+    node: &EntryNode,
+    account: &AccountName,
+    limit: AccountLimit,
+) -> LimitVerdict {
     let (tolerance, gateways) = (node.accounts.tolerance(), node.peers.known_count() + 1);
     let now = node.clock.mono();
-    let may_admit = node.accounts.credits().admit_unkept(account, limit, tolerance, gateways, now);
-    if may_admit { LimitVerdict::Unkept } else { LimitVerdict::Unknown }
+    let may_admit =
+        node.accounts.credits().admit_without_limiter(account, limit, tolerance, gateways, now);
+    if may_admit { LimitVerdict::WithoutLimiter } else { LimitVerdict::Unknown }
 }
 
-/// The gateway that keeps an account's limit, by what is known of the others now.
-fn find_keeper(node: &EntryNode, account: &AccountName, now: MonoTime) -> Option<VmName> {
+/// The limiter of an account, by what is known of the other gateways now.
+fn find_limiter(node: &EntryNode, account: &AccountName, now: MonoTime) -> Option<VmName> {
     look(node, now);
-    node.accounts.keeper().keeper(account)
+    node.accounts.limiter().limiter(account)
 }
 
-/// Brings the view of who keeps limits up to what is known of the other gateways.
+/// Brings the view of the limiters up to what is known of the other gateways.
 pub fn look(node: &EntryNode, now: MonoTime) {
     let own = &node.config.node.vm;
-    let is_new = {
-        let mut keeper = node.accounts.keeper();
-        keeper.begin_look(now)
-    };
-    if !is_new {
+    if !node.accounts.limiter().begin_look(now) {
         return;
     }
     let taking_part = (!node.stop.is_stopping()).then_some(own);
     let up = now.since(MonoTime::default());
-    let (census, candidates) = node.peers.keeper_candidates(taking_part, up, now);
+    let (census, candidates) = node.peers.limiter_candidates(taking_part, up, now);
     let is_informed = node.peers.entries.is_answered();
     let view =
-        if is_informed { KeeperView::new(census, candidates) } else { KeeperView::default() };
-    let handovers = node.accounts.keeper().set_view(own, view, now);
-    for CreditHandover { keeper, account, credit } in handovers {
+        if is_informed { LimiterView::new(census, candidates) } else { LimiterView::default() };
+    let handovers = node.accounts.limiter().set_view(own, view, now);
+    for CreditHandover { limiter, account, credit } in handovers {
         let credit_milli = (credit * 1_000.0) as u64;
-        node.peers.send(&keeper, PeerMessage::CreditLeft { account, credit_milli });
+        node.peers.send(&limiter, PeerMessage::CreditLeft { account, credit_milli });
     }
 }
 
-/// Takes what the former keeper of an account's limit had left.
+/// Takes the credit that an account's former limiter had left.
 pub fn take_over(node: &EntryNode, account: &AccountName, credit_milli: u64) {
     let now = node.clock.mono();
     look(node, now);
     let Some(limit) = limit_of(node, account).flatten() else { return };
     let (own, credit) = (&node.config.node.vm, credit_milli as f64 / 1_000.0);
-    node.accounts.keeper().take_over(own, account, limit, credit, now);
+    node.accounts.limiter().take_over(own, account, limit, credit, now);
 }
 
 /// The account's limit by the configuration in force, if that names the account.
@@ -140,16 +139,17 @@
     node.peers.send(peer, PeerMessage::CreditAnswer { call, answer });
 }
 
+/// What this gateway grants, if by its own view it is the limiter: another one's word doesn't make it so.
 fn grant(node: &EntryNode, account: &AccountName, wanted: u32) -> CreditAnswer {
     let now = node.clock.mono();
-    let keeper = find_keeper(node, account, now);
-    if keeper.as_ref() != Some(&node.config.node.vm) {
-        return CreditAnswer::NotKept(keeper);
+    let limiter = find_limiter(node, account, now);
+    if limiter.as_ref() != Some(&node.config.node.vm) {
+        return CreditAnswer::Elsewhere(limiter);
     }
     match limit_of(node, account) {
-        Some(Some(limit)) => node.accounts.keeper().grant(account, limit, wanted, now),
+        Some(Some(limit)) => node.accounts.limiter().grant(account, limit, wanted, now),
         Some(None) => CreditAnswer::Granted(wanted),
-        // The asker's configuration is newer, or older: nobody keeps the limit until they agree.
-        None => CreditAnswer::NotKept(None),
+        // The asker's configuration is newer, or older: there is no limiter until they agree.
+        None => CreditAnswer::Elsewhere(None),
     }
 }
--- a/crates/entry/src/accounts/proofs.rs
+++ b/crates/entry/src/accounts/freshness.rs
@@ -43,7 +43,7 @@
 }
 
 /// Keeps the proof young until the process ends, where keys are honoured only by a proof.
-pub async fn keep_young(node: Arc<EntryNode>) {
+pub async fn keep_fresh(node: Arc<EntryNode>) {
     let Some(bound) = node.accounts.age().bound() else { return };
     let renew_at = bound / RENEW_DIVISOR;
     loop {
--- a/crates/entry/src/accounts/desk.rs
+++ b/crates/entry/src/accounts/state.rs
@@ -1,4 +1,4 @@
-//! What a gateway holds of client accounts.
+//! What a gateway knows of client accounts.
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
@@ -6,17 +6,17 @@
 use notch_settings::prelude::AccountSettings;
 use notch_types::prelude::*;
 
-/// What a gateway holds of client accounts. Each lock is held for moments, and no two at once.
+/// What a gateway knows of client accounts. Each lock is held for moments, and no two at once.
 #[derive(Debug, Default)]
-pub struct AccountDesk {
+pub struct AccountState {
     age: Mutex<ConfigurationAge>,
-    keeper: Mutex<LimitKeeper>,
-    credits: Mutex<CreditBook>,
+    limiter: Mutex<LimiterTable>,
+    credits: Mutex<CreditCache>,
     tolerance: QuotaTolerance,
 }
 
-impl AccountDesk {
-    /// A desk that knows nothing yet.
+impl AccountState {
+    /// Nothing is known yet.
     pub fn new(settings: &AccountSettings) -> Self {
         let tolerance = QuotaTolerance {
             window: settings.quota_window(),
@@ -24,8 +24,8 @@
             slack: settings.quota_slack,
         };
         let age = Mutex::new(ConfigurationAge::new(settings.revocation_bound()));
-        let keeper = Mutex::new(LimitKeeper::new(tolerance));
-        Self { age, keeper, tolerance, ..Self::default() }
+        let limiter = Mutex::new(LimiterTable::new(tolerance));
+        Self { age, limiter, tolerance, ..Self::default() }
     }
 
     /// How old the knowledge of the configuration is.
@@ -33,13 +33,13 @@
         self.age.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// The limits kept here, and who keeps the others.
-    pub fn keeper(&self) -> MutexGuard<'_, LimitKeeper> {
-        self.keeper.lock().unwrap_or_else(PoisonError::into_inner)
+    /// The limiters run here, and who runs the others.
+    pub fn limiter(&self) -> MutexGuard<'_, LimiterTable> {
+        self.limiter.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// What may be admitted here.
-    pub fn credits(&self) -> MutexGuard<'_, CreditBook> {
+    pub fn credits(&self) -> MutexGuard<'_, CreditCache> {
         self.credits.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
--- a/crates/entry/src/front/connection.rs
+++ b/crates/entry/src/front/connection.rs
@@ -148,7 +148,7 @@
         let route = Arc::clone(route);
         let caller = admission::identify(routes, &head, route.is_public);
         let caller = caller.and_then(|caller| {
-            admission::check_age(self.node, &caller)?;
+            admission::check_freshness(self.node, &caller)?;
             Ok(caller)
         });
         let caller = match caller {
--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -14,7 +14,7 @@
 use signal_hook_async_std::Signals;
 
 use crate::{
-    accounts::{credit, proofs},
+    accounts::{credit, freshness},
     batch::{ends, limits, retention, runner, takeover},
     constants::{STOP_ACCEPT, STOP_IDLE, STOP_JOBS, STOP_JOBS_ALONE, STOP_LONGEST},
     error::EntryError,
@@ -109,7 +109,7 @@
     task::spawn(takeover::watch_owners(Arc::clone(node)));
     task::spawn(liveness::probe_silent(Arc::clone(node)));
     task::spawn(limits::keep_room(Arc::clone(node)));
-    task::spawn(proofs::keep_young(Arc::clone(node)));
+    task::spawn(freshness::keep_fresh(Arc::clone(node)));
     task::spawn(retention::delete_old_jobs(Arc::clone(node)));
     task::spawn(retirements::answer_retirements(Arc::clone(node)));
     task::spawn(tell_counts(Arc::clone(node)));
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -17,7 +17,7 @@
 use serde_json::value::RawValue;
 
 use crate::{
-    accounts::desk::AccountDesk,
+    accounts::state::AccountState,
     batch::{desk::JobDesk, limit_desk::LimitDesk, read_tally::ReadTallies},
     clock::NodeClock,
     constants::WATCHERS,
@@ -60,7 +60,7 @@
     /// This gateway's part in limits on waiting jobs.
     pub limits: LimitDesk,
     /// Client accounts.
-    pub accounts: AccountDesk,
+    pub accounts: AccountState,
     /// How long reads of jobs took.
     pub reads: ReadTallies,
     /// Idle connections to targets.
@@ -116,7 +116,7 @@
             metrics,
             watch: WatchDuty::default(),
             limits: LimitDesk::default(),
-            accounts: AccountDesk::new(&config.accounts),
+            accounts: AccountState::new(&config.accounts),
             reads: ReadTallies::default(),
             pool: TargetPool::default(),
             peers: PeerTable::new(traffic),
--- a/crates/entry/src/peers/hub.rs
+++ b/crates/entry/src/peers/hub.rs
@@ -15,7 +15,7 @@
 use crate::{
     accounts::{
         credit,
-        proofs::{self, ToldAge},
+        freshness::{self, ToldAge},
     },
     batch::{bodies, ends, limits, ownership, reads, runner},
     constants::{GATEWAY_WATCH_PAUSE, STORE_PAUSE},
@@ -246,7 +246,7 @@
             let now = node.clock.mono();
             node.targets().note_peer_use(&peer.vm, &target, work, change, now);
         }
-        PeerMessage::AgeAsk { call } => proofs::answer(node, &peer.vm, call),
+        PeerMessage::AgeAsk { call } => freshness::answer(node, &peer.vm, call),
         PeerMessage::Age { call, version, age_ms } => {
             let age = age_ms.map(Duration::from_millis);
             node.peers.age_calls.answer(call, ToldAge { version, age });
--- a/crates/entry/src/peers/table.rs
+++ b/crates/entry/src/peers/table.rs
@@ -12,7 +12,7 @@
 use notch_types::prelude::*;
 
 use crate::{
-    accounts::proofs::ToldAge,
+    accounts::freshness::ToldAge,
     constants::{ENTRIES_FRESH, FIRST_LINK, OWNER_DOUBT, PEER_DEAD},
     peers::{calls::CallTable, catch_up::CatchUp, record::GatewayEntry, traffic::PeerTraffic},
     store::feed_clock::FeedClock,
@@ -126,7 +126,7 @@
 /// Who had no link for so long isn't counted among the known gateways: a VM was removed for good.
 const PEER_LOST: Duration = Duration::from_secs(60);
 /// A gateway whose process runs this long is known to all others: they read the gateways' entries more often.
-const KEEPER_AGE: Duration = Duration::from_secs(3);
+const LIMITER_AGE: Duration = Duration::from_secs(3);
 
 fn census(peers: &FastMap<VmName, PeerRecord>) -> PeerCensus {
     let known = peers.values().filter(|record| !record.is_lost);
@@ -348,7 +348,7 @@
     /// others are heard: one that is cut off itself must not take the rest for gone.
     pub fn note_lost(&self, now: MonoTime) {
         let mut peers = self.peers();
-        if !census(&peers).is_quorate() {
+        if !census(&peers).has_quorum() {
             return;
         }
         let is_gone = |r: &PeerRecord| r.link.is_none() && now.since(r.down_since) >= PEER_LOST;
@@ -360,7 +360,7 @@
     /// What is heard of the other gateways, and those among which limits of accounts are divided, `own` among
     /// them unless it stops. One that has just started takes part when all others have heard of it, at the same
     /// moment for all.
-    pub fn keeper_candidates(
+    pub fn limiter_candidates(
         &self,
         own: Option<&VmName>,
         own_up: Duration,
@@ -372,9 +372,9 @@
         let able = peers.iter().filter(|(_, record)| takes_part(record));
         let able = able.map(|(vm, record)| (vm, record.up(now)));
         let able: Vec<(&VmName, Duration)> = able.chain(own.map(|vm| (vm, own_up))).collect();
-        let old = able.iter().filter(|(_, up)| *up >= KEEPER_AGE).count();
+        let old = able.iter().filter(|(_, up)| *up >= LIMITER_AGE).count();
         // After a restart of all, nobody is old.
-        let least = if old * 2 > able.len() { KEEPER_AGE } else { Duration::ZERO };
+        let least = if old * 2 > able.len() { LIMITER_AGE } else { Duration::ZERO };
         let chosen = able.into_iter().filter(|(_, up)| *up >= least);
         (census, chosen.map(|(vm, _)| vm.clone()).collect())
     }
--- a/crates/lab/src/pattern.rs
+++ b/crates/lab/src/pattern.rs
@@ -137,7 +137,7 @@
         ]
     }
 
-    /// Short replies on targets with eight places: crests of 2.4 s in each 6 s that need a third of the places,
+    /// Short replies on targets with eight places: crests of 2.4 s in each 6 s that need over half of the places,
     /// beside jobs.
     fn short_replies() -> Self {
         let trough = |number: u32| LoadStep { at: REPLY_PERIOD * number, factor: 0.391 };
--- a/crates/relay/src/accounts/bucket.rs
+++ b/crates/relay/src/accounts/bucket.rs
@@ -36,7 +36,7 @@
         (self.credit + earned).min(self.limit.burst)
     }
 
-    /// Adds what the former keeper had left.
+    /// Adds what the former limiter had left.
     pub fn add(&mut self, credit: f64, limit: AccountLimit, now: MonoTime) {
         self.refill(limit, now);
         self.credit = (self.credit + credit.max(0.0)).min(limit.burst);
--- a/crates/relay/src/accounts/credits.rs
+++ b/crates/relay/src/accounts/credits.rs
@@ -15,7 +15,7 @@
 pub const CREDIT_LIFETIME: Duration = Duration::from_millis(250);
 /// A used-up limit is asked for again after so long at the latest.
 const USED_UP_LONGEST: Duration = Duration::from_millis(50);
-/// A keeper that didn't answer isn't asked again for so long.
+/// A limiter that didn't answer isn't asked again for so long.
 const SILENT_PAUSE: Duration = Duration::from_millis(250);
 /// How long an account that sends nothing is remembered.
 const IDLE_KEPT: Duration = Duration::from_secs(10);
@@ -30,13 +30,13 @@
         /// When to come back.
         wait: Duration,
     },
-    /// The keeper of the limit has to be asked for so many requests.
+    /// The account's limiter has to be asked for so many requests.
     Ask {
         /// At least 1.
         wanted: u32,
     },
-    /// The keeper didn't answer a moment ago.
-    Unkept,
+    /// The limiter didn't answer a moment ago.
+    NoLimiter,
 }
 
 /// What one gateway knows of one account's limit.
@@ -49,21 +49,21 @@
     used_up_until: MonoTime,
     /// What the last rejected client was told.
     wait: Duration,
-    /// The keeper isn't asked before then.
+    /// The limiter isn't asked before then.
     silent_until: MonoTime,
     /// Requests that came within the last [`CREDIT_LIFETIME`].
     recent: VecDeque<MonoTime>,
-    /// Requests admitted without a keeper. Invariant: in order.
-    unkept: VecDeque<MonoTime>,
+    /// Requests admitted without a limiter. Invariant: in order.
+    without_limiter: VecDeque<MonoTime>,
 }
 
 /// What one gateway may still admit of each account.
 #[derive(Debug, Default)]
-pub struct CreditBook {
+pub struct CreditCache {
     accounts: FastMap<AccountName, AccountCredit>,
 }
 
-impl CreditBook {
+impl CreditCache {
     /// A request of an account came.
     pub fn begin(&mut self, account: &AccountName, now: MonoTime) -> CreditStep {
         let known = self.entry(account);
@@ -77,12 +77,12 @@
             return CreditStep::UsedUp { wait: known.wait };
         }
         if now < known.silent_until {
-            return CreditStep::Unkept;
+            return CreditStep::NoLimiter;
         }
         CreditStep::Ask { wanted: known.recent.len() as u32 }
     }
 
-    /// The keeper granted so many requests, the first of which is the one that asked at `asked`.
+    /// The limiter granted so many requests, the first of which is the one that asked at `asked`.
     pub fn note_granted(&mut self, account: &AccountName, granted: u32, asked: MonoTime) {
         let known = self.entry(account);
         let lapses_at = asked + CREDIT_LIFETIME;
@@ -92,14 +92,14 @@
         known.credit = held + granted.saturating_sub(1);
     }
 
-    /// The keeper has no credit before `wait` is over.
+    /// The limiter has no credit before `wait` is over.
     pub fn note_used_up(&mut self, account: &AccountName, wait: Duration, now: MonoTime) {
         let known = self.entry(account);
         known.used_up_until = now + wait.min(USED_UP_LONGEST);
         known.wait = wait;
     }
 
-    /// The keeper didn't answer.
+    /// The limiter didn't answer.
     pub fn note_silent(&mut self, account: &AccountName, now: MonoTime) {
         self.entry(account).silent_until = now + SILENT_PAUSE;
     }
@@ -114,8 +114,8 @@
         known.credit += 1;
     }
 
-    /// Whether a request may be admitted though no keeper can be asked; counted if so.
-    pub fn admit_unkept(
+    /// Whether a request may be admitted though no limiter can be asked; counted if so.
+    pub fn admit_without_limiter(
         &mut self,
         account: &AccountName,
         limit: AccountLimit,
@@ -123,12 +123,12 @@
         gateways: usize,
         now: MonoTime,
     ) -> bool {
-        let most = tolerance.unkept_requests(limit, held_credit(limit), gateways);
+        let most = tolerance.requests_without_limiter(limit, held_credit(limit), gateways);
         let known = self.entry(account);
-        drop_older(&mut known.unkept, tolerance.window, now);
-        let may_admit = known.unkept.len() < most as usize;
+        drop_older(&mut known.without_limiter, tolerance.window, now);
+        let may_admit = known.without_limiter.len() < most as usize;
         if may_admit {
-            known.unkept.push_back(now);
+            known.without_limiter.push_back(now);
         }
         may_admit
     }
@@ -136,8 +136,9 @@
     /// Forgets accounts that sent nothing for long.
     pub fn forget_idle(&mut self, now: MonoTime) {
         let is_idle = |at: Option<&MonoTime>| at.is_none_or(|at| now.since(*at) >= IDLE_KEPT);
-        self.accounts
-            .retain(|_, known| !is_idle(known.recent.back()) || !is_idle(known.unkept.back()));
+        self.accounts.retain(|_, known| {
+            !is_idle(known.recent.back()) || !is_idle(known.without_limiter.back())
+        });
     }
 
     fn entry(&mut self, account: &AccountName) -> &mut AccountCredit {
--- a/crates/relay/src/accounts/granting.rs
+++ b/crates/relay/src/accounts/limiter.rs
@@ -1,4 +1,4 @@
-//! The limits that one gateway keeps for all.
+//! The rate limiters that one gateway runs for all.
 
 use std::time::Duration;
 
@@ -7,7 +7,7 @@
 
 use crate::accounts::{
     account::AccountLimit, bucket::CreditBucket, credits::held_credit, quota::QuotaTolerance,
-    view::KeeperView,
+    view::LimiterView,
 };
 
 /// What a gateway that is asked for credit answers.
@@ -17,15 +17,15 @@
     Granted(u32),
     /// The limit is used up; a credit for this client is due after that long.
     UsedUp(Duration),
-    /// It doesn't keep the limit. Which gateway does, as far as it knows.
-    NotKept(Option<VmName>),
+    /// It isn't the account's limiter. Which gateway is, as far as it knows.
+    Elsewhere(Option<VmName>),
 }
 
-/// Credit that a gateway has left of a limit that another one keeps from now on.
+/// Credit that a limiter has left when another gateway becomes the limiter.
 #[derive(Debug, Clone, PartialEq)]
 pub struct CreditHandover {
-    /// The new keeper.
-    pub keeper: VmName,
+    /// The new limiter.
+    pub limiter: VmName,
     /// Whose limit.
     pub account: AccountName,
     /// Requests that may be admitted.
@@ -35,22 +35,22 @@
 /// How often it is looked which gateways there are.
 const LOOK_EVERY: Duration = Duration::from_millis(50);
 
-/// The limits that one gateway keeps for all.
+/// The rate limiters of accounts that one gateway runs for all.
 #[derive(Debug, Default)]
-pub struct LimitKeeper {
+pub struct LimiterTable {
     buckets: FastMap<AccountName, CreditBucket>,
     tolerance: QuotaTolerance,
-    view: KeeperView,
+    view: LimiterView,
     /// Since when the view is in force.
     since: MonoTime,
     /// When the other gateways were looked at last.
     looked_at: Option<MonoTime>,
-    /// Keepers by account in this view, as far as they were asked for.
-    keepers: FastMap<AccountName, Option<VmName>>,
+    /// Limiters by account in this view, as far as they were asked for.
+    limiters: FastMap<AccountName, Option<VmName>>,
 }
 
-impl LimitKeeper {
-    /// A keeper of no limits yet.
+impl LimiterTable {
+    /// A table without limiters.
     pub fn new(tolerance: QuotaTolerance) -> Self {
         Self { tolerance, ..Self::default() }
     }
@@ -64,12 +64,12 @@
         is_due
     }
 
-    /// Takes a new view; the credit that is left of limits which others keep from now on. A limit that is kept
+    /// Takes a new view; the credit that is left at limiters which other gateways run from now on. One that is run
     /// here from now on begins with what the tolerance bears: until now others may have granted all of it.
     pub fn set_view(
         &mut self,
         own: &VmName,
-        view: KeeperView,
+        view: LimiterView,
         now: MonoTime,
     ) -> Vec<CreditHandover> {
         if view == self.view {
@@ -78,24 +78,24 @@
         let buckets = std::mem::take(&mut self.buckets);
         let mut handovers = Vec::new();
         for (account, bucket) in buckets {
-            match view.keeper(&account) {
-                Some(keeper) if keeper == own => {
+            match view.limiter(&account) {
+                Some(limiter) if limiter == own => {
                     self.buckets.insert(account, bucket);
                 }
-                Some(keeper) => {
-                    let (keeper, credit) = (keeper.clone(), bucket.credit(now));
-                    handovers.push(CreditHandover { keeper, account, credit });
+                Some(limiter) => {
+                    let (limiter, credit) = (limiter.clone(), bucket.credit(now));
+                    handovers.push(CreditHandover { limiter, account, credit });
                 }
                 None => {}
             }
         }
-        self.keepers.clear();
+        self.limiters.clear();
         self.view = view;
         self.since = now;
         handovers
     }
 
-    /// Takes credit that the former keeper of a limit had left, if the limit is kept here.
+    /// Takes credit that an account's former limiter had left, if this gateway is the limiter now.
     pub fn take_over(
         &mut self,
         own: &VmName,
@@ -104,7 +104,7 @@
         credit: f64,
         now: MonoTime,
     ) {
-        if self.keeper(account).as_ref() == Some(own) {
+        if self.limiter(account).as_ref() == Some(own) {
             self.bucket(account, limit).add(credit, limit, now);
         }
     }
@@ -116,22 +116,22 @@
         bucket.or_insert_with(|| CreditBucket::new(limit, begin, since))
     }
 
-    /// Whether limits are kept at all as far as is known here.
-    pub fn is_quorate(&self) -> bool {
-        self.view.is_quorate()
+    /// Whether there are limiters at all as far as is known here.
+    pub fn has_quorum(&self) -> bool {
+        self.view.has_quorum()
     }
 
-    /// The gateway that keeps an account's limit.
-    pub fn keeper(&mut self, account: &AccountName) -> Option<VmName> {
-        if let Some(known) = self.keepers.get(account) {
+    /// The gateway that runs an account's limiter.
+    pub fn limiter(&mut self, account: &AccountName) -> Option<VmName> {
+        if let Some(known) = self.limiters.get(account) {
             return known.clone();
         }
-        let keeper = self.view.keeper(account).cloned();
-        self.keepers.insert(account.clone(), keeper.clone());
-        keeper
+        let limiter = self.view.limiter(account).cloned();
+        self.limiters.insert(account.clone(), limiter.clone());
+        limiter
     }
 
-    /// Grants credit of a limit that is kept here.
+    /// Grants credit of a limiter that is run here.
     pub fn grant(
         &mut self,
         account: &AccountName,
--- a/crates/relay/src/accounts/quota.rs
+++ b/crates/relay/src/accounts/quota.rs
@@ -4,9 +4,9 @@
 
 use crate::accounts::account::AccountLimit;
 
-/// What of the tolerance is used where no keeper can be asked.
-const UNKEPT_PART: f64 = 0.4;
-/// What of it each new keeper of a limit begins with.
+/// What of the tolerance is used where no limiter can be asked.
+const WITHOUT_LIMITER_PART: f64 = 0.4;
+/// What of it each new limiter of a limit begins with.
 const BEGIN_PART: f64 = 0.25;
 
 /// By how much limits may be exceeded in a sliding window.
@@ -27,13 +27,13 @@
 }
 
 impl QuotaTolerance {
-    /// Requests that each of `gateways` gateways may admit in a window where no keeper can be asked, beside
+    /// Requests that each of `gateways` gateways may admit in a window where no limiter can be asked, beside
     /// `held` requests of credit that may be left anywhere from the window before.
-    pub fn unkept_requests(&self, limit: AccountLimit, held: f64, gateways: usize) -> u32 {
-        (self.spare(limit, held) * UNKEPT_PART / gateways.max(1) as f64) as u32
+    pub fn requests_without_limiter(&self, limit: AccountLimit, held: f64, gateways: usize) -> u32 {
+        (self.spare(limit, held) * WITHOUT_LIMITER_PART / gateways.max(1) as f64) as u32
     }
 
-    /// Requests that a gateway may admit at once when it becomes the keeper of a limit: those before it may have
+    /// Requests that a gateway may admit at once when it becomes the limiter of a limit: those before it may have
     /// granted all, so it's the tolerance that bears them.
     pub fn begin_credit(&self, limit: AccountLimit, held: f64) -> f64 {
         (self.spare(limit, held) * BEGIN_PART).min(limit.burst)
--- a/crates/relay/src/accounts/view.rs
+++ b/crates/relay/src/accounts/view.rs
@@ -1,11 +1,11 @@
-//! Which gateway keeps the limit of which account.
+//! Which gateway runs the rate limiter of which account.
 //!
 //! The load that it answers: an account sends many times its limit while gateways are cut off, killed or
-//! started. Two gateways that both took themselves for the keeper would admit twice the limit.
+//! started. Two gateways that both ran its limiter would admit twice the limit.
 
 use notch_types::prelude::*;
 
-/// Of the known gateways, the least part that must be heard before any limit is kept here. Two gateways that
+/// Of the known gateways, the least part that must be heard before a limiter is run here. Two gateways that
 /// were cut apart can't both hear that many, unless the fleet is cut into halves whose connections are reset.
 const LEAST_HEARD: f64 = 0.375;
 
@@ -21,39 +21,39 @@
 }
 
 impl PeerCensus {
-    /// Whether so many are heard that no other group of gateways can keep limits at the same time.
-    pub fn is_quorate(self) -> bool {
+    /// Whether so many are heard that no other group of gateways can run limiters at the same time.
+    pub fn has_quorum(self) -> bool {
         let (heard, known) = (self.heard + 1, self.known + 1);
         let voting = known - self.ended.min(self.known);
         heard * 2 > voting && heard as f64 >= known as f64 * LEAST_HEARD
     }
 }
 
-/// The gateways among which limits are divided, as one of them sees it.
+/// The gateways among which limiters are divided, as one of them sees it.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct KeeperView {
+pub struct LimiterView {
     /// Invariant: sorted. Empty while this gateway hears too few others.
     candidates: Vec<VmName>,
 }
 
-impl KeeperView {
+impl LimiterView {
     /// The view of a gateway that takes part with `candidates`, itself among them.
     pub fn new(census: PeerCensus, mut candidates: Vec<VmName>) -> Self {
-        if !census.is_quorate() {
+        if !census.has_quorum() {
             return Self::default();
         }
         candidates.sort_unstable();
         Self { candidates }
     }
 
-    /// Whether limits are kept at all as far as is known here.
-    pub fn is_quorate(&self) -> bool {
+    /// Whether there are limiters at all as far as is known here.
+    pub fn has_quorum(&self) -> bool {
         !self.candidates.is_empty()
     }
 
-    /// The gateway that keeps an account's limit, by rendezvous hashing: when one comes or goes, few
-    /// accounts change their keeper.
-    pub fn keeper(&self, account: &AccountName) -> Option<&VmName> {
+    /// The gateway that runs an account's limiter, by rendezvous hashing: when one comes or goes, few
+    /// accounts change their limiter.
+    pub fn limiter(&self, account: &AccountName) -> Option<&VmName> {
         let weight =
             |vm: &&VmName| stable_hash64(&[account.as_str().as_bytes(), vm.as_str().as_bytes()]);
         self.candidates.iter().max_by_key(weight)
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -18,13 +18,13 @@
         accounts::{
             account::{AccountEntry, AccountLimit, ClientAccount},
             bucket::CreditBucket,
-            credits::{CreditBook, CreditStep},
+            credits::{CreditCache, CreditStep},
             freshness::{ConfigurationAge, ConfigurationProof},
-            granting::{CreditAnswer, CreditHandover, LimitKeeper},
             key::AccountKey,
+            limiter::{CreditAnswer, CreditHandover, LimiterTable},
             quota::QuotaTolerance,
             table::{AccountTable, CallerIdentity, may_access},
-            view::{KeeperView, PeerCensus},
+            view::{LimiterView, PeerCensus},
         },
         intake::{
             demand::{DueWork, WorkDemand},
--- a/crates/relay/tests/accounts.rs
+++ b/crates/relay/tests/accounts.rs
@@ -145,32 +145,32 @@
 #[case::half_was_killed(PeerCensus { known: 23, heard: 10, ended: 13 }, true)]
 fn a_gateway_that_hears_too_few_keeps_no_limit(
     #[case] census: PeerCensus,
-    #[case] is_quorate: bool,
+    #[case] has_quorum: bool,
 ) {
-    assert_eq!(census.is_quorate(), is_quorate);
+    assert_eq!(census.has_quorum(), has_quorum);
 }
 
-/// Guards against a new keeper that grants again what the former one granted.
+/// Guards against a new limiter that grants again what the former one granted.
 #[test]
 fn a_limit_that_changes_its_keeper_begins_empty() {
-    let mut keeper = LimitKeeper::default();
+    let mut limiter = LimiterTable::default();
     let census = PeerCensus { known: 0, heard: 0, ended: 0 };
-    let view = KeeperView::new(census, vec![vm(1)]);
-    keeper.set_view(&vm(1), view, at(10_000));
-    assert!(matches!(keeper.grant(&account(), LIMIT, 1, at(10_000)), CreditAnswer::UsedUp(_)));
-    assert_eq!(keeper.grant(&account(), LIMIT, 1, at(10_100)), CreditAnswer::Granted(1));
+    let view = LimiterView::new(census, vec![vm(1)]);
+    limiter.set_view(&vm(1), view, at(10_000));
+    assert!(matches!(limiter.grant(&account(), LIMIT, 1, at(10_000)), CreditAnswer::UsedUp(_)));
+    assert_eq!(limiter.grant(&account(), LIMIT, 1, at(10_100)), CreditAnswer::Granted(1));
 }
 
-/// Guards against a small account that is rejected below its limit whenever the keeper dies.
+/// Guards against a small account that is rejected below its limit whenever the limiter dies.
 #[test]
 fn a_new_keeper_begins_with_what_the_tolerance_bears() {
     let small = AccountLimit { per_second: 2.0, burst: 2.0 };
-    let mut keeper = LimitKeeper::new(TOLERANCE);
+    let mut limiter = LimiterTable::new(TOLERANCE);
     let census = PeerCensus { known: 0, heard: 0, ended: 0 };
-    keeper.set_view(&vm(1), KeeperView::new(census, vec![vm(1)]), at(10_000));
+    limiter.set_view(&vm(1), LimiterView::new(census, vec![vm(1)]), at(10_000));
     let mut admitted = |limit| {
         let name = AccountName::new(&format!("{limit:?}"));
-        let grants = (0..100).map(|_| keeper.grant(&name, limit, 1, at(10_000)));
+        let grants = (0..100).map(|_| limiter.grant(&name, limit, 1, at(10_000)));
         grants.filter(|answer| *answer == CreditAnswer::Granted(1)).count()
     };
     assert_eq!((admitted(small), admitted(LIMIT)), (2, 8));
@@ -180,13 +180,13 @@
 #[test]
 fn a_keeper_hands_over_what_is_left() {
     let census = PeerCensus { known: 1, heard: 1, ended: 0 };
-    let alone = |index| KeeperView::new(census, vec![vm(index)]);
-    let (mut former, mut next) = (LimitKeeper::default(), LimitKeeper::default());
+    let alone = |index| LimiterView::new(census, vec![vm(index)]);
+    let (mut former, mut next) = (LimiterTable::default(), LimiterTable::default());
     former.set_view(&vm(1), alone(1), at(0));
     assert_eq!(former.grant(&account(), LIMIT, 1, at(10_000)), CreditAnswer::Granted(1));
     next.set_view(&vm(2), alone(2), at(10_000));
     let handovers = former.set_view(&vm(1), alone(2), at(10_000));
-    let expected = CreditHandover { keeper: vm(2), account: account(), credit: 39.0 };
+    let expected = CreditHandover { limiter: vm(2), account: account(), credit: 39.0 };
     assert_eq!(handovers, [expected]);
     next.take_over(&vm(2), &account(), LIMIT, 39.0, at(10_000));
     let admitted = (0..100)
@@ -199,7 +199,7 @@
 /// request of one above it asking again.
 #[test]
 fn credit_is_asked_for_ahead_and_rejections_are_remembered() {
-    let mut book = CreditBook::default();
+    let mut book = CreditCache::default();
     assert_eq!(book.begin(&account(), at(0)), CreditStep::Ask { wanted: 1 });
     book.note_granted(&account(), 3, at(0));
     assert_eq!(book.begin(&account(), at(10)), CreditStep::Admitted);
@@ -214,7 +214,7 @@
 /// Guards against credit that is kept for a later window.
 #[test]
 fn unused_credit_lapses() {
-    let mut book = CreditBook::default();
+    let mut book = CreditCache::default();
     book.begin(&account(), at(0));
     book.note_granted(&account(), 3, at(0));
     let late = at(0) + CREDIT_LIFETIME;
@@ -228,7 +228,7 @@
 /// What happens to the fleet.
 #[derive(Debug, Clone)]
 enum FleetEvent {
-    /// A request comes to a gateway; its question to the keeper, or the answer, may be lost.
+    /// A request comes to a gateway; its question to the limiter, or the answer, may be lost.
     Request { gateway: usize, is_lost: bool },
     /// A gateway is killed, and starts again without what it knew.
     Restart { gateway: usize },
@@ -250,15 +250,15 @@
 /// One gateway of the fleet.
 #[derive(Debug)]
 struct FleetGateway {
-    book: CreditBook,
-    keeper: LimitKeeper,
+    book: CreditCache,
+    limiter: LimiterTable,
     is_cut: bool,
 }
 
 impl Default for FleetGateway {
     fn default() -> Self {
-        let (book, keeper) = (CreditBook::default(), LimitKeeper::new(TOLERANCE));
-        Self { book, keeper, is_cut: false }
+        let (book, limiter) = (CreditCache::default(), LimiterTable::new(TOLERANCE));
+        Self { book, limiter, is_cut: false }
     }
 }
 
@@ -278,19 +278,19 @@
         !self.gateways[own].is_cut && !self.gateways[other].is_cut
     }
 
-    /// Credit that is handed over is lost when the new keeper can't be reached.
+    /// Credit that is handed over is lost when the new limiter can't be reached.
     fn look(&mut self, own: usize, now: MonoTime) {
         let heard: Vec<usize> =
             (0..GATEWAYS).filter(|other| *other != own && self.hears(own, *other)).collect();
         let census = PeerCensus { known: GATEWAYS - 1, heard: heard.len(), ended: 0 };
         let candidates = heard.into_iter().chain([own]).map(vm).collect();
-        let view = KeeperView::new(census, candidates);
-        let handovers = self.gateways[own].keeper.set_view(&vm(own), view, now);
-        for CreditHandover { keeper, account, credit } in handovers {
-            let next = (0..GATEWAYS).find(|index| vm(*index) == keeper).expect("one of the fleet");
+        let view = LimiterView::new(census, candidates);
+        let handovers = self.gateways[own].limiter.set_view(&vm(own), view, now);
+        for CreditHandover { limiter, account, credit } in handovers {
+            let next = (0..GATEWAYS).find(|index| vm(*index) == limiter).expect("one of the fleet");
             if self.hears(own, next) {
                 self.look(next, now);
-                self.gateways[next].keeper.take_over(&keeper, &account, LIMIT, credit, now);
+                self.gateways[next].limiter.take_over(&limiter, &account, LIMIT, credit, now);
             }
         }
     }
@@ -318,7 +318,7 @@
         let is_admitted = match step {
             CreditStep::Admitted => true,
             CreditStep::UsedUp { .. } => false,
-            CreditStep::Unkept => self.admit_unkept(own, now),
+            CreditStep::NoLimiter => self.admit_without_limiter(own, now),
             CreditStep::Ask { wanted } => self.ask(own, wanted, is_lost, now),
         };
         if is_admitted {
@@ -327,22 +327,22 @@
     }
 
     fn ask(&mut self, own: usize, wanted: u32, is_lost: bool, now: MonoTime) -> bool {
-        let Some(keeper) = self.gateways[own].keeper.keeper(&account()) else {
-            return self.admit_unkept(own, now);
+        let Some(limiter) = self.gateways[own].limiter.limiter(&account()) else {
+            return self.admit_without_limiter(own, now);
         };
-        let keeper = (0..GATEWAYS).find(|index| vm(*index) == keeper).expect("one of the fleet");
-        if keeper != own && !self.hears(own, keeper) {
+        let limiter = (0..GATEWAYS).find(|index| vm(*index) == limiter).expect("one of the fleet");
+        if limiter != own && !self.hears(own, limiter) {
             self.gateways[own].book.note_silent(&account(), now);
-            return self.admit_unkept(own, now);
+            return self.admit_without_limiter(own, now);
         }
-        self.look(keeper, now);
-        if self.gateways[keeper].keeper.keeper(&account()) != Some(vm(keeper)) {
-            return self.admit_unkept(own, now);
+        self.look(limiter, now);
+        if self.gateways[limiter].limiter.limiter(&account()) != Some(vm(limiter)) {
+            return self.admit_without_limiter(own, now);
         }
-        let answer = self.gateways[keeper].keeper.grant(&account(), LIMIT, wanted, now);
+        let answer = self.gateways[limiter].limiter.grant(&account(), LIMIT, wanted, now);
         if is_lost {
             self.gateways[own].book.note_silent(&account(), now);
-            return self.admit_unkept(own, now);
+            return self.admit_without_limiter(own, now);
         }
         match answer {
             CreditAnswer::Granted(granted) => {
@@ -353,13 +353,13 @@
                 self.gateways[own].book.note_used_up(&account(), wait, now);
                 false
             }
-            CreditAnswer::NotKept(_) => self.admit_unkept(own, now),
+            CreditAnswer::Elsewhere(_) => self.admit_without_limiter(own, now),
         }
     }
 
-    fn admit_unkept(&mut self, own: usize, now: MonoTime) -> bool {
+    fn admit_without_limiter(&mut self, own: usize, now: MonoTime) -> bool {
         let book = &mut self.gateways[own].book;
-        book.admit_unkept(&account(), LIMIT, TOLERANCE, GATEWAYS, now)
+        book.admit_without_limiter(&account(), LIMIT, TOLERANCE, GATEWAYS, now)
     }
 }
 
