Reject at once what a gateway out of touch can't let in

Found by reading: a request with a key was held for 0.14 s before it was rejected while the knowledge of the configuration was too old, as a gateway that has just started waits that long to learn it. So were reads of jobs, which need no proof. The wait is for the start only now.

--- a/crates/entry/src/front/connection.rs
+++ b/crates/entry/src/front/connection.rs
@@ -63,7 +63,7 @@
         let began = self.node.clock.mono();
         loop {
             let routes = self.node.routes();
-            if self.node.is_informed() || self.node.clock.mono().since(began) >= KNOWLEDGE_WAIT {
+            if self.node.has_begun() || self.node.clock.mono().since(began) >= KNOWLEDGE_WAIT {
                 return routes;
             }
             task::sleep(KNOWLEDGE_TICK).await;
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -213,6 +213,17 @@
         is_fresh && self.target_feed().is_whole()
     }
 
+    /// Whether everything that requests are served by was known once. What is too old since then is told at once;
+    /// a wait for it would only make its clients late elsewhere.
+    pub fn has_begun(&self) -> bool {
+        let Some(routes) = self.routes() else { return false };
+        let was_proved = routes.accounts().is_none() || {
+            let age = self.accounts.age();
+            age.bound().is_none() || age.proof().is_some()
+        };
+        was_proved && self.target_feed().is_whole()
+    }
+
     /// Takes a proof that the configuration in force is the newest one; whether it could be used.
     pub fn note_proof(&self, proof: ConfigurationProof) -> bool {
         let in_force = self.configuration_version();
