--- a/crates/entry/src/constants.rs
+++ b/crates/entry/src/constants.rs
@@ -61,7 +61,7 @@
 
 /// How often use of targets is told to the other gateways when it changes. The home of a target hears of
 /// each use at once; the others only choose by it whom to ask.
-pub const REPORT_EVERY: Duration = Duration::from_millis(250);
+pub const REPORT_EVERY: Duration = Duration::from_millis(100);
 /// How often it is told when nothing changes.
 pub const REPORT_IDLE: Duration = Duration::from_millis(1_000);
 /// Least time between two words of the work that waits here: in a burst of ninety times the usual jobs, a
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -19,7 +19,7 @@
 };
 
 /// How often gateways tell their use of targets.
-const REPORT_EVERY: Duration = Duration::from_millis(250);
+const REPORT_EVERY: Duration = Duration::from_millis(100);
 /// How often gateways look for places for items.
 const ITEMS_EVERY: Duration = Duration::from_millis(40);
 /// From a gateway's silence to the end of its links.
