Wait for the push of a newer configuration that a proof tells of

By reading: a gateway that was told of a newer version with a proof asked that gateway for the whole configuration at once, and read it from the store as well, as did all others that were told. It waits now as after a report that tells of a newer version, and asks when the push got lost; its older proof is good meanwhile. The accounts' tests pass.

--- a/crates/entry/src/accounts/freshness.rs
+++ b/crates/entry/src/accounts/freshness.rs
@@ -1,4 +1,4 @@
-//! Keeps the proof young that the configuration in force is the newest one.
+//! Keeps the proof fresh that the configuration in force is the newest one.
 //!
 //! One gateway among those that follow the store reads the configuration; the others ask it or one that has
 //! asked it. An age is told, never a clock's time: the asker counts it from before its question, so that a
@@ -17,7 +17,7 @@
 
 use crate::{
     node::EntryNode,
-    peers::{calls::CallEnd, catch_up::StateQuestion, hub},
+    peers::{calls::CallEnd, catch_up::KnownVersions, hub},
     store::{call_cause::StoreCallCause, retry::jittered},
 };
 
@@ -42,7 +42,18 @@
     pub age: Option<Duration>,
 }
 
-/// Keeps the proof young until the process ends, where keys are honoured only by a proof.
+/// What another gateway's answer was worth.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ProofAnswer {
+    /// A proof.
+    Proved,
+    /// It knows a newer configuration.
+    Behind,
+    /// None came, or one that was too old.
+    None,
+}
+
+/// Keeps the proof fresh until the process ends, where keys are honoured only by a proof.
 pub async fn keep_fresh(node: Arc<EntryNode>) {
     let Some(bound) = node.accounts.age().bound() else { return };
     let renew_at = bound / RENEW_DIVISOR;
@@ -58,29 +69,29 @@
 
 /// Gets a newer proof, from another gateway if one has it; whether there is one.
 async fn renew(node: &EntryNode, renew_at: Duration) -> bool {
-    if let Some(vm) = node.proving_gateway()
-        && ask(node, &vm, renew_at * 2).await
-    {
-        return true;
+    let Some(vm) = node.proving_gateway() else { return read(node).await };
+    match ask(node, &vm, renew_at * 2).await {
+        ProofAnswer::Proved | ProofAnswer::Behind => true,
+        ProofAnswer::None => read(node).await,
     }
-    read(node).await
 }
 
-/// Asks a gateway; whether its proof is at most `oldest` old.
-async fn ask(node: &EntryNode, vm: &VmName, oldest: Duration) -> bool {
+/// Asks a gateway for a proof that is at most `oldest` old.
+async fn ask(node: &EntryNode, vm: &VmName, oldest: Duration) -> ProofAnswer {
     let asked = node.clock.boot();
     let send = |call| node.peers.send(vm, PeerMessage::AgeAsk { call });
     let CallEnd::Answered(told) = node.peers.age_calls.ask(send, ANSWER_WAIT).await else {
-        return false;
+        return ProofAnswer::None;
     };
-    let Some(age) = told.age.filter(|age| *age <= oldest) else { return false };
+    let Some(age) = told.age.filter(|age| *age <= oldest) else { return ProofAnswer::None };
     let proof = ConfigurationProof { version: told.version, as_of: asked - age };
     if node.note_proof(proof) {
-        return true;
+        return ProofAnswer::Proved;
     }
-    // What is newer there is on its way, or got lost.
-    hub::ask_state(node, vm, StateQuestion::Changes);
-    false
+    // A push of what is newer is on its way; it's asked for when that got lost.
+    let theirs = KnownVersions { configuration: told.version, ..node.known_versions() };
+    hub::catch_up_with(node, vm, theirs);
+    ProofAnswer::Behind
 }
 
 /// Reads the configuration from the store.
--- a/crates/entry/src/peers/hub.rs
+++ b/crates/entry/src/peers/hub.rs
@@ -272,7 +272,7 @@
 }
 
 /// Asks a gateway that knows more, when it is time to.
-fn catch_up_with(node: &EntryNode, peer: &VmName, theirs: KnownVersions) {
+pub fn catch_up_with(node: &EntryNode, peer: &VmName, theirs: KnownVersions) {
     let own = node.known_versions();
     let question = node.peers.catch_up().note_report(own, theirs, node.clock.mono());
     let Some(question) = question else { return };
@@ -280,7 +280,7 @@
 }
 
 /// Asks a gateway for newer state.
-pub fn ask_state(node: &EntryNode, peer: &VmName, question: StateQuestion) {
+fn ask_state(node: &EntryNode, peer: &VmName, question: StateQuestion) {
     let own = node.known_versions();
     let targets = match question {
         StateQuestion::Changes => own.targets,
