Don't use a proof that is older than the process that is told of it

Found by reading the change: the moment of a proof is the question's time less the age told, which was cut off at the clock's zero. The new test needs the case told apart, which the code before couldn't.

--- a/crates/entry/src/accounts/freshness.rs
+++ b/crates/entry/src/accounts/freshness.rs
@@ -84,7 +84,9 @@
         return ProofAnswer::None;
     };
     let Some(age) = told.age.filter(|age| *age <= oldest) else { return ProofAnswer::None };
-    let proof = ConfigurationProof { version: told.version, as_of: asked - age };
+    let Some(proof) = ConfigurationProof::told(told.version, age, asked) else {
+        return ProofAnswer::None;
+    };
     if node.note_proof(proof) {
         return ProofAnswer::Proved;
     }
--- a/crates/relay/tests/accounts.rs
+++ b/crates/relay/tests/accounts.rs
@@ -71,6 +71,15 @@
     assert!(!age.is_fresh(at(6_000)));
 }
 
+/// Guards against a gateway that has just started and takes a proof from before its start for one from then on.
+#[test]
+fn a_proof_older_than_the_process_is_not_used() {
+    let age = Duration::from_millis(1_200);
+    assert_eq!(ConfigurationProof::told(3, age, at(200)), None);
+    let proof = ConfigurationProof { version: 3, as_of: at(300) };
+    assert_eq!(ConfigurationProof::told(3, age, at(1_500)), Some(proof));
+}
+
 /// Guards against a proof of a newer configuration that makes an older one in force look fresh.
 #[test]
 fn a_proof_of_a_version_not_in_force_is_not_used() {
