Hold memory for slow readers within one budget of the process

Cause: request bodies, pages of results and answers of targets that aren't streams were held whole for as long as the other end took, each up to its own limit only: 200 clients that don't read 900 KB pages, 4 MB answers or send bodies slowly held up to 469 MB, on VMs of 120 MB.

Change: relay::memory::MemoryBudget, a quarter of the process's memory (settings, [memory] process_limit), divided among the three uses, so that none takes the memory of another; large reservations leave a quarter of each part to small ones. Beyond it a request is refused before its body is read (503, not run, random Retry-After), pages get shorter and then reads are refused, and answers of targets are relayed at the pace of the client. A client that takes nothing for 10 s is given up (answer_unread). Bodies of answers aren't copied behind their heads any more.

--- a/crates/entry/src/batch/bodies.rs
+++ b/crates/entry/src/batch/bodies.rs
@@ -13,7 +13,7 @@
 use crate::{
     batch::{
         read_latency::{ReadKind, ReadSource},
-        reads::{ReadAnswer, load_job, note_read, unsure},
+        reads::{ReadAnswer, held_answer, hold_store_read, load_job, note_read, unsure},
     },
     constants::BODY_PEER_TIMEOUT,
     front::answer::OwnAnswer,
@@ -37,21 +37,25 @@
         return read;
     }
     if let Some(reply) = ask_owner(node, job, account, item).await {
-        return ReadAnswer { answer: body_answer(reply.as_deref()), source: ReadSource::Peer };
+        return body_read(node, job, reply.as_deref(), ReadSource::Peer);
     }
     let mut copy = node.jobs().cache.get(job).cloned().unwrap_or_default();
+    let Some(_held) = hold_store_read(node).await else {
+        return unsure(node, job, "no_memory");
+    };
     match load_job(node, job, &mut copy).await {
         Ok(true) => {}
         Ok(false) => return ReadAnswer::no_such_job(),
         Err(_) => return unsure(node, job, "store_unavailable"),
     }
     let belongs_to_other_account = copy.belongs_to_other_account(account);
-    let answer = body_answer(copy.spec.as_deref().and_then(|spec| body_of(spec, item)));
+    let body = copy.spec.as_deref().and_then(|spec| body_of(spec, item));
+    let read = body_read(node, job, body, ReadSource::Store);
     node.jobs().cache.keep(job, copy);
     if belongs_to_other_account {
         return ReadAnswer::no_such_job();
     }
-    ReadAnswer { answer, source: ReadSource::Store }
+    read
 }
 
 fn local_item(node: &EntryNode, job: &str, account: &str, item: &str) -> Option<ReadAnswer> {
@@ -60,15 +64,14 @@
         if !may_access(&owned.spec().account, account) {
             return Some(ReadAnswer::no_such_job());
         }
-        let answer = body_answer(body_of(owned.spec(), item));
-        return Some(ReadAnswer { answer, source: ReadSource::Owner });
+        return Some(body_read(node, job, body_of(owned.spec(), item), ReadSource::Owner));
     }
     let copy = registry.cache.get(job)?;
     if copy.belongs_to_other_account(account) {
         return Some(ReadAnswer::no_such_job());
     }
     let spec = copy.spec.as_deref()?;
-    Some(ReadAnswer { answer: body_answer(body_of(spec, item)), source: ReadSource::Copy })
+    Some(body_read(node, job, body_of(spec, item), ReadSource::Copy))
 }
 
 /// Asks the job's owner. Returns the body, `Some(None)` if the job has no such item, or `None` if
@@ -126,9 +129,10 @@
     found.map(|item| item.body.as_slice())
 }
 
-fn body_answer(body: Option<&[u8]>) -> OwnAnswer {
-    body.map_or_else(
-        || OwnAnswer::of(404),
-        |body| OwnAnswer { status: 200, body: body.to_vec(), ..OwnAnswer::default() },
-    )
+fn body_read(node: &EntryNode, job: &str, body: Option<&[u8]>, source: ReadSource) -> ReadAnswer {
+    let Some(body) = body else { return ReadAnswer { answer: OwnAnswer::of(404), source } };
+    match held_answer(node, body.to_vec()) {
+        Some(answer) => ReadAnswer { answer, source },
+        None => unsure(node, job, "no_memory"),
+    }
 }
--- a/crates/entry/src/batch/reads.rs
+++ b/crates/entry/src/batch/reads.rs
@@ -17,9 +17,11 @@
         records::{read_job, read_results as stored_results, read_spec},
     },
     constants::{
-        PEER_CALL_GRACE, PEER_READ_WAIT, RESULT_PAGE_BYTES, RETRY_AFTER, UNOWNED_JOB_READ_INTERVAL,
+        MEMORY_WAIT, OBJECT_BYTES, PEER_CALL_GRACE, PEER_READ_WAIT, RESULT_PAGE_BYTES, RETRY_AFTER,
+        UNOWNED_JOB_READ_INTERVAL,
     },
     front::answer::OwnAnswer,
+    memory::HeldBytes,
     node::EntryNode,
     peers::{calls::CallEnd, table::OwnerLiveness},
     store::{call_cause::StoreCallCause, reply::StoreFailure},
@@ -117,10 +119,12 @@
         let left = until.since(node.clock.mono());
         match read_state(node, job, after) {
             ReadState::Known(known) => {
-                let answer = results_answer(known.total, after, &known.lines);
                 let is_owned = node.jobs().is_owned(job);
                 let source = if is_owned { ReadSource::Owner } else { ReadSource::Copy };
-                return ReadAnswer { answer, source };
+                return match results_answer(node, known.total, after, &known.lines) {
+                    Some(answer) => ReadAnswer { answer, source },
+                    None => unsure(node, job, "no_memory"),
+                };
             }
             ReadState::NothingNew { total, held } => {
                 if !left.is_zero() {
@@ -140,6 +144,9 @@
                 }
                 // A gateway that is out of reach may have taken the job over and stored more
                 // results, or a write by this gateway may have taken effect without an answer.
+                let Some(_held) = hold_store_read(node).await else {
+                    return unsure(node, job, "no_memory");
+                };
                 return match stored_results(&node.store, job, held, StoreCallCause::ResultsRead)
                     .await
                 {
@@ -222,6 +229,9 @@
     }
     let has_new_lines = copy.total.is_some() && copy.lines.len() > after;
     if !is_sure && !has_new_lines {
+        let Some(_held) = hold_store_read(node).await else {
+            return unsure(node, job, "no_memory");
+        };
         match ask_store(node, job, &mut copy).await {
             Ok(true) => {}
             Ok(false) => return ReadAnswer::no_such_job(),
@@ -357,9 +367,28 @@
     node.peers.send(peer, PeerMessage::JobNews { call, account, is_sure, total, lines, is_all });
 }
 
-fn results_answer(total: usize, after: usize, lines: &[Arc<ResultLine>]) -> OwnAnswer {
-    let body = encode_results(total, after, ResultLine::fitting(lines, RESULT_PAGE_BYTES));
-    OwnAnswer { status: 200, body, ..OwnAnswer::default() }
+/// A page of results, shorter where memory is short; `None` if not even one result fits into the memory budget.
+fn results_answer(
+    node: &EntryNode,
+    total: usize,
+    after: usize,
+    lines: &[Arc<ResultLine>],
+) -> Option<OwnAnswer> {
+    let available = node.memory.available(MemoryUse::JobPage);
+    let page = ResultLine::fitting(lines, RESULT_PAGE_BYTES.min(available));
+    held_answer(node, encode_results(total, after, page))
+}
+
+/// A 200 with `body`, whose memory is held until it is written; `None` if the memory budget doesn't suffice.
+pub(super) fn held_answer(node: &EntryNode, body: Vec<u8>) -> Option<OwnAnswer> {
+    let mut held = node.memory.hold(MemoryUse::JobPage);
+    let is_held = held.grow(body.len());
+    is_held.then(|| OwnAnswer { status: 200, body, held: Some(held), ..OwnAnswer::default() })
+}
+
+/// Holds the memory that reading an object of the store takes: its text and what is decoded from it.
+pub(super) async fn hold_store_read(node: &EntryNode) -> Option<HeldBytes> {
+    node.memory.hold_within(MemoryUse::JobPage, 2 * OBJECT_BYTES, MEMORY_WAIT).await
 }
 
 /// Answers with the results from a position on. An empty answer is logged with its source.
@@ -376,7 +405,10 @@
         node.log.info("job_read_empty", &[("job", &job), ("after", &after), ("source", &code)]);
         node.metrics.count(Counter::Event("job_reads_empty"));
     }
-    ReadAnswer { answer: results_answer(total, after, lines), source }
+    match results_answer(node, total, after, lines) {
+        Some(answer) => ReadAnswer { answer, source },
+        None => unsure(node, job, "no_memory"),
+    }
 }
 
 /// The answer if the results cannot be determined now: a refusal with a time to retry, not an empty
--- a/crates/entry/src/constants.rs
+++ b/crates/entry/src/constants.rs
@@ -61,6 +61,10 @@
 pub const ANSWER_BODY_BYTES: usize = 16 << 20;
 /// Timeout of a request's body, counted from the end of its head.
 pub const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// A client that takes not a byte of an answer for this long is given up: no client waits as long.
+pub const CLIENT_STALL: Duration = Duration::from_secs(10);
+/// How long a read of a job waits for memory before it is refused: clients read twice a second.
+pub const MEMORY_WAIT: Duration = Duration::from_millis(500);
 /// Maximum size of what a client may send ahead (pipeline) while an earlier request is served. Beyond it
 /// the connection isn't read until that answer is complete.
 pub const READ_AHEAD_BYTES: usize = 64 << 10;
--- a/crates/entry/src/front/answer.rs
+++ b/crates/entry/src/front/answer.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::memory::HeldBytes;
+
 /// A response of the gateway itself, as opposed to a relayed one.
 #[derive(Debug, Default)]
 pub struct OwnAnswer {
@@ -11,6 +13,8 @@
     pub retry_after: Option<Duration>,
     /// JSON body; empty for none.
     pub body: Vec<u8>,
+    /// Memory held for the body until it is written.
+    pub held: Option<HeldBytes>,
 }
 
 impl OwnAnswer {
--- a/crates/entry/src/front/connection.rs
+++ b/crates/entry/src/front/connection.rs
@@ -16,9 +16,12 @@
     accounts::admission::{self, AdmissionRefusal},
     batch::{bodies, ends, intake, reads},
     constants::{
-        BODY_TIMEOUT, READ_AHEAD_BYTES, RETRY_AFTER_START, STARTUP_STATE_POLL, STARTUP_STATE_WAIT,
+        CLIENT_STALL, READ_AHEAD_BYTES, RETRY_AFTER_START, STARTUP_STATE_POLL, STARTUP_STATE_WAIT,
+    },
+    front::{
+        answer::OwnAnswer,
+        body::{BodyError, read_body},
     },
-    front::answer::OwnAnswer,
     node::EntryNode,
     online::{
         relay::{Delivery, RequestRelay},
@@ -26,6 +29,9 @@
     },
 };
 
+/// Size from which an answer's body is written separately, instead of being copied behind its head.
+const SEPARATE_BODY_BYTES: usize = 16 << 10;
+
 /// Serves a client connection until it ends.
 pub async fn serve_client(node: Arc<EntryNode>, stream: TcpStream) {
     let mut client =
@@ -86,22 +92,27 @@
             Err(_) => return self.write_last(408).await,
         };
         let arrived = self.node.clock.mono();
-        let body = match self.read_body(&head, limits.body_bytes).await {
+        let memory = &self.node.memory;
+        let body = match read_body(&mut self.reader, &head, limits.body_bytes, memory).await {
             Ok(body) => body,
-            Err(error) => return self.reject_unreadable(error).await,
+            Err(BodyError::Wire(error)) => return self.reject_unreadable(error).await,
+            Err(BodyError::NoMemory) => return self.reject_for_memory(&head).await,
         };
+        let _held = body.held;
         let keep = head.keep_alive && !self.node.stop.is_stopping();
         let answer = match ClientCall::decode(&head) {
             ClientCall::Ready => OwnAnswer::of(if self.node.is_ready() { 200 } else { 503 }),
             ClientCall::Job { job, call } => {
                 self.job_call(routes.as_deref(), &head, &job, call).await
             }
-            ClientCall::Routed => match self.routed(routes.as_deref(), head, body, arrived).await {
-                Routed::Answer(answer, attempt) => {
-                    return self.write(&answer, attempt.as_deref(), keep).await;
+            ClientCall::Routed => {
+                match self.routed(routes.as_deref(), head, body.bytes, arrived).await {
+                    Routed::Answer(answer, attempt) => {
+                        return self.write(&answer, attempt.as_deref(), keep).await;
+                    }
+                    Routed::Delivered(delivery) => return keep && delivery == Delivery::Answered,
                 }
-                Routed::Delivered(delivery) => return keep && delivery == Delivery::Answered,
-            },
+            }
         };
         self.write(&answer, None, keep).await
     }
@@ -224,25 +235,18 @@
         }
     }
 
-    async fn read_body(
-        &mut self,
-        head: &RequestHead,
-        max_bytes: usize,
-    ) -> Result<Vec<u8>, WireError> {
-        let framing = head.framing()?;
-        if framing == BodyFraming::Length(0) {
-            return Ok(Vec::new());
-        }
-        if head.headers.lists("expect", "100-continue") {
-            write_all(&self.stream, b"HTTP/1.1 100 Continue\r\n\r\n").await?;
-        }
-        let reading = self.reader.whole_body(framing, max_bytes);
-        timeout(BODY_TIMEOUT, reading).await.unwrap_or(Err(WireError::Closed))
+    /// Refuses a request whose body doesn't fit into the memory budget, and closes the connection, as the body is
+    /// unread. The delay is random, so that refused clients don't all return at once.
+    async fn reject_for_memory(&mut self, head: &RequestHead) -> bool {
+        let attempt = RequestHeaders::decode(&head.headers).attempt.map(str::to_owned);
+        self.log_refusal(attempt.as_deref(), "no_memory", 503);
+        let wait = RETRY_AFTER_START.mul_f64(1.0 + EntryNode::draw());
+        self.write(&OwnAnswer::refused(wait), attempt.as_deref(), false).await
     }
 
     async fn reject_unreadable(&mut self, error: WireError) -> bool {
         match error {
-            WireError::Closed | WireError::Io(_) => false,
+            WireError::Closed | WireError::Io(_) | WireError::Stalled => false,
             WireError::Malformed => self.write_last(400).await,
             WireError::TooLarge => self.write_last(413).await,
         }
@@ -264,8 +268,27 @@
         if !keep {
             writer.header("Connection", "close");
         }
-        let written = write_all(&self.stream, &writer.with_body(&answer.body)).await;
-        written.is_ok() && keep
+        let head = writer.with_length(answer.body.len() as u64);
+        if answer.body.len() < SEPARATE_BODY_BYTES {
+            let message = [head.as_slice(), &answer.body].concat();
+            return self.write_part(&message, attempt).await && keep;
+        }
+        let is_written =
+            self.write_part(&head, attempt).await && self.write_part(&answer.body, attempt).await;
+        is_written && keep
+    }
+
+    /// Writes a part of an answer; false when the client can't be reached or doesn't read.
+    async fn write_part(&self, bytes: &[u8], attempt: Option<&str>) -> bool {
+        let written = write_within(&self.stream, bytes, CLIENT_STALL).await;
+        if written == Err(WireError::Stalled) {
+            let held = self.node.memory.used();
+            let fields: [(&str, &dyn std::fmt::Display); 3] =
+                [("id", &attempt.unwrap_or("-")), ("bytes", &bytes.len()), ("held", &held)];
+            self.node.log.warn("answer_unread", &fields);
+            self.node.metrics.count(Counter::Event("answers_unread"));
+        }
+        written.is_ok()
     }
 
     fn log_refusal(&self, attempt: Option<&str>, reason: &'static str, status: u16) {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod error;
 pub mod front;
 pub mod gateway;
+pub mod memory;
 pub mod node;
 pub mod online;
 pub mod options;
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -23,6 +23,7 @@
     },
     clock::NodeClock,
     constants::STORE_WATCHERS,
+    memory::HeldMemory,
     peers::{
         catch_up::KnownVersions,
         table::{OwnerLiveness, PeerTable},
@@ -65,6 +66,8 @@
     pub accounts: AccountState,
     /// Latency counts of job reads.
     pub reads: ReadLatencies,
+    /// Memory held for clients and targets that read slowly.
+    pub memory: Arc<HeldMemory>,
     /// Idle connections to targets.
     pub pool: TargetPool,
     /// What is known of the other gateways, and the links to them.
@@ -119,6 +122,7 @@
             limits: LimitRegistry::default(),
             accounts: AccountState::new(&config.accounts),
             reads: ReadLatencies::default(),
+            memory: Arc::new(HeldMemory::new(config.memory.limit())),
             pool: TargetPool::default(),
             peers: PeerTable::new(traffic),
             stop: StopState::default(),
--- a/crates/entry/src/online.rs
+++ b/crates/entry/src/online.rs
@@ -1,5 +1,6 @@
 //! Online requests, which are relayed to a target while the client waits.
 
+mod answer;
 pub mod crashes;
 pub mod lease;
 pub mod relay;
--- a/crates/entry/src/online/relay.rs
+++ b/crates/entry/src/online/relay.rs
@@ -19,11 +19,17 @@
 
 use crate::{
     constants::{
-        ANSWER_BODY_BYTES, FIRST_BYTE_FREE_FACTOR, FIRST_BYTE_QUEUED_FACTOR, MAX_NOT_RUN_RETRIES,
+        CLIENT_STALL, FIRST_BYTE_FREE_FACTOR, FIRST_BYTE_QUEUED_FACTOR, MAX_NOT_RUN_RETRIES,
         MIN_RETRY_OBJECTIVES, NO_SLOT_RETRY_INTERVAL, NO_SLOT_TIMEOUT, RETRY_AFTER,
     },
     node::EntryNode,
-    online::{crashes, lease::TargetLease, request::OnlineRequest, slots},
+    online::{
+        answer::{PassFailure, TargetAnswer},
+        crashes,
+        lease::TargetLease,
+        request::OnlineRequest,
+        slots,
+    },
     target::connection::TargetConnection,
 };
 
@@ -164,7 +170,9 @@
                 }
                 Err(failure) => {
                     self.note_failure(&choice, failure);
-                    if !self.may_retry(failure) {
+                    let is_partly_sent =
+                        self.head_sent && self.request.route.kind != RouteKind::Streaming;
+                    if is_partly_sent || !self.may_retry(failure) {
                         return self.give_up(failure.code()).await;
                     }
                 }
@@ -292,25 +300,59 @@
             return Err(AttemptFailure::TargetError);
         }
         let framing = head.framing().map_err(|_| AttemptFailure::SpoiledAnswer)?;
+        let mut answer = TargetAnswer::new(framing, &self.node.memory);
         let left = self.request.left(self.now());
-        let reading = connection.reader.whole_body(framing, ANSWER_BODY_BYTES);
-        let body = match timeout(left, reading).await {
-            Ok(Ok(body)) => body,
+        let is_whole = match timeout(left, answer.read(&mut connection.reader)).await {
+            Ok(Ok(is_whole)) => is_whole,
             Ok(Err(_)) => return Err(AttemptFailure::CutAnswer),
             Err(_) => return Err(AttemptFailure::StalledAnswer),
         };
-        self.node.give_back(&choice.id, connection, &head);
         let mut writer = relayed_answer(&head);
         if self.close {
             writer.header("Connection", "close");
         }
         self.first_sent = Some(self.now());
-        match write_all(self.client, &writer.with_body(&body)).await {
+        if !is_whole {
+            return self.relay_unbuffered(choice, connection, (head, writer), answer).await;
+        }
+        self.node.give_back(&choice.id, connection, &head);
+        let message = writer.with_body(answer.bytes());
+        match write_within(self.client, &message, CLIENT_STALL).await {
             Ok(()) => Ok(AttemptEnd::Complete(head.status)),
             Err(_) => Ok(AttemptEnd::ClientGone),
         }
     }
 
+    /// Relays an answer that doesn't fit into the memory budget: the client's reading sets the pace at which the target
+    /// is read. The request can't be repeated from then on, and an answer that breaks off looks incomplete.
+    async fn relay_unbuffered(
+        &mut self,
+        choice: &TargetChoice,
+        mut connection: TargetConnection,
+        (head, writer): (ResponseHead, MessageWriter),
+        mut answer: TargetAnswer,
+    ) -> Result<AttemptEnd, AttemptFailure> {
+        self.head_sent = true;
+        self.node.metrics.count(Counter::Event("answers_unbuffered"));
+        self.node.log.info(
+            "answer_unbuffered",
+            &[
+                ("id", &self.request.attempt().unwrap_or("-")),
+                ("target", &choice.id),
+                ("bytes", &answer.bytes().len()),
+                ("held", &self.node.memory.used()),
+            ],
+        );
+        match answer.pass_on(&mut connection.reader, self.client, writer).await {
+            Ok(()) => {
+                self.node.give_back(&choice.id, connection, &head);
+                Ok(AttemptEnd::Complete(head.status))
+            }
+            Err(PassFailure::Client) => Ok(AttemptEnd::ClientGone),
+            Err(PassFailure::Target) => Err(AttemptFailure::CutAnswer),
+        }
+    }
+
     fn note_failure(&mut self, choice: &TargetChoice, failure: AttemptFailure) {
         match failure.verdict() {
             RunVerdict::NotRun => self.not_run += 1,
--- a/crates/entry/src/online/stream.rs
+++ b/crates/entry/src/online/stream.rs
@@ -8,14 +8,11 @@
 use notch_relay::prelude::*;
 
 use crate::{
-    constants::STALL_FACTOR,
+    constants::{CLIENT_STALL, STALL_FACTOR},
     online::relay::{AttemptEnd, RequestRelay},
     target::connection::TargetConnection,
 };
 
-/// Final chunk of a chunked body.
-const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
-
 impl RequestRelay<'_> {
     /// Relays a target's stream until it ends or is interrupted. Only complete events are passed on to the client,
     /// so that the stream can be resumed at another target.
@@ -47,7 +44,7 @@
         self.node.give_back(&choice.id, connection, &head);
         let mut bytes = self.head_bytes(&head);
         bytes.extend_from_slice(LAST_CHUNK);
-        match write_all(self.client, &bytes).await {
+        match write_within(self.client, &bytes, CLIENT_STALL).await {
             Ok(()) => Ok(AttemptEnd::Complete(head.status)),
             Err(_) => Ok(AttemptEnd::ClientGone),
         }
@@ -73,7 +70,7 @@
         if !bytes.is_empty() {
             let mut all = self.head_bytes(head);
             all.extend_from_slice(&bytes);
-            if write_all(self.client, &all).await.is_err() {
+            if write_within(self.client, &all, CLIENT_STALL).await.is_err() {
                 return Ok(false);
             }
         }
--- a/crates/entry/src/target/connection.rs
+++ b/crates/entry/src/target/connection.rs
@@ -70,7 +70,9 @@
 
 fn head_failure(error: WireError) -> AttemptFailure {
     match error {
-        WireError::Closed | WireError::Io(_) => AttemptFailure::ClosedBeforeAnswer,
+        WireError::Closed | WireError::Io(_) | WireError::Stalled => {
+            AttemptFailure::ClosedBeforeAnswer
+        }
         WireError::Malformed | WireError::TooLarge => AttemptFailure::SpoiledAnswer,
     }
 }
--- a/crates/h1/src/error.rs
+++ b/crates/h1/src/error.rs
@@ -13,6 +13,8 @@
     Malformed,
     /// A head or body exceeds its size limit.
     TooLarge,
+    /// The peer read nothing for so long that the message was given up.
+    Stalled,
 }
 
 impl fmt::Display for WireError {
@@ -22,6 +24,7 @@
             Self::Io(kind) => write!(f, "connection failed: {kind}"),
             Self::Malformed => f.write_str("malformed HTTP message"),
             Self::TooLarge => f.write_str("HTTP message exceeds its size limit"),
+            Self::Stalled => f.write_str("the peer does not read"),
         }
     }
 }
--- a/crates/h1/src/lib.rs
+++ b/crates/h1/src/lib.rs
@@ -17,6 +17,6 @@
         head::{RequestHead, ResponseHead},
         headers::HeaderList,
         reader::WireReader,
-        writer::{MessageWriter, write_all, write_chunk},
+        writer::{LAST_CHUNK, MessageWriter, write_all, write_chunk, write_within},
     };
 }
--- a/crates/h1/src/writer.rs
+++ b/crates/h1/src/writer.rs
@@ -1,11 +1,14 @@
 //! Builds and writes messages.
 
-use std::fmt::Write as _;
+use std::{fmt::Write as _, time::Duration};
 
-use async_std::{io::WriteExt, net::TcpStream};
+use async_std::{future::timeout, io::WriteExt, net::TcpStream};
 
 use crate::{error::WireError, headers::HeaderList};
 
+/// Final chunk of a chunked body.
+pub const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
+
 /// Builds the bytes of one message.
 #[derive(Debug, Clone, Default)]
 pub struct MessageWriter {
@@ -49,6 +52,12 @@
         bytes
     }
 
+    /// Returns the bytes of the head of a message whose body of `length` bytes is written separately.
+    pub fn with_length(mut self, length: u64) -> Vec<u8> {
+        self.header("Content-Length", length);
+        self.into_head()
+    }
+
     /// Returns the bytes of the head; the body is to follow in chunks.
     pub fn with_chunks(mut self) -> Vec<u8> {
         self.header("Transfer-Encoding", "chunked");
@@ -82,6 +91,28 @@
     Ok(())
 }
 
+/// Writes all bytes to a connection whose other end may read slowly.
+///
+/// # Errors
+/// `Stalled` when nothing could be written for `stall`, `Io` when the connection failed.
+pub async fn write_within(
+    stream: &TcpStream,
+    bytes: &[u8],
+    stall: Duration,
+) -> Result<(), WireError> {
+    let mut stream = stream;
+    let mut left = bytes;
+    while !left.is_empty() {
+        let written =
+            timeout(stall, stream.write(left)).await.map_err(|_| WireError::Stalled)??;
+        if written == 0 {
+            return Err(WireError::Closed);
+        }
+        left = &left[written..];
+    }
+    Ok(())
+}
+
 fn reason_phrase(status: u16) -> &'static str {
     match status {
         200 => "OK",
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -1,6 +1,7 @@
 //! Decision logic of an entry VM that relays requests directly to targets: routing, target
 //! selection, failure classification, splitting of streams into events, job admission and
-//! scheduling, client accounts and their rate limits, and limits shared by all gateways.
+//! scheduling, client accounts and their rate limits, limits shared by all gateways, and the memory
+//! held for slow readers.
 //!
 //! The crate performs no I/O and reads no clock.
 
@@ -9,6 +10,7 @@
 pub mod job_admission;
 pub mod jobs;
 pub mod limits;
+pub mod memory;
 pub mod routes;
 pub mod stream;
 pub mod targets;
@@ -47,6 +49,7 @@
             table::{HolderShare, ShareTable},
             waiting_limit::WaitingLimit,
         },
+        memory::budget::{MemoryBudget, MemoryUse},
         routes::{
             configuration::{ClientLimits, Configuration},
             dropped::DroppedRoutes,
--- a/crates/settings/src/sections.rs
+++ b/crates/settings/src/sections.rs
@@ -10,6 +10,7 @@
 mod listen;
 mod logging;
 mod membership;
+mod memory;
 mod node;
 mod online;
 mod operators;
@@ -30,6 +31,7 @@
     listen::ListenSettings,
     logging::{LogFormat, LogLevel, LoggingSettings},
     membership::MembershipSettings,
+    memory::MemorySettings,
     node::NodeSettings,
     online::OnlineSettings,
     operators::OperatorSettings,
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -65,6 +65,11 @@
         format!("{}#{}", self.name, self.starts)
     }
 
+    /// Process id; `None` while the process isn't started.
+    pub fn pid(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     /// Sends a signal to the process.
     pub fn signal(&self, signal: Signal) {
         let pid = self.child.as_ref().and_then(|child| Pid::from_raw(child.id() as i32));
