Pass the gateways' entries on from followers; one search for orphans

Cause: every gateway followed the gateways' entries itself (a watch each 1.5 to 4 s), listed four kinds at its start, and listed all jobs at its start and whenever any gateway was lost: products of the fleet and of its events.

Change: - GatewayRoster (pure): entries by revision with a digest. Only the followers of the store watch them; they push changes, and report the digest with the age of the store's last answer. Equal digests make the entries here as fresh as theirs; lasting differences are repaired by the whole list. - A gateway that starts registers and lists the gateways; configuration, targets and ends of jobs are listed by the first four by rank only, by the others if nothing came in two seconds. - SearchSchedule (pure): after a loss one gateway lists all jobs, the others only if they hear of no list that began after the loss, a second later for each rank. The list tells who lacks an owner, and which jobs clients may submit again. Announced jobs of a lost owner are taken over with one read each, without a list. A refusal that needs to know all recent jobs asks for a list and waits for it, 0.4 s at most, instead of answering 504. - WatchPace (pure): four watches at once, then two a second, so that targets that register one after the other don't cost each follower a call each. - Results of a job are collected for 1.2 s instead of 0.4 s (an eighth of the time left until it is due at most): fewer writes a job.

Ruled out: lists with allowStale (a tenth of the price): how stale is not bounded, so a job could be missed for good.

Tests: entry/tests/roster, relay/tests/{search,watch_pace}, and platform/tests/ownership: a gateway that the store turns away hears of new ones from others (not run on the code before). Two tests there were changed, as strict as before: an_owner_that_reads_no_entries_is_not_sure also holds the other gateway's reads back, as its word would be enough now; the second result in results_stored_while_ownership_is_checked comes 2.4 s later instead of 0.6 s, so that it isn't stored with the first.

--- a/crates/entry/src/batch/ends.rs
+++ b/crates/entry/src/batch/ends.rs
@@ -13,7 +13,7 @@
     node::EntryNode,
     store::{
         call_cause::StoreCallCause,
-        feed::{FeedPlan, follow},
+        feed::{FeedPlan, FeedStart, follow},
         feed_event::FeedEvent,
     },
 };
@@ -78,7 +78,8 @@
 /// Follows the ends of jobs in the store. The gateway that owns a job may have no link to the one
 /// that ended it for the client.
 pub async fn follow_ends(node: Arc<EntryNode>) {
-    let plan = FeedPlan { watcher: Some(&node), ..FeedPlan::default() };
+    let plan =
+        FeedPlan { watcher: Some(&node), start: FeedStart::UnlessPassedOn, ..FeedPlan::default() };
     follow(&node.store, END_KIND, plan, |event| match event {
         FeedEvent::Snapshot { objects, .. } => {
             for object in &objects {
--- a/crates/entry/src/batch/job_registry.rs
+++ b/crates/entry/src/batch/job_registry.rs
@@ -83,6 +83,8 @@
     /// Jobs whose storing is delayed at another gateway, and when this was reported. Invariant:
     /// none is older than [`STORING_TIMEOUT`].
     storing_elsewhere: FastMap<String, MonoTime>,
+    /// When to search the store for jobs without an owner.
+    pub search: SearchSchedule,
     /// Limits store lookups for jobs that are about to be refused.
     pub lookups: LookupLimiter,
     /// Work of jobs being accepted, by job.
@@ -148,6 +150,13 @@
         }
     }
 
+    /// Records the owner of a job found in the store, unless some gateway reported one.
+    pub fn note_orphan(&mut self, job: &str, owner: &str) {
+        if !self.is_owned(job) && self.owner(job).is_none() {
+            self.note_owner(&[job.to_owned()], owner);
+        }
+    }
+
     /// Records that the store holds this job.
     pub fn note_listed(&mut self, job: &str, now: MonoTime) {
         if !self.is_known(job) {
--- a/crates/entry/src/batch/prior_submission.rs
+++ b/crates/entry/src/batch/prior_submission.rs
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use async_std::future::timeout;
+use async_std::{future::timeout, task};
 use notch_types::prelude::*;
 
 use crate::{
@@ -20,6 +20,8 @@
 /// Store lookups per second that all gateways together make for jobs about to be refused: a
 /// twentieth of all reads that the store sustains. Under usual load every refusal is looked up.
 const LOOKUPS_PER_SECOND: usize = 100;
+/// Interval at which a refusal checks whether all recent jobs are known.
+const RECENT_JOBS_POLL: Duration = Duration::from_millis(20);
 /// Length of the window in which lookups are counted.
 const LOOKUP_WINDOW: Duration = Duration::from_secs(1);
 
@@ -54,6 +56,23 @@
     }
 }
 
+/// Whether all jobs that may be submitted again are known. If not, one search of the store is started for all refusals
+/// that need it, and awaited for as long as a lookup.
+async fn await_recent_jobs(node: &EntryNode) -> bool {
+    let began = node.clock.mono();
+    loop {
+        let now = node.clock.mono();
+        if node.peers.knows_all_recent_jobs(CLIENT_RESEND_WINDOW, now) {
+            return true;
+        }
+        if now.since(began) >= REFUSAL_LOOKUP_TIMEOUT {
+            return false;
+        }
+        node.jobs().search.note_reason(began, 0);
+        task::sleep(RECENT_JOBS_POLL).await;
+    }
+}
+
 /// Finds an earlier submission of a job that is unknown here: in the store, within the rate limit,
 /// and beyond it by what the other gateways reported.
 ///
@@ -69,7 +88,7 @@
         (registry.lookups.take(gateways, now), registry.may_be_stored_elsewhere(job))
     };
     if !may_look {
-        let is_known = !is_storing && node.peers.knows_all_recent_jobs(CLIENT_RESEND_WINDOW, now);
+        let is_known = !is_storing && await_recent_jobs(node).await;
         return if is_known { PriorJob::None } else { PriorJob::Unclear };
     }
     let looking =
--- a/crates/entry/src/batch/takeover.rs
+++ b/crates/entry/src/batch/takeover.rs
@@ -1,9 +1,9 @@
 //! Takes over jobs whose owner failed or stopped.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use async_std::task;
-use notch_messages::prelude::PeerMessage;
+use notch_messages::prelude::{ListedJobs, PeerMessage};
 use notch_relay::prelude::*;
 use notch_types::prelude::*;
 
@@ -14,52 +14,141 @@
         records::{StoredJob, fence_results, read_end, read_job, read_spec, take_job},
         stored_jobs::list_jobs,
     },
-    constants::{ORPHAN_SEARCH_DELAY, ORPHAN_SEARCH_INTERVAL, PEER_TICK},
+    constants::{ORPHAN_SEARCH_DELAY, ORPHAN_SEARCH_INTERVAL, PEER_DEAD_AFTER, PEER_TICK},
     node::EntryNode,
     peers::table::OwnerLiveness,
     store::{call_cause::StoreCallCause, feed::StorePath, reply::StoreFailure},
 };
 
-/// Searches for jobs without a live owner: once after the start, and whenever an owner is lost.
+/// How long a known orphan may wait for its preferred successor before the store is searched.
+const STALE_ORPHAN_TIME: Duration = Duration::from_secs(3);
+/// Span before the newest job, by the clocks of the gateways that accepted them, in which clients may submit a job
+/// again. Longer than [`CLIENT_RESEND_WINDOW`](crate::constants::CLIENT_RESEND_WINDOW), as clocks differ.
+const RECENT_JOB_SPAN: Duration = Duration::from_secs(20);
+/// Maximum number of jobs named in the announcement of a search, which makes some 20 KB.
+const MAX_LISTED_JOBS: usize = 1_000;
+/// Time that an announcement may take from one gateway to another without a loss of the link.
+const LIST_NEWS_MARGIN: Duration = Duration::from_millis(300);
+
+/// Searches for jobs without a live owner: after the start, and whenever an owner is lost.
 pub async fn watch_owners(node: Arc<EntryNode>) {
-    task::sleep(ORPHAN_SEARCH_DELAY).await;
-    let mut next_search = Some(node.clock.mono());
-    let mut live = node.peers.live_vms();
+    let mut has_settled = false;
+    let mut live = Vec::new();
+    let mut stale_since = None;
+    let mut next_takeover = MonoTime::default();
     loop {
         let now = node.clock.mono();
+        if !has_settled && now >= MonoTime::default() + ORPHAN_SEARCH_DELAY {
+            // Any search since the start serves, but links are needed to tell who is ranked before.
+            has_settled = true;
+            node.jobs().search.note_reason(MonoTime::default(), search_rank(&node));
+        }
         let still = node.peers.live_vms();
-        if live.iter().any(|vm| !still.contains(vm)) || has_orphans(&node, now) {
-            next_search.get_or_insert(now);
+        if live.iter().any(|vm| !still.contains(vm)) {
+            note_loss(&node);
         }
         live = still;
-        if next_search.is_some_and(|at| now >= at) && !node.stop.is_stopping() {
-            next_search = match take_over_orphans(&node).await {
-                Ok(0) => None,
-                // Other gateways are preferred for these jobs, or the store does not answer: search
-                // again.
-                Ok(_) | Err(_) => Some(node.clock.mono() + ORPHAN_SEARCH_INTERVAL),
-            };
+        let orphans = known_orphans(&node, now);
+        stale_since = stale_since.filter(|_| !orphans.is_empty()).or(Some(now));
+        let is_stale = stale_since.is_some_and(|since| now.since(since) >= STALE_ORPHAN_TIME);
+        if is_stale && !orphans.is_empty() {
+            // Its preferred successor may not know of it.
+            note_loss(&node);
+            stale_since = None;
         }
+        if now >= next_takeover && !node.stop.is_stopping() {
+            // A job that couldn't be read is tried again after the pause.
+            if take_over_known(&node, &orphans).await.is_err() {
+                next_takeover = now + ORPHAN_SEARCH_INTERVAL;
+            }
+        }
+        search_if_due(&node).await;
         task::sleep(PEER_TICK).await;
     }
 }
 
-/// Whether any job reported by another gateway has lost its owner.
-fn has_orphans(node: &EntryNode, now: MonoTime) -> bool {
+/// Records that jobs may have lost their owner, or that a gateway has started, which knows of no jobs. The search waits
+/// until the owner counts as dead, and until no write of it can be late.
+pub fn note_loss(node: &EntryNode) {
+    let rank = search_rank(node);
+    let at = node.clock.mono() + PEER_DEAD_AFTER;
+    node.jobs().search.note_reason(at, rank);
+}
+
+/// Number of gateways that search the store before this one.
+fn search_rank(node: &EntryNode) -> usize {
+    let rank = |vm: &VmName| stable_hash64(&[b"search", vm.as_str().as_bytes()]);
+    let own = rank(&node.config.node.vm);
+    node.peers.successor_vms().iter().filter(|vm| rank(vm) > own).count()
+}
+
+async fn search_if_due(node: &Arc<EntryNode>) {
+    let began = node.clock.mono();
+    if node.stop.is_stopping() || !node.jobs().search.is_due(began) {
+        return;
+    }
+    // Other gateways are preferred for the jobs left, or the store does not answer: search again.
+    let has_left = !matches!(take_over_orphans(node).await, Ok(0));
+    node.jobs().search.note_searched(began, has_left, node.clock.mono());
+}
+
+/// Open jobs reported by other gateways that have lost their owner.
+fn known_orphans(node: &EntryNode, now: MonoTime) -> Vec<String> {
     let registry = node.jobs();
     let open = registry.owned_elsewhere().filter(|(job, _)| !registry.is_ended(job));
+    let open: Vec<(&str, &str)> = open.collect();
     // A gateway owns many jobs, so its liveness is checked once for all of them.
-    let owners: FastSet<&str> = open.map(|(_, owner)| owner).collect();
-    owners.into_iter().any(|owner| node.liveness(owner, now) == OwnerLiveness::Gone)
+    let owners: FastSet<&str> = open.iter().map(|(_, owner)| *owner).collect();
+    let gone: FastSet<&str> = owners
+        .into_iter()
+        .filter(|owner| node.liveness(owner, now) == OwnerLiveness::Gone)
+        .collect();
+    let orphans = open.into_iter().filter(|(_, owner)| gone.contains(owner));
+    orphans.map(|(job, _)| job.to_owned()).collect()
+}
+
+/// Takes over those of the orphaned jobs for which this gateway is the preferred successor.
+///
+/// # Errors
+/// The store did not answer for at least one of them.
+async fn take_over_known(node: &Arc<EntryNode>, orphans: &[String]) -> Result<(), StoreFailure> {
+    let mut due = Vec::new();
+    let mut outcome = Ok(());
+    for job in orphans {
+        if node.jobs().is_busy(job) || !is_preferred_successor(node, job) {
+            continue;
+        }
+        match read_job(&node.store, job, StoreCallCause::JobTakenOver).await {
+            Ok(Some(stored)) if is_takeover_due(node, &stored) => due.push(stored),
+            Ok(Some(stored)) if stored.status.closed => {
+                node.jobs().note_closed(job, node.clock.mono());
+            }
+            Ok(Some(stored)) => node.jobs().note_owner(std::slice::from_ref(job), stored.owner()),
+            Ok(None) => node.jobs().note_closed(job, node.clock.mono()),
+            Err(failure) => outcome = Err(failure),
+        }
+    }
+    take_over_all(node, due).await?;
+    outcome
 }
 
-/// Takes over jobs whose owner is gone and for which this gateway is the preferred successor.
-/// Returns the number of jobs left to other gateways or to a later search.
+/// Whether a job of the store is open and its owner gone.
+fn is_takeover_due(node: &EntryNode, job: &StoredJob) -> bool {
+    let now = node.clock.mono();
+    let owner = job.owner();
+    !job.status.closed && (owner == node.owner || node.liveness(owner, now) == OwnerLiveness::Gone)
+}
+
+/// Lists the jobs of the store, takes over those whose owner is gone and for which this gateway is
+/// the preferred successor, and tells the others what it found. Returns the number of jobs left to
+/// other gateways or to a later search.
 async fn take_over_orphans(node: &Arc<EntryNode>) -> Result<usize, StoreFailure> {
     let mut left = 0;
     let mut due = Vec::new();
+    let mut orphans = Vec::new();
     let asked = node.clock.mono();
     let jobs = list_jobs(node, StorePath::Any, StoreCallCause::OrphanSearch).await?;
+    let recent = recent_jobs(&jobs);
     for job in jobs {
         let now = node.clock.mono();
         let owner = job.owner().to_owned();
@@ -82,21 +171,60 @@
             OwnerLiveness::Alive => continue,
             OwnerLiveness::Suspect => {
                 left += 1;
+                orphans.push((job.id, owner));
                 continue;
             }
             OwnerLiveness::Gone => {}
         }
         if owner != node.owner && !is_preferred_successor(node, &job.id) {
             left += 1;
+            orphans.push((job.id, owner));
             continue;
         }
         due.push(job);
     }
     node.peers.note_jobs_listed(asked);
+    let age_ms = node.clock.mono().since(asked).as_millis() as u64;
+    node.log.info(
+        "jobs_listed",
+        &[("orphans", &orphans.len()), ("own", &due.len()), ("age_ms", &age_ms)],
+    );
+    node.peers.broadcast(&PeerMessage::JobsListed(ListedJobs { age_ms, orphans, recent }));
     take_over_all(node, due).await?;
     Ok(left)
 }
 
+/// Ids of the jobs that their clients may still submit again, by the time at which they were
+/// accepted. `None` if they are too many for a message.
+fn recent_jobs(jobs: &[StoredJob]) -> Option<Vec<String>> {
+    let newest = jobs.iter().map(|job| job.record.accepted_at_ms).max().unwrap_or_default();
+    let oldest = newest.saturating_sub(RECENT_JOB_SPAN.as_millis() as u64);
+    let recent = jobs.iter().filter(|job| job.record.accepted_at_ms >= oldest);
+    let ids: Vec<String> = recent.map(|job| job.id.clone()).collect();
+    (ids.len() <= MAX_LISTED_JOBS).then_some(ids)
+}
+
+/// Handles what another gateway's search of the store found.
+pub fn apply_listed(node: &EntryNode, listed: ListedJobs) {
+    let now = node.clock.mono();
+    // The message itself took some time, so the list is older than its sender knows.
+    let asked = now - Duration::from_millis(listed.age_ms) - LIST_NEWS_MARGIN;
+    let has_recent = listed.recent.is_some();
+    {
+        let mut registry = node.jobs();
+        registry.search.note_announced(asked);
+        for (job, owner) in &listed.orphans {
+            registry.note_orphan(job, owner);
+        }
+        for job in listed.recent.iter().flatten() {
+            registry.note_listed(job, now);
+        }
+    }
+    if has_recent {
+        node.peers.note_jobs_listed(asked);
+    }
+}
+
 /// Takes jobs over. On routes with a limit, a job's tokens are counted here before the takeover and
 /// released from the former owner after it. In between they count twice, but are never uncounted.
 async fn take_over_all(node: &Arc<EntryNode>, jobs: Vec<StoredJob>) -> Result<(), StoreFailure> {
--- a/crates/entry/src/constants.rs
+++ b/crates/entry/src/constants.rs
@@ -115,11 +115,17 @@
 /// How long a gateway that has just started waits for the others to announce whether they watch, as links
 /// are still being established.
 pub const WATCH_START_DELAY: Duration = Duration::from_millis(1_500);
+/// How long a gateway that has just started waits for the list of the others before it lists the rest from the store
+/// itself: several times what registering and listing take.
+pub const FIRST_LIST_TIMEOUT: Duration = Duration::from_millis(300);
+/// How long after its start a gateway waits for configuration and targets from the others before it lists them from the
+/// store itself; they answer within a few round trips once links are up.
+pub const PEER_STATE_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// Interval at which a gateway that doesn't watch the store checks whether it has to.
 pub const WATCH_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// Pause between two watch calls for the gateways' entries. Links show sooner which gateways are alive,
-/// and when many start together each entry would wake every gateway.
-pub const GATEWAY_WATCH_PAUSE: Duration = Duration::from_millis(1_500);
+/// and when many start together the followers pass their entries on in few messages.
+pub const GATEWAY_WATCH_PAUSE: Duration = Duration::from_millis(500);
 /// Upper bound of the randomized pause after a failed store call; the lower bound is half of it. A cold
 /// start, and recovery after a store outage, are delayed by up to this.
 pub const STORE_PAUSE: Duration = Duration::from_millis(400);
@@ -144,9 +150,9 @@
 pub const OBJECT_BYTES: usize = 900 << 10;
 /// Maximum size of the results in one response; clients accept 1 MB.
 pub const RESULT_PAGE_BYTES: usize = 900 << 10;
-/// How long results are collected before they are stored. Ten items of a job end within a second or two,
-/// so that a job takes a few writes instead of ten. Clients read every half second.
-pub const RESULT_DELAY: Duration = Duration::from_millis(400);
+/// How long results are collected before they are stored, unless the job is due soon. Ten items of a job end within a
+/// second or two, so that a job takes one or two writes instead of ten. Clients read every half second.
+pub const RESULT_DELAY: Duration = Duration::from_millis(1_200);
 /// Maximum number of attempts to write a share of a limit for one job; each one that loses a race against
 /// another gateway costs a store call.
 pub const LIMIT_SHARE_ATTEMPTS: usize = 6;
--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -30,7 +30,7 @@
     retirements,
     route_cleanup::forget_routes,
     store::{
-        feed::{FeedPlan, follow},
+        feed::{FeedPlan, FeedStart, follow},
         feed_event::FeedEvent,
     },
     target::liveness,
@@ -145,7 +145,8 @@
 }
 
 async fn follow_configuration(node: Arc<EntryNode>) {
-    let plan = FeedPlan { watcher: Some(&node), ..FeedPlan::default() };
+    let plan =
+        FeedPlan { watcher: Some(&node), start: FeedStart::UnlessPassedOn, ..FeedPlan::default() };
     follow(&node.store, CONFIGURATION_KIND, plan, |event| {
         let (objects, listed) = match &event {
             FeedEvent::Snapshot { objects, asked, .. } => (objects.as_slice(), Some(*asked)),
@@ -164,7 +165,8 @@
 }
 
 async fn follow_targets(node: Arc<EntryNode>) {
-    let plan = FeedPlan { watcher: Some(&node), ..FeedPlan::default() };
+    let plan =
+        FeedPlan { watcher: Some(&node), start: FeedStart::UnlessPassedOn, ..FeedPlan::default() };
     follow(&node.store, TARGET_KIND, plan, |event| node.apply_target_event(event)).await;
 }
 
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -22,7 +22,7 @@
         job_registry::JobRegistry, limit_registry::LimitRegistry, read_latency::ReadLatencies,
     },
     clock::NodeClock,
-    constants::STORE_WATCHERS,
+    constants::{FIRST_LIST_TIMEOUT, PEER_STATE_TIMEOUT, STORE_WATCHERS, WATCH_START_DELAY},
     memory::HeldMemory,
     peers::{
         catch_up::KnownVersions,
@@ -361,8 +361,22 @@
     }
 
     /// Whether this gateway has to watch the store itself, as too few of those ranked before it do.
+    ///
+    /// Shortly after the start, those whose entries are known are expected to watch, as their reports are still on the
+    /// way. Otherwise gateways that start together would all list and watch everything.
     pub fn must_watch(&self) -> bool {
-        self.peers.watchers_before(&self.config.node.vm) < STORE_WATCHERS
+        let up = self.clock.mono().since(MonoTime::default());
+        let is_starting = up < WATCH_START_DELAY;
+        if is_starting && !self.peers.has_entries() && up < FIRST_LIST_TIMEOUT {
+            return false;
+        }
+        self.peers.watchers_before(&self.config.node.vm, is_starting) < STORE_WATCHERS
+    }
+
+    /// Whether the state that requests need, though other gateways follow the store, hasn't come from them.
+    pub fn lacks_state(&self) -> bool {
+        let up = self.clock.mono().since(MonoTime::default());
+        up >= PEER_STATE_TIMEOUT && !self.was_synced()
     }
 
     /// Whether the owner `owner` is alive. An earlier incarnation of this gateway is not.
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -7,6 +7,7 @@
 pub mod pushes;
 pub mod registration;
 pub mod reports;
+pub mod roster;
 pub mod store_forwarding;
 pub mod table;
 pub mod traffic;
--- a/crates/entry/src/peers/links.rs
+++ b/crates/entry/src/peers/links.rs
@@ -17,7 +17,7 @@
         credit,
         freshness::{self, ProofAge},
     },
-    batch::{bodies, ends, limits, ownership, reads, runner},
+    batch::{bodies, ends, limits, ownership, reads, runner, takeover},
     constants::{GATEWAY_WATCH_PAUSE, STORE_PAUSE},
     node::EntryNode,
     online::{crashes, slots},
@@ -25,7 +25,9 @@
         catch_up::{KnownVersions, StateRequest},
         demands, pushes,
         registration::{GATEWAY_KIND, GatewayEntry},
-        reports, store_forwarding,
+        reports,
+        roster::RosterChange,
+        store_forwarding,
         table::{JobReadReply, KeptShare, PeerSilence},
     },
     store::{
@@ -45,25 +47,55 @@
 /// Registers this gateway, then follows the others' entries and maintains links to them.
 pub async fn follow_gateways(node: Arc<EntryNode>, settings: LinkSettings) {
     register(&node).await;
-    let sink = link_sink(&node);
-    let entries = Some(&node.peers.entries);
-    let feed =
-        FeedPlan { pause: GATEWAY_WATCH_PAUSE, answer_clock: entries, ..FeedPlan::default() };
-    follow(&node.store, GATEWAY_KIND, feed, |event| match event {
-        FeedEvent::Snapshot { objects, .. } => {
-            for object in &objects {
-                add_gateway(&node, object, &settings, &sink);
+    task::spawn(maintain_links(Arc::clone(&node), settings));
+    // The first list is needed in any case: it names the gateways from which to hear the rest.
+    let feed = FeedPlan {
+        pause: GATEWAY_WATCH_PAUSE,
+        watcher: Some(&node),
+        answer_clock: Some(&node.peers.entries),
+        ..FeedPlan::default()
+    };
+    follow(&node.store, GATEWAY_KIND, feed, |event| {
+        let changes = match event {
+            FeedEvent::Snapshot { objects, as_of, .. } => {
+                let entries = objects.iter().filter_map(|object| decode_gateway(&node, object));
+                node.peers.roster().apply_list(entries.collect(), as_of)
             }
-        }
-        FeedEvent::Changed { object } => add_gateway(&node, object, &settings, &sink),
-        FeedEvent::Deleted { object, .. } => {
-            node.peers.remove_entry(&VmName::new(&object.metadata.name));
-            ownership::invalidate_all(&node, "entry_gone", PeerSilence::Minority);
-        }
+            FeedEvent::Changed { object } => {
+                let entry = decode_gateway(&node, object);
+                let put = |(vm, entry, revision)| node.peers.roster().put(&vm, entry, revision);
+                entry.and_then(put).into_iter().collect()
+            }
+            FeedEvent::Deleted { object, as_of } => {
+                let vm = VmName::new(&object.metadata.name);
+                node.peers.roster().remove(&vm, as_of).into_iter().collect()
+            }
+        };
+        apply_roster_changes(&node, changes);
     })
     .await;
 }
 
+/// Queues changes of the gateways' entries, and has them passed on if this gateway follows the store.
+fn apply_roster_changes(node: &EntryNode, changes: Vec<RosterChange>) {
+    node.peers.queue_roster_changes(changes);
+    node.state_changed.notify(usize::MAX);
+}
+
+/// Dials the gateways of the roster as it changes. Runs until the process ends.
+async fn maintain_links(node: Arc<EntryNode>, settings: LinkSettings) {
+    let sink = link_sink(&node);
+    while let Some(change) = node.peers.next_roster_change().await {
+        match change {
+            RosterChange::Put(vm, entry) => add_gateway(&node, &vm, entry, &settings, &sink),
+            RosterChange::Remove(vm) => {
+                node.peers.remove_entry(&vm);
+                ownership::invalidate_all(&node, "entry_gone", PeerSilence::Minority);
+            }
+        }
+    }
+}
+
 /// Writes this gateway's entry to the store; retries until that succeeds.
 async fn register(node: &EntryNode) {
     let entry = GatewayEntry {
@@ -98,25 +130,34 @@
     }
 }
 
-fn add_gateway(node: &EntryNode, object: &StoreObject, settings: &LinkSettings, sink: &LinkSink) {
+fn decode_gateway(node: &EntryNode, object: &StoreObject) -> Option<(VmName, GatewayEntry, u64)> {
     let vm = VmName::new(&object.metadata.name);
-    if vm == node.config.node.vm {
-        return;
-    }
-    let Some(spec) = &object.spec else { return };
-    let entry: GatewayEntry = match serde_json::from_str(spec.get()) {
-        Ok(entry) => entry,
+    let spec = object.spec.as_ref()?;
+    match serde_json::from_str(spec.get()) {
+        Ok(entry) => Some((vm, entry, object.metadata.revision)),
         Err(error) => {
             node.log.error("gateway_entry_refused", &[("gateway", &vm), ("reason", &error)]);
-            return;
+            None
         }
-    };
+    }
+}
+
+fn add_gateway(
+    node: &EntryNode,
+    vm: &VmName,
+    entry: GatewayEntry,
+    settings: &LinkSettings,
+    sink: &LinkSink,
+) {
+    if *vm == node.config.node.vm {
+        return;
+    }
     // Only the gateway with the smaller name dials, so that there is one link between two gateways.
-    let dials = node.config.node.vm < vm;
+    let dials = node.config.node.vm < *vm;
     let name = vm.clone();
     let dial =
         dials.then_some(|at| LinkDialer::start(at, &name, settings.clone(), Arc::clone(sink)));
-    node.peers.put_entry(&vm, entry, node.clock.mono(), dial);
+    node.peers.put_entry(vm, entry, node.clock.mono(), dial);
 }
 
 fn handle_link_event(node: &Arc<EntryNode>, event: LinkEvent) {
@@ -169,11 +210,16 @@
         PeerMessage::Hello { owner, jobs, up_ms } => {
             let up = Duration::from_millis(up_ms);
             node.peers.set_uptime(&peer.vm, up, node.clock.mono());
-            node.peers.set_owner(&peer.vm, &owner, node.clock.mono());
+            if node.peers.set_owner(&peer.vm, &owner, node.clock.mono()) {
+                takeover::note_loss(node);
+            }
             apply_ownership(node, &owner, &jobs);
         }
-        PeerMessage::Report { uses, configuration, targets, digest, is_watching } => {
+        PeerMessage::Report { uses, configuration, targets, digest, is_watching, gateways } => {
             node.peers.set_watching(&peer.vm, is_watching);
+            if let Some(report) = gateways {
+                compare_roster(node, &peer.vm, report);
+            }
             reports::apply_uses(node, &peer.vm, uses, node.clock.mono());
             catch_up_with(node, &peer.vm, KnownVersions { configuration, targets, digest });
         }
@@ -189,11 +235,20 @@
         PeerMessage::State { configuration, targets } => {
             apply_state(node, peer, configuration, targets);
         }
+        PeerMessage::Gateways(changes) => {
+            let changes = node.peers.roster().apply_changes(changes);
+            apply_roster_changes(node, changes);
+        }
+        PeerMessage::AskGateways => {
+            let whole = node.peers.roster().whole();
+            node.peers.send(&peer.vm, PeerMessage::Gateways(whole));
+        }
         PeerMessage::JobsOwned(jobs) => {
             if let Some(owner) = node.peers.owner_of(&peer.vm) {
                 apply_ownership(node, &owner, &jobs);
             }
         }
+        PeerMessage::JobsListed(listed) => takeover::apply_listed(node, listed),
         PeerMessage::JobStoring(job) => {
             node.jobs().note_storing_elsewhere(&job, node.clock.mono());
         }
@@ -274,6 +329,25 @@
     }
 }
 
+/// Compares the gateways' entries known here with those of a follower of the store. Equal ones are as fresh as that
+/// gateway's; if they stay different, the whole list is requested.
+fn compare_roster(node: &EntryNode, peer: &VmName, report: RosterReport) {
+    let now = node.clock.mono();
+    let mut roster = node.peers.roster();
+    if roster.digest() == report.digest {
+        let age = Duration::from_millis(report.age_ms);
+        node.peers.reported_entries.note_answer(now - age);
+    }
+    let is_urgent = !node.peers.has_entries();
+    let is_due = roster.note_digest(report.digest, is_urgent, now) && !node.watch.is_watching();
+    drop(roster);
+    if is_due {
+        node.log.info("gateways_asked", &[("gateway", peer)]);
+        node.metrics.count(Counter::Event("gateways_asked"));
+        node.peers.send(peer, PeerMessage::AskGateways);
+    }
+}
+
 /// Requests newer state from a gateway that has it, once that is due.
 pub fn catch_up_with(node: &EntryNode, peer: &VmName, theirs: KnownVersions) {
     let own = node.known_versions();
--- a/crates/entry/src/peers/pushes.rs
+++ b/crates/entry/src/peers/pushes.rs
@@ -20,6 +20,7 @@
 /// Pushes changes while this gateway follows the store. Runs until the process ends.
 pub async fn push_changes(node: Arc<EntryNode>) {
     let mut previous = node.known_versions();
+    let mut pushed_entries = node.peers.roster().change_count();
     loop {
         let listener = node.state_changed.listen();
         let known = node.known_versions();
@@ -29,18 +30,38 @@
             }
             previous = known;
         }
+        pushed_entries = push_gateways(&node, pushed_entries);
         let _ = timeout(PUSH_TICK, listener).await;
         task::sleep(PUSH_PAUSE).await;
     }
 }
 
-/// Pushes the changes since `previous` to the gateways that this one is the pusher of.
-fn push(node: &EntryNode, previous: KnownVersions) {
+/// Pushes the changes of the gateways' entries after the first `pushed`; returns their number by now.
+fn push_gateways(node: &EntryNode, pushed: u64) -> u64 {
+    let (changes, count) = {
+        let roster = node.peers.roster();
+        (roster.changes_since(pushed), roster.change_count())
+    };
+    if let Some(changes) = changes.filter(|_| node.watch.is_watching()) {
+        let receivers = receivers(node);
+        let receivers: Vec<&VmName> = receivers.iter().collect();
+        node.peers.send_to_all(&receivers, &PeerMessage::Gateways(changes));
+    }
+    count
+}
+
+/// The gateways that this one is the pusher of.
+fn receivers(node: &EntryNode) -> Vec<VmName> {
     let own = &node.config.node.vm;
     let followers = node.peers.follower_vms();
-    let receivers: Vec<VmName> = node.peers.linked_vms();
-    let receivers = receivers.iter().filter(|vm| is_pusher(own, &followers, vm));
-    let receivers: Vec<&VmName> = receivers.collect();
+    let linked = node.peers.linked_vms().into_iter();
+    linked.filter(|vm| is_pusher(own, &followers, vm)).collect()
+}
+
+/// Pushes the changes since `previous` to the gateways that this one is the pusher of.
+fn push(node: &EntryNode, previous: KnownVersions) {
+    let receivers = receivers(node);
+    let receivers: Vec<&VmName> = receivers.iter().collect();
     let messages = newer_state(node, previous);
     // State that takes more than one message isn't pushed; gateways that need it request it.
     if let [message] = messages.as_slice() {
--- a/crates/entry/src/peers/reports.rs
+++ b/crates/entry/src/peers/reports.rs
@@ -24,7 +24,15 @@
     uses.sort_by(|a, b| a.target.cmp(&b.target));
     let KnownVersions { configuration, targets, digest } = node.known_versions();
     let is_watching = node.watch.is_watching();
-    PeerMessage::Report { uses, configuration, targets, digest, is_watching }
+    let gateways = is_watching.then(|| roster_report(node)).flatten();
+    PeerMessage::Report { uses, configuration, targets, digest, is_watching, gateways }
+}
+
+/// The gateways' entries as the store confirmed them last.
+fn roster_report(node: &EntryNode) -> Option<RosterReport> {
+    let age = node.peers.entries.age(node.clock.mono())?;
+    let digest = node.peers.roster().digest();
+    Some(RosterReport { digest, age_ms: age.as_millis() as u64 + 1 })
 }
 
 /// Whether `new` has to be sent at once. A change of versions alone doesn't count: changes are pushed, and reporting
--- a/crates/entry/src/peers/table.rs
+++ b/crates/entry/src/peers/table.rs
@@ -8,6 +8,7 @@
     time::Duration,
 };
 
+use async_channel::{Receiver, Sender};
 use notch_link::prelude::*;
 use notch_messages::prelude::*;
 use notch_relay::prelude::CreditAnswer;
@@ -17,7 +18,11 @@
     accounts::freshness::ProofAge,
     constants::{ENTRIES_FRESH, FIRST_LINK_TIMEOUT, PEER_DEAD_AFTER, PEER_SILENT_AFTER},
     peers::{
-        calls::CallTable, catch_up::CatchUp, registration::GatewayEntry, traffic::PeerTraffic,
+        calls::CallTable,
+        catch_up::CatchUp,
+        registration::GatewayEntry,
+        roster::{GatewayRoster, RosterChange},
+        traffic::PeerTraffic,
     },
     store::feed_clock::FeedClock,
 };
@@ -121,6 +126,8 @@
     is_leaving: bool,
     /// Whether it follows the store.
     is_watching: bool,
+    /// Its rank among the gateways that may follow the store; a higher one goes first.
+    watch_rank: u64,
 }
 
 /// A store write of a gateway may take effect up to this long after contact with it was lost: a list of jobs that was
@@ -161,14 +168,34 @@
     pub credit_calls: CallTable<CreditAnswer>,
     /// Queries of the age of configuration proofs.
     pub age_calls: CallTable<ProofAge>,
-    /// When the gateways' entries were last read.
+    /// When this gateway last read the gateways' entries.
     pub entries: FeedClock,
+    /// When another gateway had last read them, as far as the entries known here were equal to its own.
+    pub reported_entries: FeedClock,
     /// Whether all recent jobs of the others are known.
     job_coverage: Mutex<JobCoverage>,
     /// Counters of messages on links.
     pub traffic: PeerTraffic,
     /// Decides when to request newer state.
     catch_up: Mutex<CatchUp>,
+    /// The gateways' entries.
+    roster: Mutex<GatewayRoster>,
+    /// Changes of the entries, for the task that maintains the links.
+    roster_changes: RosterChannel,
+}
+
+/// Queue of changes of the gateways' entries.
+#[derive(Debug)]
+struct RosterChannel {
+    sender: Sender<RosterChange>,
+    receiver: Receiver<RosterChange>,
+}
+
+impl Default for RosterChannel {
+    fn default() -> Self {
+        let (sender, receiver) = async_channel::unbounded();
+        Self { sender, receiver }
+    }
 }
 
 impl PeerTable {
@@ -182,6 +209,24 @@
         self.catch_up.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// The gateways' entries.
+    pub fn roster(&self) -> MutexGuard<'_, GatewayRoster> {
+        self.roster.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Queues changes of the entries for the task that maintains the links.
+    pub fn queue_roster_changes(&self, changes: impl IntoIterator<Item = RosterChange>) {
+        for change in changes {
+            // The queue is unbounded and never closed.
+            let _ = self.roster_changes.sender.try_send(change);
+        }
+    }
+
+    /// The next change of the entries.
+    pub async fn next_roster_change(&self) -> Option<RosterChange> {
+        self.roster_changes.receiver.recv().await.ok()
+    }
+
     /// Adds or updates a gateway's entry. `dial`, given where this side dials, starts a dialer; it is called if the
     /// address is new.
     pub fn put_entry(
@@ -192,7 +237,7 @@
         dial: Option<impl FnOnce(SocketAddr) -> LinkDialer>,
     ) {
         let mut peers = self.peers();
-        let record = peers.entry(vm.clone()).or_insert_with(|| PeerRecord::new(now));
+        let record = peers.entry(vm.clone()).or_insert_with(|| PeerRecord::new(vm, now));
         if let Some(dial) = dial {
             let is_current = record.dialer.as_ref().is_some_and(|(at, _)| *at == entry.address);
             if !is_current {
@@ -221,7 +266,7 @@
     pub fn link_up(&self, vm: &VmName, link: LinkHandle, now: MonoTime) -> PeerSilence {
         let mut peers = self.peers();
         let silence = PeerSilence::among(&peers, now);
-        let record = peers.entry(vm.clone()).or_insert_with(|| PeerRecord::new(now));
+        let record = peers.entry(vm.clone()).or_insert_with(|| PeerRecord::new(vm, now));
         record.link = Some(link);
         record.heard_at = now;
         record.was_linked = true;
@@ -262,10 +307,11 @@
         silence
     }
 
-    /// Records the identity that a peer announced.
-    pub fn set_owner(&self, vm: &VmName, owner: &str, now: MonoTime) {
+    /// Records the identity that a peer announced. Returns whether it is a new one: jobs of an earlier incarnation may
+    /// have lost their owner, and the new one knows of no jobs.
+    pub fn set_owner(&self, vm: &VmName, owner: &str, now: MonoTime) -> bool {
         let mut peers = self.peers();
-        let Some(record) = peers.get_mut(vm) else { return };
+        let Some(record) = peers.get_mut(vm) else { return false };
         record.owner = Some(owner.to_owned());
         let before = record.last_owner.replace(owner.to_owned());
         drop(peers);
@@ -273,7 +319,9 @@
             // The same process ran on without contact, and may have accepted and closed jobs meanwhile. A
             // restarted one has no such jobs.
             self.note_jobs_missed(now);
+            return false;
         }
+        true
     }
 
     /// The identity that a peer announced on its current link.
@@ -365,9 +413,9 @@
     /// if it is heard of for the first time: a gateway that has just started may own jobs before its entry is read
     /// here. Taken over at once, these would have two owners.
     pub fn liveness(&self, owner: &str, now: MonoTime) -> OwnerLiveness {
-        let vm = owner.split_once('#').map_or(owner, |(vm, _)| vm);
+        let vm = VmName::new(owner.split_once('#').map_or(owner, |(vm, _)| vm));
         let mut peers = self.peers();
-        let record = peers.entry(VmName::new(vm)).or_insert_with(|| PeerRecord::new(now));
+        let record = peers.entry(vm.clone()).or_insert_with(|| PeerRecord::new(&vm, now));
         let newest = record.owner.as_deref().or(record.entry.as_ref().map(|e| &*e.owner));
         if record.is_leaving || newest.is_some_and(|newest| newest != owner) {
             OwnerLiveness::Gone
@@ -410,7 +458,13 @@
     /// yet. A gateway may know this one's entry and yet have no link to it: where this one is to dial but the store
     /// rejects its calls, it never learns of the other.
     pub fn has_fresh_entries(&self, now: MonoTime) -> bool {
-        self.entries.is_fresh(now, ENTRIES_FRESH)
+        let clocks = [&self.entries, &self.reported_entries];
+        clocks.iter().any(|clock| clock.is_fresh(now, ENTRIES_FRESH))
+    }
+
+    /// Whether the gateways' entries were ever read.
+    pub fn has_entries(&self) -> bool {
+        self.entries.is_answered() || self.reported_entries.is_answered()
     }
 
     /// Whether no known gateway is silent. A silent one may have taken over jobs of this gateway. That a link is still
@@ -469,7 +523,7 @@
         if self.was_linked { PEER_DEAD_AFTER } else { FIRST_LINK_TIMEOUT }
     }
 
-    fn new(now: MonoTime) -> Self {
+    fn new(vm: &VmName, now: MonoTime) -> Self {
         Self {
             entry: None,
             dialer: None,
@@ -485,6 +539,12 @@
             is_stopping: false,
             is_leaving: false,
             is_watching: false,
+            watch_rank: watch_rank(vm),
         }
     }
 }
+
+/// Rank of a gateway among those that may follow the store, the same on every gateway.
+pub(super) fn watch_rank(vm: &VmName) -> u64 {
+    stable_hash64(&[b"watch", vm.as_str().as_bytes()])
+}
--- a/crates/entry/src/peers/table/census.rs
+++ b/crates/entry/src/peers/table/census.rs
@@ -5,7 +5,7 @@
 use notch_relay::prelude::PeerCounts;
 use notch_types::prelude::*;
 
-use super::{PeerRecord, PeerTable, ReportedUptime};
+use super::{PeerRecord, PeerTable, ReportedUptime, watch_rank};
 
 /// A gateway without a link for this long no longer counts as known: its VM was probably removed for good.
 const PEER_LOST: Duration = Duration::from_secs(60);
@@ -24,13 +24,13 @@
 }
 
 impl PeerTable {
-    /// Number of gateways ranked before `own` that follow the store.
-    pub fn watchers_before(&self, own: &VmName) -> usize {
-        let rank = |vm: &VmName| stable_hash64(&[b"watch", vm.as_str().as_bytes()]);
-        let own = rank(own);
+    /// Number of gateways ranked before `own` that follow the store. With `expects_all`, every one with an entry is
+    /// expected to follow it, although it didn't report that yet.
+    pub fn watchers_before(&self, own: &VmName, expects_all: bool) -> usize {
+        let own = watch_rank(own);
+        let follows = |r: &PeerRecord| r.is_watching || (expects_all && r.entry.is_some());
         let peers = self.peers();
-        let before =
-            peers.iter().filter(|(vm, r)| r.is_watching && !r.is_leaving && rank(vm) > own);
+        let before = peers.values().filter(|r| r.watch_rank > own && !r.is_leaving && follows(r));
         before.count()
     }
 
--- a/crates/entry/src/store/feed.rs
+++ b/crates/entry/src/store/feed.rs
@@ -7,6 +7,7 @@
     prelude::{ListPage, StoreObject, WatchPage},
     store::{decode, list_path, watch_path},
 };
+use notch_relay::prelude::WatchPace;
 
 use crate::{
     constants::{STORE_PAUSE, WATCH_CHECK_INTERVAL, WATCH_GRACE, WATCH_START_DELAY},
@@ -21,6 +22,9 @@
 /// for seconds, and counts each call.
 const MAX_BACKOFF_DOUBLINGS: u32 = 2;
 
+/// Interval at which a gateway that has just started checks whether it has to list a kind.
+const START_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+
 /// How calls to the store are routed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StorePath {
@@ -36,6 +40,8 @@
     /// Immediately: the gateway needs the list, whether or not it watches the kind later.
     #[default]
     Immediate,
+    /// When this gateway is required to watch, or others that do haven't passed the state on.
+    UnlessPassedOn,
     /// When this gateway is required to watch, after others had time to start their watches.
     WhenRequired,
 }
@@ -54,6 +60,23 @@
 }
 
 impl FeedPlan<'_> {
+    /// Waits until the kind is to be listed first.
+    async fn wait_for_start(&self) {
+        match self.start {
+            FeedStart::Immediate => {}
+            FeedStart::UnlessPassedOn => {
+                let is_due = |node: &EntryNode| node.must_watch() || node.lacks_state();
+                while self.watcher.is_some_and(|node| !is_due(node)) {
+                    task::sleep(START_CHECK_INTERVAL).await;
+                }
+            }
+            FeedStart::WhenRequired => {
+                task::sleep(WATCH_START_DELAY).await;
+                self.wait_until_required().await;
+            }
+        }
+    }
+
     /// Waits until this gateway is required to watch.
     async fn wait_until_required(&self) {
         while self.watcher.is_some_and(|node| !node.must_watch()) {
@@ -78,15 +101,12 @@
     plan: FeedPlan<'_>,
     mut on_event: impl FnMut(FeedEvent<'_>),
 ) {
-    // Only feeds that start immediately count when other gateways rely on this one.
-    let counted_node = plan.watcher.filter(|_| plan.start == FeedStart::Immediate);
+    // Feeds that start when they are required serve no other gateway.
+    let counted_node = plan.watcher.filter(|_| plan.start != FeedStart::WhenRequired);
     if let Some(node) = counted_node {
         node.watch.add_feed();
     }
-    if plan.start == FeedStart::WhenRequired {
-        task::sleep(WATCH_START_DELAY).await;
-        plan.wait_until_required().await;
-    }
+    plan.wait_for_start().await;
     let mut failures = 0;
     loop {
         let asked = store.boot_now();
@@ -160,11 +180,12 @@
     plan: FeedPlan<'_>,
     on_event: &mut impl FnMut(FeedEvent<'_>),
 ) {
+    let mut pace = WatchPace::new(store.now());
     loop {
         if plan.watcher.is_some_and(|node| !node.must_watch()) {
             return;
         }
-        task::sleep(plan.pause).await;
+        task::sleep(plan.pause.max(pace.next_pause(store.now()))).await;
         let wait = store.settings().watch_wait;
         let path = watch_path(kind, revision, wait);
         let watching =
--- a/crates/entry/src/store/feed_clock.rs
+++ b/crates/entry/src/store/feed_clock.rs
@@ -15,9 +15,15 @@
 }
 
 impl FeedClock {
-    /// Records an answer by the store at `now`.
-    pub fn note_answer(&self, now: MonoTime) {
-        self.answered_at.store(now.0.max(1), Ordering::Release);
+    /// Records an answer by the store at `at`.
+    pub fn note_answer(&self, at: MonoTime) {
+        self.answered_at.fetch_max(at.0.max(1), Ordering::AcqRel);
+    }
+
+    /// Age of the last answer; `None` before the first one.
+    pub fn age(&self, now: MonoTime) -> Option<Duration> {
+        let answered_at = self.answered_at.load(Ordering::Acquire);
+        (answered_at > 0).then(|| now.since(MonoTime(answered_at)))
     }
 
     /// Whether the store has ever answered.
@@ -27,7 +33,6 @@
 
     /// Whether the last answer is younger than `age`.
     pub fn is_fresh(&self, now: MonoTime, age: Duration) -> bool {
-        let answered_at = self.answered_at.load(Ordering::Acquire);
-        answered_at > 0 && now.since(MonoTime(answered_at)) < age
+        self.age(now).is_some_and(|last| last < age)
     }
 }
--- a/crates/entry/tests/slow_readers.rs
+++ b/crates/entry/tests/slow_readers.rs
@@ -7,7 +7,7 @@
 use async_std::{io::WriteExt, net::TcpStream, task};
 use notch_h1::prelude::WireReader;
 use notch_platform_standins::{
-    client::{HOST, StandInClient},
+    client::{HOST, StandInClient, head_bytes, read_bytes},
     store::{StandInStore, store_with_targets},
     target::{Conduct, StandInTarget},
 };
@@ -129,10 +129,7 @@
 fn clients_that_do_not_read_results_leave_the_process_within_its_memory() {
     task::block_on(async {
         let vm = SmallVm::start("g-results", 1).await;
-        let read = format!("GET /magnolianotch/lots/j1?after=0 HTTP/1.1\r\nHost: {HOST}\r\n\r\n");
-        let slow =
-            send_from((SLOW_CLIENTS, CLIENT_BUFFER_BYTES), &vm, |_| read.clone().into_bytes())
-                .await;
+        let slow = send_from((SLOW_CLIENTS, CLIENT_BUFFER_BYTES), &vm, |_| read_bytes("j1")).await;
         vm.assert_serving("a1").await;
         let (status, page) = vm.client().results("j1", 0).await;
         assert!(status == 503 || page["next"].as_u64() >= Some(1), "{status}");
@@ -152,14 +149,8 @@
     task::block_on(async {
         let vm = SmallVm::start("g-bodies", 1).await;
         let length = 800_000;
-        let head = |n| {
-            format!(
-                "POST /once/x HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: b{n}\r\n\
-                 Content-Length: {length}\r\n\r\n"
-            )
-        };
-        let mut streams =
-            send_from((SLOW_CLIENTS, CLIENT_BUFFER_BYTES), &vm, |n| head(n).into_bytes()).await;
+        let head = |n| head_bytes("/once/x", &format!("b{n}"), length);
+        let mut streams = send_from((SLOW_CLIENTS, CLIENT_BUFFER_BYTES), &vm, head).await;
         let refused = streams.split_off(SLOW_CLIENTS - 1).remove(0);
         let answer = WireReader::new(refused).response_head(1 << 14).await.unwrap();
         assert_eq!(answer.status, 503);
@@ -183,15 +174,8 @@
         let vm = SmallVm::start("g-answers", 30).await;
         let bytes = 4_000_000;
         vm.targets.iter().for_each(|t| t.conduct(&[Conduct::Large(bytes); LARGE_ANSWERS]));
-        let request = |n| {
-            format!(
-                "POST /plain/x HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: c{n}\r\n\
-                 Content-Length: 0\r\n\r\n"
-            )
-        };
-        let mut streams =
-            send_from((LARGE_ANSWERS, LATE_READER_BUFFER_BYTES), &vm, |n| request(n).into_bytes())
-                .await;
+        let request = |n| head_bytes("/plain/x", &format!("c{n}"), 0);
+        let mut streams = send_from((LARGE_ANSWERS, LATE_READER_BUFFER_BYTES), &vm, request).await;
         until("all answers to begin", || async {
             vm.targets.iter().map(|target| target.ran().len()).sum::<usize>() >= LARGE_ANSWERS
         })
--- a/crates/messages/src/lib.rs
+++ b/crates/messages/src/lib.rs
@@ -28,8 +28,9 @@
             HeldModel, OrderAction, OrderOutcome, PlacementMessage, TargetHoldings, TargetOrder,
         },
         peer::{
-            DueWorkReport, GoneTarget, PeerMessage, PlaceAnswer, ServiceDemandReport, StoreCallEnd,
-            TargetChanges, TargetUseReport, VersionedTarget,
+            DueWorkReport, GatewayChanges, GoneTarget, ListedJobs, PeerMessage, PlaceAnswer,
+            RosterReport, ServiceDemandReport, StoreCallEnd, TargetChanges, TargetUseReport,
+            VersionedGateway, VersionedTarget,
         },
         shard::{
             ClaimVerdict, ItemStatus, JobChunk, JobPhase, JobProgress, JobSubmission, ResultLine,
--- a/crates/messages/src/peer.rs
+++ b/crates/messages/src/peer.rs
@@ -1,5 +1,7 @@
 //! Messages between gateways that relay requests directly to targets.
 
+use std::net::SocketAddr;
+
 use notch_relay::prelude::{
     CreditAnswer, HeldProgress, ItemRunTimeStats, QueueOffer, ResultLine, ShareTable, TargetEntry,
     UseChange, WorkKind,
@@ -76,6 +78,54 @@
     pub gone: Vec<GoneTarget>,
 }
 
+/// What a search of all jobs in the store found.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListedJobs {
+    /// How long ago the list was requested, milliseconds.
+    pub age_ms: u64,
+    /// Open jobs whose owner has no link to the sender, each with its owner.
+    pub orphans: Vec<(String, String)>,
+    /// Every job that its client may still submit again; `None` if they are too many for a message.
+    pub recent: Option<Vec<String>>,
+}
+
+/// A gateway's entry with the store revision of its last change.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VersionedGateway {
+    /// Its VM.
+    pub vm: VmName,
+    /// Address on which it listens for links.
+    pub address: SocketAddr,
+    /// VM name with the incarnation of the process.
+    pub owner: String,
+    /// Failure domain of its VM.
+    pub domain: String,
+    /// Store revision of its last change.
+    pub revision: u64,
+}
+
+/// Changes to the gateways' entries.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GatewayChanges {
+    /// Highest revision known to the sender.
+    pub as_of: u64,
+    /// Whether `entries` are all entries, so that one that is missing was deleted by `as_of`.
+    pub is_whole: bool,
+    /// Entries that were created or changed.
+    pub entries: Vec<VersionedGateway>,
+    /// Gateways whose entries were deleted, with the revision by which that was so.
+    pub gone: Vec<(VmName, u64)>,
+}
+
+/// The gateways' entries as known to a gateway that follows the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RosterReport {
+    /// Digest of the entries.
+    pub digest: u64,
+    /// How long ago the store last confirmed them, milliseconds.
+    pub age_ms: u64,
+}
+
 /// Answer to a gateway that asks for a slot.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PlaceAnswer {
@@ -127,6 +177,9 @@
         digest: u64,
         /// Whether it watches the store now, so that other gateways need not.
         is_watching: bool,
+        /// The gateways' entries that it knows, if it watches the store.
+        #[serde(default)]
+        gateways: Option<RosterReport>,
     },
     /// All work that waits at the sender; sent on large changes, and at least every second while any
     /// work waits.
@@ -150,8 +203,14 @@
         /// Changes to target entries.
         targets: Option<TargetChanges>,
     },
+    /// Entries of gateways: the answer to `AskGateways`, or pushed by a gateway that watches the store.
+    Gateways(GatewayChanges),
+    /// The sender knows other gateways than the receiver: requests all entries.
+    AskGateways,
     /// The sender now owns these jobs.
     JobsOwned(Vec<String>),
+    /// The sender has listed all jobs in the store.
+    JobsListed(ListedJobs),
     /// The sender is storing the job and doesn't know yet whether it will be accepted.
     JobStoring(String),
     /// Every result of the job is stored.
@@ -361,7 +420,10 @@
             Self::Demand { .. } => "demand",
             Self::AskState { .. } => "ask_state",
             Self::State { .. } => "state",
+            Self::Gateways(_) => "gateways",
+            Self::AskGateways => "ask_gateways",
             Self::JobsOwned(_) => "jobs_owned",
+            Self::JobsListed(_) => "jobs_listed",
             Self::JobStoring(_) => "job_storing",
             Self::JobClosed(_) => "job_closed",
             Self::JobEnded(_) => "job_ended",
--- a/crates/relay/src/jobs.rs
+++ b/crates/relay/src/jobs.rs
@@ -4,5 +4,6 @@
 pub mod ownership;
 pub mod result;
 pub mod run_time;
+pub mod search;
 pub mod spec;
 pub mod table;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod routes;
 pub mod stream;
 pub mod targets;
+pub mod watch_pace;
 
 /// Types that nearly all users of this crate need.
 pub mod prelude {
@@ -39,6 +40,7 @@
             ownership::OwnershipGeneration,
             result::{ItemState, ResultLine},
             run_time::{ItemRunTime, ItemRunTimeStats},
+            search::SearchSchedule,
             spec::{AnswerSize, ItemSpec, JobSpec, JobTerms, limit_name},
             table::{ItemStart, JobTable},
         },
@@ -73,5 +75,6 @@
             slot_search::{SearchStep, SlotSearch},
             table::TargetTable,
         },
+        watch_pace::WatchPace,
     };
 }
