Report use of targets less often in large fleets

Cause: each gateway reports its use of targets to every other one, up to ten times a second: hundreds of gateways receive thousands of reports a second, which is most of the processor time of a gateway on the smallest VMs (69% of its share in the middle on the whole fleet).

The home of a target is told of each use at once, so only the choice of which home to ask rests on older reports.

--- a/crates/entry/src/constants.rs
+++ b/crates/entry/src/constants.rs
@@ -69,8 +69,7 @@
 /// the connection isn't read until that answer is complete.
 pub const READ_AHEAD_BYTES: usize = 64 << 10;
 
-/// Interval at which changed target use is reported to the other gateways. The home gateway of a target
-/// is told of each use at once; the others need reports only to choose which home gateway to ask.
+/// Interval at which a gateway checks whether it has to report to the others.
 pub const REPORT_EVERY: Duration = Duration::from_millis(100);
 /// Interval at which unchanged target use is reported again.
 pub const REPORT_IDLE: Duration = Duration::from_millis(1_000);
--- a/crates/entry/src/peers/reports.rs
+++ b/crates/entry/src/peers/reports.rs
@@ -1,10 +1,10 @@
 //! Reports between gateways: their use of targets, and the versions of the state that they know.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use async_std::task;
 use notch_messages::prelude::*;
-use notch_relay::prelude::TargetUse;
+use notch_relay::prelude::{TargetUse, report_interval};
 use notch_types::prelude::*;
 
 use crate::{
@@ -35,15 +35,22 @@
     Some(RosterReport { digest, age_ms: age.as_millis() as u64 + 1 })
 }
 
-/// Whether `new` has to be sent at once. A change of versions alone doesn't count: changes are pushed, and reporting
-/// each would take a message from every gateway to every other.
-fn is_urgent(last: &PeerMessage, new: &PeerMessage) -> bool {
-    match (last, new) {
-        (
-            PeerMessage::Report { uses, is_watching, .. },
-            PeerMessage::Report { uses: new_uses, is_watching: new_watching, .. },
-        ) => (uses, is_watching) != (new_uses, new_watching),
-        _ => true,
+/// How long after the last report the next one is due. A change of versions alone doesn't count: changes are pushed, and
+/// reporting each would take a message from every gateway to every other.
+fn due_after(last: &PeerMessage, new: &PeerMessage, gateways: usize) -> Duration {
+    let (
+        PeerMessage::Report { uses, is_watching, .. },
+        PeerMessage::Report { uses: new_uses, is_watching: new_watching, .. },
+    ) = (last, new)
+    else {
+        return Duration::ZERO;
+    };
+    if is_watching != new_watching {
+        Duration::ZERO
+    } else if uses != new_uses {
+        report_interval(gateways)
+    } else {
+        REPORT_IDLE
     }
 }
 
@@ -55,8 +62,10 @@
         task::sleep(REPORT_EVERY).await;
         let now = node.clock.mono();
         let message = report(&node);
-        let is_urgent = last.as_ref().is_none_or(|last| is_urgent(last, &message));
-        if !is_urgent && now.since(last_at) < REPORT_IDLE {
+        let gateways = node.peers.known_count() + 1;
+        let due = last.as_ref().map(|last| due_after(last, &message, gateways));
+        // The checks themselves are late by a little, which would double the shortest interval.
+        if due.is_some_and(|due| now.since(last_at) + REPORT_EVERY / 2 < due) {
             continue;
         }
         node.peers.broadcast(&message);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -71,6 +71,7 @@
             latency::ServiceLatency,
             prompt::{PromptPrefix, PromptPrefixes},
             record::{TargetUse, UseChange},
+            report_interval::report_interval,
             retry_detector::RetryDetector,
             slot_search::{SearchStep, SlotSearch},
             table::TargetTable,
--- a/crates/relay/src/targets.rs
+++ b/crates/relay/src/targets.rs
@@ -12,6 +12,7 @@
 pub mod prefix_cache;
 pub mod prompt;
 pub mod record;
+pub mod report_interval;
 pub mod retry_detector;
 pub mod slot_search;
 pub mod table;
