Give up direct calls to a silent store early; expire reports by the clock

Cause: a VM to which the store is silent notices it by a call that waits its whole timeout of 1.5 s, usually one that a client waits for.

Change: DirectWait (pure): while a follower of the store could be asked, a direct call waits eight times the usual latency, 300 ms at least; a read is then made through the other gateway at once, a write stays unknown and is retried by its caller as before. After one timeout the wait more than doubles, so that a store that became slow for all is waited for. The call after a failed one is forwarded; it was another direct one. Beside it: reports of use are expired twice a second instead of at each message, which looked through all of them; free slots are summed without a copy of the service's name for each target.

--- a/crates/entry/src/constants.rs
+++ b/crates/entry/src/constants.rs
@@ -70,7 +70,7 @@
 pub const READ_AHEAD_BYTES: usize = 64 << 10;
 
 /// Interval at which a gateway checks whether it has to report to the others.
-pub const REPORT_EVERY: Duration = Duration::from_millis(100);
+pub const REPORT_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval at which unchanged target use is reported again.
 pub const REPORT_IDLE: Duration = Duration::from_millis(1_000);
 /// Minimum interval between two announcements of the work that waits here. In a burst of ninety times the
@@ -115,10 +115,10 @@
 /// are still being established.
 pub const WATCH_START_DELAY: Duration = Duration::from_millis(1_500);
 /// How long a gateway that has just started waits for the list of the others before it lists the rest from the store
-/// itself: several times what registering and listing take.
-pub const FIRST_LIST_TIMEOUT: Duration = Duration::from_millis(300);
-/// How long after its start a gateway waits for configuration and targets from the others before it lists them from the
-/// store itself; they answer within a few round trips once links are up.
+/// itself: longer than the timeout of that call, which takes hundreds of milliseconds on the smallest VMs.
+pub const FIRST_LIST_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// How long after its start a gateway waits at least for configuration and targets from the others before it lists them
+/// from the store itself; they answer within a few round trips once links are up.
 pub const PEER_STATE_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// Interval at which a gateway that doesn't watch the store checks whether it has to.
 pub const WATCH_CHECK_INTERVAL: Duration = Duration::from_millis(200);
--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -188,6 +188,8 @@
             (feed.expire(now), feed.revision())
         };
         node.apply_expired(expired, revision);
+        node.targets().expire_reports(now);
+        node.store.set_can_forward(node.peers.follower(0.0).is_some());
         assign_home_gateways(&node);
         forget_routes(&node, now);
         node.peers.note_lost(now);
--- a/crates/entry/src/peers/reports.rs
+++ b/crates/entry/src/peers/reports.rs
@@ -8,7 +8,7 @@
 use notch_types::prelude::*;
 
 use crate::{
-    constants::{REPORT_EVERY, REPORT_IDLE},
+    constants::{REPORT_CHECK_INTERVAL, REPORT_IDLE},
     node::EntryNode,
     peers::catch_up::KnownVersions,
 };
@@ -59,13 +59,13 @@
     let mut last: Option<PeerMessage> = None;
     let mut last_at = MonoTime::default();
     loop {
-        task::sleep(REPORT_EVERY).await;
+        task::sleep(REPORT_CHECK_INTERVAL).await;
         let now = node.clock.mono();
         let message = report(&node);
         let gateways = node.peers.known_count() + 1;
         let due = last.as_ref().map(|last| due_after(last, &message, gateways));
         // The checks themselves are late by a little, which would double the shortest interval.
-        if due.is_some_and(|due| now.since(last_at) + REPORT_EVERY / 2 < due) {
+        if due.is_some_and(|due| now.since(last_at) + REPORT_CHECK_INTERVAL / 2 < due) {
             continue;
         }
         node.peers.broadcast(&message);
@@ -80,7 +80,5 @@
         let TargetUseReport { target, online, batch } = report;
         (target, TargetUse { online, batch })
     });
-    let mut targets = node.targets();
-    targets.take_report(peer, uses.collect(), now);
-    targets.expire_reports(now);
+    node.targets().take_report(peer, uses.collect(), now);
 }
--- a/crates/entry/src/store/client.rs
+++ b/crates/entry/src/store/client.rs
@@ -138,10 +138,18 @@
         {
             return result;
         }
-        let result = self.call_directly(cause, method, path, body, wait).await;
-        if way == CallRouting::DirectFirst
-            && matches!(result, Err(StoreFailure::NotDone))
-            && let Some(forwarded) = self.call_via_peer(method, path, body, wait).await
+        let began = self.clock.mono();
+        let limit = self.forwarding_state().direct_limit(wait);
+        let result = self.call_directly(cause, method, path, body, limit).await;
+        self.forwarding_state().note_direct(self.clock.mono().since(began));
+        // A read without an answer can be made again at once; a write only by a caller that expects its outcome to be
+        // unknown.
+        let is_repeatable = match result {
+            Ok(_) => false,
+            Err(StoreFailure::NotDone) => way == CallRouting::DirectFirst,
+            Err(StoreFailure::Unknown) => method == "GET" && limit < wait,
+        };
+        if is_repeatable && let Some(forwarded) = self.call_via_peer(method, path, body, wait).await
         {
             return forwarded;
         }
@@ -170,6 +178,11 @@
         result
     }
 
+    /// Records whether another gateway could make calls for this one.
+    pub fn set_can_forward(&self, can_forward: bool) {
+        self.forwarding_state().set_can_forward(can_forward);
+    }
+
     fn forwarding_state(&self) -> MutexGuard<'_, ForwardingState> {
         self.forwarding.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/entry/src/store/forwarding.rs
+++ b/crates/entry/src/store/forwarding.rs
@@ -40,6 +40,36 @@
     Forwarded,
 }
 
+/// Shortest wait for the answer of a direct call: a large multiple of the few milliseconds that one takes.
+const MIN_DIRECT_WAIT: Duration = Duration::from_millis(300);
+/// Multiple of the usual latency after which an answer is not expected any more.
+const LATENCY_MULTIPLE: u32 = 8;
+/// Divisor of the weight of a new latency. After one timeout the next wait is more than twice as long, so that a store
+/// that became slow is told from one that is silent.
+const LATENCY_DIVISOR: u32 = 3;
+
+/// How long a direct call waits for its answer while another gateway could make it instead.
+///
+/// A store that is silent to some VMs is noticed only by a call that gets no answer. The first one is usually made for a
+/// client that waits for it.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct DirectWait {
+    /// Moving average of the time that answers take, with the time waited for those that did not come.
+    latency: Duration,
+}
+
+impl DirectWait {
+    /// Records how long a call took, answered or not.
+    pub fn note(&mut self, took: Duration) {
+        self.latency = (self.latency * (LATENCY_DIVISOR - 1) + took) / LATENCY_DIVISOR;
+    }
+
+    /// How long a call that may take `longest` should wait.
+    pub fn limit(&self, longest: Duration) -> Duration {
+        longest.min(MIN_DIRECT_WAIT.max(self.latency * LATENCY_MULTIPLE))
+    }
+}
+
 /// Decides whether calls go through another gateway.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct ForwardingState {
@@ -47,6 +77,10 @@
     direct_at: MonoTime,
     /// Until when other gateways are not asked, as none could help.
     unavailable_until: MonoTime,
+    /// How long direct calls wait.
+    direct_wait: DirectWait,
+    /// Whether a gateway that follows the store could be asked.
+    can_forward: bool,
 }
 
 impl ForwardingState {
@@ -56,6 +90,8 @@
         if now.since(since) < FORWARD_AFTER || now < self.unavailable_until {
             return CallRouting::Direct;
         }
+        // The call that failed was a direct one, so the next one is not.
+        self.direct_at = self.direct_at.max(since + FORWARD_PROBE_INTERVAL);
         // Only a direct call shows soon that the store answers again: a watch may wait for half a
         // minute.
         if now >= self.direct_at {
@@ -65,6 +101,21 @@
         CallRouting::Forwarded
     }
 
+    /// Records whether a gateway that follows the store could be asked.
+    pub fn set_can_forward(&mut self, can_forward: bool) {
+        self.can_forward = can_forward;
+    }
+
+    /// Records how long a direct call took, answered or not.
+    pub fn note_direct(&mut self, took: Duration) {
+        self.direct_wait.note(took);
+    }
+
+    /// How long a direct call that may take `longest` should wait.
+    pub fn direct_limit(&self, longest: Duration) -> Duration {
+        if self.can_forward { self.direct_wait.limit(longest) } else { longest }
+    }
+
     /// Records that another gateway was asked at `now`, and whether that helped.
     pub fn note_end(&mut self, was_answered: bool, now: MonoTime) {
         if !was_answered {
--- a/crates/relay/src/targets/table.rs
+++ b/crates/relay/src/targets/table.rs
@@ -157,7 +157,10 @@
                 && !record.health.is_avoided(now);
             let taken = record.own.online + record.others.online;
             let left = if is_able { record.entry.slots.saturating_sub(taken) } else { 0 };
-            *slots.entry(record.entry.service.clone()).or_default() += left;
+            match slots.get_mut(&record.entry.service) {
+                Some(sum) => *sum += left,
+                None => drop(slots.insert(record.entry.service.clone(), left)),
+            }
         }
         slots
     }
