Begin to follow the store by rank, at the start and after a lapse

Each gateway also searched for orphans 1.5 times at the start, as its rank was computed before it had links.

Change: relay::follower_start (pure): a gateway begins to follow the store 300 ms later for each linked one that is ranked before it beyond the first three. After its own start it expects those that it hasn't heard of to follow, all at first and steadily fewer over a span that grows with the fleet, 12 s at most. The first list of gateways is waited for 2 s. The rank in a search for orphans counts when the search is due.

--- a/crates/entry/src/batch/prior_submission.rs
+++ b/crates/entry/src/batch/prior_submission.rs
@@ -68,7 +68,7 @@
         if now.since(began) >= REFUSAL_LOOKUP_TIMEOUT {
             return false;
         }
-        node.jobs().search.note_reason(began, 0);
+        node.jobs().search.demand(began);
         task::sleep(RECENT_JOBS_POLL).await;
     }
 }
--- a/crates/entry/src/batch/takeover.rs
+++ b/crates/entry/src/batch/takeover.rs
@@ -33,18 +33,18 @@
 /// Searches for jobs without a live owner: after the start, and whenever an owner is lost.
 pub async fn watch_owners(node: Arc<EntryNode>) {
     let mut has_settled = false;
-    let mut live = Vec::new();
+    let mut live: FastSet<VmName> = FastSet::default();
     let mut stale_since = None;
     let mut next_takeover = MonoTime::default();
     loop {
         let now = node.clock.mono();
         if !has_settled && now >= MonoTime::default() + ORPHAN_SEARCH_DELAY {
-            // Any search since the start serves, but links are needed to tell who is ranked before.
+            // Any search since the start serves.
             has_settled = true;
-            node.jobs().search.note_reason(MonoTime::default(), search_rank(&node));
+            node.jobs().search.note_reason(MonoTime::default());
         }
-        let still = node.peers.live_vms();
-        if live.iter().any(|vm| !still.contains(vm)) {
+        let still: FastSet<VmName> = node.peers.live_vms().into_iter().collect();
+        if !live.is_subset(&still) {
             note_loss(&node);
         }
         live = still;
@@ -70,9 +70,8 @@
 /// Records that jobs may have lost their owner, or that a gateway has started, which knows of no jobs. The search waits
 /// until the owner counts as dead, and until no write of it can be late.
 pub fn note_loss(node: &EntryNode) {
-    let rank = search_rank(node);
     let at = node.clock.mono() + PEER_DEAD_AFTER;
-    node.jobs().search.note_reason(at, rank);
+    node.jobs().search.note_reason(at);
 }
 
 /// Number of gateways that search the store before this one.
@@ -84,7 +83,12 @@
 
 async fn search_if_due(node: &Arc<EntryNode>) {
     let began = node.clock.mono();
-    if node.stop.is_stopping() || !node.jobs().search.is_due(began) {
+    // Computed only if a search is due at all, as it looks at every gateway.
+    if node.stop.is_stopping() || !node.jobs().search.is_due(0, began) {
+        return;
+    }
+    let rank = search_rank(node);
+    if !node.jobs().search.is_due(rank, began) {
         return;
     }
     // Other gateways are preferred for the jobs left, or the store does not answer: search again.
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -1,6 +1,9 @@
 //! State shared by all tasks of a gateway.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock, atomic::AtomicBool};
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock, atomic::AtomicBool},
+    time::Duration,
+};
 
 use async_channel::Receiver;
 use event_listener::Event;
@@ -22,7 +25,7 @@
         job_registry::JobRegistry, limit_registry::LimitRegistry, read_latency::ReadLatencies,
     },
     clock::NodeClock,
-    constants::{FIRST_LIST_TIMEOUT, PEER_STATE_TIMEOUT, STORE_WATCHERS, WATCH_START_DELAY},
+    constants::{FIRST_LIST_TIMEOUT, PEER_STATE_TIMEOUT, STORE_WATCHERS},
     memory::HeldMemory,
     peers::{
         catch_up::KnownVersions,
@@ -362,21 +365,26 @@
 
     /// Whether this gateway has to watch the store itself, as too few of those ranked before it do.
     ///
-    /// Shortly after the start, those whose entries are known are expected to watch, as their reports are still on the
-    /// way. Otherwise gateways that start together would all list and watch everything.
+    /// After the start, those whose entries are known are expected to watch, as their reports are still on the way.
+    /// Otherwise gateways that start together would all list and watch everything.
     pub fn must_watch(&self) -> bool {
         let up = self.clock.mono().since(MonoTime::default());
-        let is_starting = up < WATCH_START_DELAY;
-        if is_starting && !self.peers.has_entries() && up < FIRST_LIST_TIMEOUT {
+        if up < FIRST_LIST_TIMEOUT && !self.peers.has_entries() {
             return false;
         }
-        self.peers.watchers_before(&self.config.node.vm, is_starting) < STORE_WATCHERS
+        self.peers.watchers_before(&self.config.node.vm, up) < STORE_WATCHERS
+    }
+
+    /// How long followers must have been too few before this gateway begins to follow the store.
+    pub fn watch_delay(&self) -> Duration {
+        takeover_delay(self.peers.linked_before(&self.config.node.vm), STORE_WATCHERS)
     }
 
-    /// Whether the state that requests need, though other gateways follow the store, hasn't come from them.
+    /// Whether the state that requests need hasn't come from the gateways that follow the store.
     pub fn lacks_state(&self) -> bool {
         let up = self.clock.mono().since(MonoTime::default());
-        up >= PEER_STATE_TIMEOUT && !self.was_synced()
+        let span = expectation_span(self.peers.known_count() + 1);
+        up >= span.max(PEER_STATE_TIMEOUT) && !self.was_synced()
     }
 
     /// Whether the owner `owner` is alive. An earlier incarnation of this gateway is not.
--- a/crates/entry/src/peers/table.rs
+++ b/crates/entry/src/peers/table.rs
@@ -126,6 +126,8 @@
     is_leaving: bool,
     /// Whether it follows the store.
     is_watching: bool,
+    /// Whether it has reported since its link came up.
+    has_reported: bool,
     /// Its rank among the gateways that may follow the store; a higher one goes first.
     watch_rank: u64,
 }
@@ -288,6 +290,7 @@
         }
         record.link = None;
         record.is_watching = false;
+        record.has_reported = false;
         record.has_ended = is_closed;
         record.down_since = now;
         drop(peers);
@@ -347,6 +350,7 @@
     pub fn set_watching(&self, vm: &VmName, is_watching: bool) {
         if let Some(record) = self.peers().get_mut(vm) {
             record.is_watching = is_watching;
+            record.has_reported = true;
         }
     }
 
@@ -539,6 +543,7 @@
             is_stopping: false,
             is_leaving: false,
             is_watching: false,
+            has_reported: false,
             watch_rank: watch_rank(vm),
         }
     }
--- a/crates/entry/src/peers/table/census.rs
+++ b/crates/entry/src/peers/table/census.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use notch_relay::prelude::PeerCounts;
+use notch_relay::prelude::{PeerCounts, expected_followers};
 use notch_types::prelude::*;
 
 use super::{PeerRecord, PeerTable, ReportedUptime, watch_rank};
@@ -24,14 +24,25 @@
 }
 
 impl PeerTable {
-    /// Number of gateways ranked before `own` that follow the store. With `expects_all`, every one with an entry is
-    /// expected to follow it, although it didn't report that yet.
-    pub fn watchers_before(&self, own: &VmName, expects_all: bool) -> usize {
+    /// Number of gateways ranked before `own` that follow the store, or are expected to `up` after this gateway's start,
+    /// although they didn't report yet.
+    pub fn watchers_before(&self, own: &VmName, up: Duration) -> usize {
         let own = watch_rank(own);
-        let follows = |r: &PeerRecord| r.is_watching || (expects_all && r.entry.is_some());
         let peers = self.peers();
-        let before = peers.values().filter(|r| r.watch_rank > own && !r.is_leaving && follows(r));
-        before.count()
+        let before = peers.values().filter(|r| r.watch_rank > own && !r.is_leaving);
+        let (mut watching, mut unheard) = (0, 0);
+        for record in before {
+            watching += usize::from(record.is_watching);
+            unheard += usize::from(!record.has_reported && record.entry.is_some());
+        }
+        watching + expected_followers(unheard, peers.len() + 1, up)
+    }
+
+    /// Number of linked gateways ranked before `own` that may follow the store.
+    pub fn linked_before(&self, own: &VmName) -> usize {
+        let own = watch_rank(own);
+        let may_follow = |r: &PeerRecord| r.link.is_some() && !r.is_leaving && !r.is_stopping;
+        self.peers().values().filter(|r| r.watch_rank > own && may_follow(r)).count()
     }
 
     /// A gateway that follows the store, selected by the random number `draw` in [0, 1); `None` when none does.
--- a/crates/entry/src/store/feed.rs
+++ b/crates/entry/src/store/feed.rs
@@ -79,7 +79,18 @@
 
     /// Waits until this gateway is required to watch.
     async fn wait_until_required(&self) {
-        while self.watcher.is_some_and(|node| !node.must_watch()) {
+        let Some(node) = self.watcher else { return };
+        let mut required_since = None;
+        loop {
+            let now = node.clock.mono();
+            if node.must_watch() {
+                required_since.get_or_insert(now);
+            } else {
+                required_since = None;
+            }
+            if required_since.is_some_and(|since| now.since(since) >= node.watch_delay()) {
+                return;
+            }
             task::sleep(WATCH_CHECK_INTERVAL).await;
         }
     }
--- a/crates/relay/src/jobs/search.rs
+++ b/crates/relay/src/jobs/search.rs
@@ -20,24 +20,30 @@
 /// The gateway that searches announces what it found.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct SearchSchedule {
-    /// When the last unsettled reason arose.
+    /// When the last unsettled reason arose, or will arise.
     reason_at: Option<MonoTime>,
-    /// When the search is due. Invariant: set if and only if `reason_at` is.
-    due_at: Option<MonoTime>,
+    /// When the gateway ranked first searches. Invariant: set if and only if `reason_at` is.
+    due_from: Option<MonoTime>,
+    /// Whether this gateway searches then, whatever its rank.
+    is_demanded: bool,
     /// When the last complete search began, by this gateway or by one that announced it.
     searched_at: Option<MonoTime>,
 }
 
 impl SearchSchedule {
-    /// Records a reason to search that arises at `at`, which may be in the future. `rank` is the number of gateways that search before this one.
-    pub fn note_reason(&mut self, at: MonoTime, rank: usize) {
+    /// Records a reason to search that arises at `at`, which may be in the future.
+    pub fn note_reason(&mut self, at: MonoTime) {
         if self.searched_at.is_some_and(|began| began > at) {
             return;
         }
-        let rank = u32::try_from(rank).unwrap_or(MAX_RANK).min(MAX_RANK);
-        let due = at + RANK_DELAY * rank;
         self.reason_at = Some(self.reason_at.map_or(at, |known| known.max(at)));
-        self.due_at = Some(self.due_at.map_or(due, |known| known.min(due)));
+        self.due_from = Some(self.due_from.map_or(at, |known| known.min(at)));
+    }
+
+    /// Records that this gateway itself needs a search that begins at `at` or later.
+    pub fn demand(&mut self, at: MonoTime) {
+        self.note_reason(at);
+        self.is_demanded = self.reason_at.is_some();
     }
 
     /// Records that another gateway announced a search that began at `began`.
@@ -48,33 +54,38 @@
         }
     }
 
-    fn note_complete(&mut self, began: MonoTime) {
-        self.searched_at = Some(self.searched_at.map_or(began, |known| known.max(began)));
-    }
-
-    /// Whether to search now.
-    pub fn is_due(&self, now: MonoTime) -> bool {
-        self.due_at.is_some_and(|due| now >= due)
+    /// Whether to search now. `rank` is the number of gateways that search before this one.
+    pub fn is_due(&self, rank: usize, now: MonoTime) -> bool {
+        let rank = u32::try_from(rank).unwrap_or(MAX_RANK).min(MAX_RANK);
+        let delay = if self.is_demanded { Duration::ZERO } else { RANK_DELAY * rank };
+        self.due_from.is_some_and(|from| now >= from + delay)
     }
 
     /// Records the end of this gateway's own search that began at `began`. `has_left` if it failed or left jobs to
     /// others.
     pub fn note_searched(&mut self, began: MonoTime, has_left: bool, now: MonoTime) {
         if has_left {
-            self.due_at = Some(now + REPEAT_INTERVAL);
             self.reason_at = Some(now);
+            self.due_from = Some(now + REPEAT_INTERVAL);
+            self.is_demanded = true;
             return;
         }
         self.note_complete(began);
         if self.reason_at.is_some_and(|at| at <= began) {
             self.settle();
         } else {
-            self.due_at = self.reason_at.map(|at| at.max(now));
+            self.due_from = self.reason_at.map(|at| at.max(now));
+            self.is_demanded = false;
         }
     }
 
+    fn note_complete(&mut self, began: MonoTime) {
+        self.searched_at = Some(self.searched_at.map_or(began, |known| known.max(began)));
+    }
+
     fn settle(&mut self) {
         self.reason_at = None;
-        self.due_at = None;
+        self.due_from = None;
+        self.is_demanded = false;
     }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod accounts;
 mod ewma;
+pub mod follower_start;
 pub mod job_admission;
 pub mod jobs;
 pub mod limits;
@@ -30,6 +31,7 @@
             table::{AccountTable, CallerIdentity, may_access},
             view::{LimiterView, PeerCounts},
         },
+        follower_start::{expectation_span, expected_followers, takeover_delay},
         job_admission::{
             demand::{DueWork, WorkDemand},
             forecast::JobAdmissionForecast,
--- a/crates/relay/tests/search.rs
+++ b/crates/relay/tests/search.rs
@@ -17,13 +17,11 @@
 /// number of searches.
 fn searches_after_a_loss(is_able: impl Fn(usize) -> bool) -> usize {
     let mut schedules = vec![SearchSchedule::default(); GATEWAYS];
-    for (rank, schedule) in schedules.iter_mut().enumerate() {
-        schedule.note_reason(at(1_000), rank);
-    }
+    schedules.iter_mut().for_each(|schedule| schedule.note_reason(at(1_000)));
     let mut searches = 0;
     for now in (1_000..13_000).step_by(TICK as usize) {
         for rank in 0..GATEWAYS {
-            if !schedules[rank].is_due(at(now)) {
+            if !schedules[rank].is_due(rank, at(now)) {
                 continue;
             }
             searches += 1;
@@ -53,11 +51,11 @@
 #[test]
 fn a_search_that_began_before_the_loss_settles_nothing() {
     let mut schedule = SearchSchedule::default();
-    schedule.note_reason(at(1_000), 1);
+    schedule.note_reason(at(1_000));
     schedule.note_announced(at(1_000 - NEWS_DELAY));
-    assert!(schedule.is_due(at(2_000)));
+    assert!(schedule.is_due(1, at(2_000)));
     schedule.note_announced(at(1_900));
-    assert!(!schedule.is_due(at(60_000)));
+    assert!(!schedule.is_due(0, at(60_000)));
 }
 
 /// Guards against a reason that is heard of after the search that already covers it, and causes another one.
@@ -65,38 +63,56 @@
 fn a_search_announced_before_the_reason_is_heard_of_settles_it() {
     let mut schedule = SearchSchedule::default();
     schedule.note_announced(at(1_500));
-    schedule.note_reason(at(1_400), 0);
-    assert!(!schedule.is_due(at(60_000)));
+    schedule.note_reason(at(1_400));
+    assert!(!schedule.is_due(0, at(60_000)));
 }
 
 #[test]
 fn a_reason_during_a_search_causes_another_one() {
     let mut schedule = SearchSchedule::default();
-    schedule.note_reason(at(1_000), 0);
-    schedule.note_reason(at(1_200), 0);
+    schedule.note_reason(at(1_000));
+    schedule.note_reason(at(1_200));
     schedule.note_searched(at(1_100), false, at(1_300));
-    assert!(schedule.is_due(at(1_300)));
+    assert!(schedule.is_due(0, at(1_300)));
     schedule.note_searched(at(1_301), false, at(1_400));
-    assert!(!schedule.is_due(at(60_000)));
+    assert!(!schedule.is_due(0, at(60_000)));
 }
 
 #[test]
 fn a_search_that_left_jobs_is_repeated() {
     let mut schedule = SearchSchedule::default();
-    schedule.note_reason(at(1_000), 0);
+    schedule.note_reason(at(1_000));
     schedule.note_searched(at(1_001), true, at(1_100));
-    assert!(!schedule.is_due(at(1_200)));
-    assert!(schedule.is_due(at(2_700)));
+    assert!(!schedule.is_due(0, at(1_200)));
+    assert!(schedule.is_due(0, at(2_700)));
 }
 
 /// Guards against searches that follow one another until a reason that lies in the future.
 #[test]
 fn a_search_before_the_reason_arises_is_repeated_once_it_does() {
     let mut schedule = SearchSchedule::default();
-    schedule.note_reason(at(2_000), 0);
-    schedule.note_reason(at(1_000), 0);
-    assert!(schedule.is_due(at(1_000)));
+    schedule.note_reason(at(2_000));
+    schedule.note_reason(at(1_000));
+    assert!(schedule.is_due(0, at(1_000)));
     schedule.note_searched(at(1_000), false, at(1_020));
-    assert!(!schedule.is_due(at(1_900)));
-    assert!(schedule.is_due(at(2_000)));
+    assert!(!schedule.is_due(0, at(1_900)));
+    assert!(schedule.is_due(0, at(2_000)));
+}
+
+/// Guards against searches by every gateway of a fleet that starts: none is linked to those ranked before it when the
+/// reason arises, but all are when the search is due.
+#[test]
+fn the_rank_counts_when_the_search_is_due() {
+    let mut schedule = SearchSchedule::default();
+    schedule.note_reason(at(1_000));
+    assert!(!schedule.is_due(5, at(1_000)));
+    assert!(schedule.is_due(5, at(6_000)));
+}
+
+/// Guards against refusals that wait for a search that other gateways have no reason for.
+#[test]
+fn a_search_that_is_needed_here_waits_for_no_other_gateway() {
+    let mut schedule = SearchSchedule::default();
+    schedule.demand(at(1_000));
+    assert!(schedule.is_due(8, at(1_000)));
 }
