--- a/crates/entry/tests/slow_readers.rs
+++ b/crates/entry/tests/slow_readers.rs
@@ -20,7 +20,7 @@
 const SLOW_CLIENTS: usize = 200;
 /// Number of clients that don't read a large answer of a target, which run at the same time.
 const LARGE_ANSWERS: usize = 60;
-/// Timeout of each wait, far above the expected duration on a busy machine.
+/// Timeout of each wait, far above the expected duration under load.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
 /// Receive buffer of a client that reads slowly; with a large one the kernel would take most of an answer.
 const CLIENT_BUFFER_BYTES: usize = 4 << 10;
