Specify the parts for high load; add their settings and messages

Settings and messages come first, so that the parts can be built side by side; nothing uses them yet.

Change: `[fleet]` and `[accounts] exact_window`, `GatewayFeatures`, new fields with defaults and new variants of `PeerMessage`.

--- a/crates/entry/src/accounts/credit.rs
+++ b/crates/entry/src/accounts/credit.rs
@@ -75,7 +75,8 @@
     }
     node.metrics.count(Counter::Event("credit_asked"));
     let account = account.clone();
-    let send = |call| node.peers.send(vm, PeerMessage::CreditAsk { call, account, wanted });
+    let ask = |call| PeerMessage::CreditAsk { call, account, wanted, returning: 0, max_wait_ms: 0 };
+    let send = |call| node.peers.send(vm, ask(call));
     match node.peers.credit_calls.ask(send, ANSWER_TIMEOUT).await {
         CallEnd::Answered(answer) => Some(answer),
         CallEnd::NotSent | CallEnd::Unanswered => None,
@@ -116,7 +117,8 @@
     let handovers = node.accounts.limiter().set_view(own, view, now);
     for CreditHandover { limiter, account, credit } in handovers {
         let credit_milli = (credit * 1_000.0) as u64;
-        node.peers.send(&limiter, PeerMessage::CreditLeft { account, credit_milli });
+        let recent = Vec::new();
+        node.peers.send(&limiter, PeerMessage::CreditLeft { account, credit_milli, recent });
     }
 }
 
--- /dev/null
+++ b/crates/entry/src/features.rs
@@ -0,0 +1,32 @@
+//! Optional features of a gateway, as its settings call for them.
+
+use notch_platform_wire::settings::declares_shared_targets;
+use notch_settings::prelude::{EntryConfig, FeatureSwitch};
+
+/// Optional features of a gateway.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct GatewayFeatures {
+    /// Limits of accounts are counted by the sliding window itself.
+    pub exact_window: bool,
+    /// Home gateways offer free slots to the gateway with the most urgent items.
+    pub item_slots: bool,
+    /// Failures and pace of targets are learned and shared.
+    pub performance: bool,
+    /// Entries of gateways that were removed for good are deleted.
+    pub eviction: bool,
+}
+
+impl GatewayFeatures {
+    /// The features that `config` calls for.
+    pub fn of(config: &EntryConfig) -> Self {
+        let fleet = &config.fleet;
+        let shares_targets = fleet.declared.as_deref().is_some_and(declares_shared_targets);
+        let is_on = |switch: FeatureSwitch| switch.is_on(shares_targets);
+        Self {
+            exact_window: is_on(config.accounts.exact_window),
+            item_slots: is_on(fleet.share_item_slots),
+            performance: is_on(fleet.learn_performance),
+            eviction: is_on(fleet.evict_gateways),
+        }
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod constants;
 pub mod disk;
 pub mod error;
+pub mod features;
 pub mod front;
 pub mod gateway;
 pub mod memory;
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -26,6 +26,7 @@
     },
     clock::NodeClock,
     constants::{FIRST_LIST_TIMEOUT, PEER_STATE_TIMEOUT, STORE_WATCHERS},
+    features::GatewayFeatures,
     memory::HeldMemory,
     peers::{
         catch_up::KnownVersions,
@@ -51,6 +52,8 @@
 pub struct EntryNode {
     /// Settings as read at the start; a reload doesn't change them.
     pub config: EntryConfig,
+    /// Optional features that the settings call for.
+    pub features: GatewayFeatures,
     /// Identity of this process, VM name and incarnation, as recorded in the jobs that it owns.
     pub owner: String,
     /// Clocks of the process.
@@ -143,6 +146,7 @@
             retry_detector: Mutex::default(),
             dropped_routes: Mutex::default(),
             job_admission: Mutex::default(),
+            features: GatewayFeatures::of(&config),
             config,
         };
         (node, detours)
--- a/crates/entry/src/online/lease.rs
+++ b/crates/entry/src/online/lease.rs
@@ -33,7 +33,8 @@
     fn notify_home(&self, change: UseChange) {
         let Some(home) = &self.home else { return };
         let (target, work) = (self.id.clone(), self.work);
-        self.node.peers.send(home, PeerMessage::PlaceUse { target, work, change });
+        let use_change = PeerMessage::PlaceUse { target, work, change, is_failure: None };
+        self.node.peers.send(home, use_change);
     }
 
     /// Records how the attempt ended.
--- a/crates/entry/src/online/slots.rs
+++ b/crates/entry/src/online/slots.rs
@@ -119,5 +119,6 @@
 
 fn release(node: &EntryNode, home: &VmName, target: String) {
     let (work, change) = (WorkKind::Online, UseChange::End);
-    node.peers.send(home, PeerMessage::PlaceUse { target, work, change });
+    let use_change = PeerMessage::PlaceUse { target, work, change, is_failure: None };
+    node.peers.send(home, use_change);
 }
--- a/crates/entry/src/peers/links.rs
+++ b/crates/entry/src/peers/links.rs
@@ -215,7 +215,9 @@
             }
             apply_ownership(node, &owner, &jobs);
         }
-        PeerMessage::Report { uses, configuration, targets, digest, is_watching, gateways } => {
+        PeerMessage::Report {
+            uses, configuration, targets, digest, is_watching, gateways, ..
+        } => {
             node.peers.set_watching(&peer.vm, is_watching);
             if let Some(report) = gateways {
                 compare_roster(node, &peer.vm, report);
@@ -300,7 +302,7 @@
         PeerMessage::PlaceAnswer { call, answer } => {
             slots::handle_answer(node, &peer.vm, call, answer);
         }
-        PeerMessage::PlaceUse { target, work, change } => {
+        PeerMessage::PlaceUse { target, work, change, .. } => {
             let now = node.clock.mono();
             node.targets().note_peer_use(&peer.vm, &target, work, change, now);
         }
@@ -309,15 +311,19 @@
             let age = age_ms.map(Duration::from_millis);
             node.peers.age_calls.answer(call, ProofAge { version, age });
         }
-        PeerMessage::CreditAsk { call, account, wanted } => {
+        PeerMessage::CreditAsk { call, account, wanted, .. } => {
             credit::answer(node, &peer.vm, call, &account, wanted);
         }
-        PeerMessage::CreditLeft { account, credit_milli } => {
+        PeerMessage::CreditLeft { account, credit_milli, .. } => {
             credit::take_over(node, &account, credit_milli);
         }
         PeerMessage::CreditAnswer { call, answer } => {
             node.peers.credit_calls.answer(call, answer);
         }
+        PeerMessage::CreditReturned { .. } => {}
+        PeerMessage::ItemSlotOffer { .. } => {}
+        PeerMessage::TargetEjected { .. } => {}
+        PeerMessage::EvictionAsk { .. } | PeerMessage::EvictionAnswer { .. } => {}
         PeerMessage::Stopping => {
             node.log.info("gateway_stops", &[("gateway", &peer.vm)]);
             node.peers.set_stopping(&peer.vm);
--- a/crates/entry/src/peers/reports.rs
+++ b/crates/entry/src/peers/reports.rs
@@ -25,7 +25,17 @@
     let KnownVersions { configuration, targets, digest } = node.known_versions();
     let is_watching = node.watch.is_watching();
     let gateways = is_watching.then(|| roster_report(node)).flatten();
-    PeerMessage::Report { uses, configuration, targets, digest, is_watching, gateways }
+    let (waiting, paces) = (Vec::new(), Vec::new());
+    PeerMessage::Report {
+        uses,
+        configuration,
+        targets,
+        digest,
+        is_watching,
+        gateways,
+        waiting,
+        paces,
+    }
 }
 
 /// The gateways' entries as the store confirmed them last.
--- a/crates/link/tests/queue.rs
+++ b/crates/link/tests/queue.rs
@@ -11,8 +11,16 @@
 
 fn report(configuration: u64) -> EncodedMessage {
     let (uses, targets, digest, is_watching) = (Vec::new(), 0, 0, false);
-    let report =
-        PeerMessage::Report { uses, configuration, targets, digest, is_watching, gateways: None };
+    let report = PeerMessage::Report {
+        uses,
+        configuration,
+        targets,
+        digest,
+        is_watching,
+        gateways: None,
+        waiting: Vec::new(),
+        paces: Vec::new(),
+    };
     EncodedMessage::encode(&LinkMessage::Peer(report)).unwrap()
 }
 
--- a/crates/messages/src/lib.rs
+++ b/crates/messages/src/lib.rs
@@ -29,8 +29,8 @@
         },
         peer::{
             DueWorkReport, GatewayChanges, GoneTarget, ListedJobs, PeerMessage, PlaceAnswer,
-            RosterReport, ServiceDemandReport, StoreCallEnd, TargetChanges, TargetUseReport,
-            VersionedGateway, VersionedTarget,
+            RosterReport, ServiceDemandReport, StoreCallEnd, TargetChanges, TargetPaceReport,
+            TargetUseReport, VersionedGateway, VersionedTarget, WaitingItemsReport,
         },
         shard::{
             ClaimVerdict, ItemStatus, JobChunk, JobPhase, JobProgress, JobSubmission, ResultLine,
--- a/crates/messages/src/peer.rs
+++ b/crates/messages/src/peer.rs
@@ -20,6 +20,26 @@
     pub batch: u32,
 }
 
+/// Items of one service that wait at a gateway and may start now.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WaitingItemsReport {
+    /// The service.
+    pub service: String,
+    /// Number of waiting items.
+    pub count: u32,
+    /// Least slack of them, milliseconds: time left until due, less the expected run time. Negative if late.
+    pub slack_ms: i64,
+}
+
+/// Pace of one target as measured by one gateway.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetPaceReport {
+    /// The target's id.
+    pub target: String,
+    /// Time between two events of a stream, microseconds.
+    pub gap_micros: u32,
+}
+
 /// Waiting work with a due time.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DueWorkReport {
@@ -180,6 +200,12 @@
         /// The gateways' entries that it knows, if it watches the store.
         #[serde(default)]
         gateways: Option<RosterReport>,
+        /// Items that wait at the sender, by service.
+        #[serde(default)]
+        waiting: Vec<WaitingItemsReport>,
+        /// Paces of targets that changed since the last report.
+        #[serde(default)]
+        paces: Vec<TargetPaceReport>,
     },
     /// All work that waits at the sender; sent on large changes, and at least every second while any
     /// work waits.
@@ -366,6 +392,37 @@
         work: WorkKind,
         /// Whether the request started or ended.
         change: UseChange,
+        /// Whether it ended by a failure of the target; `None` if that is unknown.
+        #[serde(default)]
+        is_failure: Option<bool>,
+    },
+    /// Offers slots at the sender's targets for items. They count as used by the receiver until it reports an end.
+    ItemSlotOffer {
+        /// Ids of the targets, one for each slot.
+        targets: Vec<String>,
+    },
+    /// A target of the sender failed too many requests, or has recovered.
+    TargetEjected {
+        /// The target's id.
+        target: String,
+        /// Whether it gets no requests from now on; false when it gets them again.
+        is_ejected: bool,
+    },
+    /// Asks whether a gateway that the sender has had no link to for long can be evicted.
+    EvictionAsk {
+        /// Matches the answer to the call; unique at the asker.
+        call: u64,
+        /// The VM of the gateway.
+        vm: VmName,
+        /// Its identity by its entry.
+        owner: String,
+    },
+    /// Answer to `EvictionAsk`.
+    EvictionAnswer {
+        /// Id of the call.
+        call: u64,
+        /// Whether the sender has had no link to it for long either.
+        is_gone: bool,
     },
     /// Requests the age of the receiver's knowledge of the configuration.
     AgeAsk {
@@ -390,6 +447,12 @@
         account: AccountName,
         /// Number of requests that are waiting or expected soon.
         wanted: u32,
+        /// How many of them are requests of clients that were refused before.
+        #[serde(default)]
+        returning: u32,
+        /// Longest time that a refused client would wait, milliseconds.
+        #[serde(default)]
+        max_wait_ms: u64,
     },
     /// Answer to `CreditAsk`.
     CreditAnswer {
@@ -404,6 +467,17 @@
         account: AccountName,
         /// Remaining credit, thousandths of a request.
         credit_milli: u64,
+        /// Requests admitted in the last slices of the window, newest first. Empty where limits are kept by a token
+        /// bucket alone.
+        #[serde(default)]
+        recent: Vec<u32>,
+    },
+    /// Returns credit that was granted ahead of need and not used.
+    CreditReturned {
+        /// The account.
+        account: AccountName,
+        /// Number of requests.
+        count: u32,
     },
     /// The sender is about to stop: it still runs its jobs but takes over no more.
     Stopping,
@@ -443,11 +517,16 @@
             Self::PlaceAnswer { .. } => "place_answer",
             Self::PlaceRevoke { .. } => "place_revoke",
             Self::PlaceUse { .. } => "place_use",
+            Self::ItemSlotOffer { .. } => "item_slot_offer",
+            Self::TargetEjected { .. } => "target_ejected",
+            Self::EvictionAsk { .. } => "eviction_ask",
+            Self::EvictionAnswer { .. } => "eviction_answer",
             Self::AgeAsk { .. } => "age_ask",
             Self::Age { .. } => "age",
             Self::CreditAsk { .. } => "credit_ask",
             Self::CreditAnswer { .. } => "credit_answer",
             Self::CreditLeft { .. } => "credit_left",
+            Self::CreditReturned { .. } => "credit_returned",
             Self::Stopping => "stopping",
             Self::Leaving => "leaving",
         }
--- a/crates/settings/src/entry_config.rs
+++ b/crates/settings/src/entry_config.rs
@@ -7,8 +7,8 @@
     error::SettingsErrors,
     file::{FieldVisitor, SettingsFile, read_config, render_config},
     sections::{
-        AccountSettings, EntryListenSettings, LinkSettings, LoggingSettings, MemorySettings,
-        NodeSettings, StoreSettings,
+        AccountSettings, EntryListenSettings, FleetSettings, LinkSettings, LoggingSettings,
+        MemorySettings, NodeSettings, StoreSettings,
     },
 };
 
@@ -25,6 +25,8 @@
     pub links: LinkSettings,
     /// `[accounts]`
     pub accounts: AccountSettings,
+    /// `[fleet]`
+    pub fleet: FleetSettings,
     /// `[memory]`
     pub memory: MemorySettings,
     /// `[logging]`
@@ -59,6 +61,7 @@
         self.store.visit(fields);
         self.links.visit(fields);
         self.accounts.visit(fields);
+        self.fleet.visit(fields);
         self.memory.visit(fields);
         self.logging.visit(fields);
     }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -23,10 +23,11 @@
         error::{SettingsError, SettingsErrors, SettingsProblem},
         file::SettingsFile,
         sections::{
-            AccountSettings, AdmissionSettings, EntryListenSettings, JobSettings, LedgerSettings,
-            LimitSettings, LinkSettings, ListenSettings, LogFormat, LogLevel, LoggingSettings,
-            MembershipSettings, NodeSettings, OnlineSettings, OperatorSettings, PlacementSettings,
-            PlatformSettings, RelaySettings, StoreSettings, TargetSettings,
+            AccountSettings, AdmissionSettings, EntryListenSettings, FeatureSwitch, FleetSettings,
+            JobSettings, LedgerSettings, LimitSettings, LinkSettings, ListenSettings, LogFormat,
+            LogLevel, LoggingSettings, MembershipSettings, NodeSettings, OnlineSettings,
+            OperatorSettings, PlacementSettings, PlatformSettings, RelaySettings, StoreSettings,
+            TargetSettings,
         },
     };
 }
--- a/crates/settings/src/sections.rs
+++ b/crates/settings/src/sections.rs
@@ -3,6 +3,7 @@
 mod accounts;
 mod admission;
 mod entry_listen;
+mod fleet;
 mod jobs;
 mod ledger;
 mod limits;
@@ -24,6 +25,7 @@
     accounts::AccountSettings,
     admission::AdmissionSettings,
     entry_listen::EntryListenSettings,
+    fleet::{FeatureSwitch, FleetSettings},
     jobs::JobSettings,
     ledger::LedgerSettings,
     limits::LimitSettings,
--- a/crates/settings/src/sections/accounts.rs
+++ b/crates/settings/src/sections/accounts.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::file::FieldVisitor;
+use crate::{file::FieldVisitor, sections::FeatureSwitch};
 
 /// How exactly keys and limits of client accounts are kept.
 #[derive(Debug, Clone, PartialEq)]
@@ -16,6 +16,8 @@
     pub quota_overrun: f64,
     /// Requests by which it may be exceeded beside that.
     pub quota_slack: f64,
+    /// Whether limits are counted by the sliding window itself in place of a token bucket.
+    pub exact_window: FeatureSwitch,
 }
 
 impl Default for AccountSettings {
@@ -25,6 +27,7 @@
             quota_window_seconds: 5.0,
             quota_overrun: 0.0,
             quota_slack: 0.0,
+            exact_window: FeatureSwitch::Off,
         }
     }
 }
@@ -47,5 +50,7 @@
         fields.number("quota_window_seconds", &mut self.quota_window_seconds);
         fields.number("quota_overrun", &mut self.quota_overrun);
         fields.number("quota_slack", &mut self.quota_slack);
+        let switches = [("off", FeatureSwitch::Off), ("on", FeatureSwitch::On)];
+        fields.choice("exact_window", &mut self.exact_window, &switches, "off or on");
     }
 }
--- /dev/null
+++ b/crates/settings/src/sections/fleet.rs
@@ -0,0 +1,59 @@
+//! `[fleet]`: optional ways in which the gateways of a fleet work together.
+
+use crate::file::FieldVisitor;
+
+/// Whether an optional feature is used.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum FeatureSwitch {
+    /// Not used.
+    #[default]
+    Off,
+    /// Used.
+    On,
+    /// Used if `declared` says that the gateways share their targets.
+    Declared,
+}
+
+impl FeatureSwitch {
+    /// Every value with its name in the file.
+    const ALL: [(&'static str, Self); 3] =
+        [("off", Self::Off), ("on", Self::On), ("declared", Self::Declared)];
+
+    /// Whether the feature is used in a deployment that does, or doesn't, declare shared targets.
+    pub fn is_on(self, shares_targets: bool) -> bool {
+        match self {
+            Self::Off => false,
+            Self::On => true,
+            Self::Declared => shares_targets,
+        }
+    }
+}
+
+/// Optional ways in which the gateways of a fleet work together.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct FleetSettings {
+    /// What the platform declares of the deployment, a list of words separated by commas.
+    pub declared: Option<String>,
+    /// Whether home gateways offer their free slots to the gateway with the most urgent items.
+    pub share_item_slots: FeatureSwitch,
+    /// Whether failures and pace of targets are learned and shared.
+    pub learn_performance: FeatureSwitch,
+    /// Whether the entry of a gateway that was removed for good is deleted.
+    pub evict_gateways: FeatureSwitch,
+}
+
+impl FleetSettings {
+    pub(crate) fn visit(&mut self, fields: &mut FieldVisitor<'_>) {
+        fields.section("fleet");
+        fields.optional_text("declared", &mut self.declared);
+        let expected = "off, on or declared";
+        let switches = [
+            ("share_item_slots", &mut self.share_item_slots),
+            ("learn_performance", &mut self.learn_performance),
+            ("evict_gateways", &mut self.evict_gateways),
+        ];
+        for (key, switch) in switches {
+            fields.choice(key, switch, &FeatureSwitch::ALL, expected);
+        }
+    }
+}
