Learn for how long idle connections to targets can be reused

A request that must not run twice was sent only on a connection idle for less than 1 s.

Change: `IdleReuse` raises the limit to idle times after which requests were answered and falls back to 1 s when a reused connection fails; `[fleet] keep_connections` turns it on. New connections are counted by cause in `connections_opened_total`.

--- a/crates/entry/src/constants.rs
+++ b/crates/entry/src/constants.rs
@@ -50,9 +50,6 @@
 pub const IDLE_MARGIN: Duration = Duration::from_millis(700);
 /// Idle lifetime of a connection to a target that announces none.
 pub const IDLE_DEFAULT: Duration = Duration::from_millis(2_500);
-/// Maximum idle time of a connection that is reused for a request that can't be repeated. The target may
-/// already have dropped an older one, and then it is unknown whether the request ran.
-pub const NON_REPEATABLE_MAX_IDLE: Duration = Duration::from_millis(1_000);
 /// Maximum number of idle connections to one target. A target accepts 200 from all gateways together.
 pub const IDLE_PER_TARGET: usize = 16;
 /// Maximum size of a target's response head.
--- a/crates/entry/src/features.rs
+++ b/crates/entry/src/features.rs
@@ -12,6 +12,8 @@
     pub item_slots: bool,
     /// Failures and pace of targets are learned and shared.
     pub performance: bool,
+    /// The idle time after which connections to targets are still reused is learned.
+    pub keep_connections: bool,
     /// Entries of gateways that were removed for good are deleted.
     pub eviction: bool,
 }
@@ -26,6 +28,7 @@
             exact_window: is_on(config.accounts.exact_window),
             item_slots: is_on(fleet.share_item_slots),
             performance: is_on(fleet.learn_performance),
+            keep_connections: is_on(fleet.keep_connections),
             eviction: is_on(fleet.evict_gateways),
         }
     }
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -114,6 +114,12 @@
             ["kind", "cause"],
         );
         let calls = StoreCallCounts::new(Some(calls));
+        let opened = metrics.pair_counter(
+            "connections_opened_total",
+            "New connections to targets by cause and by whether the request can be repeated",
+            ["cause", "request"],
+        );
+        let features = GatewayFeatures::of(&config);
         let traffic = PeerTraffic::new(&metrics);
         let owner = format!("{}#{:016x}", config.node.vm, rand::random::<u64>());
         let domain = config.node.domain.as_str().to_owned();
@@ -129,7 +135,7 @@
             accounts: AccountState::new(&config.accounts),
             reads: ReadLatencies::default(),
             memory: Arc::new(HeldMemory::new(config.memory.limit())),
-            pool: TargetPool::default(),
+            pool: TargetPool::new(features.keep_connections, Some(opened)),
             peers: PeerTable::new(traffic),
             stop: StopState::default(),
             job_updates: Event::new(),
@@ -146,7 +152,7 @@
             retry_detector: Mutex::default(),
             dropped_routes: Mutex::default(),
             job_admission: Mutex::default(),
-            features: GatewayFeatures::of(&config),
+            features,
             config,
         };
         (node, detours)
--- a/crates/entry/src/target/connection.rs
+++ b/crates/entry/src/target/connection.rs
@@ -1,14 +1,46 @@
 //! A connection to a target, and the exchange of a request and its answer on it.
 
-use std::time::Duration;
+use std::{
+    sync::{Arc, Mutex, PoisonError},
+    time::{Duration, Instant},
+};
 
 use async_std::future::timeout;
 use notch_h1::prelude::*;
 use notch_platform_wire::prelude::AnswerHeaders;
 use notch_relay::prelude::*;
+use notch_types::prelude::MonoTime;
 
 use crate::constants::{ANSWER_BODY_BYTES, ANSWER_HEAD_BYTES};
 
+/// How long a reused connection had been idle, and where the outcome of its next exchange is recorded.
+#[derive(Debug)]
+pub struct ReusedConnection {
+    /// Idle timeout that the target announced.
+    pub announced: Option<Duration>,
+    /// Time for which the connection had been idle.
+    pub idle: Duration,
+    /// Records which idle times work.
+    pub evidence: Arc<Mutex<IdleReuse>>,
+    /// Origin of the times passed to `evidence`.
+    pub origin: Instant,
+}
+
+impl ReusedConnection {
+    fn note(&self, outcome: &Result<ResponseHead, AttemptFailure>) {
+        let now = MonoTime::default() + self.origin.elapsed();
+        let mut evidence = self.evidence.lock().unwrap_or_else(PoisonError::into_inner);
+        match outcome {
+            Ok(_) => evidence.note_answered(self.announced, self.idle, now),
+            Err(AttemptFailure::ClosedBeforeAnswer | AttemptFailure::SilentBeforeAnswer) => {
+                evidence.note_failed(self.announced, now);
+            }
+            // The connection works: the target answered on it.
+            Err(_) => {}
+        }
+    }
+}
+
 /// A connection to a target.
 #[derive(Debug)]
 pub struct TargetConnection {
@@ -16,12 +48,19 @@
     pub reader: WireReader,
     /// Whether an answer to another request was received; such a connection isn't reused.
     pub is_out_of_sync: bool,
+    /// `None` if it is new or has been used since it was reused.
+    reused: Option<ReusedConnection>,
 }
 
 impl TargetConnection {
     /// Wraps a connection on which nothing was sent yet.
     pub fn new(reader: WireReader) -> Self {
-        Self { reader, is_out_of_sync: false }
+        Self { reader, is_out_of_sync: false, reused: None }
+    }
+
+    /// Wraps a connection that was idle.
+    pub fn reused(reader: WireReader, reused: ReusedConnection) -> Self {
+        Self { reader, is_out_of_sync: false, reused: Some(reused) }
     }
 
     /// Sends a request and reads the head of its answer.
@@ -38,7 +77,12 @@
         wait: Duration,
     ) -> Result<ResponseHead, AttemptFailure> {
         let exchange = self.exchange_unbounded(request, attempt);
-        timeout(wait, exchange).await.unwrap_or(Err(AttemptFailure::SilentBeforeAnswer))
+        let outcome = timeout(wait, exchange).await;
+        let outcome = outcome.unwrap_or(Err(AttemptFailure::SilentBeforeAnswer));
+        if let Some(reused) = self.reused.take() {
+            reused.note(&outcome);
+        }
+        outcome
     }
 
     async fn exchange_unbounded(
--- a/crates/entry/tests/features.rs
+++ b/crates/entry/tests/features.rs
@@ -25,9 +25,14 @@
 #[test]
 fn features_are_on_where_shared_targets_are_declared() {
     let text = "[accounts]\nexact_window = on\n[fleet]\ndeclared = base, pool\nshare_item_slots = declared\n\
-                learn_performance = declared\nevict_gateways = on\n";
-    let all =
-        GatewayFeatures { exact_window: true, item_slots: true, performance: true, eviction: true };
+                learn_performance = declared\nkeep_connections = declared\nevict_gateways = on\n";
+    let all = GatewayFeatures {
+        exact_window: true,
+        item_slots: true,
+        performance: true,
+        keep_connections: true,
+        eviction: true,
+    };
     assert_eq!(features(text), all);
 }
 
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -70,6 +70,7 @@
             entry::{TargetEntry, TargetState},
             failure::{AttemptFailure, RunVerdict},
             grants::{PreemptedItem, QueueOffer, SlotGrant},
+            idle_reuse::IdleReuse,
             latency::ServiceLatency,
             prompt::{PromptPrefix, PromptPrefixes},
             record::{TargetUse, UseChange},
--- a/crates/relay/src/targets.rs
+++ b/crates/relay/src/targets.rs
@@ -8,6 +8,7 @@
 pub mod grants;
 pub mod health;
 pub mod homes;
+pub mod idle_reuse;
 pub mod latency;
 pub mod prefix_cache;
 pub mod prompt;
--- a/crates/settings/src/sections/fleet.rs
+++ b/crates/settings/src/sections/fleet.rs
@@ -38,6 +38,8 @@
     pub share_item_slots: FeatureSwitch,
     /// Whether failures and pace of targets are learned and shared.
     pub learn_performance: FeatureSwitch,
+    /// Whether connections to targets are kept for longer once they have proved to work.
+    pub keep_connections: FeatureSwitch,
     /// Whether the entry of a gateway that was removed for good is deleted.
     pub evict_gateways: FeatureSwitch,
 }
@@ -50,6 +52,7 @@
         let switches = [
             ("share_item_slots", &mut self.share_item_slots),
             ("learn_performance", &mut self.learn_performance),
+            ("keep_connections", &mut self.keep_connections),
             ("evict_gateways", &mut self.evict_gateways),
         ];
         for (key, switch) in switches {
