--- a/crates/entry/src/batch.rs
+++ b/crates/entry/src/batch.rs
@@ -8,6 +8,7 @@
 pub mod ends;
 pub mod intake;
 pub mod item_run;
+pub mod item_slots;
 pub mod job_cache;
 pub mod job_registry;
 pub mod limit_registry;
--- /dev/null
+++ b/crates/entry/src/batch/item_slots.rs
@@ -0,0 +1,383 @@
+//! Starts items at slots that homes offer, and offers the free slots of own targets to the gateway
+//! with the most urgent items.
+
+use std::{collections::VecDeque, sync::Arc};
+
+use async_channel::Receiver;
+use async_std::task;
+use notch_messages::prelude::PeerMessage;
+use notch_platform_wire::target::item_prompt;
+use notch_relay::prelude::*;
+use notch_types::prelude::*;
+
+use crate::{
+    batch::{
+        item_run::run_item,
+        job_registry::{ItemRunHandle, JobRegistry},
+        runner,
+    },
+    constants::STARTS_PER_PASS,
+    node::EntryNode,
+};
+
+/// Time for which an item of a route with several services keeps to one of them, so that an offer
+/// of a slot for the reported service finds it.
+const SERVICE_EPOCH_MICROS: u64 = 2_000_000;
+
+/// An item that waits for a slot.
+#[derive(Debug)]
+struct QueuedItem {
+    spec: Arc<JobSpec>,
+    index: usize,
+    slack_ms: i64,
+}
+
+/// An item to be run.
+#[derive(Debug)]
+pub struct StartedItem {
+    /// Number of the run.
+    pub run: u64,
+    /// The item.
+    pub start: ItemStart,
+    /// The target.
+    pub choice: TargetChoice,
+    /// Closed to cancel the run.
+    pub cancelled: Receiver<()>,
+    /// Time left until it is due, milliseconds.
+    pub left_ms: i64,
+}
+
+/// What a pass decided.
+#[derive(Debug, Default)]
+pub struct PassOutcome {
+    /// Items to be run.
+    pub starts: Vec<StartedItem>,
+    /// Messages to be sent, in this order.
+    pub messages: Vec<(VmName, PeerMessage)>,
+    /// Number of slots offered to other gateways.
+    pub offered: usize,
+    /// Number of received offers that were declined.
+    pub declined: usize,
+    /// Number of items that were started without an offer at another gateway's target.
+    pub unoffered: usize,
+    /// Number of own offers that were not answered in time.
+    pub expired: usize,
+}
+
+/// The gateways and the state that a pass works on.
+pub struct ItemSlotPass<'a> {
+    /// Jobs of this gateway.
+    pub registry: &'a mut JobRegistry,
+    /// Targets.
+    pub targets: &'a mut TargetTable,
+    /// Waiting items and received offers.
+    pub slots: &'a mut ItemSlotTable,
+    /// Routes of the configuration in force.
+    pub routes: &'a RouteTable,
+    /// Lists the gateways that may be offered slots: they have a link and do not stop.
+    pub recipients: &'a dyn Fn() -> Vec<VmName>,
+    /// Lists the gateways with a link.
+    pub linked: &'a dyn Fn() -> Vec<VmName>,
+    /// Whether this gateway stops, and so takes no slots at divided targets.
+    pub is_stopping: bool,
+    /// Whether this gateway hands its jobs over, and so starts no items.
+    pub is_handing_over: bool,
+    /// Time of the pass.
+    pub now: MonoTime,
+}
+
+impl ItemSlotPass<'_> {
+    /// Answers the received offers, divides the free slots of own targets, and starts items without
+    /// an offer where none can come.
+    pub fn run(&mut self) -> PassOutcome {
+        let mut outcome = PassOutcome::default();
+        self.slots.expire(self.now);
+        outcome.expired = self.targets.expire_offers(self.now);
+        let mut queues = self.queues();
+        if queues.is_empty() && !self.slots.needs_pass() {
+            self.note_waiting(&queues);
+            return outcome;
+        }
+        self.answer_offers(&mut queues, &mut outcome);
+        self.note_waiting(&queues);
+        if self.targets.has_homes() {
+            self.divide_slots(&mut queues, &mut outcome);
+        }
+        if !self.is_handing_over && !(self.is_stopping && self.targets.has_homes()) {
+            self.start_unoffered(&mut queues, &mut outcome);
+        }
+        self.note_waiting(&queues);
+        outcome
+    }
+
+    /// Waiting items by service, in the order in which they start.
+    fn queues(&self) -> FastMap<String, VecDeque<QueuedItem>> {
+        let mut queues: FastMap<String, VecDeque<QueuedItem>> = FastMap::default();
+        for WaitingItem { spec, index, slack_ms } in self.registry.table.waiting_items(self.now) {
+            let item = &spec.items[index];
+            // An item on a route that does not exist waits for it, while others go on.
+            let Some(route) = self.routes.find(&spec.host, &item.path) else { continue };
+            let epoch = (self.now.0 / SERVICE_EPOCH_MICROS).to_le_bytes();
+            let draw = stable_hash64(&[spec.id.as_bytes(), item.id.as_bytes(), &epoch]);
+            let service = route.service_for(draw);
+            let queued = QueuedItem { spec: Arc::clone(spec), index, slack_ms };
+            match queues.get_mut(service) {
+                Some(queue) => queue.push_back(queued),
+                None => drop(queues.insert(service.to_owned(), VecDeque::from([queued]))),
+            }
+        }
+        queues
+    }
+
+    fn note_waiting(&mut self, queues: &FastMap<String, VecDeque<QueuedItem>>) {
+        let mut waiting = FastMap::default();
+        let queues = queues.iter().filter(|(_, queue)| !queue.is_empty() && !self.is_stopping);
+        for (service, queue) in queues {
+            let mut items = WaitingItems::default();
+            queue.iter().for_each(|item| items.add(item.slack_ms));
+            waiting.insert(service.clone(), items);
+        }
+        self.slots.set_own(&waiting, self.now);
+    }
+
+    fn answer_offers(
+        &mut self,
+        queues: &mut FastMap<String, VecDeque<QueuedItem>>,
+        outcome: &mut PassOutcome,
+    ) {
+        for ReceivedOffer { home, target } in self.slots.take_received() {
+            let started = !self.is_stopping && self.start_offered(queues, &home, &target, outcome);
+            outcome.messages.push((home.clone(), item_use(&target, UseChange::Begin)));
+            if !started {
+                outcome.declined += 1;
+                outcome.messages.push((home, item_use(&target, UseChange::End)));
+            }
+        }
+    }
+
+    fn start_offered(
+        &mut self,
+        queues: &mut FastMap<String, VecDeque<QueuedItem>>,
+        home: &VmName,
+        target: &str,
+        outcome: &mut PassOutcome,
+    ) -> bool {
+        let Some(service) = self.targets.service_of(target).map(str::to_owned) else {
+            return false;
+        };
+        let Some(queue) = queues.get_mut(&service) else { return false };
+        let Some(item) = queue.front() else { return false };
+        let prompt = item_prompt(&item.spec.items[item.index]);
+        let query = query(&service, &prompt);
+        let Some(choice) = self.targets.take_offered(&query, home, target, self.now) else {
+            return false;
+        };
+        self.slots.note_served(&service, self.now);
+        self.start_front(queue, choice, outcome);
+        true
+    }
+
+    fn divide_slots(
+        &mut self,
+        queues: &mut FastMap<String, VecDeque<QueuedItem>>,
+        outcome: &mut PassOutcome,
+    ) {
+        let recipients = (self.recipients)();
+        let services: Vec<String> = self.slots.services().into_iter().map(str::to_owned).collect();
+        let mut offers: Vec<(VmName, Vec<String>)> = Vec::new();
+        for service in &services {
+            let free = self.targets.free_item_slots(service, self.now);
+            if free.here == 0 {
+                continue;
+            }
+            let may_receive = |gateway: Option<&VmName>| match gateway {
+                Some(peer) => recipients.contains(peer),
+                None => !self.is_stopping,
+            };
+            let in_flight = |peer: &VmName| self.targets.offers_in_flight(peer, service);
+            let shares = self.slots.divide(service, free, may_receive, in_flight, self.now);
+            for SlotShare { gateway, count } in shares {
+                match gateway {
+                    None => {
+                        if let Some(queue) = queues.get_mut(service) {
+                            self.start_own(service, queue, count, outcome);
+                        }
+                    }
+                    Some(peer) => {
+                        let offer =
+                            |_| self.targets.offer_slot(&peer, service, self.now, EntryNode::draw);
+                        let ids: Vec<String> = (0..count).map_while(offer).collect();
+                        match offers.iter_mut().find(|(known, _)| *known == peer) {
+                            Some((_, known)) => known.extend(ids),
+                            None => offers.push((peer, ids)),
+                        }
+                    }
+                }
+            }
+        }
+        for (peer, targets) in offers.into_iter().filter(|(_, ids)| !ids.is_empty()) {
+            outcome.offered += targets.len();
+            outcome.messages.push((peer, PeerMessage::ItemSlotOffer { targets }));
+        }
+    }
+
+    /// Starts up to `count` items at own targets.
+    fn start_own(
+        &mut self,
+        service: &str,
+        queue: &mut VecDeque<QueuedItem>,
+        count: u32,
+        outcome: &mut PassOutcome,
+    ) {
+        for _ in 0..(count as usize).min(STARTS_PER_PASS) {
+            let Some(item) = queue.front() else { return };
+            let prompt = item_prompt(&item.spec.items[item.index]);
+            let query = query(service, &prompt);
+            let Some(choice) = self.targets.pick_own(&query, self.now, EntryNode::draw) else {
+                return;
+            };
+            let Some(choice) = self.targets.take(&query, choice) else { return };
+            self.slots.note_served(service, self.now);
+            self.start_front(queue, choice, outcome);
+        }
+    }
+
+    /// Starts items by the rule for items without offers: where targets are not divided, at targets
+    /// of homes without a link, and everywhere if no offer came for long.
+    fn start_unoffered(
+        &mut self,
+        queues: &mut FastMap<String, VecDeque<QueuedItem>>,
+        outcome: &mut PassOutcome,
+    ) {
+        let waiting = queues.iter_mut().filter(|(_, queue)| !queue.is_empty());
+        let mut linked: Option<Vec<VmName>> = None;
+        for (service, queue) in waiting {
+            let linked = linked.get_or_insert_with(self.linked);
+            let is_unserved = self.slots.is_unserved(service, self.now);
+            for _ in 0..STARTS_PER_PASS {
+                let Some(item) = queue.front() else { break };
+                let prompt = item_prompt(&item.spec.items[item.index]);
+                let query = query(service, &prompt);
+                let is_open = |home: &VmName| is_unserved || !linked.contains(home);
+                let choice =
+                    self.targets.choose_unoffered(&query, is_open, self.now, EntryNode::draw);
+                let Some(choice) = choice else { break };
+                outcome.unoffered += usize::from(choice.home.is_some());
+                self.start_front(queue, choice, outcome);
+            }
+        }
+    }
+
+    fn start_front(
+        &mut self,
+        queue: &mut VecDeque<QueuedItem>,
+        choice: TargetChoice,
+        outcome: &mut PassOutcome,
+    ) {
+        let Some(QueuedItem { spec, index, .. }) = queue.pop_front() else { return };
+        let due = self.registry.table.get(&spec.id).map_or(self.now, OwnedJob::due);
+        let left_ms = (due.0 as i64 - self.now.0 as i64) / 1_000;
+        let Some(start) = self.registry.table.start_item(&spec.id, index) else {
+            return self.targets.finish(&choice.id, WorkKind::Batch, None, self.now);
+        };
+        let (cancel, cancelled) = async_channel::bounded(1);
+        let (job, target) = (spec.id.clone(), choice.id.clone());
+        let handle = ItemRunHandle { job, index, target, since: self.now, cancel };
+        let run = self.registry.add_run(handle);
+        outcome.starts.push(StartedItem { run, start, choice, cancelled, left_ms });
+    }
+}
+
+fn query<'a>(service: &'a str, prompt: &'a PromptPrefixes) -> TargetQuery<'a> {
+    let (work, queue) = (WorkKind::Batch, QueueLimit::Any);
+    TargetQuery { service, work, avoid: &[], queue, prompt }
+}
+
+fn item_use(target: &str, change: UseChange) -> PeerMessage {
+    let (target, work) = (target.to_owned(), WorkKind::Batch);
+    PeerMessage::PlaceUse { target, work, change, is_failure: None }
+}
+
+/// Whether a pass is needed although this gateway has no jobs. Items that waited here until then are
+/// no longer reported.
+pub fn needs_pass(node: &EntryNode) -> bool {
+    if !node.features.item_slots {
+        return false;
+    }
+    let mut slots = node.item_slots();
+    slots.needs_pass() || {
+        slots.set_own(&FastMap::default(), node.clock.mono());
+        false
+    }
+}
+
+/// Runs one pass, then starts its items and sends its messages.
+pub fn run_pass(node: &Arc<EntryNode>, now: MonoTime) {
+    let Some(routes) = node.routes() else { return };
+    let _order = node.report_order();
+    let is_handing_over = node.stop.is_handing_over();
+    let mut registry = node.jobs();
+    let mut targets = node.targets();
+    let mut slots = node.item_slots();
+    let outcome = ItemSlotPass {
+        registry: &mut registry,
+        targets: &mut targets,
+        slots: &mut slots,
+        routes: &routes,
+        recipients: &|| node.peers.successor_vms(),
+        linked: &|| node.peers.linked_vms(),
+        is_stopping: is_handing_over || node.stop.is_stopping(),
+        is_handing_over,
+        now,
+    }
+    .run();
+    drop((registry, targets, slots));
+    carry_out(node, outcome);
+}
+
+fn carry_out(node: &Arc<EntryNode>, outcome: PassOutcome) {
+    let PassOutcome { starts, messages, offered, declined, unoffered, expired } = outcome;
+    let counts = [
+        ("item_slots_offered", offered),
+        ("item_slot_offers_declined", declined),
+        ("items_started_unoffered", unoffered),
+        ("item_slot_offers_expired", expired),
+    ];
+    for (name, count) in counts {
+        (0..count).for_each(|_| node.metrics.count(Counter::Event(name)));
+    }
+    for (home, message) in messages {
+        if let PeerMessage::ItemSlotOffer { targets } = &message {
+            node.log.info("item_slots_offered", &[("gateway", &home), ("count", &targets.len())]);
+        }
+        node.peers.send(&home, message);
+    }
+    for StartedItem { run, start, choice, cancelled, left_ms } in starts {
+        runner::log_start(node, &start, &choice, left_ms);
+        task::spawn(run_item(Arc::clone(node), run, start, choice, cancelled));
+    }
+}
+
+/// Handles slots offered by another gateway.
+pub fn receive_offer(node: &EntryNode, home: &VmName, targets: Vec<String>) {
+    let excess = if node.features.item_slots {
+        node.item_slots().note_offers(home, targets)
+    } else {
+        let declined = targets.into_iter();
+        declined.map(|target| ReceivedOffer { home: home.clone(), target }).collect()
+    };
+    for ReceivedOffer { home, target } in excess {
+        node.peers.send(&home, item_use(&target, UseChange::Begin));
+        node.peers.send(&home, item_use(&target, UseChange::End));
+        node.metrics.count(Counter::Event("item_slot_offers_declined"));
+    }
+    node.runner_wake.notify(usize::MAX);
+}
+
+/// Handles the revocation of a slot at `target` by its home: an offer that no item has used yet is
+/// dropped, else an item is preempted.
+pub fn revoke(node: &EntryNode, home: &VmName, target: &str) {
+    if !node.item_slots().drop_received(home, target) {
+        runner::preempt_item(node, target);
+    }
+}
--- a/crates/entry/src/batch/job_registry.rs
+++ b/crates/entry/src/batch/job_registry.rs
@@ -21,6 +21,8 @@
 pub struct ItemRunHandle {
     /// Id of the job.
     pub job: String,
+    /// Index of the item in the job.
+    pub index: usize,
     /// Id of the target that runs it.
     pub target: String,
     /// When the run began.
--- a/crates/entry/src/batch/runner.rs
+++ b/crates/entry/src/batch/runner.rs
@@ -1,6 +1,6 @@
 //! Starts items at targets with free slots, preempts them for online requests, and stores results.
 
-use std::sync::Arc;
+use std::{cmp::Reverse, sync::Arc};
 
 use async_std::{future::timeout, task};
 use notch_platform_wire::target::item_prompt;
@@ -8,7 +8,13 @@
 use notch_types::prelude::*;
 
 use crate::{
-    batch::{commits, commits::ListPlace, item_run::run_item, job_registry::ItemRunHandle},
+    batch::{
+        commits,
+        commits::ListPlace,
+        item_run::run_item,
+        item_slots,
+        job_registry::{ItemRunHandle, JobRegistry},
+    },
     constants::{OBJECT_BYTES, PREEMPT_AGE, RESULT_DELAY, RUNNER_TICK, STARTS_PER_PASS},
     node::EntryNode,
 };
@@ -18,7 +24,7 @@
     loop {
         let listener = node.runner_wake.listen();
         let is_idle = node.jobs().table.is_idle();
-        if is_idle {
+        if is_idle && !item_slots::needs_pass(&node) {
             listener.await;
         } else {
             // Waiting items and results also depend on time; a wake-up only makes the next pass
@@ -27,7 +33,11 @@
         }
         let now = node.clock.mono();
         give_up_items(&node, now);
-        start_items(&node, now);
+        if node.features.item_slots {
+            item_slots::run_pass(&node, now);
+        } else {
+            start_items(&node, now);
+        }
         preempt_items(&node, now);
         store_results(&node, now);
     }
@@ -76,7 +86,7 @@
         let Some(start) = registry.table.start_item(&job, index) else { return };
         let (cancel, cancelled) = async_channel::bounded(1);
         let target = choice.id.clone();
-        let run = registry.add_run(ItemRunHandle { job, target, since: now, cancel });
+        let run = registry.add_run(ItemRunHandle { job, index, target, since: now, cancel });
         drop(registry);
         log_start(node, &start, &choice, left_ms);
         task::spawn(run_item(Arc::clone(node), run, start, choice, cancelled));
@@ -85,7 +95,7 @@
 
 /// Logs the event from which a restarted run continues and the time left to the deadline, so that
 /// both are known even if the job's former gateway is gone.
-fn log_start(node: &EntryNode, start: &ItemStart, choice: &TargetChoice, left_ms: i64) {
+pub(super) fn log_start(node: &EntryNode, start: &ItemStart, choice: &TargetChoice, left_ms: i64) {
     node.log.info(
         "item_run_started",
         &[
@@ -98,8 +108,8 @@
     );
 }
 
-/// Preempts the items that began last at targets with more requests than slots. Engines serve
-/// requests first come, first served, so online requests may wait behind them.
+/// Preempts items at targets with more requests than slots. Engines serve requests first come, first
+/// served, so online requests may wait behind them.
 fn preempt_items(node: &EntryNode, now: MonoTime) {
     let registry = node.jobs();
     let targets = node.targets();
@@ -110,19 +120,35 @@
     for (target, mut list) in runs {
         let count = targets.items_to_preempt(target, EntryNode::draw) as usize;
         list.retain(|run| now.since(run.since) >= PREEMPT_AGE);
-        list.sort_by_key(|run| std::cmp::Reverse(run.since));
+        if count == 0 {
+            continue;
+        }
+        list.sort_by_cached_key(|run| Reverse(preemption_order(node, &registry, run, now)));
         for run in list.into_iter().take(count) {
             run.cancel.close();
         }
     }
 }
 
-/// Preempts the item that began last at `target`, for an online request sent there that finds no
-/// free slot. Waiting for the next pass would add up to [`RUNNER_TICK`] to its first event.
-pub fn preempt_newest_item(node: &EntryNode, target: &str) {
+/// Order of preemption, the highest first: by slack where slots are offered to the most urgent items,
+/// else the run that began last.
+fn preemption_order(
+    node: &EntryNode,
+    registry: &JobRegistry,
+    run: &ItemRunHandle,
+    now: MonoTime,
+) -> (Option<PreemptionRank>, MonoTime) {
+    let rank = || registry.table.preemption_rank(&run.job, run.index, run.since, now);
+    (node.features.item_slots.then(rank).flatten(), run.since)
+}
+
+/// Preempts an item at `target`, for an online request sent there that finds no free slot. Waiting
+/// for the next pass would add up to [`RUNNER_TICK`] to its first event.
+pub fn preempt_item(node: &EntryNode, target: &str) {
+    let now = node.clock.mono();
     let registry = node.jobs();
     let runs = registry.runs.values().filter(|run| run.target == target && !run.cancel.is_closed());
-    if let Some(run) = runs.max_by_key(|run| run.since) {
+    if let Some(run) = runs.max_by_key(|run| preemption_order(node, &registry, run, now)) {
         run.cancel.close();
     }
 }
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -47,7 +47,7 @@
 };
 
 /// State shared by all tasks of a gateway. Locks are held only briefly, never across an await. Lock order: jobs,
-/// targets, limits, intake.
+/// targets, item slots, limits, intake.
 #[derive(Debug)]
 pub struct EntryNode {
     /// Settings as read at the start; a reload doesn't change them.
@@ -100,6 +100,8 @@
     retry_detector: Mutex<RetryDetector>,
     dropped_routes: Mutex<DroppedRoutes>,
     job_admission: Mutex<JobAdmissionTable>,
+    item_slots: Mutex<ItemSlotTable>,
+    report_order: Mutex<()>,
 }
 
 impl EntryNode {
@@ -146,6 +148,8 @@
             retry_detector: Mutex::default(),
             dropped_routes: Mutex::default(),
             job_admission: Mutex::default(),
+            item_slots: Mutex::default(),
+            report_order: Mutex::default(),
             features: GatewayFeatures::of(&config),
             config,
         };
@@ -187,6 +191,25 @@
         self.job_admission.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Items that wait at all gateways, by which slots are offered.
+    pub fn item_slots(&self) -> MutexGuard<'_, ItemSlotTable> {
+        self.item_slots.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Held while a report of uses is read and queued, and while answers to offers are. A home counts an offer until it
+    /// is answered, so a report that overtakes the answer to an offer would count its item twice. Taken before all
+    /// other locks.
+    pub fn report_order(&self) -> MutexGuard<'_, ()> {
+        self.report_order.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Has the runner offer a slot that became free at an own target, if items wait anywhere.
+    pub fn note_slot_freed(&self) {
+        if self.features.item_slots && self.item_slots().has_waiting() {
+            self.runner_wake.notify(usize::MAX);
+        }
+    }
+
     /// The routes of the configuration in force; `None` until a first one is known.
     pub fn routes(&self) -> Option<Arc<RouteTable>> {
         let current = self.configuration.read().unwrap_or_else(PoisonError::into_inner);
--- a/crates/entry/src/online/lease.rs
+++ b/crates/entry/src/online/lease.rs
@@ -48,5 +48,8 @@
         let now = self.node.clock.mono();
         self.node.targets().finish(&self.id, self.work, self.outcome, now);
         self.notify_home(UseChange::End);
+        if self.home.is_none() {
+            self.node.note_slot_freed();
+        }
     }
 }
--- a/crates/entry/src/online/slots.rs
+++ b/crates/entry/src/online/slots.rs
@@ -103,7 +103,7 @@
 pub fn revoke(node: &EntryNode, target: &str, preempted: &PreemptedItem) {
     node.metrics.count(Counter::Event("item_places_revoked"));
     match preempted {
-        PreemptedItem::Own => runner::preempt_newest_item(node, target),
+        PreemptedItem::Own => runner::preempt_item(node, target),
         PreemptedItem::Peer(vm) => {
             node.peers.send(vm, PeerMessage::PlaceRevoke { target: target.to_owned() });
         }
--- a/crates/entry/src/peers/links.rs
+++ b/crates/entry/src/peers/links.rs
@@ -9,6 +9,7 @@
     prelude::StoreObject,
     store::{object_path, spec_body},
 };
+use notch_relay::prelude::UseChange;
 use notch_types::prelude::*;
 use serde_json::value::RawValue;
 
@@ -17,7 +18,7 @@
         credit,
         freshness::{self, ProofAge},
     },
-    batch::{bodies, ends, limits, ownership, reads, runner, takeover},
+    batch::{bodies, ends, item_slots, limits, ownership, reads, takeover},
     constants::{GATEWAY_WATCH_PAUSE, STORE_PAUSE},
     node::EntryNode,
     online::{crashes, slots},
@@ -216,13 +217,21 @@
             apply_ownership(node, &owner, &jobs);
         }
         PeerMessage::Report {
-            uses, configuration, targets, digest, is_watching, gateways, ..
+            uses,
+            configuration,
+            targets,
+            digest,
+            is_watching,
+            gateways,
+            waiting,
+            ..
         } => {
             node.peers.set_watching(&peer.vm, is_watching);
             if let Some(report) = gateways {
                 compare_roster(node, &peer.vm, report);
             }
             reports::apply_uses(node, &peer.vm, uses, node.clock.mono());
+            reports::apply_waiting(node, &peer.vm, waiting, node.clock.mono());
             catch_up_with(node, &peer.vm, KnownVersions { configuration, targets, digest });
         }
         PeerMessage::Demand { demands, pace } => {
@@ -298,13 +307,16 @@
         PeerMessage::PlaceAsk { call, service, avoid, may_displace } => {
             slots::answer(node, &peer.vm, call, &service, &avoid, may_displace);
         }
-        PeerMessage::PlaceRevoke { target } => runner::preempt_newest_item(node, &target),
+        PeerMessage::PlaceRevoke { target } => item_slots::revoke(node, &peer.vm, &target),
         PeerMessage::PlaceAnswer { call, answer } => {
             slots::handle_answer(node, &peer.vm, call, answer);
         }
         PeerMessage::PlaceUse { target, work, change, .. } => {
             let now = node.clock.mono();
             node.targets().note_peer_use(&peer.vm, &target, work, change, now);
+            if change == UseChange::End {
+                node.note_slot_freed();
+            }
         }
         PeerMessage::AgeAsk { call } => freshness::answer(node, &peer.vm, call),
         PeerMessage::Age { call, version, age_ms } => {
@@ -321,7 +333,9 @@
             node.peers.credit_calls.answer(call, answer);
         }
         PeerMessage::CreditReturned { .. } => {}
-        PeerMessage::ItemSlotOffer { .. } => {}
+        PeerMessage::ItemSlotOffer { targets } => {
+            item_slots::receive_offer(node, &peer.vm, targets);
+        }
         PeerMessage::TargetEjected { .. } => {}
         PeerMessage::EvictionAsk { .. } | PeerMessage::EvictionAnswer { .. } => {}
         PeerMessage::Stopping => {
--- a/crates/entry/src/peers/reports.rs
+++ b/crates/entry/src/peers/reports.rs
@@ -4,7 +4,10 @@
 
 use async_std::task;
 use notch_messages::prelude::*;
-use notch_relay::prelude::{TargetUse, report_interval};
+use notch_relay::{
+    item_slots::waiting::has_changed,
+    prelude::{TargetUse, WaitingItems, WaitingReport, report_interval},
+};
 use notch_types::prelude::*;
 
 use crate::{
@@ -25,7 +28,7 @@
     let KnownVersions { configuration, targets, digest } = node.known_versions();
     let is_watching = node.watch.is_watching();
     let gateways = is_watching.then(|| roster_report(node)).flatten();
-    let (waiting, paces) = (Vec::new(), Vec::new());
+    let (waiting, paces) = (waiting_report(node), Vec::new());
     PeerMessage::Report {
         uses,
         configuration,
@@ -38,6 +41,27 @@
     }
 }
 
+/// Items that wait here, if slots are offered for them.
+fn waiting_report(node: &EntryNode) -> Vec<WaitingItemsReport> {
+    if !node.features.item_slots {
+        return Vec::new();
+    }
+    let report = |WaitingReport { service, items }| WaitingItemsReport {
+        service,
+        count: items.count,
+        slack_ms: items.slack_ms,
+    };
+    node.item_slots().own_waiting().into_iter().map(report).collect()
+}
+
+fn decode_waiting(reports: &[WaitingItemsReport]) -> Vec<WaitingReport> {
+    let decode = |report: &WaitingItemsReport| WaitingReport {
+        service: report.service.clone(),
+        items: WaitingItems { count: report.count, slack_ms: report.slack_ms },
+    };
+    reports.iter().map(decode).collect()
+}
+
 /// The gateways' entries as the store confirmed them last.
 fn roster_report(node: &EntryNode) -> Option<RosterReport> {
     let age = node.peers.entries.age(node.clock.mono())?;
@@ -45,19 +69,23 @@
     Some(RosterReport { digest, age_ms: age.as_millis() as u64 + 1 })
 }
 
-/// How long after the last report the next one is due. A change of versions alone doesn't count: changes are pushed, and
+/// How long after the last report, which was sent `age` ago, the next one is due. A change of versions alone doesn't count: changes are pushed, and
 /// reporting each would take a message from every gateway to every other.
-fn due_after(last: &PeerMessage, new: &PeerMessage, gateways: usize) -> Duration {
+fn due_after(last: &PeerMessage, new: &PeerMessage, age: Duration, gateways: usize) -> Duration {
     let (
-        PeerMessage::Report { uses, is_watching, .. },
-        PeerMessage::Report { uses: new_uses, is_watching: new_watching, .. },
+        PeerMessage::Report { uses, is_watching, waiting, .. },
+        PeerMessage::Report {
+            uses: new_uses, is_watching: new_watching, waiting: new_waiting, ..
+        },
     ) = (last, new)
     else {
         return Duration::ZERO;
     };
     if is_watching != new_watching {
         Duration::ZERO
-    } else if uses != new_uses {
+    } else if uses != new_uses
+        || has_changed(&decode_waiting(waiting), &decode_waiting(new_waiting), age)
+    {
         report_interval(gateways)
     } else {
         REPORT_IDLE
@@ -71,9 +99,10 @@
     loop {
         task::sleep(REPORT_CHECK_INTERVAL).await;
         let now = node.clock.mono();
+        let _order = node.report_order();
         let message = report(&node);
         let gateways = node.peers.known_count() + 1;
-        let due = last.as_ref().map(|last| due_after(last, &message, gateways));
+        let due = last.as_ref().map(|last| due_after(last, &message, now.since(last_at), gateways));
         // The checks themselves are late by a little, which would double the shortest interval.
         if due.is_some_and(|due| now.since(last_at) + REPORT_CHECK_INTERVAL / 2 < due) {
             continue;
@@ -92,3 +121,22 @@
     });
     node.targets().take_report(peer, uses.collect(), now);
 }
+
+/// Applies another gateway's report of its waiting items. Wakes the runner if it may be asleep, as no items waited so
+/// far.
+pub fn apply_waiting(
+    node: &EntryNode,
+    peer: &VmName,
+    waiting: Vec<WaitingItemsReport>,
+    now: MonoTime,
+) {
+    if !node.features.item_slots {
+        return;
+    }
+    let mut slots = node.item_slots();
+    let needed_pass = slots.needs_pass();
+    slots.take_report(peer, decode_waiting(&waiting), EntryNode::draw(), now);
+    if !needed_pass && slots.needs_pass() {
+        node.runner_wake.notify(usize::MAX);
+    }
+}
--- /dev/null
+++ b/crates/relay/src/item_slots.rs
@@ -0,0 +1,238 @@
+//! Slots for items of batch jobs: which gateway a home offers its free slots to, and when a gateway
+//! starts items without an offer.
+//!
+//! It is designed for jobs that land on a few of many gateways while a third to a half of all slots
+//! is free, with a peak of online requests every few seconds.
+
+pub mod offers;
+pub mod preemption;
+pub mod waiting;
+
+use std::{collections::VecDeque, time::Duration};
+
+use notch_types::prelude::*;
+
+use crate::item_slots::waiting::{OwnWaiting, PeerWaiting, WaitingItems, WaitingReport};
+
+/// How long a report of waiting items is valid; it is sent again at least twice in this time.
+const REPORT_LIFETIME: Duration = Duration::from_millis(2_500);
+/// Waiting time after which a gateway is offered at least one slot, whatever its share: rounding
+/// at random may pass it over for several reports in a row.
+const MIN_SHARE_AFTER: Duration = Duration::from_millis(200);
+/// Time after which the share of a gateway is computed anew without a new report. Reports of
+/// changes are this far apart.
+const SHARE_WINDOW: Duration = Duration::from_millis(100);
+/// Waiting time without an offer after which items start without one. A home of a build or setting
+/// without offers never sends any.
+const UNSERVED_AFTER: Duration = Duration::from_millis(1_000);
+/// Maximum number of offers held between two passes. A gateway is offered at most the slots for the
+/// items that it reported.
+const MAX_RECEIVED: usize = 256;
+
+/// Free slots of one service.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct FreeSlots {
+    /// At targets whose home is this gateway.
+    pub here: u32,
+    /// At all targets, as far as reports tell.
+    pub all: u32,
+}
+
+/// Slots that a home gives to one gateway.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SlotShare {
+    /// The gateway; `None` for this one.
+    pub gateway: Option<VmName>,
+    /// Number of slots; at least 1.
+    pub count: u32,
+}
+
+/// An offer that another gateway sent.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ReceivedOffer {
+    /// The gateway that sent it.
+    pub home: VmName,
+    /// Id of the target.
+    pub target: String,
+}
+
+/// Waiting items of all gateways, and the offers received since the last pass.
+#[derive(Debug, Default)]
+pub struct ItemSlotTable {
+    peers: FastMap<VmName, PeerWaiting>,
+    /// Items that wait here, by service.
+    own: FastMap<String, OwnWaiting>,
+    /// Offers in order of arrival. Invariant: at most [`MAX_RECEIVED`].
+    received: VecDeque<ReceivedOffer>,
+}
+
+impl ItemSlotTable {
+    /// Replaces another gateway's report of its waiting items. The report is complete. `draw` is a
+    /// random number from 0 to 1 by which shares are rounded.
+    pub fn take_report(
+        &mut self,
+        peer: &VmName,
+        reports: Vec<WaitingReport>,
+        draw: f64,
+        now: MonoTime,
+    ) {
+        if reports.is_empty() {
+            self.peers.remove(peer);
+            return;
+        }
+        let before = self.peers.remove(peer);
+        self.peers.insert(peer.clone(), PeerWaiting::new(reports, before.as_ref(), draw, now));
+    }
+
+    /// Drops reports of gateways that have not been heard from for too long.
+    pub fn expire(&mut self, now: MonoTime) {
+        self.peers.retain(|_, peer| now.since(peer.at) <= REPORT_LIFETIME);
+    }
+
+    /// Whether items wait at another gateway or offers have arrived.
+    pub fn needs_pass(&self) -> bool {
+        !self.peers.is_empty() || !self.received.is_empty()
+    }
+
+    /// Sets the items that wait here, by service.
+    pub fn set_own(&mut self, waiting: &FastMap<String, WaitingItems>, now: MonoTime) {
+        self.own.retain(|service, _| waiting.contains_key(service));
+        for (service, items) in waiting {
+            match self.own.get_mut(service) {
+                Some(own) => own.items = *items,
+                None => drop(self.own.insert(service.clone(), OwnWaiting::new(*items, now))),
+            }
+        }
+    }
+
+    /// The items that wait here, by service.
+    pub fn own_waiting(&self) -> Vec<WaitingReport> {
+        let reports = self
+            .own
+            .iter()
+            .map(|(service, own)| WaitingReport { service: service.clone(), items: own.items });
+        let mut reports: Vec<WaitingReport> = reports.collect();
+        reports.sort_by(|a, b| a.service.cmp(&b.service));
+        reports
+    }
+
+    /// Whether items wait anywhere.
+    pub fn has_waiting(&self) -> bool {
+        !self.own.is_empty() || !self.peers.is_empty()
+    }
+
+    /// Services for which items wait anywhere.
+    pub fn services(&self) -> FastSet<&str> {
+        let own = self.own.keys().map(String::as_str);
+        own.chain(self.peers.values().flat_map(PeerWaiting::services)).collect()
+    }
+
+    /// Records slots offered by another gateway. Returns the offers that exceed the limit, which are
+    /// to be declined.
+    pub fn note_offers(&mut self, home: &VmName, targets: Vec<String>) -> Vec<ReceivedOffer> {
+        let offers = targets.into_iter().map(|target| ReceivedOffer { home: home.clone(), target });
+        let mut offers: Vec<ReceivedOffer> = offers.collect();
+        let excess = offers.split_off(offers.len().min(MAX_RECEIVED - self.received.len()));
+        self.received.extend(offers);
+        excess
+    }
+
+    /// Removes a received offer of a slot at `target` that its home revokes. Returns false if there
+    /// is none.
+    pub fn drop_received(&mut self, home: &VmName, target: &str) -> bool {
+        let found =
+            self.received.iter().position(|offer| offer.home == *home && offer.target == target);
+        found.is_some_and(|index| self.received.remove(index).is_some())
+    }
+
+    /// Takes the offers received since the last pass.
+    pub fn take_received(&mut self) -> Vec<ReceivedOffer> {
+        self.received.drain(..).collect()
+    }
+
+    /// Records that an item of `service` starts at a slot that a home gave to this gateway.
+    pub fn note_served(&mut self, service: &str, now: MonoTime) {
+        if let Some(own) = self.own.get_mut(service) {
+            own.served_at = now;
+        }
+    }
+
+    /// Whether items of `service` have waited here for so long without an offer that they start
+    /// without one.
+    pub fn is_unserved(&self, service: &str, now: MonoTime) -> bool {
+        self.own.get(service).is_some_and(|own| now.since(own.served_at) >= UNSERVED_AFTER)
+    }
+
+    /// Divides the free slots of `service` at this gateway's targets. The gateway whose items have
+    /// the least slack comes first, those that will be late come last. Each gets the share of its
+    /// items that this home has of all free slots; what is left goes to this gateway, which knows
+    /// its own items exactly. `may_receive` tells which gateways take offers, this one being `None`,
+    /// and `in_flight` how many offers of this home a gateway has not answered yet.
+    ///
+    /// It is designed for a dozen homes that read the same report and see the same waiting items:
+    /// together they offer about as many slots as items wait.
+    pub fn divide(
+        &mut self,
+        service: &str,
+        slots: FreeSlots,
+        may_receive: impl Fn(Option<&VmName>) -> bool,
+        in_flight: impl Fn(&VmName) -> u32,
+        now: MonoTime,
+    ) -> Vec<SlotShare> {
+        let own = self.own.get(service).filter(|_| may_receive(None));
+        let own_count = own.map_or(0, |own| own.items.count);
+        let mut order: Vec<(bool, i64, Option<VmName>)> = Vec::new();
+        order.extend(own.map(|own| (own.items.is_late(), own.items.slack_ms, None)));
+        for (peer, waiting) in &self.peers {
+            if let Some(items) = waiting.items(service, now)
+                && may_receive(Some(peer))
+            {
+                order.push((items.is_late(), items.slack_ms, Some(peer.clone())));
+            }
+        }
+        order.sort();
+        let has_peers = order.iter().any(|(_, _, gateway)| gateway.is_some());
+        let mut left = slots.here;
+        let mut shares: Vec<SlotShare> = Vec::new();
+        for (_, _, gateway) in order {
+            let wanted = match &gateway {
+                None if has_peers => own_share(own_count, slots),
+                None => own_count,
+                Some(peer) => {
+                    let in_flight = in_flight(peer);
+                    let waiting = self.peers.get_mut(peer);
+                    waiting.map_or(0, |waiting| waiting.quota(service, slots, in_flight, now))
+                }
+            };
+            let count = wanted.min(left);
+            if count == 0 {
+                continue;
+            }
+            left -= count;
+            if let Some(waiting) = gateway.as_ref().and_then(|peer| self.peers.get_mut(peer)) {
+                waiting.note_offered(service, count);
+            }
+            shares.push(SlotShare { gateway, count });
+        }
+        give_rest(&mut shares, own_count, left);
+        shares
+    }
+}
+
+/// Own items that a home starts before it offers slots to less urgent gateways: its share, rounded
+/// up.
+fn own_share(count: u32, slots: FreeSlots) -> u32 {
+    let share = f64::from(count) * f64::from(slots.here) / f64::from(slots.all.max(1));
+    (share.ceil() as u32).min(count)
+}
+
+/// Adds the slots that are left to the share of this gateway, up to its number of items.
+fn give_rest(shares: &mut Vec<SlotShare>, own_count: u32, left: u32) {
+    let own = shares.iter_mut().find(|share| share.gateway.is_none());
+    let rest = left.min(own_count - own.as_ref().map_or(0, |share| share.count));
+    match own {
+        Some(share) => share.count += rest,
+        None if rest > 0 => shares.push(SlotShare { gateway: None, count: rest }),
+        None => {}
+    }
+}
--- /dev/null
+++ b/crates/relay/src/item_slots/waiting.rs
@@ -0,0 +1,162 @@
+//! Items that wait for a slot, as each gateway reports them.
+
+use std::time::Duration;
+
+use notch_types::prelude::*;
+
+use crate::item_slots::{FreeSlots, MIN_SHARE_AFTER, SHARE_WINDOW};
+
+/// Change of the slack, beyond the passing of time, that is worth a report: an offer that comes
+/// this much too late still leaves the order among gateways nearly right.
+const SLACK_TOLERANCE_MS: u64 = 250;
+
+/// Waiting items of one service that may start now.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct WaitingItems {
+    /// Number of items.
+    pub count: u32,
+    /// Slack of the item that starts first, milliseconds: the least of those that can still be in
+    /// time, else the negative slack of a late one.
+    pub slack_ms: i64,
+}
+
+impl WaitingItems {
+    /// Adds an item. Items are added in the order in which they start.
+    pub fn add(&mut self, slack_ms: i64) {
+        if self.count == 0 {
+            self.slack_ms = slack_ms;
+        } else if slack_ms >= 0 {
+            self.slack_ms = self.slack_ms.min(slack_ms);
+        }
+        self.count += 1;
+    }
+
+    /// Whether none of the items can be in time.
+    pub fn is_late(&self) -> bool {
+        self.slack_ms < 0
+    }
+}
+
+/// Waiting items of one service in a report.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WaitingReport {
+    /// The service.
+    pub service: String,
+    /// Its waiting items.
+    pub items: WaitingItems,
+}
+
+/// Whether waiting items have changed since the report `last`, which was sent `age` ago. The slack
+/// of waiting items decreases with time, which the receiver knows.
+pub fn has_changed(last: &[WaitingReport], new: &[WaitingReport], age: Duration) -> bool {
+    let is_same = |(last, new): (&WaitingReport, &WaitingReport)| {
+        let expected = last.items.slack_ms - age.as_millis() as i64;
+        last.service == new.service
+            && last.items.count == new.items.count
+            && expected.abs_diff(new.items.slack_ms) <= SLACK_TOLERANCE_MS
+    };
+    last.len() != new.len() || !last.iter().zip(new).all(is_same)
+}
+
+/// Items of one service that wait at this gateway.
+#[derive(Debug)]
+pub(super) struct OwnWaiting {
+    pub(super) items: WaitingItems,
+    /// When a slot was last given to this gateway, or when items began to wait.
+    pub(super) served_at: MonoTime,
+}
+
+impl OwnWaiting {
+    pub(super) fn new(items: WaitingItems, now: MonoTime) -> Self {
+        Self { items, served_at: now }
+    }
+}
+
+/// Items of one service that wait at another gateway.
+#[derive(Debug)]
+struct ServiceWaiting {
+    report: WaitingReport,
+    /// Since when its reports contain waiting items of the service.
+    since: MonoTime,
+    /// Slots offered to it since `window_start`. They may be missing in its report.
+    offered: u32,
+}
+
+/// Waiting items of another gateway.
+#[derive(Debug)]
+pub(super) struct PeerWaiting {
+    /// When the report arrived.
+    pub(super) at: MonoTime,
+    /// When the shares were last rounded.
+    window_start: MonoTime,
+    /// Random number by which shares are rounded. A new one for each pass would raise the sum of
+    /// all offers.
+    draw: f64,
+    services: Vec<ServiceWaiting>,
+}
+
+impl PeerWaiting {
+    pub(super) fn new(
+        reports: Vec<WaitingReport>,
+        before: Option<&Self>,
+        draw: f64,
+        now: MonoTime,
+    ) -> Self {
+        let services = reports.into_iter().map(|report| {
+            let known = before.and_then(|before| before.service(&report.service));
+            let since = known.map_or(now, |known| known.since);
+            ServiceWaiting { report, since, offered: 0 }
+        });
+        Self { at: now, window_start: now, draw, services: services.collect() }
+    }
+
+    pub(super) fn services(&self) -> impl Iterator<Item = &str> {
+        self.services.iter().map(|waiting| waiting.report.service.as_str())
+    }
+
+    /// Waiting items of a service, with the slack that is left at `now`.
+    pub(super) fn items(&self, service: &str, now: MonoTime) -> Option<WaitingItems> {
+        let items = self.service(service)?.report.items;
+        let slack_ms = items.slack_ms - now.since(self.at).as_millis() as i64;
+        Some(WaitingItems { slack_ms, ..items })
+    }
+
+    /// Number of slots to be offered to it now, if its items were the most urgent ones.
+    pub(super) fn quota(
+        &mut self,
+        service: &str,
+        slots: FreeSlots,
+        in_flight: u32,
+        now: MonoTime,
+    ) -> u32 {
+        let is_new_window = now.since(self.window_start) >= SHARE_WINDOW;
+        if is_new_window {
+            self.window_start = now;
+            for waiting in &mut self.services {
+                waiting.offered = 0;
+            }
+        }
+        let draw = self.draw;
+        let found = self.services.iter().find(|waiting| waiting.report.service == service);
+        let Some(waiting) = found else { return 0 };
+        let here = f64::from(slots.here + waiting.offered);
+        let all = f64::from(slots.all.max(slots.here) + waiting.offered);
+        // Offers that it has not answered may have started items that its report still contains.
+        let count = waiting.report.items.count.saturating_sub(in_flight.max(waiting.offered));
+        let total = f64::from(waiting.report.items.count) * here / all.max(1.0) + draw;
+        let min_share = u32::from(now.since(waiting.since) >= MIN_SHARE_AFTER);
+        let total = (total as u32).max(min_share);
+        total.saturating_sub(in_flight.max(waiting.offered)).min(count)
+    }
+
+    pub(super) fn note_offered(&mut self, service: &str, count: u32) {
+        let found = self.services.iter_mut().find(|waiting| waiting.report.service == service);
+        if let Some(waiting) = found {
+            waiting.offered += count;
+        }
+    }
+
+    fn service(&self, service: &str) -> Option<&ServiceWaiting> {
+        self.services.iter().find(|waiting| waiting.report.service == service)
+    }
+}
--- a/crates/relay/src/jobs/owned.rs
+++ b/crates/relay/src/jobs/owned.rs
@@ -5,6 +5,7 @@
 use notch_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
+use crate::item_slots::preemption::slack_ms;
 use crate::jobs::{
     ownership::OwnershipGeneration,
     result::{ItemState, ResultLine},
@@ -208,13 +209,32 @@
         Some(best.0)
     }
 
+    /// Indices of all items that may start at `now`, each with the size of its output so far.
+    pub fn ready_items(&self, now: MonoTime) -> impl Iterator<Item = (usize, usize)> {
+        let items = self.items.iter().enumerate().filter(|_| !self.ended);
+        let ready = items
+            .filter(move |(_, item)| matches!(item.phase, ItemPhase::Waiting(at) if at <= now));
+        ready.map(|(index, item)| (index, item.output.len()))
+    }
+
+    /// Time left until the job is due after a run of an item that begins at `now`, milliseconds;
+    /// negative if the run is likely to end late.
+    pub fn slack_ms(&self, index: usize, run_time: &ItemRunTime, now: MonoTime) -> i64 {
+        slack_ms(self.due, self.needed(index, run_time), now)
+    }
+
     /// Whether a run of an item that begins at `now` is likely to end after the job is due. An item
     /// whose lifetime is nearly over is not considered late, since it would be given up.
     pub fn is_late(&self, index: usize, run_time: &ItemRunTime, now: MonoTime) -> bool {
+        let needed = self.needed(index, run_time);
+        now + needed > self.due && now + EXPIRY_PRIORITY_WINDOW < self.expires
+    }
+
+    /// Expected time of a run of an item that begins now.
+    fn needed(&self, index: usize, run_time: &ItemRunTime) -> Duration {
         let item_time = run_time.expected(self.spec.items[index].answer.expected());
         let has_progress = self.items[index].last_event.is_some();
-        let needed = if has_progress { item_time / PROGRESS_DIVISOR } else { item_time };
-        now + needed > self.due && now + EXPIRY_PRIORITY_WINDOW < self.expires
+        if has_progress { item_time / PROGRESS_DIVISOR } else { item_time }
     }
 
     /// Run time on one slot of the items that can still be done in time. A running item counts with
--- a/crates/relay/src/jobs/table.rs
+++ b/crates/relay/src/jobs/table.rs
@@ -1,10 +1,11 @@
 //! Jobs owned by one gateway, and the selection of the next item to run.
 
-use std::{sync::Arc, time::Duration};
+use std::{cmp::Reverse, sync::Arc, time::Duration};
 
 use notch_types::prelude::*;
 
 use crate::{
+    item_slots::preemption::PreemptionRank,
     job_admission::demand::DueWork,
     jobs::{
         owned::OwnedJob,
@@ -32,6 +33,18 @@
     pub last_event: Option<u64>,
 }
 
+/// A waiting item that may start now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct WaitingItem<'a> {
+    /// The item's job.
+    pub spec: &'a Arc<JobSpec>,
+    /// Index of the item in the job.
+    pub index: usize,
+    /// Time left until it is due, less its expected run time, milliseconds; negative if it is
+    /// expected to be late.
+    pub slack_ms: i64,
+}
+
 /// Jobs owned by one gateway.
 #[derive(Debug, Default)]
 pub struct JobTable {
@@ -138,6 +151,38 @@
         Some((job.spec().id.clone(), index))
     }
 
+    /// All items that may start at `now`, in the order of [`next_item`](Self::next_item).
+    pub fn waiting_items(&self, now: MonoTime) -> Vec<WaitingItem<'_>> {
+        let run_time = self.run_time();
+        let mut ranked = Vec::new();
+        for job in self.jobs.values() {
+            for (index, output) in job.ready_items(now) {
+                let is_late = job.is_late(index, &run_time, now);
+                let slack_ms = job.slack_ms(index, &run_time, now);
+                // An item whose lifetime is nearly over is not late, whatever its slack.
+                let slack_ms = if is_late { slack_ms.min(-1) } else { slack_ms.max(0) };
+                let item = WaitingItem { spec: job.spec(), index, slack_ms };
+                ranked.push(((is_late, job.due(), Reverse(output)), item));
+            }
+        }
+        ranked.sort_by_key(|(rank, _)| *rank);
+        ranked.into_iter().map(|(_, item)| item).collect()
+    }
+
+    /// Rank of a running item among those to preempt; `None` if the job is not present.
+    pub fn preemption_rank(
+        &self,
+        job: &str,
+        index: usize,
+        since: MonoTime,
+        now: MonoTime,
+    ) -> Option<PreemptionRank> {
+        let job = self.jobs.get(job)?;
+        let answer = job.spec().items.get(index)?.answer;
+        let expected = self.run_time().expected_or_default(answer.expected());
+        Some(PreemptionRank::new(job.due(), since, expected, now))
+    }
+
     /// Records that an item ran from start to end within `took`.
     pub fn note_whole_run(&mut self, item: &ItemSpec, took: Duration) {
         self.run_time.note(took, item.answer.expected());
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod accounts;
 mod ewma;
 pub mod follower_start;
+pub mod item_slots;
 pub mod job_admission;
 pub mod jobs;
 pub mod limits;
@@ -32,6 +33,11 @@
             view::{LimiterView, PeerCounts},
         },
         follower_start::{expectation_span, expected_followers, takeover_delay},
+        item_slots::{
+            FreeSlots, ItemSlotTable, ReceivedOffer, SlotShare,
+            preemption::PreemptionRank,
+            waiting::{WaitingItems, WaitingReport},
+        },
         job_admission::{
             demand::{DueWork, WorkDemand},
             forecast::JobAdmissionForecast,
@@ -44,7 +50,7 @@
             run_time::{ItemRunTime, ItemRunTimeStats},
             search::SearchSchedule,
             spec::{AnswerSize, ItemSpec, JobSpec, JobTerms, limit_name},
-            table::{ItemStart, JobTable},
+            table::{ItemStart, JobTable, WaitingItem},
         },
         limits::{
             count::{LimitCount, LimitCountThrottle},
--- a/crates/relay/src/targets/table.rs
+++ b/crates/relay/src/targets/table.rs
@@ -1,11 +1,13 @@
 //! All known targets, their load, and the selection among them.
 
 mod admission;
+mod item_offers;
 
 use std::{net::SocketAddr, time::Duration};
 
 use notch_types::prelude::*;
 
+use crate::item_slots::offers::OfferLedger;
 use crate::targets::{
     choice::{TargetChoice, TargetQuery, WorkKind},
     entry::{TargetEntry, TargetState},
@@ -67,6 +69,9 @@
     prefix_cache: PrefixCacheIndex,
     /// This gateway's use of targets without an entry, until their last request ends.
     orphaned_uses: FastMap<String, OrphanedUse>,
+    /// Slots for items that this gateway offered. Invariant: each counts in the `others` of its
+    /// target's record.
+    offers: OfferLedger,
 }
 
 impl TargetTable {
@@ -108,6 +113,7 @@
 
     /// Removes a target whose entry is gone. It gets no new requests.
     pub fn remove(&mut self, id: &str) {
+        self.offers.remove_target(id);
         if let Some(record) = self.records.remove(id)
             && record.own.total() > 0
         {
@@ -380,6 +386,7 @@
         for peer in old {
             self.drop_report(&peer);
         }
+        self.expire_offers(now);
     }
 
     /// Number of this gateway's items at `id` to preempt because online requests queue behind
--- a/crates/relay/src/targets/table/admission.rs
+++ b/crates/relay/src/targets/table/admission.rs
@@ -134,7 +134,7 @@
     }
 
     /// Own targets that accept requests for a service.
-    fn own_records(
+    pub(super) fn own_records(
         &self,
         service: &str,
         avoid: &[String],
@@ -162,9 +162,13 @@
         able.min_by_key(|record| online(record))
     }
 
-    /// Selects the owner of the item to preempt at an own target: this gateway if it has items
-    /// there, else the gateway with the most items there, whose use is reduced at once.
+    /// Selects the owner of the item to preempt at an own target: the receiver of an offer that was
+    /// not answered, else this gateway if it has items there, else the gateway with the most items
+    /// there, whose use is reduced at once.
     fn revoke_item(&mut self, id: &str, now: MonoTime) -> Option<PreemptedItem> {
+        if let Some(peer) = self.withdraw_offer(id) {
+            return Some(PreemptedItem::Peer(peer));
+        }
         if self.records.get(id)?.own.batch > 0 {
             return Some(PreemptedItem::Own);
         }
@@ -186,6 +190,7 @@
         change: UseChange,
         now: MonoTime,
     ) {
+        self.settle_offer(peer, id, work, change);
         let report = self
             .reports
             .entry(peer.clone())
--- /dev/null
+++ b/crates/relay/src/targets/table/item_offers.rs
@@ -0,0 +1,164 @@
+//! Slots for items: free ones at own targets, offers of them to other gateways, and offers received.
+
+use notch_types::prelude::*;
+
+use crate::{
+    item_slots::FreeSlots,
+    targets::{
+        choice::{TargetChoice, TargetQuery, WorkKind},
+        record::UseChange,
+        table::{TIE_BREAK_RANGE, TargetTable},
+    },
+};
+
+impl TargetTable {
+    /// Whether targets are divided among several home gateways.
+    pub fn has_homes(&self) -> bool {
+        self.homes.is_shared()
+    }
+
+    /// Whether this gateway is the home of target `id`.
+    pub fn is_home_of(&self, id: &str) -> bool {
+        self.homes.is_own(id)
+    }
+
+    /// Free slots of a service at targets that accept requests.
+    pub fn free_item_slots(&self, service: &str, now: MonoTime) -> FreeSlots {
+        let mut slots = FreeSlots::default();
+        for record in self.records.values() {
+            if record.takes(service) && !record.health.is_avoided(now) {
+                let free = record.entry.slots.saturating_sub(record.total());
+                slots.all += free;
+                if self.homes.is_own(&record.entry.id) {
+                    slots.here += free;
+                }
+            }
+        }
+        slots
+    }
+
+    /// Offers `peer` a free slot at an own target and counts it there until the peer answers or the
+    /// offer expires. Returns the target's id.
+    ///
+    /// It is designed for items that wait at few gateways while slots are free at the targets of
+    /// others.
+    pub fn offer_slot(
+        &mut self,
+        peer: &VmName,
+        service: &str,
+        now: MonoTime,
+        mut draw: impl FnMut() -> f64,
+    ) -> Option<String> {
+        let able = self.own_records(service, &[], now).filter(|record| record.has_free_slot());
+        let scored = able.map(|record| {
+            let score = record.score(&self.domain, true, now) + draw() * TIE_BREAK_RANGE;
+            (score, record.entry.id.clone())
+        });
+        let best: Option<(f64, String)> = scored.min_by(|(a, _), (b, _)| a.total_cmp(b));
+        let (_, id) = best?;
+        self.offers.add(peer, &id, now);
+        if let Some(record) = self.records.get_mut(&id) {
+            record.others.batch += 1;
+        }
+        Some(id)
+    }
+
+    /// Counts an item at target `id`, at which `home` offered a slot. Returns `None` if the slot
+    /// can't be used: the target is gone, avoided or has more requests than slots, or `home` is no
+    /// longer its home, as after a freeze in which the offer was held up.
+    pub fn take_offered(
+        &mut self,
+        query: &TargetQuery<'_>,
+        home: &VmName,
+        id: &str,
+        now: MonoTime,
+    ) -> Option<TargetChoice> {
+        let is_home = self.homes.other_home(id) == Some(home);
+        let record = self.records.get(id)?;
+        // Reports of the other gateways are late, so a target that is just full may have a slot.
+        let is_able = is_home
+            && record.takes(query.service)
+            && !record.health.is_avoided(now)
+            && record.waiting() == 0;
+        if !is_able {
+            return None;
+        }
+        let choice =
+            TargetChoice { has_free_slot: true, is_granted: true, ..self.choice_of(record) };
+        self.take(query, choice)
+    }
+
+    /// Selects a target for an item that starts without an offer, among the targets for which
+    /// `is_open` holds, by the rule for items without offers, and counts it there.
+    pub fn choose_unoffered(
+        &mut self,
+        query: &TargetQuery<'_>,
+        is_open: impl Fn(&VmName) -> bool,
+        now: MonoTime,
+        draw: impl FnMut() -> f64,
+    ) -> Option<TargetChoice> {
+        let is_closed = |id: &&String| match self.homes.other_home(id) {
+            Some(home) => !is_open(home),
+            None => self.homes.is_shared() && self.homes.is_own(id),
+        };
+        if self.records.keys().all(|id| is_closed(&id)) {
+            return None;
+        }
+        let closed: Vec<String> = self.records.keys().filter(is_closed).cloned().collect();
+        let query = TargetQuery { avoid: &closed, ..*query };
+        self.choose(&query, now, draw)
+    }
+
+    /// Service of a target.
+    pub fn service_of(&self, id: &str) -> Option<&str> {
+        self.records.get(id).map(|record| record.entry.service.as_str())
+    }
+
+    /// Number of unanswered offers to `peer` of slots of a service.
+    pub fn offers_in_flight(&self, peer: &VmName, service: &str) -> u32 {
+        self.offers.count(peer, |id| self.service_of(id) == Some(service))
+    }
+
+    /// Frees the slots whose offers were not answered in time. Returns their number.
+    pub fn expire_offers(&mut self, now: MonoTime) -> usize {
+        let expired = self.offers.expire(now);
+        for id in &expired {
+            self.uncount_offer(id);
+        }
+        expired.len()
+    }
+
+    /// Handles an answer to an offer: the receiver announces its item, which from then on counts as
+    /// its use, or ends a use that it never announced, which declines the offer.
+    pub(super) fn settle_offer(
+        &mut self,
+        peer: &VmName,
+        id: &str,
+        work: WorkKind,
+        change: UseChange,
+    ) {
+        let announced = || self.reports.get(peer).and_then(|report| report.uses.get(id));
+        let is_answer = work == WorkKind::Batch
+            && match change {
+                UseChange::Begin => true,
+                UseChange::End => announced().is_none_or(|used| used.batch == 0),
+            };
+        if is_answer && self.offers.settle(peer, id) {
+            self.uncount_offer(id);
+        }
+    }
+
+    /// Withdraws the newest unanswered offer of a slot at `id` and returns its receiver. An item
+    /// that has not started loses no work.
+    pub(super) fn withdraw_offer(&mut self, id: &str) -> Option<VmName> {
+        let peer = self.offers.withdraw(id)?;
+        self.uncount_offer(id);
+        Some(peer)
+    }
+
+    fn uncount_offer(&mut self, id: &str) {
+        if let Some(record) = self.records.get_mut(id) {
+            record.others.batch = record.others.batch.saturating_sub(1);
+        }
+    }
+}
