Keep slots for the next peak, and simulate jobs that land on few gateways

Items that fill every free slot are preempted when a peak of online requests begins. The forecast learns when peaks begin and how many slots they take, and keeps slots free that a peak will take within 400 ms. A gateway that does not answer an offer gets no further ones until its next report.

Simulated preempted items now pause for 200 ms as in production.

--- a/crates/entry/src/batch/item_slots.rs
+++ b/crates/entry/src/batch/item_slots.rs
@@ -92,7 +92,10 @@
     pub fn run(&mut self) -> PassOutcome {
         let mut outcome = PassOutcome::default();
         self.slots.expire(self.now);
-        outcome.expired = self.targets.expire_offers(self.now);
+        for peer in self.targets.expire_offers(self.now) {
+            outcome.expired += 1;
+            self.slots.note_unanswered(&peer);
+        }
         let mut queues = self.queues();
         if queues.is_empty() && !self.slots.needs_pass() {
             self.note_waiting(&queues);
@@ -103,7 +106,8 @@
         if self.targets.has_homes() {
             self.divide_slots(&mut queues, &mut outcome);
         }
-        if !self.is_handing_over && !(self.is_stopping && self.targets.has_homes()) {
+        let is_excluded = self.is_stopping && self.targets.has_homes();
+        if !self.is_handing_over && !is_excluded {
             self.start_unoffered(&mut queues, &mut outcome);
         }
         self.note_waiting(&queues);
@@ -186,12 +190,17 @@
         let services: Vec<String> = self.slots.services().into_iter().map(str::to_owned).collect();
         let mut offers: Vec<(VmName, Vec<String>)> = Vec::new();
         for service in &services {
+            let load = self.targets.online_load(service);
+            self.slots.note_online(service, load, self.now);
             let free = self.targets.free_item_slots(service, self.now);
+            let free = self.slots.unreserved(service, free, load, self.now);
             if free.here == 0 {
                 continue;
             }
             let may_receive = |gateway: Option<&VmName>| match gateway {
-                Some(peer) => recipients.contains(peer),
+                Some(peer) => {
+                    recipients.contains(peer) && !self.targets.owes_answer(peer, self.now)
+                }
                 None => !self.is_stopping,
             };
             let in_flight = |peer: &VmName| self.targets.offers_in_flight(peer, service);
@@ -298,6 +307,25 @@
     PeerMessage::PlaceUse { target, work, change, is_failure: None }
 }
 
+/// Records the online load of the services that items wait for from time to time, and frees slots
+/// whose offers were not answered. Called at regular intervals, as passes are rare while nothing
+/// waits.
+pub fn maintain(node: &EntryNode, now: MonoTime) {
+    if !node.features.item_slots {
+        return;
+    }
+    let mut targets = node.targets();
+    let mut slots = node.item_slots();
+    for peer in targets.expire_offers(now) {
+        node.metrics.count(Counter::Event("item_slot_offers_expired"));
+        slots.note_unanswered(&peer);
+    }
+    for service in slots.forecast_services() {
+        slots.note_online(&service, targets.online_load(&service), now);
+    }
+    slots.expire(now);
+}
+
 /// Whether a pass is needed although this gateway has no jobs. Items that waited here until then are
 /// no longer reported.
 pub fn needs_pass(node: &EntryNode) -> bool {
--- a/crates/lab/src/gateway.rs
+++ b/crates/lab/src/gateway.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 
-use notch_relay::prelude::*;
+use notch_relay::{item_slots::preemption::slack_ms, prelude::*};
 use notch_types::prelude::*;
 
 /// A job item that waits for a slot.
@@ -12,6 +12,8 @@
     pub events_left: u32,
     /// Its deadline.
     pub due: MonoTime,
+    /// Since when it has waited.
+    pub since: MonoTime,
 }
 
 /// Model of one gateway.
@@ -25,6 +27,10 @@
     pub table: TargetTable,
     /// Waiting items in the order of their deadlines.
     pub items: VecDeque<WaitingItem>,
+    /// Waiting items of all gateways, where slots are offered for them.
+    pub slots: ItemSlotTable,
+    /// Learned run time of items.
+    pub run_time: ItemRunTime,
     /// The gateway processes no events before this time.
     pub frozen_until: MonoTime,
 }
@@ -37,10 +43,22 @@
             domain: domain.to_owned(),
             table: TargetTable::new(domain),
             items: VecDeque::new(),
+            slots: ItemSlotTable::default(),
+            run_time: ItemRunTime::default(),
             frozen_until: MonoTime::default(),
         }
     }
 
+    /// The waiting items, summed up as in a report.
+    pub fn waiting(&self, now: MonoTime) -> WaitingItems {
+        let mut waiting = WaitingItems::default();
+        for item in &self.items {
+            let needed = self.run_time.expected(item.events_left);
+            waiting.add(slack_ms(item.due, needed, now));
+        }
+        waiting
+    }
+
     /// Queues an item in the order of deadlines.
     pub fn put_item(&mut self, item: WaitingItem) {
         let index = self.items.partition_point(|waiting| waiting.due <= item.due);
--- a/crates/lab/src/outcome.rs
+++ b/crates/lab/src/outcome.rs
@@ -25,6 +25,12 @@
     pub items_in_time: u64,
     /// Item runs preempted in favour of online requests.
     pub cut_runs: u64,
+    /// Slots at samples at which an item had waited for longer than offers of slots take.
+    pub sampled_slots: u64,
+    /// Those of them that were free.
+    pub sampled_free: u64,
+    /// Offers of slots that were declined.
+    pub declined_offers: u64,
 }
 
 impl SimOutcome {
@@ -38,6 +44,16 @@
         self.items_in_time as f64 / self.items.max(1) as f64
     }
 
+    /// Items not completed before their deadline.
+    pub fn late_items(&self) -> f64 {
+        (self.items - self.items_in_time) as f64
+    }
+
+    /// Share of slots that were free while an item waited.
+    pub fn free_while_waiting_share(&self) -> f64 {
+        self.sampled_free as f64 / self.sampled_slots.max(1) as f64
+    }
+
     /// Share of online requests that were late although another target had a free slot.
     pub fn free_slot_missed_share(&self) -> f64 {
         self.late_place_free as f64 / self.online.max(1) as f64
--- a/crates/lab/src/pattern.rs
+++ b/crates/lab/src/pattern.rs
@@ -58,6 +58,10 @@
     pub objective: Duration,
     /// Job items per second. They arrive in jobs of ten.
     pub items_per_second: f64,
+    /// Number of gateways that jobs arrive at; 0 for all.
+    pub job_gateways: usize,
+    /// Factors by which targets are slower than the base, assigned in turn by target number.
+    pub slowdowns: Vec<f64>,
     /// Streamed events per item answer.
     pub item_events: u32,
     /// Time from a job's arrival to its deadline.
@@ -82,10 +86,12 @@
             slots: 7,
             queue: 24,
             online_per_second: 270.0,
-            steps: peaks(1.87),
+            steps: peaks(1.87, 6),
             online_events: 35,
             objective: Duration::from_millis(300),
             items_per_second: 32.0,
+            job_gateways: 0,
+            slowdowns: vec![1.0, 1.0, 1.3],
             item_events: 241,
             due: Duration::from_secs(18),
             delay: Duration::from_micros(1_400),
@@ -95,11 +101,11 @@
     }
 }
 
-/// Six periods, each with a trough followed by a peak of `factor`.
-fn peaks(factor: f64) -> Vec<LoadStep> {
+/// `count` periods, each with a trough followed by a peak of `factor`.
+fn peaks(factor: f64, count: u32) -> Vec<LoadStep> {
     let trough = |number: u32| LoadStep { at: PEAK_PERIOD * number, factor: 0.383 };
     let peak = |number: u32| LoadStep { at: PEAK_PERIOD * number + PEAK_START, factor };
-    (0..6).flat_map(|number| [trough(number), peak(number)]).collect()
+    (0..count).flat_map(|number| [trough(number), peak(number)]).collect()
 }
 
 /// From the start of one trough to the start of the next.
@@ -130,10 +136,11 @@
                 items_per_second: 40.0,
                 ..base()
             },
-            Self { name: "overload", steps: peaks(2.4), ..base() },
+            Self { name: "overload", steps: peaks(2.4, 6), ..base() },
             Self { name: "lost-targets", losses: vec![lost], ..base() },
             Self { name: "frozen-gateways", freezes: vec![freeze], ..base() },
             Self::short_replies(),
+            Self::uneven_jobs(),
         ]
     }
 
@@ -158,6 +165,27 @@
         }
     }
 
+    /// Jobs that land on 4 of 19 gateways, alongside peaks of online requests; targets with speeds of 0.6, 1.0 and
+    /// 1.6.
+    fn uneven_jobs() -> Self {
+        Self {
+            name: "uneven-jobs",
+            gateways: 19,
+            targets: 41,
+            domains: 3,
+            slots: 8,
+            online_per_second: 188.0,
+            items_per_second: 23.0,
+            job_gateways: 4,
+            slowdowns: vec![1.0 / 0.6, 1.0, 1.0 / 1.6],
+            // An item runs for 4 to 10 s, and peaks come often enough to be learned.
+            item_events: 300,
+            span: Duration::from_secs(58),
+            steps: peaks(1.87, 10),
+            ..Self::default()
+        }
+    }
+
     /// Finds a predefined pattern by its name.
     pub fn named(name: &str) -> Option<Self> {
         Self::all().into_iter().find(|pattern| pattern.name == name)
--- a/crates/lab/src/policy.rs
+++ b/crates/lab/src/policy.rs
@@ -7,19 +7,28 @@
 pub enum SelectionPolicy {
     /// Uses only the periodic usage reports of the other gateways.
     UsageReports,
-    /// Requests slots from the home gateways of other targets. This is the production behaviour.
+    /// Requests slots for online requests from the home gateways of other targets. This is the production behaviour
+    /// where slots for items are not shared.
     HomeGateways,
+    /// As `HomeGateways`, and home gateways offer free slots to the gateway with the most urgent items.
+    SharedItems,
     /// Sees the current state of every target without delay: a baseline that no real gateway can reach.
     Oracle,
 }
 
 impl SelectionPolicy {
     /// Every policy with its command-line name.
-    pub const ALL: [(&'static str, Self); 3] = [
+    pub const ALL: [(&'static str, Self); 4] = [
         ("reports", Self::UsageReports),
         ("homes", Self::HomeGateways),
+        ("shared-items", Self::SharedItems),
         ("all-knowing", Self::Oracle),
     ];
+
+    /// Whether online requests ask home gateways for slots.
+    pub fn has_homes(self) -> bool {
+        matches!(self, Self::HomeGateways | Self::SharedItems)
+    }
 }
 
 impl fmt::Display for SelectionPolicy {
--- a/crates/lab/src/simulation.rs
+++ b/crates/lab/src/simulation.rs
@@ -1,6 +1,7 @@
 //! Simulation of one load pattern: gateways, targets and the messages between them.
 
 mod items;
+mod offers;
 mod online;
 
 use std::time::Duration;
@@ -28,8 +29,10 @@
 const ENTRY_EXPIRY: Duration = Duration::from_secs(1);
 /// Time that the simulation goes on after arrivals stop, so that the remaining items reach their deadlines.
 const DRAIN_TIME: Duration = Duration::from_secs(20);
-/// Slowdown factors of the targets, assigned in turn by target number.
-const SLOWDOWN: [f64; 3] = [1.0, 1.0, 1.3];
+/// Time in which a waiting item is reported and offered a slot: one report and one pass.
+const OFFER_TIME: Duration = Duration::from_millis(150);
+/// How often free slots are sampled.
+const SAMPLE_INTERVAL: Duration = Duration::from_millis(50);
 /// The only service in the simulation.
 const SERVICE: &str = "model";
 
@@ -49,6 +52,8 @@
     /// The target's home gateway, if it is another gateway that has to be told of the run.
     home: Option<usize>,
     events_left: u32,
+    /// Whether it generates the whole answer of an item.
+    is_whole: bool,
     began: MonoTime,
     has_first_event: bool,
     /// Preemption has been requested.
@@ -116,7 +121,14 @@
         to: usize,
         from: usize,
         uses: Vec<(String, TargetUse)>,
+        waiting: Vec<WaitingReport>,
     },
+    ReceiveOffer {
+        to: usize,
+        home: usize,
+        targets: Vec<String>,
+    },
+    SampleSlots,
     PeerUse {
         home: usize,
         from: usize,
@@ -131,6 +143,10 @@
     StartItems {
         gateway: usize,
     },
+    ReturnItem {
+        gateway: usize,
+        item: WaitingItem,
+    },
     FailTargets {
         count: usize,
     },
@@ -184,8 +200,10 @@
         let domain = |number: usize| format!("fd-{}", number % pattern.domains);
         let gateways: Vec<GatewayModel> =
             (0..pattern.gateways).map(|n| GatewayModel::new(n, &domain(n))).collect();
-        let model =
-            |n: usize| TargetModel::new(pattern.slots, pattern.queue, SLOWDOWN[n % SLOWDOWN.len()]);
+        let slowdowns = &pattern.slowdowns;
+        let model = |n: usize| {
+            TargetModel::new(pattern.slots, pattern.queue, slowdowns[n % slowdowns.len()])
+        };
         let mut simulation = Self {
             policy,
             random: SmallRng::seed_from_u64(seed),
@@ -228,6 +246,7 @@
         self.assign_homes();
         self.schedule.add(Duration::ZERO, SimEvent::OnlineArrival);
         self.schedule.add(Duration::ZERO, SimEvent::JobArrival);
+        self.schedule.add(SAMPLE_INTERVAL, SimEvent::SampleSlots);
         for gateway in 0..self.gateways.len() {
             let offset = REPORT_INTERVAL.mul_f64(self.random.random());
             self.schedule.add(offset, SimEvent::SendReport { gateway });
@@ -279,18 +298,28 @@
             SimEvent::Preempt { run } => self.handle_preempt(run),
             SimEvent::RunEnded { run, outcome } => self.finish_run(run, outcome),
             SimEvent::SendReport { gateway } => self.send_report(gateway),
-            SimEvent::ReceiveReport { to, from, uses } => {
+            SimEvent::ReceiveReport { to, from, uses, waiting } => {
                 let (now, peer) = (self.now(), self.gateways[from].vm.clone());
                 let table = &mut self.gateways[to].table;
                 table.take_report(&peer, uses.into_iter().collect(), now);
                 table.expire_reports(now);
+                if self.policy == SelectionPolicy::SharedItems {
+                    let draw = self.random.random();
+                    self.gateways[to].slots.take_report(&peer, waiting, draw, now);
+                }
             }
+            SimEvent::ReceiveOffer { to, home, targets } => self.receive_offer(to, home, targets),
+            SimEvent::SampleSlots => self.sample_slots(),
             SimEvent::PeerUse { home, from, target, work, change } => {
                 let (now, peer) = (self.now(), self.gateways[from].vm.clone());
                 self.gateways[home].table.note_peer_use(&peer, &target, work, change, now);
             }
             SimEvent::RevokeSlot { gateway, target } => self.preempt_own_item(gateway, &target),
             SimEvent::StartItems { gateway } => self.start_items(gateway),
+            SimEvent::ReturnItem { gateway, mut item } => {
+                item.since = self.now();
+                self.gateways[gateway].put_item(item);
+            }
             SimEvent::FailTargets { count } => self.fail_targets(count),
             SimEvent::RemoveEntry { target } => {
                 for gateway in &mut self.gateways {
@@ -307,6 +336,21 @@
         }
     }
 
+    /// Counts free slots while an item waits.
+    fn sample_slots(&mut self) {
+        if !self.has_arrivals() {
+            return;
+        }
+        let old = self.now() - OFFER_TIME;
+        let waits = |gateway: &GatewayModel| gateway.items.iter().any(|item| item.since < old);
+        if self.gateways.iter().any(waits) {
+            self.outcome.sampled_slots += self.targets.len() as u64 * u64::from(self.pattern.slots);
+            let free = (0..self.targets.len()).map(|target| self.free_slots(target) as u64);
+            self.outcome.sampled_free += free.sum::<u64>();
+        }
+        self.schedule.add(SAMPLE_INTERVAL, SimEvent::SampleSlots);
+    }
+
     /// The gateway that handles an event, which waits while that gateway is frozen.
     fn gateway_of(&self, event: &SimEvent) -> Option<usize> {
         match event {
@@ -318,7 +362,7 @@
             SimEvent::SendReport { gateway }
             | SimEvent::StartItems { gateway }
             | SimEvent::RevokeSlot { gateway, .. } => Some(*gateway),
-            SimEvent::ReceiveReport { to, .. } => Some(*to),
+            SimEvent::ReceiveReport { to, .. } | SimEvent::ReceiveOffer { to, .. } => Some(*to),
             _ => None,
         }
     }
@@ -340,9 +384,13 @@
         }
         let uses = self.gateways[from].table.own_uses();
         let uses: Vec<(String, TargetUse)> = uses.map(|(id, used)| (id.to_owned(), used)).collect();
+        let waiting = self.gateways[from].slots.own_waiting();
+        let (now, state) = (self.now(), &mut self.gateways[from]);
+        state.slots.note_online(SERVICE, state.table.online_load(SERVICE), now);
         for to in (0..self.gateways.len()).filter(|to| *to != from) {
-            let uses = uses.clone();
-            self.schedule.add(self.pattern.delay, SimEvent::ReceiveReport { to, from, uses });
+            let (uses, waiting) = (uses.clone(), waiting.clone());
+            self.schedule
+                .add(self.pattern.delay, SimEvent::ReceiveReport { to, from, uses, waiting });
         }
         self.schedule.add(REPORT_INTERVAL, SimEvent::SendReport { gateway: from });
     }
@@ -360,16 +408,18 @@
     /// Sends a request to the selected target.
     fn start(&mut self, gateway: usize, choice: &TargetChoice, work: RunWork, events: u32) {
         let target = self.target_ids.iter().position(|id| *id == choice.id).unwrap_or_default();
-        let home = choice.home.as_ref().filter(|_| self.policy == SelectionPolicy::HomeGateways);
+        let home = choice.home.as_ref().filter(|_| self.policy.has_homes());
         let home = home.and_then(|vm| self.gateways.iter().position(|g| g.vm == *vm));
         let (began, has_first_event, is_preempted) = (self.now(), false, false);
         let events_left = events;
+        let is_whole = events == self.pattern.item_events;
         let run = SimRun {
             work,
             gateway,
             target,
             home,
             events_left,
+            is_whole,
             began,
             has_first_event,
             is_preempted,
@@ -471,7 +521,11 @@
         match run.work {
             RunWork::Online { request } => self.finish_online(request, &run, outcome),
             RunWork::Item { due } => {
-                let item = WaitingItem { events_left: run.events_left, due };
+                if outcome == RunOutcome::Completed && run.is_whole {
+                    let took = now.since(run.began);
+                    self.gateways[run.gateway].run_time.note(took, self.pattern.item_events);
+                }
+                let item = WaitingItem { events_left: run.events_left, due, since: now };
                 self.finish_item(run.gateway, item, outcome);
             }
         }
--- a/crates/lab/src/simulation/items.rs
+++ b/crates/lab/src/simulation/items.rs
@@ -1,6 +1,6 @@
 //! Job items: when they start, and when they are preempted.
 
-use std::{sync::LazyLock, time::Duration};
+use std::{cmp::Reverse, sync::LazyLock, time::Duration};
 
 use notch_relay::prelude::*;
 use notch_types::prelude::*;
@@ -15,10 +15,12 @@
 
 /// Items per job.
 const ITEMS_PER_JOB: u32 = 10;
+/// Delay before a preempted item is queued again, as in production.
+const PREEMPTED_PAUSE: Duration = Duration::from_millis(200);
 /// Most items that a gateway starts in one pass.
 const MAX_STARTS_PER_PASS: usize = 6;
 
-fn item_query() -> TargetQuery<'static> {
+pub(super) fn item_query() -> TargetQuery<'static> {
     static NO_PROMPT: LazyLock<PromptPrefixes> = LazyLock::new(PromptPrefixes::default);
     let (work, queue) = (WorkKind::Batch, QueueLimit::Any);
     TargetQuery { service: SERVICE, work, avoid: &[], queue, prompt: &NO_PROMPT }
@@ -32,11 +34,15 @@
         let rate = self.pattern.items_per_second / f64::from(ITEMS_PER_JOB);
         let gap = -(1.0 - self.random.random::<f64>()).ln() / rate;
         self.schedule.add(Duration::from_secs_f64(gap), SimEvent::JobArrival);
-        let gateway = self.random.random_range(0..self.gateways.len());
-        let due = self.now() + self.pattern.due;
+        let gateways = match self.pattern.job_gateways {
+            0 => self.gateways.len(),
+            count => count.min(self.gateways.len()),
+        };
+        let gateway = self.random.random_range(0..gateways);
+        let (due, since) = (self.now() + self.pattern.due, self.now());
         for _ in 0..ITEMS_PER_JOB {
             let events_left = self.pattern.item_events;
-            self.gateways[gateway].put_item(WaitingItem { events_left, due });
+            self.gateways[gateway].put_item(WaitingItem { events_left, due, since });
         }
         self.outcome.items += u64::from(ITEMS_PER_JOB);
     }
@@ -45,16 +51,27 @@
         if self.is_over() {
             return;
         }
-        for _ in 0..MAX_STARTS_PER_PASS {
-            let Some(item) = self.gateways[gateway].items.front().copied() else { break };
-            let Some(choice) = self.choose_for_item(gateway) else { break };
-            self.gateways[gateway].items.pop_front();
-            self.start(gateway, &choice, RunWork::Item { due: item.due }, item.events_left);
+        if self.policy == SelectionPolicy::SharedItems {
+            self.divide_slots(gateway);
+        } else {
+            for _ in 0..MAX_STARTS_PER_PASS {
+                if self.gateways[gateway].items.is_empty() {
+                    break;
+                }
+                let Some(choice) = self.choose_for_item(gateway) else { break };
+                self.start_item(gateway, &choice);
+            }
         }
         self.preempt_for_queue(gateway);
         self.schedule.add(ITEM_START_INTERVAL, SimEvent::StartItems { gateway });
     }
 
+    /// Starts the waiting item with the earliest deadline.
+    pub(super) fn start_item(&mut self, gateway: usize, choice: &TargetChoice) {
+        let Some(item) = self.gateways[gateway].items.pop_front() else { return };
+        self.start(gateway, choice, RunWork::Item { due: item.due }, item.events_left);
+    }
+
     fn choose_for_item(&mut self, gateway: usize) -> Option<TargetChoice> {
         let now = self.now();
         if self.policy == SelectionPolicy::Oracle {
@@ -86,7 +103,7 @@
             let random = &mut self.random;
             let table = &self.gateways[gateway].table;
             let count = table.items_to_preempt(&self.target_ids[target], || random.random());
-            runs.sort_unstable_by(|a, b| b.cmp(a));
+            runs.sort_unstable_by_key(|run| Reverse(self.preemption_order(*run)));
             for run in runs.into_iter().take(count as usize) {
                 self.preempt(run);
             }
@@ -110,11 +127,24 @@
         let own = self.runs.iter().filter(|(_, run)| {
             run.gateway == gateway && run.is_preemptible() && self.target_ids[run.target] == id
         });
-        if let Some(run) = own.map(|(number, _)| *number).max() {
+        let own = own.map(|(number, _)| *number);
+        if let Some(run) = own.max_by_key(|run| self.preemption_order(*run)) {
             self.preempt(run);
         }
     }
 
+    /// Order of preemption, the highest first: by slack where slots are shared, else the run that began last.
+    fn preemption_order(&self, number: RunNumber) -> (Option<PreemptionRank>, RunNumber) {
+        let run = self.runs.get(&number).filter(|_| self.policy == SelectionPolicy::SharedItems);
+        let rank = run.and_then(|run| {
+            let RunWork::Item { due } = run.work else { return None };
+            let run_time = &self.gateways[run.gateway].run_time;
+            let expected = run_time.expected_or_default(self.pattern.item_events);
+            Some(PreemptionRank::new(due, run.began, expected, self.now()))
+        });
+        (rank, number)
+    }
+
     /// The preemptible item that started last at a target, whichever gateway runs it.
     pub(super) fn item_at(&self, target: usize) -> Option<RunNumber> {
         let running = self.targets[target].running().iter().copied();
@@ -130,7 +160,9 @@
         self.outcome.cut_runs += 1;
         let delay = match self.policy {
             SelectionPolicy::Oracle => Duration::ZERO,
-            SelectionPolicy::UsageReports | SelectionPolicy::HomeGateways => self.pattern.delay,
+            SelectionPolicy::UsageReports
+            | SelectionPolicy::HomeGateways
+            | SelectionPolicy::SharedItems => self.pattern.delay,
         };
         self.schedule.add(delay, SimEvent::Preempt { run });
     }
@@ -139,7 +171,10 @@
         match outcome {
             RunOutcome::Completed if self.now() <= item.due => self.outcome.items_in_time += 1,
             RunOutcome::Completed => {}
-            RunOutcome::Preempted | RunOutcome::Failed(_) => self.gateways[gateway].put_item(item),
+            RunOutcome::Preempted => {
+                self.schedule.add(PREEMPTED_PAUSE, SimEvent::ReturnItem { gateway, item });
+            }
+            RunOutcome::Failed(_) => self.gateways[gateway].put_item(item),
         }
     }
 }
--- a/crates/lab/src/simulation/online.rs
+++ b/crates/lab/src/simulation/online.rs
@@ -43,7 +43,7 @@
         if self.policy == SelectionPolicy::Oracle {
             return self.attempt_as_oracle(request);
         }
-        if self.policy == SelectionPolicy::HomeGateways {
+        if self.policy.has_homes() {
             return self.search_slot(request);
         }
         let (now, queue) = (self.now(), QueueLimit::Within(self.pattern.objective));
--- a/crates/relay/src/item_slots.rs
+++ b/crates/relay/src/item_slots.rs
@@ -4,6 +4,7 @@
 //! It is designed for jobs that land on a few of many gateways while a third to a half of all slots
 //! is free, with a peak of online requests every few seconds.
 
+pub mod forecast;
 pub mod offers;
 pub mod preemption;
 pub mod waiting;
@@ -12,7 +13,10 @@
 
 use notch_types::prelude::*;
 
-use crate::item_slots::waiting::{OwnWaiting, PeerWaiting, WaitingItems, WaitingReport};
+use crate::item_slots::{
+    forecast::{OnlineForecast, OnlineLoad},
+    waiting::{OwnWaiting, PeerWaiting, WaitingItems, WaitingReport},
+};
 
 /// How long a report of waiting items is valid; it is sent again at least twice in this time.
 const REPORT_LIFETIME: Duration = Duration::from_millis(2_500);
@@ -25,6 +29,8 @@
 /// Waiting time without an offer after which items start without one. A home of a build or setting
 /// without offers never sends any.
 const UNSERVED_AFTER: Duration = Duration::from_millis(1_000);
+/// How long the load of a service is recorded after an item last waited for it.
+const FORECAST_LIFETIME: Duration = Duration::from_secs(60);
 /// Maximum number of offers held between two passes. A gateway is offered at most the slots for the
 /// items that it reported.
 const MAX_RECEIVED: usize = 256;
@@ -64,6 +70,16 @@
     own: FastMap<String, OwnWaiting>,
     /// Offers in order of arrival. Invariant: at most [`MAX_RECEIVED`].
     received: VecDeque<ReceivedOffer>,
+    /// Course of the online load, by service.
+    forecasts: FastMap<String, ServiceForecast>,
+}
+
+/// Course of the online load of a service.
+#[derive(Debug)]
+struct ServiceForecast {
+    forecast: OnlineForecast,
+    /// When items last waited for the service.
+    needed_at: MonoTime,
 }
 
 impl ItemSlotTable {
@@ -84,9 +100,49 @@
         self.peers.insert(peer.clone(), PeerWaiting::new(reports, before.as_ref(), draw, now));
     }
 
-    /// Drops reports of gateways that have not been heard from for too long.
+    /// Drops reports of gateways that have not been heard from for too long, and forecasts that no
+    /// item has needed for long.
     pub fn expire(&mut self, now: MonoTime) {
         self.peers.retain(|_, peer| now.since(peer.at) <= REPORT_LIFETIME);
+        self.forecasts.retain(|_, known| now.since(known.needed_at) <= FORECAST_LIFETIME);
+    }
+
+    /// Services whose online load is to be recorded, as items have waited for them.
+    pub fn forecast_services(&self) -> Vec<String> {
+        self.forecasts.keys().cloned().collect()
+    }
+
+    /// Records the online load of a service.
+    pub fn note_online(&mut self, service: &str, load: OnlineLoad, now: MonoTime) {
+        if let Some(known) = self.forecasts.get_mut(service) {
+            known.forecast.note(load, now);
+        }
+    }
+
+    /// The free slots of a service less those that the next peak of online requests will soon take.
+    /// From the first call on, the load of the service is to be recorded.
+    pub fn unreserved(
+        &mut self,
+        service: &str,
+        slots: FreeSlots,
+        load: OnlineLoad,
+        now: MonoTime,
+    ) -> FreeSlots {
+        let Some(known) = self.forecasts.get_mut(service) else {
+            let (forecast, needed_at) = (OnlineForecast::default(), now);
+            self.forecasts.insert(service.to_owned(), ServiceForecast { forecast, needed_at });
+            return slots;
+        };
+        known.needed_at = now;
+        let reserved = known.forecast.reserved(load, now);
+        let all = slots.all.saturating_sub(reserved.all);
+        FreeSlots { here: slots.here.saturating_sub(reserved.here), all }
+    }
+
+    /// Records that another gateway did not answer an offer. It is offered nothing until its next
+    /// report, which a lost gateway does not send.
+    pub fn note_unanswered(&mut self, peer: &VmName) {
+        self.peers.remove(peer);
     }
 
     /// Whether items wait at another gateway or offers have arrived.
--- a/crates/relay/src/item_slots/offers.rs
+++ b/crates/relay/src/item_slots/offers.rs
@@ -8,6 +8,11 @@
 /// report, by which a start would have been reported.
 pub const OFFER_TIMEOUT: Duration = Duration::from_millis(1_100);
 
+/// Time in which an offer is answered: several round trips and a pass of a receiver that is short of
+/// processor time. A receiver that takes longer may be lost, and further offers would keep the slots
+/// from others.
+const ANSWER_TIME: Duration = Duration::from_millis(200);
+
 /// A slot that was offered and not answered.
 #[derive(Debug)]
 struct SlotOffer {
@@ -47,10 +52,16 @@
         Some(self.offers.remove(index).peer)
     }
 
-    /// Removes offers without an answer and returns their targets, one entry for each offer.
-    pub fn expire(&mut self, now: MonoTime) -> Vec<String> {
+    /// Removes offers without an answer and returns the receiver and the target of each.
+    pub fn expire(&mut self, now: MonoTime) -> Vec<(VmName, String)> {
         let is_over = |offer: &mut SlotOffer| now.since(offer.at) >= OFFER_TIMEOUT;
-        self.offers.extract_if(.., is_over).map(|offer| offer.target).collect()
+        self.offers.extract_if(.., is_over).map(|offer| (offer.peer, offer.target)).collect()
+    }
+
+    /// Whether an answer of `peer` is overdue.
+    pub fn is_overdue(&self, peer: &VmName, now: MonoTime) -> bool {
+        let mut offers = self.offers.iter().filter(|offer| offer.peer == *peer);
+        offers.any(|offer| now.since(offer.at) >= ANSWER_TIME)
     }
 
     /// Removes all offers of slots at a target whose entry is gone.
--- a/crates/relay/src/targets/table.rs
+++ b/crates/relay/src/targets/table.rs
@@ -386,7 +386,6 @@
         for peer in old {
             self.drop_report(&peer);
         }
-        self.expire_offers(now);
     }
 
     /// Number of this gateway's items at `id` to preempt because online requests queue behind
--- a/crates/relay/src/targets/table/item_offers.rs
+++ b/crates/relay/src/targets/table/item_offers.rs
@@ -3,7 +3,7 @@
 use notch_types::prelude::*;
 
 use crate::{
-    item_slots::FreeSlots,
+    item_slots::{FreeSlots, forecast::OnlineLoad},
     targets::{
         choice::{TargetChoice, TargetQuery, WorkKind},
         record::UseChange,
@@ -37,6 +37,21 @@
         slots
     }
 
+    /// Online requests in progress and slots of a service at targets that accept requests.
+    pub fn online_load(&self, service: &str) -> OnlineLoad {
+        let mut load = OnlineLoad::default();
+        for record in self.records.values().filter(|record| record.takes(service)) {
+            let online = record.own.online + record.others.online;
+            load.all += online;
+            load.slots_all += record.entry.slots;
+            if self.homes.is_own(&record.entry.id) {
+                load.here += online;
+                load.slots_here += record.entry.slots;
+            }
+        }
+        load
+    }
+
     /// Offers `peer` a free slot at an own target and counts it there until the peer answers or the
     /// offer expires. Returns the target's id.
     ///
@@ -119,13 +134,18 @@
         self.offers.count(peer, |id| self.service_of(id) == Some(service))
     }
 
-    /// Frees the slots whose offers were not answered in time. Returns their number.
-    pub fn expire_offers(&mut self, now: MonoTime) -> usize {
+    /// Whether an answer of `peer` to an offer is overdue, so that it gets no further offers.
+    pub fn owes_answer(&self, peer: &VmName, now: MonoTime) -> bool {
+        self.offers.is_overdue(peer, now)
+    }
+
+    /// Frees the slots whose offers were not answered in time. Returns the receiver of each.
+    pub fn expire_offers(&mut self, now: MonoTime) -> Vec<VmName> {
         let expired = self.offers.expire(now);
-        for id in &expired {
+        for (_, id) in &expired {
             self.uncount_offer(id);
         }
-        expired.len()
+        expired.into_iter().map(|(peer, _)| peer).collect()
     }
 
     /// Handles an answer to an offer: the receiver announces its item, which from then on counts as
--- a/crates/relay/tests/item_slots.rs
+++ b/crates/relay/tests/item_slots.rs
@@ -4,7 +4,11 @@
 use std::{sync::LazyLock, time::Duration};
 
 use notch_relay::{
-    item_slots::{offers::OFFER_TIMEOUT, waiting::has_changed},
+    item_slots::{
+        forecast::{OnlineForecast, OnlineLoad, ReservedSlots},
+        offers::OFFER_TIMEOUT,
+        waiting::has_changed,
+    },
     prelude::*,
 };
 use notch_types::prelude::*;
@@ -124,14 +128,30 @@
     let mut home = table_of("g1");
     offer(&mut home, at(0));
     let last = at(0) + OFFER_TIMEOUT;
-    home.expire_reports(last - Duration::from_millis(1));
+    assert!(home.expire_offers(last - Duration::from_millis(1)).is_empty());
     assert_eq!(free_here(&home, last), SLOTS - 1);
-    home.expire_reports(last);
+    assert_eq!(home.expire_offers(last), [vm("g2")]);
     assert_eq!(free_here(&home, last), SLOTS);
     tell(&mut home, UseChange::Begin, last);
     assert_eq!(free_here(&home, last), SLOTS - 1, "a late start counts");
 }
 
+/// Guards against slots that are offered again and again to a gateway that was lost.
+#[test]
+fn a_gateway_that_does_not_answer_gets_no_further_offers() {
+    let (mut home, mut table) = (table_of("g1"), ItemSlotTable::default());
+    table.take_report(&vm("g2"), waiting(9, 500), 0.0, at(0));
+    offer(&mut home, at(0));
+    assert!(!home.owes_answer(&vm("g2"), at(199)));
+    assert!(home.owes_answer(&vm("g2"), at(200)));
+    for peer in home.expire_offers(at(1_100)) {
+        table.note_unanswered(&peer);
+    }
+    assert!(!table.needs_pass(), "its report counts no longer");
+    table.take_report(&vm("g2"), waiting(9, 500), 0.0, at(1_200));
+    assert!(table.needs_pass(), "it is alive");
+}
+
 /// Guards against an online request that waits for a slot held by an offer only.
 #[test]
 fn an_online_request_takes_an_offered_slot() {
@@ -376,6 +396,63 @@
     assert!(just_begun > nearly_done);
 }
 
+/// Online load of a fleet of 40 targets, four of them at the home, of whose slots `percent` are used.
+fn load(percent: u32) -> OnlineLoad {
+    OnlineLoad {
+        here: 32 * percent / 100,
+        all: 320 * percent / 100,
+        slots_here: 32,
+        slots_all: 320,
+    }
+}
+
+/// Feeds samples every 100 ms until `end`; `is_peak` tells the load at a time in milliseconds.
+fn learned(end: u64, is_peak: impl Fn(u64) -> bool) -> OnlineForecast {
+    let mut forecast = OnlineForecast::default();
+    for millis in (0..end).step_by(100) {
+        forecast.note(load(if is_peak(millis) { 75 } else { 25 }), at(millis));
+    }
+    forecast
+}
+
+fn is_regular_peak(millis: u64) -> bool {
+    millis % 5_800 >= 3_400
+}
+
+/// Guards against items that start just before a peak, and against slots kept free for longer than
+/// a start is worth.
+#[rstest]
+#[case::long_before(20_200, 0)]
+#[case::just_before(20_500, 17)]
+#[case::in_the_peak(20_900, 17)]
+#[case::after_the_peak(23_300, 0)]
+fn slots_of_the_next_peak_are_kept_for_400_ms(#[case] now: u64, #[case] here: u32) {
+    // Peaks begin at 3.4, 9.2, 15.0 and 20.8 s.
+    let forecast = learned(now, is_regular_peak);
+    assert_eq!(forecast.reserved(load(25), at(now)).here, here);
+}
+
+/// Guards against slots kept free without need.
+#[rstest]
+#[case::steady(|_| false)]
+#[case::two_peaks(|millis| millis < 12_000 && is_regular_peak(millis))]
+#[case::uneven(|millis| [3, 4, 9, 10, 18, 19].contains(&(millis / 1_000)))]
+#[case::ended(|millis| millis < 18_000 && is_regular_peak(millis))]
+fn an_irregular_load_keeps_no_slots(#[case] is_peak: fn(u64) -> bool) {
+    let forecast = learned(24_000, is_peak);
+    for millis in 24_000..26_000 {
+        assert_eq!(forecast.reserved(load(25), at(millis)), ReservedSlots::default());
+    }
+}
+
+/// Guards against slots kept beside those that online requests use already.
+#[test]
+fn slots_in_use_are_not_kept_again() {
+    let forecast = learned(20_700, is_regular_peak);
+    let ReservedSlots { here, all } = forecast.reserved(load(75), at(20_700));
+    assert_eq!((here, all), (1, 10), "only the margin of each home");
+}
+
 /// The former decision: an owner fills its own targets, leaves three slots free at the others of a
 /// random subset, and stops at the first item that finds no slot.
 fn start_as_formerly(owner: &mut TargetTable, items: &mut u32, draw: &mut impl FnMut() -> f64) {
@@ -585,7 +662,7 @@
             prop_assert!(free_here(&home, now) <= SLOTS);
         }
         let end = at(300) + OFFER_TIMEOUT;
-        home.expire_reports(end);
+        home.expire_offers(end);
         report(&mut home, running, end);
         prop_assert_eq!(free_here(&home, end), SLOTS - running.min(SLOTS));
     }
