Count the end of a revoked item once

A home reduces the count of an item that it revokes, and did so again when the item's end was announced, until the next report. Where most items run at targets of other homes, it then granted slots in use. A start without an offer is tried only if a target without offers exists, which spares the hash of the prompt in each pass.

--- a/crates/entry/src/batch/item_slots.rs
+++ b/crates/entry/src/batch/item_slots.rs
@@ -60,8 +60,8 @@
     pub declined: usize,
     /// Number of items that were started without an offer at another gateway's target.
     pub unoffered: usize,
-    /// Number of own offers that were not answered in time.
-    pub expired: usize,
+    /// Receivers of own offers that were not answered in time.
+    pub unanswered: Vec<VmName>,
 }
 
 /// The gateways and the state that a pass works on.
@@ -93,8 +93,8 @@
         let mut outcome = PassOutcome::default();
         self.slots.expire(self.now);
         for peer in self.targets.expire_offers(self.now) {
-            outcome.expired += 1;
             self.slots.note_unanswered(&peer);
+            outcome.unanswered.push(peer);
         }
         let mut queues = self.queues();
         if queues.is_empty() && !self.slots.needs_pass() {
@@ -263,11 +263,14 @@
         for (service, queue) in waiting {
             let linked = linked.get_or_insert_with(self.linked);
             let is_unserved = self.slots.is_unserved(service, self.now);
+            let is_open = |home: &VmName| is_unserved || !linked.contains(home);
+            if !self.targets.has_unoffered(is_open) {
+                continue;
+            }
             for _ in 0..STARTS_PER_PASS {
                 let Some(item) = queue.front() else { break };
                 let prompt = item_prompt(&item.spec.items[item.index]);
                 let query = query(service, &prompt);
-                let is_open = |home: &VmName| is_unserved || !linked.contains(home);
                 let choice =
                     self.targets.choose_unoffered(&query, is_open, self.now, EntryNode::draw);
                 let Some(choice) = choice else { break };
@@ -317,8 +320,8 @@
     let mut targets = node.targets();
     let mut slots = node.item_slots();
     for peer in targets.expire_offers(now) {
-        node.metrics.count(Counter::Event("item_slot_offers_expired"));
         slots.note_unanswered(&peer);
+        note_unanswered(node, &peer);
     }
     for service in slots.forecast_services() {
         slots.note_online(&service, targets.online_load(&service), now);
@@ -364,20 +367,17 @@
 }
 
 fn carry_out(node: &Arc<EntryNode>, outcome: PassOutcome) {
-    let PassOutcome { starts, messages, offered, declined, unoffered, expired } = outcome;
+    let PassOutcome { starts, messages, offered, declined, unoffered, unanswered } = outcome;
     let counts = [
         ("item_slots_offered", offered),
         ("item_slot_offers_declined", declined),
         ("items_started_unoffered", unoffered),
-        ("item_slot_offers_expired", expired),
     ];
     for (name, count) in counts {
         (0..count).for_each(|_| node.metrics.count(Counter::Event(name)));
     }
+    unanswered.iter().for_each(|peer| note_unanswered(node, peer));
     for (home, message) in messages {
-        if let PeerMessage::ItemSlotOffer { targets } = &message {
-            node.log.info("item_slots_offered", &[("gateway", &home), ("count", &targets.len())]);
-        }
         node.peers.send(&home, message);
     }
     for StartedItem { run, start, choice, cancelled, left_ms } in starts {
@@ -386,6 +386,11 @@
     }
 }
 
+fn note_unanswered(node: &EntryNode, peer: &VmName) {
+    node.log.warn("item_slot_offer_unanswered", &[("gateway", peer)]);
+    node.metrics.count(Counter::Event("item_slot_offers_unanswered"));
+}
+
 /// Handles slots offered by another gateway.
 pub fn receive_offer(node: &EntryNode, home: &VmName, targets: Vec<String>) {
     let excess = if node.features.item_slots {
--- a/crates/entry/src/batch/runner.rs
+++ b/crates/entry/src/batch/runner.rs
@@ -1,6 +1,6 @@
 //! Starts items at targets with free slots, preempts them for online requests, and stores results.
 
-use std::{cmp::Reverse, sync::Arc};
+use std::{cmp::Reverse, fmt::Display, sync::Arc};
 
 use async_std::{future::timeout, task};
 use notch_platform_wire::target::item_prompt;
@@ -96,16 +96,18 @@
 /// Logs the event from which a restarted run continues and the time left to the deadline, so that
 /// both are known even if the job's former gateway is gone.
 pub(super) fn log_start(node: &EntryNode, start: &ItemStart, choice: &TargetChoice, left_ms: i64) {
-    node.log.info(
-        "item_run_started",
-        &[
-            ("job", &start.job),
-            ("item", &start.item.id),
-            ("target", &choice.id),
-            ("after", &start.last_event.map_or(-1, |id| id as i64)),
-            ("due_ms", &left_ms),
-        ],
-    );
+    let after = start.last_event.map_or(-1, |id| id as i64);
+    let mut fields: Vec<(&str, &dyn Display)> = vec![
+        ("job", &start.job),
+        ("item", &start.item.id),
+        ("target", &choice.id),
+        ("after", &after),
+        ("due_ms", &left_ms),
+    ];
+    if node.features.item_slots {
+        fields.push(("offered", &choice.is_granted));
+    }
+    node.log.info("item_run_started", &fields);
 }
 
 /// Preempts items at targets with more requests than slots. Engines serve requests first come, first
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -120,6 +120,9 @@
         let owner = format!("{}#{:016x}", config.node.vm, rand::random::<u64>());
         let domain = config.node.domain.as_str().to_owned();
         let (store, detours) = StoreClient::new(config.store.clone(), clock, log.clone(), calls);
+        let features = GatewayFeatures::of(&config);
+        let mut targets = TargetTable::new(&domain);
+        targets.set_offers_items(features.item_slots);
         let node = Self {
             store,
             owner,
@@ -141,7 +144,7 @@
             target_restarts: Event::new(),
             is_verifying: AtomicBool::new(false),
             configuration: RwLock::new(None),
-            targets: Mutex::new(TargetTable::new(&domain)),
+            targets: Mutex::new(targets),
             target_feed: Mutex::default(),
             jobs: Mutex::default(),
             crashes: Mutex::default(),
@@ -150,7 +153,7 @@
             job_admission: Mutex::default(),
             item_slots: Mutex::default(),
             report_order: Mutex::default(),
-            features: GatewayFeatures::of(&config),
+            features,
             config,
         };
         (node, detours)
--- a/crates/lab/src/simulation.rs
+++ b/crates/lab/src/simulation.rs
@@ -219,6 +219,8 @@
             pattern: pattern.clone(),
         };
         for gateway in 0..simulation.gateways.len() {
+            let offers_items = policy == SelectionPolicy::SharedItems;
+            simulation.gateways[gateway].table.set_offers_items(offers_items);
             for target in 0..simulation.targets.len() {
                 let entry = simulation.entry(target, &domain(target));
                 simulation.gateways[gateway].table.put(entry, MonoTime::default());
--- a/crates/lab/tests/shared_items.rs
+++ b/crates/lab/tests/shared_items.rs
@@ -23,5 +23,5 @@
     assert!(late("shared-items") <= late("all-knowing") + 1.0, "{}", late("shared-items"));
     // The share includes slots kept for the next peak.
     assert!(free("shared-items") < 0.75 * free("homes"), "{}", free("shared-items"));
-    assert!(online("shared-items") > online("homes") - 0.002, "{}", online("shared-items"));
+    assert!(online("shared-items") >= online("homes"), "{}", online("shared-items"));
 }
--- a/crates/relay/src/item_slots/offers.rs
+++ b/crates/relay/src/item_slots/offers.rs
@@ -69,6 +69,11 @@
         self.offers.retain(|offer| offer.target != target);
     }
 
+    /// Removes all offers to a gateway.
+    pub fn remove_peer(&mut self, peer: &VmName) {
+        self.offers.retain(|offer| offer.peer != *peer);
+    }
+
     /// Number of offers to `peer` at targets for which `is_counted` holds.
     pub fn count(&self, peer: &VmName, is_counted: impl Fn(&str) -> bool) -> u32 {
         let offers = self.offers.iter().filter(|offer| offer.peer == *peer);
--- a/crates/relay/src/targets/table.rs
+++ b/crates/relay/src/targets/table.rs
@@ -72,6 +72,11 @@
     /// Slots for items that this gateway offered. Invariant: each counts in the `others` of its
     /// target's record.
     offers: OfferLedger,
+    /// Whether slots for items are offered, so that most items run at targets of other homes.
+    offers_items: bool,
+    /// Revoked items of other gateways whose ends have not been announced. Invariant: empty unless
+    /// `offers_items`.
+    revoked: OfferLedger,
 }
 
 impl TargetTable {
@@ -114,6 +119,7 @@
     /// Removes a target whose entry is gone. It gets no new requests.
     pub fn remove(&mut self, id: &str) {
         self.offers.remove_target(id);
+        self.revoked.remove_target(id);
         if let Some(record) = self.records.remove(id)
             && record.own.total() > 0
         {
@@ -369,6 +375,8 @@
     /// it are not used by that gateway.
     pub fn take_report(&mut self, peer: &VmName, uses: FastMap<String, TargetUse>, now: MonoTime) {
         self.drop_report(peer);
+        // The report contains revoked items that have not ended.
+        self.revoked.remove_peer(peer);
         for (id, reported) in &uses {
             if let Some(record) = self.records.get_mut(id) {
                 record.others.online += reported.online;
--- a/crates/relay/src/targets/table/admission.rs
+++ b/crates/relay/src/targets/table/admission.rs
@@ -176,7 +176,8 @@
         let holders = self.reports.iter().filter(|(_, report)| items(report) > 0);
         let (peer, _) = holders.max_by_key(|(peer, report)| (items(report), peer.as_str()))?;
         let peer = peer.clone();
-        self.note_peer_use(&peer, id, WorkKind::Batch, UseChange::End, now);
+        self.count_peer_use(&peer, id, WorkKind::Batch, UseChange::End, now);
+        self.note_revoked(&peer, id, now);
         Some(PreemptedItem::Peer(peer))
     }
 
@@ -190,7 +191,21 @@
         change: UseChange,
         now: MonoTime,
     ) {
+        if self.is_revoked_end(peer, id, work, change) {
+            return;
+        }
         self.settle_offer(peer, id, work, change);
+        self.count_peer_use(peer, id, work, change, now);
+    }
+
+    fn count_peer_use(
+        &mut self,
+        peer: &VmName,
+        id: &str,
+        work: WorkKind,
+        change: UseChange,
+        now: MonoTime,
+    ) {
         let report = self
             .reports
             .entry(peer.clone())
--- a/crates/relay/src/targets/table/item_offers.rs
+++ b/crates/relay/src/targets/table/item_offers.rs
@@ -12,6 +12,12 @@
 };
 
 impl TargetTable {
+    /// Sets whether slots for items are offered. The end of a revoked item is then counted once, by the
+    /// revocation; counted twice, it would let the home grant a slot that is still in use.
+    pub fn set_offers_items(&mut self, offers_items: bool) {
+        self.offers_items = offers_items;
+    }
+
     /// Whether targets are divided among several home gateways.
     pub fn has_homes(&self) -> bool {
         self.homes.is_shared()
@@ -103,8 +109,14 @@
         self.take(query, choice)
     }
 
-    /// Selects a target for an item that starts without an offer, among the targets for which
-    /// `is_open` holds, by the rule for items without offers, and counts it there.
+    /// Whether there is a target for items without offers: one whose home, if it is another gateway,
+    /// is open, or that has no home.
+    pub fn has_unoffered(&self, is_open: impl Fn(&VmName) -> bool) -> bool {
+        self.records.keys().any(|id| self.is_unoffered(id, &is_open))
+    }
+
+    /// Selects a target for an item that starts without an offer, by the former rule, among those of
+    /// [`has_unoffered`](Self::has_unoffered), and counts it there.
     pub fn choose_unoffered(
         &mut self,
         query: &TargetQuery<'_>,
@@ -112,16 +124,16 @@
         now: MonoTime,
         draw: impl FnMut() -> f64,
     ) -> Option<TargetChoice> {
-        let is_closed = |id: &&String| match self.homes.other_home(id) {
-            Some(home) => !is_open(home),
-            None => self.homes.is_shared() && self.homes.is_own(id),
-        };
-        if self.records.keys().all(|id| is_closed(&id)) {
-            return None;
+        let closed = self.records.keys().filter(|id| !self.is_unoffered(id, &is_open));
+        let closed: Vec<String> = closed.cloned().collect();
+        self.choose(&TargetQuery { avoid: &closed, ..*query }, now, draw)
+    }
+
+    fn is_unoffered(&self, id: &str, is_open: &impl Fn(&VmName) -> bool) -> bool {
+        match self.homes.other_home(id) {
+            Some(home) => is_open(home),
+            None => !(self.homes.is_shared() && self.homes.is_own(id)),
         }
-        let closed: Vec<String> = self.records.keys().filter(is_closed).cloned().collect();
-        let query = TargetQuery { avoid: &closed, ..*query };
-        self.choose(&query, now, draw)
     }
 
     /// Service of a target.
@@ -168,6 +180,24 @@
         }
     }
 
+    /// Records that an item of `peer` at `id` was revoked and is no longer counted.
+    pub(super) fn note_revoked(&mut self, peer: &VmName, id: &str, now: MonoTime) {
+        if self.offers_items {
+            self.revoked.add(peer, id, now);
+        }
+    }
+
+    /// Whether a change is the end of an item that its revocation has already counted.
+    pub(super) fn is_revoked_end(
+        &mut self,
+        peer: &VmName,
+        id: &str,
+        work: WorkKind,
+        change: UseChange,
+    ) -> bool {
+        work == WorkKind::Batch && change == UseChange::End && self.revoked.settle(peer, id)
+    }
+
     /// Withdraws the newest unanswered offer of a slot at `id` and returns its receiver. An item
     /// that has not started loses no work.
     pub(super) fn withdraw_offer(&mut self, id: &str) -> Option<VmName> {
--- a/crates/relay/tests/item_slots.rs
+++ b/crates/relay/tests/item_slots.rs
@@ -167,6 +167,25 @@
     assert_eq!(free_here(&home, at(1)), 1);
 }
 
+/// Guards against a slot that is granted while a second item still runs there: the end of a revoked
+/// item was counted by the revocation and again when it was announced.
+#[rstest]
+#[case::ends_at_once(false)]
+#[case::reported_before_its_end(true)]
+fn the_end_of_a_revoked_item_counts_once(#[case] is_reported: bool) {
+    let mut home = table_of("g1");
+    home.set_offers_items(true);
+    report(&mut home, SLOTS, at(0));
+    assert!(home.pick_preemptible(&query(WorkKind::Online), at(1)).is_some());
+    if is_reported {
+        report(&mut home, SLOTS, at(2));
+    }
+    tell(&mut home, UseChange::End, at(3));
+    assert_eq!(free_here(&home, at(3)), 1);
+    tell(&mut home, UseChange::End, at(4));
+    assert_eq!(free_here(&home, at(4)), 2, "the end of another item");
+}
+
 /// Guards against offers that outlive their target and occupy a slot of the next incarnation.
 #[test]
 fn offers_end_with_their_target() {
@@ -627,6 +646,7 @@
         steps in prop::collection::vec(step(), 1..60),
     ) {
         let mut home = table_of("g1");
+        home.set_offers_items(true);
         let (mut offered, mut running) = (0_u32, 0_u32);
         for (number, step) in steps.into_iter().enumerate() {
             let now = at(number as u64 * 5);
