Bound reports of waiting items

A faulty gateway could report any number of services, and a slack that overflows the calculation of its age. Reports are cut at 64 services.

--- a/crates/entry/src/peers/reports.rs
+++ b/crates/entry/src/peers/reports.rs
@@ -70,8 +70,8 @@
     Some(RosterReport { digest, age_ms: age.as_millis() as u64 + 1 })
 }
 
-/// How long after the last report, which was sent `age` ago, the next one is due. A change of versions alone doesn't count: changes are pushed, and
-/// reporting each would take a message from every gateway to every other.
+/// How long after the last report, which was sent `age` ago, the next one is due. A change of versions alone doesn't
+/// count: changes are pushed, and reporting each would take a message from every gateway to every other.
 fn due_after(last: &PeerMessage, new: &PeerMessage, age: Duration, gateways: usize) -> Duration {
     let (
         PeerMessage::Report { uses, is_watching, waiting, .. },
--- a/crates/relay/src/item_slots.rs
+++ b/crates/relay/src/item_slots.rs
@@ -31,6 +31,8 @@
 const UNSERVED_AFTER: Duration = Duration::from_millis(1_000);
 /// How long the load of a service is recorded after an item last waited for it.
 const FORECAST_LIFETIME: Duration = Duration::from_secs(60);
+/// Maximum number of services in one gateway's report; deployments have a few.
+const MAX_SERVICES: usize = 64;
 /// Maximum number of offers held between two passes. A gateway is offered at most the slots for the
 /// items that it reported.
 const MAX_RECEIVED: usize = 256;
@@ -88,10 +90,11 @@
     pub fn take_report(
         &mut self,
         peer: &VmName,
-        reports: Vec<WaitingReport>,
+        mut reports: Vec<WaitingReport>,
         draw: f64,
         now: MonoTime,
     ) {
+        reports.truncate(MAX_SERVICES);
         if reports.is_empty() {
             self.peers.remove(peer);
             return;
--- a/crates/relay/src/item_slots/waiting.rs
+++ b/crates/relay/src/item_slots/waiting.rs
@@ -50,7 +50,7 @@
 /// of waiting items decreases with time, which the receiver knows.
 pub fn has_changed(last: &[WaitingReport], new: &[WaitingReport], age: Duration) -> bool {
     let is_same = |(last, new): (&WaitingReport, &WaitingReport)| {
-        let expected = last.items.slack_ms - age.as_millis() as i64;
+        let expected = last.items.slack_ms.saturating_sub(age.as_millis() as i64);
         last.service == new.service
             && last.items.count == new.items.count
             && expected.abs_diff(new.items.slack_ms) <= SLACK_TOLERANCE_MS
@@ -117,7 +117,7 @@
     /// Waiting items of a service, with the slack that is left at `now`.
     pub(super) fn items(&self, service: &str, now: MonoTime) -> Option<WaitingItems> {
         let items = self.service(service)?.report.items;
-        let slack_ms = items.slack_ms - now.since(self.at).as_millis() as i64;
+        let slack_ms = items.slack_ms.saturating_sub(now.since(self.at).as_millis() as i64);
         Some(WaitingItems { slack_ms, ..items })
     }
 
@@ -152,7 +152,7 @@
     pub(super) fn note_offered(&mut self, service: &str, count: u32) {
         let found = self.services.iter_mut().find(|waiting| waiting.report.service == service);
         if let Some(waiting) = found {
-            waiting.offered += count;
+            waiting.offered = waiting.offered.saturating_add(count);
         }
     }
 
--- a/crates/relay/tests/item_slots.rs
+++ b/crates/relay/tests/item_slots.rs
@@ -357,6 +357,21 @@
     assert_eq!(divide(&mut table, ONLY_HERE, at(2_600)), shares(&[]));
 }
 
+/// Guards against a faulty gateway whose report fills the memory or overflows a calculation.
+#[test]
+fn extreme_reports_are_bounded() {
+    let mut table = ItemSlotTable::default();
+    let report = |n: usize| WaitingReport {
+        service: if n == 0 { SERVICE.to_owned() } else { format!("s{n}") },
+        items: WaitingItems { count: u32::MAX, slack_ms: i64::MIN },
+    };
+    table.take_report(&vm("faulty"), (0..1_000).map(report).collect(), 1.0, at(0));
+    assert_eq!(table.services().len(), 64);
+    for pass in 0..5 {
+        assert_eq!(divide(&mut table, ONLY_HERE, at(pass * 100)), shares(&[("faulty", 4)]));
+    }
+}
+
 /// Guards against items that wait for ever where homes run a build or setting without offers.
 #[test]
 fn items_without_an_offer_are_unserved_after_a_second() {
