Eject targets that fail a part of their requests

A target that answered part of its requests with failures while its health check passed kept its full share of the traffic: each success reset its failure state, and a complete answer with status 500 counted as a success.

Change, where `[fleet] learn_performance` is on: outcomes are counted in a window of 3 s, told to the target's home with the end of the request, and the home ejects, probes and readmits the target and tells all gateways. At most a third of a service's targets are left out. A request that fails at several targets, and connection failures to three or more targets at once, count against none of them.

--- a/crates/entry/src/batch/item_run.rs
+++ b/crates/entry/src/batch/item_run.rs
@@ -57,6 +57,8 @@
         Some(Err(failure)) => lease.set_outcome(Err(*failure)),
         None => {}
     }
+    let fingerprint = stable_hash64(&[start.job.as_bytes(), start.item.id.as_bytes()]);
+    lease.set_performance(fingerprint, outcome.and_then(target_outcome));
     drop(lease);
     let end = item_end(outcome.as_ref());
     let reason = match &outcome {
@@ -99,6 +101,14 @@
     node.runner_wake.notify(usize::MAX);
 }
 
+/// What the end of a run tells of its target.
+fn target_outcome(end: Result<u16, AttemptFailure>) -> Option<TargetOutcome> {
+    match end {
+        Ok(status) => Some(TargetOutcome::of_status(status)),
+        Err(failure) => TargetOutcome::of_failure(failure),
+    }
+}
+
 fn item_end(outcome: Option<&Result<u16, AttemptFailure>>) -> ItemEnd {
     match outcome {
         None => ItemEnd::Preempted,
--- a/crates/entry/src/constants.rs
+++ b/crates/entry/src/constants.rs
@@ -15,6 +15,9 @@
 pub const FIRST_BYTE_QUEUED_FACTOR: f64 = 5.0;
 /// Interval between checks for targets that are due for a liveness probe.
 pub const LIVENESS_TICK: Duration = Duration::from_millis(100);
+/// Interval at which ejections of targets are announced and expire. Gateways send a target of 145 requests per second
+/// among 39 one more request in twice this time.
+pub const EJECTION_TICK: Duration = Duration::from_millis(100);
 /// Timeout of a liveness probe; a target answers one within a few milliseconds.
 pub const LIVENESS_TIMEOUT: Duration = Duration::from_millis(150);
 /// Fraction of a route's maximum gap between events after which a stalled stream is resumed at another
--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -17,7 +17,8 @@
     accounts::{credit, freshness},
     batch::{ends, limits, retention, runner, takeover},
     constants::{
-        STOP_ACCEPT, STOP_DEADLINE, STOP_IDLE, STOP_JOB_HANDOVER, STOP_JOB_HANDOVER_ALONE,
+        EJECTION_TICK, STOP_ACCEPT, STOP_DEADLINE, STOP_IDLE, STOP_JOB_HANDOVER,
+        STOP_JOB_HANDOVER_ALONE,
     },
     error::EntryError,
     front::{
@@ -71,6 +72,16 @@
     Ok(())
 }
 
+/// Announces ejections of targets until the process ends.
+async fn announce_ejections(node: Arc<EntryNode>) {
+    loop {
+        task::sleep(EJECTION_TICK).await;
+        if node.ejections().announce() {
+            node.runner_wake.notify(usize::MAX);
+        }
+    }
+}
+
 /// Starts a gateway's tasks and listeners; they run until the process ends.
 ///
 /// # Errors
@@ -110,6 +121,9 @@
     task::spawn(runner::run_jobs(Arc::clone(node)));
     task::spawn(takeover::watch_owners(Arc::clone(node)));
     task::spawn(liveness::probe_silent(Arc::clone(node)));
+    if node.features.performance {
+        task::spawn(announce_ejections(Arc::clone(node)));
+    }
     task::spawn(limits::maintain_headroom(Arc::clone(node)));
     task::spawn(freshness::keep_fresh(Arc::clone(node)));
     task::spawn(retention::delete_old_jobs(Arc::clone(node)));
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -43,7 +43,7 @@
         live_feeds::LiveFeeds,
         target::{TargetChange, TargetFeed},
     },
-    target::{connection::TargetConnection, pool::TargetPool},
+    target::{connection::TargetConnection, ejections::EjectionExchange, pool::TargetPool},
 };
 
 /// State shared by all tasks of a gateway. Locks are held only briefly, never across an await. Lock order: jobs,
@@ -117,6 +117,11 @@
         let traffic = PeerTraffic::new(&metrics);
         let owner = format!("{}#{:016x}", config.node.vm, rand::random::<u64>());
         let domain = config.node.domain.as_str().to_owned();
+        let features = GatewayFeatures::of(&config);
+        let mut targets = TargetTable::new(&domain);
+        if features.performance {
+            targets.learn_performance();
+        }
         let (store, detours) = StoreClient::new(config.store.clone(), clock, log.clone(), calls);
         let node = Self {
             store,
@@ -139,14 +144,14 @@
             target_restarts: Event::new(),
             is_verifying: AtomicBool::new(false),
             configuration: RwLock::new(None),
-            targets: Mutex::new(TargetTable::new(&domain)),
+            targets: Mutex::new(targets),
             target_feed: Mutex::default(),
             jobs: Mutex::default(),
             crashes: Mutex::default(),
             retry_detector: Mutex::default(),
             dropped_routes: Mutex::default(),
             job_admission: Mutex::default(),
-            features: GatewayFeatures::of(&config),
+            features,
             config,
         };
         (node, detours)
@@ -157,6 +162,17 @@
         self.targets.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// What the exchange of ejections needs.
+    pub fn ejections(&self) -> EjectionExchange<'_> {
+        EjectionExchange {
+            targets: &self.targets,
+            peers: &self.peers,
+            clock: self.clock,
+            log: &self.log,
+            metrics: &self.metrics,
+        }
+    }
+
     /// Target entries as the store has them, by revision.
     pub fn target_feed(&self) -> MutexGuard<'_, TargetFeed> {
         self.target_feed.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/entry/src/online/lease.rs
+++ b/crates/entry/src/online/lease.rs
@@ -2,7 +2,7 @@
 
 use notch_messages::prelude::PeerMessage;
 use notch_relay::prelude::*;
-use notch_types::prelude::VmName;
+use notch_types::prelude::*;
 
 use crate::node::EntryNode;
 
@@ -16,24 +16,27 @@
     /// The target's home gateway, which counts its slots; `None` when it is this one.
     home: Option<VmName>,
     outcome: Option<Result<(), AttemptFailure>>,
+    /// What the attempt tells of the target's performance.
+    report: AttemptReport,
 }
 
 impl<'a> TargetLease<'a> {
     /// Takes over the slot that was counted for `choice`. The home gateway is notified, unless it granted the slot.
     pub fn new(node: &'a EntryNode, choice: &TargetChoice, work: WorkKind) -> Self {
         let (id, home) = (choice.id.clone(), choice.home.clone());
-        let lease = Self { node, id, work, home, outcome: None };
+        let report = AttemptReport { fingerprint: 0, outcome: None, is_probe: choice.is_probe };
+        let lease = Self { node, id, work, home, outcome: None, report };
         if !choice.is_granted {
-            lease.notify_home(UseChange::Begin);
+            lease.notify_home(UseChange::Begin, None);
         }
         lease
     }
 
     /// Notifies the home gateway of a change. If the message is lost, the next report makes up for it.
-    fn notify_home(&self, change: UseChange) {
+    fn notify_home(&self, change: UseChange, is_failure: Option<bool>) {
         let Some(home) = &self.home else { return };
         let (target, work) = (self.id.clone(), self.work);
-        let use_change = PeerMessage::PlaceUse { target, work, change, is_failure: None };
+        let use_change = PeerMessage::PlaceUse { target, work, change, is_failure };
         self.node.peers.send(home, use_change);
     }
 
@@ -41,12 +44,39 @@
     pub fn set_outcome(&mut self, outcome: Result<(), AttemptFailure>) {
         self.outcome = Some(outcome);
     }
+
+    /// Records what the attempt tells of the target's performance. A complete answer that reports a failure is one of
+    /// the target here, although [`set_outcome`](Self::set_outcome) takes it as an answered request.
+    pub fn set_performance(&mut self, fingerprint: u64, outcome: Option<TargetOutcome>) {
+        self.report = AttemptReport { fingerprint, outcome, ..self.report };
+    }
+
+    /// Counts the outcome of the attempt, and returns what to tell the target's home.
+    fn note_performance(&self, targets: &mut TargetTable, now: MonoTime) -> Option<bool> {
+        if !self.node.features.performance {
+            return None;
+        }
+        let is_failure = targets.note_outcome(&self.id, self.report, now);
+        let has_failed =
+            self.report.outcome.is_some_and(|outcome| outcome != TargetOutcome::Answered);
+        if has_failed {
+            let event = match is_failure {
+                Some(_) => "target_failures_counted",
+                None => "target_failures_excused",
+            };
+            self.node.metrics.count(Counter::Event(event));
+        }
+        is_failure
+    }
 }
 
 impl Drop for TargetLease<'_> {
     fn drop(&mut self) {
         let now = self.node.clock.mono();
-        self.node.targets().finish(&self.id, self.work, self.outcome, now);
-        self.notify_home(UseChange::End);
+        let mut targets = self.node.targets();
+        targets.finish(&self.id, self.work, self.outcome, now);
+        let is_failure = self.note_performance(&mut targets, now);
+        drop(targets);
+        self.notify_home(UseChange::End, is_failure);
     }
 }
--- a/crates/entry/src/online/relay.rs
+++ b/crates/entry/src/online/relay.rs
@@ -98,6 +98,8 @@
     not_run: u32,
     /// Targets that failed this request.
     avoid: Vec<String>,
+    /// Status of a complete or refused answer of the current attempt that reports a failure.
+    failure_status: Option<u16>,
     /// Failed attempts, for the log.
     failures: Vec<String>,
     /// How long it may wait for a slot.
@@ -129,6 +131,7 @@
             unknown: 0,
             not_run: 0,
             avoid: Vec::new(),
+            failure_status: None,
             failures: Vec::new(),
             queue: queue_limit(node, request),
             place_asks: 0,
@@ -202,12 +205,20 @@
 
     /// Chooses a target and counts the request there; `None` when no slot is available.
     async fn choose_target(&mut self) -> Option<TargetChoice> {
-        let mut search = SlotSearch::default();
+        let mut search = SlotSearch::probing(self.may_probe());
         let choice = slots::find(self.node, &mut search, &self.query()).await;
         self.place_asks = search.asks();
         choice
     }
 
+    /// Whether this attempt may probe an ejected target: a failure must leave the request another attempt and its client
+    /// a retry.
+    fn may_probe(&self) -> bool {
+        let is_first = self.avoid.is_empty() && !self.head_sent;
+        let may_be_late = self.request.client_deadline.is_none() || self.queue != QueueLimit::Any;
+        is_first && may_be_late && self.has_attempts()
+    }
+
     fn query(&self) -> TargetQuery<'_> {
         TargetQuery {
             service: &self.service,
@@ -222,6 +233,7 @@
         let mut lease = TargetLease::new(self.node, choice, WorkKind::Online);
         let held_before = self.last_event;
         let began = self.now();
+        self.failure_status = None;
         let end = {
             let node = self.node;
             let attempting = self.attempt_at(choice);
@@ -232,6 +244,7 @@
                 Either::Right(_) => Err(AttemptFailure::TargetRestarted),
             }
         };
+        lease.set_performance(self.request.fingerprint, self.target_outcome(end));
         match end {
             Ok(AttemptEnd::Complete(_)) => {
                 lease.set_outcome(Ok(()));
@@ -249,6 +262,16 @@
         end
     }
 
+    /// What the end of an attempt tells of its target.
+    fn target_outcome(&self, end: Result<AttemptEnd, AttemptFailure>) -> Option<TargetOutcome> {
+        match (end, self.failure_status) {
+            (_, Some(status)) => Some(TargetOutcome::of_status(status)),
+            (Ok(AttemptEnd::Complete(status)), None) => Some(TargetOutcome::of_status(status)),
+            (Ok(AttemptEnd::ClientGone), None) => None,
+            (Err(failure), None) => TargetOutcome::of_failure(failure),
+        }
+    }
+
     /// Records the latency of an answer that came from one target completely.
     fn note_latency(&self, choice: &TargetChoice, began: MonoTime) {
         let Some(first) = self.first_sent.filter(|first| *first >= began) else { return };
@@ -296,6 +319,7 @@
         head: ResponseHead,
     ) -> Result<AttemptEnd, AttemptFailure> {
         let is_failure = matches!(head.status, 500 | 502 | 504);
+        self.failure_status = is_failure.then_some(head.status);
         if self.head_sent || (is_failure && self.has_attempts()) {
             return Err(AttemptFailure::TargetError);
         }
--- a/crates/entry/src/peers/links.rs
+++ b/crates/entry/src/peers/links.rs
@@ -302,9 +302,13 @@
         PeerMessage::PlaceAnswer { call, answer } => {
             slots::handle_answer(node, &peer.vm, call, answer);
         }
-        PeerMessage::PlaceUse { target, work, change, .. } => {
+        PeerMessage::PlaceUse { target, work, change, is_failure } => {
             let now = node.clock.mono();
-            node.targets().note_peer_use(&peer.vm, &target, work, change, now);
+            let mut targets = node.targets();
+            targets.note_peer_use(&peer.vm, &target, work, change, now);
+            if let Some(is_failure) = is_failure {
+                targets.note_peer_outcome(&target, is_failure, now);
+            }
         }
         PeerMessage::AgeAsk { call } => freshness::answer(node, &peer.vm, call),
         PeerMessage::Age { call, version, age_ms } => {
@@ -322,7 +326,9 @@
         }
         PeerMessage::CreditReturned { .. } => {}
         PeerMessage::ItemSlotOffer { .. } => {}
-        PeerMessage::TargetEjected { .. } => {}
+        PeerMessage::TargetEjected { target, is_ejected } => {
+            node.ejections().apply(&peer.vm, &target, is_ejected);
+        }
         PeerMessage::EvictionAsk { .. } | PeerMessage::EvictionAnswer { .. } => {}
         PeerMessage::Stopping => {
             node.log.info("gateway_stops", &[("gateway", &peer.vm)]);
--- a/crates/relay/src/targets.rs
+++ b/crates/relay/src/targets.rs
@@ -9,6 +9,7 @@
 pub mod health;
 pub mod homes;
 pub mod latency;
+pub mod performance;
 pub mod prefix_cache;
 pub mod prompt;
 pub mod record;
--- a/crates/relay/src/targets/choice.rs
+++ b/crates/relay/src/targets/choice.rs
@@ -66,4 +66,6 @@
     pub home: Option<VmName>,
     /// Whether the home gateway granted the slot and so already counts this request.
     pub is_granted: bool,
+    /// Whether the request is a probe of an ejected target.
+    pub is_probe: bool,
 }
--- a/crates/relay/src/targets/health.rs
+++ b/crates/relay/src/targets/health.rs
@@ -32,6 +32,11 @@
         self.failures > 0 && (now < self.avoid_until || self.probing || self.is_silent)
     }
 
+    /// Whether the target sent nothing and has not answered a liveness probe since.
+    pub fn is_silent(&self) -> bool {
+        self.is_silent
+    }
+
     /// Whether a liveness probe should be sent to the target at `now`. Probing with real requests
     /// lost one of them at each try while the target was unreachable.
     pub fn needs_liveness_probe(&self, now: MonoTime) -> bool {
--- a/crates/relay/src/targets/record.rs
+++ b/crates/relay/src/targets/record.rs
@@ -8,6 +8,7 @@
     entry::{TargetEntry, TargetState},
     health::TargetHealth,
     latency::ServiceLatency,
+    performance::TargetPerformance,
 };
 
 /// Slots of a remote target (one with another home gateway) that batch leaves free, because its
@@ -81,6 +82,7 @@
     /// Sum of the last reports of the other gateways.
     pub(super) others: TargetUse,
     pub(super) health: TargetHealth,
+    pub(super) performance: TargetPerformance,
     /// Whether another target answered at its address. The target is not used until it registers
     /// again.
     pub(super) address_reused: bool,
@@ -91,7 +93,7 @@
 
 impl TargetRecord {
     pub(super) fn has_free_slot(&self) -> bool {
-        self.total() < self.entry.slots
+        self.total() + self.performance.closed_slots < self.entry.slots
     }
 
     /// Requests that are queued at the target.
@@ -105,6 +107,18 @@
         ready && self.entry.service == service && !self.is_full()
     }
 
+    /// Whether new requests should avoid the target at `now`: it failed a short time ago or is
+    /// ejected.
+    pub(super) fn is_avoided(&self, now: MonoTime) -> bool {
+        self.performance.is_excluded || self.health.is_avoided(now)
+    }
+
+    /// Determines how many slots a readmitted target keeps closed at `now`.
+    pub(super) fn update_closed_slots(&mut self, now: MonoTime) {
+        let closed = self.performance.ejection.closed_slots(self.entry.slots, now);
+        self.performance.closed_slots = closed;
+    }
+
     /// Requests of all gateways at the target.
     pub(super) fn total(&self) -> u32 {
         self.own.total() + self.others.total()
@@ -119,7 +133,7 @@
     pub(super) fn has_batch_slot(&self, is_home: bool) -> bool {
         let reserve = if is_home { 0 } else { REMOTE_BATCH_RESERVE };
         let open = self.entry.slots.saturating_sub(reserve).max(1);
-        self.total() < open
+        self.total() + self.performance.closed_slots < open
     }
 
     /// Whether an online request that arrives now is likely to begin in time. Items of this gateway
@@ -148,6 +162,7 @@
         let remote = if is_home { 0.0 } else { REMOTE_PENALTY };
         let own_items = f64::from(self.own.batch) * (1.0 - PREEMPTIBLE_WEIGHT);
         let slow = if now < self.slow_until { SLOW_PENALTY } else { 0.0 };
-        f64::from(self.total()) - own_items + cross_domain + remote + slow
+        let taken = self.total() + self.performance.closed_slots;
+        f64::from(taken) - own_items + cross_domain + remote + slow
     }
 }
--- a/crates/relay/src/targets/slot_search.rs
+++ b/crates/relay/src/targets/slot_search.rs
@@ -10,7 +10,7 @@
 use notch_types::prelude::*;
 
 use crate::targets::{
-    choice::{TargetChoice, TargetQuery},
+    choice::{QueueLimit, TargetChoice, TargetQuery},
     grants::{PreemptedItem, QueueOffer},
     table::TargetTable,
 };
@@ -44,11 +44,18 @@
 #[derive(Debug, Default)]
 pub struct SlotSearch {
     asks: u32,
+    /// Whether the request may probe an ejected target: a failure there costs it only a retry.
+    may_probe: bool,
     /// Shortest queue offered by another gateway.
     offer: Option<QueueOffer>,
 }
 
 impl SlotSearch {
+    /// A search for a request that may probe an ejected target if `may_probe`.
+    pub fn probing(may_probe: bool) -> Self {
+        Self { may_probe, ..Self::default() }
+    }
+
     /// Number of gateways asked so far.
     pub fn asks(&self) -> u32 {
         self.asks
@@ -65,6 +72,11 @@
         now: MonoTime,
         mut draw: impl FnMut() -> f64,
     ) -> Option<SearchStep> {
+        if self.may_probe
+            && let Some(probe) = targets.pick_probe(query, now)
+        {
+            return targets.take(query, probe).map(|choice| SearchStep::Take(choice, None));
+        }
         if let Some(own) = targets.pick_own(query, now, &mut draw) {
             return targets.take(query, own).map(|choice| SearchStep::Take(choice, None));
         }
@@ -87,7 +99,11 @@
             // A target that has already failed this request is better than none.
             let query = TargetQuery { avoid: &[], ..*query };
             targets.pick(&query, now, &mut draw)
-        })?;
+        });
+        let is_last_chance = query.queue == QueueLimit::Any;
+        // An ejected target is better than a refusal that the client cannot retry.
+        let probe = || is_last_chance.then(|| targets.pick_probe(query, now)).flatten();
+        let pick = pick.or_else(probe)?;
         let choice = targets.take(query, pick)?;
         let preempted = (!choice.has_free_slot).then_some(PreemptedItem::Own);
         Some(SearchStep::Take(choice, preempted))
--- a/crates/relay/src/targets/table.rs
+++ b/crates/relay/src/targets/table.rs
@@ -1,6 +1,7 @@
 //! All known targets, their load, and the selection among them.
 
 mod admission;
+pub mod ejections;
 
 use std::{net::SocketAddr, time::Duration};
 
@@ -13,8 +14,10 @@
     health::TargetHealth,
     homes::TargetHomes,
     latency::ServiceLatency,
+    performance::TargetPerformance,
     prefix_cache::PrefixCacheIndex,
     record::{TargetRecord, TargetUse},
+    table::ejections::PerformanceState,
 };
 
 /// How long a target that closed a connection is considered about to leave. If it leaves, its entry
@@ -67,6 +70,8 @@
     prefix_cache: PrefixCacheIndex,
     /// This gateway's use of targets without an entry, until their last request ends.
     orphaned_uses: FastMap<String, OrphanedUse>,
+    /// State by which failures and pace of targets are learned; `None` where they are not.
+    performance: Option<PerformanceState>,
 }
 
 impl TargetTable {
@@ -83,7 +88,7 @@
             record.entry = entry;
             record.address_reused = false;
             record.slow_until = slow_until.max(record.slow_until);
-            return;
+            return self.note_entries_changed();
         }
         let own = self.orphaned_uses.remove(&id).unwrap_or_default().own;
         let mut others = TargetUse::default();
@@ -93,9 +98,12 @@
             others.batch += reported.batch;
         }
         let health = TargetHealth::default();
+        let performance = TargetPerformance::default();
         let address_reused = false;
-        let record = TargetRecord { entry, own, others, health, address_reused, slow_until };
+        let record =
+            TargetRecord { entry, own, others, health, performance, address_reused, slow_until };
         self.records.insert(id, record);
+        self.note_entries_changed();
     }
 
     /// Records that a target announced the close of its connection. A target that is about to leave
@@ -114,6 +122,7 @@
             let orphaned = OrphanedUse { own: record.own, has_restarted: false };
             self.orphaned_uses.insert(id.to_owned(), orphaned);
         }
+        self.note_entries_changed();
     }
 
     /// Removes incarnation `id` of a target after a later incarnation has registered. If the target
@@ -154,7 +163,7 @@
         for record in self.records.values() {
             let is_able = record.entry.state == TargetState::Ready
                 && !record.address_reused
-                && !record.health.is_avoided(now);
+                && !record.is_avoided(now);
             let taken = record.own.online + record.others.online;
             let left = if is_able { record.entry.slots.saturating_sub(taken) } else { 0 };
             match slots.get_mut(&record.entry.service) {
@@ -179,6 +188,9 @@
         let choice = match query.work {
             WorkKind::Online => self.pick(query, now, &mut draw)?,
             WorkKind::Batch => {
+                if let Some(probe) = self.pick_probe(query, now) {
+                    return self.take(query, probe);
+                }
                 let (_, record) = self.best_record(query, now, self.remote_share, &mut draw)?;
                 self.choice_of(record)
             }
@@ -195,8 +207,7 @@
         mut draw: impl FnMut() -> f64,
     ) -> Option<TargetChoice> {
         let best = self.best_record(query, now, OWN_ONLY, &mut draw);
-        let free =
-            best.filter(|(_, record)| record.has_free_slot() && !record.health.is_avoided(now));
+        let free = best.filter(|(_, record)| record.has_free_slot() && !record.is_avoided(now));
         free.map(|(_, record)| self.choice_of(record))
     }
 
@@ -236,6 +247,7 @@
             is_home: self.homes.is_shared() && self.homes.is_own(id),
             home: self.homes.other_home(id).cloned(),
             is_granted: false,
+            is_probe: record.performance.ejection.is_ejected() && self.homes.is_own(id),
         }
     }
 
@@ -254,7 +266,8 @@
         let mut best: Option<(f64, &TargetRecord)> = None;
         let mut fallback: Option<(f64, &TargetRecord)> = None;
         for record in self.records.values() {
-            if !record.takes(service) || avoid.contains(&record.entry.id) {
+            let is_left_out = !record.takes(service) || record.performance.is_excluded;
+            if is_left_out || avoid.contains(&record.entry.id) {
                 continue;
             }
             let is_home = self.homes.is_own(&record.entry.id);
--- a/crates/relay/src/targets/table/admission.rs
+++ b/crates/relay/src/targets/table/admission.rs
@@ -49,7 +49,7 @@
             let id = &record.entry.id;
             let Some(home) = self.homes.other_home(id) else { continue };
             let is_able = record.takes(query.service)
-                && !record.health.is_avoided(now)
+                && !record.is_avoided(now)
                 && !query.avoid.contains(id)
                 && self.homes.may_ask(home, now);
             if !is_able || !(record.has_free_slot() || may_displace) {
@@ -143,7 +143,7 @@
         self.records.values().filter(move |record| {
             record.takes(service)
                 && self.homes.is_own(&record.entry.id)
-                && !record.health.is_avoided(now)
+                && !record.is_avoided(now)
                 && !avoid.contains(&record.entry.id)
         })
     }
