Simulate targets that fail a part of their requests

Cause: no pattern had targets that fail while their health check passes, nor targets of such different speeds.

Change: pattern `uneven-targets` (41 targets with speeds of 0.6, 1.0 and 1.6, 15% of them 2.5 times slower for 0.6 s at a time, three failing 45% of their requests for 8 s, four of five online requests not repeatable) and policy `performance` beside `homes`. The policy that knows everything also knows speeds and faults there.

--- a/crates/lab/src/comparison.rs
+++ b/crates/lab/src/comparison.rs
@@ -75,7 +75,7 @@
     /// Formats the results as a table, with each policy's difference from the first one.
     pub fn table(&self) -> String {
         let mut text = format!(
-            "{}, {} seeds\n{:<12} {:>8} {:>15} {:>10} {:>10} {:>9} {:>8} {:>9} {:>6} {:>9}\n",
+            "{}, {} seeds\n{:<12} {:>8} {:>15} {:>10} {:>10} {:>9} {:>8} {:>8} {:>9} {:>6} {:>9}\n",
             self.pattern,
             self.seeds,
             "policy",
@@ -85,6 +85,7 @@
             "place free",
             "refused",
             "failed",
+            "lost",
             "items",
             "asks",
             "cut runs"
@@ -97,7 +98,7 @@
             };
             let difference = PairedDifference::of(&base, &result.values(SimOutcome::online_share));
             text += &format!(
-                "{:<12} {:>8.4} {:>+8.4}±{:.4} {:>10.4} {:>10.4} {:>9.4} {:>8.4} {:>9.4} {:>6.3} {:>9.0}\n",
+                "{:<12} {:>8.4} {:>+8.4}±{:.4} {:>10.4} {:>10.4} {:>9.4} {:>8.4} {:>8.4} {:>9.4} {:>6.3} {:>9.0}\n",
                 result.policy,
                 result.mean(SimOutcome::online_share),
                 difference.mean,
@@ -106,6 +107,7 @@
                 share(|o| o.late_place_free),
                 share(|o| o.refused),
                 share(|o| o.late_target_failed),
+                share(|o| o.lost),
                 result.mean(SimOutcome::item_share),
                 result.mean(SimOutcome::slot_requests_per_request),
                 result.mean(|o| o.cut_runs as f64),
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -17,8 +17,8 @@
 pub mod prelude {
     pub use crate::{
         comparison::{PairedDifference, PatternComparison, PolicyOutcomes},
-        outcome::SimOutcome,
-        pattern::{LoadPattern, LoadStep, TargetLoss},
+        outcome::{FaultTraffic, SimOutcome},
+        pattern::{LoadPattern, LoadStep, SlowSpells, TargetFault, TargetLoss},
         policy::SelectionPolicy,
         simulation::Simulation,
     };
--- a/crates/lab/src/outcome.rs
+++ b/crates/lab/src/outcome.rs
@@ -2,6 +2,38 @@
 
 use serde::Serialize;
 
+/// Online requests at the targets of a fault and at the others.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
+pub struct FaultTraffic {
+    /// Targets of the fault.
+    pub targets: u64,
+    /// All other targets.
+    pub other_targets: u64,
+    /// Requests at a target of the fault from 1 s after its second failure until the fault ends, without probes.
+    pub failing: u64,
+    /// Probes there in that time.
+    pub probes: u64,
+    /// Requests at the other targets in that time, summed over the targets of the fault.
+    pub failing_others: u64,
+    /// Requests at the targets of the fault from 2 s after its end.
+    pub recovered: u64,
+    /// Requests at the other targets in that time.
+    pub recovered_others: u64,
+}
+
+impl FaultTraffic {
+    /// Requests at an average failing target, as a share of those at an average other one.
+    pub fn failing_share(&self) -> f64 {
+        self.failing as f64 * self.other_targets as f64 / self.failing_others.max(1) as f64
+    }
+
+    /// Requests at an average recovered target, as a share of those at an average other one.
+    pub fn recovered_share(&self) -> f64 {
+        let ratio = self.recovered as f64 / self.recovered_others.max(1) as f64;
+        ratio * self.other_targets as f64 / self.targets.max(1) as f64
+    }
+}
+
 /// Counters of one simulation run.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
 pub struct SimOutcome {
@@ -17,6 +49,12 @@
     pub late_target_failed: u64,
     /// Online requests rejected because no target could serve them in time, or given up after the last attempt.
     pub refused: u64,
+    /// Online requests that a target failed and that must not run twice.
+    pub lost: u64,
+    /// Most targets that a gateway left out at a time.
+    pub max_excluded: u64,
+    /// Traffic during and after a fault of some targets.
+    pub fault: FaultTraffic,
     /// Slot requests sent to home gateways.
     pub asks: u64,
     /// Job items that arrived.
--- a/crates/lab/src/pattern.rs
+++ b/crates/lab/src/pattern.rs
@@ -31,6 +31,32 @@
     pub count: usize,
 }
 
+/// A time in which some targets fail a part of their requests, although their health check passes.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct TargetFault {
+    /// When it begins, from the start of the simulation.
+    pub at: Duration,
+    /// How long it lasts.
+    pub span: Duration,
+    /// Number of the first of these targets.
+    pub first: usize,
+    /// Number of targets.
+    pub count: usize,
+    /// Share of their requests that they answer with a failure.
+    pub share: f64,
+}
+
+/// Times in which a random part of the targets is slower.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct SlowSpells {
+    /// Share of the targets that are slower at a time.
+    pub share: f64,
+    /// Factor by which they are slower.
+    pub factor: f64,
+    /// Time after which other targets are slower.
+    pub span: Duration,
+}
+
 /// A load and the fleet that it runs on.
 #[derive(Debug, Clone, PartialEq)]
 pub struct LoadPattern {
@@ -68,6 +94,14 @@
     pub losses: Vec<TargetLoss>,
     /// Gateway freezes to inject.
     pub freezes: Vec<GatewayFreeze>,
+    /// Factors by which targets are slower than the reference, assigned in turn by target number.
+    pub slowdowns: Vec<f64>,
+    /// Slow times of targets.
+    pub slow_spells: Option<SlowSpells>,
+    /// A fault of some targets.
+    pub fault: Option<TargetFault>,
+    /// Share of the online requests that may run twice.
+    pub repeatable_share: f64,
 }
 
 impl Default for LoadPattern {
@@ -91,6 +125,10 @@
             delay: Duration::from_micros(1_400),
             losses: Vec::new(),
             freezes: Vec::new(),
+            slowdowns: vec![1.0, 1.0, 1.3],
+            slow_spells: None,
+            fault: None,
+            repeatable_share: 1.0,
         }
     }
 }
@@ -134,6 +172,7 @@
             Self { name: "lost-targets", losses: vec![lost], ..base() },
             Self { name: "frozen-gateways", freezes: vec![freeze], ..base() },
             Self::short_replies(),
+            Self::uneven_targets(),
         ]
     }
 
@@ -158,6 +197,32 @@
         }
     }
 
+    /// Targets with speeds of 0.6, 1.0 and 1.6, of which 15% are 2.5 times slower for 0.6 s at a time, and three fail
+    /// 45% of their requests for 8 s. Four of five online requests must not run twice.
+    fn uneven_targets() -> Self {
+        let (at, span) = (Duration::from_secs(6), Duration::from_secs(8));
+        Self {
+            name: "uneven-targets",
+            gateways: 19,
+            targets: 41,
+            domains: 3,
+            slots: 8,
+            online_per_second: 188.0,
+            online_events: 22,
+            items_per_second: 23.0,
+            item_events: 154,
+            slowdowns: vec![1.0 / 0.6, 1.0, 1.0 / 1.6],
+            slow_spells: Some(SlowSpells {
+                share: 0.15,
+                factor: 2.5,
+                span: Duration::from_millis(600),
+            }),
+            fault: Some(TargetFault { at, span, first: 5, count: 3, share: 0.45 }),
+            repeatable_share: 0.2,
+            ..Self::default()
+        }
+    }
+
     /// Finds a predefined pattern by its name.
     pub fn named(name: &str) -> Option<Self> {
         Self::all().into_iter().find(|pattern| pattern.name == name)
--- a/crates/lab/src/policy.rs
+++ b/crates/lab/src/policy.rs
@@ -9,17 +9,25 @@
     UsageReports,
     /// Requests slots from the home gateways of other targets. This is the production behaviour.
     HomeGateways,
+    /// The same, and learns failures and pace of targets. This is the production behaviour where it is enabled.
+    LearnedPerformance,
     /// Sees the current state of every target without delay: a baseline that no real gateway can reach.
     Oracle,
 }
 
 impl SelectionPolicy {
     /// Every policy with its command-line name.
-    pub const ALL: [(&'static str, Self); 3] = [
+    pub const ALL: [(&'static str, Self); 4] = [
         ("reports", Self::UsageReports),
         ("homes", Self::HomeGateways),
+        ("performance", Self::LearnedPerformance),
         ("all-knowing", Self::Oracle),
     ];
+
+    /// Whether slots are requested from home gateways.
+    pub fn asks_homes(self) -> bool {
+        matches!(self, Self::HomeGateways | Self::LearnedPerformance)
+    }
 }
 
 impl fmt::Display for SelectionPolicy {
--- a/crates/lab/src/simulation.rs
+++ b/crates/lab/src/simulation.rs
@@ -1,5 +1,6 @@
 //! Simulation of one load pattern: gateways, targets and the messages between them.
 
+mod faults;
 mod items;
 mod online;
 
@@ -20,6 +21,8 @@
 
 /// How often gateways report their use of targets to each other.
 const REPORT_INTERVAL: Duration = Duration::from_millis(100);
+/// How often gateways announce ejections of targets.
+const EJECTION_TICK: Duration = Duration::from_millis(100);
 /// How often gateways try to start waiting items.
 const ITEM_START_INTERVAL: Duration = Duration::from_millis(40);
 /// Time after which the links of a silent gateway are closed and its targets get new home gateways.
@@ -28,8 +31,6 @@
 const ENTRY_EXPIRY: Duration = Duration::from_secs(1);
 /// Time that the simulation goes on after arrivals stop, so that the remaining items reach their deadlines.
 const DRAIN_TIME: Duration = Duration::from_secs(20);
-/// Slowdown factors of the targets, assigned in turn by target number.
-const SLOWDOWN: [f64; 3] = [1.0, 1.0, 1.3];
 /// The only service in the simulation.
 const SERVICE: &str = "model";
 
@@ -53,6 +54,8 @@
     has_first_event: bool,
     /// Preemption has been requested.
     is_preempted: bool,
+    /// It is a probe of an ejected target.
+    is_probe: bool,
 }
 
 /// State of an online request at its gateway.
@@ -69,6 +72,7 @@
     /// It was sent to a full target while another target had a free slot.
     missed_free_slot: bool,
     has_failed: bool,
+    may_repeat: bool,
 }
 
 #[derive(Debug)]
@@ -102,6 +106,9 @@
     AnswerEvent {
         run: RunNumber,
     },
+    FailRun {
+        run: RunNumber,
+    },
     Preempt {
         run: RunNumber,
     },
@@ -123,6 +130,20 @@
         target: String,
         work: WorkKind,
         change: UseChange,
+        is_failure: Option<bool>,
+    },
+    ReceiveEjection {
+        to: usize,
+        from: usize,
+        target: String,
+        is_ejected: bool,
+    },
+    AnnounceEjections {
+        gateway: usize,
+    },
+    ChangeSpells,
+    SetFault {
+        share: f64,
     },
     RevokeSlot {
         gateway: usize,
@@ -148,6 +169,8 @@
 enum RunOutcome {
     Completed,
     Failed(AttemptFailure),
+    /// The target answered with an error status.
+    ErrorStatus,
     Preempted,
 }
 
@@ -166,6 +189,8 @@
     runs: FastMap<RunNumber, SimRun>,
     next_run: RunNumber,
     requests: Vec<SimRequest>,
+    /// Failures of each target of the fault, with the time of the second one.
+    fault_failures: Vec<(u32, MonoTime)>,
     outcome: SimOutcome,
 }
 
@@ -184,8 +209,8 @@
         let domain = |number: usize| format!("fd-{}", number % pattern.domains);
         let gateways: Vec<GatewayModel> =
             (0..pattern.gateways).map(|n| GatewayModel::new(n, &domain(n))).collect();
-        let model =
-            |n: usize| TargetModel::new(pattern.slots, pattern.queue, SLOWDOWN[n % SLOWDOWN.len()]);
+        let slowdown = |n: usize| pattern.slowdowns[n % pattern.slowdowns.len()];
+        let model = |n: usize| TargetModel::new(pattern.slots, pattern.queue, slowdown(n));
         let mut simulation = Self {
             policy,
             random: SmallRng::seed_from_u64(seed),
@@ -197,6 +222,7 @@
             runs: FastMap::default(),
             next_run: 1,
             requests: Vec::new(),
+            fault_failures: vec![(0, MonoTime::default()); pattern.targets],
             outcome: SimOutcome::default(),
             pattern: pattern.clone(),
         };
@@ -205,6 +231,9 @@
                 let entry = simulation.entry(target, &domain(target));
                 simulation.gateways[gateway].table.put(entry, MonoTime::default());
             }
+            if policy == SelectionPolicy::LearnedPerformance {
+                simulation.gateways[gateway].table.learn_performance();
+            }
         }
         simulation
     }
@@ -233,6 +262,7 @@
             self.schedule.add(offset, SimEvent::SendReport { gateway });
             self.schedule.add(offset, SimEvent::StartItems { gateway });
         }
+        self.schedule_faults();
         for loss in self.pattern.losses.clone() {
             self.schedule.add(loss.at, SimEvent::FailTargets { count: loss.count });
         }
@@ -285,10 +315,22 @@
                 table.take_report(&peer, uses.into_iter().collect(), now);
                 table.expire_reports(now);
             }
-            SimEvent::PeerUse { home, from, target, work, change } => {
+            SimEvent::PeerUse { home, from, target, work, change, is_failure } => {
                 let (now, peer) = (self.now(), self.gateways[from].vm.clone());
-                self.gateways[home].table.note_peer_use(&peer, &target, work, change, now);
+                let table = &mut self.gateways[home].table;
+                table.note_peer_use(&peer, &target, work, change, now);
+                if let Some(is_failure) = is_failure {
+                    table.note_peer_outcome(&target, is_failure, now);
+                }
+            }
+            SimEvent::FailRun { run } => self.fail_run(run),
+            SimEvent::AnnounceEjections { gateway } => self.announce_ejections(gateway),
+            SimEvent::ReceiveEjection { to, from, target, is_ejected } => {
+                let (now, peer) = (self.now(), self.gateways[from].vm.clone());
+                self.gateways[to].table.apply_ejection(&peer, &target, is_ejected, now);
             }
+            SimEvent::ChangeSpells => self.change_spells(),
+            SimEvent::SetFault { share } => self.set_fault(share),
             SimEvent::RevokeSlot { gateway, target } => self.preempt_own_item(gateway, &target),
             SimEvent::StartItems { gateway } => self.start_items(gateway),
             SimEvent::FailTargets { count } => self.fail_targets(count),
@@ -317,8 +359,9 @@
             SimEvent::RunEnded { run, .. } => self.runs.get(run).map(|run| run.gateway),
             SimEvent::SendReport { gateway }
             | SimEvent::StartItems { gateway }
+            | SimEvent::AnnounceEjections { gateway }
             | SimEvent::RevokeSlot { gateway, .. } => Some(*gateway),
-            SimEvent::ReceiveReport { to, .. } => Some(*to),
+            SimEvent::ReceiveReport { to, .. } | SimEvent::ReceiveEjection { to, .. } => Some(*to),
             _ => None,
         }
     }
@@ -360,7 +403,7 @@
     /// Sends a request to the selected target.
     fn start(&mut self, gateway: usize, choice: &TargetChoice, work: RunWork, events: u32) {
         let target = self.target_ids.iter().position(|id| *id == choice.id).unwrap_or_default();
-        let home = choice.home.as_ref().filter(|_| self.policy == SelectionPolicy::HomeGateways);
+        let home = choice.home.as_ref().filter(|_| self.policy.asks_homes());
         let home = home.and_then(|vm| self.gateways.iter().position(|g| g.vm == *vm));
         let (began, has_first_event, is_preempted) = (self.now(), false, false);
         let events_left = events;
@@ -373,9 +416,11 @@
             began,
             has_first_event,
             is_preempted,
+            is_probe: choice.is_probe,
         };
+        self.note_fault_traffic(&run);
         if !choice.is_granted {
-            self.notify_home(&run, UseChange::Begin);
+            self.notify_home(&run, UseChange::Begin, None);
         }
         let number = self.next_run;
         self.next_run += 1;
@@ -384,11 +429,11 @@
         self.schedule.add(self.pattern.delay, SimEvent::TargetReached { run: number });
     }
 
-    fn notify_home(&mut self, run: &SimRun, change: UseChange) {
+    fn notify_home(&mut self, run: &SimRun, change: UseChange, is_failure: Option<bool>) {
         let Some(home) = run.home else { return };
         let (from, target) = (run.gateway, self.target_ids[run.target].clone());
         let work = run.work.kind();
-        let message = SimEvent::PeerUse { home, from, target, work, change };
+        let message = SimEvent::PeerUse { home, from, target, work, change, is_failure };
         self.schedule.add(self.pattern.delay, message);
     }
 
@@ -416,8 +461,14 @@
 
     fn begin_run(&mut self, number: RunNumber) {
         let Some(run) = self.runs.get(&number) else { return };
-        let wait = self.targets[run.target].first_event();
-        self.schedule.add(wait, SimEvent::AnswerEvent { run: number });
+        let target = &self.targets[run.target];
+        let (wait, share) = (target.first_event(), target.failing_share());
+        let is_failing = share > 0.0 && self.random.random::<f64>() < share;
+        let event = match is_failing {
+            true => SimEvent::FailRun { run: number },
+            false => SimEvent::AnswerEvent { run: number },
+        };
+        self.schedule.add(wait, event);
     }
 
     /// A target generates the next event of a run.
@@ -464,10 +515,19 @@
         let result = match outcome {
             RunOutcome::Completed => Some(Ok(())),
             RunOutcome::Failed(failure) => Some(Err(failure)),
+            // A gateway relays it as the answer where it must not try again.
+            RunOutcome::ErrorStatus => Some(Ok(())),
             RunOutcome::Preempted => None,
         };
-        self.gateways[run.gateway].table.finish(id, run.work.kind(), result, now);
-        self.notify_home(&run, UseChange::End);
+        let report = AttemptReport {
+            fingerprint: number,
+            outcome: outcome.target_outcome(),
+            is_probe: run.is_probe,
+        };
+        let table = &mut self.gateways[run.gateway].table;
+        table.finish(id, run.work.kind(), result, now);
+        let is_failure = table.note_outcome(id, report, now);
+        self.notify_home(&run, UseChange::End, is_failure);
         match run.work {
             RunWork::Online { request } => self.finish_online(request, &run, outcome),
             RunWork::Item { due } => {
@@ -485,6 +545,17 @@
     }
 }
 
+impl RunOutcome {
+    fn target_outcome(self) -> Option<TargetOutcome> {
+        match self {
+            Self::Completed => Some(TargetOutcome::Answered),
+            Self::Failed(failure) => TargetOutcome::of_failure(failure),
+            Self::ErrorStatus => Some(TargetOutcome::Failed),
+            Self::Preempted => None,
+        }
+    }
+}
+
 impl RunWork {
     fn kind(self) -> WorkKind {
         match self {
--- a/crates/lab/src/simulation/items.rs
+++ b/crates/lab/src/simulation/items.rs
@@ -58,7 +58,8 @@
     fn choose_for_item(&mut self, gateway: usize) -> Option<TargetChoice> {
         let now = self.now();
         if self.policy == SelectionPolicy::Oracle {
-            let free = (0..self.targets.len()).max_by_key(|n| self.free_slots(*n))?;
+            let sound = (0..self.targets.len()).filter(|n| self.targets[*n].failing_share() == 0.0);
+            let free = sound.max_by_key(|n| self.free_slots(*n))?;
             let id = &self.target_ids[free];
             let has_slot = self.free_slots(free) > 1;
             let table = &mut self.gateways[gateway].table;
@@ -130,7 +131,9 @@
         self.outcome.cut_runs += 1;
         let delay = match self.policy {
             SelectionPolicy::Oracle => Duration::ZERO,
-            SelectionPolicy::UsageReports | SelectionPolicy::HomeGateways => self.pattern.delay,
+            SelectionPolicy::UsageReports
+            | SelectionPolicy::HomeGateways
+            | SelectionPolicy::LearnedPerformance => self.pattern.delay,
         };
         self.schedule.add(delay, SimEvent::Preempt { run });
     }
@@ -139,7 +142,9 @@
         match outcome {
             RunOutcome::Completed if self.now() <= item.due => self.outcome.items_in_time += 1,
             RunOutcome::Completed => {}
-            RunOutcome::Preempted | RunOutcome::Failed(_) => self.gateways[gateway].put_item(item),
+            RunOutcome::Preempted | RunOutcome::Failed(_) | RunOutcome::ErrorStatus => {
+                self.gateways[gateway].put_item(item);
+            }
         }
     }
 }
--- a/crates/lab/src/simulation/online.rs
+++ b/crates/lab/src/simulation/online.rs
@@ -9,7 +9,7 @@
 use crate::{
     policy::SelectionPolicy,
     simulation::{RunOutcome, RunWork, SERVICE, SimEvent, SimRequest, SimRun, Simulation},
-    target::RunNumber,
+    target::{RunNumber, TargetModel},
 };
 
 /// Longest wait for a home gateway's response.
@@ -34,7 +34,12 @@
         let gateway = self.random.random_range(0..self.gateways.len());
         let request = self.requests.len();
         let arrived = self.now();
-        self.requests.push(SimRequest { gateway, arrived, ..SimRequest::default() });
+        let share = self.pattern.repeatable_share;
+        let may_repeat = share >= 1.0 || self.random.random::<f64>() < share;
+        let may_probe = may_repeat && self.policy == SelectionPolicy::LearnedPerformance;
+        let search = SlotSearch::probing(may_probe);
+        let new = SimRequest { gateway, arrived, search, may_repeat, ..SimRequest::default() };
+        self.requests.push(new);
         self.outcome.online += 1;
         self.schedule.add(Duration::ZERO, SimEvent::Attempt { request });
     }
@@ -43,7 +48,7 @@
         if self.policy == SelectionPolicy::Oracle {
             return self.attempt_as_oracle(request);
         }
-        if self.policy == SelectionPolicy::HomeGateways {
+        if self.policy.asks_homes() {
             return self.search_slot(request);
         }
         let (now, queue) = (self.now(), QueueLimit::Within(self.pattern.objective));
@@ -136,7 +141,8 @@
         if self.requests[request].pending_request != number {
             if let Some(target) = target {
                 let (work, change) = (WorkKind::Online, UseChange::End);
-                let message = SimEvent::PeerUse { home, from, target, work, change };
+                let is_failure = None;
+                let message = SimEvent::PeerUse { home, from, target, work, change, is_failure };
                 self.schedule.add(self.pattern.delay, message);
             }
             return;
@@ -171,7 +177,7 @@
 
     fn send_to_target(&mut self, request: usize, choice: &TargetChoice) {
         let chosen = self.target_ids.iter().position(|id| *id == choice.id).unwrap_or_default();
-        let is_free = |target: &crate::target::TargetModel| target.free() > 0;
+        let is_free = |target: &TargetModel| target.free() > 0;
         let missed = !is_free(&self.targets[chosen]) && self.targets.iter().any(is_free);
         self.requests[request].missed_free_slot |= missed;
         let gateway = self.requests[request].gateway;
@@ -182,12 +188,20 @@
     /// Selects with full knowledge of all targets: a free slot if there is one, else an item's slot, else the
     /// shortest queue.
     fn attempt_as_oracle(&mut self, request: usize) {
-        let alive = (0..self.targets.len()).filter(|n| !self.targets[*n].is_failed());
+        let is_sound = |target: &TargetModel| !target.is_failed() && target.failing_share() == 0.0;
+        let alive = (0..self.targets.len()).filter(|n| is_sound(&self.targets[*n]));
         let best = alive.min_by_key(|n| {
             let target = &self.targets[*n];
             let waiting = target.waiting() + self.in_transit[*n];
             let is_full = self.free_slots(*n) == 0;
-            (is_full, self.item_at(*n).is_none(), waiting, target.running().len())
+            // Targets of equal speed are ordered by their running requests alone.
+            let load = target.slowdown() * (1.0 + target.running().len() as f64);
+            let load = if self.pattern.slow_spells.is_some() {
+                load
+            } else {
+                target.running().len() as f64
+            };
+            (is_full, self.item_at(*n).is_none(), waiting, (load * 1_000.0) as u64)
         });
         let Some(best) = best else {
             self.outcome.refused += 1;
@@ -238,6 +252,18 @@
             return;
         }
         let failed = &mut self.requests[request];
+        let has_run = match outcome {
+            RunOutcome::Failed(failure) => failure.verdict() == RunVerdict::Unknown,
+            RunOutcome::ErrorStatus => true,
+            RunOutcome::Completed | RunOutcome::Preempted => false,
+        };
+        if has_run && !failed.may_repeat {
+            self.outcome.lost += 1;
+            return;
+        }
+        if self.policy == SelectionPolicy::LearnedPerformance {
+            failed.search = SlotSearch::default();
+        }
         failed.has_failed = true;
         failed.avoid.push(self.target_ids[run.target].clone());
         if failed.avoid.len() >= MAX_ATTEMPTS {
--- a/crates/lab/src/target.rs
+++ b/crates/lab/src/target.rs
@@ -26,6 +26,10 @@
     running: Vec<RunNumber>,
     waiting: VecDeque<RunNumber>,
     is_failed: bool,
+    /// Factor by which it is slower for now.
+    spell: f64,
+    /// Share of its requests that it answers with a failure.
+    failing_share: f64,
 }
 
 /// How a target admits an arriving request.
@@ -44,7 +48,16 @@
     pub fn new(slots: u32, queue: u32, slowdown: f64) -> Self {
         let (slots, queue) = (slots as usize, queue as usize);
         let (running, waiting) = (Vec::new(), VecDeque::new());
-        Self { slots, queue, slowdown, running, waiting, is_failed: false }
+        Self {
+            slots,
+            queue,
+            slowdown,
+            running,
+            waiting,
+            is_failed: false,
+            spell: 1.0,
+            failing_share: 0.0,
+        }
     }
 
     /// Admits an arriving request to a slot or the queue, or refuses it.
@@ -98,14 +111,34 @@
         self.is_failed
     }
 
+    /// Makes the target slower by this factor, until the next call.
+    pub fn set_spell(&mut self, factor: f64) {
+        self.spell = factor;
+    }
+
+    /// Makes the target answer this share of its requests with a failure.
+    pub fn set_failing_share(&mut self, share: f64) {
+        self.failing_share = share;
+    }
+
+    /// Share of its requests that the target answers with a failure.
+    pub fn failing_share(&self) -> f64 {
+        self.failing_share
+    }
+
+    /// Factor by which the target is slower than the reference now.
+    pub fn slowdown(&self) -> f64 {
+        self.slowdown * self.spell
+    }
+
     /// Time from taking a slot to the first event.
     pub fn first_event(&self) -> Duration {
-        (FIRST_EVENT_LATENCY + PREFILL_TIME).mul_f64(self.slowdown)
+        (FIRST_EVENT_LATENCY + PREFILL_TIME).mul_f64(self.slowdown())
     }
 
     /// Time between two events at the current load.
     pub fn event_gap(&self) -> Duration {
         let step = BASE_STEP + STEP_PER_RUNNING_REQUEST * self.running.len() as u32;
-        (step * STEPS_PER_EVENT).mul_f64(self.slowdown)
+        (step * STEPS_PER_EVENT).mul_f64(self.slowdown())
     }
 }
