Learn the pace of targets and use it in target selection

Cause: target selection counted requests only, so a target that takes 2.5 times as long for each event got as many requests as the others.

Change, where `[fleet] learn_performance` is on: gateways measure the time between events of the streams that they read (online and items), compare it with the usual time at as many requests, share changes of over a tenth in their reports, and count a target with twice the usual time as twice as full. No allocation for each event; the target table is locked at most ten times per second for each stream.

--- a/crates/entry/src/batch/item_run.rs
+++ b/crates/entry/src/batch/item_run.rs
@@ -145,7 +145,9 @@
     let framing = head.framing().map_err(|_| AttemptFailure::SpoiledAnswer)?;
     let mut body = BodyProgress::new(framing);
     let mut splitter = EventSplitter::after(progress.last_event);
+    let mut pace = node.stream_pace(&choice.id);
     loop {
+        pace.start_wait();
         let reading = connection.reader.body_part(&mut body);
         let part = match timeout(ITEM_STALL, reading).await {
             Ok(Ok(part)) => part,
@@ -154,8 +156,11 @@
         };
         let Some(part) = part else { break };
         if head.status == 200 {
+            pace.end_wait();
             splitter.push(&part);
+            let events = progress.events;
             take_events(&mut splitter, progress)?;
+            pace.note_events((progress.events - events) as u32);
         }
     }
     if splitter.has_partial_event() {
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -43,7 +43,10 @@
         live_feeds::LiveFeeds,
         target::{TargetChange, TargetFeed},
     },
-    target::{connection::TargetConnection, ejections::EjectionExchange, pool::TargetPool},
+    target::{
+        connection::TargetConnection, ejections::EjectionExchange, pool::TargetPool,
+        stream_pace::StreamPace,
+    },
 };
 
 /// State shared by all tasks of a gateway. Locks are held only briefly, never across an await. Lock order: jobs,
@@ -173,6 +176,11 @@
         }
     }
 
+    /// Measures the pace of a stream from target `id`, where paces are learned.
+    pub fn stream_pace<'a>(&'a self, id: &'a str) -> StreamPace<'a> {
+        StreamPace::new(self.features.performance.then_some(&self.targets), id, self.clock)
+    }
+
     /// Target entries as the store has them, by revision.
     pub fn target_feed(&self) -> MutexGuard<'_, TargetFeed> {
         self.target_feed.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/entry/src/online/relay.rs
+++ b/crates/entry/src/online/relay.rs
@@ -88,6 +88,8 @@
     service: String,
     /// Id of the last event that the client has: the last one passed on, or the one that it resumes after.
     pub(crate) last_event: Option<u64>,
+    /// Number of events passed on.
+    pub(crate) events: u32,
     /// Whether the response head was passed on.
     pub(crate) head_sent: bool,
     /// When the first event, or a non-streaming answer, was passed on.
@@ -126,6 +128,7 @@
             close,
             service,
             last_event: request.last_event(),
+            events: 0,
             head_sent: false,
             first_sent: None,
             unknown: 0,
--- a/crates/entry/src/online/stream.rs
+++ b/crates/entry/src/online/stream.rs
@@ -25,18 +25,23 @@
         let framing = head.framing().map_err(|_| AttemptFailure::SpoiledAnswer)?;
         let mut progress = BodyProgress::new(framing);
         let mut splitter = EventSplitter::after(self.last_event);
+        let mut pace = self.node.stream_pace(&choice.id);
         loop {
             let wait = self.event_wait();
+            pace.start_wait();
             let part = match timeout(wait, connection.reader.body_part(&mut progress)).await {
                 Ok(Ok(part)) => part,
                 Ok(Err(_)) => return Err(AttemptFailure::CutAnswer),
                 Err(_) => return Err(AttemptFailure::StalledAnswer),
             };
             let Some(part) = part else { break };
+            pace.end_wait();
             splitter.push(&part);
+            let events = self.events;
             if !self.pass_events(&mut splitter, &head).await? {
                 return Ok(AttemptEnd::ClientGone);
             }
+            pace.note_events(self.events.wrapping_sub(events));
         }
         if splitter.has_partial_event() {
             return Err(AttemptFailure::CutAnswer);
@@ -61,6 +66,7 @@
             match splitter.next_event() {
                 Ok(Some(event)) => {
                     self.last_event = Some(event.id);
+                    self.events = self.events.wrapping_add(1);
                     write_chunk(&mut bytes, &event.bytes);
                 }
                 Ok(None) => break None,
--- a/crates/entry/src/peers/links.rs
+++ b/crates/entry/src/peers/links.rs
@@ -216,13 +216,21 @@
             apply_ownership(node, &owner, &jobs);
         }
         PeerMessage::Report {
-            uses, configuration, targets, digest, is_watching, gateways, ..
+            uses,
+            configuration,
+            targets,
+            digest,
+            is_watching,
+            gateways,
+            paces,
+            ..
         } => {
             node.peers.set_watching(&peer.vm, is_watching);
             if let Some(report) = gateways {
                 compare_roster(node, &peer.vm, report);
             }
             reports::apply_uses(node, &peer.vm, uses, node.clock.mono());
+            reports::apply_paces(node, paces, node.clock.mono());
             catch_up_with(node, &peer.vm, KnownVersions { configuration, targets, digest });
         }
         PeerMessage::Demand { demands, pace } => {
--- a/crates/entry/src/peers/reports.rs
+++ b/crates/entry/src/peers/reports.rs
@@ -13,6 +13,9 @@
     peers::catch_up::KnownVersions,
 };
 
+/// Maximum number of paces applied from one report, several times as many as a gateway sends.
+const MAX_APPLIED_PACES: usize = 256;
+
 /// The current report of this gateway.
 pub fn report(node: &EntryNode) -> PeerMessage {
     let report = |(id, own): (&str, TargetUse)| TargetUseReport {
@@ -64,6 +67,20 @@
     }
 }
 
+/// Adds the paces that are to be reported. They don't make a report due: while streams run, the use of targets changes as
+/// often.
+fn with_paces(node: &EntryNode, mut message: PeerMessage, now: MonoTime) -> PeerMessage {
+    if let PeerMessage::Report { paces, .. } = &mut message {
+        let measured = node.targets().take_paces(now).into_iter();
+        let report = |(target, gap): (String, Duration)| {
+            let gap_micros = u32::try_from(gap.as_micros()).unwrap_or(u32::MAX);
+            TargetPaceReport { target, gap_micros }
+        };
+        paces.extend(measured.map(report));
+    }
+    message
+}
+
 /// Broadcasts reports when they change, and at longer intervals when they don't. Runs until the process ends.
 pub async fn broadcast_uses(node: Arc<EntryNode>) {
     let mut last: Option<PeerMessage> = None;
@@ -78,12 +95,24 @@
         if due.is_some_and(|due| now.since(last_at) + REPORT_CHECK_INTERVAL / 2 < due) {
             continue;
         }
+        let message = with_paces(&node, message, now);
         node.peers.broadcast(&message);
         last = Some(message);
         last_at = now;
     }
 }
 
+/// Applies the paces of targets that another gateway measured.
+pub fn apply_paces(node: &EntryNode, paces: Vec<TargetPaceReport>, now: MonoTime) {
+    if paces.is_empty() {
+        return;
+    }
+    let mut targets = node.targets();
+    for TargetPaceReport { target, gap_micros } in paces.into_iter().take(MAX_APPLIED_PACES) {
+        targets.note_reported_pace(&target, Duration::from_micros(gap_micros.into()), now);
+    }
+}
+
 /// Applies another gateway's use of targets.
 pub fn apply_uses(node: &EntryNode, peer: &VmName, uses: Vec<TargetUseReport>, now: MonoTime) {
     let uses = uses.into_iter().map(|report| {
--- a/crates/lab/src/simulation.rs
+++ b/crates/lab/src/simulation.rs
@@ -56,6 +56,8 @@
     is_preempted: bool,
     /// It is a probe of an ejected target.
     is_probe: bool,
+    /// Measures its pace from its first event on, with the time of its last event.
+    pace: Option<(PaceMeter, MonoTime)>,
 }
 
 /// State of an online request at its gateway.
@@ -123,6 +125,7 @@
         to: usize,
         from: usize,
         uses: Vec<(String, TargetUse)>,
+        paces: Vec<(String, Duration)>,
     },
     PeerUse {
         home: usize,
@@ -309,11 +312,14 @@
             SimEvent::Preempt { run } => self.handle_preempt(run),
             SimEvent::RunEnded { run, outcome } => self.finish_run(run, outcome),
             SimEvent::SendReport { gateway } => self.send_report(gateway),
-            SimEvent::ReceiveReport { to, from, uses } => {
+            SimEvent::ReceiveReport { to, from, uses, paces } => {
                 let (now, peer) = (self.now(), self.gateways[from].vm.clone());
                 let table = &mut self.gateways[to].table;
                 table.take_report(&peer, uses.into_iter().collect(), now);
                 table.expire_reports(now);
+                for (id, gap) in paces {
+                    table.note_reported_pace(&id, gap, now);
+                }
             }
             SimEvent::PeerUse { home, from, target, work, change, is_failure } => {
                 let (now, peer) = (self.now(), self.gateways[from].vm.clone());
@@ -383,9 +389,11 @@
         }
         let uses = self.gateways[from].table.own_uses();
         let uses: Vec<(String, TargetUse)> = uses.map(|(id, used)| (id.to_owned(), used)).collect();
+        let paces = self.gateways[from].table.take_paces(self.schedule.now());
         for to in (0..self.gateways.len()).filter(|to| *to != from) {
-            let uses = uses.clone();
-            self.schedule.add(self.pattern.delay, SimEvent::ReceiveReport { to, from, uses });
+            let (uses, paces) = (uses.clone(), paces.clone());
+            let message = SimEvent::ReceiveReport { to, from, uses, paces };
+            self.schedule.add(self.pattern.delay, message);
         }
         self.schedule.add(REPORT_INTERVAL, SimEvent::SendReport { gateway: from });
     }
@@ -417,6 +425,7 @@
             has_first_event,
             is_preempted,
             is_probe: choice.is_probe,
+            pace: None,
         };
         self.note_fault_traffic(&run);
         if !choice.is_granted {
@@ -481,6 +490,7 @@
         run.events_left -= 1;
         let (is_first, left) = (!run.has_first_event, run.events_left);
         run.has_first_event = true;
+        self.note_pace(number);
         if is_first {
             self.record_first_event(number);
         }
--- a/crates/lab/src/simulation/faults.rs
+++ b/crates/lab/src/simulation/faults.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use notch_relay::prelude::PaceMeter;
 use notch_types::prelude::*;
 use rand::RngExt;
 
@@ -68,6 +69,27 @@
         self.schedule.add(spells.span, SimEvent::ChangeSpells);
     }
 
+    /// Measures the pace of a run as its gateway does, ignoring the delay of the network.
+    pub(super) fn note_pace(&mut self, number: RunNumber) {
+        let now = self.now();
+        let Some(run) = self.runs.get_mut(&number) else { return };
+        let gap = match &mut run.pace {
+            None => {
+                run.pace = Some((PaceMeter::new(now), now));
+                None
+            }
+            Some((meter, last)) => {
+                let gap = meter.note(1, *last, now);
+                *last = now;
+                gap
+            }
+        };
+        if let Some(gap) = gap {
+            let id = &self.target_ids[run.target];
+            self.gateways[run.gateway].table.note_pace(id, gap, now);
+        }
+    }
+
     pub(super) fn announce_ejections(&mut self, from: usize) {
         if self.is_over() {
             return;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -76,6 +76,7 @@
                 ejection::TargetEjection,
                 failed_requests::FailedRequests,
                 failure_window::{FailureWindow, OutcomeCounts},
+                pace::PaceMeter,
             },
             prompt::{PromptPrefix, PromptPrefixes},
             record::{TargetUse, UseChange},
--- a/crates/relay/src/targets/performance.rs
+++ b/crates/relay/src/targets/performance.rs
@@ -3,10 +3,11 @@
 pub mod ejection;
 pub mod failed_requests;
 pub mod failure_window;
+pub mod pace;
 
 use crate::targets::{
     failure::AttemptFailure,
-    performance::{ejection::TargetEjection, failure_window::FailureWindow},
+    performance::{ejection::TargetEjection, failure_window::FailureWindow, pace::TargetPace},
 };
 
 /// How an attempt ended, as far as this says something about its target.
@@ -62,6 +63,7 @@
     /// Outcomes at this target: all of them at its home gateway, elsewhere those of this gateway.
     pub(super) window: FailureWindow,
     pub(super) ejection: TargetEjection,
+    pub(super) pace: TargetPace,
     /// Whether the target is left out of target selection. Invariant: at most a third of a service's
     /// targets, all of them ejected.
     pub(super) is_excluded: bool,
--- a/crates/relay/src/targets/record.rs
+++ b/crates/relay/src/targets/record.rs
@@ -163,6 +163,9 @@
         let own_items = f64::from(self.own.batch) * (1.0 - PREEMPTIBLE_WEIGHT);
         let slow = if now < self.slow_until { SLOW_PENALTY } else { 0.0 };
         let taken = self.total() + self.performance.closed_slots;
-        f64::from(taken) - own_items + cross_domain + remote + slow
+        // A target with twice the usual time between events counts as twice as full, this request
+        // included.
+        let pace = f64::from(self.total() + 1) * (self.performance.pace.ratio(now) - 1.0);
+        f64::from(taken) + pace - own_items + cross_domain + remote + slow
     }
 }
--- a/crates/relay/src/targets/table.rs
+++ b/crates/relay/src/targets/table.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 pub mod ejections;
+mod paces;
 
 use std::{net::SocketAddr, time::Duration};
 
--- a/crates/relay/src/targets/table/ejections.rs
+++ b/crates/relay/src/targets/table/ejections.rs
@@ -9,6 +9,7 @@
         AttemptReport, TargetOutcome,
         failed_requests::FailedRequests,
         failure_window::{FailureWindow, OutcomeCounts},
+        pace::UsualPace,
     },
     table::TargetTable,
 };
@@ -33,6 +34,8 @@
 #[derive(Debug, Default)]
 pub(super) struct PerformanceState {
     failed: FailedRequests,
+    /// Usual paces by service.
+    pub(super) usual_paces: FastMap<String, Box<UsualPace>>,
     /// Changes decided here that are to be announced.
     notices: Vec<EjectionNotice>,
     /// Whether any target is ejected or was readmitted a short time ago.
--- a/crates/relay/tests/performance.rs
+++ b/crates/relay/tests/performance.rs
@@ -507,3 +507,90 @@
     assert!(!table.apply_ejection(&VmName::new("g-1"), "t00", true, at(20)));
     assert!(chosen(&mut table, 6, at(30)).contains(&"t00".to_owned()));
 }
+
+const MILLIS_20: Duration = Duration::from_millis(20);
+
+/// A table of four idle targets at which streams have had a usual pace of 20 ms.
+fn paced_table() -> TargetTable {
+    let mut table = table(4);
+    for number in 0..400 {
+        table.note_pace(&format!("t{:02}", number % 4), MILLIS_20, at(number));
+    }
+    table
+}
+
+/// Guards against a slow target getting as many requests as the others: it counts as fuller.
+#[test]
+fn a_target_with_twice_the_usual_gap_counts_as_twice_as_full() {
+    let mut table = paced_table();
+    let uses = |id: &str, online| (id.to_owned(), TargetUse { online, batch: 0 });
+    let uses = [uses("t00", 2), uses("t01", 4), uses("t02", 5), uses("t03", 5)];
+    table.take_report(&VmName::new("peer"), uses.into_iter().collect(), at(400));
+    assert_eq!(chosen(&mut table, 1, at(400)), ["t00"]);
+    for number in 0..30 {
+        table.note_pace("t00", 2 * MILLIS_20, at(400 + number * 10));
+    }
+    let ratio = table.pace_ratio("t00", at(700));
+    assert!(ratio > 1.7, "{ratio}");
+    assert_eq!(
+        chosen(&mut table, 1, at(700)),
+        ["t01"],
+        "five requests are less than three twice as slow"
+    );
+}
+
+/// Guards against a target that was slow for 0.6 s counting as slow long after, and against a figure
+/// that nobody measures any more.
+#[test]
+fn a_pace_is_current_within_half_a_second() {
+    let mut table = paced_table();
+    for number in 0..6 {
+        table.note_pace("t00", 5 * MILLIS_20 / 2, at(400 + number * 100));
+    }
+    let slow = table.pace_ratio("t00", at(900));
+    assert!(slow > 1.7, "{slow}");
+    for number in 0..5 {
+        table.note_pace("t00", MILLIS_20, at(1_000 + number * 100));
+    }
+    let recovered = table.pace_ratio("t00", at(1_400));
+    assert!((0.8..1.4).contains(&recovered), "{recovered}");
+    assert_eq!(table.pace_ratio("t00", at(2_500)), 1.0, "no recent figure");
+}
+
+/// Guards against reports that repeat what the others know, and against those that have no streams
+/// at a target not knowing its pace.
+#[test]
+fn paces_are_reported_when_they_change() {
+    let mut table = paced_table();
+    assert_eq!(table.take_paces(at(400)).len(), 4);
+    assert_eq!(table.take_paces(at(500)), []);
+    for number in 0..20 {
+        table.note_pace("t00", 2 * MILLIS_20, at(500 + number * 10));
+    }
+    let told = table.take_paces(at(700));
+    assert_eq!(told.len(), 1);
+    let mut other = paced_table();
+    for (id, gap) in &told {
+        other.note_reported_pace(id, *gap, at(700));
+    }
+    assert!(other.pace_ratio("t00", at(710)) > 1.2);
+    assert!(other.take_paces(at(1_500)).is_empty(), "figures of other gateways are not passed on");
+    other.note_reported_pace("t01", Duration::ZERO, at(720));
+    other.note_reported_pace("unknown", MILLIS_20, at(720));
+    let ratio = other.pace_ratio("t01", at(720));
+    assert!((0.9..1.1).contains(&ratio), "an invalid figure is ignored: {ratio}");
+}
+
+/// Guards against a client that reads slowly being taken for a change of its target's pace.
+#[test]
+fn the_pace_of_a_stream_is_measured_while_it_waits_for_its_target() {
+    let mut meter = PaceMeter::new(at(0));
+    let mut gaps = Vec::new();
+    for number in 1..=10 {
+        gaps.extend(meter.note(1, at(number * 20 - 20), at(number * 20)));
+    }
+    assert_eq!(gaps, [MILLIS_20, MILLIS_20]);
+    let mut meter = PaceMeter::new(at(0));
+    assert_eq!(meter.note(5, at(80), at(100)), None, "most of the time went to the client");
+    assert_eq!(meter.note(5, at(100), at(200)), Some(MILLIS_20), "the next measurement counts");
+}
