Report a target's pace once for all gateways

Cause: each gateway with streams at a target reported its first figure and each change, also a usual one and one that another gateway had reported a moment before.

Change: a figure is compared with what any gateway reported last, and with the usual one if that is over; a target's figure is reported at most every 0.2 s.

--- a/crates/relay/src/targets/performance/pace.rs
+++ b/crates/relay/src/targets/performance/pace.rs
@@ -24,6 +24,8 @@
 const REPORTED_LIFETIME: Duration = Duration::from_secs(1);
 /// Interval at which an unusual figure is repeated.
 const REPEAT_INTERVAL: Duration = Duration::from_millis(400);
+/// Minimum interval between two reports of a target's figure by any gateway, as far as is known here.
+const REPORT_INTERVAL: Duration = Duration::from_millis(200);
 /// Change of a figure, as a fraction, from which it is reported again.
 const REPORTED_CHANGE: f64 = 0.1;
 /// Bounds of a pace compared with the usual one: beyond them the figure says less than the load.
@@ -105,7 +107,7 @@
     until: MonoTime,
     /// Until when it is current and was measured here.
     own_until: MonoTime,
-    /// The figure that was reported last, and when; 0 for none.
+    /// The figure that this or another gateway reported last, and when.
     reported: f64,
     reported_at: MonoTime,
 }
@@ -131,6 +133,8 @@
         self.until = self.until.max(now + lifetime);
         if is_own {
             self.own_until = now + OWN_LIFETIME;
+        } else {
+            (self.reported, self.reported_at) = (ratio, now);
         }
     }
 
@@ -147,14 +151,16 @@
         usual: &UsualPace,
         now: MonoTime,
     ) -> Option<Duration> {
-        if now >= self.own_until {
+        let age = now.since(self.reported_at);
+        if now >= self.own_until || age < REPORT_INTERVAL {
             return None;
         }
         let ratio = self.ratio.value();
-        let is_changed = (ratio - self.reported).abs() > self.reported * REPORTED_CHANGE;
+        // Without a current figure, the other gateways count the target as usual.
+        let known = if age < REPORTED_LIFETIME { self.reported } else { 1.0 };
+        let is_changed = (ratio - known).abs() > known * REPORTED_CHANGE;
         let is_unusual = (ratio - 1.0).abs() > REPORTED_CHANGE;
-        let is_old = now.since(self.reported_at) >= REPEAT_INTERVAL;
-        let is_repeated = is_unusual && is_old;
+        let is_repeated = is_unusual && age >= REPEAT_INTERVAL;
         if !is_changed && !is_repeated {
             return None;
         }
