--- a/crates/entry/src/batch/item_run.rs
+++ b/crates/entry/src/batch/item_run.rs
@@ -57,6 +57,8 @@
         Some(Err(failure)) => lease.set_outcome(Err(*failure)),
         None => {}
     }
+    let fingerprint = stable_hash64(&[start.job.as_bytes(), start.item.id.as_bytes()]);
+    lease.set_performance(fingerprint, outcome.and_then(target_outcome));
     drop(lease);
     let end = item_end(outcome.as_ref());
     let reason = match &outcome {
@@ -99,6 +101,14 @@
     node.runner_wake.notify(usize::MAX);
 }
 
+/// What the end of a run tells of its target.
+fn target_outcome(end: Result<u16, AttemptFailure>) -> Option<TargetOutcome> {
+    match end {
+        Ok(status) => Some(TargetOutcome::of_status(status)),
+        Err(failure) => TargetOutcome::of_failure(failure),
+    }
+}
+
 fn item_end(outcome: Option<&Result<u16, AttemptFailure>>) -> ItemEnd {
     match outcome {
         None => ItemEnd::Preempted,
@@ -135,7 +145,9 @@
     let framing = head.framing().map_err(|_| AttemptFailure::SpoiledAnswer)?;
     let mut body = BodyProgress::new(framing);
     let mut splitter = EventSplitter::after(progress.last_event);
+    let mut pace = node.stream_pace(&choice.id);
     loop {
+        pace.start_wait();
         let reading = connection.reader.body_part(&mut body);
         let part = match timeout(ITEM_STALL, reading).await {
             Ok(Ok(part)) => part,
@@ -144,8 +156,11 @@
         };
         let Some(part) = part else { break };
         if head.status == 200 {
+            pace.end_wait();
             splitter.push(&part);
+            let events = progress.events;
             take_events(&mut splitter, progress)?;
+            pace.note_events((progress.events - events) as u32);
         }
     }
     if splitter.has_partial_event() {
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -43,7 +43,10 @@
         live_feeds::LiveFeeds,
         target::{TargetChange, TargetFeed},
     },
-    target::{connection::TargetConnection, pool::TargetPool},
+    target::{
+        connection::TargetConnection, ejections::EjectionExchange, pool::TargetPool,
+        stream_pace::StreamPace,
+    },
 };
 
 /// State shared by all tasks of a gateway. Locks are held only briefly, never across an await. Lock order: jobs,
@@ -128,6 +131,9 @@
         let (store, detours) = StoreClient::new(config.store.clone(), clock, log.clone(), calls);
         let mut targets = TargetTable::new(&domain);
         targets.set_offers_items(features.item_slots);
+        if features.performance {
+            targets.learn_performance();
+        }
         let node = Self {
             store,
             owner,
@@ -169,6 +175,22 @@
         self.targets.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// What the exchange of ejections needs.
+    pub fn ejections(&self) -> EjectionExchange<'_> {
+        EjectionExchange {
+            targets: &self.targets,
+            peers: &self.peers,
+            clock: self.clock,
+            log: &self.log,
+            metrics: &self.metrics,
+        }
+    }
+
+    /// Measures the pace of a stream from target `id`, where paces are learned.
+    pub fn stream_pace<'a>(&'a self, id: &'a str) -> StreamPace<'a> {
+        StreamPace::new(self.features.performance.then_some(&self.targets), id, self.clock)
+    }
+
     /// Target entries as the store has them, by revision.
     pub fn target_feed(&self) -> MutexGuard<'_, TargetFeed> {
         self.target_feed.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/entry/src/peers/links.rs
+++ b/crates/entry/src/peers/links.rs
@@ -224,6 +224,7 @@
             is_watching,
             gateways,
             waiting,
+            paces,
             ..
         } => {
             node.peers.set_watching(&peer.vm, is_watching);
@@ -232,6 +233,7 @@
             }
             reports::apply_uses(node, &peer.vm, uses, node.clock.mono());
             reports::apply_waiting(node, &peer.vm, waiting, node.clock.mono());
+            reports::apply_paces(node, paces, node.clock.mono());
             catch_up_with(node, &peer.vm, KnownVersions { configuration, targets, digest });
         }
         PeerMessage::Demand { demands, pace } => {
@@ -311,9 +313,14 @@
         PeerMessage::PlaceAnswer { call, answer } => {
             slots::handle_answer(node, &peer.vm, call, answer);
         }
-        PeerMessage::PlaceUse { target, work, change, .. } => {
+        PeerMessage::PlaceUse { target, work, change, is_failure } => {
             let now = node.clock.mono();
-            node.targets().note_peer_use(&peer.vm, &target, work, change, now);
+            let mut targets = node.targets();
+            targets.note_peer_use(&peer.vm, &target, work, change, now);
+            if let Some(is_failure) = is_failure {
+                targets.note_peer_outcome(&target, is_failure, now);
+            }
+            drop(targets);
             if change == UseChange::End {
                 node.note_slot_freed();
             }
@@ -336,7 +343,9 @@
         PeerMessage::ItemSlotOffer { targets } => {
             item_slots::receive_offer(node, &peer.vm, targets);
         }
-        PeerMessage::TargetEjected { .. } => {}
+        PeerMessage::TargetEjected { target, is_ejected } => {
+            node.ejections().apply(&peer.vm, &target, is_ejected);
+        }
         PeerMessage::EvictionAsk { .. } | PeerMessage::EvictionAnswer { .. } => {}
         PeerMessage::Stopping => {
             node.log.info("gateway_stops", &[("gateway", &peer.vm)]);
--- a/crates/lab/src/policy.rs
+++ b/crates/lab/src/policy.rs
@@ -12,22 +12,25 @@
     HomeGateways,
     /// As `HomeGateways`, and home gateways offer free slots to the gateway with the most urgent items.
     SharedItems,
+    /// As `HomeGateways`, and learns failures and pace of targets. This is the production behaviour where it is enabled.
+    LearnedPerformance,
     /// Sees the current state of every target without delay: a baseline that no real gateway can reach.
     Oracle,
 }
 
 impl SelectionPolicy {
     /// Every policy with its command-line name.
-    pub const ALL: [(&'static str, Self); 4] = [
+    pub const ALL: [(&'static str, Self); 5] = [
         ("reports", Self::UsageReports),
         ("homes", Self::HomeGateways),
         ("shared-items", Self::SharedItems),
+        ("performance", Self::LearnedPerformance),
         ("all-knowing", Self::Oracle),
     ];
 
     /// Whether online requests ask home gateways for slots.
     pub fn has_homes(self) -> bool {
-        matches!(self, Self::HomeGateways | Self::SharedItems)
+        matches!(self, Self::HomeGateways | Self::SharedItems | Self::LearnedPerformance)
     }
 }
 
--- a/crates/lab/src/simulation.rs
+++ b/crates/lab/src/simulation.rs
@@ -1,5 +1,6 @@
 //! Simulation of one load pattern: gateways, targets and the messages between them.
 
+mod faults;
 mod items;
 mod offers;
 mod online;
@@ -21,6 +22,8 @@
 
 /// How often gateways report their use of targets to each other.
 const REPORT_INTERVAL: Duration = Duration::from_millis(100);
+/// How often gateways announce ejections of targets.
+const EJECTION_TICK: Duration = Duration::from_millis(100);
 /// How often gateways try to start waiting items.
 const ITEM_START_INTERVAL: Duration = Duration::from_millis(40);
 /// Time after which the links of a silent gateway are closed and its targets get new home gateways.
@@ -58,6 +61,10 @@
     has_first_event: bool,
     /// Preemption has been requested.
     is_preempted: bool,
+    /// It is a probe of an ejected target.
+    is_probe: bool,
+    /// Measures its pace from its first event on, with the time of its last event.
+    pace: Option<(PaceMeter, MonoTime)>,
 }
 
 /// State of an online request at its gateway.
@@ -74,6 +81,7 @@
     /// It was sent to a full target while another target had a free slot.
     missed_free_slot: bool,
     has_failed: bool,
+    may_repeat: bool,
 }
 
 #[derive(Debug)]
@@ -107,6 +115,9 @@
     AnswerEvent {
         run: RunNumber,
     },
+    FailRun {
+        run: RunNumber,
+    },
     Preempt {
         run: RunNumber,
     },
@@ -122,6 +133,7 @@
         from: usize,
         uses: Vec<(String, TargetUse)>,
         waiting: Vec<WaitingReport>,
+        paces: Vec<(String, Duration)>,
     },
     ReceiveOffer {
         to: usize,
@@ -135,6 +147,20 @@
         target: String,
         work: WorkKind,
         change: UseChange,
+        is_failure: Option<bool>,
+    },
+    ReceiveEjection {
+        to: usize,
+        from: usize,
+        target: String,
+        is_ejected: bool,
+    },
+    AnnounceEjections {
+        gateway: usize,
+    },
+    ChangeSpells,
+    SetFault {
+        share: f64,
     },
     RevokeSlot {
         gateway: usize,
@@ -164,6 +190,8 @@
 enum RunOutcome {
     Completed,
     Failed(AttemptFailure),
+    /// The target answered with an error status.
+    ErrorStatus,
     Preempted,
 }
 
@@ -182,6 +210,8 @@
     runs: FastMap<RunNumber, SimRun>,
     next_run: RunNumber,
     requests: Vec<SimRequest>,
+    /// Failures of each target of the fault, with the time of the second one.
+    fault_failures: Vec<(u32, MonoTime)>,
     outcome: SimOutcome,
 }
 
@@ -200,10 +230,8 @@
         let domain = |number: usize| format!("fd-{}", number % pattern.domains);
         let gateways: Vec<GatewayModel> =
             (0..pattern.gateways).map(|n| GatewayModel::new(n, &domain(n))).collect();
-        let slowdowns = &pattern.slowdowns;
-        let model = |n: usize| {
-            TargetModel::new(pattern.slots, pattern.queue, slowdowns[n % slowdowns.len()])
-        };
+        let slowdown = |n: usize| pattern.slowdowns[n % pattern.slowdowns.len()];
+        let model = |n: usize| TargetModel::new(pattern.slots, pattern.queue, slowdown(n));
         let mut simulation = Self {
             policy,
             random: SmallRng::seed_from_u64(seed),
@@ -215,6 +243,7 @@
             runs: FastMap::default(),
             next_run: 1,
             requests: Vec::new(),
+            fault_failures: vec![(0, MonoTime::default()); pattern.targets],
             outcome: SimOutcome::default(),
             pattern: pattern.clone(),
         };
@@ -225,6 +254,9 @@
                 let entry = simulation.entry(target, &domain(target));
                 simulation.gateways[gateway].table.put(entry, MonoTime::default());
             }
+            if policy == SelectionPolicy::LearnedPerformance {
+                simulation.gateways[gateway].table.learn_performance();
+            }
         }
         simulation
     }
@@ -254,6 +286,7 @@
             self.schedule.add(offset, SimEvent::SendReport { gateway });
             self.schedule.add(offset, SimEvent::StartItems { gateway });
         }
+        self.schedule_faults();
         for loss in self.pattern.losses.clone() {
             self.schedule.add(loss.at, SimEvent::FailTargets { count: loss.count });
         }
@@ -300,11 +333,14 @@
             SimEvent::Preempt { run } => self.handle_preempt(run),
             SimEvent::RunEnded { run, outcome } => self.finish_run(run, outcome),
             SimEvent::SendReport { gateway } => self.send_report(gateway),
-            SimEvent::ReceiveReport { to, from, uses, waiting } => {
+            SimEvent::ReceiveReport { to, from, uses, waiting, paces } => {
                 let (now, peer) = (self.now(), self.gateways[from].vm.clone());
                 let table = &mut self.gateways[to].table;
                 table.take_report(&peer, uses.into_iter().collect(), now);
                 table.expire_reports(now);
+                for (id, gap) in paces {
+                    table.note_reported_pace(&id, gap, now);
+                }
                 if self.policy == SelectionPolicy::SharedItems {
                     let draw = self.random.random();
                     self.gateways[to].slots.take_report(&peer, waiting, draw, now);
@@ -312,10 +348,22 @@
             }
             SimEvent::ReceiveOffer { to, home, targets } => self.receive_offer(to, home, targets),
             SimEvent::SampleSlots => self.sample_slots(),
-            SimEvent::PeerUse { home, from, target, work, change } => {
+            SimEvent::PeerUse { home, from, target, work, change, is_failure } => {
+                let (now, peer) = (self.now(), self.gateways[from].vm.clone());
+                let table = &mut self.gateways[home].table;
+                table.note_peer_use(&peer, &target, work, change, now);
+                if let Some(is_failure) = is_failure {
+                    table.note_peer_outcome(&target, is_failure, now);
+                }
+            }
+            SimEvent::FailRun { run } => self.fail_run(run),
+            SimEvent::AnnounceEjections { gateway } => self.announce_ejections(gateway),
+            SimEvent::ReceiveEjection { to, from, target, is_ejected } => {
                 let (now, peer) = (self.now(), self.gateways[from].vm.clone());
-                self.gateways[home].table.note_peer_use(&peer, &target, work, change, now);
+                self.gateways[to].table.apply_ejection(&peer, &target, is_ejected, now);
             }
+            SimEvent::ChangeSpells => self.change_spells(),
+            SimEvent::SetFault { share } => self.set_fault(share),
             SimEvent::RevokeSlot { gateway, target } => self.preempt_own_item(gateway, &target),
             SimEvent::StartItems { gateway } => self.start_items(gateway),
             SimEvent::ReturnItem { gateway, mut item } => {
@@ -363,8 +411,11 @@
             SimEvent::RunEnded { run, .. } => self.runs.get(run).map(|run| run.gateway),
             SimEvent::SendReport { gateway }
             | SimEvent::StartItems { gateway }
+            | SimEvent::AnnounceEjections { gateway }
             | SimEvent::RevokeSlot { gateway, .. } => Some(*gateway),
-            SimEvent::ReceiveReport { to, .. } | SimEvent::ReceiveOffer { to, .. } => Some(*to),
+            SimEvent::ReceiveReport { to, .. }
+            | SimEvent::ReceiveOffer { to, .. }
+            | SimEvent::ReceiveEjection { to, .. } => Some(*to),
             _ => None,
         }
     }
@@ -389,10 +440,11 @@
         let waiting = self.gateways[from].slots.own_waiting();
         let (now, state) = (self.now(), &mut self.gateways[from]);
         state.slots.note_online(SERVICE, state.table.online_load(SERVICE), now);
+        let paces = state.table.take_paces(now);
         for to in (0..self.gateways.len()).filter(|to| *to != from) {
-            let (uses, waiting) = (uses.clone(), waiting.clone());
-            self.schedule
-                .add(self.pattern.delay, SimEvent::ReceiveReport { to, from, uses, waiting });
+            let (uses, waiting, paces) = (uses.clone(), waiting.clone(), paces.clone());
+            let message = SimEvent::ReceiveReport { to, from, uses, waiting, paces };
+            self.schedule.add(self.pattern.delay, message);
         }
         self.schedule.add(REPORT_INTERVAL, SimEvent::SendReport { gateway: from });
     }
@@ -425,9 +477,12 @@
             began,
             has_first_event,
             is_preempted,
+            is_probe: choice.is_probe,
+            pace: None,
         };
+        self.note_fault_traffic(&run);
         if !choice.is_granted {
-            self.notify_home(&run, UseChange::Begin);
+            self.notify_home(&run, UseChange::Begin, None);
         }
         let number = self.next_run;
         self.next_run += 1;
@@ -436,11 +491,11 @@
         self.schedule.add(self.pattern.delay, SimEvent::TargetReached { run: number });
     }
 
-    fn notify_home(&mut self, run: &SimRun, change: UseChange) {
+    fn notify_home(&mut self, run: &SimRun, change: UseChange, is_failure: Option<bool>) {
         let Some(home) = run.home else { return };
         let (from, target) = (run.gateway, self.target_ids[run.target].clone());
         let work = run.work.kind();
-        let message = SimEvent::PeerUse { home, from, target, work, change };
+        let message = SimEvent::PeerUse { home, from, target, work, change, is_failure };
         self.schedule.add(self.pattern.delay, message);
     }
 
@@ -468,8 +523,14 @@
 
     fn begin_run(&mut self, number: RunNumber) {
         let Some(run) = self.runs.get(&number) else { return };
-        let wait = self.targets[run.target].first_event();
-        self.schedule.add(wait, SimEvent::AnswerEvent { run: number });
+        let target = &self.targets[run.target];
+        let (wait, share) = (target.first_event(), target.failing_share());
+        let is_failing = share > 0.0 && self.random.random::<f64>() < share;
+        let event = match is_failing {
+            true => SimEvent::FailRun { run: number },
+            false => SimEvent::AnswerEvent { run: number },
+        };
+        self.schedule.add(wait, event);
     }
 
     /// A target generates the next event of a run.
@@ -482,6 +543,7 @@
         run.events_left -= 1;
         let (is_first, left) = (!run.has_first_event, run.events_left);
         run.has_first_event = true;
+        self.note_pace(number);
         if is_first {
             self.record_first_event(number);
         }
@@ -516,10 +578,19 @@
         let result = match outcome {
             RunOutcome::Completed => Some(Ok(())),
             RunOutcome::Failed(failure) => Some(Err(failure)),
+            // A gateway relays it as the answer where it must not try again.
+            RunOutcome::ErrorStatus => Some(Ok(())),
             RunOutcome::Preempted => None,
         };
-        self.gateways[run.gateway].table.finish(id, run.work.kind(), result, now);
-        self.notify_home(&run, UseChange::End);
+        let report = AttemptReport {
+            fingerprint: number,
+            outcome: outcome.target_outcome(),
+            is_probe: run.is_probe,
+        };
+        let table = &mut self.gateways[run.gateway].table;
+        table.finish(id, run.work.kind(), result, now);
+        let is_failure = table.note_outcome(id, report, now);
+        self.notify_home(&run, UseChange::End, is_failure);
         match run.work {
             RunWork::Online { request } => self.finish_online(request, &run, outcome),
             RunWork::Item { due } => {
@@ -541,6 +612,17 @@
     }
 }
 
+impl RunOutcome {
+    fn target_outcome(self) -> Option<TargetOutcome> {
+        match self {
+            Self::Completed => Some(TargetOutcome::Answered),
+            Self::Failed(failure) => TargetOutcome::of_failure(failure),
+            Self::ErrorStatus => Some(TargetOutcome::Failed),
+            Self::Preempted => None,
+        }
+    }
+}
+
 impl RunWork {
     fn kind(self) -> WorkKind {
         match self {
--- a/crates/lab/src/simulation/items.rs
+++ b/crates/lab/src/simulation/items.rs
@@ -75,7 +75,8 @@
     fn choose_for_item(&mut self, gateway: usize) -> Option<TargetChoice> {
         let now = self.now();
         if self.policy == SelectionPolicy::Oracle {
-            let free = (0..self.targets.len()).max_by_key(|n| self.free_slots(*n))?;
+            let sound = (0..self.targets.len()).filter(|n| self.targets[*n].failing_share() == 0.0);
+            let free = sound.max_by_key(|n| self.free_slots(*n))?;
             let id = &self.target_ids[free];
             let has_slot = self.free_slots(free) > 1;
             let table = &mut self.gateways[gateway].table;
@@ -162,7 +163,8 @@
             SelectionPolicy::Oracle => Duration::ZERO,
             SelectionPolicy::UsageReports
             | SelectionPolicy::HomeGateways
-            | SelectionPolicy::SharedItems => self.pattern.delay,
+            | SelectionPolicy::SharedItems
+            | SelectionPolicy::LearnedPerformance => self.pattern.delay,
         };
         self.schedule.add(delay, SimEvent::Preempt { run });
     }
@@ -174,7 +176,9 @@
             RunOutcome::Preempted => {
                 self.schedule.add(PREEMPTED_PAUSE, SimEvent::ReturnItem { gateway, item });
             }
-            RunOutcome::Failed(_) => self.gateways[gateway].put_item(item),
+            RunOutcome::Failed(_) | RunOutcome::ErrorStatus => {
+                self.gateways[gateway].put_item(item)
+            }
         }
     }
 }
--- a/crates/lab/src/simulation/offers.rs
+++ b/crates/lab/src/simulation/offers.rs
@@ -91,7 +91,8 @@
             self.outcome.declined_offers += 1;
             for change in [UseChange::Begin, UseChange::End] {
                 let (target, work) = (target.clone(), WorkKind::Batch);
-                let message = SimEvent::PeerUse { home, from: to, target, work, change };
+                let (from, is_failure) = (to, None);
+                let message = SimEvent::PeerUse { home, from, target, work, change, is_failure };
                 self.schedule.add(self.pattern.delay, message);
             }
         }
--- a/crates/relay/src/targets/table/item_offers.rs
+++ b/crates/relay/src/targets/table/item_offers.rs
@@ -32,7 +32,7 @@
     pub fn free_item_slots(&self, service: &str, now: MonoTime) -> FreeSlots {
         let mut slots = FreeSlots::default();
         for record in self.records.values() {
-            if record.takes(service) && !record.health.is_avoided(now) {
+            if record.takes(service) && !record.is_avoided(now) {
                 let free = record.entry.slots.saturating_sub(record.total());
                 slots.all += free;
                 if self.homes.is_own(&record.entry.id) {
@@ -99,7 +99,7 @@
         // Reports of the other gateways are late, so a target that is just full may have a slot.
         let is_able = is_home
             && record.takes(query.service)
-            && !record.health.is_avoided(now)
+            && !record.is_avoided(now)
             && record.waiting() == 0;
         if !is_able {
             return None;
