--- a/crates/entry/src/batch/runner.rs
+++ b/crates/entry/src/batch/runner.rs
@@ -97,6 +97,11 @@
 /// both are known even if the job's former gateway is gone.
 pub(super) fn log_start(node: &EntryNode, start: &ItemStart, choice: &TargetChoice, left_ms: i64) {
     let after = start.last_event.map_or(-1, |id| id as i64);
+    let slot = match &choice.home {
+        _ if choice.is_granted => "offered",
+        Some(_) => "unoffered",
+        None => "own",
+    };
     let mut fields: Vec<(&str, &dyn Display)> = vec![
         ("job", &start.job),
         ("item", &start.item.id),
@@ -105,7 +110,7 @@
         ("due_ms", &left_ms),
     ];
     if node.features.item_slots {
-        fields.push(("offered", &choice.is_granted));
+        fields.push(("slot", &slot));
     }
     node.log.info("item_run_started", &fields);
 }
