--- a/crates/relay/src/targets/performance/ejection.rs
+++ b/crates/relay/src/targets/performance/ejection.rs
@@ -53,6 +53,9 @@
 }
 
 /// Ejection state of one target at one gateway.
+///
+/// It is designed for targets that fail a part of their requests, or go down and come up in turns,
+/// where four of five requests must not run twice.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct TargetEjection {
     phase: EjectionPhase,
--- a/crates/relay/src/targets/performance/failed_requests.rs
+++ b/crates/relay/src/targets/performance/failed_requests.rs
@@ -28,6 +28,9 @@
 }
 
 /// Failed requests of one gateway, by fingerprint.
+///
+/// It is designed for requests that fail at every target and are sent again by their client, and for
+/// gateways that lose the connection to most targets at once.
 #[derive(Debug, Default)]
 pub struct FailedRequests {
     records: FastMap<u64, FailedRequest>,
