Probe ejected targets with items and offer only open slots

With item offers on, items no longer go through the selection that probes ejected targets, and a target in slow start was offered with all its slots.

Change: a pass first starts one item of each service at an own target that is due for a probe; offers count the slots that are open.

--- a/crates/entry/src/batch/item_slots.rs
+++ b/crates/entry/src/batch/item_slots.rs
@@ -102,6 +102,9 @@
             return outcome;
         }
         self.answer_offers(&mut queues, &mut outcome);
+        if !self.is_stopping {
+            self.start_probes(&mut queues, &mut outcome);
+        }
         self.note_waiting(&queues);
         if self.targets.has_homes() {
             self.divide_slots(&mut queues, &mut outcome);
@@ -181,6 +184,24 @@
         true
     }
 
+    /// Starts one item for each service at an ejected own target that is due for a probe. No slots of such targets are
+    /// offered.
+    fn start_probes(
+        &mut self,
+        queues: &mut FastMap<String, VecDeque<QueuedItem>>,
+        outcome: &mut PassOutcome,
+    ) {
+        for (service, queue) in queues.iter_mut() {
+            let Some(item) = queue.front() else { continue };
+            let prompt = item_prompt(&item.spec.items[item.index]);
+            let query = query(service, &prompt);
+            let probe = self.targets.pick_probe(&query, self.now);
+            if let Some(choice) = probe.and_then(|probe| self.targets.take(&query, probe)) {
+                self.start_front(queue, choice, outcome);
+            }
+        }
+    }
+
     fn divide_slots(
         &mut self,
         queues: &mut FastMap<String, VecDeque<QueuedItem>>,
--- a/crates/relay/src/targets/record.rs
+++ b/crates/relay/src/targets/record.rs
@@ -93,7 +93,12 @@
 
 impl TargetRecord {
     pub(super) fn has_free_slot(&self) -> bool {
-        self.total() + self.performance.closed_slots < self.entry.slots
+        self.free_slots() > 0
+    }
+
+    /// Slots that a new request may take.
+    pub(super) fn free_slots(&self) -> u32 {
+        self.entry.slots.saturating_sub(self.total() + self.performance.closed_slots)
     }
 
     /// Requests that are queued at the target.
--- a/crates/relay/src/targets/table/item_offers.rs
+++ b/crates/relay/src/targets/table/item_offers.rs
@@ -33,7 +33,7 @@
         let mut slots = FreeSlots::default();
         for record in self.records.values() {
             if record.takes(service) && !record.is_avoided(now) {
-                let free = record.entry.slots.saturating_sub(record.total());
+                let free = record.free_slots();
                 slots.all += free;
                 if self.homes.is_own(&record.entry.id) {
                     slots.here += free;
