Decide which gateway is evicted, and when one may act without a majority

A gateway that was removed for good keeps its entry and stays silent for ever, so every owner reads the store for each question about its results.

Change: `GatewayEviction` selects one gateway at a time (no link and an unchanged entry for 8 s, first by rank, majority heard), collects the answers and postpones by 5 s. `OwnEntryGuard` says whether a gateway that was paused or heard no majority for 4 s may accept jobs and be certain of results, and what it waits for after its own entry was found gone. `JobTable::suspend_all` stores nothing until ownership is confirmed. No I/O; nothing uses them yet.

--- a/crates/relay/src/jobs/owned.rs
+++ b/crates/relay/src/jobs/owned.rs
@@ -116,8 +116,9 @@
     required: OwnershipGeneration,
     /// Generation in which the latest confirmation of ownership was requested.
     confirmed: OwnershipGeneration,
-    /// Whether another gateway wrote at the position where this one wanted to, and ownership has
-    /// not been confirmed by a request made since then. Invariant: nothing is stored meanwhile. If
+    /// Whether another gateway wrote at the position where this one wanted to, or may have taken the
+    /// job over while this gateway's own entry was gone, and ownership has not been confirmed by a
+    /// request made since then. Invariant: nothing is stored meanwhile. If
     /// a former owner continued after a fence that it found, it would extend the list that the new
     /// owner considers its own.
     is_displaced: bool,
@@ -398,6 +399,13 @@
         self.required = self.required.max(generation);
     }
 
+    /// Stores nothing until ownership is confirmed by a request made in `generation` or later: another gateway may
+    /// have taken the job over while this one did not count as alive.
+    pub fn suspend(&mut self, generation: OwnershipGeneration) {
+        self.is_displaced = true;
+        self.require_generation(generation);
+    }
+
     /// Records that the store confirmed the ownership, as requested in generation `requested`. The
     /// answer may be late; if it was requested before the required generation, it does not count.
     pub fn confirm(&mut self, requested: OwnershipGeneration) {
--- a/crates/relay/src/jobs/table.rs
+++ b/crates/relay/src/jobs/table.rs
@@ -73,6 +73,14 @@
         }
     }
 
+    /// Invalidates the ownership of all jobs, and stores nothing of them until it is confirmed.
+    pub fn suspend_all(&mut self) {
+        self.invalidate_all_ownership();
+        for job in self.jobs.values_mut() {
+            job.suspend(self.ownership_generation);
+        }
+    }
+
     /// Invalidates the ownership of a job: it may have been taken over by another gateway.
     pub fn invalidate_ownership(&mut self, id: &str) {
         self.ownership_generation = self.ownership_generation.next();
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -38,6 +38,10 @@
             table::JobAdmissionTable,
         },
         jobs::{
+            eviction::{
+                EvictionCandidate, EvictionOutcome, EvictionVerdict, FleetView, GatewayEviction,
+                OwnEntryGuard, PeerAbsence,
+            },
             owned::{HeldProgress, ItemEnd, OwnedJob},
             ownership::OwnershipGeneration,
             result::{ItemState, ResultLine},
--- /dev/null
+++ b/crates/relay/tests/eviction.rs
@@ -0,0 +1,316 @@
+//! Which gateway evicts another one and when, and when a gateway may act on jobs while its own entry may be gone.
+
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+use std::time::Duration;
+
+use notch_relay::{
+    jobs::eviction::{
+        EVICTION_ANSWER_TIMEOUT, EVICTION_PAUSE, EVICTION_SILENCE, MAJORITY_SILENCE,
+        OWN_ENTRY_INTERVAL, OWN_ENTRY_VALIDITY, is_majority, needed_for_majority,
+    },
+    prelude::*,
+};
+use notch_types::prelude::*;
+use rstest::rstest;
+
+/// Interval of a gateway's observations.
+const TICK: Duration = Duration::from_millis(250);
+
+fn at(millis: u64) -> MonoTime {
+    MonoTime::default() + Duration::from_millis(millis)
+}
+
+fn vm(name: &str) -> VmName {
+    VmName::new(name)
+}
+
+fn candidate(revision: u64, unlinked: Duration) -> EvictionCandidate {
+    EvictionCandidate { vm: vm("gone"), owner: "gone#1".to_owned(), revision, unlinked }
+}
+
+/// A fleet of five of which one has no link, seen by one of the four others.
+fn fleet(own: &str, candidate: EvictionCandidate) -> FleetView {
+    let others = ["a", "b", "c", "d"].into_iter().filter(|name| *name != own);
+    let linked: Vec<VmName> = others.map(vm).collect();
+    FleetView {
+        evictors: linked.clone(),
+        heard: linked.len(),
+        known: linked.len() + 1,
+        candidates: vec![candidate],
+        linked,
+    }
+}
+
+/// The gateway that is ranked first for evicting `gone`.
+fn first_evictor() -> &'static str {
+    let rank = |name: &&str| stable_hash64(&[b"gone", name.as_bytes()]);
+    ["a", "b", "c", "d"].into_iter().max_by_key(rank).unwrap()
+}
+
+/// An evictor that has known the entry for long enough, and the time.
+fn ready(view: &FleetView) -> (GatewayEviction, VmName, MonoTime) {
+    let own = vm(first_evictor());
+    let mut eviction = GatewayEviction::default();
+    assert_eq!(eviction.begin(&own, view, at(0)), None, "it has known the entry for a moment");
+    (eviction, own, at(0) + EVICTION_SILENCE)
+}
+
+#[test]
+fn the_first_by_rank_alone_evicts() {
+    let gone = candidate(7, EVICTION_SILENCE);
+    let evictors: Vec<&str> = ["a", "b", "c", "d"]
+        .into_iter()
+        .filter(|own| {
+            let view = fleet(own, gone.clone());
+            let mut eviction = GatewayEviction::default();
+            eviction.begin(&vm(own), &view, at(0));
+            eviction.begin(&vm(own), &view, at(0) + EVICTION_SILENCE).is_some()
+        })
+        .collect();
+    assert_eq!(evictors, [first_evictor()]);
+}
+
+/// The evictor dies between the answers and the deletion.
+#[test]
+fn the_next_by_rank_evicts_without_the_first() {
+    let gone = candidate(7, EVICTION_SILENCE);
+    let first = first_evictor();
+    let left: Vec<&str> = ["a", "b", "c", "d"].into_iter().filter(|own| *own != first).collect();
+    let evicts = |own: &&&str| {
+        let mut view = fleet(own, gone.clone());
+        view.linked.retain(|other| *other != vm(first));
+        view.evictors = view.linked.clone();
+        view.heard = view.linked.len();
+        let mut eviction = GatewayEviction::default();
+        eviction.begin(&vm(own), &view, at(0));
+        eviction.begin(&vm(own), &view, at(0) + EVICTION_SILENCE).is_some()
+    };
+    assert_eq!(left.iter().filter(evicts).count(), 1);
+}
+
+#[test]
+fn all_linked_gateways_must_agree() {
+    let view = fleet(first_evictor(), candidate(7, EVICTION_SILENCE));
+    let (mut eviction, own, now) = ready(&view);
+    assert!(eviction.begin(&own, &view, now).is_some());
+    assert_eq!(eviction.begin(&own, &view, now), None, "one eviction at a time");
+    for peer in &view.linked {
+        assert_eq!(eviction.verdict(&own, &view, now), EvictionVerdict::Pending);
+        eviction.note_answer(peer, true);
+    }
+    assert_eq!(eviction.answers(), (3, 3));
+    assert_eq!(eviction.verdict(&own, &view, now), EvictionVerdict::Agreed);
+}
+
+/// Guards against the eviction of a gateway that this one alone has no link to.
+#[test]
+fn a_refusal_postpones() {
+    let view = fleet(first_evictor(), candidate(7, EVICTION_SILENCE));
+    let (mut eviction, own, now) = ready(&view);
+    eviction.begin(&own, &view, now).unwrap();
+    view.linked.iter().for_each(|peer| eviction.note_answer(peer, true));
+    eviction.note_answer(&view.linked[0], false);
+    let refused = EvictionVerdict::Postponed(EvictionOutcome::Refused);
+    assert_eq!(eviction.verdict(&own, &view, now), refused);
+    eviction.end(now);
+    let early = now + EVICTION_PAUSE - TICK;
+    assert_eq!(eviction.begin(&own, &view, early), None);
+    assert!(eviction.begin(&own, &view, now + EVICTION_PAUSE).is_some());
+}
+
+/// Guards against counting a gateway that is frozen, or of a build without evictions, as one that agrees.
+#[test]
+fn a_missing_answer_postpones() {
+    let view = fleet(first_evictor(), candidate(7, EVICTION_SILENCE));
+    let (mut eviction, own, now) = ready(&view);
+    eviction.begin(&own, &view, now).unwrap();
+    view.linked[1..].iter().for_each(|peer| eviction.note_answer(peer, true));
+    let unanswered = EvictionVerdict::Postponed(EvictionOutcome::Unanswered);
+    assert_eq!(eviction.verdict(&own, &view, now + EVICTION_ANSWER_TIMEOUT), unanswered);
+}
+
+/// Changes while the answers are collected.
+#[rstest]
+#[case::linked(|view: &mut FleetView| view.candidates.clear())]
+#[case::registered_again(|view: &mut FleetView| view.candidates[0].revision += 1)]
+#[case::a_new_link_to_one_not_asked(|view: &mut FleetView| view.linked.push(vm("e")))]
+#[case::majority_lost(|view: &mut FleetView| view.heard = 1)]
+fn a_change_meanwhile_postpones(#[case] change: fn(&mut FleetView)) {
+    let mut view = fleet(first_evictor(), candidate(7, EVICTION_SILENCE));
+    let (mut eviction, own, now) = ready(&view);
+    eviction.begin(&own, &view, now).unwrap();
+    view.linked.iter().for_each(|peer| eviction.note_answer(peer, true));
+    change(&mut view);
+    let not_due = EvictionVerdict::Postponed(EvictionOutcome::NotDue);
+    assert_eq!(eviction.verdict(&own, &view, now), not_due);
+}
+
+/// Guards against the eviction of a gateway that has just started under the name of one that is long gone: there was
+/// no link to either for 8 s, but the new entry has been known for a moment.
+#[test]
+fn a_renewed_entry_is_judged_anew() {
+    let view = fleet(first_evictor(), candidate(7, EVICTION_SILENCE * 3));
+    let (mut eviction, own, now) = ready(&view);
+    let renewed = fleet(first_evictor(), candidate(8, EVICTION_SILENCE * 3));
+    assert_eq!(eviction.begin(&own, &renewed, now), None);
+    assert_eq!(eviction.begin(&own, &renewed, now + EVICTION_SILENCE - TICK), None);
+    assert!(eviction.begin(&own, &renewed, now + EVICTION_SILENCE).is_some());
+}
+
+#[rstest]
+#[case::linked(None, Some("gone#1"), false)]
+#[case::linked_a_moment_ago(Some(EVICTION_SILENCE - TICK), Some("gone#1"), false)]
+#[case::gone(Some(EVICTION_SILENCE), Some("gone#1"), true)]
+#[case::entry_unknown(Some(EVICTION_SILENCE), None, true)]
+#[case::started_again(Some(EVICTION_SILENCE), Some("gone#2"), false)]
+fn a_gateway_agrees_only_if_it_had_no_link(
+    #[case] unlinked: Option<Duration>,
+    #[case] owner: Option<&str>,
+    #[case] is_gone: bool,
+) {
+    let absence = PeerAbsence { owner: owner.map(str::to_owned), unlinked };
+    assert_eq!(absence.is_gone("gone#1"), is_gone);
+}
+
+#[test]
+fn needed_gateways_make_up_a_majority() {
+    for known in 0..50 {
+        let needed = needed_for_majority(known);
+        assert!(is_majority(needed, known));
+        assert!(needed == 0 || !is_majority(needed - 1, known), "{known}");
+    }
+}
+
+/// A guard that has observed a majority until `until`, in milliseconds.
+fn guard_with_majority(until: u64) -> OwnEntryGuard {
+    let mut guard = OwnEntryGuard::default();
+    for millis in (0..=until).step_by(TICK.as_millis() as usize) {
+        guard.observe(Some(Duration::ZERO), at(millis));
+    }
+    guard
+}
+
+/// Observes from `from` to `until` (milliseconds) that a majority was last heard at `heard`.
+fn observe_silence(guard: &mut OwnEntryGuard, heard: u64, from: u64, until: u64) {
+    for millis in (from..=until).step_by(TICK.as_millis() as usize) {
+        guard.observe(Some(Duration::from_millis(millis - heard)), at(millis));
+    }
+}
+
+#[test]
+fn normal_operation_needs_no_read() {
+    let mut guard = OwnEntryGuard::default();
+    for millis in (0..60_000).step_by(250) {
+        guard.observe(Some(Duration::from_millis(300)), at(millis));
+        assert!(guard.may_act(at(millis)) && !guard.needs_read(at(millis)));
+    }
+}
+
+/// A fleet that starts, and a fleet of one.
+#[test]
+fn a_gateway_that_never_heard_a_majority_acts_without_reads() {
+    let mut guard = OwnEntryGuard::default();
+    for millis in (0..60_000).step_by(250) {
+        guard.observe(None, at(millis));
+        assert!(guard.may_act(at(millis)) && !guard.needs_read(at(millis)));
+    }
+}
+
+/// Guards against a gateway that was frozen while the others evicted it, and accepts a job or tells a reader that there
+/// is nothing more before it has observed anything: messages from before the pause are still to be read, so it seems to
+/// hear all others.
+#[test]
+fn after_a_pause_the_entry_is_read_first() {
+    let mut guard = guard_with_majority(10_000);
+    assert!(guard.may_act(at(10_000)));
+    let woken = 10_000 + 20_000;
+    assert!(!guard.may_act(at(woken)), "before the first observation");
+    assert!(guard.needs_read(at(woken)));
+    guard.observe(Some(Duration::ZERO), at(woken + 10));
+    assert!(!guard.may_act(at(woken + 10)), "old messages count as heard");
+    assert!(!guard.note_read(at(9_000), true, at(woken + 20)), "a read from before the pause");
+    assert!(!guard.may_act(at(woken + 20)));
+    guard.note_read(at(woken + 20), true, at(woken + 30));
+    assert!(guard.may_act(at(woken + 30)));
+    assert!(!guard.needs_read(at(woken + 30)), "one read is enough");
+}
+
+/// Guards against a gateway that was frozen before it had heard a majority: others may have heard and evicted it. One
+/// read suffices, as there is no majority that it lacks.
+#[test]
+fn a_pause_counts_before_a_majority_was_heard() {
+    let mut guard = OwnEntryGuard::default();
+    guard.observe(None, at(1_000));
+    assert!(!guard.may_act(at(20_000)) && guard.needs_read(at(20_000)));
+    guard.observe(None, at(20_010));
+    assert!(!guard.may_act(at(20_010)));
+    guard.note_read(at(20_020), true, at(20_030));
+    observe_silence(&mut guard, 20_030, 20_050, 20_050);
+    assert!(guard.may_act(at(20_050)) && !guard.needs_read(at(20_050)));
+}
+
+/// Guards against a gateway that was cut off, is evicted, and goes on to accept jobs.
+#[test]
+fn without_a_majority_each_read_permits_for_a_while() {
+    let mut guard = guard_with_majority(10_000);
+    let limit = 10_000 + MAJORITY_SILENCE.as_millis() as u64;
+    observe_silence(&mut guard, 10_000, 10_250, limit - 250);
+    assert!(guard.may_act(at(limit - 250)) && !guard.needs_read(at(limit - 250)));
+    observe_silence(&mut guard, 10_000, limit, limit);
+    assert!(!guard.may_act(at(limit)) && guard.needs_read(at(limit)));
+    guard.note_read(at(limit), true, at(limit + 5));
+    assert!(guard.may_act(at(limit + 5)) && !guard.needs_read(at(limit + 5)));
+    let next = at(limit) + OWN_ENTRY_INTERVAL;
+    observe_silence(&mut guard, 10_000, limit + 250, limit + 2_500);
+    assert!(guard.needs_read(next), "it is read again");
+    assert!(guard.may_act(next), "nothing is refused during the next read");
+    observe_silence(&mut guard, 10_000, limit + 2_750, limit + 3_500);
+    assert!(!guard.may_act(at(limit) + OWN_ENTRY_VALIDITY), "the next read was not answered");
+}
+
+/// Guards against a gateway that trusts its links again although it was evicted before they came back.
+#[test]
+fn a_returning_majority_ends_the_doubt_only_with_a_later_read() {
+    let mut guard = guard_with_majority(10_000);
+    observe_silence(&mut guard, 10_000, 10_250, 20_000);
+    guard.note_read(at(20_000), true, at(20_005));
+    guard.observe(Some(Duration::ZERO), at(20_250));
+    assert!(guard.needs_read(at(20_250)), "the entry may have been deleted since the last read");
+    guard.note_read(at(20_251), true, at(20_260));
+    assert!(!guard.needs_read(at(20_260)));
+    observe_silence(&mut guard, 20_250, 20_500, 24_000);
+    assert!(guard.may_act(at(24_000)) && !guard.needs_read(at(24_000)));
+}
+
+#[test]
+fn a_gateway_whose_entry_is_gone_waits_until_the_others_know_it_again() {
+    let mut guard = guard_with_majority(1_000);
+    guard.doubt(at(1_000));
+    assert!(!guard.may_act(at(1_000)) && guard.needs_read(at(1_000)));
+    assert!(guard.note_read(at(1_001), false, at(1_010)), "found gone for the first time");
+    assert!(!guard.note_read(at(1_002), false, at(1_020)), "known to be gone");
+    assert!(guard.needs_registration() && !guard.may_take_over(at(1_020)));
+    guard.note_registered(at(8_000));
+    observe_silence(&mut guard, 1_000, 1_250, 1_500);
+    for millis in (1_750..8_000).step_by(250) {
+        guard.observe(Some(Duration::ZERO), at(millis));
+        guard.note_read(at(millis), true, at(millis + 5));
+        assert!(!guard.may_take_over(at(millis)) && !guard.may_act(at(millis)), "at {millis}");
+    }
+    guard.observe(Some(Duration::ZERO), at(8_000));
+    assert!(guard.may_take_over(at(8_000)) && guard.may_act(at(8_000)));
+}
+
+/// Guards against certainty from a confirmation that is older than a registration, a takeover and an eviction of another
+/// gateway, all of which fell into a time without fresh entries.
+#[test]
+fn outdated_entries_end_certainty_until_ownership_is_invalidated() {
+    let mut guard = OwnEntryGuard::default();
+    assert!(!guard.note_entries(true) && guard.has_current_entries());
+    assert!(!guard.note_entries(false) && !guard.has_current_entries());
+    assert!(guard.note_entries(true), "ownership is to be invalidated");
+    assert!(!guard.has_current_entries(), "it was not invalidated yet");
+    guard.note_invalidated();
+    assert!(!guard.note_entries(true) && guard.has_current_entries());
+}
