Evict gateways that were removed for good, and check the own entry

Owners read the store for each question while a gateway that is gone counts as silent. With its entry deleted it no longer counts; but it may be alive, take jobs over and accept new ones.

Change, only with `[fleet] evict_gateways`: the entry is replaced by a mark under the condition of the judged revision, as the calls in use have a condition for PUT only. Ownership is invalidated before the gateway stops counting as known. Entries bear the number of their registration, so that a delayed write from before an eviction isn't taken for the current entry. With the setting off, entries, messages and calls are as before.

--- a/crates/entry/src/batch/intake.rs
+++ b/crates/entry/src/batch/intake.rs
@@ -34,6 +34,9 @@
 /// Poll interval while another submission of the same job is being stored.
 const KNOWN_POLL: Duration = Duration::from_millis(20);
 
+/// How long a submission waits for the read of the own entry.
+const OWN_ENTRY_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// Outcome of storing a job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum StoringOutcome {
@@ -60,6 +63,8 @@
     },
     /// Whether it is within the limit could not be determined in time.
     LimitUnknown,
+    /// The other gateways may have evicted this one.
+    EntryUnconfirmed,
 }
 
 /// Accepts a submitted job. The client gets a 202 only once the job is stored.
@@ -83,6 +88,9 @@
         // Another submission of it is being stored here, with an unknown outcome so far.
         return answer(node, id, "store_unclear", OwnAnswer::of(504), arrived);
     }
+    if !may_accept_soon(node, arrived).await {
+        return refuse(node, id, JobRefusal::EntryUnconfirmed, arrived).await;
+    }
     let Some(terms) = route.job_terms else {
         return answer(node, id, "not_a_batch_route", OwnAnswer::of(400), arrived);
     };
@@ -119,6 +127,22 @@
     answer(node, id, outcome, answered, arrived)
 }
 
+/// Whether this gateway may accept jobs. It may not while the others may have evicted it: they would not know the job
+/// and could refuse it to a client that submits it again. After a pause, waits for the read of the own entry.
+async fn may_accept_soon(node: &EntryNode, arrived: MonoTime) -> bool {
+    let Some(eviction) = node.eviction() else { return true };
+    loop {
+        if eviction.may_accept() {
+            return true;
+        }
+        let is_over = node.clock.mono().since(arrived) >= OWN_ENTRY_TIMEOUT;
+        if is_over || !eviction.needs_read() {
+            return false;
+        }
+        task::sleep(KNOWN_POLL).await;
+    }
+}
+
 /// Reserves deadline capacity and limit tokens for a job, if both suffice.
 async fn admit(node: &EntryNode, route: &Route, spec: &Arc<JobSpec>) -> Result<(), JobRefusal> {
     deadline_admission::admit(node, route, spec).map_err(|wait| JobRefusal::NoTime { wait })?;
@@ -168,6 +192,9 @@
         (PriorJob::None, JobRefusal::LimitUnknown) => {
             ("limit_unknown", OwnAnswer::refused(RETRY_AFTER))
         }
+        (PriorJob::None, JobRefusal::EntryUnconfirmed) => {
+            ("entry_unconfirmed", OwnAnswer::refused(RETRY_AFTER_START))
+        }
         // Not a refusal: the job may be running.
         (PriorJob::Unclear, _) => {
             ("unclear", OwnAnswer { status: 504, ..OwnAnswer::refused(RETRY_AFTER) })
@@ -247,6 +274,10 @@
             Err(StoreFailure::NotDone | StoreFailure::Unknown) => {
                 was_unclear = true;
                 task::sleep(jittered(STORE_PAUSE)).await;
+                // The others count only on writes that were begun while this gateway was registered.
+                while node.eviction().is_some_and(|eviction| !eviction.may_accept()) {
+                    task::sleep(jittered(STORE_PAUSE)).await;
+                }
             }
         }
     }
--- a/crates/entry/src/batch/ownership.rs
+++ b/crates/entry/src/batch/ownership.rs
@@ -83,7 +83,17 @@
 
 /// Whether no other gateway can have taken over a job whose ownership was confirmed.
 fn is_in_touch(node: &EntryNode, now: MonoTime) -> bool {
-    node.peers.has_fresh_entries(now) && node.peers.hears_all_peers(now)
+    node.peers.has_fresh_entries(now)
+        && node.peers.hears_all_peers(now)
+        && node.eviction().is_none_or(|eviction| eviction.may_be_certain())
+}
+
+/// Stores nothing of any job until the store has confirmed that it is still owned here, and asks for that: this
+/// gateway's entry was found gone, so the others took its jobs over.
+pub fn suspend_all(node: &Arc<EntryNode>) {
+    node.jobs().table.suspend_all();
+    let node = Arc::clone(node);
+    task::spawn(async move { verify_all(&node).await });
 }
 
 /// Checks the ownership of every job here, once for all calls within a short delay.
--- a/crates/entry/src/batch/takeover.rs
+++ b/crates/entry/src/batch/takeover.rs
@@ -10,13 +10,13 @@
 use crate::{
     batch::{
         closing::close_completed_job,
-        limits,
+        limits, ownership,
         records::{StoredJob, fence_results, read_end, read_job, read_spec, take_job},
         stored_jobs::list_jobs,
     },
     constants::{ORPHAN_SEARCH_DELAY, ORPHAN_SEARCH_INTERVAL, PEER_DEAD_AFTER, PEER_TICK},
     node::EntryNode,
-    peers::table::OwnerLiveness,
+    peers::{eviction::OwnEntryCheck, table::OwnerLiveness},
     store::{call_cause::StoreCallCause, feed::StorePath, reply::StoreFailure},
 };
 
@@ -56,7 +56,7 @@
             note_loss(&node);
             stale_since = None;
         }
-        if now >= next_takeover && !node.stop.is_stopping() {
+        if now >= next_takeover && !node.stop.is_stopping() && may_take_over(&node) {
             // A job that couldn't be read is tried again after the pause.
             if take_over_known(&node, &orphans).await.is_err() {
                 next_takeover = now + ORPHAN_SEARCH_INTERVAL;
@@ -84,7 +84,7 @@
 async fn search_if_due(node: &Arc<EntryNode>) {
     let began = node.clock.mono();
     // Computed only if a search is due at all, as it looks at every gateway.
-    if node.stop.is_stopping() || !node.jobs().search.is_due(0, began) {
+    if node.stop.is_stopping() || !may_take_over(node) || !node.jobs().search.is_due(0, began) {
         return;
     }
     let rank = search_rank(node);
@@ -96,6 +96,27 @@
     node.jobs().search.note_searched(began, has_left, node.clock.mono());
 }
 
+/// Whether this gateway's entry is not known to be gone, and was not written again just now.
+fn may_take_over(node: &EntryNode) -> bool {
+    node.eviction().is_none_or(|eviction| eviction.may_take_over())
+}
+
+/// Completes a takeover only if this gateway's entry is in the store after the job was read back. The others may have
+/// evicted it; their owners are certain of jobs that they confirmed after that.
+async fn check_registration(node: &Arc<EntryNode>, job: &str) -> Result<(), StoreFailure> {
+    let Some(eviction) = node.eviction() else { return Ok(()) };
+    let check = eviction.check_own_entry("takeover").await?;
+    if check == OwnEntryCheck::Lost {
+        ownership::suspend_all(node);
+    }
+    if check == OwnEntryCheck::Found && eviction.may_take_over() {
+        return Ok(());
+    }
+    node.log.warn("takeover_given_up", &[("job", &job)]);
+    node.metrics.count(Counter::Event("takeovers_given_up"));
+    Err(StoreFailure::NotDone)
+}
+
 /// Open jobs reported by other gateways that have lost their owner.
 fn known_orphans(node: &EntryNode, now: MonoTime) -> Vec<String> {
     let registry = node.jobs();
@@ -302,6 +323,9 @@
 /// # Errors
 /// The store did not answer. This gateway may own the job by now; the takeover is retried later.
 pub async fn take_over(node: &Arc<EntryNode>, job: &StoredJob) -> Result<(), StoreFailure> {
+    if !may_take_over(node) {
+        return Err(StoreFailure::NotDone);
+    }
     if !node.jobs().begin(&job.id) {
         return Ok(());
     }
@@ -332,6 +356,7 @@
         node.log.warn("job_overtaken", &[("job", id), ("owner", &owner.unwrap_or_default())]);
         return Ok(());
     }
+    check_registration(node, id).await?;
     let listed = list.lines.len();
     let mut owned = OwnedJob::new(spec, list.lines, node.clock.now());
     owned.set_fences(list.fences);
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -30,6 +30,7 @@
     memory::HeldMemory,
     peers::{
         catch_up::KnownVersions,
+        eviction::{EvictionEdge, EvictionState},
         table::{OwnerLiveness, PeerTable},
         traffic::PeerTraffic,
     },
@@ -78,6 +79,8 @@
     pub pool: TargetPool,
     /// What is known of the other gateways, and the links to them.
     pub peers: PeerTable,
+    /// Evictions of other gateways and of this one.
+    evictions: EvictionState,
     /// Progress of a graceful stop.
     pub stop: StopState,
     /// Notified when results were stored, a job ended or its owner became known.
@@ -131,6 +134,7 @@
             memory: Arc::new(HeldMemory::new(config.memory.limit())),
             pool: TargetPool::default(),
             peers: PeerTable::new(traffic),
+            evictions: EvictionState::default(),
             stop: StopState::default(),
             job_updates: Event::new(),
             jobs_taken: Event::new(),
@@ -391,6 +395,25 @@
         up >= span.max(PEER_STATE_TIMEOUT) && !self.was_synced()
     }
 
+    /// What evictions need of this gateway; `None` where gateways aren't evicted.
+    pub fn eviction(&self) -> Option<EvictionEdge<'_>> {
+        self.features.eviction.then(|| self.eviction_edge())
+    }
+
+    /// What evictions need of this gateway.
+    pub fn eviction_edge(&self) -> EvictionEdge<'_> {
+        EvictionEdge {
+            vm: &self.config.node.vm,
+            owner: &self.owner,
+            state: &self.evictions,
+            peers: &self.peers,
+            store: &self.store,
+            clock: self.clock,
+            log: &self.log,
+            metrics: &self.metrics,
+        }
+    }
+
     /// Whether the owner `owner` is alive. An earlier incarnation of this gateway is not.
     pub fn liveness(&self, owner: &str, now: MonoTime) -> OwnerLiveness {
         if owner == self.owner {
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -3,7 +3,9 @@
 pub mod calls;
 pub mod catch_up;
 pub mod demands;
+pub mod eviction;
 pub mod links;
+pub mod membership;
 pub mod pushes;
 pub mod registration;
 pub mod reports;
--- a/crates/entry/src/peers/links.rs
+++ b/crates/entry/src/peers/links.rs
@@ -23,8 +23,10 @@
     online::{crashes, slots},
     peers::{
         catch_up::{KnownVersions, StateRequest},
-        demands, pushes,
-        registration::{GATEWAY_KIND, GatewayEntry},
+        demands,
+        eviction::LATE_INTAKE_WINDOW,
+        membership, pushes,
+        registration::{GATEWAY_KIND, GatewayEntry, RegisteredEntry, StoredEntry},
         reports,
         roster::RosterChange,
         store_forwarding,
@@ -47,6 +49,7 @@
 /// Registers this gateway, then follows the others' entries and maintains links to them.
 pub async fn follow_gateways(node: Arc<EntryNode>, settings: LinkSettings) {
     register(&node).await;
+    membership::start(&node);
     task::spawn(maintain_links(Arc::clone(&node), settings));
     // The first list is needed in any case: it names the gateways from which to hear the rest.
     let feed = FeedPlan {
@@ -61,11 +64,7 @@
                 let entries = objects.iter().filter_map(|object| decode_gateway(&node, object));
                 node.peers.roster().apply_list(entries.collect(), as_of)
             }
-            FeedEvent::Changed { object } => {
-                let entry = decode_gateway(&node, object);
-                let put = |(vm, entry, revision)| node.peers.roster().put(&vm, entry, revision);
-                entry.and_then(put).into_iter().collect()
-            }
+            FeedEvent::Changed { object } => apply_changed(&node, object).into_iter().collect(),
             FeedEvent::Deleted { object, as_of } => {
                 let vm = VmName::new(&object.metadata.name);
                 node.peers.roster().remove(&vm, as_of).into_iter().collect()
@@ -76,8 +75,40 @@
     .await;
 }
 
+/// The entry that this gateway writes next.
+fn own_entry(node: &EntryNode) -> RegisteredEntry {
+    let entry = GatewayEntry {
+        address: node.config.listen.links,
+        owner: node.owner.clone(),
+        domain: node.config.node.domain.as_str().to_owned(),
+    };
+    match node.eviction() {
+        Some(eviction) => eviction.next_registration(entry),
+        None => RegisteredEntry { entry, registration: None },
+    }
+}
+
+/// Applies a written entry, or the mark of an eviction in its place.
+fn apply_changed(node: &EntryNode, object: &StoreObject) -> Option<RosterChange> {
+    let (vm, revision) = (VmName::new(&object.metadata.name), object.metadata.revision);
+    match decode_entry(node, object)? {
+        StoredEntry::Present(entry) => node.peers.roster().put(&vm, entry, revision),
+        StoredEntry::Evicted(_) => node.peers.roster().remove(&vm, revision),
+    }
+}
+
 /// Queues changes of the gateways' entries, and has them passed on if this gateway follows the store.
 fn apply_roster_changes(node: &EntryNode, changes: Vec<RosterChange>) {
+    if let Some(eviction) = node.eviction() {
+        let own = &node.config.node.vm;
+        let is_replaced = |change: &RosterChange| match change {
+            RosterChange::Put(vm, entry) => vm == own && entry.owner != node.owner,
+            RosterChange::Remove(vm) => vm == own,
+        };
+        if changes.iter().any(is_replaced) {
+            eviction.doubt_own_entry();
+        }
+    }
     node.peers.queue_roster_changes(changes);
     node.state_changed.notify(usize::MAX);
 }
@@ -88,26 +119,32 @@
     while let Some(change) = node.peers.next_roster_change().await {
         match change {
             RosterChange::Put(vm, entry) => add_gateway(&node, &vm, entry, &settings, &sink),
-            RosterChange::Remove(vm) => {
-                node.peers.remove_entry(&vm);
-                ownership::invalidate_all(&node, "entry_gone", PeerSilence::Minority);
-            }
+            RosterChange::Remove(vm) => remove_gateway(&node, &vm),
         }
     }
 }
 
+/// Removes a gateway's entry. Ownership is invalidated first: a confirmation counts only if it was requested after the
+/// removal was known, or a gateway that had taken a job over before its removal would no longer count as silent.
+fn remove_gateway(node: &Arc<EntryNode>, vm: &VmName) {
+    ownership::invalidate_all(node, "entry_gone", PeerSilence::Minority);
+    if node.features.eviction {
+        // Jobs that it accepted without contact are neither known here nor announced.
+        let until = node.clock.mono() + LATE_INTAKE_WINDOW;
+        node.peers.note_jobs_missed(until);
+        node.jobs().search.note_reason(until);
+    }
+    node.peers.remove_entry(vm);
+}
+
 /// Writes this gateway's entry to the store; retries until that succeeds.
-async fn register(node: &EntryNode) {
-    let entry = GatewayEntry {
-        address: node.config.listen.links,
-        owner: node.owner.clone(),
-        domain: node.config.node.domain.as_str().to_owned(),
-    };
+pub(super) async fn register(node: &EntryNode) {
     let name = node.config.node.vm.as_str();
-    let body = spec_body(name, None, &entry);
     let list = notch_platform_wire::store::list_path(GATEWAY_KIND, None);
     let path = object_path(GATEWAY_KIND, name);
     loop {
+        let entry = own_entry(node);
+        let body = spec_body(name, None, &entry);
         let wait = node.store.settings().call_timeout;
         let created =
             node.store.call(StoreCallCause::Registration, "POST", &list, Some(&body), wait).await;
@@ -123,6 +160,9 @@
             Err(_) => false,
         };
         if written {
+            if let (Some(eviction), Some(number)) = (node.eviction(), entry.registration) {
+                eviction.note_registered(number);
+            }
             node.log.info("registered", &[("owner", &node.owner)]);
             return;
         }
@@ -131,10 +171,19 @@
 }
 
 fn decode_gateway(node: &EntryNode, object: &StoreObject) -> Option<(VmName, GatewayEntry, u64)> {
+    match decode_entry(node, object)? {
+        StoredEntry::Present(entry) => {
+            Some((VmName::new(&object.metadata.name), entry, object.metadata.revision))
+        }
+        StoredEntry::Evicted(_) => None,
+    }
+}
+
+fn decode_entry(node: &EntryNode, object: &StoreObject) -> Option<StoredEntry> {
     let vm = VmName::new(&object.metadata.name);
     let spec = object.spec.as_ref()?;
-    match serde_json::from_str(spec.get()) {
-        Ok(entry) => Some((vm, entry, object.metadata.revision)),
+    match StoredEntry::decode(spec.get()) {
+        Ok(entry) => Some(entry),
         Err(error) => {
             node.log.error("gateway_entry_refused", &[("gateway", &vm), ("reason", &error)]);
             None
@@ -323,7 +372,14 @@
         PeerMessage::CreditReturned { .. } => {}
         PeerMessage::ItemSlotOffer { .. } => {}
         PeerMessage::TargetEjected { .. } => {}
-        PeerMessage::EvictionAsk { .. } | PeerMessage::EvictionAnswer { .. } => {}
+        PeerMessage::EvictionAsk { call, vm, owner } => {
+            if let Some(eviction) = node.eviction() {
+                eviction.answer(&peer.vm, call, &vm, &owner);
+            }
+        }
+        PeerMessage::EvictionAnswer { call, is_gone } => {
+            node.peers.eviction_calls.answer(call, is_gone);
+        }
         PeerMessage::Stopping => {
             node.log.info("gateway_stops", &[("gateway", &peer.vm)]);
             node.peers.set_stopping(&peer.vm);
--- a/crates/entry/src/peers/roster.rs
+++ b/crates/entry/src/peers/roster.rs
@@ -39,6 +39,17 @@
     Remove(VmName),
 }
 
+/// Entry of one gateway at its revision.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RosterEntry {
+    /// The VM.
+    pub vm: VmName,
+    /// Identity of the gateway.
+    pub owner: String,
+    /// Store revision of its last change.
+    pub revision: u64,
+}
+
 /// Entries of the gateways by revision, and when to request them from another gateway.
 ///
 /// The worst case is a start of hundreds of gateways, each of which has to learn of all others.
@@ -68,6 +79,21 @@
         self.changes
     }
 
+    /// The present entries.
+    pub fn entries(&self) -> Vec<RosterEntry> {
+        let entries = self.known.iter().filter_map(|(vm, known)| {
+            let owner = known.entry.as_ref()?.owner.clone();
+            Some(RosterEntry { vm: vm.clone(), owner, revision: known.revision })
+        });
+        entries.collect()
+    }
+
+    /// Gateways whose entries were removed.
+    pub fn removed_vms(&self) -> FastSet<VmName> {
+        let removed = self.known.iter().filter(|(_, known)| known.entry.is_none());
+        removed.map(|(vm, _)| vm.clone()).collect()
+    }
+
     /// Applies an entry as of `revision`.
     pub fn put(&mut self, vm: &VmName, entry: GatewayEntry, revision: u64) -> Option<RosterChange> {
         if self.is_known(vm, revision) {
--- a/crates/entry/src/peers/table.rs
+++ b/crates/entry/src/peers/table.rs
@@ -1,5 +1,6 @@
 //! The table of the other gateways: their entries, links and liveness.
 
+mod absence;
 mod census;
 
 use std::{
@@ -168,6 +169,8 @@
     pub share_calls: CallTable<KeptShare>,
     /// Requests for credit of account limits.
     pub credit_calls: CallTable<CreditAnswer>,
+    /// Queries whether a gateway can be evicted.
+    pub eviction_calls: CallTable<bool>,
     /// Queries of the age of configuration proofs.
     pub age_calls: CallTable<ProofAge>,
     /// When this gateway last read the gateways' entries.
@@ -491,9 +494,10 @@
         self.job_coverage().listed_at = Some(asked);
     }
 
-    /// Records that another gateway may have accepted jobs without contact, or died before it announced one.
-    fn note_jobs_missed(&self, now: MonoTime) {
-        self.job_coverage().missed_at = now;
+    /// Records that another gateway may accept jobs without contact up to `now`, or died before it announced one.
+    pub fn note_jobs_missed(&self, now: MonoTime) {
+        let mut coverage = self.job_coverage();
+        coverage.missed_at = coverage.missed_at.max(now);
     }
 
     fn job_coverage(&self) -> MutexGuard<'_, JobCoverage> {
--- a/crates/entry/src/store/call_cause.rs
+++ b/crates/entry/src/store/call_cause.rs
@@ -43,13 +43,17 @@
     Retirement,
     /// Confirming that the configuration in force is the newest one.
     ConfigurationConfirmed,
+    /// Deleting the entry of a gateway that was removed for good.
+    Eviction,
+    /// Checking that this gateway was not evicted.
+    OwnEntryChecked,
     /// Forwarding a call for another gateway.
     ForAnother,
 }
 
 impl StoreCallCause {
     /// Every cause, in the order of its value.
-    pub const ALL: [Self; 16] = [
+    pub const ALL: [Self; 18] = [
         Self::Watch,
         Self::List,
         Self::Registration,
@@ -65,6 +69,8 @@
         Self::Retention,
         Self::Retirement,
         Self::ConfigurationConfirmed,
+        Self::Eviction,
+        Self::OwnEntryChecked,
         Self::ForAnother,
     ];
 
@@ -86,6 +92,8 @@
             Self::Retention => "retention",
             Self::Retirement => "retirement",
             Self::ConfigurationConfirmed => "configuration_confirmed",
+            Self::Eviction => "eviction",
+            Self::OwnEntryChecked => "own_entry_checked",
             Self::ForAnother => "for_another",
         }
     }
