Freeze a gateway in the soak for longer than an eviction takes

Cause: no fault of the soak lasted long enough for an eviction.

Change: `SoakSettings::evicts_gateways` switches the part on, freezes the first gateway for 13 s and begins the other faults a second before it wakes up.

--- a/crates/magnolianotch/src/cli/args.rs
+++ b/crates/magnolianotch/src/cli/args.rs
@@ -362,6 +362,9 @@
     /// the gateways' program (default: notch-entry beside this one)
     #[argh(option)]
     pub program: Option<PathBuf>,
+    /// whether gateways evict each other; the first one is frozen at the beginning for longer than that takes
+    #[argh(switch)]
+    pub evict: bool,
     /// folder for the gateways' settings and logs (default: soak in the temporary folder)
     #[argh(option)]
     pub folder: Option<PathBuf>,
--- a/crates/magnolianotch/src/cli/soak.rs
+++ b/crates/magnolianotch/src/cli/soak.rs
@@ -38,6 +38,7 @@
         gateways: args.gateways.max(1),
         targets: args.targets.max(1),
         clients: args.clients,
+        evicts_gateways: args.evict,
     })
 }
 
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -17,7 +17,7 @@
     store::{STEADY_KEY, StandInStore, configuration_with_probes, passing_key},
     target::{SeenAccount, StandInTarget},
 };
-use notch_settings::EntryConfig;
+use notch_settings::{EntryConfig, prelude::FeatureSwitch};
 use rustix::process::Signal;
 
 use crate::{
@@ -94,6 +94,9 @@
             let proxy = start_proxy(store.address).await;
             let mut config = gateway_config(&format!("gateway-{number}"), proxy.address);
             config.accounts.revocation_bound_millis = REVOCATION_BOUND.as_secs_f64() * 1_000.0;
+            if settings.evicts_gateways {
+                config.fleet.evict_gateways = FeatureSwitch::On;
+            }
             store_proxies.push(proxy);
             let process = start_gateway(&settings.program, &settings.folder, &config)?;
             gateways.push(Mutex::new(GatewayHandle { process, outages: 0 }));
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -28,6 +28,10 @@
 /// Time after the last fault within which gateways must be ready and know the newest configuration. They
 /// need a second or two, and up to ten times as long on a busy machine.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(30);
+/// How long a gateway is frozen to be evicted: links are lost after a second, and the eviction begins 8 s later.
+const EVICTION_FREEZE: Duration = Duration::from_secs(13);
+/// Time before its end at which other faults begin.
+const FREEZE_OVERLAP: Duration = Duration::from_secs(1);
 /// How long clients then wait for their jobs to end. A lost item is retried after 10 s.
 const JOB_END_TIMEOUT: Duration = Duration::from_secs(60);
 /// Interval between two checks of a gateway that recovers.
@@ -97,6 +101,13 @@
     let mut random = SmallRng::seed_from_u64(settings.seed);
     let mut faults = Vec::new();
     let began = Instant::now();
+    if settings.evicts_gateways {
+        let freeze = SoakFault::Pause { gateway: 0, duration: EVICTION_FREEZE };
+        cluster.apply(&freeze);
+        faults.push((began.elapsed(), freeze));
+        // Other faults begin after the eviction, which needs the answers of all other gateways.
+        task::sleep(EVICTION_FREEZE - FREEZE_OVERLAP).await;
+    }
     while began.elapsed() < settings.duration {
         let fault = SoakFault::draw(&mut random, settings.gateways, settings.targets);
         cluster.apply(&fault);
--- a/crates/soak/src/settings.rs
+++ b/crates/soak/src/settings.rs
@@ -17,6 +17,8 @@
     pub gateways: usize,
     /// Number of targets.
     pub targets: usize,
+    /// Whether gateways evict each other. One is frozen for longer than that takes when injection begins, and resumed.
+    pub evicts_gateways: bool,
     /// Number of clients that send online requests; a third as many send jobs.
     pub clients: u64,
 }
@@ -30,6 +32,7 @@
             folder: PathBuf::from("soak"),
             gateways: 3,
             targets: 5,
+            evicts_gateways: false,
             clients: 6,
         }
     }
