Merge the eviction of removed gateways

Change: conflicts in the changelog, in the dispatch of messages and in the tests' gateways are resolved by keeping both sides.

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -44,6 +44,10 @@
             table::JobAdmissionTable,
         },
         jobs::{
+            eviction::{
+                EvictionCandidate, EvictionOutcome, EvictionVerdict, FleetView, GatewayEviction,
+                OwnEntryGuard, PeerAbsence,
+            },
             owned::{HeldProgress, ItemEnd, OwnedJob},
             ownership::OwnershipGeneration,
             result::{ItemState, ResultLine},
