Let new requests go before retries near an account's limit

While an account sends several times its limit, each credit serves one request either way. Retries of refused clients took credit that new requests within the limit then lacked, and most came back within the same peak and were refused again.

Change: `[accounts] new_requests_first` defers requests that are recognized as retries until a quarter of the burst is left for new ones, spreads retry delays evenly over the time that clients wait, and asks again as soon as the next credit is due.

--- a/crates/entry/src/accounts/admission.rs
+++ b/crates/entry/src/accounts/admission.rs
@@ -87,12 +87,24 @@
 pub async fn charge_request(
     node: &EntryNode,
     caller: &CallerIdentity,
+    route: &Route,
+    client_deadline: Option<Duration>,
 ) -> Result<Option<AccountName>, AdmissionRefusal> {
     let CallerIdentity::Account(account) = caller else { return Ok(None) };
     let Some(limit) = account.limit else { return Ok(None) };
-    match credit::charge(node, &account.name, limit).await {
+    let new_first = node.features.new_requests_first;
+    let is_retry = |deadline| new_first && node.retry_detector().is_retry(&route.name, deadline);
+    let is_deferred = client_deadline.is_some_and(is_retry);
+    if is_deferred {
+        node.metrics.count(Counter::Event("account_retries"));
+    }
+    match credit::charge(node, &account.name, limit, is_deferred).await {
         LimitVerdict::Within => Ok(Some(account.name.clone())),
         LimitVerdict::WithoutLimiter => Ok(None),
+        LimitVerdict::Over { .. } if new_first => {
+            let wait = retry_delay(client_deadline, EntryNode::draw());
+            Err(AdmissionRefusal::OverLimit { wait })
+        }
         LimitVerdict::Over { wait } => Err(AdmissionRefusal::OverLimit { wait }),
         LimitVerdict::Unknown => Err(AdmissionRefusal::LimitUnknown),
     }
--- a/crates/entry/src/accounts/credit.rs
+++ b/crates/entry/src/accounts/credit.rs
@@ -30,27 +30,33 @@
     Unknown,
 }
 
-/// Counts a request against its account's limit, with credit from the limiter where none is left here.
-pub async fn charge(node: &EntryNode, account: &AccountName, limit: AccountLimit) -> LimitVerdict {
+/// Counts a request against its account's limit, with credit from the limiter where none is left here. With
+/// `is_deferred`, new requests of the account go first.
+pub async fn charge(
+    node: &EntryNode,
+    account: &AccountName,
+    limit: AccountLimit,
+    is_deferred: bool,
+) -> LimitVerdict {
     let began = node.clock.mono();
     let step = node.accounts.credits().begin(account, began);
-    let wanted = match step {
+    let demand = match step {
         CreditStep::Admitted => return LimitVerdict::Within,
         CreditStep::UsedUp { wait } => return LimitVerdict::Over { wait },
         CreditStep::NoLimiter => return decide_without_limiter(node, account, limit),
-        CreditStep::Ask { wanted } => wanted,
+        CreditStep::Ask { wanted } if !is_deferred => CreditDemand::from(wanted),
+        CreditStep::Ask { .. } => CreditDemand { wanted: 1, is_deferred },
     };
     let mut limiter = find_limiter(node, account, began);
     for _ in 0..MAX_LIMITERS_ASKED {
         let Some(vm) = limiter else { break };
-        match request_credit(node, &vm, account, wanted).await {
+        match request_credit(node, &vm, account, demand).await {
             Some(CreditAnswer::Granted(granted)) => {
                 node.accounts.credits().note_granted(account, granted, began);
                 return LimitVerdict::Within;
             }
             Some(CreditAnswer::UsedUp(wait)) => {
-                let now = node.clock.mono();
-                node.accounts.credits().note_used_up(account, wait, now);
+                note_used_up(node, account, limit, wait, is_deferred);
                 return LimitVerdict::Over { wait };
             }
             Some(CreditAnswer::Elsewhere(other)) => limiter = other.filter(|other| *other != vm),
@@ -68,14 +74,15 @@
     node: &EntryNode,
     vm: &VmName,
     account: &AccountName,
-    wanted: u32,
+    demand: CreditDemand,
 ) -> Option<CreditAnswer> {
     if *vm == node.config.node.vm {
-        return Some(grant(node, account, wanted));
+        return Some(grant(node, account, demand));
     }
     node.metrics.count(Counter::Event("credit_asked"));
     let account = account.clone();
-    let ask = |call| PeerMessage::CreditAsk { call, account, wanted, returning: 0, max_wait_ms: 0 };
+    let CreditDemand { wanted, is_deferred } = demand;
+    let ask = |call| PeerMessage::CreditAsk { call, account, wanted, is_deferred };
     let send = |call| node.peers.send(vm, ask(call));
     match node.peers.credit_calls.ask(send, ANSWER_TIMEOUT).await {
         CallEnd::Answered(answer) => Some(answer),
@@ -83,6 +90,23 @@
     }
 }
 
+/// Remembers that the limit is used up, so that not every request asks. Where new requests go first, one asks again as
+/// soon as the next credit is due, and the refusal of a deferred one says nothing about new ones.
+fn note_used_up(
+    node: &EntryNode,
+    account: &AccountName,
+    limit: AccountLimit,
+    wait: Duration,
+    is_deferred: bool,
+) {
+    if is_deferred {
+        return;
+    }
+    let next_credit = Duration::from_secs_f64(1.0 / limit.per_second);
+    let wait = if node.features.new_requests_first { wait.min(next_credit) } else { wait };
+    node.accounts.credits().note_used_up(account, wait, node.clock.mono());
+}
+
 fn decide_without_limiter(
     node: &EntryNode,
     account: &AccountName,
@@ -117,8 +141,7 @@
     let handovers = node.accounts.limiter().set_view(own, view, now);
     for CreditHandover { limiter, account, credit } in handovers {
         let credit_milli = (credit * 1_000.0) as u64;
-        let recent = Vec::new();
-        node.peers.send(&limiter, PeerMessage::CreditLeft { account, credit_milli, recent });
+        node.peers.send(&limiter, PeerMessage::CreditLeft { account, credit_milli });
     }
 }
 
@@ -139,22 +162,28 @@
 }
 
 /// Answers another gateway's request for credit.
-pub fn answer(node: &EntryNode, peer: &VmName, call: u64, account: &AccountName, wanted: u32) {
-    let answer = grant(node, account, wanted);
+pub fn answer(
+    node: &EntryNode,
+    peer: &VmName,
+    call: u64,
+    account: &AccountName,
+    demand: CreditDemand,
+) {
+    let answer = grant(node, account, demand);
     node.peers.send(peer, PeerMessage::CreditAnswer { call, answer });
 }
 
 /// Grants credit if this gateway is the limiter by its own view; that another gateway takes it for the limiter isn't
 /// enough.
-fn grant(node: &EntryNode, account: &AccountName, wanted: u32) -> CreditAnswer {
+fn grant(node: &EntryNode, account: &AccountName, demand: CreditDemand) -> CreditAnswer {
     let now = node.clock.mono();
     let limiter = find_limiter(node, account, now);
     if limiter.as_ref() != Some(&node.config.node.vm) {
         return CreditAnswer::Elsewhere(limiter);
     }
     match limit_of(node, account) {
-        Some(Some(limit)) => node.accounts.limiter().grant(account, limit, wanted, now),
-        Some(None) => CreditAnswer::Granted(wanted),
+        Some(Some(limit)) => node.accounts.limiter().grant(account, limit, demand, now),
+        Some(None) => CreditAnswer::Granted(demand.wanted),
         // The requester has a newer or older configuration; there is no limiter until both have the same.
         None => CreditAnswer::Elsewhere(None),
     }
--- a/crates/entry/src/features.rs
+++ b/crates/entry/src/features.rs
@@ -6,8 +6,8 @@
 /// Optional features of a gateway.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct GatewayFeatures {
-    /// Limits of accounts are counted by the sliding window itself.
-    pub exact_window: bool,
+    /// Near the limit of an account, new requests go before those of clients that were refused before.
+    pub new_requests_first: bool,
     /// Home gateways offer free slots to the gateway with the most urgent items.
     pub item_slots: bool,
     /// Failures and pace of targets are learned and shared.
@@ -25,7 +25,7 @@
         let shares_targets = fleet.declared.as_deref().is_some_and(declares_shared_targets);
         let is_on = |switch: FeatureSwitch| switch.is_on(shares_targets);
         Self {
-            exact_window: is_on(config.accounts.exact_window),
+            new_requests_first: is_on(config.accounts.new_requests_first),
             item_slots: is_on(fleet.share_item_slots),
             performance: is_on(fleet.learn_performance),
             keep_connections: is_on(fleet.keep_connections),
--- a/crates/entry/src/front/connection.rs
+++ b/crates/entry/src/front/connection.rs
@@ -180,7 +180,9 @@
                 intake::accept_job(self.node, &head, &body, &route, account, arrived).await;
             return Routed::Answer(answer, attempt);
         }
-        let credit = match admission::charge_request(self.node, &caller).await {
+        let deadline = RequestHeaders::decode(&head.headers).deadline;
+        let charging = admission::charge_request(self.node, &caller, &route, deadline);
+        let credit = match charging.await {
             Ok(credit) => credit,
             Err(refusal) => {
                 return Routed::Answer(self.refuse(attempt.as_deref(), &caller, refusal), attempt);
--- a/crates/entry/src/peers/links.rs
+++ b/crates/entry/src/peers/links.rs
@@ -9,7 +9,7 @@
     prelude::StoreObject,
     store::{object_path, spec_body},
 };
-use notch_relay::prelude::UseChange;
+use notch_relay::prelude::{CreditDemand, UseChange};
 use notch_types::prelude::*;
 use serde_json::value::RawValue;
 
@@ -379,16 +379,16 @@
             let age = age_ms.map(Duration::from_millis);
             node.peers.age_calls.answer(call, ProofAge { version, age });
         }
-        PeerMessage::CreditAsk { call, account, wanted, .. } => {
-            credit::answer(node, &peer.vm, call, &account, wanted);
+        PeerMessage::CreditAsk { call, account, wanted, is_deferred } => {
+            let demand = CreditDemand { wanted, is_deferred };
+            credit::answer(node, &peer.vm, call, &account, demand);
         }
-        PeerMessage::CreditLeft { account, credit_milli, .. } => {
+        PeerMessage::CreditLeft { account, credit_milli } => {
             credit::take_over(node, &account, credit_milli);
         }
         PeerMessage::CreditAnswer { call, answer } => {
             node.peers.credit_calls.answer(call, answer);
         }
-        PeerMessage::CreditReturned { .. } => {}
         PeerMessage::ItemSlotOffer { targets } => {
             item_slots::receive_offer(node, &peer.vm, targets);
         }
--- a/crates/entry/tests/features.rs
+++ b/crates/entry/tests/features.rs
@@ -24,10 +24,10 @@
 
 #[test]
 fn features_are_on_where_shared_targets_are_declared() {
-    let text = "[accounts]\nexact_window = on\n[fleet]\ndeclared = base, pool\nshare_item_slots = declared\n\
+    let text = "[accounts]\nnew_requests_first = on\n[fleet]\ndeclared = base, pool\nshare_item_slots = declared\n\
                 learn_performance = declared\nkeep_connections = declared\nevict_gateways = on\n";
     let all = GatewayFeatures {
-        exact_window: true,
+        new_requests_first: true,
         item_slots: true,
         performance: true,
         keep_connections: true,
--- a/crates/messages/src/peer.rs
+++ b/crates/messages/src/peer.rs
@@ -447,12 +447,9 @@
         account: AccountName,
         /// Number of requests that are waiting or expected soon.
         wanted: u32,
-        /// How many of them are requests of clients that were refused before.
+        /// Whether new requests of the account go first.
         #[serde(default)]
-        returning: u32,
-        /// Longest time that a refused client would wait, milliseconds.
-        #[serde(default)]
-        max_wait_ms: u64,
+        is_deferred: bool,
     },
     /// Answer to `CreditAsk`.
     CreditAnswer {
@@ -467,17 +464,6 @@
         account: AccountName,
         /// Remaining credit, thousandths of a request.
         credit_milli: u64,
-        /// Requests admitted in the last slices of the window, newest first. Empty where limits are kept by a token
-        /// bucket alone.
-        #[serde(default)]
-        recent: Vec<u32>,
-    },
-    /// Returns credit that was granted ahead of need and not used.
-    CreditReturned {
-        /// The account.
-        account: AccountName,
-        /// Number of requests.
-        count: u32,
     },
     /// The sender is about to stop: it still runs its jobs but takes over no more.
     Stopping,
@@ -526,7 +512,6 @@
             Self::CreditAsk { .. } => "credit_ask",
             Self::CreditAnswer { .. } => "credit_answer",
             Self::CreditLeft { .. } => "credit_left",
-            Self::CreditReturned { .. } => "credit_returned",
             Self::Stopping => "stopping",
             Self::Leaving => "leaving",
         }
--- a/crates/relay/src/accounts/bucket.rs
+++ b/crates/relay/src/accounts/bucket.rs
@@ -4,10 +4,12 @@
 
 use notch_types::prelude::*;
 
-use crate::accounts::account::AccountLimit;
+use crate::accounts::{account::AccountLimit, demand::CreditDemand};
 
 /// Fraction of the burst that must remain in the bucket when credit is granted ahead of need.
 const PREFETCH_RESERVE: f64 = 0.5;
+/// Fraction of the burst that must remain in the bucket for new requests when a deferred one is admitted.
+const DEFERRED_RESERVE: f64 = 0.25;
 /// Maximum period over which the retries of rejected clients are spread.
 const RETRY_SPREAD: Duration = Duration::from_secs(2);
 /// Tolerance for rounding errors in refills, in requests.
@@ -43,18 +45,22 @@
         self.credit = (self.credit + credit.max(0.0)).min(limit.burst);
     }
 
-    /// Grants between 1 and `wanted` requests; those after the first are granted ahead of need.
+    /// Grants between 1 and the number of wanted requests; those after the first are granted ahead of
+    /// need. While more new requests arrive than the limit allows, each credit serves one request
+    /// either way: a new one is served within its objective, a deferred one is late already.
     ///
     /// # Errors
     /// When the limit is used up: the delay after which this client should retry.
     pub fn take(
         &mut self,
         limit: AccountLimit,
-        wanted: u32,
+        demand: impl Into<CreditDemand>,
         now: MonoTime,
     ) -> Result<u32, Duration> {
+        let CreditDemand { wanted, is_deferred } = demand.into();
         self.refill(limit, now);
-        if self.credit + ROUNDING_TOLERANCE < 1.0 {
+        let reserve = if is_deferred { limit.burst * DEFERRED_RESERVE } else { 0.0 };
+        if self.credit + ROUNDING_TOLERANCE < 1.0 + reserve.min(limit.burst - 1.0) {
             return Err(self.schedule_retry(now));
         }
         let spare = self.credit - 1.0 - limit.burst * PREFETCH_RESERVE;
--- a/crates/relay/src/accounts/limiter.rs
+++ b/crates/relay/src/accounts/limiter.rs
@@ -6,8 +6,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::accounts::{
-    account::AccountLimit, bucket::CreditBucket, credits::held_credit, quota::QuotaTolerance,
-    view::LimiterView,
+    account::AccountLimit, bucket::CreditBucket, credits::held_credit, demand::CreditDemand,
+    quota::QuotaTolerance, view::LimiterView,
 };
 
 /// Answer of a gateway to a request for credit.
@@ -137,10 +137,10 @@
         &mut self,
         account: &AccountName,
         limit: AccountLimit,
-        wanted: u32,
+        demand: impl Into<CreditDemand>,
         now: MonoTime,
     ) -> CreditAnswer {
-        match self.bucket(account, limit).take(limit, wanted, now) {
+        match self.bucket(account, limit).take(limit, demand, now) {
             Ok(granted) => CreditAnswer::Granted(granted),
             Err(wait) => CreditAnswer::UsedUp(wait),
         }
--- a/crates/settings/src/sections/accounts.rs
+++ b/crates/settings/src/sections/accounts.rs
@@ -16,8 +16,8 @@
     pub quota_overrun: f64,
     /// Requests by which it may be exceeded beside that.
     pub quota_slack: f64,
-    /// Whether limits are counted by the sliding window itself in place of a token bucket.
-    pub exact_window: FeatureSwitch,
+    /// Whether, near a limit, new requests go before those of clients that were refused before.
+    pub new_requests_first: FeatureSwitch,
 }
 
 impl Default for AccountSettings {
@@ -27,7 +27,7 @@
             quota_window_seconds: 5.0,
             quota_overrun: 0.0,
             quota_slack: 0.0,
-            exact_window: FeatureSwitch::Off,
+            new_requests_first: FeatureSwitch::Off,
         }
     }
 }
@@ -51,6 +51,6 @@
         fields.number("quota_overrun", &mut self.quota_overrun);
         fields.number("quota_slack", &mut self.quota_slack);
         let switches = [("off", FeatureSwitch::Off), ("on", FeatureSwitch::On)];
-        fields.choice("exact_window", &mut self.exact_window, &switches, "off or on");
+        fields.choice("new_requests_first", &mut self.new_requests_first, &switches, "off or on");
     }
 }
