Give the item pass only what it needs

`batch/item_slots` imported the node, and with it every other module of the gateway. Its callers are now in the runner, and the pass takes its state and a source of random numbers. A doc comment linked to a private constant, which the docs check of the test run refused.

Change: functions moved to `batch/runner`, `ItemSlotPass::draw`.

--- a/crates/entry/src/batch/item_slots.rs
+++ b/crates/entry/src/batch/item_slots.rs
@@ -4,20 +4,14 @@
 use std::{collections::VecDeque, sync::Arc};
 
 use async_channel::Receiver;
-use async_std::task;
 use notch_messages::prelude::PeerMessage;
 use notch_platform_wire::target::item_prompt;
 use notch_relay::prelude::*;
 use notch_types::prelude::*;
 
 use crate::{
-    batch::{
-        item_run::run_item,
-        job_registry::{ItemRunHandle, JobRegistry},
-        runner,
-    },
+    batch::job_registry::{ItemRunHandle, JobRegistry},
     constants::STARTS_PER_PASS,
-    node::EntryNode,
 };
 
 /// Time for which an item of a route with several services keeps to one of them, so that an offer
@@ -82,6 +76,8 @@
     pub is_stopping: bool,
     /// Whether this gateway hands its jobs over, and so starts no items.
     pub is_handing_over: bool,
+    /// Draws a random number from 0 to 1.
+    pub draw: fn() -> f64,
     /// Time of the pass.
     pub now: MonoTime,
 }
@@ -235,7 +231,7 @@
                     }
                     Some(peer) => {
                         let offer =
-                            |_| self.targets.offer_slot(&peer, service, self.now, EntryNode::draw);
+                            |_| self.targets.offer_slot(&peer, service, self.now, self.draw);
                         let ids: Vec<String> = (0..count).map_while(offer).collect();
                         match offers.iter_mut().find(|(known, _)| *known == peer) {
                             Some((_, known)) => known.extend(ids),
@@ -263,7 +259,7 @@
             let Some(item) = queue.front() else { return };
             let prompt = item_prompt(&item.spec.items[item.index]);
             let query = query(service, &prompt);
-            let Some(choice) = self.targets.pick_own(&query, self.now, EntryNode::draw) else {
+            let Some(choice) = self.targets.pick_own(&query, self.now, self.draw) else {
                 return;
             };
             let Some(choice) = self.targets.take(&query, choice) else { return };
@@ -292,8 +288,7 @@
                 let Some(item) = queue.front() else { break };
                 let prompt = item_prompt(&item.spec.items[item.index]);
                 let query = query(service, &prompt);
-                let choice =
-                    self.targets.choose_unoffered(&query, is_open, self.now, EntryNode::draw);
+                let choice = self.targets.choose_unoffered(&query, is_open, self.now, self.draw);
                 let Some(choice) = choice else { break };
                 outcome.unoffered += usize::from(choice.home.is_some());
                 self.start_front(queue, choice, outcome);
@@ -326,112 +321,8 @@
     TargetQuery { service, work, avoid: &[], queue, prompt }
 }
 
-fn item_use(target: &str, change: UseChange) -> PeerMessage {
+/// Announcement of a change in the use of an offered slot.
+pub(super) fn item_use(target: &str, change: UseChange) -> PeerMessage {
     let (target, work) = (target.to_owned(), WorkKind::Batch);
     PeerMessage::PlaceUse { target, work, change, is_failure: None }
 }
-
-/// Records the online load of the services that items wait for from time to time, and frees slots
-/// whose offers were not answered. Called at regular intervals, as passes are rare while nothing
-/// waits.
-pub fn maintain(node: &EntryNode, now: MonoTime) {
-    if !node.features.item_slots {
-        return;
-    }
-    let mut targets = node.targets();
-    let mut slots = node.item_slots();
-    for peer in targets.expire_offers(now) {
-        slots.note_unanswered(&peer);
-        note_unanswered(node, &peer);
-    }
-    for service in slots.forecast_services() {
-        slots.note_online(&service, targets.online_load(&service), now);
-    }
-    slots.expire(now);
-}
-
-/// Whether a pass is needed although this gateway has no jobs. Items that waited here until then are
-/// no longer reported.
-pub fn needs_pass(node: &EntryNode) -> bool {
-    if !node.features.item_slots {
-        return false;
-    }
-    let mut slots = node.item_slots();
-    slots.needs_pass() || {
-        slots.set_own(&FastMap::default(), node.clock.mono());
-        false
-    }
-}
-
-/// Runs one pass, then starts its items and sends its messages.
-pub fn run_pass(node: &Arc<EntryNode>, now: MonoTime) {
-    let Some(routes) = node.routes() else { return };
-    let _order = node.report_order();
-    let is_handing_over = node.stop.is_handing_over();
-    let mut registry = node.jobs();
-    let mut targets = node.targets();
-    let mut slots = node.item_slots();
-    let outcome = ItemSlotPass {
-        registry: &mut registry,
-        targets: &mut targets,
-        slots: &mut slots,
-        routes: &routes,
-        recipients: &|| node.peers.successor_vms(),
-        linked: &|| node.peers.linked_vms(),
-        is_stopping: is_handing_over || node.stop.is_stopping(),
-        is_handing_over,
-        now,
-    }
-    .run();
-    drop((registry, targets, slots));
-    carry_out(node, outcome);
-}
-
-fn carry_out(node: &Arc<EntryNode>, outcome: PassOutcome) {
-    let PassOutcome { starts, messages, offered, declined, unoffered, unanswered } = outcome;
-    let counts = [
-        ("item_slots_offered", offered),
-        ("item_slot_offers_declined", declined),
-        ("items_started_unoffered", unoffered),
-    ];
-    for (name, count) in counts {
-        (0..count).for_each(|_| node.metrics.count(Counter::Event(name)));
-    }
-    unanswered.iter().for_each(|peer| note_unanswered(node, peer));
-    for (home, message) in messages {
-        node.peers.send(&home, message);
-    }
-    for StartedItem { run, start, choice, cancelled, left_ms } in starts {
-        runner::log_start(node, &start, &choice, left_ms);
-        task::spawn(run_item(Arc::clone(node), run, start, choice, cancelled));
-    }
-}
-
-fn note_unanswered(node: &EntryNode, peer: &VmName) {
-    node.log.warn("item_slot_offer_unanswered", &[("gateway", peer)]);
-    node.metrics.count(Counter::Event("item_slot_offers_unanswered"));
-}
-
-/// Handles slots offered by another gateway.
-pub fn receive_offer(node: &EntryNode, home: &VmName, targets: Vec<String>) {
-    let excess = if node.features.item_slots {
-        node.item_slots().note_offers(home, targets)
-    } else {
-        let declined = targets.into_iter();
-        declined.map(|target| ReceivedOffer { home: home.clone(), target }).collect()
-    };
-    for ReceivedOffer { home, target } in excess {
-        node.peers.send(&home, item_use(&target, UseChange::Begin));
-        node.peers.send(&home, item_use(&target, UseChange::End));
-        node.metrics.count(Counter::Event("item_slot_offers_declined"));
-    }
-    node.runner_wake.notify(usize::MAX);
-}
-
-/// Handles the revocation of a slot at `target` by its home: an offer that no item has used yet is
-/// dropped, else an item is preempted.
-pub fn revoke(node: &EntryNode, home: &VmName, target: &str) {
-    if !node.item_slots().drop_received(home, target) {
-        runner::preempt_item(node, target);
-    }
-}
--- a/crates/entry/src/batch/runner.rs
+++ b/crates/entry/src/batch/runner.rs
@@ -12,7 +12,7 @@
         commits,
         commits::ListPlace,
         item_run::run_item,
-        item_slots,
+        item_slots::{ItemSlotPass, PassOutcome, StartedItem, item_use},
         job_registry::{ItemRunHandle, JobRegistry},
     },
     constants::{OBJECT_BYTES, PREEMPT_AGE, RESULT_DELAY, RUNNER_TICK, STARTS_PER_PASS},
@@ -24,7 +24,7 @@
     loop {
         let listener = node.runner_wake.listen();
         let is_idle = node.jobs().table.is_idle();
-        if is_idle && !item_slots::needs_pass(&node) {
+        if is_idle && !needs_item_pass(&node) {
             listener.await;
         } else {
             // Waiting items and results also depend on time; a wake-up only makes the next pass
@@ -34,7 +34,7 @@
         let now = node.clock.mono();
         give_up_items(&node, now);
         if node.features.item_slots {
-            item_slots::run_pass(&node, now);
+            run_item_pass(&node, now);
         } else {
             start_items(&node, now);
         }
@@ -173,3 +173,109 @@
         }
     }
 }
+
+/// Records the online load of the services that items wait for from time to time, and frees slots
+/// whose offers were not answered. Called at regular intervals, as passes are rare while nothing
+/// waits.
+pub fn maintain_item_slots(node: &EntryNode, now: MonoTime) {
+    if !node.features.item_slots {
+        return;
+    }
+    let mut targets = node.targets();
+    let mut slots = node.item_slots();
+    for peer in targets.expire_offers(now) {
+        slots.note_unanswered(&peer);
+        note_unanswered(node, &peer);
+    }
+    for service in slots.forecast_services() {
+        slots.note_online(&service, targets.online_load(&service), now);
+    }
+    slots.expire(now);
+}
+
+/// Whether a pass is needed although this gateway has no jobs. Items that waited here until then are
+/// no longer reported.
+fn needs_item_pass(node: &EntryNode) -> bool {
+    if !node.features.item_slots {
+        return false;
+    }
+    let mut slots = node.item_slots();
+    slots.needs_pass() || {
+        slots.set_own(&FastMap::default(), node.clock.mono());
+        false
+    }
+}
+
+/// Runs one pass, then starts its items and sends its messages.
+fn run_item_pass(node: &Arc<EntryNode>, now: MonoTime) {
+    let Some(routes) = node.routes() else { return };
+    let _order = node.report_order();
+    let is_handing_over = node.stop.is_handing_over();
+    let mut registry = node.jobs();
+    let mut targets = node.targets();
+    let mut slots = node.item_slots();
+    let outcome = ItemSlotPass {
+        registry: &mut registry,
+        targets: &mut targets,
+        slots: &mut slots,
+        routes: &routes,
+        recipients: &|| node.peers.successor_vms(),
+        linked: &|| node.peers.linked_vms(),
+        is_stopping: is_handing_over || node.stop.is_stopping(),
+        is_handing_over,
+        draw: EntryNode::draw,
+        now,
+    }
+    .run();
+    drop((registry, targets, slots));
+    carry_out(node, outcome);
+}
+
+fn carry_out(node: &Arc<EntryNode>, outcome: PassOutcome) {
+    let PassOutcome { starts, messages, offered, declined, unoffered, unanswered } = outcome;
+    let counts = [
+        ("item_slots_offered", offered),
+        ("item_slot_offers_declined", declined),
+        ("items_started_unoffered", unoffered),
+    ];
+    for (name, count) in counts {
+        (0..count).for_each(|_| node.metrics.count(Counter::Event(name)));
+    }
+    unanswered.iter().for_each(|peer| note_unanswered(node, peer));
+    for (home, message) in messages {
+        node.peers.send(&home, message);
+    }
+    for StartedItem { run, start, choice, cancelled, left_ms } in starts {
+        log_start(node, &start, &choice, left_ms);
+        task::spawn(run_item(Arc::clone(node), run, start, choice, cancelled));
+    }
+}
+
+fn note_unanswered(node: &EntryNode, peer: &VmName) {
+    node.log.warn("item_slot_offer_unanswered", &[("gateway", peer)]);
+    node.metrics.count(Counter::Event("item_slot_offers_unanswered"));
+}
+
+/// Handles slots offered by another gateway.
+pub fn receive_slot_offer(node: &EntryNode, home: &VmName, targets: Vec<String>) {
+    let excess = if node.features.item_slots {
+        node.item_slots().note_offers(home, targets)
+    } else {
+        let declined = targets.into_iter();
+        declined.map(|target| ReceivedOffer { home: home.clone(), target }).collect()
+    };
+    for ReceivedOffer { home, target } in excess {
+        node.peers.send(&home, item_use(&target, UseChange::Begin));
+        node.peers.send(&home, item_use(&target, UseChange::End));
+        node.metrics.count(Counter::Event("item_slot_offers_declined"));
+    }
+    node.runner_wake.notify(usize::MAX);
+}
+
+/// Handles the revocation of a slot at `target` by its home: an offer that no item has used yet is
+/// dropped, else an item is preempted.
+pub fn revoke_item_slot(node: &EntryNode, home: &VmName, target: &str) {
+    if !node.item_slots().drop_received(home, target) {
+        preempt_item(node, target);
+    }
+}
--- a/crates/entry/src/peers/links.rs
+++ b/crates/entry/src/peers/links.rs
@@ -18,7 +18,7 @@
         credit,
         freshness::{self, ProofAge},
     },
-    batch::{bodies, ends, item_slots, limits, ownership, reads, takeover},
+    batch::{bodies, ends, limits, ownership, reads, runner, takeover},
     constants::{GATEWAY_WATCH_PAUSE, STORE_PAUSE},
     node::EntryNode,
     online::{crashes, slots},
@@ -358,7 +358,7 @@
         PeerMessage::PlaceAsk { call, service, avoid, may_displace } => {
             slots::answer(node, &peer.vm, call, &service, &avoid, may_displace);
         }
-        PeerMessage::PlaceRevoke { target } => item_slots::revoke(node, &peer.vm, &target),
+        PeerMessage::PlaceRevoke { target } => runner::revoke_item_slot(node, &peer.vm, &target),
         PeerMessage::PlaceAnswer { call, answer } => {
             slots::handle_answer(node, &peer.vm, call, answer);
         }
@@ -390,7 +390,7 @@
             node.peers.credit_calls.answer(call, answer);
         }
         PeerMessage::ItemSlotOffer { targets } => {
-            item_slots::receive_offer(node, &peer.vm, targets);
+            runner::receive_slot_offer(node, &peer.vm, targets);
         }
         PeerMessage::TargetEjected { target, is_ejected } => {
             node.ejections().apply(&peer.vm, &target, is_ejected);
--- a/crates/entry/src/peers/reports.rs
+++ b/crates/entry/src/peers/reports.rs
@@ -11,7 +11,7 @@
 use notch_types::prelude::*;
 
 use crate::{
-    batch::item_slots,
+    batch::runner,
     constants::{REPORT_CHECK_INTERVAL, REPORT_IDLE},
     node::EntryNode,
     peers::catch_up::KnownVersions,
@@ -117,7 +117,7 @@
     loop {
         task::sleep(REPORT_CHECK_INTERVAL).await;
         let now = node.clock.mono();
-        item_slots::maintain(&node, now);
+        runner::maintain_item_slots(&node, now);
         let _order = node.report_order();
         let message = report(&node);
         let gateways = node.peers.known_count() + 1;
--- a/crates/entry/tests/item_slots.rs
+++ b/crates/entry/tests/item_slots.rs
@@ -114,6 +114,7 @@
             linked: &|| linked.clone(),
             is_stopping: self.is_stopping,
             is_handing_over: false,
+            draw: rand::random,
             now,
         }
         .run()
@@ -234,6 +235,7 @@
         linked: &list,
         is_stopping: false,
         is_handing_over: false,
+        draw: rand::random,
         now: at(0),
     }
     .run();
--- a/crates/relay/src/item_slots/forecast.rs
+++ b/crates/relay/src/item_slots/forecast.rs
@@ -119,7 +119,7 @@
         (is_regular && is_current && period <= MAX_PERIOD).then_some(period)
     }
 
-    /// Slots that online requests do not use at `now` but will use within [`MIN_RUN`], as they did
+    /// Slots that online requests do not use at `now` but will use within `MIN_RUN`, as they did
     /// one period ago, and one more at each home in a peak. None while the load is irregular.
     pub fn reserved(&self, load: OnlineLoad, now: MonoTime) -> ReservedSlots {
         let Some(period) = self.period(now) else { return ReservedSlots::default() };
