Mend what the reviews of the parts found

Two who had not written the parts read them. Gateways ranked ejected targets by rates that only the home knew, so together they could leave out more than a third of a service's; a declined slot was offered again in each pass; items probed ejected targets until they were out of attempts; an excused failure did not interrupt a row of probes; after a pause, what had been heard before it counted as contact, and jobs were accepted after a slow decision although the entry might be gone.

Change: `TargetEjected.failure_permille`, offers not repeated to a gateway that declined for 1 s, items that failed do not probe, excused failures reset probes, ejected targets do not count in the forecast, revocations of lost gateways are dropped, passes at least 8 ms apart; certainty and acceptance after a pause rest on reads of the own entry for 8 s.

--- a/crates/entry/src/batch/intake.rs
+++ b/crates/entry/src/batch/intake.rs
@@ -258,6 +258,10 @@
     // The write itself makes this gateway the owner. Another one may have taken the job over by the
     // time the answer is read.
     let asked = node.jobs().table.ownership_generation();
+    // Limits and capacity may have taken their time to decide.
+    if node.eviction().is_some_and(|eviction| !eviction.may_accept()) {
+        return StoringOutcome::NotStored;
+    }
     loop {
         match create_job(&node.store, &spec.id, &record, &text).await {
             Ok(true) => {
--- a/crates/entry/src/batch/item_slots.rs
+++ b/crates/entry/src/batch/item_slots.rs
@@ -24,6 +24,8 @@
     spec: Arc<JobSpec>,
     index: usize,
     slack_ms: i64,
+    /// Whether it may probe an ejected target: a failure there must leave it another attempt.
+    may_probe: bool,
 }
 
 /// An item to be run.
@@ -116,14 +118,17 @@
     /// Waiting items by service, in the order in which they start.
     fn queues(&self) -> FastMap<String, VecDeque<QueuedItem>> {
         let mut queues: FastMap<String, VecDeque<QueuedItem>> = FastMap::default();
-        for WaitingItem { spec, index, slack_ms } in self.registry.table.waiting_items(self.now) {
+        for WaitingItem { spec, index, slack_ms, has_failed } in
+            self.registry.table.waiting_items(self.now)
+        {
             let item = &spec.items[index];
             // An item on a route that does not exist waits for it, while others go on.
             let Some(route) = self.routes.find(&spec.host, &item.path) else { continue };
             let epoch = (self.now.0 / SERVICE_EPOCH_MICROS).to_le_bytes();
             let draw = stable_hash64(&[spec.id.as_bytes(), item.id.as_bytes(), &epoch]);
             let service = route.service_for(draw);
-            let queued = QueuedItem { spec: Arc::clone(spec), index, slack_ms };
+            let may_probe = !has_failed && route.max_attempts > 1;
+            let queued = QueuedItem { spec: Arc::clone(spec), index, slack_ms, may_probe };
             match queues.get_mut(service) {
                 Some(queue) => queue.push_back(queued),
                 None => drop(queues.insert(service.to_owned(), VecDeque::from([queued]))),
@@ -188,7 +193,7 @@
         outcome: &mut PassOutcome,
     ) {
         for (service, queue) in queues.iter_mut() {
-            let Some(item) = queue.front() else { continue };
+            let Some(item) = queue.front().filter(|item| item.may_probe) else { continue };
             let prompt = item_prompt(&item.spec.items[item.index]);
             let query = query(service, &prompt);
             let probe = self.targets.pick_probe(&query, self.now);
--- a/crates/entry/src/batch/runner.rs
+++ b/crates/entry/src/batch/runner.rs
@@ -15,7 +15,9 @@
         item_slots::{ItemSlotPass, PassOutcome, StartedItem, item_use},
         job_registry::{ItemRunHandle, JobRegistry},
     },
-    constants::{OBJECT_BYTES, PREEMPT_AGE, RESULT_DELAY, RUNNER_TICK, STARTS_PER_PASS},
+    constants::{
+        MIN_PASS_INTERVAL, OBJECT_BYTES, PREEMPT_AGE, RESULT_DELAY, RUNNER_TICK, STARTS_PER_PASS,
+    },
     node::EntryNode,
 };
 
@@ -31,6 +33,10 @@
             // earlier.
             let _ = timeout(RUNNER_TICK, listener).await;
         }
+        if node.features.item_slots {
+            // Combines the slots that are freed within a short time; a pass looks at all waiting items.
+            task::sleep(MIN_PASS_INTERVAL).await;
+        }
         let now = node.clock.mono();
         give_up_items(&node, now);
         if node.features.item_slots {
--- a/crates/entry/src/constants.rs
+++ b/crates/entry/src/constants.rs
@@ -196,6 +196,8 @@
 pub const PREEMPT_AGE: Duration = Duration::from_millis(200);
 /// Interval between passes of the runner while items wait for slots.
 pub const RUNNER_TICK: Duration = Duration::from_millis(40);
+/// Minimum interval between two passes that offer slots for items: short compared with an item's run of seconds.
+pub const MIN_PASS_INTERVAL: Duration = Duration::from_millis(8);
 /// Pause before an item that found its target full or gone is tried again.
 pub const ITEM_RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// An owner whose write of results has been unconfirmed for this long asks the store before it reports that
--- a/crates/entry/src/peers/links.rs
+++ b/crates/entry/src/peers/links.rs
@@ -392,8 +392,8 @@
         PeerMessage::ItemSlotOffer { targets } => {
             runner::receive_slot_offer(node, &peer.vm, targets);
         }
-        PeerMessage::TargetEjected { target, is_ejected } => {
-            node.ejections().apply(&peer.vm, &target, is_ejected);
+        PeerMessage::TargetEjected { target, is_ejected, failure_permille } => {
+            node.ejections().apply(&peer.vm, &target, is_ejected, failure_permille);
         }
         PeerMessage::EvictionAsk { call, vm, owner } => {
             if let Some(eviction) = node.eviction() {
--- a/crates/entry/src/target/ejections.rs
+++ b/crates/entry/src/target/ejections.rs
@@ -33,15 +33,19 @@
             if notice.is_new {
                 self.log_decision(notice);
             }
-            let (target, is_ejected) = (notice.target.clone(), notice.is_ejected);
-            self.peers.broadcast(&PeerMessage::TargetEjected { target, is_ejected });
+            let EjectionNotice { is_ejected, failure_permille, .. } = *notice;
+            let target = notice.target.clone();
+            let message = PeerMessage::TargetEjected { target, is_ejected, failure_permille };
+            self.peers.broadcast(&message);
         }
         notices.iter().any(|notice| !notice.is_ejected)
     }
 
     /// Applies what a target's home announced.
-    pub fn apply(&self, peer: &VmName, target: &str, is_ejected: bool) {
-        let is_applied = self.targets().apply_ejection(peer, target, is_ejected, self.clock.mono());
+    pub fn apply(&self, peer: &VmName, target: &str, is_ejected: bool, failure_permille: u16) {
+        let now = self.clock.mono();
+        let is_applied =
+            self.targets().apply_ejection(peer, target, is_ejected, failure_permille, now);
         if !is_applied {
             self.metrics.count(Counter::Event("ejections_ignored"));
         }
--- a/crates/lab/src/simulation.rs
+++ b/crates/lab/src/simulation.rs
@@ -154,6 +154,7 @@
         from: usize,
         target: String,
         is_ejected: bool,
+        failure_permille: u16,
     },
     AnnounceEjections {
         gateway: usize,
@@ -358,9 +359,15 @@
             }
             SimEvent::FailRun { run } => self.fail_run(run),
             SimEvent::AnnounceEjections { gateway } => self.announce_ejections(gateway),
-            SimEvent::ReceiveEjection { to, from, target, is_ejected } => {
+            SimEvent::ReceiveEjection { to, from, target, is_ejected, failure_permille } => {
                 let (now, peer) = (self.now(), self.gateways[from].vm.clone());
-                self.gateways[to].table.apply_ejection(&peer, &target, is_ejected, now);
+                self.gateways[to].table.apply_ejection(
+                    &peer,
+                    &target,
+                    is_ejected,
+                    failure_permille,
+                    now,
+                );
             }
             SimEvent::ChangeSpells => self.change_spells(),
             SimEvent::SetFault { share } => self.set_fault(share),
--- a/crates/lab/src/simulation/faults.rs
+++ b/crates/lab/src/simulation/faults.rs
@@ -100,8 +100,10 @@
         self.outcome.max_excluded = self.outcome.max_excluded.max(table.excluded_count() as u64);
         for notice in notices {
             for to in (0..self.gateways.len()).filter(|to| *to != from) {
-                let (target, is_ejected) = (notice.target.clone(), notice.is_ejected);
-                let message = SimEvent::ReceiveEjection { to, from, target, is_ejected };
+                let (is_ejected, failure_permille) = (notice.is_ejected, notice.failure_permille);
+                let target = notice.target.clone();
+                let message =
+                    SimEvent::ReceiveEjection { to, from, target, is_ejected, failure_permille };
                 self.schedule.add(self.pattern.delay, message);
             }
         }
--- a/crates/messages/src/peer.rs
+++ b/crates/messages/src/peer.rs
@@ -407,6 +407,9 @@
         target: String,
         /// Whether it gets no requests from now on; false when it gets them again.
         is_ejected: bool,
+        /// Failures per thousand outcomes when it was ejected.
+        #[serde(default)]
+        failure_permille: u16,
     },
     /// Asks whether a gateway that the sender has had no link to for long can be evicted.
     EvictionAsk {
--- a/crates/relay/src/item_slots/offers.rs
+++ b/crates/relay/src/item_slots/offers.rs
@@ -58,6 +58,16 @@
         self.offers.extract_if(.., is_over).map(|offer| (offer.peer, offer.target)).collect()
     }
 
+    /// Removes offers that are older than `age`.
+    pub fn drop_older(&mut self, age: Duration, now: MonoTime) {
+        self.offers.retain(|offer| now.since(offer.at) < age);
+    }
+
+    /// Whether a slot at `target` was offered to `peer`.
+    pub fn contains(&self, peer: &VmName, target: &str) -> bool {
+        self.offers.iter().any(|offer| offer.peer == *peer && offer.target == target)
+    }
+
     /// Whether an answer of `peer` is overdue.
     pub fn is_overdue(&self, peer: &VmName, now: MonoTime) -> bool {
         let mut offers = self.offers.iter().filter(|offer| offer.peer == *peer);
--- a/crates/relay/src/jobs/eviction.rs
+++ b/crates/relay/src/jobs/eviction.rs
@@ -294,6 +294,8 @@
     majority_at: Option<MonoTime>,
     /// The last time at which this gateway may have been evicted without knowing; `None` while it surely was not.
     doubted_at: Option<MonoTime>,
+    /// When a pause of the process was last noticed. What was heard of the others may be from before it.
+    paused_at: Option<MonoTime>,
     /// Reads that began earlier don't count.
     required_from: MonoTime,
     /// Start of the last read that found the entry.
@@ -410,6 +412,9 @@
             if self.doubted_at.is_none_or(|at| now.since(at) >= MAJORITY_SILENCE) {
                 self.doubt(now);
             }
+            self.paused_at = Some(now);
+            // Jobs may have been taken over meanwhile, although the links look as before.
+            self.has_outdated_entries = true;
         } else if self.lacks_majority(now) {
             self.doubted_at = Some(now);
         }
@@ -417,7 +422,9 @@
 
     fn settle(&mut self, now: MonoTime) {
         let is_confirmed = self.confirmed_at.is_some_and(|at| Some(at) > self.doubted_at);
-        if is_confirmed && !self.lacks_majority(now) {
+        // The others may delete the entry until they have heard this gateway again.
+        let is_after_pause = self.paused_at.is_some_and(|at| now.since(at) < EVICTION_SILENCE);
+        if is_confirmed && !self.lacks_majority(now) && !is_after_pause {
             self.doubted_at = None;
         }
     }
--- a/crates/relay/src/jobs/owned.rs
+++ b/crates/relay/src/jobs/owned.rs
@@ -218,6 +218,11 @@
         ready.map(|(index, item)| (index, item.output.len()))
     }
 
+    /// Whether a target has run an item and reported a failure.
+    pub fn has_failed(&self, index: usize) -> bool {
+        self.items[index].failures > 0
+    }
+
     /// Time left until the job is due after a run of an item that begins at `now`, milliseconds;
     /// negative if the run is likely to end late.
     pub fn slack_ms(&self, index: usize, run_time: &ItemRunTime, now: MonoTime) -> i64 {
--- a/crates/relay/src/jobs/table.rs
+++ b/crates/relay/src/jobs/table.rs
@@ -43,6 +43,8 @@
     /// Time left until it is due, less its expected run time, milliseconds; negative if it is
     /// expected to be late.
     pub slack_ms: i64,
+    /// Whether a target has run it and reported a failure.
+    pub has_failed: bool,
 }
 
 /// Jobs owned by one gateway.
@@ -169,7 +171,8 @@
                 let slack_ms = job.slack_ms(index, &run_time, now);
                 // An item whose lifetime is nearly over is not late, whatever its slack.
                 let slack_ms = if is_late { slack_ms.min(-1) } else { slack_ms.max(0) };
-                let item = WaitingItem { spec: job.spec(), index, slack_ms };
+                let has_failed = job.has_failed(index);
+                let item = WaitingItem { spec: job.spec(), index, slack_ms, has_failed };
                 ranked.push(((is_late, job.due(), Reverse(output)), item));
             }
         }
--- a/crates/relay/src/targets/performance/ejection.rs
+++ b/crates/relay/src/targets/performance/ejection.rs
@@ -81,7 +81,7 @@
         !matches!(self.phase, EjectionPhase::Admitted)
     }
 
-    /// Share of failures when the target was ejected here; 0 if its home ejected it.
+    /// Share of failures when the target was ejected.
     pub fn failure_rate(&self) -> f64 {
         self.failure_rate
     }
@@ -106,9 +106,9 @@
     }
 
     /// Applies what the target's home announced.
-    pub fn apply(&mut self, is_ejected: bool, now: MonoTime) {
+    pub fn apply(&mut self, is_ejected: bool, failure_rate: f64, now: MonoTime) {
         if is_ejected {
-            self.failure_rate = 0.0;
+            self.failure_rate = failure_rate;
             self.phase = EjectionPhase::Ejected {
                 is_decided_here: false,
                 until: now + NOTICE_LIFETIME,
--- a/crates/relay/src/targets/table.rs
+++ b/crates/relay/src/targets/table.rs
@@ -76,6 +76,10 @@
     /// Slots for items that this gateway offered. Invariant: each counts in the `others` of its
     /// target's record.
     offers: OfferLedger,
+    /// Offers that were answered by a start a moment ago.
+    answered: OfferLedger,
+    /// Offers that were declined, or whose items ended at once.
+    declined: OfferLedger,
     /// Whether slots for items are offered, so that most items run at targets of other homes.
     offers_items: bool,
     /// Revoked items of other gateways whose ends have not been announced. Invariant: empty unless
@@ -407,6 +411,7 @@
         let old: Vec<VmName> = old.map(|(peer, _)| peer.clone()).collect();
         for peer in old {
             self.drop_report(&peer);
+            self.revoked.remove_peer(&peer);
         }
     }
 
--- a/crates/relay/src/targets/table/admission.rs
+++ b/crates/relay/src/targets/table/admission.rs
@@ -194,7 +194,7 @@
         if self.is_revoked_end(peer, id, work, change) {
             return;
         }
-        self.settle_offer(peer, id, work, change);
+        self.settle_offer(peer, id, work, change, now);
         self.count_peer_use(peer, id, work, change, now);
     }
 
--- a/crates/relay/src/targets/table/ejections.rs
+++ b/crates/relay/src/targets/table/ejections.rs
@@ -28,6 +28,8 @@
     pub is_new: bool,
     /// Outcomes in the window when the change was decided.
     pub counts: OutcomeCounts,
+    /// Failures per thousand outcomes when the target was ejected, by which all gateways rank alike.
+    pub failure_permille: u16,
 }
 
 /// State by which failures and pace of targets are learned.
@@ -53,22 +55,28 @@
     pub fn note_outcome(&mut self, id: &str, report: AttemptReport, now: MonoTime) -> Option<bool> {
         let state = self.performance.as_mut()?;
         let AttemptReport { fingerprint, outcome, is_probe } = report;
-        let is_failure = match outcome? {
+        let is_counted = match outcome? {
             TargetOutcome::Answered => {
                 state.failed.clear(fingerprint);
-                false
+                self.note_counted(id, false, is_probe, now);
+                return Some(false);
             }
-            TargetOutcome::Failed => {
-                state.failed.note_failure(fingerprint, id, now).then_some(true)?
-            }
-            TargetOutcome::Unreachable => state.failed.note_silence(id, now).then_some(true)?,
+            TargetOutcome::Failed => state.failed.note_failure(fingerprint, id, now),
+            TargetOutcome::Unreachable => state.failed.note_silence(id, now),
             TargetOutcome::Unresponsive => {
                 let is_counted = state.failed.note_failure(fingerprint, id, now);
-                (state.failed.note_silence(id, now) && is_counted).then_some(true)?
+                state.failed.note_silence(id, now) && is_counted
             }
         };
-        self.note_counted(id, is_failure, is_probe, now);
-        Some(is_failure)
+        if is_counted {
+            self.note_counted(id, true, is_probe, now);
+            return Some(true);
+        }
+        // A failure that may be the request's fault is no proof that the target is well either.
+        if let Some(record) = self.records.get_mut(id).filter(|_| is_probe) {
+            record.performance.ejection.note(true, true, now);
+        }
+        None
     }
 
     /// Records how an attempt of another gateway at an own target ended.
@@ -93,7 +101,9 @@
         }
         let is_failing = counts.is_failing() || performance.ejection.is_on_trial();
         if is_own && is_failure && !is_decided && is_failing {
-            performance.ejection.eject(counts.failure_rate(), now);
+            // Rounded as it is announced, so that all gateways rank alike.
+            let failure_rate = f64::from(permille(counts.failure_rate())) / 1_000.0;
+            performance.ejection.eject(failure_rate, now);
             record.update_closed_slots(now);
             self.change_ejection(id, true, counts);
         }
@@ -102,7 +112,10 @@
     fn change_ejection(&mut self, id: &str, is_ejected: bool, counts: OutcomeCounts) {
         if let Some(state) = &mut self.performance {
             let target = id.to_owned();
-            state.notices.push(EjectionNotice { target, is_ejected, is_new: true, counts });
+            let failure_permille = permille(counts.failure_rate());
+            let notice =
+                EjectionNotice { target, is_ejected, is_new: true, counts, failure_permille };
+            state.notices.push(notice);
             state.is_any_restricted = true;
         }
         self.update_exclusions();
@@ -115,12 +128,14 @@
         peer: &VmName,
         id: &str,
         is_ejected: bool,
+        failure_permille: u16,
         now: MonoTime,
     ) -> bool {
         let Some(state) = &mut self.performance else { return false };
         let is_from_home = self.homes.other_home(id) == Some(peer);
         let Some(record) = self.records.get_mut(id).filter(|_| is_from_home) else { return false };
-        record.performance.ejection.apply(is_ejected, now);
+        let failure_rate = f64::from(failure_permille) / 1_000.0;
+        record.performance.ejection.apply(is_ejected, failure_rate, now);
         record.update_closed_slots(now);
         state.is_any_restricted = true;
         self.update_exclusions();
@@ -142,7 +157,14 @@
             if (is_over || is_repeated) && !notices.iter().any(|notice| notice.target == *id) {
                 let counts = record.performance.window.counts(now);
                 let (target, is_ejected) = (id.clone(), !is_over);
-                notices.push(EjectionNotice { target, is_ejected, is_new: is_over, counts });
+                let failure_permille = permille(ejection.failure_rate());
+                notices.push(EjectionNotice {
+                    target,
+                    is_ejected,
+                    is_new: is_over,
+                    counts,
+                    failure_permille,
+                });
             }
             record.update_closed_slots(now);
         }
@@ -219,3 +241,7 @@
         }
     }
 }
+
+fn permille(share: f64) -> u16 {
+    (share * 1_000.0).round() as u16
+}
--- a/crates/relay/src/targets/table/item_offers.rs
+++ b/crates/relay/src/targets/table/item_offers.rs
@@ -1,16 +1,25 @@
 //! Slots for items: free ones at own targets, offers of them to other gateways, and offers received.
 
+use std::time::Duration;
+
 use notch_types::prelude::*;
 
 use crate::{
     item_slots::{FreeSlots, forecast::OnlineLoad},
     targets::{
         choice::{TargetChoice, TargetQuery, WorkKind},
-        record::UseChange,
+        record::{TargetRecord, UseChange},
         table::{TIE_BREAK_RANGE, TargetTable},
     },
 };
 
+/// Time after the announced start of an item in which its end means that the offer was declined: both messages are sent
+/// together.
+const DECLINE_WINDOW: Duration = Duration::from_millis(50);
+/// Time for which slots at a target are not offered to a gateway that declined one there, as it may avoid the target for
+/// reasons of its own. Without it, each pass would offer the same slot again and no other.
+const DECLINED_TIME: Duration = Duration::from_secs(1);
+
 impl TargetTable {
     /// Sets whether slots for items are offered. The end of a revoked item is then counted once, by the
     /// revocation; counted twice, it would let the home grant a slot that is still in use.
@@ -46,7 +55,9 @@
     /// Online requests in progress and slots of a service at targets that accept requests.
     pub fn online_load(&self, service: &str) -> OnlineLoad {
         let mut load = OnlineLoad::default();
-        for record in self.records.values().filter(|record| record.takes(service)) {
+        let usable =
+            |record: &&TargetRecord| record.takes(service) && !record.performance.is_excluded;
+        for record in self.records.values().filter(usable) {
             let online = record.own.online + record.others.online;
             load.all += online;
             load.slots_all += record.entry.slots;
@@ -70,7 +81,10 @@
         now: MonoTime,
         mut draw: impl FnMut() -> f64,
     ) -> Option<String> {
-        let able = self.own_records(service, &[], now).filter(|record| record.has_free_slot());
+        self.declined.drop_older(DECLINED_TIME, now);
+        let able = self.own_records(service, &[], now).filter(|record| {
+            record.has_free_slot() && !self.declined.contains(peer, &record.entry.id)
+        });
         let scored = able.map(|record| {
             let score = record.score(&self.domain, true, now) + draw() * TIE_BREAK_RANGE;
             (score, record.entry.id.clone())
@@ -168,7 +182,13 @@
         id: &str,
         work: WorkKind,
         change: UseChange,
+        now: MonoTime,
     ) {
+        self.answered.drop_older(DECLINE_WINDOW, now);
+        let is_end = work == WorkKind::Batch && change == UseChange::End;
+        if is_end && self.answered.settle(peer, id) {
+            self.declined.add(peer, id, now);
+        }
         let announced = || self.reports.get(peer).and_then(|report| report.uses.get(id));
         let is_answer = work == WorkKind::Batch
             && match change {
@@ -177,6 +197,11 @@
             };
         if is_answer && self.offers.settle(peer, id) {
             self.uncount_offer(id);
+            if is_end {
+                self.declined.add(peer, id, now);
+            } else {
+                self.answered.add(peer, id, now);
+            }
         }
     }
 
--- a/crates/relay/tests/performance.rs
+++ b/crates/relay/tests/performance.rs
@@ -458,12 +458,12 @@
 #[test]
 fn an_announced_ejection_ends_unless_its_home_repeats_it() {
     let (mut table, own, other, peer) = shared_table();
-    assert!(!table.apply_ejection(&peer, &own, true, at(0)), "its home is this gateway");
-    assert!(!table.apply_ejection(&VmName::new("g-9"), &other, true, at(0)));
-    assert!(table.apply_ejection(&peer, &other, true, at(0)));
+    assert!(!table.apply_ejection(&peer, &own, true, 0, at(0)), "its home is this gateway");
+    assert!(!table.apply_ejection(&VmName::new("g-9"), &other, true, 0, at(0)));
+    assert!(table.apply_ejection(&peer, &other, true, 0, at(0)));
     assert_eq!(table.excluded_count(), 1);
     assert!(table.pick_probe(&online(), at(1_000)).is_none(), "only the home sends probes");
-    table.apply_ejection(&peer, &other, true, at(1_000));
+    table.apply_ejection(&peer, &other, true, 0, at(1_000));
     table.ejection_notices(at(3_900));
     assert_eq!(table.excluded_count(), 1);
     table.ejection_notices(at(4_001));
@@ -546,7 +546,7 @@
         table.note_peer_outcome("t00", true, at(0));
     }
     assert_eq!((table.excluded_count(), table.ejection_notices(at(10))), (0, Vec::new()));
-    assert!(!table.apply_ejection(&VmName::new("g-1"), "t00", true, at(20)));
+    assert!(!table.apply_ejection(&VmName::new("g-1"), "t00", true, 0, at(20)));
     assert!(chosen(&mut table, 6, at(30)).contains(&"t00".to_owned()));
 }
 
