--- a/crates/entry/src/batch/runner.rs
+++ b/crates/entry/src/batch/runner.rs
@@ -1,6 +1,6 @@
 //! Starts items at targets with free slots, preempts them for online requests, and stores results.
 
-use std::sync::Arc;
+use std::{cmp::Reverse, fmt::Display, sync::Arc};
 
 use async_std::{future::timeout, task};
 use notch_platform_wire::target::item_prompt;
@@ -8,8 +8,16 @@
 use notch_types::prelude::*;
 
 use crate::{
-    batch::{commits, commits::ListPlace, item_run::run_item, job_registry::ItemRunHandle},
-    constants::{OBJECT_BYTES, PREEMPT_AGE, RESULT_DELAY, RUNNER_TICK, STARTS_PER_PASS},
+    batch::{
+        commits,
+        commits::ListPlace,
+        item_run::run_item,
+        item_slots::{ItemSlotPass, PassOutcome, StartedItem, item_use},
+        job_registry::{ItemRunHandle, JobRegistry},
+    },
+    constants::{
+        MIN_PASS_INTERVAL, OBJECT_BYTES, PREEMPT_AGE, RESULT_DELAY, RUNNER_TICK, STARTS_PER_PASS,
+    },
     node::EntryNode,
 };
 
@@ -18,16 +26,24 @@
     loop {
         let listener = node.runner_wake.listen();
         let is_idle = node.jobs().table.is_idle();
-        if is_idle {
+        if is_idle && !needs_item_pass(&node) {
             listener.await;
         } else {
             // Waiting items and results also depend on time; a wake-up only makes the next pass
             // earlier.
             let _ = timeout(RUNNER_TICK, listener).await;
         }
+        if node.features.item_slots {
+            // Combines the slots that are freed within a short time; a pass looks at all waiting items.
+            task::sleep(MIN_PASS_INTERVAL).await;
+        }
         let now = node.clock.mono();
         give_up_items(&node, now);
-        start_items(&node, now);
+        if node.features.item_slots {
+            run_item_pass(&node, now);
+        } else {
+            start_items(&node, now);
+        }
         preempt_items(&node, now);
         store_results(&node, now);
     }
@@ -76,7 +92,7 @@
         let Some(start) = registry.table.start_item(&job, index) else { return };
         let (cancel, cancelled) = async_channel::bounded(1);
         let target = choice.id.clone();
-        let run = registry.add_run(ItemRunHandle { job, target, since: now, cancel });
+        let run = registry.add_run(ItemRunHandle { job, index, target, since: now, cancel });
         drop(registry);
         log_start(node, &start, &choice, left_ms);
         task::spawn(run_item(Arc::clone(node), run, start, choice, cancelled));
@@ -85,21 +101,28 @@
 
 /// Logs the event from which a restarted run continues and the time left to the deadline, so that
 /// both are known even if the job's former gateway is gone.
-fn log_start(node: &EntryNode, start: &ItemStart, choice: &TargetChoice, left_ms: i64) {
-    node.log.info(
-        "item_run_started",
-        &[
-            ("job", &start.job),
-            ("item", &start.item.id),
-            ("target", &choice.id),
-            ("after", &start.last_event.map_or(-1, |id| id as i64)),
-            ("due_ms", &left_ms),
-        ],
-    );
+pub(super) fn log_start(node: &EntryNode, start: &ItemStart, choice: &TargetChoice, left_ms: i64) {
+    let after = start.last_event.map_or(-1, |id| id as i64);
+    let slot = match &choice.home {
+        _ if choice.is_granted => "offered",
+        Some(_) => "unoffered",
+        None => "own",
+    };
+    let mut fields: Vec<(&str, &dyn Display)> = vec![
+        ("job", &start.job),
+        ("item", &start.item.id),
+        ("target", &choice.id),
+        ("after", &after),
+        ("due_ms", &left_ms),
+    ];
+    if node.features.item_slots {
+        fields.push(("slot", &slot));
+    }
+    node.log.info("item_run_started", &fields);
 }
 
-/// Preempts the items that began last at targets with more requests than slots. Engines serve
-/// requests first come, first served, so online requests may wait behind them.
+/// Preempts items at targets with more requests than slots. Engines serve requests first come, first
+/// served, so online requests may wait behind them.
 fn preempt_items(node: &EntryNode, now: MonoTime) {
     let registry = node.jobs();
     let targets = node.targets();
@@ -110,19 +133,35 @@
     for (target, mut list) in runs {
         let count = targets.items_to_preempt(target, EntryNode::draw) as usize;
         list.retain(|run| now.since(run.since) >= PREEMPT_AGE);
-        list.sort_by_key(|run| std::cmp::Reverse(run.since));
+        if count == 0 {
+            continue;
+        }
+        list.sort_by_cached_key(|run| Reverse(preemption_order(node, &registry, run, now)));
         for run in list.into_iter().take(count) {
             run.cancel.close();
         }
     }
 }
 
-/// Preempts the item that began last at `target`, for an online request sent there that finds no
-/// free slot. Waiting for the next pass would add up to [`RUNNER_TICK`] to its first event.
-pub fn preempt_newest_item(node: &EntryNode, target: &str) {
+/// Order of preemption, the highest first: by slack where slots are offered to the most urgent items,
+/// else the run that began last.
+fn preemption_order(
+    node: &EntryNode,
+    registry: &JobRegistry,
+    run: &ItemRunHandle,
+    now: MonoTime,
+) -> (Option<PreemptionRank>, MonoTime) {
+    let rank = || registry.table.preemption_rank(&run.job, run.index, run.since, now);
+    (node.features.item_slots.then(rank).flatten(), run.since)
+}
+
+/// Preempts an item at `target`, for an online request sent there that finds no free slot. Waiting
+/// for the next pass would add up to [`RUNNER_TICK`] to its first event.
+pub fn preempt_item(node: &EntryNode, target: &str) {
+    let now = node.clock.mono();
     let registry = node.jobs();
     let runs = registry.runs.values().filter(|run| run.target == target && !run.cancel.is_closed());
-    if let Some(run) = runs.max_by_key(|run| run.since) {
+    if let Some(run) = runs.max_by_key(|run| preemption_order(node, &registry, run, now)) {
         run.cancel.close();
     }
 }
@@ -140,3 +179,109 @@
         }
     }
 }
+
+/// Records the online load of the services that items wait for from time to time, and frees slots
+/// whose offers were not answered. Called at regular intervals, as passes are rare while nothing
+/// waits.
+pub fn maintain_item_slots(node: &EntryNode, now: MonoTime) {
+    if !node.features.item_slots {
+        return;
+    }
+    let mut targets = node.targets();
+    let mut slots = node.item_slots();
+    for peer in targets.expire_offers(now) {
+        slots.note_unanswered(&peer);
+        note_unanswered(node, &peer);
+    }
+    for service in slots.forecast_services() {
+        slots.note_online(&service, targets.online_load(&service), now);
+    }
+    slots.expire(now);
+}
+
+/// Whether a pass is needed although this gateway has no jobs. Items that waited here until then are
+/// no longer reported.
+fn needs_item_pass(node: &EntryNode) -> bool {
+    if !node.features.item_slots {
+        return false;
+    }
+    let mut slots = node.item_slots();
+    slots.needs_pass() || {
+        slots.set_own(&FastMap::default(), node.clock.mono());
+        false
+    }
+}
+
+/// Runs one pass, then starts its items and sends its messages.
+fn run_item_pass(node: &Arc<EntryNode>, now: MonoTime) {
+    let Some(routes) = node.routes() else { return };
+    let _order = node.report_order();
+    let is_handing_over = node.stop.is_handing_over();
+    let mut registry = node.jobs();
+    let mut targets = node.targets();
+    let mut slots = node.item_slots();
+    let outcome = ItemSlotPass {
+        registry: &mut registry,
+        targets: &mut targets,
+        slots: &mut slots,
+        routes: &routes,
+        recipients: &|| node.peers.successor_vms(),
+        linked: &|| node.peers.linked_vms(),
+        is_stopping: is_handing_over || node.stop.is_stopping(),
+        is_handing_over,
+        draw: EntryNode::draw,
+        now,
+    }
+    .run();
+    drop((registry, targets, slots));
+    carry_out(node, outcome);
+}
+
+fn carry_out(node: &Arc<EntryNode>, outcome: PassOutcome) {
+    let PassOutcome { starts, messages, offered, declined, unoffered, unanswered } = outcome;
+    let counts = [
+        ("item_slots_offered", offered),
+        ("item_slot_offers_declined", declined),
+        ("items_started_unoffered", unoffered),
+    ];
+    for (name, count) in counts {
+        (0..count).for_each(|_| node.metrics.count(Counter::Event(name)));
+    }
+    unanswered.iter().for_each(|peer| note_unanswered(node, peer));
+    for (home, message) in messages {
+        node.peers.send(&home, message);
+    }
+    for StartedItem { run, start, choice, cancelled, left_ms } in starts {
+        log_start(node, &start, &choice, left_ms);
+        task::spawn(run_item(Arc::clone(node), run, start, choice, cancelled));
+    }
+}
+
+fn note_unanswered(node: &EntryNode, peer: &VmName) {
+    node.log.warn("item_slot_offer_unanswered", &[("gateway", peer)]);
+    node.metrics.count(Counter::Event("item_slot_offers_unanswered"));
+}
+
+/// Handles slots offered by another gateway.
+pub fn receive_slot_offer(node: &EntryNode, home: &VmName, targets: Vec<String>) {
+    let excess = if node.features.item_slots {
+        node.item_slots().note_offers(home, targets)
+    } else {
+        let declined = targets.into_iter();
+        declined.map(|target| ReceivedOffer { home: home.clone(), target }).collect()
+    };
+    for ReceivedOffer { home, target } in excess {
+        node.peers.send(&home, item_use(&target, UseChange::Begin));
+        node.peers.send(&home, item_use(&target, UseChange::End));
+        node.metrics.count(Counter::Event("item_slot_offers_declined"));
+    }
+    node.runner_wake.notify(usize::MAX);
+}
+
+/// Handles the revocation of a slot at `target` by its home: an offer that no item has used yet is
+/// dropped, else an item is preempted.
+pub fn revoke_item_slot(node: &EntryNode, home: &VmName, target: &str) {
+    if !node.item_slots().drop_received(home, target) {
+        preempt_item(node, target);
+    }
+}
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -30,6 +30,7 @@
     memory::HeldMemory,
     peers::{
         catch_up::KnownVersions,
+        eviction::{EvictionEdge, EvictionState},
         table::{OwnerLiveness, PeerTable},
         traffic::PeerTraffic,
     },
@@ -43,11 +44,14 @@
         live_feeds::LiveFeeds,
         target::{TargetChange, TargetFeed},
     },
-    target::{connection::TargetConnection, pool::TargetPool},
+    target::{
+        connection::TargetConnection, ejections::EjectionExchange, pool::TargetPool,
+        stream_pace::StreamPace,
+    },
 };
 
 /// State shared by all tasks of a gateway. Locks are held only briefly, never across an await. Lock order: jobs,
-/// targets, limits, intake.
+/// targets, item slots, limits, intake.
 #[derive(Debug)]
 pub struct EntryNode {
     /// Settings as read at the start; a reload doesn't change them.
@@ -78,6 +82,8 @@
     pub pool: TargetPool,
     /// What is known of the other gateways, and the links to them.
     pub peers: PeerTable,
+    /// Evictions of other gateways and of this one.
+    evictions: EvictionState,
     /// Progress of a graceful stop.
     pub stop: StopState,
     /// Notified when results were stored, a job ended or its owner became known.
@@ -100,6 +106,8 @@
     retry_detector: Mutex<RetryDetector>,
     dropped_routes: Mutex<DroppedRoutes>,
     job_admission: Mutex<JobAdmissionTable>,
+    item_slots: Mutex<ItemSlotTable>,
+    report_order: Mutex<()>,
 }
 
 impl EntryNode {
@@ -124,6 +132,11 @@
         let owner = format!("{}#{:016x}", config.node.vm, rand::random::<u64>());
         let domain = config.node.domain.as_str().to_owned();
         let (store, detours) = StoreClient::new(config.store.clone(), clock, log.clone(), calls);
+        let mut targets = TargetTable::new(&domain);
+        targets.set_offers_items(features.item_slots);
+        if features.performance {
+            targets.learn_performance();
+        }
         let node = Self {
             store,
             owner,
@@ -137,6 +150,7 @@
             memory: Arc::new(HeldMemory::new(config.memory.limit())),
             pool: TargetPool::new(features.keep_connections, Some(opened)),
             peers: PeerTable::new(traffic),
+            evictions: EvictionState::default(),
             stop: StopState::default(),
             job_updates: Event::new(),
             jobs_taken: Event::new(),
@@ -145,13 +159,15 @@
             target_restarts: Event::new(),
             is_verifying: AtomicBool::new(false),
             configuration: RwLock::new(None),
-            targets: Mutex::new(TargetTable::new(&domain)),
+            targets: Mutex::new(targets),
             target_feed: Mutex::default(),
             jobs: Mutex::default(),
             crashes: Mutex::default(),
             retry_detector: Mutex::default(),
             dropped_routes: Mutex::default(),
             job_admission: Mutex::default(),
+            item_slots: Mutex::default(),
+            report_order: Mutex::default(),
             features,
             config,
         };
@@ -163,6 +179,22 @@
         self.targets.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// What the exchange of ejections needs.
+    pub fn ejections(&self) -> EjectionExchange<'_> {
+        EjectionExchange {
+            targets: &self.targets,
+            peers: &self.peers,
+            clock: self.clock,
+            log: &self.log,
+            metrics: &self.metrics,
+        }
+    }
+
+    /// Measures the pace of a stream from target `id`, where paces are learned.
+    pub fn stream_pace<'a>(&'a self, id: &'a str) -> StreamPace<'a> {
+        StreamPace::new(self.features.performance.then_some(&self.targets), id, self.clock)
+    }
+
     /// Target entries as the store has them, by revision.
     pub fn target_feed(&self) -> MutexGuard<'_, TargetFeed> {
         self.target_feed.lock().unwrap_or_else(PoisonError::into_inner)
@@ -193,6 +225,25 @@
         self.job_admission.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Items that wait at all gateways, by which slots are offered.
+    pub fn item_slots(&self) -> MutexGuard<'_, ItemSlotTable> {
+        self.item_slots.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Held while a report of uses is read and queued, and while answers to offers are. A home counts an offer until it
+    /// is answered, so a report that overtakes the answer to an offer would count its item twice. Taken before all
+    /// other locks.
+    pub fn report_order(&self) -> MutexGuard<'_, ()> {
+        self.report_order.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Has the runner offer a slot that became free at an own target, if items wait anywhere.
+    pub fn note_slot_freed(&self) {
+        if self.features.item_slots && self.item_slots().has_waiting() {
+            self.runner_wake.notify(usize::MAX);
+        }
+    }
+
     /// The routes of the configuration in force; `None` until a first one is known.
     pub fn routes(&self) -> Option<Arc<RouteTable>> {
         let current = self.configuration.read().unwrap_or_else(PoisonError::into_inner);
@@ -397,6 +448,25 @@
         up >= span.max(PEER_STATE_TIMEOUT) && !self.was_synced()
     }
 
+    /// What evictions need of this gateway; `None` where gateways aren't evicted.
+    pub fn eviction(&self) -> Option<EvictionEdge<'_>> {
+        self.features.eviction.then(|| self.eviction_edge())
+    }
+
+    /// What evictions need of this gateway.
+    pub fn eviction_edge(&self) -> EvictionEdge<'_> {
+        EvictionEdge {
+            vm: &self.config.node.vm,
+            owner: &self.owner,
+            state: &self.evictions,
+            peers: &self.peers,
+            store: &self.store,
+            clock: self.clock,
+            log: &self.log,
+            metrics: &self.metrics,
+        }
+    }
+
     /// Whether the owner `owner` is alive. An earlier incarnation of this gateway is not.
     pub fn liveness(&self, owner: &str, now: MonoTime) -> OwnerLiveness {
         if owner == self.owner {
--- a/crates/lab/src/simulation.rs
+++ b/crates/lab/src/simulation.rs
@@ -1,6 +1,8 @@
 //! Simulation of one load pattern: gateways, targets and the messages between them.
 
+mod faults;
 mod items;
+mod offers;
 mod online;
 
 use std::time::Duration;
@@ -20,6 +22,8 @@
 
 /// How often gateways report their use of targets to each other.
 const REPORT_INTERVAL: Duration = Duration::from_millis(100);
+/// How often gateways announce ejections of targets.
+const EJECTION_TICK: Duration = Duration::from_millis(100);
 /// How often gateways try to start waiting items.
 const ITEM_START_INTERVAL: Duration = Duration::from_millis(40);
 /// Time after which the links of a silent gateway are closed and its targets get new home gateways.
@@ -28,8 +32,10 @@
 const ENTRY_EXPIRY: Duration = Duration::from_secs(1);
 /// Time that the simulation goes on after arrivals stop, so that the remaining items reach their deadlines.
 const DRAIN_TIME: Duration = Duration::from_secs(20);
-/// Slowdown factors of the targets, assigned in turn by target number.
-const SLOWDOWN: [f64; 3] = [1.0, 1.0, 1.3];
+/// Time in which a waiting item is reported and offered a slot: one report and one pass.
+const OFFER_TIME: Duration = Duration::from_millis(150);
+/// How often free slots are sampled.
+const SAMPLE_INTERVAL: Duration = Duration::from_millis(50);
 /// The only service in the simulation.
 const SERVICE: &str = "model";
 
@@ -49,10 +55,16 @@
     /// The target's home gateway, if it is another gateway that has to be told of the run.
     home: Option<usize>,
     events_left: u32,
+    /// Whether it generates the whole answer of an item.
+    is_whole: bool,
     began: MonoTime,
     has_first_event: bool,
     /// Preemption has been requested.
     is_preempted: bool,
+    /// It is a probe of an ejected target.
+    is_probe: bool,
+    /// Measures its pace from its first event on, with the time of its last event.
+    pace: Option<(PaceMeter, MonoTime)>,
 }
 
 /// State of an online request at its gateway.
@@ -69,6 +81,7 @@
     /// It was sent to a full target while another target had a free slot.
     missed_free_slot: bool,
     has_failed: bool,
+    may_repeat: bool,
 }
 
 #[derive(Debug)]
@@ -102,6 +115,9 @@
     AnswerEvent {
         run: RunNumber,
     },
+    FailRun {
+        run: RunNumber,
+    },
     Preempt {
         run: RunNumber,
     },
@@ -116,13 +132,36 @@
         to: usize,
         from: usize,
         uses: Vec<(String, TargetUse)>,
+        waiting: Vec<WaitingReport>,
+        paces: Vec<(String, Duration)>,
+    },
+    ReceiveOffer {
+        to: usize,
+        home: usize,
+        targets: Vec<String>,
     },
+    SampleSlots,
     PeerUse {
         home: usize,
         from: usize,
         target: String,
         work: WorkKind,
         change: UseChange,
+        is_failure: Option<bool>,
+    },
+    ReceiveEjection {
+        to: usize,
+        from: usize,
+        target: String,
+        is_ejected: bool,
+        failure_permille: u16,
+    },
+    AnnounceEjections {
+        gateway: usize,
+    },
+    ChangeSpells,
+    SetFault {
+        share: f64,
     },
     RevokeSlot {
         gateway: usize,
@@ -131,6 +170,10 @@
     StartItems {
         gateway: usize,
     },
+    ReturnItem {
+        gateway: usize,
+        item: WaitingItem,
+    },
     FailTargets {
         count: usize,
     },
@@ -148,6 +191,8 @@
 enum RunOutcome {
     Completed,
     Failed(AttemptFailure),
+    /// The target answered with an error status.
+    ErrorStatus,
     Preempted,
 }
 
@@ -166,6 +211,8 @@
     runs: FastMap<RunNumber, SimRun>,
     next_run: RunNumber,
     requests: Vec<SimRequest>,
+    /// Failures of each target of the fault, with the time of the second one.
+    fault_failures: Vec<(u32, MonoTime)>,
     outcome: SimOutcome,
 }
 
@@ -184,8 +231,8 @@
         let domain = |number: usize| format!("fd-{}", number % pattern.domains);
         let gateways: Vec<GatewayModel> =
             (0..pattern.gateways).map(|n| GatewayModel::new(n, &domain(n))).collect();
-        let model =
-            |n: usize| TargetModel::new(pattern.slots, pattern.queue, SLOWDOWN[n % SLOWDOWN.len()]);
+        let slowdown = |n: usize| pattern.slowdowns[n % pattern.slowdowns.len()];
+        let model = |n: usize| TargetModel::new(pattern.slots, pattern.queue, slowdown(n));
         let mut simulation = Self {
             policy,
             random: SmallRng::seed_from_u64(seed),
@@ -197,14 +244,20 @@
             runs: FastMap::default(),
             next_run: 1,
             requests: Vec::new(),
+            fault_failures: vec![(0, MonoTime::default()); pattern.targets],
             outcome: SimOutcome::default(),
             pattern: pattern.clone(),
         };
         for gateway in 0..simulation.gateways.len() {
+            let offers_items = policy == SelectionPolicy::SharedItems;
+            simulation.gateways[gateway].table.set_offers_items(offers_items);
             for target in 0..simulation.targets.len() {
                 let entry = simulation.entry(target, &domain(target));
                 simulation.gateways[gateway].table.put(entry, MonoTime::default());
             }
+            if policy == SelectionPolicy::LearnedPerformance {
+                simulation.gateways[gateway].table.learn_performance();
+            }
         }
         simulation
     }
@@ -228,11 +281,13 @@
         self.assign_homes();
         self.schedule.add(Duration::ZERO, SimEvent::OnlineArrival);
         self.schedule.add(Duration::ZERO, SimEvent::JobArrival);
+        self.schedule.add(SAMPLE_INTERVAL, SimEvent::SampleSlots);
         for gateway in 0..self.gateways.len() {
             let offset = REPORT_INTERVAL.mul_f64(self.random.random());
             self.schedule.add(offset, SimEvent::SendReport { gateway });
             self.schedule.add(offset, SimEvent::StartItems { gateway });
         }
+        self.schedule_faults();
         for loss in self.pattern.losses.clone() {
             self.schedule.add(loss.at, SimEvent::FailTargets { count: loss.count });
         }
@@ -279,18 +334,49 @@
             SimEvent::Preempt { run } => self.handle_preempt(run),
             SimEvent::RunEnded { run, outcome } => self.finish_run(run, outcome),
             SimEvent::SendReport { gateway } => self.send_report(gateway),
-            SimEvent::ReceiveReport { to, from, uses } => {
+            SimEvent::ReceiveReport { to, from, uses, waiting, paces } => {
                 let (now, peer) = (self.now(), self.gateways[from].vm.clone());
                 let table = &mut self.gateways[to].table;
                 table.take_report(&peer, uses.into_iter().collect(), now);
                 table.expire_reports(now);
+                for (id, gap) in paces {
+                    table.note_reported_pace(&id, gap, now);
+                }
+                if self.policy == SelectionPolicy::SharedItems {
+                    let draw = self.random.random();
+                    self.gateways[to].slots.take_report(&peer, waiting, draw, now);
+                }
             }
-            SimEvent::PeerUse { home, from, target, work, change } => {
+            SimEvent::ReceiveOffer { to, home, targets } => self.receive_offer(to, home, targets),
+            SimEvent::SampleSlots => self.sample_slots(),
+            SimEvent::PeerUse { home, from, target, work, change, is_failure } => {
                 let (now, peer) = (self.now(), self.gateways[from].vm.clone());
-                self.gateways[home].table.note_peer_use(&peer, &target, work, change, now);
+                let table = &mut self.gateways[home].table;
+                table.note_peer_use(&peer, &target, work, change, now);
+                if let Some(is_failure) = is_failure {
+                    table.note_peer_outcome(&target, is_failure, now);
+                }
+            }
+            SimEvent::FailRun { run } => self.fail_run(run),
+            SimEvent::AnnounceEjections { gateway } => self.announce_ejections(gateway),
+            SimEvent::ReceiveEjection { to, from, target, is_ejected, failure_permille } => {
+                let (now, peer) = (self.now(), self.gateways[from].vm.clone());
+                self.gateways[to].table.apply_ejection(
+                    &peer,
+                    &target,
+                    is_ejected,
+                    failure_permille,
+                    now,
+                );
             }
+            SimEvent::ChangeSpells => self.change_spells(),
+            SimEvent::SetFault { share } => self.set_fault(share),
             SimEvent::RevokeSlot { gateway, target } => self.preempt_own_item(gateway, &target),
             SimEvent::StartItems { gateway } => self.start_items(gateway),
+            SimEvent::ReturnItem { gateway, mut item } => {
+                item.since = self.now();
+                self.gateways[gateway].put_item(item);
+            }
             SimEvent::FailTargets { count } => self.fail_targets(count),
             SimEvent::RemoveEntry { target } => {
                 for gateway in &mut self.gateways {
@@ -307,6 +393,21 @@
         }
     }
 
+    /// Counts free slots while an item waits.
+    fn sample_slots(&mut self) {
+        if !self.has_arrivals() {
+            return;
+        }
+        let old = self.now() - OFFER_TIME;
+        let waits = |gateway: &GatewayModel| gateway.items.iter().any(|item| item.since < old);
+        if self.gateways.iter().any(waits) {
+            self.outcome.sampled_slots += self.targets.len() as u64 * u64::from(self.pattern.slots);
+            let free = (0..self.targets.len()).map(|target| self.free_slots(target) as u64);
+            self.outcome.sampled_free += free.sum::<u64>();
+        }
+        self.schedule.add(SAMPLE_INTERVAL, SimEvent::SampleSlots);
+    }
+
     /// The gateway that handles an event, which waits while that gateway is frozen.
     fn gateway_of(&self, event: &SimEvent) -> Option<usize> {
         match event {
@@ -317,8 +418,11 @@
             SimEvent::RunEnded { run, .. } => self.runs.get(run).map(|run| run.gateway),
             SimEvent::SendReport { gateway }
             | SimEvent::StartItems { gateway }
+            | SimEvent::AnnounceEjections { gateway }
             | SimEvent::RevokeSlot { gateway, .. } => Some(*gateway),
-            SimEvent::ReceiveReport { to, .. } => Some(*to),
+            SimEvent::ReceiveReport { to, .. }
+            | SimEvent::ReceiveOffer { to, .. }
+            | SimEvent::ReceiveEjection { to, .. } => Some(*to),
             _ => None,
         }
     }
@@ -340,9 +444,14 @@
         }
         let uses = self.gateways[from].table.own_uses();
         let uses: Vec<(String, TargetUse)> = uses.map(|(id, used)| (id.to_owned(), used)).collect();
+        let waiting = self.gateways[from].slots.own_waiting();
+        let (now, state) = (self.now(), &mut self.gateways[from]);
+        state.slots.note_online(SERVICE, state.table.online_load(SERVICE), now);
+        let paces = state.table.take_paces(now);
         for to in (0..self.gateways.len()).filter(|to| *to != from) {
-            let uses = uses.clone();
-            self.schedule.add(self.pattern.delay, SimEvent::ReceiveReport { to, from, uses });
+            let (uses, waiting, paces) = (uses.clone(), waiting.clone(), paces.clone());
+            let message = SimEvent::ReceiveReport { to, from, uses, waiting, paces };
+            self.schedule.add(self.pattern.delay, message);
         }
         self.schedule.add(REPORT_INTERVAL, SimEvent::SendReport { gateway: from });
     }
@@ -360,22 +469,27 @@
     /// Sends a request to the selected target.
     fn start(&mut self, gateway: usize, choice: &TargetChoice, work: RunWork, events: u32) {
         let target = self.target_ids.iter().position(|id| *id == choice.id).unwrap_or_default();
-        let home = choice.home.as_ref().filter(|_| self.policy == SelectionPolicy::HomeGateways);
+        let home = choice.home.as_ref().filter(|_| self.policy.has_homes());
         let home = home.and_then(|vm| self.gateways.iter().position(|g| g.vm == *vm));
         let (began, has_first_event, is_preempted) = (self.now(), false, false);
         let events_left = events;
+        let is_whole = events == self.pattern.item_events;
         let run = SimRun {
             work,
             gateway,
             target,
             home,
             events_left,
+            is_whole,
             began,
             has_first_event,
             is_preempted,
+            is_probe: choice.is_probe,
+            pace: None,
         };
+        self.note_fault_traffic(&run);
         if !choice.is_granted {
-            self.notify_home(&run, UseChange::Begin);
+            self.notify_home(&run, UseChange::Begin, None);
         }
         let number = self.next_run;
         self.next_run += 1;
@@ -384,11 +498,11 @@
         self.schedule.add(self.pattern.delay, SimEvent::TargetReached { run: number });
     }
 
-    fn notify_home(&mut self, run: &SimRun, change: UseChange) {
+    fn notify_home(&mut self, run: &SimRun, change: UseChange, is_failure: Option<bool>) {
         let Some(home) = run.home else { return };
         let (from, target) = (run.gateway, self.target_ids[run.target].clone());
         let work = run.work.kind();
-        let message = SimEvent::PeerUse { home, from, target, work, change };
+        let message = SimEvent::PeerUse { home, from, target, work, change, is_failure };
         self.schedule.add(self.pattern.delay, message);
     }
 
@@ -416,8 +530,14 @@
 
     fn begin_run(&mut self, number: RunNumber) {
         let Some(run) = self.runs.get(&number) else { return };
-        let wait = self.targets[run.target].first_event();
-        self.schedule.add(wait, SimEvent::AnswerEvent { run: number });
+        let target = &self.targets[run.target];
+        let (wait, share) = (target.first_event(), target.failing_share());
+        let is_failing = share > 0.0 && self.random.random::<f64>() < share;
+        let event = match is_failing {
+            true => SimEvent::FailRun { run: number },
+            false => SimEvent::AnswerEvent { run: number },
+        };
+        self.schedule.add(wait, event);
     }
 
     /// A target generates the next event of a run.
@@ -430,6 +550,7 @@
         run.events_left -= 1;
         let (is_first, left) = (!run.has_first_event, run.events_left);
         run.has_first_event = true;
+        self.note_pace(number);
         if is_first {
             self.record_first_event(number);
         }
@@ -464,14 +585,27 @@
         let result = match outcome {
             RunOutcome::Completed => Some(Ok(())),
             RunOutcome::Failed(failure) => Some(Err(failure)),
+            // A gateway relays it as the answer where it must not try again.
+            RunOutcome::ErrorStatus => Some(Ok(())),
             RunOutcome::Preempted => None,
         };
-        self.gateways[run.gateway].table.finish(id, run.work.kind(), result, now);
-        self.notify_home(&run, UseChange::End);
+        let report = AttemptReport {
+            fingerprint: number,
+            outcome: outcome.target_outcome(),
+            is_probe: run.is_probe,
+        };
+        let table = &mut self.gateways[run.gateway].table;
+        table.finish(id, run.work.kind(), result, now);
+        let is_failure = table.note_outcome(id, report, now);
+        self.notify_home(&run, UseChange::End, is_failure);
         match run.work {
             RunWork::Online { request } => self.finish_online(request, &run, outcome),
             RunWork::Item { due } => {
-                let item = WaitingItem { events_left: run.events_left, due };
+                if outcome == RunOutcome::Completed && run.is_whole {
+                    let took = now.since(run.began);
+                    self.gateways[run.gateway].run_time.note(took, self.pattern.item_events);
+                }
+                let item = WaitingItem { events_left: run.events_left, due, since: now };
                 self.finish_item(run.gateway, item, outcome);
             }
         }
@@ -485,6 +619,17 @@
     }
 }
 
+impl RunOutcome {
+    fn target_outcome(self) -> Option<TargetOutcome> {
+        match self {
+            Self::Completed => Some(TargetOutcome::Answered),
+            Self::Failed(failure) => TargetOutcome::of_failure(failure),
+            Self::ErrorStatus => Some(TargetOutcome::Failed),
+            Self::Preempted => None,
+        }
+    }
+}
+
 impl RunWork {
     fn kind(self) -> WorkKind {
         match self {
--- a/crates/magnolianotch/src/cli/args.rs
+++ b/crates/magnolianotch/src/cli/args.rs
@@ -362,6 +362,9 @@
     /// the gateways' program (default: notch-entry beside this one)
     #[argh(option)]
     pub program: Option<PathBuf>,
+    /// whether gateways evict each other; the first one is frozen at the beginning for longer than that takes
+    #[argh(switch)]
+    pub evict: bool,
     /// folder for the gateways' settings and logs (default: soak in the temporary folder)
     #[argh(option)]
     pub folder: Option<PathBuf>,
@@ -378,8 +381,8 @@
     /// how many seeds, from 1 on (default 5)
     #[argh(option, default = "5")]
     pub seeds: u64,
-    /// ways to choose, with commas between: reports, homes, all-knowing (default: all, the first is compared
-    /// with)
+    /// ways to choose, with commas between: reports, homes, shared-items, all-knowing (default: all but
+    /// shared-items, the first is compared with)
     #[argh(option, default = "String::from(\"reports,homes,all-knowing\")")]
     pub compare: String,
 }
--- a/crates/relay/src/jobs/owned.rs
+++ b/crates/relay/src/jobs/owned.rs
@@ -5,6 +5,7 @@
 use notch_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
+use crate::item_slots::preemption::slack_ms;
 use crate::jobs::{
     ownership::OwnershipGeneration,
     result::{ItemState, ResultLine},
@@ -116,8 +117,9 @@
     required: OwnershipGeneration,
     /// Generation in which the latest confirmation of ownership was requested.
     confirmed: OwnershipGeneration,
-    /// Whether another gateway wrote at the position where this one wanted to, and ownership has
-    /// not been confirmed by a request made since then. Invariant: nothing is stored meanwhile. If
+    /// Whether another gateway wrote at the position where this one wanted to, or may have taken the
+    /// job over while this gateway's own entry was gone, and ownership has not been confirmed by a
+    /// request made since then. Invariant: nothing is stored meanwhile. If
     /// a former owner continued after a fence that it found, it would extend the list that the new
     /// owner considers its own.
     is_displaced: bool,
@@ -208,13 +210,37 @@
         Some(best.0)
     }
 
+    /// Indices of all items that may start at `now`, each with the size of its output so far.
+    pub fn ready_items(&self, now: MonoTime) -> impl Iterator<Item = (usize, usize)> {
+        let items = self.items.iter().enumerate().filter(|_| !self.ended);
+        let ready = items
+            .filter(move |(_, item)| matches!(item.phase, ItemPhase::Waiting(at) if at <= now));
+        ready.map(|(index, item)| (index, item.output.len()))
+    }
+
+    /// Whether a target has run an item and reported a failure.
+    pub fn has_failed(&self, index: usize) -> bool {
+        self.items[index].failures > 0
+    }
+
+    /// Time left until the job is due after a run of an item that begins at `now`, milliseconds;
+    /// negative if the run is likely to end late.
+    pub fn slack_ms(&self, index: usize, run_time: &ItemRunTime, now: MonoTime) -> i64 {
+        slack_ms(self.due, self.needed(index, run_time), now)
+    }
+
     /// Whether a run of an item that begins at `now` is likely to end after the job is due. An item
     /// whose lifetime is nearly over is not considered late, since it would be given up.
     pub fn is_late(&self, index: usize, run_time: &ItemRunTime, now: MonoTime) -> bool {
+        let needed = self.needed(index, run_time);
+        now + needed > self.due && now + EXPIRY_PRIORITY_WINDOW < self.expires
+    }
+
+    /// Expected time of a run of an item that begins now.
+    fn needed(&self, index: usize, run_time: &ItemRunTime) -> Duration {
         let item_time = run_time.expected(self.spec.items[index].answer.expected());
         let has_progress = self.items[index].last_event.is_some();
-        let needed = if has_progress { item_time / PROGRESS_DIVISOR } else { item_time };
-        now + needed > self.due && now + EXPIRY_PRIORITY_WINDOW < self.expires
+        if has_progress { item_time / PROGRESS_DIVISOR } else { item_time }
     }
 
     /// Run time on one slot of the items that can still be done in time. A running item counts with
@@ -398,6 +424,13 @@
         self.required = self.required.max(generation);
     }
 
+    /// Stores nothing until ownership is confirmed by a request made in `generation` or later: another gateway may
+    /// have taken the job over while this one did not count as alive.
+    pub fn suspend(&mut self, generation: OwnershipGeneration) {
+        self.is_displaced = true;
+        self.require_generation(generation);
+    }
+
     /// Records that the store confirmed the ownership, as requested in generation `requested`. The
     /// answer may be late; if it was requested before the required generation, it does not count.
     pub fn confirm(&mut self, requested: OwnershipGeneration) {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod accounts;
 mod ewma;
 pub mod follower_start;
+pub mod item_slots;
 pub mod job_admission;
 pub mod jobs;
 pub mod limits;
@@ -24,27 +25,38 @@
             account::{AccountEntry, AccountLimit, ClientAccount},
             bucket::CreditBucket,
             credits::{CreditCache, CreditStep},
+            demand::CreditDemand,
             freshness::{ConfigurationAge, ConfigurationProof},
             key::AccountKey,
             limiter::{CreditAnswer, CreditHandover, LimiterTable},
             quota::QuotaTolerance,
+            retry_spread::retry_delay,
             table::{AccountTable, CallerIdentity, may_access},
             view::{LimiterView, PeerCounts},
         },
         follower_start::{expectation_span, expected_followers, takeover_delay},
+        item_slots::{
+            FreeSlots, ItemSlotTable, ReceivedOffer, SlotShare,
+            preemption::PreemptionRank,
+            waiting::{WaitingItems, WaitingReport},
+        },
         job_admission::{
             demand::{DueWork, WorkDemand},
             forecast::JobAdmissionForecast,
             table::JobAdmissionTable,
         },
         jobs::{
+            eviction::{
+                EvictionCandidate, EvictionOutcome, EvictionVerdict, FleetView, GatewayEviction,
+                OwnEntryGuard, PeerAbsence,
+            },
             owned::{HeldProgress, ItemEnd, OwnedJob},
             ownership::OwnershipGeneration,
             result::{ItemState, ResultLine},
             run_time::{ItemRunTime, ItemRunTimeStats},
             search::SearchSchedule,
             spec::{AnswerSize, ItemSpec, JobSpec, JobTerms, limit_name},
-            table::{ItemStart, JobTable},
+            table::{ItemStart, JobTable, WaitingItem},
         },
         limits::{
             count::{LimitCount, LimitCountThrottle},
@@ -72,12 +84,19 @@
             grants::{PreemptedItem, QueueOffer, SlotGrant},
             idle_reuse::IdleReuse,
             latency::ServiceLatency,
+            performance::{
+                AttemptReport, TargetOutcome,
+                ejection::TargetEjection,
+                failed_requests::FailedRequests,
+                failure_window::{FailureWindow, OutcomeCounts},
+                pace::PaceMeter,
+            },
             prompt::{PromptPrefix, PromptPrefixes},
             record::{TargetUse, UseChange},
             report_interval::report_interval,
             retry_detector::RetryDetector,
             slot_search::{SearchStep, SlotSearch},
-            table::TargetTable,
+            table::{TargetTable, ejections::EjectionNotice},
         },
         watch_pace::WatchPace,
     };
--- a/crates/relay/src/targets.rs
+++ b/crates/relay/src/targets.rs
@@ -10,6 +10,7 @@
 pub mod homes;
 pub mod idle_reuse;
 pub mod latency;
+pub mod performance;
 pub mod prefix_cache;
 pub mod prompt;
 pub mod record;
--- a/crates/relay/src/targets/table/admission.rs
+++ b/crates/relay/src/targets/table/admission.rs
@@ -49,7 +49,7 @@
             let id = &record.entry.id;
             let Some(home) = self.homes.other_home(id) else { continue };
             let is_able = record.takes(query.service)
-                && !record.health.is_avoided(now)
+                && !record.is_avoided(now)
                 && !query.avoid.contains(id)
                 && self.homes.may_ask(home, now);
             if !is_able || !(record.has_free_slot() || may_displace) {
@@ -134,7 +134,7 @@
     }
 
     /// Own targets that accept requests for a service.
-    fn own_records(
+    pub(super) fn own_records(
         &self,
         service: &str,
         avoid: &[String],
@@ -143,7 +143,7 @@
         self.records.values().filter(move |record| {
             record.takes(service)
                 && self.homes.is_own(&record.entry.id)
-                && !record.health.is_avoided(now)
+                && !record.is_avoided(now)
                 && !avoid.contains(&record.entry.id)
         })
     }
@@ -162,9 +162,13 @@
         able.min_by_key(|record| online(record))
     }
 
-    /// Selects the owner of the item to preempt at an own target: this gateway if it has items
-    /// there, else the gateway with the most items there, whose use is reduced at once.
+    /// Selects the owner of the item to preempt at an own target: the receiver of an offer that was
+    /// not answered, else this gateway if it has items there, else the gateway with the most items
+    /// there, whose use is reduced at once.
     fn revoke_item(&mut self, id: &str, now: MonoTime) -> Option<PreemptedItem> {
+        if let Some(peer) = self.withdraw_offer(id) {
+            return Some(PreemptedItem::Peer(peer));
+        }
         if self.records.get(id)?.own.batch > 0 {
             return Some(PreemptedItem::Own);
         }
@@ -172,7 +176,8 @@
         let holders = self.reports.iter().filter(|(_, report)| items(report) > 0);
         let (peer, _) = holders.max_by_key(|(peer, report)| (items(report), peer.as_str()))?;
         let peer = peer.clone();
-        self.note_peer_use(&peer, id, WorkKind::Batch, UseChange::End, now);
+        self.count_peer_use(&peer, id, WorkKind::Batch, UseChange::End, now);
+        self.note_revoked(&peer, id, now);
         Some(PreemptedItem::Peer(peer))
     }
 
@@ -185,6 +190,21 @@
         work: WorkKind,
         change: UseChange,
         now: MonoTime,
+    ) {
+        if self.is_revoked_end(peer, id, work, change) {
+            return;
+        }
+        self.settle_offer(peer, id, work, change, now);
+        self.count_peer_use(peer, id, work, change, now);
+    }
+
+    fn count_peer_use(
+        &mut self,
+        peer: &VmName,
+        id: &str,
+        work: WorkKind,
+        change: UseChange,
+        now: MonoTime,
     ) {
         let report = self
             .reports
