Bound the offers of slots for one waiting item

Cause: after 200 ms of waiting each home offered at least one slot, so that in a fleet of 300 gateways hundreds of homes offered a slot for one item, again with each report; each offer took a slot until it was declined. Change: after 200 ms all homes together offer three slots in expectation.

--- a/crates/relay/src/item_slots/waiting.rs
+++ b/crates/relay/src/item_slots/waiting.rs
@@ -4,7 +4,7 @@
 
 use notch_types::prelude::*;
 
-use crate::item_slots::{FreeSlots, MIN_SHARE_AFTER, SHARE_WINDOW};
+use crate::item_slots::{FreeSlots, MIN_OFFERS, MIN_SHARE_AFTER, SHARE_WINDOW};
 
 /// Change of the slack, beyond the passing of time, that is worth a report: an offer that comes
 /// this much too late still leaves the order among gateways nearly right.
@@ -143,9 +143,10 @@
         let all = f64::from(slots.all.max(slots.here) + waiting.offered);
         // Offers that it has not answered may have started items that its report still contains.
         let count = waiting.report.items.count.saturating_sub(in_flight.max(waiting.offered));
-        let total = f64::from(waiting.report.items.count) * here / all.max(1.0) + draw;
-        let min_share = u32::from(now.since(waiting.since) >= MIN_SHARE_AFTER);
-        let total = (total as u32).max(min_share);
+        let is_passed_over = now.since(waiting.since) >= MIN_SHARE_AFTER;
+        let min_offers = if is_passed_over { MIN_OFFERS } else { 0 };
+        let wanted = f64::from(waiting.report.items.count.max(min_offers));
+        let total = (wanted * here / all.max(1.0) + draw) as u32;
         total.saturating_sub(in_flight.max(waiting.offered)).min(count)
     }
 
