Evict removed gateways although others have just started

Change: an answer tells whether its sender is too new to know; a majority that has been up for 8 s decides, and nobody may object. Gateways that are too new don't count in the rank, and each further one by rank follows 5 s later, so that a first one that fails doesn't keep the others from it.

--- a/crates/entry/src/peers/eviction.rs
+++ b/crates/entry/src/peers/eviction.rs
@@ -202,13 +202,21 @@
     /// Answers whether another gateway can be evicted as far as this one knows.
     pub fn answer(&self, asker: &VmName, call: u64, vm: &VmName, owner: &str) {
         let absence = self.peers.absence(vm, self.clock.mono());
-        let is_gone = vm != self.vm && absence.is_gone(owner);
+        let vote = if vm == self.vm { AbsenceVote::Objection } else { absence.vote(owner) };
+        let is_gone = vote == AbsenceVote::Gone;
+        let is_new = vote == AbsenceVote::NeverLinked;
         let unlinked_ms = absence.unlinked.map_or(0, |unlinked| unlinked.as_millis());
         self.log.info(
             "eviction_asked",
-            &[("gateway", vm), ("by", asker), ("unlinked_ms", &unlinked_ms), ("is_gone", &is_gone)],
+            &[
+                ("gateway", vm),
+                ("by", asker),
+                ("unlinked_ms", &unlinked_ms),
+                ("is_gone", &is_gone),
+                ("is_new", &is_new),
+            ],
         );
-        self.peers.send(asker, PeerMessage::EvictionAnswer { call, is_gone });
+        self.peers.send(asker, PeerMessage::EvictionAnswer { call, is_gone, is_new });
     }
 
     /// Evicts a gateway if one is due and the others agree.
@@ -243,8 +251,8 @@
             let ask = |call| PeerMessage::EvictionAsk { call, vm, owner };
             let send = |call| self.peers.send(&peer, ask(call));
             let end = self.peers.eviction_calls.ask(send, EVICTION_ANSWER_TIMEOUT).await;
-            if let CallEnd::Answered(is_gone) = end {
-                self.state.rounds().note_answer(&peer, is_gone);
+            if let CallEnd::Answered(vote) = end {
+                self.state.rounds().note_answer(&peer, vote);
             }
         });
         join_all(asks).await;
--- a/crates/entry/src/peers/links.rs
+++ b/crates/entry/src/peers/links.rs
@@ -9,7 +9,7 @@
     prelude::StoreObject,
     store::{object_path, spec_body},
 };
-use notch_relay::prelude::{CreditDemand, UseChange};
+use notch_relay::prelude::{AbsenceVote, CreditDemand, UseChange};
 use notch_types::prelude::*;
 use serde_json::value::RawValue;
 
@@ -400,8 +400,13 @@
                 eviction.answer(&peer.vm, call, &vm, &owner);
             }
         }
-        PeerMessage::EvictionAnswer { call, is_gone } => {
-            node.peers.eviction_calls.answer(call, is_gone);
+        PeerMessage::EvictionAnswer { call, is_gone, is_new } => {
+            let vote = match (is_gone, is_new) {
+                (true, _) => AbsenceVote::Gone,
+                (false, true) => AbsenceVote::NeverLinked,
+                (false, false) => AbsenceVote::Objection,
+            };
+            node.peers.eviction_calls.answer(call, vote);
         }
         PeerMessage::Stopping => {
             node.log.info("gateway_stops", &[("gateway", &peer.vm)]);
--- a/crates/entry/src/peers/table.rs
+++ b/crates/entry/src/peers/table.rs
@@ -12,7 +12,7 @@
 use async_channel::{Receiver, Sender};
 use notch_link::prelude::*;
 use notch_messages::prelude::*;
-use notch_relay::prelude::CreditAnswer;
+use notch_relay::prelude::{AbsenceVote, CreditAnswer};
 use notch_types::prelude::*;
 
 use crate::{
@@ -170,7 +170,7 @@
     /// Requests for credit of account limits.
     pub credit_calls: CallTable<CreditAnswer>,
     /// Queries whether a gateway can be evicted.
-    pub eviction_calls: CallTable<bool>,
+    pub eviction_calls: CallTable<AbsenceVote>,
     /// Queries of the age of configuration proofs.
     pub age_calls: CallTable<ProofAge>,
     /// When this gateway last read the gateways' entries.
--- a/crates/entry/src/peers/table/absence.rs
+++ b/crates/entry/src/peers/table/absence.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use notch_relay::{
-    jobs::eviction::needed_for_majority,
+    jobs::eviction::{EVICTION_SILENCE, needed_for_majority},
     prelude::{EvictionCandidate, FleetView, PeerAbsence},
 };
 use notch_types::prelude::*;
@@ -35,10 +35,16 @@
     /// The fleet, for the decision which gateway to evict. `entries` are the other gateways' entries.
     pub fn fleet_view(&self, entries: &[RosterEntry], now: MonoTime) -> FleetView {
         let peers = self.peers();
-        let names = |takes_part: fn(&PeerRecord) -> bool| {
+        let names = |takes_part: &dyn Fn(&PeerRecord) -> bool| {
             let some = peers.iter().filter(|(_, record)| takes_part(record));
             some.map(|(vm, _)| vm.clone()).collect()
         };
+        let is_new = |r: &PeerRecord| {
+            let up = r.uptime.map(|known| known.up + now.since(known.at));
+            up.is_none_or(|up| up < EVICTION_SILENCE)
+        };
+        let may_evict =
+            |r: &PeerRecord| r.link.is_some() && !r.is_leaving && !r.is_stopping && !is_new(r);
         let is_heard = |r: &PeerRecord| {
             counts(r) && r.link.is_some() && now.since(r.heard_at) < PEER_SILENT_AFTER
         };
@@ -53,8 +59,8 @@
             })
         });
         FleetView {
-            linked: names(|r| r.link.is_some()),
-            evictors: names(|r| r.link.is_some() && !r.is_leaving && !r.is_stopping),
+            linked: names(&|r| r.link.is_some()),
+            evictors: names(&may_evict),
             known: peers.values().filter(|record| counts(record)).count(),
             heard: peers.values().filter(|record| is_heard(record)).count(),
             candidates: candidates.collect(),
@@ -67,11 +73,11 @@
         let peers = self.peers();
         let Some(record) = peers.get(vm) else {
             let unlinked = Some(now.since(MonoTime::default()));
-            return PeerAbsence { owner: None, unlinked };
+            return PeerAbsence { owner: None, unlinked, was_linked: false };
         };
         let owner = record.entry.as_ref().map(|entry| entry.owner.clone());
         let unlinked = record.link.is_none().then(|| now.since(record.down_since));
-        PeerAbsence { owner, unlinked }
+        PeerAbsence { owner, unlinked, was_linked: record.was_linked }
     }
 
     /// Treats all gateways without a link as after a start: they may be alive and not know this gateway yet.
--- a/crates/messages/src/peer.rs
+++ b/crates/messages/src/peer.rs
@@ -426,6 +426,9 @@
         call: u64,
         /// Whether the sender has had no link to it for long either.
         is_gone: bool,
+        /// Whether the sender has had no link to it since its own start, which is not that long ago.
+        #[serde(default)]
+        is_new: bool,
     },
     /// Requests the age of the receiver's knowledge of the configuration.
     AgeAsk {
--- a/crates/relay/src/jobs/eviction.rs
+++ b/crates/relay/src/jobs/eviction.rs
@@ -14,7 +14,8 @@
 pub const EVICTION_SILENCE: Duration = Duration::from_secs(8);
 /// Timeout of the other gateways' answers before an eviction; one takes a few milliseconds.
 pub const EVICTION_ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
-/// Pause before the next attempt to evict a gateway.
+/// Pause before the next attempt to evict a gateway. Each further gateway by rank waits for as much longer, so that one
+/// whose attempts fail does not keep the others from it.
 pub const EVICTION_PAUSE: Duration = Duration::from_secs(5);
 /// A gateway that has not heard from a majority for this long may have been evicted.
 pub const MAJORITY_SILENCE: Duration = Duration::from_secs(4);
@@ -50,9 +51,10 @@
 /// The fleet as one gateway sees it.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct FleetView {
-    /// Other gateways with a link. Each must agree to an eviction.
+    /// Other gateways with a link. None of them may object to an eviction.
     pub linked: Vec<VmName>,
-    /// Those of `linked` that don't stop, and so may evict others.
+    /// Those of `linked` that may evict others: they don't stop and have been up for [`EVICTION_SILENCE`], before which
+    /// no candidate is due for them.
     pub evictors: Vec<VmName>,
     /// Number of other known gateways.
     pub known: usize,
@@ -69,13 +71,30 @@
     pub owner: Option<String>,
     /// How long there has been no link to it; `None` while there is one.
     pub unlinked: Option<Duration>,
+    /// Whether there was a link to it since this process started.
+    pub was_linked: bool,
+}
+
+/// A gateway's answer to another one that wants to evict a third.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AbsenceVote {
+    /// There has been no link to it for [`EVICTION_SILENCE`].
+    Gone,
+    /// There has been no link to it since this process started, which is not that long ago.
+    NeverLinked,
+    /// There is or was a link to it, or it has started anew.
+    Objection,
 }
 
 impl PeerAbsence {
-    /// Whether the gateway with the identity `owner` may be evicted. A newer incarnation may not: it has just started.
-    pub fn is_gone(&self, owner: &str) -> bool {
+    /// The answer about the gateway with the identity `owner`. A newer incarnation is not gone: it has just started.
+    pub fn vote(&self, owner: &str) -> AbsenceVote {
         let is_same = self.owner.as_deref().is_none_or(|known| known == owner);
-        is_same && self.unlinked.is_some_and(|unlinked| unlinked >= EVICTION_SILENCE)
+        match self.unlinked {
+            Some(unlinked) if is_same && unlinked >= EVICTION_SILENCE => AbsenceVote::Gone,
+            Some(_) if is_same && !self.was_linked => AbsenceVote::NeverLinked,
+            _ => AbsenceVote::Objection,
+        }
     }
 }
 
@@ -95,7 +114,7 @@
 pub enum EvictionOutcome {
     /// The entry was deleted.
     Evicted,
-    /// Another gateway has a link to it, or had one recently.
+    /// Another gateway has a link to it, or had one recently, or too few have been up for long enough to tell.
     Refused,
     /// A linked gateway did not answer in time.
     Unanswered,
@@ -138,15 +157,19 @@
     asked_at: MonoTime,
     /// The gateways that were asked.
     asked: FastSet<VmName>,
-    /// Those of `asked` that have not agreed so far.
+    /// Those of `asked` that have not answered so far.
     awaited: FastSet<VmName>,
+    /// Those of `asked` that count towards a majority and have been up for long enough to tell.
+    voters: FastSet<VmName>,
+    /// Number of `voters` without a link to the candidate for [`EVICTION_SILENCE`].
+    gone: usize,
     is_refused: bool,
 }
 
 /// Decides which gateway this one evicts, and when. One at a time.
 ///
-/// Designed for VMs that are replaced one by one while a few others fail: at most one eviction per five seconds and
-/// gateway, each by the one gateway that is ranked first among those that hear each other.
+/// Designed for VMs that are replaced one by one while a few others fail and new ones start: at most one attempt per
+/// five seconds and gateway, first by the one that is ranked first among those that hear each other.
 #[derive(Debug, Default)]
 pub struct GatewayEviction {
     round: Option<EvictionRound>,
@@ -179,18 +202,21 @@
             asked_at: now,
             awaited: asked.clone(),
             asked,
+            voters: view.evictors.iter().cloned().collect(),
+            gone: 0,
             is_refused: false,
         });
         Some(candidate)
     }
 
     /// Records a gateway's answer.
-    pub fn note_answer(&mut self, from: &VmName, is_gone: bool) {
+    pub fn note_answer(&mut self, from: &VmName, vote: AbsenceVote) {
         let Some(round) = &mut self.round else { return };
-        if is_gone {
-            round.awaited.remove(from);
-        } else {
-            round.is_refused = true;
+        let is_first = round.awaited.remove(from);
+        match vote {
+            AbsenceVote::Gone if is_first && round.voters.contains(from) => round.gone += 1,
+            AbsenceVote::Gone | AbsenceVote::NeverLinked => {}
+            AbsenceVote::Objection => round.is_refused = true,
         }
     }
 
@@ -207,6 +233,11 @@
             let unanswered = EvictionVerdict::Postponed(EvictionOutcome::Unanswered);
             return if is_late { unanswered } else { EvictionVerdict::Pending };
         }
+        // A candidate that a majority has not heard for so long doubts its own entry by now. Gateways that have just
+        // started cannot tell, but must not keep the others from the eviction either.
+        if !is_majority(round.gone, view.known) {
+            return EvictionVerdict::Postponed(EvictionOutcome::Refused);
+        }
         let judged = &round.candidate;
         let is_same = |candidate: &&EvictionCandidate| {
             candidate.vm == judged.vm && candidate.revision == judged.revision
@@ -221,13 +252,9 @@
         }
     }
 
-    /// Number of gateways that were asked, and of those that agreed.
+    /// Number of gateways that were asked, and of those that have had no link to the candidate for long.
     pub fn answers(&self) -> (usize, usize) {
-        let counts = |round: &EvictionRound| {
-            let asked = round.asked.len();
-            (asked, asked - round.awaited.len())
-        };
-        self.round.as_ref().map_or((0, 0), counts)
+        self.round.as_ref().map_or((0, 0), |round| (round.asked.len(), round.gone))
     }
 
     /// Ends the eviction, whatever its outcome. The next attempt on the same gateway is made after a pause.
@@ -260,10 +287,9 @@
         let rank = |vm: &VmName| {
             stable_hash64(&[candidate.vm.as_str().as_bytes(), vm.as_str().as_bytes()])
         };
-        let is_first = view.evictors.iter().all(|vm| rank(vm) < rank(own));
-        candidate.unlinked >= EVICTION_SILENCE
+        let ahead = view.evictors.iter().filter(|vm| rank(vm) > rank(own)).count();
+        candidate.unlinked >= EVICTION_SILENCE + EVICTION_PAUSE * ahead as u32
             && is_known_long
-            && is_first
             && is_majority(view.heard, view.known)
     }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -47,8 +47,8 @@
         },
         jobs::{
             eviction::{
-                EvictionCandidate, EvictionOutcome, EvictionVerdict, FleetView, GatewayEviction,
-                OwnEntryGuard, PeerAbsence,
+                AbsenceVote, EvictionCandidate, EvictionOutcome, EvictionVerdict, FleetView,
+                GatewayEviction, OwnEntryGuard, PeerAbsence,
             },
             owned::{HeldProgress, ItemEnd, OwnedJob},
             ownership::OwnershipGeneration,
