Let the pause before repeated registrations grow

Cause: a gateway that reaches the store but not most of the others was evicted 8 s after each registration and registered again at once, for as long as that lasted; each turn invalidates the ownership of all jobs at all gateways. Change: it registers at once when its entry is first found gone, then after 8, 16, 32 and 60 s. A majority heard for 8 s without a break ends the pause and resets it; a pause of the process breaks that time. `own_entry_gone` logs the wait. `needs_registration` takes the time; the one existing test that calls it passes it and asserts the same as before.

--- a/crates/entry/src/peers/eviction.rs
+++ b/crates/entry/src/peers/eviction.rs
@@ -131,9 +131,9 @@
         self.state.guard().needs_read(self.clock.boot())
     }
 
-    /// Whether the own entry is to be written again.
+    /// Whether the own entry is to be written again now.
     pub fn needs_registration(&self) -> bool {
-        self.state.guard().needs_registration()
+        self.state.guard().needs_registration(self.clock.boot())
     }
 
     /// Records a report that the own entry is gone, which may be outdated.
@@ -184,7 +184,11 @@
             return Ok(OwnEntryCheck::Gone);
         }
         self.peers.suspect_unlinked(self.clock.mono());
-        self.log.warn("own_entry_gone", &[("cause", &cause), ("registration", &registration)]);
+        let wait_ms = self.state.guard().registration_wait(self.clock.boot()).as_millis();
+        self.log.warn(
+            "own_entry_gone",
+            &[("cause", &cause), ("registration", &registration), ("wait_ms", &wait_ms)],
+        );
         self.metrics.count(Counter::Event("own_entries_gone"));
         Ok(OwnEntryCheck::Lost)
     }
--- a/crates/relay/src/jobs.rs
+++ b/crates/relay/src/jobs.rs
@@ -3,6 +3,7 @@
 pub mod eviction;
 pub mod owned;
 pub mod ownership;
+pub mod registration_pause;
 pub mod result;
 pub mod run_time;
 pub mod search;
--- a/crates/relay/src/jobs/eviction.rs
+++ b/crates/relay/src/jobs/eviction.rs
@@ -9,6 +9,8 @@
 
 use notch_types::prelude::*;
 
+use crate::jobs::registration_pause::RegistrationPause;
+
 /// How long there must have been no link to a gateway before it is evicted. Longer than [`MAJORITY_SILENCE`] by the
 /// time that a link takes to be recognized as lost, so that a gateway doubts its own entry before the entry is deleted.
 pub const EVICTION_SILENCE: Duration = Duration::from_secs(8);
@@ -328,6 +330,8 @@
     confirmed_at: Option<MonoTime>,
     /// Whether the other gateways' entries were outdated and ownership was not invalidated since.
     has_outdated_entries: bool,
+    /// When an entry that is gone is written again.
+    registration_pause: RegistrationPause,
 }
 
 impl OwnEntryGuard {
@@ -341,6 +345,8 @@
         }
         self.refresh(now);
         self.settle(now);
+        let heard_at = self.majority_at.filter(|_| !self.lacks_majority(now));
+        self.registration_pause.observe(heard_at);
     }
 
     /// Whether a new job may be accepted, and an owner may be certain that its list of results is complete.
@@ -388,9 +394,14 @@
         is_over || now.since(confirmed_at) >= OWN_ENTRY_INTERVAL
     }
 
-    /// Whether the own entry is to be written again.
-    pub fn needs_registration(&self) -> bool {
-        self.standing == EntryStanding::Gone
+    /// Whether the own entry is to be written again now.
+    pub fn needs_registration(&self, now: MonoTime) -> bool {
+        self.standing == EntryStanding::Gone && self.registration_wait(now).is_zero()
+    }
+
+    /// How long an entry that is gone is not written again yet.
+    pub fn registration_wait(&self, now: MonoTime) -> Duration {
+        self.registration_pause.left(now)
     }
 
     /// Records the answer to a read of the own entry that began at `asked`. Returns whether the entry was found gone
@@ -401,6 +412,9 @@
             let was_gone = self.standing == EntryStanding::Gone;
             self.standing = EntryStanding::Gone;
             self.confirmed_at = None;
+            if !was_gone {
+                self.registration_pause.begin(now);
+            }
             return !was_gone;
         }
         if asked >= self.required_from {
@@ -439,6 +453,7 @@
                 self.doubt(now);
             }
             self.paused_at = Some(now);
+            self.registration_pause.observe(None);
             // Jobs may have been taken over meanwhile, although the links look as before.
             self.has_outdated_entries = true;
         } else if self.lacks_majority(now) {
--- a/crates/relay/tests/eviction.rs
+++ b/crates/relay/tests/eviction.rs
@@ -342,7 +342,7 @@
     assert!(!guard.may_act(at(1_000)) && guard.needs_read(at(1_000)));
     assert!(guard.note_read(at(1_001), false, at(1_010)), "found gone for the first time");
     assert!(!guard.note_read(at(1_002), false, at(1_020)), "known to be gone");
-    assert!(guard.needs_registration() && !guard.may_take_over(at(1_020)));
+    assert!(guard.needs_registration(at(1_020)) && !guard.may_take_over(at(1_020)));
     guard.note_registered(at(8_000));
     observe_silence(&mut guard, 1_000, 1_250, 1_500);
     for millis in (1_750..8_000).step_by(250) {
@@ -354,6 +354,74 @@
     assert!(guard.may_take_over(at(8_000)) && guard.may_act(at(8_000)));
 }
 
+/// The pauses before the registrations of a gateway that is evicted again and again, 8 s after it registered, while it
+/// hears a majority in the last `heard` before each eviction.
+fn registration_pauses(guard: &mut OwnEntryGuard, mut now: MonoTime, heard: Duration) -> Vec<u64> {
+    let mut pauses = Vec::new();
+    for _ in 0..6 {
+        assert!(guard.note_read(now, false, now), "found gone for the first time");
+        let gone_at = now;
+        while !guard.needs_registration(now) {
+            now = now + TICK;
+            guard.observe(None, now);
+        }
+        pauses.push(now.since(gone_at).as_secs());
+        guard.note_registered(now);
+        let evicted_at = now + EVICTION_SILENCE * 2;
+        while now < evicted_at {
+            now = now + TICK;
+            let is_heard = evicted_at.since(now) <= heard;
+            guard.observe(is_heard.then_some(Duration::ZERO), now);
+        }
+    }
+    pauses
+}
+
+/// Guards against a gateway that only the store reaches and that is evicted and registers again in turns for ever, each
+/// time with a read of all jobs by all owners.
+#[rstest]
+#[case::never(Duration::ZERO)]
+#[case::shortly(EVICTION_SILENCE - TICK * 2)]
+fn the_pause_between_registrations_grows_without_a_majority(#[case] heard: Duration) {
+    let mut guard = guard_with_majority(1_000);
+    observe_silence(&mut guard, 1_000, 1_250, 60_000);
+    assert_eq!(registration_pauses(&mut guard, at(60_000), heard), [0, 8, 16, 32, 60, 60]);
+}
+
+/// Guards against a gateway that stays out for longer after evictions that lie far apart.
+#[test]
+fn a_majority_that_was_heard_for_a_while_resets_the_pause() {
+    let mut guard = guard_with_majority(1_000);
+    observe_silence(&mut guard, 1_000, 1_250, 60_000);
+    let heard = EVICTION_SILENCE + TICK;
+    assert_eq!(registration_pauses(&mut guard, at(60_000), heard), [0; 6]);
+}
+
+/// Guards against a gateway that stays out although its links are back, and against a pause of the process that counts
+/// as time in which a majority was heard.
+#[test]
+fn a_majority_that_was_heard_for_a_while_ends_the_pause() {
+    let mut guard = guard_with_majority(1_000);
+    observe_silence(&mut guard, 1_000, 1_250, 20_000);
+    guard.note_read(at(20_000), false, at(20_000));
+    guard.note_registered(at(20_000));
+    observe_silence(&mut guard, 1_000, 20_250, 30_000);
+    guard.note_read(at(30_000), false, at(30_000));
+    guard.note_registered(at(30_000));
+    observe_silence(&mut guard, 1_000, 30_250, 50_000);
+    guard.note_read(at(50_000), false, at(50_000));
+    assert_eq!(guard.registration_wait(at(50_000)), EVICTION_SILENCE * 2);
+    for millis in (50_250..52_000).step_by(250) {
+        guard.observe(Some(Duration::ZERO), at(millis));
+    }
+    for millis in (56_000..64_000).step_by(250) {
+        guard.observe(Some(Duration::ZERO), at(millis));
+        assert!(!guard.needs_registration(at(millis)), "at {millis}");
+    }
+    guard.observe(Some(Duration::ZERO), at(64_000));
+    assert!(guard.needs_registration(at(64_000)));
+}
+
 /// Guards against certainty from a confirmation that is older than a registration, a takeover and an eviction of another
 /// gateway, all of which fell into a time without fresh entries.
 #[test]
