Test that the least number of offers waits for 200 ms

Cause: the test that replaced `items_that_wait_for_long_are_offered_a_slot` looked at 0 ms and 200 ms only, and at one report after the first. Change: it looks at 0, 100 and 199 ms as well, with a report every 100 ms.

--- a/crates/relay/tests/item_slots.rs
+++ b/crates/relay/tests/item_slots.rs
@@ -328,8 +328,10 @@
     let offers = |number: u32| {
         let mut table = ItemSlotTable::default();
         let draw = (f64::from(number) + 0.5) / f64::from(draws);
-        table.take_report(&vm("owner"), waiting(1, 4_000), draw, at(0));
-        table.take_report(&vm("owner"), waiting(1, 3_800), draw, at(millis));
+        for reported in (0..millis).step_by(100).chain([millis]) {
+            let slack_ms = 4_000 - reported as i64;
+            table.take_report(&vm("owner"), waiting(1, slack_ms), draw, at(reported));
+        }
         let slots = FreeSlots { here: 10, all: 10 * homes };
         let offered = divide(&mut table, slots, at(millis));
         if !offered.is_empty() {
@@ -340,15 +342,17 @@
     f64::from((0..draws).filter(|number| offers(*number)).count() as u32) / f64::from(draws)
 }
 
-/// Guards against an item that is passed over by rounding at every home, and against hundreds of offers for one item
-/// in a large fleet.
+/// Guards against an item that is passed over by rounding at every home, against hundreds of offers for one item in a
+/// large fleet, and against more offers than items before an item has waited for 200 ms.
 #[rstest]
 #[case::small(3)]
 #[case::usual(20)]
 #[case::large(300)]
 fn an_item_that_waits_for_long_is_offered_a_few_slots(#[case] homes: u32) {
-    let first = offer_chance(homes, 0) * f64::from(homes);
-    assert!((0.9..=1.1).contains(&first), "{first} offers at first");
+    for millis in [0, 100, 199] {
+        let first = offer_chance(homes, millis) * f64::from(homes);
+        assert!((0.9..=1.1).contains(&first), "{first} offers after {millis} ms");
+    }
     let chance = offer_chance(homes, 200);
     let none = (1.0 - chance).powi(homes as i32);
     assert!(none < 0.06, "passed over with a chance of {none}");
