Pause longer between evictions that are further down in rank

Cause: since each further gateway by rank begins 5 s later, all of them make attempts every 5 s on a gateway to which one of them still has a link. Each attempt asks all others, and each answer is logged. Change: the pause between attempts grows by 5 s with each gateway that is ahead in rank.

--- a/crates/messages/src/peer.rs
+++ b/crates/messages/src/peer.rs
@@ -426,7 +426,8 @@
         call: u64,
         /// Whether the sender has had no link to it for long either.
         is_gone: bool,
-        /// Whether the sender has had no link to it since its own start, which is not that long ago.
+        /// Whether the sender has had no link to it since its own start or since it lost its own entry, and has not known
+        /// it for long. It neither agrees nor objects.
         #[serde(default)]
         is_new: bool,
     },
--- a/crates/relay/src/jobs/eviction.rs
+++ b/crates/relay/src/jobs/eviction.rs
@@ -17,7 +17,8 @@
 /// Timeout of the other gateways' answers before an eviction; one takes a few milliseconds.
 pub const EVICTION_ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
 /// Pause before the next attempt to evict a gateway. Each further gateway by rank waits for as much longer, so that one
-/// whose attempts fail does not keep the others from it.
+/// whose attempts fail does not keep the others from it, and pauses for as much longer between its attempts: with equal
+/// pauses, hundreds of gateways would ask all others every five seconds about one that a few still have a link to.
 pub const EVICTION_PAUSE: Duration = Duration::from_secs(5);
 /// A gateway that has not heard from a majority for this long may have been evicted.
 pub const MAJORITY_SILENCE: Duration = Duration::from_secs(4);
@@ -73,7 +74,7 @@
     pub owner: Option<String>,
     /// How long there has been no link to it; `None` while there is one.
     pub unlinked: Option<Duration>,
-    /// Whether there was a link to it since this process started.
+    /// Whether there was a link to it since this process started or last lost its own entry.
     pub was_linked: bool,
 }
 
@@ -82,7 +83,8 @@
 pub enum AbsenceVote {
     /// There has been no link to it for [`EVICTION_SILENCE`].
     Gone,
-    /// There has been no link to it since this process started, which is not that long ago.
+    /// There has been no link to it since this process started or lost its own entry, and it has been known here for
+    /// less than [`EVICTION_SILENCE`]. Counts neither for nor against the eviction.
     NeverLinked,
     /// There is or was a link to it, or it has started anew.
     Objection,
@@ -105,7 +107,7 @@
 pub enum EvictionVerdict {
     /// Answers are missing, and there is time left.
     Pending,
-    /// All agreed: the entry is to be deleted.
+    /// A majority has had no link to it for long and nobody objected: the entry is to be deleted.
     Agreed,
     /// It must not be deleted now.
     Postponed(EvictionOutcome),
@@ -157,6 +159,8 @@
 struct EvictionRound {
     candidate: EvictionCandidate,
     asked_at: MonoTime,
+    /// Pause after this attempt.
+    pause: Duration,
     /// The gateways that were asked.
     asked: FastSet<VmName>,
     /// Those of `asked` that have not answered so far.
@@ -171,7 +175,8 @@
 /// Decides which gateway this one evicts, and when. One at a time.
 ///
 /// Designed for VMs that are replaced one by one while a few others fail and new ones start: at most one attempt per
-/// five seconds and gateway, first by the one that is ranked first among those that hear each other.
+/// five seconds and gateway, first by the one that is ranked first among those that hear each other, and fewer by each
+/// further one.
 #[derive(Debug, Default)]
 pub struct GatewayEviction {
     round: Option<EvictionRound>,
@@ -200,6 +205,7 @@
         let candidate = due.max_by_key(|candidate| candidate.unlinked)?.clone();
         let asked: FastSet<VmName> = view.linked.iter().cloned().collect();
         self.round = Some(EvictionRound {
+            pause: EVICTION_PAUSE * (1 + evictors_ahead(own, &candidate, view)),
             candidate: candidate.clone(),
             asked_at: now,
             awaited: asked.clone(),
@@ -262,7 +268,7 @@
     /// Ends the eviction, whatever its outcome. The next attempt on the same gateway is made after a pause.
     pub fn end(&mut self, now: MonoTime) {
         if let Some(round) = self.round.take() {
-            self.postponed.insert(round.candidate.vm, now + EVICTION_PAUSE);
+            self.postponed.insert(round.candidate.vm, now + round.pause);
         }
     }
 
@@ -286,16 +292,21 @@
         let is_known_long = self.revisions.get(&candidate.vm).is_some_and(|known| {
             known.revision == candidate.revision && now.since(known.since) >= EVICTION_SILENCE
         });
-        let rank = |vm: &VmName| {
-            stable_hash64(&[candidate.vm.as_str().as_bytes(), vm.as_str().as_bytes()])
-        };
-        let ahead = view.evictors.iter().filter(|vm| rank(vm) > rank(own)).count();
-        candidate.unlinked >= EVICTION_SILENCE + EVICTION_PAUSE * ahead as u32
+        let ahead = evictors_ahead(own, candidate, view);
+        candidate.unlinked >= EVICTION_SILENCE + EVICTION_PAUSE * ahead
             && is_known_long
             && is_majority(view.heard, view.known)
     }
 }
 
+/// Number of gateways that are to evict the candidate before `own`, by rendezvous hash.
+fn evictors_ahead(own: &VmName, candidate: &EvictionCandidate, view: &FleetView) -> u32 {
+    let rank =
+        |vm: &VmName| stable_hash64(&[candidate.vm.as_str().as_bytes(), vm.as_str().as_bytes()]);
+    let own = rank(own);
+    view.evictors.iter().filter(|vm| rank(vm) > own).count() as u32
+}
+
 /// Whether the own entry is in the store, as far as this gateway knows.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 enum EntryStanding {
--- a/crates/relay/tests/eviction.rs
+++ b/crates/relay/tests/eviction.rs
@@ -225,6 +225,36 @@
     }
 }
 
+/// Guards against attempts by all gateways every five seconds on one to which a few still have a link: each attempt asks
+/// all linked gateways, and every gateway in a fleet of 100 would make one once it had been gone for 8 minutes.
+#[test]
+fn attempts_that_fail_do_not_grow_with_the_fleet() {
+    let names: Vec<VmName> = (0..100).map(|number| vm(&format!("g{number}"))).collect();
+    let mut attempts = 0;
+    for own in &names {
+        let linked: Vec<VmName> = names.iter().filter(|other| *other != own).cloned().collect();
+        let mut view = FleetView {
+            evictors: linked.clone(),
+            heard: linked.len(),
+            known: linked.len() + 1,
+            candidates: vec![candidate(7, Duration::ZERO)],
+            linked,
+        };
+        let mut eviction = GatewayEviction::default();
+        for second in 0..=900 {
+            let now = at(second * 1_000);
+            view.candidates[0].unlinked = Duration::from_secs(second);
+            if eviction.begin(own, &view, now).is_some() {
+                eviction.note_answer(&view.linked[0], AbsenceVote::Objection);
+                eviction.end(now);
+                attempts += u32::from(second > 600);
+            }
+        }
+    }
+    let by_the_first = 300 / EVICTION_PAUSE.as_secs() as u32;
+    assert!((by_the_first..by_the_first * 6).contains(&attempts), "{attempts} in five minutes");
+}
+
 #[test]
 fn needed_gateways_make_up_a_majority() {
     for known in 0..50 {
