Test which answers count towards an eviction

Cause: no test failed if an answer counted twice, or if it counted although its sender leaves. Change: a test sends one agreement twice, one from a gateway that leaves and one from a gateway that was not asked.

--- a/crates/relay/tests/eviction.rs
+++ b/crates/relay/tests/eviction.rs
@@ -255,6 +255,24 @@
     assert!((by_the_first..by_the_first * 6).contains(&attempts), "{attempts} in five minutes");
 }
 
+/// Guards against an answer that counts twice, or that counts although its sender was not asked or does not count
+/// towards a majority, as it leaves: two of five agree, this one included.
+#[test]
+fn only_asked_gateways_that_count_agree_and_only_once() {
+    let mut view = fleet(first_evictor(), candidate(7, EVICTION_SILENCE));
+    let (leaving, new) = (view.linked[1].clone(), view.linked[2].clone());
+    view.evictors.truncate(1);
+    let (mut eviction, own, now) = ready(&view);
+    assert!(eviction.begin(&own, &view, now).is_some());
+    for from in [&view.linked[0], &view.linked[0], &leaving, &vm("stranger")] {
+        eviction.note_answer(from, AbsenceVote::Gone);
+    }
+    eviction.note_answer(&new, AbsenceVote::NeverLinked);
+    assert_eq!(eviction.answers(), (3, 1));
+    let refused = EvictionVerdict::Postponed(EvictionOutcome::Refused);
+    assert_eq!(eviction.verdict(&own, &view, now), refused);
+}
+
 #[test]
 fn needed_gateways_make_up_a_majority() {
     for known in 0..50 {
