Check the own entry and the others' again before an eviction

Cause: after the answers, the evictor checked neither whether it may act itself nor whether the entries it knows are fresh, although the design says that all conditions are checked once more. The monotonic clock stands still while a VM is suspended, so one that was suspended between the answers and the deletion took old answers for new ones, and could delete the entry of a gateway that had come back, read its entry and hears a majority. Change: `FleetView::is_unsure` says so at both checks; the guard counts on the boot clock. The edge has no test of its own, as a test can't suspend a VM.

--- a/crates/entry/src/peers/eviction.rs
+++ b/crates/entry/src/peers/eviction.rs
@@ -246,6 +246,8 @@
         let entries = self.peers.roster().entries();
         let mut view = self.peers.fleet_view(&entries, now);
         view.candidates.retain(|candidate| candidate.vm != *self.vm);
+        // By the boot clock: the answers may be older than they seem if the VM was suspended since.
+        view.is_unsure |= !self.may_accept();
         view
     }
 
--- a/crates/entry/src/peers/table/absence.rs
+++ b/crates/entry/src/peers/table/absence.rs
@@ -64,6 +64,7 @@
             known: peers.values().filter(|record| counts(record)).count(),
             heard: peers.values().filter(|record| is_heard(record)).count(),
             candidates: candidates.collect(),
+            is_unsure: !self.has_fresh_entries(now),
         }
     }
 
--- a/crates/relay/src/jobs/eviction.rs
+++ b/crates/relay/src/jobs/eviction.rs
@@ -65,6 +65,8 @@
     pub heard: usize,
     /// Gateways without a link.
     pub candidates: Vec<EvictionCandidate>,
+    /// Whether this gateway may have been evicted itself or the entries known here are outdated. It evicts none then.
+    pub is_unsure: bool,
 }
 
 /// What a gateway knows of one that another gateway wants to evict.
@@ -295,6 +297,7 @@
         let ahead = evictors_ahead(own, candidate, view);
         candidate.unlinked >= EVICTION_SILENCE + EVICTION_PAUSE * ahead
             && is_known_long
+            && !view.is_unsure
             && is_majority(view.heard, view.known)
     }
 }
--- a/crates/relay/tests/eviction.rs
+++ b/crates/relay/tests/eviction.rs
@@ -39,6 +39,7 @@
         known: linked.len() + 1,
         candidates: vec![candidate],
         linked,
+        is_unsure: false,
     }
 }
 
@@ -136,6 +137,7 @@
 #[case::registered_again(|view: &mut FleetView| view.candidates[0].revision += 1)]
 #[case::a_new_link_to_one_not_asked(|view: &mut FleetView| view.linked.push(vm("e")))]
 #[case::majority_lost(|view: &mut FleetView| view.heard = 1)]
+#[case::paused_or_entries_outdated(|view: &mut FleetView| view.is_unsure = true)]
 fn a_change_meanwhile_postpones(#[case] change: fn(&mut FleetView)) {
     let mut view = fleet(first_evictor(), candidate(7, EVICTION_SILENCE));
     let (mut eviction, own, now) = ready(&view);
@@ -239,6 +241,7 @@
             known: linked.len() + 1,
             candidates: vec![candidate(7, Duration::ZERO)],
             linked,
+            is_unsure: false,
         };
         let mut eviction = GatewayEviction::default();
         for second in 0..=900 {
