Let a gateway that does not know another one abstain from its eviction

Cause: a gateway without a record of the other agreed to its eviction once it had been up for 8 s. The record is dropped when an eviction becomes known and the last link ends, so the gateway may have had a link a moment ago and not know yet that the other has registered again. Its agreement counted towards the majority that the other is not to have heard. Change: it neither agrees nor objects.

--- a/crates/entry/src/peers/table/absence.rs
+++ b/crates/entry/src/peers/table/absence.rs
@@ -68,13 +68,12 @@
         }
     }
 
-    /// What is known here of a gateway that another one wants to evict. One of which nothing is known had no link since
-    /// this process started.
+    /// What is known here of a gateway that another one wants to evict. One of which nothing is known may have had a link
+    /// a moment ago: its record is dropped when an eviction becomes known, although it may have registered again since.
     pub fn absence(&self, vm: &VmName, now: MonoTime) -> PeerAbsence {
         let peers = self.peers();
         let Some(record) = peers.get(vm) else {
-            let unlinked = Some(now.since(MonoTime::default()));
-            return PeerAbsence { owner: None, unlinked, was_linked: false };
+            return PeerAbsence { owner: None, unlinked: Some(Duration::ZERO), was_linked: false };
         };
         let owner = record.entry.as_ref().map(|entry| entry.owner.clone());
         let unlinked = record.link.is_none().then(|| now.since(record.down_since));
