--- a/crates/relay/src/item_slots.rs
+++ b/crates/relay/src/item_slots.rs
@@ -20,12 +20,12 @@
 
 /// How long a report of waiting items is valid; it is sent again at least twice in this time.
 const REPORT_LIFETIME: Duration = Duration::from_millis(2_500);
-/// Waiting time after which all homes together offer a gateway at least [`MIN_OFFERS`] slots:
-/// rounding at random may pass it over for several reports in a row.
+/// Waiting time after which all homes together offer a gateway up to [`MIN_OFFERS`] slots on
+/// average, even for fewer items: rounding at random may pass it over for several reports in a row.
 const MIN_SHARE_AFTER: Duration = Duration::from_millis(200);
-/// Number of slots for which one of twenty gateways is passed over by all homes. One slot from
-/// each home would be hundreds of offers for one item in a large fleet, each of which takes a slot
-/// until it is declined.
+/// Average number of slots with which all homes pass a report over with a chance of at most one in
+/// twenty (e^-3). One slot from each home would be hundreds of offers for one item in a large fleet,
+/// each of which takes a slot until it is declined.
 const MIN_OFFERS: u32 = 3;
 /// Time after which the share of a gateway is computed anew without a new report. Reports of
 /// changes are this far apart.
