--- a/crates/relay/src/jobs/eviction.rs
+++ b/crates/relay/src/jobs/eviction.rs
@@ -9,13 +9,16 @@
 
 use notch_types::prelude::*;
 
+use crate::jobs::registration_pause::RegistrationPause;
+
 /// How long there must have been no link to a gateway before it is evicted. Longer than [`MAJORITY_SILENCE`] by the
 /// time that a link takes to be recognized as lost, so that a gateway doubts its own entry before the entry is deleted.
 pub const EVICTION_SILENCE: Duration = Duration::from_secs(8);
 /// Timeout of the other gateways' answers before an eviction; one takes a few milliseconds.
 pub const EVICTION_ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
 /// Pause before the next attempt to evict a gateway. Each further gateway by rank waits for as much longer, so that one
-/// whose attempts fail does not keep the others from it.
+/// whose attempts fail does not keep the others from it, and pauses for as much longer between its attempts: with equal
+/// pauses, hundreds of gateways would ask all others every five seconds about one that a few still have a link to.
 pub const EVICTION_PAUSE: Duration = Duration::from_secs(5);
 /// A gateway that has not heard from a majority for this long may have been evicted.
 pub const MAJORITY_SILENCE: Duration = Duration::from_secs(4);
@@ -62,6 +65,8 @@
     pub heard: usize,
     /// Gateways without a link.
     pub candidates: Vec<EvictionCandidate>,
+    /// Whether this gateway may have been evicted itself or the entries known here are outdated. It evicts none then.
+    pub is_unsure: bool,
 }
 
 /// What a gateway knows of one that another gateway wants to evict.
@@ -71,7 +76,7 @@
     pub owner: Option<String>,
     /// How long there has been no link to it; `None` while there is one.
     pub unlinked: Option<Duration>,
-    /// Whether there was a link to it since this process started.
+    /// Whether there was a link to it since this process started or last lost its own entry.
     pub was_linked: bool,
 }
 
@@ -80,7 +85,8 @@
 pub enum AbsenceVote {
     /// There has been no link to it for [`EVICTION_SILENCE`].
     Gone,
-    /// There has been no link to it since this process started, which is not that long ago.
+    /// There has been no link to it since this process started or lost its own entry, and it has been known here for
+    /// less than [`EVICTION_SILENCE`]. Counts neither for nor against the eviction.
     NeverLinked,
     /// There is or was a link to it, or it has started anew.
     Objection,
@@ -103,7 +109,7 @@
 pub enum EvictionVerdict {
     /// Answers are missing, and there is time left.
     Pending,
-    /// All agreed: the entry is to be deleted.
+    /// A majority has had no link to it for long and nobody objected: the entry is to be deleted.
     Agreed,
     /// It must not be deleted now.
     Postponed(EvictionOutcome),
@@ -155,6 +161,8 @@
 struct EvictionRound {
     candidate: EvictionCandidate,
     asked_at: MonoTime,
+    /// Pause after this attempt.
+    pause: Duration,
     /// The gateways that were asked.
     asked: FastSet<VmName>,
     /// Those of `asked` that have not answered so far.
@@ -169,7 +177,8 @@
 /// Decides which gateway this one evicts, and when. One at a time.
 ///
 /// Designed for VMs that are replaced one by one while a few others fail and new ones start: at most one attempt per
-/// five seconds and gateway, first by the one that is ranked first among those that hear each other.
+/// five seconds and gateway, first by the one that is ranked first among those that hear each other, and fewer by each
+/// further one.
 #[derive(Debug, Default)]
 pub struct GatewayEviction {
     round: Option<EvictionRound>,
@@ -198,6 +207,7 @@
         let candidate = due.max_by_key(|candidate| candidate.unlinked)?.clone();
         let asked: FastSet<VmName> = view.linked.iter().cloned().collect();
         self.round = Some(EvictionRound {
+            pause: EVICTION_PAUSE * (1 + evictors_ahead(own, &candidate, view)),
             candidate: candidate.clone(),
             asked_at: now,
             awaited: asked.clone(),
@@ -260,7 +270,7 @@
     /// Ends the eviction, whatever its outcome. The next attempt on the same gateway is made after a pause.
     pub fn end(&mut self, now: MonoTime) {
         if let Some(round) = self.round.take() {
-            self.postponed.insert(round.candidate.vm, now + EVICTION_PAUSE);
+            self.postponed.insert(round.candidate.vm, now + round.pause);
         }
     }
 
@@ -284,16 +294,22 @@
         let is_known_long = self.revisions.get(&candidate.vm).is_some_and(|known| {
             known.revision == candidate.revision && now.since(known.since) >= EVICTION_SILENCE
         });
-        let rank = |vm: &VmName| {
-            stable_hash64(&[candidate.vm.as_str().as_bytes(), vm.as_str().as_bytes()])
-        };
-        let ahead = view.evictors.iter().filter(|vm| rank(vm) > rank(own)).count();
-        candidate.unlinked >= EVICTION_SILENCE + EVICTION_PAUSE * ahead as u32
+        let ahead = evictors_ahead(own, candidate, view);
+        candidate.unlinked >= EVICTION_SILENCE + EVICTION_PAUSE * ahead
             && is_known_long
+            && !view.is_unsure
             && is_majority(view.heard, view.known)
     }
 }
 
+/// Number of gateways that are to evict the candidate before `own`, by rendezvous hash.
+fn evictors_ahead(own: &VmName, candidate: &EvictionCandidate, view: &FleetView) -> u32 {
+    let rank =
+        |vm: &VmName| stable_hash64(&[candidate.vm.as_str().as_bytes(), vm.as_str().as_bytes()]);
+    let own = rank(own);
+    view.evictors.iter().filter(|vm| rank(vm) > own).count() as u32
+}
+
 /// Whether the own entry is in the store, as far as this gateway knows.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 enum EntryStanding {
@@ -328,6 +344,8 @@
     confirmed_at: Option<MonoTime>,
     /// Whether the other gateways' entries were outdated and ownership was not invalidated since.
     has_outdated_entries: bool,
+    /// When an entry that is gone is written again.
+    registration_pause: RegistrationPause,
 }
 
 impl OwnEntryGuard {
@@ -341,6 +359,8 @@
         }
         self.refresh(now);
         self.settle(now);
+        let heard_at = self.majority_at.filter(|_| !self.lacks_majority(now));
+        self.registration_pause.observe(heard_at);
     }
 
     /// Whether a new job may be accepted, and an owner may be certain that its list of results is complete.
@@ -388,9 +408,14 @@
         is_over || now.since(confirmed_at) >= OWN_ENTRY_INTERVAL
     }
 
-    /// Whether the own entry is to be written again.
-    pub fn needs_registration(&self) -> bool {
-        self.standing == EntryStanding::Gone
+    /// Whether the own entry is to be written again now.
+    pub fn needs_registration(&self, now: MonoTime) -> bool {
+        self.standing == EntryStanding::Gone && self.registration_wait(now).is_zero()
+    }
+
+    /// How long an entry that is gone is not written again yet.
+    pub fn registration_wait(&self, now: MonoTime) -> Duration {
+        self.registration_pause.left(now)
     }
 
     /// Records the answer to a read of the own entry that began at `asked`. Returns whether the entry was found gone
@@ -401,6 +426,9 @@
             let was_gone = self.standing == EntryStanding::Gone;
             self.standing = EntryStanding::Gone;
             self.confirmed_at = None;
+            if !was_gone {
+                self.registration_pause.begin(now);
+            }
             return !was_gone;
         }
         if asked >= self.required_from {
@@ -439,6 +467,7 @@
                 self.doubt(now);
             }
             self.paused_at = Some(now);
+            self.registration_pause.observe(None);
             // Jobs may have been taken over meanwhile, although the links look as before.
             self.has_outdated_entries = true;
         } else if self.lacks_majority(now) {
--- a/crates/relay/tests/eviction.rs
+++ b/crates/relay/tests/eviction.rs
@@ -39,6 +39,7 @@
         known: linked.len() + 1,
         candidates: vec![candidate],
         linked,
+        is_unsure: false,
     }
 }
 
@@ -136,6 +137,7 @@
 #[case::registered_again(|view: &mut FleetView| view.candidates[0].revision += 1)]
 #[case::a_new_link_to_one_not_asked(|view: &mut FleetView| view.linked.push(vm("e")))]
 #[case::majority_lost(|view: &mut FleetView| view.heard = 1)]
+#[case::paused_or_entries_outdated(|view: &mut FleetView| view.is_unsure = true)]
 fn a_change_meanwhile_postpones(#[case] change: fn(&mut FleetView)) {
     let mut view = fleet(first_evictor(), candidate(7, EVICTION_SILENCE));
     let (mut eviction, own, now) = ready(&view);
@@ -225,6 +227,55 @@
     }
 }
 
+/// Guards against attempts by all gateways every five seconds on one to which a few still have a link: each attempt asks
+/// all linked gateways, and every gateway in a fleet of 100 would make one once it had been gone for 8 minutes.
+#[test]
+fn attempts_that_fail_do_not_grow_with_the_fleet() {
+    let names: Vec<VmName> = (0..100).map(|number| vm(&format!("g{number}"))).collect();
+    let mut attempts = 0;
+    for own in &names {
+        let linked: Vec<VmName> = names.iter().filter(|other| *other != own).cloned().collect();
+        let mut view = FleetView {
+            evictors: linked.clone(),
+            heard: linked.len(),
+            known: linked.len() + 1,
+            candidates: vec![candidate(7, Duration::ZERO)],
+            linked,
+            is_unsure: false,
+        };
+        let mut eviction = GatewayEviction::default();
+        for second in 0..=900 {
+            let now = at(second * 1_000);
+            view.candidates[0].unlinked = Duration::from_secs(second);
+            if eviction.begin(own, &view, now).is_some() {
+                eviction.note_answer(&view.linked[0], AbsenceVote::Objection);
+                eviction.end(now);
+                attempts += u32::from(second > 600);
+            }
+        }
+    }
+    let by_the_first = 300 / EVICTION_PAUSE.as_secs() as u32;
+    assert!((by_the_first..by_the_first * 6).contains(&attempts), "{attempts} in five minutes");
+}
+
+/// Guards against an answer that counts twice, or that counts although its sender was not asked or does not count
+/// towards a majority, as it leaves: two of five agree, this one included.
+#[test]
+fn only_asked_gateways_that_count_agree_and_only_once() {
+    let mut view = fleet(first_evictor(), candidate(7, EVICTION_SILENCE));
+    let (leaving, new) = (view.linked[1].clone(), view.linked[2].clone());
+    view.evictors.truncate(1);
+    let (mut eviction, own, now) = ready(&view);
+    assert!(eviction.begin(&own, &view, now).is_some());
+    for from in [&view.linked[0], &view.linked[0], &leaving, &vm("stranger")] {
+        eviction.note_answer(from, AbsenceVote::Gone);
+    }
+    eviction.note_answer(&new, AbsenceVote::NeverLinked);
+    assert_eq!(eviction.answers(), (3, 1));
+    let refused = EvictionVerdict::Postponed(EvictionOutcome::Refused);
+    assert_eq!(eviction.verdict(&own, &view, now), refused);
+}
+
 #[test]
 fn needed_gateways_make_up_a_majority() {
     for known in 0..50 {
@@ -342,7 +393,7 @@
     assert!(!guard.may_act(at(1_000)) && guard.needs_read(at(1_000)));
     assert!(guard.note_read(at(1_001), false, at(1_010)), "found gone for the first time");
     assert!(!guard.note_read(at(1_002), false, at(1_020)), "known to be gone");
-    assert!(guard.needs_registration() && !guard.may_take_over(at(1_020)));
+    assert!(guard.needs_registration(at(1_020)) && !guard.may_take_over(at(1_020)));
     guard.note_registered(at(8_000));
     observe_silence(&mut guard, 1_000, 1_250, 1_500);
     for millis in (1_750..8_000).step_by(250) {
@@ -354,6 +405,74 @@
     assert!(guard.may_take_over(at(8_000)) && guard.may_act(at(8_000)));
 }
 
+/// The pauses before the registrations of a gateway that is evicted again and again, 8 s after it registered, while it
+/// hears a majority in the last `heard` before each eviction.
+fn registration_pauses(guard: &mut OwnEntryGuard, mut now: MonoTime, heard: Duration) -> Vec<u64> {
+    let mut pauses = Vec::new();
+    for _ in 0..6 {
+        assert!(guard.note_read(now, false, now), "found gone for the first time");
+        let gone_at = now;
+        while !guard.needs_registration(now) {
+            now = now + TICK;
+            guard.observe(None, now);
+        }
+        pauses.push(now.since(gone_at).as_secs());
+        guard.note_registered(now);
+        let evicted_at = now + EVICTION_SILENCE * 2;
+        while now < evicted_at {
+            now = now + TICK;
+            let is_heard = evicted_at.since(now) <= heard;
+            guard.observe(is_heard.then_some(Duration::ZERO), now);
+        }
+    }
+    pauses
+}
+
+/// Guards against a gateway that only the store reaches and that is evicted and registers again in turns for ever, each
+/// time with a read of all jobs by all owners.
+#[rstest]
+#[case::never(Duration::ZERO)]
+#[case::shortly(EVICTION_SILENCE - TICK * 2)]
+fn the_pause_between_registrations_grows_without_a_majority(#[case] heard: Duration) {
+    let mut guard = guard_with_majority(1_000);
+    observe_silence(&mut guard, 1_000, 1_250, 60_000);
+    assert_eq!(registration_pauses(&mut guard, at(60_000), heard), [0, 8, 16, 32, 60, 60]);
+}
+
+/// Guards against a gateway that stays out for longer after evictions that lie far apart.
+#[test]
+fn a_majority_that_was_heard_for_a_while_resets_the_pause() {
+    let mut guard = guard_with_majority(1_000);
+    observe_silence(&mut guard, 1_000, 1_250, 60_000);
+    let heard = EVICTION_SILENCE + TICK;
+    assert_eq!(registration_pauses(&mut guard, at(60_000), heard), [0; 6]);
+}
+
+/// Guards against a gateway that stays out although its links are back, and against a pause of the process that counts
+/// as time in which a majority was heard.
+#[test]
+fn a_majority_that_was_heard_for_a_while_ends_the_pause() {
+    let mut guard = guard_with_majority(1_000);
+    observe_silence(&mut guard, 1_000, 1_250, 20_000);
+    guard.note_read(at(20_000), false, at(20_000));
+    guard.note_registered(at(20_000));
+    observe_silence(&mut guard, 1_000, 20_250, 30_000);
+    guard.note_read(at(30_000), false, at(30_000));
+    guard.note_registered(at(30_000));
+    observe_silence(&mut guard, 1_000, 30_250, 50_000);
+    guard.note_read(at(50_000), false, at(50_000));
+    assert_eq!(guard.registration_wait(at(50_000)), EVICTION_SILENCE * 2);
+    for millis in (50_250..52_000).step_by(250) {
+        guard.observe(Some(Duration::ZERO), at(millis));
+    }
+    for millis in (56_000..64_000).step_by(250) {
+        guard.observe(Some(Duration::ZERO), at(millis));
+        assert!(!guard.needs_registration(at(millis)), "at {millis}");
+    }
+    guard.observe(Some(Duration::ZERO), at(64_000));
+    assert!(guard.needs_registration(at(64_000)));
+}
+
 /// Guards against certainty from a confirmation that is older than a registration, a takeover and an eviction of another
 /// gateway, all of which fell into a time without fresh entries.
 #[test]
