Don't count attempts that queued at a target as its failures

Cause: a gateway gives an attempt up if its first byte doesn't arrive in time. The attempt ended as unresponsive and counted as a failure of its target, also if the request had waited in the target's queue, so that two such attempts ejected a healthy target. Gateways choose by reports that are up to 0.1 s late, so under overload more requests reach a target than it has slots.

Change: TargetTable::attempt_stage tells whether the request had a slot: the target had a free one when it was chosen, and the reports that arrived until the end of the attempt don't show more requests than slots; or a part of the answer has come. TargetOutcome::of_attempt takes from a queued attempt only what the target sent: wrong bytes, a truncated answer, or a status other than 504. Silence, a closed connection or a failure to connect count nowhere. TargetHealth avoids the target as before. Items use the same rule.

The laboratory had no first-byte time-out. The time-out is now a function of the relay crate, used by the gateways and by the new pattern timed-peaks. The new policy shared-performance has both item offers and learned performance.

--- a/crates/entry/src/batch/item_run.rs
+++ b/crates/entry/src/batch/item_run.rs
@@ -17,7 +17,7 @@
 use crate::{
     constants::{ITEM_FIRST_BYTE, ITEM_STALL},
     node::EntryNode,
-    online::lease::TargetLease,
+    online::lease::{AttemptEvidence, TargetLease},
 };
 
 /// Time limit passed to the target, which stops work when it is over. A run of an item has no
@@ -58,7 +58,12 @@
         None => {}
     }
     let fingerprint = stable_hash64(&[start.job.as_bytes(), start.item.id.as_bytes()]);
-    lease.set_performance(fingerprint, outcome.and_then(target_outcome));
+    let result = outcome.map(|end| match end {
+        Ok(status) => AttemptResult::Status(status),
+        Err(failure) => AttemptResult::Broken(failure),
+    });
+    let has_begun = progress.events > 0;
+    lease.set_evidence(AttemptEvidence { fingerprint, result, has_begun });
     drop(lease);
     let end = item_end(outcome.as_ref());
     let reason = match &outcome {
@@ -101,14 +106,6 @@
     node.runner_wake.notify(usize::MAX);
 }
 
-/// What the end of a run tells of its target.
-fn target_outcome(end: Result<u16, AttemptFailure>) -> Option<TargetOutcome> {
-    match end {
-        Ok(status) => Some(TargetOutcome::of_status(status)),
-        Err(failure) => TargetOutcome::of_failure(failure),
-    }
-}
-
 fn item_end(outcome: Option<&Result<u16, AttemptFailure>>) -> ItemEnd {
     match outcome {
         None => ItemEnd::Preempted,
--- a/crates/entry/src/constants.rs
+++ b/crates/entry/src/constants.rs
@@ -6,13 +6,6 @@
 /// without power never answers, and a lost SYN is retransmitted only after a second, by which time the
 /// answer would be late anyway.
 pub const TARGET_CONNECT: Duration = Duration::from_millis(120);
-/// Time to the first byte of an answer, as a fraction of the route's objective, when the target had a
-/// free slot. An answer usually begins after a tenth of the objective; giving up at about half of it
-/// leaves time for another target to answer within the objective.
-pub const FIRST_BYTE_FREE_FACTOR: f64 = 0.55;
-/// Time to the first byte, in objectives of the route, when the request may wait for a slot: a typical
-/// stream lasts two objectives.
-pub const FIRST_BYTE_QUEUED_FACTOR: f64 = 5.0;
 /// Interval between checks for targets that are due for a liveness probe.
 pub const LIVENESS_TICK: Duration = Duration::from_millis(100);
 /// Interval at which ejections of targets are announced and expire. Gateways send a target of 145 requests per second
--- a/crates/entry/src/online/relay.rs
+++ b/crates/entry/src/online/relay.rs
@@ -19,14 +19,14 @@
 
 use crate::{
     constants::{
-        CLIENT_STALL, FIRST_BYTE_FREE_FACTOR, FIRST_BYTE_QUEUED_FACTOR, MAX_NOT_RUN_RETRIES,
-        MIN_RETRY_OBJECTIVES, NO_SLOT_RETRY_INTERVAL, NO_SLOT_TIMEOUT, RETRY_AFTER,
+        CLIENT_STALL, MAX_NOT_RUN_RETRIES, MIN_RETRY_OBJECTIVES, NO_SLOT_RETRY_INTERVAL,
+        NO_SLOT_TIMEOUT, RETRY_AFTER,
     },
     node::EntryNode,
     online::{
         answer::{PassFailure, TargetAnswer},
         crashes,
-        lease::TargetLease,
+        lease::{AttemptEvidence, TargetLease},
         request::OnlineRequest,
         slots,
     },
@@ -102,6 +102,9 @@
     avoid: Vec<String>,
     /// Status of a complete or refused answer of the current attempt that reports a failure.
     failure_status: Option<u16>,
+    /// Whether the target of the current attempt has sent a part of the answer after a response head that it may send
+    /// while the request is queued.
+    pub(crate) has_begun: bool,
     /// Failed attempts, for the log.
     failures: Vec<String>,
     /// How long it may wait for a slot.
@@ -135,6 +138,7 @@
             not_run: 0,
             avoid: Vec::new(),
             failure_status: None,
+            has_begun: false,
             failures: Vec::new(),
             queue: queue_limit(node, request),
             place_asks: 0,
@@ -237,6 +241,7 @@
         let held_before = self.last_event;
         let began = self.now();
         self.failure_status = None;
+        self.has_begun = false;
         let end = {
             let node = self.node;
             let attempting = self.attempt_at(choice);
@@ -247,7 +252,8 @@
                 Either::Right(_) => Err(AttemptFailure::TargetRestarted),
             }
         };
-        lease.set_performance(self.request.fingerprint, self.target_outcome(end));
+        let (fingerprint, result) = (self.request.fingerprint, self.attempt_result(end));
+        lease.set_evidence(AttemptEvidence { fingerprint, result, has_begun: self.has_begun });
         match end {
             Ok(AttemptEnd::Complete(_)) => {
                 lease.set_outcome(Ok(()));
@@ -265,13 +271,13 @@
         end
     }
 
-    /// What the end of an attempt tells of its target.
-    fn target_outcome(&self, end: Result<AttemptEnd, AttemptFailure>) -> Option<TargetOutcome> {
+    /// How an attempt ended at its target; `None` if the client ended it.
+    fn attempt_result(&self, end: Result<AttemptEnd, AttemptFailure>) -> Option<AttemptResult> {
         match (end, self.failure_status) {
-            (_, Some(status)) => Some(TargetOutcome::of_status(status)),
-            (Ok(AttemptEnd::Complete(status)), None) => Some(TargetOutcome::of_status(status)),
+            (_, Some(status)) => Some(AttemptResult::Status(status)),
+            (Ok(AttemptEnd::Complete(status)), None) => Some(AttemptResult::Status(status)),
             (Ok(AttemptEnd::ClientGone), None) => None,
-            (Err(failure), None) => TargetOutcome::of_failure(failure),
+            (Err(failure), None) => Some(AttemptResult::Broken(failure)),
         }
     }
 
@@ -310,9 +316,7 @@
         if !self.has_attempts() {
             return left;
         }
-        let share =
-            if choice.has_free_slot { FIRST_BYTE_FREE_FACTOR } else { FIRST_BYTE_QUEUED_FACTOR };
-        self.request.route.objective.mul_f64(share).min(left)
+        first_byte_timeout(self.request.route.objective, choice.has_free_slot).min(left)
     }
 
     async fn relay_buffered(
@@ -327,6 +331,8 @@
             return Err(AttemptFailure::TargetError);
         }
         let framing = head.framing().map_err(|_| AttemptFailure::SpoiledAnswer)?;
+        // The head of an answer that is no stream tells its status, so the request has run.
+        self.has_begun = true;
         let mut answer = TargetAnswer::new(framing, &self.node.memory);
         let left = self.request.left(self.now());
         let is_whole = match timeout(left, answer.read(&mut connection.reader)).await {
--- a/crates/entry/src/online/stream.rs
+++ b/crates/entry/src/online/stream.rs
@@ -67,6 +67,7 @@
                 Ok(Some(event)) => {
                     self.last_event = Some(event.id);
                     self.events = self.events.wrapping_add(1);
+                    self.has_begun = true;
                     write_chunk(&mut bytes, &event.bytes);
                 }
                 Ok(None) => break None,
--- a/crates/lab/src/pattern.rs
+++ b/crates/lab/src/pattern.rs
@@ -104,6 +104,8 @@
     pub fault: Option<TargetFault>,
     /// Share of the online requests that may run twice.
     pub repeatable_share: f64,
+    /// Whether gateways give up an attempt whose first byte is late and make another one.
+    pub has_first_byte_timeout: bool,
 }
 
 impl Default for LoadPattern {
@@ -132,6 +134,7 @@
             slow_spells: None,
             fault: None,
             repeatable_share: 1.0,
+            has_first_byte_timeout: false,
         }
     }
 }
@@ -171,6 +174,7 @@
                 items_per_second: 40.0,
                 ..base()
             },
+            Self::timed_peaks(),
             Self { name: "overload", steps: peaks(2.4, 6), ..base() },
             Self { name: "lost-targets", losses: vec![lost], ..base() },
             Self { name: "frozen-gateways", freezes: vec![freeze], ..base() },
@@ -180,6 +184,20 @@
         ]
     }
 
+    /// Peaks that need more slots than there are, on targets with speeds of 0.6, 1.0 and 1.6. Gateways give up attempts
+    /// whose first byte is late; one in five online requests may then run again.
+    fn timed_peaks() -> Self {
+        Self {
+            name: "timed-peaks",
+            online_per_second: 380.0,
+            items_per_second: 40.0,
+            slowdowns: vec![1.0 / 0.6, 1.0, 1.0 / 1.6],
+            repeatable_share: 0.2,
+            has_first_byte_timeout: true,
+            ..Self::default()
+        }
+    }
+
     /// Short replies on targets with eight slots: peaks of 2.4 s in each 6 s that need over half of the slots,
     /// alongside jobs.
     fn short_replies() -> Self {
--- a/crates/lab/src/policy.rs
+++ b/crates/lab/src/policy.rs
@@ -14,23 +14,42 @@
     SharedItems,
     /// As `HomeGateways`, and learns failures and pace of targets. This is the production behaviour where it is enabled.
     LearnedPerformance,
+    /// `SharedItems` and `LearnedPerformance` together.
+    SharedItemsLearned,
     /// Sees the current state of every target without delay: a baseline that no real gateway can reach.
     Oracle,
 }
 
 impl SelectionPolicy {
     /// Every policy with its command-line name.
-    pub const ALL: [(&'static str, Self); 5] = [
+    pub const ALL: [(&'static str, Self); 6] = [
         ("reports", Self::UsageReports),
         ("homes", Self::HomeGateways),
         ("shared-items", Self::SharedItems),
         ("performance", Self::LearnedPerformance),
+        ("shared-performance", Self::SharedItemsLearned),
         ("all-knowing", Self::Oracle),
     ];
 
     /// Whether online requests ask home gateways for slots.
     pub fn has_homes(self) -> bool {
-        matches!(self, Self::HomeGateways | Self::SharedItems | Self::LearnedPerformance)
+        match self {
+            Self::HomeGateways
+            | Self::SharedItems
+            | Self::LearnedPerformance
+            | Self::SharedItemsLearned => true,
+            Self::UsageReports | Self::Oracle => false,
+        }
+    }
+
+    /// Whether home gateways offer free slots for items.
+    pub fn offers_items(self) -> bool {
+        matches!(self, Self::SharedItems | Self::SharedItemsLearned)
+    }
+
+    /// Whether gateways learn failures and pace of targets.
+    pub fn learns_performance(self) -> bool {
+        matches!(self, Self::LearnedPerformance | Self::SharedItemsLearned)
     }
 }
 
--- a/crates/lab/src/simulation.rs
+++ b/crates/lab/src/simulation.rs
@@ -61,6 +61,8 @@
     has_first_event: bool,
     /// Preemption has been requested.
     is_preempted: bool,
+    /// Its target had a free slot when it was chosen, as far as its gateway knew.
+    had_free_slot: bool,
     /// It is a probe of an ejected target.
     is_probe: bool,
     /// Measures its pace from its first event on, with the time of its last event.
@@ -115,6 +117,9 @@
     AnswerEvent {
         run: RunNumber,
     },
+    FirstByteTimeout {
+        run: RunNumber,
+    },
     FailRun {
         run: RunNumber,
     },
@@ -249,13 +254,13 @@
             pattern: pattern.clone(),
         };
         for gateway in 0..simulation.gateways.len() {
-            let offers_items = policy == SelectionPolicy::SharedItems;
+            let offers_items = policy.offers_items();
             simulation.gateways[gateway].table.set_offers_items(offers_items);
             for target in 0..simulation.targets.len() {
                 let entry = simulation.entry(target, &domain(target));
                 simulation.gateways[gateway].table.put(entry, MonoTime::default());
             }
-            if policy == SelectionPolicy::LearnedPerformance {
+            if policy.learns_performance() {
                 simulation.gateways[gateway].table.learn_performance();
             }
         }
@@ -331,6 +336,7 @@
             SimEvent::SlotTimeout { request, number, home } => self.timeout(request, number, home),
             SimEvent::TargetReached { run } => self.admit_run(run),
             SimEvent::AnswerEvent { run } => self.handle_answer_event(run),
+            SimEvent::FirstByteTimeout { run } => self.time_out_run(run),
             SimEvent::Preempt { run } => self.handle_preempt(run),
             SimEvent::RunEnded { run, outcome } => self.finish_run(run, outcome),
             SimEvent::SendReport { gateway } => self.send_report(gateway),
@@ -342,7 +348,7 @@
                 for (id, gap) in paces {
                     table.note_reported_pace(&id, gap, now);
                 }
-                if self.policy == SelectionPolicy::SharedItems {
+                if self.policy.offers_items() {
                     let draw = self.random.random();
                     self.gateways[to].slots.take_report(&peer, waiting, draw, now);
                 }
@@ -415,7 +421,9 @@
             | SimEvent::SlotResponse { request, .. }
             | SimEvent::SlotTimeout { request, .. } => Some(self.requests[*request].gateway),
             SimEvent::SlotRequest { home, .. } | SimEvent::PeerUse { home, .. } => Some(*home),
-            SimEvent::RunEnded { run, .. } => self.runs.get(run).map(|run| run.gateway),
+            SimEvent::RunEnded { run, .. } | SimEvent::FirstByteTimeout { run } => {
+                self.runs.get(run).map(|run| run.gateway)
+            }
             SimEvent::SendReport { gateway }
             | SimEvent::StartItems { gateway }
             | SimEvent::AnnounceEjections { gateway }
@@ -484,6 +492,7 @@
             began,
             has_first_event,
             is_preempted,
+            had_free_slot: choice.has_free_slot,
             is_probe: choice.is_probe,
             pace: None,
         };
@@ -496,6 +505,10 @@
         self.in_transit[target] += 1;
         self.runs.insert(number, run);
         self.schedule.add(self.pattern.delay, SimEvent::TargetReached { run: number });
+        if self.pattern.has_first_byte_timeout && self.has_attempts(work) {
+            let wait = first_byte_timeout(self.pattern.objective, choice.has_free_slot);
+            self.schedule.add(wait, SimEvent::FirstByteTimeout { run: number });
+        }
     }
 
     fn notify_home(&mut self, run: &SimRun, change: UseChange, is_failure: Option<bool>) {
@@ -589,12 +602,14 @@
             RunOutcome::ErrorStatus => Some(Ok(())),
             RunOutcome::Preempted => None,
         };
+        let table = &mut self.gateways[run.gateway].table;
+        let stage = table.attempt_stage(id, run.had_free_slot, run.has_first_event);
+        let attempt = outcome.attempt_result();
         let report = AttemptReport {
             fingerprint: number,
-            outcome: outcome.target_outcome(),
+            outcome: attempt.and_then(|attempt| TargetOutcome::of_attempt(attempt, stage)),
             is_probe: run.is_probe,
         };
-        let table = &mut self.gateways[run.gateway].table;
         table.finish(id, run.work.kind(), result, now);
         let is_failure = table.note_outcome(id, report, now);
         self.notify_home(&run, UseChange::End, is_failure);
@@ -620,11 +635,11 @@
 }
 
 impl RunOutcome {
-    fn target_outcome(self) -> Option<TargetOutcome> {
+    fn attempt_result(self) -> Option<AttemptResult> {
         match self {
-            Self::Completed => Some(TargetOutcome::Answered),
-            Self::Failed(failure) => TargetOutcome::of_failure(failure),
-            Self::ErrorStatus => Some(TargetOutcome::Failed),
+            Self::Completed => Some(AttemptResult::Status(200)),
+            Self::Failed(failure) => Some(AttemptResult::Broken(failure)),
+            Self::ErrorStatus => Some(AttemptResult::Status(500)),
             Self::Preempted => None,
         }
     }
--- a/crates/lab/src/simulation/faults.rs
+++ b/crates/lab/src/simulation/faults.rs
@@ -7,7 +7,6 @@
 use rand::RngExt;
 
 use crate::{
-    policy::SelectionPolicy,
     simulation::{EJECTION_TICK, RunOutcome, RunWork, SimEvent, SimRun, Simulation},
     target::RunNumber,
 };
@@ -19,7 +18,7 @@
 
 impl Simulation {
     pub(super) fn schedule_faults(&mut self) {
-        if self.policy == SelectionPolicy::LearnedPerformance {
+        if self.policy.learns_performance() {
             for gateway in 0..self.gateways.len() {
                 self.schedule.add(EJECTION_TICK, SimEvent::AnnounceEjections { gateway });
             }
--- a/crates/lab/src/simulation/online.rs
+++ b/crates/lab/src/simulation/online.rs
@@ -36,7 +36,7 @@
         let arrived = self.now();
         let share = self.pattern.repeatable_share;
         let may_repeat = share >= 1.0 || self.random.random::<f64>() < share;
-        let may_probe = may_repeat && self.policy == SelectionPolicy::LearnedPerformance;
+        let may_probe = may_repeat && self.policy.learns_performance();
         let search = SlotSearch::probing(may_probe);
         let new = SimRequest { gateway, arrived, search, may_repeat, ..SimRequest::default() };
         self.requests.push(new);
@@ -221,6 +221,20 @@
         }
     }
 
+    /// Whether another attempt is allowed if the current one fails and may have run.
+    pub(super) fn has_attempts(&self, work: RunWork) -> bool {
+        let RunWork::Online { request } = work else { return false };
+        let request = &self.requests[request];
+        request.may_repeat && request.avoid.len() + 1 < MAX_ATTEMPTS
+    }
+
+    /// Ends an attempt whose first event did not arrive in time. Its target discards the request.
+    pub(super) fn time_out_run(&mut self, number: RunNumber) {
+        let Some(run) = self.runs.get(&number).filter(|run| !run.has_first_event) else { return };
+        self.release_slot(run.target, number);
+        self.finish_run(number, RunOutcome::Failed(AttemptFailure::SilentBeforeAnswer));
+    }
+
     pub(super) fn record_first_event(&mut self, number: RunNumber) {
         let Some(SimRun { work: RunWork::Online { request }, gateway, .. }) =
             self.runs.get(&number)
@@ -261,7 +275,7 @@
             self.outcome.lost += 1;
             return;
         }
-        if self.policy == SelectionPolicy::LearnedPerformance {
+        if self.policy.learns_performance() {
             failed.search = SlotSearch::default();
         }
         failed.has_failed = true;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -81,11 +81,13 @@
             crashes::CrashTable,
             entry::{TargetEntry, TargetState},
             failure::{AttemptFailure, RunVerdict},
+            first_byte::first_byte_timeout,
             grants::{PreemptedItem, QueueOffer, SlotGrant},
             idle_reuse::IdleReuse,
             latency::ServiceLatency,
             performance::{
                 AttemptReport, TargetOutcome,
+                attempt::{AttemptResult, AttemptStage},
                 ejection::TargetEjection,
                 failed_requests::FailedRequests,
                 failure_window::{FailureWindow, OutcomeCounts},
--- a/crates/relay/src/targets.rs
+++ b/crates/relay/src/targets.rs
@@ -5,6 +5,7 @@
 pub mod crashes;
 pub mod entry;
 pub mod failure;
+pub mod first_byte;
 pub mod grants;
 pub mod health;
 pub mod homes;
--- a/crates/relay/src/targets/performance.rs
+++ b/crates/relay/src/targets/performance.rs
@@ -1,5 +1,6 @@
 //! Performance of targets as learned from requests: failures, ejections and pace.
 
+pub mod attempt;
 pub mod ejection;
 pub mod failed_requests;
 pub mod failure_window;
--- a/crates/relay/src/targets/table/ejections.rs
+++ b/crates/relay/src/targets/table/ejections.rs
@@ -7,6 +7,7 @@
     entry::TargetState,
     performance::{
         AttemptReport, TargetOutcome,
+        attempt::AttemptStage,
         failed_requests::FailedRequests,
         failure_window::{FailureWindow, OutcomeCounts},
         pace::UsualPace,
@@ -50,6 +51,21 @@
         self.performance.get_or_insert_default();
     }
 
+    /// Whether the request of an attempt at target `id` had a slot there; to be called before
+    /// [`finish`](Self::finish). `had_free_slot` tells whether a slot was free, as far as was known,
+    /// when the target was chosen, and `has_begun` whether the target has sent a part of the answer.
+    ///
+    /// A slot that was free by late reports may have been taken. The reports that have arrived by
+    /// the end of the attempt then show more requests than slots. The request may have been any of
+    /// them, so it counts as queued.
+    pub fn attempt_stage(&self, id: &str, had_free_slot: bool, has_begun: bool) -> AttemptStage {
+        let is_over_full = || self.records.get(id).is_some_and(|record| record.waiting() > 0);
+        match has_begun || (had_free_slot && !is_over_full()) {
+            true => AttemptStage::Begun,
+            false => AttemptStage::Queued,
+        }
+    }
+
     /// Records how an attempt of this gateway ended. Returns what to tell the target's home: whether
     /// it was a failure of the target, `None` if that is unknown or the failure does not count.
     pub fn note_outcome(&mut self, id: &str, report: AttemptReport, now: MonoTime) -> Option<bool> {
--- a/crates/relay/tests/performance.rs
+++ b/crates/relay/tests/performance.rs
@@ -639,3 +639,75 @@
     assert_eq!(meter.note(5, at(80), at(100)), None, "most of the time went to the client");
     assert_eq!(meter.note(5, at(100), at(200)), Some(MILLIS_20), "the next measurement counts");
 }
+
+/// Guards against the silence of a target counting when the request may have waited in its queue,
+/// and against a queued request hiding a wrong answer or an error of the target.
+#[rstest]
+#[case::silent(AttemptResult::Broken(AttemptFailure::SilentBeforeAnswer), None)]
+#[case::stalled(AttemptResult::Broken(AttemptFailure::StalledAnswer), None)]
+#[case::closed(AttemptResult::Broken(AttemptFailure::ClosedBeforeAnswer), None)]
+#[case::no_connection(AttemptResult::Broken(AttemptFailure::ConnectFailed), None)]
+#[case::wrong_bytes(
+    AttemptResult::Broken(AttemptFailure::SpoiledAnswer),
+    Some(TargetOutcome::Failed)
+)]
+#[case::truncated(AttemptResult::Broken(AttemptFailure::CutAnswer), Some(TargetOutcome::Failed))]
+#[case::time_out_in_queue(AttemptResult::Status(504), None)]
+#[case::own_failure(AttemptResult::Status(500), Some(TargetOutcome::Failed))]
+#[case::answered(AttemptResult::Status(200), Some(TargetOutcome::Answered))]
+fn a_queued_request_tells_only_what_the_target_sent(
+    #[case] result: AttemptResult,
+    #[case] told: Option<TargetOutcome>,
+) {
+    assert_eq!(TargetOutcome::of_attempt(result, AttemptStage::Queued), told);
+    let begun = match result {
+        AttemptResult::Status(status) => Some(TargetOutcome::of_status(status)),
+        AttemptResult::Broken(failure) => TargetOutcome::of_failure(failure),
+    };
+    assert_eq!(TargetOutcome::of_attempt(result, AttemptStage::Begun), begun);
+}
+
+/// Ends an attempt at a target at which nothing arrived within the time-out.
+fn end_silent(table: &mut TargetTable, choice: &TargetChoice, fingerprint: u64, now: MonoTime) {
+    let failure = AttemptFailure::SilentBeforeAnswer;
+    let stage = table.attempt_stage(&choice.id, choice.has_free_slot, false);
+    let outcome = TargetOutcome::of_attempt(AttemptResult::Broken(failure), stage);
+    table.finish(&choice.id, WorkKind::Online, Some(Err(failure)), now);
+    let report = AttemptReport { fingerprint, outcome, is_probe: choice.is_probe };
+    table.note_outcome(&choice.id, report, now);
+}
+
+/// Guards against an overload ejecting healthy targets: gateways choose a target by reports that are
+/// late, so more requests reach it than it has slots, and the last ones get no answer in time.
+#[rstest]
+#[case::more_than_slots(SLOTS, 0)]
+#[case::all_had_a_slot(SLOTS - 2, 1)]
+fn requests_that_queued_eject_no_target(#[case] others: u32, #[case] excluded: usize) {
+    let mut table = table(3);
+    let uses = |online| [("t00".to_owned(), TargetUse { online, batch: 0 })];
+    let peer = VmName::new("peer");
+    table.take_report(&peer, uses(0).into_iter().collect(), at(0));
+    let taken: Vec<TargetChoice> =
+        (0..2).map(|_| table.take_granted(&online(), "t00").expect("a target is free")).collect();
+    assert!(taken.iter().all(|choice| choice.has_free_slot));
+    table.take_report(&peer, uses(others).into_iter().collect(), at(100));
+    for (number, choice) in taken.iter().enumerate() {
+        end_silent(&mut table, choice, number as u64, at(170));
+    }
+    assert_eq!(table.excluded_count(), excluded);
+    let silent = table.silent_targets(at(1_000));
+    assert_eq!(silent.len(), 1, "the target is avoided in either case until it answers a probe");
+}
+
+/// Guards against a silent target that is chosen for its queue being ejected by those that wait.
+#[test]
+fn a_request_sent_to_a_full_target_counts_once_its_answer_began() {
+    let mut table = table(3);
+    assert_eq!(table.attempt_stage("t00", false, false), AttemptStage::Queued);
+    assert_eq!(table.attempt_stage("t00", false, true), AttemptStage::Begun);
+    assert_eq!(table.attempt_stage("t00", true, false), AttemptStage::Begun);
+    let uses = [("t00".to_owned(), TargetUse { online: SLOTS + 1, batch: 0 })];
+    table.take_report(&VmName::new("peer"), uses.into_iter().collect(), at(0));
+    assert_eq!(table.attempt_stage("t00", true, false), AttemptStage::Queued);
+    assert_eq!(table.attempt_stage("t00", true, true), AttemptStage::Begun);
+}
