Don't let pace hide free slots when most targets are full

Cause: pace was added to the score of a target for all its requests. A full target at half the usual time between events scored less than one with a free slot; the search then found no free slot among the own targets although there was one. Among full targets, a queue of four at a fast target scored less than an empty one elsewhere. And all gateways asked the homes of the same fast targets for the few slots that were free.

Change: where performance is learned, a target with a free slot precedes one without. At a full target, pace scales the queue only. While more than half of a service's usable targets are full, the pace of targets with a free slot doesn't count.

Each of the new tests fails without its part of the change.

--- a/crates/relay/src/targets/performance/pace.rs
+++ b/crates/relay/src/targets/performance/pace.rs
@@ -33,6 +33,16 @@
 /// Requests in progress that are told apart.
 const MAX_LOAD: usize = 16;
 
+/// Targets whose pace counts in target selection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum PaceUse {
+    /// All targets.
+    AllTargets,
+    /// Those without a free slot. Few slots are free then, and if all gateways preferred the fast
+    /// ones, most of their requests would find them taken while slower ones stay free.
+    FullTargets,
+}
+
 /// Measures the time between the events of one stream. It does not allocate.
 #[derive(Debug, Clone, Copy)]
 pub struct PaceMeter {
--- a/crates/relay/src/targets/record.rs
+++ b/crates/relay/src/targets/record.rs
@@ -8,7 +8,7 @@
     entry::{TargetEntry, TargetState},
     health::TargetHealth,
     latency::ServiceLatency,
-    performance::TargetPerformance,
+    performance::{TargetPerformance, pace::PaceUse},
 };
 
 /// Slots of a remote target (one with another home gateway) that batch leaves free, because its
@@ -112,6 +112,12 @@
         ready && self.entry.service == service && !self.is_full()
     }
 
+    /// Whether it runs requests for a service and is not left out, even if it is full.
+    pub(super) fn is_usable(&self, service: &str) -> bool {
+        let ready = self.entry.state == TargetState::Ready && !self.address_reused;
+        ready && self.entry.service == service && !self.performance.is_excluded
+    }
+
     /// Whether new requests should avoid the target at `now`: it failed a short time ago or is
     /// ejected.
     pub(super) fn is_avoided(&self, now: MonoTime) -> bool {
@@ -162,15 +168,28 @@
     }
 
     /// Load of the target in requests, adjusted by penalties; the lowest score is preferred.
-    pub(super) fn score(&self, domain: &str, is_home: bool, now: MonoTime) -> f64 {
+    pub(super) fn score(&self, domain: &str, is_home: bool, pace: PaceUse, now: MonoTime) -> f64 {
         let cross_domain = if self.entry.domain == domain { 0.0 } else { CROSS_DOMAIN_PENALTY };
         let remote = if is_home { 0.0 } else { REMOTE_PENALTY };
         let own_items = f64::from(self.own.batch) * (1.0 - PREEMPTIBLE_WEIGHT);
         let slow = if now < self.slow_until { SLOW_PENALTY } else { 0.0 };
         let taken = self.total() + self.performance.closed_slots;
-        // A target with twice the usual time between events counts as twice as full, this request
-        // included.
-        let pace = f64::from(self.total() + 1) * (self.performance.pace.ratio(now) - 1.0);
-        f64::from(taken) + pace - own_items + cross_domain + remote + slow
+        f64::from(taken) + self.pace_cost(pace, now) - own_items + cross_domain + remote + slow
+    }
+
+    /// Cost of the target's pace, in requests. A target with twice the usual time between events
+    /// counts as twice as full, this request included. At a full target, pace changes only the
+    /// length of the queue, since the wait is proportional to both, and a fast target's queue counts
+    /// for no less than an empty one.
+    fn pace_cost(&self, pace: PaceUse, now: MonoTime) -> f64 {
+        let ratio = self.performance.pace.ratio(now);
+        if !self.has_free_slot() {
+            let queued = f64::from(self.waiting() + 1);
+            return (queued * ratio).max(1.0) - queued;
+        }
+        match pace {
+            PaceUse::AllTargets => f64::from(self.total() + 1) * (ratio - 1.0),
+            PaceUse::FullTargets => 0.0,
+        }
     }
 }
--- a/crates/relay/src/targets/table.rs
+++ b/crates/relay/src/targets/table.rs
@@ -20,7 +20,7 @@
     performance::TargetPerformance,
     prefix_cache::PrefixCacheIndex,
     record::{TargetRecord, TargetUse},
-    table::ejections::PerformanceState,
+    table::{admission::FULL_PENALTY, ejections::PerformanceState},
 };
 
 /// How long a target that closed a connection is considered about to leave. If it leaves, its entry
@@ -280,6 +280,7 @@
         let TargetQuery { service, work, avoid, queue, prompt } = *query;
         let cached = self.prefix_cache.cached_tokens(prompt);
         let latency = self.latency(service);
+        let pace = self.pace_use(service);
         let mut best: Option<(f64, &TargetRecord)> = None;
         let mut fallback: Option<(f64, &TargetRecord)> = None;
         for record in self.records.values() {
@@ -298,7 +299,11 @@
                 continue;
             }
             let read = cached.get(record.entry.id.as_str()).copied().unwrap_or_default();
-            let score = record.score(&self.domain, is_home, now) - record.cache_bonus(read)
+            // Without it, the low score of a fast and full target would hide a free slot at a slow one.
+            let is_full = self.performance.is_some() && !record.has_free_slot();
+            let full = if is_full { FULL_PENALTY } else { 0.0 };
+            let score = record.score(&self.domain, is_home, pace, now) + full
+                - record.cache_bonus(read)
                 + draw() * TIE_BREAK_RANGE;
             let slot = if record.health.is_avoided(now) { &mut fallback } else { &mut best };
             if slot.is_none_or(|(lowest, _)| score < lowest) {
--- a/crates/relay/src/targets/table/admission.rs
+++ b/crates/relay/src/targets/table/admission.rs
@@ -16,7 +16,7 @@
 const ASK_RANDOM_RANGE: f64 = 4.0;
 /// Load penalty, in requests, of a target without a known free slot, so that its home gateway is
 /// asked after all others.
-const FULL_PENALTY: f64 = 100.0;
+pub(super) const FULL_PENALTY: f64 = 100.0;
 
 impl TargetTable {
     /// Selects a slot at an own target that is freed by preempting an item, and returns the item's
@@ -44,6 +44,7 @@
         now: MonoTime,
         mut draw: impl FnMut() -> f64,
     ) -> Option<VmName> {
+        let pace = self.pace_use(query.service);
         let mut best: Option<(f64, &VmName)> = None;
         for record in self.records.values() {
             let id = &record.entry.id;
@@ -56,7 +57,8 @@
                 continue;
             }
             let full = if record.has_free_slot() { 0.0 } else { FULL_PENALTY };
-            let score = record.score(&self.domain, false, now) + full + draw() * ASK_RANDOM_RANGE;
+            let score =
+                record.score(&self.domain, false, pace, now) + full + draw() * ASK_RANDOM_RANGE;
             if best.is_none_or(|(lowest, _)| score < lowest) {
                 best = Some((score, home));
             }
@@ -90,7 +92,8 @@
     ) -> Option<SlotGrant> {
         let TargetQuery { service, avoid, .. } = *query;
         let able = self.own_records(service, avoid, now).filter(|record| record.has_free_slot());
-        let load = |record: &TargetRecord| record.score(&self.domain, true, now);
+        let pace = self.pace_use(service);
+        let load = |record: &TargetRecord| record.score(&self.domain, true, pace, now);
         let free = able.min_by(|a, b| load(a).total_cmp(&load(b)));
         let free = free.map(|record| SlotGrant { id: record.entry.id.clone(), preempted: None });
         let grant = match free {
--- a/crates/relay/src/targets/table/item_offers.rs
+++ b/crates/relay/src/targets/table/item_offers.rs
@@ -82,11 +82,12 @@
         mut draw: impl FnMut() -> f64,
     ) -> Option<String> {
         self.declined.drop_older(DECLINED_TIME, now);
+        let pace = self.pace_use(service);
         let able = self.own_records(service, &[], now).filter(|record| {
             record.has_free_slot() && !self.declined.contains(peer, &record.entry.id)
         });
         let scored = able.map(|record| {
-            let score = record.score(&self.domain, true, now) + draw() * TIE_BREAK_RANGE;
+            let score = record.score(&self.domain, true, pace, now) + draw() * TIE_BREAK_RANGE;
             (score, record.entry.id.clone())
         });
         let best: Option<(f64, String)> = scored.min_by(|(a, _), (b, _)| a.total_cmp(b));
--- a/crates/relay/src/targets/table/paces.rs
+++ b/crates/relay/src/targets/table/paces.rs
@@ -4,7 +4,7 @@
 
 use notch_types::prelude::*;
 
-use crate::targets::table::TargetTable;
+use crate::targets::{performance::pace::PaceUse, table::TargetTable};
 
 /// Maximum number of paces in one report; others follow in the next one.
 const MAX_REPORTED_PACES: usize = 64;
@@ -24,6 +24,20 @@
         }
     }
 
+    /// Targets whose pace counts for `service` now: at least half of its usable targets need a free
+    /// slot for the pace of all to count.
+    pub(super) fn pace_use(&self, service: &str) -> PaceUse {
+        if self.performance.is_none() {
+            return PaceUse::AllTargets;
+        }
+        let usable = self.records.values().filter(|record| record.is_usable(service));
+        let (mut free, mut full) = (0_usize, 0_usize);
+        for record in usable {
+            *(if record.has_free_slot() { &mut free } else { &mut full }) += 1;
+        }
+        if free < full { PaceUse::FullTargets } else { PaceUse::AllTargets }
+    }
+
     fn note_gap(&mut self, id: &str, gap: Duration, is_own: bool, now: MonoTime) {
         let Some(state) = &mut self.performance else { return };
         let Some(record) = self.records.get_mut(id) else { return };
--- a/crates/relay/tests/performance.rs
+++ b/crates/relay/tests/performance.rs
@@ -711,3 +711,83 @@
     assert_eq!(table.attempt_stage("t00", true, false), AttemptStage::Queued);
     assert_eq!(table.attempt_stage("t00", true, true), AttemptStage::Begun);
 }
+
+/// Sets how many requests there are at the targets `t00`, `t01` and so on.
+fn set_loads(table: &mut TargetTable, loads: &[u32], now: MonoTime) {
+    let uses = loads
+        .iter()
+        .enumerate()
+        .map(|(number, online)| (format!("t{number:02}"), TargetUse { online: *online, batch: 0 }));
+    table.take_report(&VmName::new("peer"), uses.collect(), now);
+}
+
+/// Sets the pace of a target to a multiple of the usual one.
+fn set_pace(table: &mut TargetTable, id: &str, factor: f64, now: MonoTime) {
+    for _ in 0..12 {
+        table.note_pace(id, MILLIS_20.mul_f64(factor), now);
+    }
+}
+
+/// Guards against the only free slot staying unused because its target is slow, or because a full
+/// target is fast: the request would queue or ask another gateway.
+#[rstest]
+#[case::slow_target_with_a_slot("t00", 3.0)]
+#[case::fast_target_without_one("t01", 0.5)]
+fn pace_never_hides_a_free_slot(#[case] id: &str, #[case] factor: f64) {
+    let mut table = paced_table();
+    set_loads(&mut table, &[SLOTS - 1, SLOTS, SLOTS, SLOTS], at(400));
+    set_pace(&mut table, id, factor, at(410));
+    let choice = table.pick_own(&online(), at(420), || 0.0);
+    assert_eq!(choice.map(|choice| choice.id).as_deref(), Some("t00"));
+}
+
+/// Guards against a request that has failed at the other free target queueing at a full one, because
+/// pace counts at free targets when half of all are free.
+#[test]
+fn a_slow_free_slot_precedes_a_full_target_while_pace_counts() {
+    let mut table = paced_table();
+    set_loads(&mut table, &[SLOTS - 1, 1, SLOTS, SLOTS], at(400));
+    set_pace(&mut table, "t00", 3.0, at(410));
+    let avoid = ["t01".to_owned()];
+    let query = TargetQuery { avoid: &avoid, ..online() };
+    let choice = table.pick_own(&query, at(420), || 0.0);
+    assert_eq!(choice.map(|choice| choice.id).as_deref(), Some("t00"));
+}
+
+/// Guards against all gateways sending their requests to the same few fast targets when few slots are
+/// free.
+#[test]
+fn pace_counts_at_targets_with_free_slots_only_while_most_have_one() {
+    let mut table = paced_table();
+    set_pace(&mut table, "t00", 2.0, at(400));
+    set_loads(&mut table, &[4, 5, SLOTS, SLOTS], at(410));
+    assert_eq!(chosen(&mut table, 1, at(420)), ["t01"], "half of them have a free slot");
+    set_loads(&mut table, &[4, SLOTS, SLOTS, SLOTS], at(420));
+    assert_eq!(chosen(&mut table, 1, at(430)), ["t00"]);
+    let mut table = table_of_five();
+    set_pace(&mut table, "t00", 2.0, at(400));
+    set_loads(&mut table, &[4, 5, SLOTS, SLOTS, SLOTS], at(410));
+    assert_eq!(chosen(&mut table, 1, at(420)), ["t00"], "most of them are full");
+}
+
+fn table_of_five() -> TargetTable {
+    let mut table = paced_table();
+    table.put(entry("t04", TargetState::Ready), MonoTime::default());
+    table
+}
+
+/// Guards against a long queue at a fast target counting as shorter than an empty one elsewhere. Two
+/// requests at twice the usual pace take as long as one.
+#[test]
+fn pace_scales_the_queue_of_a_full_target_and_not_its_slots() {
+    let mut table = paced_table();
+    set_pace(&mut table, "t00", 0.5, at(400));
+    let query = query(WorkKind::Online, QueueLimit::Any);
+    let mut pick = |loads: &[u32]| {
+        set_loads(&mut table, loads, at(410));
+        table.pick(&query, at(420), || 0.0).map(|choice| choice.id)
+    };
+    let full = SLOTS;
+    assert_ne!(pick(&[full + 4, full, full + 1, full + 1]).as_deref(), Some("t00"));
+    assert_eq!(pick(&[full + 4, full + 3, full + 3, full + 3]).as_deref(), Some("t00"));
+}
