--- a/crates/entry/src/peers/reports.rs
+++ b/crates/entry/src/peers/reports.rs
@@ -74,18 +74,29 @@
 }
 
 /// How long after the last report, which was sent `age` ago, the next one is due. A change of versions alone doesn't
-/// count: changes are pushed, and reporting each would take a message from every gateway to every other.
-fn due_after(last: &PeerMessage, new: &PeerMessage, age: Duration, gateways: usize) -> Duration {
+/// count: changes are pushed, and reporting each would take a message from every gateway to every other. The first list
+/// of targets counts: gateways that start together learn from it whom to ask.
+pub fn due_after(
+    last: &PeerMessage,
+    new: &PeerMessage,
+    age: Duration,
+    gateways: usize,
+) -> Duration {
     let (
-        PeerMessage::Report { uses, is_watching, waiting, .. },
+        PeerMessage::Report { uses, is_watching, waiting, targets, .. },
         PeerMessage::Report {
-            uses: new_uses, is_watching: new_watching, waiting: new_waiting, ..
+            uses: new_uses,
+            is_watching: new_watching,
+            waiting: new_waiting,
+            targets: new_targets,
+            ..
         },
     ) = (last, new)
     else {
         return Duration::ZERO;
     };
-    if is_watching != new_watching {
+    let has_first_list = *targets == 0 && *new_targets > 0;
+    if is_watching != new_watching || has_first_list {
         Duration::ZERO
     } else if uses != new_uses
         || has_changed(&decode_waiting(waiting), &decode_waiting(new_waiting), age)
--- a/crates/entry/tests/target_propagation.rs
+++ b/crates/entry/tests/target_propagation.rs
@@ -4,7 +4,10 @@
 use std::time::Duration;
 
 use notch_entry::{
-    peers::catch_up::{AnswerBudget, CatchUp, KnownVersions, StateRequest, is_pusher},
+    peers::{
+        catch_up::{AnswerBudget, CatchUp, KnownVersions, StateRequest, is_pusher},
+        reports::due_after,
+    },
     store::target::TargetFeed,
 };
 use notch_link::prelude::EncodedMessage;
@@ -269,6 +272,34 @@
     assert_eq!(ask(11_500, theirs), None, "not asked again immediately");
 }
 
+fn report_with(targets: u64) -> PeerMessage {
+    PeerMessage::Report {
+        uses: Vec::new(),
+        configuration: 1,
+        targets,
+        digest: 0,
+        is_watching: false,
+        gateways: None,
+        waiting: Vec::new(),
+        paces: Vec::new(),
+    }
+}
+
+// Guards against a start in which each gateway that has the list is known as a source only a second later.
+#[rstest]
+#[case::first_list(0, 10, true)]
+#[case::still_none(0, 0, false)]
+#[case::later_change(10, 11, false)]
+fn only_the_first_list_is_reported_at_once(
+    #[case] before: u64,
+    #[case] after: u64,
+    #[case] is_at_once: bool,
+) {
+    let (last, new) = (report_with(before), report_with(after));
+    let due = due_after(&last, &new, Duration::from_millis(10), GATEWAYS);
+    assert_eq!(due.is_zero(), is_at_once);
+}
+
 #[rstest]
 #[case(1)]
 #[case(4)]
