Test the corrections of targets, item offers and evictions

Change: tests for the rate by which all gateways rank ejected targets, for excused failures within a row of probes, for offers after a decline (and not after an item that ran), for revocations of a lost gateway, for ejected targets in the forecast, and for certainty and ownership after a pause.

--- a/crates/relay/tests/eviction.rs
+++ b/crates/relay/tests/eviction.rs
@@ -288,6 +288,42 @@
     assert!(!guard.needs_read(at(woken + 30)), "one read is enough");
 }
 
+/// Guards against certainty that rests on one read after a pause: what seems to be heard may be from before it, and the
+/// others may still delete the entry until they have heard this gateway again.
+#[test]
+fn after_a_pause_one_read_permits_only_for_a_while() {
+    let mut guard = guard_with_majority(10_000);
+    let woken = 30_000;
+    guard.observe(Some(Duration::ZERO), at(woken));
+    guard.note_read(at(woken + 1), true, at(woken + 5));
+    assert!(guard.may_act(at(woken + 5)));
+    let validity = OWN_ENTRY_VALIDITY.as_millis() as u64;
+    for millis in (woken + 250..=woken + validity + 250).step_by(250) {
+        guard.observe(Some(Duration::ZERO), at(millis));
+    }
+    assert!(guard.needs_read(at(woken + validity + 250)), "it is read again");
+    assert!(!guard.may_act(at(woken + validity + 250)));
+    let trusted = woken + EVICTION_SILENCE.as_millis() as u64;
+    for millis in (woken + validity + 500..=trusted + 250).step_by(250) {
+        guard.observe(Some(Duration::ZERO), at(millis));
+        guard.note_read(at(millis), true, at(millis + 5));
+    }
+    assert!(!guard.needs_read(at(trusted + 5_000 - 1_500)), "links are trusted again");
+}
+
+/// Guards against ownership that is trusted after a pause: jobs may have been taken over meanwhile, although the links
+/// and the entries look as before.
+#[test]
+fn a_pause_invalidates_ownership() {
+    let mut guard = guard_with_majority(10_000);
+    assert!(!guard.note_entries(true) && guard.has_current_entries());
+    guard.observe(Some(Duration::ZERO), at(30_000));
+    assert!(!guard.has_current_entries());
+    assert!(guard.note_entries(true), "ownership is to be invalidated");
+    guard.note_invalidated();
+    assert!(guard.has_current_entries());
+}
+
 /// Guards against a gateway that was frozen before it had heard a majority: others may have heard and evicted it. One
 /// read suffices, as there is no majority that it lacks.
 #[test]
--- a/crates/relay/tests/item_slots.rs
+++ b/crates/relay/tests/item_slots.rs
@@ -186,6 +186,67 @@
     assert_eq!(free_here(&home, at(4)), 2, "the end of another item");
 }
 
+/// Guards against a slot that is offered in each pass to a gateway that avoids its target, while other targets have
+/// free slots.
+#[rstest]
+#[case::decline(&[UseChange::Begin, UseChange::End])]
+#[case::end_alone(&[UseChange::End])]
+fn a_declined_slot_is_not_offered_again_for_a_second(#[case] answer: &[UseChange]) {
+    let mut home = table_of("g1");
+    assert_eq!(offer(&mut home, at(0)).as_deref(), Some("t1"));
+    for change in answer {
+        tell(&mut home, *change, at(5));
+    }
+    assert_eq!(offer(&mut home, at(6)), None, "all own slots are at the declined target");
+    let other = home.offer_slot(&vm("g3"), SERVICE, at(6), || 0.5);
+    assert_eq!(other.as_deref(), Some("t1"), "others may use it");
+    assert_eq!(offer(&mut home, at(1_004)), None);
+    assert_eq!(offer(&mut home, at(1_006)).as_deref(), Some("t1"));
+}
+
+/// Guards against an item that ran and ended being taken for a decline.
+#[test]
+fn a_gateway_whose_item_ran_is_offered_the_slot_again() {
+    let mut home = table_of("g1");
+    offer(&mut home, at(0));
+    tell(&mut home, UseChange::Begin, at(5));
+    tell(&mut home, UseChange::End, at(60));
+    assert_eq!(offer(&mut home, at(61)).as_deref(), Some("t1"));
+}
+
+/// Guards against a slot that stays counted after a lost gateway returned: the revocation of an item from before its
+/// loss was taken for the end of a later one.
+#[test]
+fn revocations_are_dropped_with_the_report_of_a_lost_gateway() {
+    let mut home = table_of("g1");
+    home.set_offers_items(true);
+    report(&mut home, SLOTS, at(0));
+    assert!(home.pick_preemptible(&query(WorkKind::Online), at(1)).is_some());
+    home.expire_reports(at(10_000));
+    assert_eq!(free_here(&home, at(10_000)), SLOTS);
+    tell(&mut home, UseChange::Begin, at(10_001));
+    tell(&mut home, UseChange::End, at(10_100));
+    assert_eq!(free_here(&home, at(10_100)), SLOTS);
+}
+
+/// Guards against a forecast that keeps slots at an ejected target for a peak, while those of the others lack.
+#[test]
+fn an_ejected_target_does_not_count_in_the_forecast() {
+    let mut table = TargetTable::new("a");
+    table.learn_performance();
+    for id in ["t1", "t2", "t3"] {
+        table.put(entry(id, "a", TargetState::Ready), at(0));
+    }
+    assert_eq!(table.online_load(SERVICE).slots_all, 3 * SLOTS);
+    for fingerprint in 0..2 {
+        let outcome = Some(TargetOutcome::Failed);
+        let failed = AttemptReport { fingerprint, outcome, is_probe: false };
+        table.note_outcome("t1", failed, at(1));
+    }
+    assert_eq!(table.excluded_count(), 1);
+    assert_eq!(table.online_load(SERVICE).slots_all, 2 * SLOTS);
+}
+
 /// Guards against offers that outlive their target and occupy a slot of the next incarnation.
 #[test]
 fn offers_end_with_their_target() {
--- a/crates/relay/tests/performance.rs
+++ b/crates/relay/tests/performance.rs
@@ -470,6 +470,60 @@
     assert_eq!(table.excluded_count(), 0);
 }
 
+/// Guards against gateways that together leave out more than a third of a service's targets: each home ranks the
+/// targets of the others by rates that only their homes know.
+#[test]
+fn all_gateways_rank_ejected_targets_alike() {
+    let targets = |own: &str| {
+        let mut table = table(3);
+        table.assign_homes(own, &gateways());
+        table
+    };
+    let mut tables = [targets("g-0"), targets("g-1"), targets("g-2")];
+    for (number, id) in ["t00", "t01", "t02"].iter().enumerate() {
+        let (failures, outcomes) = [(3, 4), (2, 4), (4, 4)][number];
+        for table in &mut tables {
+            (failures..outcomes).for_each(|_| table.note_peer_outcome(id, false, at(0)));
+            (0..failures).for_each(|_| table.note_peer_outcome(id, true, at(0)));
+        }
+    }
+    let notices: Vec<Vec<EjectionNotice>> =
+        tables.iter_mut().map(|table| table.ejection_notices(at(1))).collect();
+    for (from, notices) in notices.iter().enumerate() {
+        let home = VmName::new(&format!("g-{from}"));
+        for EjectionNotice { target, is_ejected, failure_permille, .. } in notices {
+            for (_, table) in tables.iter_mut().enumerate().filter(|(to, _)| *to != from) {
+                assert!(table.apply_ejection(&home, target, *is_ejected, *failure_permille, at(1)));
+            }
+        }
+    }
+    assert_eq!(notices.iter().map(Vec::len).sum::<usize>(), 3, "each home ejects its targets");
+    assert!(notices.iter().filter(|notices| !notices.is_empty()).count() > 1, "several homes");
+    for table in &mut tables {
+        let query = query(WorkKind::Batch, QueueLimit::Any);
+        let start = |_| table.choose(&query, at(2), || 0.0).expect("a slot is free").id;
+        let used: FastSet<String> = (0..6).map(start).collect();
+        let expected = ["t00", "t01"].map(str::to_owned).into_iter().collect::<FastSet<_>>();
+        assert_eq!(used, expected, "the one that fails all requests is left out");
+    }
+}
+
+/// Guards against a failing target that is readmitted because a probe failed by a request that had failed elsewhere
+/// before: its failure does not count against the target, but it does not show that the target works.
+#[test]
+fn an_excused_failure_ends_a_row_of_successful_probes() {
+    let mut table = table(6);
+    table.note_outcome("t01", report(7, TargetOutcome::Failed), at(0));
+    fail_twice(&mut table, "t00", at(0));
+    pass_probes(&mut table, "t00", 2, at(300));
+    let counted = table.note_outcome("t00", probe(7, TargetOutcome::Failed), at(600));
+    assert_eq!((counted, table.excluded_count()), (None, 1));
+    pass_probes(&mut table, "t00", 2, at(1_200));
+    assert_eq!(table.excluded_count(), 1);
+    pass_probes(&mut table, "t00", 1, at(1_400));
+    assert_eq!(table.excluded_count(), 0, "three in a row");
+}
+
 /// Guards against a target being ejected for ever after its home moved: nobody repeats or ends the
 /// ejection.
 #[test]
