--- a/crates/entry/tests/item_slots.rs
+++ b/crates/entry/tests/item_slots.rs
@@ -241,3 +241,56 @@
     .run();
     assert!(outcome.starts.is_empty() && outcome.messages.is_empty());
 }
+
+/// Ejects the own target, which stands for a third of the targets of its service.
+fn eject_own(world: &mut World) {
+    world.targets.learn_performance();
+    for id in ["t3", "t4"] {
+        let (name, service) = (id.to_owned(), "own".to_owned());
+        world.targets.put(
+            TargetEntry {
+                id: id.to_owned(),
+                name,
+                born: 0,
+                service,
+                address: ([127, 0, 0, 1], 9).into(),
+                domain: "b".to_owned(),
+                slots: 0,
+                state: TargetState::Ready,
+                cold_left: Duration::ZERO,
+            },
+            at(0),
+        );
+    }
+    for fingerprint in 0..2 {
+        let outcome = Some(TargetOutcome::Failed);
+        let failed = AttemptReport { fingerprint, outcome, is_probe: false };
+        world.targets.note_outcome("t1", failed, at(0));
+    }
+    assert_eq!(world.targets.excluded_count(), 1);
+}
+
+/// Guards against an item that fails because its last attempt was a probe of an ejected target.
+#[rstest]
+#[case::new(false, 2, &["t1"])]
+#[case::failed_before(true, 2, &[])]
+#[case::one_attempt(false, 1, &[])]
+fn only_an_item_with_another_attempt_is_a_probe(
+    #[case] has_failed: bool,
+    #[case] max_attempts: u32,
+    #[case] expected: &[&str],
+) {
+    let mut world = World::new(&[("own", 1, 18)]);
+    let own = Route { max_attempts, ..route("own") };
+    let routes = vec![own, route("far")];
+    world.routes =
+        RouteTable::new(Configuration { version: 1, routes, ..Configuration::default() });
+    eject_own(&mut world);
+    if has_failed {
+        let job = world.registry.table.get_mut("j0").expect("the job is owned");
+        job.start_item(0);
+        job.end_item(0, &ItemEnd::Failed, at(0));
+    }
+    let outcome = world.pass(at(5_000));
+    assert_eq!(started(&outcome), expected);
+}
