Soak accounts with limits, and frozen homes that offer slots

The soak test had neither accounts with a limit nor offers of slots for items, so neither was tested with real processes that are killed, frozen and cut off.

Change: `--limit-accounts` adds three accounts with a limit, of which one sends four times its limit for 4 s of each 7 s, and draws more kills, freezes and cuts of links between gateways. The checker reports a sliding window of 5 s in which more requests of an account began at the targets than its limit with the tolerance (0.1 and 20) allows; the decision is `AccountQuota::find_excess`. `--offer-items` turns offers of slots on, makes jobs longer and freezes homes for 0.3 to 2.5 s. Both are off by default; the faults that a seed draws without them are the same as before.

--- a/crates/magnolianotch/src/cli/args.rs
+++ b/crates/magnolianotch/src/cli/args.rs
@@ -365,6 +365,13 @@
     /// whether gateways evict each other; the first one is frozen at the beginning for longer than that takes
     #[argh(switch)]
     pub evict: bool,
+    /// whether there are also accounts with a limit, of which one sends several times its limit for some seconds at a
+    /// time, and more gateways are killed, frozen and cut off from each other
+    #[argh(switch)]
+    pub limit_accounts: bool,
+    /// whether homes offer slots for items and are frozen; jobs have more items, which take longer
+    #[argh(switch)]
+    pub offer_items: bool,
     /// folder for the gateways' settings and logs (default: soak in the temporary folder)
     #[argh(option)]
     pub folder: Option<PathBuf>,
--- a/crates/magnolianotch/src/cli/soak.rs
+++ b/crates/magnolianotch/src/cli/soak.rs
@@ -39,6 +39,8 @@
         targets: args.targets.max(1),
         clients: args.clients,
         evicts_gateways: args.evict,
+        limits_accounts: args.limit_accounts,
+        offers_items: args.offer_items,
     })
 }
 
--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -1,5 +1,7 @@
 //! Checks the observations of a soak test against the promises of the system.
 
+use std::time::Duration;
+
 use notch_platform_standins::{
     client::item_id,
     store::ACCOUNT,
@@ -9,6 +11,7 @@
 
 use crate::{
     config::REVOCATION_BOUND,
+    limited_accounts::QUOTA,
     observation::{Observation, SeenResult},
 };
 
@@ -32,6 +35,8 @@
     NoReversion,
     /// A request runs for the client account of its key, and the key is never sent to a target.
     OwnAccount,
+    /// No more requests of an account begin in any sliding window than its limit and the tolerance allow.
+    WithinLimit,
     /// Every gateway stops accepting a revoked key within a bounded time.
     TakenAway,
     /// After the faults, every gateway becomes ready and knows the newest configuration.
@@ -64,6 +69,11 @@
     refused: Vec<String>,
     /// Attempts that must not run, because their key was revoked longer ago than the allowed bound.
     revoked: FastSet<String>,
+    /// Accounts of the attempts that were not sent for the usual one.
+    accounts: FastMap<String, String>,
+    /// Requests of each account with a limit, each with the time at which it first began. An attempt that a gateway
+    /// repeats at another target counts once, as it does for the gateways.
+    begun: FastMap<String, FastMap<String, Duration>>,
     /// Attempts that may run at most once.
     at_most_once: FastSet<String>,
     /// Number of items of each accepted job.
@@ -82,6 +92,14 @@
                     self.revoked.insert(attempt.clone());
                 }
             }
+            Observation::SentFor { attempt, account } => {
+                self.accounts.insert(attempt.clone(), account.clone());
+            }
+            Observation::Began { attempt, account, at } => {
+                let begun = self.begun.entry(account.clone()).or_default();
+                let first = begun.entry(attempt.clone()).or_insert(*at);
+                *first = (*first).min(*at);
+            }
             Observation::Answered { attempt, may_repeat, status, named, body, is_whole } => {
                 if !may_repeat {
                     self.at_most_once.insert(attempt.clone());
@@ -141,7 +159,8 @@
 
     fn check_account(&mut self, attempt: &str, account: Option<&str>, has_key: bool) {
         // Requests that check for a route carry no key.
-        let is_own = account == Some(ACCOUNT) || attempt == PROBE;
+        let own = self.accounts.get(attempt).map_or(ACCOUNT, String::as_str);
+        let is_own = account == Some(own) || attempt == PROBE;
         if !is_own || has_key {
             let detail = format!("{attempt} ran for {account:?}, with its key: {has_key}");
             self.add(PromiseKind::OwnAccount, detail);
@@ -188,6 +207,11 @@
         for attempt in repeated {
             self.add(PromiseKind::RunsOnce, format!("{attempt} ran more than once"));
         }
+        for (account, begun) in std::mem::take(&mut self.begun) {
+            if let Some(excess) = QUOTA.find_excess(begun.into_values().collect()) {
+                self.add(PromiseKind::WithinLimit, format!("{account}: {excess:?}"));
+            }
+        }
         for (job, items) in std::mem::take(&mut self.jobs) {
             self.check_job(&job, items);
         }
--- a/crates/soak/src/clients.rs
+++ b/crates/soak/src/clients.rs
@@ -5,7 +5,7 @@
         Arc,
         atomic::{AtomicBool, AtomicUsize, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use async_std::{future::timeout, task};
@@ -20,6 +20,7 @@
 use crate::{
     checker::PROBE,
     cluster::{SoakCluster, SoakKey},
+    limited_accounts::send_pause,
     observation::Observation,
 };
 
@@ -35,6 +36,11 @@
 const KEY_CHOICES: u64 = 12;
 /// Most items of a job.
 const MAX_ITEMS: usize = 6;
+/// The same where slots are offered for items: more than the slots at the targets of one home.
+const MAX_OFFERED_ITEMS: usize = 40;
+/// Time after which a client of an account with a limit gives a request up. It bounds the requests that wait at a frozen
+/// gateway and run when it wakes up.
+const LIMITED_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// State that all clients share.
 #[derive(Debug, Clone)]
@@ -43,6 +49,8 @@
     pub cluster: SoakCluster,
     /// Seed of the soak test.
     pub seed: u64,
+    /// Whether jobs have many items.
+    pub offers_items: bool,
     /// Whether clients stop sending requests and jobs.
     pub is_over: Arc<AtomicBool>,
     /// Number of online requests sent.
@@ -106,6 +114,36 @@
         key_line(&text)
     }
 
+    /// Sends requests of an account with a limit at its rate, whether or not earlier ones were answered.
+    pub async fn send_limited(self, number: u64, account: usize) {
+        let (name, keys, ..) = self.cluster.limited_accounts()[account];
+        let mut random = self.random(number);
+        let began = Instant::now();
+        let mut due = Duration::ZERO;
+        let mut sent = 0;
+        while !self.is_over() {
+            sent += 1;
+            let (context, attempt) = (self.clone(), format!("{name}-{sent}"));
+            let gateway = self.gateway(&mut random);
+            task::spawn(async move {
+                context.send_one_limited(gateway, &attempt, name, keys[0]).await;
+            });
+            due += send_pause(account, due);
+            task::sleep(due.saturating_sub(began.elapsed())).await;
+        }
+    }
+
+    async fn send_one_limited(&self, gateway: usize, attempt: &str, account: &str, key: &str) {
+        self.requests.fetch_add(1, Ordering::Relaxed);
+        let (id, account) = (attempt.to_owned(), account.to_owned());
+        self.cluster.log.add(Observation::SentFor { attempt: id, account });
+        let (client, key) = (self.cluster.client(gateway), key_line(key));
+        let sending = timeout(LIMITED_TIMEOUT, client.post("/resume/x", attempt, &key, "hi"));
+        if let Ok(Some(answer)) = sending.await {
+            self.record_answer(attempt, true, &answer);
+        }
+    }
+
     fn record_answer(&self, attempt: &str, may_repeat: bool, answer: &SeenAnswer) {
         self.cluster.log.add(Observation::Answered {
             attempt: attempt.to_owned(),
@@ -124,7 +162,8 @@
         while !self.is_over() {
             sent += 1;
             let job = format!("j{number}-{sent}");
-            let items = random.random_range(1..=MAX_ITEMS);
+            let max_items = if self.offers_items { MAX_OFFERED_ITEMS } else { MAX_ITEMS };
+            let items = random.random_range(1..=max_items);
             loop {
                 let client = self.cluster.client(self.gateway(&mut random));
                 let status =
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -14,7 +14,7 @@
 use notch_platform_standins::{
     any_port,
     client::StandInClient,
-    store::{STEADY_KEY, StandInStore, configuration_with_probes, passing_key},
+    store::{STEADY_KEY, StandInAccount, StandInStore, configuration_with_probes_and, passing_key},
     target::{SeenAccount, StandInTarget},
 };
 use notch_settings::{EntryConfig, prelude::FeatureSwitch};
@@ -23,6 +23,7 @@
 use crate::{
     config::{REVOCATION_BOUND, gateway_config},
     fault::SoakFault,
+    limited_accounts::{LIMITED_ACCOUNTS, QUOTA},
     observation::{Observation, ObservationLog},
     process::GatewayProcess,
     proxy::{FaultProxy, ProxyMode},
@@ -31,6 +32,9 @@
 
 /// Time after which a gateway that was told to stop is killed, as the platform does it.
 const STOP_TIMEOUT: Duration = Duration::from_millis(8_000);
+/// Delay of each event where slots are offered for items. Items run for six events, so that some wait while the reports
+/// and offers of other gateways arrive.
+const OFFERED_EVENT_DELAY_MS: u64 = 40;
 /// Interval of checks while waiting for a process or a fault.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -57,6 +61,13 @@
     pub log: ObservationLog,
     store: StandInStore,
     store_proxies: Arc<Vec<FaultProxy>>,
+    /// Proxies in front of the gateways' links; empty unless accounts have limits.
+    link_proxies: Arc<Vec<FaultProxy>>,
+    /// Accounts with a limit.
+    limited: &'static [StandInAccount<'static>],
+    /// Delay of each event of an item or request, milliseconds.
+    event_delay_ms: u64,
+    started: Instant,
     gateways: Arc<Vec<Mutex<GatewayHandle>>>,
     targets: Arc<Vec<Mutex<TargetHandle>>>,
     /// Replaced targets, which still finish their runs.
@@ -83,12 +94,16 @@
     pub async fn start(settings: &SoakSettings) -> io::Result<Self> {
         fs::create_dir_all(&settings.folder)?;
         let store = StandInStore::start().await;
-        store.put("config", "main", configuration_with_probes(1));
+        let limited: &[StandInAccount<'_>] =
+            if settings.limits_accounts { &LIMITED_ACCOUNTS } else { &[] };
+        let event_delay_ms = if settings.offers_items { OFFERED_EVENT_DELAY_MS } else { 0 };
+        store.put("config", "main", configuration_with_probes_and(1, limited));
         let mut targets = Vec::new();
         for number in 0..settings.targets {
-            targets.push(Mutex::new(start_target(&store, number, 0).await));
+            targets.push(Mutex::new(start_target(&store, number, 0, event_delay_ms).await));
         }
         let mut store_proxies = Vec::new();
+        let mut link_proxies = Vec::new();
         let mut gateways = Vec::new();
         for number in 0..settings.gateways {
             let proxy = start_proxy(store.address).await;
@@ -97,6 +112,17 @@
             if settings.evicts_gateways {
                 config.fleet.evict_gateways = FeatureSwitch::On;
             }
+            if settings.offers_items {
+                config.fleet.share_item_slots = FeatureSwitch::On;
+            }
+            if settings.limits_accounts {
+                config.accounts.quota_window_seconds = QUOTA.window.as_secs_f64();
+                config.accounts.quota_overrun = QUOTA.overrun;
+                config.accounts.quota_slack = QUOTA.slack;
+                let link_proxy = start_proxy(config.listen.links).await;
+                store.relocate(config.listen.links, link_proxy.address);
+                link_proxies.push(link_proxy);
+            }
             store_proxies.push(proxy);
             let process = start_gateway(&settings.program, &settings.folder, &config)?;
             gateways.push(Mutex::new(GatewayHandle { process, outages: 0 }));
@@ -105,6 +131,10 @@
             log: ObservationLog::default(),
             store,
             store_proxies: Arc::new(store_proxies),
+            link_proxies: Arc::new(link_proxies),
+            limited,
+            event_delay_ms,
+            started: Instant::now(),
             gateways: Arc::new(gateways),
             targets: Arc::new(targets),
             replaced: Arc::default(),
@@ -133,6 +163,11 @@
         self.version.load(Ordering::Acquire)
     }
 
+    /// Accounts with a limit.
+    pub fn limited_accounts(&self) -> &'static [StandInAccount<'static>] {
+        self.limited
+    }
+
     /// The key that is never revoked.
     pub fn steady_key(&self) -> SoakKey {
         SoakKey { text: STEADY_KEY.to_owned(), revoked_for: None }
@@ -170,6 +205,9 @@
             SoakFault::StorePath { gateway, mode, duration } => {
                 disturb(&self.store_proxies[gateway], mode, duration).await;
             }
+            SoakFault::LinkPath { gateway, mode, duration } => {
+                disturb(&self.link_proxies[gateway], mode, duration).await;
+            }
             SoakFault::TargetPath { target, mode, duration } => {
                 let proxy = self.target(target).proxy.clone();
                 disturb(&proxy, mode, duration).await;
@@ -185,7 +223,8 @@
             SoakFault::LostWrites { kind, count } => self.store.lose_answers(kind, count),
             SoakFault::Configuration => {
                 let version = self.version.fetch_add(1, Ordering::AcqRel) + 1;
-                self.store.put("config", "main", configuration_with_probes(version));
+                let configuration = configuration_with_probes_and(version, self.limited);
+                self.store.put("config", "main", configuration);
                 let mut written = self.written.lock().unwrap_or_else(PoisonError::into_inner);
                 written.push(Instant::now());
             }
@@ -197,7 +236,7 @@
     pub async fn heal(&self) {
         self.store.set_down(false);
         self.store.lose_answers("", 0);
-        for proxy in self.store_proxies.iter() {
+        for proxy in self.store_proxies.iter().chain(self.link_proxies.iter()) {
             proxy.set(ProxyMode::Pass);
         }
         for number in 0..self.targets.len() {
@@ -238,12 +277,22 @@
         let replaced = self.replaced.lock().unwrap_or_else(PoisonError::into_inner).clone();
         let current = (0..self.targets.len()).map(|number| self.target(number).target.clone());
         for target in replaced.into_iter().chain(current) {
-            for SeenAccount { attempt, account, has_key } in target.accounts() {
+            let seen = target.accounts().into_iter().zip(target.begun());
+            for (SeenAccount { attempt, account, has_key }, begun) in seen {
+                if let Some(account) = account.as_ref().filter(|account| self.is_limited(account)) {
+                    let at = begun.saturating_duration_since(self.started);
+                    let (attempt, account) = (attempt.clone(), account.clone());
+                    self.log.add(Observation::Began { attempt, account, at });
+                }
                 self.log.add(Observation::Ran { attempt, account, has_key });
             }
         }
     }
 
+    fn is_limited(&self, account: &str) -> bool {
+        self.limited.iter().any(|(name, ..)| *name == account)
+    }
+
     async fn stop_and_restart(&self, gateway: usize) {
         self.begin_outage(gateway, |process| process.signal(Signal::TERM));
         let mut waited = Duration::ZERO;
@@ -259,7 +308,7 @@
             let handle = self.target(number);
             (handle.target.clone(), handle.replacements + 1)
         };
-        let next = start_target(&self.store, number, replacements).await;
+        let next = start_target(&self.store, number, replacements, self.event_delay_ms).await;
         self.store.delete("servers", &replaced.id);
         self.replaced.lock().unwrap_or_else(PoisonError::into_inner).push(replaced);
         *self.target(number) = next;
@@ -313,10 +362,16 @@
     FaultProxy::start(listener, address, destination)
 }
 
-async fn start_target(store: &StandInStore, number: usize, replacements: u32) -> TargetHandle {
+async fn start_target(
+    store: &StandInStore,
+    number: usize,
+    replacements: u32,
+    event_delay_ms: u64,
+) -> TargetHandle {
     let id = format!("t-{number}-{replacements}");
     let target = StandInTarget::start(&id).await;
     target.mark_events();
+    target.slow_down(event_delay_ms);
     let proxy = start_proxy(target.address).await;
     store.put("servers", &id, target.entry_at(proxy.address));
     TargetHandle { target, proxy, replacements }
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -43,6 +43,15 @@
         /// Length of the fault.
         duration: Duration,
     },
+    /// Disturbs the links that other gateways dial to a gateway.
+    LinkPath {
+        /// Index of the gateway.
+        gateway: usize,
+        /// Mode of the proxy.
+        mode: ProxyMode,
+        /// Length of the fault.
+        duration: Duration,
+    },
     /// Disturbs the connections to a target.
     TargetPath {
         /// Index of the target.
@@ -87,6 +96,28 @@
 const MAX_FAULTY_ANSWERS: usize = 6;
 
 impl SoakFault {
+    /// Draws a fault that separates gateways which enforce a limit together.
+    pub fn draw_separation(random: &mut SmallRng, gateways: usize) -> Self {
+        let gateway = random.random_range(0..gateways);
+        let duration = Duration::from_millis(random.random_range(300..3_000));
+        match random.random_range(0..3) {
+            0 => Self::Kill { gateway, pause: duration / 2 },
+            1 => Self::Pause { gateway, duration },
+            _ => {
+                let mode = ProxyMode::FAULTS[random.random_range(0..ProxyMode::FAULTS.len())];
+                Self::LinkPath { gateway, mode, duration }
+            }
+        }
+    }
+
+    /// Draws a freeze of a home gateway. Links are lost after a second and offers expire 0.1 s later, so that it wakes up
+    /// before and after that.
+    pub fn draw_freeze(random: &mut SmallRng, gateways: usize) -> Self {
+        let gateway = random.random_range(0..gateways);
+        let duration = Duration::from_millis(random.random_range(300..2_500));
+        Self::Pause { gateway, duration }
+    }
+
     /// Draws a random fault for this number of gateways and targets.
     pub fn draw(random: &mut SmallRng, gateways: usize, targets: usize) -> Self {
         let gateway = random.random_range(0..gateways);
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -4,11 +4,13 @@
 //! gateways.
 //! Afterwards the observations of clients and targets are checked against the guarantees of the system.
 
+pub mod account_window;
 pub mod checker;
 pub mod clients;
 pub mod cluster;
 pub mod config;
 pub mod fault;
+pub mod limited_accounts;
 pub mod observation;
 pub mod process;
 pub mod proxy;
@@ -18,6 +20,7 @@
 /// The types that most users of this crate need.
 pub mod prelude {
     pub use crate::{
+        account_window::{AccountQuota, WindowExcess},
         checker::{BrokenPromise, PromiseKind, check},
         observation::{Observation, SeenResult},
         run::{SoakReport, run_soak},
--- a/crates/soak/src/observation.rs
+++ b/crates/soak/src/observation.rs
@@ -17,6 +17,13 @@
         /// How long ago its key was revoked; `None` while the key is valid.
         revoked_for: Option<Duration>,
     },
+    /// A client is about to send a request of an account with a limit.
+    SentFor {
+        /// Id of the client's attempt.
+        attempt: String,
+        /// The account.
+        account: String,
+    },
     /// A request was answered, or its connection ended.
     Answered {
         /// Id of the client's attempt.
@@ -41,6 +48,15 @@
         /// Whether the target was sent the client's key.
         has_key: bool,
     },
+    /// A target began to run a request of an account with a limit.
+    Began {
+        /// The client's attempt.
+        attempt: String,
+        /// The account for which it ran.
+        account: String,
+        /// Time since the soak test started.
+        at: Duration,
+    },
     /// A job was accepted.
     JobAccepted {
         /// Id of the job.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -59,6 +59,7 @@
     let context = ClientContext {
         cluster: cluster.clone(),
         seed: settings.seed,
+        offers_items: settings.offers_items,
         is_over: Arc::new(AtomicBool::new(false)),
         requests: Arc::default(),
         jobs: Arc::default(),
@@ -72,6 +73,10 @@
         clients.push(task::spawn(context.clone().send_jobs(1_000 + number)));
     }
     clients.push(task::spawn(context.clone().ask_routes(2_000)));
+    for account in 0..cluster.limited_accounts().len() {
+        let number = 3_000 + account as u64;
+        clients.push(task::spawn(context.clone().send_limited(number, account)));
+    }
     let faults = inject_faults(settings, &cluster).await;
     cluster.heal().await;
     record_recovery(&context).await;
@@ -99,6 +104,8 @@
     cluster: &SoakCluster,
 ) -> Vec<(Duration, SoakFault)> {
     let mut random = SmallRng::seed_from_u64(settings.seed);
+    // Separate, so that an option adds faults to those of a seed and changes none.
+    let mut added_random = SmallRng::seed_from_u64(!settings.seed);
     let mut faults = Vec::new();
     let began = Instant::now();
     if settings.evicts_gateways {
@@ -110,8 +117,16 @@
     }
     while began.elapsed() < settings.duration {
         let fault = SoakFault::draw(&mut random, settings.gateways, settings.targets);
-        cluster.apply(&fault);
-        faults.push((began.elapsed(), fault));
+        let separation = settings
+            .limits_accounts
+            .then(|| SoakFault::draw_separation(&mut added_random, settings.gateways));
+        let freeze = settings
+            .offers_items
+            .then(|| SoakFault::draw_freeze(&mut added_random, settings.gateways));
+        for fault in [Some(fault), separation, freeze].into_iter().flatten() {
+            cluster.apply(&fault);
+            faults.push((began.elapsed(), fault));
+        }
         let gap = random.random_range(FAULT_GAP_MS);
         task::sleep(Duration::from_millis(gap)).await;
         cluster.restart_crashed();
--- a/crates/soak/src/settings.rs
+++ b/crates/soak/src/settings.rs
@@ -19,6 +19,11 @@
     pub targets: usize,
     /// Whether gateways evict each other. One is frozen for longer than that takes when injection begins, and resumed.
     pub evicts_gateways: bool,
+    /// Whether there are also accounts with a limit, one of which sends several times its limit for some seconds at a
+    /// time, while more gateways are killed, frozen and cut off from each other.
+    pub limits_accounts: bool,
+    /// Whether home gateways offer slots for items, and are frozen. Jobs have more items, and these take longer.
+    pub offers_items: bool,
     /// Number of clients that send online requests; a third as many send jobs.
     pub clients: u64,
 }
@@ -33,6 +38,8 @@
             gateways: 3,
             targets: 5,
             evicts_gateways: false,
+            limits_accounts: false,
+            offers_items: false,
             clients: 6,
         }
     }
