Cut gateways off on the side that is dialled

Of two gateways the one with the smaller name dials, so the proxy in front of the first gateway's links was never used, and a cut at another one left it linked to those that it dials.

Change: `LinkPath` disturbs the links of all gateways from an index on, of which none keeps a link; those below it keep theirs to each other.

All links to a gateway led through its proxy.

--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -203,14 +203,14 @@
             }
             SoakFault::Reload { gateway } => self.gateway(gateway).process.signal(Signal::HUP),
             SoakFault::StorePath { gateway, mode, duration } => {
-                disturb(&self.store_proxies[gateway], mode, duration).await;
+                disturb(&self.store_proxies[gateway..=gateway], mode, duration).await;
             }
-            SoakFault::LinkPath { gateway, mode, duration } => {
-                disturb(&self.link_proxies[gateway], mode, duration).await;
+            SoakFault::LinkPath { first, mode, duration } => {
+                disturb(&self.link_proxies[first..], mode, duration).await;
             }
             SoakFault::TargetPath { target, mode, duration } => {
                 let proxy = self.target(target).proxy.clone();
-                disturb(&proxy, mode, duration).await;
+                disturb(&[proxy], mode, duration).await;
             }
             SoakFault::TargetAnswers { target, conduct } => {
                 self.target(target).target.conduct(&conduct);
@@ -350,10 +350,10 @@
     handle.process.start().expect("the program starts again");
 }
 
-async fn disturb(proxy: &FaultProxy, mode: ProxyMode, duration: Duration) {
-    proxy.set(mode);
+async fn disturb(proxies: &[FaultProxy], mode: ProxyMode, duration: Duration) {
+    proxies.iter().for_each(|proxy| proxy.set(mode));
     task::sleep(duration).await;
-    proxy.set(ProxyMode::Pass);
+    proxies.iter().for_each(|proxy| proxy.set(ProxyMode::Pass));
 }
 
 async fn start_proxy(destination: std::net::SocketAddr) -> FaultProxy {
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -43,10 +43,11 @@
         /// Length of the fault.
         duration: Duration,
     },
-    /// Disturbs the links that other gateways dial to a gateway.
+    /// Disturbs the links of all gateways from an index on. Of two gateways the one with the lower index dials, through
+    /// the other one's proxy, so those below the index keep their links to each other.
     LinkPath {
-        /// Index of the gateway.
-        gateway: usize,
+        /// The index, at least 1.
+        first: usize,
         /// Mode of the proxy.
         mode: ProxyMode,
         /// Length of the fault.
@@ -102,11 +103,11 @@
         let duration = Duration::from_millis(random.random_range(300..3_000));
         match random.random_range(0..3) {
             0 => Self::Kill { gateway, pause: duration / 2 },
-            1 => Self::Pause { gateway, duration },
-            _ => {
+            1 if gateways > 1 => {
                 let mode = ProxyMode::FAULTS[random.random_range(0..ProxyMode::FAULTS.len())];
-                Self::LinkPath { gateway, mode, duration }
+                Self::LinkPath { first: random.random_range(1..gateways), mode, duration }
             }
+            _ => Self::Pause { gateway, duration },
         }
     }
 
