--- /dev/null
+++ b/crates/entry/tests/soak_options.rs
@@ -0,0 +1,41 @@
+//! Short soaks with accounts that have limits and with offers of slots for items.
+
+use std::{path::PathBuf, time::Duration};
+
+use async_std::task;
+use notch_soak::prelude::*;
+
+/// Runs a short soak and returns the gateways' logs.
+fn run_with_logs(settings: SoakSettings) -> String {
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(&settings.folder);
+    let logs = ["gateway-0.log", "gateway-1.log", "gateway-2.log"].map(|name| folder.join(name));
+    logs.iter().for_each(|log| drop(std::fs::remove_file(log)));
+    let duration = Duration::from_secs(12);
+    let program = PathBuf::from(env!("CARGO_BIN_EXE_notch-entry"));
+    let settings = SoakSettings { duration, program, folder, ..settings };
+    let report = task::block_on(run_soak(&settings)).expect("the gateways start");
+    assert_eq!(report.broken, [], "faults: {:#?}", report.faults);
+    assert!(report.jobs > 0 && report.requests > 0, "no load was generated: {report:?}");
+    logs.iter().filter_map(|log| std::fs::read_to_string(log).ok()).collect()
+}
+
+/// Guards against an account that is admitted above its limit while gateways are killed, frozen and cut off from each
+/// other.
+#[test]
+fn a_soak_with_a_hot_account_keeps_its_limit() {
+    let folder = PathBuf::from("soak-accounts");
+    let logs =
+        run_with_logs(SoakSettings { limits_accounts: true, folder, ..SoakSettings::default() });
+    let refused =
+        |line: &&str| line.contains("reason=over_account_limit") && line.contains("account=hot");
+    assert!(logs.lines().filter(refused).count() > 100, "the limit was hardly reached");
+}
+
+/// Guards against broken guarantees when homes are frozen that offer slots for items.
+#[test]
+fn a_soak_with_frozen_homes_breaks_no_guarantee() {
+    let folder = PathBuf::from("soak-homes");
+    let logs =
+        run_with_logs(SoakSettings { offers_items: true, folder, ..SoakSettings::default() });
+    assert!(logs.contains("slot=offered"), "no item started in an offered slot");
+}
