--- a/crates/relay/src/jobs/eviction.rs
+++ b/crates/relay/src/jobs/eviction.rs
@@ -14,6 +14,9 @@
 /// How long there must have been no link to a gateway before it is evicted. Longer than [`MAJORITY_SILENCE`] by the
 /// time that a link takes to be recognized as lost, so that a gateway doubts its own entry before the entry is deleted.
 pub const EVICTION_SILENCE: Duration = Duration::from_secs(8);
+/// How long there must have been no link before a gateway asks the others. They may notice the loss of their links later,
+/// by up to a heartbeat and a pause of the process; an attempt that comes before is refused.
+pub const EVICTION_DUE: Duration = Duration::from_millis(8_500);
 /// Timeout of the other gateways' answers before an eviction; one takes a few milliseconds.
 pub const EVICTION_ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
 /// Pause before the next attempt to evict a gateway. Each further gateway by rank waits for as much longer, so that one
@@ -295,7 +298,7 @@
             known.revision == candidate.revision && now.since(known.since) >= EVICTION_SILENCE
         });
         let ahead = evictors_ahead(own, candidate, view);
-        candidate.unlinked >= EVICTION_SILENCE + EVICTION_PAUSE * ahead
+        candidate.unlinked >= EVICTION_DUE + EVICTION_PAUSE * ahead
             && is_known_long
             && !view.is_unsure
             && is_majority(view.heard, view.known)
--- a/crates/relay/tests/eviction.rs
+++ b/crates/relay/tests/eviction.rs
@@ -6,7 +6,7 @@
 
 use notch_relay::{
     jobs::eviction::{
-        EVICTION_ANSWER_TIMEOUT, EVICTION_PAUSE, EVICTION_SILENCE, MAJORITY_SILENCE,
+        EVICTION_ANSWER_TIMEOUT, EVICTION_DUE, EVICTION_PAUSE, EVICTION_SILENCE, MAJORITY_SILENCE,
         OWN_ENTRY_INTERVAL, OWN_ENTRY_VALIDITY, is_majority, needed_for_majority,
     },
     prelude::*,
@@ -59,7 +59,7 @@
 
 #[test]
 fn the_first_by_rank_alone_evicts() {
-    let gone = candidate(7, EVICTION_SILENCE);
+    let gone = candidate(7, EVICTION_DUE);
     let evictors: Vec<&str> = ["a", "b", "c", "d"]
         .into_iter()
         .filter(|own| {
@@ -75,7 +75,7 @@
 /// The evictor dies between the answers and the deletion.
 #[test]
 fn the_next_by_rank_evicts_without_the_first() {
-    let gone = candidate(7, EVICTION_SILENCE);
+    let gone = candidate(7, EVICTION_DUE);
     let first = first_evictor();
     let left: Vec<&str> = ["a", "b", "c", "d"].into_iter().filter(|own| *own != first).collect();
     let evicts = |own: &&&str| {
@@ -90,9 +90,21 @@
     assert_eq!(left.iter().filter(evicts).count(), 1);
 }
 
+/// Guards against an attempt that is refused, and repeated only 5 s later, because another gateway noticed the loss of its
+/// link a moment after the asker did.
+#[test]
+fn an_eviction_is_not_asked_for_before_the_others_can_agree() {
+    let heartbeat = Duration::from_millis(300);
+    let view = fleet(first_evictor(), candidate(7, EVICTION_SILENCE + heartbeat));
+    let (mut eviction, own, now) = ready(&view);
+    assert_eq!(eviction.begin(&own, &view, now), None);
+    let view = fleet(first_evictor(), candidate(7, EVICTION_DUE));
+    assert!(eviction.begin(&own, &view, now).is_some());
+}
+
 #[test]
 fn all_linked_gateways_must_agree() {
-    let view = fleet(first_evictor(), candidate(7, EVICTION_SILENCE));
+    let view = fleet(first_evictor(), candidate(7, EVICTION_DUE));
     let (mut eviction, own, now) = ready(&view);
     assert!(eviction.begin(&own, &view, now).is_some());
     assert_eq!(eviction.begin(&own, &view, now), None, "one eviction at a time");
@@ -107,7 +119,7 @@
 /// Guards against the eviction of a gateway that this one alone has no link to.
 #[test]
 fn a_refusal_postpones() {
-    let view = fleet(first_evictor(), candidate(7, EVICTION_SILENCE));
+    let view = fleet(first_evictor(), candidate(7, EVICTION_DUE));
     let (mut eviction, own, now) = ready(&view);
     eviction.begin(&own, &view, now).unwrap();
     view.linked.iter().for_each(|peer| eviction.note_answer(peer, AbsenceVote::Gone));
@@ -123,7 +135,7 @@
 /// Guards against counting a gateway that is frozen, or of a build without evictions, as one that agrees.
 #[test]
 fn a_missing_answer_postpones() {
-    let view = fleet(first_evictor(), candidate(7, EVICTION_SILENCE));
+    let view = fleet(first_evictor(), candidate(7, EVICTION_DUE));
     let (mut eviction, own, now) = ready(&view);
     eviction.begin(&own, &view, now).unwrap();
     view.linked[1..].iter().for_each(|peer| eviction.note_answer(peer, AbsenceVote::Gone));
@@ -139,7 +151,7 @@
 #[case::majority_lost(|view: &mut FleetView| view.heard = 1)]
 #[case::paused_or_entries_outdated(|view: &mut FleetView| view.is_unsure = true)]
 fn a_change_meanwhile_postpones(#[case] change: fn(&mut FleetView)) {
-    let mut view = fleet(first_evictor(), candidate(7, EVICTION_SILENCE));
+    let mut view = fleet(first_evictor(), candidate(7, EVICTION_DUE));
     let (mut eviction, own, now) = ready(&view);
     eviction.begin(&own, &view, now).unwrap();
     view.linked.iter().for_each(|peer| eviction.note_answer(peer, AbsenceVote::Gone));
@@ -183,7 +195,7 @@
 /// removed, and one of four others started 5 s ago.
 #[test]
 fn a_new_gateway_does_not_keep_the_others_from_an_eviction() {
-    let mut view = fleet(first_evictor(), candidate(7, EVICTION_SILENCE));
+    let mut view = fleet(first_evictor(), candidate(7, EVICTION_DUE));
     let new = view.linked[0].clone();
     view.evictors.retain(|vm| *vm != new);
     let (mut eviction, own, now) = ready(&view);
@@ -197,7 +209,7 @@
 /// have just started, and what they had a link to before is not known.
 #[test]
 fn a_majority_that_has_been_up_for_long_is_needed() {
-    let mut view = fleet(first_evictor(), candidate(7, EVICTION_SILENCE));
+    let mut view = fleet(first_evictor(), candidate(7, EVICTION_DUE));
     view.evictors.truncate(1);
     let (mut eviction, own, now) = ready(&view);
     assert!(eviction.begin(&own, &view, now).is_some());
@@ -215,7 +227,7 @@
     let mut names = ["a", "b", "c", "d"];
     names.sort_by_key(rank);
     for (ahead, name) in names.iter().rev().enumerate() {
-        let due = EVICTION_SILENCE + EVICTION_PAUSE * ahead as u32;
+        let due = EVICTION_DUE + EVICTION_PAUSE * ahead as u32;
         let begins = |unlinked: Duration| {
             let view = fleet(name, candidate(7, unlinked));
             let mut eviction = GatewayEviction::default();
@@ -262,7 +274,7 @@
 /// towards a majority, as it leaves: two of five agree, this one included.
 #[test]
 fn only_asked_gateways_that_count_agree_and_only_once() {
-    let mut view = fleet(first_evictor(), candidate(7, EVICTION_SILENCE));
+    let mut view = fleet(first_evictor(), candidate(7, EVICTION_DUE));
     let (leaving, new) = (view.linked[1].clone(), view.linked[2].clone());
     view.evictors.truncate(1);
     let (mut eviction, own, now) = ready(&view);
