Decide which requests exceed the fair share of their account

When all slots are in use, requests are served in order of arrival, so a flood from one account takes the slots of all accounts.

FairShareTable counts online requests by service and share key at this gateway and as other gateways report them, and refuses a request while fewer than a twentieth of the slots are free if its key uses at least its part of a weighted max-min division. Use that no report lists is served first, up to half of the slots. Reports and counted keys are bounded. Nothing calls it yet.

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -1,12 +1,13 @@
 //! Decision logic of an entry VM that relays requests directly to targets: routing, target
-//! selection, failure classification, splitting of streams into events, job admission and
-//! scheduling, client accounts and their rate limits, limits shared by all gateways, and the memory
-//! held for slow readers.
+//! selection, sharing of slots among accounts, failure classification, splitting of streams into
+//! events, job admission and scheduling, client accounts and their rate limits, limits shared by all
+//! gateways, and the memory held for slow readers.
 //!
 //! The crate performs no I/O and reads no clock.
 
 pub mod accounts;
 mod ewma;
+pub mod fairness;
 pub mod follower_start;
 pub mod item_slots;
 pub mod job_admission;
@@ -34,6 +35,13 @@
             table::{AccountTable, CallerIdentity, may_access},
             view::{LimiterView, PeerCounts},
         },
+        fairness::{
+            FairShareTable,
+            key::share_key,
+            share_use::ShareUse,
+            verdict::{FairSlots, FairVerdict},
+            weight::share_weight,
+        },
         follower_start::{expectation_span, expected_followers, takeover_delay},
         item_slots::{
             FreeSlots, ItemSlotTable, ReceivedOffer, SlotShare,
--- a/crates/relay/src/targets/table.rs
+++ b/crates/relay/src/targets/table.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 pub mod ejections;
+mod fair_slots;
 mod item_offers;
 mod paces;
 
