Simulate a flood of one account, and correct the fair share by it

The laboratory gains the pattern flooding-account (40 light accounts, refused clients retry once) and the policy fair-shares. Causes: reports are up to 100 ms old, so a flood took all slots before they told of it, and all gateways that heard of a free slot admitted a request to it; most requests of a flood are retries, for which the bound was a quarter higher.

Changes: pressure begins when fewer than a quarter of the slots are free, while a twentieth stays the headroom; reported use is taken to go on rising as it did; in a flood each gateway admits its part of the share; the excess of requests without a retry is at most the headroom.

--- a/crates/lab/src/gateway.rs
+++ b/crates/lab/src/gateway.rs
@@ -29,6 +29,8 @@
     pub items: VecDeque<WaitingItem>,
     /// Waiting items of all gateways, where slots are offered for them.
     pub slots: ItemSlotTable,
+    /// Use of slots by account, where slots are shared among accounts.
+    pub shares: FairShareTable,
     /// Learned run time of items.
     pub run_time: ItemRunTime,
     /// The gateway processes no events before this time.
@@ -44,6 +46,7 @@
             table: TargetTable::new(domain),
             items: VecDeque::new(),
             slots: ItemSlotTable::default(),
+            shares: FairShareTable::default(),
             run_time: ItemRunTime::default(),
             frozen_until: MonoTime::default(),
         }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -17,8 +17,10 @@
 pub mod prelude {
     pub use crate::{
         comparison::{PairedDifference, PatternComparison, PolicyOutcomes},
-        outcome::{FaultTraffic, SimOutcome},
-        pattern::{LoadPattern, LoadStep, SlowSpells, TargetFault, TargetLoss},
+        outcome::{AccountTraffic, FaultTraffic, SimOutcome},
+        pattern::{
+            AccountFlood, AccountLoad, LoadPattern, LoadStep, SlowSpells, TargetFault, TargetLoss,
+        },
         policy::SelectionPolicy,
         simulation::Simulation,
     };
--- a/crates/lab/src/outcome.rs
+++ b/crates/lab/src/outcome.rs
@@ -34,6 +34,35 @@
     }
 }
 
+/// Online requests by account, where the pattern has accounts.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
+pub struct AccountTraffic {
+    /// Requests of the light accounts, without retries.
+    pub light: u64,
+    /// Those of them that were answered in time and had not been refused before.
+    pub light_in_time: u64,
+    /// Requests and retries refused because their account used more than its share.
+    pub over_share: u64,
+    /// Slots that the heavy account used, summed over samples during the flood.
+    pub heavy_slots: u64,
+    /// Slots that the light accounts used in these samples.
+    pub light_slots: u64,
+    /// All slots in these samples.
+    pub all_slots: u64,
+}
+
+impl AccountTraffic {
+    /// Share of the light accounts' requests that were refused or late.
+    pub fn light_missed_share(&self) -> f64 {
+        1.0 - self.light_in_time as f64 / self.light.max(1) as f64
+    }
+
+    /// Slots that the heavy account used, as a share of those that the light ones left.
+    pub fn heavy_share_of_rest(&self) -> f64 {
+        self.heavy_slots as f64 / (self.all_slots - self.light_slots).max(1) as f64
+    }
+}
+
 /// Counters of one simulation run.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
 pub struct SimOutcome {
@@ -55,6 +84,8 @@
     pub max_excluded: u64,
     /// Traffic during and after a fault of some targets.
     pub fault: FaultTraffic,
+    /// Requests of light accounts and of the heavy one.
+    pub accounts: AccountTraffic,
     /// Slot requests sent to home gateways.
     pub asks: u64,
     /// Job items that arrived.
--- a/crates/lab/src/pattern.rs
+++ b/crates/lab/src/pattern.rs
@@ -57,6 +57,26 @@
     pub span: Duration,
 }
 
+/// A time in which one account sends more requests than all slots hold.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct AccountFlood {
+    /// When it begins, from the start of the simulation.
+    pub at: Duration,
+    /// How long it lasts.
+    pub span: Duration,
+    /// Online requests per second of the account.
+    pub per_second: f64,
+}
+
+/// Accounts that send the online requests. A client whose request is refused retries once.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct AccountLoad {
+    /// Number of light accounts, which send equal parts of the base load. At least 1.
+    pub light: usize,
+    /// Flood of one more account.
+    pub flood: Option<AccountFlood>,
+}
+
 /// A load and the fleet that it runs on.
 #[derive(Debug, Clone, PartialEq)]
 pub struct LoadPattern {
@@ -104,6 +124,8 @@
     pub fault: Option<TargetFault>,
     /// Share of the online requests that may run twice.
     pub repeatable_share: f64,
+    /// Accounts of the online requests; `None` if all requests have the same one.
+    pub accounts: Option<AccountLoad>,
 }
 
 impl Default for LoadPattern {
@@ -132,6 +154,7 @@
             slow_spells: None,
             fault: None,
             repeatable_share: 1.0,
+            accounts: None,
         }
     }
 }
@@ -177,6 +200,7 @@
             Self::short_replies(),
             Self::uneven_jobs(),
             Self::uneven_targets(),
+            Self::flooding_account(),
         ]
     }
 
@@ -248,6 +272,25 @@
         }
     }
 
+    /// 40 light accounts that need half of all slots, and one that asks for three times all slots for 6 s.
+    fn flooding_account() -> Self {
+        let flood = AccountFlood {
+            at: Duration::from_secs(6),
+            span: Duration::from_secs(6),
+            // A request occupies a slot for 0.75 s when nearly all slots are in use.
+            per_second: 1_680.0,
+        };
+        Self {
+            name: "flooding-account",
+            span: Duration::from_secs(18),
+            online_per_second: 280.0,
+            steps: Vec::new(),
+            items_per_second: 0.0,
+            accounts: Some(AccountLoad { light: 40, flood: Some(flood) }),
+            ..Self::default()
+        }
+    }
+
     /// Finds a predefined pattern by its name.
     pub fn named(name: &str) -> Option<Self> {
         Self::all().into_iter().find(|pattern| pattern.name == name)
--- a/crates/lab/src/simulation.rs
+++ b/crates/lab/src/simulation.rs
@@ -1,5 +1,6 @@
 //! Simulation of one load pattern: gateways, targets and the messages between them.
 
+mod fairness;
 mod faults;
 mod items;
 mod offers;
@@ -82,11 +83,19 @@
     missed_free_slot: bool,
     has_failed: bool,
     may_repeat: bool,
+    /// Number of the account that sent it.
+    account: usize,
+    /// Its client was refused before.
+    is_retry: bool,
+    /// It counts as use of its account.
+    is_counted: bool,
 }
 
 #[derive(Debug)]
 enum SimEvent {
     OnlineArrival,
+    FloodArrival,
+    SampleAccounts,
     JobArrival,
     Attempt {
         request: usize,
@@ -134,6 +143,7 @@
         uses: Vec<(String, TargetUse)>,
         waiting: Vec<WaitingReport>,
         paces: Vec<(String, Duration)>,
+        shares: Vec<ShareUse>,
     },
     ReceiveOffer {
         to: usize,
@@ -288,6 +298,7 @@
             self.schedule.add(offset, SimEvent::StartItems { gateway });
         }
         self.schedule_faults();
+        self.schedule_flood();
         for loss in self.pattern.losses.clone() {
             self.schedule.add(loss.at, SimEvent::FailTargets { count: loss.count });
         }
@@ -320,6 +331,8 @@
         }
         match event {
             SimEvent::OnlineArrival => self.handle_arrival(),
+            SimEvent::FloodArrival => self.handle_flood_arrival(),
+            SimEvent::SampleAccounts => self.sample_accounts(),
             SimEvent::JobArrival => self.handle_job_arrival(),
             SimEvent::Attempt { request } => self.attempt(request),
             SimEvent::SlotRequest { request, number, home, may_displace } => {
@@ -334,7 +347,7 @@
             SimEvent::Preempt { run } => self.handle_preempt(run),
             SimEvent::RunEnded { run, outcome } => self.finish_run(run, outcome),
             SimEvent::SendReport { gateway } => self.send_report(gateway),
-            SimEvent::ReceiveReport { to, from, uses, waiting, paces } => {
+            SimEvent::ReceiveReport { to, from, uses, waiting, paces, shares } => {
                 let (now, peer) = (self.now(), self.gateways[from].vm.clone());
                 let table = &mut self.gateways[to].table;
                 table.take_report(&peer, uses.into_iter().collect(), now);
@@ -342,6 +355,11 @@
                 for (id, gap) in paces {
                     table.note_reported_pace(&id, gap, now);
                 }
+                if self.policy == SelectionPolicy::FairShares {
+                    let table = &mut self.gateways[to].shares;
+                    table.note_report(&peer, shares, now);
+                    table.expire(now);
+                }
                 if self.policy == SelectionPolicy::SharedItems {
                     let draw = self.random.random();
                     self.gateways[to].slots.take_report(&peer, waiting, draw, now);
@@ -448,9 +466,11 @@
         let (now, state) = (self.now(), &mut self.gateways[from]);
         state.slots.note_online(SERVICE, state.table.online_load(SERVICE), now);
         let paces = state.table.take_paces(now);
+        let shares = state.shares.own_shares(now);
         for to in (0..self.gateways.len()).filter(|to| *to != from) {
             let (uses, waiting, paces) = (uses.clone(), waiting.clone(), paces.clone());
-            let message = SimEvent::ReceiveReport { to, from, uses, waiting, paces };
+            let shares = shares.clone();
+            let message = SimEvent::ReceiveReport { to, from, uses, waiting, paces, shares };
             self.schedule.add(self.pattern.delay, message);
         }
         self.schedule.add(REPORT_INTERVAL, SimEvent::SendReport { gateway: from });
--- a/crates/lab/src/simulation/items.rs
+++ b/crates/lab/src/simulation/items.rs
@@ -164,7 +164,8 @@
             SelectionPolicy::UsageReports
             | SelectionPolicy::HomeGateways
             | SelectionPolicy::SharedItems
-            | SelectionPolicy::LearnedPerformance => self.pattern.delay,
+            | SelectionPolicy::LearnedPerformance
+            | SelectionPolicy::FairShares => self.pattern.delay,
         };
         self.schedule.add(delay, SimEvent::Preempt { run });
     }
--- a/crates/lab/tests/slot_requests.rs
+++ b/crates/lab/tests/slot_requests.rs
@@ -25,6 +25,7 @@
 #[case(SelectionPolicy::UsageReports)]
 #[case(SelectionPolicy::HomeGateways)]
 #[case(SelectionPolicy::SharedItems)]
+#[case(SelectionPolicy::FairShares)]
 #[case(SelectionPolicy::Oracle)]
 fn a_seed_gives_the_same_outcome_each_time(#[case] policy: SelectionPolicy) {
     let pattern = LoadPattern { span: Duration::from_secs(4), ..short("crests") };
--- a/crates/relay/src/fairness.rs
+++ b/crates/relay/src/fairness.rs
@@ -33,8 +33,18 @@
 /// Maximum number of keys counted at this gateway; deployments have tens. The use of other keys is
 /// remaining use.
 const MAX_OWN_KEYS: usize = 4_096;
-/// Multiple of the fair share up to which requests are admitted whose clients can't retry.
+/// Multiple of the fair share up to which requests are admitted whose clients can't retry. The
+/// excess is at most the headroom: most requests of a flood are retries, and a quarter of a large
+/// share would take the slots of the others.
 const SINGLE_CHANCE_FACTOR: f64 = 1.25;
+/// Maximum factor by which the use of a key is taken to have grown since the last reports.
+const MAX_GROWTH: f64 = 4.0;
+/// Keys are not refused whose use is that of an even division and at most this many standard
+/// deviations of random arrivals more. Otherwise peaks in which no key uses more than the others have
+/// requests refused that the headroom would hold.
+const EVEN_DEVIATIONS: f64 = 3.0;
+/// Multiple of its share from which on the demand of a key is a flood.
+const FLOOD_FACTOR: f64 = 1.25;
 
 /// Use of one share key at this gateway.
 #[derive(Debug)]
@@ -43,6 +53,8 @@
     online: u32,
     refusals: RefusalWindow,
     weight: f64,
+    /// Demand at the last report of this gateway, which is as old as the others' reports.
+    reported: u64,
 }
 
 /// What another gateway reported.
@@ -61,6 +73,8 @@
     weight: f64,
     /// Number of reports that name the key.
     reports: usize,
+    /// `online` at the last two reports of this gateway, the latest first.
+    earlier: [u64; 2],
 }
 
 /// Use of a service's slots by share key, at this gateway and as other gateways reported it.
@@ -77,29 +91,44 @@
     /// Replaces the report of `peer`. Keys that it no longer lists count as unused. Entries beyond
     /// the allowed number, with a key that is too long or listed before are ignored.
     pub fn note_report(&mut self, peer: &VmName, shares: Vec<ShareUse>, now: MonoTime) {
-        self.forget(peer);
         let shares = bounded(shares);
-        if shares.is_empty() {
-            return;
-        }
+        let former = self.peers.remove(peer);
+        // The new report is added first, so that the course of a key that only it lists is kept.
         for share in &shares {
-            let keys = match self.reported.get_mut(&share.service) {
-                Some(keys) => keys,
-                None => self.reported.entry(share.service.clone()).or_default(),
-            };
-            let new = ReportedShare { online: 0, refused: 0, weight: share.weight, reports: 0 };
-            let sum = keys.entry(share.key.clone()).or_insert(new);
-            sum.online += u64::from(share.online);
-            sum.refused += u64::from(share.refused);
-            sum.weight = share.weight;
-            sum.reports += 1;
+            self.add(share);
+        }
+        if let Some(PeerShares { shares, .. }) = former {
+            self.subtract(&shares);
+        }
+        if !shares.is_empty() {
+            self.peers.insert(peer.clone(), PeerShares { at: now, shares });
         }
-        self.peers.insert(peer.clone(), PeerShares { at: now, shares });
     }
 
     /// Drops the report of a gateway whose link has ended.
     pub fn forget(&mut self, peer: &VmName) {
-        let Some(PeerShares { shares, .. }) = self.peers.remove(peer) else { return };
+        if let Some(PeerShares { shares, .. }) = self.peers.remove(peer) {
+            self.subtract(&shares);
+        }
+    }
+
+    fn add(&mut self, share: &ShareUse) {
+        let keys = match self.reported.get_mut(&share.service) {
+            Some(keys) => keys,
+            None => self.reported.entry(share.service.clone()).or_default(),
+        };
+        let earlier = [u64::from(share.online); 2];
+        let weight = share.weight;
+        let new = ReportedShare { online: 0, refused: 0, weight, reports: 0, earlier };
+        let sum = keys.entry(share.key.clone()).or_insert(new);
+        sum.online += u64::from(share.online);
+        sum.refused += u64::from(share.refused);
+        sum.weight = weight;
+        sum.reports += 1;
+    }
+
+    /// Undoes [`add`](Self::add) for the entries of a former report.
+    fn subtract(&mut self, shares: &[ShareUse]) {
         for share in shares {
             let Some(keys) = self.reported.get_mut(&share.service) else { continue };
             if let Some(sum) = keys.get_mut(&share.key) {
@@ -136,8 +165,11 @@
     /// Decides on a request that arrives at this gateway, and counts it if it is refused. `weight`
     /// is that of its key, above 0; `can_retry` tells whether its client can retry.
     ///
-    /// It refuses nothing while at least a twentieth of the slots is free, and never a request whose
+    /// It refuses nothing while at least a quarter of the slots is free, and never a request whose
     /// key uses less than its share.
+    ///
+    /// The division keeps the headroom free. Above that, only requests of clients that can't retry
+    /// are admitted.
     pub fn admit(
         &mut self,
         service: &str,
@@ -150,10 +182,17 @@
         if !slots.is_under_pressure() {
             return FairVerdict::Admit;
         }
+        if !self.has_competition(service, key, slots, now) {
+            return FairVerdict::Admit;
+        }
         let used = self.used(service, key);
-        let share = weight * self.level(service, (key, weight), slots, now).per_weight;
-        let bound = if can_retry { share } else { share * SINGLE_CHANCE_FACTOR };
-        if (used as f64) < bound {
+        let level = self.level(service, (key, weight), slots, now);
+        let share = weight * level.per_weight;
+        let excess = (share * (SINGLE_CHANCE_FACTOR - 1.0)).min(slots.headroom() as f64);
+        let bound = if can_retry { share } else { share + excess };
+        let even = weight * level.even;
+        let bound = bound.max(even + EVEN_DEVIATIONS * even.sqrt());
+        if self.estimated_use(service, key, share, now) < bound {
             return FairVerdict::Admit;
         }
         if let Some(own) = self.own_share(service, key, weight) {
@@ -162,8 +201,14 @@
         FairVerdict::Refuse { used, share }
     }
 
-    /// The keys with the most use at this gateway, as they are to be reported.
-    pub fn own_shares(&self, now: MonoTime) -> Vec<ShareUse> {
+    /// The keys with the most use at this gateway, as they are to be reported now.
+    pub fn own_shares(&mut self, now: MonoTime) -> Vec<ShareUse> {
+        for own in self.own.values_mut().flat_map(|keys| keys.values_mut()) {
+            own.reported = u64::from(own.online) + u64::from(own.refusals.count(now));
+        }
+        for sum in self.reported.values_mut().flat_map(|keys| keys.values_mut()) {
+            sum.earlier = [sum.online, sum.earlier[0]];
+        }
         let mut services: Vec<&String> = self.own.keys().collect();
         services.sort();
         let mut shares = Vec::new();
@@ -208,8 +253,46 @@
         own.map_or(0, |own| u64::from(own.online)) + reported.map_or(0, |sum| sum.online)
     }
 
-    /// The water-filling level of a service at which one more request of the key `newcomer`, given
-    /// with its weight, arrives.
+    /// Whether other keys need slots. Use that no report lists counts if it exceeds the headroom:
+    /// below that it may be requests of the key itself that reports do not include yet.
+    fn has_competition(&self, service: &str, key: &str, slots: FairSlots, now: MonoTime) -> bool {
+        let own = self.own.get(service).into_iter().flatten();
+        let mut own = own.filter(|(other, _)| *other != key);
+        let reported = self.reported.get(service).into_iter().flatten();
+        reported.clone().any(|(other, _)| other != key)
+            || own.any(|(_, own)| own.online > 0 || own.refusals.count(now) > 0)
+            || slots.online > self.used(service, key) + slots.headroom()
+    }
+
+    /// Use of a key over all gateways, with the growth since the last reports, which are up to 100 ms
+    /// old. Without it, a flood takes all slots before the reports tell of it, and all gateways that
+    /// hear of a free slot admit a request to it.
+    ///
+    /// What the others report is taken to go on rising as it did. If the demand is far above
+    /// `share`, so that each gateway has refused requests, this gateway's use may be at most its part
+    /// of the share, by its part of the demand. With less demand that would refuse requests that
+    /// fit, as gateways get uneven numbers of them.
+    pub fn estimated_use(&self, service: &str, key: &str, share: f64, now: MonoTime) -> f64 {
+        let used = self.used(service, key) as f64;
+        let Some(reported) = self.reported.get(service).and_then(|keys| keys.get(key)) else {
+            return used;
+        };
+        let rise = reported.online.saturating_sub(reported.earlier[1]) as f64;
+        let own = self.own.get(service).and_then(|keys| keys.get(key));
+        let refused = own.map_or(0, |own| u64::from(own.refusals.count(now))) + reported.refused;
+        let grown = match own {
+            Some(own) if used + refused as f64 > share * FLOOD_FACTOR => {
+                let part = own.reported.max(1) as f64;
+                let others = (reported.online + reported.refused) as f64;
+                (f64::from(own.online) + 1.0) * (part + others) / part
+            }
+            _ => 0.0,
+        };
+        (used + rise).max(grown).min(used * MAX_GROWTH)
+    }
+
+    /// The water-filling level of a service if the key `newcomer`, given with its weight, asked for
+    /// all slots: what it may use without taking from keys with less use.
     pub fn level(
         &self,
         service: &str,
@@ -218,7 +301,7 @@
         now: MonoTime,
     ) -> ShareLevel {
         let mut demands: FastMap<&str, ShareDemand> = FastMap::default();
-        demands.insert(newcomer, ShareDemand { slots: 1.0, weight });
+        demands.insert(newcomer, ShareDemand { slots: slots.shared() + 1.0, weight });
         let mut known = 0;
         for (key, sum) in self.reported.get(service).into_iter().flatten() {
             known += sum.online;
@@ -243,7 +326,8 @@
             if count >= MAX_OWN_KEYS {
                 return None;
             }
-            let new = OwnShare { online: 0, refusals: RefusalWindow::default(), weight };
+            let new =
+                OwnShare { online: 0, refusals: RefusalWindow::default(), weight, reported: 0 };
             self.own.entry(service.to_owned()).or_default().insert(key.to_owned(), new);
         }
         let own = self.own.get_mut(service)?.get_mut(key)?;
--- a/crates/relay/src/fairness/level.rs
+++ b/crates/relay/src/fairness/level.rs
@@ -17,6 +17,8 @@
 pub struct ShareLevel {
     /// Slots for each unit of weight; infinite if all demands fit.
     pub per_weight: f64,
+    /// Slots for each unit of weight if every key asked for all slots; finite.
+    pub even: f64,
 }
 
 impl ShareLevel {
@@ -28,16 +30,17 @@
     pub fn of(mut demands: Vec<ShareDemand>, remaining: f64, capacity: f64) -> Self {
         let mut left = capacity - remaining.min(capacity * MAX_REMAINING);
         let mut weight: f64 = demands.iter().map(|demand| demand.weight).sum();
+        let even = left / weight;
         let relative = |demand: &ShareDemand| demand.slots / demand.weight;
         demands.sort_by(|a, b| relative(a).total_cmp(&relative(b)));
         for demand in demands {
             let level = left / weight;
             if relative(&demand) > level {
-                return Self { per_weight: level };
+                return Self { per_weight: level, even };
             }
             left -= demand.slots;
             weight -= demand.weight;
         }
-        Self { per_weight: f64::INFINITY }
+        Self { per_weight: f64::INFINITY, even }
     }
 }
--- a/crates/relay/src/fairness/verdict.rs
+++ b/crates/relay/src/fairness/verdict.rs
@@ -1,8 +1,13 @@
 //! Input and result of the decision on a request.
 
 /// One in this many slots is headroom. It absorbs what gateways admit before they hear of each
-/// other's use.
+/// other's use. With a larger one, the account over its share gets less than 0.9 of what the others
+/// leave.
 const SLOTS_PER_HEADROOM: u64 = 20;
+/// A service is under pressure if fewer than one in this many slots is free. With a threshold as
+/// small as the headroom, a flood takes all slots before reports tell of it, and the accounts below
+/// their share wait until its requests end.
+const SLOTS_PER_PRESSURE: u64 = 4;
 
 /// Slots of a service at usable targets, and their use.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -26,10 +31,10 @@
         (self.all - self.headroom().min(self.all)).max(self.all.min(1)) as f64
     }
 
-    /// Whether so few slots are free that requests over their share are refused. Without any slot
-    /// there is nothing to share, and the search for one decides.
+    /// Whether fewer than a quarter of the slots is free, so that requests over their share are
+    /// refused. Without any slot there is nothing to share, and the search for one decides.
     pub fn is_under_pressure(self) -> bool {
-        self.all > 0 && self.free < self.headroom()
+        self.all > 0 && self.free < (self.all / SLOTS_PER_PRESSURE).max(1)
     }
 }
 
@@ -40,7 +45,7 @@
     Admit,
     /// The request is refused.
     Refuse {
-        /// Requests of its key in progress or queued, over all gateways.
+        /// Requests of its key in progress or queued, over all gateways as far as is known.
         used: u64,
         /// Fair share of its key, slots.
         share: f64,
