Refuse online requests over the fair share of their account

Gateways decided nothing by the shares of accounts yet.

Reports end with the link. Loss analysis counts the outcome as a rejection. With the setting off nothing is counted and the field is empty.

Changed tests: features.rs lists the new switch, link/tests/queue.rs fills the new field.

--- a/crates/entry/src/features.rs
+++ b/crates/entry/src/features.rs
@@ -16,6 +16,8 @@
     pub keep_connections: bool,
     /// Entries of gateways that were removed for good are deleted.
     pub eviction: bool,
+    /// Slots are shared among accounts when nearly all are in use.
+    pub fair_shares: bool,
 }
 
 impl GatewayFeatures {
@@ -30,6 +32,7 @@
             performance: is_on(fleet.learn_performance),
             keep_connections: is_on(fleet.keep_connections),
             eviction: is_on(fleet.evict_gateways),
+            fair_shares: is_on(fleet.share_slots_fairly),
         }
     }
 }
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -28,6 +28,7 @@
     constants::{FIRST_LIST_TIMEOUT, PEER_STATE_TIMEOUT, STORE_WATCHERS},
     features::GatewayFeatures,
     memory::HeldMemory,
+    online::fairness::FairShareEdge,
     peers::{
         catch_up::KnownVersions,
         eviction::{EvictionEdge, EvictionState},
@@ -107,6 +108,7 @@
     dropped_routes: Mutex<DroppedRoutes>,
     job_admission: Mutex<JobAdmissionTable>,
     item_slots: Mutex<ItemSlotTable>,
+    shares: Mutex<FairShareTable>,
     report_order: Mutex<()>,
 }
 
@@ -167,6 +169,7 @@
             dropped_routes: Mutex::default(),
             job_admission: Mutex::default(),
             item_slots: Mutex::default(),
+            shares: Mutex::default(),
             report_order: Mutex::default(),
             features,
             config,
@@ -190,6 +193,17 @@
         }
     }
 
+    /// What the sharing of slots among accounts needs; `None` where slots are not shared.
+    pub fn fair_shares(&self) -> Option<FairShareEdge<'_>> {
+        self.features.fair_shares.then_some(FairShareEdge {
+            shares: &self.shares,
+            targets: &self.targets,
+            clock: self.clock,
+            log: &self.log,
+            metrics: &self.metrics,
+        })
+    }
+
     /// Measures the pace of a stream from target `id`, where paces are learned.
     pub fn stream_pace<'a>(&'a self, id: &'a str) -> StreamPace<'a> {
         StreamPace::new(self.features.performance.then_some(&self.targets), id, self.clock)
--- a/crates/entry/src/online.rs
+++ b/crates/entry/src/online.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 pub mod crashes;
+pub mod fairness;
 pub mod lease;
 pub mod relay;
 pub mod request;
--- a/crates/entry/src/online/relay.rs
+++ b/crates/entry/src/online/relay.rs
@@ -26,6 +26,7 @@
     online::{
         answer::{PassFailure, TargetAnswer},
         crashes,
+        fairness::{OverFairShare, ShareLease},
         lease::TargetLease,
         request::OnlineRequest,
         slots,
@@ -147,6 +148,10 @@
         if self.node.crashes().is_refused(self.request.fingerprint, self.now()) {
             return self.give_up("quarantined").await;
         }
+        // Counts the request until its end, also if this future is dropped.
+        let Ok(_share) = self.take_share() else {
+            return self.give_up("over_fair_share").await;
+        };
         let mut searching_since = None;
         loop {
             let now = self.now();
@@ -186,6 +191,15 @@
         }
     }
 
+    /// Counts the request as use of its account where slots are shared among accounts. An error means that the account
+    /// uses more than its share.
+    fn take_share(&self) -> Result<Option<ShareLease<'a>>, OverFairShare> {
+        let Some(edge) = self.node.fair_shares() else { return Ok(None) };
+        let can_retry = self.queue != QueueLimit::Any;
+        let routes = self.node.routes();
+        edge.admit(self.request, &self.service, routes.as_deref(), can_retry).map(Some)
+    }
+
     /// Logs and counts a request whose client closed its connection before the relay was done.
     pub fn log_client_gone(node: &EntryNode, request: &OnlineRequest) {
         let took = node.clock.mono().since(request.arrived).as_millis();
--- a/crates/entry/src/peers/links.rs
+++ b/crates/entry/src/peers/links.rs
@@ -220,7 +220,7 @@
             let up_ms = node.clock.mono().since(MonoTime::default()).as_millis() as u64;
             let hello = PeerMessage::Hello { owner: node.owner.clone(), jobs, up_ms };
             node.peers.send(&peer.vm, hello);
-            node.peers.send(&peer.vm, reports::report(node));
+            node.peers.send(&peer.vm, reports::first_report(node));
             node.peers.send(&peer.vm, demands::demand(node));
             for shares in limits::known_shares(node) {
                 node.peers.send(&peer.vm, shares);
@@ -231,6 +231,9 @@
             let reason = format!("{reason:?}");
             let now = node.clock.mono();
             if node.peers.link_down(&peer.vm, link, is_closed, now) {
+                if let Some(shares) = node.fair_shares() {
+                    shares.forget(&peer.vm);
+                }
                 node.log.warn("gateway_link_down", &[("gateway", &peer.vm), ("reason", &reason)]);
             }
         }
@@ -274,7 +277,7 @@
             gateways,
             waiting,
             paces,
-            ..
+            shares,
         } => {
             node.peers.set_watching(&peer.vm, is_watching);
             if let Some(report) = gateways {
@@ -283,6 +286,7 @@
             reports::apply_uses(node, &peer.vm, uses, node.clock.mono());
             reports::apply_waiting(node, &peer.vm, waiting, node.clock.mono());
             reports::apply_paces(node, paces, node.clock.mono());
+            reports::apply_shares(node, &peer.vm, shares);
             catch_up_with(node, &peer.vm, KnownVersions { configuration, targets, digest });
         }
         PeerMessage::Demand { demands, pace } => {
--- a/crates/entry/src/peers/reports.rs
+++ b/crates/entry/src/peers/reports.rs
@@ -32,7 +32,7 @@
     let KnownVersions { configuration, targets, digest } = node.known_versions();
     let is_watching = node.watch.is_watching();
     let gateways = is_watching.then(|| roster_report(node)).flatten();
-    let (waiting, paces) = (waiting_report(node), Vec::new());
+    let (waiting, paces, shares) = (waiting_report(node), Vec::new(), Vec::new());
     PeerMessage::Report {
         uses,
         configuration,
@@ -42,9 +42,15 @@
         gateways,
         waiting,
         paces,
+        shares,
     }
 }
 
+/// The current report with the use by share key, for a gateway to which a link has come up.
+pub fn first_report(node: &EntryNode) -> PeerMessage {
+    with_shares(node, report(node))
+}
+
 /// Items that wait here, if slots are offered for them.
 fn waiting_report(node: &EntryNode) -> Vec<WaitingItemsReport> {
     if !node.features.item_slots {
@@ -110,6 +116,15 @@
     message
 }
 
+/// Adds the use by share key. It changes when the use of targets does, or when requests are refused, so it doesn't make
+/// a report due.
+fn with_shares(node: &EntryNode, mut message: PeerMessage) -> PeerMessage {
+    if let (PeerMessage::Report { shares, .. }, Some(edge)) = (&mut message, node.fair_shares()) {
+        *shares = edge.own_report();
+    }
+    message
+}
+
 /// Broadcasts reports when they change, and at longer intervals when they don't. Runs until the process ends.
 pub async fn broadcast_uses(node: Arc<EntryNode>) {
     let mut last: Option<PeerMessage> = None;
@@ -118,6 +133,9 @@
         task::sleep(REPORT_CHECK_INTERVAL).await;
         let now = node.clock.mono();
         runner::maintain_item_slots(&node, now);
+        if let Some(shares) = node.fair_shares() {
+            shares.expire();
+        }
         let _order = node.report_order();
         let message = report(&node);
         let gateways = node.peers.known_count() + 1;
@@ -126,7 +144,7 @@
         if due.is_some_and(|due| now.since(last_at) + REPORT_CHECK_INTERVAL / 2 < due) {
             continue;
         }
-        let message = with_paces(&node, message, now);
+        let message = with_shares(&node, with_paces(&node, message, now));
         node.peers.broadcast(&message);
         last = Some(message);
         last_at = now;
@@ -144,6 +162,13 @@
     }
 }
 
+/// Applies another gateway's use by share key, where slots are shared among accounts.
+pub fn apply_shares(node: &EntryNode, peer: &VmName, shares: Vec<ShareUseReport>) {
+    if let Some(edge) = node.fair_shares() {
+        edge.apply_report(peer, shares, node.routes().as_deref());
+    }
+}
+
 /// Applies another gateway's use of targets.
 pub fn apply_uses(node: &EntryNode, peer: &VmName, uses: Vec<TargetUseReport>, now: MonoTime) {
     let uses = uses.into_iter().map(|report| {
--- a/crates/entry/tests/features.rs
+++ b/crates/entry/tests/features.rs
@@ -17,7 +17,7 @@
 #[case::not_declared(
     "[fleet]\ndeclared = base,batch\nshare_item_slots = declared\nlearn_performance = declared\n"
 )]
-#[case::nothing_declared("[fleet]\nevict_gateways = declared\n")]
+#[case::nothing_declared("[fleet]\nevict_gateways = declared\nshare_slots_fairly = declared\n")]
 fn features_are_off_unless_called_for(#[case] text: &str) {
     assert_eq!(features(text), GatewayFeatures::default());
 }
@@ -25,13 +25,15 @@
 #[test]
 fn features_are_on_where_shared_targets_are_declared() {
     let text = "[accounts]\nnew_requests_first = on\n[fleet]\ndeclared = base, pool\nshare_item_slots = declared\n\
-                learn_performance = declared\nkeep_connections = declared\nevict_gateways = on\n";
+                learn_performance = declared\nkeep_connections = declared\nevict_gateways = on\n\
+                share_slots_fairly = declared\n";
     let all = GatewayFeatures {
         new_requests_first: true,
         item_slots: true,
         performance: true,
         keep_connections: true,
         eviction: true,
+        fair_shares: true,
     };
     assert_eq!(features(text), all);
 }
--- a/crates/link/tests/queue.rs
+++ b/crates/link/tests/queue.rs
@@ -20,6 +20,7 @@
         gateways: None,
         waiting: Vec::new(),
         paces: Vec::new(),
+        shares: Vec::new(),
     };
     EncodedMessage::encode(&LinkMessage::Peer(report)).unwrap()
 }
--- a/crates/losses/src/cause.rs
+++ b/crates/losses/src/cause.rs
@@ -53,7 +53,7 @@
     }
     match line.text("outcome") {
         "answered" => classify_answer(line, objective, occupancy),
-        "no_place" => LossCause::Rejected,
+        "no_place" | "over_fair_share" => LossCause::Rejected,
         "cut_answer" | "closed_before_answer" | "stalled_answer" | "target_restarted" => {
             LossCause::InterruptedByTarget
         }
--- a/crates/messages/src/lib.rs
+++ b/crates/messages/src/lib.rs
@@ -29,8 +29,9 @@
         },
         peer::{
             DueWorkReport, GatewayChanges, GoneTarget, ListedJobs, PeerMessage, PlaceAnswer,
-            RosterReport, ServiceDemandReport, StoreCallEnd, TargetChanges, TargetPaceReport,
-            TargetUseReport, VersionedGateway, VersionedTarget, WaitingItemsReport,
+            RosterReport, ServiceDemandReport, ShareUseReport, StoreCallEnd, TargetChanges,
+            TargetPaceReport, TargetUseReport, VersionedGateway, VersionedTarget,
+            WaitingItemsReport,
         },
         shard::{
             ClaimVerdict, ItemStatus, JobChunk, JobPhase, JobProgress, JobSubmission, ResultLine,
--- a/crates/messages/src/peer.rs
+++ b/crates/messages/src/peer.rs
@@ -31,6 +31,19 @@
     pub slack_ms: i64,
 }
 
+/// Use of a service by one share key: an account, or the route of requests without an account.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ShareUseReport {
+    /// The service.
+    pub service: String,
+    /// Name of the account or route, at most 64 bytes; a hash in hexadecimal if the name is longer.
+    pub key: String,
+    /// Online requests in progress or queued.
+    pub online: u32,
+    /// Requests refused in the last second because the key was over its share.
+    pub refused: u32,
+}
+
 /// Pace of one target as measured by one gateway.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TargetPaceReport {
@@ -206,6 +219,10 @@
         /// Paces of targets that changed since the last report.
         #[serde(default)]
         paces: Vec<TargetPaceReport>,
+        /// The share keys with the most use of each service: at most 8 per service and 64 in total. Empty where
+        /// slots are not shared among accounts.
+        #[serde(default)]
+        shares: Vec<ShareUseReport>,
     },
     /// All work that waits at the sender; sent on large changes, and at least every second while any
     /// work waits.
--- a/crates/settings/src/sections/fleet.rs
+++ b/crates/settings/src/sections/fleet.rs
@@ -42,6 +42,8 @@
     pub keep_connections: FeatureSwitch,
     /// Whether the entry of a gateway that was removed for good is deleted.
     pub evict_gateways: FeatureSwitch,
+    /// Whether slots are shared among accounts when nearly all are in use.
+    pub share_slots_fairly: FeatureSwitch,
 }
 
 impl FleetSettings {
@@ -54,6 +56,7 @@
             ("learn_performance", &mut self.learn_performance),
             ("keep_connections", &mut self.keep_connections),
             ("evict_gateways", &mut self.evict_gateways),
+            ("share_slots_fairly", &mut self.share_slots_fairly),
         ];
         for (key, switch) in switches {
             fields.choice(key, switch, &FeatureSwitch::ALL, expected);
