--- a/crates/entry/tests/target_propagation.rs
+++ b/crates/entry/tests/target_propagation.rs
@@ -282,6 +282,7 @@
         gateways: None,
         waiting: Vec::new(),
         paces: Vec::new(),
+        shares: Vec::new(),
     }
 }
 
--- a/crates/lab/src/policy.rs
+++ b/crates/lab/src/policy.rs
@@ -16,18 +16,22 @@
     LearnedPerformance,
     /// `SharedItems` and `LearnedPerformance` together.
     SharedItemsLearned,
+    /// As `HomeGateways`, and refuses requests of accounts that use more than their fair share of the slots. This is the
+    /// production behaviour where it is enabled.
+    FairShares,
     /// Sees the current state of every target without delay: a baseline that no real gateway can reach.
     Oracle,
 }
 
 impl SelectionPolicy {
     /// Every policy with its command-line name.
-    pub const ALL: [(&'static str, Self); 6] = [
+    pub const ALL: [(&'static str, Self); 7] = [
         ("reports", Self::UsageReports),
         ("homes", Self::HomeGateways),
         ("shared-items", Self::SharedItems),
         ("performance", Self::LearnedPerformance),
         ("shared-performance", Self::SharedItemsLearned),
+        ("fair-shares", Self::FairShares),
         ("all-knowing", Self::Oracle),
     ];
 
@@ -37,7 +41,8 @@
             Self::HomeGateways
             | Self::SharedItems
             | Self::LearnedPerformance
-            | Self::SharedItemsLearned => true,
+            | Self::SharedItemsLearned
+            | Self::FairShares => true,
             Self::UsageReports | Self::Oracle => false,
         }
     }
--- a/crates/lab/src/simulation/items.rs
+++ b/crates/lab/src/simulation/items.rs
@@ -165,7 +165,8 @@
             | SelectionPolicy::HomeGateways
             | SelectionPolicy::SharedItems
             | SelectionPolicy::LearnedPerformance
-            | SelectionPolicy::SharedItemsLearned => self.pattern.delay,
+            | SelectionPolicy::SharedItemsLearned
+            | SelectionPolicy::FairShares => self.pattern.delay,
         };
         self.schedule.add(delay, SimEvent::Preempt { run });
     }
