Keep the slots of the next peak from items that have time

Cause: a home kept free only what online requests take within 400 ms. Items that could wait until after the peak started in its slots and were preempted. A forecast also needed a fourth peak where a small rise came before the first one, as the peaks were found by the range of the samples known at that time.

Change: reports state how many waiting items are urgent. From 2.5 s before a peak until its end, a home gives the slots of the peak to these only. Peaks are found anew among all samples. Without a forecast or a count of urgent items, the former rule applies. The laboratory gets the policy `unsorted-items`, in which gateways do not report urgent items.

--- a/crates/entry/src/batch/item_slots.rs
+++ b/crates/entry/src/batch/item_slots.rs
@@ -141,8 +141,8 @@
         let mut waiting = FastMap::default();
         let queues = queues.iter().filter(|(_, queue)| !queue.is_empty() && !self.is_stopping);
         for (service, queue) in queues {
-            let mut items = WaitingItems::default();
-            queue.iter().for_each(|item| items.add(item.slack_ms));
+            let slacks = queue.iter().map(|item| item.slack_ms);
+            let items = WaitingItems::of(slacks, self.slots.peak_slack(service, self.now));
             waiting.insert(service.clone(), items);
         }
         self.slots.set_own(&waiting, self.now);
@@ -216,7 +216,7 @@
             self.slots.note_online(service, load, self.now);
             let free = self.targets.free_item_slots(service, self.now);
             let free = self.slots.unreserved(service, free, load, self.now);
-            if free.here == 0 {
+            if free.free.here == 0 {
                 continue;
             }
             let may_receive = |gateway: Option<&VmName>| match gateway {
--- a/crates/entry/src/peers/reports.rs
+++ b/crates/entry/src/peers/reports.rs
@@ -54,6 +54,7 @@
         service,
         count: items.count,
         slack_ms: items.slack_ms,
+        urgent: items.urgent,
     };
     node.item_slots().own_waiting().into_iter().map(report).collect()
 }
@@ -61,7 +62,11 @@
 fn decode_waiting(reports: &[WaitingItemsReport]) -> Vec<WaitingReport> {
     let decode = |report: &WaitingItemsReport| WaitingReport {
         service: report.service.clone(),
-        items: WaitingItems { count: report.count, slack_ms: report.slack_ms },
+        items: WaitingItems {
+            count: report.count,
+            slack_ms: report.slack_ms,
+            urgent: report.urgent,
+        },
     };
     reports.iter().map(decode).collect()
 }
--- a/crates/entry/tests/item_slots.rs
+++ b/crates/entry/tests/item_slots.rs
@@ -121,7 +121,7 @@
     }
 
     fn report_of_g2(&mut self, service: &str, count: u32) {
-        let items = WaitingItems { count, slack_ms: 900 };
+        let items = WaitingItems { count, slack_ms: 900, urgent: None };
         let report = WaitingReport { service: service.to_owned(), items };
         self.slots.take_report(&vm("g2"), vec![report], 0.5, at(0));
     }
--- a/crates/lab/src/gateway.rs
+++ b/crates/lab/src/gateway.rs
@@ -50,13 +50,10 @@
     }
 
     /// The waiting items, summed up as in a report.
-    pub fn waiting(&self, now: MonoTime) -> WaitingItems {
-        let mut waiting = WaitingItems::default();
-        for item in &self.items {
-            let needed = self.run_time.expected(item.events_left);
-            waiting.add(slack_ms(item.due, needed, now));
-        }
-        waiting
+    pub fn waiting(&self, service: &str, now: MonoTime) -> WaitingItems {
+        let slack =
+            |item: &WaitingItem| slack_ms(item.due, self.run_time.expected(item.events_left), now);
+        WaitingItems::of(self.items.iter().map(slack), self.slots.peak_slack(service, now))
     }
 
     /// Queues an item in the order of deadlines.
--- a/crates/lab/src/policy.rs
+++ b/crates/lab/src/policy.rs
@@ -12,6 +12,9 @@
     HomeGateways,
     /// As `HomeGateways`, and home gateways offer free slots to the gateway with the most urgent items.
     SharedItems,
+    /// As `SharedItems`, but gateways do not report how many items are urgent, as in builds before that report: items
+    /// that could wait for the end of the next peak start in its slots.
+    UnsortedItems,
     /// As `HomeGateways`, and learns failures and pace of targets. This is the production behaviour where it is enabled.
     LearnedPerformance,
     /// Sees the current state of every target without delay: a baseline that no real gateway can reach.
@@ -20,17 +23,29 @@
 
 impl SelectionPolicy {
     /// Every policy with its command-line name.
-    pub const ALL: [(&'static str, Self); 5] = [
+    pub const ALL: [(&'static str, Self); 6] = [
         ("reports", Self::UsageReports),
         ("homes", Self::HomeGateways),
         ("shared-items", Self::SharedItems),
+        ("unsorted-items", Self::UnsortedItems),
         ("performance", Self::LearnedPerformance),
         ("all-knowing", Self::Oracle),
     ];
 
     /// Whether online requests ask home gateways for slots.
     pub fn has_homes(self) -> bool {
-        matches!(self, Self::HomeGateways | Self::SharedItems | Self::LearnedPerformance)
+        match self {
+            Self::HomeGateways
+            | Self::SharedItems
+            | Self::UnsortedItems
+            | Self::LearnedPerformance => true,
+            Self::UsageReports | Self::Oracle => false,
+        }
+    }
+
+    /// Whether home gateways offer free slots for items.
+    pub fn offers_items(self) -> bool {
+        matches!(self, Self::SharedItems | Self::UnsortedItems)
     }
 }
 
--- a/crates/lab/src/simulation.rs
+++ b/crates/lab/src/simulation.rs
@@ -249,8 +249,7 @@
             pattern: pattern.clone(),
         };
         for gateway in 0..simulation.gateways.len() {
-            let offers_items = policy == SelectionPolicy::SharedItems;
-            simulation.gateways[gateway].table.set_offers_items(offers_items);
+            simulation.gateways[gateway].table.set_offers_items(policy.offers_items());
             for target in 0..simulation.targets.len() {
                 let entry = simulation.entry(target, &domain(target));
                 simulation.gateways[gateway].table.put(entry, MonoTime::default());
@@ -342,7 +341,7 @@
                 for (id, gap) in paces {
                     table.note_reported_pace(&id, gap, now);
                 }
-                if self.policy == SelectionPolicy::SharedItems {
+                if self.policy.offers_items() {
                     let draw = self.random.random();
                     self.gateways[to].slots.take_report(&peer, waiting, draw, now);
                 }
--- a/crates/lab/src/simulation/items.rs
+++ b/crates/lab/src/simulation/items.rs
@@ -51,7 +51,7 @@
         if self.is_over() {
             return;
         }
-        if self.policy == SelectionPolicy::SharedItems {
+        if self.policy.offers_items() {
             self.divide_slots(gateway);
         } else {
             for _ in 0..MAX_STARTS_PER_PASS {
@@ -136,7 +136,7 @@
 
     /// Order of preemption, the highest first: by slack where slots are shared, else the run that began last.
     fn preemption_order(&self, number: RunNumber) -> (Option<PreemptionRank>, RunNumber) {
-        let run = self.runs.get(&number).filter(|_| self.policy == SelectionPolicy::SharedItems);
+        let run = self.runs.get(&number).filter(|_| self.policy.offers_items());
         let rank = run.and_then(|run| {
             let RunWork::Item { due } = run.work else { return None };
             let run_time = &self.gateways[run.gateway].run_time;
@@ -164,6 +164,7 @@
             SelectionPolicy::UsageReports
             | SelectionPolicy::HomeGateways
             | SelectionPolicy::SharedItems
+            | SelectionPolicy::UnsortedItems
             | SelectionPolicy::LearnedPerformance => self.pattern.delay,
         };
         self.schedule.add(delay, SimEvent::Preempt { run });
--- a/crates/lab/src/simulation/offers.rs
+++ b/crates/lab/src/simulation/offers.rs
@@ -4,7 +4,10 @@
 use notch_types::prelude::*;
 use rand::RngExt;
 
-use crate::simulation::{SERVICE, SimEvent, Simulation, items::item_query};
+use crate::{
+    policy::SelectionPolicy,
+    simulation::{SERVICE, SimEvent, Simulation, items::item_query},
+};
 
 impl Simulation {
     /// Divides the free slots of a gateway's targets by the production rule.
@@ -20,7 +23,7 @@
         state.slots.note_online(SERVICE, load, now);
         let free = state.table.free_item_slots(SERVICE, now);
         let free = state.slots.unreserved(SERVICE, free, load, now);
-        if free.here > 0 {
+        if free.free.here > 0 {
             let in_flight = |peer: &VmName| state.table.offers_in_flight(peer, SERVICE);
             let may_receive = |gateway: Option<&VmName>| {
                 gateway.is_none_or(|peer| !state.table.owes_answer(peer, now))
@@ -42,7 +45,11 @@
         let state = &mut self.gateways[gateway];
         let mut waiting = FastMap::default();
         if !state.items.is_empty() {
-            waiting.insert(SERVICE.to_owned(), state.waiting(now));
+            let mut items = state.waiting(SERVICE, now);
+            if self.policy == SelectionPolicy::UnsortedItems {
+                items.urgent = None;
+            }
+            waiting.insert(SERVICE.to_owned(), items);
         }
         state.slots.set_own(&waiting, now);
     }
--- a/crates/messages/src/peer.rs
+++ b/crates/messages/src/peer.rs
@@ -29,6 +29,10 @@
     pub count: u32,
     /// Least slack of them, milliseconds: time left until due, less the expected run time. Negative if late.
     pub slack_ms: i64,
+    /// Number of them that cannot wait until the next peak of online requests has passed. `None` if it is not known, as
+    /// without regular peaks; zero if all of them can.
+    #[serde(default)]
+    pub urgent: Option<u32>,
 }
 
 /// Pace of one target as measured by one gateway.
--- a/crates/relay/src/item_slots.rs
+++ b/crates/relay/src/item_slots.rs
@@ -14,7 +14,7 @@
 use notch_types::prelude::*;
 
 use crate::item_slots::{
-    forecast::{OnlineForecast, OnlineLoad},
+    forecast::{OnlineForecast, OnlineLoad, ReservedSlots},
     waiting::{OwnWaiting, PeerWaiting, WaitingItems, WaitingReport},
 };
 
@@ -33,6 +33,9 @@
 /// Waiting time without an offer after which items start without one. A home of a build or setting
 /// without offers never sends any.
 const UNSERVED_AFTER: Duration = Duration::from_millis(1_000);
+/// Time from the end of a peak in which an item that waited for it starts, also by
+/// [`UNSERVED_AFTER`].
+const START_MARGIN: Duration = Duration::from_secs(1);
 /// How long the load of a service is recorded after an item last waited for it.
 const FORECAST_LIFETIME: Duration = Duration::from_secs(60);
 /// Maximum number of services in one gateway's report; deployments have a few.
@@ -50,6 +53,39 @@
     pub all: u32,
 }
 
+/// Slots of one service that a home may give to items.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct DivisibleSlots {
+    /// All of them, for items that must not wait for the end of the next peak.
+    pub free: FreeSlots,
+    /// Those that the next peak of online requests will not take, for items that have time. Never
+    /// more than `free`.
+    pub beyond_peak: FreeSlots,
+}
+
+impl From<FreeSlots> for DivisibleSlots {
+    /// Slots without a forecast.
+    fn from(free: FreeSlots) -> Self {
+        Self { free, beyond_peak: free }
+    }
+}
+
+/// Which of a gateway's items are given slots.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum DivisionRound {
+    /// Those that may take any free slot.
+    Pressing,
+    /// Also those that have time until the end of the next peak.
+    Patient,
+}
+
+impl FreeSlots {
+    fn less(self, reserved: ReservedSlots) -> Self {
+        let here = self.here.saturating_sub(reserved.here);
+        Self { here, all: self.all.saturating_sub(reserved.all) }
+    }
+}
+
 /// Slots that a home gives to one gateway.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SlotShare {
@@ -126,24 +162,32 @@
         }
     }
 
-    /// The free slots of a service less those that the next peak of online requests will soon take.
-    /// From the first call on, the load of the service is to be recorded.
+    /// The free slots of a service less those that the next peak of online requests will soon take,
+    /// and less all those that it will take. From the first call on, the load of the service is to be recorded.
     pub fn unreserved(
         &mut self,
         service: &str,
         slots: FreeSlots,
         load: OnlineLoad,
         now: MonoTime,
-    ) -> FreeSlots {
+    ) -> DivisibleSlots {
         let Some(known) = self.forecasts.get_mut(service) else {
             let (forecast, needed_at) = (OnlineForecast::default(), now);
             self.forecasts.insert(service.to_owned(), ServiceForecast { forecast, needed_at });
-            return slots;
+            return slots.into();
         };
         known.needed_at = now;
-        let reserved = known.forecast.reserved(load, now);
-        let all = slots.all.saturating_sub(reserved.all);
-        FreeSlots { here: slots.here.saturating_sub(reserved.here), all }
+        let free = slots.less(known.forecast.reserved(load, now));
+        let FreeSlots { here, all } = slots.less(known.forecast.peak_reserved(load, now));
+        let beyond_peak = FreeSlots { here: here.min(free.here), all: all.min(free.all) };
+        DivisibleSlots { free, beyond_peak }
+    }
+
+    /// Slack below which an item of `service` cannot wait until the next peak has passed; `None`
+    /// while the load is irregular.
+    pub fn peak_slack(&self, service: &str, now: MonoTime) -> Option<Duration> {
+        let forecast = &self.forecasts.get(service)?.forecast;
+        Some(forecast.peak_ends_in(now)? + START_MARGIN)
     }
 
     /// Records that another gateway did not answer an offer. It is offered nothing until its next
@@ -162,7 +206,7 @@
         self.own.retain(|service, _| waiting.contains_key(service));
         for (service, items) in waiting {
             match self.own.get_mut(service) {
-                Some(own) => own.items = *items,
+                Some(own) => own.note(*items, now),
                 None => drop(self.own.insert(service.clone(), OwnWaiting::new(*items, now))),
             }
         }
@@ -226,76 +270,132 @@
         self.own.get(service).is_some_and(|own| now.since(own.served_at) >= UNSERVED_AFTER)
     }
 
-    /// Divides the free slots of `service` at this gateway's targets. The gateway whose items have
-    /// the least slack comes first, those that will be late come last. Each gets the share of its
-    /// items that this home has of all free slots; what is left goes to this gateway, which knows
-    /// its own items exactly. `may_receive` tells which gateways take offers, this one being `None`,
-    /// and `in_flight` how many offers of this home a gateway has not answered yet.
+    /// Divides the free slots of `service` at this gateway's targets. Items that cannot wait for the
+    /// end of the next peak come first, then those that have time, which get only slots that the
+    /// peak leaves; those that will be late come last. Among each of them, the gateway whose items
+    /// have the least slack comes first. Each gets the share of its items that this home has of all
+    /// free slots; what is left goes to this gateway, which knows its own items exactly.
+    /// `may_receive` tells which gateways take offers, this one being `None`, and `in_flight` how
+    /// many offers of this home a gateway has not answered yet.
     ///
     /// It is designed for a dozen homes that read the same report and see the same waiting items:
     /// together they offer about as many slots as items wait.
     pub fn divide(
         &mut self,
         service: &str,
-        slots: FreeSlots,
+        slots: DivisibleSlots,
         may_receive: impl Fn(Option<&VmName>) -> bool,
         in_flight: impl Fn(&VmName) -> u32,
         now: MonoTime,
     ) -> Vec<SlotShare> {
-        let own = self.own.get(service).filter(|_| may_receive(None));
-        let own_count = own.map_or(0, |own| own.items.count);
-        let mut order: Vec<(bool, i64, Option<VmName>)> = Vec::new();
-        order.extend(own.map(|own| (own.items.is_late(), own.items.slack_ms, None)));
+        let own = self.own.get(service).filter(|_| may_receive(None)).map(|own| own.items);
+        let mut order: Vec<(WaitingItems, Option<VmName>)> = Vec::new();
+        order.extend(own.map(|items| (items, None)));
         for (peer, waiting) in &self.peers {
             if let Some(items) = waiting.items(service, now)
                 && may_receive(Some(peer))
             {
-                order.push((items.is_late(), items.slack_ms, Some(peer.clone())));
+                order.push((items, Some(peer.clone())));
             }
         }
-        order.sort();
-        let has_peers = order.iter().any(|(_, _, gateway)| gateway.is_some());
-        let mut left = slots.here;
-        let mut shares: Vec<SlotShare> = Vec::new();
-        for (_, _, gateway) in order {
-            let wanted = match &gateway {
-                None if has_peers => own_share(own_count, slots),
-                None => own_count,
-                Some(peer) => {
-                    let in_flight = in_flight(peer);
-                    let waiting = self.peers.get_mut(peer);
-                    waiting.map_or(0, |waiting| waiting.quota(service, slots, in_flight, now))
+        order.sort_by(|(a, a_name), (b, b_name)| (a.slack_ms, a_name).cmp(&(b.slack_ms, b_name)));
+        let has_peers = order.iter().any(|(_, gateway)| gateway.is_some());
+        let mut given = GivenSlots::new(slots);
+        for (round, is_late) in [
+            (DivisionRound::Pressing, false),
+            (DivisionRound::Patient, false),
+            (DivisionRound::Pressing, true),
+        ] {
+            for (items, gateway) in order.iter().filter(|(items, _)| items.is_late() == is_late) {
+                let wanted = match gateway {
+                    None if has_peers => own_share(*items, slots, round),
+                    None => own_limit(*items, round),
+                    Some(peer) => {
+                        let in_flight = in_flight(peer);
+                        let waiting = self.peers.get_mut(peer);
+                        waiting.map_or(0, |waiting| {
+                            waiting.quota(service, slots, round, in_flight, now)
+                        })
+                    }
+                };
+                // The quota of another gateway is what it is offered in addition to earlier offers.
+                let wanted = match gateway {
+                    None => wanted.saturating_sub(given.own()),
+                    Some(_) => wanted,
+                };
+                let count = given.give(gateway.as_ref(), wanted, round);
+                if let Some(waiting) = gateway.as_ref().and_then(|peer| self.peers.get_mut(peer)) {
+                    waiting.note_offered(service, count);
                 }
-            };
-            let count = wanted.min(left);
-            if count == 0 {
-                continue;
-            }
-            left -= count;
-            if let Some(waiting) = gateway.as_ref().and_then(|peer| self.peers.get_mut(peer)) {
-                waiting.note_offered(service, count);
             }
-            shares.push(SlotShare { gateway, count });
         }
-        give_rest(&mut shares, own_count, left);
-        shares
+        for round in [DivisionRound::Pressing, DivisionRound::Patient] {
+            let rest = own.map_or(0, |items| own_limit(items, round));
+            given.give(None, rest.saturating_sub(given.own()), round);
+        }
+        given.shares
     }
 }
 
-/// Own items that a home starts before it offers slots to less urgent gateways: its share, rounded
-/// up.
-fn own_share(count: u32, slots: FreeSlots) -> u32 {
-    let share = f64::from(count) * f64::from(slots.here) / f64::from(slots.all.max(1));
-    (share.ceil() as u32).min(count)
+/// Slots that are given in one division.
+#[derive(Debug)]
+struct GivenSlots {
+    slots: DivisibleSlots,
+    shares: Vec<SlotShare>,
+    /// Sum of the shares. Invariant: at most the free slots here.
+    count: u32,
 }
 
-/// Adds the slots that are left to the share of this gateway, up to its number of items.
-fn give_rest(shares: &mut Vec<SlotShare>, own_count: u32, left: u32) {
-    let own = shares.iter_mut().find(|share| share.gateway.is_none());
-    let rest = left.min(own_count - own.as_ref().map_or(0, |share| share.count));
-    match own {
-        Some(share) => share.count += rest,
-        None if rest > 0 => shares.push(SlotShare { gateway: None, count: rest }),
-        None => {}
+impl GivenSlots {
+    fn new(slots: DivisibleSlots) -> Self {
+        Self { slots, shares: Vec::new(), count: 0 }
+    }
+
+    /// Slots given to this gateway.
+    fn own(&self) -> u32 {
+        let own = self.shares.iter().find(|share| share.gateway.is_none());
+        own.map_or(0, |share| share.count)
     }
+
+    /// Gives up to `wanted` of the slots that are left in this round, and returns their number.
+    fn give(&mut self, gateway: Option<&VmName>, wanted: u32, round: DivisionRound) -> u32 {
+        let slots = match round {
+            DivisionRound::Pressing => self.slots.free,
+            DivisionRound::Patient => self.slots.beyond_peak,
+        };
+        let count = wanted.min(slots.here.saturating_sub(self.count));
+        if count == 0 {
+            return 0;
+        }
+        self.count += count;
+        match self.shares.iter_mut().find(|share| share.gateway.as_ref() == gateway) {
+            Some(share) => share.count += count,
+            None => self.shares.push(SlotShare { gateway: gateway.cloned(), count }),
+        }
+        count
+    }
+}
+
+/// Own items that may start in this round or the one before.
+fn own_limit(items: WaitingItems, round: DivisionRound) -> u32 {
+    match round {
+        DivisionRound::Pressing => items.pressing(),
+        DivisionRound::Patient => items.count,
+    }
+}
+
+/// Own items that a home starts before it offers slots to less urgent gateways, in this round and
+/// the one before: its share, rounded up.
+fn own_share(items: WaitingItems, slots: DivisibleSlots, round: DivisionRound) -> u32 {
+    let part = |count: u32, slots: FreeSlots| {
+        (f64::from(count) * f64::from(slots.here) / f64::from(slots.all.max(1))).ceil() as u32
+    };
+    let pressing = items.pressing();
+    let share = match round {
+        DivisionRound::Pressing => part(pressing, slots.free),
+        DivisionRound::Patient => {
+            part(pressing, slots.free) + part(items.count - pressing, slots.beyond_peak)
+        }
+    };
+    share.min(own_limit(items, round))
 }
--- a/crates/relay/src/item_slots/forecast.rs
+++ b/crates/relay/src/item_slots/forecast.rs
@@ -10,6 +10,11 @@
 /// Run time below which an item is not started before a peak: a start costs the prefill of the
 /// prompt, which takes up to a tenth of this.
 const MIN_RUN: Duration = Duration::from_millis(400);
+/// Run time before a peak below which an item that has time is not started in a slot of the peak: a
+/// third to a half of the run time of the items for which this is designed (2 to 10 s). If items with
+/// time never start in these slots, too many become urgent in the same trough, and a tenth of them
+/// was late in simulations; with 3 s instead of 2.5 s, more were late at peaks that need all slots.
+const MIN_PATIENT_RUN: Duration = Duration::from_millis(2_500);
 /// Minimum interval between two samples; a peak of 2.4 s has over twenty.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(90);
 /// Age up to which samples are kept: twice the longest period.
@@ -44,6 +49,19 @@
     pub slots_all: u32,
 }
 
+impl OnlineLoad {
+    /// Slots that online requests do not use yet but will use at a load of `share`, and `margin` more
+    /// at each home.
+    fn missing(self, share: f64, margin: u32) -> ReservedSlots {
+        let expected = |slots: u32| (share * f64::from(slots)).round() as u32;
+        let homes = self.slots_all / self.slots_here.max(1);
+        ReservedSlots {
+            here: expected(self.slots_here).saturating_sub(self.here) + margin,
+            all: expected(self.slots_all).saturating_sub(self.all) + margin * homes,
+        }
+    }
+}
+
 /// Slots kept free for online requests.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct ReservedSlots {
@@ -53,6 +71,17 @@
     pub all: u32,
 }
 
+/// The next peak, or the rest of the current one.
+#[derive(Debug, Clone, Copy)]
+struct NextPeak {
+    /// Share of all slots that online requests use at its highest load.
+    share: f64,
+    /// Time until it begins; zero in the peak.
+    begins_in: Duration,
+    /// Time until its end.
+    ends_in: Duration,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct LoadSample {
     at: MonoTime,
@@ -69,9 +98,10 @@
     /// When the last peaks began, newest last. Invariant: at most one more than
     /// [`REGULAR_INTERVALS`].
     peaks: VecDeque<MonoTime>,
-    is_peak: bool,
     /// Share of the slots from which on a sample belongs to a peak.
     peak_level: f64,
+    /// Share of the slots down to which a peak lasts.
+    trough_level: f64,
 }
 
 impl OnlineForecast {
@@ -86,20 +116,33 @@
         while self.samples.front().is_some_and(|oldest| now.since(oldest.at) > HISTORY) {
             self.samples.pop_front();
         }
+        self.find_peaks();
+    }
+
+    /// Finds the peaks among the samples by their present range, which the first peaks widen.
+    fn find_peaks(&mut self) {
         let shares = || self.samples.iter().map(|sample| sample.share);
         let (low, high) = (shares().fold(f64::MAX, f64::min), shares().fold(0.0, f64::max));
         let range = high - low;
         self.peak_level = low + range * PEAK_BEGINS;
+        self.trough_level = low + range * PEAK_ENDS;
+        self.peaks.clear();
         if range < MIN_RANGE {
-            self.is_peak = false;
-        } else if !self.is_peak && share >= self.peak_level {
-            self.is_peak = true;
-            self.peaks.push_back(now);
-            if self.peaks.len() > REGULAR_INTERVALS + 1 {
-                self.peaks.pop_front();
+            return;
+        }
+        // When a peak began that is older than the samples is not known.
+        let mut is_peak = true;
+        for sample in &self.samples {
+            if !is_peak && sample.share >= self.peak_level {
+                self.peaks.push_back(sample.at);
             }
-        } else if share <= low + range * PEAK_ENDS {
-            self.is_peak = false;
+            is_peak = match is_peak {
+                true => sample.share > self.trough_level,
+                false => sample.share >= self.peak_level,
+            };
+        }
+        while self.peaks.len() > REGULAR_INTERVALS + 1 {
+            self.peaks.pop_front();
         }
     }
 
@@ -119,6 +162,32 @@
         (is_regular && is_current && period <= MAX_PERIOD).then_some(period)
     }
 
+    /// The peak that the load of the last period predicts; `None` while the load is irregular.
+    fn next_peak(&self, now: MonoTime) -> Option<NextPeak> {
+        let period = self.period(now)?;
+        let mut recent = self.samples.iter().filter(|sample| sample.at >= now - period);
+        let first = recent.by_ref().find(|sample| sample.share >= self.peak_level)?;
+        let (mut share, mut end) = (first.share, first.at);
+        for sample in recent.take_while(|sample| sample.share > self.trough_level) {
+            (share, end) = (share.max(sample.share), sample.at);
+        }
+        let begins_in = (first.at + period).since(now);
+        Some(NextPeak { share, begins_in, ends_in: (end + period).since(now) })
+    }
+
+    /// Time until the end of the next peak, or of the current one; `None` while the load is irregular.
+    pub fn peak_ends_in(&self, now: MonoTime) -> Option<Duration> {
+        Some(self.next_peak(now)?.ends_in)
+    }
+
+    /// Slots that online requests do not use at `now` but will use at the highest load of a peak that
+    /// begins within [`MIN_PATIENT_RUN`], and one more at each home. They are kept from items that
+    /// have time until the end of the peak. None while the load is irregular.
+    pub fn peak_reserved(&self, load: OnlineLoad, now: MonoTime) -> ReservedSlots {
+        let peak = self.next_peak(now).filter(|peak| peak.begins_in <= MIN_PATIENT_RUN);
+        peak.map_or_else(ReservedSlots::default, |peak| load.missing(peak.share, PEAK_MARGIN))
+    }
+
     /// Slots that online requests do not use at `now` but will use within `MIN_RUN`, as they did
     /// one period ago, and one more at each home in a peak. None while the load is irregular.
     pub fn reserved(&self, load: OnlineLoad, now: MonoTime) -> ReservedSlots {
@@ -126,12 +195,6 @@
         let (from, until) = (now - period, now - period + MIN_RUN);
         let soon = self.samples.iter().filter(|sample| sample.at >= from && sample.at <= until);
         let share = soon.map(|sample| sample.share).fold(0.0, f64::max);
-        let expected = |slots: u32| (share * f64::from(slots)).round() as u32;
-        let margin = if share >= self.peak_level { PEAK_MARGIN } else { 0 };
-        let homes = load.slots_all / load.slots_here.max(1);
-        ReservedSlots {
-            here: expected(load.slots_here).saturating_sub(load.here) + margin,
-            all: expected(load.slots_all).saturating_sub(load.all) + margin * homes,
-        }
+        load.missing(share, if share >= self.peak_level { PEAK_MARGIN } else { 0 })
     }
 }
--- a/crates/relay/src/item_slots/waiting.rs
+++ b/crates/relay/src/item_slots/waiting.rs
@@ -4,7 +4,9 @@
 
 use notch_types::prelude::*;
 
-use crate::item_slots::{FreeSlots, MIN_OFFERS, MIN_SHARE_AFTER, SHARE_WINDOW};
+use crate::item_slots::{
+    DivisibleSlots, DivisionRound, FreeSlots, MIN_OFFERS, MIN_SHARE_AFTER, SHARE_WINDOW,
+};
 
 /// Change of the slack, beyond the passing of time, that is worth a report: an offer that comes
 /// this much too late still leaves the order among gateways nearly right.
@@ -18,9 +20,27 @@
     /// Slack of the item that starts first, milliseconds: the least of those that can still be in
     /// time, else the negative slack of a late one.
     pub slack_ms: i64,
+    /// Number of items that would be late if they waited until the next peak of online requests has
+    /// passed, without those that are late anyway. `None` if it is not known: the load is irregular,
+    /// or the gateway's build does not report it.
+    pub urgent: Option<u32>,
 }
 
 impl WaitingItems {
+    /// Sums up items by their slack in milliseconds, in the order in which they start. An item with
+    /// less slack than `peak_slack` is urgent.
+    pub fn of(slacks: impl Iterator<Item = i64>, peak_slack: Option<Duration>) -> Self {
+        let mut items = Self { urgent: peak_slack.map(|_| 0), ..Self::default() };
+        for slack_ms in slacks {
+            items.add(slack_ms);
+            if let (Some(urgent), Some(peak_slack)) = (&mut items.urgent, peak_slack) {
+                let is_urgent = slack_ms >= 0 && (slack_ms as u128) < peak_slack.as_millis();
+                *urgent += u32::from(is_urgent);
+            }
+        }
+        items
+    }
+
     /// Adds an item. Items are added in the order in which they start.
     pub fn add(&mut self, slack_ms: i64) {
         if self.count == 0 {
@@ -35,6 +55,15 @@
     pub fn is_late(&self) -> bool {
         self.slack_ms < 0
     }
+
+    /// Number of items that may take any free slot, also one that the next peak will take: all if
+    /// the number of urgent ones is not known. Late items have no time to wait for either.
+    pub(super) fn pressing(&self) -> u32 {
+        match self.urgent {
+            Some(urgent) if !self.is_late() => urgent.min(self.count),
+            Some(_) | None => self.count,
+        }
+    }
 }
 
 /// Waiting items of one service in a report.
@@ -53,6 +82,7 @@
         let expected = last.items.slack_ms.saturating_sub(age.as_millis() as i64);
         last.service == new.service
             && last.items.count == new.items.count
+            && last.items.urgent == new.items.urgent
             && expected.abs_diff(new.items.slack_ms) <= SLACK_TOLERANCE_MS
     };
     last.len() != new.len() || !last.iter().zip(new).all(is_same)
@@ -70,6 +100,14 @@
     pub(super) fn new(items: WaitingItems, now: MonoTime) -> Self {
         Self { items, served_at: now }
     }
+
+    /// Replaces the items. While all of them have time, no offer is expected.
+    pub(super) fn note(&mut self, items: WaitingItems, now: MonoTime) {
+        if items.pressing() == 0 {
+            self.served_at = now;
+        }
+        self.items = items;
+    }
 }
 
 /// Items of one service that wait at another gateway.
@@ -121,11 +159,13 @@
         Some(WaitingItems { slack_ms, ..items })
     }
 
-    /// Number of slots to be offered to it now, if its items were the most urgent ones.
+    /// Number of slots to be offered to it now, if its items were the most urgent ones. `round` tells
+    /// which of its items are offered slots.
     pub(super) fn quota(
         &mut self,
         service: &str,
-        slots: FreeSlots,
+        slots: DivisibleSlots,
+        round: DivisionRound,
         in_flight: u32,
         now: MonoTime,
     ) -> u32 {
@@ -139,15 +179,28 @@
         let draw = self.draw;
         let found = self.services.iter().find(|waiting| waiting.report.service == service);
         let Some(waiting) = found else { return 0 };
-        let here = f64::from(slots.here + waiting.offered);
-        let all = f64::from(slots.all.max(slots.here) + waiting.offered);
-        // Offers that it has not answered may have started items that its report still contains.
-        let count = waiting.report.items.count.saturating_sub(in_flight.max(waiting.offered));
+        let items = waiting.report.items;
         let is_passed_over = now.since(waiting.since) >= MIN_SHARE_AFTER;
         let min_offers = if is_passed_over { MIN_OFFERS } else { 0 };
-        let wanted = f64::from(waiting.report.items.count.max(min_offers));
-        let total = (wanted * here / all.max(1.0) + draw) as u32;
-        total.saturating_sub(in_flight.max(waiting.offered)).min(count)
+        let part = |count: u32, slots: FreeSlots| match count {
+            0 => 0.0,
+            count => {
+                let here = f64::from(slots.here + waiting.offered);
+                let all = f64::from(slots.all.max(slots.here) + waiting.offered);
+                f64::from(count.max(min_offers)) * here / all.max(1.0)
+            }
+        };
+        let pressing = items.pressing();
+        let (count, share) = match round {
+            DivisionRound::Pressing => (pressing, part(pressing, slots.free)),
+            DivisionRound::Patient => {
+                let patient = part(items.count - pressing, slots.beyond_peak);
+                (items.count, part(pressing, slots.free) + patient)
+            }
+        };
+        // Offers that it has not answered may have started items that its report still contains.
+        let offered = in_flight.max(waiting.offered);
+        ((share + draw) as u32).min(count).saturating_sub(offered)
     }
 
     pub(super) fn note_offered(&mut self, service: &str, count: u32) {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -36,7 +36,7 @@
         },
         follower_start::{expectation_span, expected_followers, takeover_delay},
         item_slots::{
-            FreeSlots, ItemSlotTable, ReceivedOffer, SlotShare,
+            DivisibleSlots, FreeSlots, ItemSlotTable, ReceivedOffer, SlotShare,
             preemption::PreemptionRank,
             waiting::{WaitingItems, WaitingReport},
         },
--- a/crates/relay/tests/item_slots.rs
+++ b/crates/relay/tests/item_slots.rs
@@ -243,17 +243,17 @@
 }
 
 fn waiting(count: u32, slack_ms: i64) -> Vec<WaitingReport> {
-    let items = WaitingItems { count, slack_ms };
+    let items = WaitingItems { count, slack_ms, urgent: None };
     vec![WaitingReport { service: SERVICE.to_owned(), items }]
 }
 
 fn own_waiting(count: u32, slack_ms: i64) -> FastMap<String, WaitingItems> {
-    [(SERVICE.to_owned(), WaitingItems { count, slack_ms })].into_iter().collect()
+    [(SERVICE.to_owned(), WaitingItems { count, slack_ms, urgent: None })].into_iter().collect()
 }
 
 /// Shares as the name of the gateway, empty for the dividing one, and the number of slots.
 fn divide(table: &mut ItemSlotTable, slots: FreeSlots, now: MonoTime) -> Vec<(String, u32)> {
-    let shares = table.divide(SERVICE, slots, |_| true, |_| 0, now);
+    let shares = table.divide(SERVICE, slots.into(), |_| true, |_| 0, now);
     let name = |gateway: Option<VmName>| gateway.map_or(String::new(), |vm| vm.as_str().to_owned());
     shares.into_iter().map(|share| (name(share.gateway), share.count)).collect()
 }
@@ -364,7 +364,7 @@
     table.take_report(&vm("stopping"), waiting(9, 500), 0.0, at(0));
     table.take_report(&vm("other"), waiting(1, 9_000), 0.0, at(0));
     let may_receive = |gateway: Option<&VmName>| gateway.is_some_and(|g| g.as_str() == "other");
-    let given = table.divide(SERVICE, ONLY_HERE, may_receive, |_| 0, at(0));
+    let given = table.divide(SERVICE, ONLY_HERE.into(), may_receive, |_| 0, at(0));
     assert_eq!(given, [SlotShare { gateway: Some(vm("other")), count: 1 }]);
 }
 
@@ -384,7 +384,7 @@
     let mut table = ItemSlotTable::default();
     let report = |n: usize| WaitingReport {
         service: if n == 0 { SERVICE.to_owned() } else { format!("s{n}") },
-        items: WaitingItems { count: u32::MAX, slack_ms: i64::MIN },
+        items: WaitingItems { count: u32::MAX, slack_ms: i64::MIN, urgent: Some(u32::MAX) },
     };
     table.take_report(&vm("faulty"), (0..1_000).map(report).collect(), 1.0, at(0));
     assert_eq!(table.services().len(), 64);
@@ -434,7 +434,7 @@
 fn the_reported_slack_is_that_of_the_most_urgent_item_in_time() {
     let mut items = WaitingItems::default();
     [4_000, 700, -90].into_iter().for_each(|slack| items.add(slack));
-    assert_eq!(items, WaitingItems { count: 3, slack_ms: 700 });
+    assert_eq!(items, WaitingItems { count: 3, slack_ms: 700, urgent: None });
 }
 
 /// Guards against preempting the item that is due next while others have time.
@@ -579,7 +579,7 @@
             let own = if self.items[home] > 0 { own } else { FastMap::default() };
             self.slots[home].set_own(&own, now);
             let free = self.targets[home].free_item_slots(SERVICE, now);
-            for share in self.slots[home].divide(SERVICE, free, |_| true, |_| 0, now) {
+            for share in self.slots[home].divide(SERVICE, free.into(), |_| true, |_| 0, now) {
                 for _ in 0..share.count {
                     self.use_slot(home, share.gateway.as_ref(), now);
                 }
