Count divisions that keep slots for a peak; test the reports of urgent items

Cause: slots kept from items that have time left no trace, and nothing checked that a report without a count of urgent items differs from one with zero.

--- a/crates/entry/src/batch/item_slots.rs
+++ b/crates/entry/src/batch/item_slots.rs
@@ -52,6 +52,8 @@
     pub messages: Vec<(VmName, PeerMessage)>,
     /// Number of slots offered to other gateways.
     pub offered: usize,
+    /// Number of divisions in which slots were kept for the next peak of online requests.
+    pub kept: usize,
     /// Number of received offers that were declined.
     pub declined: usize,
     /// Number of items that were started without an offer at another gateway's target.
@@ -215,8 +217,9 @@
             let load = self.targets.online_load(service);
             self.slots.note_online(service, load, self.now);
             let free = self.targets.free_item_slots(service, self.now);
-            let free = self.slots.unreserved(service, free, load, self.now);
-            if free.free.here == 0 {
+            let slots = self.slots.unreserved(service, free, load, self.now);
+            outcome.kept += usize::from(slots.beyond_peak.here < slots.free.here);
+            if slots.free.here == 0 {
                 continue;
             }
             let may_receive = |gateway: Option<&VmName>| match gateway {
@@ -226,7 +229,7 @@
                 None => !self.is_stopping,
             };
             let in_flight = |peer: &VmName| self.targets.offers_in_flight(peer, service);
-            let shares = self.slots.divide(service, free, may_receive, in_flight, self.now);
+            let shares = self.slots.divide(service, slots, may_receive, in_flight, self.now);
             for SlotShare { gateway, count } in shares {
                 match gateway {
                     None => {
--- a/crates/entry/src/batch/runner.rs
+++ b/crates/entry/src/batch/runner.rs
@@ -238,9 +238,10 @@
 }
 
 fn carry_out(node: &Arc<EntryNode>, outcome: PassOutcome) {
-    let PassOutcome { starts, messages, offered, declined, unoffered, unanswered } = outcome;
+    let PassOutcome { starts, messages, offered, kept, declined, unoffered, unanswered } = outcome;
     let counts = [
         ("item_slots_offered", offered),
+        ("item_slots_kept_for_peak", kept),
         ("item_slot_offers_declined", declined),
         ("items_started_unoffered", unoffered),
     ];
--- a/crates/entry/tests/item_slots.rs
+++ b/crates/entry/tests/item_slots.rs
@@ -6,8 +6,8 @@
     item_slots::{ItemSlotPass, PassOutcome},
     job_registry::JobRegistry,
 };
-use notch_messages::prelude::PeerMessage;
-use notch_relay::prelude::*;
+use notch_messages::prelude::{PeerMessage, WaitingItemsReport};
+use notch_relay::{item_slots::forecast::OnlineLoad, prelude::*};
 use notch_types::prelude::*;
 use rstest::rstest;
 
@@ -221,6 +221,38 @@
     assert!(!is_granted, "the home is told of the start");
 }
 
+/// Guards against a report of a previous build that is read as one without urgent items.
+#[test]
+fn a_missing_count_of_urgent_items_is_no_zero() {
+    let urgent = |json: &str| {
+        let report: WaitingItemsReport = serde_json::from_str(json).expect("a report");
+        report.urgent
+    };
+    assert_eq!(urgent(r#"{"service":"own","count":2,"slack_ms":900}"#), None);
+    assert_eq!(urgent(r#"{"service":"own","count":2,"slack_ms":900,"urgent":0}"#), Some(0));
+}
+
+/// Guards against items with time that a pass starts in the slots of the next peak, and against urgent
+/// ones that it leaves waiting.
+#[rstest]
+#[case::has_time(60, 0)]
+#[case::is_urgent(23, 3)]
+fn slots_of_the_next_peak_are_kept_from_items_with_time(#[case] due: u64, #[case] starts: usize) {
+    let mut world = World::new(&[("own", 3, due)]);
+    let load = |online: u32| OnlineLoad { here: online, all: online, slots_here: 4, slots_all: 4 };
+    let free = FreeSlots { here: 4, all: 4 };
+    world.slots.unreserved("own", free, load(0), at(0));
+    for millis in (0..19_000).step_by(100) {
+        let online = if millis % 5_800 >= 3_400 { 4 } else { 0 };
+        world.slots.note_online("own", load(online), at(millis));
+    }
+    // The next peak begins at 20.8 s and ends at 23.2 s.
+    let outcome = world.pass(at(19_000));
+    assert_eq!((started(&outcome).len(), outcome.kept), (starts, 1));
+    let urgent = world.slots.own_waiting().first().map(|waiting| waiting.items.urgent);
+    assert_eq!(urgent, (starts == 0).then_some(Some(0)));
+}
+
 /// Guards against processor time spent while nothing waits anywhere.
 #[test]
 fn a_pass_without_items_does_not_list_gateways() {
--- a/crates/lab/src/simulation/offers.rs
+++ b/crates/lab/src/simulation/offers.rs
@@ -22,13 +22,13 @@
         let load = state.table.online_load(SERVICE);
         state.slots.note_online(SERVICE, load, now);
         let free = state.table.free_item_slots(SERVICE, now);
-        let free = state.slots.unreserved(SERVICE, free, load, now);
-        if free.free.here > 0 {
+        let slots = state.slots.unreserved(SERVICE, free, load, now);
+        if slots.free.here > 0 {
             let in_flight = |peer: &VmName| state.table.offers_in_flight(peer, SERVICE);
             let may_receive = |gateway: Option<&VmName>| {
                 gateway.is_none_or(|peer| !state.table.owes_answer(peer, now))
             };
-            let shares = state.slots.divide(SERVICE, free, may_receive, in_flight, now);
+            let shares = state.slots.divide(SERVICE, slots, may_receive, in_flight, now);
             for SlotShare { gateway, count } in shares {
                 match gateway {
                     None => self.start_at_own_targets(home, count),
--- a/crates/magnolianotch/src/cli/args.rs
+++ b/crates/magnolianotch/src/cli/args.rs
@@ -381,8 +381,8 @@
     /// how many seeds, from 1 on (default 5)
     #[argh(option, default = "5")]
     pub seeds: u64,
-    /// ways to choose, with commas between: reports, homes, shared-items, all-knowing (default: all but
-    /// shared-items, the first is compared with)
+    /// ways to choose, with commas between: reports, homes, shared-items, unsorted-items, performance,
+    /// all-knowing (default: reports, homes, all-knowing; the first is compared with)
     #[argh(option, default = "String::from(\"reports,homes,all-knowing\")")]
     pub compare: String,
 }
