--- a/crates/lab/src/policy.rs
+++ b/crates/lab/src/policy.rs
@@ -12,6 +12,9 @@
     HomeGateways,
     /// As `HomeGateways`, and home gateways offer free slots to the gateway with the most urgent items.
     SharedItems,
+    /// As `SharedItems`, but gateways do not report how many items are urgent, as in builds before that report: items
+    /// that could wait for the end of the next peak start in its slots.
+    UnsortedItems,
     /// As `HomeGateways`, and learns failures and pace of targets. This is the production behaviour where it is enabled.
     LearnedPerformance,
     /// `SharedItems` and `LearnedPerformance` together.
@@ -25,10 +28,11 @@
 
 impl SelectionPolicy {
     /// Every policy with its command-line name.
-    pub const ALL: [(&'static str, Self); 7] = [
+    pub const ALL: [(&'static str, Self); 8] = [
         ("reports", Self::UsageReports),
         ("homes", Self::HomeGateways),
         ("shared-items", Self::SharedItems),
+        ("unsorted-items", Self::UnsortedItems),
         ("performance", Self::LearnedPerformance),
         ("shared-performance", Self::SharedItemsLearned),
         ("fair-shares", Self::FairShares),
@@ -40,6 +44,7 @@
         match self {
             Self::HomeGateways
             | Self::SharedItems
+            | Self::UnsortedItems
             | Self::LearnedPerformance
             | Self::SharedItemsLearned
             | Self::FairShares => true,
@@ -49,7 +54,7 @@
 
     /// Whether home gateways offer free slots for items.
     pub fn offers_items(self) -> bool {
-        matches!(self, Self::SharedItems | Self::SharedItemsLearned)
+        matches!(self, Self::SharedItems | Self::UnsortedItems | Self::SharedItemsLearned)
     }
 
     /// Whether gateways learn failures and pace of targets.
--- a/crates/lab/src/simulation/items.rs
+++ b/crates/lab/src/simulation/items.rs
@@ -164,6 +164,7 @@
             SelectionPolicy::UsageReports
             | SelectionPolicy::HomeGateways
             | SelectionPolicy::SharedItems
+            | SelectionPolicy::UnsortedItems
             | SelectionPolicy::LearnedPerformance
             | SelectionPolicy::SharedItemsLearned
             | SelectionPolicy::FairShares => self.pattern.delay,
