--- a/crates/lab/src/pattern.rs
+++ b/crates/lab/src/pattern.rs
@@ -57,6 +57,26 @@
     pub span: Duration,
 }
 
+/// A time in which one account sends more requests than all slots hold.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct AccountFlood {
+    /// When it begins, from the start of the simulation.
+    pub at: Duration,
+    /// How long it lasts.
+    pub span: Duration,
+    /// Online requests per second of the account.
+    pub per_second: f64,
+}
+
+/// Accounts that send the online requests. A client whose request is refused retries once.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct AccountLoad {
+    /// Number of light accounts, which send equal parts of the base load. At least 1.
+    pub light: usize,
+    /// Flood of one more account.
+    pub flood: Option<AccountFlood>,
+}
+
 /// A load and the fleet that it runs on.
 #[derive(Debug, Clone, PartialEq)]
 pub struct LoadPattern {
@@ -104,6 +124,10 @@
     pub fault: Option<TargetFault>,
     /// Share of the online requests that may run twice.
     pub repeatable_share: f64,
+    /// Whether gateways give up an attempt whose first byte is late and make another one.
+    pub has_first_byte_timeout: bool,
+    /// Accounts of the online requests; `None` if all requests have the same one.
+    pub accounts: Option<AccountLoad>,
 }
 
 impl Default for LoadPattern {
@@ -132,6 +156,8 @@
             slow_spells: None,
             fault: None,
             repeatable_share: 1.0,
+            has_first_byte_timeout: false,
+            accounts: None,
         }
     }
 }
@@ -171,15 +197,31 @@
                 items_per_second: 40.0,
                 ..base()
             },
+            Self::timed_peaks(),
             Self { name: "overload", steps: peaks(2.4, 6), ..base() },
             Self { name: "lost-targets", losses: vec![lost], ..base() },
             Self { name: "frozen-gateways", freezes: vec![freeze], ..base() },
             Self::short_replies(),
             Self::uneven_jobs(),
             Self::uneven_targets(),
+            Self::flooding_account(),
         ]
     }
 
+    /// Peaks that need more slots than there are, on targets with speeds of 0.6, 1.0 and 1.6. Gateways give up attempts
+    /// whose first byte is late; one in five online requests may then run again.
+    fn timed_peaks() -> Self {
+        Self {
+            name: "timed-peaks",
+            online_per_second: 380.0,
+            items_per_second: 40.0,
+            slowdowns: vec![1.0 / 0.6, 1.0, 1.0 / 1.6],
+            repeatable_share: 0.2,
+            has_first_byte_timeout: true,
+            ..Self::default()
+        }
+    }
+
     /// Short replies on targets with eight slots: peaks of 2.4 s in each 6 s that need over half of the slots,
     /// alongside jobs.
     fn short_replies() -> Self {
@@ -248,6 +290,25 @@
         }
     }
 
+    /// 40 light accounts that need half of all slots, and one that asks for three times all slots for 6 s.
+    fn flooding_account() -> Self {
+        let flood = AccountFlood {
+            at: Duration::from_secs(6),
+            span: Duration::from_secs(6),
+            // A request occupies a slot for 0.75 s when nearly all slots are in use.
+            per_second: 1_680.0,
+        };
+        Self {
+            name: "flooding-account",
+            span: Duration::from_secs(18),
+            online_per_second: 280.0,
+            steps: Vec::new(),
+            items_per_second: 0.0,
+            accounts: Some(AccountLoad { light: 40, flood: Some(flood) }),
+            ..Self::default()
+        }
+    }
+
     /// Finds a predefined pattern by its name.
     pub fn named(name: &str) -> Option<Self> {
         Self::all().into_iter().find(|pattern| pattern.name == name)
--- a/crates/messages/src/peer.rs
+++ b/crates/messages/src/peer.rs
@@ -29,6 +29,23 @@
     pub count: u32,
     /// Least slack of them, milliseconds: time left until due, less the expected run time. Negative if late.
     pub slack_ms: i64,
+    /// Number of them that cannot wait until the next peak of online requests has passed. `None` if it is not known, as
+    /// without regular peaks; zero if all of them can.
+    #[serde(default)]
+    pub urgent: Option<u32>,
+}
+
+/// Use of a service by one share key: an account, or the route of requests without an account.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ShareUseReport {
+    /// The service.
+    pub service: String,
+    /// Name of the account or route, at most 64 bytes; a hash in hexadecimal if the name is longer.
+    pub key: String,
+    /// Online requests in progress or queued.
+    pub online: u32,
+    /// Requests refused in the last second because the key was over its share.
+    pub refused: u32,
 }
 
 /// Pace of one target as measured by one gateway.
@@ -206,6 +223,10 @@
         /// Paces of targets that changed since the last report.
         #[serde(default)]
         paces: Vec<TargetPaceReport>,
+        /// The share keys with the most use of each service: at most 8 per service and 64 in total. Empty where
+        /// slots are not shared among accounts.
+        #[serde(default)]
+        shares: Vec<ShareUseReport>,
     },
     /// All work that waits at the sender; sent on large changes, and at least every second while any
     /// work waits.
--- a/crates/relay/tests/performance.rs
+++ b/crates/relay/tests/performance.rs
@@ -470,6 +470,60 @@
     assert_eq!(table.excluded_count(), 0);
 }
 
+/// Guards against gateways that together leave out more than a third of a service's targets: each home ranks the
+/// targets of the others by rates that only their homes know.
+#[test]
+fn all_gateways_rank_ejected_targets_alike() {
+    let targets = |own: &str| {
+        let mut table = table(3);
+        table.assign_homes(own, &gateways());
+        table
+    };
+    let mut tables = [targets("g-0"), targets("g-1"), targets("g-2")];
+    for (number, id) in ["t00", "t01", "t02"].iter().enumerate() {
+        let (failures, outcomes) = [(3, 4), (2, 4), (4, 4)][number];
+        for table in &mut tables {
+            (failures..outcomes).for_each(|_| table.note_peer_outcome(id, false, at(0)));
+            (0..failures).for_each(|_| table.note_peer_outcome(id, true, at(0)));
+        }
+    }
+    let notices: Vec<Vec<EjectionNotice>> =
+        tables.iter_mut().map(|table| table.ejection_notices(at(1))).collect();
+    for (from, notices) in notices.iter().enumerate() {
+        let home = VmName::new(&format!("g-{from}"));
+        for EjectionNotice { target, is_ejected, failure_permille, .. } in notices {
+            for (_, table) in tables.iter_mut().enumerate().filter(|(to, _)| *to != from) {
+                assert!(table.apply_ejection(&home, target, *is_ejected, *failure_permille, at(1)));
+            }
+        }
+    }
+    assert_eq!(notices.iter().map(Vec::len).sum::<usize>(), 3, "each home ejects its targets");
+    assert!(notices.iter().filter(|notices| !notices.is_empty()).count() > 1, "several homes");
+    for table in &mut tables {
+        let query = query(WorkKind::Batch, QueueLimit::Any);
+        let start = |_| table.choose(&query, at(2), || 0.0).expect("a slot is free").id;
+        let used: FastSet<String> = (0..6).map(start).collect();
+        let expected = ["t00", "t01"].map(str::to_owned).into_iter().collect::<FastSet<_>>();
+        assert_eq!(used, expected, "the one that fails all requests is left out");
+    }
+}
+
+/// Guards against a failing target that is readmitted because a probe failed by a request that had failed elsewhere
+/// before: its failure does not count against the target, but it does not show that the target works.
+#[test]
+fn an_excused_failure_ends_a_row_of_successful_probes() {
+    let mut table = table(6);
+    table.note_outcome("t01", report(7, TargetOutcome::Failed), at(0));
+    fail_twice(&mut table, "t00", at(0));
+    pass_probes(&mut table, "t00", 2, at(300));
+    let counted = table.note_outcome("t00", probe(7, TargetOutcome::Failed), at(600));
+    assert_eq!((counted, table.excluded_count()), (None, 1));
+    pass_probes(&mut table, "t00", 2, at(1_200));
+    assert_eq!(table.excluded_count(), 1);
+    pass_probes(&mut table, "t00", 1, at(1_400));
+    assert_eq!(table.excluded_count(), 0, "three in a row");
+}
+
 /// Guards against a target being ejected for ever after its home moved: nobody repeats or ends the
 /// ejection.
 #[test]
@@ -639,3 +693,155 @@
     assert_eq!(meter.note(5, at(80), at(100)), None, "most of the time went to the client");
     assert_eq!(meter.note(5, at(100), at(200)), Some(MILLIS_20), "the next measurement counts");
 }
+
+/// Guards against the silence of a target counting when the request may have waited in its queue,
+/// and against a queued request hiding a wrong answer or an error of the target.
+#[rstest]
+#[case::silent(AttemptResult::Broken(AttemptFailure::SilentBeforeAnswer), None)]
+#[case::stalled(AttemptResult::Broken(AttemptFailure::StalledAnswer), None)]
+#[case::closed(AttemptResult::Broken(AttemptFailure::ClosedBeforeAnswer), None)]
+#[case::no_connection(AttemptResult::Broken(AttemptFailure::ConnectFailed), None)]
+#[case::wrong_bytes(
+    AttemptResult::Broken(AttemptFailure::SpoiledAnswer),
+    Some(TargetOutcome::Failed)
+)]
+#[case::truncated(AttemptResult::Broken(AttemptFailure::CutAnswer), Some(TargetOutcome::Failed))]
+#[case::time_out_in_queue(AttemptResult::Status(504), None)]
+#[case::own_failure(AttemptResult::Status(500), Some(TargetOutcome::Failed))]
+#[case::answered(AttemptResult::Status(200), Some(TargetOutcome::Answered))]
+fn a_queued_request_tells_only_what_the_target_sent(
+    #[case] result: AttemptResult,
+    #[case] told: Option<TargetOutcome>,
+) {
+    assert_eq!(TargetOutcome::of_attempt(result, AttemptStage::Queued), told);
+    let begun = match result {
+        AttemptResult::Status(status) => Some(TargetOutcome::of_status(status)),
+        AttemptResult::Broken(failure) => TargetOutcome::of_failure(failure),
+    };
+    assert_eq!(TargetOutcome::of_attempt(result, AttemptStage::Begun), begun);
+}
+
+/// Ends an attempt at a target at which nothing arrived within the time-out.
+fn end_silent(table: &mut TargetTable, choice: &TargetChoice, fingerprint: u64, now: MonoTime) {
+    let failure = AttemptFailure::SilentBeforeAnswer;
+    let stage = table.attempt_stage(&choice.id, choice.has_free_slot, false);
+    let outcome = TargetOutcome::of_attempt(AttemptResult::Broken(failure), stage);
+    table.finish(&choice.id, WorkKind::Online, Some(Err(failure)), now);
+    let report = AttemptReport { fingerprint, outcome, is_probe: choice.is_probe };
+    table.note_outcome(&choice.id, report, now);
+}
+
+/// Guards against an overload ejecting healthy targets: gateways choose a target by reports that are
+/// late, so more requests reach it than it has slots, and the last ones get no answer in time.
+#[rstest]
+#[case::more_than_slots(SLOTS, 0)]
+#[case::all_had_a_slot(SLOTS - 2, 1)]
+fn requests_that_queued_eject_no_target(#[case] others: u32, #[case] excluded: usize) {
+    let mut table = table(3);
+    let uses = |online| [("t00".to_owned(), TargetUse { online, batch: 0 })];
+    let peer = VmName::new("peer");
+    table.take_report(&peer, uses(0).into_iter().collect(), at(0));
+    let taken: Vec<TargetChoice> =
+        (0..2).map(|_| table.take_granted(&online(), "t00").expect("a target is free")).collect();
+    assert!(taken.iter().all(|choice| choice.has_free_slot));
+    table.take_report(&peer, uses(others).into_iter().collect(), at(100));
+    for (number, choice) in taken.iter().enumerate() {
+        end_silent(&mut table, choice, number as u64, at(170));
+    }
+    assert_eq!(table.excluded_count(), excluded);
+    let silent = table.silent_targets(at(1_000));
+    assert_eq!(silent.len(), 1, "the target is avoided in either case until it answers a probe");
+}
+
+/// Guards against a silent target that is chosen for its queue being ejected by those that wait.
+#[test]
+fn a_request_sent_to_a_full_target_counts_once_its_answer_began() {
+    let mut table = table(3);
+    assert_eq!(table.attempt_stage("t00", false, false), AttemptStage::Queued);
+    assert_eq!(table.attempt_stage("t00", false, true), AttemptStage::Begun);
+    assert_eq!(table.attempt_stage("t00", true, false), AttemptStage::Begun);
+    let uses = [("t00".to_owned(), TargetUse { online: SLOTS + 1, batch: 0 })];
+    table.take_report(&VmName::new("peer"), uses.into_iter().collect(), at(0));
+    assert_eq!(table.attempt_stage("t00", true, false), AttemptStage::Queued);
+    assert_eq!(table.attempt_stage("t00", true, true), AttemptStage::Begun);
+}
+
+/// Sets how many requests there are at the targets `t00`, `t01` and so on.
+fn set_loads(table: &mut TargetTable, loads: &[u32], now: MonoTime) {
+    let uses = loads
+        .iter()
+        .enumerate()
+        .map(|(number, online)| (format!("t{number:02}"), TargetUse { online: *online, batch: 0 }));
+    table.take_report(&VmName::new("peer"), uses.collect(), now);
+}
+
+/// Sets the pace of a target to a multiple of the usual one.
+fn set_pace(table: &mut TargetTable, id: &str, factor: f64, now: MonoTime) {
+    for _ in 0..12 {
+        table.note_pace(id, MILLIS_20.mul_f64(factor), now);
+    }
+}
+
+/// Guards against the only free slot staying unused because its target is slow, or because a full
+/// target is fast: the request would queue or ask another gateway.
+#[rstest]
+#[case::slow_target_with_a_slot("t00", 3.0)]
+#[case::fast_target_without_one("t01", 0.5)]
+fn pace_never_hides_a_free_slot(#[case] id: &str, #[case] factor: f64) {
+    let mut table = paced_table();
+    set_loads(&mut table, &[SLOTS - 1, SLOTS, SLOTS, SLOTS], at(400));
+    set_pace(&mut table, id, factor, at(410));
+    let choice = table.pick_own(&online(), at(420), || 0.0);
+    assert_eq!(choice.map(|choice| choice.id).as_deref(), Some("t00"));
+}
+
+/// Guards against a request that has failed at the other free target queueing at a full one, because
+/// pace counts at free targets when half of all are free.
+#[test]
+fn a_slow_free_slot_precedes_a_full_target_while_pace_counts() {
+    let mut table = paced_table();
+    set_loads(&mut table, &[SLOTS - 1, 1, SLOTS, SLOTS], at(400));
+    set_pace(&mut table, "t00", 3.0, at(410));
+    let avoid = ["t01".to_owned()];
+    let query = TargetQuery { avoid: &avoid, ..online() };
+    let choice = table.pick_own(&query, at(420), || 0.0);
+    assert_eq!(choice.map(|choice| choice.id).as_deref(), Some("t00"));
+}
+
+/// Guards against all gateways sending their requests to the same few fast targets when few slots are
+/// free.
+#[test]
+fn pace_counts_at_targets_with_free_slots_only_while_most_have_one() {
+    let mut table = paced_table();
+    set_pace(&mut table, "t00", 2.0, at(400));
+    set_loads(&mut table, &[4, 5, SLOTS, SLOTS], at(410));
+    assert_eq!(chosen(&mut table, 1, at(420)), ["t01"], "half of them have a free slot");
+    set_loads(&mut table, &[4, SLOTS, SLOTS, SLOTS], at(420));
+    assert_eq!(chosen(&mut table, 1, at(430)), ["t00"]);
+    let mut table = table_of_five();
+    set_pace(&mut table, "t00", 2.0, at(400));
+    set_loads(&mut table, &[4, 5, SLOTS, SLOTS, SLOTS], at(410));
+    assert_eq!(chosen(&mut table, 1, at(420)), ["t00"], "most of them are full");
+}
+
+fn table_of_five() -> TargetTable {
+    let mut table = paced_table();
+    table.put(entry("t04", TargetState::Ready), MonoTime::default());
+    table
+}
+
+/// Guards against a long queue at a fast target counting as shorter than an empty one elsewhere. Two
+/// requests at twice the usual pace take as long as one.
+#[test]
+fn pace_scales_the_queue_of_a_full_target_and_not_its_slots() {
+    let mut table = paced_table();
+    set_pace(&mut table, "t00", 0.5, at(400));
+    let query = query(WorkKind::Online, QueueLimit::Any);
+    let mut pick = |loads: &[u32]| {
+        set_loads(&mut table, loads, at(410));
+        table.pick(&query, at(420), || 0.0).map(|choice| choice.id)
+    };
+    let full = SLOTS;
+    assert_ne!(pick(&[full + 4, full, full + 1, full + 1]).as_deref(), Some("t00"));
+    assert_eq!(pick(&[full + 4, full + 3, full + 3, full + 3]).as_deref(), Some("t00"));
+}
