--- a/crates/relay/src/item_slots.rs
+++ b/crates/relay/src/item_slots.rs
@@ -4,6 +4,7 @@
 //! It is designed for jobs that land on a few of many gateways while a third to a half of all slots
 //! is free, with a peak of online requests every few seconds.
 
+pub mod division;
 pub mod forecast;
 pub mod offers;
 pub mod preemption;
@@ -14,6 +15,7 @@
 use notch_types::prelude::*;
 
 use crate::item_slots::{
+    division::{DivisibleSlots, DivisionRound, GivenSlots, own_limit, own_share},
     forecast::{OnlineForecast, OnlineLoad, ReservedSlots},
     waiting::{OwnWaiting, PeerWaiting, WaitingItems, WaitingReport},
 };
@@ -53,32 +55,6 @@
     pub all: u32,
 }
 
-/// Slots of one service that a home may give to items.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct DivisibleSlots {
-    /// All of them, for items that must not wait for the end of the next peak.
-    pub free: FreeSlots,
-    /// Those that the next peak of online requests will not take, for items that have time. Never
-    /// more than `free`.
-    pub beyond_peak: FreeSlots,
-}
-
-impl From<FreeSlots> for DivisibleSlots {
-    /// Slots without a forecast.
-    fn from(free: FreeSlots) -> Self {
-        Self { free, beyond_peak: free }
-    }
-}
-
-/// Which of a gateway's items are given slots.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum DivisionRound {
-    /// Those that may take any free slot.
-    Pressing,
-    /// Also those that have time until the end of the next peak.
-    Patient,
-}
-
 impl FreeSlots {
     fn less(self, reserved: ReservedSlots) -> Self {
         let here = self.here.saturating_sub(reserved.here);
@@ -336,66 +312,3 @@
         given.shares
     }
 }
-
-/// Slots that are given in one division.
-#[derive(Debug)]
-struct GivenSlots {
-    slots: DivisibleSlots,
-    shares: Vec<SlotShare>,
-    /// Sum of the shares. Invariant: at most the free slots here.
-    count: u32,
-}
-
-impl GivenSlots {
-    fn new(slots: DivisibleSlots) -> Self {
-        Self { slots, shares: Vec::new(), count: 0 }
-    }
-
-    /// Slots given to this gateway.
-    fn own(&self) -> u32 {
-        let own = self.shares.iter().find(|share| share.gateway.is_none());
-        own.map_or(0, |share| share.count)
-    }
-
-    /// Gives up to `wanted` of the slots that are left in this round, and returns their number.
-    fn give(&mut self, gateway: Option<&VmName>, wanted: u32, round: DivisionRound) -> u32 {
-        let slots = match round {
-            DivisionRound::Pressing => self.slots.free,
-            DivisionRound::Patient => self.slots.beyond_peak,
-        };
-        let count = wanted.min(slots.here.saturating_sub(self.count));
-        if count == 0 {
-            return 0;
-        }
-        self.count += count;
-        match self.shares.iter_mut().find(|share| share.gateway.as_ref() == gateway) {
-            Some(share) => share.count += count,
-            None => self.shares.push(SlotShare { gateway: gateway.cloned(), count }),
-        }
-        count
-    }
-}
-
-/// Own items that may start in this round or the one before.
-fn own_limit(items: WaitingItems, round: DivisionRound) -> u32 {
-    match round {
-        DivisionRound::Pressing => items.pressing(),
-        DivisionRound::Patient => items.count,
-    }
-}
-
-/// Own items that a home starts before it offers slots to less urgent gateways, in this round and
-/// the one before: its share, rounded up.
-fn own_share(items: WaitingItems, slots: DivisibleSlots, round: DivisionRound) -> u32 {
-    let part = |count: u32, slots: FreeSlots| {
-        (f64::from(count) * f64::from(slots.here) / f64::from(slots.all.max(1))).ceil() as u32
-    };
-    let pressing = items.pressing();
-    let share = match round {
-        DivisionRound::Pressing => part(pressing, slots.free),
-        DivisionRound::Patient => {
-            part(pressing, slots.free) + part(items.count - pressing, slots.beyond_peak)
-        }
-    };
-    share.min(own_limit(items, round))
-}
--- a/crates/relay/src/item_slots/forecast.rs
+++ b/crates/relay/src/item_slots/forecast.rs
@@ -12,7 +12,7 @@
 const MIN_RUN: Duration = Duration::from_millis(400);
 /// Run time before a peak below which an item that has time is not started in a slot of the peak: a
 /// third of the run time of the items for which this is designed (2 to 10 s). If such items never
-/// start in these slots, too many become urgent in the same trough, and 9% of all were late in
+/// start in these slots, too many become urgent in the same trough, and 8% of all were late in
 /// simulations; with 3 s, 5 of 1,350 were late, and more at peaks that need all slots.
 const MIN_PATIENT_RUN: Duration = Duration::from_secs(2);
 /// Minimum interval between two samples; a peak of 2.4 s has over twenty.
--- a/crates/relay/src/item_slots/waiting.rs
+++ b/crates/relay/src/item_slots/waiting.rs
@@ -5,7 +5,8 @@
 use notch_types::prelude::*;
 
 use crate::item_slots::{
-    DivisibleSlots, DivisionRound, FreeSlots, MIN_OFFERS, MIN_SHARE_AFTER, SHARE_WINDOW,
+    FreeSlots, MIN_OFFERS, MIN_SHARE_AFTER, SHARE_WINDOW,
+    division::{DivisibleSlots, DivisionRound},
 };
 
 /// Change of the slack, beyond the passing of time, that is worth a report: an offer that comes
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -36,7 +36,8 @@
         },
         follower_start::{expectation_span, expected_followers, takeover_delay},
         item_slots::{
-            DivisibleSlots, FreeSlots, ItemSlotTable, ReceivedOffer, SlotShare,
+            FreeSlots, ItemSlotTable, ReceivedOffer, SlotShare,
+            division::DivisibleSlots,
             preemption::PreemptionRank,
             waiting::{WaitingItems, WaitingReport},
         },
