Keep no slots from items with time between peaks of a short period

Cause: slots are kept from 2 s before a peak until its end. With less than that between two peaks (for example a period of 3 s with peaks of 1 s), they were kept at all times. An item that had time then never started in a slot of the peak, however long its job had, and the items of a job became urgent together.

Change: the forecast records the time between the last two peaks. The rule of 400 ms for all items is as before.

--- a/crates/relay/src/item_slots/forecast.rs
+++ b/crates/relay/src/item_slots/forecast.rs
@@ -15,6 +15,9 @@
 /// start in these slots, too many become urgent in the same trough, and 9% of all were late in
 /// simulations; with 3 s, 5 of 1,350 were late, and more at peaks that need all slots.
 const MIN_PATIENT_RUN: Duration = Duration::from_secs(2);
+/// Time between two peaks below which no slots are kept from items that have time. If slots were kept
+/// for all of a shorter time, such items would never start in them and all become urgent at once.
+const MIN_PATIENT_TROUGH: Duration = MIN_PATIENT_RUN.saturating_add(MIN_RUN);
 /// Minimum interval between two samples; a peak of 2.4 s has over twenty.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(90);
 /// Age up to which samples are kept: three of the longest periods and the tolerance of the last one,
@@ -111,6 +114,8 @@
     peak_level: f64,
     /// Share of the slots down to which a peak lasts.
     trough_level: f64,
+    /// Time from the end of a peak to the start of the next one, between the last two peaks.
+    trough: Duration,
 }
 
 impl OnlineForecast {
@@ -142,14 +147,20 @@
         }
         // When a peak began that is older than the samples is not known.
         let mut is_peak = true;
+        let mut ended_at = None;
         for sample in &self.samples {
-            if !is_peak && sample.share >= self.peak_level {
-                self.peaks.push_back(sample.at);
+            match is_peak {
+                true if sample.share <= self.trough_level => {
+                    is_peak = false;
+                    ended_at = Some(sample.at);
+                }
+                false if sample.share >= self.peak_level => {
+                    is_peak = true;
+                    self.peaks.push_back(sample.at);
+                    self.trough = ended_at.map_or(Duration::ZERO, |ended| sample.at.since(ended));
+                }
+                true | false => {}
             }
-            is_peak = match is_peak {
-                true => sample.share > self.trough_level,
-                false => sample.share >= self.peak_level,
-            };
         }
         while self.peaks.len() > REGULAR_INTERVALS + 1 {
             self.peaks.pop_front();
@@ -192,8 +203,12 @@
 
     /// Slots that online requests do not use at `now` but will use at the highest load of a peak that
     /// begins within `MIN_PATIENT_RUN`, and `PATIENT_MARGIN` more at each home. They are kept from items that
-    /// have time until the end of the peak. None while the load is irregular.
+    /// have time until the end of the peak. None while the load is irregular, and none if the time between two
+    /// peaks is shorter than `MIN_PATIENT_TROUGH`.
     pub fn peak_reserved(&self, load: OnlineLoad, now: MonoTime) -> ReservedSlots {
+        if self.trough < MIN_PATIENT_TROUGH {
+            return ReservedSlots::default();
+        }
         let peak = self.next_peak(now).filter(|peak| peak.begins_in <= MIN_PATIENT_RUN);
         peak.map_or_else(ReservedSlots::default, |peak| load.missing(peak.share, PATIENT_MARGIN))
     }
--- a/crates/relay/tests/item_slots.rs
+++ b/crates/relay/tests/item_slots.rs
@@ -591,6 +591,23 @@
     assert_eq!(forecast.peak_ends_in(at(now)), Some(Duration::from_millis(ends_in)));
 }
 
+/// Guards against items with time that never start, as the time between two peaks is shorter than the time
+/// for which slots are kept before each.
+#[rstest]
+#[case::no_longer_than_slots_are_kept(|millis| millis % 3_000 >= 2_000, false)]
+#[case::longer(|millis| millis % 3_600 >= 2_600, true)]
+fn slots_are_not_kept_all_the_time(#[case] is_peak: fn(u64) -> bool, #[case] are_kept: bool) {
+    let reserved = |now: u64| {
+        let forecast = learned(now, is_peak);
+        let percent = if is_peak(now) { 75 } else { 25 };
+        assert!(forecast.peak_ends_in(at(now)).is_some(), "no forecast at {now}");
+        forecast.peak_reserved(load(percent), at(now)).here
+    };
+    let period = || (24_000_u64..27_600).step_by(100);
+    assert!(period().any(|now| reserved(now) == 0), "kept all the time");
+    assert_eq!(period().any(|now| reserved(now) > 0), are_kept);
+}
+
 /// Guards against a forecast that is lost before the next peak comes, and against one that needs
 /// another peak because the load rose a little before the first one.
 #[rstest]
