Give accounts with long names the weight of their priority

Cause: the share key of an account whose name has more than 64 bytes is a hash. The weight was looked up with the hash as a name, found no account and was that of a route, 1. An account of low priority thus had the weight of the highest one, at its own gateway and in reports of others.

Change: `AccountTable::with_share_key` also finds accounts by the hash of a long name, and the weight is looked up by it.

--- a/crates/entry/src/online/fairness.rs
+++ b/crates/entry/src/online/fairness.rs
@@ -123,7 +123,7 @@
 /// Weight of a share key by the priority of its account.
 fn weight_of(key: &str, routes: Option<&RouteTable>) -> f64 {
     let accounts = routes.and_then(RouteTable::accounts);
-    let account = accounts.and_then(|accounts| accounts.named(&AccountName::new(key)));
+    let account = accounts.and_then(|accounts| accounts.with_share_key(key));
     account.map_or(ROUTE_WEIGHT, |account| share_weight(account.priority))
 }
 
--- a/crates/relay/src/accounts/table.rs
+++ b/crates/relay/src/accounts/table.rs
@@ -4,9 +4,12 @@
 
 use notch_types::prelude::*;
 
-use crate::accounts::{
-    account::{AccountEntry, ClientAccount},
-    key::AccountKey,
+use crate::{
+    accounts::{
+        account::{AccountEntry, ClientAccount},
+        key::AccountKey,
+    },
+    fairness::key::{MAX_KEY_BYTES, share_key},
 };
 
 /// Sender of a request.
@@ -35,6 +38,8 @@
 pub struct AccountTable {
     by_key: FastMap<AccountKey, Arc<ClientAccount>>,
     by_name: FastMap<AccountName, Arc<ClientAccount>>,
+    /// Accounts whose share key is a hash, as their names are long.
+    by_hashed_key: FastMap<String, Arc<ClientAccount>>,
 }
 
 impl AccountTable {
@@ -46,6 +51,10 @@
             for key in keys {
                 table.by_key.insert(key, Arc::clone(&account));
             }
+            if account.name.as_str().len() > MAX_KEY_BYTES {
+                let key = share_key(Some(account.name.as_str()), "").into_owned();
+                table.by_hashed_key.insert(key, Arc::clone(&account));
+            }
             table.by_name.insert(account.name.clone(), account);
         }
         table
@@ -60,6 +69,11 @@
     pub fn named(&self, name: &AccountName) -> Option<&Arc<ClientAccount>> {
         self.by_name.get(name)
     }
+
+    /// The account whose use is counted by a share key.
+    pub fn with_share_key(&self, key: &str) -> Option<&Arc<ClientAccount>> {
+        self.named(&AccountName::new(key)).or_else(|| self.by_hashed_key.get(key))
+    }
 }
 
 /// Whether a caller may read or end a job of account `owner`. Jobs without an account are
--- a/crates/relay/tests/fairness.rs
+++ b/crates/relay/tests/fairness.rs
@@ -293,6 +293,19 @@
     assert_eq!(share_key(Some(""), "route"), "route", "an anonymous caller");
 }
 
+// Guards against an account of low priority that has the highest weight, as its share key is a hash of
+// its name.
+#[rstest]
+#[case::short("batch-reports".to_owned())]
+#[case::long("n".repeat(MAX_KEY_BYTES + 1))]
+fn an_account_is_found_by_its_share_key(#[case] name: String) {
+    let account = ClientAccount { name: AccountName::new(&name), priority: 3, limit: None };
+    let table = AccountTable::new(vec![AccountEntry { account, keys: Vec::new() }]);
+    let found = table.with_share_key(&share_key(Some(&name), "route"));
+    assert_eq!(found.map(|account| account.priority), Some(3));
+    assert_eq!(table.with_share_key("route"), None);
+}
+
 fn entry(id: &str, state: TargetState) -> TargetEntry {
     TargetEntry {
         id: id.to_owned(),
