State that fair shares refuse by the estimated use

Cause: the comment of `FairShareTable::admit` said that no request of a key that uses less than its share is refused. The exception for keys near an even division was not named.

No code changes.

--- a/crates/relay/src/fairness.rs
+++ b/crates/relay/src/fairness.rs
@@ -166,10 +166,11 @@
     /// is that of its key, above 0; `can_retry` tells whether its client can retry.
     ///
     /// It refuses nothing while at least a quarter of the slots is free, and never a request whose
-    /// key uses less than its share.
+    /// key's [estimated use](Self::estimated_use) is less than its share. The estimate may be above the
+    /// known use, so a refusal may state a use below the share.
     ///
     /// The division keeps the headroom free. Above that, only requests of clients that can't retry
-    /// are admitted.
+    /// are admitted, and those of keys whose use is close to an even division.
     pub fn admit(
         &mut self,
         service: &str,
--- a/crates/relay/src/fairness/verdict.rs
+++ b/crates/relay/src/fairness/verdict.rs
@@ -45,7 +45,8 @@
     Admit,
     /// The request is refused.
     Refuse {
-        /// Requests of its key in progress or queued, over all gateways as far as is known.
+        /// Requests of its key in progress or queued, over all gateways as far as is known. It may be below
+        /// `share`, as the decision is made by the estimated use.
         used: u64,
         /// Fair share of its key, slots.
         share: f64,
