Measure the growth of use between reports to all gateways only

Cause: the report to a gateway whose link comes up was made by `FairShareTable::own_shares`, which also moves the use by which growth is measured one report on. When two or more links came up, the growth of a flood was taken as zero until the next reports, and the estimate was too low.

Change: that report is made by `current_shares`, which changes nothing.

--- a/crates/entry/src/online/fairness.rs
+++ b/crates/entry/src/online/fairness.rs
@@ -73,16 +73,14 @@
         }
     }
 
-    /// The use to report now.
+    /// The use to report to all gateways now.
     pub fn own_report(&self) -> Vec<ShareUseReport> {
-        let shares = self.shares().own_shares(self.clock.mono()).into_iter();
-        let report = |ShareUse { service, key, online, refused, .. }| ShareUseReport {
-            service,
-            key,
-            online,
-            refused,
-        };
-        shares.map(report).collect()
+        encode(self.shares().own_shares(self.clock.mono()))
+    }
+
+    /// The use to report to a single gateway, to which a link has come up.
+    pub fn first_report(&self) -> Vec<ShareUseReport> {
+        encode(self.shares().current_shares(self.clock.mono()))
     }
 
     /// Applies another gateway's report.
@@ -120,6 +118,16 @@
     }
 }
 
+fn encode(shares: Vec<ShareUse>) -> Vec<ShareUseReport> {
+    let report = |ShareUse { service, key, online, refused, .. }| ShareUseReport {
+        service,
+        key,
+        online,
+        refused,
+    };
+    shares.into_iter().map(report).collect()
+}
+
 /// Weight of a share key by the priority of its account.
 fn weight_of(key: &str, routes: Option<&RouteTable>) -> f64 {
     let accounts = routes.and_then(RouteTable::accounts);
--- a/crates/entry/src/peers/reports.rs
+++ b/crates/entry/src/peers/reports.rs
@@ -48,7 +48,11 @@
 
 /// The current report with the use by share key, for a gateway to which a link has come up.
 pub fn first_report(node: &EntryNode) -> PeerMessage {
-    with_shares(node, report(node))
+    let mut message = report(node);
+    if let (PeerMessage::Report { shares, .. }, Some(edge)) = (&mut message, node.fair_shares()) {
+        *shares = edge.first_report();
+    }
+    message
 }
 
 /// Items that wait here, if slots are offered for them.
--- a/crates/relay/src/fairness.rs
+++ b/crates/relay/src/fairness.rs
@@ -202,7 +202,7 @@
         FairVerdict::Refuse { used, share }
     }
 
-    /// The keys with the most use at this gateway, as they are to be reported now.
+    /// The keys with the most use at this gateway, as they are to be reported to all gateways now.
     pub fn own_shares(&mut self, now: MonoTime) -> Vec<ShareUse> {
         for own in self.own.values_mut().flat_map(|keys| keys.values_mut()) {
             own.reported = u64::from(own.online) + u64::from(own.refusals.count(now));
@@ -210,6 +210,12 @@
         for sum in self.reported.values_mut().flat_map(|keys| keys.values_mut()) {
             sum.earlier = [sum.online, sum.earlier[0]];
         }
+        self.current_shares(now)
+    }
+
+    /// The keys with the most use at this gateway. Unlike [`own_shares`](Self::own_shares) it does not
+    /// count as a report to all gateways, by which the growth of use is measured.
+    pub fn current_shares(&self, now: MonoTime) -> Vec<ShareUse> {
         let mut services: Vec<&String> = self.own.keys().collect();
         services.sort();
         let mut shares = Vec::new();
--- a/crates/relay/tests/fairness.rs
+++ b/crates/relay/tests/fairness.rs
@@ -176,6 +176,21 @@
     assert_eq!(estimated(&table), 915.0 + 875.0);
 }
 
+// Guards against a rise that is forgotten when links come up, each of which gets a report of its own.
+#[test]
+fn a_report_to_a_single_gateway_leaves_the_estimate() {
+    let mut table = table_of(&[("heavy", 10)]);
+    table.note_report(&vm("g-2"), vec![share("heavy", 10, 0)], at(0));
+    drop(table.own_shares(at(0)));
+    table.note_report(&vm("g-2"), vec![share("heavy", 30, 0)], at(100));
+    let estimated = |table: &FairShareTable| table.estimated_use(SERVICE, "heavy", 100.0, at(100));
+    assert_eq!(estimated(&table), 60.0);
+    for _ in 0..3 {
+        assert_eq!(table.current_shares(at(100)), [share("heavy", 10, 0)]);
+    }
+    assert_eq!(estimated(&table), 60.0);
+}
+
 // Guards against all gateways filling the same free slots before they hear of each other's requests.
 #[test]
 fn in_a_flood_each_gateway_admits_its_part() {
