Give own urgent items their slots before items with time

Cause: a home gave its own urgent items its share of them first, then slots beyond those of the next peak to items with time, then the rest to its own urgent items. This rest came from the slots of the peak.

Change: while slots are kept, the rest of the own urgent items comes in the first round. Without kept slots the division is as before.

--- a/crates/relay/src/item_slots.rs
+++ b/crates/relay/src/item_slots.rs
@@ -63,6 +63,13 @@
     pub beyond_peak: FreeSlots,
 }
 
+impl DivisibleSlots {
+    /// Whether slots here are kept for the next peak.
+    fn keeps_for_peak(self) -> bool {
+        self.beyond_peak.here < self.free.here
+    }
+}
+
 impl From<FreeSlots> for DivisibleSlots {
     /// Slots without a forecast.
     fn from(free: FreeSlots) -> Self {
@@ -328,6 +335,12 @@
                     waiting.note_offered(service, count);
                 }
             }
+            // Own items that cannot wait take their rest of the slots before items that have time, which
+            // otherwise would leave fewer slots to the peak.
+            if round == DivisionRound::Pressing && !is_late && slots.keeps_for_peak() {
+                let rest = own.filter(|items| !items.is_late()).map_or(0, |own| own.pressing());
+                given.give(None, rest.saturating_sub(given.own()), round);
+            }
         }
         for round in [DivisionRound::Pressing, DivisionRound::Patient] {
             let rest = own.map_or(0, |items| own_limit(items, round));
--- a/crates/relay/tests/item_slots.rs
+++ b/crates/relay/tests/item_slots.rs
@@ -705,6 +705,23 @@
     assert_eq!(order, shares(&[("mixed", 2), ("urgent", 1), ("late", 4)]));
 }
 
+/// Guards against items with time that leave too few slots to a peak, as urgent items of the home itself take
+/// their rest after them.
+#[test]
+fn own_urgent_items_count_towards_the_slots_beyond_a_peak() {
+    let slots = DivisibleSlots {
+        free: FreeSlots { here: 16, all: 24 },
+        beyond_peak: FreeSlots { here: 12, all: 16 },
+    };
+    let mut home = ItemSlotTable::default();
+    let own = with_urgent(3, 0, None)[0].items;
+    home.set_own(&[(SERVICE.to_owned(), own)].into_iter().collect(), at(0));
+    home.take_report(&vm("calm"), with_urgent(13, 0, Some(0)), 0.5, at(0));
+    let given = home.divide(SERVICE, slots, |_| true, |_| 0, at(0));
+    let calm = SlotShare { gateway: Some(vm("calm")), count: 9 };
+    assert_eq!(given, [SlotShare { gateway: None, count: 3 }, calm]);
+}
+
 /// Guards against items that start without an offer, in slots of the next peak, while they have time,
 /// and against urgent and late ones that wait for ever where homes make no offers.
 #[rstest]
