--- a/crates/relay/src/item_slots.rs
+++ b/crates/relay/src/item_slots.rs
@@ -304,6 +304,12 @@
                     waiting.note_offered(service, count);
                 }
             }
+            // Own items that cannot wait take their rest of the slots before items that have time, which
+            // otherwise would leave fewer slots to the peak.
+            if round == DivisionRound::Pressing && !is_late && slots.keeps_for_peak() {
+                let rest = own.filter(|items| !items.is_late()).map_or(0, |own| own.pressing());
+                given.give(None, rest.saturating_sub(given.own()), round);
+            }
         }
         for round in [DivisionRound::Pressing, DivisionRound::Patient] {
             let rest = own.map_or(0, |items| own_limit(items, round));
--- a/crates/relay/src/item_slots/division.rs
+++ b/crates/relay/src/item_slots/division.rs
@@ -14,6 +14,13 @@
     pub beyond_peak: FreeSlots,
 }
 
+impl DivisibleSlots {
+    /// Whether slots here are kept for the next peak.
+    pub(super) fn keeps_for_peak(self) -> bool {
+        self.beyond_peak.here < self.free.here
+    }
+}
+
 impl From<FreeSlots> for DivisibleSlots {
     /// Slots without a forecast.
     fn from(free: FreeSlots) -> Self {
--- a/crates/settings/src/sections/fleet.rs
+++ b/crates/settings/src/sections/fleet.rs
@@ -42,7 +42,7 @@
     pub keep_connections: FeatureSwitch,
     /// Whether the entry of a gateway that was removed for good is deleted.
     pub evict_gateways: FeatureSwitch,
-    /// Whether slots are shared among accounts when nearly all are in use.
+    /// Whether slots are shared among accounts when fewer than a quarter of them are free.
     pub share_slots_fairly: FeatureSwitch,
 }
 
