Tell the software version of targets in entries and logs

Callers saw streams whose events two builds of a target had written. The logs could not tell it: a target's entry was decoded without its version, and request_ended named neither the versions nor the target that began a stream. Change: entries carry the version of the software; target_known, item_run_started and request_ended tell it (software=v1,v2 is a stream that went on at another version). No decision depends on it yet.

--- a/crates/entry/src/batch/runner.rs
+++ b/crates/entry/src/batch/runner.rs
@@ -112,6 +112,7 @@
         ("job", &start.job),
         ("item", &start.item.id),
         ("target", &choice.id),
+        ("software", &choice.software_version),
         ("after", &after),
         ("due_ms", &left_ms),
     ];
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -430,6 +430,7 @@
                 ("target", &entry.id),
                 ("address", &entry.address),
                 ("service", &entry.service),
+                ("software", &entry.software_version),
                 ("state", &state),
                 ("source", &source),
                 ("revision", &revision),
--- a/crates/entry/src/online/relay.rs
+++ b/crates/entry/src/online/relay.rs
@@ -108,6 +108,9 @@
     pub(crate) has_begun: bool,
     /// Failed attempts, for the log.
     failures: Vec<String>,
+    /// Software versions of the targets whose events were passed on, for the log. Invariant: no
+    /// version follows itself.
+    event_versions: Vec<String>,
     /// How long it may wait for a slot.
     queue: QueueLimit,
     /// Number of gateways asked for a slot in the last search.
@@ -141,6 +144,7 @@
             failure_status: None,
             has_begun: false,
             failures: Vec::new(),
+            event_versions: Vec::new(),
             queue: queue_limit(node, request),
             place_asks: 0,
             last_choice: None,
@@ -400,6 +404,14 @@
         }
     }
 
+    /// Records that an event of this target is passed on.
+    pub(crate) fn note_event_from(&mut self, choice: &TargetChoice) {
+        let version = &choice.software_version;
+        if self.event_versions.last() != Some(version) {
+            self.event_versions.push(version.clone());
+        }
+    }
+
     fn note_failure(&mut self, choice: &TargetChoice, failure: AttemptFailure) {
         match failure.verdict() {
             RunVerdict::NotRun => self.not_run += 1,
@@ -469,6 +481,7 @@
         let failures = self.failures.join(",");
         let choice = self.last_choice.as_ref();
         let target = choice.map_or("-", |c| &c.id);
+        let software = self.event_versions.join(",");
         let own_load = choice.map_or(0, |c| c.own_load);
         let reported_load = choice.map_or(0, |c| c.reported_load);
         self.node.log.info(
@@ -481,6 +494,7 @@
                 ("outcome", &outcome),
                 ("status", &status),
                 ("target", &target),
+                ("software", &software),
                 ("own_load", &own_load),
                 ("reported_load", &reported_load),
                 ("place_asks", &self.place_asks),
--- a/crates/entry/src/online/stream.rs
+++ b/crates/entry/src/online/stream.rs
@@ -38,7 +38,7 @@
             pace.end_wait();
             splitter.push(&part);
             let events = self.events;
-            if !self.pass_events(&mut splitter, &head).await? {
+            if !self.pass_events(choice, &mut splitter, &head).await? {
                 return Ok(AttemptEnd::ClientGone);
             }
             pace.note_events(self.events.wrapping_sub(events));
@@ -58,6 +58,7 @@
     /// Passes on the complete events that were read; false when writing to the client fails.
     async fn pass_events(
         &mut self,
+        choice: &TargetChoice,
         splitter: &mut EventSplitter,
         head: &ResponseHead,
     ) -> Result<bool, AttemptFailure> {
@@ -75,6 +76,7 @@
             }
         };
         if !bytes.is_empty() {
+            self.note_event_from(choice);
             let mut all = self.head_bytes(head);
             all.extend_from_slice(&bytes);
             if write_within(self.client, &all, CLIENT_STALL).await.is_err() {
--- a/crates/entry/tests/target_propagation.rs
+++ b/crates/entry/tests/target_propagation.rs
@@ -27,6 +27,7 @@
         id: TargetEntry::start_id(&name, 1_764_000_000_000 + number),
         name,
         born: 1_764_000_000_000 + number,
+        software_version: "v1".to_owned(),
         service: "assistant".to_owned(),
         address: ([10, 1, (number >> 8) as u8, number as u8], 8_000).into(),
         domain: format!("fd-{}", number % 5),
--- a/crates/lab/src/simulation.rs
+++ b/crates/lab/src/simulation.rs
@@ -282,6 +282,7 @@
             name: id.clone(),
             id,
             born: 0,
+            software_version: "v1".to_owned(),
             service: SERVICE.to_owned(),
             address: ([127, 0, 0, 1], 1).into(),
             domain: domain.to_owned(),
--- a/crates/relay/src/targets/choice.rs
+++ b/crates/relay/src/targets/choice.rs
@@ -54,6 +54,8 @@
     pub name: String,
     /// Address that the target listens on.
     pub address: SocketAddr,
+    /// Version of the target's software.
+    pub software_version: String,
     /// Whether the target had a free slot, as far as this gateway knows.
     pub has_free_slot: bool,
     /// Requests of this gateway at the target, not counting this one.
--- a/crates/relay/src/targets/entry.rs
+++ b/crates/relay/src/targets/entry.rs
@@ -25,6 +25,10 @@
     /// clock, 0 if not reported. A higher number is a later start without any state of the earlier
     /// ones.
     pub born: u64,
+    /// Version of the target's software; empty if it is not reported. A stream begun by one version
+    /// cannot be continued by another.
+    #[serde(default)]
+    pub software_version: String,
     /// Service that the target is a replica of.
     pub service: String,
     /// Address that the target listens on. Another target may reuse it after this one has ended.
--- a/crates/relay/src/targets/table.rs
+++ b/crates/relay/src/targets/table.rs
@@ -259,6 +259,7 @@
             id: id.clone(),
             name: record.entry.name.clone(),
             address: record.entry.address,
+            software_version: record.entry.software_version.clone(),
             has_free_slot: record.has_free_slot(),
             own_load: record.own.total(),
             reported_load: record.others.total(),
--- a/crates/relay/tests/item_slots.rs
+++ b/crates/relay/tests/item_slots.rs
@@ -31,6 +31,7 @@
         id: id.to_owned(),
         name: id.to_owned(),
         born: 0,
+        software_version: "v1".to_owned(),
         service: SERVICE.to_owned(),
         address: ([127, 0, 0, 1], 9).into(),
         domain: domain.to_owned(),
--- a/crates/relay/tests/targets.rs
+++ b/crates/relay/tests/targets.rs
@@ -11,6 +11,7 @@
         id: id.to_owned(),
         name: id.to_owned(),
         born: 0,
+        software_version: "v1".to_owned(),
         service: "llm".to_owned(),
         address: ([127, 0, 0, 1], 9).into(),
         domain: "a".to_owned(),
