Continue a broken stream only at the software version that began it

Cause: nothing in the relay knew which version had begun a stream; its next attempt took any target of the service, chosen by load. Class: work continued at another place by something weaker than its origin. Change: a query for a target can name the software version that it must have. Every way to a target keeps to it: own slots, slots granted by other gateways (the request names the version), preempted items, queues, probes, the last resort. If no target of the version accepts requests the stream is broken off at once, outcome version_gone, so that its client needn't wait. A request that may have run is no longer told 503 by a reason that is final.

--- a/crates/entry/src/batch/item_slots.rs
+++ b/crates/entry/src/batch/item_slots.rs
@@ -326,7 +326,7 @@
 
 fn query<'a>(service: &'a str, prompt: &'a PromptPrefixes) -> TargetQuery<'a> {
     let (work, queue) = (WorkKind::Batch, QueueLimit::Any);
-    TargetQuery { service, work, avoid: &[], queue, prompt }
+    TargetQuery { service, work, avoid: &[], queue, version: None, prompt }
 }
 
 /// Announcement of a change in the use of an offered slot.
--- a/crates/entry/src/batch/runner.rs
+++ b/crates/entry/src/batch/runner.rs
@@ -85,6 +85,7 @@
             work: WorkKind::Batch,
             avoid: &[],
             queue: QueueLimit::Any,
+            version: None,
             prompt: &prompt,
         };
         let choice = node.targets().choose(&query, now, EntryNode::draw);
--- a/crates/entry/src/online/relay.rs
+++ b/crates/entry/src/online/relay.rs
@@ -35,6 +35,11 @@
 };
 
 /// Whether the client's connection can be used further.
+/// Outcome of a stream that can't go on, as no target has the software version that began it.
+const VERSION_GONE: &str = "version_gone";
+/// Outcome of a stream that a client takes up and that may have begun at several software versions.
+const VERSION_UNKNOWN: &str = "version_unknown";
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Delivery {
     /// A complete answer was written; the connection can be reused.
@@ -88,6 +93,9 @@
     /// The service. With a traffic split it is drawn once, so that all attempts go to the same one.
     service: String,
     /// Id of the last event that the client has: the last one passed on, or the one that it resumes after.
+    /// Software version that began the stream, at which alone it may go on; `None` before its first
+    /// event.
+    version: Option<String>,
     pub(crate) last_event: Option<u64>,
     /// Number of events passed on.
     pub(crate) events: u32,
@@ -135,6 +143,7 @@
             close,
             service,
             last_event: request.last_event(),
+            version: None,
             events: 0,
             head_sent: false,
             first_sent: None,
@@ -172,6 +181,9 @@
                 // retry delay.
                 if !self.head_sent || now.since(since) > NO_SLOT_TIMEOUT {
                     return self.give_up("no_place").await;
+                if self.is_version_gone() {
+                    return self.give_up(VERSION_GONE).await;
+                }
                 }
                 task::sleep(NO_SLOT_RETRY_INTERVAL).await;
                 continue;
@@ -284,6 +296,7 @@
                 if failure.may_be_crash() && self.last_event == held_before {
                     crashes::report_interruption(self.node, self.request.fingerprint, &choice.id);
                 }
+            version: self.version.as_deref(),
             }
         }
         end
@@ -439,14 +452,20 @@
             self.log_end(reason, 0);
             return Delivery::Incomplete;
         }
-        let (status, retry_after) = if reason == "quarantined" {
-            (503, None)
-        } else if self.unknown == 0 {
-            (503, Some(self.retry_delay()))
-        } else if reason == "deadline" {
-            (504, None)
-        } else {
-            (502, None)
+        // A retry would be refused as well.
+        let is_final = matches!(reason, "quarantined" | VERSION_GONE | VERSION_UNKNOWN);
+        let (status, retry_after) = match (self.unknown, reason) {
+            (0, _) if is_final => (503, None),
+            (0, _) => (503, Some(self.retry_delay())),
+            (_, "deadline") => (504, None),
+            _ => (502, None),
+        self.version.get_or_insert_with(|| version.clone());
+    }
+
+    /// Whether no target can continue the stream: none of its version accepts requests.
+    fn is_version_gone(&self) -> bool {
+        let version = self.version.as_deref();
+        version.is_some_and(|version| !self.node.targets().has_version(&self.service, version))
         };
         if let Some(account) = self.request.account.credit.as_ref().filter(|_| self.unknown == 0) {
             self.node.accounts.refund(account, self.now());
--- a/crates/entry/src/online/slots.rs
+++ b/crates/entry/src/online/slots.rs
@@ -45,7 +45,8 @@
     may_displace: bool,
 ) -> Option<TargetChoice> {
     let (service, avoid) = (query.service.to_owned(), query.avoid.to_vec());
-    let request = |call| PeerMessage::PlaceAsk { call, service, avoid, may_displace };
+    let version = query.version.map(str::to_owned);
+    let request = |call| PeerMessage::PlaceAsk { call, service, avoid, may_displace, version };
     let send = |call| node.peers.send(home, request(call));
     let end = node.peers.slot_calls.ask(send, ANSWER_TIMEOUT).await;
     let now = node.clock.mono();
@@ -73,18 +74,25 @@
     None
 }
 
+/// A slot that another gateway asks for.
+#[derive(Debug, Clone, Copy)]
+pub struct SlotRequest<'a> {
+    /// Service that must run the request.
+    pub service: &'a str,
+    /// Targets at which the request has failed.
+    pub avoid: &'a [String],
+    /// Whether a batch item may be preempted for it.
+    pub may_displace: bool,
+    /// Software version that the target must have; `None` for any.
+    pub version: Option<&'a str>,
+}
+
 /// Answers another gateway's request for a slot.
-pub fn answer(
-    node: &EntryNode,
-    peer: &VmName,
-    call: u64,
-    service: &str,
-    avoid: &[String],
-    may_displace: bool,
-) {
+pub fn answer(node: &EntryNode, peer: &VmName, call: u64, request: SlotRequest<'_>) {
+    let SlotRequest { service, avoid, may_displace, version } = request;
     let prompt = PromptPrefixes::default();
     let (work, queue) = (WorkKind::Online, QueueLimit::Any);
-    let query = TargetQuery { service, work, avoid, queue, prompt: &prompt };
+    let query = TargetQuery { service, work, avoid, queue, version, prompt: &prompt };
     let now = node.clock.mono();
     let mut targets = node.targets();
     let grant = targets.grant(peer, &query, may_displace, now);
--- a/crates/entry/src/peers/links.rs
+++ b/crates/entry/src/peers/links.rs
@@ -21,7 +21,10 @@
     batch::{bodies, ends, limits, ownership, reads, runner, takeover},
     constants::{GATEWAY_WATCH_PAUSE, STORE_PAUSE},
     node::EntryNode,
-    online::{crashes, slots},
+    online::{
+        crashes,
+        slots::{self, SlotRequest},
+    },
     peers::{
         catch_up::{KnownVersions, StateRequest},
         demands,
@@ -367,8 +370,10 @@
             limits::apply_shares(node, &limit, revision, table);
         }
         PeerMessage::StoreAnswer { call, end } => node.peers.store_calls.answer(call, end),
-        PeerMessage::PlaceAsk { call, service, avoid, may_displace } => {
-            slots::answer(node, &peer.vm, call, &service, &avoid, may_displace);
+        PeerMessage::PlaceAsk { call, service, avoid, may_displace, version } => {
+            let (service, avoid, version) = (&*service, &*avoid, version.as_deref());
+            let request = SlotRequest { service, avoid, may_displace, version };
+            slots::answer(node, &peer.vm, call, request);
         }
         PeerMessage::PlaceRevoke { target } => runner::revoke_item_slot(node, &peer.vm, &target),
         PeerMessage::PlaceAnswer { call, answer } => {
--- a/crates/lab/src/simulation/items.rs
+++ b/crates/lab/src/simulation/items.rs
@@ -23,7 +23,7 @@
 pub(super) fn item_query() -> TargetQuery<'static> {
     static NO_PROMPT: LazyLock<PromptPrefixes> = LazyLock::new(PromptPrefixes::default);
     let (work, queue) = (WorkKind::Batch, QueueLimit::Any);
-    TargetQuery { service: SERVICE, work, avoid: &[], queue, prompt: &NO_PROMPT }
+    TargetQuery { service: SERVICE, work, avoid: &[], queue, version: None, prompt: &NO_PROMPT }
 }
 
 impl Simulation {
--- a/crates/lab/src/simulation/online.rs
+++ b/crates/lab/src/simulation/online.rs
@@ -20,7 +20,7 @@
 fn online_query(request: &SimRequest, queue: QueueLimit) -> TargetQuery<'_> {
     static NO_PROMPT: LazyLock<PromptPrefixes> = LazyLock::new(PromptPrefixes::default);
     let (work, avoid) = (WorkKind::Online, request.avoid.as_slice());
-    TargetQuery { service: SERVICE, work, avoid, queue, prompt: &NO_PROMPT }
+    TargetQuery { service: SERVICE, work, avoid, queue, version: None, prompt: &NO_PROMPT }
 }
 
 impl Simulation {
--- a/crates/messages/src/peer.rs
+++ b/crates/messages/src/peer.rs
@@ -419,6 +419,9 @@
     },
     /// Offers slots at the sender's targets for items. They count as used by the receiver until it reports an end.
     ItemSlotOffer {
+        /// Software version that the target must have; `None` for any.
+        #[serde(default)]
+        version: Option<String>,
         /// Ids of the targets, one for each slot.
         targets: Vec<String>,
     },
--- a/crates/relay/src/targets/choice.rs
+++ b/crates/relay/src/targets/choice.rs
@@ -41,6 +41,8 @@
     pub avoid: &'a [String],
     /// How long the request may queue for a slot.
     pub queue: QueueLimit,
+    /// Software version that the target must have, as it continues what such a target has begun.
+    pub version: Option<&'a str>,
     /// Prompt prefixes: targets likely to have them cached are preferred slightly.
     pub prompt: &'a PromptPrefixes,
 }
--- a/crates/relay/src/targets/record.rs
+++ b/crates/relay/src/targets/record.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::targets::{
-    choice::{QueueLimit, WorkKind},
+    choice::{QueueLimit, TargetQuery, WorkKind},
     entry::{TargetEntry, TargetState},
     health::TargetHealth,
     latency::ServiceLatency,
@@ -112,6 +112,12 @@
         ready && self.entry.service == service && !self.is_full()
     }
 
+    /// Whether it accepts requests of a query: for its service and at its software version.
+    pub(super) fn serves(&self, query: &TargetQuery<'_>) -> bool {
+        self.takes(query.service)
+            && query.version.is_none_or(|version| self.entry.software_version == version)
+    }
+
     /// Whether it runs requests for a service and is not left out, even if it is full.
     pub(super) fn is_usable(&self, service: &str) -> bool {
         let ready = self.entry.state == TargetState::Ready && !self.address_reused;
--- a/crates/relay/src/targets/table.rs
+++ b/crates/relay/src/targets/table.rs
@@ -181,6 +181,14 @@
         for record in self.records.values() {
             let is_able = record.entry.state == TargetState::Ready
                 && !record.address_reused
+    /// Whether a target of `service` with software `version` accepts new requests.
+    pub fn has_version(&self, service: &str, version: &str) -> bool {
+        self.entries().any(|entry| {
+            let is_ready = entry.state == TargetState::Ready;
+            is_ready && entry.service == service && entry.software_version == version
+        })
+    }
+
                 && !record.is_avoided(now);
             let taken = record.own.online + record.others.online;
             let left = if is_able { record.entry.slots.saturating_sub(taken) } else { 0 };
@@ -279,14 +287,14 @@
         remote_share: f64,
         draw: &mut impl FnMut() -> f64,
     ) -> Option<(f64, &TargetRecord)> {
-        let TargetQuery { service, work, avoid, queue, prompt } = *query;
+        let TargetQuery { service, work, avoid, queue, prompt, .. } = *query;
         let cached = self.prefix_cache.cached_tokens(prompt);
         let latency = self.latency(service);
         let pace = self.pace_use(service);
         let mut best: Option<(f64, &TargetRecord)> = None;
         let mut fallback: Option<(f64, &TargetRecord)> = None;
         for record in self.records.values() {
-            let is_left_out = !record.takes(service) || record.performance.is_excluded;
+            let is_left_out = !record.serves(query) || record.performance.is_excluded;
             if is_left_out || avoid.contains(&record.entry.id) {
                 continue;
             }
--- a/crates/relay/src/targets/table/admission.rs
+++ b/crates/relay/src/targets/table/admission.rs
@@ -26,7 +26,7 @@
         query: &TargetQuery<'_>,
         now: MonoTime,
     ) -> Option<(TargetChoice, PreemptedItem)> {
-        let record = self.preemptible_record(query.service, query.avoid, now)?;
+        let record = self.preemptible_record(query, now)?;
         let choice = self.choice_of(record);
         let preempted = self.revoke_item(&choice.id, now)?;
         Some((choice, preempted))
@@ -49,7 +49,7 @@
         for record in self.records.values() {
             let id = &record.entry.id;
             let Some(home) = self.homes.other_home(id) else { continue };
-            let is_able = record.takes(query.service)
+            let is_able = record.serves(query)
                 && !record.is_avoided(now)
                 && !query.avoid.contains(id)
                 && self.homes.may_ask(home, now);
@@ -70,7 +70,7 @@
     /// the target is no longer used here.
     pub fn take_granted(&mut self, query: &TargetQuery<'_>, id: &str) -> Option<TargetChoice> {
         let record = self.records.get(id)?;
-        if !record.takes(query.service) {
+        if !record.serves(query) {
             return None;
         }
         let choice =
@@ -90,16 +90,15 @@
         may_displace: bool,
         now: MonoTime,
     ) -> Option<SlotGrant> {
-        let TargetQuery { service, avoid, .. } = *query;
-        let able = self.own_records(service, avoid, now).filter(|record| record.has_free_slot());
-        let pace = self.pace_use(service);
+        let able = self.able_records(query, now).filter(|record| record.has_free_slot());
+        let pace = self.pace_use(query.service);
         let load = |record: &TargetRecord| record.score(&self.domain, true, pace, now);
         let free = able.min_by(|a, b| load(a).total_cmp(&load(b)));
         let free = free.map(|record| SlotGrant { id: record.entry.id.clone(), preempted: None });
         let grant = match free {
             Some(grant) => grant,
             None if may_displace => {
-                let id = self.preemptible_record(service, avoid, now)?.entry.id.clone();
+                let id = self.preemptible_record(query, now)?.entry.id.clone();
                 let preempted = Some(self.revoke_item(&id, now)?);
                 SlotGrant { id, preempted }
             }
@@ -111,7 +110,7 @@
 
     /// The shortest queue at an own target.
     pub fn shortest_queue(&self, query: &TargetQuery<'_>, now: MonoTime) -> Option<QueueOffer> {
-        let able = self.own_records(query.service, query.avoid, now);
+        let able = self.able_records(query, now);
         let best = able.min_by_key(|record| (record.waiting(), record.total()))?;
         Some(QueueOffer { id: best.entry.id.clone(), waiting: best.waiting() })
     }
@@ -125,7 +124,7 @@
         now: MonoTime,
     ) -> Option<TargetChoice> {
         let own = self.shortest_queue(query, now).map_or(u32::MAX, |own| own.waiting);
-        let record = self.records.get(&offer.id).filter(|record| record.takes(query.service))?;
+        let record = self.records.get(&offer.id).filter(|record| record.serves(query))?;
         let ahead = record.entry.slots + offer.waiting;
         let stats = self.latency(query.service);
         let is_in_time = match query.queue {
@@ -140,26 +139,27 @@
     pub(super) fn own_records(
         &self,
         service: &str,
-        avoid: &[String],
         now: MonoTime,
     ) -> impl Iterator<Item = &TargetRecord> {
         self.records.values().filter(move |record| {
-            record.takes(service)
-                && self.homes.is_own(&record.entry.id)
-                && !record.is_avoided(now)
-                && !avoid.contains(&record.entry.id)
+            record.takes(service) && self.homes.is_own(&record.entry.id) && !record.is_avoided(now)
         })
     }
 
-    /// The own target with the fewest online requests among those where items occupy slots.
-    fn preemptible_record(
+    /// Own targets that accept the request of a query and have not failed it.
+    fn able_records(
         &self,
-        service: &str,
-        avoid: &[String],
+        query: &TargetQuery<'_>,
         now: MonoTime,
-    ) -> Option<&TargetRecord> {
+    ) -> impl Iterator<Item = &TargetRecord> {
+        let own = self.own_records(query.service, now);
+        own.filter(|record| record.serves(query) && !query.avoid.contains(&record.entry.id))
+    }
+
+    /// The own target with the fewest online requests among those where items occupy slots.
+    fn preemptible_record(&self, query: &TargetQuery<'_>, now: MonoTime) -> Option<&TargetRecord> {
         let online = |record: &TargetRecord| record.own.online + record.others.online;
-        let able = self.own_records(service, avoid, now).filter(|record| {
+        let able = self.able_records(query, now).filter(|record| {
             record.total() > online(record) && online(record) < record.entry.slots
         });
         able.min_by_key(|record| online(record))
--- a/crates/relay/src/targets/table/ejections.rs
+++ b/crates/relay/src/targets/table/ejections.rs
@@ -206,7 +206,7 @@
             let performance = &record.performance;
             performance.is_excluded
                 && performance.ejection.is_probe_due(is_item, now)
-                && record.takes(query.service)
+                && record.serves(query)
                 && record.has_free_slot()
                 && !record.health.is_silent()
                 && self.homes.is_own(id)
--- a/crates/relay/src/targets/table/item_offers.rs
+++ b/crates/relay/src/targets/table/item_offers.rs
@@ -83,7 +83,7 @@
     ) -> Option<String> {
         self.declined.drop_older(DECLINED_TIME, now);
         let pace = self.pace_use(service);
-        let able = self.own_records(service, &[], now).filter(|record| {
+        let able = self.own_records(service, now).filter(|record| {
             record.has_free_slot() && !self.declined.contains(peer, &record.entry.id)
         });
         let scored = able.map(|record| {
@@ -112,10 +112,8 @@
         let is_home = self.homes.other_home(id) == Some(home);
         let record = self.records.get(id)?;
         // Reports of the other gateways are late, so a target that is just full may have a slot.
-        let is_able = is_home
-            && record.takes(query.service)
-            && !record.is_avoided(now)
-            && record.waiting() == 0;
+        let is_able =
+            is_home && record.serves(query) && !record.is_avoided(now) && record.waiting() == 0;
         if !is_able {
             return None;
         }
--- a/crates/relay/tests/item_slots.rs
+++ b/crates/relay/tests/item_slots.rs
@@ -43,7 +43,14 @@
 
 fn query(work: WorkKind) -> TargetQuery<'static> {
     static NO_PROMPT: LazyLock<PromptPrefixes> = LazyLock::new(PromptPrefixes::default);
-    TargetQuery { service: SERVICE, work, avoid: &[], queue: QueueLimit::Any, prompt: &NO_PROMPT }
+    TargetQuery {
+        service: SERVICE,
+        work,
+        avoid: &[],
+        queue: QueueLimit::Any,
+        version: None,
+        prompt: &NO_PROMPT,
+    }
 }
 
 fn pair(name: &str, domain: &str) -> (String, String) {
--- a/crates/relay/tests/performance.rs
+++ b/crates/relay/tests/performance.rs
@@ -29,7 +29,7 @@
 
 fn query(work: WorkKind, queue: QueueLimit) -> TargetQuery<'static> {
     static NO_PROMPT: LazyLock<PromptPrefixes> = LazyLock::new(PromptPrefixes::default);
-    TargetQuery { service: "llm", work, avoid: &[], queue, prompt: &NO_PROMPT }
+    TargetQuery { service: "llm", work, avoid: &[], queue, version: None, prompt: &NO_PROMPT }
 }
 
 fn online() -> TargetQuery<'static> {
--- a/crates/relay/tests/targets.rs
+++ b/crates/relay/tests/targets.rs
@@ -24,7 +24,14 @@
 /// A query for a request without information on its prompt.
 fn query(work: WorkKind, avoid: &[String]) -> TargetQuery<'_> {
     static NO_PROMPT: LazyLock<PromptPrefixes> = LazyLock::new(PromptPrefixes::default);
-    TargetQuery { service: "llm", work, avoid, queue: QueueLimit::Any, prompt: &NO_PROMPT }
+    TargetQuery {
+        service: "llm",
+        work,
+        avoid,
+        queue: QueueLimit::Any,
+        version: None,
+        prompt: &NO_PROMPT,
+    }
 }
 
 fn table(ids: &[&str]) -> TargetTable {
