Take a stream up only at the software version that began it

Cause: the gateway that gets Last-Event-Id knew nothing of where the stream began, and Resumes was read nowhere. Evidence: the failing test (events 4 to 6 by v1 behind events 1 to 3 by v2). Change: a gateway remembers where each resumable stream began, before its first event is passed on, under the client's attempt that got it, for the client's time and 5 s, 16,384 at most. While the service has, or lately had, several versions, or the gateway has just started, two more gateways, chosen by the attempt's id, are told; when a second version appears, they are told of the recent streams too. A gateway that doesn't know asks the others at once, at most 150 ms. Without a record the stream goes on only if one version alone served for 20 s, by the view of all that answer (a gateway that has just started relies on those who haven't, and on its list if none). Otherwise it is refused at once, 503 without a retry time, outcome version_unknown. A target that restarted under its name with other software makes the version of its streams unknown. A stream keeps to the service that began it where traffic is split. Why it holds: no path sends a resumed stream without a version; the version comes from a record of the first event or is the only one there can have been. A record that dies with three gateways costs the stream, not its order. In steady state with one version no message is sent.

--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -28,7 +28,7 @@
     constants::{FIRST_LIST_TIMEOUT, PEER_STATE_TIMEOUT, STORE_WATCHERS},
     features::GatewayFeatures,
     memory::HeldMemory,
-    online::fairness::FairShareEdge,
+    online::{fairness::FairShareEdge, origins},
     peers::{
         catch_up::KnownVersions,
         eviction::{EvictionEdge, EvictionState},
@@ -104,6 +104,7 @@
     target_feed: Mutex<TargetFeed>,
     jobs: Mutex<JobRegistry>,
     crashes: Mutex<CrashTable>,
+    stream_origins: Mutex<StreamOrigins>,
     retry_detector: Mutex<RetryDetector>,
     dropped_routes: Mutex<DroppedRoutes>,
     job_admission: Mutex<JobAdmissionTable>,
@@ -165,6 +166,7 @@
             target_feed: Mutex::default(),
             jobs: Mutex::default(),
             crashes: Mutex::default(),
+            stream_origins: Mutex::default(),
             retry_detector: Mutex::default(),
             dropped_routes: Mutex::default(),
             job_admission: Mutex::default(),
@@ -224,6 +226,11 @@
         self.crashes.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Where recent streams began.
+    pub fn stream_origins(&self) -> MutexGuard<'_, StreamOrigins> {
+        self.stream_origins.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Client deadlines seen on each route, by which retries are recognized.
     pub fn retry_detector(&self) -> MutexGuard<'_, RetryDetector> {
         self.retry_detector.lock().unwrap_or_else(PoisonError::into_inner)
@@ -396,7 +403,7 @@
             match change {
                 TargetChange::Put(entry) => self.put_target(entry, source, revision),
                 TargetChange::Restart { before, entry } => {
-                    self.targets().remove_restarted(&before);
+                    self.targets().remove_restarted(&before, self.clock.mono());
                     let runs = self.jobs().cancel_runs_at(&before);
                     self.log.warn(
                         "target_restarted",
@@ -411,7 +418,7 @@
                         "target_gone",
                         &[("target", &id), ("source", &source), ("revision", &revision)],
                     );
-                    self.targets().remove(&id);
+                    self.targets().remove(&id, self.clock.mono());
                 }
             }
         }
@@ -436,7 +443,22 @@
                 ("revision", &revision),
             ],
         );
-        self.targets().put(entry, self.clock.mono());
+        let now = self.clock.mono();
+        let service = entry.service.clone();
+        let mut targets = self.targets();
+        let before = targets.version_view(&service, now);
+        targets.put(entry, now);
+        let after = targets.version_view(&service, now);
+        drop(targets);
+        if before != VersionView::Several && after == VersionView::Several {
+            origins::publish(self, &service);
+        }
+    }
+
+    /// Whether the targets that other gateways use are known here: this one watches the store, or hears from one that
+    /// does or from most. Without the latter, nothing would count as known in an outage of the store.
+    pub fn hears_of_targets(&self) -> bool {
+        self.watch.is_watching() || self.peers.hears_of_targets(self.clock.mono())
     }
 
     /// Whether this gateway has to watch the store itself, as too few of those ranked before it do.
--- a/crates/entry/src/online.rs
+++ b/crates/entry/src/online.rs
@@ -4,6 +4,7 @@
 pub mod crashes;
 pub mod fairness;
 pub mod lease;
+pub mod origins;
 pub mod relay;
 pub mod request;
 pub mod slots;
--- a/crates/entry/src/online/relay.rs
+++ b/crates/entry/src/online/relay.rs
@@ -28,18 +28,19 @@
         crashes,
         fairness::{OverFairShare, ShareLease},
         lease::{AttemptEvidence, TargetLease},
+        origins,
         request::OnlineRequest,
         slots,
     },
     target::connection::TargetConnection,
 };
 
-/// Whether the client's connection can be used further.
 /// Outcome of a stream that can't go on, as no target has the software version that began it.
 const VERSION_GONE: &str = "version_gone";
 /// Outcome of a stream that a client takes up and that may have begun at several software versions.
 const VERSION_UNKNOWN: &str = "version_unknown";
 
+/// Whether the client's connection can be used further.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Delivery {
     /// A complete answer was written; the connection can be reused.
@@ -92,10 +93,10 @@
     pub(crate) close: bool,
     /// The service. With a traffic split it is drawn once, so that all attempts go to the same one.
     service: String,
-    /// Id of the last event that the client has: the last one passed on, or the one that it resumes after.
     /// Software version that began the stream, at which alone it may go on; `None` before its first
     /// event.
     version: Option<String>,
+    /// Id of the last event that the client has: the last one passed on, or the one that it resumes after.
     pub(crate) last_event: Option<u64>,
     /// Number of events passed on.
     pub(crate) events: u32,
@@ -142,8 +143,8 @@
             client,
             close,
             service,
-            last_event: request.last_event(),
             version: None,
+            last_event: request.last_event(),
             events: 0,
             head_sent: false,
             first_sent: None,
@@ -169,6 +170,9 @@
         let Ok(_share) = self.take_share() else {
             return self.give_up("over_fair_share").await;
         };
+        if !self.find_version().await {
+            return self.give_up(VERSION_UNKNOWN).await;
+        }
         let mut searching_since = None;
         loop {
             let now = self.now();
@@ -177,13 +181,13 @@
             }
             let Some(choice) = self.choose_target().await else {
                 let since = *searching_since.get_or_insert(now);
+                if self.is_version_gone() {
+                    return self.give_up(VERSION_GONE).await;
+                }
                 // Only an answer that has begun waits for a slot. A new request is refused at once, with a
                 // retry delay.
                 if !self.head_sent || now.since(since) > NO_SLOT_TIMEOUT {
                     return self.give_up("no_place").await;
-                if self.is_version_gone() {
-                    return self.give_up(VERSION_GONE).await;
-                }
                 }
                 task::sleep(NO_SLOT_RETRY_INTERVAL).await;
                 continue;
@@ -211,6 +215,36 @@
         }
     }
 
+    /// Finds the software version of a stream that the client takes up; false if the stream may have begun at several
+    /// versions.
+    async fn find_version(&mut self) -> bool {
+        let is_stream = self.request.route.kind == RouteKind::Streaming;
+        if !is_stream || self.last_event.is_none() {
+            return true;
+        }
+        let Some(origin) = origins::find(self.node, self.request, &self.service).await else {
+            return false;
+        };
+        self.service = origin.service;
+        self.version = Some(origin.version);
+        true
+    }
+
+    /// Records where the stream began, before its first event is passed on, so that it is known when the client takes the
+    /// stream up.
+    fn record_origin(&self, choice: &TargetChoice) {
+        if !self.request.route.resumable {
+            return;
+        }
+        let Some(attempt) = self.request.resumes().or(self.request.attempt()) else { return };
+        let origin = StreamOrigin {
+            service: self.service.clone(),
+            version: choice.software_version.clone(),
+            target: choice.id.clone(),
+        };
+        origins::note(self.node, self.request, attempt, origin);
+    }
+
     /// Counts the request as use of its account where slots are shared among accounts. An error means that the account
     /// uses more than its share.
     fn take_share(&self) -> Result<Option<ShareLease<'a>>, OverFairShare> {
@@ -262,6 +296,7 @@
             work: WorkKind::Online,
             avoid: &self.avoid,
             queue: self.queue,
+            version: self.version.as_deref(),
             prompt: &self.request.prompt,
         }
     }
@@ -296,7 +331,6 @@
                 if failure.may_be_crash() && self.last_event == held_before {
                     crashes::report_interruption(self.node, self.request.fingerprint, &choice.id);
                 }
-            version: self.version.as_deref(),
             }
         }
         end
@@ -420,9 +454,19 @@
     /// Records that an event of this target is passed on.
     pub(crate) fn note_event_from(&mut self, choice: &TargetChoice) {
         let version = &choice.software_version;
+        if self.event_versions.is_empty() {
+            self.record_origin(choice);
+        }
         if self.event_versions.last() != Some(version) {
             self.event_versions.push(version.clone());
         }
+        self.version.get_or_insert_with(|| version.clone());
+    }
+
+    /// Whether no target can continue the stream: none of its version accepts requests.
+    fn is_version_gone(&self) -> bool {
+        let version = self.version.as_deref();
+        version.is_some_and(|version| !self.node.targets().has_version(&self.service, version))
     }
 
     fn note_failure(&mut self, choice: &TargetChoice, failure: AttemptFailure) {
@@ -459,13 +503,6 @@
             (0, _) => (503, Some(self.retry_delay())),
             (_, "deadline") => (504, None),
             _ => (502, None),
-        self.version.get_or_insert_with(|| version.clone());
-    }
-
-    /// Whether no target can continue the stream: none of its version accepts requests.
-    fn is_version_gone(&self) -> bool {
-        let version = self.version.as_deref();
-        version.is_some_and(|version| !self.node.targets().has_version(&self.service, version))
         };
         if let Some(account) = self.request.account.credit.as_ref().filter(|_| self.unknown == 0) {
             self.node.accounts.refund(account, self.now());
--- a/crates/entry/src/online/request.rs
+++ b/crates/entry/src/online/request.rs
@@ -80,6 +80,11 @@
         RequestHeaders::decode(&self.head.headers).last_event
     }
 
+    /// The client's attempt that got the first event, when it resumes a stream.
+    pub fn resumes(&self) -> Option<&str> {
+        RequestHeaders::decode(&self.head.headers).resumes
+    }
+
     /// Time from `now` to the deadline.
     pub fn left(&self, now: MonoTime) -> Duration {
         self.deadline.since(now)
--- a/crates/entry/src/peers/links.rs
+++ b/crates/entry/src/peers/links.rs
@@ -23,6 +23,7 @@
     node::EntryNode,
     online::{
         crashes,
+        origins::{self, OriginReply},
         slots::{self, SlotRequest},
     },
     peers::{
@@ -357,6 +358,15 @@
         PeerMessage::RequestRefused { fingerprint } => {
             node.crashes().refuse(fingerprint, node.clock.mono());
         }
+        PeerMessage::StreamBegan { attempt, origin, keep_ms } => {
+            origins::keep(node, &attempt, origin, keep_ms);
+        }
+        PeerMessage::OriginAsk { call, attempt, service } => {
+            origins::answer(node, &peer.vm, call, attempt.as_deref(), &service);
+        }
+        PeerMessage::OriginTold { call, origin, versions } => {
+            node.peers.origin_calls.answer(call, OriginReply { origin, versions });
+        }
         PeerMessage::StoreCall { .. } => {
             let node = Arc::clone(node);
             let vm = peer.vm.clone();
--- a/crates/entry/src/peers/table.rs
+++ b/crates/entry/src/peers/table.rs
@@ -18,6 +18,7 @@
 use crate::{
     accounts::freshness::ProofAge,
     constants::{ENTRIES_FRESH, FIRST_LINK_TIMEOUT, PEER_DEAD_AFTER, PEER_SILENT_AFTER},
+    online::origins::OriginReply,
     peers::{
         calls::CallTable,
         catch_up::{AnswerBudget, CatchUp},
@@ -165,6 +166,8 @@
     pub store_calls: CallTable<StoreCallEnd>,
     /// Requests for slots at targets whose home is another gateway.
     pub slot_calls: CallTable<PlaceAnswer>,
+    /// Questions where streams began.
+    pub origin_calls: CallTable<OriginReply>,
     /// Queries of held shares of limits.
     pub share_calls: CallTable<KeptShare>,
     /// Requests for credit of account limits.
@@ -487,6 +490,22 @@
         !self.peers().values().any(|record| record.is_silent(now))
     }
 
+    /// Whether a gateway that watches the store, or at least half of all, were heard from a moment ago.
+    pub fn hears_of_targets(&self, now: MonoTime) -> bool {
+        let peers = self.peers();
+        let (mut heard, mut silent) = (0, 0);
+        for record in peers.values().filter(|record| !record.is_leaving) {
+            if record.is_silent(now) {
+                silent += 1;
+            } else if record.is_watching {
+                return true;
+            } else {
+                heard += 1;
+            }
+        }
+        heard >= silent
+    }
+
     /// Whether every job that a client may submit again is known. The entries must be fresh and no gateway silent, and
     /// either contact with all gateways has lasted for `span`, which is longer than clients retry, or all jobs in the
     /// store were read since it was last lost.
--- a/crates/lab/src/simulation.rs
+++ b/crates/lab/src/simulation.rs
@@ -403,8 +403,9 @@
             }
             SimEvent::FailTargets { count } => self.fail_targets(count),
             SimEvent::RemoveEntry { target } => {
+                let now = self.now();
                 for gateway in &mut self.gateways {
-                    gateway.table.remove(&self.target_ids[target]);
+                    gateway.table.remove(&self.target_ids[target], now);
                 }
             }
             SimEvent::FreezeGateways { count, span } => {
--- a/crates/messages/src/peer.rs
+++ b/crates/messages/src/peer.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 
 use notch_relay::prelude::{
-    CreditAnswer, HeldProgress, ItemRunTimeStats, QueueOffer, ResultLine, ShareTable, TargetEntry,
-    UseChange, WorkKind,
+    CreditAnswer, HeldProgress, ItemRunTimeStats, QueueOffer, ResultLine, ShareTable, StreamOrigin,
+    TargetEntry, UseChange, VersionView, WorkKind,
 };
 use notch_types::prelude::*;
 use serde::{Deserialize, Serialize};
@@ -334,6 +334,34 @@
         /// Fingerprint of the request's path and body.
         fingerprint: u64,
     },
+    /// A stream began at a service with targets of several software versions, or of versions that the
+    /// sender does not know for long enough. The receiver remembers where.
+    StreamBegan {
+        /// The client attempt that got the first event.
+        attempt: String,
+        /// Where it began.
+        origin: StreamOrigin,
+        /// How long the client may still take the stream up, milliseconds.
+        keep_ms: u64,
+    },
+    /// Asks where a stream began that a client takes up.
+    OriginAsk {
+        /// Matches the answer to the call; unique at the asker.
+        call: u64,
+        /// The client attempt that got the first event; `None` if the client does not name it.
+        attempt: Option<String>,
+        /// The service that would continue the stream.
+        service: String,
+    },
+    /// Answer to `OriginAsk`.
+    OriginTold {
+        /// Id of the call.
+        call: u64,
+        /// Where the stream began; `None` if the sender does not know it.
+        origin: Option<StreamOrigin>,
+        /// What the sender knows of the software versions of the service.
+        versions: VersionView,
+    },
     /// The store is unavailable to the sender: requests the receiver to make this call for it.
     StoreCall {
         /// Matches the answer to the call; unique at the asker.
@@ -391,6 +419,9 @@
         avoid: Vec<String>,
         /// Whether a batch item may be preempted for it.
         may_displace: bool,
+        /// Software version that the target must have; `None` for any.
+        #[serde(default)]
+        version: Option<String>,
     },
     /// Answer to `PlaceAsk`.
     PlaceAnswer {
@@ -419,9 +450,6 @@
     },
     /// Offers slots at the sender's targets for items. They count as used by the receiver until it reports an end.
     ItemSlotOffer {
-        /// Software version that the target must have; `None` for any.
-        #[serde(default)]
-        version: Option<String>,
         /// Ids of the targets, one for each slot.
         targets: Vec<String>,
     },
@@ -525,6 +553,9 @@
             Self::JobProgress { .. } => "job_progress",
             Self::RequestBroke { .. } => "request_broke",
             Self::RequestRefused { .. } => "request_refused",
+            Self::StreamBegan { .. } => "stream_began",
+            Self::OriginAsk { .. } => "origin_ask",
+            Self::OriginTold { .. } => "origin_told",
             Self::StoreCall { .. } => "store_call",
             Self::StoreAnswer { .. } => "store_answer",
             Self::ShareAsk { .. } => "share_ask",
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -83,6 +83,7 @@
         },
         stream::{
             event::{EventFault, StreamEvent},
+            origin::{StreamOrigin, StreamOrigins},
             splitter::EventSplitter,
         },
         targets::{
@@ -108,6 +109,7 @@
             retry_detector::RetryDetector,
             slot_search::{SearchStep, SlotSearch},
             table::{TargetTable, ejections::EjectionNotice},
+            version_history::{VersionHistory, VersionView},
         },
         watch_pace::WatchPace,
     };
--- a/crates/relay/src/routes/route.rs
+++ b/crates/relay/src/routes/route.rs
@@ -76,6 +76,11 @@
         services.map(move |s| (s.service.as_str(), f64::from(s.weight) / sum))
     }
 
+    /// Whether requests are sent to `service`.
+    pub fn runs_at(&self, service: &str) -> bool {
+        self.services.iter().any(|weighted| weighted.weight > 0 && weighted.service == service)
+    }
+
     /// Selects the service for a request by `draw`, which is the same for each of its attempts.
     pub fn service_for(&self, draw: u64) -> &str {
         let sum: u64 = self.services.iter().map(|s| u64::from(s.weight)).sum();
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -1,4 +1,5 @@
 //! Event streams.
 
 pub mod event;
+pub mod origin;
 pub mod splitter;
--- a/crates/relay/src/targets.rs
+++ b/crates/relay/src/targets.rs
@@ -19,3 +19,4 @@
 pub mod retry_detector;
 pub mod slot_search;
 pub mod table;
+pub mod version_history;
--- a/crates/relay/src/targets/table.rs
+++ b/crates/relay/src/targets/table.rs
@@ -22,6 +22,7 @@
     prefix_cache::PrefixCacheIndex,
     record::{TargetRecord, TargetUse},
     table::{admission::FULL_PENALTY, ejections::PerformanceState},
+    version_history::{VersionHistory, VersionView},
 };
 
 /// How long a target that closed a connection is considered about to leave. If it leaves, its entry
@@ -86,6 +87,8 @@
     /// Revoked items of other gateways whose ends have not been announced. Invariant: empty unless
     /// `offers_items`.
     revoked: OfferLedger,
+    /// Software versions of the targets of each service in the recent past.
+    versions: VersionHistory,
     /// State by which failures and pace of targets are learned; `None` where they are not.
     performance: Option<PerformanceState>,
 }
@@ -100,8 +103,10 @@
     pub fn put(&mut self, entry: TargetEntry, now: MonoTime) {
         let id = entry.id.clone();
         let slow_until = now + entry.cold_left;
+        self.versions.add(&entry.service, &entry.software_version, now);
         if let Some(record) = self.records.get_mut(&id) {
-            record.entry = entry;
+            let before = std::mem::replace(&mut record.entry, entry);
+            self.versions.remove(&before.service, &before.software_version, now);
             record.address_reused = false;
             record.slow_until = slow_until.max(record.slow_until);
             return self.note_entries_changed();
@@ -130,15 +135,17 @@
         }
     }
 
-    /// Removes a target whose entry is gone. It gets no new requests.
-    pub fn remove(&mut self, id: &str) {
+    /// Removes a target whose entry is gone at `now`. It gets no new requests.
+    pub fn remove(&mut self, id: &str, now: MonoTime) {
         self.offers.remove_target(id);
         self.revoked.remove_target(id);
-        if let Some(record) = self.records.remove(id)
-            && record.own.total() > 0
-        {
-            let orphaned = OrphanedUse { own: record.own, has_restarted: false };
-            self.orphaned_uses.insert(id.to_owned(), orphaned);
+        if let Some(record) = self.records.remove(id) {
+            let entry = &record.entry;
+            self.versions.remove(&entry.service, &entry.software_version, now);
+            if record.own.total() > 0 {
+                let orphaned = OrphanedUse { own: record.own, has_restarted: false };
+                self.orphaned_uses.insert(id.to_owned(), orphaned);
+            }
         }
         self.note_entries_changed();
     }
@@ -146,8 +153,8 @@
     /// Removes incarnation `id` of a target after a later incarnation has registered. If the target
     /// lost power, its connections stay silent without being closed, and requests there would
     /// otherwise wait for their time-out.
-    pub fn remove_restarted(&mut self, id: &str) {
-        self.remove(id);
+    pub fn remove_restarted(&mut self, id: &str, now: MonoTime) {
+        self.remove(id, now);
         if let Some(orphaned) = self.orphaned_uses.get_mut(id) {
             orphaned.has_restarted = true;
         }
@@ -174,13 +181,6 @@
         self.records.values().filter(|r| r.entry.state == TargetState::Ready).count()
     }
 
-    /// Slots available to items by service: slots without an online request, at targets that accept
-    /// requests.
-    pub fn item_slots(&self, now: MonoTime) -> FastMap<String, u32> {
-        let mut slots: FastMap<String, u32> = FastMap::default();
-        for record in self.records.values() {
-            let is_able = record.entry.state == TargetState::Ready
-                && !record.address_reused
     /// Whether a target of `service` with software `version` accepts new requests.
     pub fn has_version(&self, service: &str, version: &str) -> bool {
         self.entries().any(|entry| {
@@ -189,6 +189,13 @@
         })
     }
 
+    /// Slots available to items by service: slots without an online request, at targets that accept
+    /// requests.
+    pub fn item_slots(&self, now: MonoTime) -> FastMap<String, u32> {
+        let mut slots: FastMap<String, u32> = FastMap::default();
+        for record in self.records.values() {
+            let is_able = record.entry.state == TargetState::Ready
+                && !record.address_reused
                 && !record.is_avoided(now);
             let taken = record.own.online + record.others.online;
             let left = if is_able { record.entry.slots.saturating_sub(taken) } else { 0 };
@@ -200,6 +207,20 @@
         slots
     }
 
+    /// What is known of the software versions at which recent streams of `service` may have begun.
+    pub fn version_view(&self, service: &str, now: MonoTime) -> VersionView {
+        self.versions.view(service, now)
+    }
+
+    /// Whether a stream that began at target `id` may have been written by another version than
+    /// `version`: the target has restarted under its name with other software, possibly before it
+    /// began the stream.
+    pub fn is_version_uncertain(&self, id: &str, version: &str) -> bool {
+        let name = id.rsplit_once('#').map_or(id, |(name, _)| name);
+        self.entries()
+            .any(|entry| entry.name == name && entry.id != id && entry.software_version != version)
+    }
+
     /// Selects a target for one attempt and counts the attempt there until
     /// [`finish`](Self::finish). `draw` returns random numbers from 0 to 1.
     ///
--- /dev/null
+++ b/crates/relay/src/targets/version_history.rs
@@ -0,0 +1,95 @@
+//! Software versions of the targets of each service in the recent past.
+
+use std::time::Duration;
+
+use notch_types::prelude::*;
+use serde::{Deserialize, Serialize};
+
+/// How long a version counts after its last target was removed: longer than a removed target goes on
+/// serving and a client waits before it takes a broken stream up again.
+const VERSION_RETENTION: Duration = Duration::from_secs(20);
+
+/// What a gateway knows of the software versions at which recent streams of a service may have begun.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum VersionView {
+    /// Nothing.
+    #[default]
+    Unknown,
+    /// All targets have this version, but earlier ones may have had another: the gateway has just
+    /// started.
+    Current(String),
+    /// Only this one, for as long as a stream can last.
+    Sole(String),
+    /// Several.
+    Several,
+}
+
+impl VersionView {
+    /// The only version at which a stream may have begun, by the view of this gateway and those that
+    /// others told. A gateway that has just started relies on the others, unless all have just started.
+    pub fn agreed(&self, told: &[Self]) -> Option<String> {
+        let (Self::Current(version) | Self::Sole(version)) = self else { return None };
+        let is_compatible = |view: &Self| match view {
+            Self::Unknown => true,
+            Self::Current(other) | Self::Sole(other) => other == version,
+            Self::Several => false,
+        };
+        told.iter().all(is_compatible).then(|| version.clone())
+    }
+}
+
+/// Targets of one version.
+#[derive(Debug, Default)]
+struct VersionUse {
+    targets: u32,
+    /// When the last target was removed. Only valid while there is none.
+    left_at: MonoTime,
+}
+
+impl VersionUse {
+    fn is_recent(&self, now: MonoTime) -> bool {
+        self.targets > 0 || now.since(self.left_at) < VERSION_RETENTION
+    }
+}
+
+/// Software versions of the targets of each service.
+#[derive(Debug, Default)]
+pub struct VersionHistory {
+    /// When the first target became known; `None` before.
+    since: Option<MonoTime>,
+    services: FastMap<String, FastMap<String, VersionUse>>,
+}
+
+impl VersionHistory {
+    /// Records a target of `service` with software `version`.
+    pub fn add(&mut self, service: &str, version: &str, now: MonoTime) {
+        self.since.get_or_insert(now);
+        let versions = self.services.entry(service.to_owned()).or_default();
+        versions.entry(version.to_owned()).or_default().targets += 1;
+    }
+
+    /// Records that such a target was removed or has changed.
+    pub fn remove(&mut self, service: &str, version: &str, now: MonoTime) {
+        let Some(versions) = self.services.get_mut(service) else { return };
+        if let Some(used) = versions.get_mut(version) {
+            used.targets = used.targets.saturating_sub(1);
+            used.left_at = now;
+        }
+        versions.retain(|_, used| used.is_recent(now));
+    }
+
+    /// What is known of the versions of `service` at `now`.
+    pub fn view(&self, service: &str, now: MonoTime) -> VersionView {
+        let versions = self.services.get(service).into_iter().flatten();
+        let mut recent = versions.filter(|(_, used)| used.is_recent(now));
+        let Some((version, _)) = recent.next() else { return VersionView::Unknown };
+        if recent.next().is_some() {
+            return VersionView::Several;
+        }
+        let is_long = self.since.is_some_and(|since| now.since(since) >= VERSION_RETENTION);
+        match is_long {
+            true => VersionView::Sole(version.clone()),
+            false => VersionView::Current(version.clone()),
+        }
+    }
+}
--- a/crates/relay/tests/item_slots.rs
+++ b/crates/relay/tests/item_slots.rs
@@ -260,7 +260,7 @@
 fn offers_end_with_their_target() {
     let mut home = table_of("g1");
     offer(&mut home, at(0));
-    home.remove("t1");
+    home.remove("t1", at(0));
     home.put(entry("t1", "a", TargetState::Ready), at(1));
     home.expire_offers(at(5_000));
     assert_eq!(free_here(&home, at(5_000)), SLOTS);
@@ -293,7 +293,7 @@
     let query = query(WorkKind::Batch);
     assert!(owner.take_offered(&query, &vm("g1"), "t1", at(0)).is_some());
     assert!(owner.take_offered(&query, &vm("g3"), "t1", at(0)).is_none());
-    owner.remove("t1");
+    owner.remove("t1", at(0));
     assert!(owner.take_offered(&query, &vm("g1"), "t1", at(0)).is_none());
 }
 
--- a/crates/relay/tests/performance.rs
+++ b/crates/relay/tests/performance.rs
@@ -255,7 +255,7 @@
     }
     assert_eq!(table.excluded_count(), limit);
     for id in &ids[..count / 2] {
-        table.remove(id);
+        table.remove(id, at(0));
     }
     assert!(table.excluded_count() <= (count - count / 2) / 3, "after targets left");
 }
@@ -551,7 +551,7 @@
     table.put(entry(&running.id, TargetState::Draining), at(100));
     assert_eq!(table.excluded_count(), 0, "a draining target does not count");
     assert!(table.pick_probe(&online(), at(600)).is_none());
-    table.remove_restarted(&running.id);
+    table.remove_restarted(&running.id, at(0));
     assert!(table.has_restarted(&running.id));
     table.put(entry(&running.id, TargetState::Ready), at(200));
     assert_eq!(table.excluded_count(), 0, "a new incarnation starts with a clean window");
--- a/crates/relay/tests/slots.rs
+++ b/crates/relay/tests/slots.rs
@@ -130,7 +130,7 @@
 #[case::unknown_gateway("g9")]
 fn only_the_home_gateway_grants(#[case] own: &str) {
     let mut table = table_of(own);
-    table.remove("t2");
+    table.remove("t2", NOW);
     assert_eq!(grant(&mut table, "g3", true), None);
 }
 
--- a/crates/relay/tests/targets.rs
+++ b/crates/relay/tests/targets.rs
@@ -66,7 +66,7 @@
     if draining {
         table.put(entry("t1", TargetState::Draining), MonoTime::default());
     } else {
-        table.remove("t1");
+        table.remove("t1", MonoTime::default());
     }
     assert_eq!(online(&mut table, MonoTime::default()), None);
 }
@@ -256,7 +256,7 @@
         "its address is reused, and the other slots are full"
     );
     assert!(!table.has_restarted(&first));
-    table.remove_restarted(&first);
+    table.remove_restarted(&first, MonoTime::default());
     table.put(started(2_000), now);
     assert!(table.has_restarted(&first), "requests in progress there have ended");
     let choice = table.choose(&query(WorkKind::Online, &[]), now, || 0.0).expect("a slot is free");
