Join only events of one software version in an item's result

Callers would get results of jobs written by two builds: an interrupted, preempted or handed-over item kept its events and went on at any target. Change: the events that an item holds have a version, also when they are handed over (an earlier build sends none: its events are discarded). An item goes on at its version while a target of it accepts requests and the item isn't late, without holding up those behind it; else it starts anew. Where slots aren't offered, it starts anew if its version has no free slot. Events of a target that restarted under its name with other software aren't joined with others.

--- a/crates/entry/src/batch/item_run.rs
+++ b/crates/entry/src/batch/item_run.rs
@@ -65,7 +65,13 @@
     let has_begun = progress.events > 0;
     lease.set_evidence(AttemptEvidence { fingerprint, result, has_begun });
     drop(lease);
-    let end = item_end(outcome.as_ref());
+    let mut end = item_end(outcome.as_ref());
+    if has_uncertain_events(&node, &start, &choice, &end) {
+        progress.events = 0;
+        if end == ItemEnd::Completed {
+            end = ItemEnd::Interrupted;
+        }
+    }
     let reason = match &outcome {
         Some(Ok(status)) => status.to_string(),
         Some(Err(failure)) => failure.code().to_owned(),
@@ -106,6 +112,18 @@
     node.runner_wake.notify(usize::MAX);
 }
 
+/// Whether the events of a run can't be joined with those of others: the target has restarted under its name with other
+/// software, possibly before the run.
+fn has_uncertain_events(
+    node: &EntryNode,
+    start: &ItemStart,
+    choice: &TargetChoice,
+    end: &ItemEnd,
+) -> bool {
+    let is_joined = start.last_event.is_some() || *end != ItemEnd::Completed;
+    is_joined && node.targets().is_version_uncertain(&choice.id, &choice.software_version)
+}
+
 fn item_end(outcome: Option<&Result<u16, AttemptFailure>>) -> ItemEnd {
     match outcome {
         None => ItemEnd::Preempted,
--- a/crates/entry/src/batch/item_slots.rs
+++ b/crates/entry/src/batch/item_slots.rs
@@ -26,6 +26,19 @@
     slack_ms: i64,
     /// Whether it may probe an ejected target: a failure there must leave it another attempt.
     may_probe: bool,
+    /// Software version at which it goes on; `None` if it starts anew anywhere.
+    version: Option<String>,
+}
+
+impl QueuedItem {
+    fn prompt(&self) -> PromptPrefixes {
+        item_prompt(&self.spec.items[self.index])
+    }
+
+    /// Whether it can run at targets with software `version`.
+    fn fits(&self, version: &str) -> bool {
+        self.version.as_deref().is_none_or(|own| own == version)
+    }
 }
 
 /// An item to be run.
@@ -120,7 +133,7 @@
     /// Waiting items by service, in the order in which they start.
     fn queues(&self) -> FastMap<String, VecDeque<QueuedItem>> {
         let mut queues: FastMap<String, VecDeque<QueuedItem>> = FastMap::default();
-        for WaitingItem { spec, index, slack_ms, has_failed } in
+        for WaitingItem { spec, index, slack_ms, has_failed, version } in
             self.registry.table.waiting_items(self.now)
         {
             let item = &spec.items[index];
@@ -130,7 +143,9 @@
             let draw = stable_hash64(&[spec.id.as_bytes(), item.id.as_bytes(), &epoch]);
             let service = route.service_for(draw);
             let may_probe = !has_failed && route.max_attempts > 1;
-            let queued = QueuedItem { spec: Arc::clone(spec), index, slack_ms, may_probe };
+            let version = self.continued_version(service, version, slack_ms);
+            let spec = Arc::clone(spec);
+            let queued = QueuedItem { spec, index, slack_ms, may_probe, version };
             match queues.get_mut(service) {
                 Some(queue) => queue.push_back(queued),
                 None => drop(queues.insert(service.to_owned(), VecDeque::from([queued]))),
@@ -139,6 +154,18 @@
         queues
     }
 
+    /// Version at which an item goes on that holds events of `version`. A late item doesn't wait for its version, nor one
+    /// whose version is gone.
+    fn continued_version(
+        &self,
+        service: &str,
+        version: Option<&str>,
+        slack_ms: i64,
+    ) -> Option<String> {
+        let version = version.filter(|version| self.targets.has_version(service, version));
+        version.filter(|_| slack_ms >= 0).map(str::to_owned)
+    }
+
     fn note_waiting(&mut self, queues: &FastMap<String, VecDeque<QueuedItem>>) {
         let mut waiting = FastMap::default();
         let queues = queues.iter().filter(|(_, queue)| !queue.is_empty() && !self.is_stopping);
@@ -175,15 +202,16 @@
         let Some(service) = self.targets.service_of(target).map(str::to_owned) else {
             return false;
         };
+        let Some(version) = self.targets.version_of(target) else { return false };
         let Some(queue) = queues.get_mut(&service) else { return false };
-        let Some(item) = queue.front() else { return false };
-        let prompt = item_prompt(&item.spec.items[item.index]);
-        let query = query(&service, &prompt);
+        let Some(position) = queue.iter().position(|item| item.fits(version)) else { return false };
+        let prompt = queue[position].prompt();
+        let query = query(&service, None, &prompt);
         let Some(choice) = self.targets.take_offered(&query, home, target, self.now) else {
             return false;
         };
         self.slots.note_served(&service, self.now);
-        self.start_front(queue, choice, outcome);
+        self.start_at(queue, position, choice, outcome);
         true
     }
 
@@ -196,11 +224,11 @@
     ) {
         for (service, queue) in queues.iter_mut() {
             let Some(item) = queue.front().filter(|item| item.may_probe) else { continue };
-            let prompt = item_prompt(&item.spec.items[item.index]);
-            let query = query(service, &prompt);
+            let (prompt, version) = (item.prompt(), item.version.clone());
+            let query = query(service, version.as_deref(), &prompt);
             let probe = self.targets.pick_probe(&query, self.now);
             if let Some(choice) = probe.and_then(|probe| self.targets.take(&query, probe)) {
-                self.start_front(queue, choice, outcome);
+                self.start_at(queue, 0, choice, outcome);
             }
         }
     }
@@ -263,16 +291,22 @@
         count: u32,
         outcome: &mut PassOutcome,
     ) {
+        let mut position = 0;
         for _ in 0..(count as usize).min(STARTS_PER_PASS) {
-            let Some(item) = queue.front() else { return };
-            let prompt = item_prompt(&item.spec.items[item.index]);
-            let query = query(service, &prompt);
-            let Some(choice) = self.targets.pick_own(&query, self.now, self.draw) else {
-                return;
+            let choice = loop {
+                let Some(item) = queue.get(position) else { return };
+                let prompt = item.prompt();
+                let query = query(service, item.version.as_deref(), &prompt);
+                let own = self.targets.pick_own(&query, self.now, self.draw);
+                match own.and_then(|own| self.targets.take(&query, own)) {
+                    Some(choice) => break choice,
+                    None if item.version.is_none() => return,
+                    // The targets of its version are full, those for the next item may not be.
+                    None => position += 1,
+                }
             };
-            let Some(choice) = self.targets.take(&query, choice) else { return };
             self.slots.note_served(service, self.now);
-            self.start_front(queue, choice, outcome);
+            self.start_at(queue, position, choice, outcome);
         }
     }
 
@@ -292,28 +326,37 @@
             if !self.targets.has_unoffered(is_open) {
                 continue;
             }
+            let mut position = 0;
             for _ in 0..STARTS_PER_PASS {
-                let Some(item) = queue.front() else { break };
-                let prompt = item_prompt(&item.spec.items[item.index]);
-                let query = query(service, &prompt);
+                let Some(item) = queue.get(position) else { break };
+                let prompt = item.prompt();
+                let query = query(service, item.version.as_deref(), &prompt);
                 let choice = self.targets.choose_unoffered(&query, is_open, self.now, self.draw);
-                let Some(choice) = choice else { break };
-                outcome.unoffered += usize::from(choice.home.is_some());
-                self.start_front(queue, choice, outcome);
+                match choice {
+                    Some(choice) => {
+                        outcome.unoffered += usize::from(choice.home.is_some());
+                        self.start_at(queue, position, choice, outcome);
+                    }
+                    None if item.version.is_none() => break,
+                    None => position += 1,
+                }
             }
         }
     }
 
-    fn start_front(
+    /// Starts the item at a position of a queue.
+    fn start_at(
         &mut self,
         queue: &mut VecDeque<QueuedItem>,
+        position: usize,
         choice: TargetChoice,
         outcome: &mut PassOutcome,
     ) {
-        let Some(QueuedItem { spec, index, .. }) = queue.pop_front() else { return };
+        let Some(QueuedItem { spec, index, .. }) = queue.remove(position) else { return };
         let due = self.registry.table.get(&spec.id).map_or(self.now, OwnedJob::due);
         let left_ms = (due.0 as i64 - self.now.0 as i64) / 1_000;
-        let Some(start) = self.registry.table.start_item(&spec.id, index) else {
+        let Some(start) = self.registry.table.start_item(&spec.id, index, &choice.software_version)
+        else {
             return self.targets.finish(&choice.id, WorkKind::Batch, None, self.now);
         };
         let (cancel, cancelled) = async_channel::bounded(1);
@@ -324,9 +367,13 @@
     }
 }
 
-fn query<'a>(service: &'a str, prompt: &'a PromptPrefixes) -> TargetQuery<'a> {
+fn query<'a>(
+    service: &'a str,
+    version: Option<&'a str>,
+    prompt: &'a PromptPrefixes,
+) -> TargetQuery<'a> {
     let (work, queue) = (WorkKind::Batch, QueueLimit::Any);
-    TargetQuery { service, work, avoid: &[], queue, version: None, prompt }
+    TargetQuery { service, work, avoid: &[], queue, version, prompt }
 }
 
 /// Announcement of a change in the use of an offered slot.
--- a/crates/entry/src/batch/runner.rs
+++ b/crates/entry/src/batch/runner.rs
@@ -85,12 +85,19 @@
             work: WorkKind::Batch,
             avoid: &[],
             queue: QueueLimit::Any,
-            version: None,
+            version: owned.item_version(index),
             prompt: &prompt,
         };
-        let choice = node.targets().choose(&query, now, EntryNode::draw);
+        let anew = TargetQuery { version: None, ..query };
+        let choice = {
+            let mut targets = node.targets();
+            let continued = targets.choose(&query, now, EntryNode::draw);
+            // Where its version has no free slot, the item starts anew, as it would hold up those behind it.
+            continued.or_else(|| targets.choose(&anew, now, EntryNode::draw))
+        };
         let Some(choice) = choice else { return };
-        let Some(start) = registry.table.start_item(&job, index) else { return };
+        let version = &choice.software_version;
+        let Some(start) = registry.table.start_item(&job, index, version) else { return };
         let (cancel, cancelled) = async_channel::bounded(1);
         let target = choice.id.clone();
         let run = registry.add_run(ItemRunHandle { job, index, target, since: now, cancel });
--- a/crates/entry/tests/item_slots.rs
+++ b/crates/entry/tests/item_slots.rs
@@ -322,9 +322,38 @@
     eject_own(&mut world);
     if has_failed {
         let job = world.registry.table.get_mut("j0").expect("the job is owned");
-        job.start_item(0);
+        job.start_item(0, "v1");
         job.end_item(0, &ItemEnd::Failed, at(0));
     }
     let outcome = world.pass(at(5_000));
     assert_eq!(started(&outcome), expected);
 }
+
+/// Guards against an item that gives its events up although it has time, or holds up those behind it, while the targets of
+/// its version are full; and against one that becomes late while it waits for them.
+#[rstest]
+#[case::in_time(18, &["1"])]
+#[case::late(0, &["0", "1"])]
+fn an_item_waits_for_its_version_while_it_has_time(#[case] due: u64, #[case] expected: &[&str]) {
+    let mut world = World::new(&[("own", 2, due)]);
+    let newer = TargetEntry {
+        id: "t3".to_owned(),
+        name: "t3".to_owned(),
+        software_version: "v2".to_owned(),
+        ..world.targets.entries().find(|entry| entry.id == "t1").expect("an own target").clone()
+    };
+    world.targets.put(newer, at(0));
+    world.targets.assign_homes("g1", &[("g1".to_owned(), "a".to_owned())]);
+    let uses = [("t3".to_owned(), TargetUse { online: SLOTS, batch: 0 })];
+    world.targets.take_report(&vm("g2"), uses.into_iter().collect(), at(0));
+    let job = world.registry.table.get_mut("j0").expect("the job is owned");
+    job.start_item(0, "v2");
+    job.add_progress(0, 2, b"a");
+    job.end_item(0, &ItemEnd::Interrupted, at(0));
+    let outcome = world.pass(at(2_000));
+    let mut items: Vec<&str> =
+        outcome.starts.iter().map(|started| started.start.item.id.as_str()).collect();
+    items.sort_unstable();
+    assert_eq!(items, expected);
+    assert!(outcome.starts.iter().all(|started| started.start.last_event.is_none()));
+}
--- a/crates/relay/src/jobs/owned.rs
+++ b/crates/relay/src/jobs/owned.rs
@@ -45,6 +45,9 @@
     pub item: String,
     /// Id of the last event held.
     pub last_event: u64,
+    /// Version of the software that wrote the events; empty in messages of earlier builds.
+    #[serde(default)]
+    pub version: String,
     /// Data of the events held, joined by line feeds.
     #[serde(with = "serde_bytes")]
     pub output: Vec<u8>,
@@ -87,6 +90,8 @@
     interruptions: u32,
     /// Id of the last event held.
     last_event: Option<u64>,
+    /// Version of the software that wrote the events held.
+    version: String,
     /// Data of the events held, joined by line feeds.
     output: Vec<u8>,
 }
@@ -263,10 +268,22 @@
         needed.sum()
     }
 
-    /// Marks an item as running. Returns its spec and the last event held.
-    pub fn start_item(&mut self, index: usize) -> (ItemSpec, Option<u64>) {
+    /// Software version at which alone an item can go on; `None` if it holds no events.
+    pub fn item_version(&self, index: usize) -> Option<&str> {
+        let item = &self.items[index];
+        item.last_event.map(|_| item.version.as_str())
+    }
+
+    /// Marks an item as running at a target with software `version`. Returns its spec and the last
+    /// event held. The events of another version are discarded.
+    pub fn start_item(&mut self, index: usize, version: &str) -> (ItemSpec, Option<u64>) {
         let item = &mut self.items[index];
         item.phase = ItemPhase::Running;
+        if item.version != version {
+            item.version = version.to_owned();
+            item.last_event = None;
+            item.output.clear();
+        }
         (self.spec.items[index].clone(), item.last_event)
     }
 
@@ -289,8 +306,8 @@
         let items = self.items.iter().zip(&self.spec.items);
         let held = items.filter_map(|(item, spec)| {
             let last_event = item.last_event.filter(|_| item.phase != ItemPhase::Ended)?;
-            let output = item.output.clone();
-            Some(HeldProgress { item: spec.id.clone(), last_event, output })
+            let (version, output) = (item.version.clone(), item.output.clone());
+            Some(HeldProgress { item: spec.id.clone(), last_event, version, output })
         });
         held.collect()
     }
@@ -304,6 +321,7 @@
             let item = &mut self.items[index];
             if item.last_event.is_none() && matches!(item.phase, ItemPhase::Waiting(_)) {
                 item.last_event = Some(held.last_event);
+                item.version = held.version;
                 item.output = held.output;
             }
         }
@@ -484,6 +502,7 @@
 impl ItemProgress {
     fn new(listed: bool) -> Self {
         let phase = if listed { ItemPhase::Ended } else { ItemPhase::Waiting(MonoTime::default()) };
-        Self { phase, failures: 0, interruptions: 0, last_event: None, output: Vec::new() }
+        let (version, output) = (String::new(), Vec::new());
+        Self { phase, failures: 0, interruptions: 0, last_event: None, version, output }
     }
 }
--- a/crates/relay/src/jobs/table.rs
+++ b/crates/relay/src/jobs/table.rs
@@ -45,6 +45,8 @@
     pub slack_ms: i64,
     /// Whether a target has run it and reported a failure.
     pub has_failed: bool,
+    /// Software version that wrote the events it holds; `None` if it holds none.
+    pub version: Option<&'a str>,
 }
 
 /// Jobs owned by one gateway.
@@ -172,7 +174,8 @@
                 // An item whose lifetime is nearly over is not late, whatever its slack.
                 let slack_ms = if is_late { slack_ms.min(-1) } else { slack_ms.max(0) };
                 let has_failed = job.has_failed(index);
-                let item = WaitingItem { spec: job.spec(), index, slack_ms, has_failed };
+                let version = job.item_version(index);
+                let item = WaitingItem { spec: job.spec(), index, slack_ms, has_failed, version };
                 ranked.push(((is_late, job.due(), Reverse(output)), item));
             }
         }
@@ -231,12 +234,12 @@
         works.filter(|(_, work)| !work.work.is_zero()).collect()
     }
 
-    /// Marks an item as running.
-    pub fn start_item(&mut self, job: &str, index: usize) -> Option<ItemStart> {
+    /// Marks an item as running at a target with software `version`.
+    pub fn start_item(&mut self, job: &str, index: usize, version: &str) -> Option<ItemStart> {
         let owned = self.jobs.get_mut(job)?;
         let JobSpec { host, account, .. } = owned.spec().as_ref();
         let (host, account) = (host.clone(), account.clone());
-        let (item, last_event) = owned.start_item(index);
+        let (item, last_event) = owned.start_item(index, version);
         Some(ItemStart { job: job.to_owned(), index, item, host, account, last_event })
     }
 }
--- a/crates/relay/src/targets/table/item_offers.rs
+++ b/crates/relay/src/targets/table/item_offers.rs
@@ -154,6 +154,11 @@
         self.records.get(id).map(|record| record.entry.service.as_str())
     }
 
+    /// Software version of a target.
+    pub fn version_of(&self, id: &str) -> Option<&str> {
+        self.records.get(id).map(|record| record.entry.software_version.as_str())
+    }
+
     /// Number of unanswered offers to `peer` of slots of a service.
     pub fn offers_in_flight(&self, peer: &VmName, service: &str) -> u32 {
         self.offers.count(peer, |id| self.service_of(id) == Some(service))
--- a/crates/relay/tests/jobs.rs
+++ b/crates/relay/tests/jobs.rs
@@ -4,6 +4,7 @@
 
 use notch_relay::prelude::*;
 use notch_types::prelude::*;
+use rstest::rstest;
 
 const DELAY: Duration = Duration::from_millis(400);
 const BYTES: usize = 1 << 20;
@@ -54,7 +55,7 @@
 }
 
 fn complete(job: &mut OwnedJob, index: usize, now: MonoTime) {
-    job.start_item(index);
+    job.start_item(index, "v1");
     job.add_progress(index, 2, b"a\nb");
     job.end_item(index, &ItemEnd::Completed, now);
 }
@@ -62,12 +63,12 @@
 #[test]
 fn an_items_output_joins_its_runs() {
     let mut job = job(1);
-    job.start_item(0);
+    job.start_item(0, "v1");
     job.add_progress(0, 2, b"a\nb");
     job.end_item(0, &ItemEnd::Preempted, at(10));
     assert_eq!(job.next_item(at(10)), None, "delayed after the preemption");
     assert_eq!(job.next_item(at(300)), Some(0));
-    let (_, last) = job.start_item(0);
+    let (_, last) = job.start_item(0, "v1");
     assert_eq!(last, Some(2));
     job.add_progress(0, 3, b"c");
     job.end_item(0, &ItemEnd::Completed, at(400));
@@ -154,10 +155,10 @@
 #[test]
 fn an_item_is_given_up_after_its_last_attempt() {
     let mut job = job(1);
-    job.start_item(0);
+    job.start_item(0, "v1");
     job.end_item(0, &ItemEnd::Failed, at(0));
     assert!(!job.item_ended(0));
-    job.start_item(0);
+    job.start_item(0, "v1");
     job.end_item(0, &ItemEnd::Failed, at(500));
     let lines = job.take_pending(DELAY, BYTES, at(500)).expect("the job is complete");
     assert_eq!(lines[0].state, ItemState::GivenUp);
@@ -168,7 +169,7 @@
 #[test]
 fn an_impossible_item_ends_its_job() {
     let mut job = job(1);
-    job.start_item(0);
+    job.start_item(0, "v1");
     job.end_item(0, &ItemEnd::Impossible, at(0));
     job.take_pending(DELAY, BYTES, at(0)).expect("the job is complete");
     job.stored(at(10));
@@ -183,7 +184,7 @@
     let mut now = 0;
     let mut waits = Vec::new();
     for _ in 0..5 {
-        job.start_item(0);
+        job.start_item(0, "v1");
         job.end_item(0, &ItemEnd::Interrupted, at(now));
         let began = now;
         while job.next_item(at(now)).is_none() {
@@ -208,13 +209,40 @@
 #[test]
 fn progress_is_adopted_after_a_handover() {
     let mut before = job(2);
-    before.start_item(1);
+    before.start_item(1, "v1");
     before.add_progress(1, 2, b"a\nb");
     before.end_item(1, &ItemEnd::Preempted, at(0));
     let mut after = job(2);
     after.adopt_progress(before.progress());
     assert_eq!(after.next_item(at(0)), Some(1), "the item with progress comes first");
-    assert_eq!(after.start_item(1).1, Some(2));
+    assert_eq!(after.start_item(1, "v1").1, Some(2));
+}
+
+/// Guards against a result that joins the events of two software versions: an interrupted item starts at another one, here
+/// or at the gateway that takes its job over.
+#[rstest]
+#[case::the_same("v1", Some(2), "a\nb\nc")]
+#[case::another("v2", None, "c")]
+#[case::of_an_earlier_build("", None, "c")]
+fn an_item_keeps_the_events_of_one_version(
+    #[case] version: &str,
+    #[case] last: Option<u64>,
+    #[case] output: &str,
+) {
+    let mut before = job(1);
+    before.start_item(0, version);
+    before.add_progress(0, 2, b"a\nb");
+    before.end_item(0, &ItemEnd::Preempted, at(0));
+    let mut after = job(1);
+    after.adopt_progress(before.progress());
+    for mut job in [before, after] {
+        assert_eq!(job.item_version(0), Some(version));
+        assert_eq!(job.start_item(0, "v1").1, last);
+        job.add_progress(0, 3, b"c");
+        job.end_item(0, &ItemEnd::Completed, at(400));
+        let lines = job.take_pending(DELAY, BYTES, at(400)).expect("the job is complete");
+        assert_eq!(lines[0].output, output);
+    }
 }
 
 #[test]
@@ -253,7 +281,7 @@
 #[test]
 fn an_item_with_progress_needs_less_time() {
     let mut job = job(2);
-    job.start_item(0);
+    job.start_item(0, "v1");
     job.add_progress(0, 2, b"a\nb");
     job.end_item(0, &ItemEnd::Preempted, at(14_000));
     let mut run_time = ItemRunTime::default();
