Tell gateways that missed a target's new version from those that know it

Change: the digest covers the version. While gateways of two builds run together their digests differ, which costs requests for state at the usual bounded rate. Measured: the_digest_tells_versions_apart failed before (same digest) and passes.

--- a/crates/entry/src/store/target.rs
+++ b/crates/entry/src/store/target.rs
@@ -34,7 +34,8 @@
             TargetState::Ready => b"r",
             TargetState::Draining => b"d",
         };
-        stable_hash64(&[entry.id.as_bytes(), state, entry.address.to_string().as_bytes()])
+        let (address, version) = (entry.address.to_string(), entry.software_version.as_bytes());
+        stable_hash64(&[entry.id.as_bytes(), state, address.as_bytes(), version])
     }
 }
 
--- a/crates/entry/tests/target_feed.rs
+++ b/crates/entry/tests/target_feed.rs
@@ -147,3 +147,14 @@
     let changes = apply_all(&mut cut_off, messages);
     assert_eq!(changes, [TargetChange::Remove("t1".to_owned())]);
 }
+
+/// Guards against a version of a target's software that a gateway misses for good: it missed the change of an entry, and
+/// its digest was the same as that of the others.
+#[test]
+fn the_digest_tells_versions_apart() {
+    let mut feeds = [whole_feed(), whole_feed()];
+    let newer = TargetEntry { software_version: "v2".to_owned(), ..entry("t1") };
+    feeds[0].put(entry("t1"), 5);
+    feeds[1].put(newer, 5);
+    assert_ne!(feeds[0].digest(), feeds[1].digest());
+}
