Ask a target for its incarnation before a stream goes on there

A target without incarnations has a new name at each start, which it checks itself. A report without a start time is accepted. Not covered: a stream that begins at such a target while the news is on the way and breaks off before it arrives.

--- a/crates/entry/src/batch/item_run.rs
+++ b/crates/entry/src/batch/item_run.rs
@@ -146,6 +146,9 @@
     progress: &mut RunProgress,
 ) -> Result<u16, AttemptFailure> {
     let mut connection = node.pool.connect(&choice.id, choice.address, false).await?;
+    if progress.last_event.is_some() && choice.born > 0 {
+        connection.confirm_incarnation(choice.address, choice.born).await?;
+    }
     let has_accounts = node.routes().is_some_and(|routes| routes.accounts().is_some());
     let account = Some(start.account.as_str());
     let terms = RelayTerms {
--- a/crates/entry/src/online/relay.rs
+++ b/crates/entry/src/online/relay.rs
@@ -358,6 +358,9 @@
         let non_repeatable = !self.request.route.may_repeat();
         let mut connection =
             self.node.pool.connect(&choice.id, choice.address, non_repeatable).await?;
+        if self.version.is_some() && choice.born > 0 {
+            connection.confirm_incarnation(choice.address, choice.born).await?;
+        }
         let left = self.request.left(self.now());
         let terms = RelayTerms {
             target: &choice.name,
--- a/crates/entry/src/target/connection.rs
+++ b/crates/entry/src/target/connection.rs
@@ -1,18 +1,27 @@
 //! A connection to a target, and the exchange of a request and its answer on it.
 
 use std::{
+    net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
     time::{Duration, Instant},
 };
 
 use async_std::future::timeout;
 use notch_h1::prelude::*;
-use notch_platform_wire::prelude::AnswerHeaders;
+use notch_platform_wire::{
+    prelude::AnswerHeaders,
+    target::{report_born, report_request},
+};
 use notch_relay::prelude::*;
 use notch_types::prelude::MonoTime;
 
 use crate::constants::{ANSWER_BODY_BYTES, ANSWER_HEAD_BYTES};
 
+/// Timeout of a target's report: an interrupted stream has a few hundred milliseconds to go on.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(150);
+/// Maximum size of a target's report.
+const REPORT_BYTES: usize = 256 << 10;
+
 /// How long a reused connection had been idle, and where the outcome of its next exchange is recorded.
 #[derive(Debug)]
 pub struct ReusedConnection {
@@ -85,6 +94,35 @@
         outcome
     }
 
+    /// Checks that the target at the other end is the incarnation `born`, so that it has the software version of that
+    /// incarnation's entry: a target may have restarted under its name and address, and the news be on the way. The
+    /// next request on this connection reaches the same incarnation, as a connection ends with it.
+    ///
+    /// # Errors
+    /// It is another incarnation, or it can't be asked; nothing was run.
+    pub async fn confirm_incarnation(
+        &mut self,
+        address: SocketAddr,
+        born: u64,
+    ) -> Result<(), AttemptFailure> {
+        let asking = timeout(REPORT_TIMEOUT, self.ask_report(address)).await;
+        match asking {
+            Ok(Ok(body)) if report_born(&body).is_none_or(|told| told == born) => Ok(()),
+            Ok(Ok(_)) => Err(AttemptFailure::OtherTarget),
+            Ok(Err(_)) | Err(_) => Err(AttemptFailure::ConnectFailed),
+        }
+    }
+
+    async fn ask_report(&mut self, address: SocketAddr) -> Result<Vec<u8>, WireError> {
+        write_all(self.reader.stream(), &report_request(address)).await?;
+        let head = self.reader.response_head(ANSWER_HEAD_BYTES).await?;
+        let framing = head.framing().map_err(|_| WireError::Malformed)?;
+        if !head.keep_alive || framing == BodyFraming::UntilClose {
+            return Err(WireError::Closed);
+        }
+        self.reader.whole_body(framing, REPORT_BYTES).await
+    }
+
     async fn exchange_unbounded(
         &mut self,
         request: &[u8],
--- a/crates/relay/src/targets/choice.rs
+++ b/crates/relay/src/targets/choice.rs
@@ -56,6 +56,8 @@
     pub name: String,
     /// Address that the target listens on.
     pub address: SocketAddr,
+    /// Incarnation number of the target; 0 if it has none.
+    pub born: u64,
     /// Version of the target's software.
     pub software_version: String,
     /// Whether the target had a free slot, as far as this gateway knows.
--- a/crates/relay/src/targets/table.rs
+++ b/crates/relay/src/targets/table.rs
@@ -288,6 +288,7 @@
             id: id.clone(),
             name: record.entry.name.clone(),
             address: record.entry.address,
+            born: record.entry.born,
             software_version: record.entry.software_version.clone(),
             has_free_slot: record.has_free_slot(),
             own_load: record.own.total(),
