Tell the prompt parts of failed requests in the log

Callers' requests crashed target after target, no two of them alike (BUDGET). No decision depends on them yet.

--- a/crates/entry/src/online/relay.rs
+++ b/crates/entry/src/online/relay.rs
@@ -527,6 +527,15 @@
         run.mul_f64(1.0 + EntryNode::draw())
     }
 
+    /// Shared parts of the prompt of a request that targets failed, for the log.
+    fn suspect_parts(&self) -> String {
+        if self.failures.is_empty() {
+            return String::new();
+        }
+        let parts = self.request.prompt.shared_parts().iter().map(|part| format!("{part:016x}"));
+        parts.collect::<Vec<_>>().join(",")
+    }
+
     fn log_end(&mut self, outcome: &'static str, status: u16) {
         let now = self.now();
         let arrived = self.request.arrived;
@@ -541,6 +550,7 @@
         let choice = self.last_choice.as_ref();
         let target = choice.map_or("-", |c| &c.id);
         let software = self.event_versions.join(",");
+        let parts = self.suspect_parts();
         let own_load = choice.map_or(0, |c| c.own_load);
         let reported_load = choice.map_or(0, |c| c.reported_load);
         self.node.log.info(
@@ -559,6 +569,7 @@
                 ("place_asks", &self.place_asks),
                 ("granted", &choice.is_some_and(|c| c.is_granted)),
                 ("failures", &failures),
+                ("parts", &parts),
                 ("patience_ms", &self.request.client_deadline.map_or(-1, |p| p.as_millis() as i64)),
                 ("last_event", &self.last_event.map_or(-1, |id| id as i64)),
                 ("first_ms", &first_ms),
