Refuse requests with a prompt part that crashes targets

Cause: crashes were counted by a fingerprint of the whole request, so requests that share one part never added up; items reported no crash at all; the count was asked at arrival only, so a second attempt crashed one more target. Class: evidence keyed by something finer than what is at fault. Change: a target that breaks a request off is evidence against those of its prompt parts that were answered longest ago or never, the last part excepted; a part that was answered within 2 s is never blamed. One gateway, chosen by the part, counts for all, items too. Three targets without an answer between, over 250 ms at least, and the part is refused everywhere: at once, before each attempt, 503 with the time of the next probe, outcome part_refused. A gateway that answered the part a moment ago objects. One probe at a time among all gateways, granted by the counting one after 0.5, 3, 30 and 120 s, not repeated at a second target; a complete answer clears the part. A gateway is told of the refusals when its link comes up. Items with a refused part wait. Why it holds: what tells the guilty part from the first part that all share is that nothing with it is ever answered. Bounds: 16 parts a prompt, 4,096 proven and suspected, 256 refused. Sound parts stay served when targets crash together.

--- a/crates/entry/src/batch/item_run.rs
+++ b/crates/entry/src/batch/item_run.rs
@@ -9,7 +9,10 @@
     pin_mut,
 };
 use notch_h1::prelude::*;
-use notch_platform_wire::{prelude::RelayTerms, target::item_request};
+use notch_platform_wire::{
+    prelude::RelayTerms,
+    target::{item_prompt, item_request},
+};
 use notch_relay::prelude::*;
 use notch_telemetry::prelude::*;
 use notch_types::prelude::*;
@@ -17,7 +20,10 @@
 use crate::{
     constants::{ITEM_FIRST_BYTE, ITEM_STALL},
     node::EntryNode,
-    online::lease::{AttemptEvidence, TargetLease},
+    online::{
+        lease::{AttemptEvidence, TargetLease},
+        part_crashes,
+    },
 };
 
 /// Time limit passed to the target, which stops work when it is over. A run of an item has no
@@ -65,6 +71,7 @@
     let has_begun = progress.events > 0;
     lease.set_evidence(AttemptEvidence { fingerprint, result, has_begun });
     drop(lease);
+    note_parts(&node, &start.item, &choice, outcome.as_ref());
     let mut end = item_end(outcome.as_ref());
     if has_uncertain_events(&node, &start, &choice, &end) {
         progress.events = 0;
@@ -112,6 +119,23 @@
     node.runner_wake.notify(usize::MAX);
 }
 
+/// Records what a run tells of the prompt parts of its item: they are sound, or one of them may have crashed the target.
+fn note_parts(
+    node: &EntryNode,
+    item: &ItemSpec,
+    choice: &TargetChoice,
+    outcome: Option<&Result<u16, AttemptFailure>>,
+) {
+    let prompt = item_prompt(item);
+    match outcome {
+        Some(Ok(200..300)) => part_crashes::note_answer(node, prompt.shared_parts()),
+        Some(Err(failure)) if failure.may_be_crash() => {
+            part_crashes::report_crash(node, prompt.shared_parts(), &choice.id);
+        }
+        Some(_) | None => {}
+    }
+}
+
 /// Whether the events of a run can't be joined with those of others: the target has restarted under its name with other
 /// software, possibly before the run.
 fn has_uncertain_events(
--- a/crates/entry/src/batch/runner.rs
+++ b/crates/entry/src/batch/runner.rs
@@ -1,6 +1,6 @@
 //! Starts items at targets with free slots, preempts them for online requests, and stores results.
 
-use std::{cmp::Reverse, fmt::Display, sync::Arc};
+use std::{cmp::Reverse, fmt::Display, sync::Arc, time::Duration};
 
 use async_std::{future::timeout, task};
 use notch_platform_wire::target::item_prompt;
@@ -19,8 +19,13 @@
         MIN_PASS_INTERVAL, OBJECT_BYTES, PREEMPT_AGE, RESULT_DELAY, RUNNER_TICK, STARTS_PER_PASS,
     },
     node::EntryNode,
+    online::part_crashes,
 };
 
+/// Shortest and longest time for which an item with a refused prompt part waits until it is looked at again.
+const MIN_DEFERRAL: Duration = Duration::from_millis(150);
+const MAX_DEFERRAL: Duration = Duration::from_secs(1);
+
 /// Runs jobs until the process ends.
 pub async fn run_jobs(node: Arc<EntryNode>) {
     loop {
@@ -39,6 +44,7 @@
         }
         let now = node.clock.mono();
         give_up_items(&node, now);
+        defer_refused_items(&node, now);
         if node.features.item_slots {
             run_item_pass(&node, now);
         } else {
@@ -61,6 +67,27 @@
     }
 }
 
+/// Delays waiting items with a prompt part that crashes targets, except the granted probes.
+fn defer_refused_items(node: &EntryNode, now: MonoTime) {
+    if !node.part_crashes().has_refusals() {
+        return;
+    }
+    let mut registry = node.jobs();
+    let waiting: Vec<(String, usize, PromptPrefixes)> = {
+        let items = registry.table.waiting_items(now).into_iter();
+        let prompt = |item: &WaitingItem<'_>| item_prompt(&item.spec.items[item.index]);
+        items.map(|item| (item.spec.id.clone(), item.index, prompt(&item))).collect()
+    };
+    for (job, index, prompt) in waiting {
+        if let PartAdmission::Refused { left, .. } =
+            part_crashes::admit(node, prompt.shared_parts())
+            && let Some(owned) = registry.table.get_mut(&job)
+        {
+            owned.defer_item(index, now + left.clamp(MIN_DEFERRAL, MAX_DEFERRAL));
+        }
+    }
+}
+
 fn start_items(node: &Arc<EntryNode>, now: MonoTime) {
     if node.stop.is_handing_over() {
         return;
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -104,6 +104,7 @@
     target_feed: Mutex<TargetFeed>,
     jobs: Mutex<JobRegistry>,
     crashes: Mutex<CrashTable>,
+    part_crashes: Mutex<PartCrashTable>,
     stream_origins: Mutex<StreamOrigins>,
     retry_detector: Mutex<RetryDetector>,
     dropped_routes: Mutex<DroppedRoutes>,
@@ -166,6 +167,7 @@
             target_feed: Mutex::default(),
             jobs: Mutex::default(),
             crashes: Mutex::default(),
+            part_crashes: Mutex::default(),
             stream_origins: Mutex::default(),
             retry_detector: Mutex::default(),
             dropped_routes: Mutex::default(),
@@ -226,6 +228,11 @@
         self.crashes.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Prompt parts that crash targets.
+    pub fn part_crashes(&self) -> MutexGuard<'_, PartCrashTable> {
+        self.part_crashes.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Where recent streams began.
     pub fn stream_origins(&self) -> MutexGuard<'_, StreamOrigins> {
         self.stream_origins.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/entry/src/online.rs
+++ b/crates/entry/src/online.rs
@@ -5,6 +5,7 @@
 pub mod fairness;
 pub mod lease;
 pub mod origins;
+pub mod part_crashes;
 pub mod relay;
 pub mod request;
 pub mod slots;
--- a/crates/entry/src/online/crashes.rs
+++ b/crates/entry/src/online/crashes.rs
@@ -29,8 +29,8 @@
     node.peers.broadcast(&PeerMessage::RequestRefused { fingerprint });
 }
 
-/// The gateway that counts for this request; `None` when it is this one.
-fn counting_gateway(node: &EntryNode, fingerprint: u64) -> Option<VmName> {
+/// The gateway that counts for the request or prompt part with this fingerprint; `None` when it is this one.
+pub(super) fn counting_gateway(node: &EntryNode, fingerprint: u64) -> Option<VmName> {
     let weight = |vm: &VmName| stable_hash64(&[&fingerprint.to_be_bytes(), vm.as_str().as_bytes()]);
     let other = node.peers.live_vms().into_iter().max_by_key(weight)?;
     (weight(&other) > weight(&node.config.node.vm)).then_some(other)
--- a/crates/entry/src/online/relay.rs
+++ b/crates/entry/src/online/relay.rs
@@ -28,13 +28,15 @@
         crashes,
         fairness::{OverFairShare, ShareLease},
         lease::{AttemptEvidence, TargetLease},
-        origins,
+        origins, part_crashes,
         request::OnlineRequest,
         slots,
     },
     target::connection::TargetConnection,
 };
 
+/// Outcome of a request with a prompt part that crashes targets.
+const PART_REFUSED: &str = "part_refused";
 /// Outcome of a stream that can't go on, as no target has the software version that began it.
 const VERSION_GONE: &str = "version_gone";
 /// Outcome of a stream that a client takes up and that may have begun at several software versions.
@@ -115,6 +117,10 @@
     /// Whether the target of the current attempt has sent a part of the answer after a response head that it may send
     /// while the request is queued.
     pub(crate) has_begun: bool,
+    /// Whether its next attempt is the granted probe of a refused prompt part, or was admitted as such.
+    is_part_probe: bool,
+    /// Time until the next probe of the prompt part for which it is refused.
+    refused_for: Duration,
     /// Failed attempts, for the log.
     failures: Vec<String>,
     /// Software versions of the targets whose events were passed on, for the log. Invariant: no
@@ -153,6 +159,8 @@
             avoid: Vec::new(),
             failure_status: None,
             has_begun: false,
+            is_part_probe: false,
+            refused_for: Duration::ZERO,
             failures: Vec::new(),
             event_versions: Vec::new(),
             queue: queue_limit(node, request),
@@ -179,6 +187,10 @@
             if self.request.left(now).is_zero() {
                 return self.give_up("deadline").await;
             }
+            if let PartAdmission::Refused { left, .. } = self.admit_parts() {
+                self.refused_for = left;
+                return self.give_up(PART_REFUSED).await;
+            }
             let Some(choice) = self.choose_target().await else {
                 let since = *searching_since.get_or_insert(now);
                 if self.is_version_gone() {
@@ -245,6 +257,17 @@
         origins::note(self.node, self.request, attempt, origin);
     }
 
+    /// Decides whether the next attempt may be made, by the prompt parts that crash targets. A stream that has begun goes
+    /// on, as its target could answer.
+    fn admit_parts(&mut self) -> PartAdmission {
+        if self.head_sent {
+            return PartAdmission::Admitted;
+        }
+        let admission = part_crashes::admit(self.node, self.request.prompt.shared_parts());
+        self.is_part_probe = admission == PartAdmission::Probe;
+        admission
+    }
+
     /// Counts the request as use of its account where slots are shared among accounts. An error means that the account
     /// uses more than its share.
     fn take_share(&self) -> Result<Option<ShareLease<'a>>, OverFairShare> {
@@ -323,11 +346,17 @@
             Ok(AttemptEnd::Complete(_)) => {
                 lease.set_outcome(Ok(()));
                 self.node.crashes().clear(self.request.fingerprint);
+                self.note_sound_parts(end);
                 self.note_latency(choice, began);
             }
             Ok(AttemptEnd::ClientGone) => {}
             Err(failure) => {
                 lease.set_outcome(Err(failure));
+                if failure.may_be_crash() {
+                    // A target may send events before it crashes.
+                    let parts = self.request.prompt.shared_parts();
+                    part_crashes::report_crash(self.node, parts, &choice.id);
+                }
                 if failure.may_be_crash() && self.last_event == held_before {
                     crashes::report_interruption(self.node, self.request.fingerprint, &choice.id);
                 }
@@ -336,6 +365,14 @@
         end
     }
 
+    /// Records that the request's prompt parts are sound, if its target answered it with success.
+    fn note_sound_parts(&self, end: Result<AttemptEnd, AttemptFailure>) {
+        let parts = self.request.prompt.shared_parts();
+        if matches!(end, Ok(AttemptEnd::Complete(200..300))) && !parts.is_empty() {
+            part_crashes::note_answer(self.node, parts);
+        }
+    }
+
     /// How an attempt ended at its target; `None` if the client ended it.
     fn attempt_result(&self, end: Result<AttemptEnd, AttemptFailure>) -> Option<AttemptResult> {
         match (end, self.failure_status) {
@@ -486,6 +523,7 @@
     fn may_retry(&self, failure: AttemptFailure) -> bool {
         match failure.verdict() {
             RunVerdict::NotRun => self.not_run <= MAX_NOT_RUN_RETRIES,
+            RunVerdict::Unknown if self.is_part_probe => false,
             RunVerdict::Unknown => {
                 self.request.route.may_repeat() && self.unknown < self.request.route.max_attempts
             }
@@ -503,6 +541,7 @@
         let is_final = matches!(reason, "quarantined" | VERSION_GONE | VERSION_UNKNOWN);
         let (status, retry_after) = match (self.unknown, reason) {
             (0, _) if is_final => (503, None),
+            (0, PART_REFUSED) => (503, Some(self.refused_for + self.retry_delay())),
             (0, _) => (503, Some(self.retry_delay())),
             (_, "deadline") => (504, None),
             _ => (502, None),
--- a/crates/entry/src/peers/links.rs
+++ b/crates/entry/src/peers/links.rs
@@ -24,6 +24,7 @@
     online::{
         crashes,
         origins::{self, OriginReply},
+        part_crashes,
         slots::{self, SlotRequest},
     },
     peers::{
@@ -226,8 +227,10 @@
             node.peers.send(&peer.vm, hello);
             node.peers.send(&peer.vm, reports::first_report(node));
             node.peers.send(&peer.vm, demands::demand(node));
-            for shares in limits::known_shares(node) {
-                node.peers.send(&peer.vm, shares);
+            for message in
+                limits::known_shares(node).into_iter().chain(part_crashes::known_refusals(node))
+            {
+                node.peers.send(&peer.vm, message);
             }
         }
         LinkEvent::Down { peer, link, reason } => {
@@ -358,6 +361,17 @@
         PeerMessage::RequestRefused { fingerprint } => {
             node.crashes().refuse(fingerprint, node.clock.mono());
         }
+        PeerMessage::PartCrashed { part, target } => {
+            part_crashes::count_crash(node, part, &target);
+        }
+        PeerMessage::PartRefused { part, level, left_ms } => {
+            part_crashes::apply_refusal(node, part, level, left_ms);
+        }
+        PeerMessage::PartCleared { part } => part_crashes::apply_cleared(node, part),
+        PeerMessage::PartProbeAsk { part, level } => {
+            part_crashes::answer_probe_ask(node, &peer.vm, part, level);
+        }
+        PeerMessage::PartProbeGranted { part } => part_crashes::note_granted(node, part),
         PeerMessage::StreamBegan { attempt, origin, keep_ms } => {
             origins::keep(node, &attempt, origin, keep_ms);
         }
--- a/crates/messages/src/peer.rs
+++ b/crates/messages/src/peer.rs
@@ -334,6 +334,40 @@
         /// Fingerprint of the request's path and body.
         fingerprint: u64,
     },
+    /// A target crashed under a request with this prompt part. The receiver counts these crashes for all
+    /// gateways.
+    PartCrashed {
+        /// Fingerprint of the part.
+        part: u64,
+        /// The target's id.
+        target: String,
+    },
+    /// Requests with this prompt part crash targets: refuse them.
+    PartRefused {
+        /// Fingerprint of the part.
+        part: u64,
+        /// Number of probes that crashed.
+        level: u32,
+        /// Time until the next probe, milliseconds.
+        left_ms: u64,
+    },
+    /// A request with this prompt part was answered: refuse no more.
+    PartCleared {
+        /// Fingerprint of the part.
+        part: u64,
+    },
+    /// The sender has a request with a refused part whose next probe is due.
+    PartProbeAsk {
+        /// Fingerprint of the part.
+        part: u64,
+        /// Number of probes that crashed, as known to the sender.
+        level: u32,
+    },
+    /// The receiver may run one request with this part.
+    PartProbeGranted {
+        /// Fingerprint of the part.
+        part: u64,
+    },
     /// A stream began at a service with targets of several software versions, or of versions that the
     /// sender does not know for long enough. The receiver remembers where.
     StreamBegan {
@@ -553,6 +587,11 @@
             Self::JobProgress { .. } => "job_progress",
             Self::RequestBroke { .. } => "request_broke",
             Self::RequestRefused { .. } => "request_refused",
+            Self::PartCrashed { .. } => "part_crashed",
+            Self::PartRefused { .. } => "part_refused",
+            Self::PartCleared { .. } => "part_cleared",
+            Self::PartProbeAsk { .. } => "part_probe_ask",
+            Self::PartProbeGranted { .. } => "part_probe_granted",
             Self::StreamBegan { .. } => "stream_began",
             Self::OriginAsk { .. } => "origin_ask",
             Self::OriginTold { .. } => "origin_told",
--- a/crates/relay/src/jobs/owned.rs
+++ b/crates/relay/src/jobs/owned.rs
@@ -358,6 +358,14 @@
         }
     }
 
+    /// Delays the start of a waiting item until `until`.
+    pub fn defer_item(&mut self, index: usize, until: MonoTime) {
+        let item = &mut self.items[index];
+        if matches!(item.phase, ItemPhase::Waiting(_)) {
+            item.phase = ItemPhase::Waiting(until);
+        }
+    }
+
     /// Gives up every item that is not running if the items' lifetime is over at `now` or the job's
     /// route is gone.
     pub fn give_up_items(&mut self, route_gone: bool, now: MonoTime) {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -95,6 +95,7 @@
             grants::{PreemptedItem, QueueOffer, SlotGrant},
             idle_reuse::IdleReuse,
             latency::ServiceLatency,
+            part_crashes::{PartAdmission, PartCrashTable, PartRefusal},
             performance::{
                 AttemptReport, TargetOutcome,
                 attempt::{AttemptResult, AttemptStage},
--- a/crates/relay/src/targets.rs
+++ b/crates/relay/src/targets.rs
@@ -11,6 +11,7 @@
 pub mod homes;
 pub mod idle_reuse;
 pub mod latency;
+pub mod part_crashes;
 pub mod performance;
 pub mod prefix_cache;
 pub mod prompt;
