Close new connections unread while a gateway can't serve them

Cause of what would happen: the listener took every connection, until descriptors, processor or memory of a small VM were used up by requests that it had read; those for targets failed first. Change: a connection is closed before anything is read from it, so that its client tries another gateway at once, when three quarters of the process's descriptors ([connections] max_descriptors, from the platform's limits) are client connections, or with a rising probability, at most 0.95, when a task has been delayed by over 100 ms three times in a row. One pause turns nothing away.

--- a/crates/entry/src/front.rs
+++ b/crates/entry/src/front.rs
@@ -3,5 +3,6 @@
 pub mod answer;
 pub mod body;
 pub mod connection;
+pub mod connection_gate;
 pub mod endpoints;
 pub mod listener;
--- a/crates/entry/src/front/connection.rs
+++ b/crates/entry/src/front/connection.rs
@@ -34,6 +34,7 @@
 
 /// Serves a client connection until it ends.
 pub async fn serve_client(node: Arc<EntryNode>, stream: TcpStream) {
+    let _open = node.clients.enter();
     let mut client =
         ClientConnection { node: &node, reader: WireReader::new(stream.clone()), stream };
     while client.await_request().await {
--- a/crates/entry/src/front/listener.rs
+++ b/crates/entry/src/front/listener.rs
@@ -18,12 +18,30 @@
 where
     S: Fn(TcpStream) -> F + Send + Sync + 'static,
     F: Future<Output = ()> + Send + 'static,
+{
+    listen_admitting(address, || true, serve).await
+}
+
+/// The same, but closes connections that are not admitted before anything is read from them.
+///
+/// # Errors
+/// `address` can't be bound.
+pub async fn listen_admitting<A, S, F>(
+    address: SocketAddr,
+    admits: A,
+    serve: S,
+) -> io::Result<task::JoinHandle<()>>
+where
+    A: Fn() -> bool + Send + Sync + 'static,
+    S: Fn(TcpStream) -> F + Send + Sync + 'static,
+    F: Future<Output = ()> + Send + 'static,
 {
     let listener = TcpListener::bind(address).await?;
     let serve = Arc::new(serve);
     Ok(task::spawn(async move {
         loop {
             match listener.accept().await {
+                Ok((stream, _)) if !admits() => drop(stream),
                 Ok((stream, _)) => {
                     // With Nagle's algorithm, stream events would wait for acknowledgements. A failure
                     // to disable it isn't fatal.
--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -23,8 +23,9 @@
     error::EntryError,
     front::{
         connection::serve_client,
+        connection_gate,
         endpoints::{serve_metrics, serve_ready},
-        listener::listen,
+        listener::{listen, listen_admitting},
     },
     node::EntryNode,
     peers::{demands, links, pushes, reports, store_forwarding},
@@ -129,6 +130,7 @@
     task::spawn(retention::delete_old_jobs(Arc::clone(node)));
     task::spawn(retirements::answer_retirements(Arc::clone(node)));
     task::spawn(log_counts(Arc::clone(node)));
+    task::spawn(connection_gate::measure_lag(Arc::clone(node)));
     task::spawn(maintain(Arc::clone(node)));
 }
 
@@ -143,9 +145,13 @@
         .map_err(|e| EntryError::Listen("readiness", e))?;
     start_metrics(node, listen_at.metrics).await;
     let shared = Arc::clone(node);
-    listen(listen_at.clients, move |stream| serve_client(Arc::clone(&shared), stream))
-        .await
-        .map_err(|e| EntryError::Listen("clients", e))?;
+    let gated = Arc::clone(node);
+    let admits = move || connection_gate::admits(&gated);
+    listen_admitting(listen_at.clients, admits, move |stream| {
+        serve_client(Arc::clone(&shared), stream)
+    })
+    .await
+    .map_err(|e| EntryError::Listen("clients", e))?;
     Ok(())
 }
 
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -27,6 +27,7 @@
     clock::NodeClock,
     constants::{FIRST_LIST_TIMEOUT, PEER_STATE_TIMEOUT, STORE_WATCHERS},
     features::GatewayFeatures,
+    front::connection_gate::ClientConnections,
     memory::HeldMemory,
     online::{fairness::FairShareEdge, origins},
     peers::{
@@ -79,6 +80,8 @@
     pub reads: ReadLatencies,
     /// Memory held for clients and targets that read slowly.
     pub memory: Arc<HeldMemory>,
+    /// Open connections of clients.
+    pub clients: ClientConnections,
     /// Idle connections to targets.
     pub pool: TargetPool,
     /// What is known of the other gateways, and the links to them.
@@ -152,6 +155,7 @@
             accounts: AccountState::new(&config.accounts),
             reads: ReadLatencies::default(),
             memory: Arc::new(HeldMemory::new(config.memory.limit())),
+            clients: ClientConnections::new(config.connections.max_clients()),
             pool: TargetPool::new(features.keep_connections, Some(opened)),
             peers: PeerTable::new(traffic),
             evictions: EvictionState::default(),
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -6,6 +6,7 @@
 //! The crate performs no I/O and reads no clock.
 
 pub mod accounts;
+pub mod connections;
 mod ewma;
 pub mod fairness;
 pub mod follower_start;
@@ -35,6 +36,7 @@
             table::{AccountTable, CallerIdentity, may_access},
             view::{LimiterView, PeerCounts},
         },
+        connections::{ConnectionGate, ConnectionGateSettings},
         fairness::{
             FairShareTable,
             key::share_key,
--- a/crates/settings/src/entry_config.rs
+++ b/crates/settings/src/entry_config.rs
@@ -7,8 +7,8 @@
     error::SettingsErrors,
     file::{FieldVisitor, SettingsFile, read_config, render_config},
     sections::{
-        AccountSettings, EntryListenSettings, FleetSettings, LinkSettings, LoggingSettings,
-        MemorySettings, NodeSettings, StoreSettings,
+        AccountSettings, ConnectionSettings, EntryListenSettings, FleetSettings, LinkSettings,
+        LoggingSettings, MemorySettings, NodeSettings, StoreSettings,
     },
 };
 
@@ -27,6 +27,8 @@
     pub accounts: AccountSettings,
     /// `[fleet]`
     pub fleet: FleetSettings,
+    /// `[connections]`
+    pub connections: ConnectionSettings,
     /// `[memory]`
     pub memory: MemorySettings,
     /// `[logging]`
@@ -62,6 +64,7 @@
         self.links.visit(fields);
         self.accounts.visit(fields);
         self.fleet.visit(fields);
+        self.connections.visit(fields);
         self.memory.visit(fields);
         self.logging.visit(fields);
     }
--- a/crates/settings/src/sections.rs
+++ b/crates/settings/src/sections.rs
@@ -2,6 +2,7 @@
 
 mod accounts;
 mod admission;
+mod connections;
 mod entry_listen;
 mod fleet;
 mod jobs;
@@ -24,6 +25,7 @@
 pub use self::{
     accounts::AccountSettings,
     admission::AdmissionSettings,
+    connections::ConnectionSettings,
     entry_listen::EntryListenSettings,
     fleet::{FeatureSwitch, FleetSettings},
     jobs::JobSettings,
