--- a/crates/entry/src/target/pool.rs
+++ b/crates/entry/src/target/pool.rs
@@ -100,7 +100,11 @@
 
     /// Keeps a connection after the answer with `head` was read to its end, if it can be reused.
     pub fn give_back(&self, id: &str, connection: TargetConnection, head: &ResponseHead) {
-        if connection.is_out_of_sync || !head.keep_alive || connection.reader.has_buffered() {
+        let ends_with_connection = head.framing() == Ok(BodyFraming::UntilClose);
+        if connection.is_out_of_sync || !head.keep_alive || ends_with_connection {
+            return;
+        }
+        if connection.reader.has_buffered() {
             return;
         }
         let announced = AnswerHeaders::decode(head).keep_alive_timeout;
--- a/crates/h1/src/writer.rs
+++ b/crates/h1/src/writer.rs
@@ -64,6 +64,11 @@
         self.into_head()
     }
 
+    /// Returns the bytes of the head; the body is to follow until the connection ends.
+    pub fn until_close(self) -> Vec<u8> {
+        self.into_head()
+    }
+
     fn into_head(self) -> Vec<u8> {
         let mut bytes = self.text.into_bytes();
         bytes.extend_from_slice(b"\r\n");
