--- a/crates/entry/tests/soak_options.rs
+++ b/crates/entry/tests/soak_options.rs
@@ -39,3 +39,30 @@
         run_with_logs(SoakSettings { offers_items: true, folder, ..SoakSettings::default() });
     assert!(logs.contains("slot=offered"), "no item started in an offered slot");
 }
+
+/// Guards against streams and results that two software versions wrote, under faults that make clients take streams up at
+/// other gateways and targets of either version come and go.
+#[test]
+fn a_soak_with_two_versions_mixes_no_events() {
+    let folder = PathBuf::from("soak-versions");
+    let settings = SoakSettings { mixes_versions: true, folder, ..SoakSettings::default() };
+    let logs = run_with_logs(settings);
+    assert!(logs.contains("software=v1") && logs.contains("software=v2"), "both versions ran");
+}
+
+/// Guards against requests that crash target after target while gateways are killed, stopped and frozen.
+#[test]
+fn a_soak_with_a_crashing_prompt_part_crashes_few_targets() {
+    let folder = PathBuf::from("soak-parts");
+    let settings = SoakSettings { crashes_parts: true, folder, ..SoakSettings::default() };
+    let logs = run_with_logs(settings);
+    assert!(logs.contains("event=prompt_part_refused"), "the part was refused");
+}
+
+/// Guards against broken guarantees at a gateway that gets most new connections, beside all other faults.
+#[test]
+fn a_soak_with_floods_of_connections_breaks_no_guarantee() {
+    let folder = PathBuf::from("soak-floods");
+    let settings = SoakSettings { floods_gateways: true, folder, ..SoakSettings::default() };
+    run_with_logs(settings);
+}
--- a/crates/magnolianotch/src/cli/args.rs
+++ b/crates/magnolianotch/src/cli/args.rs
@@ -372,6 +372,15 @@
     /// whether homes offer slots for items and are frozen; jobs have more items, which take longer
     #[argh(switch)]
     pub offer_items: bool,
+    /// whether targets have two versions of their software, and clients take broken streams up at other gateways
+    #[argh(switch)]
+    pub mix_versions: bool,
+    /// whether some requests have a prompt part that crashes each target which begins to answer them
+    #[argh(switch)]
+    pub crash_parts: bool,
+    /// whether most new connections come to one gateway for some seconds, of which a thousand stay open
+    #[argh(switch)]
+    pub flood_gateways: bool,
     /// folder for the gateways' settings and logs (default: soak in the temporary folder)
     #[argh(option)]
     pub folder: Option<PathBuf>,
--- a/crates/magnolianotch/src/cli/soak.rs
+++ b/crates/magnolianotch/src/cli/soak.rs
@@ -41,6 +41,9 @@
         evicts_gateways: args.evict,
         limits_accounts: args.limit_accounts,
         offers_items: args.offer_items,
+        mixes_versions: args.mix_versions,
+        crashes_parts: args.crash_parts,
+        floods_gateways: args.flood_gateways,
     })
 }
 
--- a/crates/relay/src/targets/part_crashes.rs
+++ b/crates/relay/src/targets/part_crashes.rs
@@ -162,8 +162,9 @@
     /// part is refused from now on, or for longer.
     pub fn note_crash(&mut self, part: u64, target: &str, now: MonoTime) -> Option<PartRefusal> {
         if let Some(refused) = self.refused.get(&part).copied() {
-            // Requests that were running when the part was refused crash targets, too.
-            let is_probe = now < refused.probed_until;
+            // Requests that were running when the part was refused crash targets, too. A crash after the pause is that
+            // of a probe, granted by this gateway or by the one that counted before.
+            let is_probe = now < refused.probed_until || now >= refused.until;
             return is_probe.then(|| self.refuse(part, refused.level + 1, now));
         }
         if self.proven.get(&part).is_some_and(|at| now.since(*at) < PROOF_TIME) {
--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -5,7 +5,7 @@
 use notch_platform_standins::{
     client::item_id,
     store::ACCOUNT,
-    target::{EVENTS, marked_data, marked_events},
+    target::{EVENTS, marked_data, marked_events, split_versions},
 };
 use notch_types::prelude::*;
 
@@ -13,6 +13,7 @@
     config::REVOCATION_BOUND,
     limited_accounts::QUOTA,
     observation::{Observation, SeenResult},
+    part_crash_check::PartCrashCheck,
 };
 
 /// Attempt name of all requests that check for a route.
@@ -35,6 +36,10 @@
     NoReversion,
     /// A request runs for the client account of its key, and the key is never sent to a target.
     OwnAccount,
+    /// All events of a stream, and of an item's result, are written by one version of the targets' software.
+    OneVersion,
+    /// Requests with a prompt part that crashes targets no longer reach them, and sound ones do.
+    NoMoreCrashes,
     /// No more requests of an account begin in any sliding window than its limit and the tolerance allow.
     WithinLimit,
     /// Every gateway stops accepting a revoked key within a bounded time.
@@ -82,6 +87,9 @@
     lists: FastMap<String, Vec<SeenResult>>,
     /// Newest configuration version known to each process.
     versions: FastMap<String, u64>,
+    /// Versions of the software that wrote the events of each stream, by its first attempt.
+    writers: FastMap<String, FastSet<String>>,
+    part_crashes: PartCrashCheck,
 }
 
 impl PromiseChecker {
@@ -109,6 +117,25 @@
                 }
                 self.check_answer(attempt, *status, named.as_deref(), body, *is_whole);
             }
+            Observation::TakenUp { attempt, begun_by, last, status, body, is_whole } => {
+                if matches!(status, 408 | 421 | 429 | 503) {
+                    self.refused.push(attempt.clone());
+                }
+                self.check_taken_up((attempt, begun_by), *last, *status, body, *is_whole);
+            }
+            Observation::SentPoison { attempt, gateway } => {
+                self.part_crashes.note_sent(attempt, *gateway);
+            }
+            Observation::Crashed { attempt, at } => self.part_crashes.note_crash(attempt, *at),
+            Observation::Disturbed { gateway, at, begins } => {
+                self.part_crashes.note_disturbance(*gateway, *at, *begins);
+            }
+            Observation::SoundRequests { sent, served } => {
+                if served * 2 < *sent {
+                    let detail = format!("{served} of {sent} sound requests served");
+                    self.add(PromiseKind::NoMoreCrashes, detail);
+                }
+            }
             Observation::Ran { attempt, account, has_key } => {
                 *self.runs.entry(attempt.clone()).or_default() += 1;
                 self.check_account(attempt, account.as_deref(), *has_key);
@@ -149,14 +176,49 @@
         if status != 200 {
             return;
         }
+        let (text, versions) = split_versions(body);
+        self.note_writers(attempt, versions);
         let expected = marked_events(attempt);
-        let fits = if is_whole { body == expected } else { expected.starts_with(body) };
+        let fits = if is_whole { text == expected } else { expected.starts_with(&text) };
         if !fits || named != Some(attempt) {
             let detail = format!("{attempt}: named {named:?}, whole {is_whole}, body {body:?}");
             self.add(PromiseKind::OwnAnswer, detail);
         }
     }
 
+    /// Checks the rest of a stream: the events after the last one that the client had.
+    fn check_taken_up(
+        &mut self,
+        (attempt, begun_by): (&str, &str),
+        last: u64,
+        status: u16,
+        body: &str,
+        is_whole: bool,
+    ) {
+        if status != 200 {
+            return;
+        }
+        let (text, versions) = split_versions(body);
+        self.note_writers(begun_by, versions);
+        let expected: String = (last + 1..=EVENTS)
+            .map(|id| format!("id: {id}\ndata: {}\n\n", marked_data(attempt, id)))
+            .collect();
+        let fits = if is_whole { text == expected } else { expected.starts_with(&text) };
+        if !fits {
+            let detail = format!("{attempt} after {last}: whole {is_whole}, body {body:?}");
+            self.add(PromiseKind::OwnAnswer, detail);
+        }
+    }
+
+    fn note_writers(&mut self, begun_by: &str, versions: Vec<String>) {
+        let writers = self.writers.entry(begun_by.to_owned()).or_default();
+        writers.extend(versions);
+        if writers.len() > 1 {
+            let detail = format!("{begun_by}: {writers:?}");
+            self.add(PromiseKind::OneVersion, detail);
+        }
+    }
+
     fn check_account(&mut self, attempt: &str, account: Option<&str>, has_key: bool) {
         // Requests that check for a route carry no key.
         let own = self.accounts.get(attempt).map_or(ACCOUNT, String::as_str);
@@ -212,6 +274,9 @@
                 self.add(PromiseKind::WithinLimit, format!("{account}: {excess:?}"));
             }
         }
+        if let Some(detail) = self.part_crashes.excess() {
+            self.add(PromiseKind::NoMoreCrashes, detail);
+        }
         for (job, items) in std::mem::take(&mut self.jobs) {
             self.check_job(&job, items);
         }
@@ -227,7 +292,11 @@
             }
             let output: Vec<String> =
                 (1..=EVENTS).map(|id| marked_data(&result.item, id)).collect();
-            if !result.is_completed || result.output != output.join("\n") {
+            let (text, versions) = split_versions(&result.output);
+            if versions.len() > 1 {
+                self.add(PromiseKind::OneVersion, format!("{}: {versions:?}", result.item));
+            }
+            if !result.is_completed || text != output.join("\n") {
                 self.add(PromiseKind::OneResult, format!("wrong result: {result:?}"));
             }
         }
--- a/crates/soak/src/clients.rs
+++ b/crates/soak/src/clients.rs
@@ -19,7 +19,7 @@
 
 use crate::{
     checker::PROBE,
-    cluster::{SoakCluster, SoakKey},
+    cluster::{POISON_PART, SoakCluster, SoakKey},
     limited_accounts::send_pause,
     observation::Observation,
 };
@@ -34,6 +34,12 @@
 const OLD_KEYS: u64 = 5;
 /// Number of equally likely draws. Each recent key has one of them, and the permanent key has the rest.
 const KEY_CHOICES: u64 = 12;
+/// Share of the new connections that come to a crowded gateway.
+const CROWDED_SHARE: f64 = 0.9;
+/// Most attempts of a client to take a stream up.
+const MAX_TAKE_UPS: usize = 3;
+/// Longest pause between two requests that crash targets.
+const MAX_POISON_PAUSE_MS: u64 = 200;
 /// Most items of a job.
 const MAX_ITEMS: usize = 6;
 /// The same where slots are offered for items: more than the slots at the targets of one home.
@@ -51,6 +57,10 @@
     pub seed: u64,
     /// Whether jobs have many items.
     pub offers_items: bool,
+    /// Whether clients take broken streams up.
+    pub takes_up: bool,
+    /// Whether requests name the parts of their prompts.
+    pub names_parts: bool,
     /// Whether clients stop sending requests and jobs.
     pub is_over: Arc<AtomicBool>,
     /// Number of online requests sent.
@@ -69,7 +79,86 @@
     }
 
     fn gateway(&self, random: &mut SmallRng) -> usize {
-        random.random_range(0..self.cluster.gateway_count())
+        let any = random.random_range(0..self.cluster.gateway_count());
+        match self.cluster.crowded() {
+            Some(crowded) if random.random_bool(CROWDED_SHARE) => crowded,
+            _ => any,
+        }
+    }
+
+    /// Header lines that name the parts of the prompt: one that all share, `part` if given, and one of its own.
+    fn prompt_lines(&self, attempt: &str, part: Option<&str>) -> String {
+        if !self.names_parts {
+            return String::new();
+        }
+        let part = part.map(|part| format!("{part}:50,")).unwrap_or_default();
+        format!("Model: m\r\nPrompt-Prefix: common:100,{part}{attempt}:9\r\n")
+    }
+
+    /// Sends requests with a prompt part that crashes targets, no two alike.
+    pub async fn send_poison(self, number: u64) {
+        let mut random = self.random(number);
+        let mut sent = 0;
+        while !self.is_over() {
+            sent += 1;
+            let (gateway, attempt) = (self.gateway(&mut random), format!("p{number}-{sent}"));
+            let headers = key_line(&self.cluster.steady_key().text)
+                + &self.prompt_lines(&attempt, Some(POISON_PART));
+            self.cluster.log.add(Observation::SentPoison { attempt: attempt.clone(), gateway });
+            let client = self.cluster.client(gateway);
+            let sending = client.post("/resume/x", &attempt, &headers, &attempt);
+            if let Ok(Some(answer)) = timeout(CLIENT_TIMEOUT, sending).await {
+                self.record_answer(&attempt, true, &answer);
+            }
+            task::sleep(Duration::from_millis(random.random_range(0..MAX_POISON_PAUSE_MS))).await;
+        }
+    }
+
+    /// Sends sound requests to all gateways in turn, and records how many were served.
+    pub async fn send_sound(&self, count: usize) {
+        let mut served = 0;
+        for number in 0..count {
+            let attempt = format!("sound-{number}");
+            let client = self.cluster.client(number % self.cluster.gateway_count());
+            let headers =
+                key_line(&self.cluster.steady_key().text) + &self.prompt_lines(&attempt, None);
+            let sending = client.post("/resume/x", &attempt, &headers, &attempt);
+            if let Ok(Some(answer)) = timeout(CLIENT_TIMEOUT, sending).await {
+                served += usize::from(answer.head.status == 200 && answer.is_whole);
+                self.record_answer(&attempt, true, &answer);
+            }
+            task::sleep(Duration::from_millis(MAX_PAUSE_MS)).await;
+        }
+        self.cluster.log.add(Observation::SoundRequests { sent: count, served });
+    }
+
+    /// Takes a stream up that broke off, at any gateway, as long as it goes on and breaks off again.
+    async fn take_up(&self, begun_by: &str, answer: SeenAnswer, random: &mut SmallRng) {
+        let mut last = last_event(&answer.body);
+        for number in 1..=MAX_TAKE_UPS {
+            let Some(had) = last else { return };
+            let attempt = format!("{begun_by}-r{number}");
+            let client = self.cluster.client(self.gateway(random));
+            let headers = format!("Last-Event-Id: {had}\r\nResumes: {begun_by}\r\n")
+                + &key_line(&self.cluster.steady_key().text)
+                + &self.prompt_lines(begun_by, None);
+            let sending =
+                timeout(CLIENT_TIMEOUT, client.post("/resume/x", &attempt, &headers, "hi"));
+            let Ok(Some(answer)) = sending.await else { continue };
+            let (status, is_whole) = (answer.head.status, answer.is_whole);
+            last = last_event(&answer.body).or(last);
+            self.cluster.log.add(Observation::TakenUp {
+                attempt,
+                begun_by: begun_by.to_owned(),
+                last: had,
+                status,
+                body: answer.body,
+                is_whole,
+            });
+            if status == 200 && is_whole {
+                return;
+            }
+        }
     }
 
     /// Sends online requests, most of them on persistent connections.
@@ -89,11 +178,15 @@
                 self.requests.fetch_add(1, Ordering::Relaxed);
                 let path = if may_repeat { "/resume/x" } else { "/once/x" };
                 let key = self.draw_key(&attempt, &mut random);
-                let sending = timeout(CLIENT_TIMEOUT, post_on(&mut open, path, &attempt, &key));
+                let headers = key + &self.prompt_lines(&attempt, None);
+                let sending = timeout(CLIENT_TIMEOUT, post_on(&mut open, path, &attempt, &headers));
                 if let Ok(Some(answer)) = sending.await {
                     self.record_answer(&attempt, may_repeat, &answer);
                     let is_reusable = answer.is_whole && answer.head.keep_alive;
                     connection = is_reusable.then_some(open);
+                    if self.takes_up && may_repeat && !answer.is_whole {
+                        self.take_up(&attempt, answer, &mut random).await;
+                    }
                 }
             }
             let pause = random.random_range(0..MAX_PAUSE_MS);
@@ -232,6 +325,12 @@
     }
 }
 
+/// Id of the last whole event in a part of a stream.
+fn last_event(body: &str) -> Option<u64> {
+    let whole = &body[..body.rfind("\n\n")?];
+    whole.lines().filter_map(|line| line.strip_prefix("id: ")).next_back()?.parse().ok()
+}
+
 /// Submits a job and returns the status of the answer, or 0 if there is none.
 async fn submit(client: StandInClient, job: &str, items: usize) -> u16 {
     let answer = client.submit_with(job, items, &key_line(STEADY_KEY)).await;
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -5,12 +5,12 @@
     path::Path,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicU64, AtomicUsize, Ordering},
     },
     time::{Duration, Instant},
 };
 
-use async_std::task;
+use async_std::{future::timeout, net::TcpStream, task};
 use notch_platform_standins::{
     any_port,
     client::StandInClient,
@@ -35,6 +35,14 @@
 /// Delay of each event where slots are offered for items. Items run for six events, so that some wait while the reports
 /// and offers of other gateways arrive.
 const OFFERED_EVENT_DELAY_MS: u64 = 40;
+/// Delay of each event where clients take streams up, so that some break off in the middle.
+const VERSIONED_EVENT_DELAY_MS: u64 = 5;
+/// Descriptors that a gateway may use where it gets most new connections.
+const FLOODED_DESCRIPTORS: u32 = 700;
+/// Prompt part that crashes targets.
+pub(crate) const POISON_PART: &str = "bad";
+/// How long a target is down after it crashed.
+const CRASH_DOWN_TIME: Duration = Duration::from_millis(800);
 /// Interval of checks while waiting for a process or a fault.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -54,6 +62,17 @@
     replacements: u32,
 }
 
+/// How targets behave in all runs.
+#[derive(Debug, Clone)]
+struct TargetConduct {
+    /// Delay of each event, milliseconds.
+    event_delay_ms: u64,
+    /// Whether they have two versions of their software and name theirs in their events.
+    names_version: bool,
+    /// Whether they crash under a prompt part.
+    crashes: bool,
+}
+
 /// The cluster under test.
 #[derive(Debug, Clone)]
 pub struct SoakCluster {
@@ -65,8 +84,9 @@
     link_proxies: Arc<Vec<FaultProxy>>,
     /// Accounts with a limit.
     limited: &'static [StandInAccount<'static>],
-    /// Delay of each event of an item or request, milliseconds.
-    event_delay_ms: u64,
+    conduct: TargetConduct,
+    /// The gateway to which most new connections come, if any; `usize::MAX` for none.
+    crowded: Arc<AtomicUsize>,
     started: Instant,
     gateways: Arc<Vec<Mutex<GatewayHandle>>>,
     targets: Arc<Vec<Mutex<TargetHandle>>>,
@@ -96,11 +116,21 @@
         let store = StandInStore::start().await;
         let limited: &[StandInAccount<'_>] =
             if settings.limits_accounts { &LIMITED_ACCOUNTS } else { &[] };
-        let event_delay_ms = if settings.offers_items { OFFERED_EVENT_DELAY_MS } else { 0 };
+        let event_delay_ms = match settings {
+            SoakSettings { offers_items: true, .. } => OFFERED_EVENT_DELAY_MS,
+            SoakSettings { mixes_versions: true, .. }
+            | SoakSettings { crashes_parts: true, .. } => VERSIONED_EVENT_DELAY_MS,
+            _ => 0,
+        };
         store.put("config", "main", configuration_with_probes_and(1, limited));
+        let conduct = TargetConduct {
+            event_delay_ms,
+            names_version: settings.mixes_versions,
+            crashes: settings.crashes_parts,
+        };
         let mut targets = Vec::new();
         for number in 0..settings.targets {
-            targets.push(Mutex::new(start_target(&store, number, 0, event_delay_ms).await));
+            targets.push(Mutex::new(start_target(&store, number, 0, &conduct).await));
         }
         let mut store_proxies = Vec::new();
         let mut link_proxies = Vec::new();
@@ -112,6 +142,9 @@
             if settings.evicts_gateways {
                 config.fleet.evict_gateways = FeatureSwitch::On;
             }
+            if settings.floods_gateways {
+                config.connections.max_descriptors = FLOODED_DESCRIPTORS;
+            }
             if settings.offers_items {
                 config.fleet.share_item_slots = FeatureSwitch::On;
             }
@@ -133,7 +166,8 @@
             store_proxies: Arc::new(store_proxies),
             link_proxies: Arc::new(link_proxies),
             limited,
-            event_delay_ms,
+            conduct,
+            crowded: Arc::new(AtomicUsize::new(usize::MAX)),
             started: Instant::now(),
             gateways: Arc::new(gateways),
             targets: Arc::new(targets),
@@ -188,8 +222,54 @@
         task::spawn(async move { cluster.run_fault(fault).await });
     }
 
+    /// The gateway to which most new connections come now.
+    pub fn crowded(&self) -> Option<usize> {
+        Some(self.crowded.load(Ordering::Acquire)).filter(|gateway| *gateway < self.gateways.len())
+    }
+
+    /// Time since the start.
+    pub fn elapsed(&self) -> Duration {
+        self.started.elapsed()
+    }
+
     async fn run_fault(&self, fault: SoakFault) {
+        let touched = fault.touched_gateways(self.gateways.len());
+        self.note_disturbance(&touched, true);
+        self.carry_out(fault).await;
+        self.note_disturbance(&touched, false);
+    }
+
+    fn note_disturbance(&self, touched: &[usize], begins: bool) {
+        for gateway in touched {
+            let (gateway, at) = (Some(*gateway), self.elapsed());
+            self.log.add(Observation::Disturbed { gateway, at, begins });
+        }
+    }
+
+    /// Opens connections to a gateway that stay open, and has most new ones come to it.
+    async fn flood(&self, gateway: usize, connections: usize, duration: Duration) {
+        self.crowded.store(gateway, Ordering::Release);
+        let address = self.gateway(gateway).process.clients;
+        let until = Instant::now() + duration;
+        let mut open = Vec::new();
+        while Instant::now() < until {
+            if open.len() < connections
+                && let Ok(Ok(stream)) = timeout(POLL_INTERVAL, TcpStream::connect(address)).await
+            {
+                open.push(stream);
+                continue;
+            }
+            task::sleep(POLL_INTERVAL).await;
+        }
+        let none = usize::MAX;
+        let _ = self.crowded.compare_exchange(gateway, none, Ordering::AcqRel, Ordering::Acquire);
+    }
+
+    async fn carry_out(&self, fault: SoakFault) {
         match fault {
+            SoakFault::Flood { gateway, connections, duration } => {
+                self.flood(gateway, connections, duration).await;
+            }
             SoakFault::Kill { gateway, pause } => {
                 self.begin_outage(gateway, GatewayProcess::kill);
                 task::sleep(pause).await;
@@ -272,8 +352,9 @@
         }
     }
 
-    /// Records what ran at the targets.
+    /// Records what ran at the targets, and what crashed them.
     pub fn record_runs(&self) {
+        self.record_crashes();
         let replaced = self.replaced.lock().unwrap_or_else(PoisonError::into_inner).clone();
         let current = (0..self.targets.len()).map(|number| self.target(number).target.clone());
         for target in replaced.into_iter().chain(current) {
@@ -289,6 +370,15 @@
         }
     }
 
+    fn record_crashes(&self) {
+        let replaced = self.replaced.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        let current = (0..self.targets.len()).map(|number| self.target(number).target.clone());
+        for (attempt, at) in replaced.into_iter().chain(current).flat_map(|t| t.crashes()) {
+            let at = at.saturating_duration_since(self.started);
+            self.log.add(Observation::Crashed { attempt, at });
+        }
+    }
+
     fn is_limited(&self, account: &str) -> bool {
         self.limited.iter().any(|(name, ..)| *name == account)
     }
@@ -308,7 +398,7 @@
             let handle = self.target(number);
             (handle.target.clone(), handle.replacements + 1)
         };
-        let next = start_target(&self.store, number, replacements, self.event_delay_ms).await;
+        let next = start_target(&self.store, number, replacements, &self.conduct).await;
         self.store.delete("servers", &replaced.id);
         self.replaced.lock().unwrap_or_else(PoisonError::into_inner).push(replaced);
         *self.target(number) = next;
@@ -366,12 +456,19 @@
     store: &StandInStore,
     number: usize,
     replacements: u32,
-    event_delay_ms: u64,
+    conduct: &TargetConduct,
 ) -> TargetHandle {
     let id = format!("t-{number}-{replacements}");
-    let target = StandInTarget::start(&id).await;
+    let is_newer = conduct.names_version && (number + replacements as usize) % 2 == 1;
+    let target = StandInTarget::start_version(&id, if is_newer { "v2" } else { "v1" }).await;
     target.mark_events();
-    target.slow_down(event_delay_ms);
+    target.slow_down(conduct.event_delay_ms);
+    if conduct.names_version {
+        target.name_version();
+    }
+    if conduct.crashes {
+        target.crash_under(POISON_PART, CRASH_DOWN_TIME);
+    }
     let proxy = start_proxy(target.address).await;
     store.put("servers", &id, target.entry_at(proxy.address));
     TargetHandle { target, proxy, replacements }
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -83,6 +83,15 @@
     },
     /// The operator writes a new configuration.
     Configuration,
+    /// Most new connections come to one gateway, and many more are opened there that send nothing.
+    Flood {
+        /// Index of the gateway.
+        gateway: usize,
+        /// Number of the silent connections.
+        connections: usize,
+        /// Length of the fault.
+        duration: Duration,
+    },
     /// A target leaves and a new one takes its place.
     TargetReplaced {
         /// Index of the target.
@@ -97,6 +106,34 @@
 const MAX_FAULTY_ANSWERS: usize = 6;
 
 impl SoakFault {
+    /// Gateways out of touch during the fault, of `count`: their processes, or their paths to the store or to each
+    /// other, are disturbed.
+    pub fn touched_gateways(&self, count: usize) -> Vec<usize> {
+        match self {
+            Self::Kill { gateway, .. }
+            | Self::Stop { gateway }
+            | Self::Pause { gateway, .. }
+            | Self::StorePath { gateway, .. } => vec![*gateway],
+            Self::LinkPath { .. } | Self::StoreDown { .. } | Self::LostWrites { .. } => {
+                (0..count).collect()
+            }
+            Self::Reload { .. }
+            | Self::TargetPath { .. }
+            | Self::TargetAnswers { .. }
+            | Self::Configuration
+            | Self::Flood { .. }
+            | Self::TargetReplaced { .. } => Vec::new(),
+        }
+    }
+
+    /// Draws a flood of connections to one gateway.
+    pub fn draw_flood(random: &mut SmallRng, gateways: usize) -> Self {
+        let gateway = random.random_range(0..gateways);
+        let connections = random.random_range(300..1_200);
+        let duration = Duration::from_millis(random.random_range(1_000..4_000));
+        Self::Flood { gateway, connections, duration }
+    }
+
     /// Draws a fault that separates gateways which enforce a limit together.
     pub fn draw_separation(random: &mut SmallRng, gateways: usize) -> Self {
         let gateway = random.random_range(0..gateways);
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod fault;
 pub mod limited_accounts;
 pub mod observation;
+mod part_crash_check;
 pub mod process;
 pub mod proxy;
 pub mod run;
--- a/crates/soak/src/observation.rs
+++ b/crates/soak/src/observation.rs
@@ -48,6 +48,51 @@
         /// Whether the target was sent the client's key.
         has_key: bool,
     },
+    /// A client took a stream up that had broken off, and was answered or lost its connection again.
+    TakenUp {
+        /// Id of the client's attempt.
+        attempt: String,
+        /// The attempt that got the first event.
+        begun_by: String,
+        /// The last event that the client had.
+        last: u64,
+        /// HTTP status.
+        status: u16,
+        /// The body as far as it was received.
+        body: String,
+        /// Whether the body was received to its end.
+        is_whole: bool,
+    },
+    /// A client is about to send a request with a prompt part that crashes targets.
+    SentPoison {
+        /// Id of the client's attempt.
+        attempt: String,
+        /// Index of the gateway.
+        gateway: usize,
+    },
+    /// A target crashed under a request.
+    Crashed {
+        /// The client's attempt.
+        attempt: String,
+        /// Time since the soak test started.
+        at: Duration,
+    },
+    /// A fault that touches a gateway begins or ends.
+    Disturbed {
+        /// Index of the gateway; `None` for all.
+        gateway: Option<usize>,
+        /// Time since the soak test started.
+        at: Duration,
+        /// Whether it begins.
+        begins: bool,
+    },
+    /// After the faults, sound requests were sent that share their other prompt parts with those that crash targets.
+    SoundRequests {
+        /// Number of requests.
+        sent: usize,
+        /// Number of whole answers.
+        served: usize,
+    },
     /// A target began to run a request of an account with a limit.
     Began {
         /// The client's attempt.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -34,6 +34,8 @@
 const FREEZE_OVERLAP: Duration = Duration::from_secs(1);
 /// How long clients then wait for their jobs to end. A lost item is retried after 10 s.
 const JOB_END_TIMEOUT: Duration = Duration::from_secs(60);
+/// Number of sound requests sent after the faults while others crash targets.
+const SOUND_REQUESTS: usize = 60;
 /// Interval between two checks of a gateway that recovers.
 const RECOVERY_POLL_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -60,6 +62,8 @@
         cluster: cluster.clone(),
         seed: settings.seed,
         offers_items: settings.offers_items,
+        takes_up: settings.mixes_versions,
+        names_parts: settings.crashes_parts,
         is_over: Arc::new(AtomicBool::new(false)),
         requests: Arc::default(),
         jobs: Arc::default(),
@@ -77,9 +81,15 @@
         let number = 3_000 + account as u64;
         clients.push(task::spawn(context.clone().send_limited(number, account)));
     }
+    if settings.crashes_parts {
+        clients.push(task::spawn(context.clone().send_poison(4_000)));
+    }
     let faults = inject_faults(settings, &cluster).await;
     cluster.heal().await;
     record_recovery(&context).await;
+    if settings.crashes_parts {
+        context.send_sound(SOUND_REQUESTS).await;
+    }
     context.is_over.store(true, Ordering::Release);
     let ending = async {
         for client in clients {
@@ -123,7 +133,9 @@
         let freeze = settings
             .offers_items
             .then(|| SoakFault::draw_freeze(&mut added_random, settings.gateways));
-        for fault in [Some(fault), separation, freeze].into_iter().flatten() {
+        let flood = (settings.floods_gateways && cluster.crowded().is_none())
+            .then(|| SoakFault::draw_flood(&mut added_random, settings.gateways));
+        for fault in [Some(fault), separation, freeze, flood].into_iter().flatten() {
             cluster.apply(&fault);
             faults.push((began.elapsed(), fault));
         }
--- a/crates/soak/src/settings.rs
+++ b/crates/soak/src/settings.rs
@@ -24,6 +24,12 @@
     pub limits_accounts: bool,
     /// Whether home gateways offer slots for items, and are frozen. Jobs have more items, and these take longer.
     pub offers_items: bool,
+    /// Whether targets have two versions of their software, and clients take broken streams up.
+    pub mixes_versions: bool,
+    /// Whether some requests have a prompt part that crashes targets.
+    pub crashes_parts: bool,
+    /// Whether most new connections come to one gateway at times, of which thousands stay open.
+    pub floods_gateways: bool,
     /// Number of clients that send online requests; a third as many send jobs.
     pub clients: u64,
 }
@@ -40,6 +46,9 @@
             evicts_gateways: false,
             limits_accounts: false,
             offers_items: false,
+            mixes_versions: false,
+            crashes_parts: false,
+            floods_gateways: false,
             clients: 6,
         }
     }
