Don't refuse an answered request for crashes that others caused

Callers of repeated requests would see 503 while another's requests crash targets. Cause: a complete answer cleared the interruptions only at the gateway that gave it, not at the one that counts them, so three crashes by others, however many answers between, counted as the request's own. Change: a request that was answered within 10 s isn't reported, counted or refused; a gateway that answered one objects to its refusal (request_cleared), which ends it everywhere. 1,024 answers are remembered.

--- a/crates/entry/src/online/crashes.rs
+++ b/crates/entry/src/online/crashes.rs
@@ -10,6 +10,9 @@
 
 /// Reports to the counting gateway that a target interrupted a request before any event of this attempt was passed on.
 pub fn report_interruption(node: &EntryNode, fingerprint: u64, target: &str) {
+    if node.crashes().is_proven(fingerprint, node.clock.mono()) {
+        return;
+    }
     match counting_gateway(node, fingerprint) {
         Some(vm) => {
             let message = PeerMessage::RequestBroke { fingerprint, target: target.to_owned() };
@@ -29,6 +32,18 @@
     node.peers.broadcast(&PeerMessage::RequestRefused { fingerprint });
 }
 
+/// Applies another gateway's refusal, unless this one has answered the request a short time ago.
+pub fn apply_refusal(node: &EntryNode, fingerprint: u64) {
+    let now = node.clock.mono();
+    let mut crashes = node.crashes();
+    if !crashes.is_proven(fingerprint, now) {
+        return crashes.refuse(fingerprint, now);
+    }
+    drop(crashes);
+    node.log.info("request_cleared", &[("fingerprint", &fingerprint)]);
+    node.peers.broadcast(&PeerMessage::RequestCleared { fingerprint });
+}
+
 /// The gateway that counts for the request or prompt part with this fingerprint; `None` when it is this one.
 pub(super) fn counting_gateway(node: &EntryNode, fingerprint: u64) -> Option<VmName> {
     let weight = |vm: &VmName| stable_hash64(&[&fingerprint.to_be_bytes(), vm.as_str().as_bytes()]);
--- a/crates/entry/src/online/relay.rs
+++ b/crates/entry/src/online/relay.rs
@@ -345,7 +345,7 @@
         match end {
             Ok(AttemptEnd::Complete(_)) => {
                 lease.set_outcome(Ok(()));
-                self.node.crashes().clear(self.request.fingerprint);
+                self.node.crashes().clear(self.request.fingerprint, self.now());
                 self.note_sound_parts(end);
                 self.note_latency(choice, began);
             }
--- a/crates/entry/src/peers/links.rs
+++ b/crates/entry/src/peers/links.rs
@@ -359,8 +359,9 @@
             crashes::count_interruption(node, fingerprint, &target);
         }
         PeerMessage::RequestRefused { fingerprint } => {
-            node.crashes().refuse(fingerprint, node.clock.mono());
+            crashes::apply_refusal(node, fingerprint);
         }
+        PeerMessage::RequestCleared { fingerprint } => node.crashes().end_refusal(fingerprint),
         PeerMessage::PartCrashed { part, target } => {
             part_crashes::count_crash(node, part, &target);
         }
--- a/crates/messages/src/peer.rs
+++ b/crates/messages/src/peer.rs
@@ -334,6 +334,11 @@
         /// Fingerprint of the request's path and body.
         fingerprint: u64,
     },
+    /// The sender has answered a refused request a short time ago: refuse it no more.
+    RequestCleared {
+        /// Fingerprint of the request's path and body.
+        fingerprint: u64,
+    },
     /// A target crashed under a request with this prompt part. The receiver counts these crashes for all
     /// gateways.
     PartCrashed {
@@ -587,6 +592,7 @@
             Self::JobProgress { .. } => "job_progress",
             Self::RequestBroke { .. } => "request_broke",
             Self::RequestRefused { .. } => "request_refused",
+            Self::RequestCleared { .. } => "request_cleared",
             Self::PartCrashed { .. } => "part_crashed",
             Self::PartRefused { .. } => "part_refused",
             Self::PartCleared { .. } => "part_cleared",
--- a/crates/relay/src/targets/crashes.rs
+++ b/crates/relay/src/targets/crashes.rs
@@ -13,6 +13,8 @@
 /// How long an interruption counts and how long a request stays refused. Clients resend such a
 /// request within seconds, and a new version of the targets may be able to run it.
 const CRASH_RETENTION: Duration = Duration::from_secs(60);
+/// Time for which an answer proves that a request does not crash targets.
+const PROOF_TIME: Duration = Duration::from_secs(10);
 /// Maximum number of requests remembered; the oldest are evicted first. Ten requests a second are
 /// interrupted in bad conditions.
 const MAX_CRASH_RECORDS: usize = 1_024;
@@ -31,6 +33,11 @@
     records: FastMap<u64, CrashRecord>,
     /// Fingerprints in insertion order.
     ages: VecDeque<u64>,
+    /// When requests were answered here.
+    proven: FastMap<u64, MonoTime>,
+    /// Fingerprints in the order in which they were first proven. Invariant: contains every key of
+    /// `proven`.
+    proven_ages: VecDeque<u64>,
     /// Refused requests, as determined by this or another gateway, with the end of the refusal.
     refused: FastMap<u64, MonoTime>,
 }
@@ -44,6 +51,9 @@
     /// Records that a target interrupted a request before its first event. Returns true if the
     /// request is refused from now on.
     pub fn note_interruption(&mut self, fingerprint: u64, target: &str, now: MonoTime) -> bool {
+        if self.is_proven(fingerprint, now) {
+            return false;
+        }
         self.expire(now);
         let record = self.records.entry(fingerprint).or_insert_with(|| {
             self.ages.push_back(fingerprint);
@@ -65,9 +75,27 @@
         self.refused.insert(fingerprint, now + CRASH_RETENTION);
     }
 
-    /// Discards the interruptions of a request after a target has run it: the request did not cause
-    /// them.
-    pub fn clear(&mut self, fingerprint: u64) {
+    /// Discards the interruptions of a request after a target has run it at `now`: the request did not
+    /// cause them.
+    pub fn clear(&mut self, fingerprint: u64, now: MonoTime) {
+        self.records.remove(&fingerprint);
+        if self.proven.insert(fingerprint, now).is_none() {
+            self.proven_ages.push_back(fingerprint);
+        }
+        while self.proven_ages.len() > MAX_CRASH_RECORDS {
+            let Some(oldest) = self.proven_ages.pop_front() else { return };
+            self.proven.remove(&oldest);
+        }
+    }
+
+    /// Whether a request was answered here so recently that interruptions are not its fault.
+    pub fn is_proven(&self, fingerprint: u64, now: MonoTime) -> bool {
+        self.proven.get(&fingerprint).is_some_and(|at| now.since(*at) < PROOF_TIME)
+    }
+
+    /// Ends the refusal of a request that another gateway knows to be sound.
+    pub fn end_refusal(&mut self, fingerprint: u64) {
+        self.refused.remove(&fingerprint);
         self.records.remove(&fingerprint);
     }
 
--- a/crates/relay/tests/crashes.rs
+++ b/crates/relay/tests/crashes.rs
@@ -32,7 +32,7 @@
         assert!(!table.note_interruption(request, "t1", at(now)));
     }
     assert!(!table.note_interruption(request, "t2", at(20)));
-    table.clear(request);
+    table.clear(request, at(25));
     assert!(!table.note_interruption(request, "t3", at(30)));
 }
 
@@ -47,3 +47,18 @@
     }
     assert!(!table.note_interruption(1, "t3", at(2)), "the oldest record was evicted");
 }
+
+/// Guards against a sound request that is refused for the crashes of others: it was answered at this gateway, and another
+/// one counts the interruptions.
+#[test]
+fn an_answered_request_is_not_interrupted_by_its_own_fault() {
+    let mut table = CrashTable::default();
+    table.clear(7, at(0));
+    for (target, now) in [("t1", 1_000), ("t2", 2_000), ("t3", 3_000)] {
+        assert!(!table.note_interruption(7, target, at(now)));
+    }
+    assert!(!table.is_proven(7, at(11_000)), "new software may not run it");
+    table.refuse(7, at(11_000));
+    table.end_refusal(7);
+    assert!(!table.is_refused(7, at(11_000)));
+}
