Tell a gateway that starts which requests are refused

Change: when a link comes up, the other gateway is told of up to 256 refused requests, each with the time left, which a link that flaps can't prolong.

--- a/crates/entry/src/peers/links.rs
+++ b/crates/entry/src/peers/links.rs
@@ -227,9 +227,8 @@
             node.peers.send(&peer.vm, hello);
             node.peers.send(&peer.vm, reports::first_report(node));
             node.peers.send(&peer.vm, demands::demand(node));
-            for message in
-                limits::known_shares(node).into_iter().chain(part_crashes::known_refusals(node))
-            {
+            let refusals = [crashes::known_refusals(node), part_crashes::known_refusals(node)];
+            for message in limits::known_shares(node).into_iter().chain(refusals.concat()) {
                 node.peers.send(&peer.vm, message);
             }
         }
@@ -358,8 +357,8 @@
         PeerMessage::RequestBroke { fingerprint, target } => {
             crashes::count_interruption(node, fingerprint, &target);
         }
-        PeerMessage::RequestRefused { fingerprint } => {
-            crashes::apply_refusal(node, fingerprint);
+        PeerMessage::RequestRefused { fingerprint, left_ms } => {
+            crashes::apply_refusal(node, fingerprint, left_ms);
         }
         PeerMessage::RequestCleared { fingerprint } => node.crashes().end_refusal(fingerprint),
         PeerMessage::PartCrashed { part, target } => {
--- a/crates/messages/src/peer.rs
+++ b/crates/messages/src/peer.rs
@@ -333,6 +333,9 @@
     RequestRefused {
         /// Fingerprint of the request's path and body.
         fingerprint: u64,
+        /// For how much longer, milliseconds; `None` for the usual time.
+        #[serde(default)]
+        left_ms: Option<u64>,
     },
     /// The sender has answered a refused request a short time ago: refuse it no more.
     RequestCleared {
--- a/crates/relay/src/targets/crashes.rs
+++ b/crates/relay/src/targets/crashes.rs
@@ -71,8 +71,19 @@
 
     /// Refuses a request from now on.
     pub fn refuse(&mut self, fingerprint: u64, now: MonoTime) {
+        self.refuse_for(fingerprint, CRASH_RETENTION, now);
+    }
+
+    /// Refuses a request for a time, at most the usual one.
+    pub fn refuse_for(&mut self, fingerprint: u64, left: Duration, now: MonoTime) {
         self.records.remove(&fingerprint);
-        self.refused.insert(fingerprint, now + CRASH_RETENTION);
+        self.refused.insert(fingerprint, now + left.min(CRASH_RETENTION));
+    }
+
+    /// Refused requests, each with the time for which it is refused: at most `max` of them.
+    pub fn refusals(&self, max: usize, now: MonoTime) -> impl Iterator<Item = (u64, Duration)> {
+        let refused = self.refused.iter().filter(move |(_, until)| now < **until);
+        refused.take(max).map(move |(fingerprint, until)| (*fingerprint, until.since(now)))
     }
 
     /// Discards the interruptions of a request after a target has run it at `now`: the request did not
