--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod policy;
 pub mod schedule;
 pub mod simulation;
+pub mod study;
 pub mod target;
 
 /// The types that most users of this crate need.
@@ -23,5 +24,10 @@
         },
         policy::SelectionPolicy,
         simulation::Simulation,
+        study::{
+            crashing_part::{CrashingPartOutcome, CrashingPartStudy},
+            crowded_gateway::{CrowdedGatewayOutcome, CrowdedGatewayStudy},
+            taken_up::{TakenUpOutcome, TakenUpStudy},
+        },
     };
 }
--- /dev/null
+++ b/crates/lab/src/study/crashing_part.rs
@@ -0,0 +1,396 @@
+//! Prompt parts that crash targets, among sound requests and crashes of other causes.
+
+use std::time::Duration;
+
+use notch_relay::prelude::*;
+use notch_types::prelude::*;
+use rand::{RngExt, SeedableRng, rngs::SmallRng};
+use serde::Serialize;
+
+use crate::schedule::EventSchedule;
+
+/// Part that all requests share.
+const COMMON_PART: u64 = 1;
+/// First of the parts of which each sound request has one.
+const FIRST_SOUND_PART: u64 = 100;
+const SOUND_PARTS: u64 = 24;
+/// First of the parts that crash targets.
+const FIRST_GUILTY_PART: u64 = 10;
+/// One-way delay of messages between gateways.
+const MESSAGE_DELAY: Duration = Duration::from_millis(3);
+/// Time for which a target is down after a crash.
+const DOWN_TIME: Duration = Duration::from_secs(2);
+/// Duration of a whole answer.
+const ANSWER_TIME: Duration = Duration::from_millis(600);
+/// Latest first event of an attempt that begins in time.
+const FIRST_EVENT: Duration = Duration::from_millis(60);
+const MAX_ATTEMPTS: u32 = 2;
+/// Targets tried for one attempt when those chosen first are down.
+const MAX_TRIES: u32 = 5;
+/// Crash after which the part must be refused, and the time from it on that counts.
+const CRASHES_ALLOWED: usize = 5;
+const WINDOW: Duration = Duration::from_secs(3);
+
+/// Settings of the study.
+#[derive(Debug, Clone)]
+pub struct CrashingPartStudy {
+    /// Whether gateways refuse prompt parts, as they do in production.
+    pub refuses_parts: bool,
+    /// Number of gateways.
+    pub gateways: usize,
+    /// Number of targets.
+    pub targets: usize,
+    /// Length.
+    pub length: Duration,
+    /// Sound requests per second.
+    pub sound_rate: f64,
+    /// Requests with a guilty part per second, all parts together.
+    pub guilty_rate: f64,
+    /// Number of guilty parts.
+    pub guilty_parts: u64,
+    /// Probability that the answer of an attempt is lost though its target is sound.
+    pub loss: f64,
+    /// Time between two crashes of several targets at once for other reasons; zero for none.
+    pub crash_interval: Duration,
+}
+
+impl Default for CrashingPartStudy {
+    fn default() -> Self {
+        Self {
+            refuses_parts: true,
+            gateways: 4,
+            targets: 18,
+            length: Duration::from_secs(60),
+            sound_rate: 80.0,
+            guilty_rate: 12.0,
+            guilty_parts: 1,
+            loss: 0.03,
+            crash_interval: Duration::from_secs(12),
+        }
+    }
+}
+
+/// Figures of one run.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
+pub struct CrashingPartOutcome {
+    /// Targets that crashed under a guilty part.
+    pub crashes: usize,
+    /// Runs with a guilty part later than 3 s after its fifth crash, for the worst part.
+    pub late_sends: usize,
+    /// Sound requests.
+    pub sound: usize,
+    /// Sound requests that began at their first attempt.
+    pub sound_begun: usize,
+    /// Sound requests later than 6 s after the fifth crash of any guilty part.
+    pub sound_late: usize,
+    /// Those of them that began at their first attempt.
+    pub sound_late_begun: usize,
+    /// Sound requests refused for a part.
+    pub sound_refused: usize,
+}
+
+#[derive(Debug, Clone)]
+struct StudyRequest {
+    gateway: usize,
+    parts: Vec<u64>,
+    is_guilty: bool,
+    attempts: u32,
+}
+
+#[derive(Debug)]
+enum StudyMessage {
+    Crashed { part: u64, target: String },
+    Refused(PartRefusal),
+    Cleared(u64),
+    ProbeAsk(PartRefusal, usize),
+    ProbeGranted(u64),
+}
+
+#[derive(Debug)]
+enum StudyEvent {
+    SoundArrival,
+    GuiltyArrival,
+    Attempt { request: usize },
+    End { run: usize },
+    OtherCrashes,
+    Message { to: usize, message: StudyMessage },
+}
+
+#[derive(Debug)]
+struct StudyRun {
+    request: usize,
+    target: usize,
+    since: MonoTime,
+    is_over: bool,
+    is_lost: bool,
+    is_probe: bool,
+}
+
+#[derive(Debug, Clone, Default)]
+struct StudyTarget {
+    incarnation: u32,
+    up_from: MonoTime,
+    runs: Vec<usize>,
+}
+
+#[derive(Debug)]
+struct Population<'a> {
+    study: &'a CrashingPartStudy,
+    random: SmallRng,
+    schedule: EventSchedule<StudyEvent>,
+    tables: Vec<PartCrashTable>,
+    targets: Vec<StudyTarget>,
+    requests: Vec<StudyRequest>,
+    runs: Vec<StudyRun>,
+    /// Times of the crashes under each guilty part.
+    crashes: FastMap<u64, Vec<MonoTime>>,
+    outcome: CrashingPartOutcome,
+}
+
+impl CrashingPartStudy {
+    /// Runs the study; a seed gives the same outcome each time.
+    pub fn run(&self, seed: u64) -> CrashingPartOutcome {
+        let mut population = Population {
+            study: self,
+            random: SmallRng::seed_from_u64(seed),
+            schedule: EventSchedule::default(),
+            tables: (0..self.gateways).map(|_| PartCrashTable::default()).collect(),
+            targets: vec![StudyTarget::default(); self.targets],
+            requests: Vec::new(),
+            runs: Vec::new(),
+            crashes: FastMap::default(),
+            outcome: CrashingPartOutcome::default(),
+        };
+        population.play();
+        population.outcome
+    }
+}
+
+impl Population<'_> {
+    fn play(&mut self) {
+        // Sound requests come first, so that their parts are known.
+        self.schedule.add(Duration::ZERO, StudyEvent::SoundArrival);
+        if self.study.guilty_parts > 0 {
+            self.schedule.add(Duration::from_secs(5), StudyEvent::GuiltyArrival);
+        }
+        if !self.study.crash_interval.is_zero() {
+            self.schedule.add(self.study.crash_interval, StudyEvent::OtherCrashes);
+        }
+        let end = MonoTime::default() + self.study.length;
+        while let Some(event) = self.schedule.next_event() {
+            if self.schedule.now() > end {
+                return;
+            }
+            self.handle(event);
+        }
+    }
+
+    fn handle(&mut self, event: StudyEvent) {
+        match event {
+            StudyEvent::SoundArrival => {
+                let gap = self.gap(self.study.sound_rate);
+                self.schedule.add(gap, StudyEvent::SoundArrival);
+                let part = FIRST_SOUND_PART + self.random.random_range(0..SOUND_PARTS);
+                self.outcome.sound += 1;
+                if self.counts_late() {
+                    self.outcome.sound_late += 1;
+                }
+                self.arrive(vec![COMMON_PART, part], false);
+            }
+            StudyEvent::GuiltyArrival => {
+                let gap = self.gap(self.study.guilty_rate);
+                self.schedule.add(gap, StudyEvent::GuiltyArrival);
+                let part = FIRST_GUILTY_PART + self.random.random_range(0..self.study.guilty_parts);
+                self.arrive(vec![COMMON_PART, part], true);
+            }
+            StudyEvent::Attempt { request } => self.attempt(request),
+            StudyEvent::End { run } => self.end(run),
+            StudyEvent::OtherCrashes => {
+                self.schedule.add(self.study.crash_interval, StudyEvent::OtherCrashes);
+                for _ in 0..self.study.targets / 5 {
+                    let target = self.random.random_range(0..self.targets.len());
+                    self.crash(target);
+                }
+            }
+            StudyEvent::Message { to, message } => self.receive(to, message),
+        }
+    }
+
+    fn gap(&mut self, rate: f64) -> Duration {
+        let draw: f64 = self.random.random();
+        Duration::from_secs_f64((-(1.0 - draw).ln() / rate).min(10.0))
+    }
+
+    /// Whether sound requests that arrive now count as late: after the fifth crash and twice the window.
+    fn counts_late(&self) -> bool {
+        let now = self.schedule.now();
+        let fifth = |times: &Vec<MonoTime>| times.get(CRASHES_ALLOWED - 1).copied();
+        self.crashes.values().filter_map(fifth).any(|at| now.since(at) > 2 * WINDOW)
+    }
+
+    fn arrive(&mut self, parts: Vec<u64>, is_guilty: bool) {
+        let gateway = self.random.random_range(0..self.study.gateways);
+        let request = self.requests.len();
+        self.requests.push(StudyRequest { gateway, parts, is_guilty, attempts: 0 });
+        self.schedule.add(Duration::ZERO, StudyEvent::Attempt { request });
+    }
+
+    fn attempt(&mut self, number: usize) {
+        let now = self.schedule.now();
+        let request = self.requests[number].clone();
+        let mut is_probe = false;
+        if self.study.refuses_parts {
+            match self.tables[request.gateway].admit(&request.parts, now) {
+                PartAdmission::Admitted => {}
+                PartAdmission::Probe => is_probe = true,
+                PartAdmission::Refused { part, asks_probe, .. } => {
+                    self.outcome.sound_refused += usize::from(!request.is_guilty);
+                    if asks_probe {
+                        self.ask_probe(request.gateway, part);
+                    }
+                    return;
+                }
+            }
+        }
+        let target = (0..MAX_TRIES).find_map(|_| {
+            let target = self.random.random_range(0..self.targets.len());
+            (self.targets[target].up_from <= now).then_some(target)
+        });
+        let Some(target) = target else { return };
+        self.requests[number].attempts += 1;
+        let is_lost = !request.is_guilty && self.random.random_bool(self.study.loss);
+        let time = match (request.is_guilty, is_lost) {
+            (true, _) => Duration::from_millis(self.random.random_range(30..110)),
+            (false, true) => Duration::from_millis(self.random.random_range(20..50)),
+            (false, false) => ANSWER_TIME,
+        };
+        let run = self.runs.len();
+        let (request, since, is_over) = (number, now, false);
+        self.runs.push(StudyRun { request, target, since, is_over, is_lost, is_probe });
+        self.targets[target].runs.push(run);
+        self.schedule.add(time, StudyEvent::End { run });
+        self.note_send(number);
+    }
+
+    fn note_send(&mut self, number: usize) {
+        let now = self.schedule.now();
+        let request = &self.requests[number];
+        if !request.is_guilty {
+            return;
+        }
+        let fifth = self.crashes.get(&request.parts[1]).and_then(|c| c.get(CRASHES_ALLOWED - 1));
+        if fifth.is_some_and(|at| now.since(*at) > WINDOW) {
+            self.outcome.late_sends += 1;
+        }
+    }
+
+    fn end(&mut self, number: usize) {
+        if std::mem::replace(&mut self.runs[number].is_over, true) {
+            return;
+        }
+        let now = self.schedule.now();
+        let StudyRun { request, target, is_lost, .. } = self.runs[number];
+        self.targets[target].runs.retain(|run| *run != number);
+        let StudyRequest { gateway, parts, is_guilty, attempts } = self.requests[request].clone();
+        if is_guilty {
+            self.crashes.entry(parts[1]).or_default().push(now);
+            self.outcome.crashes += 1;
+            let target_id = self.target_id(target);
+            self.crash(target);
+            self.interrupted(number, &target_id);
+            return;
+        }
+        if is_lost {
+            let target_id = self.target_id(target);
+            return self.interrupted(number, &target_id);
+        }
+        let is_late = self.counts_late();
+        self.outcome.sound_begun += usize::from(attempts == 1);
+        self.outcome.sound_late_begun += usize::from(attempts == 1 && is_late);
+        for part in self.tables[gateway].note_answer(&parts, now) {
+            self.broadcast(gateway, |_| StudyMessage::Cleared(part));
+        }
+    }
+
+    fn target_id(&self, target: usize) -> String {
+        format!("t{target}#{}", self.targets[target].incarnation)
+    }
+
+    /// Ends a target's incarnation and interrupts all its runs.
+    fn crash(&mut self, target: usize) {
+        let id = self.target_id(target);
+        let runs = std::mem::take(&mut self.targets[target].runs);
+        self.targets[target].incarnation += 1;
+        self.targets[target].up_from = self.schedule.now() + DOWN_TIME;
+        for run in runs {
+            if !std::mem::replace(&mut self.runs[run].is_over, true) {
+                self.interrupted(run, &id);
+            }
+        }
+    }
+
+    /// Reports an interrupted run, and makes the next attempt of its request.
+    fn interrupted(&mut self, number: usize, target: &str) {
+        let now = self.schedule.now();
+        let StudyRun { request, since, is_probe, .. } = self.runs[number];
+        let StudyRequest { gateway, parts, attempts, is_guilty } = self.requests[request].clone();
+        let has_begun = !is_guilty && now.since(since) > FIRST_EVENT;
+        if attempts == 1 && has_begun {
+            self.outcome.sound_begun += 1;
+            self.outcome.sound_late_begun += usize::from(self.counts_late());
+        }
+        for part in self.tables[gateway].suspects(&parts, now) {
+            let target = target.to_owned();
+            let counting = self.counting(part);
+            self.send(gateway, counting, StudyMessage::Crashed { part, target });
+        }
+        if attempts < MAX_ATTEMPTS && !has_begun && !is_probe {
+            self.schedule.add(Duration::from_millis(1), StudyEvent::Attempt { request });
+        }
+    }
+
+    fn counting(&self, part: u64) -> usize {
+        part as usize % self.study.gateways
+    }
+
+    fn ask_probe(&mut self, gateway: usize, part: u64) {
+        let now = self.schedule.now();
+        let Some(refusal) = self.tables[gateway].refusal(part, now) else { return };
+        let counting = self.counting(part);
+        self.send(gateway, counting, StudyMessage::ProbeAsk(refusal, gateway));
+    }
+
+    fn send(&mut self, from: usize, to: usize, message: StudyMessage) {
+        let delay = if from == to { Duration::ZERO } else { MESSAGE_DELAY };
+        self.schedule.add(delay, StudyEvent::Message { to, message });
+    }
+
+    fn broadcast(&mut self, from: usize, message: impl Fn(usize) -> StudyMessage) {
+        for to in (0..self.study.gateways).filter(|to| *to != from) {
+            self.send(from, to, message(to));
+        }
+    }
+
+    fn receive(&mut self, own: usize, message: StudyMessage) {
+        let now = self.schedule.now();
+        match message {
+            StudyMessage::Crashed { part, target } => {
+                if let Some(refusal) = self.tables[own].note_crash(part, &target, now) {
+                    self.broadcast(own, |_| StudyMessage::Refused(refusal));
+                }
+            }
+            StudyMessage::Refused(refusal) => {
+                if !self.tables[own].apply_refusal(refusal, now) {
+                    self.broadcast(own, |_| StudyMessage::Cleared(refusal.part));
+                }
+            }
+            StudyMessage::Cleared(part) => self.tables[own].clear(part),
+            StudyMessage::ProbeAsk(refusal, asker) => {
+                if self.tables[own].grant_probe(refusal, now) {
+                    self.send(own, asker, StudyMessage::ProbeGranted(refusal.part));
+                }
+            }
+            StudyMessage::ProbeGranted(part) => self.tables[own].note_granted(part, now),
+        }
+    }
+}
--- a/crates/magnolianotch/src/cli/args.rs
+++ b/crates/magnolianotch/src/cli/args.rs
@@ -391,7 +391,7 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "lab")]
 pub struct LabArgs {
-    /// the pattern; all of them when it isn't given
+    /// the pattern, or a study: crashing-part, crowded-gateway, taken-up-streams; all patterns when it isn't given
     #[argh(positional)]
     pub pattern: Option<String>,
     /// how many seeds, from 1 on (default 5)
--- a/crates/relay/src/connections.rs
+++ b/crates/relay/src/connections.rs
@@ -26,10 +26,10 @@
 }
 
 /// Increase of the share turned away with each further sample beyond the limit.
-const SHARE_INCREASE: f64 = 0.25;
+const SHARE_INCREASE: f64 = 0.15;
 /// Decrease of the share with each sample below half the limit. Slower than the increase, so that the
 /// share settles near what the process can't serve.
-const SHARE_DECREASE: f64 = 0.05;
+const SHARE_DECREASE: f64 = 0.015;
 /// Maximum share turned away: the rest shows whether the overload has ended.
 const MAX_SHARE: f64 = 0.95;
 
