Forgive requests interrupted by crashes under a prompt part

Callers of a sound request would be refused because it ran on three targets that a prompt part crashed, before anything had been answered. Cause: of one crash, the whole request and the part were each counted as if the other were sound. Change: when a part is refused, interruptions counted, and refusals begun, in the 10 s before are discarded at every gateway; for 3 s after, while crashed targets are down, interruptions aren't counted for whole requests. A request that itself crashes targets is counted anew after that.

--- a/crates/entry/src/online/crashes.rs
+++ b/crates/entry/src/online/crashes.rs
@@ -15,7 +15,8 @@
 
 /// Reports to the counting gateway that a target interrupted a request before any event of this attempt was passed on.
 pub fn report_interruption(node: &EntryNode, fingerprint: u64, target: &str) {
-    if node.crashes().is_proven(fingerprint, node.clock.mono()) {
+    let now = node.clock.mono();
+    if node.crashes().is_proven(fingerprint, now) || node.part_crashes().is_aftermath(now) {
         return;
     }
     match counting_gateway(node, fingerprint) {
--- a/crates/entry/src/online/part_crashes.rs
+++ b/crates/entry/src/online/part_crashes.rs
@@ -57,14 +57,21 @@
         ],
     );
     node.metrics.count(Counter::Event("prompt_parts_refused"));
+    if level == 0 {
+        node.crashes().forgive(node.clock.mono());
+    }
     node.peers.broadcast(&refused_message(refusal));
 }
 
 /// Applies another gateway's refusal, unless this one knows the part to be sound.
 pub fn apply_refusal(node: &EntryNode, part: u64, level: u32, left_ms: u64) {
     let refusal = PartRefusal { part, level, left: Duration::from_millis(left_ms) };
-    if !node.part_crashes().apply_refusal(refusal, node.clock.mono()) {
-        announce_cleared(node, part);
+    let now = node.clock.mono();
+    let is_applied = node.part_crashes().apply_refusal(refusal, now);
+    match is_applied {
+        true if level == 0 => node.crashes().forgive(now),
+        true => {}
+        false => announce_cleared(node, part),
     }
 }
 
--- a/crates/entry/tests/soak_options.rs
+++ b/crates/entry/tests/soak_options.rs
@@ -66,3 +66,19 @@
     let settings = SoakSettings { floods_gateways: true, folder, ..SoakSettings::default() };
     run_with_logs(settings);
 }
+
+/// Guards against a sound request that stays refused for the crashes of a prompt part: a gateway was not ready within 30 s
+/// after the faults of this seed.
+#[test]
+fn a_soak_of_all_options_breaks_no_guarantee() {
+    let folder = PathBuf::from("soak-all");
+    run_with_logs(SoakSettings {
+        seed: 100,
+        mixes_versions: true,
+        crashes_parts: true,
+        floods_gateways: true,
+        offers_items: true,
+        folder,
+        ..SoakSettings::default()
+    });
+}
--- a/crates/relay/src/targets/crashes.rs
+++ b/crates/relay/src/targets/crashes.rs
@@ -19,6 +19,9 @@
 /// interrupted in bad conditions.
 const MAX_CRASH_RECORDS: usize = 1_024;
 
+/// Time before the refusal of a prompt part from which interruptions are put down to that part.
+const FORGIVEN_TIME: Duration = Duration::from_secs(10);
+
 /// Interruptions of one request.
 #[derive(Debug)]
 struct CrashRecord {
@@ -104,6 +107,13 @@
         self.proven.get(&fingerprint).is_some_and(|at| now.since(*at) < PROOF_TIME)
     }
 
+    /// Discards the interruptions and refusals of a short time before `now`, when the prompt part was
+    /// found that crashed the targets.
+    pub fn forgive(&mut self, now: MonoTime) {
+        self.records.retain(|_, record| now.since(record.at) >= FORGIVEN_TIME);
+        self.refused.retain(|_, until| until.since(now) + FORGIVEN_TIME <= CRASH_RETENTION);
+    }
+
     /// Ends the refusal of a request that another gateway knows to be sound.
     pub fn end_refusal(&mut self, fingerprint: u64) {
         self.refused.remove(&fingerprint);
--- a/crates/relay/src/targets/part_crashes.rs
+++ b/crates/relay/src/targets/part_crashes.rs
@@ -31,6 +31,9 @@
 const PROBE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Minimum interval between two requests of this gateway for a probe.
 const ASK_INTERVAL: Duration = Duration::from_millis(100);
+/// Time after a refusal in which interruptions of other requests are put down to the part: the targets
+/// that crashed under it are down for some seconds.
+const AFTERMATH: Duration = Duration::from_secs(3);
 /// Time after the end of its pause for which a refused part is remembered while nobody sends it.
 const REFUSAL_RETENTION: Duration = Duration::from_secs(600);
 /// Maximum number of parts remembered for each purpose; the oldest are evicted first.
@@ -98,6 +101,8 @@
     proven_ages: VecDeque<u64>,
     series: FastMap<u64, CrashSeries>,
     refused: FastMap<u64, RefusedPart>,
+    /// When a part was last refused, or refused for longer; `None` before the first time.
+    refused_at: Option<MonoTime>,
 }
 
 impl PartCrashTable {
@@ -106,6 +111,11 @@
         !self.refused.is_empty()
     }
 
+    /// Whether targets may still be down that crashed under a refused part.
+    pub fn is_aftermath(&self, now: MonoTime) -> bool {
+        self.refused_at.is_some_and(|at| now.since(at) < AFTERMATH)
+    }
+
     /// Whether a request with these parts may run at `now`.
     pub fn admit(&mut self, parts: &[u64], now: MonoTime) -> PartAdmission {
         if self.refused.is_empty() {
@@ -211,6 +221,7 @@
         if (refused.level, refused.until) <= (level, until) {
             let (probed_until, granted_until) = (MonoTime::default(), MonoTime::default());
             *refused = RefusedPart { level, until, probed_until, granted_until, ..*refused };
+            self.refused_at = Some(now);
         }
         true
     }
--- a/crates/relay/tests/crashes.rs
+++ b/crates/relay/tests/crashes.rs
@@ -62,3 +62,20 @@
     table.end_refusal(7);
     assert!(!table.is_refused(7, at(11_000)));
 }
+
+/// Guards against sound requests that stay refused for the crashes of a prompt part that was found a moment later.
+#[test]
+fn the_victims_of_a_prompt_part_are_forgiven() {
+    let mut table = CrashTable::default();
+    for (target, now) in [("t1", 50_000), ("t2", 50_100), ("t3", 50_200)] {
+        table.note_interruption(7, target, at(now));
+        table.note_interruption(8, target, at(now - 30_000));
+    }
+    table.note_interruption(9, "t1", at(50_300));
+    assert!(table.is_refused(7, at(50_400)) && table.is_refused(8, at(50_400)));
+    table.forgive(at(50_400));
+    assert!(!table.is_refused(7, at(50_400)));
+    assert!(table.is_refused(8, at(50_400)), "refused long before");
+    assert!(!table.note_interruption(9, "t2", at(50_500)), "its count begins anew");
+    assert!(!table.note_interruption(9, "t3", at(50_600)));
+}
