Let a stream that a client takes up wait for a slot of its version

Callers of streams that they had taken up would be refused at once while the targets of their version were full, although they don't return. Change: they wait up to a second, as an interrupted stream does here; one whose version is gone is still refused at once.

--- a/crates/entry/src/online/relay.rs
+++ b/crates/entry/src/online/relay.rs
@@ -196,9 +196,10 @@
                 if self.is_version_gone() {
                     return self.give_up(VERSION_GONE).await;
                 }
-                // Only an answer that has begun waits for a slot. A new request is refused at once, with a
-                // retry delay.
-                if !self.head_sent || now.since(since) > NO_SLOT_TIMEOUT {
+                // Only a stream that has begun, here or at another gateway, waits for a slot: its client may not
+                // return. A new request is refused at once, with a retry delay.
+                let has_begun = self.head_sent || self.version.is_some();
+                if !has_begun || now.since(since) > NO_SLOT_TIMEOUT {
                     return self.give_up("no_place").await;
                 }
                 task::sleep(NO_SLOT_RETRY_INTERVAL).await;
