Begin a returning limiter without credit in the same window

Change: a gateway's limiter of an account begins with credit once in a window; when it returns earlier it has what is handed over and what it earns.

--- a/crates/relay/src/accounts/limiter.rs
+++ b/crates/relay/src/accounts/limiter.rs
@@ -45,6 +45,8 @@
     since: MonoTime,
     /// When the set of gateways was last refreshed.
     refreshed_at: Option<MonoTime>,
+    /// When limiters that moved here last began with credit from the tolerance.
+    begun_at: FastMap<AccountName, MonoTime>,
     /// Cache of the limiters of accounts in the current view.
     limiters: FastMap<AccountName, Option<VmName>>,
 }
@@ -91,6 +93,7 @@
             }
         }
         self.limiters.clear();
+        self.begun_at.retain(|_, at| now.since(*at) < self.tolerance.window);
         self.view = view;
         self.since = now;
         handovers
@@ -112,9 +115,18 @@
 
     fn bucket(&mut self, account: &AccountName, limit: AccountLimit) -> &mut CreditBucket {
         let since = self.since;
-        let bucket = self.buckets.entry(account.clone());
-        let begin = self.tolerance.initial_credit(limit, held_credit(limit));
-        bucket.or_insert_with(|| CreditBucket::new(limit, begin, since))
+        let tolerance = self.tolerance;
+        let begun_at = &mut self.begun_at;
+        self.buckets.entry(account.clone()).or_insert_with(|| {
+            // The tolerance covers one begin of each limiter in a window, however often it moves away and back.
+            let is_first =
+                begun_at.get(account).is_none_or(|at| since.since(*at) >= tolerance.window);
+            if is_first {
+                begun_at.insert(account.clone(), since);
+            }
+            let credit = tolerance.initial_credit(limit, held_credit(limit));
+            CreditBucket::new(limit, if is_first { credit } else { 0.0 }, since)
+        })
     }
 
     /// Whether enough gateways are heard from for limiters to exist.
--- a/crates/relay/tests/accounts.rs
+++ b/crates/relay/tests/accounts.rs
@@ -201,6 +201,23 @@
     assert_eq!(admitted, 39);
 }
 
+/// Guards against an account that exceeds its limit because its limiter moves away and back several times in a window, and
+/// begins each time with credit that the tolerance allows once.
+#[test]
+fn a_limiter_that_returns_in_a_window_begins_without_credit() {
+    let mut table = LimiterTable::new(TOLERANCE);
+    let mut begin = |now| {
+        table.set_view(&vm(1), alone(2), at(now));
+        table.set_view(&vm(1), alone(1), at(now));
+        let granted =
+            |_: &usize| table.grant(&account(), LIMIT, 1, at(now)) == CreditAnswer::Granted(1);
+        (0..100).take_while(granted).count()
+    };
+    assert!(begin(10_000) > 0, "the tolerance covers one begin");
+    assert_eq!(begin(12_000), 0);
+    assert!(begin(15_000) > 0, "in the next window");
+}
+
 /// Guards against a round trip for each request of an account far below its limit, and against each
 /// request of an account above its limit asking the limiter again.
 #[test]
