Count a crash whose report comes after its lease has lapsed

Cause found by reading: a busy VM's sidecar renews its lease late, the lot lapses without a cause, and the report of the crash that follows was dropped as late; so the item left again in company and unmarked, and its first crash never counted. Change: a late report of a crash marks its item, which from then on leaves alone; the next crash on another VM ends it. Measured: a_late_report_of_a_crash_still_marks_its_item failed before (three items left together) and passes.

--- a/crates/jobs/src/service/returns.rs
+++ b/crates/jobs/src/service/returns.rs
@@ -23,13 +23,18 @@
     ) {
         let fates = returns.into_iter().map(|back| {
             let key = back.key;
-            (key, self.take_return(now, back, effects))
+            (key, self.take_return(now, (&from, back), effects))
         });
         let fates: Vec<(ItemKey, ReportFate)> = fates.collect();
         self.answer_report(now, (from, call), ReportKind::Returns, fates, effects);
     }
 
-    fn take_return(&mut self, now: Now, back: ItemReturn, effects: &mut Effects) -> ReportFate {
+    fn take_return(
+        &mut self,
+        now: Now,
+        (from, back): (&VmName, ItemReturn),
+        effects: &mut Effects,
+    ) -> ReportFate {
         let ItemReturn { key, lot, attempt, .. } = back;
         let current = self.is_current(key, lot, attempt);
         let left = self.leave_lot(now, lot, key, attempt);
@@ -41,6 +46,9 @@
             return self.take_claimed_return(&back, holds, effects);
         }
         if !current {
+            if back.reason == ReturnReason::TargetCrashed {
+                self.note_late_crash(key, from);
+            }
             count(effects, Counter::Dropped(DropReason::LateAnswer));
             return ReportFate::Settled;
         }
@@ -73,6 +81,22 @@
         queue.set_place(item, ItemPlace::Waiting(now.mono));
     }
 
+    /// Marks an item that crashed a target after its lease had lapsed, as the sidecar of a crashed target may be late. The
+    /// attempt was counted when it lapsed.
+    fn note_late_crash(&mut self, key: ItemKey, vm: &VmName) {
+        let Some(state) = self.state.job(key.job) else { return };
+        let queue = self.owner.as_mut().and_then(|term| term.queues.get_mut(&key.job));
+        let Some(queue) = queue else { return };
+        let track = queue.track(state, key.item);
+        if !track.crashed_on.contains(vm) {
+            track.crashed_on.push(vm.clone());
+        }
+        if let Some(place @ ItemPlace::Waiting(_)) = queue.place(key.item) {
+            // Puts it among the suspects.
+            queue.set_place(key.item, place);
+        }
+    }
+
     fn take_crash(&mut self, now: Now, key: ItemKey, left: Option<LeftLot>, effects: &mut Effects) {
         let last = ItemOutcome::Failed {
             reason: RefusalReason::TargetFailed,
--- a/crates/jobs/tests/dispatch_failures.rs
+++ b/crates/jobs/tests/dispatch_failures.rs
@@ -141,6 +141,22 @@
     assert!(rig.service.state().is_quarantined(lot.items[1].fingerprint));
 }
 
+/// Guards against a poisonous item that takes down a third target: the report of its first crash came after its lease had
+/// lapsed and was dropped, so that the item left in company and without a mark.
+#[test]
+fn a_late_report_of_a_crash_still_marks_its_item() {
+    let mut rig = rig();
+    rig.submit(&submission(1, 5, true));
+    let lot = rig.pull_lot(0, 3).expect("a lot");
+    rig.advance(10_000);
+    rig.give_back(&lot, 1, ReturnReason::TargetCrashed, true);
+    let alone = rig.pull_lot(1, 3).expect("a suspect");
+    assert_eq!(alone.items.len(), 1, "a suspect leaves alone");
+    assert_eq!(alone.items[0].key.item, lot.items[1].key.item);
+    rig.give_back(&alone, 0, ReturnReason::TargetCrashed, true);
+    assert!(rig.service.state().is_quarantined(lot.items[1].fingerprint), "the second crash");
+}
+
 // Symptom: a few items that can never complete hold their job for ever.
 // Sequence: an item fails on each attempt; another comes back half done again and again.
 // Cause: failures count up to the job's limit and end in a result; stepping aside costs nothing.
