--- a/crates/relay/tests/accounts.rs
+++ b/crates/relay/tests/accounts.rs
@@ -205,6 +205,7 @@
 /// begins each time with credit that the tolerance allows once.
 #[test]
 fn a_limiter_that_returns_in_a_window_begins_without_credit() {
+    let alone = |candidate| LimiterView::new(PeerCounts::default(), vec![vm(candidate)]);
     let mut table = LimiterTable::new(TOLERANCE);
     let mut begin = |now| {
         table.set_view(&vm(1), alone(2), at(now));
