Break a stream off when the version that began it becomes uncertain

Found by reading the change as a newcomer: a client's take-up was refused when the target that began the stream had restarted under its name with other software, but a gateway's own next attempt went on at the version of the old entry, though the stream may have begun after the restart. Change: the relay keeps where the stream began, not the version alone, and looks at it before each attempt.

--- a/crates/entry/src/online/relay.rs
+++ b/crates/entry/src/online/relay.rs
@@ -95,9 +95,9 @@
     pub(crate) close: bool,
     /// The service. With a traffic split it is drawn once, so that all attempts go to the same one.
     service: String,
-    /// Software version that began the stream, at which alone it may go on; `None` before its first
+    /// Where the stream began, at whose software version alone it may go on; `None` before its first
     /// event.
-    version: Option<String>,
+    origin: Option<StreamOrigin>,
     /// Id of the last event that the client has: the last one passed on, or the one that it resumes after.
     pub(crate) last_event: Option<u64>,
     /// Number of events passed on.
@@ -117,7 +117,7 @@
     /// Whether the target of the current attempt has sent a part of the answer after a response head that it may send
     /// while the request is queued.
     pub(crate) has_begun: bool,
-    /// Whether its next attempt is the granted probe of a refused prompt part, or was admitted as such.
+    /// Whether the current attempt is the granted probe of a refused prompt part.
     is_part_probe: bool,
     /// Time until the next probe of the prompt part for which it is refused.
     refused_for: Duration,
@@ -149,7 +149,7 @@
             client,
             close,
             service,
-            version: None,
+            origin: None,
             last_event: request.last_event(),
             events: 0,
             head_sent: false,
@@ -191,6 +191,9 @@
                 self.refused_for = left;
                 return self.give_up(PART_REFUSED).await;
             }
+            if self.is_version_uncertain() {
+                return self.give_up(VERSION_UNKNOWN).await;
+            }
             let Some(choice) = self.choose_target().await else {
                 let since = *searching_since.get_or_insert(now);
                 if self.is_version_gone() {
@@ -198,7 +201,7 @@
                 }
                 // Only a stream that has begun, here or at another gateway, waits for a slot: its client may not
                 // return. A new request is refused at once, with a retry delay.
-                let has_begun = self.head_sent || self.version.is_some();
+                let has_begun = self.head_sent || self.origin.is_some();
                 if !has_begun || now.since(since) > NO_SLOT_TIMEOUT {
                     return self.give_up("no_place").await;
                 }
@@ -238,23 +241,18 @@
         let Some(origin) = origins::find(self.node, self.request, &self.service).await else {
             return false;
         };
-        self.service = origin.service;
-        self.version = Some(origin.version);
+        self.service.clone_from(&origin.service);
+        self.origin = Some(origin);
         true
     }
 
     /// Records where the stream began, before its first event is passed on, so that it is known when the client takes the
     /// stream up.
-    fn record_origin(&self, choice: &TargetChoice) {
+    fn record_origin(&self, origin: StreamOrigin) {
         if !self.request.route.resumable {
             return;
         }
         let Some(attempt) = self.request.resumes().or(self.request.attempt()) else { return };
-        let origin = StreamOrigin {
-            service: self.service.clone(),
-            version: choice.software_version.clone(),
-            target: choice.id.clone(),
-        };
         origins::note(self.node, self.request, attempt, origin);
     }
 
@@ -320,7 +318,7 @@
             work: WorkKind::Online,
             avoid: &self.avoid,
             queue: self.queue,
-            version: self.version.as_deref(),
+            version: self.origin.as_ref().map(|origin| origin.version.as_str()),
             prompt: &self.request.prompt,
         }
     }
@@ -396,7 +394,7 @@
         let non_repeatable = !self.request.route.may_repeat();
         let mut connection =
             self.node.pool.connect(&choice.id, choice.address, non_repeatable).await?;
-        if self.version.is_some() && choice.born > 0 {
+        if self.origin.is_some() && choice.born > 0 {
             connection.confirm_incarnation(choice.address, choice.born).await?;
         }
         let left = self.request.left(self.now());
@@ -496,18 +494,30 @@
     pub(crate) fn note_event_from(&mut self, choice: &TargetChoice) {
         let version = &choice.software_version;
         if self.event_versions.is_empty() {
-            self.record_origin(choice);
+            let began = self.origin.get_or_insert_with(|| StreamOrigin {
+                service: self.service.clone(),
+                version: version.clone(),
+                target: choice.id.clone(),
+            });
+            let began = began.clone();
+            self.record_origin(began);
         }
         if self.event_versions.last() != Some(version) {
             self.event_versions.push(version.clone());
         }
-        self.version.get_or_insert_with(|| version.clone());
     }
 
     /// Whether no target can continue the stream: none of its version accepts requests.
     fn is_version_gone(&self) -> bool {
-        let version = self.version.as_deref();
-        version.is_some_and(|version| !self.node.targets().has_version(&self.service, version))
+        let Some(StreamOrigin { service, version, .. }) = &self.origin else { return false };
+        !self.node.targets().has_version(service, version)
+    }
+
+    /// Whether the version that began the stream is not certain any more: its target has restarted under its name with
+    /// other software, possibly before the stream began.
+    fn is_version_uncertain(&self) -> bool {
+        let Some(StreamOrigin { version, target, .. }) = &self.origin else { return false };
+        self.node.targets().is_version_uncertain(target, version)
     }
 
     fn note_failure(&mut self, choice: &TargetChoice, failure: AttemptFailure) {
