Show that the soak's new checks find planted faults

Events of two versions in one answer, over a client's attempts and in a result; a part that goes on crashing targets; sound requests that aren't served. Test files only.

--- a/crates/soak/tests/checker.rs
+++ b/crates/soak/tests/checker.rs
@@ -126,3 +126,88 @@
     let kinds: Vec<PromiseKind> = check(&observations).iter().map(|broken| broken.kind).collect();
     assert_eq!(kinds, [kind]);
 }
+
+/// A whole answer whose two halves name the versions that wrote them.
+fn written_by(versions: [&str; 2]) -> Observation {
+    let event = |id: u64| {
+        let version = versions[usize::from(id > EVENTS / 2)];
+        format!("id: {id}\ndata: {} by {version}\n\n", marked_data("a", id))
+    };
+    Observation::Answered {
+        attempt: "a".to_owned(),
+        may_repeat: true,
+        status: 200,
+        named: Some("a".to_owned()),
+        body: (1..=EVENTS).map(event).collect(),
+        is_whole: true,
+    }
+}
+
+fn taken_up(version: &str) -> Observation {
+    let event = |id| format!("id: {id}\ndata: {} by {version}\n\n", marked_data("a-r1", id));
+    Observation::TakenUp {
+        attempt: "a-r1".to_owned(),
+        begun_by: "a".to_owned(),
+        last: EVENTS - 1,
+        status: 200,
+        body: event(EVENTS),
+        is_whole: true,
+    }
+}
+
+fn kinds(observations: &[Observation]) -> Vec<PromiseKind> {
+    check(observations).into_iter().map(|broken| broken.kind).collect()
+}
+
+/// Guards against a soak that would not notice a stream of two versions: in one answer, over a client's attempts, or in a
+/// result.
+#[test]
+fn events_of_two_versions_are_found() {
+    assert_eq!(kinds(&[written_by(["v1", "v1"]), taken_up("v1")]), []);
+    assert_eq!(kinds(&[written_by(["v1", "v2"])]), [PromiseKind::OneVersion]);
+    assert_eq!(
+        kinds(&[written_by(["v1", "v1"]), taken_up("v2")]),
+        [PromiseKind::OneVersion],
+        "over two attempts"
+    );
+    let mut mixed = result("j", 0);
+    let lines: Vec<String> = (1..=EVENTS)
+        .map(|id| {
+            let version = if id == 1 { "v1" } else { "v2" };
+            format!("{} by {version}", marked_data(&mixed.item, id))
+        })
+        .collect();
+    mixed.output = lines.join("\n");
+    let job = Observation::JobAccepted { job: "j".to_owned(), items: 1 };
+    assert_eq!(kinds(&[job, read(vec![mixed])]), [PromiseKind::OneVersion]);
+}
+
+fn poison_run(late: usize, disturbed: bool) -> Vec<Observation> {
+    let mut observations = Vec::new();
+    for number in 0..5 + late {
+        let attempt = format!("p{number}");
+        let seconds = if number < 5 { 1 } else { 10 };
+        let at = Duration::from_secs(seconds);
+        observations.push(Observation::SentPoison { attempt: attempt.clone(), gateway: 0 });
+        observations.push(Observation::Crashed { attempt, at });
+    }
+    if disturbed {
+        for (second, begins) in [(8, true), (9, false)] {
+            let at = Duration::from_secs(second);
+            observations.push(Observation::Disturbed { gateway: Some(0), at, begins });
+        }
+    }
+    observations
+}
+
+/// Guards against a soak that would not notice a prompt part that goes on crashing targets, or sound requests that are
+/// refused in its place.
+#[test]
+fn crashes_by_a_known_part_are_found() {
+    assert_eq!(kinds(&poison_run(3, false)), []);
+    assert_eq!(kinds(&poison_run(4, false)), [PromiseKind::NoMoreCrashes]);
+    assert_eq!(kinds(&poison_run(4, true)), [], "sent by a gateway that was disturbed");
+    let served = |served| Observation::SoundRequests { sent: 60, served };
+    assert_eq!(kinds(&[served(30)]), []);
+    assert_eq!(kinds(&[served(29)]), [PromiseKind::NoMoreCrashes]);
+}
