--- a/crates/soak/src/clients.rs
+++ b/crates/soak/src/clients.rs
@@ -12,7 +12,9 @@
 use notch_h1::prelude::WireReader;
 use notch_platform_standins::{
     SeenAnswer,
-    client::{StandInClient, key_line, named_attempt, post_on, seen_results},
+    client::{
+        StandInClient, key_line, named_attempt, post_on, prompt_lines, seen_results, take_up_lines,
+    },
     store::STEADY_KEY,
 };
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
@@ -86,13 +88,12 @@
         }
     }
 
-    /// Header lines that name the parts of the prompt: one that all share, `part` if given, and one of its own.
+    /// Header lines that name the parts of the prompt, where requests name them.
     fn prompt_lines(&self, attempt: &str, part: Option<&str>) -> String {
-        if !self.names_parts {
-            return String::new();
+        match self.names_parts {
+            true => prompt_lines(part, attempt),
+            false => String::new(),
         }
-        let part = part.map(|part| format!("{part}:50,")).unwrap_or_default();
-        format!("Model: m\r\nPrompt-Prefix: common:100,{part}{attempt}:9\r\n")
     }
 
     /// Sends requests with a prompt part that crashes targets, no two alike.
@@ -139,7 +140,7 @@
             let Some(had) = last else { return };
             let attempt = format!("{begun_by}-r{number}");
             let client = self.cluster.client(self.gateway(random));
-            let headers = format!("Last-Event-Id: {had}\r\nResumes: {begun_by}\r\n")
+            let headers = take_up_lines(begun_by, had)
                 + &key_line(&self.cluster.steady_key().text)
                 + &self.prompt_lines(begun_by, None);
             let sending =
