--- a/crates/relay/src/stream/origin.rs
+++ b/crates/relay/src/stream/origin.rs
@@ -5,8 +5,7 @@
 use notch_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
-/// Maximum number of streams remembered; the oldest are evicted first. A gateway begins 30 streams a
-/// second and remembers each for ten seconds, and twice as many on behalf of others.
+/// Maximum number of streams remembered; the oldest are evicted first.
 const MAX_ORIGINS: usize = 16_384;
 /// Maximum time for which a stream is remembered.
 const MAX_RETENTION: Duration = Duration::from_secs(120);
