--- a/crates/entry/src/front/connection_gate.rs
+++ b/crates/entry/src/front/connection_gate.rs
@@ -2,7 +2,7 @@
 
 use std::{
     sync::{
-        Mutex, MutexGuard, PoisonError,
+        Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicUsize, Ordering},
     },
     time::{Duration, Instant},
@@ -67,7 +67,7 @@
 }
 
 /// Measures by how much tasks are delayed, until the process ends.
-pub async fn measure_lag(node: std::sync::Arc<EntryNode>) {
+pub async fn measure_lag(node: Arc<EntryNode>) {
     loop {
         let began = Instant::now();
         task::sleep(LAG_INTERVAL).await;
