--- a/crates/relay/tests/crashes.rs
+++ b/crates/relay/tests/crashes.rs
@@ -1,5 +1,7 @@
 //! Detection of requests that crash the targets running them.
 
+use std::time::Duration;
+
 use notch_relay::prelude::*;
 use notch_types::prelude::*;
 
@@ -79,3 +81,16 @@
     assert!(!table.note_interruption(9, "t2", at(50_500)), "its count begins anew");
     assert!(!table.note_interruption(9, "t3", at(50_600)));
 }
+
+/// Guards against requests with two refused parts that never run, as no request may probe two parts.
+#[test]
+fn one_request_probes_both_of_its_refused_parts() {
+    let mut table = PartCrashTable::default();
+    for part in [1, 2] {
+        table.apply_refusal(PartRefusal { part, level: 0, left: Duration::ZERO }, at(0));
+        table.note_granted(part, at(10));
+    }
+    assert_eq!(table.admit(&[1, 2], at(20)), PartAdmission::Probe);
+    assert_eq!(table.note_answer(&[1, 2], at(500)), [1, 2]);
+    assert_eq!(table.admit(&[1, 2], at(600)), PartAdmission::Admitted);
+}
