Let one request probe all of its refused parts

Cause: a request was the probe of one part at most; a second part that was granted as well refused it. Each part waited for a request without the other.

Change: a request runs as the probe of all its refused suspects once each is due and granted; gateways ask for them one after the other in the prompt's order, so that two gateways don't hold one each.

one_request_probes_both_of_its_refused_parts and requests_with_two_refused_parts_are_served_again failed before.

--- a/crates/relay/src/targets/suspects/table.rs
+++ b/crates/relay/src/targets/suspects/table.rs
@@ -102,9 +102,8 @@
         };
         // Gateways ask for the parts of a request one after the other, so that none waits for a probe that another one
         // can't use.
-        let blocking =
-            refused().enumerate().find(|(n, (_, refused))| *n > 0 || !refused.is_granted(now));
-        let Some((_, (suspect, _))) = blocking else {
+        let blocking = refused().find(|(_, refused)| !refused.is_granted(now));
+        let Some((suspect, _)) = blocking else {
             for suspect in suspects.iter() {
                 self.refused.get_mut(&suspect).into_iter().for_each(RefusedSuspect::use_grant);
             }
