The soak sends requests again that crash targets and share prompt parts with sound ones

--crash-requests: two requests come again and again, whole, one crashes targets before its first event and one after it; sound requests share a prompt part with each. From 3 s after a request's third crash, three more runs may be sent by gateways that were undisturbed for 3 s, and half of the sound requests after the faults must be served. The checker's test plants both faults for each culprit.

--- a/crates/entry/tests/soak_options.rs
+++ b/crates/entry/tests/soak_options.rs
@@ -59,6 +59,16 @@
     assert!(logs.contains("event=prompt_part_refused"), "the part was refused");
 }
 
+/// Guards against a request that comes again and crashes target after target while gateways are killed, stopped and frozen,
+/// and sound requests that share a prompt part with it.
+#[test]
+fn a_soak_with_crashing_requests_crashes_few_targets() {
+    let folder = PathBuf::from("soak-requests");
+    let settings = SoakSettings { crashes_requests: true, folder, ..SoakSettings::default() };
+    let logs = run_with_logs(settings);
+    assert!(logs.contains("event=request_crashes_targets"), "a request was refused");
+}
+
 /// Guards against broken guarantees at a gateway that gets most new connections, beside all other faults.
 #[test]
 fn a_soak_with_floods_of_connections_breaks_no_guarantee() {
--- a/crates/magnolianotch/src/cli/args.rs
+++ b/crates/magnolianotch/src/cli/args.rs
@@ -378,6 +378,10 @@
     /// whether some requests have a prompt part that crashes each target which begins to answer them
     #[argh(switch)]
     pub crash_parts: bool,
+    /// whether two requests that crash each target which begins to answer them come again and again, and share prompt
+    /// parts with sound ones
+    #[argh(switch)]
+    pub crash_requests: bool,
     /// whether most new connections come to one gateway for some seconds, of which a thousand stay open
     #[argh(switch)]
     pub flood_gateways: bool,
--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -11,9 +11,9 @@
 
 use crate::{
     config::REVOCATION_BOUND,
+    crash_check::CrashCheck,
     limited_accounts::QUOTA,
     observation::{Observation, SeenResult},
-    part_crash_check::PartCrashCheck,
 };
 
 /// Attempt name of all requests that check for a route.
@@ -38,7 +38,7 @@
     OwnAccount,
     /// All events of a stream, and of an item's result, are written by one version of the targets' software.
     OneVersion,
-    /// Requests with a prompt part that crashes targets no longer reach them, and sound ones do.
+    /// Requests that crash targets, or have a prompt part that does, no longer reach them, and sound ones do.
     NoMoreCrashes,
     /// No more requests of an account begin in any sliding window than its limit and the tolerance allow.
     WithinLimit,
@@ -89,7 +89,7 @@
     versions: FastMap<String, u64>,
     /// Versions of the software that wrote the events of each stream, by its first attempt.
     writers: FastMap<String, FastSet<String>>,
-    part_crashes: PartCrashCheck,
+    crashes: CrashCheck,
 }
 
 impl PromiseChecker {
@@ -123,12 +123,12 @@
                 }
                 self.check_taken_up((attempt, begun_by), *last, *status, body, *is_whole);
             }
-            Observation::SentPoison { attempt, gateway } => {
-                self.part_crashes.note_sent(attempt, *gateway);
+            Observation::SentPoison { attempt, gateway, culprit } => {
+                self.crashes.note_sent(attempt, *gateway, *culprit);
             }
-            Observation::Crashed { attempt, at } => self.part_crashes.note_crash(attempt, *at),
+            Observation::Crashed { attempt, at } => self.crashes.note_crash(attempt, *at),
             Observation::Disturbed { gateway, at, begins } => {
-                self.part_crashes.note_disturbance(*gateway, *at, *begins);
+                self.crashes.note_disturbance(*gateway, *at, *begins);
             }
             Observation::SoundRequests { sent, served } => {
                 if served * 2 < *sent {
@@ -274,7 +274,7 @@
                 self.add(PromiseKind::WithinLimit, format!("{account}: {excess:?}"));
             }
         }
-        if let Some(detail) = self.part_crashes.excess() {
+        for detail in self.crashes.excesses() {
             self.add(PromiseKind::NoMoreCrashes, detail);
         }
         for (job, items) in std::mem::take(&mut self.jobs) {
--- a/crates/soak/src/clients.rs
+++ b/crates/soak/src/clients.rs
@@ -21,15 +21,15 @@
 
 use crate::{
     checker::PROBE,
-    cluster::{POISON_PART, SoakCluster, SoakKey},
+    cluster::{SoakCluster, SoakKey},
     limited_accounts::send_pause,
     observation::Observation,
 };
 
 /// Time-out of each call by a client.
-const CLIENT_TIMEOUT: Duration = Duration::from_secs(6);
+pub(crate) const CLIENT_TIMEOUT: Duration = Duration::from_secs(6);
 /// Longest pause between two requests of a client.
-const MAX_PAUSE_MS: u64 = 40;
+pub(crate) const MAX_PAUSE_MS: u64 = 40;
 /// Pause between two reads of a job's results, and between two attempts to submit a job.
 const JOB_RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// Number of recent configuration versions whose keys are drawn besides the permanent key.
@@ -40,8 +40,6 @@
 const CROWDED_SHARE: f64 = 0.9;
 /// Most attempts of a client to take a stream up.
 const MAX_TAKE_UPS: usize = 3;
-/// Longest pause between two requests that crash targets.
-const MAX_POISON_PAUSE_MS: u64 = 200;
 /// Most items of a job.
 const MAX_ITEMS: usize = 6;
 /// The same where slots are offered for items: more than the slots at the targets of one home.
@@ -72,15 +70,15 @@
 }
 
 impl ClientContext {
-    fn is_over(&self) -> bool {
+    pub(crate) fn is_over(&self) -> bool {
         self.is_over.load(Ordering::Acquire)
     }
 
-    fn random(&self, number: u64) -> SmallRng {
+    pub(crate) fn random(&self, number: u64) -> SmallRng {
         SmallRng::seed_from_u64(self.seed.wrapping_mul(1_000_003).wrapping_add(number))
     }
 
-    fn gateway(&self, random: &mut SmallRng) -> usize {
+    pub(crate) fn gateway(&self, random: &mut SmallRng) -> usize {
         let any = random.random_range(0..self.cluster.gateway_count());
         match self.cluster.crowded() {
             Some(crowded) if random.random_bool(CROWDED_SHARE) => crowded,
@@ -89,50 +87,13 @@
     }
 
     /// Header lines that name the parts of the prompt, where requests name them.
-    fn prompt_lines(&self, attempt: &str, part: Option<&str>) -> String {
+    pub(crate) fn prompt_lines(&self, attempt: &str, part: Option<&str>) -> String {
         match self.names_parts {
             true => prompt_lines(part, attempt),
             false => String::new(),
         }
     }
 
-    /// Sends requests with a prompt part that crashes targets, no two alike.
-    pub async fn send_poison(self, number: u64) {
-        let mut random = self.random(number);
-        let mut sent = 0;
-        while !self.is_over() {
-            sent += 1;
-            let (gateway, attempt) = (self.gateway(&mut random), format!("p{number}-{sent}"));
-            let headers = key_line(&self.cluster.steady_key().text)
-                + &self.prompt_lines(&attempt, Some(POISON_PART));
-            self.cluster.log.add(Observation::SentPoison { attempt: attempt.clone(), gateway });
-            let client = self.cluster.client(gateway);
-            let sending = client.post("/resume/x", &attempt, &headers, &attempt);
-            if let Ok(Some(answer)) = timeout(CLIENT_TIMEOUT, sending).await {
-                self.record_answer(&attempt, true, &answer);
-            }
-            task::sleep(Duration::from_millis(random.random_range(0..MAX_POISON_PAUSE_MS))).await;
-        }
-    }
-
-    /// Sends sound requests to all gateways in turn, and records how many were served.
-    pub async fn send_sound(&self, count: usize) {
-        let mut served = 0;
-        for number in 0..count {
-            let attempt = format!("sound-{number}");
-            let client = self.cluster.client(number % self.cluster.gateway_count());
-            let headers =
-                key_line(&self.cluster.steady_key().text) + &self.prompt_lines(&attempt, None);
-            let sending = client.post("/resume/x", &attempt, &headers, &attempt);
-            if let Ok(Some(answer)) = timeout(CLIENT_TIMEOUT, sending).await {
-                served += usize::from(answer.head.status == 200 && answer.is_whole);
-                self.record_answer(&attempt, true, &answer);
-            }
-            task::sleep(Duration::from_millis(MAX_PAUSE_MS)).await;
-        }
-        self.cluster.log.add(Observation::SoundRequests { sent: count, served });
-    }
-
     /// Takes a stream up that broke off, at any gateway, as long as it goes on and breaks off again.
     async fn take_up(&self, begun_by: &str, answer: SeenAnswer, random: &mut SmallRng) {
         let mut last = last_event(&answer.body);
@@ -238,7 +199,7 @@
         }
     }
 
-    fn record_answer(&self, attempt: &str, may_repeat: bool, answer: &SeenAnswer) {
+    pub(crate) fn record_answer(&self, attempt: &str, may_repeat: bool, answer: &SeenAnswer) {
         self.cluster.log.add(Observation::Answered {
             attempt: attempt.to_owned(),
             may_repeat,
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -22,6 +22,7 @@
 
 use crate::{
     config::{REVOCATION_BOUND, gateway_config},
+    culprit::CrashCulprit,
     fault::SoakFault,
     limited_accounts::{LIMITED_ACCOUNTS, QUOTA},
     observation::{Observation, ObservationLog},
@@ -41,8 +42,6 @@
 const FLOODED_DESCRIPTORS: u32 = 700;
 /// Prompt part that crashes targets.
 pub(crate) const POISON_PART: &str = "bad";
-/// How long a target is down after it crashed.
-const CRASH_DOWN_TIME: Duration = Duration::from_millis(800);
 /// Interval of checks while waiting for a process or a fault.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -69,8 +68,8 @@
     event_delay_ms: u64,
     /// Whether they have two versions of their software and name theirs in their events.
     names_version: bool,
-    /// Whether they crash under a prompt part.
-    crashes: bool,
+    /// What crashes them.
+    culprits: Vec<CrashCulprit>,
 }
 
 /// The cluster under test.
@@ -119,14 +118,15 @@
         let event_delay_ms = match settings {
             SoakSettings { offers_items: true, .. } => OFFERED_EVENT_DELAY_MS,
             SoakSettings { mixes_versions: true, .. }
-            | SoakSettings { crashes_parts: true, .. } => VERSIONED_EVENT_DELAY_MS,
+            | SoakSettings { crashes_parts: true, .. }
+            | SoakSettings { crashes_requests: true, .. } => VERSIONED_EVENT_DELAY_MS,
             _ => 0,
         };
         store.put("config", "main", configuration_with_probes_and(1, limited));
         let conduct = TargetConduct {
             event_delay_ms,
             names_version: settings.mixes_versions,
-            crashes: settings.crashes_parts,
+            culprits: settings.culprits(),
         };
         let mut targets = Vec::new();
         for number in 0..settings.targets {
@@ -466,9 +466,7 @@
     if conduct.names_version {
         target.name_version();
     }
-    if conduct.crashes {
-        target.crash_under(POISON_PART, CRASH_DOWN_TIME);
-    }
+    conduct.culprits.iter().for_each(|culprit| target.crash_on(culprit.target_crash()));
     let proxy = start_proxy(target.address).await;
     store.put("servers", &id, target.entry_at(proxy.address));
     TargetHandle { target, proxy, replacements }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -9,10 +9,12 @@
 pub mod clients;
 pub mod cluster;
 pub mod config;
+mod crash_check;
+mod crash_clients;
+pub mod culprit;
 pub mod fault;
 pub mod limited_accounts;
 pub mod observation;
-mod part_crash_check;
 pub mod process;
 pub mod proxy;
 pub mod run;
@@ -23,6 +25,7 @@
     pub use crate::{
         account_window::{AccountQuota, WindowExcess},
         checker::{BrokenPromise, PromiseKind, check},
+        culprit::CrashCulprit,
         observation::{Observation, SeenResult},
         run::{SoakReport, run_soak},
         settings::SoakSettings,
--- a/crates/soak/src/observation.rs
+++ b/crates/soak/src/observation.rs
@@ -7,6 +7,8 @@
 
 pub use notch_platform_standins::client::SeenResult;
 
+use crate::culprit::CrashCulprit;
+
 /// One observation by a client, by a target or by the soak test itself.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Observation {
@@ -63,12 +65,14 @@
         /// Whether the body was received to its end.
         is_whole: bool,
     },
-    /// A client is about to send a request with a prompt part that crashes targets.
+    /// A client is about to send a request that crashes targets.
     SentPoison {
         /// Id of the client's attempt.
         attempt: String,
         /// Index of the gateway.
         gateway: usize,
+        /// What of it crashes them.
+        culprit: CrashCulprit,
     },
     /// A target crashed under a request.
     Crashed {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -16,6 +16,7 @@
     checker::{BrokenPromise, check},
     clients::ClientContext,
     cluster::SoakCluster,
+    culprit::CrashCulprit,
     fault::SoakFault,
     observation::Observation,
     settings::SoakSettings,
@@ -63,7 +64,7 @@
         seed: settings.seed,
         offers_items: settings.offers_items,
         takes_up: settings.mixes_versions,
-        names_parts: settings.crashes_parts,
+        names_parts: settings.crashes_parts || settings.crashes_requests,
         is_over: Arc::new(AtomicBool::new(false)),
         requests: Arc::default(),
         jobs: Arc::default(),
@@ -84,11 +85,24 @@
     if settings.crashes_parts {
         clients.push(task::spawn(context.clone().send_poison(4_000)));
     }
+    if settings.crashes_requests {
+        for index in 0..CrashCulprit::REQUESTS {
+            let number = 5_000 + index as u64;
+            clients.push(task::spawn(context.clone().resend_poison(number, index)));
+            clients.push(task::spawn(context.clone().send_neighbours(number + 1_000, index)));
+        }
+    }
     let faults = inject_faults(settings, &cluster).await;
     cluster.heal().await;
     record_recovery(&context).await;
     if settings.crashes_parts {
-        context.send_sound(SOUND_REQUESTS).await;
+        context.send_sound(SOUND_REQUESTS, None).await;
+    }
+    if settings.crashes_requests {
+        for index in 0..CrashCulprit::REQUESTS {
+            let part = CrashCulprit::Request(index).shared_part();
+            context.send_sound(SOUND_REQUESTS, Some(&part)).await;
+        }
     }
     context.is_over.store(true, Ordering::Release);
     let ending = async {
--- a/crates/soak/src/settings.rs
+++ b/crates/soak/src/settings.rs
@@ -2,6 +2,8 @@
 
 use std::{path::PathBuf, time::Duration};
 
+use crate::culprit::CrashCulprit;
+
 /// Settings of a soak test.
 #[derive(Debug, Clone)]
 pub struct SoakSettings {
@@ -28,6 +30,8 @@
     pub mixes_versions: bool,
     /// Whether some requests have a prompt part that crashes targets.
     pub crashes_parts: bool,
+    /// Whether two requests that crash targets come again and again, and share prompt parts with sound ones.
+    pub crashes_requests: bool,
     /// Whether most new connections come to one gateway at times, of which thousands stay open.
     pub floods_gateways: bool,
     /// Number of clients that send online requests; a third as many send jobs.
@@ -48,8 +52,18 @@
             offers_items: false,
             mixes_versions: false,
             crashes_parts: false,
+            crashes_requests: false,
             floods_gateways: false,
             clients: 6,
         }
     }
 }
+
+impl SoakSettings {
+    /// What crashes targets.
+    pub(crate) fn culprits(&self) -> Vec<CrashCulprit> {
+        let part = self.crashes_parts.then_some(CrashCulprit::Part);
+        let requests = if self.crashes_requests { CrashCulprit::REQUESTS } else { 0 };
+        part.into_iter().chain((0..requests).map(CrashCulprit::Request)).collect()
+    }
+}
--- a/crates/soak/tests/checker.rs
+++ b/crates/soak/tests/checker.rs
@@ -182,13 +182,18 @@
     assert_eq!(kinds(&[job, read(vec![mixed])]), [PromiseKind::OneVersion]);
 }
 
-fn poison_run(late: usize, disturbed: bool) -> Vec<Observation> {
+fn poison_run(culprit: CrashCulprit, late: usize, disturbed: bool) -> Vec<Observation> {
     let mut observations = Vec::new();
-    for number in 0..5 + late {
+    let allowed = culprit.crashes_allowed();
+    for number in 0..allowed + late {
         let attempt = format!("p{number}");
-        let seconds = if number < 5 { 1 } else { 10 };
+        let seconds = if number < allowed { 1 } else { 10 };
         let at = Duration::from_secs(seconds);
-        observations.push(Observation::SentPoison { attempt: attempt.clone(), gateway: 0 });
+        observations.push(Observation::SentPoison {
+            attempt: attempt.clone(),
+            gateway: 0,
+            culprit,
+        });
         observations.push(Observation::Crashed { attempt, at });
     }
     if disturbed {
@@ -200,13 +205,16 @@
     observations
 }
 
-/// Guards against a soak that would not notice a prompt part that goes on crashing targets, or sound requests that are
-/// refused in its place.
+/// Guards against a soak that would not notice a prompt part or a request that goes on crashing targets, or sound requests
+/// that are refused in its place.
 #[test]
-fn crashes_by_a_known_part_are_found() {
-    assert_eq!(kinds(&poison_run(3, false)), []);
-    assert_eq!(kinds(&poison_run(4, false)), [PromiseKind::NoMoreCrashes]);
-    assert_eq!(kinds(&poison_run(4, true)), [], "sent by a gateway that was disturbed");
+fn crashes_by_a_known_culprit_are_found() {
+    for culprit in [CrashCulprit::Part, CrashCulprit::Request(0), CrashCulprit::Request(1)] {
+        let run = |late, disturbed| kinds(&poison_run(culprit, late, disturbed));
+        assert_eq!(run(3, false), []);
+        assert_eq!(run(4, false), [PromiseKind::NoMoreCrashes]);
+        assert_eq!(run(4, true), [], "sent by a gateway that was disturbed");
+    }
     let served = |served| Observation::SoundRequests { sent: 60, served };
     assert_eq!(kinds(&[served(30)]), []);
     assert_eq!(kinds(&[served(29)]), [PromiseKind::NoMoreCrashes]);
