--- a/crates/entry/src/accounts.rs
+++ b/crates/entry/src/accounts.rs
@@ -3,4 +3,5 @@
 pub mod admission;
 pub mod credit;
 pub mod freshness;
+pub mod proof_age;
 pub mod state;
--- a/crates/entry/src/accounts/freshness.rs
+++ b/crates/entry/src/accounts/freshness.rs
@@ -33,15 +33,6 @@
 /// Pause after no proof could be obtained, neither from a gateway nor from the store.
 const RENEW_RETRY_PAUSE: Duration = Duration::from_millis(500);
 
-/// Another gateway's answer about the age of its configuration proof.
-#[derive(Debug, Clone, Copy)]
-pub struct ProofAge {
-    /// The configuration version that was proved to be the newest one that long ago; 0 without a proof.
-    pub version: u64,
-    /// Age of its proof; `None` when it has none.
-    pub age: Option<Duration>,
-}
-
 /// Result of asking another gateway for a proof.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum ProofAnswer {
--- a/crates/entry/src/batch/ends.rs
+++ b/crates/entry/src/batch/ends.rs
@@ -7,7 +7,7 @@
 use notch_types::prelude::*;
 
 use crate::{
-    batch::records::{END_KIND, read_job, store_end},
+    batch::records::{read_job, store_end},
     constants::RETRY_AFTER,
     front::answer::OwnAnswer,
     node::EntryNode,
@@ -15,6 +15,7 @@
         call_cause::StoreCallCause,
         feed::{FeedPlan, FeedStart, follow},
         feed_event::FeedEvent,
+        object_kinds::END_KIND,
     },
 };
 
--- a/crates/entry/src/batch/limits.rs
+++ b/crates/entry/src/batch/limits.rs
@@ -27,13 +27,11 @@
     node::EntryNode,
     store::{
         call_cause::StoreCallCause,
+        object_kinds::SHARE_KIND,
         reply::{StoreFailure, StoreReply},
     },
 };
 
-/// Kind of the objects that hold the shares of a limit. Each object is named after its route.
-pub const SHARE_KIND: &str = "notch-limit-shares";
-
 /// Outcome of counting a job against a limit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LimitOutcome {
--- a/crates/entry/src/batch/records.rs
+++ b/crates/entry/src/batch/records.rs
@@ -20,18 +20,14 @@
 
 use crate::{
     constants::OBJECT_BYTES,
-    store::{call_cause::StoreCallCause, client::StoreClient, reply::StoreFailure},
+    store::{
+        call_cause::StoreCallCause,
+        client::StoreClient,
+        object_kinds::{END_KIND, JOB_KIND, PART_KIND, RESULT_KIND},
+        reply::StoreFailure,
+    },
 };
 
-/// Kind of jobs. Each object is named after the job's id.
-pub const JOB_KIND: &str = "notch-jobs";
-/// Kind of the parts of jobs that are too large for one object.
-pub const PART_KIND: &str = "notch-job-parts";
-/// Kind of results.
-pub const RESULT_KIND: &str = "notch-results";
-/// Kind of ends of jobs. Each object is named after its job.
-pub const END_KIND: &str = "notch-job-ends";
-
 /// A job as stored.
 #[derive(Debug)]
 pub struct StoredJob {
--- a/crates/entry/src/batch/stored_jobs.rs
+++ b/crates/entry/src/batch/stored_jobs.rs
@@ -4,11 +4,12 @@
 use notch_types::prelude::*;
 
 use crate::{
-    batch::records::{JOB_KIND, StoredJob},
+    batch::records::StoredJob,
     node::EntryNode,
     store::{
         call_cause::StoreCallCause,
         feed::{StorePath, list_all},
+        object_kinds::JOB_KIND,
         reply::StoreFailure,
     },
 };
--- a/crates/entry/src/online.rs
+++ b/crates/entry/src/online.rs
@@ -5,6 +5,7 @@
 pub mod fairness;
 mod give_up;
 pub mod lease;
+pub mod origin_reply;
 pub mod origins;
 pub mod relay;
 pub mod request;
--- a/crates/entry/src/online/origins.rs
+++ b/crates/entry/src/online/origins.rs
@@ -11,7 +11,11 @@
 use notch_relay::prelude::*;
 use notch_types::prelude::*;
 
-use crate::{node::EntryNode, online::request::OnlineRequest, peers::calls::CallEnd};
+use crate::{
+    node::EntryNode,
+    online::{origin_reply::OriginReply, request::OnlineRequest},
+    peers::calls::CallEnd,
+};
 
 /// Number of other gateways that remember a stream.
 const KEEPERS: usize = 2;
@@ -22,15 +26,6 @@
 /// Added to the client's deadline, as those of its attempts differ a little.
 const RETENTION_MARGIN: Duration = Duration::from_secs(5);
 
-/// Another gateway's answer.
-#[derive(Debug)]
-pub struct OriginReply {
-    /// Where the stream began.
-    pub origin: Option<StreamOrigin>,
-    /// What the other gateway knows of the versions of the service.
-    pub versions: VersionView,
-}
-
 /// Records that a stream has begun. `attempt` is the client attempt that got its first event.
 pub fn note(node: &EntryNode, request: &OnlineRequest, attempt: &str, origin: StreamOrigin) {
     let now = node.clock.mono();
--- a/crates/entry/src/peers/links.rs
+++ b/crates/entry/src/peers/links.rs
@@ -14,15 +14,13 @@
 use serde_json::value::RawValue;
 
 use crate::{
-    accounts::{
-        credit,
-        freshness::{self, ProofAge},
-    },
+    accounts::{credit, freshness, proof_age::ProofAge},
     batch::{bodies, ends, limits, ownership, reads, runner, takeover},
     constants::{GATEWAY_WATCH_PAUSE, STORE_PAUSE},
     node::EntryNode,
     online::{
-        origins::{self, OriginReply},
+        origin_reply::OriginReply,
+        origins,
         slots::{self, SlotRequest},
     },
     peers::{
--- a/crates/entry/src/peers/table.rs
+++ b/crates/entry/src/peers/table.rs
@@ -16,9 +16,9 @@
 use notch_types::prelude::*;
 
 use crate::{
-    accounts::freshness::ProofAge,
+    accounts::proof_age::ProofAge,
     constants::{ENTRIES_FRESH, FIRST_LINK_TIMEOUT, PEER_DEAD_AFTER, PEER_SILENT_AFTER},
-    online::origins::OriginReply,
+    online::origin_reply::OriginReply,
     peers::{
         calls::CallTable,
         catch_up::{AnswerBudget, CatchUp},
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -9,6 +9,7 @@
 pub mod feed_event;
 pub mod forwarding;
 pub mod live_feeds;
+pub mod object_kinds;
 pub mod outage;
 pub mod reply;
 pub mod retry;
--- a/crates/entry/src/store/call_cause.rs
+++ b/crates/entry/src/store/call_cause.rs
@@ -3,11 +3,8 @@
 use notch_platform_wire::store::{CONFIGURATION_KIND, RETIREMENT_KIND, TARGET_KIND, kind_of_path};
 
 use crate::{
-    batch::{
-        limits::SHARE_KIND,
-        records::{END_KIND, JOB_KIND, PART_KIND, RESULT_KIND},
-    },
     peers::registration::GATEWAY_KIND,
+    store::object_kinds::{END_KIND, JOB_KIND, PART_KIND, RESULT_KIND, SHARE_KIND},
 };
 
 /// Why a call to the store is made.
--- /dev/null
+++ b/crates/entry/src/store/object_kinds.rs
@@ -0,0 +1,12 @@
+//! Kinds of objects in the store that belong to jobs and limits.
+
+/// Kind of jobs. Each object is named after the job's id.
+pub const JOB_KIND: &str = "notch-jobs";
+/// Kind of the parts of jobs that are too large for one object.
+pub const PART_KIND: &str = "notch-job-parts";
+/// Kind of results.
+pub const RESULT_KIND: &str = "notch-results";
+/// Kind of ends of jobs. Each object is named after its job.
+pub const END_KIND: &str = "notch-job-ends";
+/// Kind of the objects that hold the shares of a limit. Each object is named after its route.
+pub const SHARE_KIND: &str = "notch-limit-shares";
