Count a crash whose news comes before the end of the connection

Callers saw: a request that crashes targets which restart at once under their name went to more of them than one that crashes others: where the feed told of the restart before the connection ended, the run counted neither against the request nor against its parts (found by reading).

Change: TargetRestarted may be a crash, too. a_run_whose_target_has_restarted_may_have_crashed_it failed before.

--- a/crates/relay/src/targets/failure.rs
+++ b/crates/relay/src/targets/failure.rs
@@ -71,9 +71,9 @@
     }
 
     /// Whether the request may have crashed the target: the connection closed while the request
-    /// ran.
+    /// ran, or the target is known to have restarted, which may be told before the connection ends.
     pub fn may_be_crash(self) -> bool {
-        matches!(self, Self::ClosedBeforeAnswer | Self::CutAnswer)
+        matches!(self, Self::ClosedBeforeAnswer | Self::CutAnswer | Self::TargetRestarted)
     }
 
     /// Whether the target sent nothing at all, so that it may be down or unreachable.
--- a/crates/relay/tests/crashes.rs
+++ b/crates/relay/tests/crashes.rs
@@ -266,3 +266,13 @@
     assert_eq!(told, AnswerFindings { cleared: Vec::new(), reported });
     assert_eq!(table.note_answer(sound, at(200)), AnswerFindings::default(), "once");
 }
+
+/// Guards against crashes that are not counted because the news of the target's restart comes before the end of its
+/// connections.
+#[test]
+fn a_run_whose_target_has_restarted_may_have_crashed_it() {
+    assert!(AttemptFailure::TargetRestarted.may_be_crash());
+    assert!(AttemptFailure::CutAnswer.may_be_crash());
+    assert!(!AttemptFailure::ConnectFailed.may_be_crash());
+    assert!(!AttemptFailure::TargetError.may_be_crash());
+}
