Count a crash against an item that a dying target cut

Seen: a_poison_item_fails_and_its_job_ends, beside load, crashed three targets instead of two at most in 1 of 10 runs.

A cause, of the same class as the users' incident: a dying target that answers one more probe makes the cut look like a connection that was hung up on. For an online request that end is told to all gateways as a crash, but an item's was taken as a lost target and counted for nothing; the crash that showed a moment later found nothing in flight. So the first target didn't count.

Change: an item that was cut is judged only at the second answer, 100 ms later; if the target is down or restarted by then, it crashed under the item. an_item_cut_by_a_dying_target_counts_as_a_crash failed before.

--- a/crates/gate/src/core/endings.rs
+++ b/crates/gate/src/core/endings.rs
@@ -67,6 +67,7 @@
     fn doubt(&mut self, state: &mut TargetState, run: AttemptId, effects: &mut Vec<GateEffect>) {
         state.release(run);
         state.doubtful.insert(run);
+        state.has_answered = false;
         if state.health == TargetHealth::Up {
             state.health = TargetHealth::Doubtful;
             effects.push(GateEffect::Probe { target: state.name.clone() });
@@ -92,12 +93,19 @@
             self.target_down(now, state, DownCause::Crashed, effects);
         }
         state.instance = instance.or(state.instance);
+        let is_first_answer = !std::mem::replace(&mut state.has_answered, true);
         let doubtful = std::mem::take(&mut state.doubtful);
-        if all_cut || !doubtful.is_empty() {
+        if all_cut || (is_first_answer && !doubtful.is_empty()) {
             state.up_from = now + self.settings.cut_pause;
             self.timers.set(state.up_from, TimerKind::Reprobe(state.name.clone()));
         }
         for run in doubtful {
+            // A dying target may answer once more. An item that is taken for hung up then would not count as what
+            // crashed it; an online request counts in either case.
+            if is_first_answer && self.is_item(run) {
+                state.doubtful.insert(run);
+                continue;
+            }
             self.settle_doubtful(now, state, run, RunVerdict::ByTarget(RunEnd::Cut), effects);
         }
         let is_down = matches!(state.health, TargetHealth::Down(_));
@@ -114,6 +122,10 @@
         }
     }
 
+    fn is_item(&self, run: AttemptId) -> bool {
+        self.runs.get(&run).is_some_and(|record| record.class == WorkClass::Batch)
+    }
+
     /// The target is gone or frozen: whatever was in flight is over.
     pub(crate) fn target_down(
         &mut self,
--- a/crates/gate/src/target_state.rs
+++ b/crates/gate/src/target_state.rs
@@ -93,8 +93,11 @@
     pub(crate) batch: BTreeSet<AttemptId>,
     /// Told to stop, not confirmed.
     pub(crate) stopping: BTreeSet<AttemptId>,
-    /// Cut, until the probe's answer. They hold no slot, but nothing starts meanwhile.
+    /// Cut, until the probe's answer; items until the second one. They hold no slot, but nothing starts
+    /// meanwhile.
     pub(crate) doubtful: BTreeSet<AttemptId>,
+    /// Whether the target has answered a probe since the last cut.
+    pub(crate) has_answered: bool,
     /// After a cut it counts as up only when it answers from then on.
     pub(crate) up_from: MonoTime,
     pub(crate) limits: ConcurrencyLimit,
@@ -122,6 +125,7 @@
             batch: BTreeSet::new(),
             stopping: BTreeSet::new(),
             doubtful: BTreeSet::new(),
+            has_answered: false,
             up_from: MonoTime::default(),
             reserve: OnlineReserve::default(),
             isolation: IsolationPhase::Idle,
--- a/crates/gate/tests/crashes.rs
+++ b/crates/gate/tests/crashes.rs
@@ -118,6 +118,38 @@
     }
 }
 
+/// Guards against an item whose first crash is not counted, because the dying target answers one more probe.
+#[test]
+fn an_item_cut_by_a_dying_target_counts_as_a_crash() {
+    let mut bench = Bench::new(still(), fixed(2));
+    bench.say(SidecarMessage::Lot(lot(1, &[item(1, 0)])));
+    let run = item_run(item(1, 0));
+    bench.end(run, RunEnd::Cut);
+    let answered = up(&mut bench);
+    assert!(returns(&answered).is_empty() && results(&answered).is_empty(), "{answered:?}");
+    let crash = down(&mut bench, DownCause::Crashed);
+    assert_eq!(suspects(&crash), Some((vec![fingerprint(1_000_000)], true)));
+    let back = returns(&crash);
+    assert_eq!(
+        back.iter().map(|item| item.reason).collect::<Vec<_>>(),
+        [ReturnReason::TargetCrashed]
+    );
+}
+
+/// Guards against an item that waits for good after its target hung up on it, and one that counts as a crash then.
+#[test]
+fn an_item_hung_up_on_by_a_living_target_ends_with_the_second_answer() {
+    let mut bench = Bench::new(still(), fixed(2));
+    bench.say(SidecarMessage::Lot(lot(1, &[item(1, 0)])));
+    bench.end(item_run(item(1, 0)), RunEnd::Cut);
+    up(&mut bench);
+    let mut effects = bench.pass(100);
+    assert!(effects.contains(&GateEffect::Probe { target: target() }), "{effects:?}");
+    effects.extend(up(&mut bench));
+    assert_eq!(results(&effects).len(), 1, "{effects:?}");
+    assert!(suspects(&effects).is_none() && returns(&effects).is_empty(), "{effects:?}");
+}
+
 #[test]
 fn the_next_suspect_is_not_blamed_for_a_target_that_was_dying() {
     // Symptom: an innocent request is quarantined.
