End a refusal that a gateway hears of after its end

Cause: one gateway announced the refusal, another that it was sound, and a third heard of them in the opposite order. It asked the counting gateway for a probe, which had cleared the suspect and went on answering it, so that it neither granted a probe nor said why. Parts could be refused for good in this way before, too; whole requests only since their refusals end by probes.

Change: the counting gateway answers such an ask with what it knows: sound. a_refusal_that_comes_after_its_end_is_ended_by_the_counting_gateway failed before.

--- a/crates/relay/src/targets/suspects/table.rs
+++ b/crates/relay/src/targets/suspects/table.rs
@@ -226,6 +226,10 @@
     ) -> ProbeReply {
         let suspect = refusal.suspect;
         if !self.refused.contains_key(&suspect) {
+            // The other gateway may have heard that the suspect is sound before it heard of the refusal.
+            if self.is_proven(suspect, now) {
+                return ProbeReply::Sound;
+            }
             self.apply_refusal(refusal, now);
         }
         match self.refused.get_mut(&suspect).map(|refused| refused.grant_probe(request, now)) {
--- a/crates/relay/tests/crashes.rs
+++ b/crates/relay/tests/crashes.rs
@@ -271,6 +271,22 @@
     assert_eq!(ask(&mut table, part, 1, at(6_000)), ProbeReply::Granted, "no other came");
 }
 
+/// Guards against a request that one gateway refuses for good, because it heard that the request is sound before it heard of
+/// the refusal, while the gateway that counts keeps answering it (soak of crashing requests, seed 1024).
+#[test]
+fn a_refusal_that_comes_after_its_end_is_ended_by_the_counting_gateway() {
+    let (mut counting, mut other) = (SuspectTable::default(), SuspectTable::default());
+    let suspect = CrashSuspect::Request(7);
+    let refusal = SuspectRefusal { suspect, level: 0, left: Duration::from_millis(500) };
+    other.clear(suspect);
+    other.apply_refusal(refusal, at(0));
+    counting.note_answer(request(7, &[]), at(900));
+    let asked = other.refusal(suspect, at(1_000)).expect("it is refused here");
+    assert_eq!(counting.grant_probe(asked, 7, at(1_000)), ProbeReply::Sound);
+    other.clear(suspect);
+    assert_eq!(other.admit(request(7, &[]), false, at(1_000)), SuspectAdmission::Admitted);
+}
+
 /// Guards against evidence that outlives an answer: the gateway that counts must hear of it.
 #[test]
 fn an_answer_after_a_reported_crash_is_told() {
