--- a/crates/entry/tests/soak_options.rs
+++ b/crates/entry/tests/soak_options.rs
@@ -71,6 +71,16 @@
     assert!(logs.contains("event=request_crashes_targets"), "a request was refused");
 }
 
+/// Guards against sound requests that stay refused because a probe of their part was broken off by the crash of another
+/// suspect's, or used by the guilty request after the counting gateways were killed.
+#[rstest]
+#[case(SoakSettings { seed: 2106, mixes_versions: true, offers_items: true, ..SoakSettings::default() })]
+#[case(SoakSettings { seed: 2308, limits_accounts: true, ..SoakSettings::default() })]
+fn a_soak_with_several_culprits_serves_sound_requests(#[case] settings: SoakSettings) {
+    let folder = PathBuf::from(format!("soak-culprits-{}", settings.seed));
+    run_with_logs(SoakSettings { crashes_parts: true, crashes_requests: true, folder, ..settings });
+}
+
 /// Guards against broken guarantees at a gateway that gets most new connections, beside all other faults.
 #[test]
 fn a_soak_with_floods_of_connections_breaks_no_guarantee() {
