--- a/crates/entry/tests/soak_options.rs
+++ b/crates/entry/tests/soak_options.rs
@@ -75,6 +75,7 @@
 /// suspect's, or used by the guilty request after the counting gateways were killed.
 #[rstest]
 #[case(SoakSettings { seed: 2106, mixes_versions: true, offers_items: true, ..SoakSettings::default() })]
+#[case(SoakSettings { seed: 2110, mixes_versions: true, offers_items: true, ..SoakSettings::default() })]
 #[case(SoakSettings { seed: 2308, limits_accounts: true, ..SoakSettings::default() })]
 fn a_soak_with_several_culprits_serves_sound_requests(#[case] settings: SoakSettings) {
     let folder = PathBuf::from(format!("soak-culprits-{}", settings.seed));
