Make each item a suspect of its own

Cause: items are counted by path and body since they are suspects. All items with one body were one suspect; when one of them was interrupted at three targets and at its probes, all waited for the next probe, 30 s.

Change: an item is identified by its job and id.

--- a/crates/entry/src/batch/item_run.rs
+++ b/crates/entry/src/batch/item_run.rs
@@ -71,7 +71,7 @@
     let has_begun = progress.events > 0;
     lease.set_evidence(AttemptEvidence { fingerprint, result, has_begun });
     drop(lease);
-    note_suspects(&node, &start.item, &choice, outcome.as_ref(), progress.last_event);
+    note_suspects(&node, &start, &choice, outcome.as_ref(), progress.last_event);
     let mut end = item_end(outcome.as_ref());
     if has_uncertain_events(&node, &start, &choice, &end) {
         progress.events = 0;
@@ -123,13 +123,13 @@
 /// target.
 fn note_suspects(
     node: &EntryNode,
-    item: &ItemSpec,
+    start: &ItemStart,
     choice: &TargetChoice,
     outcome: Option<&Result<u16, AttemptFailure>>,
     reached: Option<u64>,
 ) {
-    let prompt = item_prompt(item);
-    let suspects = item_suspects(item, &prompt);
+    let prompt = item_prompt(&start.item);
+    let suspects = item_suspects(&start.job, &start.item, &prompt);
     match outcome {
         Some(Ok(200..300)) => node.suspects().note_answer(suspects),
         Some(Err(failure)) if failure.may_be_crash() => {
@@ -139,12 +139,14 @@
     }
 }
 
-/// What of an item may crash a target. An online request with the same body is the same suspect.
+/// What of an item may crash a target. Items with the same body are different suspects: there may be many, and none should
+/// wait because another one was interrupted.
 pub(super) fn item_suspects<'a>(
+    job: &str,
     item: &ItemSpec,
     prompt: &'a PromptPrefixes,
 ) -> RequestSuspects<'a> {
-    let request = CrashSuspect::request_id(&item.path, &item.body);
+    let request = CrashSuspect::request_id(job, item.id.as_bytes());
     RequestSuspects { request, parts: prompt.shared_parts() }
 }
 
--- a/crates/entry/src/batch/runner.rs
+++ b/crates/entry/src/batch/runner.rs
@@ -80,7 +80,7 @@
         let refused = items.filter_map(|WaitingItem { spec, index, .. }| {
             let item = &spec.items[index];
             let prompt = item_prompt(item);
-            match suspects.admit(item_suspects(item, &prompt), false) {
+            match suspects.admit(item_suspects(&spec.id, item, &prompt), false) {
                 SuspectAdmission::Refused { left, .. } => Some((spec.id.clone(), index, left)),
                 SuspectAdmission::Admitted | SuspectAdmission::Probe => None,
             }
