A stopping gateway takes only what can end before it does

Cause: the stop ended the process 7.2 s after the signal whatever ran, and closed idle connections only after 4.5 s; nothing compared a request's time with the time left.

Change: the schedule of a stop follows from the time until the kill (new setting [stop] grace, filled in by the platform), and each path compares its longest time with the end: online requests, submissions, store calls for other gateways are taken or refused as not run with a time to return; reads, ends of jobs and unread bodies are answered when the process ends. A stop that is done early first takes nothing any more, then ends when nothing runs. Jobs stored after the handover are handed over too.

--- a/crates/entry/src/accounts/admission.rs
+++ b/crates/entry/src/accounts/admission.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     accounts::credit::{self, LimitVerdict},
-    constants::RETRY_AFTER_START,
+    constants::{RETRY_AFTER_START, RETRY_AFTER_STOP},
     front::answer::OwnAnswer,
     node::EntryNode,
 };
@@ -28,6 +28,8 @@
     },
     /// The limiter of its account can't be reached, and no more may be admitted without it.
     LimitUnknown,
+    /// This gateway stops, and may end before the request does.
+    Stopping,
 }
 
 impl AdmissionRefusal {
@@ -38,6 +40,7 @@
             Self::StaleConfiguration => "configuration_stale",
             Self::OverLimit { .. } => "over_account_limit",
             Self::LimitUnknown => "account_limit_unknown",
+            Self::Stopping => "stopping",
         }
     }
 
@@ -47,6 +50,7 @@
             Self::UnknownKey => OwnAnswer::of(401),
             Self::StaleConfiguration | Self::LimitUnknown => OwnAnswer::refused(RETRY_AFTER_START),
             Self::OverLimit { wait } => OwnAnswer::over_limit(wait),
+            Self::Stopping => OwnAnswer::refused(RETRY_AFTER_STOP),
         }
     }
 }
@@ -79,6 +83,21 @@
     Ok(())
 }
 
+/// Checks that an online request that arrived at `arrived` ends before this gateway does, if it stops.
+///
+/// # Errors
+/// `Stopping` when it may not.
+pub fn check_stop(
+    node: &EntryNode,
+    route: &Route,
+    client_deadline: Option<Duration>,
+    arrived: MonoTime,
+) -> Result<(), AdmissionRefusal> {
+    let now = node.clock.mono();
+    let limit = route.time_limit(client_deadline).saturating_sub(now.since(arrived));
+    if node.stop.can_end(limit, now) { Ok(()) } else { Err(AdmissionRefusal::Stopping) }
+}
+
 /// Counts an online request against its account's limit. Returns the account to credit if the request doesn't
 /// run; `None` when there is no limit or no limiter counted the request.
 ///
--- a/crates/entry/src/batch/intake.rs
+++ b/crates/entry/src/batch/intake.rs
@@ -19,8 +19,8 @@
         records::{create_job, inline_items, part_count, read_end, read_job},
     },
     constants::{
-        JOB_BYTES, JOB_STORING_NOTICE_DELAY, JOB_STORING_TIMEOUT, RETRY_AFTER, RETRY_AFTER_START,
-        STORE_PAUSE,
+        JOB_BYTES, JOB_INTAKE_TIMEOUT, JOB_STORING_NOTICE_DELAY, JOB_STORING_TIMEOUT, RETRY_AFTER,
+        RETRY_AFTER_START, RETRY_AFTER_STOP, STORE_PAUSE,
     },
     front::answer::OwnAnswer,
     node::EntryNode,
@@ -65,6 +65,8 @@
     LimitUnknown,
     /// The other gateways may have evicted this one.
     EntryUnconfirmed,
+    /// This gateway stops: it hands its jobs over, or may end before the job is stored.
+    Stopping,
 }
 
 /// Accepts a submitted job. The client gets a 202 only once the job is stored.
@@ -88,6 +90,9 @@
         // Another submission of it is being stored here, with an unknown outcome so far.
         return answer(node, id, "store_unclear", OwnAnswer::of(504), arrived);
     }
+    if is_stopping(node) {
+        return refuse(node, id, JobRefusal::Stopping, arrived).await;
+    }
     if !may_accept_soon(node, arrived).await {
         return refuse(node, id, JobRefusal::EntryUnconfirmed, arrived).await;
     }
@@ -127,6 +132,12 @@
     answer(node, id, outcome, answered, arrived)
 }
 
+/// Whether this gateway may end before a job that it accepts now is stored and handed over.
+fn is_stopping(node: &EntryNode) -> bool {
+    let stop = &node.stop;
+    stop.is_handing_over() || !stop.can_end(JOB_INTAKE_TIMEOUT, node.clock.mono())
+}
+
 /// Whether this gateway may accept jobs. It may not while the others may have evicted it: they would not know the job
 /// and could refuse it to a client that submits it again. After a pause, waits for the read of the own entry.
 async fn may_accept_soon(node: &EntryNode, arrived: MonoTime) -> bool {
@@ -195,6 +206,9 @@
         (PriorJob::None, JobRefusal::EntryUnconfirmed) => {
             ("entry_unconfirmed", OwnAnswer::refused(RETRY_AFTER_START))
         }
+        (PriorJob::None, JobRefusal::Stopping) => {
+            ("stopping", OwnAnswer::refused(RETRY_AFTER_STOP))
+        }
         // Not a refusal: the job may be running.
         (PriorJob::Unclear, _) => {
             ("unclear", OwnAnswer { status: 504, ..OwnAnswer::refused(RETRY_AFTER) })
--- a/crates/entry/src/batch/reads.rs
+++ b/crates/entry/src/batch/reads.rs
@@ -326,7 +326,9 @@
 pub async fn answer_peer(node: &Arc<EntryNode>, peer: &VmName, call: u64, read: &PeerRead) {
     let job = read.job.as_str();
     let after = usize::try_from(read.after).unwrap_or(usize::MAX);
-    let until = node.clock.mono() + Duration::from_millis(read.wait_ms);
+    let now = node.clock.mono();
+    let wait = Duration::from_millis(read.wait_ms);
+    let until = now + node.stop.time_left(now).map_or(wait, |left| wait.min(left));
     if ownership::can_confirm(node, job) {
         ownership::check_soon(node, job);
     }
--- a/crates/entry/src/constants.rs
+++ b/crates/entry/src/constants.rs
@@ -206,16 +206,9 @@
 /// Maximum long-poll wait of a read that is forwarded to a peer.
 pub const PEER_READ_WAIT: Duration = Duration::from_millis(900);
 
-/// Time from the stop signal until new connections may be refused: the platform takes a VM out of rotation
-/// after two readiness probes, a second apart.
-pub const STOP_ACCEPT: Duration = Duration::from_millis(3_500);
-/// Time from the stop signal until jobs are handed over to other gateways; half of their runs end by
-/// themselves in the meantime.
-pub const STOP_JOB_HANDOVER: Duration = Duration::from_millis(2_500);
-/// The same while no other gateway can take them over; one that restarts may be available by then.
-pub const STOP_JOB_HANDOVER_ALONE: Duration = Duration::from_millis(6_700);
-/// Time from the stop signal until idle connections are closed.
-pub const STOP_IDLE: Duration = Duration::from_millis(4_500);
-/// Time from the stop signal until the process exits regardless of what still runs; the platform kills it
-/// after 8 s.
-pub const STOP_DEADLINE: Duration = Duration::from_millis(7_200);
+/// Retry delay of a client that a stopping gateway refuses. Another one serves it at once; this one is out of rotation
+/// within two readiness probes.
+pub const RETRY_AFTER_STOP: Duration = Duration::from_millis(100);
+/// Longest time from the submission of a job to its answer: the read of the own entry, the decision on its limit, the
+/// search for an earlier submission, and storing it.
+pub const JOB_INTAKE_TIMEOUT: Duration = Duration::from_millis(3_900);
--- a/crates/entry/src/front/connection.rs
+++ b/crates/entry/src/front/connection.rs
@@ -1,6 +1,6 @@
 //! A client connection, on which requests are served one after the other.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use async_std::{future::timeout, net::TcpStream, task};
 use futures_util::{
@@ -16,7 +16,8 @@
     accounts::admission::{self, AdmissionRefusal},
     batch::{bodies, ends, intake, reads},
     constants::{
-        CLIENT_STALL, READ_AHEAD_BYTES, RETRY_AFTER_START, STARTUP_STATE_POLL, STARTUP_STATE_WAIT,
+        CLIENT_STALL, READ_AHEAD_BYTES, RETRY_AFTER_START, RETRY_AFTER_STOP, STARTUP_STATE_POLL,
+        STARTUP_STATE_WAIT,
     },
     front::{
         answer::OwnAnswer,
@@ -37,10 +38,13 @@
     let _open = node.clients.enter();
     let mut client =
         ClientConnection { node: &node, reader: WireReader::new(stream.clone()), stream };
-    while client.await_request().await {
+    // A new connection is read in a stop, too: its client would take an unread one for a failure.
+    let mut has_request = node.stop.before_end(client.await_first_request()).await.unwrap_or(false);
+    while has_request {
         if !client.serve_request().await {
             return;
         }
+        has_request = client.await_request().await;
     }
 }
 
@@ -51,21 +55,26 @@
 }
 
 impl ClientConnection<'_> {
-    /// Waits for a request's first byte; false when the connection is to be closed.
+    /// Waits for the next request's first byte; false when the connection is to be closed.
     async fn await_request(&mut self) -> bool {
         if self.reader.has_buffered() {
             return true;
         }
         let Some(idle_close) = self.node.stop.idle_close() else { return false };
-        let idle = self.node.routes().map_or_else(ClientLimits::default, |r| r.limits().clone());
-        let filling = timeout(idle.idle_timeout, self.reader.fill());
+        let filling = self.await_first_request();
         pin_mut!(filling);
         match select(filling, idle_close).await {
-            Either::Left((Ok(Ok(read)), _)) => read > 0,
-            Either::Left(_) | Either::Right(_) => false,
+            Either::Left((has_request, _)) => has_request,
+            Either::Right(_) => false,
         }
     }
 
+    /// The same for the first request of a connection, which is not closed for being idle.
+    async fn await_first_request(&mut self) -> bool {
+        let limits = self.node.routes().map_or_else(ClientLimits::default, |r| r.limits().clone());
+        matches!(timeout(limits.idle_timeout, self.reader.fill()).await, Ok(Ok(read)) if read > 0)
+    }
+
     /// Waits until the configuration and the targets are known, at most [`STARTUP_STATE_WAIT`], and returns the
     /// routes in force if there are any. A gateway that has just started reads them within some 20 ms, which is less
     /// than the retry delay of a refused client.
@@ -93,11 +102,16 @@
             Err(_) => return self.write_last(408).await,
         };
         let arrived = self.node.clock.mono();
-        let memory = &self.node.memory;
-        let body = match read_body(&mut self.reader, &head, limits.body_bytes, memory).await {
-            Ok(body) => body,
-            Err(BodyError::Wire(error)) => return self.reject_unreadable(error).await,
-            Err(BodyError::NoMemory) => return self.reject_for_memory(&head).await,
+        let node = self.node;
+        let reading = read_body(&mut self.reader, &head, limits.body_bytes, &node.memory);
+        let body = match node.stop.before_end(reading).await {
+            Some(Ok(body)) => body,
+            Some(Err(BodyError::Wire(error))) => return self.reject_unreadable(error).await,
+            Some(Err(BodyError::NoMemory)) => {
+                let wait = RETRY_AFTER_START.mul_f64(1.0 + EntryNode::draw());
+                return self.reject_unread(&head, "no_memory", wait).await;
+            }
+            None => return self.reject_unread(&head, "stopping", RETRY_AFTER_STOP).await,
         };
         let _held = body.held;
         let keep = head.keep_alive && !self.node.stop.is_stopping();
@@ -137,13 +151,26 @@
         let account = caller.account_name();
         match call {
             JobCall::Read { after, wait } => {
-                reads::read_results(self.node, job, account, after, wait).await
+                let reading = reads::read_results(self.node, job, account, after, wait);
+                self.read_before_end(reading).await
+            }
+            JobCall::ReadItem { item } => {
+                self.read_before_end(bodies::read_item(self.node, job, account, &item)).await
+            }
+            JobCall::End => {
+                let ending = ends::end_job(self.node, job, account);
+                // Not a refusal: the end may be stored.
+                self.node.stop.before_end(ending).await.unwrap_or_else(|| OwnAnswer::of(504))
             }
-            JobCall::ReadItem { item } => bodies::read_item(self.node, job, account, &item).await,
-            JobCall::End => ends::end_job(self.node, job, account).await,
         }
     }
 
+    /// The outcome of a read, or a refusal if the process ends before.
+    async fn read_before_end(&self, reading: impl Future<Output = OwnAnswer>) -> OwnAnswer {
+        let outcome = self.node.stop.before_end(reading).await;
+        outcome.unwrap_or_else(|| OwnAnswer::refused(RETRY_AFTER_STOP))
+    }
+
     /// Serves a request on a route of the configuration: accepts a job, or relays an online request.
     async fn routed(
         &mut self,
@@ -177,11 +204,16 @@
         };
         if route.kind == RouteKind::Batch {
             let account = caller.account_name();
-            let answer =
-                intake::accept_job(self.node, &head, &body, &route, account, arrived).await;
+            let accepting = intake::accept_job(self.node, &head, &body, &route, account, arrived);
+            let accepted = self.node.stop.before_end(accepting).await;
+            // Not a refusal: the job may be stored.
+            let answer = accepted.unwrap_or_else(|| OwnAnswer::of(504));
             return Routed::Answer(answer, attempt);
         }
         let deadline = RequestHeaders::decode(&head.headers).deadline;
+        if let Err(refusal) = admission::check_stop(self.node, &route, deadline, arrived) {
+            return Routed::Answer(self.refuse(attempt.as_deref(), &caller, refusal), attempt);
+        }
         let charging = admission::charge_request(self.node, &caller, &route, deadline);
         let credit = match charging.await {
             Ok(credit) => credit,
@@ -238,12 +270,15 @@
         }
     }
 
-    /// Refuses a request whose body doesn't fit into the memory budget, and closes the connection, as the body is
-    /// unread. The delay is random, so that refused clients don't all return at once.
-    async fn reject_for_memory(&mut self, head: &RequestHead) -> bool {
+    /// Refuses a request whose body is unread, and closes the connection for that reason.
+    async fn reject_unread(
+        &mut self,
+        head: &RequestHead,
+        reason: &'static str,
+        wait: Duration,
+    ) -> bool {
         let attempt = RequestHeaders::decode(&head.headers).attempt.map(str::to_owned);
-        self.log_refusal(attempt.as_deref(), "no_memory", 503);
-        let wait = RETRY_AFTER_START.mul_f64(1.0 + EntryNode::draw());
+        self.log_refusal(attempt.as_deref(), reason, 503);
         self.write(&OwnAnswer::refused(wait), attempt.as_deref(), false).await
     }
 
--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -16,10 +16,7 @@
 use crate::{
     accounts::{credit, freshness},
     batch::{ends, limits, retention, runner, takeover},
-    constants::{
-        EJECTION_TICK, STOP_ACCEPT, STOP_DEADLINE, STOP_IDLE, STOP_JOB_HANDOVER,
-        STOP_JOB_HANDOVER_ALONE,
-    },
+    constants::EJECTION_TICK,
     error::EntryError,
     front::{
         connection::serve_client,
@@ -245,13 +242,14 @@
     }
 }
 
-/// Stops gracefully. The gateway reports itself not ready at once but still serves every request, hands its jobs
-/// over to the others, and closes idle connections last.
-async fn stop(node: &Arc<EntryNode>) {
+/// Stops gracefully. The gateway reports itself not ready at once, serves the requests that can end before it does and
+/// refuses the others, closes idle connections, and hands its jobs over to the other gateways.
+pub async fn stop(node: &Arc<EntryNode>) {
     node.stop.begin(node.clock.mono());
     node.metrics.set(Gauge::Leaving, 1);
     node.log.info("stopping", &[("active", &node.stop.active())]);
     node.peers.broadcast(&PeerMessage::Stopping);
+    let schedule = *node.stop.schedule();
     let mut has_handed_over = false;
     loop {
         task::sleep(STOP_TICK).await;
@@ -259,21 +257,28 @@
         credit::refresh_view(node, node.clock.mono());
         let age = node.stop.elapsed(node.clock.mono());
         let has_successors = !node.peers.successor_vms().is_empty();
-        if !has_handed_over
-            && (age >= STOP_JOB_HANDOVER_ALONE || (has_successors && age >= STOP_JOB_HANDOVER))
-        {
+        let is_due = age >= schedule.handover_alone || (has_successors && age >= schedule.handover);
+        // A job whose submission came before the handover may have been stored after it.
+        let has_jobs = !has_handed_over || !node.jobs().table.is_idle();
+        if is_due && has_jobs {
             hand_over_jobs(node).await;
             has_handed_over = true;
         }
-        if age >= STOP_IDLE {
+        if age >= schedule.idle_close {
             node.stop.close_idle();
         }
         let is_drained =
             node.stop.active() == 0 && (has_handed_over || node.jobs().table.is_idle());
-        if age >= STOP_DEADLINE || (is_drained && age >= STOP_IDLE.max(STOP_ACCEPT)) {
+        if is_drained && age >= schedule.min_stop {
+            node.stop.refuse_all();
+        }
+        if age >= schedule.exit
+            || (is_drained && age >= schedule.min_stop && node.stop.active() == 0)
+        {
             break;
         }
     }
+    node.stop.end();
     node.store.calls().log(&node.log);
     node.reads.log(&node.log);
     node.log.info("stopped", &[("active", &node.stop.active())]);
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -158,7 +158,7 @@
             pool: TargetPool::new(features.keep_connections, Some(opened)),
             peers: PeerTable::new(traffic),
             evictions: EvictionState::default(),
-            stop: StopState::default(),
+            stop: StopState::new(StopSchedule::within(config.stop.grace)),
             job_updates: Event::new(),
             jobs_taken: Event::new(),
             runner_wake: Event::new(),
--- a/crates/entry/src/online/request.rs
+++ b/crates/entry/src/online/request.rs
@@ -52,10 +52,9 @@
         account: RequestAccount,
     ) -> Self {
         let client_deadline = RequestHeaders::decode(&head.headers).deadline;
-        let limit = client_deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout));
         let fingerprint = CrashSuspect::request_id(&head.target, &body);
         let prompt = prompt_prefixes(&head.headers);
-        let deadline = arrived + limit;
+        let deadline = arrived + route.time_limit(client_deadline);
         Self {
             head,
             body,
--- a/crates/entry/src/peers/links.rs
+++ b/crates/entry/src/peers/links.rs
@@ -221,6 +221,12 @@
             let up_ms = node.clock.mono().since(MonoTime::default()).as_millis() as u64;
             let hello = PeerMessage::Hello { owner: node.owner.clone(), jobs, up_ms };
             node.peers.send(&peer.vm, hello);
+            if node.stop.is_stopping() {
+                node.peers.send(&peer.vm, PeerMessage::Stopping);
+            }
+            if node.stop.is_handing_over() {
+                node.peers.send(&peer.vm, PeerMessage::Leaving);
+            }
             node.peers.send(&peer.vm, reports::first_report(node));
             node.peers.send(&peer.vm, demands::demand(node));
             let refusals = node.suspects().known_refusals();
--- a/crates/entry/src/peers/store_forwarding.rs
+++ b/crates/entry/src/peers/store_forwarding.rs
@@ -76,10 +76,12 @@
 pub async fn serve_call(node: &EntryNode, vm: &VmName, message: PeerMessage) {
     let PeerMessage::StoreCall { call, method, path, body, wait_ms } = message else { return };
     let wait = Duration::from_millis(wait_ms);
-    let result = node
-        .store
-        .call_directly(StoreCallCause::ForAnother, &method, &path, body.as_deref(), wait)
-        .await;
+    let result = if node.stop.can_end(wait, node.clock.mono()) {
+        let (cause, body) = (StoreCallCause::ForAnother, body.as_deref());
+        node.store.call_directly(cause, &method, &path, body, wait).await
+    } else {
+        Err(StoreFailure::NotDone)
+    };
     let end = match result {
         Ok(reply) => {
             StoreCallEnd::Answered { status: reply.status, body: Payload::from(reply.body) }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod limits;
 pub mod memory;
 pub mod routes;
+pub mod stop_schedule;
 pub mod stream;
 pub mod targets;
 pub mod watch_pace;
@@ -83,6 +84,7 @@
             route::{Route, RouteKind, WeightedService},
             table::RouteTable,
         },
+        stop_schedule::StopSchedule,
         stream::{
             event::{EventFault, StreamEvent},
             origin::{StreamOrigin, StreamOrigins},
--- a/crates/relay/src/routes/route.rs
+++ b/crates/relay/src/routes/route.rs
@@ -69,6 +69,11 @@
         }
     }
 
+    /// Time that a request may take whose client waits for `client_deadline`, if it says so.
+    pub fn time_limit(&self, client_deadline: Option<Duration>) -> Duration {
+        client_deadline.map_or(self.timeout, |deadline| deadline.min(self.timeout))
+    }
+
     /// Services with their fractions of the route's requests, from 0 to 1.
     pub fn parts(&self) -> impl Iterator<Item = (&str, f64)> {
         let sum: f64 = self.services.iter().map(|s| f64::from(s.weight)).sum();
--- a/crates/settings/src/entry_config.rs
+++ b/crates/settings/src/entry_config.rs
@@ -8,7 +8,7 @@
     file::{FieldVisitor, SettingsFile, read_config, render_config},
     sections::{
         AccountSettings, ConnectionSettings, EntryListenSettings, FleetSettings, LinkSettings,
-        LoggingSettings, MemorySettings, NodeSettings, StoreSettings,
+        LoggingSettings, MemorySettings, NodeSettings, StopSettings, StoreSettings,
     },
 };
 
@@ -31,6 +31,8 @@
     pub connections: ConnectionSettings,
     /// `[memory]`
     pub memory: MemorySettings,
+    /// `[stop]`
+    pub stop: StopSettings,
     /// `[logging]`
     pub logging: LoggingSettings,
 }
@@ -66,6 +68,7 @@
         self.fleet.visit(fields);
         self.connections.visit(fields);
         self.memory.visit(fields);
+        self.stop.visit(fields);
         self.logging.visit(fields);
     }
 
@@ -73,6 +76,7 @@
         self.listen.check(fields);
         self.store.check(fields);
         self.links.check(fields);
+        self.stop.check(fields);
     }
 }
 
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -25,9 +25,9 @@
         sections::{
             AccountSettings, AdmissionSettings, EntryListenSettings, FeatureSwitch, FleetSettings,
             JobSettings, LedgerSettings, LimitSettings, LinkSettings, ListenSettings, LogFormat,
-            LogLevel, LoggingSettings, MembershipSettings, NodeSettings, OnlineSettings,
-            OperatorSettings, PlacementSettings, PlatformSettings, RelaySettings, StoreSettings,
-            TargetSettings,
+            LogLevel, LoggingSettings, MIN_STOP_GRACE, MembershipSettings, NodeSettings,
+            OnlineSettings, OperatorSettings, PlacementSettings, PlatformSettings, RelaySettings,
+            StopSettings, StoreSettings, TargetSettings,
         },
     };
 }
--- a/crates/settings/src/sections.rs
+++ b/crates/settings/src/sections.rs
@@ -19,6 +19,7 @@
 mod placement;
 mod platform;
 mod relay;
+mod stop;
 mod store;
 mod target;
 
@@ -42,6 +43,7 @@
     placement::PlacementSettings,
     platform::PlatformSettings,
     relay::RelaySettings,
+    stop::{MIN_STOP_GRACE, StopSettings},
     store::StoreSettings,
     target::TargetSettings,
 };
