Results are written within the store's limit, and never again unchanged

Cause: the size of an object of results was estimated from plain bytes, though a quotation mark, line feed or control character takes two to six bytes in JSON; and each refusal of the store counted as one for now, so that the same write was repeated for ever.

Change: the size is an upper bound in every JSON encoding. A refusal for good (size or form) is a failure of its own: results are written in smaller objects, a single one in parts that are complete before the object that names them, and one that is refused in every form is given up, so that those behind it go on; a job is answered 413. The store's limit is a setting ([store] object_limit) that the platform fills in. The same bound holds for items of jobs, pages for clients, and what goes to other gateways.

--- a/crates/entry/src/batch.rs
+++ b/crates/entry/src/batch.rs
@@ -18,6 +18,7 @@
 pub mod read_latency;
 pub mod reads;
 pub mod records;
+pub mod result_objects;
 pub mod retention;
 pub mod runner;
 pub mod share_reclaim;
--- a/crates/entry/src/batch/commits.rs
+++ b/crates/entry/src/batch/commits.rs
@@ -10,10 +10,10 @@
     batch::{
         closing::close_completed_job,
         ownership,
-        records::{ChunkOutcome, store_results},
+        result_objects::{ChunkOutcome, PlacedResults, store_results},
     },
     node::EntryNode,
-    store::retry::until_answered,
+    store::retry::{RetryEnd, until_settled},
 };
 
 /// A position in a job's stored result list.
@@ -27,17 +27,18 @@
 
 /// Stores results at a position, retrying until the store answers. A write without an answer may
 /// still take effect, so only the same results may be retried there.
-pub async fn store(
-    node: Arc<EntryNode>,
-    job: String,
-    place: ListPlace,
-    lines: Vec<Arc<ResultLine>>,
-) {
+pub async fn store(node: Arc<EntryNode>, job: String, place: ListPlace, pending: PendingWrite) {
     let ListPlace { position, fences } = place;
+    let PendingWrite { lines, bytes } = pending;
     let began = node.clock.mono();
     let is_owned = || node.jobs().is_owned(&job);
-    let write = || store_results(&node.store, &job, position, fences, &node.owner, &lines);
-    let Some(outcome) = until_answered(is_owned, write).await else { return };
+    let placed = PlacedResults { job: &job, position, fences, lines: &lines };
+    let write = || store_results(&node.store, &node.owner, placed, bytes);
+    let outcome = match until_settled(is_owned, write).await {
+        RetryEnd::Answered(outcome) => outcome,
+        RetryEnd::Refused => return apply_refused(&node, &job, position, bytes),
+        RetryEnd::NotNeeded => return,
+    };
     let now = node.clock.mono();
     node.metrics.observe(Timing::LedgerCommit, now.since(began));
     match outcome {
@@ -64,6 +65,22 @@
     }
 }
 
+/// Handles results that the store refuses for good: they are written in another form by the next pass.
+fn apply_refused(node: &EntryNode, job: &str, position: usize, bytes: usize) {
+    let given_up = {
+        let mut registry = node.jobs();
+        let Some(owned) = registry.table.get_mut(job) else { return };
+        owned.refused(bytes, node.clock.mono())
+    };
+    let item = given_up.as_deref().unwrap_or("-");
+    node.log.error(
+        "results_refused",
+        &[("job", &job), ("position", &position), ("bytes", &bytes), ("given_up", &item)],
+    );
+    node.metrics.count(Counter::Event("results_refused"));
+    node.runner_wake.notify(usize::MAX);
+}
+
 async fn apply_stored(node: &Arc<EntryNode>, job: &str, now: MonoTime) {
     let is_closed = {
         let mut registry = node.jobs();
--- a/crates/entry/src/batch/intake.rs
+++ b/crates/entry/src/batch/intake.rs
@@ -46,6 +46,8 @@
     Known,
     /// The job is not stored and will not be.
     NotStored,
+    /// The store refuses the job for good.
+    Refused,
 }
 
 /// Why a job is refused.
@@ -126,6 +128,7 @@
         Some(StoringOutcome::Owned) => ("accepted", OwnAnswer::of(202)),
         Some(StoringOutcome::Known) => ("known", OwnAnswer::of(202)),
         Some(StoringOutcome::NotStored) => ("store_unavailable", OwnAnswer::refused(RETRY_AFTER)),
+        Some(StoringOutcome::Refused) => ("job_unstorable", OwnAnswer::of(413)),
         // Not a refusal: the job may be stored.
         None => ("store_unclear", OwnAnswer::of(504)),
     };
@@ -244,8 +247,7 @@
     terms: &JobTerms,
     text: &str,
 ) -> JobRecord {
-    let parts = part_count(text);
-    JobRecord {
+    let record = JobRecord {
         route: route.name.clone(),
         account: account.to_owned(),
         limit_tokens: 0,
@@ -256,9 +258,11 @@
         due_ms: terms.due.as_millis() as u64,
         lifetime_ms: terms.item_lifetime.as_millis() as u64,
         max_attempts: terms.max_attempts,
-        parts,
-        items: inline_items(text, parts),
-    }
+        parts: 0,
+        items: inline_items(text, 1),
+    };
+    let parts = part_count(text, &record, node.store.object_bytes());
+    JobRecord { parts, items: inline_items(text, parts), ..record }
 }
 
 /// Stores a job, retrying until the outcome is certain.
@@ -288,6 +292,7 @@
                 return resolve_unclear_write(&node, spec, &record).await;
             }
             Ok(false) => return StoringOutcome::Known,
+            Err(StoreFailure::Refused) => return StoringOutcome::Refused,
             Err(StoreFailure::NotDone) if !was_unclear => return StoringOutcome::NotStored,
             Err(StoreFailure::NotDone | StoreFailure::Unknown) => {
                 was_unclear = true;
--- a/crates/entry/src/batch/job_cache.rs
+++ b/crates/entry/src/batch/job_cache.rs
@@ -58,7 +58,7 @@
     }
 
     fn weight(&self) -> usize {
-        let lines: usize = self.lines.iter().map(|line| line.approx_bytes()).sum();
+        let lines: usize = self.lines.iter().map(|line| line.memory_bytes()).sum();
         lines + self.spec.as_ref().map_or(0, |spec| spec.approx_bytes())
     }
 }
--- a/crates/entry/src/batch/job_registry.rs
+++ b/crates/entry/src/batch/job_registry.rs
@@ -287,7 +287,10 @@
     /// Keeps the progress of a job that a stopping gateway handed over, until the job is taken
     /// over.
     pub fn keep_progress(&mut self, job: &str, items: Vec<HeldProgress>) {
-        if self.handed_over.len() < MAX_HANDED_OVER_JOBS {
+        if let Some(known) = self.handed_over.get_mut(job) {
+            // The progress of a job with much output comes in several messages. The first for an item counts.
+            known.splice(0..0, items);
+        } else if self.handed_over.len() < MAX_HANDED_OVER_JOBS {
             self.handed_over.insert(job.to_owned(), items);
         }
     }
--- a/crates/entry/src/batch/reads.rs
+++ b/crates/entry/src/batch/reads.rs
@@ -14,11 +14,12 @@
         job_cache::CachedJob,
         ownership,
         read_latency::{ReadKind, ReadSource},
-        records::{read_job, read_results as stored_results, read_spec},
+        records::{read_job, read_spec},
+        result_objects::read_results as stored_results,
     },
     constants::{
-        MEMORY_WAIT, OBJECT_BYTES, PEER_CALL_GRACE, PEER_READ_WAIT, RESULT_PAGE_BYTES, RETRY_AFTER,
-        UNOWNED_JOB_READ_INTERVAL,
+        MAX_PEER_MESSAGE_BYTES, MEMORY_WAIT, OBJECT_BYTES, PEER_CALL_GRACE, PEER_READ_WAIT,
+        RESULT_PAGE_BYTES, RETRY_AFTER, UNOWNED_JOB_READ_INTERVAL,
     },
     front::answer::OwnAnswer,
     memory::HeldBytes,
@@ -30,6 +31,11 @@
 /// Maximum bytes of results in an answer to another gateway, well below a link's largest message.
 const MAX_PEER_RESULT_BYTES: usize = 1 << 20;
 
+/// Whether results fit into an answer to another gateway, of which one result may be larger than the others.
+fn fits_message(lines: &[Arc<ResultLine>]) -> bool {
+    lines.iter().map(|line| line.json_bytes()).sum::<usize>() <= MAX_PEER_MESSAGE_BYTES
+}
+
 /// Results of a job from some position on, as known here.
 struct KnownResults {
     /// Number of items of the job; 0 if the job is unknown.
@@ -360,6 +366,8 @@
     let account = node.jobs().account(job).unwrap_or_default().to_owned();
     let known = if may_access(&account, &read.account) { known } else { KnownResults::unknown() };
     let sent = ResultLine::fitting(&known.lines, MAX_PEER_RESULT_BYTES);
+    // A result that is too large for a message has to be read from the store.
+    let sent = if fits_message(sent) { sent } else { &[] };
     let is_cut = sent.len() < known.lines.len();
     let is_all = known.ends_object && !is_cut;
     let lines = sent.iter().map(|line| ResultLine::clone(line)).collect();
--- a/crates/entry/src/batch/records.rs
+++ b/crates/entry/src/batch/records.rs
@@ -1,29 +1,23 @@
 //! The stored representation of jobs.
 //!
-//! A job is one object that is created once: a repeated submission finds it there. Its results are
-//! a chain of objects, each named after the position of its first result and created once, so that
-//! two gateways that both believe they own the job cannot both write a position. A gateway that
-//! takes a job over first puts a fence, an object without results, at the end of the list. The
-//! former owner, which may be cut off and not know of the takeover, can write nothing more, as it
-//! does not know the names after the fence. The end of a job is a separate object, so that it can
-//! be created without reading anything first.
-
-use std::sync::Arc;
+//! A job is one object that is created once: a repeated submission finds it there. Its results are separate, see
+//! [`result_objects`](super::result_objects). The end of a job is a separate object, so that it can be created without
+//! reading anything first.
 
 use notch_platform_wire::{
     prelude::{JobRecord, JobStatus, StoreObject},
     store::{decode, list_path, object_path, spec_body, status_body, status_path},
 };
 use notch_relay::prelude::*;
-use serde::{Deserialize, Serialize};
+use serde::Serialize;
 use serde_json::value::{RawValue, to_raw_value};
 
 use crate::{
-    constants::OBJECT_BYTES,
+    batch::result_objects::result_names,
     store::{
         call_cause::StoreCallCause,
         client::StoreClient,
-        object_kinds::{END_KIND, JOB_KIND, PART_KIND, RESULT_KIND},
+        object_kinds::{END_KIND, JOB_KIND, PART_KIND},
         reply::StoreFailure,
     },
 };
@@ -61,28 +55,6 @@
     }
 }
 
-/// One object of results.
-#[derive(Debug, Serialize, Deserialize)]
-struct ResultChunk {
-    /// The gateway that wrote it.
-    writer: String,
-    lines: Vec<Arc<ResultLine>>,
-}
-
-/// Outcome of storing results.
-#[derive(Debug)]
-pub enum ChunkOutcome {
-    /// They are stored at their position.
-    Stored,
-    /// Another gateway's results or fence are stored at that position.
-    Displaced {
-        /// The gateway that wrote them.
-        writer: String,
-        /// The results; none for a fence.
-        lines: Vec<Arc<ResultLine>>,
-    },
-}
-
 /// Creates a job. Returns false if it was stored before.
 ///
 /// # Errors
@@ -99,13 +71,17 @@
     create(store, StoreCallCause::JobStored, JOB_KIND, id, record).await
 }
 
-/// The number of parts of a text that is too long for one object; 0 if it fits into one.
-pub fn part_count(items_text: &str) -> usize {
-    if items_text.len() <= OBJECT_BYTES { 0 } else { items_text.len().div_ceil(PART_BYTES) }
+/// Number of parts of a text that does not fit into one object of at most `bytes` beside the other fields of `record`; 0
+/// if it does.
+pub fn part_count(items_text: &str, record: &JobRecord, bytes: usize) -> usize {
+    let head = serde_json::to_string(record).map_or(bytes, |text| json_document_bytes(&text));
+    let size = json_document_bytes(items_text);
+    if head + size <= bytes { 0 } else { items_text.len().div_ceil(bytes / MAX_PART_GROWTH) }
 }
 
-/// Bytes of one part. Escaping quotes may make it longer as a JSON string.
-const PART_BYTES: usize = OBJECT_BYTES / 2;
+/// Largest factor by which a part of a JSON document may grow as a JSON string: quotation marks become two bytes, and two
+/// bytes of what is not ASCII six.
+const MAX_PART_GROWTH: usize = 3;
 
 /// The text of the items, as held in the job's own object.
 pub fn inline_items(items_text: &str, parts: usize) -> Box<RawValue> {
@@ -157,115 +133,6 @@
     job.record.decode_job(&job.id, text).map_err(|_| StoreFailure::NotDone)
 }
 
-/// A job's stored result list from some position on.
-#[derive(Debug, Default)]
-pub struct StoredList {
-    /// The results.
-    pub lines: Vec<Arc<ResultLine>>,
-    /// Number of fences after the last of them.
-    pub fences: u32,
-}
-
-/// Reads the stored results from `position` on, where an object has to begin.
-///
-/// # Errors
-/// The store did not answer.
-pub async fn read_results(
-    store: &StoreClient,
-    id: &str,
-    position: usize,
-    cause: StoreCallCause,
-) -> Result<StoredList, StoreFailure> {
-    read_chunks(store, id, position, cause, |_| {}).await
-}
-
-/// Reads the result objects of a job from `position` on in order, and passes the name of each to
-/// `on_chunk`. The name of an object follows from the contents of those before it.
-async fn read_chunks(
-    store: &StoreClient,
-    id: &str,
-    position: usize,
-    cause: StoreCallCause,
-    mut on_chunk: impl FnMut(String),
-) -> Result<StoredList, StoreFailure> {
-    let mut list = StoredList::default();
-    loop {
-        let name = chunk_name(id, position + list.lines.len(), list.fences);
-        let reply = store.get(cause, &object_path(RESULT_KIND, &name)).await?;
-        if !reply.is_success() {
-            return Ok(list);
-        }
-        let chunk = decode_chunk(&reply.body)?;
-        list.fences = if chunk.lines.is_empty() { list.fences + 1 } else { 0 };
-        list.lines.extend(chunk.lines);
-        on_chunk(name);
-    }
-}
-
-/// Reads a job's whole result list and puts a fence at its end, after which only `owner` can extend
-/// it.
-///
-/// # Errors
-/// The store did not answer.
-pub async fn fence_results(
-    store: &StoreClient,
-    id: &str,
-    owner: &str,
-) -> Result<StoredList, StoreFailure> {
-    loop {
-        let mut list = read_results(store, id, 0, StoreCallCause::JobTakenOver).await?;
-        let (position, fences) = (list.lines.len(), list.fences);
-        let chunk = ResultChunk { writer: owner.to_owned(), lines: Vec::new() };
-        let name = chunk_name(id, position, fences);
-        match store_chunk(store, StoreCallCause::JobTakenOver, &name, chunk).await? {
-            ChunkOutcome::Stored => {
-                list.fences += 1;
-                return Ok(list);
-            }
-            // The former owner wrote first: its results are part of the list.
-            ChunkOutcome::Displaced { .. } => {}
-        }
-    }
-}
-
-/// Stores results at `position`, after the fences there.
-///
-/// # Errors
-/// The store did not answer: the results may be or become stored. Only the same results may be
-/// retried at that position.
-pub async fn store_results(
-    store: &StoreClient,
-    id: &str,
-    position: usize,
-    fences: u32,
-    writer: &str,
-    lines: &[Arc<ResultLine>],
-) -> Result<ChunkOutcome, StoreFailure> {
-    let chunk = ResultChunk { writer: writer.to_owned(), lines: lines.to_vec() };
-    let name = chunk_name(id, position, fences);
-    store_chunk(store, StoreCallCause::ResultsStored, &name, chunk).await
-}
-
-/// Creates a result object. One without results is a fence.
-async fn store_chunk(
-    store: &StoreClient,
-    cause: StoreCallCause,
-    name: &str,
-    chunk: ResultChunk,
-) -> Result<ChunkOutcome, StoreFailure> {
-    let body = spec_body(name, None, &chunk);
-    let wait = store.settings().call_timeout;
-    let reply = store.call(cause, "POST", &list_path(RESULT_KIND, None), Some(&body), wait).await?;
-    if reply.is_success() {
-        return Ok(ChunkOutcome::Stored);
-    }
-    let existing = decode_chunk(&reply.body)?;
-    if existing.writer == chunk.writer && existing.lines == chunk.lines {
-        return Ok(ChunkOutcome::Stored);
-    }
-    Ok(ChunkOutcome::Displaced { writer: existing.writer, lines: existing.lines })
-}
-
 /// Makes `owner` the job's owner, unless the job has changed since it was read.
 ///
 /// # Errors
@@ -310,10 +177,8 @@
 /// # Errors
 /// The store did not answer: some objects may be left.
 pub async fn delete_job(store: &StoreClient, job: &StoredJob) -> Result<(), StoreFailure> {
-    let mut chunks = Vec::new();
-    read_chunks(store, &job.id, 0, StoreCallCause::Retention, |name| chunks.push(name)).await?;
-    for name in chunks.iter().rev() {
-        delete(store, RESULT_KIND, name).await?;
+    for (kind, name) in result_names(store, &job.id).await? {
+        delete(store, kind, &name).await?;
     }
     for index in 0..job.record.parts {
         delete(store, PART_KIND, &part_name(&job.id, index)).await?;
@@ -363,19 +228,6 @@
     Ok(reply.is_success())
 }
 
-fn decode_chunk(body: &[u8]) -> Result<ResultChunk, StoreFailure> {
-    let object: StoreObject = decode(body).map_err(|_| StoreFailure::Unknown)?;
-    let spec = object.spec.ok_or(StoreFailure::Unknown)?;
-    serde_json::from_str(spec.get()).map_err(|_| StoreFailure::Unknown)
-}
-
-fn chunk_name(id: &str, position: usize, fences: u32) -> String {
-    match fences {
-        0 => format!("{id}.{position:06}"),
-        _ => format!("{id}.{position:06}.{fences}"),
-    }
-}
-
 fn part_name(id: &str, index: usize) -> String {
     format!("{id}.{index:03}")
 }
--- a/crates/entry/src/batch/runner.rs
+++ b/crates/entry/src/batch/runner.rs
@@ -15,9 +15,7 @@
         item_slots::{ItemSlotPass, PassOutcome, StartedItem, item_use},
         job_registry::{ItemRunHandle, JobRegistry},
     },
-    constants::{
-        MIN_PASS_INTERVAL, OBJECT_BYTES, PREEMPT_AGE, RESULT_DELAY, RUNNER_TICK, STARTS_PER_PASS,
-    },
+    constants::{MIN_PASS_INTERVAL, PREEMPT_AGE, RESULT_DELAY, RUNNER_TICK, STARTS_PER_PASS},
     node::EntryNode,
 };
 
@@ -209,15 +207,16 @@
 }
 
 fn store_results(node: &Arc<EntryNode>, now: MonoTime) {
+    let bytes = node.store.object_bytes();
     let mut registry = node.jobs();
     for id in registry.table.ids() {
         if registry.is_busy(&id) {
             continue;
         }
         let Some(job) = registry.table.get_mut(&id) else { continue };
-        if let Some(lines) = job.take_pending(RESULT_DELAY, OBJECT_BYTES, now) {
+        if let Some(write) = job.take_pending(RESULT_DELAY, bytes, now) {
             let place = ListPlace { position: job.results().len(), fences: job.fences() };
-            task::spawn(commits::store(Arc::clone(node), id, place, lines));
+            task::spawn(commits::store(Arc::clone(node), id, place, write));
         }
     }
 }
--- a/crates/entry/src/batch/takeover.rs
+++ b/crates/entry/src/batch/takeover.rs
@@ -11,7 +11,8 @@
     batch::{
         closing::close_completed_job,
         limits, ownership,
-        records::{StoredJob, fence_results, read_end, read_job, read_spec, take_job},
+        records::{StoredJob, read_end, read_job, read_spec, take_job},
+        result_objects::fence_results,
         stored_jobs::list_jobs,
     },
     constants::{ORPHAN_SEARCH_DELAY, ORPHAN_SEARCH_INTERVAL, PEER_DEAD_AFTER, PEER_TICK},
--- a/crates/entry/src/constants.rs
+++ b/crates/entry/src/constants.rs
@@ -138,8 +138,11 @@
 pub const EXPIRED_ENTRY_GRACE: Duration = Duration::from_millis(2_200);
 /// Minimum length of a store outage in which entries may have expired: three heartbeats of a target.
 pub const MIN_EXPIRY_OUTAGE: Duration = Duration::from_millis(1_000);
-/// Maximum size of an object that is written to the store, which accepts 1 MiB.
+/// Maximum size of the contents of an object, however large the store's may be: it travels in one message between
+/// gateways, too.
 pub const OBJECT_BYTES: usize = 900 << 10;
+/// Maximum size of what a message to another gateway contains; a link closes for a message of 4 MiB.
+pub const MAX_PEER_MESSAGE_BYTES: usize = 3 << 20;
 /// Maximum size of the results in one response; clients accept 1 MB.
 pub const RESULT_PAGE_BYTES: usize = 900 << 10;
 /// How long results are collected before they are stored, unless the job is due soon. Ten items of a job end within a
--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -6,7 +6,7 @@
 use notch_link::prelude::{LinkListener, LinkSecret, LinkSettings};
 use notch_messages::prelude::{NodeRole, PeerMessage};
 use notch_platform_wire::store::{CONFIGURATION_KIND, TARGET_KIND};
-use notch_relay::prelude::{ConfigurationProof, OwnedJob};
+use notch_relay::prelude::{ConfigurationProof, HeldProgress, OwnedJob};
 use notch_settings::EntryConfig;
 use notch_telemetry::prelude::*;
 use notch_types::prelude::FastSet;
@@ -16,7 +16,7 @@
 use crate::{
     accounts::{credit, freshness},
     batch::{ends, limits, retention, runner, takeover},
-    constants::EJECTION_TICK,
+    constants::{EJECTION_TICK, MAX_PEER_MESSAGE_BYTES},
     error::EntryError,
     front::{
         connection::serve_client,
@@ -301,11 +301,11 @@
     // The cancelled runs report their progress meanwhile.
     task::sleep(STOP_TICK).await;
     for job in &jobs {
-        let progress = node.jobs().table.get(job).map(OwnedJob::progress);
-        if let Some(items) = progress.filter(|items| !items.is_empty())
-            && let Some(successor) = takeover::preferred_successor(node, job)
-        {
-            node.peers.send(&successor, PeerMessage::JobProgress { job: job.clone(), items });
+        let progress = node.jobs().table.get(job).map(OwnedJob::progress).unwrap_or_default();
+        if let Some(successor) = takeover::preferred_successor(node, job) {
+            for items in HeldProgress::fitting(progress, MAX_PEER_MESSAGE_BYTES) {
+                node.peers.send(&successor, PeerMessage::JobProgress { job: job.clone(), items });
+            }
         }
         node.jobs().give_up_job(job);
     }
--- a/crates/entry/src/peers/eviction.rs
+++ b/crates/entry/src/peers/eviction.rs
@@ -275,7 +275,7 @@
         match self.store.call(cause, "PUT", &path, Some(&body), wait).await {
             Ok(reply) if reply.is_success() => EvictionOutcome::Evicted,
             Ok(_) => EvictionOutcome::EntryChanged,
-            Err(StoreFailure::NotDone) => EvictionOutcome::StoreUnavailable,
+            Err(StoreFailure::NotDone | StoreFailure::Refused) => EvictionOutcome::StoreUnavailable,
             Err(StoreFailure::Unknown) => self.reread_entry(candidate, &mark).await,
         }
     }
--- a/crates/entry/src/peers/links.rs
+++ b/crates/entry/src/peers/links.rs
@@ -38,6 +38,7 @@
         call_cause::StoreCallCause,
         feed::{FeedPlan, follow},
         feed_event::FeedEvent,
+        reply::StoreFailure,
         retry::jittered,
     },
 };
@@ -159,7 +160,8 @@
                     .await;
                 replaced.is_ok_and(|reply| reply.is_success())
             }
-            Err(_) => false,
+            Err(StoreFailure::Refused) => return,
+            Err(StoreFailure::NotDone | StoreFailure::Unknown) => false,
         };
         if written {
             if let (Some(eviction), Some(number)) = (node.eviction(), entry.registration) {
--- a/crates/entry/src/peers/store_forwarding.rs
+++ b/crates/entry/src/peers/store_forwarding.rs
@@ -51,7 +51,7 @@
     let end = match node.peers.store_calls.ask(send, wait + PEER_CALL_GRACE).await {
         CallEnd::NotSent => return None,
         CallEnd::Answered(StoreCallEnd::Answered { status, body }) => {
-            Ok(StoreReply { status, body: body.to_vec() })
+            StoreReply::of(status, body.to_vec())
         }
         CallEnd::Answered(StoreCallEnd::NotDone) => Err(StoreFailure::NotDone),
         // The link may have failed after the call was made.
@@ -86,6 +86,10 @@
         Ok(reply) => {
             StoreCallEnd::Answered { status: reply.status, body: Payload::from(reply.body) }
         }
+        Err(StoreFailure::Refused) => {
+            let StoreReply { status, body } = StoreReply::refused();
+            StoreCallEnd::Answered { status, body: Payload::from(body) }
+        }
         Err(StoreFailure::NotDone) => StoreCallEnd::NotDone,
         Err(StoreFailure::Unknown) => StoreCallEnd::Unknown,
     };
--- a/crates/entry/src/retirements.rs
+++ b/crates/entry/src/retirements.rs
@@ -20,6 +20,7 @@
         call_cause::StoreCallCause,
         feed::{FeedPlan, FeedStart, follow},
         feed_event::FeedEvent,
+        reply::StoreFailure,
         retry::jittered,
     },
 };
@@ -65,11 +66,16 @@
     while !lock(&answered).contains(&vm) {
         let wait = node.store.settings().call_timeout;
         let cause = StoreCallCause::Retirement;
-        if node.store.call(cause, "PUT", &path, Some(&body), wait).await.is_ok() {
-            node.log.info("vm_emptied", &[("vm_named", &vm)]);
-            return;
+        match node.store.call(cause, "PUT", &path, Some(&body), wait).await {
+            Ok(_) => {
+                node.log.info("vm_emptied", &[("vm_named", &vm)]);
+                return;
+            }
+            Err(StoreFailure::Refused) => return,
+            Err(StoreFailure::NotDone | StoreFailure::Unknown) => {
+                task::sleep(jittered(STORE_PAUSE)).await;
+            }
         }
-        task::sleep(jittered(STORE_PAUSE)).await;
     }
 }
 
--- a/crates/entry/src/store/client.rs
+++ b/crates/entry/src/store/client.rs
@@ -15,6 +15,7 @@
 
 use crate::{
     clock::NodeClock,
+    constants::OBJECT_BYTES,
     store::{
         call_cause::StoreCallCause,
         call_counts::StoreCallCounts,
@@ -31,6 +32,8 @@
 /// Maximum number of calls queued for forwarding to another gateway. Further calls are made
 /// directly.
 const MAX_QUEUED_FORWARDS: usize = 64;
+/// Part of an object that is kept for its name and version: an eighth.
+const OBJECT_RESERVE_DIVISOR: usize = 8;
 /// Maximum number of idle connections kept.
 const MAX_IDLE_CONNECTIONS: usize = 4;
 
@@ -78,6 +81,13 @@
         self.settings.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
+    /// Most bytes of the contents of an object that is written. The rest of what the store accepts is for its name and
+    /// version.
+    pub fn object_bytes(&self) -> usize {
+        let limit = usize::try_from(self.settings().object_limit).unwrap_or(usize::MAX);
+        OBJECT_BYTES.min(limit - limit / OBJECT_RESERVE_DIVISOR)
+    }
+
     /// The process's log.
     pub fn log(&self) -> &NodeLog {
         &self.log
@@ -145,7 +155,7 @@
         // A read without an answer can be made again at once; a write only by a caller that expects its outcome to be
         // unknown.
         let is_repeatable = match result {
-            Ok(_) => false,
+            Ok(_) | Err(StoreFailure::Refused) => false,
             Err(StoreFailure::NotDone) => way == CallRouting::DirectFirst,
             Err(StoreFailure::Unknown) => method == "GET" && limit < wait,
         };
@@ -206,7 +216,7 @@
         let change = {
             let mut outage = self.outage.lock().unwrap_or_else(PoisonError::into_inner);
             match &result {
-                Ok(_) => outage.note_answer(now),
+                Ok(_) | Err(StoreFailure::Refused) => outage.note_answer(now),
                 Err(_) => outage.note_failure(now),
             }
         };
@@ -248,10 +258,7 @@
         if head.keep_alive {
             self.keep(connection);
         }
-        match head.status {
-            200..300 | 404 | 409 | 410 => Ok(StoreReply { status: head.status, body }),
-            _ => Err(StoreFailure::NotDone),
-        }
+        StoreReply::of(head.status, body)
     }
 
     async fn connect(&self) -> Result<WireReader, StoreFailure> {
--- a/crates/entry/src/store/object_kinds.rs
+++ b/crates/entry/src/store/object_kinds.rs
@@ -6,6 +6,8 @@
 pub const PART_KIND: &str = "notch-job-parts";
 /// Kind of results.
 pub const RESULT_KIND: &str = "notch-results";
+/// Kind of the parts of results that are too large for one object.
+pub const RESULT_PART_KIND: &str = "notch-result-parts";
 /// Kind of ends of jobs. Each object is named after its job.
 pub const END_KIND: &str = "notch-job-ends";
 /// Kind of the objects that hold the shares of a limit. Each object is named after its route.
--- a/crates/entry/src/store/retry.rs
+++ b/crates/entry/src/store/retry.rs
@@ -6,21 +6,49 @@
 
 use crate::{constants::STORE_PAUSE, store::reply::StoreFailure};
 
-/// Retries a call until the store answers it. Returns `None` once `is_needed` returns false.
-pub async fn until_answered<T, F>(
+/// How a call ended that was retried until the store answered it.
+#[derive(Debug)]
+pub enum RetryEnd<T> {
+    /// The store answered it.
+    Answered(T),
+    /// The store refuses it for good. To send it again unchanged would be of no use.
+    Refused,
+    /// It is not needed any more.
+    NotNeeded,
+}
+
+/// Retries a call until the store answers it or refuses it for good, as long as `is_needed`.
+pub async fn until_settled<T, F>(
     is_needed: impl Fn() -> bool,
     mut call: impl FnMut() -> F,
-) -> Option<T>
+) -> RetryEnd<T>
 where
     F: Future<Output = Result<T, StoreFailure>>,
 {
     while is_needed() {
         match call().await {
-            Ok(answer) => return Some(answer),
-            Err(_) => task::sleep(jittered(STORE_PAUSE)).await,
+            Ok(answer) => return RetryEnd::Answered(answer),
+            Err(StoreFailure::Refused) => return RetryEnd::Refused,
+            Err(StoreFailure::NotDone | StoreFailure::Unknown) => {
+                task::sleep(jittered(STORE_PAUSE)).await;
+            }
         }
     }
-    None
+    RetryEnd::NotNeeded
+}
+
+/// The same for a call whose refusal needs no handling. Returns `None` unless the store answered it.
+pub async fn until_answered<T, F>(
+    is_needed: impl Fn() -> bool,
+    call: impl FnMut() -> F,
+) -> Option<T>
+where
+    F: Future<Output = Result<T, StoreFailure>>,
+{
+    match until_settled(is_needed, call).await {
+        RetryEnd::Answered(answer) => Some(answer),
+        RetryEnd::Refused | RetryEnd::NotNeeded => None,
+    }
 }
 
 /// A random pause between half of `longest` and all of it, so that VMs that lost the store together
--- a/crates/relay/src/jobs/owned.rs
+++ b/crates/relay/src/jobs/owned.rs
@@ -37,6 +37,12 @@
 /// Added to an item's lifetime before it is given up, to allow for differing wall clocks of two
 /// VMs.
 const LIFETIME_MARGIN: Duration = Duration::from_secs(3);
+/// Bytes that partial output takes in a message beside its texts, at most.
+const FRAME_BYTES: usize = 96;
+/// Smallest size to which objects of results are reduced that the store refuses.
+const MIN_WRITE_BYTES: usize = 4 << 10;
+/// Longest time for which results are collected.
+const MAX_REFUSED_WAIT: Duration = Duration::from_secs(60);
 
 /// Partial output of an unfinished item.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -53,6 +59,27 @@
     pub output: Vec<u8>,
 }
 
+impl HeldProgress {
+    /// Groups of at most `bytes` each. What is too large by itself is left out: its item starts anew.
+    pub fn fitting(progress: Vec<Self>, bytes: usize) -> Vec<Vec<Self>> {
+        let mut groups: Vec<Vec<Self>> = Vec::new();
+        let mut left = 0;
+        for held in progress {
+            let size = held.item.len() + held.version.len() + held.output.len() + FRAME_BYTES;
+            match groups.last_mut() {
+                _ if size > bytes => continue,
+                Some(group) if size <= left => group.push(held),
+                _ => {
+                    left = bytes;
+                    groups.push(vec![held]);
+                }
+            }
+            left -= size;
+        }
+        groups
+    }
+}
+
 /// How a run of an item ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ItemEnd {
@@ -70,6 +97,15 @@
     Preempted,
 }
 
+/// Results to be stored.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PendingWrite {
+    /// The results.
+    pub lines: Vec<Arc<ResultLine>>,
+    /// Most bytes of an object.
+    pub bytes: usize,
+}
+
 /// State of an item.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum ItemPhase {
@@ -118,6 +154,8 @@
     storing_since: MonoTime,
     /// Since when the oldest pending result has waited.
     pending_since: MonoTime,
+    /// Most bytes of a write, below what the store has refused.
+    write_limit: usize,
     /// Generation from which on a confirmation of ownership counts.
     required: OwnershipGeneration,
     /// Generation in which the latest confirmation of ownership was requested.
@@ -128,6 +166,8 @@
     /// a former owner continued after a fence that it found, it would extend the list that the new
     /// owner considers its own.
     is_displaced: bool,
+    /// Whether the store refuses whatever is written of the first pending result. Nothing more is written then.
+    is_unstorable: bool,
     /// Whether the client ended the job, so that none of its items runs any more.
     ended: bool,
 }
@@ -151,9 +191,11 @@
             storing: 0,
             storing_since: now.mono,
             pending_since: now.mono,
+            write_limit: usize::MAX,
             required: OwnershipGeneration::default(),
             confirmed: OwnershipGeneration::default(),
             is_displaced: false,
+            is_unstorable: false,
             ended: false,
             spec,
         }
@@ -389,8 +431,9 @@
         delay: Duration,
         bytes: usize,
         now: MonoTime,
-    ) -> Option<Vec<Arc<ResultLine>>> {
-        if self.storing > 0 || self.pending.is_empty() || self.ended || self.is_displaced {
+    ) -> Option<PendingWrite> {
+        let is_blocked = self.ended || self.is_displaced || self.is_unstorable;
+        if self.storing > 0 || self.pending.is_empty() || is_blocked {
             return None;
         }
         // Near the due time, a result only counts if it is stored at once.
@@ -399,10 +442,38 @@
         if !completes && now.since(self.pending_since) < delay {
             return None;
         }
-        let taken = ResultLine::fitting(&self.pending, bytes).to_vec();
-        self.storing = taken.len();
+        let bytes = bytes.min(self.write_limit);
+        let lines = ResultLine::fitting(&self.pending, bytes).to_vec();
+        self.storing = lines.len();
         self.storing_since = now;
-        Some(taken)
+        Some(PendingWrite { lines, bytes })
+    }
+
+    /// Records that the store refused the results taken last for good, written in objects of at most `bytes`. They are
+    /// written in smaller ones; a result that is refused even so is given up, so that those behind it go on. Returns its
+    /// item's id in that case.
+    pub fn refused(&mut self, bytes: usize, now: MonoTime) -> Option<String> {
+        let lines = &self.pending[..self.storing];
+        let written: usize = lines.iter().map(|line| line.json_bytes()).sum();
+        self.storing = 0;
+        self.write_limit = written.min(bytes) / 2;
+        // What is still to be written has waited long enough.
+        self.pending_since = now - MAX_REFUSED_WAIT;
+        if self.write_limit >= MIN_WRITE_BYTES {
+            return None;
+        }
+        self.write_limit = usize::MAX;
+        let line = self.pending.first_mut()?;
+        let id = line.id.clone();
+        let is_bare = line.output.is_empty();
+        *line = Arc::new(ResultLine {
+            id: id.clone(),
+            state: ItemState::GivenUp,
+            output: String::new(),
+        });
+        // Nothing smaller is left to be written.
+        self.is_unstorable |= is_bare;
+        Some(id)
     }
 
     /// Whether a write of results has been in progress since `before` or earlier.
--- a/crates/relay/src/jobs/result.rs
+++ b/crates/relay/src/jobs/result.rs
@@ -4,6 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::jobs::json_size::json_string_bytes;
+
 /// Maximum number of bytes that a line takes in addition to its texts, in every form in which it is
 /// stored or sent.
 const LINE_FRAME_BYTES: usize = 96;
@@ -30,8 +32,13 @@
 }
 
 impl ResultLine {
-    /// Upper estimate of the bytes that the result takes when stored or sent.
-    pub fn approx_bytes(&self) -> usize {
+    /// Most bytes that the result takes when stored or sent.
+    pub fn json_bytes(&self) -> usize {
+        json_string_bytes(&self.id) + json_string_bytes(&self.output) + LINE_FRAME_BYTES
+    }
+
+    /// Approximate size of the result in memory, bytes.
+    pub fn memory_bytes(&self) -> usize {
         self.id.len() + self.output.len() + LINE_FRAME_BYTES
     }
 
@@ -40,7 +47,7 @@
     pub fn fitting(lines: &[Arc<Self>], bytes: usize) -> &[Arc<Self>] {
         let mut size = 0;
         let fits = lines.iter().take_while(|line| {
-            size += line.approx_bytes();
+            size += line.json_bytes();
             size <= bytes
         });
         let count = fits.count().max(1).min(lines.len());
--- a/crates/relay/tests/jobs.rs
+++ b/crates/relay/tests/jobs.rs
@@ -72,8 +72,8 @@
     assert_eq!(last, Some(2));
     job.add_progress(0, 3, b"c");
     job.end_item(0, &ItemEnd::Completed, at(400));
-    let lines = job.take_pending(DELAY, BYTES, at(400)).expect("the job is complete");
-    assert_eq!(lines[0].output, "a\nb\nc");
+    let write = job.take_pending(DELAY, BYTES, at(400)).expect("the job is complete");
+    assert_eq!(write.lines[0].output, "a\nb\nc");
 }
 
 /// Guards against different results at the same position of a job's list: a write gets no answer,
@@ -87,9 +87,9 @@
     complete(&mut job, 1, at(1_000));
     assert_eq!(job.take_pending(DELAY, BYTES, at(9_000)), None, "one write at a time");
     job.stored(at(9_000));
-    assert_eq!(job.results(), first.as_slice());
+    assert_eq!(job.results(), first.lines.as_slice());
     let second = job.take_pending(DELAY, BYTES, at(9_500)).expect("the next one");
-    assert_eq!(second.len(), 1);
+    assert_eq!(second.lines.len(), 1);
 }
 
 /// Guards against two results of one item: an owner is wrongly considered dead, another gateway
@@ -160,8 +160,8 @@
     assert!(!job.item_ended(0));
     job.start_item(0, "v1");
     job.end_item(0, &ItemEnd::Failed, at(500));
-    let lines = job.take_pending(DELAY, BYTES, at(500)).expect("the job is complete");
-    assert_eq!(lines[0].state, ItemState::GivenUp);
+    let write = job.take_pending(DELAY, BYTES, at(500)).expect("the job is complete");
+    assert_eq!(write.lines[0].state, ItemState::GivenUp);
 }
 
 /// Guards against a job that never ends because one of its items can never succeed and is retried
@@ -240,8 +240,8 @@
         assert_eq!(job.start_item(0, "v1").1, last);
         job.add_progress(0, 3, b"c");
         job.end_item(0, &ItemEnd::Completed, at(400));
-        let lines = job.take_pending(DELAY, BYTES, at(400)).expect("the job is complete");
-        assert_eq!(lines[0].output, output);
+        let write = job.take_pending(DELAY, BYTES, at(400)).expect("the job is complete");
+        assert_eq!(write.lines[0].output, output);
     }
 }
 
@@ -307,7 +307,7 @@
 #[test]
 fn results_are_limited_by_bytes() {
     let lines = [line("i0"), line("i1"), line("i2")];
-    let two = lines[0].approx_bytes() + lines[1].approx_bytes();
+    let two = lines[0].json_bytes() + lines[1].json_bytes();
     assert_eq!(ResultLine::fitting(&lines, two), &lines[..2]);
     assert_eq!(ResultLine::fitting(&lines, two - 1), &lines[..1]);
     assert_eq!(ResultLine::fitting(&lines, 0), &lines[..1], "a reader must make progress");
--- a/crates/settings/src/sections/store.rs
+++ b/crates/settings/src/sections/store.rs
@@ -10,6 +10,9 @@
 /// Default port of the store.
 const STORE_PORT: u16 = 7400;
 
+/// Smallest object limit: the fields of a job beside its items take some kilobytes.
+const MIN_OBJECT_LIMIT: u64 = 64 << 10;
+
 /// The platform's store, as this process uses it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct StoreSettings {
@@ -25,6 +28,8 @@
     /// How long the results of a job stay, from its acceptance on. After it, what the store holds of
     /// a job that is done is deleted.
     pub result_lifetime: Duration,
+    /// Bytes of the largest object that the store accepts.
+    pub object_limit: u64,
 }
 
 impl Default for StoreSettings {
@@ -35,6 +40,7 @@
             call_timeout: Duration::from_millis(1_500),
             watch_wait: Duration::from_millis(2_500),
             result_lifetime: Duration::from_secs(3_600),
+            object_limit: 1 << 20,
         }
     }
 }
@@ -47,6 +53,7 @@
         fields.duration("call_timeout", &mut self.call_timeout);
         fields.duration("watch_wait", &mut self.watch_wait);
         fields.duration("result_lifetime", &mut self.result_lifetime);
+        fields.bytes("object_limit", &mut self.object_limit, MIN_OBJECT_LIMIT..=1 << 40);
     }
 
     pub(crate) fn check(&self, fields: &mut FieldVisitor<'_>) {
