An item under which targets crashed is placed again

Callers of a similar system saw a sound item of a batch that was never placed again after several servers had died while they ran it, though all was calm.

Cause: items were suspects like requests that crash targets. Each run that broke off for another reason counted as a crashed probe, so that the pause to the next run grew to 30 and 120 s, and the backoff of interrupted runs knew no due time.

Change: a broken run of an item is no evidence against it or its prompt parts, its answer still is one for them. Items with a part that is refused for online requests run one at a time at each gateway instead of waiting for a probe. The backoff is at most a quarter of the time that the job has left.

--- a/crates/entry/src/batch/item_run.rs
+++ b/crates/entry/src/batch/item_run.rs
@@ -20,10 +20,7 @@
 use crate::{
     constants::{ITEM_FIRST_BYTE, ITEM_STALL},
     node::EntryNode,
-    online::{
-        lease::{AttemptEvidence, TargetLease},
-        suspects::InterruptedRun,
-    },
+    online::lease::{AttemptEvidence, TargetLease},
 };
 
 /// Time limit passed to the target, which stops work when it is over. A run of an item has no
@@ -71,7 +68,7 @@
     let has_begun = progress.events > 0;
     lease.set_evidence(AttemptEvidence { fingerprint, result, has_begun });
     drop(lease);
-    note_suspects(&node, &start, &choice, outcome.as_ref(), progress.last_event);
+    note_sound(&node, &start, outcome.as_ref());
     let mut end = item_end(outcome.as_ref());
     if has_uncertain_events(&node, &start, &choice, &end) {
         progress.events = 0;
@@ -119,27 +116,16 @@
     node.runner_wake.notify(usize::MAX);
 }
 
-/// Records what a run tells of its item and the parts of its prompt: they are sound, or one of them may have crashed the
-/// target.
-fn note_suspects(
-    node: &EntryNode,
-    start: &ItemStart,
-    choice: &TargetChoice,
-    outcome: Option<&Result<u16, AttemptFailure>>,
-    reached: Option<u64>,
-) {
-    let prompt = item_prompt(&start.item);
-    let suspects = item_suspects(&start.job, &start.item, &prompt);
-    match outcome {
-        Some(Ok(200..300)) => node.suspects().note_answer(suspects),
-        Some(Err(failure)) if failure.may_be_crash() => {
-            node.suspects().report_crash(InterruptedRun { suspects, choice, reached });
-        }
-        Some(_) | None => {}
+/// Records that the prompt parts of an item are sound, if a target answered it. That a target crashed under it tells
+/// nothing of its parts: items are sound, and one that met a crash is owed like the others.
+fn note_sound(node: &EntryNode, start: &ItemStart, outcome: Option<&Result<u16, AttemptFailure>>) {
+    if let Some(Ok(200..300)) = outcome {
+        let prompt = item_prompt(&start.item);
+        node.suspects().note_answer(item_suspects(&start.job, &start.item, &prompt));
     }
 }
 
-/// What of an item may crash a target. Items with the same body are different suspects: there may be many, and none should
+/// An item and what of its prompt others share. Items with the same body are told apart: there may be many, and none should
 /// wait because another one was interrupted.
 pub(super) fn item_suspects<'a>(
     job: &str,
--- a/crates/entry/src/batch/runner.rs
+++ b/crates/entry/src/batch/runner.rs
@@ -66,7 +66,7 @@
     }
 }
 
-/// Delays waiting items that are refused because they crash targets, except the granted probes.
+/// Delays waiting items with a prompt part that crashes targets, but for one at a time.
 fn defer_refused_items(node: &EntryNode, now: MonoTime) {
     let suspects = node.suspects();
     if !suspects.table().has_refusals() {
@@ -78,10 +78,8 @@
         let refused = items.filter_map(|WaitingItem { spec, index, .. }| {
             let item = &spec.items[index];
             let prompt = item_prompt(item);
-            match suspects.admit(item_suspects(&spec.id, item, &prompt), false) {
-                SuspectAdmission::Refused { left, .. } => Some((spec.id.clone(), index, left)),
-                SuspectAdmission::Admitted | SuspectAdmission::Probe => None,
-            }
+            let wait = suspects.table().item_wait(item_suspects(&spec.id, item, &prompt), now);
+            (!wait.is_zero()).then(|| (spec.id.clone(), index, wait))
         });
         refused.collect()
     };
--- a/crates/relay/src/jobs/owned.rs
+++ b/crates/relay/src/jobs/owned.rs
@@ -26,6 +26,9 @@
 /// up to 10 s. Without this backoff, an item that crashes each target running it would take down
 /// one target of the fleet after another.
 const MAX_DOUBLINGS: u32 = 6;
+/// Divisor of the time left until the job is due, or then until its items may be given up: the maximum of that delay. An
+/// item that met many crashes must be placed while it can still be done.
+const MAX_PAUSE_DIVISOR: u32 = 4;
 /// Divisor of the time left until the job is due: the maximum delay of a result that waits for
 /// others.
 const MAX_DELAY_DIVISOR: u32 = 8;
@@ -393,7 +396,10 @@
             ItemEnd::Interrupted => {
                 let doublings = item.interruptions.min(MAX_DOUBLINGS);
                 item.interruptions += 1;
-                item.phase = ItemPhase::Waiting(now + RETRY_PAUSE * 2_u32.pow(doublings));
+                let left = if now < self.due { self.due } else { self.expires }.since(now);
+                let pause = RETRY_PAUSE * 2_u32.pow(doublings);
+                let pause = pause.min(left / MAX_PAUSE_DIVISOR).max(RETRY_PAUSE);
+                item.phase = ItemPhase::Waiting(now + pause);
             }
             ItemEnd::NotRun => item.phase = ItemPhase::Waiting(now + NOT_RUN_PAUSE),
             ItemEnd::Preempted => item.phase = ItemPhase::Waiting(now + PREEMPTED_PAUSE),
--- a/crates/relay/src/targets/suspects/refusal.rs
+++ b/crates/relay/src/targets/suspects/refusal.rs
@@ -19,6 +19,9 @@
 /// Time for which a due probe is kept for requests under which no target crashed. They find out more, and a request that
 /// crashes targets itself would use up the probes of its parts.
 const SOUND_FIRST_TIME: Duration = Duration::from_secs(2);
+/// Time for which one item with a refused part may run before another one may. An item is owed, so it does not wait for
+/// the next probe, but several at once would crash as many targets.
+const ITEM_TURN: Duration = Duration::from_secs(3);
 /// Maximum number of requests remembered under which targets crashed; the oldest are evicted first.
 const MAX_CRASHED_UNDER: usize = 32;
 /// Minimum interval between two requests of this gateway for a probe.
@@ -66,6 +69,8 @@
     probed_until: MonoTime,
     /// The request that this gateway may start as a probe, and until when.
     granted: Option<(u64, MonoTime)>,
+    /// The item of this gateway that may run with the suspect, and until when no other one may.
+    item_turn: Option<(u64, MonoTime)>,
     asked_at: MonoTime,
     /// Requests under which targets crashed; only known at the counting gateway. Invariant: at most
     /// [`MAX_CRASHED_UNDER`].
@@ -80,6 +85,7 @@
             until: now + refusal.left,
             probed_until: MonoTime::default(),
             granted: None,
+            item_turn: None,
             asked_at: MonoTime::default(),
             crashed_under: VecDeque::new(),
         }
@@ -90,7 +96,8 @@
         let until = now + refusal.left;
         if (self.level, self.until) <= (refusal.level, until) {
             let crashed_under = std::mem::take(&mut self.crashed_under);
-            *self = Self { asked_at: self.asked_at, crashed_under, ..Self::new(refusal, now) };
+            let Self { asked_at, item_turn, .. } = *self;
+            *self = Self { asked_at, item_turn, crashed_under, ..Self::new(refusal, now) };
         }
     }
 
@@ -165,6 +172,20 @@
         self.granted = Some((request, now + PROBE_TIMEOUT));
     }
 
+    /// Time until an item may run with the suspect; zero if it may now.
+    pub fn item_wait(&self, item: u64, now: MonoTime) -> Duration {
+        let turn = self.item_turn.filter(|(holder, _)| *holder != item);
+        turn.map_or(Duration::ZERO, |(_, until)| until.since(now))
+    }
+
+    /// Gives an item the turn to run with the suspect, unless it has it.
+    pub fn take_item_turn(&mut self, item: u64, now: MonoTime) {
+        let has_turn = self.item_turn.is_some_and(|(holder, until)| holder == item && until > now);
+        if !has_turn {
+            self.item_turn = Some((item, now + ITEM_TURN));
+        }
+    }
+
     /// Records that the granted probe was started.
     pub fn use_grant(&mut self) {
         self.granted = None;
--- a/crates/relay/src/targets/suspects/table.rs
+++ b/crates/relay/src/targets/suspects/table.rs
@@ -115,6 +115,24 @@
         SuspectAdmission::Refused { suspect, left: last_until.since(now), asks_probe }
     }
 
+    /// Time until an item may run at `now`; zero if it may now. Items are never suspects themselves: they are handed in for
+    /// later and owed, whatever crashed under them. Of those with a refused part one runs at a time, whose answer ends the
+    /// refusal.
+    pub fn item_wait(&mut self, item: RequestSuspects<'_>, now: MonoTime) -> Duration {
+        let parts = || item.parts.iter().map(|part| CrashSuspect::Part(*part));
+        let refused = parts().filter_map(|part| self.refused.get(&part));
+        let wait = refused.map(|refused| refused.item_wait(item.request, now)).max();
+        let wait = wait.unwrap_or_default();
+        if wait.is_zero() {
+            for part in parts() {
+                if let Some(refused) = self.refused.get_mut(&part) {
+                    refused.take_item_turn(item.request, now);
+                }
+            }
+        }
+        wait
+    }
+
     /// Records a complete successful answer to a request with these suspects.
     pub fn note_answer(&mut self, suspects: RequestSuspects<'_>, now: MonoTime) -> AnswerFindings {
         self.proven_requests.note(suspects.request, now);
--- a/crates/relay/tests/crashes.rs
+++ b/crates/relay/tests/crashes.rs
@@ -310,3 +310,24 @@
     assert!(!AttemptFailure::ConnectFailed.may_be_crash());
     assert!(!AttemptFailure::TargetError.may_be_crash());
 }
+
+/// Guards against items that wait for the probes of a refused part, which come later with each crash: an item is owed. One
+/// at a time runs, and its answer ends the refusal.
+#[test]
+fn items_with_a_refused_part_run_one_at_a_time() {
+    let mut table = SuspectTable::default();
+    for n in 0..3_u64 {
+        let target = format!("t{n}");
+        crash(&mut table, request(n, &[7]), &target, at(n * 200));
+    }
+    assert!(is_refused(&mut table, request(9, &[7]), at(500)));
+    let (first, second) = (request(101, &[7]), request(102, &[7]));
+    assert_eq!(table.item_wait(first, at(500)), Duration::ZERO);
+    assert_eq!(table.item_wait(first, at(600)), Duration::ZERO, "it has not started yet");
+    assert!(!table.item_wait(second, at(600)).is_zero());
+    assert_eq!(table.item_wait(request(103, &[8]), at(600)), Duration::ZERO, "another part");
+    assert_eq!(table.item_wait(second, at(3_600)), Duration::ZERO, "the first had its turn");
+    table.note_answer(second, at(4_000));
+    assert_eq!(table.item_wait(first, at(4_000)), Duration::ZERO);
+    assert!(!is_refused(&mut table, request(9, &[7]), at(4_000)));
+}
--- a/crates/relay/tests/jobs.rs
+++ b/crates/relay/tests/jobs.rs
@@ -313,3 +313,25 @@
     assert_eq!(ResultLine::fitting(&lines, 0), &lines[..1], "a reader must make progress");
     assert_eq!(ResultLine::fitting(&[], two), &[]);
 }
+
+/// Guards against an item that waits longer after crashes than its job has time.
+#[test]
+fn an_item_that_met_crashes_is_tried_again_in_time() {
+    let mut job = job(1);
+    let mut now = at(0);
+    let mut starts = Vec::new();
+    while now < at(18_000) {
+        if job.next_item(now).is_some() {
+            job.start_item(0, "v1");
+            job.end_item(0, &ItemEnd::Interrupted, now);
+            starts.push(now);
+        }
+        now = now + Duration::from_millis(10);
+    }
+    let pauses = starts.windows(2).map(|pair| (pair[1].since(pair[0]), at(18_000).since(pair[0])));
+    for (pause, left) in pauses {
+        assert!(pause <= left / 4 + Duration::from_millis(160), "{pause:?} of {left:?}");
+    }
+    assert!(starts.len() < 40, "{} runs", starts.len());
+    assert!(at(18_000).since(*starts.last().expect("runs")) < Duration::from_millis(500));
+}
