A restart of a target no longer interrupts what is written to a client

Cause: an attempt was raced as a whole against the restart of its target, writes to the client included. A buffered answer doesn't count as begun until it is written, so that the next attempt wrote its head into the body; a stream counted events as passed on before they were written. Evidence: in the record the second target runs the request at the moment of the first one's restart, and its head stands at byte 6,348,197 of a body that has as many bytes as announced.

Change: only what is read from a target is raced against its restart (RestartWatch). An answer that was read is delivered whole; one that breaks off looks so.

--- a/crates/entry/src/online/answer.rs
+++ b/crates/entry/src/online/answer.rs
@@ -9,6 +9,7 @@
 use crate::{
     constants::{ANSWER_BODY_BYTES, CLIENT_STALL},
     memory::{HeldBytes, HeldMemory},
+    target::restart_watch::RestartWatch,
 };
 
 /// Copies of an answer that exist at a time: as read, and behind its head.
@@ -67,6 +68,7 @@
         reader: &mut WireReader,
         client: &TcpStream,
         writer: MessageWriter,
+        watch: RestartWatch<'_>,
     ) -> Result<(), PassFailure> {
         let head = match self.framing {
             BodyFraming::Length(length) => writer.with_length(length),
@@ -77,7 +79,9 @@
         while let Some(bytes) = part {
             let framed = self.framed(bytes);
             self.write(client, &framed).await?;
-            part = reader.body_part(&mut self.progress).await.map_err(|_| PassFailure::Target)?;
+            let reading = watch.read(reader.body_part(&mut self.progress)).await;
+            let read = reading.map_err(|_| PassFailure::Target)?;
+            part = read.map_err(|_| PassFailure::Target)?;
         }
         if matches!(self.framing, BodyFraming::Length(_)) {
             return Ok(());
--- a/crates/entry/src/online/buffered.rs
+++ b/crates/entry/src/online/buffered.rs
@@ -12,7 +12,7 @@
         answer::{PassFailure, TargetAnswer},
         relay::{AttemptEnd, RequestRelay},
     },
-    target::connection::TargetConnection,
+    target::{connection::TargetConnection, restart_watch::RestartWatch},
 };
 
 impl RequestRelay<'_> {
@@ -33,7 +33,8 @@
         self.has_begun = true;
         let mut answer = TargetAnswer::new(framing, &self.node.memory);
         let left = self.request.left(self.now());
-        let is_whole = match timeout(left, answer.read(&mut connection.reader)).await {
+        let reading = timeout(left, answer.read(&mut connection.reader));
+        let is_whole = match RestartWatch::new(self.node, &choice.id).read(reading).await? {
             Ok(Ok(is_whole)) => is_whole,
             Ok(Err(_)) => return Err(AttemptFailure::CutAnswer),
             Err(_) => return Err(AttemptFailure::StalledAnswer),
@@ -74,7 +75,8 @@
                 ("held", &self.node.memory.used()),
             ],
         );
-        match answer.pass_on(&mut connection.reader, self.client, writer).await {
+        let watch = RestartWatch::new(self.node, &choice.id);
+        match answer.pass_on(&mut connection.reader, self.client, writer, watch).await {
             Ok(()) => {
                 self.node.give_back(&choice.id, connection, &head);
                 Ok(AttemptEnd::Complete(head.status))
--- a/crates/entry/src/online/relay.rs
+++ b/crates/entry/src/online/relay.rs
@@ -3,10 +3,6 @@
 use std::time::Duration;
 
 use async_std::{net::TcpStream, task};
-use futures_util::{
-    future::{Either, select},
-    pin_mut,
-};
 use notch_h1::prelude::*;
 use notch_platform_wire::{client::gateway_answer, prelude::RelayTerms, target::relayed_request};
 use notch_relay::prelude::*;
@@ -28,6 +24,7 @@
         slots,
         suspects::{InterruptedRun, fingerprint},
     },
+    target::{connection::TargetConnection, restart_watch::RestartWatch},
 };
 
 /// Number of probes for which a request waits that finds several of its suspects refused and due.
@@ -53,18 +50,6 @@
     ClientGone,
 }
 
-/// Waits until the target incarnation `id` has been replaced by a restart. A run there is lost then, even if its
-/// connection shows no failure.
-async fn until_restarted(node: &EntryNode, id: &str) {
-    loop {
-        let listener = node.target_restarts.listen();
-        if node.targets().has_restarted(id) {
-            return;
-        }
-        listener.await;
-    }
-}
-
 /// How long a request may wait for a slot. There is no limit for a retry or a resumed stream, as the client may not
 /// retry again, nor for a client without the time to retry, as a late answer is better than none.
 fn queue_limit(node: &EntryNode, request: &OnlineRequest) -> QueueLimit {
@@ -331,16 +316,7 @@
         let began = self.now();
         self.failure_status = None;
         self.has_begun = false;
-        let end = {
-            let node = self.node;
-            let attempting = self.attempt_at(choice);
-            let restarting = until_restarted(node, &choice.id);
-            pin_mut!(attempting, restarting);
-            match select(attempting, restarting).await {
-                Either::Left((end, _)) => end,
-                Either::Right(_) => Err(AttemptFailure::TargetRestarted),
-            }
-        };
+        let end = self.attempt_at(choice).await;
         let (fingerprint, result) = (self.request.fingerprint, self.attempt_result(end));
         lease.set_evidence(AttemptEvidence { fingerprint, result, has_begun: self.has_begun });
         match end {
@@ -388,6 +364,21 @@
     }
 
     async fn attempt_at(&mut self, choice: &TargetChoice) -> Result<AttemptEnd, AttemptFailure> {
+        let watch = RestartWatch::new(self.node, &choice.id);
+        let (connection, head) = watch.read(self.exchange_with(choice)).await??;
+        self.node.targets().note_alive(&choice.id);
+        let is_stream = self.request.route.kind == RouteKind::Streaming && head.status == 200;
+        if is_stream {
+            return self.relay_stream(choice, connection, head).await;
+        }
+        self.relay_buffered(choice, connection, head).await
+    }
+
+    /// Sends the request to a target, and reads the head of its answer.
+    async fn exchange_with(
+        &self,
+        choice: &TargetChoice,
+    ) -> Result<(TargetConnection, ResponseHead), AttemptFailure> {
         let non_repeatable = !self.request.route.may_repeat();
         let mut connection =
             self.node.pool.connect(&choice.id, choice.address, non_repeatable).await?;
@@ -404,12 +395,7 @@
         let bytes = relayed_request(&self.request.head, &self.request.body, terms);
         let wait = self.first_byte_wait(choice, left);
         let head = connection.exchange(&bytes, self.request.attempt(), wait).await?;
-        self.node.targets().note_alive(&choice.id);
-        let is_stream = self.request.route.kind == RouteKind::Streaming && head.status == 200;
-        if is_stream {
-            return self.relay_stream(choice, connection, head).await;
-        }
-        self.relay_buffered(choice, connection, head).await
+        Ok((connection, head))
     }
 
     /// Timeout of the first byte of an answer. A request that can't be tried elsewhere may wait until its deadline.
--- a/crates/entry/src/online/stream.rs
+++ b/crates/entry/src/online/stream.rs
@@ -10,7 +10,7 @@
 use crate::{
     constants::{CLIENT_STALL, STALL_FACTOR},
     online::relay::{AttemptEnd, RequestRelay},
-    target::connection::TargetConnection,
+    target::{connection::TargetConnection, restart_watch::RestartWatch},
 };
 
 impl RequestRelay<'_> {
@@ -26,10 +26,12 @@
         let mut progress = BodyProgress::new(framing);
         let mut splitter = EventSplitter::after(self.last_event);
         let mut pace = self.node.stream_pace(&choice.id);
+        let watch = RestartWatch::new(self.node, &choice.id);
         loop {
             let wait = self.event_wait();
             pace.start_wait();
-            let part = match timeout(wait, connection.reader.body_part(&mut progress)).await {
+            let reading = timeout(wait, connection.reader.body_part(&mut progress));
+            let part = match watch.read(reading).await? {
                 Ok(Ok(part)) => part,
                 Ok(Err(_)) => return Err(AttemptFailure::CutAnswer),
                 Err(_) => return Err(AttemptFailure::StalledAnswer),
--- a/crates/entry/src/target.rs
+++ b/crates/entry/src/target.rs
@@ -4,4 +4,5 @@
 pub mod ejections;
 pub mod liveness;
 pub mod pool;
+pub mod restart_watch;
 pub mod stream_pace;
