An interrupted deletion leaves no open job

Callers could see items of a batch job run again that its client had ended: an hour after its acceptance the job is deleted, its end first.

Change: a job that is not closed is closed before its end is deleted, so that whatever is left is never run and the next pass finishes the deletion.

--- a/crates/entry/src/batch/records.rs
+++ b/crates/entry/src/batch/records.rs
@@ -177,6 +177,10 @@
 /// # Errors
 /// The store did not answer: some objects may be left.
 pub async fn delete_job(store: &StoreClient, job: &StoredJob) -> Result<(), StoreFailure> {
+    // Without its end, a job that is not closed would run again if the deletion stopped there.
+    if !job.status.closed {
+        close_job(store, &job.id, job.owner()).await?;
+    }
     for (kind, name) in result_names(store, &job.id).await? {
         delete(store, kind, &name).await?;
     }
