--- a/crates/relay/src/jobs.rs
+++ b/crates/relay/src/jobs.rs
@@ -1,9 +1,13 @@
 //! Jobs owned by this gateway: their items, the scheduling of the items, and the list of results.
 
 pub mod eviction;
+pub mod held_progress;
+pub mod item_end;
+mod item_progress;
 pub mod json_size;
 pub mod owned;
 pub mod ownership;
+pub mod pending_write;
 pub mod registration_pause;
 pub mod result;
 pub mod run_time;
--- a/crates/relay/src/jobs/owned.rs
+++ b/crates/relay/src/jobs/owned.rs
@@ -3,11 +3,14 @@
 use std::{sync::Arc, time::Duration};
 
 use notch_types::prelude::*;
-use serde::{Deserialize, Serialize};
 
 use crate::item_slots::preemption::slack_ms;
 use crate::jobs::{
+    held_progress::HeldProgress,
+    item_end::ItemEnd,
+    item_progress::{ItemPhase, ItemProgress},
     ownership::OwnershipGeneration,
+    pending_write::PendingWrite,
     result::{ItemState, ResultLine},
     run_time::ItemRunTime,
     spec::{ItemSpec, JobSpec},
@@ -40,101 +43,11 @@
 /// Added to an item's lifetime before it is given up, to allow for differing wall clocks of two
 /// VMs.
 const LIFETIME_MARGIN: Duration = Duration::from_secs(3);
-/// Bytes that partial output takes in a message beside its texts, at most.
-const FRAME_BYTES: usize = 96;
 /// Smallest size to which objects of results are reduced that the store refuses.
 const MIN_WRITE_BYTES: usize = 4 << 10;
 /// Longest time for which results are collected.
 const MAX_REFUSED_WAIT: Duration = Duration::from_secs(60);
 
-/// Partial output of an unfinished item.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct HeldProgress {
-    /// Id of the item.
-    pub item: String,
-    /// Id of the last event held.
-    pub last_event: u64,
-    /// Version of the software that wrote the events; empty in messages of earlier builds.
-    #[serde(default)]
-    pub version: String,
-    /// Data of the events held, joined by line feeds.
-    #[serde(with = "serde_bytes")]
-    pub output: Vec<u8>,
-}
-
-impl HeldProgress {
-    /// Groups of at most `bytes` each. What is too large by itself is left out: its item starts anew.
-    pub fn fitting(progress: Vec<Self>, bytes: usize) -> Vec<Vec<Self>> {
-        let mut groups: Vec<Vec<Self>> = Vec::new();
-        let mut left = 0;
-        for held in progress {
-            let size = held.item.len() + held.version.len() + held.output.len() + FRAME_BYTES;
-            match groups.last_mut() {
-                _ if size > bytes => continue,
-                Some(group) if size <= left => group.push(held),
-                _ => {
-                    left = bytes;
-                    groups.push(vec![held]);
-                }
-            }
-            left -= size;
-        }
-        groups
-    }
-}
-
-/// How a run of an item ended.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum ItemEnd {
-    /// The output is complete.
-    Completed,
-    /// The target reported that the item can never succeed.
-    Impossible,
-    /// The target ran the item and reported a failure.
-    Failed,
-    /// The run was interrupted at the target; its progress is kept.
-    Interrupted,
-    /// The target had no free slot or was not reachable.
-    NotRun,
-    /// This gateway preempted the run for online work; its progress is kept.
-    Preempted,
-}
-
-/// Results to be stored.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct PendingWrite {
-    /// The results.
-    pub lines: Vec<Arc<ResultLine>>,
-    /// Most bytes of an object.
-    pub bytes: usize,
-}
-
-/// State of an item.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum ItemPhase {
-    /// To be run, but not before this time.
-    Waiting(MonoTime),
-    /// A run is in progress.
-    Running,
-    /// Ended: its result is stored or waits to be stored.
-    Ended,
-}
-
-#[derive(Debug)]
-struct ItemProgress {
-    phase: ItemPhase,
-    /// Runs that ended in a failure reported by the target.
-    failures: u32,
-    /// Consecutive runs that were interrupted without an event.
-    interruptions: u32,
-    /// Id of the last event held.
-    last_event: Option<u64>,
-    /// Version of the software that wrote the events held.
-    version: String,
-    /// Data of the events held, joined by line feeds.
-    output: Vec<u8>,
-}
-
 /// A job that this gateway runs and whose result list it extends.
 #[derive(Debug)]
 pub struct OwnedJob {
@@ -583,11 +496,3 @@
         self.pending.push(Arc::new(ResultLine { id, state, output }));
     }
 }
-
-impl ItemProgress {
-    fn new(listed: bool) -> Self {
-        let phase = if listed { ItemPhase::Ended } else { ItemPhase::Waiting(MonoTime::default()) };
-        let (version, output) = (String::new(), Vec::new());
-        Self { phase, failures: 0, interruptions: 0, last_event: None, version, output }
-    }
-}
