What a stopping gateway does for others counts as running

A gateway whose own requests are done ends 4.5 s after the signal. A store call or a held read that it had taken for another gateway a moment before was cut off then: the other gateway learns nothing of a write, and waits for its own time-out.

Change: both are counted while they run, as clients' requests are.

Test: what_runs_for_another_gateway_counts. Without the change it times out waiting for the call to count, with it it passes.

--- a/crates/entry/src/batch/reads.rs
+++ b/crates/entry/src/batch/reads.rs
@@ -330,6 +330,7 @@
 
 /// Answers another gateway's read of a job.
 pub async fn answer_peer(node: &Arc<EntryNode>, peer: &VmName, call: u64, read: &PeerRead) {
+    let _active = node.stop.enter();
     let job = read.job.as_str();
     let after = usize::try_from(read.after).unwrap_or(usize::MAX);
     let now = node.clock.mono();
--- a/crates/entry/src/peers/store_forwarding.rs
+++ b/crates/entry/src/peers/store_forwarding.rs
@@ -76,6 +76,7 @@
 pub async fn serve_call(node: &EntryNode, vm: &VmName, message: PeerMessage) {
     let PeerMessage::StoreCall { call, method, path, body, wait_ms } = message else { return };
     let wait = Duration::from_millis(wait_ms);
+    let _active = node.stop.enter();
     let result = if node.stop.can_end(wait, node.clock.mono()) {
         let (cause, body) = (StoreCallCause::ForAnother, body.as_deref());
         node.store.call_directly(cause, &method, &path, body, wait).await
