--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -54,7 +54,7 @@
     pub name: String,
     pub address: SocketAddr,
     manner: Mutex<Manner>,
-    /// Number of calls that were left without an answer.
+    /// Calls that were left without an answer.
     late_calls: Mutex<Vec<Instant>>,
 }
 
