--- a/review/standins-2/src/stale_route.rs
+++ b/review/standins-2/src/stale_route.rs
@@ -15,7 +15,7 @@
 };
 
 /// Cuts, one after the other until the rule is broken.
-const ROUNDS: u64 = 6;
+const ROUNDS: u64 = 8;
 /// Length of the first cut, of which 12 s are allowed; each further one is a little longer.
 const CUT: Duration = Duration::from_millis(4_500);
 const LONGER: Duration = Duration::from_millis(70);
