--- a/review/standins-2/src/common.rs
+++ b/review/standins-2/src/common.rs
@@ -204,11 +204,22 @@
         from: SocketAddr,
         lot: &str,
     ) -> Result<(u64, Vec<(String, String)>), String> {
+        self.read_with(from, lot, &[])
+    }
+
+    /// The same with more headers.
+    pub fn read_with(
+        &self,
+        from: SocketAddr,
+        lot: &str,
+        more: &[(&str, &str)],
+    ) -> Result<(u64, Vec<(String, String)>), String> {
+        let headers = [&[("Host", HOST)], more].concat();
         let mut results = Vec::new();
         loop {
             let path = format!("/magnolianotch/lots/{lot}?after={}", results.len());
             let wait = Duration::from_secs(3);
-            let answer = http::call(from, "GET", &path, &[("Host", HOST)], b"", wait);
+            let answer = http::call(from, "GET", &path, &headers, b"", wait);
             let answer = answer.map_err(|error| error.to_string())?;
             if answer.status() != 200 {
                 return Err(answer.status().to_string());
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -2,12 +2,12 @@
 //! clients, brings one disruption about, and checks one rule.
 
 mod common;
+mod foreign_entry;
 mod gateway;
 mod http;
 mod json;
 mod late_job;
 mod proxy;
-mod quota_share;
 mod record;
 mod revoked_key;
 mod server;
@@ -33,10 +33,10 @@
     let folder = PathBuf::from(folder);
     let trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
     let run: fn(&common::Stage) -> Outcome = match case.as_str() {
+        "foreign-entry" => foreign_entry::run,
         "late-job" => late_job::run,
         "stored-jobs" => stored_jobs::run,
         "stale-route" => stale_route::run,
-        "quota-share" => quota_share::run,
         "revoked-key" => revoked_key::run,
         _ => {
             eprintln!("no such case: {case}");
--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -73,6 +73,8 @@
     state: Mutex<State>,
     changed: Condvar,
     record: Arc<Record>,
+    /// A text in what is stored, and the bytes that stand in its place.
+    raw: Mutex<Option<(String, Vec<u8>)>>,
 }
 
 fn object_text(name: &str, object: &Object) -> String {
@@ -93,7 +95,12 @@
 impl Store {
     pub fn new(record: Arc<Record>) -> Arc<Self> {
         let state = State { revision: 100, ..State::default() };
-        Arc::new(Self { state: Mutex::new(state), changed: Condvar::new(), record })
+        Arc::new(Self {
+            state: Mutex::new(state),
+            changed: Condvar::new(),
+            record,
+            raw: Mutex::default(),
+        })
     }
 
     /// Serves the store at an address of its own.
@@ -149,12 +156,24 @@
             }
             let (status, body) = self.execute(&call);
             let kind = [("Content-Type", "application/json")];
-            if respond(&mut stream, status, &kind, body.as_bytes()).is_err() {
+            if respond(&mut stream, status, &kind, &self.with_raw(&body)).is_err() {
                 return;
             }
         }
     }
 
+    /// Has these bytes stand in the place of a text in what is stored.
+    pub fn set_raw(&self, text: &str, bytes: &[u8]) {
+        *self.raw.lock().unwrap() = Some((text.to_owned(), bytes.to_vec()));
+    }
+
+    fn with_raw(&self, body: &str) -> Vec<u8> {
+        let raw = self.raw.lock().unwrap();
+        let Some((text, bytes)) = raw.as_ref() else { return body.as_bytes().to_vec() };
+        let parts: Vec<&[u8]> = body.split(text.as_str()).map(str::as_bytes).collect();
+        parts.join(bytes.as_slice())
+    }
+
     fn execute(&self, call: &Message) -> (u16, String) {
         let (method, target) = (call.word(0).to_owned(), call.word(1).to_owned());
         let (path, tail) = target.split_once('?').unwrap_or((&target, ""));
