Give items up only when the store confirms that their route was removed

Cause: the runner gave up each item whose route is not in the configuration that the gateway happens to hold. A gateway that was cut off for 4.5 s held version 9 and owned jobs that others had accepted under version 11.

Change: a missing route counts as removed only if a proof that the configuration is the newest one was requested after the route was found missing. The store's answers are linearizable, so such a proof covers the version under which the job was accepted. If there is no such proof, the runner asks the store for one, and the items wait. Each job with items that are given up is logged with cause, version and age of the proof (items_given_up).

Test: items_on_a_route_that_is_not_known_yet_are_not_given_up failed before (result listed as dead_letter), passes now; items_of_a_removed_route_are_given_up passed before and now. That the gateway took the jobs over at all is another fault.

--- a/crates/entry/src/accounts/freshness.rs
+++ b/crates/entry/src/accounts/freshness.rs
@@ -18,7 +18,7 @@
 use crate::{
     node::EntryNode,
     peers::{calls::CallEnd, catch_up::KnownVersions, links},
-    store::{call_cause::StoreCallCause, retry::jittered},
+    store::{call_cause::StoreCallCause, feed::StorePath, retry::jittered},
 };
 
 /// Divisor of the maximum age: a proof is renewed at an eighth of it. A proof passes through at most two gateways, so
@@ -58,12 +58,24 @@
     }
 }
 
+/// Has the store confirm the configuration whenever a decision waits for that, until the process ends.
+pub async fn confirm_on_demand(node: Arc<EntryNode>) {
+    loop {
+        node.confirmation_wanted.listen().await;
+        read_from_store(&node, StorePath::Any).await;
+        // A decision that still waits asks again.
+        task::sleep(jittered(RENEW_RETRY_PAUSE)).await;
+    }
+}
+
 /// Gets a newer proof, from another gateway if possible, otherwise from the store. False when there is none.
 async fn renew(node: &EntryNode, renew_at: Duration) -> bool {
-    let Some(vm) = node.proof_source() else { return read_from_store(node).await };
+    let Some(vm) = node.proof_source() else {
+        return read_from_store(node, StorePath::Direct).await;
+    };
     match ask_gateway(node, &vm, renew_at * 2).await {
         ProofAnswer::Proved | ProofAnswer::Newer => true,
-        ProofAnswer::None => read_from_store(node).await,
+        ProofAnswer::None => read_from_store(node, StorePath::Direct).await,
     }
 }
 
@@ -88,12 +100,17 @@
 }
 
 /// Reads the configuration from the store. False when that failed.
-async fn read_from_store(node: &EntryNode) -> bool {
+async fn read_from_store(node: &EntryNode, way: StorePath) -> bool {
     let asked = node.clock.boot();
     let path = object_path(CONFIGURATION_KIND, CONFIGURATION_NAME);
     let cause = StoreCallCause::ConfigurationConfirmed;
-    let reading = node.store.call_directly(cause, "GET", &path, None, STORE_TIMEOUT);
-    let Ok(reply) = reading.await else { return false };
+    let reply = match way {
+        StorePath::Direct => {
+            node.store.call_directly(cause, "GET", &path, None, STORE_TIMEOUT).await
+        }
+        StorePath::Any => node.store.call(cause, "GET", &path, None, STORE_TIMEOUT).await,
+    };
+    let Ok(reply) = reply else { return false };
     let Ok(object) = decode::<StoreObject>(&reply.body) else { return false };
     let Some(spec) = object.spec.as_ref().filter(|_| reply.is_success()) else { return false };
     let Some(version) = node.take_configuration(spec, "store") else { return false };
--- a/crates/entry/src/batch/job_registry.rs
+++ b/crates/entry/src/batch/job_registry.rs
@@ -85,6 +85,8 @@
     /// Jobs whose storing is delayed at another gateway, and when this was reported. Invariant:
     /// none is older than [`STORING_TIMEOUT`].
     storing_elsewhere: FastMap<String, MonoTime>,
+    /// Owned jobs whose route the configuration in force lacks.
+    pub missing_routes: MissingRoutes,
     /// When to search the store for jobs without an owner.
     pub search: SearchSchedule,
     /// Limits store lookups for jobs that are about to be refused.
--- a/crates/entry/src/batch/runner.rs
+++ b/crates/entry/src/batch/runner.rs
@@ -54,18 +54,50 @@
     }
 }
 
-/// Gives up items whose lifetime is over or whose route no longer exists.
+/// Gives up items whose lifetime is over or whose route was removed.
 fn give_up_items(node: &EntryNode, now: MonoTime) {
+    // Read first: the routes are then at least as new as what it proves.
+    let proof = node.accounts.age().proof();
     let Some(routes) = node.routes() else { return };
+    let mut is_unconfirmed = false;
     let mut registry = node.jobs();
-    for id in registry.table.ids() {
-        let Some(job) = registry.table.get_mut(&id) else { continue };
+    let JobRegistry { table, missing_routes, .. } = &mut *registry;
+    for id in table.ids() {
+        let Some(job) = table.get_mut(&id) else { continue };
         let spec = Arc::clone(job.spec());
-        let route_gone = routes.find(&spec.host, &spec.path).is_none();
-        job.give_up_items(route_gone, now);
+        let is_present = routes.find(&spec.host, &spec.path).is_some();
+        let state = missing_routes.judge(&id, is_present, proof, node.clock.boot());
+        is_unconfirmed |= state == RouteState::Unconfirmed;
+        let given_up = job.give_up_items(state == RouteState::Removed, now);
+        if given_up > 0 {
+            log_given_up(node, &id, state, (given_up, routes.version()));
+        }
+    }
+    missing_routes.retain(|job| table.get(job).is_some());
+    if is_unconfirmed {
+        node.confirmation_wanted.notify(usize::MAX);
     }
 }
 
+fn log_given_up(node: &EntryNode, job: &str, state: RouteState, (items, version): (usize, u64)) {
+    let cause = match state {
+        RouteState::Removed => "route_removed",
+        RouteState::Present | RouteState::Unconfirmed => "expired",
+    };
+    let age = node.accounts.age().age(node.clock.boot());
+    node.log.info(
+        "items_given_up",
+        &[
+            ("job", &job),
+            ("items", &items),
+            ("cause", &cause),
+            ("configuration", &version),
+            ("age_ms", &age.map_or(-1, |age| age.as_millis() as i64)),
+        ],
+    );
+    node.metrics.count(Counter::Event("jobs_with_items_given_up"));
+}
+
 /// Delays waiting items with a prompt part that crashes targets, but for one at a time.
 fn defer_refused_items(node: &EntryNode, now: MonoTime) {
     let suspects = node.suspects();
--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -124,6 +124,7 @@
     }
     task::spawn(limits::maintain_headroom(Arc::clone(node)));
     task::spawn(freshness::keep_fresh(Arc::clone(node)));
+    task::spawn(freshness::confirm_on_demand(Arc::clone(node)));
     task::spawn(retention::delete_old_jobs(Arc::clone(node)));
     task::spawn(retirements::answer_retirements(Arc::clone(node)));
     task::spawn(log_counts(Arc::clone(node)));
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -100,6 +100,8 @@
     pub state_changed: Event,
     /// Notified when a target has restarted.
     pub target_restarts: Event,
+    /// Notified when a decision waits for the store to confirm the configuration in force.
+    pub confirmation_wanted: Event,
     /// Whether a check of the ownership of all jobs is scheduled.
     pub is_verifying: AtomicBool,
     configuration: RwLock<Option<ConfigurationInForce>>,
@@ -164,6 +166,7 @@
             runner_wake: Event::new(),
             state_changed: Event::new(),
             target_restarts: Event::new(),
+            confirmation_wanted: Event::new(),
             is_verifying: AtomicBool::new(false),
             configuration: RwLock::new(None),
             targets: Mutex::new(targets),
--- a/crates/relay/src/jobs/owned.rs
+++ b/crates/relay/src/jobs/owned.rs
@@ -328,16 +328,17 @@
     }
 
     /// Gives up every item that is not running if the items' lifetime is over at `now` or the job's
-    /// route is gone.
-    pub fn give_up_items(&mut self, route_gone: bool, now: MonoTime) {
+    /// route is gone. Returns how many.
+    pub fn give_up_items(&mut self, route_gone: bool, now: MonoTime) -> usize {
         if !route_gone && now < self.expires {
-            return;
+            return 0;
         }
-        for index in 0..self.items.len() {
-            if matches!(self.items[index].phase, ItemPhase::Waiting(_)) {
-                self.finish(index, ItemState::GivenUp, Vec::new(), now);
-            }
+        let is_waiting = |index: &usize| matches!(self.items[*index].phase, ItemPhase::Waiting(_));
+        let waiting: Vec<usize> = (0..self.items.len()).filter(is_waiting).collect();
+        for index in &waiting {
+            self.finish(*index, ItemState::GivenUp, Vec::new(), now);
         }
+        waiting.len()
     }
 
     /// Returns pending results to be stored now, if no write is in progress and they have waited
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -83,6 +83,7 @@
         },
         memory::budget::{MemoryBudget, MemoryUse},
         routes::{
+            absence::{MissingRoutes, RouteState},
             configuration::{ClientLimits, Configuration},
             dropped::DroppedRoutes,
             route::{Route, RouteKind, WeightedService},
--- a/crates/relay/src/routes.rs
+++ b/crates/relay/src/routes.rs
@@ -1,5 +1,6 @@
 //! Configuration in force and look-up of routes.
 
+pub mod absence;
 pub mod configuration;
 pub mod dropped;
 pub mod route;
