Take over nothing after a cut until the store has been in reach for long enough

Cause: a gateway without a link to an owner for 1 s took the owner for dead. To a gateway that is cut off itself, all others look dead, and when the cut ends the store may answer before their links are up again.

Change: OwnContact (pure) keeps since when this gateway itself is in contact. While most gateways are silent (no link, and the last one not closed by the other side), the store must confirm the configuration again and again, and a gateway counts as gone only after 2.5 s of that: longer than a handshake that times out, the pause after it and another handshake. A gateway that hears most others waits 1 s as before. An answer to a request from before the cut is no contact.

--- a/crates/entry/src/accounts/freshness.rs
+++ b/crates/entry/src/accounts/freshness.rs
@@ -101,7 +101,7 @@
 
 /// Reads the configuration from the store. False when that failed.
 async fn read_from_store(node: &EntryNode, way: StorePath) -> bool {
-    let asked = node.clock.boot();
+    let (asked, asked_mono) = (node.clock.boot(), node.clock.mono());
     let path = object_path(CONFIGURATION_KIND, CONFIGURATION_NAME);
     let cause = StoreCallCause::ConfigurationConfirmed;
     let reply = match way {
@@ -114,6 +114,7 @@
     let Ok(object) = decode::<StoreObject>(&reply.body) else { return false };
     let Some(spec) = object.spec.as_ref().filter(|_| reply.is_success()) else { return false };
     let Some(version) = node.take_configuration(spec, "store") else { return false };
+    node.peers.note_contact(asked_mono, node.clock.mono());
     node.note_proof(ConfigurationProof { version, as_of: asked })
 }
 
--- a/crates/entry/src/batch/takeover.rs
+++ b/crates/entry/src/batch/takeover.rs
@@ -49,6 +49,9 @@
             note_loss(&node);
         }
         live = still;
+        if node.peers.needs_contact(now) {
+            node.confirmation_wanted.notify(usize::MAX);
+        }
         let orphans = known_orphans(&node, now);
         stale_since = stale_since.filter(|_| !orphans.is_empty()).or(Some(now));
         let is_stale = stale_since.is_some_and(|since| now.since(since) >= STALE_ORPHAN_TIME);
--- a/crates/entry/src/peers/table.rs
+++ b/crates/entry/src/peers/table.rs
@@ -2,6 +2,7 @@
 
 mod absence;
 mod census;
+mod liveness;
 
 use std::{
     net::SocketAddr,
@@ -12,12 +13,14 @@
 use async_channel::{Receiver, Sender};
 use notch_link::prelude::*;
 use notch_messages::prelude::*;
-use notch_relay::prelude::{AbsenceVote, CreditAnswer};
+use notch_relay::prelude::{AbsenceVote, CreditAnswer, OwnContact};
 use notch_types::prelude::*;
 
+pub use liveness::OwnerLiveness;
+
 use crate::{
     accounts::proof_age::ProofAge,
-    constants::{ENTRIES_FRESH, FIRST_LINK_TIMEOUT, PEER_DEAD_AFTER, PEER_SILENT_AFTER},
+    constants::{ENTRIES_FRESH, PEER_SILENT_AFTER},
     online::origin_reply::OriginReply,
     peers::{
         calls::CallTable,
@@ -71,17 +74,6 @@
     }
 }
 
-/// Whether the owner of a job is alive.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum OwnerLiveness {
-    /// There is a link to it.
-    Alive,
-    /// There is no link, but not yet for long enough to consider it dead.
-    Suspect,
-    /// It restarted, hands its jobs over, or is considered dead.
-    Gone,
-}
-
 /// Another gateway's answer to a read of an item's body.
 #[derive(Debug)]
 pub struct ItemBodyReply {
@@ -184,6 +176,8 @@
     job_coverage: Mutex<JobCoverage>,
     /// Counters of messages on links.
     pub traffic: PeerTraffic,
+    /// Whether missing links show that the others are gone.
+    contact: Mutex<OwnContact>,
     /// Decides when to request newer state.
     catch_up: Mutex<CatchUp>,
     /// Limits the answers to requests for state.
@@ -426,25 +420,6 @@
         self.peers().values().filter(|record| record.link.is_some()).count()
     }
 
-    /// Whether the gateway with the identity `owner` is alive at `now`. One without a link is first `Suspect`, even
-    /// if it is heard of for the first time: a gateway that has just started may own jobs before its entry is read
-    /// here. Taken over at once, these would have two owners.
-    pub fn liveness(&self, owner: &str, now: MonoTime) -> OwnerLiveness {
-        let vm = VmName::new(owner.split_once('#').map_or(owner, |(vm, _)| vm));
-        let mut peers = self.peers();
-        let record = peers.entry(vm.clone()).or_insert_with(|| PeerRecord::new(&vm, now));
-        let newest = record.owner.as_deref().or(record.entry.as_ref().map(|e| &*e.owner));
-        if record.is_leaving || newest.is_some_and(|newest| newest != owner) {
-            OwnerLiveness::Gone
-        } else if record.link.is_some() {
-            OwnerLiveness::Alive
-        } else if now.since(record.down_since) < record.dead_after() {
-            OwnerLiveness::Suspect
-        } else {
-            OwnerLiveness::Gone
-        }
-    }
-
     /// Gateways that can take jobs over. Those that are stopping can't, as they would have to hand them over again
     /// a moment later.
     pub fn successor_vms(&self) -> Vec<VmName> {
@@ -551,12 +526,6 @@
             && (self.link.is_none() || now.since(self.heard_at) >= PEER_SILENT_AFTER)
     }
 
-    /// How long it may be without a link before it is considered dead. One that never had a link may be alive but not
-    /// know this gateway yet, if this one has just started.
-    fn dead_after(&self) -> Duration {
-        if self.was_linked { PEER_DEAD_AFTER } else { FIRST_LINK_TIMEOUT }
-    }
-
     fn new(vm: &VmName, now: MonoTime) -> Self {
         Self {
             entry: None,
--- a/crates/relay/src/jobs.rs
+++ b/crates/relay/src/jobs.rs
@@ -1,5 +1,6 @@
 //! Jobs owned by this gateway: their items, the scheduling of the items, and the list of results.
 
+pub mod contact;
 pub mod eviction;
 pub mod held_progress;
 pub mod item_end;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -58,6 +58,7 @@
             table::JobAdmissionTable,
         },
         jobs::{
+            contact::{OwnContact, RELINK_TIMEOUT},
             eviction::{
                 AbsenceVote, EvictionCandidate, EvictionOutcome, EvictionVerdict, FleetView,
                 GatewayEviction, OwnEntryGuard, PeerAbsence,
