Let items on a missing route hold up no others

What callers saw: none of the items of a gateway ran while one item, the most urgent, waited for a route that its configuration lacks. Since items wait for the confirmation that a route was removed, that can last for as long as the store is out of reach.

Cause: the pass that starts items ended at the first item without a route (deployments where slots for items are not offered).

Test: items_on_an_unknown_route_do_not_hold_up_others failed before (the other job waited for 12 s, until the first one's lifetime was over), passes now in 1.3 s.

--- a/crates/entry/src/batch/runner.rs
+++ b/crates/entry/src/batch/runner.rs
@@ -127,7 +127,8 @@
         return;
     }
     let Some(routes) = node.routes() else { return };
-    for _ in 0..STARTS_PER_PASS {
+    let mut starts = 0;
+    while starts < STARTS_PER_PASS {
         let mut registry = node.jobs();
         let Some((job, index)) = registry.table.next_item(now) else { return };
         let Some(owned) = registry.table.get(&job) else { return };
@@ -135,9 +136,11 @@
         let spec = Arc::clone(owned.spec());
         let path = &spec.items[index].path;
         let Some(route) = routes.find(&spec.host, path) else {
-            // Items are given up only if the job's own route is gone; an item on another missing
-            // route waits.
-            return;
+            // It waits for its route while others go on.
+            if let Some(owned) = registry.table.get_mut(&job) {
+                owned.defer_item(index, now + MIN_DEFERRAL);
+            }
+            continue;
         };
         let service = route.service_for(rand::random());
         let prompt = item_prompt(&spec.items[index]);
@@ -165,6 +168,7 @@
         drop(registry);
         log_start(node, &start, &choice, left_ms);
         task::spawn(run_item(Arc::clone(node), run, start, choice, cancelled));
+        starts += 1;
     }
 }
 
