Identify the caller by the configuration in force when the body is read

Cause: the routes with their keys were taken before the request's head was read, and the caller was identified by them after the body. The check that the configuration is recent enough came after the body, too, and asked about a newer one.

Change: the configuration is looked up again after the body. A request or a call about a job is served by that one.

Test: a_key_revoked_while_the_body_comes_is_rejected failed before (200 and a run at the target), passes now.

--- a/crates/entry/src/front/connection.rs
+++ b/crates/entry/src/front/connection.rs
@@ -114,6 +114,8 @@
             None => return self.reject_unread(&head, "stopping", RETRY_AFTER_STOP).await,
         };
         let _held = body.held;
+        // The body may have taken long. A key that was revoked meanwhile must not be honoured.
+        let routes = self.node.routes();
         let keep = head.keep_alive && !self.node.stop.is_stopping();
         let answer = match ClientCall::decode(&head) {
             ClientCall::Ready => OwnAnswer::of(if self.node.is_ready() { 200 } else { 503 }),
