Refuse for good only what a confirmed configuration lacks

What callers saw: 404 or 401, after which clients don't return, from a gateway whose configuration was older than the route or the key.

Cause: a request was looked up in the configuration that the gateway happens to hold, however old it is.

Change: the look-up is a module of its own (accounts/lookup). What the configuration in force lacks is looked up again until the store has confirmed a configuration since the look-up began, for 400 ms at most; after that the answer is 503 with Retry-After (configuration_unconfirmed). All requests that wait share one read. Whether keys may be honoured is determined before the routes are taken, so that both are of one configuration.

Test: what_an_old_configuration_lacks_is_not_refused_for_good failed before in both cases (404 and 401 while the store can't be asked), passes now.

--- a/crates/entry/src/accounts.rs
+++ b/crates/entry/src/accounts.rs
@@ -3,5 +3,6 @@
 pub mod admission;
 pub mod credit;
 pub mod freshness;
+pub mod lookup;
 pub mod proof_age;
 pub mod state;
--- a/crates/entry/src/accounts/admission.rs
+++ b/crates/entry/src/accounts/admission.rs
@@ -1,9 +1,7 @@
-//! Admission of requests by API key, configuration freshness and account limit.
+//! Admission of requests by account limit, and why requests are refused.
 
 use std::time::Duration;
 
-use notch_h1::prelude::RequestHead;
-use notch_platform_wire::client::account_key;
 use notch_relay::prelude::*;
 use notch_types::prelude::*;
 
@@ -17,8 +15,14 @@
 /// Why a request is refused. No part of it has run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AdmissionRefusal {
+    /// No configuration is known yet.
+    NoConfiguration,
+    /// The newest configuration has no route for it.
+    NoRoute,
     /// Its key belongs to no account, or it has none and the route needs one.
     UnknownKey,
+    /// The known configuration lacks its route or key, but may not be the newest one.
+    Unconfirmed,
     /// The known configuration is too old to tell whether its key was revoked.
     StaleConfiguration,
     /// Its account's limit is exhausted.
@@ -36,7 +40,10 @@
     /// Stable name for logs and metrics.
     pub fn code(self) -> &'static str {
         match self {
+            Self::NoConfiguration => "no_configuration",
+            Self::NoRoute => "no_route",
             Self::UnknownKey => "unknown_key",
+            Self::Unconfirmed => "configuration_unconfirmed",
             Self::StaleConfiguration => "configuration_stale",
             Self::OverLimit { .. } => "over_account_limit",
             Self::LimitUnknown => "account_limit_unknown",
@@ -47,42 +54,18 @@
     /// The response to the client.
     pub fn answer(self) -> OwnAnswer {
         match self {
+            Self::NoRoute => OwnAnswer::of(404),
             Self::UnknownKey => OwnAnswer::of(401),
-            Self::StaleConfiguration | Self::LimitUnknown => OwnAnswer::refused(RETRY_AFTER_START),
+            Self::NoConfiguration
+            | Self::Unconfirmed
+            | Self::StaleConfiguration
+            | Self::LimitUnknown => OwnAnswer::refused(RETRY_AFTER_START),
             Self::OverLimit { wait } => OwnAnswer::over_limit(wait),
             Self::Stopping => OwnAnswer::refused(RETRY_AFTER_STOP),
         }
     }
 }
 
-/// Identifies the caller of a request by its key. Doesn't check whether the configuration is recent enough to
-/// honour the key; [`check_freshness`] does.
-///
-/// # Errors
-/// `UnknownKey` when it needs a key and has none that belongs to an account.
-pub fn identify(
-    routes: &RouteTable,
-    head: &RequestHead,
-    is_public: bool,
-) -> Result<CallerIdentity, AdmissionRefusal> {
-    match routes.identify(account_key(&head.headers), is_public) {
-        CallerIdentity::Unknown => Err(AdmissionRefusal::UnknownKey),
-        caller => Ok(caller),
-    }
-}
-
-/// Checks that the configuration is recent enough to honour the caller's key.
-///
-/// # Errors
-/// `StaleConfiguration` when it is too old; the key may have been revoked since.
-pub fn check_freshness(node: &EntryNode, caller: &CallerIdentity) -> Result<(), AdmissionRefusal> {
-    let has_key = matches!(caller, CallerIdentity::Account(_));
-    if has_key && !node.accounts.age().is_fresh(node.clock.boot()) {
-        return Err(AdmissionRefusal::StaleConfiguration);
-    }
-    Ok(())
-}
-
 /// Checks that an online request that arrived at `arrived` ends before this gateway does, if it stops.
 ///
 /// # Errors
--- a/crates/entry/src/accounts/freshness.rs
+++ b/crates/entry/src/accounts/freshness.rs
@@ -62,9 +62,10 @@
 pub async fn confirm_on_demand(node: Arc<EntryNode>) {
     loop {
         node.confirmation_wanted.listen().await;
-        read_from_store(&node, StorePath::Any).await;
-        // A decision that still waits asks again.
-        task::sleep(jittered(RENEW_RETRY_PAUSE)).await;
+        let is_confirmed = read_from_store(&node, StorePath::Any).await;
+        // What still waits asks again.
+        let pause = if is_confirmed { CHECK_INTERVAL } else { jittered(RENEW_RETRY_PAUSE) };
+        task::sleep(pause).await;
     }
 }
 
--- a/crates/entry/src/front/connection.rs
+++ b/crates/entry/src/front/connection.rs
@@ -13,7 +13,10 @@
 use notch_types::prelude::*;
 
 use crate::{
-    accounts::admission::{self, AdmissionRefusal},
+    accounts::{
+        admission::{self, AdmissionRefusal},
+        lookup::{self, RoutedCaller},
+    },
     batch::{bodies, ends, intake, reads},
     constants::{
         CLIENT_STALL, READ_AHEAD_BYTES, RETRY_AFTER_START, RETRY_AFTER_STOP, STARTUP_STATE_POLL,
@@ -114,39 +117,23 @@
             None => return self.reject_unread(&head, "stopping", RETRY_AFTER_STOP).await,
         };
         let _held = body.held;
-        // The body may have taken long. A key that was revoked meanwhile must not be honoured.
-        let routes = self.node.routes();
         let keep = head.keep_alive && !self.node.stop.is_stopping();
         let answer = match ClientCall::decode(&head) {
             ClientCall::Ready => OwnAnswer::of(if self.node.is_ready() { 200 } else { 503 }),
-            ClientCall::Job { job, call } => {
-                self.job_call(routes.as_deref(), &head, &job, call).await
-            }
-            ClientCall::Routed => {
-                match self.routed(routes.as_deref(), head, body.bytes, arrived).await {
-                    Routed::Answer(answer, attempt) => {
-                        return self.write(&answer, attempt.as_deref(), keep).await;
-                    }
-                    Routed::Delivered(delivery) => return keep && delivery == Delivery::Answered,
+            ClientCall::Job { job, call } => self.job_call(&head, &job, call).await,
+            ClientCall::Routed => match self.routed(head, body.bytes, arrived).await {
+                Routed::Answer(answer, attempt) => {
+                    return self.write(&answer, attempt.as_deref(), keep).await;
                 }
-            }
+                Routed::Delivered(delivery) => return keep && delivery == Delivery::Answered,
+            },
         };
         self.write(&answer, None, keep).await
     }
 
     /// Serves a call about a job; only the account that submitted the job has access to it.
-    async fn job_call(
-        &self,
-        routes: Option<&RouteTable>,
-        head: &RequestHead,
-        job: &str,
-        call: JobCall,
-    ) -> OwnAnswer {
-        // The call doesn't name the route that the job came on. Without a configuration, accounts can't be
-        // told apart.
-        let Some(routes) = routes else { return OwnAnswer::refused(RETRY_AFTER_START) };
-        let is_public = routes.is_public_host(head.headers.get("Host").unwrap_or_default());
-        let caller = match admission::identify(routes, head, is_public) {
+    async fn job_call(&self, head: &RequestHead, job: &str, call: JobCall) -> OwnAnswer {
+        let caller = match lookup::find_caller(self.node, head).await {
             Ok(caller) => caller,
             Err(refusal) => return self.refuse(Some(job), &CallerIdentity::Unknown, refusal),
         };
@@ -174,36 +161,18 @@
     }
 
     /// Serves a request on a route of the configuration: accepts a job, or relays an online request.
-    async fn routed(
-        &mut self,
-        routes: Option<&RouteTable>,
-        head: RequestHead,
-        body: Vec<u8>,
-        arrived: MonoTime,
-    ) -> Routed {
+    async fn routed(&mut self, head: RequestHead, body: Vec<u8>, arrived: MonoTime) -> Routed {
         let attempt = RequestHeaders::decode(&head.headers).attempt.map(str::to_owned);
-        let Some(routes) = routes else {
-            self.log_refusal(attempt.as_deref(), "no_configuration", 503);
-            return Routed::Answer(OwnAnswer::refused(RETRY_AFTER_START), attempt);
-        };
-        let host = head.headers.get("Host").unwrap_or_default();
-        let Some(route) = routes.find(host, &head.target) else {
-            self.log_refusal(attempt.as_deref(), "no_route", 404);
-            return Routed::Answer(OwnAnswer::of(404), attempt);
-        };
-        let route = Arc::clone(route);
-        let caller = admission::identify(routes, &head, route.is_public);
-        let caller = caller.and_then(|caller| {
-            admission::check_freshness(self.node, &caller)?;
-            Ok(caller)
-        });
-        let caller = match caller {
-            Ok(caller) => caller,
-            Err(refusal) => {
-                let caller = CallerIdentity::Unknown;
-                return Routed::Answer(self.refuse(attempt.as_deref(), &caller, refusal), attempt);
-            }
-        };
+        // Only now, as the body may have taken long: a key that was revoked meanwhile must not be honoured.
+        let RoutedCaller { routes, route, caller } =
+            match lookup::find_route(self.node, &head).await {
+                Ok(found) => found,
+                Err(refusal) => {
+                    let caller = CallerIdentity::Unknown;
+                    let answer = self.refuse(attempt.as_deref(), &caller, refusal);
+                    return Routed::Answer(answer, attempt);
+                }
+            };
         if route.kind == RouteKind::Batch {
             let account = caller.account_name();
             let accepting = intake::accept_job(self.node, &head, &body, &route, account, arrived);
