Make sure that a job answered as known has a live owner

Cause: a submission that finds its job in the store was answered as known, without a look at the owner that the store names. The write of the lost owner was done 3.5 s late, after the two searches that followed its loss.

Change: whoever answers known, by the store, a list, a cached read or before a refusal, reads the job unless its owner is known, watches that owner from then on, and takes the job over at once if the owner is gone. A read of a job from the store records the owner, too.

--- a/crates/entry/src/batch.rs
+++ b/crates/entry/src/batch.rs
@@ -1,6 +1,7 @@
 //! Batch jobs: accepting, running, reading and ending them, and taking over those of failed
 //! gateways.
 
+pub mod adoption;
 pub mod bodies;
 pub mod closing;
 pub mod commits;
--- a/crates/entry/src/batch/intake.rs
+++ b/crates/entry/src/batch/intake.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     batch::{
-        deadline_admission,
+        adoption, deadline_admission,
         limits::{self, LimitOutcome},
         ownership,
         prior_submission::{PriorJob, find_prior_submission},
@@ -86,7 +86,7 @@
         return answer(node, "-", "no_id", OwnAnswer::of(400), arrived);
     };
     if is_known_or_stored(node, id, arrived).await {
-        return answer(node, id, "known", OwnAnswer::of(202), arrived);
+        return known(node, id, arrived);
     }
     if node.jobs().is_busy(id) {
         // Another submission of it is being stored here, with an unknown outcome so far.
@@ -126,7 +126,7 @@
     let (outcome, answered) = match store_within_deadline(node, spec, record, text.to_owned()).await
     {
         Some(StoringOutcome::Owned) => ("accepted", OwnAnswer::of(202)),
-        Some(StoringOutcome::Known) => ("known", OwnAnswer::of(202)),
+        Some(StoringOutcome::Known) => return known(node, id, arrived),
         Some(StoringOutcome::NotStored) => ("store_unavailable", OwnAnswer::refused(RETRY_AFTER)),
         Some(StoringOutcome::Refused) => ("job_unstorable", OwnAnswer::of(413)),
         // Not a refusal: the job may be stored.
@@ -196,9 +196,14 @@
 
 /// Refuses a job, unless another gateway accepted it before without this one having heard of it.
 /// That job runs, so a refusal would be wrong.
-async fn refuse(node: &EntryNode, id: &str, refusal: JobRefusal, arrived: MonoTime) -> OwnAnswer {
+async fn refuse(
+    node: &Arc<EntryNode>,
+    id: &str,
+    refusal: JobRefusal,
+    arrived: MonoTime,
+) -> OwnAnswer {
     let (outcome, answered) = match (find_prior_submission(node, id).await, refusal) {
-        (PriorJob::Accepted, _) => ("known", OwnAnswer::of(202)),
+        (PriorJob::Accepted, _) => return known(node, id, arrived),
         (PriorJob::None, JobRefusal::NoTime { wait }) => ("no_time", OwnAnswer::refused(wait)),
         (PriorJob::None, JobRefusal::OverLimit { wait }) => {
             ("over_limit", OwnAnswer::over_limit(wait))
@@ -221,6 +226,12 @@
     answer(node, id, outcome, answered, arrived)
 }
 
+/// Accepts a job that was accepted before. Its owner may have been lost before its write was done.
+fn known(node: &Arc<EntryNode>, id: &str, arrived: MonoTime) -> OwnAnswer {
+    adoption::ensure_owner(node, id);
+    answer(node, id, "known", OwnAnswer::of(202), arrived)
+}
+
 /// Whether the job is known here. While another submission of it is being stored, waits for its
 /// outcome, which holds for both.
 async fn is_known_or_stored(node: &EntryNode, id: &str, arrived: MonoTime) -> bool {
--- a/crates/entry/src/batch/reads.rs
+++ b/crates/entry/src/batch/reads.rs
@@ -11,6 +11,7 @@
 
 use crate::{
     batch::{
+        adoption::note_stored_owner,
         job_cache::CachedJob,
         ownership,
         read_latency::{ReadKind, ReadSource},
@@ -280,6 +281,7 @@
     let Some(stored) = read_job(&node.store, job, StoreCallCause::ResultsRead).await? else {
         return Ok(false);
     };
+    note_stored_owner(node, &stored);
     let spec = Arc::new(read_spec(&node.store, &stored, StoreCallCause::ResultsRead).await?);
     copy.total = Some(spec.items.len());
     copy.account = Some(spec.account.clone());
--- a/crates/entry/src/batch/takeover.rs
+++ b/crates/entry/src/batch/takeover.rs
@@ -162,7 +162,7 @@
 }
 
 /// Whether a job of the store is open and its owner gone.
-fn is_takeover_due(node: &EntryNode, job: &StoredJob) -> bool {
+pub(super) fn is_takeover_due(node: &EntryNode, job: &StoredJob) -> bool {
     let now = node.clock.mono();
     let owner = job.owner();
     !job.status.closed && (owner == node.owner || node.liveness(owner, now) == OwnerLiveness::Gone)
@@ -256,7 +256,10 @@
 
 /// Takes jobs over. On routes with a limit, a job's tokens are counted here before the takeover and
 /// released from the former owner after it. In between they count twice, but are never uncounted.
-async fn take_over_all(node: &Arc<EntryNode>, jobs: Vec<StoredJob>) -> Result<(), StoreFailure> {
+pub(super) async fn take_over_all(
+    node: &Arc<EntryNode>,
+    jobs: Vec<StoredJob>,
+) -> Result<(), StoreFailure> {
     let with_limit = limited_routes(node);
     let limited = jobs.iter().filter(|job| with_limit.contains(&job.record.route));
     let limited: Vec<(&StoredJob, String)> = limited.map(|job| (job, limit_of(job))).collect();
