Watch the owner that a takeover was overtaken by

Cause: a takeover that found the job changed, by the late write of another gateway's takeover, or that was overtaken, left the job without recording whom the store names. If that gateway was lost before its write was done, every search was over.

Change: the job is read again, and its owner is watched from then on. If the store names this gateway, by an earlier write, the takeover is repeated.

Test: a_job_whose_takeover_is_overtaken_by_a_lost_gateway_is_run failed before (no result within 30 s), passes now.

--- a/crates/entry/src/batch/takeover.rs
+++ b/crates/entry/src/batch/takeover.rs
@@ -344,7 +344,7 @@
 async fn take_over_reserved(node: &Arc<EntryNode>, job: &StoredJob) -> Result<(), StoreFailure> {
     let id = &job.id;
     if job.owner() != node.owner && !take_job(&node.store, job, &node.owner).await? {
-        return Ok(());
+        return note_other_owner(node, id).await;
     }
     let spec = Arc::new(read_spec(&node.store, job, StoreCallCause::JobTakenOver).await?);
     let list = fence_results(&node.store, id, &node.owner).await?;
@@ -356,11 +356,9 @@
     // before the fence; one that does so later finds the fence. So only a read that starts after
     // the fence was written proves ownership of the list.
     let asked = node.jobs().table.ownership_generation();
-    let owner = read_job(&node.store, id, StoreCallCause::JobTakenOver)
-        .await?
-        .map(|job| job.owner().to_owned());
-    if owner.as_deref() != Some(&*node.owner) {
-        node.log.warn("job_overtaken", &[("job", id), ("owner", &owner.unwrap_or_default())]);
+    let stored = read_job(&node.store, id, StoreCallCause::JobTakenOver).await?;
+    if stored.as_ref().map(StoredJob::owner) != Some(&*node.owner) {
+        note_overtaken(node, id, stored.as_ref());
         return Ok(());
     }
     check_registration(node, id).await?;
@@ -388,3 +386,25 @@
     }
     Ok(())
 }
+
+/// Records who owns a job that this gateway couldn't take over, as it had changed: another one may have taken it over
+/// with a write that was done late, and be gone by now.
+///
+/// # Errors
+/// The store did not answer, or it names this gateway, by an earlier write.
+async fn note_other_owner(node: &EntryNode, job: &str) -> Result<(), StoreFailure> {
+    let stored = read_job(&node.store, job, StoreCallCause::JobTakenOver).await?;
+    if stored.as_ref().is_some_and(|stored| stored.owner() == node.owner) {
+        return Err(StoreFailure::NotDone);
+    }
+    note_overtaken(node, job, stored.as_ref());
+    Ok(())
+}
+
+fn note_overtaken(node: &EntryNode, job: &str, stored: Option<&StoredJob>) {
+    let owner = stored.map_or("", StoredJob::owner);
+    node.log.warn("job_overtaken", &[("job", &job), ("owner", &owner)]);
+    if stored.is_some_and(|stored| !stored.status.closed) {
+        node.jobs().note_owner(&[job.to_owned()], owner);
+    }
+}
