Show that a head that is cut off is never passed on as an answer

Reported by other operators: a server stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body, framed as whole.

Heads are parsed whole or not at all; the end of a connection within one is an error.

--- a/crates/http/tests/client.rs
+++ b/crates/http/tests/client.rs
@@ -62,6 +62,19 @@
     url
 }
 
+/// Guards against a head that is cut off and taken for the whole head of an answer with an empty body.
+#[test]
+fn an_answer_whose_head_is_cut_off_is_lost() {
+    block_on(async {
+        let head = &GOOD[..GOOD.len() - "good".len()];
+        for cut in 0..head.len() {
+            let url = scripted(vec![Act::AnswerAndClose(&head[..cut])]).await;
+            let sent = within(HttpClient::default().send(request(Method::Post, &url))).await;
+            assert!(matches!(sent, Err(ClientError::Lost(_))), "cut after {cut} bytes: {sent:?}");
+        }
+    });
+}
+
 #[test]
 fn connections_are_kept_and_answers_stay_apart() {
     block_on(async {
