Bound answers that are relayed as they come, in time and size

What callers would see: a 200 whose body never ends.

Cause: an answer that doesn't fit into the memory budget is relayed as it is read, and that had neither a time nor a size limit.

Change: the gateway waits for the target no longer than the request has left, not counting the time that the client takes to read, and passes on at most what a buffered answer may have (16 MB). Beyond that the answer is broken off, so that it doesn't look complete.

Test: an_endless_answer_is_not_relayed_without_end failed before (no end within 30 s), passes now.

--- a/crates/entry/src/online/answer.rs
+++ b/crates/entry/src/online/answer.rs
@@ -1,8 +1,11 @@
 //! A target's answer that is not a stream: buffered while memory suffices, relayed as it comes beyond that.
 
-use std::sync::Arc;
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
-use async_std::net::TcpStream;
+use async_std::{future::timeout, net::TcpStream};
 use notch_h1::prelude::*;
 use notch_relay::prelude::MemoryUse;
 
@@ -62,13 +65,14 @@
         Ok(true)
     }
 
-    /// Writes the answer with the head of `writer` to a client, reading the rest of it at the pace of the client.
+    /// Writes the answer with the head of `writer` to a client, reading the rest of it at the pace of the client. Waits
+    /// for the target no longer than `left` in all; the time that the client takes doesn't count.
     pub(crate) async fn pass_on(
         &mut self,
         reader: &mut WireReader,
         client: &TcpStream,
         writer: MessageWriter,
-        watch: RestartWatch<'_>,
+        (watch, mut left): (RestartWatch<'_>, Duration),
     ) -> Result<(), PassFailure> {
         let head = match self.framing {
             BodyFraming::Length(length) => writer.with_length(length),
@@ -76,12 +80,20 @@
         };
         self.write(client, &head).await?;
         let mut part = Some(std::mem::take(&mut self.bytes));
+        let mut passed = 0;
         while let Some(bytes) = part {
+            passed += bytes.len();
+            if passed > ANSWER_BODY_BYTES || left.is_zero() {
+                return Err(PassFailure::Target);
+            }
             let framed = self.framed(bytes);
             self.write(client, &framed).await?;
-            let reading = watch.read(reader.body_part(&mut self.progress)).await;
-            let read = reading.map_err(|_| PassFailure::Target)?;
+            let began = Instant::now();
+            let reading = timeout(left, reader.body_part(&mut self.progress));
+            let read = watch.read(reading).await.map_err(|_| PassFailure::Target)?;
+            let read = read.map_err(|_| PassFailure::Target)?;
             part = read.map_err(|_| PassFailure::Target)?;
+            left = left.saturating_sub(began.elapsed());
         }
         if matches!(self.framing, BodyFraming::Length(_)) {
             return Ok(());
--- a/crates/entry/src/online/buffered.rs
+++ b/crates/entry/src/online/buffered.rs
@@ -76,7 +76,8 @@
             ],
         );
         let watch = RestartWatch::new(self.node, &choice.id);
-        match answer.pass_on(&mut connection.reader, self.client, writer, watch).await {
+        let bounds = (watch, self.request.left(self.now()));
+        match answer.pass_on(&mut connection.reader, self.client, writer, bounds).await {
             Ok(()) => {
                 self.node.give_back(&choice.id, connection, &head);
                 Ok(AttemptEnd::Complete(head.status))
