Let bytes that complete no event prolong no wait and hold no uncounted memory

What callers would see: a request held until its deadline, or an item that never runs elsewhere, while a target sends bytes; with many such targets, a gateway killed for its memory.

Cause: timeouts and limits were those of each read. Each part of an answer began the wait for the next event anew, what was skipped was held, and incomplete events were not counted.

Change: the wait counts from the last whole event, for streams and items; a stream ends at its deadline.

--- a/crates/entry/src/batch/item_run.rs
+++ b/crates/entry/src/batch/item_run.rs
@@ -21,12 +21,16 @@
     constants::{ITEM_FIRST_BYTE, ITEM_STALL},
     node::EntryNode,
     online::lease::{AttemptEvidence, TargetLease},
+    target::event_buffer::EventBuffer,
 };
 
 /// Time limit passed to the target, which stops work when it is over. A run of an item has no
 /// deadline of its own.
 const ITEM_TIME_LIMIT: Duration = Duration::from_secs(60);
 
+/// Maximum output of one run of an item; what is longer is no answer, and is dropped.
+const ITEM_OUTPUT_BYTES: usize = 8 << 20;
+
 /// What a run has produced so far.
 #[derive(Debug, Default)]
 struct RunProgress {
@@ -186,12 +190,18 @@
     node.targets().note_alive(&choice.id);
     let framing = head.framing().map_err(|_| AttemptFailure::SpoiledAnswer)?;
     let mut body = BodyProgress::new(framing);
-    let mut splitter = EventSplitter::after(progress.last_event);
+    let mut buffer = EventBuffer::after(progress.last_event, &node.memory);
     let mut pace = node.stream_pace(&choice.id);
+    let mut waiting_since = node.clock.mono();
     loop {
+        // Bytes that complete no event don't prolong the wait.
+        let wait = ITEM_STALL.saturating_sub(node.clock.mono().since(waiting_since));
+        if wait.is_zero() {
+            return Err(AttemptFailure::StalledAnswer);
+        }
         pace.start_wait();
         let reading = connection.reader.body_part(&mut body);
-        let part = match timeout(ITEM_STALL, reading).await {
+        let part = match timeout(wait, reading).await {
             Ok(Ok(part)) => part,
             Ok(Err(_)) => return Err(AttemptFailure::CutAnswer),
             Err(_) => return Err(AttemptFailure::StalledAnswer),
@@ -199,25 +209,29 @@
         let Some(part) = part else { break };
         if head.status == 200 {
             pace.end_wait();
-            splitter.push(&part);
+            buffer.push(&part)?;
             let events = progress.events;
-            take_events(&mut splitter, progress)?;
+            take_events(&mut buffer, progress)?;
+            if progress.data.len() > ITEM_OUTPUT_BYTES {
+                *progress = RunProgress { last_event: start.last_event, ..RunProgress::default() };
+                return Err(AttemptFailure::SpoiledAnswer);
+            }
+            if progress.events != events {
+                waiting_since = node.clock.mono();
+            }
             pace.note_events((progress.events - events) as u32);
         }
     }
-    if splitter.has_partial_event() {
+    if buffer.has_partial_event() {
         return Err(AttemptFailure::CutAnswer);
     }
     node.give_back(&choice.id, connection, &head);
     Ok(head.status)
 }
 
-fn take_events(
-    splitter: &mut EventSplitter,
-    progress: &mut RunProgress,
-) -> Result<(), AttemptFailure> {
+fn take_events(buffer: &mut EventBuffer, progress: &mut RunProgress) -> Result<(), AttemptFailure> {
     loop {
-        match splitter.next_event() {
+        match buffer.next_event() {
             Ok(Some(event)) => {
                 if progress.events > 0 {
                     progress.data.push(b'\n');
--- a/crates/entry/src/online/stream.rs
+++ b/crates/entry/src/online/stream.rs
@@ -6,11 +6,14 @@
 use notch_h1::prelude::*;
 use notch_platform_wire::target::relayed_answer;
 use notch_relay::prelude::*;
+use notch_types::prelude::MonoTime;
 
 use crate::{
     constants::{CLIENT_STALL, STALL_FACTOR},
     online::relay::{AttemptEnd, RequestRelay},
-    target::{connection::TargetConnection, restart_watch::RestartWatch},
+    target::{
+        connection::TargetConnection, event_buffer::EventBuffer, restart_watch::RestartWatch,
+    },
 };
 
 impl RequestRelay<'_> {
@@ -24,11 +27,16 @@
     ) -> Result<AttemptEnd, AttemptFailure> {
         let framing = head.framing().map_err(|_| AttemptFailure::SpoiledAnswer)?;
         let mut progress = BodyProgress::new(framing);
-        let mut splitter = EventSplitter::after(self.last_event);
+        let mut events = EventBuffer::after(self.last_event, &self.node.memory);
         let mut pace = self.node.stream_pace(&choice.id);
         let watch = RestartWatch::new(self.node, &choice.id);
+        let mut waiting_since = self.now();
         loop {
-            let wait = self.event_wait();
+            // Bytes that complete no event don't prolong the wait.
+            let wait = self.event_wait(waiting_since);
+            if wait.is_zero() {
+                return Err(AttemptFailure::StalledAnswer);
+            }
             pace.start_wait();
             let reading = timeout(wait, connection.reader.body_part(&mut progress));
             let part = match watch.read(reading).await? {
@@ -38,14 +46,17 @@
             };
             let Some(part) = part else { break };
             pace.end_wait();
-            splitter.push(&part);
-            let events = self.events;
-            if !self.pass_events(choice, &mut splitter, &head).await? {
+            events.push(&part)?;
+            let passed = self.events;
+            if !self.pass_events(choice, &mut events, &head).await? {
                 return Ok(AttemptEnd::ClientGone);
             }
-            pace.note_events(self.events.wrapping_sub(events));
+            if self.events != passed {
+                waiting_since = self.now();
+            }
+            pace.note_events(self.events.wrapping_sub(passed));
         }
-        if splitter.has_partial_event() {
+        if events.has_partial_event() {
             return Err(AttemptFailure::CutAnswer);
         }
         self.node.give_back(&choice.id, connection, &head);
@@ -61,12 +72,12 @@
     async fn pass_events(
         &mut self,
         choice: &TargetChoice,
-        splitter: &mut EventSplitter,
+        events: &mut EventBuffer,
         head: &ResponseHead,
     ) -> Result<bool, AttemptFailure> {
         let mut bytes = Vec::new();
         let fault = loop {
-            match splitter.next_event() {
+            match events.next_event() {
                 Ok(Some(event)) => {
                     self.last_event = Some(event.id);
                     self.events = self.events.wrapping_add(1);
@@ -106,9 +117,10 @@
         writer.with_chunks()
     }
 
-    /// Time to wait for the next event before the stream counts as stalled.
-    fn event_wait(&self) -> Duration {
-        let left = self.request.left(self.now());
+    /// Time to wait for the next event before the stream counts as stalled, if the wait began at `since`.
+    fn event_wait(&self, since: MonoTime) -> Duration {
+        let now = self.now();
+        let left = self.request.left(now);
         if !self.has_attempts() {
             return left;
         }
@@ -117,6 +129,6 @@
         } else {
             self.request.route.objective
         };
-        gap.mul_f64(STALL_FACTOR).min(left)
+        gap.mul_f64(STALL_FACTOR).saturating_sub(now.since(since)).min(left)
     }
 }
--- a/crates/entry/src/target/connection.rs
+++ b/crates/entry/src/target/connection.rs
@@ -144,7 +144,7 @@
             }
             self.is_out_of_sync = true;
             let framing = head.framing().map_err(|_| AttemptFailure::SpoiledAnswer)?;
-            let skipped = self.reader.whole_body(framing, ANSWER_BODY_BYTES).await;
+            let skipped = self.reader.skip_body(framing, ANSWER_BODY_BYTES).await;
             skipped.map_err(|_| AttemptFailure::ClosedBeforeAnswer)?;
         }
     }
--- a/crates/h1/src/reader.rs
+++ b/crates/h1/src/reader.rs
@@ -99,15 +99,18 @@
     /// Reads the head of the next final response; interim (1xx) ones are skipped.
     ///
     /// # Errors
-    /// `Closed` before its end, `Malformed`, `TooLarge` beyond `max_bytes`, `Io`.
+    /// `Closed` before its end, `Malformed`, `TooLarge` beyond `max_bytes` with the interim ones, `Io`.
     pub async fn response_head(&mut self, max_bytes: usize) -> Result<ResponseHead, WireError> {
+        let mut interim = 0;
         loop {
+            let buffered = self.buffered_len();
             while let Some(head) = self.parse_response()? {
                 if head.status >= 200 {
                     return Ok(head);
                 }
             }
-            if self.buffer.len() - self.consumed > max_bytes {
+            interim += buffered - self.buffered_len();
+            if interim + self.buffered_len() > max_bytes {
                 return Err(WireError::TooLarge);
             }
             if self.fill().await? == 0 {
@@ -167,6 +170,26 @@
         Ok(body)
     }
 
+    /// Reads a whole body and drops it.
+    ///
+    /// # Errors
+    /// As [`whole_body`](Self::whole_body).
+    pub async fn skip_body(
+        &mut self,
+        framing: BodyFraming,
+        max_bytes: usize,
+    ) -> Result<(), WireError> {
+        let mut progress = BodyProgress::new(framing);
+        let mut skipped = 0;
+        while let Some(part) = self.body_part(&mut progress).await? {
+            skipped += part.len();
+            if skipped > max_bytes {
+                return Err(WireError::TooLarge);
+            }
+        }
+        Ok(())
+    }
+
     fn parse_request(&mut self) -> Result<Option<RequestHead>, WireError> {
         let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
         let mut request = httparse::Request::new(&mut headers);
--- a/crates/relay/src/stream/splitter.rs
+++ b/crates/relay/src/stream/splitter.rs
@@ -59,6 +59,11 @@
         self.last
     }
 
+    /// Number of bytes received that belong to no event returned yet.
+    pub fn buffered_len(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Whether the buffer contains a partial event.
     pub fn has_partial_event(&self) -> bool {
         !self.buffer.is_empty()
