Agree on a stream's version only if some gateway knows the recent past

What callers would see: a stream that a client takes up goes on at another software version than it began with, framed as whole (ORDER).

Cause: gateways that have just started took the only version that they see for the only one there was, if no other gateway contradicted. If all have just started, none can.

Change: at least one gateway must know the last 20 s. The versions of a service in these 20 s are recorded in the store, and a gateway that has just started reads that record once for a stream that is taken up. [fleet] first_start, filled in by the platform, says that there was nothing before; it is believed only by a gateway that the store didn't know.

In a_version_is_agreed_if_no_view_contradicts the case all_have_just_started asserted the fault; it now asserts the opposite, and two cases are added.

--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -29,7 +29,9 @@
     features::GatewayFeatures,
     front::connection_gate::ClientConnections,
     memory::HeldMemory,
-    online::{fairness::FairShareEdge, origins, suspects::SuspectEdge},
+    online::{
+        fairness::FairShareEdge, origins, suspects::SuspectEdge, version_records::VersionRecords,
+    },
     peers::{
         catch_up::KnownVersions,
         eviction::{EvictionEdge, EvictionState},
@@ -102,6 +104,8 @@
     pub target_restarts: Event,
     /// Notified when a decision waits for the store to confirm the configuration in force.
     pub confirmation_wanted: Event,
+    /// What is known of the records of software versions.
+    pub version_records: VersionRecords,
     /// Whether a check of the ownership of all jobs is scheduled.
     pub is_verifying: AtomicBool,
     configuration: RwLock<Option<ConfigurationInForce>>,
@@ -167,6 +171,7 @@
             state_changed: Event::new(),
             target_restarts: Event::new(),
             confirmation_wanted: Event::new(),
+            version_records: VersionRecords::default(),
             is_verifying: AtomicBool::new(false),
             configuration: RwLock::new(None),
             targets: Mutex::new(targets),
--- a/crates/entry/src/online.rs
+++ b/crates/entry/src/online.rs
@@ -12,3 +12,4 @@
 pub mod slots;
 pub mod stream;
 pub mod suspects;
+pub mod version_records;
--- a/crates/entry/src/online/origins.rs
+++ b/crates/entry/src/online/origins.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     node::EntryNode,
-    online::{origin_reply::OriginReply, request::OnlineRequest},
+    online::{origin_reply::OriginReply, request::OnlineRequest, version_records},
     peers::calls::CallEnd,
 };
 
@@ -120,7 +120,14 @@
         }
         views.push(versions);
     }
-    view.agreed(&views).map(|version| undisputed(service, version))
+    if let Some(version) = view.agreed(&views) {
+        return Some(undisputed(service, version));
+    }
+    if !matches!(view, VersionView::Current(_)) {
+        return None;
+    }
+    version_records::restore(node, service).await;
+    version_view(node, service).agreed(&views).map(|version| undisputed(service, version))
 }
 
 async fn ask(
--- a/crates/entry/src/peers/links.rs
+++ b/crates/entry/src/peers/links.rs
@@ -152,7 +152,12 @@
         let created =
             node.store.call(StoreCallCause::Registration, "POST", &list, Some(&body), wait).await;
         let written = match created {
-            Ok(reply) if reply.is_success() => true,
+            Ok(reply) if reply.is_success() => {
+                if node.config.fleet.first_start {
+                    node.targets().versions_mut().note_first_start();
+                }
+                true
+            }
             Ok(_) => {
                 let replaced = node
                     .store
--- a/crates/entry/src/store/call_cause.rs
+++ b/crates/entry/src/store/call_cause.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     peers::registration::GATEWAY_KIND,
-    store::object_kinds::{END_KIND, JOB_KIND, PART_KIND, RESULT_KIND, SHARE_KIND},
+    store::object_kinds::{END_KIND, JOB_KIND, PART_KIND, RESULT_KIND, SHARE_KIND, VERSION_KIND},
 };
 
 /// Why a call to the store is made.
@@ -44,13 +44,15 @@
     Eviction,
     /// Checking that this gateway was not evicted.
     OwnEntryChecked,
+    /// Recording which software versions targets have, or reading the record.
+    VersionsRecorded,
     /// Forwarding a call for another gateway.
     ForAnother,
 }
 
 impl StoreCallCause {
     /// Every cause, in the order of its value.
-    pub const ALL: [Self; 18] = [
+    pub const ALL: [Self; 19] = [
         Self::Watch,
         Self::List,
         Self::Registration,
@@ -68,6 +70,7 @@
         Self::ConfigurationConfirmed,
         Self::Eviction,
         Self::OwnEntryChecked,
+        Self::VersionsRecorded,
         Self::ForAnother,
     ];
 
@@ -91,6 +94,7 @@
             Self::ConfigurationConfirmed => "configuration_confirmed",
             Self::Eviction => "eviction",
             Self::OwnEntryChecked => "own_entry_checked",
+            Self::VersionsRecorded => "versions_recorded",
             Self::ForAnother => "for_another",
         }
     }
@@ -117,6 +121,8 @@
     JobEnd,
     /// Shares of a limit.
     LimitShares,
+    /// Records of software versions.
+    Versions,
     /// Any other kind.
     Other,
 }
@@ -134,6 +140,7 @@
             RESULT_KIND => Self::Results,
             END_KIND => Self::JobEnd,
             SHARE_KIND => Self::LimitShares,
+            VERSION_KIND => Self::Versions,
             _ => Self::Other,
         }
     }
@@ -150,6 +157,7 @@
             Self::Results => "results",
             Self::JobEnd => "job_end",
             Self::LimitShares => "limit_shares",
+            Self::Versions => "versions",
             Self::Other => "other",
         }
     }
--- a/crates/relay/src/targets/table.rs
+++ b/crates/relay/src/targets/table.rs
@@ -5,6 +5,7 @@
 mod fair_slots;
 mod item_offers;
 mod paces;
+mod versions;
 
 use std::{net::SocketAddr, time::Duration};
 
@@ -22,7 +23,7 @@
     prefix_cache::PrefixCacheIndex,
     record::{TargetRecord, TargetUse},
     table::{admission::FULL_PENALTY, ejections::PerformanceState},
-    version_history::{VersionHistory, VersionView},
+    version_history::VersionHistory,
 };
 
 /// How long a target that closed a connection is considered about to leave. If it leaves, its entry
@@ -181,14 +182,6 @@
         self.records.values().filter(|r| r.entry.state == TargetState::Ready).count()
     }
 
-    /// Whether a target of `service` with software `version` accepts new requests.
-    pub fn has_version(&self, service: &str, version: &str) -> bool {
-        self.entries().any(|entry| {
-            let is_ready = entry.state == TargetState::Ready;
-            is_ready && entry.service == service && entry.software_version == version
-        })
-    }
-
     /// Slots available to items by service: slots without an online request, at targets that accept
     /// requests.
     pub fn item_slots(&self, now: MonoTime) -> FastMap<String, u32> {
@@ -207,20 +200,6 @@
         slots
     }
 
-    /// What is known of the software versions at which recent streams of `service` may have begun.
-    pub fn version_view(&self, service: &str, now: MonoTime) -> VersionView {
-        self.versions.view(service, now)
-    }
-
-    /// Whether a stream that began at target `id` may have been written by another version than
-    /// `version`: the target has restarted under its name with other software, possibly before it
-    /// began the stream.
-    pub fn is_version_uncertain(&self, id: &str, version: &str) -> bool {
-        let name = id.rsplit_once('#').map_or(id, |(name, _)| name);
-        self.entries()
-            .any(|entry| entry.name == name && entry.id != id && entry.software_version != version)
-    }
-
     /// Selects a target for one attempt and counts the attempt there until
     /// [`finish`](Self::finish). `draw` returns random numbers from 0 to 1.
     ///
--- a/crates/relay/src/targets/version_history.rs
+++ b/crates/relay/src/targets/version_history.rs
@@ -26,7 +26,8 @@
 
 impl VersionView {
     /// The only version at which a stream may have begun, by the view of this gateway and those that
-    /// others told. A gateway that has just started relies on the others, unless all have just started.
+    /// others told. At least one of them must know the recent past: if all have just started, a version
+    /// that has left may have begun the stream.
     pub fn agreed(&self, told: &[Self]) -> Option<String> {
         let (Self::Current(version) | Self::Sole(version)) = self else { return None };
         let is_compatible = |view: &Self| match view {
@@ -34,7 +35,8 @@
             Self::Current(other) | Self::Sole(other) => other == version,
             Self::Several => false,
         };
-        told.iter().all(is_compatible).then(|| version.clone())
+        let is_known = told.iter().chain([self]).any(|view| matches!(view, Self::Sole(_)));
+        (is_known && told.iter().all(is_compatible)).then(|| version.clone())
     }
 }
 
@@ -58,6 +60,10 @@
     /// When the first target became known; `None` before.
     since: Option<MonoTime>,
     services: FastMap<String, FastMap<String, VersionUse>>,
+    /// Services of which the versions of the time before the start were read from a record.
+    restored: FastSet<String>,
+    /// Whether there is nothing before the start.
+    is_first: bool,
 }
 
 impl VersionHistory {
@@ -86,10 +92,44 @@
         if recent.next().is_some() {
             return VersionView::Several;
         }
-        let is_long = self.since.is_some_and(|since| now.since(since) >= VERSION_RETENTION);
-        match is_long {
+        match self.is_complete(service, now) {
             true => VersionView::Sole(version.clone()),
             false => VersionView::Current(version.clone()),
         }
     }
+
+    /// Whether all versions of `service` are known at which a stream that can be taken up at `now` may have begun.
+    pub fn is_complete(&self, service: &str, now: MonoTime) -> bool {
+        let is_long = self.since.is_some_and(|since| now.since(since) >= VERSION_RETENTION);
+        is_long || self.is_first || self.restored.contains(service)
+    }
+
+    /// Records that no gateway served anything before this one started.
+    pub fn note_first_start(&mut self) {
+        self.is_first = true;
+    }
+
+    /// Restores the versions of `service` from before the start, as recorded by gateways that ran then.
+    pub fn restore(&mut self, service: &str, recorded: &[String], now: MonoTime) {
+        let versions = self.services.entry(service.to_owned()).or_default();
+        for version in recorded {
+            let used = versions.entry(version.clone()).or_default();
+            used.left_at = used.left_at.max(now);
+        }
+        self.restored.insert(service.to_owned());
+    }
+
+    /// The versions of `service` at which streams that can be taken up may have begun, sorted.
+    pub fn recent(&self, service: &str, now: MonoTime) -> Vec<String> {
+        let versions = self.services.get(service).into_iter().flatten();
+        let recent = versions.filter(|(_, used)| used.is_recent(now));
+        let mut recent: Vec<String> = recent.map(|(version, _)| version.clone()).collect();
+        recent.sort_unstable();
+        recent
+    }
+
+    /// All services of which a version is or was known.
+    pub fn services(&self) -> impl Iterator<Item = &str> {
+        self.services.keys().map(String::as_str)
+    }
 }
--- a/crates/relay/tests/versions.rs
+++ b/crates/relay/tests/versions.rs
@@ -102,7 +102,9 @@
 /// Guards against a stream without a record that goes on at a version which another gateway knows not to be the only one.
 #[rstest]
 #[case::the_only_one(VersionView::Sole("v1".into()), &[VersionView::Unknown], true)]
-#[case::all_have_just_started(VersionView::Current("v1".into()), &[VersionView::Current("v1".into())], true)]
+#[case::all_have_just_started(VersionView::Current("v1".into()), &[VersionView::Current("v1".into())], false)]
+#[case::alone_and_just_started(VersionView::Current("v1".into()), &[], false)]
+#[case::another_knows_it(VersionView::Current("v1".into()), &[VersionView::Sole("v1".into())], true)]
 #[case::another_knows_several(VersionView::Current("v1".into()), &[VersionView::Several], false)]
 #[case::another_knows_another(VersionView::Current("v1".into()), &[VersionView::Sole("v2".into())], false)]
 #[case::several_here(VersionView::Several, &[VersionView::Sole("v1".into())], false)]
--- a/crates/settings/src/sections/fleet.rs
+++ b/crates/settings/src/sections/fleet.rs
@@ -2,6 +2,9 @@
 
 use crate::file::FieldVisitor;
 
+/// A flag with its name in the file.
+const YES_NO: [(&str, bool); 2] = [("no", false), ("yes", true)];
+
 /// Whether an optional feature is used.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum FeatureSwitch {
@@ -34,6 +37,8 @@
 pub struct FleetSettings {
     /// What the platform declares of the deployment, a list of words separated by commas.
     pub declared: Option<String>,
+    /// Whether the whole fleet starts for the first time, so that nothing was served before.
+    pub first_start: bool,
     /// Whether home gateways offer their free slots to the gateway with the most urgent items.
     pub share_item_slots: FeatureSwitch,
     /// Whether failures and pace of targets are learned and shared.
@@ -50,6 +55,7 @@
     pub(crate) fn visit(&mut self, fields: &mut FieldVisitor<'_>) {
         fields.section("fleet");
         fields.optional_text("declared", &mut self.declared);
+        fields.choice("first_start", &mut self.first_start, &YES_NO, "no or yes");
         let expected = "off, on or declared";
         let switches = [
             ("share_item_slots", &mut self.share_item_slots),
--- a/crates/soak/src/config.rs
+++ b/crates/soak/src/config.rs
@@ -18,6 +18,8 @@
     let mut config = EntryConfig::default();
     config.node.vm = VmName::new(vm);
     config.store.address = store;
+    // Only believed by a gateway that the store didn't know before.
+    config.fleet.first_start = true;
     config.links.secret = Some(SECRET.to_owned());
     config.links.secret_file = None;
     config.links.heartbeat = Duration::from_millis(300);
