Visit the jobs of the store page by page

Cause: a search for jobs without an owner, the retention pass and the release of silent gateways' shares held all jobs of the store at once, with the bodies of their items, and a decoded copy. 57 MB of jobs, an hour of them, exceed a VM of 110 MB.

Change: jobs are visited page by page. Retention keeps expired jobs without their items.

--- a/crates/entry/src/batch/records.rs
+++ b/crates/entry/src/batch/records.rs
@@ -49,6 +49,12 @@
         })
     }
 
+    /// The same without the items that its own object holds.
+    pub fn without_items(mut self) -> Self {
+        self.record.items = inline_items("", 1);
+        self
+    }
+
     /// The owner: the gateway that took the job over last, or else the one that accepted it.
     pub fn owner(&self) -> &str {
         if self.status.owner.is_empty() { &self.record.owner } else { &self.status.owner }
--- a/crates/entry/src/batch/retention.rs
+++ b/crates/entry/src/batch/retention.rs
@@ -12,7 +12,7 @@
 use crate::{
     batch::{
         records::{StoredJob, delete_job, read_end},
-        stored_jobs::list_jobs,
+        stored_jobs::visit_jobs,
         takeover::is_preferred_successor,
     },
     constants::{RETENTION_MARGIN, RETENTION_TICK},
@@ -44,9 +44,15 @@
 /// The store did not answer.
 pub async fn delete_once(node: &EntryNode) -> Result<usize, StoreFailure> {
     let kept = node.store.settings().result_lifetime + RETENTION_MARGIN;
-    let jobs = list_jobs(node, StorePath::Direct, StoreCallCause::Retention).await?;
+    let mut expired = Vec::new();
+    let visit = |job: StoredJob| {
+        if is_expired(&job, kept, node.clock.wall()) {
+            expired.push(job.without_items());
+        }
+    };
+    visit_jobs(node, StorePath::Direct, StoreCallCause::Retention, visit).await?;
     let mut deleted = 0;
-    for job in jobs.iter().filter(|job| is_expired(job, kept, node.clock.wall())) {
+    for job in &expired {
         if !is_preferred_successor(node, &job.id) || node.jobs().is_owned(&job.id) {
             continue;
         }
--- a/crates/entry/src/batch/share_reclaim.rs
+++ b/crates/entry/src/batch/share_reclaim.rs
@@ -8,7 +8,8 @@
 use crate::{
     batch::{
         limits::{refresh, with_holder},
-        stored_jobs::list_jobs,
+        records::StoredJob,
+        stored_jobs::visit_jobs,
     },
     constants::{LIMIT_PEER_TIMEOUT, SHARE_HOLDER_TIMEOUT},
     node::EntryNode,
@@ -99,12 +100,17 @@
     }
     // The list of jobs is newer than the table. If other gateways took jobs over, either the table
     // already holds them in their shares or its revision is outdated by now.
-    let Ok(jobs) = list_jobs(node, StorePath::Any, StoreCallCause::LimitShares).await else {
-        return;
+    let mut owners: FastSet<String> = FastSet::default();
+    let visit = |job: StoredJob| {
+        if !job.status.closed {
+            owners.insert(job.owner().to_owned());
+        }
     };
+    if visit_jobs(node, StorePath::Any, StoreCallCause::LimitShares, visit).await.is_err() {
+        return;
+    }
     for gone in silent {
-        let owns = jobs.iter().any(|job| !job.status.closed && job.owner() == gone);
-        if !owns {
+        if !owners.contains(&gone) {
             node.log.info("share_lapsed", &[("route", &route), ("holder", &gone)]);
             with_holder(node, route, |holder, _| holder.lowered(&gone, 0, revision));
         }
--- a/crates/entry/src/batch/stored_jobs.rs
+++ b/crates/entry/src/batch/stored_jobs.rs
@@ -1,4 +1,4 @@
-//! Lists the jobs in the store.
+//! Visits the jobs in the store.
 
 use notch_platform_wire::{prelude::StoreObject, store::ObjectMetadata};
 use notch_types::prelude::*;
@@ -8,31 +8,32 @@
     node::EntryNode,
     store::{
         call_cause::StoreCallCause,
-        feed::{StorePath, list_all},
+        feed::{StorePath, list_pages},
         object_kinds::JOB_KIND,
         reply::StoreFailure,
     },
 };
 
-/// Lists every job. One that cannot be decoded, for example after a write by another program, is
-/// skipped and logged once per revision.
+/// Visits every job of the store, page by page: together, the jobs of an hour may exceed the memory of a VM. One that
+/// cannot be decoded, for example after a write by another program, is skipped and logged once per revision.
 ///
 /// # Errors
-/// The store did not answer, or not with a list.
-pub async fn list_jobs(
+/// The store did not answer, or not with a list. Some jobs may have been visited.
+pub async fn visit_jobs(
     node: &EntryNode,
     path: StorePath,
     cause: StoreCallCause,
-) -> Result<Vec<StoredJob>, StoreFailure> {
-    let (objects, _) = list_all(&node.store, JOB_KIND, path, cause).await?;
-    let mut jobs = Vec::new();
-    for object in &objects {
-        match StoredJob::decode(object) {
-            Some(job) => jobs.push(job),
-            None => note_undecodable(node, object),
+    mut visit: impl FnMut(StoredJob),
+) -> Result<(), StoreFailure> {
+    let on_page = |page: Vec<StoreObject>| {
+        for object in &page {
+            match StoredJob::decode(object) {
+                Some(job) => visit(job),
+                None => note_undecodable(node, object),
+            }
         }
-    }
-    Ok(jobs)
+    };
+    list_pages(&node.store, JOB_KIND, path, cause, on_page).await.map(|_| ())
 }
 
 fn note_undecodable(node: &EntryNode, object: &StoreObject) {
--- a/crates/entry/src/batch/takeover.rs
+++ b/crates/entry/src/batch/takeover.rs
@@ -13,7 +13,7 @@
         limits, ownership,
         records::{StoredJob, read_end, read_job, read_spec, take_job},
         result_objects::fence_results,
-        stored_jobs::list_jobs,
+        stored_jobs::visit_jobs,
     },
     constants::{ORPHAN_SEARCH_DELAY, ORPHAN_SEARCH_INTERVAL, PEER_DEAD_AFTER, PEER_TICK},
     node::EntryNode,
@@ -28,6 +28,8 @@
 const RECENT_JOB_SPAN: Duration = Duration::from_secs(20);
 /// Maximum number of jobs named in the announcement of a search, which makes some 20 KB.
 const MAX_LISTED_JOBS: usize = 1_000;
+/// Maximum size of the items of jobs that are taken over after one search. The others are left to the next one.
+const MAX_DUE_BYTES: usize = 4 << 20;
 /// Time that an announcement may take from one gateway to another without a loss of the link.
 const LIST_NEWS_MARGIN: Duration = Duration::from_millis(300);
 
@@ -168,51 +170,81 @@
     !job.status.closed && (owner == node.owner || node.liveness(owner, now) == OwnerLiveness::Gone)
 }
 
-/// Lists the jobs of the store, takes over those whose owner is gone and for which this gateway is
-/// the preferred successor, and tells the others what it found. Returns the number of jobs left to
-/// other gateways or to a later search.
-async fn take_over_orphans(node: &Arc<EntryNode>) -> Result<usize, StoreFailure> {
-    let mut left = 0;
-    let mut due = Vec::new();
-    let mut orphans = Vec::new();
-    let asked = node.clock.mono();
-    let jobs = list_jobs(node, StorePath::Any, StoreCallCause::OrphanSearch).await?;
-    let recent = recent_jobs(&jobs);
-    for job in jobs {
+/// What a search of the store found.
+#[derive(Debug, Default)]
+struct OrphanSearch {
+    /// Number of jobs left to other gateways or to a later search.
+    left: usize,
+    /// Jobs to be taken over here. Invariant: their items have at most [`MAX_DUE_BYTES`], unless it is one job.
+    due: Vec<StoredJob>,
+    due_bytes: usize,
+    /// Jobs without a live owner that are left to others, with that owner.
+    orphans: Vec<(String, String)>,
+    /// When each job was accepted, by the clock of the gateway that did, and its id.
+    accepted: Vec<(u64, String)>,
+}
+
+impl OrphanSearch {
+    fn note_job(&mut self, node: &EntryNode, job: StoredJob) {
         let now = node.clock.mono();
-        let owner = job.owner().to_owned();
+        self.accepted.push((job.record.accepted_at_ms, job.id.clone()));
         node.jobs().note_listed(&job.id, now);
         if job.status.closed {
             node.jobs().note_closed(&job.id, now);
-            continue;
+            return;
         }
         let is_handled = {
             let registry = node.jobs();
             registry.is_ended(&job.id) || registry.is_owned(&job.id) || registry.is_busy(&job.id)
         };
         if is_handled {
-            continue;
+            return;
         }
-        match node.liveness(&owner, now) {
+        let owner = job.owner().to_owned();
+        let is_left = match node.liveness(&owner, now) {
             // The store names this gateway as the owner, but the write that made it so got no
             // answer. No other gateway will take the job over.
-            OwnerLiveness::Alive if owner == node.owner => {}
-            OwnerLiveness::Alive => continue,
-            OwnerLiveness::Suspect => {
-                left += 1;
-                orphans.push((job.id, owner));
-                continue;
-            }
-            OwnerLiveness::Gone => {}
+            OwnerLiveness::Alive if owner == node.owner => false,
+            OwnerLiveness::Alive => return,
+            OwnerLiveness::Suspect => true,
+            OwnerLiveness::Gone => owner != node.owner && !is_preferred_successor(node, &job.id),
+        };
+        if is_left {
+            self.left += 1;
+            self.orphans.push((job.id, owner));
+            return;
         }
-        if owner != node.owner && !is_preferred_successor(node, &job.id) {
-            left += 1;
-            orphans.push((job.id, owner));
-            continue;
+        let bytes = job.record.items.get().len();
+        if self.due.is_empty() || self.due_bytes + bytes <= MAX_DUE_BYTES {
+            self.due_bytes += bytes;
+            self.due.push(job);
+        } else {
+            self.left += 1;
         }
-        due.push(job);
     }
+
+    /// Ids of the jobs that their clients may still submit again, by the time at which they were
+    /// accepted. `None` if they are too many for a message.
+    fn recent_jobs(&self) -> Option<Vec<String>> {
+        let newest = self.accepted.iter().map(|(at, _)| *at).max().unwrap_or_default();
+        let oldest = newest.saturating_sub(RECENT_JOB_SPAN.as_millis() as u64);
+        let recent = self.accepted.iter().filter(|(at, _)| *at >= oldest);
+        let ids: Vec<String> = recent.map(|(_, id)| id.clone()).collect();
+        (ids.len() <= MAX_LISTED_JOBS).then_some(ids)
+    }
+}
+
+/// Lists the jobs of the store, takes over those whose owner is gone and for which this gateway is
+/// the preferred successor, and tells the others what it found. Returns the number of jobs left to
+/// other gateways or to a later search.
+async fn take_over_orphans(node: &Arc<EntryNode>) -> Result<usize, StoreFailure> {
+    let mut search = OrphanSearch::default();
+    let asked = node.clock.mono();
+    let visit = |job: StoredJob| search.note_job(node, job);
+    visit_jobs(node, StorePath::Any, StoreCallCause::OrphanSearch, visit).await?;
     node.peers.note_jobs_listed(asked);
+    let recent = search.recent_jobs();
+    let OrphanSearch { left, due, orphans, .. } = search;
     let age_ms = node.clock.mono().since(asked).as_millis() as u64;
     node.log.info(
         "jobs_listed",
@@ -223,16 +255,6 @@
     Ok(left)
 }
 
-/// Ids of the jobs that their clients may still submit again, by the time at which they were
-/// accepted. `None` if they are too many for a message.
-fn recent_jobs(jobs: &[StoredJob]) -> Option<Vec<String>> {
-    let newest = jobs.iter().map(|job| job.record.accepted_at_ms).max().unwrap_or_default();
-    let oldest = newest.saturating_sub(RECENT_JOB_SPAN.as_millis() as u64);
-    let recent = jobs.iter().filter(|job| job.record.accepted_at_ms >= oldest);
-    let ids: Vec<String> = recent.map(|job| job.id.clone()).collect();
-    (ids.len() <= MAX_LISTED_JOBS).then_some(ids)
-}
-
 /// Handles what another gateway's search of the store found.
 pub fn apply_listed(node: &EntryNode, listed: ListedJobs) {
     let now = node.clock.mono();
--- a/crates/entry/src/store/feed.rs
+++ b/crates/entry/src/store/feed.rs
@@ -151,10 +151,25 @@
     path: StorePath,
     cause: StoreCallCause,
 ) -> Result<(Vec<StoreObject>, u64), StoreFailure> {
-    let mut objects: Vec<StoreObject> = Vec::new();
+    let mut all: Vec<StoreObject> = Vec::new();
+    let as_of = list_pages(store, kind, path, cause, |page| all.extend(page)).await?;
+    Ok((all, as_of))
+}
+
+/// Lists every object of `kind` page by page, so that not all have to be held at once. Returns the store's revision.
+///
+/// # Errors
+/// The store did not answer, or not with a list. Some pages may have been listed.
+pub async fn list_pages(
+    store: &StoreClient,
+    kind: &str,
+    path: StorePath,
+    cause: StoreCallCause,
+    mut on_page: impl FnMut(Vec<StoreObject>),
+) -> Result<u64, StoreFailure> {
+    let mut after: Option<String> = None;
     let mut as_of = None;
     loop {
-        let after = objects.last().map(|object| object.metadata.name.clone());
         let page_path = list_path(kind, after.as_deref());
         let reply = match path {
             StorePath::Direct => {
@@ -164,18 +179,20 @@
             StorePath::Any => store.get(cause, &page_path).await?,
         };
         if reply.status == 404 {
-            return Ok((objects, as_of.unwrap_or(0)));
+            return Ok(as_of.unwrap_or(0));
         }
         let page: ListPage = decode(&reply.body).map_err(|_| StoreFailure::NotDone)?;
+        drop(reply);
         // A watch from the first page's revision repeats changes that later pages already contain,
         // which is harmless. From the last page's revision it could miss a change on the first
         // page.
         let as_of_first = *as_of.get_or_insert(page.store_revision);
         note_unreadable(store, kind, page.items.unreadable);
-        let is_last = !page.more || page.items.entries.is_empty();
-        objects.extend(page.items.entries);
+        after = page.items.entries.last().map(|object| object.metadata.name.clone());
+        let is_last = !page.more || after.is_none();
+        on_page(page.items.entries);
         if is_last {
-            return Ok((objects, as_of_first));
+            return Ok(as_of_first);
         }
     }
 }
