Use a share of a limit only as long as the stored table names it

Cause: the others drop the share of a gateway that is silent for 5 s and give it away. Back in contact, it used the share that it had held: a newer table that doesn't name it lowered nothing, and a job within the held amount needs no write.

Change: adopting a newer table lowers what may be used to what the table allocates. When a link comes up, the held share is not used until the store has confirmed the table, as the newer one may be on its way. A gateway that was cut off itself no longer releases the shares of those that it merely suspects.

Test: a_share_that_was_dropped_is_not_used failed before in both cases (both jobs admitted, together 128,000), passes now.

--- a/crates/entry/src/batch/limits.rs
+++ b/crates/entry/src/batch/limits.rs
@@ -300,6 +300,12 @@
     with_holder(node, route, |holder, _| holder.adopt(table, revision));
 }
 
+/// Uses nothing of the shares held until the store has confirmed them: contact with another gateway was interrupted, which
+/// may have given them away.
+pub fn doubt_shares(node: &EntryNode) {
+    node.limits.holders().values_mut().for_each(ShareHolder::doubt);
+}
+
 /// Drops the state of routes for which no job is counted here. Returns how many were dropped. The
 /// store still records this gateway's share of such a route; it is released when another gateway
 /// asks, as it is unused. Nothing is dropped while a share is being written; the next cleanup does
@@ -393,7 +399,10 @@
     let spec = object.spec.as_ref().map(|spec| serde_json::from_str::<ShareTable>(spec.get()));
     match spec {
         Some(Ok(table)) => {
-            with_holder(node, route, |holder, _| holder.adopt(table, object.metadata.revision));
+            with_holder(node, route, |holder, _| {
+                holder.adopt(table, object.metadata.revision);
+                holder.confirm();
+            });
             true
         }
         Some(Err(error)) => {
--- a/crates/entry/src/batch/share_reclaim.rs
+++ b/crates/entry/src/batch/share_reclaim.rs
@@ -91,7 +91,8 @@
 /// Releases the shares of gateways that have been gone for long and own no open job any more.
 async fn release_silent_shares(node: &EntryNode, route: &str) {
     let now = node.clock.mono();
-    let is_alive = |holder: &str| node.liveness(holder, now) == OwnerLiveness::Alive;
+    // One that is only suspected may be alive, while this gateway is the one that was cut off.
+    let is_alive = |holder: &str| node.liveness(holder, now) != OwnerLiveness::Gone;
     let (silent, revision) = with_holder(node, route, |holder, _| {
         (holder.silent_holders(is_alive, SHARE_HOLDER_TIMEOUT, now), holder.revision())
     });
--- a/crates/entry/src/peers/links.rs
+++ b/crates/entry/src/peers/links.rs
@@ -222,6 +222,8 @@
     match event {
         LinkEvent::Up { peer, link } => {
             node.log.info("gateway_link_up", &[("gateway", &peer.vm)]);
+            // Before it counts as heard, from when on shares are used without a write.
+            limits::doubt_shares(node);
             let silence = node.peers.link_up(&peer.vm, link, node.clock.mono());
             ownership::invalidate_all(node, "link_up", silence);
             let jobs = node.jobs().open_owned();
--- a/crates/relay/src/limits/holder.rs
+++ b/crates/relay/src/limits/holder.rs
@@ -94,6 +94,9 @@
     /// share only grows by a write, which makes this revision obsolete.
     table: ShareTable,
     revision: Option<u64>,
+    /// Whether a newer table may exist in which others dropped this holder's share while it was out of contact. Nothing is
+    /// used of the share until the store has confirmed the table.
+    is_doubted: bool,
     /// Holders that have not been heard from.
     silent: FastMap<String, SilentShare>,
 }
@@ -109,6 +112,7 @@
             pending: 0,
             table: ShareTable::default(),
             revision: None,
+            is_doubted: false,
             silent: FastMap::default(),
         }
     }
@@ -138,7 +142,8 @@
         // If the limit was lowered below the allocated amount, usage that ends must not be
         // replaced.
         let is_within = others.saturating_add(self.lent) <= limit;
-        let is_held = is_within && self.revision.is_some() && needed <= self.lent;
+        let is_known = self.revision.is_some() && !self.is_doubted;
+        let is_held = is_within && is_known && needed <= self.lent;
         let is_unreserved =
             self.proposed.is_none_or(|share| needed.saturating_add(self.pending) <= share);
         if is_in_touch && is_held && is_unreserved {
@@ -217,6 +222,7 @@
     /// Records that a proposal was written.
     pub fn written(&mut self, proposal: ShareProposal, revision: u64) {
         self.not_written();
+        self.is_doubted = false;
         self.lent = proposal.lent;
         let mut table = proposal.table;
         if self.revision == proposal.revision {
@@ -232,14 +238,26 @@
         self.pending = 0;
     }
 
-    /// Adopts a table received from another gateway or the store if it is newer.
+    /// Adopts a table received from another gateway or the store if it is newer. What it no longer allocates to this
+    /// holder has been given away.
     pub fn adopt(&mut self, table: ShareTable, revision: u64) {
         if self.revision.is_none_or(|known| known < revision) {
+            self.lent = self.lent.min(table.share(&self.name).lent);
             self.table = table;
             self.revision = Some(revision);
         }
     }
 
+    /// Records that others may have dropped this holder's share, as contact with one of them was interrupted.
+    pub fn doubt(&mut self) {
+        self.is_doubted = self.lent > 0;
+    }
+
+    /// Records that the store has answered with the known table, or with a newer one that was adopted.
+    pub fn confirm(&mut self) {
+        self.is_doubted = false;
+    }
+
     /// Forgets the known table because the stored one is gone.
     pub fn forget_table(&mut self) {
         self.table = ShareTable::default();
--- a/crates/relay/tests/limits.rs
+++ b/crates/relay/tests/limits.rs
@@ -7,6 +7,7 @@
 use notch_relay::prelude::*;
 use notch_types::prelude::*;
 use proptest::prelude::*;
+use rstest::rstest;
 use support::{Admission, Fleet};
 
 /// Guards against exceeding the limit when jobs arrive at all gateways at once, the first ones
@@ -115,6 +116,35 @@
     assert_eq!(fleet.admit(1, 9_900, &[false, true], true), Admission::Admitted);
 }
 
+/// Two gateways of which the first one held 40,000 of 100,000 unused while the other one took it for gone, gave that away
+/// and has finished its jobs since.
+fn with_dropped_share() -> Fleet {
+    let mut fleet = Fleet::new(2, 100_000);
+    assert_eq!(fleet.admit(0, 40_000, &[true; 2], true), Admission::Admitted);
+    fleet.used[0] = 0;
+    fleet.refresh(1);
+    let holder = &mut fleet.holders[1];
+    holder.lowered("g-0#1", 0, holder.revision());
+    assert_eq!(fleet.admit(1, 70_000, &[false, true], true), Admission::Admitted);
+    fleet.used[1] = 0;
+    fleet.holders[1].release_unused(0);
+    assert_eq!(fleet.admit(1, 10, &[false, true], true), Admission::Admitted);
+    fleet
+}
+
+/// Guards against a gateway that uses a share which others have given away while it was cut off: it hears of the newer
+/// table, or it is back in touch and has not heard of it yet.
+#[rstest]
+#[case::newer_table(|fleet: &mut Fleet| fleet.refresh(0))]
+#[case::doubt(|fleet: &mut Fleet| fleet.holders[0].doubt())]
+fn a_share_that_was_dropped_is_not_used(#[case] back_in_touch: fn(&mut Fleet)) {
+    let mut fleet = with_dropped_share();
+    back_in_touch(&mut fleet);
+    assert_eq!(fleet.admit(0, 38_000, &[true; 2], true), Admission::Admitted, "it fits");
+    assert_eq!(fleet.admit(1, 90_000, &[true; 2], true), Admission::Refused);
+    assert!(fleet.total() <= fleet.limit, "{}", fleet.total());
+}
+
 /// Guards against exceeding the limit when a holder releases its unused share and increases its
 /// share at the same time: the release must not be applied to the table after the increase.
 #[test]
