Record refused requests in the store, so that they outlast all gateways

Cause: counts of crashes and refusals are in the memory of the gateways only.

Change: the gateway that counts for a request records its refusal and its end in the store, and each gateway reads the records at its start.

--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -25,7 +25,7 @@
         listener::{listen, listen_admitting},
     },
     node::EntryNode,
-    online::version_records,
+    online::{refusal_records, version_records},
     peers::{demands, links, pushes, reports, store_forwarding},
     retirements,
     route_cleanup::forget_routes,
@@ -126,6 +126,7 @@
     task::spawn(limits::maintain_headroom(Arc::clone(node)));
     task::spawn(freshness::keep_fresh(Arc::clone(node)));
     task::spawn(freshness::confirm_on_demand(Arc::clone(node)));
+    task::spawn(refusal_records::keep_records(Arc::clone(node)));
     task::spawn(version_records::keep_records(Arc::clone(node)));
     task::spawn(retention::delete_old_jobs(Arc::clone(node)));
     task::spawn(retirements::answer_retirements(Arc::clone(node)));
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -30,7 +30,8 @@
     front::connection_gate::ClientConnections,
     memory::HeldMemory,
     online::{
-        fairness::FairShareEdge, origins, suspects::SuspectEdge, version_records::VersionRecords,
+        fairness::FairShareEdge, origins, refusal_records::RefusalRecords, suspects::SuspectEdge,
+        version_records::VersionRecords,
     },
     peers::{
         catch_up::KnownVersions,
@@ -104,6 +105,8 @@
     pub target_restarts: Event,
     /// Notified when a decision waits for the store to confirm the configuration in force.
     pub confirmation_wanted: Event,
+    /// Changes of refusals of requests that are to be recorded.
+    pub refusal_records: RefusalRecords,
     /// What is known of the records of software versions.
     pub version_records: VersionRecords,
     /// Whether a check of the ownership of all jobs is scheduled.
@@ -171,6 +174,7 @@
             state_changed: Event::new(),
             target_restarts: Event::new(),
             confirmation_wanted: Event::new(),
+            refusal_records: RefusalRecords::default(),
             version_records: VersionRecords::default(),
             is_verifying: AtomicBool::new(false),
             configuration: RwLock::new(None),
@@ -237,6 +241,7 @@
     pub fn suspects(&self) -> SuspectEdge<'_> {
         SuspectEdge {
             table: &self.suspects,
+            records: &self.refusal_records,
             own: &self.config.node.vm,
             peers: &self.peers,
             clock: self.clock,
--- a/crates/entry/src/online.rs
+++ b/crates/entry/src/online.rs
@@ -7,6 +7,7 @@
 pub mod lease;
 pub mod origin_reply;
 pub mod origins;
+pub mod refusal_records;
 pub mod relay;
 pub mod request;
 pub mod slots;
--- a/crates/entry/src/online/suspects.rs
+++ b/crates/entry/src/online/suspects.rs
@@ -15,7 +15,7 @@
 use notch_telemetry::prelude::*;
 use notch_types::prelude::*;
 
-use crate::{clock::NodeClock, peers::table::PeerTable};
+use crate::{clock::NodeClock, online::refusal_records::RefusalRecords, peers::table::PeerTable};
 
 /// Maximum number of refused suspects that a gateway is told of when its link comes up.
 const MAX_TOLD_REFUSALS: usize = 512;
@@ -46,6 +46,8 @@
 pub struct SuspectEdge<'a> {
     /// What is known of suspects.
     pub table: &'a Mutex<SuspectTable>,
+    /// Changes of refusals that are to be recorded.
+    pub records: &'a RefusalRecords,
     /// Name of this gateway.
     pub own: &'a VmName,
     /// Links to the other gateways.
@@ -128,6 +130,7 @@
         );
         self.metrics.count(Counter::Event(counter));
         self.peers.broadcast(&refused_message(refusal));
+        self.records.note_refused(refusal);
     }
 
     /// Applies another gateway's refusal, unless this one knows the suspect to be sound.
@@ -181,6 +184,7 @@
         self.log.info(event, &[(key, &fingerprint(suspect.id()))]);
         self.metrics.count(Counter::Event(counter));
         self.peers.broadcast(&PeerMessage::SuspectCleared(suspect));
+        self.records.note_cleared(suspect);
     }
 
     fn ask_probe(&self, suspect: CrashSuspect, request: u64) {
--- a/crates/entry/src/store/call_cause.rs
+++ b/crates/entry/src/store/call_cause.rs
@@ -4,7 +4,9 @@
 
 use crate::{
     peers::registration::GATEWAY_KIND,
-    store::object_kinds::{END_KIND, JOB_KIND, PART_KIND, RESULT_KIND, SHARE_KIND, VERSION_KIND},
+    store::object_kinds::{
+        END_KIND, JOB_KIND, PART_KIND, REFUSAL_KIND, RESULT_KIND, SHARE_KIND, VERSION_KIND,
+    },
 };
 
 /// Why a call to the store is made.
@@ -46,13 +48,15 @@
     OwnEntryChecked,
     /// Recording which software versions targets have, or reading the record.
     VersionsRecorded,
+    /// Recording requests that are refused, or reading the records.
+    Refusals,
     /// Forwarding a call for another gateway.
     ForAnother,
 }
 
 impl StoreCallCause {
     /// Every cause, in the order of its value.
-    pub const ALL: [Self; 19] = [
+    pub const ALL: [Self; 20] = [
         Self::Watch,
         Self::List,
         Self::Registration,
@@ -71,6 +75,7 @@
         Self::Eviction,
         Self::OwnEntryChecked,
         Self::VersionsRecorded,
+        Self::Refusals,
         Self::ForAnother,
     ];
 
@@ -95,6 +100,7 @@
             Self::Eviction => "eviction",
             Self::OwnEntryChecked => "own_entry_checked",
             Self::VersionsRecorded => "versions_recorded",
+            Self::Refusals => "refusals",
             Self::ForAnother => "for_another",
         }
     }
@@ -123,6 +129,8 @@
     LimitShares,
     /// Records of software versions.
     Versions,
+    /// Records of refused requests.
+    Refusals,
     /// Any other kind.
     Other,
 }
@@ -141,6 +149,7 @@
             END_KIND => Self::JobEnd,
             SHARE_KIND => Self::LimitShares,
             VERSION_KIND => Self::Versions,
+            REFUSAL_KIND => Self::Refusals,
             _ => Self::Other,
         }
     }
@@ -158,6 +167,7 @@
             Self::JobEnd => "job_end",
             Self::LimitShares => "limit_shares",
             Self::Versions => "versions",
+            Self::Refusals => "refusals",
             Self::Other => "other",
         }
     }
--- a/crates/entry/src/store/object_kinds.rs
+++ b/crates/entry/src/store/object_kinds.rs
@@ -1,4 +1,4 @@
-//! Kinds of objects in the store that belong to jobs, limits and versions.
+//! Kinds of objects in the store that belong to jobs, limits, versions and refusals.
 
 /// Kind of jobs. Each object is named after the job's id.
 pub const JOB_KIND: &str = "notch-jobs";
@@ -14,3 +14,6 @@
 pub const SHARE_KIND: &str = "notch-limit-shares";
 /// Kind of the records of software versions. Each object is named after its service.
 pub const VERSION_KIND: &str = "notch-versions";
+/// Kind of the records of requests that are refused because they crash targets. Each object is named after the
+/// request's fingerprint.
+pub const REFUSAL_KIND: &str = "notch-refusals";
