Handle signals before the settings are read

What callers saw: a gateway whose settings are reloaded right after a start ends, and its connections with it; the supervisor starts it again.

Cause: the handlers were installed when settings and log were ready.

Change: the handlers are installed first, for both roles.

--- a/crates/entry/src/disk.rs
+++ b/crates/entry/src/disk.rs
@@ -4,17 +4,11 @@
 use async_std::stream::StreamExt;
 use notch_settings::DiskConfig;
 use notch_telemetry::prelude::*;
-use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use signal_hook::consts::SIGHUP;
 use signal_hook_async_std::Signals;
 
-use crate::error::EntryError;
-
 /// Runs until a signal to stop.
-///
-/// # Errors
-/// Signals can't be caught.
-pub async fn run(config: &DiskConfig) -> Result<(), EntryError> {
-    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(EntryError::Signals)?;
+pub async fn run(config: &DiskConfig, mut signals: Signals) {
     let log = NodeLog::new(&config.node.vm, &config.node.domain);
     log.info("started", &[]);
     while let Some(signal) = signals.next().await {
@@ -23,5 +17,4 @@
         }
     }
     log.info("stopped", &[]);
-    Ok(())
 }
--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -10,7 +10,7 @@
 use notch_settings::EntryConfig;
 use notch_telemetry::prelude::*;
 use notch_types::prelude::FastSet;
-use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use signal_hook::consts::SIGHUP;
 use signal_hook_async_std::Signals;
 
 use crate::{
@@ -47,9 +47,12 @@
 /// Runs the gateway until a signal to stop, then stops it gracefully.
 ///
 /// # Errors
-/// The gateway can't be started, see [`start`], or signal handlers can't be installed.
-pub async fn run(config: EntryConfig, path: PathBuf) -> Result<(), EntryError> {
-    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(EntryError::Signals)?;
+/// The gateway can't be started, see [`start`].
+pub async fn run(
+    config: EntryConfig,
+    path: PathBuf,
+    mut signals: Signals,
+) -> Result<(), EntryError> {
     let node = start(config).await?;
     node.log.info(
         "started",
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -44,6 +44,8 @@
 pub(crate) const POISON_PART: &str = "bad";
 /// Interval of checks while waiting for a process or a fault.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Interval between two checks of a process that starts: little is missed of the time in which signals come too early.
+const SIGNAL_POLL_INTERVAL: Duration = Duration::from_millis(1);
 
 /// A gateway process and the number of faults that keep it down.
 #[derive(Debug)]
@@ -281,7 +283,7 @@
                 task::sleep(duration).await;
                 self.end_outage(gateway, |process| process.signal(Signal::CONT));
             }
-            SoakFault::Reload { gateway } => self.gateway(gateway).process.signal(Signal::HUP),
+            SoakFault::Reload { gateway } => self.reload(gateway).await,
             SoakFault::StorePath { gateway, mode, duration } => {
                 disturb(&self.store_proxies[gateway..=gateway], mode, duration).await;
             }
@@ -393,6 +395,24 @@
         self.restart(gateway);
     }
 
+    /// Reloads a gateway's settings as soon as its process handles the signal. No program can handle it before its first
+    /// instruction.
+    async fn reload(&self, gateway: usize) {
+        let process = self.incarnation(gateway);
+        while self.incarnation(gateway) == process {
+            {
+                let mut handle = self.gateway(gateway);
+                if handle.process.catches(Signal::HUP) {
+                    return handle.process.signal(Signal::HUP);
+                }
+                if handle.process.has_ended() {
+                    return;
+                }
+            }
+            task::sleep(SIGNAL_POLL_INTERVAL).await;
+        }
+    }
+
     async fn replace_target(&self, number: usize) {
         let (replaced, replacements) = {
             let handle = self.target(number);
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -79,6 +79,15 @@
         }
     }
 
+    /// Whether the process handles a signal by itself, as the operating system tells.
+    pub fn catches(&self, signal: Signal) -> bool {
+        let status = self.pid().map(|pid| fs::read_to_string(format!("/proc/{pid}/status")));
+        let Some(Ok(status)) = status else { return false };
+        let caught = status.lines().find_map(|line| line.strip_prefix("SigCgt:"));
+        let caught = caught.and_then(|mask| u64::from_str_radix(mask.trim(), 16).ok());
+        caught.is_some_and(|mask| mask & (1 << (signal.as_raw() - 1)) != 0)
+    }
+
     /// Whether the process isn't running.
     pub fn has_ended(&mut self) -> bool {
         self.child.as_mut().is_none_or(|child| matches!(child.try_wait(), Ok(Some(_)) | Err(_)))
