Tell all gateways under which requests targets crash with a refused part

Hypotheses: a guilty request uses the probes of the sound part; a sound probe is broken off by another culprit's crash; the end of a refusal doesn't reach all gateways. Two causes: a crash of a request that was still running when the part was refused was not kept, and what the counting gateway had kept was lost when another one counted after it was frozen.

Change: the crash is kept in both cases, announced with the refusal (crashed_under, empty from earlier builds), and a gateway that knows of it lets 2 s pass before it asks for a probe by such a request, as the counting gateway did before.

Tests: a_request_that_ran_when_a_part_was_refused_probes_it_last failed with the order of the two lines as before; every_gateway_knows_under_which_requests_targets_crashed needs the new calls.

--- a/crates/entry/src/online/suspects.rs
+++ b/crates/entry/src/online/suspects.rs
@@ -109,8 +109,21 @@
 
     /// Counts a crash on behalf of all gateways, and tells them when the suspect is to be refused.
     pub fn count_crash(&self, report: &CrashReport) {
-        let refusal = self.table().note_crash(report, self.clock.mono());
-        let Some(refusal) = refusal else { return };
+        let now = self.clock.mono();
+        let mut table = self.table();
+        let known = table.crashed_under(report.suspect);
+        let refusal = table.note_crash(report, now);
+        let crashed_under = table.crashed_under(report.suspect);
+        let current = table.refusal(report.suspect, now);
+        drop(table);
+        let Some(refusal) = refusal else {
+            if let Some(current) = current
+                && crashed_under != known
+            {
+                self.peers.broadcast(&refused_message(current, crashed_under));
+            }
+            return;
+        };
         let SuspectRefusal { suspect, level, left } = refusal;
         let (event, counter, key) = match suspect {
             CrashSuspect::Request(_) => {
@@ -129,14 +142,22 @@
             ],
         );
         self.metrics.count(Counter::Event(counter));
-        self.peers.broadcast(&refused_message(refusal));
+        self.peers.broadcast(&refused_message(refusal, crashed_under));
         self.records.note_refused(refusal);
     }
 
     /// Applies another gateway's refusal, unless this one knows the suspect to be sound.
-    pub fn apply_refusal(&self, suspect: CrashSuspect, level: u32, left_ms: u64) {
+    pub fn apply_refusal(
+        &self,
+        (suspect, level): (CrashSuspect, u32),
+        left_ms: u64,
+        crashed_under: &[u64],
+    ) {
         let refusal = SuspectRefusal { suspect, level, left: Duration::from_millis(left_ms) };
-        let is_applied = self.table().apply_refusal(refusal, self.clock.mono());
+        let mut table = self.table();
+        let is_applied = table.apply_refusal(refusal, self.clock.mono());
+        table.note_crashed_under(suspect, crashed_under);
+        drop(table);
         if !is_applied {
             self.announce_cleared(suspect);
         }
@@ -145,7 +166,8 @@
     /// Messages that tell a gateway, to which a link has come up, of refused suspects.
     pub fn known_refusals(&self) -> Vec<PeerMessage> {
         let table = self.table();
-        table.refusals(self.clock.mono()).take(MAX_TOLD_REFUSALS).map(refused_message).collect()
+        let told = table.refusals(self.clock.mono()).take(MAX_TOLD_REFUSALS);
+        told.map(|refusal| refused_message(refusal, table.crashed_under(refusal.suspect))).collect()
     }
 
     /// Answers a gateway that asks to probe a suspect, of which it knows the level, by a request. There is no answer if
@@ -228,9 +250,10 @@
     }
 }
 
-fn refused_message(refusal: SuspectRefusal) -> PeerMessage {
+fn refused_message(refusal: SuspectRefusal, crashed_under: Vec<u64>) -> PeerMessage {
     let SuspectRefusal { suspect, level, left } = refusal;
-    PeerMessage::SuspectRefused { suspect, level, left_ms: left.as_millis() as u64 }
+    let left_ms = left.as_millis() as u64;
+    PeerMessage::SuspectRefused { suspect, level, left_ms, crashed_under }
 }
 
 /// A fingerprint as logs have it.
--- a/crates/entry/src/peers/links.rs
+++ b/crates/entry/src/peers/links.rs
@@ -366,8 +366,8 @@
         }
         PeerMessage::JobProgress { job, items } => node.jobs().keep_progress(&job, items),
         PeerMessage::SuspectCrashed(report) => node.suspects().count_crash(&report),
-        PeerMessage::SuspectRefused { suspect, level, left_ms } => {
-            node.suspects().apply_refusal(suspect, level, left_ms);
+        PeerMessage::SuspectRefused { suspect, level, left_ms, crashed_under } => {
+            node.suspects().apply_refusal((suspect, level), left_ms, &crashed_under);
         }
         PeerMessage::SuspectCleared(suspect) => node.suspects().table().clear(suspect),
         PeerMessage::SuspectProbeAsk { suspect, level, request } => {
--- a/crates/messages/src/peer.rs
+++ b/crates/messages/src/peer.rs
@@ -331,6 +331,9 @@
         level: u32,
         /// Time until the next probe, milliseconds.
         left_ms: u64,
+        /// Requests with the suspect under which targets crashed; empty from gateways of earlier builds.
+        #[serde(default)]
+        crashed_under: Vec<u64>,
     },
     /// A request with this suspect was answered: refuse it no more, and discard what was counted against it.
     SuspectCleared(CrashSuspect),
--- a/crates/relay/src/targets/suspects/refusal.rs
+++ b/crates/relay/src/targets/suspects/refusal.rs
@@ -18,7 +18,7 @@
 const PROBE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time for which a due probe is kept for requests under which no target crashed. They find out more, and a request that
 /// crashes targets itself would use up the probes of its parts.
-const SOUND_FIRST_TIME: Duration = Duration::from_secs(2);
+pub(super) const SOUND_FIRST_TIME: Duration = Duration::from_secs(2);
 /// Time for which one item with a refused part may run before another one may. An item is owed, so it does not wait for
 /// the next probe, but several at once would crash as many targets.
 const ITEM_TURN: Duration = Duration::from_secs(3);
@@ -72,8 +72,7 @@
     /// The item of this gateway that may run with the suspect, and until when no other one may.
     item_turn: Option<(u64, MonoTime)>,
     asked_at: MonoTime,
-    /// Requests under which targets crashed; only known at the counting gateway. Invariant: at most
-    /// [`MAX_CRASHED_UNDER`].
+    /// Requests under which targets crashed, as far as known here. Invariant: distinct, at most [`MAX_CRASHED_UNDER`].
     crashed_under: VecDeque<u64>,
 }
 
@@ -132,7 +131,7 @@
     ) {
         for request in requests {
             let is_part = matches!(suspect, CrashSuspect::Part(_));
-            if !is_part || self.crashed_under.contains(&request) {
+            if !is_part || self.has_crashed_under(request) {
                 continue;
             }
             if self.crashed_under.len() >= MAX_CRASHED_UNDER {
@@ -142,6 +141,16 @@
         }
     }
 
+    /// Requests under which targets crashed, the oldest first.
+    pub fn crashed_under(&self) -> impl Iterator<Item = u64> {
+        self.crashed_under.iter().copied()
+    }
+
+    /// Whether a target is known to have crashed under the request.
+    pub fn has_crashed_under(&self, request: u64) -> bool {
+        self.crashed_under.contains(&request)
+    }
+
     /// Whether this gateway may start the request now.
     pub fn is_granted(&self, request: u64, now: MonoTime) -> bool {
         self.granted.is_some_and(|(granted, until)| granted == request && until > now)
@@ -158,7 +167,7 @@
 
     /// Grants a probe to the request, at the counting gateway. False if none is due for it or one is running.
     pub fn grant_probe(&mut self, request: u64, now: MonoTime) -> bool {
-        let comes_last = self.crashed_under.contains(&request);
+        let comes_last = self.has_crashed_under(request);
         let due = if comes_last { self.until + SOUND_FIRST_TIME } else { self.until };
         let is_granted = due <= now && self.probed_until <= now;
         if is_granted {
--- a/crates/relay/src/targets/suspects/table.rs
+++ b/crates/relay/src/targets/suspects/table.rs
@@ -6,7 +6,7 @@
 
 use super::{
     proofs::ProofTable,
-    refusal::{ProbeReply, RefusedSuspect, SuspectRefusal},
+    refusal::{ProbeReply, RefusedSuspect, SOUND_FIRST_TIME, SuspectRefusal},
     series::CrashSeries,
     suspect::{CrashReport, CrashSuspect, RequestSuspects},
 };
@@ -109,12 +109,22 @@
             }
             return SuspectAdmission::Probe;
         };
-        let is_due = last_until <= now;
+        let is_due = last_until + self.probe_delay(suspects) <= now;
         let asks_probe =
             is_due && self.refused.get_mut(&suspect).is_some_and(|refused| refused.asks_probe(now));
         SuspectAdmission::Refused { suspect, left: last_until.since(now), asks_probe }
     }
 
+    /// How long this gateway keeps a due probe of a refused part for requests that find out more than this one.
+    fn probe_delay(&self, suspects: RequestSuspects<'_>) -> Duration {
+        let refused = |part: &u64| self.refused.get(&CrashSuspect::Part(*part));
+        let mut crashed = suspects.parts.iter().filter_map(refused);
+        if crashed.any(|refused| refused.has_crashed_under(suspects.request)) {
+            return SOUND_FIRST_TIME;
+        }
+        Duration::ZERO
+    }
+
     /// Time until an item may run at `now`; zero if it may now. Items are never suspects themselves: they are handed in for
     /// later and owed, whatever crashed under them. Of those with a refused part one runs at a time, whose answer ends the
     /// refusal.
@@ -188,8 +198,9 @@
     pub fn note_crash(&mut self, report: &CrashReport, now: MonoTime) -> Option<SuspectRefusal> {
         let suspect = report.suspect;
         if let Some(refused) = self.refused.get_mut(&suspect) {
-            let level = refused.level_after_crash(now)?;
+            // Also of a request that was running when the suspect was refused: it may be the one to blame.
             refused.note_crashed_under(suspect, [report.request]);
+            let level = refused.level_after_crash(now)?;
             return Some(self.refuse(suspect, level, now));
         }
         if self.is_proven(suspect, now) {
@@ -228,6 +239,19 @@
         true
     }
 
+    /// Records requests under which targets crashed with a refused suspect, as told by another gateway.
+    pub fn note_crashed_under(&mut self, suspect: CrashSuspect, requests: &[u64]) {
+        if let Some(refused) = self.refused.get_mut(&suspect) {
+            refused.note_crashed_under(suspect, requests.iter().copied());
+        }
+    }
+
+    /// Requests under which targets are known to have crashed with a refused suspect.
+    pub fn crashed_under(&self, suspect: CrashSuspect) -> Vec<u64> {
+        let refused = self.refused.get(&suspect);
+        refused.map(|refused| refused.crashed_under().collect()).unwrap_or_default()
+    }
+
     /// Ends the refusal of a suspect that another gateway has answered, and discards what was counted against it.
     pub fn clear(&mut self, suspect: CrashSuspect) {
         self.refused.remove(&suspect);
--- a/crates/relay/tests/crashes.rs
+++ b/crates/relay/tests/crashes.rs
@@ -331,3 +331,39 @@
     assert_eq!(table.item_wait(first, at(4_000)), Duration::ZERO);
     assert!(!is_refused(&mut table, request(9, &[7]), at(4_000)));
 }
+
+/// Guards against sound requests that stay refused because a request that crashes targets uses up the probes of a part: it was
+/// still running when the part was refused (soak of several culprits, seed 2110).
+#[test]
+fn a_request_that_ran_when_a_part_was_refused_probes_it_last() {
+    let mut table = SuspectTable::default();
+    let part = CrashSuspect::Part(9);
+    for (number, target, now) in [(1, "t1", 0), (2, "t2", 200), (3, "t3", 400)] {
+        crash(&mut table, request(number, &[9]), target, at(now));
+    }
+    assert!(!crash(&mut table, request(4, &[9]), "t4", at(450)), "no probe");
+    assert_eq!(ask(&mut table, part, 4, at(900)), ProbeReply::NotNow);
+    assert_eq!(ask(&mut table, part, 5, at(900)), ProbeReply::Granted);
+}
+
+/// Guards against a counting gateway that follows another one and doesn't know which requests crash targets, and against a
+/// gateway that asks for a probe by such a request (soak of several culprits, seeds 2110 and 2308).
+#[test]
+fn every_gateway_knows_under_which_requests_targets_crashed() {
+    let (mut counting, mut next) = (SuspectTable::default(), SuspectTable::default());
+    let part = CrashSuspect::Part(9);
+    for (number, target, now) in [(1, "t1", 0), (2, "t2", 200), (3, "t3", 400)] {
+        crash(&mut counting, request(number, &[9]), target, at(now));
+    }
+    let refusal = counting.refusal(part, at(400)).expect("it is refused");
+    next.apply_refusal(refusal, at(400));
+    next.note_crashed_under(part, &counting.crashed_under(part));
+    let asks = |table: &mut SuspectTable, number, now| {
+        let admission = table.admit(request(number, &[9]), false, at(now));
+        matches!(admission, SuspectAdmission::Refused { asks_probe: true, .. })
+    };
+    assert!(!asks(&mut next, 1, 900));
+    assert_eq!(ask(&mut next, part, 1, at(900)), ProbeReply::NotNow);
+    assert!(asks(&mut next, 4, 900));
+    assert!(asks(&mut next, 1, 2_900), "no other came");
+}
