End a refusal also at a gateway that was out of contact when it ended

Hypotheses: another culprit's crash refused the part anew; the end of the refusal was lost.

Cause: a refusal is told when a link comes up, its end is not, and a gateway objects to a refusal only if it is a first one and the answer less than 2 s old.

Change: a refusal is told with the time since its last crash (age_ms). A gateway that knows of an answer after that crash, its own or another gateway's, doesn't apply the refusal and says that the suspect is sound. Records of refusals in the store are read by the same rule.

Test: a_refusal_that_ended_out_of_contact_does_not_come_back; it failed with the comparison left out.

--- a/crates/entry/src/online/refusal_records.rs
+++ b/crates/entry/src/online/refusal_records.rs
@@ -116,7 +116,10 @@
         let whole = SuspectRefusal::at_level(suspect, level);
         let left = Duration::from_millis(until_ms.saturating_sub(wall));
         let refusal = SuspectRefusal { left: left.min(whole.left), ..whole };
-        node.suspects().table().apply_refusal(refusal, node.clock.mono());
+        // The pause began with the last crash.
+        let since_ms = until_ms.saturating_sub(whole.left.as_millis() as u64);
+        let age = Duration::from_millis(wall.saturating_sub(since_ms));
+        node.suspects().table().apply_told_refusal(refusal, age, node.clock.mono());
         restored += 1;
     }
     if restored > 0 {
--- a/crates/entry/src/online/suspects.rs
+++ b/crates/entry/src/online/suspects.rs
@@ -113,17 +113,16 @@
         let mut table = self.table();
         let known = table.crashed_under(report.suspect);
         let refusal = table.note_crash(report, now);
-        let crashed_under = table.crashed_under(report.suspect);
+        let is_news = table.crashed_under(report.suspect) != known;
         let current = table.refusal(report.suspect, now);
+        let message = current.map(|current| refused_message(&table, current, now));
         drop(table);
-        let Some(refusal) = refusal else {
-            if let Some(current) = current
-                && crashed_under != known
-            {
-                self.peers.broadcast(&refused_message(current, crashed_under));
-            }
-            return;
-        };
+        if let Some(message) = message
+            && (refusal.is_some() || is_news)
+        {
+            self.peers.broadcast(&message);
+        }
+        let Some(refusal) = refusal else { return };
         let SuspectRefusal { suspect, level, left } = refusal;
         let (event, counter, key) = match suspect {
             CrashSuspect::Request(_) => {
@@ -142,32 +141,30 @@
             ],
         );
         self.metrics.count(Counter::Event(counter));
-        self.peers.broadcast(&refused_message(refusal, crashed_under));
         self.records.note_refused(refusal);
     }
 
     /// Applies another gateway's refusal, unless this one knows the suspect to be sound.
-    pub fn apply_refusal(
-        &self,
-        (suspect, level): (CrashSuspect, u32),
-        left_ms: u64,
-        crashed_under: &[u64],
-    ) {
-        let refusal = SuspectRefusal { suspect, level, left: Duration::from_millis(left_ms) };
+    pub fn apply_refusal(&self, refusal: SuspectRefusal, age: Duration, crashed_under: &[u64]) {
         let mut table = self.table();
-        let is_applied = table.apply_refusal(refusal, self.clock.mono());
-        table.note_crashed_under(suspect, crashed_under);
+        let is_applied = table.apply_told_refusal(refusal, age, self.clock.mono());
+        table.note_crashed_under(refusal.suspect, crashed_under);
         drop(table);
         if !is_applied {
-            self.announce_cleared(suspect);
+            self.announce_cleared(refusal.suspect);
         }
     }
 
+    /// Ends the refusal of a suspect that another gateway has answered.
+    pub fn note_cleared(&self, suspect: CrashSuspect) {
+        self.table().note_cleared(suspect, self.clock.mono());
+    }
+
     /// Messages that tell a gateway, to which a link has come up, of refused suspects.
     pub fn known_refusals(&self) -> Vec<PeerMessage> {
-        let table = self.table();
-        let told = table.refusals(self.clock.mono()).take(MAX_TOLD_REFUSALS);
-        told.map(|refusal| refused_message(refusal, table.crashed_under(refusal.suspect))).collect()
+        let (table, now) = (self.table(), self.clock.mono());
+        let told = table.refusals(now).take(MAX_TOLD_REFUSALS);
+        told.map(|refusal| refused_message(&table, refusal, now)).collect()
     }
 
     /// Answers a gateway that asks to probe a suspect, of which it knows the level, by a request. There is no answer if
@@ -250,10 +247,15 @@
     }
 }
 
-fn refused_message(refusal: SuspectRefusal, crashed_under: Vec<u64>) -> PeerMessage {
+fn refused_message(table: &SuspectTable, refusal: SuspectRefusal, now: MonoTime) -> PeerMessage {
     let SuspectRefusal { suspect, level, left } = refusal;
-    let left_ms = left.as_millis() as u64;
-    PeerMessage::SuspectRefused { suspect, level, left_ms, crashed_under }
+    PeerMessage::SuspectRefused {
+        suspect,
+        level,
+        left_ms: left.as_millis() as u64,
+        age_ms: table.refusal_age(suspect, now).as_millis() as u64,
+        crashed_under: table.crashed_under(suspect),
+    }
 }
 
 /// A fingerprint as logs have it.
--- a/crates/entry/src/peers/links.rs
+++ b/crates/entry/src/peers/links.rs
@@ -9,7 +9,7 @@
     prelude::StoreObject,
     store::{object_path, spec_body},
 };
-use notch_relay::prelude::{AbsenceVote, CreditDemand, UseChange};
+use notch_relay::prelude::{AbsenceVote, CreditDemand, SuspectRefusal, UseChange};
 use notch_types::prelude::*;
 use serde_json::value::RawValue;
 
@@ -366,10 +366,13 @@
         }
         PeerMessage::JobProgress { job, items } => node.jobs().keep_progress(&job, items),
         PeerMessage::SuspectCrashed(report) => node.suspects().count_crash(&report),
-        PeerMessage::SuspectRefused { suspect, level, left_ms, crashed_under } => {
-            node.suspects().apply_refusal((suspect, level), left_ms, &crashed_under);
+        PeerMessage::SuspectRefused { suspect, level, left_ms, age_ms, crashed_under } => {
+            let left = Duration::from_millis(left_ms);
+            let refusal = SuspectRefusal { suspect, level, left };
+            let age = Duration::from_millis(age_ms);
+            node.suspects().apply_refusal(refusal, age, &crashed_under);
         }
-        PeerMessage::SuspectCleared(suspect) => node.suspects().table().clear(suspect),
+        PeerMessage::SuspectCleared(suspect) => node.suspects().note_cleared(suspect),
         PeerMessage::SuspectProbeAsk { suspect, level, request } => {
             node.suspects().answer_probe_ask(&peer.vm, (suspect, level), request);
         }
--- a/crates/messages/src/peer.rs
+++ b/crates/messages/src/peer.rs
@@ -331,6 +331,9 @@
         level: u32,
         /// Time until the next probe, milliseconds.
         left_ms: u64,
+        /// Time since the last crash that was counted, milliseconds; 0 from gateways of earlier builds.
+        #[serde(default)]
+        age_ms: u64,
         /// Requests with the suspect under which targets crashed; empty from gateways of earlier builds.
         #[serde(default)]
         crashed_under: Vec<u64>,
--- a/crates/relay/src/targets/suspects/refusal.rs
+++ b/crates/relay/src/targets/suspects/refusal.rs
@@ -63,6 +63,8 @@
 #[derive(Debug, Clone)]
 pub struct RefusedSuspect {
     level: u32,
+    /// When the last crash was counted.
+    crashed_at: MonoTime,
     /// When the next probe may be granted.
     until: MonoTime,
     /// Until when a probe granted to any gateway may be running; only known at the counting gateway.
@@ -77,10 +79,11 @@
 }
 
 impl RefusedSuspect {
-    /// A suspect that is refused from now on.
-    pub fn new(refusal: SuspectRefusal, now: MonoTime) -> Self {
+    /// A suspect that is refused for a crash counted at `crashed_at`.
+    pub fn new(refusal: SuspectRefusal, crashed_at: MonoTime, now: MonoTime) -> Self {
         Self {
             level: refusal.level,
+            crashed_at,
             until: now + refusal.left,
             probed_until: MonoTime::default(),
             granted: None,
@@ -91,12 +94,13 @@
     }
 
     /// Applies a later refusal. An earlier one that arrives late changes nothing.
-    pub fn update(&mut self, refusal: SuspectRefusal, now: MonoTime) {
+    pub fn update(&mut self, refusal: SuspectRefusal, crashed_at: MonoTime, now: MonoTime) {
         let until = now + refusal.left;
         if (self.level, self.until) <= (refusal.level, until) {
             let crashed_under = std::mem::take(&mut self.crashed_under);
             let Self { asked_at, item_turn, .. } = *self;
-            *self = Self { asked_at, item_turn, crashed_under, ..Self::new(refusal, now) };
+            *self =
+                Self { asked_at, item_turn, crashed_under, ..Self::new(refusal, crashed_at, now) };
         }
     }
 
@@ -105,6 +109,11 @@
         SuspectRefusal { suspect, level: self.level, left: self.until.since(now) }
     }
 
+    /// When the last crash was counted.
+    pub fn crashed_at(&self) -> MonoTime {
+        self.crashed_at
+    }
+
     /// When the next probe may be granted.
     pub fn until(&self) -> MonoTime {
         self.until
--- a/crates/relay/src/targets/suspects/table.rs
+++ b/crates/relay/src/targets/suspects/table.rs
@@ -21,6 +21,9 @@
 /// Maximum number of reported suspects that are remembered until they are answered.
 const MAX_REPORTED: usize = 1_024;
 
+/// Maximum number of suspects that are remembered as found to be sound by other gateways.
+const MAX_CLEARED: usize = 1_024;
+
 /// Whether a request may run, by its suspects.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SuspectAdmission {
@@ -58,6 +61,8 @@
     refused: FastMap<CrashSuspect, RefusedSuspect>,
     /// Suspects that this gateway has reported since they were answered. Invariant: at most [`MAX_REPORTED`].
     reported: FastSet<CrashSuspect>,
+    /// Suspects that other gateways have found to be sound, and when. Invariant: at most [`MAX_CLEARED`].
+    cleared: FastMap<CrashSuspect, MonoTime>,
 }
 
 impl Default for SuspectTable {
@@ -68,6 +73,7 @@
             series: FastMap::default(),
             refused: FastMap::default(),
             reported: FastSet::default(),
+            cleared: FastMap::default(),
         }
     }
 }
@@ -225,17 +231,52 @@
         refusal
     }
 
-    /// Applies a refusal, as determined by this or another gateway. False if this gateway has answered a request with the
-    /// suspect a moment ago, so that it is sound.
+    /// Applies a refusal, as determined by this or another gateway just now. False if this gateway has answered a request
+    /// with the suspect a moment ago, so that it is sound.
     pub fn apply_refusal(&mut self, refusal: SuspectRefusal, now: MonoTime) -> bool {
+        self.apply_refusal_of(refusal, now, now)
+    }
+
+    /// The same for a refusal whose last crash was counted `age` ago. False also if the suspect was answered later than
+    /// that: the gateway that tells of the refusal was out of contact when it ended.
+    pub fn apply_told_refusal(
+        &mut self,
+        refusal: SuspectRefusal,
+        age: Duration,
+        now: MonoTime,
+    ) -> bool {
+        let crashed_at = now - age;
+        let known = self.refused.get(&refusal.suspect).map(RefusedSuspect::crashed_at);
+        let is_over = self.last_answer(refusal.suspect).is_some_and(|at| {
+            // What is known of the refusal may be newer than both.
+            at > crashed_at && known.is_none_or(|known| at > known)
+        });
+        !is_over && self.apply_refusal_of(refusal, crashed_at, now)
+    }
+
+    /// When the suspect was last answered, as far as this gateway knows.
+    fn last_answer(&self, suspect: CrashSuspect) -> Option<MonoTime> {
+        let proven = match suspect {
+            CrashSuspect::Request(id) => self.proven_requests.last(id),
+            CrashSuspect::Part(id) => self.proven_parts.last(id),
+        };
+        proven.max(self.cleared.get(&suspect).copied())
+    }
+
+    fn apply_refusal_of(
+        &mut self,
+        refusal: SuspectRefusal,
+        crashed_at: MonoTime,
+        now: MonoTime,
+    ) -> bool {
         let suspect = refusal.suspect;
         if refusal.level == 0 && self.is_proven(suspect, now) {
             return false;
         }
         self.series.remove(&suspect);
         self.evict_refused(suspect, now);
-        let anew = || RefusedSuspect::new(refusal, now);
-        self.refused.entry(suspect).or_insert_with(anew).update(refusal, now);
+        let anew = || RefusedSuspect::new(refusal, crashed_at, now);
+        self.refused.entry(suspect).or_insert_with(anew).update(refusal, crashed_at, now);
         true
     }
 
@@ -258,6 +299,15 @@
         self.series.remove(&suspect);
     }
 
+    /// The same for a suspect that was answered at `now`, which is remembered against older refusals.
+    pub fn note_cleared(&mut self, suspect: CrashSuspect, now: MonoTime) {
+        self.clear(suspect);
+        if self.cleared.len() >= MAX_CLEARED {
+            self.cleared.clear();
+        }
+        self.cleared.insert(suspect, now);
+    }
+
     /// Decides, at the counting gateway, whether a gateway may probe a suspect by a request; `refusal` is what that
     /// gateway knows, as this one may have just started.
     pub fn grant_probe(
@@ -292,6 +342,12 @@
         self.refused.iter().map(move |(suspect, refused)| refused.refusal(*suspect, now))
     }
 
+    /// Time since the last crash was counted against a refused suspect.
+    pub fn refusal_age(&self, suspect: CrashSuspect, now: MonoTime) -> Duration {
+        let refused = self.refused.get(&suspect);
+        refused.map(|refused| now.since(refused.crashed_at())).unwrap_or_default()
+    }
+
     /// What is known of a refused suspect.
     pub fn refusal(&self, suspect: CrashSuspect, now: MonoTime) -> Option<SuspectRefusal> {
         self.refused.get(&suspect).map(|refused| refused.refusal(suspect, now))
--- a/crates/relay/tests/crashes.rs
+++ b/crates/relay/tests/crashes.rs
@@ -367,3 +367,29 @@
     assert!(asks(&mut next, 4, 900));
     assert!(asks(&mut next, 1, 2_900), "no other came");
 }
+
+/// Guards against sound requests that are refused again by a gateway that was out of contact when the refusal of their part
+/// ended, and tells the others of it (soak of several culprits, seed 2110).
+#[test]
+fn a_refusal_that_ended_out_of_contact_does_not_come_back() {
+    let (mut stale, mut answering, mut told) =
+        (SuspectTable::default(), SuspectTable::default(), SuspectTable::default());
+    let (suspect, level) = (CrashSuspect::Part(9), 1);
+    let refusal = SuspectRefusal { suspect, level, left: Duration::from_secs(3) };
+    for table in [&mut stale, &mut answering, &mut told] {
+        table.apply_refusal(refusal, at(1_000));
+    }
+    assert_eq!(answering.note_answer(request(1, &[9]), at(5_000)).cleared, [suspect]);
+    told.note_cleared(suspect, at(5_000));
+    let now = at(8_000);
+    let refusal = stale.refusal(suspect, now).expect("it is refused there");
+    let age = stale.refusal_age(suspect, now);
+    for table in [&mut answering, &mut told] {
+        assert!(!table.apply_told_refusal(refusal, age, now), "older than the answer");
+        assert_eq!(table.admit(request(1, &[9]), false, now), SuspectAdmission::Admitted);
+        let newer = Duration::from_secs(2);
+        assert!(table.apply_told_refusal(refusal, newer, now), "newer than the answer");
+        assert!(table.apply_told_refusal(refusal, age, now), "the newer one is known");
+        assert!(is_refused(table, request(1, &[9]), now));
+    }
+}
