Tell a client of a resend only if it sent its job again

Cause: an owner that loses its shard answers what waits with NotOwner, and an ask that isn't answered is sent again, so that the gateway asks for one submission several times. The owner took the second ask for the client's.

Change: a submission bears a random number, which the record of the accepted job keeps. The same number is no resend; 0 stands for earlier builds.

Test: a_submission_that_the_gateway_sends_again_is_no_resend failed with the comparison left out.

--- a/crates/gateway/src/traffic/job_desk.rs
+++ b/crates/gateway/src/traffic/job_desk.rs
@@ -79,6 +79,7 @@
             retention_ms: entry.retention_ms(),
             chunks: chunks.finish().await?,
             content: summary.content,
+            attempt: rand::random_range(1..=u64::MAX),
         };
         self.accept(submission, &chunks).await
     }
--- a/crates/gateway/tests/support/world.rs
+++ b/crates/gateway/tests/support/world.rs
@@ -169,6 +169,7 @@
             retention_ms: 3_600_000,
             chunks,
             content: 7,
+            attempt: 0,
         };
         self.ask(ShardRequest::SubmitJob(submission))
     }
--- a/crates/jobs/src/probe.rs
+++ b/crates/jobs/src/probe.rs
@@ -94,6 +94,7 @@
             retention_ms: 86_400_000,
             chunks,
             content: 1,
+            attempt: 0,
         }));
     }
 
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -29,6 +29,9 @@
     pub chunks: Vec<(String, ItemIndex)>,
     /// Digest of the whole input.
     pub content: u128,
+    /// Random number of the submission that was accepted; 0 in records of earlier builds.
+    #[serde(default)]
+    pub attempt: u64,
 }
 
 /// One record. The first one of its kind for a job, item or request counts where the names say
--- a/crates/jobs/src/service/submit.rs
+++ b/crates/jobs/src/service/submit.rs
@@ -112,6 +112,8 @@
             let detail = "the key was used for a job with another input";
             return ShardAnswer::Refused(Refusal::not_run(RefusalReason::KeyReused, detail));
         }
+        let is_same_attempt = submission.attempt != 0 && submission.attempt == accepted.attempt;
+        let resend = resend && !is_same_attempt;
         match self.progress(submission.job) {
             Some(progress) => ShardAnswer::JobAccepted { progress, resend },
             None => not_found(),
@@ -176,6 +178,7 @@
         retention_ms: submission.retention_ms,
         chunks: chunks.collect(),
         content: submission.content,
+        attempt: submission.attempt,
     }
 }
 
--- a/crates/jobs/tests/codec.rs
+++ b/crates/jobs/tests/codec.rs
@@ -25,6 +25,7 @@
         retention_ms: 9,
         chunks: vec![("chunk".to_owned(), ItemIndex(0))],
         content: 3,
+        attempt: 0,
     };
     state.apply(0, &LedgerRecord::JobAccepted(accepted));
     for (place, (item, good)) in results.iter().enumerate() {
--- a/crates/jobs/tests/intake_failures.rs
+++ b/crates/jobs/tests/intake_failures.rs
@@ -38,6 +38,27 @@
     assert_eq!(rig.log.len(), 1);
 }
 
+/// Guards against a client that is told of a resend though it submitted its job once: the answer to the gateway was lost, the
+/// gateway asked again, and the job had been accepted meanwhile.
+#[test]
+fn a_submission_that_the_gateway_sends_again_is_no_resend() {
+    let mut rig = rig();
+    rig.prompt = false;
+    let sent = JobSubmission { attempt: 5, ..submission(1, 4, true) };
+    let resend = |rig: &ShardRig, call| match rig.answer(call) {
+        Some(ShardAnswer::JobAccepted { resend, .. }) => *resend,
+        other => panic!("{other:?}"),
+    };
+    let first = rig.submit(&sent);
+    let again = rig.submit(&sent);
+    rig.commit_all();
+    assert!(!resend(&rig, first) && !resend(&rig, again), "sent twice before the commit");
+    let later = rig.submit(&sent);
+    assert!(!resend(&rig, later), "sent once more after it");
+    let by_client = rig.submit(&JobSubmission { attempt: 6, ..sent });
+    assert!(resend(&rig, by_client));
+}
+
 // Symptom: a client is told "not run" of a job that runs.
 // Sequence: the append's answer is lost; the client resends in the outage; a new owner replays.
 // Cause: a lost answer settles nothing, so every refusal says unknown until the ledger is read.
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -79,6 +79,7 @@
         retention_ms: 1_000_000_000,
         chunks: chunks.collect(),
         content: u128::from(items) * 2 + u128::from(idempotent),
+        attempt: 0,
     }
 }
 
--- a/crates/messages/src/shard.rs
+++ b/crates/messages/src/shard.rs
@@ -28,6 +28,10 @@
     pub chunks: Vec<JobChunk>,
     /// Digest of the whole input; a different input under the same key is refused.
     pub content: u128,
+    /// Random number of the client's submission. The gateway may send one submission several times, which is no resend of its
+    /// client. 0 from gateways of earlier builds.
+    #[serde(default)]
+    pub attempt: u64,
 }
 
 /// A chunk object that holds a part of a job's input as NDJSON lines.
