Refuse a request for its size only by a confirmed configuration

What callers saw: a gateway that the store can't reach answers 413 to a request that the newest configuration allows; clients don't retry after a 413.

Cause: limits on heads and bodies were taken from the configuration in force, however old, and from the built-in one where none is known.

Change: a request that exceeds a limit is judged as one on an unknown route is: 413 if the store confirms the limits, else 503 with Retry-After and outcome configuration_unconfirmed (too_large where it is final).

--- a/crates/entry/src/accounts/admission.rs
+++ b/crates/entry/src/accounts/admission.rs
@@ -21,7 +21,9 @@
     NoRoute,
     /// Its key belongs to no account, or it has none and the route needs one.
     UnknownKey,
-    /// The known configuration lacks its route or key, but may not be the newest one.
+    /// The newest configuration doesn't allow a request of its size.
+    TooLarge,
+    /// The known configuration lacks its route or key or doesn't allow its size, but may not be the newest one.
     Unconfirmed,
     /// The known configuration is too old to tell whether its key was revoked.
     StaleConfiguration,
@@ -43,6 +45,7 @@
             Self::NoConfiguration => "no_configuration",
             Self::NoRoute => "no_route",
             Self::UnknownKey => "unknown_key",
+            Self::TooLarge => "too_large",
             Self::Unconfirmed => "configuration_unconfirmed",
             Self::StaleConfiguration => "configuration_stale",
             Self::OverLimit { .. } => "over_account_limit",
@@ -56,6 +59,7 @@
         match self {
             Self::NoRoute => OwnAnswer::of(404),
             Self::UnknownKey => OwnAnswer::of(401),
+            Self::TooLarge => OwnAnswer::of(413),
             Self::NoConfiguration
             | Self::Unconfirmed
             | Self::StaleConfiguration
--- a/crates/entry/src/accounts/lookup.rs
+++ b/crates/entry/src/accounts/lookup.rs
@@ -1,7 +1,7 @@
 //! Looks up the route and the caller of a request in the configuration in force.
 //!
-//! A client doesn't retry after a 401 or a 404, so these must not follow from what a configuration lacks that may be older
-//! than the route or the key.
+//! A client doesn't retry after a 401, a 404 or a 413, so these must not follow from what a configuration lacks that may be
+//! older than the route, the key or the limit.
 
 use std::{sync::Arc, time::Duration};
 
@@ -62,6 +62,18 @@
     look_up_confirmed(node, look_up).await
 }
 
+/// Judges a request that exceeds one of `limits`.
+///
+/// # Errors
+/// `TooLarge` if the newest configuration has the same limits, else why the client may send the request again.
+pub async fn check_limits(node: &EntryNode, limits: &ClientLimits) -> Result<(), AdmissionRefusal> {
+    let look_up = |routes: &Arc<RouteTable>, _| match routes.limits() == limits {
+        true => Err(AdmissionRefusal::TooLarge),
+        false => Ok(()),
+    };
+    look_up_confirmed(node, look_up).await
+}
+
 fn identify(
     routes: &RouteTable,
     head: &RequestHead,
@@ -89,7 +101,11 @@
         };
         let Some(routes) = node.routes() else { return Err(AdmissionRefusal::NoConfiguration) };
         let refusal = match look_up(&routes, is_fresh) {
-            Err(refusal @ (AdmissionRefusal::NoRoute | AdmissionRefusal::UnknownKey)) => refusal,
+            Err(
+                refusal @ (AdmissionRefusal::NoRoute
+                | AdmissionRefusal::UnknownKey
+                | AdmissionRefusal::TooLarge),
+            ) => refusal,
             outcome => return outcome,
         };
         if proof.is_some_and(|proof| proof.as_of >= asked) {
--- a/crates/entry/src/front/connection.rs
+++ b/crates/entry/src/front/connection.rs
@@ -101,7 +101,7 @@
         let head = match timeout(limits.head_timeout, reading).await {
             Ok(Ok(Some(head))) => head,
             Ok(Ok(None)) => return false,
-            Ok(Err(error)) => return self.reject_unreadable(error).await,
+            Ok(Err(error)) => return self.reject_unreadable(error, &limits).await,
             Err(_) => return self.write_last(408).await,
         };
         let arrived = self.node.clock.mono();
@@ -109,7 +109,9 @@
         let reading = read_body(&mut self.reader, &head, limits.body_bytes, &node.memory);
         let body = match node.stop.before_end(reading).await {
             Some(Ok(body)) => body,
-            Some(Err(BodyError::Wire(error))) => return self.reject_unreadable(error).await,
+            Some(Err(BodyError::Wire(error))) => {
+                return self.reject_unreadable(error, &limits).await;
+            }
             Some(Err(BodyError::NoMemory)) => {
                 let wait = RETRY_AFTER_START.mul_f64(1.0 + EntryNode::draw());
                 return self.reject_unread(&head, "no_memory", wait).await;
@@ -253,11 +255,18 @@
         self.write(&OwnAnswer::refused(wait), attempt.as_deref(), false).await
     }
 
-    async fn reject_unreadable(&mut self, error: WireError) -> bool {
+    async fn reject_unreadable(&mut self, error: WireError, limits: &ClientLimits) -> bool {
         match error {
             WireError::Closed | WireError::Io(_) | WireError::Stalled => false,
             WireError::Malformed => self.write_last(400).await,
-            WireError::TooLarge => self.write_last(413).await,
+            WireError::TooLarge => {
+                // A newer configuration with other limits may accept it when it is sent again.
+                let judged = lookup::check_limits(self.node, limits).await;
+                let refusal = judged.err().unwrap_or(AdmissionRefusal::Unconfirmed);
+                let answer = refusal.answer();
+                self.log_refusal(None, refusal.code(), answer.status);
+                self.write(&answer, None, false).await
+            }
         }
     }
 
