Keep the crashes of a request while a part of it is refused

What callers saw: a request that crashes targets reaches more of them than it should once the refusal of a part of its prompt ends.

Cause: a series of crashes ends after 30 s without one, but a request with a refused part can't run for up to 120 s, the longest pause of a probe, so that its first crashes were forgotten and three more were needed. A bound of ours that didn't respect another one.

Test: crashes_of_a_request_are_kept_while_its_part_is_refused failed with 30 s.

--- a/crates/relay/src/targets/suspects/refusal.rs
+++ b/crates/relay/src/targets/suspects/refusal.rs
@@ -8,14 +8,14 @@
 
 /// Pauses from a refusal, and from the crash of each probe, to the next probe. The first is short, as a sound suspect may
 /// have been refused.
-const PROBE_PAUSES: [Duration; 4] = [
+pub(super) const PROBE_PAUSES: [Duration; 4] = [
     Duration::from_millis(500),
     Duration::from_secs(3),
     Duration::from_secs(30),
     Duration::from_secs(120),
 ];
 /// Time after which a probe counts as lost and another one is granted: longer than most answers take.
-const PROBE_TIMEOUT: Duration = Duration::from_secs(5);
+pub(super) const PROBE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time for which a due probe is kept for requests under which no target crashed. They find out more, and a request that
 /// crashes targets itself would use up the probes of its parts.
 pub(super) const SOUND_FIRST_TIME: Duration = Duration::from_secs(2);
--- a/crates/relay/src/targets/suspects/series.rs
+++ b/crates/relay/src/targets/suspects/series.rs
@@ -4,15 +4,22 @@
 
 use notch_types::prelude::*;
 
-use super::suspect::{CrashReport, CrashSuspect};
+use super::{
+    refusal::{PROBE_PAUSES, PROBE_TIMEOUT},
+    suspect::{CrashReport, CrashSuspect},
+};
 
 /// Number of incarnations that must crash under a suspect, without an answer between, until it is refused.
 const CRASH_LIMIT: usize = 3;
 /// Minimum time from the first of these crashes to the refusal of a prompt part. When several targets crash at once for
 /// another reason, an answer with a sound part arrives within this time.
 const MIN_PART_SERIES: Duration = Duration::from_millis(250);
-/// Maximum time between two crashes of a series.
-const SERIES_GAP: Duration = Duration::from_secs(30);
+/// Maximum time between two crashes of a series: a request can't run while a part of it waits for a probe.
+const SERIES_GAP: Duration = Duration::from_secs(150);
+const _: () = assert!(
+    SERIES_GAP.as_secs() > PROBE_PAUSES[PROBE_PAUSES.len() - 1].as_secs() + PROBE_TIMEOUT.as_secs(),
+    "the longest pause of a probe must not end a series"
+);
 /// Number of events by which a run must get further than all before it not to count against its request. A request that
 /// crashes targets does so early or at some event; one that was interrupted goes on.
 const MIN_PROGRESS: u64 = 16;
--- a/crates/relay/tests/crashes.rs
+++ b/crates/relay/tests/crashes.rs
@@ -393,3 +393,13 @@
         assert!(is_refused(table, request(1, &[9]), now));
     }
 }
+
+/// Guards against the crashes of a request that are forgotten while a part of it waits for its longest probe.
+#[test]
+fn crashes_of_a_request_are_kept_while_its_part_is_refused() {
+    let mut table = SuspectTable::default();
+    let culprit = request(1, &[9]);
+    crash(&mut table, culprit, "t1", at(0));
+    crash(&mut table, culprit, "t2", at(3_000));
+    assert!(crash(&mut table, culprit, "t3", at(124_000)), "the third target");
+}
