Keep what a gateway counted itself when another one refuses the suspect

Cause: a gateway that counted crashes while its links were down forgot under which requests they were when another gateway told it of the refusal, so that nobody knew them once that one was killed.

Change: the requests of the series are kept with the refusal.

Test: a_refusal_by_another_gateway_keeps_what_was_counted_here failed with the line left out.

--- a/crates/relay/src/targets/suspects/table.rs
+++ b/crates/relay/src/targets/suspects/table.rs
@@ -217,12 +217,7 @@
         if !series.note(report, now) {
             return None;
         }
-        let requests: Vec<u64> = series.requests().collect();
-        let refusal = self.refuse(suspect, 0, now);
-        if let Some(refused) = self.refused.get_mut(&suspect) {
-            refused.note_crashed_under(suspect, requests);
-        }
-        Some(refusal)
+        Some(self.refuse(suspect, 0, now))
     }
 
     fn refuse(&mut self, suspect: CrashSuspect, level: u32, now: MonoTime) -> SuspectRefusal {
@@ -273,10 +268,13 @@
         if refusal.level == 0 && self.is_proven(suspect, now) {
             return false;
         }
-        self.series.remove(&suspect);
         self.evict_refused(suspect, now);
         let anew = || RefusedSuspect::new(refusal, crashed_at, now);
-        self.refused.entry(suspect).or_insert_with(anew).update(refusal, crashed_at, now);
+        let refused = self.refused.entry(suspect).or_insert_with(anew);
+        refused.update(refusal, crashed_at, now);
+        if let Some(series) = self.series.remove(&suspect) {
+            refused.note_crashed_under(suspect, series.requests());
+        }
         true
     }
 
--- a/crates/relay/tests/crashes.rs
+++ b/crates/relay/tests/crashes.rs
@@ -45,6 +45,12 @@
     matches!(table.admit(suspects, false, now), SuspectAdmission::Refused { .. })
 }
 
+/// Whether a request is refused and may ask the gateway that counts for a probe.
+fn asks_probe(table: &mut SuspectTable, suspects: RequestSuspects<'_>, now: MonoTime) -> bool {
+    let admission = table.admit(suspects, false, now);
+    matches!(admission, SuspectAdmission::Refused { asks_probe: true, .. })
+}
+
 fn ask(table: &mut SuspectTable, suspect: CrashSuspect, request: u64, now: MonoTime) -> ProbeReply {
     let refusal = table.refusal(suspect, now).expect("a refused suspect");
     table.grant_probe(refusal, request, now)
@@ -358,14 +364,10 @@
     let refusal = counting.refusal(part, at(400)).expect("it is refused");
     next.apply_refusal(refusal, at(400));
     next.note_crashed_under(part, &counting.crashed_under(part));
-    let asks = |table: &mut SuspectTable, number, now| {
-        let admission = table.admit(request(number, &[9]), false, at(now));
-        matches!(admission, SuspectAdmission::Refused { asks_probe: true, .. })
-    };
-    assert!(!asks(&mut next, 1, 900));
+    assert!(!asks_probe(&mut next, request(1, &[9]), at(900)));
     assert_eq!(ask(&mut next, part, 1, at(900)), ProbeReply::NotNow);
-    assert!(asks(&mut next, 4, 900));
-    assert!(asks(&mut next, 1, 2_900), "no other came");
+    assert!(asks_probe(&mut next, request(4, &[9]), at(900)));
+    assert!(asks_probe(&mut next, request(1, &[9]), at(2_900)), "no other came");
 }
 
 /// Guards against sound requests that are refused again by a gateway that was out of contact when the refusal of their part
@@ -403,3 +405,16 @@
     crash(&mut table, culprit, "t2", at(3_000));
     assert!(crash(&mut table, culprit, "t3", at(124_000)), "the third target");
 }
+
+/// Guards against sound requests that stay refused because a gateway, which counted crashes while it was out of contact, forgets
+/// them with another gateway's refusal (soak of several culprits, seed 2308).
+#[test]
+fn a_refusal_by_another_gateway_keeps_what_was_counted_here() {
+    let mut table = SuspectTable::default();
+    let suspect = CrashSuspect::Part(9);
+    crash(&mut table, request(1, &[9]), "t1", at(0));
+    table.apply_refusal(SuspectRefusal { suspect, level: 0, left: Duration::ZERO }, at(100));
+    assert_eq!(table.crashed_under(suspect), [1]);
+    assert!(!asks_probe(&mut table, request(1, &[9]), at(200)));
+    assert!(asks_probe(&mut table, request(2, &[9]), at(200)));
+}
