Lengthen the pause of a part by the crashes of one request once

Cause: a part is refused only if no single request explains its crashes, but once it was refused, each crash of one and the same request raised its pause, to 30 s and 120 s, although that request is refused for itself after three targets.

Change: a crash under a request that is known to have crashed targets with the part raises the pause to 3 s at most.

Test: crashes_of_one_request_lengthen_the_pause_of_its_part_once failed with the level always raised.

--- a/crates/relay/src/targets/suspects/refusal.rs
+++ b/crates/relay/src/targets/suspects/refusal.rs
@@ -129,10 +129,12 @@
 
     /// The level after a crash under the suspect at `now`; `None` for a crash of a request that was running when the
     /// suspect was refused. A crash after the pause is that of a probe, granted by this gateway or by the one that
-    /// counted before.
-    pub fn level_after_crash(&self, now: MonoTime) -> Option<u32> {
+    /// counted before. Another crash under the same request, which is refused for itself soon, is no more evidence
+    /// against its parts.
+    pub fn level_after_crash(&self, is_known: bool, now: MonoTime) -> Option<u32> {
         let is_probe = now < self.probed_until || now >= self.until;
-        is_probe.then_some(self.level + 1)
+        let level = if is_known { self.level.max(1) } else { self.level + 1 };
+        is_probe.then_some(level)
     }
 
     /// Records requests under which targets crashed, for a part. Only the request itself can probe a refused request.
--- a/crates/relay/src/targets/suspects/table.rs
+++ b/crates/relay/src/targets/suspects/table.rs
@@ -218,9 +218,10 @@
     pub fn note_crash(&mut self, report: &CrashReport, now: MonoTime) -> Option<SuspectRefusal> {
         let suspect = report.suspect;
         if let Some(refused) = self.refused.get_mut(&suspect) {
+            let is_known = refused.has_crashed_under(report.request);
             // Also of a request that was running when the suspect was refused: it may be the one to blame.
             refused.note_crashed_under(suspect, [report.request]);
-            let level = refused.level_after_crash(now)?;
+            let level = refused.level_after_crash(is_known, now)?;
             return Some(self.refuse(suspect, level, now));
         }
         if self.is_proven(suspect, now) {
--- a/crates/relay/tests/crashes.rs
+++ b/crates/relay/tests/crashes.rs
@@ -455,3 +455,21 @@
     assert!(asks_probe(&mut table, request(2, &[8, 9]), at(20_100)));
     assert!(asks_probe(&mut table, request(1, &[8, 9]), at(22_000)), "no other came");
 }
+
+/// Guards against a sound part whose probes pause for longer and longer by the crashes of one request.
+#[test]
+fn crashes_of_one_request_lengthen_the_pause_of_its_part_once() {
+    let mut table = SuspectTable::default();
+    let suspect = CrashSuspect::Part(9);
+    for (number, target, now) in [(1, "t1", 0), (2, "t2", 200), (3, "t3", 400)] {
+        crash(&mut table, request(number, &[9]), target, at(now));
+    }
+    let level =
+        |table: &SuspectTable, now| table.refusal(suspect, at(now)).map(|refusal| refusal.level);
+    assert!(crash(&mut table, request(4, &[9]), "t4", at(3_000)), "a probe");
+    assert_eq!(level(&table, 3_000), Some(1));
+    assert!(crash(&mut table, request(4, &[9]), "t5", at(9_000)), "the same request");
+    assert_eq!(level(&table, 9_000), Some(1));
+    assert!(crash(&mut table, request(5, &[9]), "t6", at(13_000)), "another one");
+    assert_eq!(level(&table, 13_000), Some(2));
+}
