--- a/crates/relay/src/targets/suspects.rs
+++ b/crates/relay/src/targets/suspects.rs
@@ -5,6 +5,7 @@
 //! that it shares with others. Evidence against a suspect is discarded only for an answer to a request with that very
 //! suspect; what is found out about one suspect never removes evidence against another.
 
+pub mod answers;
 pub mod proofs;
 pub mod refusal;
 pub mod series;
--- a/crates/relay/src/targets/suspects/table.rs
+++ b/crates/relay/src/targets/suspects/table.rs
@@ -5,7 +5,7 @@
 use notch_types::prelude::*;
 
 use super::{
-    proofs::ProofTable,
+    answers::AnswerHistory,
     refusal::{PROVEN_FIRST_TIME, ProbeReply, RefusedSuspect, SOUND_FIRST_TIME, SuspectRefusal},
     series::CrashSeries,
     suspect::{CrashReport, CrashSuspect, RequestSuspects},
@@ -15,15 +15,9 @@
 const MAX_SERIES: usize = 4_096;
 /// Maximum number of refused suspects of each kind.
 const MAX_REFUSED: usize = 256;
-/// Maximum number of answered parts and requests that are remembered.
-const MAX_PROVEN_PARTS: usize = 4_096;
-const MAX_PROVEN_REQUESTS: usize = 1_024;
 /// Maximum number of reported suspects that are remembered until they are answered.
 const MAX_REPORTED: usize = 1_024;
 
-/// Maximum number of suspects that are remembered as found to be sound by other gateways.
-const MAX_CLEARED: usize = 1_024;
-
 /// Whether a request may run, by its suspects.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SuspectAdmission {
@@ -53,32 +47,13 @@
 
 /// What one gateway knows of suspects. For each of them one gateway, chosen by its fingerprint, counts the crashes for all
 /// and grants the probes.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct SuspectTable {
-    proven_requests: ProofTable,
-    proven_parts: ProofTable,
+    answers: AnswerHistory,
     series: FastMap<CrashSuspect, CrashSeries>,
     refused: FastMap<CrashSuspect, RefusedSuspect>,
     /// Suspects that this gateway has reported since they were answered. Invariant: at most [`MAX_REPORTED`].
     reported: FastSet<CrashSuspect>,
-    /// Suspects that other gateways have found to be sound, and when. Invariant: at most [`MAX_CLEARED`].
-    cleared: FastMap<CrashSuspect, MonoTime>,
-    /// When the last refusal of a part ended: until then it held up requests that find out more about other parts.
-    part_cleared_at: MonoTime,
-}
-
-impl Default for SuspectTable {
-    fn default() -> Self {
-        Self {
-            proven_requests: ProofTable::new(MAX_PROVEN_REQUESTS),
-            proven_parts: ProofTable::new(MAX_PROVEN_PARTS),
-            series: FastMap::default(),
-            refused: FastMap::default(),
-            reported: FastSet::default(),
-            cleared: FastMap::default(),
-            part_cleared_at: MonoTime::default(),
-        }
-    }
 }
 
 impl SuspectTable {
@@ -120,7 +95,7 @@
         };
         let is_due = match self.probe_delay(suspects) {
             Duration::ZERO => last_until <= now,
-            delay => last_until.max(self.part_cleared_at) + delay <= now,
+            delay => last_until.max(self.answers.part_cleared_at()) + delay <= now,
         };
         let asks_probe =
             is_due && self.refused.get_mut(&suspect).is_some_and(|refused| refused.asks_probe(now));
@@ -137,7 +112,7 @@
             return SOUND_FIRST_TIME;
         }
         let is_unproven =
-            |part: &&u64| refused(part).is_none() && self.proven_parts.last(**part).is_none();
+            |part: &&u64| refused(part).is_none() && self.answers.part(**part).is_none();
         if of_parts().next().is_some() && suspects.parts.iter().any(|part| is_unproven(&part)) {
             return PROVEN_FIRST_TIME;
         }
@@ -164,10 +139,7 @@
 
     /// Records a complete successful answer to a request with these suspects.
     pub fn note_answer(&mut self, suspects: RequestSuspects<'_>, now: MonoTime) -> AnswerFindings {
-        self.proven_requests.note(suspects.request, now);
-        for part in suspects.parts {
-            self.proven_parts.note(*part, now);
-        }
+        self.answers.note(suspects, now);
         let mut findings = AnswerFindings::default();
         if self.series.is_empty() && self.refused.is_empty() && self.reported.is_empty() {
             return findings;
@@ -176,7 +148,7 @@
             self.series.remove(&suspect);
             let was_reported = self.reported.remove(&suspect);
             if self.refused.remove(&suspect).is_some() {
-                self.note_part_cleared(suspect, now);
+                self.answers.note_cleared(suspect, now);
                 findings.cleared.push(suspect);
             } else if was_reported {
                 findings.reported.push(suspect);
@@ -191,15 +163,16 @@
     pub fn blamed(&self, suspects: RequestSuspects<'_>, now: MonoTime) -> Vec<CrashSuspect> {
         let RequestSuspects { request, parts } = suspects;
         let whole = CrashSuspect::Request(request);
-        if self.proven_requests.is_fresh(request, now) {
+        if self.answers.is_fresh(whole, now) {
             return Vec::new();
         }
         if self.refused.contains_key(&whole) {
             return vec![whole];
         }
-        let oldest = parts.iter().map(|part| self.proven_parts.last(*part)).min().flatten();
+        let oldest = parts.iter().map(|part| self.answers.part(*part)).min().flatten();
         let is_blamed = |part: &u64| {
-            self.proven_parts.last(*part) == oldest && !self.proven_parts.is_fresh(*part, now)
+            self.answers.part(*part) == oldest
+                && !self.answers.is_fresh(CrashSuspect::Part(*part), now)
         };
         let blamed = parts.iter().copied().filter(is_blamed).map(CrashSuspect::Part);
         std::iter::once(whole).chain(blamed).collect()
@@ -224,7 +197,7 @@
             let level = refused.level_after_crash(is_known, now)?;
             return Some(self.refuse(suspect, level, now));
         }
-        if self.is_proven(suspect, now) {
+        if self.answers.is_fresh(suspect, now) {
             return None;
         }
         self.evict_series(suspect, now);
@@ -257,22 +230,13 @@
     ) -> bool {
         let crashed_at = now - age;
         let known = self.refused.get(&refusal.suspect).map(RefusedSuspect::crashed_at);
-        let is_over = self.last_answer(refusal.suspect).is_some_and(|at| {
+        let is_over = self.answers.last(refusal.suspect).is_some_and(|at| {
             // What is known of the refusal may be newer than both.
             at > crashed_at && known.is_none_or(|known| at > known)
         });
         !is_over && self.apply_refusal_of(refusal, crashed_at, now)
     }
 
-    /// When the suspect was last answered, as far as this gateway knows.
-    fn last_answer(&self, suspect: CrashSuspect) -> Option<MonoTime> {
-        let proven = match suspect {
-            CrashSuspect::Request(id) => self.proven_requests.last(id),
-            CrashSuspect::Part(id) => self.proven_parts.last(id),
-        };
-        proven.max(self.cleared.get(&suspect).copied())
-    }
-
     fn apply_refusal_of(
         &mut self,
         refusal: SuspectRefusal,
@@ -280,7 +244,7 @@
         now: MonoTime,
     ) -> bool {
         let suspect = refusal.suspect;
-        if refusal.level == 0 && self.is_proven(suspect, now) {
+        if refusal.level == 0 && self.answers.is_fresh(suspect, now) {
             return false;
         }
         self.evict_refused(suspect, now);
@@ -315,18 +279,7 @@
     /// The same for a suspect that was answered at `now`, which is remembered against older refusals.
     pub fn note_cleared(&mut self, suspect: CrashSuspect, now: MonoTime) {
         self.clear(suspect);
-        if self.cleared.len() >= MAX_CLEARED {
-            self.cleared.clear();
-        }
-        self.cleared.insert(suspect, now);
-        self.note_part_cleared(suspect, now);
-    }
-
-    fn note_part_cleared(&mut self, suspect: CrashSuspect, now: MonoTime) {
-        match suspect {
-            CrashSuspect::Part(_) => self.part_cleared_at = now,
-            CrashSuspect::Request(_) => {}
-        }
+        self.answers.note_elsewhere(suspect, now);
     }
 
     /// Decides, at the counting gateway, whether a gateway may probe a suspect by a request; `refusal` is what that
@@ -340,7 +293,7 @@
         let suspect = refusal.suspect;
         if !self.refused.contains_key(&suspect) {
             // The other gateway may have heard that the suspect is sound before it heard of the refusal.
-            if self.is_proven(suspect, now) {
+            if self.answers.is_fresh(suspect, now) {
                 return ProbeReply::Sound;
             }
             self.apply_refusal(refusal, now);
@@ -374,13 +327,6 @@
         self.refused.get(&suspect).map(|refused| refused.refusal(suspect, now))
     }
 
-    fn is_proven(&self, suspect: CrashSuspect, now: MonoTime) -> bool {
-        match suspect {
-            CrashSuspect::Request(id) => self.proven_requests.is_fresh(id, now),
-            CrashSuspect::Part(id) => self.proven_parts.is_fresh(id, now),
-        }
-    }
-
     fn evict_series(&mut self, added: CrashSuspect, now: MonoTime) {
         self.series.retain(|_, series| !series.is_over(now));
         let same = || self.series.iter().filter(|(suspect, _)| suspect.is_same_kind(added));
