--- a/crates/entry/src/accounts/freshness.rs
+++ b/crates/entry/src/accounts/freshness.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     node::EntryNode,
-    peers::{calls::CallEnd, catch_up::KnownVersions, links},
+    peers::{calls::CallEnd, catch_up::KnownVersions, messages},
     store::{call_cause::StoreCallCause, feed::StorePath, retry::jittered},
 };
 
@@ -96,7 +96,7 @@
     }
     // The newer configuration should arrive as a push; it is requested if that was lost.
     let theirs = KnownVersions { configuration: reply.version, ..node.known_versions() };
-    links::catch_up_with(node, vm, theirs);
+    messages::catch_up_with(node, vm, theirs);
     ProofAnswer::Newer
 }
 
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -6,6 +6,7 @@
 pub mod eviction;
 pub mod links;
 pub mod membership;
+pub mod messages;
 pub mod pushes;
 pub mod registration;
 pub mod reports;
--- a/crates/relay/src/targets/suspects/table.rs
+++ b/crates/relay/src/targets/suspects/table.rs
@@ -104,19 +104,24 @@
 
     /// How long this gateway keeps a due probe of a refused part for requests that find out more than this one.
     fn probe_delay(&self, suspects: RequestSuspects<'_>) -> Duration {
-        let refused = |part: &u64| self.refused.get(&CrashSuspect::Part(*part));
-        let of_parts = || suspects.parts.iter().filter_map(refused);
-        let of_all = of_parts().count()
-            + usize::from(self.refused.contains_key(&CrashSuspect::Request(suspects.request)));
-        if of_all > 1 || of_parts().any(|refused| refused.has_crashed_under(suspects.request)) {
-            return SOUND_FIRST_TIME;
+        let is_refused_itself = self.refused.contains_key(&CrashSuspect::Request(suspects.request));
+        let (mut refused_parts, mut has_crashed, mut is_unproven) = (0, false, false);
+        for part in suspects.parts {
+            match self.refused.get(&CrashSuspect::Part(*part)) {
+                Some(refused) => {
+                    refused_parts += 1;
+                    has_crashed |= refused.has_crashed_under(suspects.request);
+                }
+                None => is_unproven |= self.answers.part(*part).is_none(),
+            }
         }
-        let is_unproven =
-            |part: &&u64| refused(part).is_none() && self.answers.part(**part).is_none();
-        if of_parts().next().is_some() && suspects.parts.iter().any(|part| is_unproven(&part)) {
-            return PROVEN_FIRST_TIME;
+        match refused_parts {
+            0 => Duration::ZERO,
+            1 if is_refused_itself || has_crashed => SOUND_FIRST_TIME,
+            1 if is_unproven => PROVEN_FIRST_TIME,
+            1 => Duration::ZERO,
+            _ => SOUND_FIRST_TIME,
         }
-        Duration::ZERO
     }
 
     /// Time until an item may run at `now`; zero if it may now. Items are never suspects themselves: they are handed in for
