Let the bytes of an entry decide about that entry only

Cause: a list that is no JSON was split where the next entry seemed to begin. Where an entry with arbitrary bytes ends can't be told from the list.

Change: such a list ends behind its first entry that can't be read. A list can be continued behind a name, so the rest comes in an answer of its own. Which entry it is, is found by reading the last ones alone: the guilty one can't be read alone either, an imitated one is absent or can. A watch with such a change is dropped, and the kind is listed. A page of which nothing can be read no longer ends the list as if it were whole.

--- a/crates/entry/src/store/feed.rs
+++ b/crates/entry/src/store/feed.rs
@@ -5,7 +5,7 @@
 use async_std::task;
 use notch_platform_wire::{
     prelude::{ListPage, StoreObject, WatchPage},
-    store::{decode, list_path, watch_path},
+    store::{decode, is_readable, list_path, object_path, watch_path},
 };
 use notch_relay::prelude::WatchPace;
 
@@ -13,8 +13,12 @@
     constants::{STORE_PAUSE, WATCH_CHECK_INTERVAL, WATCH_GRACE, WATCH_START_DELAY},
     node::EntryNode,
     store::{
-        call_cause::StoreCallCause, client::StoreClient, feed_clock::FeedClock,
-        feed_event::FeedEvent, reply::StoreFailure, retry::jittered,
+        call_cause::StoreCallCause,
+        client::StoreClient,
+        feed_clock::FeedClock,
+        feed_event::FeedEvent,
+        reply::{StoreFailure, StoreReply},
+        retry::jittered,
     },
 };
 
@@ -22,6 +26,9 @@
 /// for seconds, and counts each call.
 const MAX_BACKOFF_DOUBLINGS: u32 = 2;
 
+/// How many objects at the end of a list that was cut are read alone, to find the one at which it was.
+const MAX_CUT_READS: usize = 16;
+
 /// Interval at which a gateway that has just started checks whether it has to list a kind.
 const START_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -171,29 +178,73 @@
     let mut as_of = None;
     loop {
         let page_path = list_path(kind, after.as_deref());
-        let reply = match path {
-            StorePath::Direct => {
-                let wait = store.settings().call_timeout;
-                store.call_directly(cause, "GET", &page_path, None, wait).await?
-            }
-            StorePath::Any => store.get(cause, &page_path).await?,
-        };
+        let reply = get(store, path, cause, &page_path).await?;
         if reply.status == 404 {
             return Ok(as_of.unwrap_or(0));
         }
-        let page: ListPage = decode(&reply.body).map_err(|_| StoreFailure::NotDone)?;
+        let mut page: ListPage = decode(&reply.body).map_err(|_| StoreFailure::NotDone)?;
         drop(reply);
+        if page.is_cut {
+            trim_cut(store, kind, path, cause, &mut page.items.entries).await?;
+        }
         // A watch from the first page's revision repeats changes that later pages already contain,
         // which is harmless. From the last page's revision it could miss a change on the first
         // page.
         let as_of_first = *as_of.get_or_insert(page.store_revision);
         note_unreadable(store, kind, page.items.unreadable);
-        after = page.items.entries.last().map(|object| object.metadata.name.clone());
-        let is_last = !page.more || after.is_none();
+        let last = page.items.entries.last().map(|object| object.metadata.name.clone());
+        let has_more = page.more || page.is_cut;
         on_page(page.items.entries);
-        if is_last {
+        if !has_more {
             return Ok(as_of_first);
         }
+        // A part of a list must not be taken for the whole.
+        if last.is_none() || last == after {
+            return Err(StoreFailure::NotDone);
+        }
+        after = last;
+    }
+}
+
+/// Removes what may be made of the bytes of the object at which a list was cut: all behind the last object that, read alone,
+/// can't be read.
+///
+/// # Errors
+/// There is no such object, or it could not be read.
+async fn trim_cut(
+    store: &StoreClient,
+    kind: &str,
+    path: StorePath,
+    cause: StoreCallCause,
+    entries: &mut Vec<StoreObject>,
+) -> Result<(), StoreFailure> {
+    for _ in 0..MAX_CUT_READS {
+        let Some(last) = entries.last_mut() else { break };
+        let object = object_path(kind, &last.metadata.name);
+        let reply = get(store, path, cause, &object).await?;
+        if reply.is_success() && !is_readable(&reply.body) {
+            last.spec = None;
+            last.status = None;
+            return Ok(());
+        }
+        entries.pop();
+    }
+    store.log().error("store_list_unreadable", &[("kind", &kind)]);
+    Err(StoreFailure::NotDone)
+}
+
+async fn get(
+    store: &StoreClient,
+    way: StorePath,
+    cause: StoreCallCause,
+    path: &str,
+) -> Result<StoreReply, StoreFailure> {
+    match way {
+        StorePath::Direct => {
+            let wait = store.settings().call_timeout;
+            store.call_directly(cause, "GET", path, None, wait).await
+        }
+        StorePath::Any => store.get(cause, path).await,
     }
 }
 
@@ -226,6 +277,9 @@
             return;
         }
         let Ok(page) = decode::<WatchPage>(&reply.body) else { return };
+        if page.is_cut {
+            return;
+        }
         revision = revision.max(page.store_revision);
         note_unreadable(store, kind, page.events.unreadable);
         for event in &page.events.entries {
