Record the versions of each service on its own

Seen, by a test: an entry of another writer names a service with a line break; from then on no gateway records the versions of any service, so that after a loss of all gateways streams of all services are refused.

Cause: the pass over all services ended at the first one whose record could not be read or written, and began with the same one again.

Change: a failure concerns its service only and is logged.

--- a/crates/entry/src/online/version_records.rs
+++ b/crates/entry/src/online/version_records.rs
@@ -63,8 +63,7 @@
             node.version_records.known.lock().await.clear();
         }
         was_writer = is_writer;
-        if is_writer && !node.stop.is_stopping() && write_changes(&node).await.is_err() {
-            node.version_records.known.lock().await.clear();
+        if is_writer && !node.stop.is_stopping() && !write_changes(&node).await {
             task::sleep(jittered(RECORD_TICK * 2)).await;
         }
     }
@@ -107,28 +106,45 @@
     Ok(())
 }
 
-/// Writes the records that differ from what is known here.
-async fn write_changes(node: &EntryNode) -> Result<(), StoreFailure> {
+/// Writes the records that differ from what is known here. False if one of them could not be read or written; the others
+/// don't depend on it.
+async fn write_changes(node: &EntryNode) -> bool {
     let services: Vec<String> = node.targets().versions().services().map(str::to_owned).collect();
+    let mut is_recorded = true;
     for service in services {
         let mut known = node.version_records.known.lock().await;
-        load(node, &service, &mut known).await?;
-        let record = {
-            let targets = node.targets();
-            let now = node.clock.mono();
-            // A gateway that doesn't know the recent past must not claim that there was nothing else.
-            if !targets.versions().is_complete(&service, now) {
-                continue;
-            }
-            VersionRecord { versions: targets.versions().recent(&service, now) }
-        };
-        let before = known.get(&service).cloned().flatten();
-        if before.as_ref().is_some_and(|stored| stored.record == record) {
-            continue;
+        if let Err(failure) = write_change(node, &service, &mut known).await {
+            known.remove(&service);
+            let reason = format!("{failure:?}");
+            node.log.warn("versions_not_recorded", &[("service", &service), ("reason", &reason)]);
+            is_recorded = false;
+        }
+    }
+    is_recorded
+}
+
+/// Writes the record of a service if it differs from what is known here.
+async fn write_change(
+    node: &EntryNode,
+    service: &str,
+    known: &mut KnownRecords<'_>,
+) -> Result<(), StoreFailure> {
+    load(node, service, known).await?;
+    let record = {
+        let targets = node.targets();
+        let now = node.clock.mono();
+        // A gateway that doesn't know the recent past must not claim that there was nothing else.
+        if !targets.versions().is_complete(service, now) {
+            return Ok(());
         }
-        let stored = write(node, &service, record, before.map(|stored| stored.revision)).await?;
-        known.insert(service, Some(stored));
+        VersionRecord { versions: targets.versions().recent(service, now) }
+    };
+    let before = known.get(service).cloned().flatten();
+    if before.as_ref().is_some_and(|stored| stored.record == record) {
+        return Ok(());
     }
+    let stored = write(node, service, record, before.map(|stored| stored.revision)).await?;
+    known.insert(service.to_owned(), Some(stored));
     Ok(())
 }
 
