Continue a stream only by a view confirmed after its client came

Seen: a gateway that is cut off while a new software version joins goes on at the old version with a stream that the new one began elsewhere; the client gets parts of two versions as one stream (ORDER).

Hypotheses (in the postmortem, written before the change): the view counts as current by a flag of the watch and the last message of a peer; the views of others are as old; the gateway's own record is wrong; the client names no attempt.

Cause: the first two. hears_of_targets was true while the watch was open, though nothing came.

Change: a view confirmed by the store after the client came, one list for all that wait; keepers are asked always; views told to others carry what their age allows. It costs a call to the store for streams that clients take up and whose beginning isn't known here.

--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -189,8 +189,12 @@
 }
 
 async fn follow_targets(node: Arc<EntryNode>) {
-    let plan =
-        FeedPlan { watcher: Some(&node), start: FeedStart::UnlessPassedOn, ..FeedPlan::default() };
+    let plan = FeedPlan {
+        watcher: Some(&node),
+        start: FeedStart::UnlessPassedOn,
+        view_clock: Some(&node.target_confirmation.clock),
+        ..FeedPlan::default()
+    };
     follow(&node.store, TARGET_KIND, plan, |event| node.apply_target_event(event)).await;
 }
 
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -28,7 +28,7 @@
     memory::HeldMemory,
     online::{
         fairness::FairShareEdge, refusal_records::RefusalRecords, suspects::SuspectEdge,
-        version_records::VersionRecords,
+        target_views::TargetConfirmation, version_records::VersionRecords,
     },
     peers::{
         catch_up::KnownVersions,
@@ -105,6 +105,8 @@
     pub refusal_records: RefusalRecords,
     /// What is known of the records of software versions.
     pub version_records: VersionRecords,
+    /// When the view of the targets was confirmed.
+    pub target_confirmation: TargetConfirmation,
     /// Whether a check of the ownership of all jobs is scheduled.
     pub is_verifying: AtomicBool,
     configuration: RwLock<Option<ConfigurationInForce>>,
@@ -172,6 +174,7 @@
             confirmation_wanted: Event::new(),
             refusal_records: RefusalRecords::default(),
             version_records: VersionRecords::default(),
+            target_confirmation: TargetConfirmation::default(),
             is_verifying: AtomicBool::new(false),
             configuration: RwLock::new(None),
             targets: Mutex::new(targets),
@@ -382,12 +385,6 @@
         self.pool.give_back(target, connection, head);
     }
 
-    /// Whether the targets that other gateways use are known here: this one watches the store, or hears from one that
-    /// does or from most. Without the latter, nothing would count as known in an outage of the store.
-    pub fn hears_of_targets(&self) -> bool {
-        self.watch.is_watching() || self.peers.hears_of_targets(self.clock.mono())
-    }
-
     /// Whether this gateway has to watch the store itself, as too few of those ranked before it do.
     ///
     /// After the start, those whose entries are known are expected to watch, as their reports are still on the way.
--- a/crates/entry/src/online.rs
+++ b/crates/entry/src/online.rs
@@ -13,4 +13,5 @@
 pub mod slots;
 pub mod stream;
 pub mod suspects;
+pub mod target_views;
 pub mod version_records;
--- a/crates/entry/src/online/origins.rs
+++ b/crates/entry/src/online/origins.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     node::EntryNode,
-    online::{origin_reply::OriginReply, request::OnlineRequest, version_records},
+    online::{origin_reply::OriginReply, request::OnlineRequest, target_views, version_records},
     peers::calls::CallEnd,
 };
 
@@ -80,10 +80,7 @@
     let known = begun_by.and_then(|attempt| node.stream_origins().get(attempt).cloned());
     let found = match known {
         Some(origin) => origin,
-        None => match version_view(node, service) {
-            VersionView::Sole(version) => undisputed(service, version),
-            view => ask_peers(node, begun_by, service, &view).await?,
-        },
+        None => find_elsewhere(node, begun_by, service).await?,
     };
     let is_uncertain = node.targets().is_version_uncertain(&found.target, &found.version);
     (!is_uncertain && request.route.runs_at(&found.service)).then_some(found)
@@ -94,31 +91,29 @@
     StreamOrigin { service: service.to_owned(), version, target: String::new() }
 }
 
-/// What is known here of the versions of a service. While no changes of targets arrive, the other gateways may use
-/// versions that are not known here.
-fn version_view(node: &EntryNode, service: &str) -> VersionView {
-    match node.hears_of_targets() {
-        true => node.targets().version_view(service, node.clock.mono()),
-        false => VersionView::Unknown,
-    }
-}
-
-async fn ask_peers(
+/// Determines where a stream began of which nothing is known here.
+///
+/// The version that began it was registered before the client came, so the targets known here are confirmed for the time
+/// from then on. The keepers are asked in any case: that version may have left again.
+async fn find_elsewhere(
     node: &EntryNode,
     attempt: Option<&str>,
     service: &str,
-    view: &VersionView,
 ) -> Option<StreamOrigin> {
-    let ranked = ranked_peers(node, attempt.unwrap_or_default());
-    let mut asks: FuturesUnordered<_> =
-        ranked.iter().take(MAX_ASKED).map(|peer| ask(node, peer, attempt, service)).collect();
-    let mut views: Vec<VersionView> = Vec::new();
-    while let Some(reply) = asks.next().await {
-        let Some(OriginReply { origin, versions }) = reply else { continue };
-        if origin.is_some() {
-            return origin;
-        }
-        views.push(versions);
+    let is_confirmed = target_views::confirm(node, node.clock.mono()).await;
+    let view = node.targets().version_view(service, node.clock.mono());
+    let is_sole = is_confirmed && matches!(view, VersionView::Sole(_));
+    let query = OriginQuery {
+        attempt,
+        service,
+        known: node.targets().versions().known_for(node.clock.mono()),
+    };
+    let views = match ask_peers(node, query, if is_sole { KEEPERS } else { MAX_ASKED }).await {
+        PeerReplies::Origin(origin) => return Some(origin),
+        PeerReplies::Views(views) => views,
+    };
+    if !is_confirmed {
+        return None;
     }
     if let Some(version) = view.agreed(&views) {
         return Some(undisputed(service, version));
@@ -127,17 +122,49 @@
         return None;
     }
     version_records::restore(node, service).await;
-    version_view(node, service).agreed(&views).map(|version| undisputed(service, version))
+    let view = node.targets().version_view(service, node.clock.mono());
+    view.agreed(&views).map(|version| undisputed(service, version))
 }
 
-async fn ask(
-    node: &EntryNode,
-    peer: &VmName,
-    attempt: Option<&str>,
-    service: &str,
-) -> Option<OriginReply> {
-    let (attempt, service) = (attempt.map(str::to_owned), service.to_owned());
-    let request = |call| PeerMessage::OriginAsk { call, attempt, service };
+/// What is asked about a stream.
+#[derive(Debug, Clone, Copy)]
+pub struct OriginQuery<'a> {
+    /// The client attempt that got the first event; `None` if the client does not name it.
+    pub attempt: Option<&'a str>,
+    /// The service that would continue the stream.
+    pub service: &'a str,
+    /// For how long the asker has known the targets.
+    pub known: Duration,
+}
+
+/// What other gateways know of a stream.
+#[derive(Debug)]
+enum PeerReplies {
+    /// Where it began.
+    Origin(StreamOrigin),
+    /// Not where it began, but the versions of its service.
+    Views(Vec<VersionView>),
+}
+
+async fn ask_peers(node: &EntryNode, query: OriginQuery<'_>, most: usize) -> PeerReplies {
+    let ranked = ranked_peers(node, query.attempt.unwrap_or_default());
+    let mut asks: FuturesUnordered<_> =
+        ranked.iter().take(most).map(|peer| ask(node, peer, query)).collect();
+    let mut views: Vec<VersionView> = Vec::new();
+    while let Some(reply) = asks.next().await {
+        let Some(OriginReply { origin, versions }) = reply else { continue };
+        if let Some(origin) = origin {
+            return PeerReplies::Origin(origin);
+        }
+        views.push(versions);
+    }
+    PeerReplies::Views(views)
+}
+
+async fn ask(node: &EntryNode, peer: &VmName, query: OriginQuery<'_>) -> Option<OriginReply> {
+    let (attempt, service) = (query.attempt.map(str::to_owned), query.service.to_owned());
+    let known_ms = query.known.as_millis() as u64;
+    let request = |call| PeerMessage::OriginAsk { call, attempt, service, known_ms };
     let send = |call| node.peers.send(peer, request(call));
     match node.peers.origin_calls.ask(send, ANSWER_TIMEOUT).await {
         CallEnd::Answered(reply) => Some(reply),
@@ -146,9 +173,11 @@
 }
 
 /// Answers another gateway that asks where a stream began.
-pub fn answer(node: &EntryNode, peer: &VmName, call: u64, attempt: Option<&str>, service: &str) {
-    let origin = attempt.and_then(|attempt| node.stream_origins().get(attempt).cloned());
-    let versions = version_view(node, service);
+pub fn answer(node: &EntryNode, peer: &VmName, call: u64, query: OriginQuery<'_>) {
+    let origin = query.attempt.and_then(|attempt| node.stream_origins().get(attempt).cloned());
+    let now = node.clock.mono();
+    let age = node.target_confirmation.clock.age(now);
+    let versions = node.targets().version_view(query.service, now).confirmed(age, query.known);
     node.peers.send(peer, PeerMessage::OriginTold { call, origin, versions });
 }
 
--- a/crates/entry/src/peers/messages.rs
+++ b/crates/entry/src/peers/messages.rs
@@ -15,7 +15,7 @@
     node::EntryNode,
     online::{
         origin_reply::OriginReply,
-        origins,
+        origins::{self, OriginQuery},
         slots::{self, SlotRequest},
     },
     peers::{
@@ -133,8 +133,10 @@
         PeerMessage::StreamBegan { attempt, origin, keep_ms } => {
             origins::keep(node, &attempt, origin, keep_ms);
         }
-        PeerMessage::OriginAsk { call, attempt, service } => {
-            origins::answer(node, &peer.vm, call, attempt.as_deref(), &service);
+        PeerMessage::OriginAsk { call, attempt, service, known_ms } => {
+            let known = Duration::from_millis(known_ms);
+            let ask = OriginQuery { attempt: attempt.as_deref(), service: &service, known };
+            origins::answer(node, &peer.vm, call, ask);
         }
         PeerMessage::OriginTold { call, origin, versions } => {
             node.peers.origin_calls.answer(call, OriginReply { origin, versions });
--- a/crates/entry/src/peers/table.rs
+++ b/crates/entry/src/peers/table.rs
@@ -465,22 +465,6 @@
         !self.peers().values().any(|record| record.is_silent(now))
     }
 
-    /// Whether a gateway that watches the store, or at least half of all, were heard from a moment ago.
-    pub fn hears_of_targets(&self, now: MonoTime) -> bool {
-        let peers = self.peers();
-        let (mut heard, mut silent) = (0, 0);
-        for record in peers.values().filter(|record| !record.is_leaving) {
-            if record.is_silent(now) {
-                silent += 1;
-            } else if record.is_watching {
-                return true;
-            } else {
-                heard += 1;
-            }
-        }
-        heard >= silent
-    }
-
     /// Whether every job that a client may submit again is known. The entries must be fresh and no gateway silent, and
     /// either contact with all gateways has lasted for `span`, which is longer than clients retry, or all jobs in the
     /// store were read since it was last lost.
--- a/crates/entry/src/store/call_cause.rs
+++ b/crates/entry/src/store/call_cause.rs
@@ -46,6 +46,8 @@
     Eviction,
     /// Checking that this gateway was not evicted.
     OwnEntryChecked,
+    /// Confirming that every target is known.
+    TargetsConfirmed,
     /// Recording which software versions targets have, or reading the record.
     VersionsRecorded,
     /// Recording requests that are refused, or reading the records.
@@ -56,7 +58,7 @@
 
 impl StoreCallCause {
     /// Every cause, in the order of its value.
-    pub const ALL: [Self; 20] = [
+    pub const ALL: [Self; 21] = [
         Self::Watch,
         Self::List,
         Self::Registration,
@@ -74,6 +76,7 @@
         Self::ConfigurationConfirmed,
         Self::Eviction,
         Self::OwnEntryChecked,
+        Self::TargetsConfirmed,
         Self::VersionsRecorded,
         Self::Refusals,
         Self::ForAnother,
@@ -99,6 +102,7 @@
             Self::ConfigurationConfirmed => "configuration_confirmed",
             Self::Eviction => "eviction",
             Self::OwnEntryChecked => "own_entry_checked",
+            Self::TargetsConfirmed => "targets_confirmed",
             Self::VersionsRecorded => "versions_recorded",
             Self::Refusals => "refusals",
             Self::ForAnother => "for_another",
--- a/crates/entry/src/store/feed.rs
+++ b/crates/entry/src/store/feed.rs
@@ -8,6 +8,7 @@
     store::{decode, is_readable, list_path, object_path, watch_path},
 };
 use notch_relay::prelude::WatchPace;
+use notch_types::prelude::*;
 
 use crate::{
     constants::{STORE_PAUSE, WATCH_CHECK_INTERVAL, WATCH_GRACE, WATCH_START_DELAY},
@@ -62,8 +63,10 @@
     pub watcher: Option<&'a EntryNode>,
     /// When the kind is first listed.
     pub start: FeedStart,
-    /// Records the time of each answer, where the age of the data matters.
+    /// Records the time of each answer, where it matters whether the store is in reach.
     pub answer_clock: Option<&'a FeedClock>,
+    /// Records from when on each answer certainly holds, where the age of the data matters.
+    pub view_clock: Option<&'a FeedClock>,
 }
 
 impl FeedPlan<'_> {
@@ -105,10 +108,14 @@
         }
     }
 
-    fn note_answer(&self, store: &StoreClient) {
+    /// Records an answer that holds from `as_of` on.
+    fn note_answer(&self, store: &StoreClient, as_of: MonoTime) {
         if let Some(clock) = self.answer_clock {
             clock.note_answer(store.now());
         }
+        if let Some(clock) = self.view_clock {
+            clock.note_answer(as_of);
+        }
     }
 }
 
@@ -130,12 +137,12 @@
     plan.wait_for_start().await;
     let mut failures = 0;
     loop {
-        let asked = store.boot_now();
+        let (asked, asked_mono) = (store.boot_now(), store.now());
         match list_all(store, kind, StorePath::Direct, StoreCallCause::List).await {
             Ok((objects, as_of)) => {
                 failures = 0;
                 on_event(FeedEvent::Snapshot { objects, as_of, asked });
-                plan.note_answer(store);
+                plan.note_answer(store, asked_mono);
                 let _live = counted_node.map(|node| node.watch.live_feed());
                 watch(store, kind, as_of, plan, &mut on_event).await;
             }
@@ -270,6 +277,7 @@
         task::sleep(plan.pause.max(pace.next_pause(store.now()))).await;
         let wait = store.settings().watch_wait;
         let path = watch_path(kind, revision, wait);
+        let asked = store.now();
         let watching =
             store.call_directly(StoreCallCause::Watch, "GET", &path, None, wait + WATCH_GRACE);
         let Ok(reply) = watching.await else { return };
@@ -290,6 +298,8 @@
                 FeedEvent::Changed { object }
             });
         }
-        plan.note_answer(store);
+        // Without changes, the store waited until the end.
+        let waited = if page.events.is_empty() { wait } else { Duration::ZERO };
+        plan.note_answer(store, store.now().min(asked + waited));
     }
 }
--- a/crates/messages/src/peer.rs
+++ b/crates/messages/src/peer.rs
@@ -374,6 +374,10 @@
         attempt: Option<String>,
         /// The service that would continue the stream.
         service: String,
+        /// For how long the asker has known the targets, milliseconds. Views that were confirmed before that don't tell
+        /// which versions there were since.
+        #[serde(default)]
+        known_ms: u64,
     },
     /// Answer to `OriginAsk`.
     OriginTold {
--- a/crates/relay/src/targets/version_history.rs
+++ b/crates/relay/src/targets/version_history.rs
@@ -25,6 +25,15 @@
 }
 
 impl VersionView {
+    /// What this view tells a gateway that knows the targets itself for `known`, if it was confirmed `age` ago (`None` for
+    /// never). An older one misses the versions in between; what it has seen it has seen.
+    pub fn confirmed(self, age: Option<Duration>, known: Duration) -> Self {
+        match self {
+            Self::Current(_) | Self::Sole(_) if age.is_none_or(|age| age > known) => Self::Unknown,
+            view => view,
+        }
+    }
+
     /// The only version at which a stream may have begun, by the view of this gateway and those that
     /// others told. At least one of them must know the recent past: if all have just started, a version
     /// that has left may have begun the stream.
@@ -104,6 +113,11 @@
         is_long || self.is_first || self.restored.contains(service)
     }
 
+    /// For how long the targets have been known at `now`.
+    pub fn known_for(&self, now: MonoTime) -> Duration {
+        self.since.map_or(Duration::ZERO, |since| now.since(since))
+    }
+
     /// Records that no gateway served anything before this one started.
     pub fn note_first_start(&mut self) {
         self.is_first = true;
