Soak of releases beside gateways out of step; tell joined runs apart

The soaks showed none of the streams joined at gateways out of step: with two versions in service all the time, gateways always ask. Links have proxies then. Targets also mark the run of each event and the event after which it was asked to go on; OrderedRuns checks that a run whose events follow another one's was asked for them, in streams and in results.

--- a/crates/magnolianotch/src/cli/args.rs
+++ b/crates/magnolianotch/src/cli/args.rs
@@ -375,6 +375,10 @@
     /// whether targets have two versions of their software, and clients take broken streams up at other gateways
     #[argh(switch)]
     pub mix_versions: bool,
+    /// replace all targets by ones of a later version again and again, each time beside a gateway that is cut off or
+    /// stands still; clients take broken streams up
+    #[argh(switch)]
+    pub release_versions: bool,
     /// whether some requests have a prompt part that crashes each target which begins to answer them
     #[argh(switch)]
     pub crash_parts: bool,
--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -5,7 +5,7 @@
 use notch_platform_standins::{
     client::item_id,
     store::ACCOUNT,
-    target::{EVENTS, marked_data, marked_events, split_versions},
+    target::{EVENTS, joined_runs, marked_data, marked_events, split_versions},
 };
 use notch_types::prelude::*;
 
@@ -38,6 +38,8 @@
     OwnAccount,
     /// All events of a stream, and of an item's result, are written by one version of the targets' software.
     OneVersion,
+    /// A run goes on with the events of another one only where it was asked to.
+    OrderedRuns,
     /// Requests that crash targets, or have a prompt part that does, no longer reach them, and sound ones do.
     NoMoreCrashes,
     /// No more requests of an account begin in any sliding window than its limit and the tolerance allow.
@@ -178,6 +180,7 @@
         }
         let (text, versions) = split_versions(body);
         self.note_writers(attempt, versions);
+        self.check_runs(attempt, body, 1);
         let expected = marked_events(attempt);
         let fits = if is_whole { text == expected } else { expected.starts_with(&text) };
         if !fits || named != Some(attempt) {
@@ -200,6 +203,7 @@
         }
         let (text, versions) = split_versions(body);
         self.note_writers(begun_by, versions);
+        self.check_runs(attempt, body, last + 1);
         let expected: String = (last + 1..=EVENTS)
             .map(|id| format!("id: {id}\ndata: {}\n\n", marked_data(attempt, id)))
             .collect();
@@ -210,6 +214,13 @@
         }
     }
 
+    /// Checks that each run whose events stand in a text was asked for them.
+    fn check_runs(&mut self, id: &str, text: &str, first: u64) {
+        for joined in joined_runs(text, first) {
+            self.add(PromiseKind::OrderedRuns, format!("{id}: {joined}"));
+        }
+    }
+
     fn note_writers(&mut self, begun_by: &str, versions: Vec<String>) {
         let writers = self.writers.entry(begun_by.to_owned()).or_default();
         writers.extend(versions);
@@ -293,6 +304,7 @@
             let output: Vec<String> =
                 (1..=EVENTS).map(|id| marked_data(&result.item, id)).collect();
             let (text, versions) = split_versions(&result.output);
+            self.check_runs(&result.item, &result.output, 1);
             if versions.len() > 1 {
                 self.add(PromiseKind::OneVersion, format!("{}: {versions:?}", result.item));
             }
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -5,7 +5,7 @@
     path::Path,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicU64, AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
     time::{Duration, Instant},
 };
@@ -15,7 +15,7 @@
     any_port,
     client::StandInClient,
     store::{STEADY_KEY, StandInAccount, StandInStore, configuration_with_probes_and, passing_key},
-    target::{SeenAccount, StandInTarget},
+    target::{Conduct, SeenAccount, StandInTarget},
 };
 use notch_settings::{EntryConfig, prelude::FeatureSwitch};
 use rustix::process::Signal;
@@ -23,7 +23,7 @@
 use crate::{
     config::{REVOCATION_BOUND, gateway_config},
     culprit::CrashCulprit,
-    fault::SoakFault,
+    fault::{GatewayLag, SoakFault},
     limited_accounts::{LIMITED_ACCOUNTS, QUOTA},
     observation::{Observation, ObservationLog},
     process::GatewayProcess,
@@ -40,6 +40,10 @@
 const VERSIONED_EVENT_DELAY_MS: u64 = 5;
 /// Descriptors that a gateway may use where it gets most new connections.
 const FLOODED_DESCRIPTORS: u32 = 700;
+/// How a new target of a release answers first, so that clients take streams up.
+const RELEASED_CONDUCT: [Conduct; 6] = [Conduct::CutAfter(3); 6];
+/// Time from the end of a lag to the next release. Connections that broke are opened again in it.
+const RELEASE_GAP: Duration = Duration::from_secs(2);
 /// Prompt part that crashes targets.
 pub(crate) const POISON_PART: &str = "bad";
 /// Interval of checks while waiting for a process or a fault.
@@ -68,8 +72,10 @@
 struct TargetConduct {
     /// Delay of each event, milliseconds.
     event_delay_ms: u64,
-    /// Whether they have two versions of their software and name theirs in their events.
+    /// Whether they have several versions of their software and name theirs in their events.
     names_version: bool,
+    /// Number of releases so far, each of which brought a version; `None` where two versions stay in service.
+    releases: Option<Arc<AtomicUsize>>,
     /// What crashes them.
     culprits: Vec<CrashCulprit>,
 }
@@ -81,7 +87,7 @@
     pub log: ObservationLog,
     store: StandInStore,
     store_proxies: Arc<Vec<FaultProxy>>,
-    /// Proxies in front of the gateways' links; empty unless accounts have limits.
+    /// Proxies in front of the gateways' links; empty unless links are cut.
     link_proxies: Arc<Vec<FaultProxy>>,
     /// Accounts with a limit.
     limited: &'static [StandInAccount<'static>],
@@ -93,6 +99,8 @@
     targets: Arc<Vec<Mutex<TargetHandle>>>,
     /// Replaced targets, which still finish their runs.
     replaced: Arc<Mutex<Vec<StandInTarget>>>,
+    /// Whether targets are being replaced by ones of a later version.
+    is_releasing: Arc<AtomicBool>,
     version: Arc<AtomicU64>,
     /// When each configuration version was written, starting with version 1.
     written: Arc<Mutex<Vec<Instant>>>,
@@ -120,6 +128,7 @@
         let event_delay_ms = match settings {
             SoakSettings { offers_items: true, .. } => OFFERED_EVENT_DELAY_MS,
             SoakSettings { mixes_versions: true, .. }
+            | SoakSettings { releases_versions: true, .. }
             | SoakSettings { crashes_parts: true, .. }
             | SoakSettings { crashes_requests: true, .. } => VERSIONED_EVENT_DELAY_MS,
             _ => 0,
@@ -127,7 +136,8 @@
         store.put("config", "main", configuration_with_probes_and(1, limited));
         let conduct = TargetConduct {
             event_delay_ms,
-            names_version: settings.mixes_versions,
+            names_version: settings.has_versions(),
+            releases: settings.releases_versions.then(Arc::default),
             culprits: settings.culprits(),
         };
         let mut targets = Vec::new();
@@ -154,6 +164,8 @@
                 config.accounts.quota_window_seconds = QUOTA.window.as_secs_f64();
                 config.accounts.quota_overrun = QUOTA.overrun;
                 config.accounts.quota_slack = QUOTA.slack;
+            }
+            if settings.limits_accounts || settings.releases_versions {
                 let link_proxy = start_proxy(config.listen.links).await;
                 store.relocate(config.listen.links, link_proxy.address);
                 link_proxies.push(link_proxy);
@@ -174,6 +186,7 @@
             gateways: Arc::new(gateways),
             targets: Arc::new(targets),
             replaced: Arc::default(),
+            is_releasing: Arc::default(),
             version: Arc::new(AtomicU64::new(1)),
             written: Arc::new(Mutex::new(vec![Instant::now()])),
         })
@@ -311,6 +324,9 @@
                 written.push(Instant::now());
             }
             SoakFault::TargetReplaced { target } => self.replace_target(target).await,
+            SoakFault::Release { gateway, lag, lead, duration } => {
+                self.release(gateway, lag, lead, duration).await;
+            }
         }
     }
 
@@ -424,6 +440,39 @@
         *self.target(number) = next;
     }
 
+    /// Whether no release is going on.
+    pub fn is_released(&self) -> bool {
+        !self.is_releasing.load(Ordering::Acquire)
+    }
+
+    async fn release(&self, gateway: usize, lag: GatewayLag, lead: Duration, duration: Duration) {
+        self.is_releasing.store(true, Ordering::Release);
+        let proxies = [&self.store_proxies[gateway], &self.link_proxies[gateway]];
+        match lag {
+            GatewayLag::Cut => proxies.iter().for_each(|proxy| proxy.set(ProxyMode::Silent)),
+            GatewayLag::Pause => {
+                self.begin_outage(gateway, |process| process.signal(Signal::STOP));
+            }
+        }
+        task::sleep(lead).await;
+        if let Some(releases) = &self.conduct.releases {
+            releases.fetch_add(1, Ordering::AcqRel);
+        }
+        for number in 0..self.targets.len() {
+            self.replace_target(number).await;
+            self.target(number).target.conduct(&RELEASED_CONDUCT);
+        }
+        task::sleep(duration).await;
+        match lag {
+            GatewayLag::Cut => proxies.iter().for_each(|proxy| proxy.set(ProxyMode::Pass)),
+            GatewayLag::Pause => {
+                self.end_outage(gateway, |process| process.signal(Signal::CONT));
+            }
+        }
+        task::sleep(RELEASE_GAP).await;
+        self.is_releasing.store(false, Ordering::Release);
+    }
+
     fn begin_outage(&self, gateway: usize, act: impl FnOnce(&mut GatewayProcess)) {
         let mut handle = self.gateway(gateway);
         handle.outages += 1;
@@ -479,8 +528,12 @@
     conduct: &TargetConduct,
 ) -> TargetHandle {
     let id = format!("t-{number}-{replacements}");
-    let is_newer = conduct.names_version && (number + replacements as usize) % 2 == 1;
-    let target = StandInTarget::start_version(&id, if is_newer { "v2" } else { "v1" }).await;
+    let version = match &conduct.releases {
+        Some(releases) => releases.load(Ordering::Acquire) + 1,
+        None if conduct.names_version => 1 + (number + replacements as usize) % 2,
+        None => 1,
+    };
+    let target = StandInTarget::start_version(&id, &format!("v{version}")).await;
     target.mark_events();
     target.slow_down(conduct.event_delay_ms);
     if conduct.names_version {
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -92,6 +92,17 @@
         /// Length of the fault.
         duration: Duration,
     },
+    /// All targets are replaced by ones of a later version, while a gateway hears neither of the store nor of the others.
+    Release {
+        /// Index of the gateway.
+        gateway: usize,
+        /// How it is out of step.
+        lag: GatewayLag,
+        /// Time from the beginning of the lag to the release.
+        lead: Duration,
+        /// Length of the lag.
+        duration: Duration,
+    },
     /// A target leaves and a new one takes its place.
     TargetReplaced {
         /// Index of the target.
@@ -99,6 +110,15 @@
     },
 }
 
+/// How a gateway gets out of step.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum GatewayLag {
+    /// Nothing passes between it and the store and the others.
+    Cut,
+    /// Its process stands still.
+    Pause,
+}
+
 /// Kinds of objects for whose writes answers are lost.
 const WRITTEN_KINDS: [&str; 4] =
     ["notch-jobs", "notch-results", "notch-job-ends", "notch-gateways"];
@@ -113,7 +133,8 @@
             Self::Kill { gateway, .. }
             | Self::Stop { gateway }
             | Self::Pause { gateway, .. }
-            | Self::StorePath { gateway, .. } => vec![*gateway],
+            | Self::StorePath { gateway, .. }
+            | Self::Release { gateway, .. } => vec![*gateway],
             Self::LinkPath { .. } | Self::StoreDown { .. } | Self::LostWrites { .. } => {
                 (0..count).collect()
             }
@@ -148,6 +169,18 @@
         }
     }
 
+    /// Draws a release. Only the last gateway can be cut off from all others: each link has a proxy in front of the gateway
+    /// with the higher index.
+    pub fn draw_release(random: &mut SmallRng, gateways: usize) -> Self {
+        let (gateway, lag) = match random.random_bool(0.6) {
+            true => (gateways - 1, GatewayLag::Cut),
+            false => (random.random_range(0..gateways), GatewayLag::Pause),
+        };
+        let lead = Duration::from_millis(random.random_range(0..300));
+        let duration = Duration::from_millis(random.random_range(500..4_000));
+        Self::Release { gateway, lag, lead, duration }
+    }
+
     /// Draws a freeze of a home gateway. Links are lost after a second and offers expire 0.1 s later, so that it wakes up
     /// before and after that.
     pub fn draw_freeze(random: &mut SmallRng, gateways: usize) -> Self {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -63,7 +63,7 @@
         cluster: cluster.clone(),
         seed: settings.seed,
         offers_items: settings.offers_items,
-        takes_up: settings.mixes_versions,
+        takes_up: settings.has_versions(),
         names_parts: settings.crashes_parts || settings.crashes_requests,
         is_over: Arc::new(AtomicBool::new(false)),
         requests: Arc::default(),
@@ -149,7 +149,9 @@
             .then(|| SoakFault::draw_freeze(&mut added_random, settings.gateways));
         let flood = (settings.floods_gateways && cluster.crowded().is_none())
             .then(|| SoakFault::draw_flood(&mut added_random, settings.gateways));
-        for fault in [Some(fault), separation, freeze, flood].into_iter().flatten() {
+        let release = (settings.releases_versions && cluster.is_released())
+            .then(|| SoakFault::draw_release(&mut added_random, settings.gateways));
+        for fault in [Some(fault), separation, freeze, flood, release].into_iter().flatten() {
             cluster.apply(&fault);
             faults.push((began.elapsed(), fault));
         }
--- a/crates/soak/src/settings.rs
+++ b/crates/soak/src/settings.rs
@@ -28,6 +28,9 @@
     pub offers_items: bool,
     /// Whether targets have two versions of their software, and clients take broken streams up.
     pub mixes_versions: bool,
+    /// Whether targets are replaced by ones of a later version, each time beside a gateway that is cut off or stands still,
+    /// and clients take broken streams up.
+    pub releases_versions: bool,
     /// Whether some requests have a prompt part that crashes targets.
     pub crashes_parts: bool,
     /// Whether two requests that crash targets come again and again, and share prompt parts with sound ones.
@@ -51,6 +54,7 @@
             limits_accounts: false,
             offers_items: false,
             mixes_versions: false,
+            releases_versions: false,
             crashes_parts: false,
             crashes_requests: false,
             floods_gateways: false,
@@ -60,6 +64,11 @@
 }
 
 impl SoakSettings {
+    /// Whether targets differ in the version of their software.
+    pub(crate) fn has_versions(&self) -> bool {
+        self.mixes_versions || self.releases_versions
+    }
+
     /// What crashes targets.
     pub(crate) fn culprits(&self) -> Vec<CrashCulprit> {
         let part = self.crashes_parts.then_some(CrashCulprit::Part);
