Number calls to other gateways from a random number in each process

Cause: the calls of each process were numbered from 0. An answer to a call of a gateway's killed process went out on the link of the next one, and matched one of its first calls. It holds for each kind of call, for forwarded calls to the store and proofs of age as well.

Evidence: calls_of_two_processes_have_different_numbers failed before ("the answer to another call" was delivered), passes now.

Change: count from a random 64-bit number in each table.

--- a/crates/entry/src/peers/calls.rs
+++ b/crates/entry/src/peers/calls.rs
@@ -40,12 +40,14 @@
 #[derive(Debug)]
 pub struct CallTable<T> {
     waiting: Mutex<FastMap<u64, Sender<T>>>,
+    /// Number of the next call. Invariant: counts from a random number, so that an answer to a call of an earlier process
+    /// of this gateway matches none of this one.
     next: AtomicU64,
 }
 
 impl<T> Default for CallTable<T> {
     fn default() -> Self {
-        Self { waiting: Mutex::default(), next: AtomicU64::new(0) }
+        Self { waiting: Mutex::default(), next: AtomicU64::new(rand::random()) }
     }
 }
 
