Tell those that would take a job over which items failed

Cause: failures were counted in the owner's memory only.

Evidence: the_failures_of_an_item_outlast_its_owner failed before (6 runs of 4 attempts), an_impossible_item_reaches_no_target_again failed before; both pass, and the third one, for an owner that is killed.

Change: each failure is told to the two preferred successors, all of them once more at a handover; a new owner goes on counting.

What is handed over of a job is in a file of its own; owned.rs is smaller.

--- a/crates/entry/src/batch.rs
+++ b/crates/entry/src/batch.rs
@@ -12,6 +12,7 @@
 pub mod item_slots;
 pub mod job_cache;
 pub mod job_registry;
+pub mod kept_failures;
 pub mod limit_registry;
 pub mod limits;
 pub mod ownership;
--- a/crates/entry/src/batch/item_run.rs
+++ b/crates/entry/src/batch/item_run.rs
@@ -18,6 +18,7 @@
 use notch_types::prelude::*;
 
 use crate::{
+    batch::takeover,
     constants::{ITEM_FIRST_BYTE, ITEM_STALL},
     node::EntryNode,
     online::lease::{AttemptEvidence, TargetLease},
@@ -116,7 +117,11 @@
         }
         job.end_item(start.index, &end, now);
     }
+    let has_failed = matches!(end, ItemEnd::Failed | ItemEnd::Impossible);
+    let job = registry.table.get(&start.job).filter(|_| has_failed);
+    let failures: Vec<_> = job.and_then(|job| job.failures_of(start.index)).into_iter().collect();
     drop(registry);
+    takeover::tell_failures(&node, &start.job, failures);
     node.runner_wake.notify(usize::MAX);
 }
 
--- a/crates/entry/src/batch/job_registry.rs
+++ b/crates/entry/src/batch/job_registry.rs
@@ -6,7 +6,9 @@
 use notch_relay::prelude::*;
 use notch_types::prelude::*;
 
-use crate::batch::{job_cache::JobCache, prior_submission::LookupLimiter};
+use crate::batch::{
+    job_cache::JobCache, kept_failures::KeptFailures, prior_submission::LookupLimiter,
+};
 
 /// Maximum number of jobs for which handed-over progress is kept until a takeover. A gateway owns
 /// about a dozen jobs.
@@ -74,6 +76,8 @@
     /// Progress of jobs handed over by stopping gateways. Invariant: at most
     /// [`MAX_HANDED_OVER_JOBS`] entries.
     handed_over: FastMap<String, Vec<HeldProgress>>,
+    /// Failures of items of other gateways' jobs.
+    pub kept_failures: KeptFailures,
     /// Jobs that a task is accepting or taking over.
     busy: FastSet<String>,
     /// Jobs for which an ownership check in the store is in progress.
--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -312,7 +312,13 @@
     // The cancelled runs report their progress meanwhile.
     task::sleep(STOP_TICK).await;
     for job in &jobs {
-        let progress = node.jobs().table.get(job).map(OwnedJob::progress).unwrap_or_default();
+        let (progress, failures) = {
+            let registry = node.jobs();
+            let owned = registry.table.get(job);
+            let progress = owned.map(OwnedJob::progress).unwrap_or_default();
+            (progress, owned.map(OwnedJob::failures).unwrap_or_default())
+        };
+        takeover::tell_failures(node, job, failures);
         if let Some(successor) = takeover::preferred_successor(node, job) {
             for items in HeldProgress::fitting(progress, MAX_PEER_MESSAGE_BYTES) {
                 node.peers.send(&successor, PeerMessage::JobProgress { job: job.clone(), items });
--- a/crates/entry/src/peers/messages.rs
+++ b/crates/entry/src/peers/messages.rs
@@ -115,6 +115,9 @@
         PeerMessage::BodyTold { call, is_known, body } => {
             bodies::receive_body(node, call, is_known, body);
         }
+        PeerMessage::ItemFailures { job, items } => {
+            node.jobs().kept_failures.keep(&job, items, node.clock.mono());
+        }
         PeerMessage::JobProgress { job, items } => node.jobs().keep_progress(&job, items),
         PeerMessage::SuspectCrashed(report) => node.suspects().count_crash(&report),
         PeerMessage::SuspectRefused { suspect, level, left_ms, age_ms, crashed_under } => {
--- a/crates/messages/src/peer.rs
+++ b/crates/messages/src/peer.rs
@@ -3,8 +3,9 @@
 use std::net::SocketAddr;
 
 use notch_relay::prelude::{
-    CrashReport, CrashSuspect, CreditAnswer, HeldProgress, ItemRunTimeStats, QueueOffer,
-    ResultLine, ShareTable, StreamOrigin, TargetEntry, UseChange, VersionView, WorkKind,
+    CrashReport, CrashSuspect, CreditAnswer, HeldProgress, ItemFailures, ItemRunTimeStats,
+    QueueOffer, ResultLine, ShareTable, StreamOrigin, TargetEntry, UseChange, VersionView,
+    WorkKind,
 };
 use notch_types::prelude::*;
 use serde::{Deserialize, Serialize};
@@ -321,6 +322,13 @@
         /// Items that have not ended.
         items: Vec<HeldProgress>,
     },
+    /// Items of a job failed that the receiver may take over.
+    ItemFailures {
+        /// The job.
+        job: String,
+        /// All failures of these items so far.
+        items: Vec<ItemFailures>,
+    },
     /// A target crashed under a request with this suspect. The receiver counts these crashes for all gateways.
     SuspectCrashed(CrashReport),
     /// Requests with this suspect crash targets: refuse them.
@@ -577,6 +585,7 @@
             Self::BodyAsk { .. } => "body_ask",
             Self::BodyTold { .. } => "body_told",
             Self::JobProgress { .. } => "job_progress",
+            Self::ItemFailures { .. } => "item_failures",
             Self::SuspectCrashed(_) => "suspect_crashed",
             Self::SuspectRefused { .. } => "suspect_refused",
             Self::SuspectCleared(_) => "suspect_cleared",
--- a/crates/relay/src/jobs.rs
+++ b/crates/relay/src/jobs.rs
@@ -4,6 +4,7 @@
 pub mod eviction;
 pub mod held_progress;
 pub mod item_end;
+pub mod item_failures;
 mod item_progress;
 pub mod json_size;
 pub mod owned;
--- a/crates/relay/src/jobs/item_progress.rs
+++ b/crates/relay/src/jobs/item_progress.rs
@@ -19,6 +19,8 @@
     pub(super) phase: ItemPhase,
     /// Runs that ended in a failure reported by the target.
     pub(super) failures: u32,
+    /// Whether a target reported that it can never be done.
+    pub(super) is_impossible: bool,
     /// Consecutive runs that were interrupted without an event.
     pub(super) interruptions: u32,
     /// Id of the last event held.
@@ -34,6 +36,14 @@
     pub(super) fn new(listed: bool) -> Self {
         let phase = if listed { ItemPhase::Ended } else { ItemPhase::Waiting(MonoTime::default()) };
         let (version, output) = (String::new(), Vec::new());
-        Self { phase, failures: 0, interruptions: 0, last_event: None, version, output }
+        Self {
+            phase,
+            failures: 0,
+            is_impossible: false,
+            interruptions: 0,
+            last_event: None,
+            version,
+            output,
+        }
     }
 }
--- a/crates/relay/src/jobs/owned.rs
+++ b/crates/relay/src/jobs/owned.rs
@@ -1,12 +1,13 @@
 //! A job owned by this gateway.
 
+mod handover;
+
 use std::{sync::Arc, time::Duration};
 
 use notch_types::prelude::*;
 
 use crate::item_slots::preemption::slack_ms;
 use crate::jobs::{
-    held_progress::HeldProgress,
     item_end::ItemEnd,
     item_progress::{ItemPhase, ItemProgress},
     ownership::OwnershipGeneration,
@@ -259,32 +260,6 @@
         item.interruptions = 0;
     }
 
-    /// Partial output of unfinished items, for another gateway that continues the job.
-    pub fn progress(&self) -> Vec<HeldProgress> {
-        let items = self.items.iter().zip(&self.spec.items);
-        let held = items.filter_map(|(item, spec)| {
-            let last_event = item.last_event.filter(|_| item.phase != ItemPhase::Ended)?;
-            let (version, output) = (item.version.clone(), item.output.clone());
-            Some(HeldProgress { item: spec.id.clone(), last_event, version, output })
-        });
-        held.collect()
-    }
-
-    /// Adopts partial output from another gateway for items that have none.
-    pub fn adopt_progress(&mut self, progress: Vec<HeldProgress>) {
-        for held in progress {
-            let Some(index) = self.spec.items.iter().position(|item| item.id == held.item) else {
-                continue;
-            };
-            let item = &mut self.items[index];
-            if item.last_event.is_none() && matches!(item.phase, ItemPhase::Waiting(_)) {
-                item.last_event = Some(held.last_event);
-                item.version = held.version;
-                item.output = held.output;
-            }
-        }
-    }
-
     /// Handles the end of a run of an item.
     pub fn end_item(&mut self, index: usize, end: &ItemEnd, now: MonoTime) {
         let attempts = self.spec.terms.max_attempts;
@@ -297,7 +272,10 @@
                 let output = std::mem::take(&mut item.output);
                 self.finish(index, ItemState::Completed, output, now);
             }
-            ItemEnd::Impossible => self.finish(index, ItemState::GivenUp, Vec::new(), now),
+            ItemEnd::Impossible => {
+                item.is_impossible = true;
+                self.finish(index, ItemState::GivenUp, Vec::new(), now);
+            }
             ItemEnd::Failed => {
                 item.failures += 1;
                 if item.failures >= attempts {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -65,6 +65,7 @@
             },
             held_progress::HeldProgress,
             item_end::ItemEnd,
+            item_failures::ItemFailures,
             json_size::{json_document_bytes, json_string_bytes, split_json_string},
             owned::OwnedJob,
             ownership::OwnershipGeneration,
