--- a/crates/entry/src/store/feed.rs
+++ b/crates/entry/src/store/feed.rs
@@ -5,7 +5,7 @@
 use async_std::task;
 use notch_platform_wire::{
     prelude::{ListPage, StoreObject, WatchPage},
-    store::{decode, is_readable, list_path, object_path, watch_path},
+    store::{decode, decode_split, is_readable, list_path, object_path, watch_path},
 };
 use notch_relay::prelude::WatchPace;
 use notch_types::prelude::*;
@@ -27,6 +27,8 @@
 /// for seconds, and counts each call.
 const MAX_BACKOFF_DOUBLINGS: u32 = 2;
 
+/// How often a list is continued behind an object that can't be read. Each costs two calls.
+const MAX_CUTS: u32 = 16;
 /// How many objects at the end of a list that was cut are read alone, to find the one at which it was.
 const MAX_CUT_READS: usize = 16;
 
@@ -183,15 +185,18 @@
 ) -> Result<u64, StoreFailure> {
     let mut after: Option<String> = None;
     let mut as_of = None;
+    let mut cuts = 0;
     loop {
         let page_path = list_path(kind, after.as_deref());
         let reply = get(store, path, cause, &page_path).await?;
         if reply.status == 404 {
             return Ok(as_of.unwrap_or(0));
         }
-        let mut page: ListPage = decode(&reply.body).map_err(|_| StoreFailure::NotDone)?;
+        let decoded = if cuts < MAX_CUTS { decode(&reply.body) } else { decode_split(&reply.body) };
+        let mut page: ListPage = decoded.map_err(|_| StoreFailure::NotDone)?;
         drop(reply);
         if page.is_cut {
+            cuts += 1;
             trim_cut(store, kind, path, cause, &mut page.items.entries).await?;
         }
         // A watch from the first page's revision repeats changes that later pages already contain,
