--- a/crates/entry/tests/soak_options.rs
+++ b/crates/entry/tests/soak_options.rs
@@ -51,6 +51,25 @@
     assert!(logs.contains("software=v1") && logs.contains("software=v2"), "both versions ran");
 }
 
+/// Guards against streams and results that two versions wrote where a gateway is out of step while a version is released.
+/// Seeds 2 and 5 joined streams: the gateway took its view of the targets for current.
+#[rstest]
+fn a_soak_of_releases_beside_a_gateway_out_of_step_mixes_no_events(#[values(2, 5)] seed: u64) {
+    let folder = PathBuf::from(format!("soak-releases-{seed}"));
+    let settings =
+        SoakSettings { seed, releases_versions: true, folder, ..SoakSettings::default() };
+    let logs = run_with_logs(settings);
+    assert!(logs.contains("software=v1") && logs.contains("software=v2"), "both versions ran");
+}
+
+/// Guards against results that reach the reader of another job, and items that run again and again, while gateways are
+/// killed. Seed 13: an answer to a call of an earlier process was taken for the answer to another one.
+#[test]
+fn a_soak_with_failing_items_gives_each_reader_its_own_results() {
+    let folder = PathBuf::from("soak-failing");
+    run_with_logs(SoakSettings { seed: 13, fails_items: true, folder, ..SoakSettings::default() });
+}
+
 /// Guards against requests that crash target after target while gateways are killed, stopped and frozen.
 #[test]
 fn a_soak_with_a_crashing_prompt_part_crashes_few_targets() {
