--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -1,5 +1,7 @@
 //! The cluster under test: stand-ins, proxies and gateway processes.
 
+mod targets;
+
 use std::{
     fs, io,
     path::Path,
@@ -15,16 +17,15 @@
     any_port,
     client::StandInClient,
     store::{STEADY_KEY, StandInAccount, StandInStore, configuration_with_probes_and, passing_key},
-    target::{Conduct, SeenAccount, StandInTarget},
+    target::{SeenAccount, StandInTarget},
 };
 use notch_settings::{EntryConfig, prelude::FeatureSwitch};
 use rustix::process::Signal;
 
+use self::targets::{TargetConduct, TargetHandle, start_target};
 use crate::{
     config::{REVOCATION_BOUND, gateway_config},
-    culprit::CrashCulprit,
-    failing_items::FailingItems,
-    fault::{GatewayLag, SoakFault},
+    fault::SoakFault,
     limited_accounts::{LIMITED_ACCOUNTS, QUOTA},
     observation::{Observation, ObservationLog},
     process::GatewayProcess,
@@ -41,10 +42,6 @@
 const VERSIONED_EVENT_DELAY_MS: u64 = 5;
 /// Descriptors that a gateway may use where it gets most new connections.
 const FLOODED_DESCRIPTORS: u32 = 700;
-/// How a new target of a release answers first, so that clients take streams up.
-const RELEASED_CONDUCT: [Conduct; 6] = [Conduct::CutAfter(3); 6];
-/// Time from the end of a lag to the next release. Connections that broke are opened again in it.
-const RELEASE_GAP: Duration = Duration::from_secs(2);
 /// Prompt part that crashes targets.
 pub(crate) const POISON_PART: &str = "bad";
 /// Interval of checks while waiting for a process or a fault.
@@ -60,29 +57,6 @@
     outages: u32,
 }
 
-/// A target and the proxy in front of it. A replaced target gets a new id.
-#[derive(Debug)]
-struct TargetHandle {
-    target: StandInTarget,
-    proxy: FaultProxy,
-    replacements: u32,
-}
-
-/// How targets behave in all runs.
-#[derive(Debug, Clone)]
-struct TargetConduct {
-    /// Delay of each event, milliseconds.
-    event_delay_ms: u64,
-    /// Whether they have several versions of their software and name theirs in their events.
-    names_version: bool,
-    /// Number of releases so far, each of which brought a version; `None` where two versions stay in service.
-    releases: Option<Arc<AtomicUsize>>,
-    /// Whether they fail the items of [`FailingItems`].
-    fails_items: bool,
-    /// What crashes them.
-    culprits: Vec<CrashCulprit>,
-}
-
 /// The cluster under test.
 #[derive(Debug, Clone)]
 pub struct SoakCluster {
@@ -433,50 +407,6 @@
         }
     }
 
-    async fn replace_target(&self, number: usize) {
-        let (replaced, replacements) = {
-            let handle = self.target(number);
-            (handle.target.clone(), handle.replacements + 1)
-        };
-        let next = start_target(&self.store, number, replacements, &self.conduct).await;
-        self.store.delete("servers", &replaced.id);
-        self.replaced.lock().unwrap_or_else(PoisonError::into_inner).push(replaced);
-        *self.target(number) = next;
-    }
-
-    /// Whether no release is going on.
-    pub fn is_released(&self) -> bool {
-        !self.is_releasing.load(Ordering::Acquire)
-    }
-
-    async fn release(&self, gateway: usize, lag: GatewayLag, lead: Duration, duration: Duration) {
-        self.is_releasing.store(true, Ordering::Release);
-        let proxies = [&self.store_proxies[gateway], &self.link_proxies[gateway]];
-        match lag {
-            GatewayLag::Cut => proxies.iter().for_each(|proxy| proxy.set(ProxyMode::Silent)),
-            GatewayLag::Pause => {
-                self.begin_outage(gateway, |process| process.signal(Signal::STOP));
-            }
-        }
-        task::sleep(lead).await;
-        if let Some(releases) = &self.conduct.releases {
-            releases.fetch_add(1, Ordering::AcqRel);
-        }
-        for number in 0..self.targets.len() {
-            self.replace_target(number).await;
-            self.target(number).target.conduct(&RELEASED_CONDUCT);
-        }
-        task::sleep(duration).await;
-        match lag {
-            GatewayLag::Cut => proxies.iter().for_each(|proxy| proxy.set(ProxyMode::Pass)),
-            GatewayLag::Pause => {
-                self.end_outage(gateway, |process| process.signal(Signal::CONT));
-            }
-        }
-        task::sleep(RELEASE_GAP).await;
-        self.is_releasing.store(false, Ordering::Release);
-    }
-
     fn begin_outage(&self, gateway: usize, act: impl FnOnce(&mut GatewayProcess)) {
         let mut handle = self.gateway(gateway);
         handle.outages += 1;
@@ -525,34 +455,6 @@
     FaultProxy::start(listener, address, destination)
 }
 
-async fn start_target(
-    store: &StandInStore,
-    number: usize,
-    replacements: u32,
-    conduct: &TargetConduct,
-) -> TargetHandle {
-    let id = format!("t-{number}-{replacements}");
-    let version = match &conduct.releases {
-        Some(releases) => releases.load(Ordering::Acquire) + 1,
-        None if conduct.names_version => 1 + (number + replacements as usize) % 2,
-        None => 1,
-    };
-    let target = StandInTarget::start_version(&id, &format!("v{version}")).await;
-    target.mark_events();
-    target.slow_down(conduct.event_delay_ms);
-    if conduct.names_version {
-        target.name_version();
-    }
-    if conduct.fails_items {
-        let failing = FailingItems::ALL.iter();
-        failing.for_each(|items| target.fail_items(items.prefix(), items.status()));
-    }
-    conduct.culprits.iter().for_each(|culprit| target.crash_on(culprit.target_crash()));
-    let proxy = start_proxy(target.address).await;
-    store.put("servers", &id, target.entry_at(proxy.address));
-    TargetHandle { target, proxy, replacements }
-}
-
 fn start_gateway(
     program: &Path,
     folder: &Path,
