Bound kept failures by items, not by jobs

4,096 jobs of 200 items each could hold some 80 MB at a gateway that never takes them over; the smallest process limit is 110 MB. Now 8,192 items at most, about 1 MB; older ones than ten minutes make room.

--- a/crates/entry/src/batch/kept_failures.rs
+++ b/crates/entry/src/batch/kept_failures.rs
@@ -5,8 +5,8 @@
 use notch_relay::prelude::ItemFailures;
 use notch_types::prelude::*;
 
-/// Most jobs whose failures are kept.
-const MAX_JOBS: usize = 4_096;
+/// Most items whose failures are kept, about 1 MB.
+const MAX_ITEMS: usize = 8_192;
 /// How long they are kept: longer than items usually live.
 const RETENTION: Duration = Duration::from_secs(600);
 
@@ -18,7 +18,7 @@
     items: Vec<ItemFailures>,
 }
 
-/// Failures of items by job. Invariant: at most [`MAX_JOBS`].
+/// Failures of items by job. Invariant: of at most [`MAX_ITEMS`] items.
 #[derive(Debug, Default)]
 pub struct KeptFailures {
     jobs: FastMap<String, JobFailures>,
@@ -27,10 +27,10 @@
 impl KeptFailures {
     /// Keeps the failures of items of `job`. The last ones told of an item count.
     pub fn keep(&mut self, job: &str, items: Vec<ItemFailures>, now: MonoTime) {
-        if self.jobs.len() >= MAX_JOBS {
+        if self.items() + items.len() > MAX_ITEMS {
             self.jobs.retain(|_, known| now.since(known.told_at) < RETENTION);
         }
-        if self.jobs.len() >= MAX_JOBS && !self.jobs.contains_key(job) {
+        if self.items() + items.len() > MAX_ITEMS {
             return;
         }
         let new = || JobFailures { told_at: now, items: Vec::new() };
@@ -40,6 +40,10 @@
         known.items.extend(items);
     }
 
+    fn items(&self) -> usize {
+        self.jobs.values().map(|known| known.items.len()).sum()
+    }
+
     /// The failures of the items of a job.
     pub fn of(&self, job: &str) -> &[ItemFailures] {
         self.jobs.get(job).map_or(&[], |known| &known.items)
