--- a/crates/entry/src/batch/kept_failures.rs
+++ b/crates/entry/src/batch/kept_failures.rs
@@ -18,7 +18,7 @@
     items: Vec<ItemFailures>,
 }
 
-/// Failures of items by job. Invariant: of at most [`MAX_ITEMS`] items.
+/// Failures of items by job. Invariant: of a bounded number of items.
 #[derive(Debug, Default)]
 pub struct KeptFailures {
     jobs: FastMap<String, JobFailures>,
