Log the status that an item's target reported before its run broke off

The log told how a run ended, not what its target had reported until then. A failure whose answer broke off and a plain interruption gave the same line, so that no log could tell whether failures go uncounted. `item_run_ended` has the status of the head now, 0 where none came.

--- a/crates/entry/src/batch/item_run.rs
+++ b/crates/entry/src/batch/item_run.rs
@@ -35,6 +35,8 @@
 /// What a run has produced so far.
 #[derive(Debug, Default)]
 struct RunProgress {
+    /// Status that the head of the answer reported.
+    status: Option<u16>,
     last_event: Option<u64>,
     data: Vec<u8>,
     events: u64,
@@ -98,6 +100,7 @@
             ("item", &start.item.id),
             ("target", &choice.id),
             ("outcome", &reason),
+            ("status", &progress.status.unwrap_or_default()),
             ("events", &progress.events),
             ("last_event", &progress.last_event.map_or(-1, |id| id as i64)),
             ("ms", &now.since(began).as_millis()),
@@ -192,6 +195,7 @@
     };
     let bytes = item_request(&start.item, &start.host, terms);
     let head = connection.exchange(&bytes, Some(&start.item.id), ITEM_FIRST_BYTE).await?;
+    progress.status = Some(head.status);
     node.targets().note_alive(&choice.id);
     let framing = head.framing().map_err(|_| AttemptFailure::SpoiledAnswer)?;
     let mut body = BodyProgress::new(framing);
@@ -218,7 +222,8 @@
             let events = progress.events;
             take_events(&mut buffer, progress)?;
             if progress.data.len() > ITEM_OUTPUT_BYTES {
-                *progress = RunProgress { last_event: start.last_event, ..RunProgress::default() };
+                let (status, last_event) = (progress.status, start.last_event);
+                *progress = RunProgress { status, last_event, ..RunProgress::default() };
                 return Err(AttemptFailure::SpoiledAnswer);
             }
             if progress.events != events {
