--- a/crates/magnolianotch/src/cli/args.rs
+++ b/crates/magnolianotch/src/cli/args.rs
@@ -379,9 +379,12 @@
     /// stands still; clients take broken streams up
     #[argh(switch)]
     pub release_versions: bool,
-    /// also send jobs whose items fail at each run, and kill more gateways
+    /// also send jobs whose items fail at each run, with whole, cut and withheld answers, and kill more gateways
     #[argh(switch)]
     pub fail_items: bool,
+    /// kill all gateways at once from time to time
+    #[argh(switch)]
+    pub kill_all: bool,
     /// whether some requests have a prompt part that crashes each target which begins to answer them
     #[argh(switch)]
     pub crash_parts: bool,
--- a/crates/magnolianotch/src/cli/soak.rs
+++ b/crates/magnolianotch/src/cli/soak.rs
@@ -43,6 +43,7 @@
         offers_items: args.offer_items,
         mixes_versions: args.mix_versions,
         fails_items: args.fail_items,
+        kills_all: args.kill_all,
         releases_versions: args.release_versions,
         crashes_parts: args.crash_parts,
         crashes_requests: args.crash_requests,
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -268,6 +268,14 @@
                 task::sleep(pause).await;
                 self.restart(gateway);
             }
+            SoakFault::KillAll { pause } => {
+                let gateways = 0..self.gateways.len();
+                gateways.clone().for_each(|gateway| {
+                    self.begin_outage(gateway, GatewayProcess::kill);
+                });
+                task::sleep(pause).await;
+                gateways.for_each(|gateway| self.restart(gateway));
+            }
             SoakFault::Stop { gateway } => self.stop_and_restart(gateway).await,
             SoakFault::Pause { gateway, duration } => {
                 self.begin_outage(gateway, |process| process.signal(Signal::STOP));
--- a/crates/soak/src/cluster/targets.rs
+++ b/crates/soak/src/cluster/targets.rs
@@ -122,8 +122,9 @@
         target.name_version();
     }
     if conduct.fails_items {
-        let failing = FailingItems::ALL.iter();
-        failing.for_each(|items| target.fail_items(items.prefix(), items.status()));
+        for items in FailingItems::ALL {
+            target.fail_items_ending(items.prefix(), items.status(), items.end);
+        }
     }
     conduct.culprits.iter().for_each(|culprit| target.crash_on(culprit.target_crash()));
     let proxy = start_proxy(target.address).await;
--- a/crates/soak/src/failing_items.rs
+++ b/crates/soak/src/failing_items.rs
@@ -1,31 +1,53 @@
 //! Jobs whose items fail at each run.
 
+use notch_platform_standins::target::FailureEnd;
+
+/// Whether a failure may pass.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FailureKind {
+    /// It may pass: the item may be tried again.
+    Passing,
+    /// It is final.
+    Final,
+}
+
 /// Items that fail at each run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum FailingItems {
-    /// Each run is answered with a failure that may pass.
-    Failed,
-    /// Each run is answered with a failure that is final.
-    Impossible,
+pub struct FailingItems {
+    /// How each run is answered.
+    pub kind: FailureKind,
+    /// How that answer ends.
+    pub end: FailureEnd,
 }
 
 impl FailingItems {
     /// All kinds.
-    pub const ALL: [Self; 2] = [Self::Failed, Self::Impossible];
+    pub const ALL: [Self; 6] = [
+        Self { kind: FailureKind::Passing, end: FailureEnd::Whole },
+        Self { kind: FailureKind::Final, end: FailureEnd::Whole },
+        Self { kind: FailureKind::Passing, end: FailureEnd::Cut },
+        Self { kind: FailureKind::Final, end: FailureEnd::Cut },
+        Self { kind: FailureKind::Passing, end: FailureEnd::Withheld },
+        Self { kind: FailureKind::Final, end: FailureEnd::Withheld },
+    ];
 
     /// Beginning of the ids of such jobs.
     pub fn prefix(self) -> &'static str {
-        match self {
-            Self::Failed => "failed-",
-            Self::Impossible => "impossible-",
+        match (self.kind, self.end) {
+            (FailureKind::Passing, FailureEnd::Whole) => "failed-",
+            (FailureKind::Final, FailureEnd::Whole) => "impossible-",
+            (FailureKind::Passing, FailureEnd::Cut) => "cut-failed-",
+            (FailureKind::Final, FailureEnd::Cut) => "cut-impossible-",
+            (FailureKind::Passing, FailureEnd::Withheld) => "withheld-failed-",
+            (FailureKind::Final, FailureEnd::Withheld) => "withheld-impossible-",
         }
     }
 
     /// Status with which targets answer.
     pub fn status(self) -> u16 {
-        match self {
-            Self::Failed => 500,
-            Self::Impossible => 422,
+        match self.kind {
+            FailureKind::Passing => 500,
+            FailureKind::Final => 422,
         }
     }
 
@@ -36,9 +58,9 @@
 
     /// Most runs of an item with `attempts` attempts: three times those that it has without the loss of a gateway.
     pub fn most_runs(self, attempts: usize) -> usize {
-        match self {
-            Self::Failed => 3 * attempts,
-            Self::Impossible => 3,
+        match self.kind {
+            FailureKind::Passing => 3 * attempts,
+            FailureKind::Final => 3,
         }
     }
 }
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -17,6 +17,11 @@
         /// Time from the kill to the start.
         pause: Duration,
     },
+    /// Kills all gateways at once and starts them again after a pause.
+    KillAll {
+        /// Time from the kill to the start.
+        pause: Duration,
+    },
     /// Tells a gateway to stop and starts it again once it has ended.
     Stop {
         /// Index of the gateway.
@@ -125,6 +130,9 @@
 /// Most requests that one [`SoakFault::TargetAnswers`] affects.
 const MAX_FAULTY_ANSWERS: usize = 6;
 
+/// Share of the faults beside which all gateways are killed, where they are.
+const HERD_KILL_SHARE: f64 = 0.2;
+
 impl SoakFault {
     /// Gateways out of touch during the fault, of `count`: their processes, or their paths to the store or to each
     /// other, are disturbed.
@@ -135,9 +143,10 @@
             | Self::Pause { gateway, .. }
             | Self::StorePath { gateway, .. }
             | Self::Release { gateway, .. } => vec![*gateway],
-            Self::LinkPath { .. } | Self::StoreDown { .. } | Self::LostWrites { .. } => {
-                (0..count).collect()
-            }
+            Self::KillAll { .. }
+            | Self::LinkPath { .. }
+            | Self::StoreDown { .. }
+            | Self::LostWrites { .. } => (0..count).collect(),
             Self::Reload { .. }
             | Self::TargetPath { .. }
             | Self::TargetAnswers { .. }
@@ -178,6 +187,12 @@
         }
     }
 
+    /// Draws the loss of all gateways, which is rarer than other faults.
+    pub fn draw_herd_kill(random: &mut SmallRng) -> Option<Self> {
+        let pause = Duration::from_millis(random.random_range(100..1_000));
+        random.random_bool(HERD_KILL_SHARE).then_some(Self::KillAll { pause })
+    }
+
     /// Draws a release. Only the last gateway can be cut off from all others: each link has a proxy in front of the gateway
     /// with the higher index.
     pub fn draw_release(random: &mut SmallRng, gateways: usize) -> Self {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -136,6 +136,7 @@
     let mut random = SmallRng::seed_from_u64(settings.seed);
     // Separate, so that an option adds faults to those of a seed and changes none.
     let mut added_random = SmallRng::seed_from_u64(!settings.seed);
+    let mut herd_random = SmallRng::seed_from_u64(settings.seed.rotate_left(32));
     let mut faults = Vec::new();
     let began = Instant::now();
     if settings.evicts_gateways {
@@ -160,7 +161,10 @@
             .then(|| SoakFault::draw_kill(&mut added_random, settings.gateways));
         let release = (settings.releases_versions && cluster.is_released())
             .then(|| SoakFault::draw_release(&mut added_random, settings.gateways));
-        for fault in [Some(fault), separation, freeze, flood, kill, release].into_iter().flatten() {
+        let herd_kill =
+            settings.kills_all.then(|| SoakFault::draw_herd_kill(&mut herd_random)).flatten();
+        let added = [separation, freeze, flood, kill, release, herd_kill];
+        for fault in [Some(fault)].into_iter().chain(added).flatten() {
             cluster.apply(&fault);
             faults.push((began.elapsed(), fault));
         }
--- a/crates/soak/src/settings.rs
+++ b/crates/soak/src/settings.rs
@@ -33,6 +33,8 @@
     pub releases_versions: bool,
     /// Whether there are also jobs whose items fail at each run, while more gateways are killed.
     pub fails_items: bool,
+    /// Whether all gateways are killed at once from time to time.
+    pub kills_all: bool,
     /// Whether some requests have a prompt part that crashes targets.
     pub crashes_parts: bool,
     /// Whether two requests that crash targets come again and again, and share prompt parts with sound ones.
@@ -58,6 +60,7 @@
             mixes_versions: false,
             releases_versions: false,
             fails_items: false,
+            kills_all: false,
             crashes_parts: false,
             crashes_requests: false,
             floods_gateways: false,
