Join failures of items by run, whoever saw them and whoever owns the job

What callers saw: items that fail at each run reached targets more often than allowed (BUDGET), as users reported of real processes; which of the ways to that they met isn't known.

Cause: failures were a number. An owner kept what other gateways told of its job for a takeover that never came; a list told later replaced what was known, also by less; two owners' failures were compared instead of added; a run that ended after its job had moved counted nowhere.

Change: each failed run has an id made of the gateway's incarnation and the run's number, so that failures are joined in any order and count once. The owner adopts what it is told and gives up what has no attempt left. A gateway that isn't the owner any more tells all others, and keeps what it knew when it gave the job up.

Two tests named a failed run by nothing; they name one now.

--- a/crates/entry/src/batch/item_run.rs
+++ b/crates/entry/src/batch/item_run.rs
@@ -18,7 +18,7 @@
 use notch_types::prelude::*;
 
 use crate::{
-    batch::takeover,
+    batch::failures,
     constants::{ITEM_FIRST_BYTE, ITEM_STALL},
     node::EntryNode,
     online::lease::{AttemptEvidence, TargetLease},
@@ -37,6 +37,8 @@
 struct RunProgress {
     /// Status that the head of the answer reported.
     status: Option<u16>,
+    /// The failure that the target reported.
+    failure: Option<FailedRun>,
     last_event: Option<u64>,
     data: Vec<u8>,
     events: u64,
@@ -68,15 +70,26 @@
         None => {}
     }
     let fingerprint = stable_hash64(&[start.job.as_bytes(), start.item.id.as_bytes()]);
-    let result = outcome.map(|end| match end {
-        Ok(status) => AttemptResult::Status(status),
-        Err(failure) => AttemptResult::Broken(failure),
-    });
+    let reported = progress.status.filter(|_| progress.failure.is_some());
+    let result = match (reported, outcome) {
+        (Some(status), _) | (None, Some(Ok(status))) => Some(AttemptResult::Status(status)),
+        (None, Some(Err(failure))) => Some(AttemptResult::Broken(failure)),
+        (None, None) => None,
+    };
     let has_begun = progress.events > 0;
     lease.set_evidence(AttemptEvidence { fingerprint, result, has_begun });
     drop(lease);
     note_sound(&node, &start, outcome.as_ref());
-    let mut end = item_end(outcome.as_ref());
+    if progress.failure.is_none()
+        && let Some(Ok(status)) = outcome
+    {
+        note_failure(&node, (run, status), &start, &mut progress);
+    }
+    let mut end = match progress.failure {
+        Some(FailedRun { is_impossible: true, .. }) => ItemEnd::Impossible,
+        Some(run) => ItemEnd::Failed { run },
+        None => item_end(outcome.as_ref()),
+    };
     if has_uncertain_events(&node, &start, &choice, &end) {
         progress.events = 0;
         if end == ItemEnd::Completed {
@@ -120,14 +133,23 @@
         }
         job.end_item(start.index, &end, now);
     }
-    let has_failed = matches!(end, ItemEnd::Failed | ItemEnd::Impossible);
-    let job = registry.table.get(&start.job).filter(|_| has_failed);
-    let failures: Vec<_> = job.and_then(|job| job.failures_of(start.index)).into_iter().collect();
     drop(registry);
-    takeover::tell_failures(&node, &start.job, failures);
     node.runner_wake.notify(usize::MAX);
 }
 
+/// Counts the run if its target reported a failure of the item.
+fn note_failure(
+    node: &EntryNode,
+    (run, status): (u64, u16),
+    start: &ItemStart,
+    progress: &mut RunProgress,
+) {
+    progress.failure = failures::failed_run(node, run, status);
+    if let Some(failed) = progress.failure {
+        failures::note(node, start, failed);
+    }
+}
+
 /// Records that the prompt parts of an item are sound, if a target answered it. That a target crashed under it tells
 /// nothing of its parts: items are sound, and one that met a crash is owed like the others.
 fn note_sound(node: &EntryNode, start: &ItemStart, outcome: Option<&Result<u16, AttemptFailure>>) {
@@ -164,8 +186,6 @@
     match outcome {
         None => ItemEnd::Preempted,
         Some(Ok(200..300)) => ItemEnd::Completed,
-        Some(Ok(422)) => ItemEnd::Impossible,
-        Some(Ok(500)) => ItemEnd::Failed,
         Some(Ok(_)) => ItemEnd::Interrupted,
         Some(Err(failure)) => match failure.verdict() {
             RunVerdict::NotRun => ItemEnd::NotRun,
@@ -222,8 +242,9 @@
             let events = progress.events;
             take_events(&mut buffer, progress)?;
             if progress.data.len() > ITEM_OUTPUT_BYTES {
-                let (status, last_event) = (progress.status, start.last_event);
-                *progress = RunProgress { status, last_event, ..RunProgress::default() };
+                progress.last_event = start.last_event;
+                progress.data.clear();
+                progress.events = 0;
                 return Err(AttemptFailure::SpoiledAnswer);
             }
             if progress.events != events {
--- a/crates/entry/src/batch/job_registry.rs
+++ b/crates/entry/src/batch/job_registry.rs
@@ -320,6 +320,13 @@
         }
     }
 
+    /// Cancels the runs of these items of the job.
+    pub fn cancel_item_runs(&mut self, job: &str, items: &[usize]) {
+        for run in self.runs.values().filter(|run| run.job == job && items.contains(&run.index)) {
+            run.cancel.close();
+        }
+    }
+
     /// Cancels every run at one instance of a target. Returns how many.
     pub fn cancel_runs_at(&mut self, target: &str) -> usize {
         let mut cancelled = 0;
@@ -331,10 +338,11 @@
     }
 
     /// Stops running and storing a job that another gateway owns. Its results so far are cached for
-    /// readers.
-    pub fn give_up_job(&mut self, job: &str) {
+    /// readers, and the failures of its items are kept, as this gateway may take it over again.
+    pub fn give_up_job(&mut self, job: &str, now: MonoTime) {
         self.cancel_runs(job);
         if let Some(owned) = self.table.remove(job) {
+            self.kept_failures.keep(job, &owned.failures(), now);
             self.cache.insert_owned(&owned, false);
         }
     }
--- a/crates/entry/src/batch/kept_failures.rs
+++ b/crates/entry/src/batch/kept_failures.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use notch_relay::prelude::ItemFailures;
+use notch_relay::prelude::*;
 use notch_types::prelude::*;
 
 /// Most items whose failures are kept, about 1 MB.
@@ -25,8 +25,11 @@
 }
 
 impl KeptFailures {
-    /// Keeps the failures of items of `job`. The last ones told of an item count.
-    pub fn keep(&mut self, job: &str, items: Vec<ItemFailures>, now: MonoTime) {
+    /// Keeps failures of items of `job` beside those that are known.
+    pub fn keep(&mut self, job: &str, items: &[ItemFailures], now: MonoTime) {
+        if items.is_empty() {
+            return;
+        }
         if self.items() + items.len() > MAX_ITEMS {
             self.jobs.retain(|_, known| now.since(known.told_at) < RETENTION);
         }
@@ -36,8 +39,25 @@
         let new = || JobFailures { told_at: now, items: Vec::new() };
         let known = self.jobs.entry(job.to_owned()).or_insert_with(new);
         known.told_at = now;
-        known.items.retain(|known| items.iter().all(|told| told.item != known.item));
-        known.items.extend(items);
+        ItemFailures::join_into(&mut known.items, items);
+    }
+
+    /// Counts a failed run of an item of `job`. Returns all failures of the item, unless this one is known.
+    pub fn note(
+        &mut self,
+        job: &str,
+        item: &str,
+        run: FailedRun,
+        now: MonoTime,
+    ) -> Option<ItemFailures> {
+        let known = self.of(job).iter().find(|known| known.item == item);
+        let mut failed = known.map(|known| known.failed.clone()).unwrap_or_default();
+        if !failed.note(run) {
+            return None;
+        }
+        let failures = ItemFailures { item: item.to_owned(), failed };
+        self.keep(job, std::slice::from_ref(&failures), now);
+        Some(failures)
     }
 
     fn items(&self) -> usize {
--- a/crates/entry/src/batch/ownership.rs
+++ b/crates/entry/src/batch/ownership.rs
@@ -157,7 +157,7 @@
     node.log.warn("job_lost", &[("job", &job), ("owner", &owner)]);
     let mut registry = node.jobs();
     let limit = registry.table.get(job).map(|owned| owned.spec().limit_name());
-    registry.give_up_job(job);
+    registry.give_up_job(job, node.clock.mono());
     registry.note_owner(&[job.to_owned()], owner);
     drop(registry);
     if let Some(limit) = limit {
--- a/crates/entry/src/batch/takeover.rs
+++ b/crates/entry/src/batch/takeover.rs
@@ -1,6 +1,6 @@
 //! Takes over jobs whose owner failed or stopped.
 
-use std::{cmp::Reverse, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use async_std::task;
 use notch_messages::prelude::{ListedJobs, PeerMessage};
@@ -30,8 +30,6 @@
 const MAX_LISTED_JOBS: usize = 1_000;
 /// Maximum size of the items of jobs that are taken over after one search. The others are left to the next one.
 const MAX_DUE_BYTES: usize = 4 << 20;
-/// Number of gateways that are told of failures of items: those that would take the job over if one or two are lost.
-const TOLD_SUCCESSORS: usize = 2;
 /// Time that an announcement may take from one gateway to another without a loss of the link.
 const LIST_NEWS_MARGIN: Duration = Duration::from_millis(300);
 
@@ -344,22 +342,8 @@
     node.peers.successor_vms().into_iter().max_by_key(|vm| weight(job, vm))
 }
 
-/// Tells the gateways that would take the job over that items failed. Without that, a new owner would begin to count anew,
-/// and an item that fails at each run would reach targets again with each loss of an owner.
-pub fn tell_failures(node: &EntryNode, job: &str, failures: Vec<ItemFailures>) {
-    if failures.is_empty() {
-        return;
-    }
-    let mut successors = node.peers.successor_vms();
-    successors.sort_by_cached_key(|vm| Reverse(weight(job, vm)));
-    for vm in successors.into_iter().take(TOLD_SUCCESSORS) {
-        let (job, items) = (job.to_owned(), failures.clone());
-        node.peers.send(&vm, PeerMessage::ItemFailures { job, items });
-    }
-}
-
 /// Rendezvous hash weight of a gateway for a job, the same on every gateway.
-fn weight(job: &str, vm: &VmName) -> u64 {
+pub(super) fn weight(job: &str, vm: &VmName) -> u64 {
     stable_hash64(&[job.as_bytes(), vm.as_str().as_bytes()])
 }
 
@@ -408,7 +392,8 @@
     {
         let mut registry = node.jobs();
         owned.adopt_progress(registry.take_progress(id));
-        owned.adopt_failures(&registry.kept_failures.take(id), node.clock.mono());
+        let now = node.clock.mono();
+        owned.adopt_failures(&registry.kept_failures.take(id), now);
         if !registry.own_job(owned) {
             return Ok(());
         }
--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     accounts::{credit, freshness},
-    batch::{ends, limits, retention, runner, takeover},
+    batch::{ends, failures, limits, retention, runner, takeover},
     constants::{EJECTION_TICK, MAX_PEER_MESSAGE_BYTES},
     error::EntryError,
     front::{
@@ -318,13 +318,13 @@
             let progress = owned.map(OwnedJob::progress).unwrap_or_default();
             (progress, owned.map(OwnedJob::failures).unwrap_or_default())
         };
-        takeover::tell_failures(node, job, failures);
+        failures::tell(node, job, failures);
         if let Some(successor) = takeover::preferred_successor(node, job) {
             for items in HeldProgress::fitting(progress, MAX_PEER_MESSAGE_BYTES) {
                 node.peers.send(&successor, PeerMessage::JobProgress { job: job.clone(), items });
             }
         }
-        node.jobs().give_up_job(job);
+        node.jobs().give_up_job(job, node.clock.mono());
     }
     node.peers.broadcast(&PeerMessage::Leaving);
     node.log.info("jobs_left", &[("count", &jobs.len())]);
--- a/crates/entry/src/peers/messages.rs
+++ b/crates/entry/src/peers/messages.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     accounts::{credit, freshness, proof_age::ProofAge},
-    batch::{bodies, ends, limits, ownership, reads, runner, takeover},
+    batch::{bodies, ends, failures, limits, ownership, reads, runner, takeover},
     node::EntryNode,
     online::{
         origin_reply::OriginReply,
@@ -116,7 +116,7 @@
             bodies::receive_body(node, call, is_known, body);
         }
         PeerMessage::ItemFailures { job, items } => {
-            node.jobs().kept_failures.keep(&job, items, node.clock.mono());
+            failures::receive(node, &job, &items);
         }
         PeerMessage::JobProgress { job, items } => node.jobs().keep_progress(&job, items),
         PeerMessage::SuspectCrashed(report) => node.suspects().count_crash(&report),
--- a/crates/entry/tests/item_slots.rs
+++ b/crates/entry/tests/item_slots.rs
@@ -323,7 +323,8 @@
     if has_failed {
         let job = world.registry.table.get_mut("j0").expect("the job is owned");
         job.start_item(0, "v1");
-        job.end_item(0, &ItemEnd::Failed, at(0));
+        let run = FailedRun { id: 1, is_impossible: false };
+        job.end_item(0, &ItemEnd::Failed { run }, at(0));
     }
     let outcome = world.pass(at(5_000));
     assert_eq!(started(&outcome), expected);
--- a/crates/relay/src/jobs.rs
+++ b/crates/relay/src/jobs.rs
@@ -2,6 +2,7 @@
 
 pub mod contact;
 pub mod eviction;
+pub mod failed_runs;
 pub mod held_progress;
 pub mod item_end;
 pub mod item_failures;
--- a/crates/relay/src/jobs/item_end.rs
+++ b/crates/relay/src/jobs/item_end.rs
@@ -1,5 +1,7 @@
 //! Ends of runs of items.
 
+use super::failed_runs::FailedRun;
+
 /// How a run of an item ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ItemEnd {
@@ -8,7 +10,10 @@
     /// The target reported that the item can never succeed.
     Impossible,
     /// The target ran the item and reported a failure.
-    Failed,
+    Failed {
+        /// The run.
+        run: FailedRun,
+    },
     /// The run was interrupted at the target; its progress is kept.
     Interrupted,
     /// The target had no free slot or was not reachable.
--- a/crates/relay/src/jobs/item_progress.rs
+++ b/crates/relay/src/jobs/item_progress.rs
@@ -2,6 +2,8 @@
 
 use notch_types::prelude::*;
 
+use super::failed_runs::FailedRuns;
+
 /// State of an item.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum ItemPhase {
@@ -17,10 +19,8 @@
 #[derive(Debug)]
 pub(super) struct ItemProgress {
     pub(super) phase: ItemPhase,
-    /// Runs that ended in a failure reported by the target.
-    pub(super) failures: u32,
-    /// Whether a target reported that it can never be done.
-    pub(super) is_impossible: bool,
+    /// Runs for which a target reported a failure.
+    pub(super) failed: FailedRuns,
     /// Consecutive runs that were interrupted without an event.
     pub(super) interruptions: u32,
     /// Id of the last event held.
@@ -36,14 +36,7 @@
     pub(super) fn new(listed: bool) -> Self {
         let phase = if listed { ItemPhase::Ended } else { ItemPhase::Waiting(MonoTime::default()) };
         let (version, output) = (String::new(), Vec::new());
-        Self {
-            phase,
-            failures: 0,
-            is_impossible: false,
-            interruptions: 0,
-            last_event: None,
-            version,
-            output,
-        }
+        let failed = FailedRuns::default();
+        Self { phase, failed, interruptions: 0, last_event: None, version, output }
     }
 }
--- a/crates/relay/src/jobs/owned.rs
+++ b/crates/relay/src/jobs/owned.rs
@@ -184,7 +184,7 @@
 
     /// Whether a target has run an item and reported a failure.
     pub fn has_failed(&self, index: usize) -> bool {
-        self.items[index].failures > 0
+        self.items[index].failed.count > 0
     }
 
     /// Time left until the job is due after a run of an item that begins at `now`, milliseconds;
@@ -262,7 +262,9 @@
 
     /// Handles the end of a run of an item.
     pub fn end_item(&mut self, index: usize, end: &ItemEnd, now: MonoTime) {
-        let attempts = self.spec.terms.max_attempts;
+        if let ItemEnd::Failed { run } = end {
+            self.note_failure(index, *run, now);
+        }
         let item = &mut self.items[index];
         if item.phase == ItemPhase::Ended {
             return;
@@ -273,17 +275,10 @@
                 self.finish(index, ItemState::Completed, output, now);
             }
             ItemEnd::Impossible => {
-                item.is_impossible = true;
+                item.failed.is_impossible = true;
                 self.finish(index, ItemState::GivenUp, Vec::new(), now);
             }
-            ItemEnd::Failed => {
-                item.failures += 1;
-                if item.failures >= attempts {
-                    self.finish(index, ItemState::GivenUp, Vec::new(), now);
-                } else {
-                    item.phase = ItemPhase::Waiting(now + RETRY_PAUSE);
-                }
-            }
+            ItemEnd::Failed { .. } => item.phase = ItemPhase::Waiting(now + RETRY_PAUSE),
             ItemEnd::Interrupted => {
                 let doublings = item.interruptions.min(MAX_DOUBLINGS);
                 item.interruptions += 1;
--- a/crates/relay/src/jobs/owned/handover.rs
+++ b/crates/relay/src/jobs/owned/handover.rs
@@ -4,8 +4,8 @@
 
 use super::OwnedJob;
 use crate::jobs::{
-    held_progress::HeldProgress, item_failures::ItemFailures, item_progress::ItemPhase,
-    result::ItemState,
+    failed_runs::FailedRun, held_progress::HeldProgress, item_failures::ItemFailures,
+    item_progress::ItemPhase, result::ItemState,
 };
 
 impl OwnedJob {
@@ -35,15 +35,26 @@
         }
     }
 
+    /// Counts a run for which a target reported a failure, before the run has ended. An item without an attempt left is given
+    /// up. Returns all failures of the item, unless this one is known or the item has ended.
+    pub fn note_failure(
+        &mut self,
+        index: usize,
+        run: FailedRun,
+        now: MonoTime,
+    ) -> Option<ItemFailures> {
+        if self.item_ended(index) || !self.items[index].failed.note(run) {
+            return None;
+        }
+        self.give_up_exhausted(index, now);
+        self.failures_of(index)
+    }
+
     /// Failures of an item that targets reported; `None` if there were none.
     pub fn failures_of(&self, index: usize) -> Option<ItemFailures> {
-        let progress = &self.items[index];
+        let failed = &self.items[index].failed;
         let item = || self.spec.items[index].id.clone();
-        (progress.failures > 0 || progress.is_impossible).then(|| ItemFailures {
-            item: item(),
-            count: progress.failures,
-            is_impossible: progress.is_impossible,
-        })
+        (!failed.is_empty()).then(|| ItemFailures { item: item(), failed: failed.clone() })
     }
 
     /// Failures of all items.
@@ -51,21 +62,29 @@
         (0..self.items.len()).filter_map(|index| self.failures_of(index)).collect()
     }
 
-    /// Adopts failures that an earlier owner saw. Items without an attempt left are given up.
-    pub fn adopt_failures(&mut self, failures: &[ItemFailures], now: MonoTime) {
-        for ItemFailures { item, count, is_impossible } in failures {
+    /// Adopts failures that other gateways saw. Items without an attempt left are given up. Returns their indices.
+    pub fn adopt_failures(&mut self, failures: &[ItemFailures], now: MonoTime) -> Vec<usize> {
+        let mut given_up = Vec::new();
+        for ItemFailures { item, failed } in failures {
             let Some(index) = self.spec.items.iter().position(|known| known.id == *item) else {
                 continue;
             };
-            let progress = &mut self.items[index];
-            if progress.phase == ItemPhase::Ended {
+            if self.item_ended(index) {
                 continue;
             }
-            progress.failures = progress.failures.max(*count);
-            progress.is_impossible |= *is_impossible;
-            if progress.is_impossible || progress.failures >= self.spec.terms.max_attempts {
-                self.finish(index, ItemState::GivenUp, Vec::new(), now);
+            self.items[index].failed.join(failed);
+            if self.give_up_exhausted(index, now) {
+                given_up.push(index);
             }
         }
+        given_up
+    }
+
+    fn give_up_exhausted(&mut self, index: usize, now: MonoTime) -> bool {
+        let is_exhausted = self.items[index].failed.exhausts(self.spec.terms.max_attempts);
+        if is_exhausted {
+            self.finish(index, ItemState::GivenUp, Vec::new(), now);
+        }
+        is_exhausted
     }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -63,6 +63,7 @@
                 AbsenceVote, EvictionCandidate, EvictionOutcome, EvictionVerdict, FleetView,
                 GatewayEviction, OwnEntryGuard, PeerAbsence,
             },
+            failed_runs::{FailedRun, FailedRuns},
             held_progress::HeldProgress,
             item_end::ItemEnd,
             item_failures::ItemFailures,
--- a/crates/relay/tests/jobs.rs
+++ b/crates/relay/tests/jobs.rs
@@ -152,14 +152,18 @@
     assert!(!is_confirmed(&jobs));
 }
 
+fn failed(run: u64) -> ItemEnd {
+    ItemEnd::Failed { run: FailedRun { id: run, is_impossible: false } }
+}
+
 #[test]
 fn an_item_is_given_up_after_its_last_attempt() {
     let mut job = job(1);
     job.start_item(0, "v1");
-    job.end_item(0, &ItemEnd::Failed, at(0));
+    job.end_item(0, &failed(1), at(0));
     assert!(!job.item_ended(0));
     job.start_item(0, "v1");
-    job.end_item(0, &ItemEnd::Failed, at(500));
+    job.end_item(0, &failed(2), at(500));
     let write = job.take_pending(DELAY, BYTES, at(500)).expect("the job is complete");
     assert_eq!(write.lines[0].state, ItemState::GivenUp);
 }
