Count the failure of an item when its head is read

Cause: the status of an answer was looked at only after its whole body. A failure whose body was cut, reset, withheld or longer than a second, or whose run was preempted or cancelled behind the head, ended as an interruption, which is retried without a count.

Class: what a run tells was kept until its end, and lost with an end of another kind.

Change: a failure whose head bears the target's proof is counted and told at once, and the run ends as that failure however the rest arrives. Without the proof the whole answer is needed, as before.

Evidence: a_failure_counts_however_its_answer_ends fails in 4 of 4 cases before and passes now.

--- a/crates/entry/src/batch/item_run.rs
+++ b/crates/entry/src/batch/item_run.rs
@@ -10,7 +10,7 @@
 };
 use notch_h1::prelude::*;
 use notch_platform_wire::{
-    prelude::RelayTerms,
+    prelude::{AnswerHeaders, RelayTerms},
     target::{item_prompt, item_request},
 };
 use notch_relay::prelude::*;
@@ -37,7 +37,7 @@
 struct RunProgress {
     /// Status that the head of the answer reported.
     status: Option<u16>,
-    /// The failure that the target reported.
+    /// The failure that the target reported. Known with the head: it is counted, whatever becomes of the body.
     failure: Option<FailedRun>,
     last_event: Option<u64>,
     data: Vec<u8>,
@@ -56,7 +56,7 @@
     let mut progress = RunProgress { last_event: start.last_event, ..RunProgress::default() };
     let mut lease = TargetLease::new(&node, &choice, WorkKind::Batch);
     let outcome = {
-        let running = run_at(&node, &start, &choice, &mut progress);
+        let running = run_at(&node, run, &start, &choice, &mut progress);
         let cancelled = cancel.recv();
         pin_mut!(running, cancelled);
         match select(running, cancelled).await {
@@ -197,6 +197,7 @@
 /// Exchanges the request with the target. Returns the status of a complete answer.
 async fn run_at(
     node: &EntryNode,
+    run: u64,
     start: &ItemStart,
     choice: &TargetChoice,
     progress: &mut RunProgress,
@@ -216,6 +217,9 @@
     let bytes = item_request(&start.item, &start.host, terms);
     let head = connection.exchange(&bytes, Some(&start.item.id), ITEM_FIRST_BYTE).await?;
     progress.status = Some(head.status);
+    if AnswerHeaders::decode(&head).is_sealed {
+        note_failure(node, (run, head.status), start, progress);
+    }
     node.targets().note_alive(&choice.id);
     let framing = head.framing().map_err(|_| AttemptFailure::SpoiledAnswer)?;
     let mut body = BodyProgress::new(framing);
