Record failures of items in the store

Cause: what must last was not in the platform's store.

Change: each failure is added to an object of the job's name (notch-item-failures): one call for the first, two for a later one, joined by run ids, conditional on what is there, at most one write per 100 ms and gateway, nothing for jobs without failures. Whoever takes a job over reads it, one call more for each job taken over. Old records are deleted with old jobs: one list a minute and gateway that follows the store.

Evidence: a_new_owner_counts_the_recorded_failures fails in 2 of 2 cases with the reading taken out; the_failures_of_an_item_are_recorded found no object before.

--- a/crates/entry/src/batch.rs
+++ b/crates/entry/src/batch.rs
@@ -7,6 +7,7 @@
 pub mod commits;
 pub mod deadline_admission;
 pub mod ends;
+pub mod failure_records;
 pub mod failures;
 pub mod intake;
 pub mod item_run;
--- a/crates/entry/src/batch/failures.rs
+++ b/crates/entry/src/batch/failures.rs
@@ -1,7 +1,7 @@
-//! Failures of items: counted, and told to other gateways.
+//! Failures of items: counted as soon as a target reports them, told to other gateways, and recorded in the store.
 //!
 //! How a run ends afterwards, and who owns the job by then, changes nothing: each failed run has an id, so that what several
-//! gateways know of an item can be joined.
+//! gateways and the store know of an item can be joined.
 
 use std::cmp::Reverse;
 
@@ -49,6 +49,7 @@
             ("is_owned", &is_owned),
         ],
     );
+    node.failure_records.add(job, std::slice::from_ref(&failures));
     if is_owned {
         tell(node, job, vec![failures]);
     } else {
--- a/crates/entry/src/batch/retention.rs
+++ b/crates/entry/src/batch/retention.rs
@@ -11,6 +11,7 @@
 
 use crate::{
     batch::{
+        failure_records,
         records::{StoredJob, delete_job, read_end},
         stored_jobs::visit_jobs,
         takeover::is_preferred_successor,
@@ -28,13 +29,18 @@
         if node.watch.is_watching() && !node.stop.is_stopping() {
             // If the store does not answer, the next pass tries again.
             let _ = delete_once(&node).await;
+            let _ = failure_records::delete_old(&node, retention(&node)).await;
         }
     }
 }
 
+/// How long jobs are kept.
+fn retention(node: &EntryNode) -> Duration {
+    node.store.settings().result_lifetime + RETENTION_MARGIN
+}
+
 fn drop_done_jobs(node: &EntryNode) {
-    let kept = node.store.settings().result_lifetime + RETENTION_MARGIN;
-    node.jobs().forget_done(node.clock.mono() - kept);
+    node.jobs().forget_done(node.clock.mono() - retention(node));
 }
 
 /// Deletes the expired jobs for which this gateway is the preferred successor. Returns how many
@@ -43,7 +49,7 @@
 /// # Errors
 /// The store did not answer.
 pub async fn delete_once(node: &EntryNode) -> Result<usize, StoreFailure> {
-    let kept = node.store.settings().result_lifetime + RETENTION_MARGIN;
+    let kept = retention(node);
     let mut expired = Vec::new();
     let visit = |job: StoredJob| {
         if is_expired(&job, kept, node.clock.wall()) {
--- a/crates/entry/src/batch/takeover.rs
+++ b/crates/entry/src/batch/takeover.rs
@@ -10,7 +10,7 @@
 use crate::{
     batch::{
         closing::close_completed_job,
-        limits, ownership,
+        failure_records, limits, ownership,
         records::{StoredJob, read_end, read_job, read_spec, take_job},
         result_objects::fence_results,
         stored_jobs::visit_jobs,
@@ -384,6 +384,7 @@
         return Ok(());
     }
     check_registration(node, id).await?;
+    let failures = failure_records::read(node, id).await?;
     let listed = list.lines.len();
     let mut owned = OwnedJob::new(spec, list.lines, node.clock.now());
     owned.set_fences(list.fences);
@@ -393,6 +394,7 @@
         let mut registry = node.jobs();
         owned.adopt_progress(registry.take_progress(id));
         let now = node.clock.mono();
+        owned.adopt_failures(&failures, now);
         owned.adopt_failures(&registry.kept_failures.take(id), now);
         if !registry.own_job(owned) {
             return Ok(());
--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     accounts::{credit, freshness},
-    batch::{ends, failures, limits, retention, runner, takeover},
+    batch::{ends, failure_records, failures, limits, retention, runner, takeover},
     constants::{EJECTION_TICK, MAX_PEER_MESSAGE_BYTES},
     error::EntryError,
     front::{
@@ -130,6 +130,7 @@
     task::spawn(freshness::keep_fresh(Arc::clone(node)));
     task::spawn(freshness::confirm_on_demand(Arc::clone(node)));
     task::spawn(refusal_records::keep_records(Arc::clone(node)));
+    task::spawn(failure_records::keep_records(Arc::clone(node)));
     task::spawn(version_records::keep_records(Arc::clone(node)));
     task::spawn(retention::delete_old_jobs(Arc::clone(node)));
     task::spawn(retirements::answer_retirements(Arc::clone(node)));
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -19,7 +19,8 @@
 use crate::{
     accounts::state::AccountState,
     batch::{
-        job_registry::JobRegistry, limit_registry::LimitRegistry, read_latency::ReadLatencies,
+        failure_records::FailureRecords, job_registry::JobRegistry, limit_registry::LimitRegistry,
+        read_latency::ReadLatencies,
     },
     clock::NodeClock,
     constants::{FIRST_LIST_TIMEOUT, PEER_STATE_TIMEOUT, STORE_WATCHERS},
@@ -103,6 +104,8 @@
     pub confirmation_wanted: Event,
     /// Changes of refusals of requests that are to be recorded.
     pub refusal_records: RefusalRecords,
+    /// Failures of items that are to be recorded.
+    pub failure_records: FailureRecords,
     /// What is known of the records of software versions.
     pub version_records: VersionRecords,
     /// When the view of the targets was confirmed.
@@ -173,6 +176,7 @@
             target_restarts: Event::new(),
             confirmation_wanted: Event::new(),
             refusal_records: RefusalRecords::default(),
+            failure_records: FailureRecords::default(),
             version_records: VersionRecords::default(),
             target_confirmation: TargetConfirmation::default(),
             is_verifying: AtomicBool::new(false),
--- a/crates/entry/src/store/call_cause.rs
+++ b/crates/entry/src/store/call_cause.rs
@@ -5,7 +5,8 @@
 use crate::{
     peers::registration::GATEWAY_KIND,
     store::object_kinds::{
-        END_KIND, JOB_KIND, PART_KIND, REFUSAL_KIND, RESULT_KIND, SHARE_KIND, VERSION_KIND,
+        END_KIND, FAILURE_KIND, JOB_KIND, PART_KIND, REFUSAL_KIND, RESULT_KIND, SHARE_KIND,
+        VERSION_KIND,
     },
 };
 
@@ -50,6 +51,8 @@
     TargetsConfirmed,
     /// Recording which software versions targets have, or reading the record.
     VersionsRecorded,
+    /// Recording failures of items, or reading the record.
+    FailuresRecorded,
     /// Recording requests that are refused, or reading the records.
     Refusals,
     /// Forwarding a call for another gateway.
@@ -58,7 +61,7 @@
 
 impl StoreCallCause {
     /// Every cause, in the order of its value.
-    pub const ALL: [Self; 21] = [
+    pub const ALL: [Self; 22] = [
         Self::Watch,
         Self::List,
         Self::Registration,
@@ -78,6 +81,7 @@
         Self::OwnEntryChecked,
         Self::TargetsConfirmed,
         Self::VersionsRecorded,
+        Self::FailuresRecorded,
         Self::Refusals,
         Self::ForAnother,
     ];
@@ -104,6 +108,7 @@
             Self::OwnEntryChecked => "own_entry_checked",
             Self::TargetsConfirmed => "targets_confirmed",
             Self::VersionsRecorded => "versions_recorded",
+            Self::FailuresRecorded => "failures_recorded",
             Self::Refusals => "refusals",
             Self::ForAnother => "for_another",
         }
@@ -133,6 +138,8 @@
     LimitShares,
     /// Records of software versions.
     Versions,
+    /// Records of failures of items.
+    Failures,
     /// Records of refused requests.
     Refusals,
     /// Any other kind.
@@ -153,6 +160,7 @@
             END_KIND => Self::JobEnd,
             SHARE_KIND => Self::LimitShares,
             VERSION_KIND => Self::Versions,
+            FAILURE_KIND => Self::Failures,
             REFUSAL_KIND => Self::Refusals,
             _ => Self::Other,
         }
@@ -171,6 +179,7 @@
             Self::JobEnd => "job_end",
             Self::LimitShares => "limit_shares",
             Self::Versions => "versions",
+            Self::Failures => "item_failures",
             Self::Refusals => "refusals",
             Self::Other => "other",
         }
--- a/crates/entry/src/store/object_kinds.rs
+++ b/crates/entry/src/store/object_kinds.rs
@@ -1,4 +1,4 @@
-//! Kinds of objects in the store that belong to jobs, limits, versions and refusals.
+//! Kinds of objects in the store that belong to jobs, limits, versions, failures and refusals.
 
 /// Kind of jobs. Each object is named after the job's id.
 pub const JOB_KIND: &str = "notch-jobs";
@@ -12,6 +12,8 @@
 pub const END_KIND: &str = "notch-job-ends";
 /// Kind of the objects that hold the shares of a limit. Each object is named after its route.
 pub const SHARE_KIND: &str = "notch-limit-shares";
+/// Kind of the records of items that failed. Each object is named after its job.
+pub const FAILURE_KIND: &str = "notch-item-failures";
 /// Kind of the records of software versions. Each object is named after its service.
 pub const VERSION_KIND: &str = "notch-versions";
 /// Kind of the records of requests that are refused because they crash targets. Each object is named after the
