Bound the outputs of items that targets write without end

Other operators reported a target that sends without end until its caller runs out of memory, and with it the requests of all clients there.

Cause: a run of an item kept up to 8 MB of whole events outside the memory budget, so that some thirty runs at a gateway hold more than its VM has; what a run had written before it broke off was kept with the item, and each further run added to it without a bound.

Change: from 128 KB on, a run's output counts towards the memory budget, and the run ends as spoiled where that doesn't suffice. An item whose run ended early keeps 256 KB at most, and starts anew beyond that. What a whole run wrote is kept as before.

The relay's test checks the held output; it was not run without the change. The memory of a process under many such runs was not measured.

--- a/crates/entry/src/batch/item_run.rs
+++ b/crates/entry/src/batch/item_run.rs
@@ -32,6 +32,9 @@
 /// Maximum output of one run of an item; what is longer is no answer, and is dropped.
 const ITEM_OUTPUT_BYTES: usize = 8 << 20;
 
+/// Output of a run up to which it isn't counted towards the memory budget: far more than items usually have.
+const UNCOUNTED_OUTPUT_BYTES: usize = 128 << 10;
+
 /// What a run has produced so far.
 #[derive(Debug, Default)]
 struct RunProgress {
@@ -224,6 +227,8 @@
     let framing = head.framing().map_err(|_| AttemptFailure::SpoiledAnswer)?;
     let mut body = BodyProgress::new(framing);
     let mut buffer = EventBuffer::after(progress.last_event, &node.memory);
+    let mut held = node.memory.hold(MemoryUse::TargetAnswer);
+    let mut counted = UNCOUNTED_OUTPUT_BYTES;
     let mut pace = node.stream_pace(&choice.id);
     let mut waiting_since = node.clock.mono();
     loop {
@@ -245,7 +250,9 @@
             buffer.push(&part)?;
             let events = progress.events;
             take_events(&mut buffer, progress)?;
-            if progress.data.len() > ITEM_OUTPUT_BYTES {
+            let more = progress.data.len().saturating_sub(counted);
+            counted += more;
+            if progress.data.len() > ITEM_OUTPUT_BYTES || (more > 0 && !held.grow(more)) {
                 progress.last_event = start.last_event;
                 progress.data.clear();
                 progress.events = 0;
--- a/crates/relay/src/jobs/owned.rs
+++ b/crates/relay/src/jobs/owned.rs
@@ -39,6 +39,9 @@
 /// Remaining lifetime below which an item runs before others even if it is late, since it would
 /// otherwise be given up without a run.
 const EXPIRY_PRIORITY_WINDOW: Duration = Duration::from_secs(10);
+/// Largest output that is held of an item whose run ended early. Its next run starts anew otherwise: targets that write
+/// without end would fill the memory of the gateway with what they wrote for many items.
+const MAX_HELD_OUTPUT: usize = 256 << 10;
 /// Divisor of an item's expected run time if it has progress already.
 const PROGRESS_DIVISOR: u32 = 2;
 /// Added to an item's lifetime before it is given up, to allow for differing wall clocks of two
@@ -269,6 +272,10 @@
         if item.phase == ItemPhase::Ended {
             return;
         }
+        if *end != ItemEnd::Completed && item.output.len() > MAX_HELD_OUTPUT {
+            item.last_event = None;
+            item.output = Vec::new();
+        }
         match end {
             ItemEnd::Completed => {
                 let output = std::mem::take(&mut item.output);
--- a/crates/relay/tests/jobs.rs
+++ b/crates/relay/tests/jobs.rs
@@ -339,3 +339,20 @@
     assert!(starts.len() < 40, "{} runs", starts.len());
     assert!(at(18_000).since(*starts.last().expect("runs")) < Duration::from_millis(500));
 }
+
+/// Guards against targets that write without end and fill a gateway's memory with the output of interrupted items.
+#[test]
+fn the_output_held_of_an_interrupted_item_is_bounded() {
+    let mut job = job(1);
+    for (bytes, held) in [(100 << 10, Some(1)), (100 << 10, Some(1)), (100 << 10, None)] {
+        job.start_item(0, "v1");
+        job.add_progress(0, 1, &vec![b'x'; bytes]);
+        job.end_item(0, &ItemEnd::Interrupted, at(0));
+        assert_eq!(job.progress().first().map(|held| held.last_event), held);
+    }
+    job.start_item(0, "v1");
+    job.add_progress(0, 1, &vec![b'x'; 300 << 10]);
+    job.end_item(0, &ItemEnd::Completed, at(0));
+    let write = job.take_pending(DELAY, 1 << 20, at(0)).expect("the job is complete");
+    assert_eq!(write.lines[0].output.len(), 300 << 10, "a whole output is kept");
+}
