--- a/crates/entry/tests/soak_options.rs
+++ b/crates/entry/tests/soak_options.rs
@@ -70,6 +70,16 @@
     run_with_logs(SoakSettings { seed: 13, fails_items: true, folder, ..SoakSettings::default() });
 }
 
+/// Guards against items that fail at each run and are tried again and again, as their failures break off or all gateways are
+/// lost that counted them.
+#[test]
+fn a_soak_with_failing_items_keeps_their_bound_when_all_gateways_are_lost() {
+    let folder = PathBuf::from("soak-failing-lost");
+    let settings = SoakSettings { fails_items: true, kills_all: true, ..SoakSettings::default() };
+    let logs = run_with_logs(SoakSettings { gateways: 4, targets: 18, folder, ..settings });
+    assert!(logs.contains("event=item_failure_counted"), "items failed");
+}
+
 /// Guards against requests that crash target after target while gateways are killed, stopped and frozen.
 #[test]
 fn a_soak_with_a_crashing_prompt_part_crashes_few_targets() {
