Drop a record of failures that can't be read instead of trying for ever

What callers saw: nothing; found by reading the change. A record whose bytes can't be read would have been asked for again without end, and held up the records of other jobs at that gateway.

Cause: the answer to a write was taken for not done where it can't be read. Change: it is given up and logged (failures_not_recorded); the gateways still know the failures. No test of its own.

--- a/crates/entry/src/batch/failure_records.rs
+++ b/crates/entry/src/batch/failure_records.rs
@@ -106,7 +106,8 @@
     if created.is_success() {
         return Ok(());
     }
-    let known: StoreObject = decode(&created.body).map_err(|_| StoreFailure::NotDone)?;
+    // Another try would find the same bytes.
+    let known: StoreObject = decode(&created.body).map_err(|_| StoreFailure::Refused)?;
     record.items = recorded(&known);
     if !ItemFailures::join_into(&mut record.items, items) {
         return Ok(());
