--- a/crates/relay/src/jobs/failed_runs.rs
+++ b/crates/relay/src/jobs/failed_runs.rs
@@ -31,7 +31,7 @@
     pub count: u32,
     /// Whether a target reported that the item can never be done.
     pub is_impossible: bool,
-    /// Their ids. Invariant: distinct, at most [`MAX_NAMED`].
+    /// Their ids. Invariant: distinct, few, as items have few attempts.
     #[serde(default)]
     pub runs: Vec<u64>,
 }
