Name a version of the targets only when all changes up to it are applied

Cause: a gateway that regains the store keeps ready targets whose entries are missing for 2.2 s, as they may only have expired. While a removal waited so, it named the version of later changes as known, to others and for itself. Who was brought to that version by it never asked for the removal, and gateways that had applied it took it for known there. Class: a version says that all changes up to it are applied, not that the highest one is.

Ruled out: a starved gateway (it applied other changes up to revision 751), a request placed before (its client sent it 4.4 s after the removal).

Change: the version rises when a whole list, answer of a watch or message is applied, and stays before a removal that waits. Changes behind it are passed on as before. The removals of a watch's answer no longer raise it before the changes between are applied: the same class.

Tests: a_removal_that_waits_at_one_gateway_is_learned_from_another and the convergence of gateways, now with a second follower at which removals wait, fail with the new bound taken out. Tests that name versions now record them; no assertion is changed.

--- a/crates/entry/src/batch/ends.rs
+++ b/crates/entry/src/batch/ends.rs
@@ -88,7 +88,7 @@
             }
         }
         FeedEvent::Changed { object } => apply_job_end(&node, &object.metadata.name, "store"),
-        FeedEvent::Deleted { .. } => {}
+        FeedEvent::Deleted { .. } | FeedEvent::Complete { .. } => {}
     })
     .await;
 }
--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -176,7 +176,7 @@
         let (objects, listed) = match &event {
             FeedEvent::Snapshot { objects, asked, .. } => (objects.as_slice(), Some(*asked)),
             FeedEvent::Changed { object } => (std::slice::from_ref(*object), None),
-            FeedEvent::Deleted { .. } => (&[][..], None),
+            FeedEvent::Deleted { .. } | FeedEvent::Complete { .. } => (&[][..], None),
         };
         for spec in objects.iter().filter_map(|object| object.spec.as_ref()) {
             let version = node.take_configuration(spec, "store");
--- a/crates/entry/src/node/targets.rs
+++ b/crates/entry/src/node/targets.rs
@@ -47,6 +47,10 @@
                 let id = &object.metadata.name;
                 feed.remove(id, as_of, expiry_grace_until, now).into_iter().collect()
             }
+            FeedEvent::Complete { as_of } => {
+                feed.note_complete(as_of);
+                Vec::new()
+            }
         };
         let revision = feed.revision();
         drop(feed);
--- a/crates/entry/src/peers/links.rs
+++ b/crates/entry/src/peers/links.rs
@@ -62,6 +62,7 @@
                 let vm = VmName::new(&object.metadata.name);
                 node.peers.roster().remove(&vm, as_of).into_iter().collect()
             }
+            FeedEvent::Complete { .. } => return,
         };
         apply_roster_changes(&node, changes);
     })
--- a/crates/entry/src/peers/pushes.rs
+++ b/crates/entry/src/peers/pushes.rs
@@ -75,7 +75,7 @@
     let text = text.filter(|(version, _)| *version > versions.configuration);
     let mut configuration = text.map(|(_, text)| Payload::from(&*text));
     let feed = node.target_feed();
-    let is_newer = versions.targets == 0 || feed.known_since() > versions.targets;
+    let is_newer = versions.targets == 0 || feed.revision() > versions.targets;
     let parts = if is_newer { feed.changes_since(versions.targets) } else { Vec::new() };
     drop(feed);
     if parts.is_empty() {
--- a/crates/entry/src/retirements.rs
+++ b/crates/entry/src/retirements.rs
@@ -45,6 +45,7 @@
         FeedEvent::Deleted { object, .. } => {
             lock(&answered).remove(&object.metadata.name);
         }
+        FeedEvent::Complete { .. } => {}
     })
     .await;
 }
--- a/crates/entry/src/store/feed.rs
+++ b/crates/entry/src/store/feed.rs
@@ -303,6 +303,10 @@
                 FeedEvent::Changed { object }
             });
         }
+        if let Some(last) = page.events.entries.last() {
+            let as_of = if last.deleted { revision } else { last.object.metadata.revision };
+            on_event(FeedEvent::Complete { as_of });
+        }
         // Without changes, the store waited until the end.
         let waited = if page.events.is_empty() { wait } else { Duration::ZERO };
         plan.note_answer(store, store.now().min(asked + waited));
--- a/crates/entry/src/store/feed_event.rs
+++ b/crates/entry/src/store/feed_event.rs
@@ -27,4 +27,9 @@
         /// A revision of the store at which the object was gone.
         as_of: u64,
     },
+    /// All changes up to a revision have been passed on.
+    Complete {
+        /// The revision.
+        as_of: u64,
+    },
 }
--- a/crates/entry/src/store/target.rs
+++ b/crates/entry/src/store/target.rs
@@ -82,6 +82,8 @@
     until: MonoTime,
     /// Revision at which the entry was missing.
     as_of: u64,
+    /// Revision up to which all changes were known before.
+    known_to: u64,
 }
 
 /// A change of the table of targets.
@@ -116,6 +118,8 @@
     unreadable: FastMap<String, u64>,
     /// Highest revision of any change applied.
     revision: u64,
+    /// Every change up to this revision has arrived. Those of `lapsing` are not applied yet.
+    complete_to: u64,
     /// Whether a complete list was applied.
     is_whole: bool,
     /// Every change after this revision is known here, including removals.
@@ -196,7 +200,8 @@
         if now < expiry_grace_until && entry.state == TargetState::Ready {
             // The entry keeps its revision. Passed on with a newer one, it would bring the target
             // back on gateways that know it has left.
-            let missing = LapsingEntry { until: expiry_grace_until, as_of };
+            let known_to = self.complete_to;
+            let missing = LapsingEntry { until: expiry_grace_until, as_of, known_to };
             self.lapsing.entry(name.to_owned()).or_insert(missing);
             return None;
         }
@@ -229,28 +234,39 @@
         for name in missing {
             changes.extend(self.remove(&name, as_of, expiry_grace_until, now));
         }
-        // Other gateways may know more about an entry that is missing here after an outage.
-        if self.lapsing.is_empty() {
-            self.revision = self.revision.max(as_of);
-        }
+        self.note_complete(as_of);
         changes
     }
 
+    /// Records that every change up to a revision has arrived.
+    pub fn note_complete(&mut self, as_of: u64) {
+        self.complete_to = self.complete_to.max(as_of);
+        self.revision = self.revision.max(as_of);
+    }
+
     /// Removes missing entries whose grace period after an outage is over.
     pub fn expire(&mut self, now: MonoTime) -> Vec<TargetChange> {
         let over = self.lapsing.iter().filter(|(_, missing)| missing.until <= now);
         let over: Vec<(String, u64)> =
             over.map(|(name, missing)| (name.clone(), missing.as_of)).collect();
-        let gone = over
-            .into_iter()
-            .filter_map(|(name, as_of)| self.remove(&name, as_of, MonoTime::default(), now));
+        let gone = over.into_iter().filter_map(|(name, as_of)| {
+            self.lapsing.remove(&name);
+            self.remove(&name, as_of, MonoTime::default(), now)
+        });
         gone.collect()
     }
 
-    /// Revision since which another gateway should send changes; 0 before a complete list was
-    /// applied.
+    /// Revision since which another gateway should send changes: every change up to it is applied. 0 before a complete list
+    /// was applied.
     pub fn known_since(&self) -> u64 {
-        if self.is_whole { self.revision } else { 0 }
+        if self.is_whole { self.known_to() } else { 0 }
+    }
+
+    /// Revision up to which every change is applied. Other gateways may have applied a removal that waits here, and one
+    /// that was told of a later revision would not ask them for it.
+    fn known_to(&self) -> u64 {
+        let lapsing = self.lapsing.values().map(|missing| missing.known_to).min();
+        lapsing.map_or(self.complete_to, |known_to| known_to.min(self.complete_to))
     }
 
     /// Digest of the present entries, independent of the order in which they arrived.
@@ -307,7 +323,7 @@
             entries.into_iter().filter_map(|(entry, revision)| self.put(entry, revision)).collect();
         let removed = gone.into_iter().filter_map(|gone| self.apply_removal(gone, now));
         applied.extend(removed);
-        self.revision = self.revision.max(complete.as_of);
+        self.note_complete(complete.as_of);
         applied
     }
 
@@ -339,7 +355,7 @@
         let (mut entries, mut gone) = (entries.into_iter(), gone.into_iter());
         let parts = (0..count).map(|part| TargetChanges {
             since,
-            as_of: self.revision,
+            as_of: self.known_to(),
             part: part as u32,
             is_last: part + 1 == count,
             entries: entries.by_ref().take(MAX_PART_ENTRIES).collect(),
--- a/crates/entry/tests/target_feed.rs
+++ b/crates/entry/tests/target_feed.rs
@@ -133,6 +133,7 @@
     cut_off.put(entry("t1"), 7);
     in_touch.put(entry("t1"), 7);
     in_touch.remove("t1", 86, NO_GRACE, NOW);
+    in_touch.note_complete(86);
     cut_off.apply_list(Vec::new(), 89, GRACE_END, NOW);
     let messages = cut_off.changes_since(in_touch.known_since());
     assert_eq!(apply_all(&mut in_touch, messages), []);
@@ -148,6 +149,29 @@
     assert_eq!(changes, [TargetChange::Remove("t1".to_owned())]);
 }
 
+/// Guards against requests to a target long after it left: a gateway was told of later changes by one at which the removal
+/// waited, and never asked the others for it.
+#[test]
+fn a_removal_that_waits_at_one_gateway_is_learned_from_another() {
+    let mut feeds = [whole_feed(), whole_feed(), whole_feed()];
+    for feed in &mut feeds {
+        feed.put(entry("t1"), 7);
+        feed.note_complete(7);
+    }
+    let [regained, in_touch, follower] = &mut feeds;
+    for (feed, grace) in [(&mut *regained, GRACE_END), (&mut *in_touch, NO_GRACE)] {
+        feed.remove("t1", 9, grace, NOW);
+        feed.put(entry("t2"), 11);
+        feed.note_complete(11);
+    }
+    let told = apply_all(follower, regained.changes_since(follower.known_since()));
+    assert_eq!(told, [TargetChange::Put(entry("t2"))], "what is new is passed on at once");
+    assert!(follower.known_since() < in_touch.known_since(), "the lower revision makes it ask");
+    let learned = apply_all(follower, in_touch.changes_since(follower.known_since()));
+    assert!(learned.contains(&TargetChange::Remove("t1".to_owned())), "{learned:?}");
+    assert_eq!(follower.known_since(), in_touch.known_since());
+}
+
 /// Guards against a version of a target's software that a gateway misses for good: it missed the change of an entry, and
 /// its digest was the same as that of the others.
 #[test]
--- a/crates/entry/tests/target_propagation.rs
+++ b/crates/entry/tests/target_propagation.rs
@@ -18,6 +18,9 @@
 use rstest::rstest;
 
 const NO_GRACE: MonoTime = MonoTime(0);
+const GRACE_END: MonoTime = MonoTime(1_000);
+/// Number of gateways that follow the store in steps of changes; the first is their source.
+const FOLLOWERS: usize = 2;
 const GATEWAYS: usize = 300;
 const TARGETS: u64 = 3_000;
 
@@ -65,6 +68,7 @@
     let mut gateways: Vec<TargetFeed> = (1..GATEWAYS).map(|_| filled_feed(TARGETS)).collect();
     let since = follower.known_since();
     follower.put(entry(7, TargetState::Draining), TARGETS + 1);
+    follower.note_complete(TARGETS + 1);
     let parts = follower.changes_since(since);
     let largest = parts.iter().map(encoded_bytes).max().expect("there is a change");
     assert!(largest < 1_000, "{largest} bytes");
@@ -97,6 +101,7 @@
 fn a_whole_list_without_changes_brings_a_gateway_up_to_date() {
     let mut sender = filled_feed(10);
     sender.remove(&entry(3, TargetState::Ready).name, 40, NO_GRACE, MonoTime(0));
+    sender.note_complete(40);
     let mut receiver = TargetFeed::default();
     for part in sender.changes_since(0) {
         receiver.apply_changes(part, MonoTime(0));
@@ -111,6 +116,7 @@
     source.put(entry(50, TargetState::Ready), 20);
     last.put(entry(50, TargetState::Ready), 20);
     source.remove(&entry(50, TargetState::Ready).name, 30, NO_GRACE, MonoTime(0));
+    source.note_complete(30);
     for part in source.changes_since(middle.known_since()) {
         middle.apply_changes(part, MonoTime(0));
     }
@@ -125,8 +131,10 @@
 fn changes_after_a_gap_are_not_applied() {
     let (mut source, mut behind) = (filled_feed(10), filled_feed(10));
     source.put(entry(1, TargetState::Draining), 20);
+    source.note_complete(20);
     let since = source.known_since();
     source.put(entry(2, TargetState::Draining), 21);
+    source.note_complete(21);
     for part in source.changes_since(since) {
         assert_eq!(behind.apply_changes(part, MonoTime(0)), []);
     }
@@ -319,8 +327,10 @@
 enum PropagationStep {
     /// The source writes a target.
     Put(u64, bool),
-    /// A target leaves at the source.
-    Remove(u64),
+    /// A target leaves at the source. The other gateway that follows the store may wait with the removal.
+    Remove { target: u64, waits: bool },
+    /// The other gateway that follows the store waits no longer.
+    Expire,
     /// The source pushes the changes since its last push to a gateway. The message may be lost or
     /// repeated.
     Push { to: usize, copies: usize },
@@ -334,7 +344,9 @@
     prop_oneof![
         (0..8_u64, any::<bool>())
             .prop_map(|(target, draining)| PropagationStep::Put(target, draining)),
-        (0..8_u64).prop_map(PropagationStep::Remove),
+        (0..8_u64, any::<bool>())
+            .prop_map(|(target, waits)| PropagationStep::Remove { target, waits }),
+        Just(PropagationStep::Expire),
         (1..4_usize, 0..3_usize).prop_map(|(to, copies)| PropagationStep::Push { to, copies }),
         (1..4_usize, 0..4_usize).prop_map(|(from, of)| PropagationStep::Ask { from, of }),
         (1..4_usize).prop_map(PropagationStep::Restart),
@@ -362,12 +374,19 @@
             match step {
                 PropagationStep::Put(target, draining) => {
                     let state = if draining { TargetState::Draining } else { TargetState::Ready };
-                    feeds[0].put(entry(target, state), revision);
+                    for feed in &mut feeds[..FOLLOWERS] {
+                        feed.put(entry(target, state), revision);
+                        feed.note_complete(revision);
+                    }
                 }
-                PropagationStep::Remove(target) => {
+                PropagationStep::Remove { target, waits } => {
                     let name = entry(target, TargetState::Ready).name;
+                    let grace = if waits { GRACE_END } else { NO_GRACE };
                     feeds[0].remove(&name, revision, NO_GRACE, MonoTime(0));
+                    feeds[1].remove(&name, revision, grace, MonoTime(0));
+                    feeds[..FOLLOWERS].iter_mut().for_each(|feed| feed.note_complete(revision));
                 }
+                PropagationStep::Expire => drop(feeds[1].expire(GRACE_END)),
                 PropagationStep::Push { to, copies } => {
                     let parts = feeds[0].changes_since(since);
                     since = feeds[0].known_since();
@@ -377,7 +396,13 @@
                 }
                 PropagationStep::Ask { from, of } if from != of => ask(&mut feeds, from, of),
                 PropagationStep::Ask { .. } => {}
-                PropagationStep::Restart(gateway) => feeds[gateway] = TargetFeed::default(),
+                PropagationStep::Restart(gateway) => {
+                    feeds[gateway] = TargetFeed::default();
+                    if gateway < FOLLOWERS {
+                        // It lists the store before it watches it.
+                        ask(&mut feeds, gateway, 0);
+                    }
+                }
             }
         }
         for gateway in 1..4 {
