Compare digests of the targets for each gateway apart

Cause: a report with an equal digest, from any gateway, set the 5 s back. Three gateways had missed the same removal, and each report of one set back the others; among the others, equal ones are the rule. Logs: no state_asked after 28.2 s, though all had the same version from 34.4 s on.

Change: since when a digest differs is kept for each gateway, and only its own report ends it.

Test: a_lasting_difference_at_one_revision_is_repaired_by_a_whole_list had a report of "another gateway" that set the time back: that was the fault. It now names gateways: an equal report of the same one ends the difference, as before, and one of another doesn't. Stricter; fails with the reset of all.

--- a/crates/entry/src/peers/catch_up.rs
+++ b/crates/entry/src/peers/catch_up.rs
@@ -93,14 +93,15 @@
     behind_since: Option<MonoTime>,
     /// When the pending request counts as unanswered, or a pause ends.
     ask_again_at: Option<MonoTime>,
-    /// Since when digests reported at the same revision differ. Reset by an equal one.
-    differs_since: Option<MonoTime>,
+    /// Gateways whose last reported digest differs at the same revision, and since when. Reset with `known`.
+    differs_since: FastMap<VmName, MonoTime>,
 }
 
 impl CatchUp {
     /// Handles another gateway's report of its versions; returns what to request from it now.
     pub fn note_report(
         &mut self,
+        peer: &VmName,
         own: KnownVersions,
         theirs: KnownVersions,
         now: MonoTime,
@@ -108,7 +109,7 @@
         if self.known != own {
             *self = Self { known: own, ask_again_at: self.ask_again_at, ..Self::default() };
         }
-        let request = self.due_request(own, theirs, now)?;
+        let request = self.due_request(peer, own, theirs, now)?;
         if self.ask_again_at.is_some_and(|at| now < at) {
             return None;
         }
@@ -129,6 +130,7 @@
 
     fn due_request(
         &mut self,
+        peer: &VmName,
         own: KnownVersions,
         theirs: KnownVersions,
         now: MonoTime,
@@ -141,15 +143,16 @@
         if own.targets != theirs.targets || own.is_incomplete() {
             return None;
         }
+        // Gateways that missed the same change have equal digests, so an equal one says nothing of the others.
         if own.digest == theirs.digest {
-            self.differs_since = None;
+            self.differs_since.remove(peer);
             return None;
         }
-        let since = *self.differs_since.get_or_insert(now);
+        let since = *self.differs_since.entry(peer.clone()).or_insert(now);
         if now.since(since) < DIGEST_MISMATCH_TIMEOUT {
             return None;
         }
-        self.differs_since = Some(now);
+        self.differs_since.clear();
         Some(StateRequest::WholeList)
     }
 }
--- a/crates/entry/src/peers/messages.rs
+++ b/crates/entry/src/peers/messages.rs
@@ -245,7 +245,7 @@
 /// Requests newer state from a gateway that has it, once that is due.
 pub fn catch_up_with(node: &EntryNode, peer: &VmName, theirs: KnownVersions) {
     let own = node.known_versions();
-    let request = node.peers.catch_up().note_report(own, theirs, node.clock.mono());
+    let request = node.peers.catch_up().note_report(peer, own, theirs, node.clock.mono());
     let Some(request) = request else { return };
     request_state(node, peer, request);
 }
