Count failed runs of an item beyond those that are named

What callers saw: an item of a route with more than 64 attempts that fails at each run would be run for ever (BUDGET). Found by reading; no route of ours has so many.

Change: further runs are counted without a name. Two gateways that each count some of these know the larger of both counts, as before with earlier builds.

--- a/crates/relay/src/jobs/failed_runs.rs
+++ b/crates/relay/src/jobs/failed_runs.rs
@@ -4,7 +4,7 @@
 
 /// Bits of the id of a run: numbers in JSON are exact up to here.
 const ID_BITS: u32 = 53;
-/// Maximum number of runs that are named. Items have far fewer attempts.
+/// Maximum number of runs that are named. Items have far fewer attempts; further runs are only counted.
 const MAX_NAMED: usize = 64;
 
 /// A run that a target answered with a failure.
@@ -27,7 +27,7 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FailedRuns {
     /// Number of runs that may be repeated. Invariant: at least as many as `runs`; more if counted by an earlier build, which
-    /// names none.
+    /// names none, or if there are too many to name.
     pub count: u32,
     /// Whether a target reported that the item can never be done.
     pub is_impossible: bool,
@@ -52,10 +52,12 @@
         if run.is_impossible {
             return !std::mem::replace(&mut self.is_impossible, true);
         }
-        if self.runs.contains(&run.id) || self.runs.len() >= MAX_NAMED {
+        if self.runs.contains(&run.id) {
             return false;
         }
-        self.runs.push(run.id);
+        if self.runs.len() < MAX_NAMED {
+            self.runs.push(run.id);
+        }
         self.count = self.count.saturating_add(1);
         true
     }
