Count a client's connection from when it is accepted

What callers saw: in a flood of connections beside heavy load, a gateway took more connections than it may hold, so that none of its descriptors was left for the targets of requests that it had read.

Cause: the gate asks for the number of open connections at each accept, but a connection was counted when its task first ran. While tasks wait for a processor, each one admits another in its place.

Change: the connection is counted in the accepting task, and the guard goes with it.

--- a/crates/entry/src/front/connection.rs
+++ b/crates/entry/src/front/connection.rs
@@ -25,6 +25,7 @@
     front::{
         answer::OwnAnswer,
         body::{BodyError, read_body},
+        connection_gate::OpenConnection,
     },
     node::EntryNode,
     online::{
@@ -36,9 +37,8 @@
 /// Size from which an answer's body is written separately, instead of being copied behind its head.
 const SEPARATE_BODY_BYTES: usize = 16 << 10;
 
-/// Serves a client connection until it ends.
-pub async fn serve_client(node: Arc<EntryNode>, stream: TcpStream) {
-    let _open = node.clients.enter();
+/// Serves a client connection, which counts as open, until it ends.
+pub async fn serve_client(node: Arc<EntryNode>, stream: TcpStream, _open: OpenConnection) {
     let mut client =
         ClientConnection { node: &node, reader: WireReader::new(stream.clone()), stream };
     // A new connection is read in a stop, too: its client would take an unread one for a failure.
--- a/crates/entry/src/front/connection_gate.rs
+++ b/crates/entry/src/front/connection_gate.rs
@@ -20,15 +20,15 @@
 /// Open client connections, and the gate for new ones.
 #[derive(Debug)]
 pub struct ClientConnections {
-    open: AtomicUsize,
+    open: Arc<AtomicUsize>,
     gate: Mutex<ConnectionGate>,
 }
 
 /// Counts a connection as open until it is dropped.
 #[derive(Debug)]
-pub struct OpenConnection<'a>(&'a AtomicUsize);
+pub struct OpenConnection(Arc<AtomicUsize>);
 
-impl Drop for OpenConnection<'_> {
+impl Drop for OpenConnection {
     fn drop(&mut self) {
         self.0.fetch_sub(1, Ordering::AcqRel);
     }
@@ -38,13 +38,14 @@
     /// Allows at most `max_open` connections.
     pub fn new(max_open: usize) -> Self {
         let settings = ConnectionGateSettings { max_open, ..ConnectionGateSettings::default() };
-        Self { open: AtomicUsize::new(0), gate: Mutex::new(ConnectionGate::new(settings)) }
+        Self { open: Arc::default(), gate: Mutex::new(ConnectionGate::new(settings)) }
     }
 
-    /// Counts a connection as open until the returned guard is dropped.
-    pub fn enter(&self) -> OpenConnection<'_> {
+    /// Counts a connection as open until the returned guard is dropped. It counts from when it is accepted, not from when its
+    /// task first runs: until then the gate would admit others in its place.
+    pub fn enter(&self) -> OpenConnection {
         self.open.fetch_add(1, Ordering::AcqRel);
-        OpenConnection(&self.open)
+        OpenConnection(Arc::clone(&self.open))
     }
 
     /// Number of open connections.
--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -153,7 +153,8 @@
     let gated = Arc::clone(node);
     let admits = move || connection_gate::admits(&gated);
     listen_admitting(listen_at.clients, admits, move |stream| {
-        serve_client(Arc::clone(&shared), stream)
+        let open = shared.clients.enter();
+        serve_client(Arc::clone(&shared), stream, open)
     })
     .await
     .map_err(|e| EntryError::Listen("clients", e))?;
