Soak: count the crashes under each culprit, and how many sends a check excuses

The soak told only what it found broken, and excused each send beside a disturbance of its gateway: a run in which nearly all were excused looked like one in which nothing happened. It now prints, for each culprit, crashes, those that are too late, and those excused.

--- a/crates/magnolianotch/src/cli/soak.rs
+++ b/crates/magnolianotch/src/cli/soak.rs
@@ -65,13 +65,16 @@
 }
 
 fn show(settings: &SoakSettings, report: &SoakReport, output: &mut CommandOutput) {
-    let SoakReport { faults, requests, jobs, broken } = report;
+    let SoakReport { faults, requests, jobs, crashes, broken } = report;
     let counts = format!(
         "{} faults, {requests} requests, {jobs} jobs, {} broken",
         faults.len(),
         broken.len()
     );
     output.line(&format!("seed {}: {counts}", settings.seed));
+    for count in crashes {
+        output.line(&format!("  {count}"));
+    }
     if broken.is_empty() {
         return;
     }
--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     config::REVOCATION_BOUND,
-    crash_check::CrashCheck,
+    crash_check::{CrashCheck, CrashCount},
     culprit::CrashCulprit,
     deadline_check::DeadlineCheck,
     failing_items::FailingItems,
@@ -80,6 +80,15 @@
     checker.finish()
 }
 
+/// Counts how often targets crashed under each culprit.
+pub fn count_crashes(observations: &[Observation]) -> Vec<CrashCount> {
+    let mut checker = PromiseChecker::default();
+    for observation in observations {
+        checker.observe(observation);
+    }
+    checker.crashes.counts()
+}
+
 #[derive(Debug, Default)]
 struct PromiseChecker {
     broken: Vec<BrokenPromise>,
--- a/crates/soak/src/clients.rs
+++ b/crates/soak/src/clients.rs
@@ -33,6 +33,8 @@
 pub(crate) const MAX_PAUSE_MS: u64 = 40;
 /// Pause between two reads of a job's results, and between two attempts to submit a job.
 const JOB_RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// Pause between two jobs of a client in runs of many minutes.
+const SLOW_JOB_PAUSE: Duration = Duration::from_secs(2);
 /// Number of recent configuration versions whose keys are drawn besides the permanent key.
 const OLD_KEYS: u64 = 5;
 /// Number of equally likely draws. Each recent key has one of them, and the permanent key has the rest.
@@ -68,6 +70,8 @@
     pub names_parts: bool,
     /// Whether requests name the time that their client waits.
     pub names_deadlines: bool,
+    /// Whether job clients pause between jobs, as in runs of many minutes.
+    pub is_slow: bool,
     /// Whether clients stop sending requests and jobs.
     pub is_over: Arc<AtomicBool>,
     /// Number of online requests sent.
@@ -269,6 +273,9 @@
             self.jobs.fetch_add(1, Ordering::Relaxed);
             self.cluster.log.add(Observation::JobAccepted { job: job.clone(), items });
             self.read_to_end(&job, items, &mut random).await;
+            if self.is_slow {
+                task::sleep(SLOW_JOB_PAUSE).await;
+            }
         }
     }
 
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -362,15 +362,15 @@
         let replaced = self.replaced.lock().unwrap_or_else(PoisonError::into_inner).clone();
         let current = (0..self.targets.len()).map(|number| self.target(number).target.clone());
         for target in replaced.into_iter().chain(current) {
-            let seen = target.accounts().into_iter().zip(target.begun());
-            for (SeenAccount { attempt, account, has_key, time_left }, begun) in seen {
+            let times = target.begun().into_iter().zip(target.times_left());
+            let seen = target.accounts().into_iter().zip(times);
+            for (SeenAccount { attempt, account, has_key }, (begun, left)) in seen {
                 let at = begun.saturating_duration_since(self.started);
                 if let Some(account) = account.as_ref().filter(|account| self.is_limited(account)) {
                     let (attempt, account) = (attempt.clone(), account.clone());
                     self.log.add(Observation::Began { attempt, account, at });
                 }
-                let (id, left) = (attempt.clone(), time_left);
-                self.log.add(Observation::HandedOn { attempt: id, at, left });
+                self.log.add(Observation::HandedOn { attempt: attempt.clone(), at, left });
                 self.log.add(Observation::Ran { attempt, account, has_key });
             }
         }
--- a/crates/soak/src/crash_check.rs
+++ b/crates/soak/src/crash_check.rs
@@ -1,6 +1,6 @@
 //! Checks that what crashes targets no longer reaches them.
 
-use std::time::Duration;
+use std::{fmt, time::Duration};
 
 use notch_types::prelude::*;
 
@@ -12,6 +12,26 @@
 /// Most sends that may reach targets later.
 const MAX_LATER_SENDS: usize = 3;
 
+/// How often targets crashed under one culprit.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CrashCount {
+    /// The culprit.
+    pub culprit: CrashCulprit,
+    /// Number of crashes.
+    pub crashes: usize,
+    /// Those later than allowed, by gateways in touch: when, and the attempt.
+    pub late: Vec<(Duration, String)>,
+    /// Number of those as late by gateways that were disturbed.
+    pub excused: usize,
+}
+
+impl fmt::Display for CrashCount {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { culprit, crashes, late, excused } = self;
+        write!(f, "{culprit:?}: {crashes} crashes, {excused} late ones excused, too late: {late:?}")
+    }
+}
+
 /// Crashes, and when gateways were disturbed.
 #[derive(Debug, Default)]
 pub(crate) struct CrashCheck {
@@ -42,12 +62,20 @@
 
     /// What is wrong where too many requests reached targets, sent by gateways in touch.
     pub(crate) fn excesses(&self) -> Vec<String> {
+        let counts = self.counts().into_iter().filter(|count| count.late.len() > MAX_LATER_SENDS);
+        counts.map(|count| count.to_string()).collect()
+    }
+
+    /// How often each culprit crashed targets.
+    pub(crate) fn counts(&self) -> Vec<CrashCount> {
         let culprits: FastSet<CrashCulprit> =
             self.sent.values().map(|(_, culprit)| *culprit).collect();
-        culprits.into_iter().filter_map(|culprit| self.excess(culprit)).collect()
+        let mut counts: Vec<_> = culprits.into_iter().map(|culprit| self.count(culprit)).collect();
+        counts.sort_by_key(|count| format!("{:?}", count.culprit));
+        counts
     }
 
-    fn excess(&self, culprit: CrashCulprit) -> Option<String> {
+    fn count(&self, culprit: CrashCulprit) -> CrashCount {
         let mut crashes: Vec<(Duration, &str, Option<usize>)> = Vec::new();
         for (attempt, at) in &self.crashes {
             match self.sent.get(attempt) {
@@ -58,13 +86,17 @@
             }
         }
         crashes.sort_unstable();
-        let (last_allowed, ..) = *crashes.get(culprit.crashes_allowed() - 1)?;
-        let later = crashes.iter().filter(|(at, _, gateway)| {
-            *at > last_allowed + WINDOW && self.is_in_touch(*gateway, *at)
-        });
-        let later: Vec<_> = later.collect();
-        (later.len() > MAX_LATER_SENDS)
-            .then(|| format!("{culprit:?}: {} crashes, of them too late: {later:?}", crashes.len()))
+        let last_allowed = crashes.get(culprit.crashes_allowed() - 1).map(|(at, ..)| *at);
+        let is_later = |at: Duration| last_allowed.is_some_and(|last| at > last + WINDOW);
+        let later = crashes.iter().filter(|(at, ..)| is_later(*at));
+        let (late, excused): (Vec<_>, Vec<_>) =
+            later.partition(|(at, _, gateway)| self.is_in_touch(*gateway, *at));
+        CrashCount {
+            culprit,
+            crashes: crashes.len(),
+            late: late.into_iter().map(|(at, attempt, _)| (at, attempt.to_owned())).collect(),
+            excused: excused.len(),
+        }
     }
 
     /// Whether no disturbance of a gateway, or of any if it isn't known, went on at any time in the window before `at`.
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -9,7 +9,7 @@
 pub mod clients;
 pub mod cluster;
 pub mod config;
-mod crash_check;
+pub mod crash_check;
 mod crash_clients;
 pub mod culprit;
 mod deadline_check;
@@ -27,6 +27,7 @@
     pub use crate::{
         account_window::{AccountQuota, WindowExcess},
         checker::{BrokenPromise, PromiseKind, check},
+        crash_check::CrashCount,
         culprit::{CrashCulprit, ResendInterval},
         observation::{Observation, SeenResult},
         run::{SoakReport, run_soak},
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -13,9 +13,10 @@
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 
 use crate::{
-    checker::{BrokenPromise, check},
+    checker::{BrokenPromise, check, count_crashes},
     clients::ClientContext,
     cluster::SoakCluster,
+    crash_check::CrashCount,
     culprit::{CrashCulprit, ResendInterval},
     failing_items::FailingItems,
     fault::SoakFault,
@@ -50,6 +51,8 @@
     pub requests: usize,
     /// Number of jobs accepted.
     pub jobs: usize,
+    /// How often targets crashed under each culprit.
+    pub crashes: Vec<CrashCount>,
     /// Broken promises.
     pub broken: Vec<BrokenPromise>,
 }
@@ -69,6 +72,7 @@
             || settings.crashes_requests
             || settings.resends_crashing,
         names_deadlines: settings.names_deadlines,
+        is_slow: settings.fault_gap.is_some(),
         is_over: Arc::new(AtomicBool::new(false)),
         requests: Arc::default(),
         jobs: Arc::default(),
@@ -139,11 +143,13 @@
     cluster.restart_crashed();
     cluster.record_runs();
     cluster.kill_gateways();
+    let observations = cluster.log.all();
     Ok(SoakReport {
         faults,
         requests: context.requests.load(Ordering::Relaxed),
         jobs: context.jobs.load(Ordering::Relaxed),
-        broken: check(&cluster.log.all()),
+        crashes: count_crashes(&observations),
+        broken: check(&observations),
     })
 }
 
