Probe a refused request a few times at most, each claimed in the store

A request that crashes each target that runs it reached targets for ever: after the refusal one probe each 120 s, and after 600 s without it the refusal and its record were forgotten.

Cause: a promise without an end ("not more than three") was kept by a rhythm, and by state that expires.

Change: probes are a budget in the life of a refusal. One is claimed in the request's record before it starts, under the record's revision, so all gateways together start only so many, whoever grants them, over restarts, cuts and gateways that stand still; without the store there is none. A claim of which nothing reached a target is used again. Refusals of requests, and their records, don't expire; beyond 4,096 those with the fewest probes go first. A client whose request is refused for good is told so at once, without a Retry-After that isn't true. Refusals of prompt parts are as before: sound requests share them.

--- a/crates/entry/src/online/refusal_records.rs
+++ b/crates/entry/src/online/refusal_records.rs
@@ -1,8 +1,11 @@
-//! Records in the store which requests are refused because they crash targets.
+//! Records in the store which requests are refused because they crash targets, and how often they were probed.
 //!
 //! The gateways tell each other of refusals, but when all are killed at once, none knows them any more, and the request
 //! would crash as many targets again until it is found out. Only whole requests are recorded: they come again as they were,
 //! while a prompt part may have been refused by mistake.
+//!
+//! A probe of a refused request is claimed in its record before it starts. So all gateways together start only so many, also
+//! when they are cut off from each other, stand still or are restarted. Without the store there is no probe.
 
 use std::{sync::Arc, time::Duration};
 
@@ -29,8 +32,6 @@
 
 /// Maximum number of changes that wait to be written; further ones are lost.
 const MAX_QUEUED: usize = 256;
-/// How long refusals that nobody renews are kept, as long as gateways remember them, milliseconds.
-const RETENTION_MS: u64 = 600_000;
 
 /// The record of a refused request.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -41,6 +42,26 @@
     until_ms: u64,
 }
 
+impl RefusalRecord {
+    fn of(refusal: SuspectRefusal, wall_ms: u64) -> Self {
+        let SuspectRefusal { suspect, level, left } = refusal;
+        Self { suspect, level, until_ms: wall_ms + left.as_millis() as u64 }
+    }
+
+    fn decode(object: &StoreObject) -> Option<Self> {
+        serde_json::from_str(object.spec.as_ref()?.get()).ok()
+    }
+
+    /// The refusal, and the time since the crash or probe with which its pause began.
+    fn refusal(&self, wall_ms: u64) -> (SuspectRefusal, Duration) {
+        let whole = SuspectRefusal::at_level(self.suspect, self.level);
+        let left = Duration::from_millis(self.until_ms.saturating_sub(wall_ms));
+        let since_ms = self.until_ms.saturating_sub(whole.left.as_millis() as u64);
+        let age = Duration::from_millis(wall_ms.saturating_sub(since_ms));
+        (SuspectRefusal { left: left.min(whole.left), ..whole }, age)
+    }
+}
+
 /// A refusal that began or was extended, or ended.
 #[derive(Debug, Clone, Copy)]
 enum RefusalChange {
@@ -79,13 +100,14 @@
     }
 }
 
-/// Restores the refusals that gateways recorded before, then writes changes until the process ends.
+/// Restores what gateways recorded before, then writes changes until the process ends.
 pub async fn keep_records(node: Arc<EntryNode>) {
     let listing = || list_all(&node.store, REFUSAL_KIND, StorePath::Any, StoreCallCause::Refusals);
     if let Some((objects, _)) = until_answered(|| true, listing).await {
-        for expired in restore(&node, &objects) {
+        let surplus = restore(&node, &objects);
+        for name in surplus {
             // What is left is deleted by the next gateway that starts.
-            let _ = delete(&node, &expired).await;
+            let _ = delete(&node, &name).await;
         }
     }
     let changes = &node.refusal_records.receiver;
@@ -101,38 +123,62 @@
     }
 }
 
-/// Applies the records. Returns the names of those that are over.
+/// Applies the records. Returns the names of those beyond what gateways remember: of requests with the fewest probes, the
+/// oldest.
 fn restore(node: &EntryNode, objects: &[StoreObject]) -> Vec<String> {
     let wall = node.clock.wall().0;
-    let mut restored = 0;
-    let mut expired = Vec::new();
-    for object in objects {
-        let spec = object.spec.as_ref().map(|spec| serde_json::from_str(spec.get()));
-        let Some(Ok(RefusalRecord { suspect, level, until_ms })) = spec else { continue };
-        if wall.saturating_sub(until_ms) > RETENTION_MS {
-            expired.push(object.metadata.name.clone());
-            continue;
-        }
-        let whole = SuspectRefusal::at_level(suspect, level);
-        let left = Duration::from_millis(until_ms.saturating_sub(wall));
-        let refusal = SuspectRefusal { left: left.min(whole.left), ..whole };
-        // The pause began with the last crash.
-        let since_ms = until_ms.saturating_sub(whole.left.as_millis() as u64);
-        let age = Duration::from_millis(wall.saturating_sub(since_ms));
+    let mut records: Vec<(&str, RefusalRecord)> = objects
+        .iter()
+        .filter_map(|object| Some((&*object.metadata.name, RefusalRecord::decode(object)?)))
+        .collect();
+    records.sort_by_key(|(_, record)| std::cmp::Reverse((record.level, record.until_ms)));
+    let beyond = records.split_off(records.len().min(MAX_REFUSED_REQUESTS));
+    for (_, record) in &records {
+        let (refusal, age) = record.refusal(wall);
         node.suspects().table().apply_told_refusal(refusal, age, node.clock.mono());
-        restored += 1;
     }
-    if restored > 0 {
-        node.log.info("refusals_restored", &[("requests", &restored)]);
+    if !records.is_empty() {
+        node.log.info("refusals_restored", &[("requests", &records.len())]);
     }
-    expired
+    beyond.into_iter().map(|(name, _)| name.to_owned()).collect()
+}
+
+/// Claims a probe of a refused request in its record. Returns the refusal from then on; `None` if there is no probe left,
+/// another gateway has claimed one, or the store doesn't confirm it. `age` is the time since the last crash that was counted.
+pub async fn claim_probe(
+    node: &EntryNode,
+    refusal: SuspectRefusal,
+    age: Duration,
+    work: ProbeWork,
+) -> Option<SuspectRefusal> {
+    let name = object_name(refusal.suspect);
+    let path = object_path(REFUSAL_KIND, &name);
+    let reply = node.store.get(StoreCallCause::Refusals, &path).await.ok()?;
+    let known: Option<StoreObject> = reply.is_success().then(|| decode(&reply.body).ok()).flatten();
+    let wall = node.clock.wall().0;
+    if let Some(record) = known.as_ref().and_then(RefusalRecord::decode)
+        && record.level > refusal.level
+    {
+        let (newer, age) = record.refusal(wall);
+        node.suspects().table().apply_told_refusal(newer, age, node.clock.mono());
+        return None;
+    }
+    let next = refusal.after_probe(age, work)?;
+    let revision = known.map(|object| object.metadata.revision);
+    let body = spec_body(&name, revision, &RefusalRecord::of(next, wall));
+    let (method, path) = match revision {
+        Some(_) => ("PUT", path),
+        None => ("POST", list_path(REFUSAL_KIND, None)),
+    };
+    let wait = node.store.settings().call_timeout;
+    let cause = StoreCallCause::Refusals;
+    let claimed = node.store.call(cause, method, &path, Some(&body), wait).await.ok()?;
+    claimed.is_success().then_some(next)
 }
 
 async fn write(node: &EntryNode, refusal: SuspectRefusal) -> Result<(), StoreFailure> {
-    let SuspectRefusal { suspect, level, left } = refusal;
-    let until_ms = node.clock.wall().0 + left.as_millis() as u64;
-    let record = RefusalRecord { suspect, level, until_ms };
-    let name = object_name(suspect);
+    let record = RefusalRecord::of(refusal, node.clock.wall().0);
+    let name = object_name(refusal.suspect);
     let wait = node.store.settings().call_timeout;
     let cause = StoreCallCause::Refusals;
     let body = spec_body(&name, None, &record);
@@ -143,6 +189,12 @@
     }
     // Conditional on what is there, so that a write that is done late replaces nothing newer.
     let known: StoreObject = decode(&created.body).map_err(|_| StoreFailure::NotDone)?;
+    if let Some(recorded) = RefusalRecord::decode(&known).filter(|r| r.level > record.level) {
+        // Probes were claimed that this gateway did not hear of.
+        let (refusal, age) = recorded.refusal(node.clock.wall().0);
+        node.suspects().table().apply_told_refusal(refusal, age, node.clock.mono());
+        return Ok(());
+    }
     let body = spec_body(&name, Some(known.metadata.revision), &record);
     let path = object_path(REFUSAL_KIND, &name);
     node.store.call(cause, "PUT", &path, Some(&body), wait).await.map(|_| ())
--- a/crates/entry/src/online/relay.rs
+++ b/crates/entry/src/online/relay.rs
@@ -22,15 +22,13 @@
         origins,
         request::OnlineRequest,
         slots,
-        suspects::{InterruptedRun, fingerprint},
+        suspects::{InterruptedRun, PROBE_GRANT_WAIT, claim_probe, fingerprint},
     },
     target::{connection::TargetConnection, restart_watch::RestartWatch},
 };
 
 /// Number of probes for which a request waits that finds several of its suspects refused and due.
 const MAX_PROBE_WAITS: u32 = 3;
-/// Time within which another gateway grants a probe.
-const PROBE_GRANT_WAIT: Duration = Duration::from_millis(30);
 
 /// Whether the client's connection can be used further.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -48,6 +46,8 @@
     Complete(u16),
     /// Writing to the client failed.
     ClientGone,
+    /// The probe that this attempt is could not be claimed; nothing was sent.
+    Unclaimed,
 }
 
 /// How long a request may wait for a slot. There is no limit for a retry or a resumed stream, as the client may not
@@ -97,8 +97,8 @@
     pub(crate) has_begun: bool,
     /// Whether the current attempt is the granted probe of a refused suspect.
     is_suspect_probe: bool,
-    /// Time until the next probe of the suspect for which it is refused.
-    refused_for: Duration,
+    /// Time until the next probe of the suspect for which it is refused; `None` if it is refused for good.
+    refused_for: Option<Duration>,
     /// Failed attempts, for the log.
     failures: Vec<String>,
     /// Software versions of the targets whose events were passed on, for the log. Invariant: no
@@ -138,7 +138,7 @@
             failure_status: None,
             has_begun: false,
             is_suspect_probe: false,
-            refused_for: Duration::ZERO,
+            refused_for: Some(Duration::ZERO),
             failures: Vec::new(),
             event_versions: Vec::new(),
             queue: queue_limit(node, request),
@@ -193,6 +193,7 @@
                     self.log_end("client_unreachable", 0);
                     return Delivery::Incomplete;
                 }
+                Ok(AttemptEnd::Unclaimed) => return self.give_up(GiveUpReason::Quarantined).await,
                 Err(failure) => {
                     self.note_failure(&choice, failure);
                     let is_partly_sent =
@@ -235,19 +236,21 @@
         let mut waits = 0;
         loop {
             let admission = self.node.suspects().admit(self.request.suspects(), self.head_sent);
-            let (suspect, left) = match admission {
+            let (suspect, left, is_final) = match admission {
                 SuspectAdmission::Refused { asks_probe: true, .. } if waits < MAX_PROBE_WAITS => {
                     waits += 1;
                     task::sleep(PROBE_GRANT_WAIT).await;
                     continue;
                 }
-                SuspectAdmission::Refused { suspect, left, .. } => (suspect, left),
+                SuspectAdmission::Refused { suspect, left, is_final, .. } => {
+                    (suspect, left, is_final)
+                }
                 SuspectAdmission::Admitted | SuspectAdmission::Probe => {
                     self.is_suspect_probe = admission == SuspectAdmission::Probe;
                     return None;
                 }
             };
-            self.refused_for = left;
+            self.refused_for = (!is_final).then_some(left);
             return Some(match suspect {
                 CrashSuspect::Request(_) => GiveUpReason::Quarantined,
                 CrashSuspect::Part(_) => GiveUpReason::PartRefused,
@@ -313,11 +316,16 @@
 
     async fn attempt(&mut self, choice: &TargetChoice) -> Result<AttemptEnd, AttemptFailure> {
         let mut lease = TargetLease::new(self.node, choice, WorkKind::Online);
+        let fingerprint = self.request.fingerprint;
+        // Claimed once there is a target, so that no probe is used up for lack of one.
+        if self.is_suspect_probe && !claim_probe(self.node, fingerprint, ProbeWork::Request).await {
+            return Ok(AttemptEnd::Unclaimed);
+        }
         let began = self.now();
         self.failure_status = None;
         self.has_begun = false;
         let end = self.attempt_at(choice).await;
-        let (fingerprint, result) = (self.request.fingerprint, self.attempt_result(end));
+        let result = self.attempt_result(end);
         lease.set_evidence(AttemptEvidence { fingerprint, result, has_begun: self.has_begun });
         match end {
             Ok(AttemptEnd::Complete(_)) => {
@@ -325,9 +333,12 @@
                 self.note_sound(end);
                 self.note_latency(choice, began);
             }
-            Ok(AttemptEnd::ClientGone) => {}
+            Ok(AttemptEnd::ClientGone | AttemptEnd::Unclaimed) => {}
             Err(failure) => {
                 lease.set_outcome(Err(failure));
+                if self.is_suspect_probe && failure.verdict() == RunVerdict::NotRun {
+                    self.node.suspects().table().note_unspent_probe(fingerprint, self.now());
+                }
                 if failure.may_be_crash() {
                     let (suspects, reached) = (self.request.suspects(), self.last_event);
                     let run = InterruptedRun { suspects, choice, reached };
@@ -350,7 +361,7 @@
         match (end, self.failure_status) {
             (_, Some(status)) => Some(AttemptResult::Status(status)),
             (Ok(AttemptEnd::Complete(status)), None) => Some(AttemptResult::Status(status)),
-            (Ok(AttemptEnd::ClientGone), None) => None,
+            (Ok(AttemptEnd::ClientGone | AttemptEnd::Unclaimed), None) => None,
             (Err(failure), None) => Some(AttemptResult::Broken(failure)),
         }
     }
@@ -465,7 +476,8 @@
             return Delivery::Incomplete;
         }
         let (status, has_retry) = reason.answer(self.unknown > 0);
-        let retry_after = has_retry.then(|| self.refused_for + self.retry_delay());
+        let refused_for = self.refused_for.filter(|_| has_retry);
+        let retry_after = refused_for.map(|left| left + self.retry_delay());
         if let Some(account) = self.request.account.credit.as_ref().filter(|_| self.unknown == 0) {
             self.node.accounts.refund(account, self.now());
         }
--- a/crates/entry/src/online/suspects.rs
+++ b/crates/entry/src/online/suspects.rs
@@ -17,11 +17,19 @@
 use notch_telemetry::prelude::*;
 use notch_types::prelude::*;
 
-use crate::{clock::NodeClock, online::refusal_records::RefusalRecords, peers::table::PeerTable};
+use crate::{
+    clock::NodeClock,
+    node::EntryNode,
+    online::refusal_records::{self, RefusalRecords},
+    peers::table::PeerTable,
+};
 
 /// Maximum number of refused suspects that a gateway is told of when its link comes up.
 const MAX_TOLD_REFUSALS: usize = 512;
 
+/// Time within which another gateway grants a probe.
+pub const PROBE_GRANT_WAIT: Duration = Duration::from_millis(30);
+
 /// Number of gateways that count the crashes of a suspect.
 const COUNTING_GATEWAYS: usize = 2;
 
@@ -173,8 +181,29 @@
     /// Messages that tell a gateway, to which a link has come up, of refused suspects.
     pub fn known_refusals(&self) -> Vec<PeerMessage> {
         let (table, now) = (self.table(), self.clock.mono());
-        let told = table.refusals(now).take(MAX_TOLD_REFUSALS);
-        told.map(|refusal| refused_message(&table, refusal, now)).collect()
+        let mut told: Vec<SuspectRefusal> = table.refusals(now).collect();
+        // The others are older, and recorded.
+        told.sort_by_cached_key(|refusal| table.refusal_age(refusal.suspect, now));
+        told.truncate(MAX_TOLD_REFUSALS);
+        told.into_iter().map(|refusal| refused_message(&table, refusal, now)).collect()
+    }
+
+    /// Announces that a probe of a request starts, which was claimed.
+    fn note_probe_started(&self, refusal: SuspectRefusal) {
+        let now = self.clock.mono();
+        let mut table = self.table();
+        table.note_probe_started(refusal, now);
+        let message = refused_message(&table, refusal, now);
+        drop(table);
+        self.peers.broadcast(&message);
+        self.log.info(
+            "request_probe_started",
+            &[
+                ("request", &fingerprint(refusal.suspect.id())),
+                ("level", &refusal.level),
+                ("left_ms", &refusal.left.as_millis()),
+            ],
+        );
     }
 
     /// Answers a gateway that asks to probe a suspect, of which it knows the level, by a request. There is no answer if
@@ -266,6 +295,33 @@
     }
 }
 
+/// Claims the probe of a request that is refused for itself, before it starts. False if it may not start. Of a request that is
+/// refused only for parts of its prompt nothing is claimed.
+pub async fn claim_probe(node: &EntryNode, request: u64, work: ProbeWork) -> bool {
+    let suspect = CrashSuspect::Request(request);
+    let now = node.clock.mono();
+    let (refusal, age) = {
+        let edge = node.suspects();
+        let mut table = edge.table();
+        let Some(refusal) = table.refusal(suspect, now) else { return true };
+        if table.take_unspent_claim(request) {
+            return true;
+        }
+        (refusal, table.refusal_age(suspect, now))
+    };
+    match refusal_records::claim_probe(node, refusal, age, work).await {
+        Some(claimed) => {
+            node.suspects().note_probe_started(claimed);
+            true
+        }
+        None => {
+            let (request, level) = (fingerprint(request), refusal.level);
+            node.log.info("request_probe_not_claimed", &[("request", &request), ("level", &level)]);
+            false
+        }
+    }
+}
+
 fn refused_message(table: &SuspectTable, refusal: SuspectRefusal, now: MonoTime) -> PeerMessage {
     let SuspectRefusal { suspect, level, left } = refusal;
     PeerMessage::SuspectRefused {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -120,9 +120,9 @@
             retry_detector::RetryDetector,
             slot_search::{SearchStep, SlotSearch},
             suspects::{
-                refusal::{ProbeReply, SuspectRefusal},
+                refusal::{ProbeReply, ProbeWork, SuspectRefusal},
                 suspect::{CrashReport, CrashSuspect, RequestSuspects},
-                table::{AnswerFindings, SuspectAdmission, SuspectTable},
+                table::{AnswerFindings, MAX_REFUSED_REQUESTS, SuspectAdmission, SuspectTable},
             },
             table::{TargetTable, ejections::EjectionNotice},
             version_history::{VersionHistory, VersionView},
--- a/crates/relay/src/targets/suspects/series.rs
+++ b/crates/relay/src/targets/suspects/series.rs
@@ -5,7 +5,7 @@
 use notch_types::prelude::*;
 
 use super::{
-    refusal::{PROBE_PAUSES, PROBE_TIMEOUT},
+    refusal::{PART_PROBE_PAUSES, PROBE_TIMEOUT},
     suspect::{CrashReport, CrashSuspect},
 };
 
@@ -17,7 +17,8 @@
 /// Maximum time between two crashes of a series: a request can't run while a part of it waits for a probe.
 const SERIES_GAP: Duration = Duration::from_secs(150);
 const _: () = assert!(
-    SERIES_GAP.as_secs() > PROBE_PAUSES[PROBE_PAUSES.len() - 1].as_secs() + PROBE_TIMEOUT.as_secs(),
+    SERIES_GAP.as_secs()
+        > PART_PROBE_PAUSES[PART_PROBE_PAUSES.len() - 1].as_secs() + PROBE_TIMEOUT.as_secs(),
     "the longest pause of a probe must not end a series"
 );
 /// Number of events by which a run must get further than all before it not to count against its request. A request that
--- a/crates/relay/src/targets/suspects/table.rs
+++ b/crates/relay/src/targets/suspects/table.rs
@@ -6,15 +6,20 @@
 
 use super::{
     answers::AnswerHistory,
-    refusal::{PROVEN_FIRST_TIME, ProbeReply, RefusedSuspect, SOUND_FIRST_TIME, SuspectRefusal},
+    refusal::{
+        PROVEN_FIRST_TIME, ProbeReply, ProbeWork, RefusedSuspect, SOUND_FIRST_TIME, SuspectRefusal,
+    },
     series::CrashSeries,
     suspect::{CrashReport, CrashSuspect, RequestSuspects},
 };
 
 /// Maximum number of series of each kind of suspect; the oldest are evicted first.
 const MAX_SERIES: usize = 4_096;
-/// Maximum number of refused suspects of each kind.
-const MAX_REFUSED: usize = 256;
+/// Maximum number of refused parts; those that may be probed first are evicted first.
+const MAX_REFUSED_PARTS: usize = 256;
+/// Maximum number of refused requests, each a fingerprint and some numbers; those with the fewest probes are evicted first,
+/// and of these the oldest.
+pub const MAX_REFUSED_REQUESTS: usize = 4_096;
 /// Maximum number of reported suspects that are remembered until they are answered.
 const MAX_REPORTED: usize = 1_024;
 
@@ -33,6 +38,8 @@
         left: Duration,
         /// Whether the gateway that counts the crashes is to be asked for a probe now.
         asks_probe: bool,
+        /// Whether it is refused for good.
+        is_final: bool,
     },
 }
 
@@ -69,6 +76,16 @@
         suspects: RequestSuspects<'_>,
         has_begun: bool,
         now: MonoTime,
+    ) -> SuspectAdmission {
+        self.admit_for(suspects, has_begun, ProbeWork::Request, now)
+    }
+
+    fn admit_for(
+        &mut self,
+        suspects: RequestSuspects<'_>,
+        has_begun: bool,
+        work: ProbeWork,
+        now: MonoTime,
     ) -> SuspectAdmission {
         if self.refused.is_empty() {
             return SuspectAdmission::Admitted;
@@ -97,9 +114,19 @@
             Duration::ZERO => last_until <= now,
             delay => last_until.max(self.answers.part_cleared_at()) + delay <= now,
         };
-        let asks_probe =
-            is_due && self.refused.get_mut(&suspect).is_some_and(|refused| refused.asks_probe(now));
-        SuspectAdmission::Refused { suspect, left: last_until.since(now), asks_probe }
+        let is_final = self.is_final(suspects.request, work, now);
+        let blocking = self.refused.get_mut(&suspect);
+        let asks_probe = is_due
+            && !is_final
+            && blocking.is_some_and(|refused| refused.asks_probe(suspect, work, now));
+        // A request without a probe left takes none of its parts.
+        let suspect = if is_final { CrashSuspect::Request(suspects.request) } else { suspect };
+        SuspectAdmission::Refused { suspect, left: last_until.since(now), asks_probe, is_final }
+    }
+
+    fn is_final(&self, request: u64, work: ProbeWork, now: MonoTime) -> bool {
+        let refusal = self.refusal(CrashSuspect::Request(request), now);
+        refusal.is_some_and(|refusal| refusal.is_final(work))
     }
 
     /// How long this gateway keeps a due probe of a refused part for requests that find out more than this one.
@@ -124,9 +151,8 @@
         }
     }
 
-    /// Time until an item may run at `now`; zero if it may now. Items are never suspects themselves: they are handed in for
-    /// later and owed, whatever crashed under them. Of those with a refused part one runs at a time, whose answer ends the
-    /// refusal.
+    /// Time until an item may run at `now`, by the parts of its prompt; zero if it may now. It is handed in for later and owed,
+    /// so of those with a refused part one runs at a time, whose answer ends the refusal.
     pub fn item_wait(&mut self, item: RequestSuspects<'_>, now: MonoTime) -> Duration {
         let parts = || item.parts.iter().map(|part| CrashSuspect::Part(*part));
         let refused = parts().filter_map(|part| self.refused.get(&part));
@@ -199,7 +225,7 @@
             let is_known = refused.has_crashed_under(report.request);
             // Also of a request that was running when the suspect was refused: it may be the one to blame.
             refused.note_crashed_under(suspect, [report.request]);
-            let level = refused.level_after_crash(is_known, now)?;
+            let level = refused.level_after_crash(suspect, is_known, now)?;
             return Some(self.refuse(suspect, level, now));
         }
         if self.answers.is_fresh(suspect, now) {
@@ -213,6 +239,25 @@
         Some(self.refuse(suspect, 0, now))
     }
 
+    /// Records that a probe of a request starts, which this or another gateway has claimed.
+    pub fn note_probe_started(&mut self, refusal: SuspectRefusal, now: MonoTime) {
+        let age = self.refusal_age(refusal.suspect, now);
+        self.apply_refusal_of(refusal, now - age, now);
+    }
+
+    /// Records that nothing of a claimed probe reached a target.
+    pub fn note_unspent_probe(&mut self, request: u64, now: MonoTime) {
+        if let Some(refused) = self.refused.get_mut(&CrashSuspect::Request(request)) {
+            refused.note_unspent(request, now);
+        }
+    }
+
+    /// Takes the claim of a probe of which nothing reached a target, if this gateway has one.
+    pub fn take_unspent_claim(&mut self, request: u64) -> bool {
+        let refused = self.refused.get_mut(&CrashSuspect::Request(request));
+        refused.is_some_and(RefusedSuspect::take_unspent_claim)
+    }
+
     fn refuse(&mut self, suspect: CrashSuspect, level: u32, now: MonoTime) -> SuspectRefusal {
         let refusal = SuspectRefusal::at_level(suspect, level);
         self.apply_refusal(refusal, now);
@@ -345,11 +390,19 @@
     }
 
     fn evict_refused(&mut self, added: CrashSuspect, now: MonoTime) {
-        self.refused.retain(|_, refused| !refused.is_forgotten(now));
+        self.refused.retain(|suspect, refused| !refused.is_forgotten(*suspect, now));
+        let most = match added {
+            CrashSuspect::Request(_) => MAX_REFUSED_REQUESTS,
+            CrashSuspect::Part(_) => MAX_REFUSED_PARTS,
+        };
         let same = || self.refused.iter().filter(|(suspect, _)| suspect.is_same_kind(added));
+        let order = |refused: &RefusedSuspect| match added {
+            CrashSuspect::Request(_) => (refused.level(), refused.until()),
+            CrashSuspect::Part(_) => (0, refused.until()),
+        };
         if !self.refused.contains_key(&added)
-            && same().count() >= MAX_REFUSED
-            && let Some((oldest, _)) = same().min_by_key(|(_, refused)| refused.until())
+            && same().count() >= most
+            && let Some((oldest, _)) = same().min_by_key(|(_, refused)| order(refused))
         {
             let oldest = *oldest;
             self.refused.remove(&oldest);
--- a/crates/relay/tests/crashes.rs
+++ b/crates/relay/tests/crashes.rs
@@ -256,7 +256,10 @@
     table.note_granted(part, 2, at(10));
     let admission = table.admit(request(1, &[9]), false, at(1_000));
     let (suspect, left) = (CrashSuspect::Request(1), Duration::from_secs(2));
-    assert_eq!(admission, SuspectAdmission::Refused { suspect, left, asks_probe: false });
+    assert_eq!(
+        admission,
+        SuspectAdmission::Refused { suspect, left, asks_probe: false, is_final: false }
+    );
     assert_eq!(table.admit(request(2, &[9]), false, at(1_000)), SuspectAdmission::Probe);
 }
 
--- /dev/null
+++ b/crates/relay/tests/lasting_refusals.rs
@@ -0,0 +1,156 @@
+//! What is promised without an end holds however long a client goes on, and however seldom it comes.
+
+use std::time::Duration;
+
+use notch_relay::prelude::*;
+use notch_types::prelude::*;
+use rstest::rstest;
+
+/// The request that crashes each target.
+const CULPRIT: RequestSuspects<'_> = RequestSuspects { request: 7, parts: &[70, 71] };
+/// Time after the third crash from which sends count, and how many may come.
+const WINDOW: Duration = Duration::from_secs(3);
+const MAX_LATE: usize = 3;
+
+/// A gateway that counts for itself, before targets that crash under [`CULPRIT`].
+#[derive(Default)]
+struct CrashingFleet {
+    table: SuspectTable,
+    /// Number of targets so far; each crash brings a new one.
+    targets: usize,
+    /// When targets crashed.
+    crashes: Vec<MonoTime>,
+}
+
+impl CrashingFleet {
+    fn crash(&mut self, now: MonoTime) {
+        self.targets += 1;
+        self.crashes.push(now);
+        for suspect in self.table.blamed(CULPRIT, now) {
+            let target = format!("t{}", self.targets);
+            let (request, reached) = (CULPRIT.request, None);
+            self.table.note_crash(&CrashReport { suspect, target, request, reached }, now);
+        }
+    }
+
+    /// Whether the request may start as a probe, once all probes that are due were granted.
+    fn is_probe(&mut self, now: MonoTime) -> bool {
+        self.admission(now) == SuspectAdmission::Probe
+    }
+
+    fn admission(&mut self, now: MonoTime) -> SuspectAdmission {
+        loop {
+            let admission = self.table.admit(CULPRIT, false, now);
+            match admission {
+                SuspectAdmission::Refused { suspect, asks_probe: true, .. } => {
+                    let refusal = self.table.refusal(suspect, now).expect("it is refused");
+                    let reply = self.table.grant_probe(refusal, CULPRIT.request, now);
+                    if reply != ProbeReply::Granted {
+                        return admission;
+                    }
+                    self.table.note_granted(suspect, CULPRIT.request, now);
+                }
+                SuspectAdmission::Admitted
+                | SuspectAdmission::Probe
+                | SuspectAdmission::Refused { .. } => return admission,
+            }
+        }
+    }
+
+    /// Claims a probe as the record in the store does it.
+    fn claim(&mut self, work: ProbeWork, now: MonoTime) -> bool {
+        let suspect = CrashSuspect::Request(CULPRIT.request);
+        let Some(refusal) = self.table.refusal(suspect, now) else { return true };
+        let age = self.table.refusal_age(suspect, now);
+        let Some(next) = refusal.after_probe(age, work) else { return false };
+        self.table.note_probe_started(next, now);
+        true
+    }
+
+    /// A client sends the request, for which the route allows this many attempts.
+    fn send(&mut self, attempts: usize, now: MonoTime) {
+        for _ in 0..attempts {
+            match self.admission(now) {
+                SuspectAdmission::Admitted => self.crash(now),
+                SuspectAdmission::Probe if self.claim(ProbeWork::Request, now) => {
+                    return self.crash(now);
+                }
+                SuspectAdmission::Probe | SuspectAdmission::Refused { .. } => return,
+            }
+        }
+    }
+
+    fn late(&self) -> usize {
+        let third = self.crashes.get(2).copied();
+        self.crashes.iter().filter(|at| third.is_some_and(|third| **at > third + WINDOW)).count()
+    }
+}
+
+/// Guards against a request that crashes targets for ever: probes of it went on each two minutes.
+#[rstest]
+#[case::each_second(1, 1_800)]
+#[case::each_40_seconds(40, 1_800)]
+fn a_request_that_crashes_targets_is_sent_a_few_times_however_long_it_comes(
+    #[case] interval: u64,
+    #[case] length: u64,
+    #[values(1, 2)] attempts: usize,
+) {
+    let mut fleet = CrashingFleet::default();
+    for second in (0..length).step_by(interval as usize) {
+        fleet.send(attempts, MonoTime::from_millis((second + 1) * 1_000));
+    }
+    assert!(fleet.crashes.len() >= 3, "it crashes targets: {:?}", fleet.crashes);
+    assert!(fleet.late() <= MAX_LATE, "{} late: {:?}", fleet.late(), fleet.crashes);
+    let now = MonoTime::from_millis((length + 1_000_000) * 1_000);
+    let admission = fleet.table.admit(CULPRIT, false, now);
+    assert!(
+        matches!(admission, SuspectAdmission::Refused { is_final: true, asks_probe: false, .. }),
+        "its client is told so: {admission:?}"
+    );
+}
+
+/// Guards against a sound request that stays refused: its targets crashed for another reason.
+#[test]
+fn a_sound_request_is_served_by_its_first_probe() {
+    let mut fleet = CrashingFleet::default();
+    for millis in [0, 100, 200] {
+        fleet.crash(MonoTime::from_millis(millis));
+    }
+    let now = MonoTime::from_millis(800);
+    assert!(fleet.is_probe(now) && fleet.claim(ProbeWork::Request, now));
+    fleet.table.note_answer(CULPRIT, now);
+    assert_eq!(fleet.table.admit(CULPRIT, false, now), SuspectAdmission::Admitted);
+}
+
+/// Guards against a probe that is used up although nothing of it reached a target.
+#[test]
+fn a_claimed_probe_that_reached_no_target_is_not_used_up() {
+    let mut fleet = CrashingFleet::default();
+    for millis in [0, 100, 200] {
+        fleet.crash(MonoTime::from_millis(millis));
+    }
+    let now = MonoTime::from_millis(800);
+    assert!(fleet.is_probe(now) && fleet.claim(ProbeWork::Request, now));
+    assert!(!fleet.is_probe(now), "it was granted once");
+    fleet.table.note_unspent_probe(CULPRIT.request, now);
+    assert!(fleet.is_probe(now));
+    assert!(fleet.table.take_unspent_claim(CULPRIT.request));
+    assert!(!fleet.table.take_unspent_claim(CULPRIT.request), "once");
+}
+
+/// Guards against refusals of requests that are displaced: those with the most probes stay.
+#[test]
+fn a_request_that_is_refused_for_good_outlasts_many_others() {
+    let mut table = SuspectTable::default();
+    let refuse = |table: &mut SuspectTable, request, level, now| {
+        let suspect = CrashSuspect::Request(request);
+        table.apply_refusal(SuspectRefusal::at_level(suspect, level), MonoTime::from_millis(now));
+    };
+    refuse(&mut table, 7, 3, 0);
+    for other in 0..MAX_REFUSED_REQUESTS as u64 + 100 {
+        refuse(&mut table, other + 100, 0, 1_000);
+    }
+    let now = MonoTime::from_millis(2_000);
+    assert!(table.refusals(now).count() <= MAX_REFUSED_REQUESTS);
+    assert!(matches!(table.admit(CULPRIT, false, now), SuspectAdmission::Refused { .. }));
+}
