Count the crashes under a request without an end, over restarts of who counts

A request that comes less often than each 150 s was never refused: each of its crashes began a new series. Nor was one that came only to gateways that had been restarted since, as one or two crashes lived in the memory of two.

Cause: "after it has crashed the third" has no window, its count had one, and an owner that restarts.

Change: a request's series ends with an answer only. Each gateway that counts writes its series, at most 512, into one object soon after a change and not more often than each 2.1 s, so that a target that crashes under many requests costs few calls; whoever starts counts on from all of them. An online request waits for that, as for the configuration, at most 140 ms. Of more than 4,096 series those with the fewest crashes go first. Incarnations are kept as fingerprints, not names.

--- a/crates/entry/src/front/connection.rs
+++ b/crates/entry/src/front/connection.rs
@@ -78,14 +78,15 @@
         matches!(timeout(limits.idle_timeout, self.reader.fill()).await, Ok(Ok(read)) if read > 0)
     }
 
-    /// Waits until the configuration and the targets are known, at most [`STARTUP_STATE_WAIT`], and returns the
+    /// Waits until the configuration, the targets and what crashes them are known, at most [`STARTUP_STATE_WAIT`], and returns the
     /// routes in force if there are any. A gateway that has just started reads them within some 20 ms, which is less
     /// than the retry delay of a refused client.
     async fn await_startup_state(&self) -> Option<Arc<RouteTable>> {
         let began = self.node.clock.mono();
         loop {
             let routes = self.node.routes();
-            if self.node.was_synced() || self.node.clock.mono().since(began) >= STARTUP_STATE_WAIT {
+            let is_known = self.node.was_synced() && self.node.crash_counts.is_restored();
+            if is_known || self.node.clock.mono().since(began) >= STARTUP_STATE_WAIT {
                 return routes;
             }
             task::sleep(STARTUP_STATE_POLL).await;
--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -25,7 +25,7 @@
         listener::{listen, listen_admitting},
     },
     node::EntryNode,
-    online::{refusal_records, version_records},
+    online::{crash_counts, refusal_records, version_records},
     peers::{demands, links, pushes, reports, store_forwarding},
     retirements,
     route_cleanup::forget_routes,
@@ -130,6 +130,7 @@
     task::spawn(freshness::keep_fresh(Arc::clone(node)));
     task::spawn(freshness::confirm_on_demand(Arc::clone(node)));
     task::spawn(refusal_records::keep_records(Arc::clone(node)));
+    task::spawn(crash_counts::keep_counts(Arc::clone(node)));
     task::spawn(failure_records::keep_records(Arc::clone(node)));
     task::spawn(version_records::keep_records(Arc::clone(node)));
     task::spawn(retention::delete_old_jobs(Arc::clone(node)));
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -28,8 +28,8 @@
     front::connection_gate::ClientConnections,
     memory::HeldMemory,
     online::{
-        fairness::FairShareEdge, refusal_records::RefusalRecords, suspects::SuspectEdge,
-        target_views::TargetConfirmation, version_records::VersionRecords,
+        crash_counts::CrashCounts, fairness::FairShareEdge, refusal_records::RefusalRecords,
+        suspects::SuspectEdge, target_views::TargetConfirmation, version_records::VersionRecords,
     },
     peers::{
         catch_up::KnownVersions,
@@ -104,6 +104,8 @@
     pub confirmation_wanted: Event,
     /// Changes of refusals of requests that are to be recorded.
     pub refusal_records: RefusalRecords,
+    /// Whether crashes under requests are to be recorded.
+    pub crash_counts: CrashCounts,
     /// Failures of items that are to be recorded.
     pub failure_records: FailureRecords,
     /// What is known of the records of software versions.
@@ -176,6 +178,7 @@
             target_restarts: Event::new(),
             confirmation_wanted: Event::new(),
             refusal_records: RefusalRecords::default(),
+            crash_counts: CrashCounts::default(),
             failure_records: FailureRecords::default(),
             version_records: VersionRecords::default(),
             target_confirmation: TargetConfirmation::default(),
@@ -245,6 +248,7 @@
         SuspectEdge {
             table: &self.suspects,
             records: &self.refusal_records,
+            counts: &self.crash_counts,
             own: &self.config.node.vm,
             peers: &self.peers,
             clock: self.clock,
--- a/crates/entry/src/online.rs
+++ b/crates/entry/src/online.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod buffered;
+pub mod crash_counts;
 pub mod fairness;
 mod give_up;
 pub mod lease;
--- a/crates/entry/src/online/refusal_records.rs
+++ b/crates/entry/src/online/refusal_records.rs
@@ -21,6 +21,7 @@
 use crate::{
     constants::STORE_PAUSE,
     node::EntryNode,
+    online::crash_counts,
     store::{
         call_cause::StoreCallCause,
         feed::{StorePath, list_all},
@@ -105,6 +106,7 @@
     let listing = || list_all(&node.store, REFUSAL_KIND, StorePath::Any, StoreCallCause::Refusals);
     if let Some((objects, _)) = until_answered(|| true, listing).await {
         let surplus = restore(&node, &objects);
+        node.crash_counts.note_restored();
         for name in surplus {
             // What is left is deleted by the next gateway that starts.
             let _ = delete(&node, &name).await;
@@ -127,8 +129,11 @@
 /// oldest.
 fn restore(node: &EntryNode, objects: &[StoreObject]) -> Vec<String> {
     let wall = node.clock.wall().0;
-    let mut records: Vec<(&str, RefusalRecord)> = objects
-        .iter()
+    let (counts, refusals): (Vec<_>, Vec<_>) =
+        objects.iter().partition(|object| crash_counts::is_count(&object.metadata.name));
+    let mut surplus = crash_counts::restore(node, &counts);
+    let mut records: Vec<(&str, RefusalRecord)> = refusals
+        .into_iter()
         .filter_map(|object| Some((&*object.metadata.name, RefusalRecord::decode(object)?)))
         .collect();
     records.sort_by_key(|(_, record)| std::cmp::Reverse((record.level, record.until_ms)));
@@ -140,7 +145,8 @@
     if !records.is_empty() {
         node.log.info("refusals_restored", &[("requests", &records.len())]);
     }
-    beyond.into_iter().map(|(name, _)| name.to_owned()).collect()
+    surplus.extend(beyond.into_iter().map(|(name, _)| name.to_owned()));
+    surplus
 }
 
 /// Claims a probe of a refused request in its record. Returns the refusal from then on; `None` if there is no probe left,
--- a/crates/entry/src/online/suspects.rs
+++ b/crates/entry/src/online/suspects.rs
@@ -20,7 +20,10 @@
 use crate::{
     clock::NodeClock,
     node::EntryNode,
-    online::refusal_records::{self, RefusalRecords},
+    online::{
+        crash_counts::CrashCounts,
+        refusal_records::{self, RefusalRecords},
+    },
     peers::table::PeerTable,
 };
 
@@ -61,6 +64,8 @@
     pub table: &'a Mutex<SuspectTable>,
     /// Changes of refusals that are to be recorded.
     pub records: &'a RefusalRecords,
+    /// Whether crashes are to be recorded.
+    pub counts: &'a CrashCounts,
     /// Name of this gateway.
     pub own: &'a VmName,
     /// Links to the other gateways.
@@ -140,7 +145,12 @@
         {
             self.peers.broadcast(&message);
         }
-        let Some(refusal) = refusal else { return };
+        let Some(refusal) = refusal else {
+            if current.is_none() && matches!(report.suspect, CrashSuspect::Request(_)) {
+                self.counts.note_changed();
+            }
+            return;
+        };
         let SuspectRefusal { suspect, level, left } = refusal;
         let (event, counter, key) = match suspect {
             CrashSuspect::Request(_) => {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -121,7 +121,7 @@
             slot_search::{SearchStep, SlotSearch},
             suspects::{
                 refusal::{ProbeReply, ProbeWork, SuspectRefusal},
-                suspect::{CrashReport, CrashSuspect, RequestSuspects},
+                suspect::{CrashReport, CrashSuspect, RequestCrashes, RequestSuspects},
                 table::{AnswerFindings, MAX_REFUSED_REQUESTS, SuspectAdmission, SuspectTable},
             },
             table::{TargetTable, ejections::EjectionNotice},
--- a/crates/relay/src/targets/suspects/series.rs
+++ b/crates/relay/src/targets/suspects/series.rs
@@ -6,7 +6,7 @@
 
 use super::{
     refusal::{PART_PROBE_PAUSES, PROBE_TIMEOUT},
-    suspect::{CrashReport, CrashSuspect},
+    suspect::{CrashReport, CrashSuspect, RequestCrashes},
 };
 
 /// Number of incarnations that must crash under a suspect, without an answer between, until it is refused.
@@ -14,10 +14,11 @@
 /// Minimum time from the first of these crashes to the refusal of a prompt part. When several targets crash at once for
 /// another reason, an answer with a sound part arrives within this time.
 const MIN_PART_SERIES: Duration = Duration::from_millis(250);
-/// Maximum time between two crashes of a series: a request can't run while a part of it waits for a probe.
-const SERIES_GAP: Duration = Duration::from_secs(150);
+/// Maximum time between two crashes of a part's series: longer than the part waits for a probe. A request's series has no
+/// such end, as its client may send it again however late.
+const PART_SERIES_GAP: Duration = Duration::from_secs(150);
 const _: () = assert!(
-    SERIES_GAP.as_secs()
+    PART_SERIES_GAP.as_secs()
         > PART_PROBE_PAUSES[PART_PROBE_PAUSES.len() - 1].as_secs() + PROBE_TIMEOUT.as_secs(),
     "the longest pause of a probe must not end a series"
 );
@@ -31,7 +32,8 @@
 /// A crash and the requests that it interrupted.
 #[derive(Debug)]
 struct SeriesCrash {
-    target: String,
+    /// Fingerprint of the incarnation.
+    target: u64,
     /// Fingerprints. Invariant: distinct, at most [`MAX_REQUESTS`].
     requests: VecDeque<u64>,
 }
@@ -59,8 +61,19 @@
     }
 
     /// Whether the last crash was so long ago that the next one begins another series.
-    pub fn is_over(&self, now: MonoTime) -> bool {
-        now.since(self.last) >= SERIES_GAP
+    pub fn is_over(&self, suspect: CrashSuspect, now: MonoTime) -> bool {
+        matches!(suspect, CrashSuspect::Part(_)) && now.since(self.last) >= PART_SERIES_GAP
+    }
+
+    /// Order of eviction, the first to be evicted first: by how much it would take to count it again.
+    pub fn eviction_order(&self) -> (usize, MonoTime) {
+        (self.crashes.len(), self.last)
+    }
+
+    /// What is counted, to be counted on by another process.
+    pub fn count(&self, request: u64) -> RequestCrashes {
+        let targets = self.crashes.iter().map(|crash| crash.target).collect();
+        RequestCrashes { request, targets, reached: self.furthest }
     }
 
     /// Records a crash. Returns whether the suspect is to be refused.
@@ -69,7 +82,9 @@
         self.furthest = self.furthest.max(report.reached);
         match report.suspect {
             CrashSuspect::Request(_) if has_progressed => return false,
-            CrashSuspect::Request(_) | CrashSuspect::Part(_) => self.add(report),
+            CrashSuspect::Request(_) | CrashSuspect::Part(_) => {
+                self.add(stable_hash64(&[report.target.as_bytes()]), report.request);
+            }
         }
         self.last = now;
         self.crashes.len() >= CRASH_LIMIT
@@ -81,6 +96,16 @@
             }
     }
 
+    /// Adds what another process counted of a request. Returns whether the request is to be refused.
+    pub fn join(&mut self, count: &RequestCrashes, now: MonoTime) -> bool {
+        self.furthest = self.furthest.max(count.reached);
+        for target in &count.targets {
+            self.add(*target, count.request);
+        }
+        self.last = now;
+        self.crashes.len() >= CRASH_LIMIT
+    }
+
     /// Requests that the crashes interrupted.
     pub fn requests(&self) -> impl Iterator<Item = u64> {
         self.crashes.iter().flat_map(|crash| crash.requests.iter().copied())
@@ -91,23 +116,23 @@
         reached.is_some_and(|id| id + 1 >= furthest + MIN_PROGRESS)
     }
 
-    fn add(&mut self, report: &CrashReport) {
-        let known = self.crashes.iter_mut().find(|crash| crash.target == report.target);
+    fn add(&mut self, target: u64, request: u64) {
+        let known = self.crashes.iter_mut().find(|crash| crash.target == target);
         let Some(crash) = known else {
             if self.crashes.len() >= MAX_CRASHES {
                 self.crashes.pop_front();
             }
-            let requests = VecDeque::from([report.request]);
-            self.crashes.push_back(SeriesCrash { target: report.target.clone(), requests });
+            let requests = VecDeque::from([request]);
+            self.crashes.push_back(SeriesCrash { target, requests });
             return;
         };
-        if crash.requests.contains(&report.request) {
+        if crash.requests.contains(&request) {
             return;
         }
         if crash.requests.len() >= MAX_REQUESTS {
             crash.requests.pop_front();
         }
-        crash.requests.push_back(report.request);
+        crash.requests.push_back(request);
     }
 
     /// Whether one request, which is refused for itself, explains all crashes.
--- a/crates/relay/src/targets/suspects/suspect.rs
+++ b/crates/relay/src/targets/suspects/suspect.rs
@@ -71,3 +71,14 @@
     /// Id of the last event that the run had passed on, or that the request went on after.
     pub reached: Option<u64>,
 }
+
+/// Crashes under a request that is not refused yet, as recorded for other processes.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RequestCrashes {
+    /// Fingerprint of the request.
+    pub request: u64,
+    /// Fingerprints of the incarnations that crashed. Invariant: distinct, few.
+    pub targets: Vec<u64>,
+    /// The last event that any of the runs reached.
+    pub reached: Option<u64>,
+}
--- a/crates/relay/src/targets/suspects/table.rs
+++ b/crates/relay/src/targets/suspects/table.rs
@@ -10,16 +10,18 @@
         PROVEN_FIRST_TIME, ProbeReply, ProbeWork, RefusedSuspect, SOUND_FIRST_TIME, SuspectRefusal,
     },
     series::CrashSeries,
-    suspect::{CrashReport, CrashSuspect, RequestSuspects},
+    suspect::{CrashReport, CrashSuspect, RequestCrashes, RequestSuspects},
 };
 
-/// Maximum number of series of each kind of suspect; the oldest are evicted first.
+/// Maximum number of series of each kind of suspect; those with the fewest crashes are evicted first, and of these the oldest.
 const MAX_SERIES: usize = 4_096;
 /// Maximum number of refused parts; those that may be probed first are evicted first.
 const MAX_REFUSED_PARTS: usize = 256;
 /// Maximum number of refused requests, each a fingerprint and some numbers; those with the fewest probes are evicted first,
 /// and of these the oldest.
 pub const MAX_REFUSED_REQUESTS: usize = 4_096;
+/// Maximum number of requests whose crashes are recorded for other processes, those with the most crashes first.
+const MAX_RECORDED_COUNTS: usize = 512;
 /// Maximum number of reported suspects that are remembered until they are answered.
 const MAX_REPORTED: usize = 1_024;
 
@@ -239,6 +241,34 @@
         Some(self.refuse(suspect, 0, now))
     }
 
+    /// Counts on from what another process counted. Returns whether the request is refused now.
+    pub fn restore_count(&mut self, count: &RequestCrashes, now: MonoTime) -> bool {
+        let suspect = CrashSuspect::Request(count.request);
+        if self.refused.contains_key(&suspect) || self.answers.last(suspect).is_some() {
+            return false;
+        }
+        self.evict_series(suspect, now);
+        let series = self.series.entry(suspect).or_insert_with(|| CrashSeries::new(now));
+        let is_refused = series.join(count, now);
+        if is_refused {
+            self.refuse(suspect, 0, now);
+        }
+        is_refused
+    }
+
+    /// Crashes under requests that are not refused yet, as far as they are recorded.
+    pub fn counts(&self) -> Vec<RequestCrashes> {
+        let of_request = |(suspect, series): (&CrashSuspect, _)| match suspect {
+            CrashSuspect::Request(id) => Some((*id, series)),
+            CrashSuspect::Part(_) => None,
+        };
+        let mut counts: Vec<(u64, &CrashSeries)> =
+            self.series.iter().filter_map(of_request).collect();
+        counts.sort_unstable_by_key(|(_, series)| std::cmp::Reverse(series.eviction_order()));
+        counts.truncate(MAX_RECORDED_COUNTS);
+        counts.into_iter().map(|(id, series)| series.count(id)).collect()
+    }
+
     /// Records that a probe of a request starts, which this or another gateway has claimed.
     pub fn note_probe_started(&mut self, refusal: SuspectRefusal, now: MonoTime) {
         let age = self.refusal_age(refusal.suspect, now);
@@ -378,11 +408,11 @@
     }
 
     fn evict_series(&mut self, added: CrashSuspect, now: MonoTime) {
-        self.series.retain(|_, series| !series.is_over(now));
+        self.series.retain(|suspect, series| !series.is_over(*suspect, now));
         let same = || self.series.iter().filter(|(suspect, _)| suspect.is_same_kind(added));
         if !self.series.contains_key(&added)
             && same().count() >= MAX_SERIES
-            && let Some((oldest, _)) = same().min_by_key(|(_, series)| series.last())
+            && let Some((oldest, _)) = same().min_by_key(|(_, series)| series.eviction_order())
         {
             let oldest = *oldest;
             self.series.remove(&oldest);
--- a/crates/relay/tests/lasting_refusals.rs
+++ b/crates/relay/tests/lasting_refusals.rs
@@ -86,10 +86,14 @@
     }
 }
 
-/// Guards against a request that crashes targets for ever: probes of it went on each two minutes.
+/// Guards against a request that crashes targets for ever: probes of it went on each two minutes, and its crashes and its
+/// refusal were forgotten when it came less often than each 150 or 600 seconds.
 #[rstest]
 #[case::each_second(1, 1_800)]
 #[case::each_40_seconds(40, 1_800)]
+#[case::each_160_seconds(160, 1_800)]
+#[case::each_700_seconds(700, 10_800)]
+#[case::each_day(86_400, 2_592_000)]
 fn a_request_that_crashes_targets_is_sent_a_few_times_however_long_it_comes(
     #[case] interval: u64,
     #[case] length: u64,
@@ -122,6 +126,22 @@
     assert_eq!(fleet.table.admit(CULPRIT, false, now), SuspectAdmission::Admitted);
 }
 
+/// Guards against a count that is lost with the processes that counted: what they recorded is counted on.
+#[test]
+fn crashes_that_were_recorded_are_counted_on() {
+    let mut fleet = CrashingFleet::default();
+    fleet.crash(MonoTime::from_millis(0));
+    fleet.crash(MonoTime::from_millis(160_000));
+    let counts = fleet.table.counts();
+    fleet.table = SuspectTable::default();
+    for count in counts.iter().chain(&counts) {
+        assert!(!fleet.table.restore_count(count, MonoTime::from_millis(0)), "each target once");
+    }
+    fleet.crash(MonoTime::from_millis(10));
+    let admission = fleet.table.admit(CULPRIT, false, MonoTime::from_millis(20));
+    assert!(matches!(admission, SuspectAdmission::Refused { .. }), "{admission:?}");
+}
+
 /// Guards against a probe that is used up although nothing of it reached a target.
 #[test]
 fn a_claimed_probe_that_reached_no_target_is_not_used_up() {
