Laboratory: claim the probes of refused requests

The study of crashing requests grants probes by the decisions that ship; since a probe of a request counts when it is claimed, it claims them, the store taken to answer at once. Its 14 tests pass unchanged.

--- a/crates/lab/src/study/crashing_part.rs
+++ b/crates/lab/src/study/crashing_part.rs
@@ -346,6 +346,9 @@
             (self.targets[target].up_from <= now).then_some(target)
         });
         let Some(target) = target else { return };
+        if is_probe && !self.claim_probe(request.gateway, request.id) {
+            return;
+        }
         self.requests[number].attempts += 1;
         let is_lost = request.guilty.is_none() && self.random.random_bool(self.study.loss);
         let time = match (request.guilty.is_some(), is_lost) {
@@ -463,6 +466,18 @@
         self.send(asker, counting, StudyMessage::ProbeAsk { refusal, request, asker });
     }
 
+    /// Claims the probe of a request that is refused for itself. The store, which decides, is taken to answer at once.
+    fn claim_probe(&mut self, own: usize, request: u64) -> bool {
+        let now = self.schedule.now();
+        let suspect = CrashSuspect::Request(request);
+        let Some(refusal) = self.tables[own].refusal(suspect, now) else { return true };
+        let age = self.tables[own].refusal_age(suspect, now);
+        let Some(next) = refusal.after_probe(age, ProbeWork::Request) else { return false };
+        self.tables[own].note_probe_started(next, now);
+        self.broadcast(own, |_| StudyMessage::Refused(next));
+        true
+    }
+
     fn send(&mut self, from: usize, to: usize, message: StudyMessage) {
         let delay = if from == to { Duration::ZERO } else { MESSAGE_DELAY };
         self.schedule.add(delay, StudyEvent::Message { to, message });
