Hold back an item that crashes targets

What callers saw: an item under which each target crashes took down one target after another until its lifetime was over, and with each of them the requests that ran beside it.

Cause: a run that its target's crash breaks off is an interruption of the item, retried with a pause that shrinks as the job's due time comes near. Items were never suspects themselves, as they are owed; nothing counted their crashes.

Change: a crash is reported against the item as a whole, with the counts, refusals and probes of requests; nothing is blamed on the parts of its prompt, as before. A refused item is held back, others of its job go on. Online work doesn't preempt such a probe: it is one of few and would tell nothing.

--- a/crates/entry/src/batch/item_run.rs
+++ b/crates/entry/src/batch/item_run.rs
@@ -21,7 +21,10 @@
     batch::failures,
     constants::{ITEM_FIRST_BYTE, ITEM_STALL},
     node::EntryNode,
-    online::lease::{AttemptEvidence, TargetLease},
+    online::{
+        lease::{AttemptEvidence, TargetLease},
+        suspects::{InterruptedRun, claim_probe},
+    },
     target::event_buffer::EventBuffer,
 };
 
@@ -58,7 +61,19 @@
     let began = node.clock.mono();
     let mut progress = RunProgress { last_event: start.last_event, ..RunProgress::default() };
     let mut lease = TargetLease::new(&node, &choice, WorkKind::Batch);
-    let outcome = {
+    let suspect = item_suspect(&start.job, &start.item);
+    let admission = node.suspects().admit_item(suspect);
+    if admission == SuspectAdmission::Probe
+        && let Some(handle) = node.jobs().runs.get_mut(&run)
+    {
+        handle.is_probe = true;
+    }
+    let may_start = match admission {
+        SuspectAdmission::Admitted => true,
+        SuspectAdmission::Probe => claim_probe(&node, suspect, ProbeWork::Item).await,
+        SuspectAdmission::Refused { .. } => false,
+    };
+    let outcome = if may_start {
         let running = run_at(&node, run, &start, &choice, &mut progress);
         let cancelled = cancel.recv();
         pin_mut!(running, cancelled);
@@ -66,6 +81,9 @@
             Either::Left((outcome, _)) => Some(outcome),
             Either::Right(_) => None,
         }
+    } else {
+        // It is held back, and nothing is known of the target.
+        None
     };
     match &outcome {
         Some(Ok(_)) => lease.set_outcome(Ok(())),
@@ -79,6 +97,11 @@
         (None, Some(Err(failure))) => Some(AttemptResult::Broken(failure)),
         (None, None) => None,
     };
+    if let Some(Err(failure)) = outcome
+        && progress.failure.is_none()
+    {
+        note_broken_run(&node, &start, &choice, (failure, progress.last_event), admission);
+    }
     let has_begun = progress.events > 0;
     lease.set_evidence(AttemptEvidence { fingerprint, result, has_begun });
     drop(lease);
@@ -89,6 +112,7 @@
         note_failure(&node, (run, status), &start, &mut progress);
     }
     let mut end = match progress.failure {
+        _ if !may_start => ItemEnd::NotRun,
         Some(FailedRun { is_impossible: true, .. }) => ItemEnd::Impossible,
         Some(run) => ItemEnd::Failed { run },
         None => item_end(outcome.as_ref()),
@@ -102,6 +126,7 @@
     let reason = match &outcome {
         Some(Ok(status)) => status.to_string(),
         Some(Err(failure)) => failure.code().to_owned(),
+        None if !may_start => "held_back".to_owned(),
         None => "preempted".to_owned(),
     };
     let now = node.clock.mono();
@@ -153,8 +178,25 @@
     }
 }
 
-/// Records that the prompt parts of an item are sound, if a target answered it. That a target crashed under it tells
-/// nothing of its parts: items are sound, and one that met a crash is owed like the others.
+/// Reports a crash of the target, if the run may have caused it.
+fn note_broken_run(
+    node: &EntryNode,
+    start: &ItemStart,
+    choice: &TargetChoice,
+    (failure, reached): (AttemptFailure, Option<u64>),
+    admission: SuspectAdmission,
+) {
+    let request = item_suspect(&start.job, &start.item);
+    if failure.may_be_crash() {
+        let suspects = RequestSuspects { request, parts: &[] };
+        node.suspects().report_crash(InterruptedRun { suspects, choice, reached });
+    } else if admission == SuspectAdmission::Probe && failure.verdict() == RunVerdict::NotRun {
+        node.suspects().table().note_unspent_probe(request, node.clock.mono());
+    }
+}
+
+/// Records that an item and the prompt parts of it are sound, if a target answered it. That a target crashed under it tells
+/// nothing of its parts: items are sound as a rule.
 fn note_sound(node: &EntryNode, start: &ItemStart, outcome: Option<&Result<u16, AttemptFailure>>) {
     if let Some(Ok(200..300)) = outcome {
         let prompt = item_prompt(&start.item);
@@ -169,8 +211,12 @@
     item: &ItemSpec,
     prompt: &'a PromptPrefixes,
 ) -> RequestSuspects<'a> {
-    let request = CrashSuspect::request_id(job, item.id.as_bytes());
-    RequestSuspects { request, parts: prompt.shared_parts() }
+    RequestSuspects { request: item_suspect(job, item), parts: prompt.shared_parts() }
+}
+
+/// What an item is known by as a whole.
+pub(super) fn item_suspect(job: &str, item: &ItemSpec) -> u64 {
+    CrashSuspect::request_id(job, item.id.as_bytes())
 }
 
 /// Whether the events of a run can't be joined with those of others: the target has restarted under its name with other
--- a/crates/entry/src/batch/item_slots.rs
+++ b/crates/entry/src/batch/item_slots.rs
@@ -361,7 +361,7 @@
         };
         let (cancel, cancelled) = async_channel::bounded(1);
         let (job, target) = (spec.id.clone(), choice.id.clone());
-        let handle = ItemRunHandle { job, index, target, since: self.now, cancel };
+        let handle = ItemRunHandle { job, index, target, since: self.now, cancel, is_probe: false };
         let run = self.registry.add_run(handle);
         outcome.starts.push(StartedItem { run, start, choice, cancelled, left_ms });
     }
--- a/crates/entry/src/batch/job_registry.rs
+++ b/crates/entry/src/batch/job_registry.rs
@@ -31,6 +31,15 @@
     pub since: MonoTime,
     /// Closing this channel cancels the run.
     pub cancel: Sender<()>,
+    /// Whether it is a probe of an item that is refused.
+    pub is_probe: bool,
+}
+
+impl ItemRunHandle {
+    /// Whether online work may preempt it. A probe is one of few, and would tell nothing.
+    pub fn is_preemptible(&self) -> bool {
+        !self.is_probe && !self.cancel.is_closed()
+    }
 }
 
 /// A job's owner, as reported by another gateway.
--- a/crates/entry/src/batch/runner.rs
+++ b/crates/entry/src/batch/runner.rs
@@ -11,7 +11,7 @@
     batch::{
         commits,
         commits::ListPlace,
-        item_run::{item_suspects, run_item},
+        item_run::{item_suspect, item_suspects, run_item},
         item_slots::{ItemSlotPass, PassOutcome, StartedItem, item_use},
         job_registry::{ItemRunHandle, JobRegistry},
     },
@@ -71,6 +71,10 @@
         let given_up = job.give_up_items(state == RouteState::Removed, now);
         if given_up > 0 {
             log_given_up(node, &id, state, (given_up, routes.version()));
+            let suspects = node.suspects();
+            for item in &spec.items {
+                suspects.forget_item(item_suspect(&id, item));
+            }
         }
     }
     missing_routes.retain(|job| table.get(job).is_some());
@@ -98,19 +102,23 @@
     node.metrics.count(Counter::Event("jobs_with_items_given_up"));
 }
 
-/// Delays waiting items with a prompt part that crashes targets, but for one at a time.
+/// Delays waiting items that crash targets themselves, and those with a prompt part that does, but for one at a time.
 fn defer_refused_items(node: &EntryNode, now: MonoTime) {
     let suspects = node.suspects();
     if !suspects.table().has_refusals() {
         return;
     }
+    let has_refused_parts = suspects.table().has_refused_parts();
     let mut registry = node.jobs();
     let waiting: Vec<(String, usize, Duration)> = {
         let items = registry.table.waiting_items(now).into_iter().take(MAX_CHECKED_ITEMS);
         let refused = items.filter_map(|WaitingItem { spec, index, .. }| {
             let item = &spec.items[index];
-            let prompt = item_prompt(item);
-            let wait = suspects.table().item_wait(item_suspects(&spec.id, item, &prompt), now);
+            let mut wait = suspects.item_hold(item_suspect(&spec.id, item));
+            if wait.is_zero() && has_refused_parts {
+                let prompt = item_prompt(item);
+                wait = suspects.table().item_wait(item_suspects(&spec.id, item, &prompt), now);
+            }
             (!wait.is_zero()).then(|| (spec.id.clone(), index, wait))
         });
         refused.collect()
@@ -164,7 +172,14 @@
         let Some(start) = registry.table.start_item(&job, index, version) else { return };
         let (cancel, cancelled) = async_channel::bounded(1);
         let target = choice.id.clone();
-        let run = registry.add_run(ItemRunHandle { job, index, target, since: now, cancel });
+        let run = registry.add_run(ItemRunHandle {
+            job,
+            index,
+            target,
+            since: now,
+            cancel,
+            is_probe: false,
+        });
         drop(registry);
         log_start(node, &start, &choice, left_ms);
         task::spawn(run_item(Arc::clone(node), run, start, choice, cancelled));
@@ -201,7 +216,7 @@
     let registry = node.jobs();
     let targets = node.targets();
     let mut runs: FastMap<&str, Vec<&ItemRunHandle>> = FastMap::default();
-    for run in registry.runs.values().filter(|run| !run.cancel.is_closed()) {
+    for run in registry.runs.values().filter(|run| run.is_preemptible()) {
         runs.entry(&run.target).or_default().push(run);
     }
     for (target, mut list) in runs {
@@ -234,7 +249,7 @@
 pub fn preempt_item(node: &EntryNode, target: &str) {
     let now = node.clock.mono();
     let registry = node.jobs();
-    let runs = registry.runs.values().filter(|run| run.target == target && !run.cancel.is_closed());
+    let runs = registry.runs.values().filter(|run| run.target == target && run.is_preemptible());
     if let Some(run) = runs.max_by_key(|run| preemption_order(node, &registry, run, now)) {
         run.cancel.close();
     }
--- a/crates/entry/src/online/suspects.rs
+++ b/crates/entry/src/online/suspects.rs
@@ -93,6 +93,35 @@
         admission
     }
 
+    /// Time until it is worth to start an item, by what crashed under itself; zero if it is now. Asks for a probe if one is due.
+    pub fn item_hold(&self, item: u64) -> Duration {
+        if self.table().is_granted(item, self.clock.mono()) {
+            return Duration::ZERO;
+        }
+        match self.admit_item(item) {
+            SuspectAdmission::Refused { left, .. } => left.max(PROBE_GRANT_WAIT),
+            SuspectAdmission::Admitted | SuspectAdmission::Probe => Duration::ZERO,
+        }
+    }
+
+    /// Decides whether an item may start, by what crashed under itself, and asks for a probe if one is due.
+    pub fn admit_item(&self, item: u64) -> SuspectAdmission {
+        let admission = self.table().admit_item(item, self.clock.mono());
+        if let SuspectAdmission::Refused { suspect, asks_probe: true, .. } = admission {
+            self.ask_probe(suspect, item);
+        }
+        admission
+    }
+
+    /// Ends the refusal of an item that is given up.
+    pub fn forget_item(&self, item: u64) {
+        let suspect = CrashSuspect::Request(item);
+        if self.table().refusal(suspect, self.clock.mono()).is_some() {
+            self.note_cleared(suspect);
+            self.announce_cleared(suspect);
+        }
+    }
+
     /// Records a complete successful answer to a request with these suspects, which proves them sound.
     pub fn note_answer(&self, suspects: RequestSuspects<'_>) {
         let findings = self.table().note_answer(suspects, self.clock.mono());
--- a/crates/relay/src/targets/suspects/table.rs
+++ b/crates/relay/src/targets/suspects/table.rs
@@ -71,6 +71,23 @@
         !self.refused.is_empty()
     }
 
+    /// Whether any part is refused.
+    pub fn has_refused_parts(&self) -> bool {
+        self.refused.keys().any(|suspect| matches!(suspect, CrashSuspect::Part(_)))
+    }
+
+    /// Whether this gateway may start a refused request as a probe.
+    pub fn is_granted(&self, request: u64, now: MonoTime) -> bool {
+        let refused = self.refused.get(&CrashSuspect::Request(request));
+        refused.is_some_and(|refused| refused.is_granted(request, now))
+    }
+
+    /// Whether an item that is not refused for its parts may run at `now`, by what crashed under itself.
+    pub fn admit_item(&mut self, item: u64, now: MonoTime) -> SuspectAdmission {
+        let suspects = RequestSuspects { request: item, parts: &[] };
+        self.admit_for(suspects, false, ProbeWork::Item, now)
+    }
+
     /// Whether a request with these suspects may run at `now`. One whose answer has begun is only refused as a whole: its
     /// parts could be answered.
     pub fn admit(
--- a/crates/relay/tests/lasting_refusals.rs
+++ b/crates/relay/tests/lasting_refusals.rs
@@ -113,6 +113,30 @@
     );
 }
 
+/// Guards against an item that crashes targets until its lifetime is over: it is owed, but reaches only a few more.
+#[test]
+fn an_item_that_crashes_targets_reaches_a_few() {
+    let mut fleet = CrashingFleet::default();
+    for tenth in 1..700 {
+        let now = MonoTime::from_millis(tenth * 100);
+        match fleet.table.admit_item(CULPRIT.request, now) {
+            SuspectAdmission::Admitted => fleet.crash(now),
+            SuspectAdmission::Refused { suspect, asks_probe: true, .. } => {
+                let refusal = fleet.table.refusal(suspect, now).expect("it is refused");
+                if fleet.table.grant_probe(refusal, CULPRIT.request, now) == ProbeReply::Granted {
+                    fleet.table.note_granted(suspect, CULPRIT.request, now);
+                    let admission = fleet.table.admit_item(CULPRIT.request, now);
+                    assert_eq!(admission, SuspectAdmission::Probe);
+                    assert!(fleet.claim(ProbeWork::Item, now));
+                    fleet.crash(now);
+                }
+            }
+            SuspectAdmission::Probe | SuspectAdmission::Refused { .. } => {}
+        }
+    }
+    assert!(fleet.late() <= MAX_LATE, "{} late: {:?}", fleet.late(), fleet.crashes);
+}
+
 /// Guards against a sound request that stays refused: its targets crashed for another reason.
 #[test]
 fn a_sound_request_is_served_by_its_first_probe() {
