--- a/crates/entry/src/batch/failure_records.rs
+++ b/crates/entry/src/batch/failure_records.rs
@@ -19,7 +19,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    batch::takeover::is_preferred_successor,
+    batch::{failures, takeover::is_preferred_successor},
     constants::STORE_PAUSE,
     node::EntryNode,
     store::{
@@ -54,15 +54,16 @@
 }
 
 impl FailureRecords {
-    /// Has failures of items of `job` recorded.
-    pub fn add(&self, job: &str, items: &[ItemFailures]) {
+    /// Has failures of items of `job` recorded. False if those of too many jobs wait.
+    pub fn add(&self, job: &str, items: &[ItemFailures]) -> bool {
         let mut pending = self.pending();
         if !pending.contains_key(job) && pending.len() >= MAX_PENDING_JOBS {
-            return;
+            return false;
         }
         ItemFailures::join_into(pending.entry(job.to_owned()).or_default(), items);
         drop(pending);
         self.added.notify(1);
+        true
     }
 
     fn pending(&self) -> MutexGuard<'_, FastMap<String, Vec<ItemFailures>>> {
@@ -90,7 +91,9 @@
                 node.log.error("failures_not_recorded", &[("job", &job), ("reason", &"refused")]);
             }
             Err(StoreFailure::NotDone | StoreFailure::Unknown) => {
-                node.failure_records.add(&job, &items);
+                if !node.failure_records.add(&job, &items) {
+                    failures::log_dropped(&node, &job, "not_recorded");
+                }
                 task::sleep(jittered(STORE_PAUSE)).await;
             }
         }
--- a/crates/entry/src/batch/failures.rs
+++ b/crates/entry/src/batch/failures.rs
@@ -49,7 +49,9 @@
             ("is_owned", &is_owned),
         ],
     );
-    node.failure_records.add(job, std::slice::from_ref(&failures));
+    if !node.failure_records.add(job, std::slice::from_ref(&failures)) {
+        log_dropped(node, job, "not_recorded");
+    }
     if is_owned {
         tell(node, job, vec![failures]);
     } else {
@@ -58,6 +60,12 @@
     }
 }
 
+/// Logs and counts failures of items of a job that are forgotten for lack of room.
+pub fn log_dropped(node: &EntryNode, job: &str, outcome: &'static str) {
+    node.log.warn("item_failures_dropped", &[("job", &job), ("outcome", &outcome)]);
+    node.metrics.count(Counter::Event("item_failures_dropped"));
+}
+
 /// Tells the gateways that would take the job over that items failed.
 pub fn tell(node: &EntryNode, job: &str, failures: Vec<ItemFailures>) {
     if failures.is_empty() {
@@ -76,7 +84,11 @@
     let now = node.clock.mono();
     let mut registry = node.jobs();
     let Some(owned) = registry.table.get_mut(job) else {
-        registry.kept_failures.keep(job, items, now);
+        let is_kept = registry.kept_failures.keep(job, items, now);
+        drop(registry);
+        if !is_kept {
+            log_dropped(node, job, "not_kept");
+        }
         return;
     };
     let given_up = owned.adopt_failures(items, now);
--- a/crates/entry/src/batch/kept_failures.rs
+++ b/crates/entry/src/batch/kept_failures.rs
@@ -25,21 +25,22 @@
 }
 
 impl KeptFailures {
-    /// Keeps failures of items of `job` beside those that are known.
-    pub fn keep(&mut self, job: &str, items: &[ItemFailures], now: MonoTime) {
+    /// Keeps failures of items of `job` beside those that are known. False if there is no room for them.
+    pub fn keep(&mut self, job: &str, items: &[ItemFailures], now: MonoTime) -> bool {
         if items.is_empty() {
-            return;
+            return true;
         }
         if self.items() + items.len() > MAX_ITEMS {
             self.jobs.retain(|_, known| now.since(known.told_at) < RETENTION);
         }
         if self.items() + items.len() > MAX_ITEMS {
-            return;
+            return false;
         }
         let new = || JobFailures { told_at: now, items: Vec::new() };
         let known = self.jobs.entry(job.to_owned()).or_insert_with(new);
         known.told_at = now;
         ItemFailures::join_into(&mut known.items, items);
+        true
     }
 
     /// Counts a failed run of an item of `job`. Returns all failures of the item, unless this one is known.
--- a/crates/entry/tests/kept_failures.rs
+++ b/crates/entry/tests/kept_failures.rs
@@ -34,6 +34,7 @@
         (0..200).map(|job| kept.of(&format!("j{job}")).len()).sum()
     };
     assert!(of_all(&kept) >= 8_000 && of_all(&kept) <= 8_192);
+    assert!(!kept.keep("j-more", &failures(0..200, 1), MonoTime(1)), "the caller is told");
     let later = MonoTime::from_millis(3_600_000);
     kept.keep("j-new", &failures(0..200, 1), later);
     assert_eq!((kept.of("j-new").len(), of_all(&kept)), (200, 0), "old ones make room");
