Let an operator lift the refusal of a request by deleting its record

A request that is refused for good isn't sent any more, so no answer can show that it is sound; until now the next probe would have. On SIGHUP a gateway that knows such refusals reads the records, ends those whose record was deleted, tells the others and logs request_refusal_lifted. Gateways without such refusals call nothing.

Test: an_operator_lifts_a_refusal_by_deleting_its_record (the call is new).

--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -66,6 +66,8 @@
     while let Some(signal) = signals.next().await {
         if signal == SIGHUP {
             reload(&node, &path);
+            let node = Arc::clone(&node);
+            task::spawn(async move { refusal_records::lift_deleted(&node).await });
         } else {
             break;
         }
--- a/crates/entry/src/online/refusal_records.rs
+++ b/crates/entry/src/online/refusal_records.rs
@@ -16,6 +16,7 @@
     store::{decode, list_path, object_path, spec_body},
 };
 use notch_relay::prelude::*;
+use notch_types::prelude::FastSet;
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -182,6 +183,23 @@
     claimed.is_success().then_some(next)
 }
 
+/// Ends the refusals for good whose records an operator has deleted: nothing else can find out that such a request is sound.
+pub async fn lift_deleted(node: &EntryNode) {
+    let finals = node.suspects().final_refusals();
+    if finals.is_empty() {
+        return;
+    }
+    let listing = list_all(&node.store, REFUSAL_KIND, StorePath::Direct, StoreCallCause::Refusals);
+    // If the store doesn't answer, the operator's next signal tries again.
+    let Ok((objects, _)) = listing.await else { return };
+    let recorded: FastSet<&str> = objects.iter().map(|object| &*object.metadata.name).collect();
+    for suspect in finals {
+        if !recorded.contains(&*object_name(suspect)) {
+            node.suspects().lift_refusal(suspect);
+        }
+    }
+}
+
 async fn write(node: &EntryNode, refusal: SuspectRefusal) -> Result<(), StoreFailure> {
     let record = RefusalRecord::of(refusal, node.clock.wall().0);
     let name = object_name(refusal.suspect);
--- a/crates/entry/src/online/suspects.rs
+++ b/crates/entry/src/online/suspects.rs
@@ -217,6 +217,21 @@
         self.table().note_cleared(suspect, self.clock.mono());
     }
 
+    /// Requests that are refused for good.
+    pub fn final_refusals(&self) -> Vec<CrashSuspect> {
+        let (table, now) = (self.table(), self.clock.mono());
+        let refusals = table.refusals(now);
+        let is_final = |refusal: &SuspectRefusal| refusal.is_final(ProbeWork::Request);
+        refusals.filter(is_final).map(|refusal| refusal.suspect).collect()
+    }
+
+    /// Ends a refusal that an operator has lifted, everywhere.
+    pub fn lift_refusal(&self, suspect: CrashSuspect) {
+        self.log.info("request_refusal_lifted", &[("request", &fingerprint(suspect.id()))]);
+        self.note_cleared(suspect);
+        self.announce_cleared(suspect);
+    }
+
     /// Messages that tell a gateway, to which a link has come up, of refused suspects.
     pub fn known_refusals(&self) -> Vec<PeerMessage> {
         let (table, now) = (self.table(), self.clock.mono());
