Count each crash of a target that came back under its name

What callers saw: rule BUDGET, by one or two sends more. Crashes of one incarnation under a request counted once, so a request, or an item, that met the same target again crashed it without being counted: a target restarts under its name before that is known, or its connections break while its process stays.

Change: another crash of the same incarnation counts 0.5 s after the last one that counted: a target that fails breaks several runs off at once. For prompt parts nothing changes.

Test: each_crash_of_a_target_that_came_back_counts (never refused before). a_failing_target_does_not_get_requests_refused is as it was.

--- a/crates/relay/src/targets/suspects/series.rs
+++ b/crates/relay/src/targets/suspects/series.rs
@@ -29,11 +29,17 @@
 const MAX_CRASHES: usize = 8;
 const MAX_REQUESTS: usize = 16;
 
+/// Time after which another crash of an incarnation under one request counts. A target may have restarted under its name, which
+/// isn't known yet; one that fails breaks several runs off at once.
+const SAME_TARGET_GAP: Duration = Duration::from_millis(500);
+
 /// A crash and the requests that it interrupted.
 #[derive(Debug)]
 struct SeriesCrash {
     /// Fingerprint of the incarnation.
     target: u64,
+    /// When it was counted.
+    at: MonoTime,
     /// Fingerprints. Invariant: distinct, at most [`MAX_REQUESTS`].
     requests: VecDeque<u64>,
 }
@@ -43,7 +49,7 @@
 pub struct CrashSeries {
     since: MonoTime,
     last: MonoTime,
-    /// Invariant: distinct targets, at most [`MAX_CRASHES`].
+    /// Invariant: at most [`MAX_CRASHES`]; of a part, distinct targets.
     crashes: VecDeque<SeriesCrash>,
     /// The last event that any of the runs reached.
     furthest: Option<u64>,
@@ -83,7 +89,12 @@
         match report.suspect {
             CrashSuspect::Request(_) if has_progressed => return false,
             CrashSuspect::Request(_) | CrashSuspect::Part(_) => {
-                self.add(stable_hash64(&[report.target.as_bytes()]), report.request);
+                let target = stable_hash64(&[report.target.as_bytes()]);
+                let since = match report.suspect {
+                    CrashSuspect::Request(_) => now - SAME_TARGET_GAP,
+                    CrashSuspect::Part(_) => MonoTime::default(),
+                };
+                self.add((target, since), report.request, now);
             }
         }
         self.last = now;
@@ -100,7 +111,13 @@
     pub fn join(&mut self, count: &RequestCrashes, now: MonoTime) -> bool {
         self.furthest = self.furthest.max(count.reached);
         for target in &count.targets {
-            self.add(*target, count.request);
+            let counted = |targets: &mut dyn Iterator<Item = u64>| {
+                targets.filter(|known| known == target).count()
+            };
+            let told = counted(&mut count.targets.iter().copied());
+            if counted(&mut self.crashes.iter().map(|crash| crash.target)) < told {
+                self.push(*target, count.request, now);
+            }
         }
         self.last = now;
         self.crashes.len() >= CRASH_LIMIT
@@ -116,15 +133,19 @@
         reached.is_some_and(|id| id + 1 >= furthest + MIN_PROGRESS)
     }
 
-    fn add(&mut self, target: u64, request: u64) {
-        let known = self.crashes.iter_mut().find(|crash| crash.target == target);
-        let Some(crash) = known else {
-            if self.crashes.len() >= MAX_CRASHES {
-                self.crashes.pop_front();
-            }
-            let requests = VecDeque::from([request]);
-            self.crashes.push_back(SeriesCrash { target, requests });
-            return;
+    fn push(&mut self, target: u64, request: u64, at: MonoTime) {
+        if self.crashes.len() >= MAX_CRASHES {
+            self.crashes.pop_front();
+        }
+        let requests = VecDeque::from([request]);
+        self.crashes.push_back(SeriesCrash { target, at, requests });
+    }
+
+    /// Adds a crash, unless one of that target was counted at `since` or later.
+    fn add(&mut self, (target, since): (u64, MonoTime), request: u64, now: MonoTime) {
+        let is_known = |crash: &&mut SeriesCrash| crash.target == target && crash.at >= since;
+        let Some(crash) = self.crashes.iter_mut().find(is_known) else {
+            return self.push(target, request, now);
         };
         if crash.requests.contains(&request) {
             return;
--- a/crates/relay/src/targets/suspects/suspect.rs
+++ b/crates/relay/src/targets/suspects/suspect.rs
@@ -77,7 +77,7 @@
 pub struct RequestCrashes {
     /// Fingerprint of the request.
     pub request: u64,
-    /// Fingerprints of the incarnations that crashed. Invariant: distinct, few.
+    /// Fingerprints of the incarnations that crashed, for each crash. Invariant: few.
     pub targets: Vec<u64>,
     /// The last event that any of the runs reached.
     pub reached: Option<u64>,
--- a/crates/relay/tests/lasting_refusals.rs
+++ b/crates/relay/tests/lasting_refusals.rs
@@ -198,3 +198,21 @@
     assert!(table.refusals(now).count() <= MAX_REFUSED_REQUESTS);
     assert!(matches!(table.admit(CULPRIT, false, now), SuspectAdmission::Refused { .. }));
 }
+
+/// Guards against a request that crashes one target again and again: it came back under its name before that was known.
+#[test]
+fn each_crash_of_a_target_that_came_back_counts() {
+    let mut table = SuspectTable::default();
+    let suspect = CrashSuspect::Request(CULPRIT.request);
+    let report = CrashReport { suspect, target: "t".to_owned(), request: 7, reached: None };
+    for millis in [1_000, 1_010, 1_020, 2_000, 2_010] {
+        assert!(table.note_crash(&report, MonoTime::from_millis(millis)).is_none(), "{millis}");
+    }
+    let mut restored = SuspectTable::default();
+    for count in table.counts().iter().chain(&table.counts()) {
+        assert!(!restored.restore_count(count, MonoTime::from_millis(0)), "it crashed twice");
+    }
+    for table in [&mut table, &mut restored] {
+        assert!(table.note_crash(&report, MonoTime::from_millis(3_000)).is_some());
+    }
+}
