Keep records of failures as long as items live

Records of failed items were deleted after the time for which results are kept. Where items live longer, a gateway that took a job over later began their counts anew.

Change: a record is kept at least as long as the longest lifetime of an item on any route, with the margin for clocks.

--- a/crates/entry/src/batch/retention.rs
+++ b/crates/entry/src/batch/retention.rs
@@ -29,11 +29,24 @@
         if node.watch.is_watching() && !node.stop.is_stopping() {
             // If the store does not answer, the next pass tries again.
             let _ = delete_once(&node).await;
-            let _ = failure_records::delete_old(&node, retention(&node)).await;
+            let _ = delete_old_failures(&node).await;
         }
     }
 }
 
+/// Deletes records of failures that no item needs any more: an open job is kept however old it is, and its items are tried
+/// until their lifetime is over.
+///
+/// # Errors
+/// The store did not answer.
+pub async fn delete_old_failures(node: &EntryNode) -> Result<(), StoreFailure> {
+    let Some(routes) = node.routes() else { return Ok(()) };
+    let lifetimes = routes.routes().filter_map(|route| route.job_terms.as_ref());
+    let longest = lifetimes.map(|terms| terms.item_lifetime).max().unwrap_or_default();
+    let kept = retention(node).max(longest + RETENTION_MARGIN);
+    failure_records::delete_old(node, kept).await
+}
+
 /// How long jobs are kept.
 fn retention(node: &EntryNode) -> Duration {
     node.store.settings().result_lifetime + RETENTION_MARGIN
