Wait for the records of crashes only while a gateway starts; forget items of ended jobs

A gateway that starts in an outage of the store would have held each request for 140 ms, as it could not read the records: now for a second from its first request on. The refusals of items whose job its client ends are deleted with it. Both are of this change, seen by reading; no test of their own.

--- a/crates/entry/src/batch/ends.rs
+++ b/crates/entry/src/batch/ends.rs
@@ -7,7 +7,10 @@
 use notch_types::prelude::*;
 
 use crate::{
-    batch::records::{read_job, store_end},
+    batch::{
+        item_run::item_suspect,
+        records::{read_job, store_end},
+    },
     constants::RETRY_AFTER,
     front::answer::OwnAnswer,
     node::EntryNode,
@@ -62,12 +65,16 @@
         return;
     }
     let was_owned = registry.is_owned(job);
-    if let Some(owned) = registry.table.get_mut(job) {
+    let spec = registry.table.get_mut(job).map(|owned| {
         owned.end();
-    }
+        Arc::clone(owned.spec())
+    });
     registry.retire_job(job);
     registry.note_closed(job, now);
     drop(registry);
+    for item in spec.iter().flat_map(|spec| &spec.items) {
+        node.suspects().forget_item(item_suspect(job, item));
+    }
     node.log.info("job_ended", &[("job", &job), ("source", &source), ("owned", &was_owned)]);
     node.job_updates.notify(usize::MAX);
     if source == "store" {
--- a/crates/entry/src/front/connection.rs
+++ b/crates/entry/src/front/connection.rs
@@ -85,8 +85,9 @@
         let began = self.node.clock.mono();
         loop {
             let routes = self.node.routes();
-            let is_known = self.node.was_synced() && self.node.crash_counts.is_restored();
-            if is_known || self.node.clock.mono().since(began) >= STARTUP_STATE_WAIT {
+            let now = self.node.clock.mono();
+            let is_known = self.node.was_synced() && self.node.crash_counts.is_ready(now);
+            if is_known || now.since(began) >= STARTUP_STATE_WAIT {
                 return routes;
             }
             task::sleep(STARTUP_STATE_POLL).await;
--- a/crates/entry/src/online/crash_counts.rs
+++ b/crates/entry/src/online/crash_counts.rs
@@ -5,7 +5,7 @@
 
 use std::{
     sync::{
-        Arc,
+        Arc, OnceLock,
         atomic::{AtomicBool, Ordering},
     },
     time::Duration,
@@ -18,6 +18,7 @@
     store::{list_path, object_path, spec_body},
 };
 use notch_relay::prelude::*;
+use notch_types::prelude::MonoTime;
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -45,9 +46,14 @@
     counts: Vec<RequestCrashes>,
 }
 
+/// How long requests of a gateway that has started wait for what was recorded before: the store may be down.
+const RESTORE_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Whether counts are to be recorded, and whether those of before were restored.
 #[derive(Debug, Default)]
 pub struct CrashCounts {
+    /// When the first request came.
+    first_request: OnceLock<MonoTime>,
     changed: Event,
     is_changed: AtomicBool,
     is_restored: AtomicBool,
@@ -65,9 +71,10 @@
         self.is_restored.store(true, Ordering::Release);
     }
 
-    /// Whether refusals and counts of before are known.
-    pub fn is_restored(&self) -> bool {
+    /// Whether requests no longer wait for the refusals and counts of before.
+    pub fn is_ready(&self, now: MonoTime) -> bool {
         self.is_restored.load(Ordering::Acquire)
+            || now.since(*self.first_request.get_or_init(|| now)) >= RESTORE_TIMEOUT
     }
 }
 
--- a/crates/entry/tests/soak_options.rs
+++ b/crates/entry/tests/soak_options.rs
@@ -134,3 +134,18 @@
         ..SoakSettings::default()
     });
 }
+
+/// Guards against requests and items that crash one target after another: runs of items counted nowhere, and a request had a probe
+/// whenever its pause was over.
+#[test]
+fn a_soak_of_requests_and_items_that_crash_targets_crashes_few() {
+    let folder = PathBuf::from("soak-resent");
+    let settings = SoakSettings {
+        resends_crashing: true,
+        names_deadlines: true,
+        fault_gap: Some(Duration::from_secs(8)),
+        ..SoakSettings::default()
+    };
+    let logs = run_with_logs(SoakSettings { gateways: 4, targets: 18, folder, ..settings });
+    assert!(logs.contains("event=request_probe_started"), "a probe was claimed");
+}
