--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -26,7 +26,7 @@
 pub mod prelude {
     pub use crate::{
         account_window::{AccountQuota, WindowExcess},
-        checker::{BrokenPromise, PromiseKind, check},
+        checker::{BrokenPromise, PromiseKind, check, count_crashes},
         crash_check::CrashCount,
         culprit::{CrashCulprit, ResendInterval},
         observation::{Observation, SeenResult},
--- a/crates/soak/tests/checker.rs
+++ b/crates/soak/tests/checker.rs
@@ -209,7 +209,12 @@
 /// that are refused in its place.
 #[test]
 fn crashes_by_a_known_culprit_are_found() {
-    for culprit in [CrashCulprit::Part, CrashCulprit::Request(0), CrashCulprit::Request(1)] {
+    for culprit in [
+        CrashCulprit::Part,
+        CrashCulprit::Request(0),
+        CrashCulprit::Request(1),
+        CrashCulprit::Resent(ResendInterval::Seconds160),
+    ] {
         let run = |late, disturbed| kinds(&poison_run(culprit, late, disturbed));
         assert_eq!(run(3, false), []);
         assert_eq!(run(4, false), [PromiseKind::NoMoreCrashes]);
@@ -219,3 +224,72 @@
     assert_eq!(kinds(&[served(30)]), []);
     assert_eq!(kinds(&[served(29)]), [PromiseKind::NoMoreCrashes]);
 }
+
+/// Guards against a soak that would not notice an item that goes on crashing targets, or that counts sends of a disturbed gateway
+/// against it without telling how many it excused.
+#[test]
+fn crashes_by_items_are_found() {
+    let job = format!("{}1", CrashCulprit::ITEM_PREFIX);
+    let run = |late: u64, disturbed: bool| {
+        let mut observations = vec![Observation::JobAccepted { job: job.clone(), items: 1 }];
+        for number in 0..3 + late {
+            let at = Duration::from_secs(if number < 3 { 1 } else { 10 });
+            observations.push(Observation::Crashed { attempt: item_id(&job, 0), at });
+        }
+        if disturbed {
+            let at = Duration::from_secs(9);
+            observations.push(Observation::Disturbed { gateway: Some(2), at, begins: true });
+        }
+        observations
+    };
+    assert_eq!(kinds(&run(3, false)), []);
+    assert_eq!(kinds(&run(4, false)), [PromiseKind::NoMoreCrashes]);
+    assert_eq!(kinds(&run(4, true)), [], "by whichever gateway");
+    let count = &count_crashes(&run(4, true))[0];
+    assert_eq!((count.crashes, count.late.len(), count.excused), (7, 0, 4));
+}
+
+/// Runs of `count` attempts that were sent with a deadline of a second and handed on with `left` after `delay`; with `repeated`,
+/// each runs once more 0.6 s later, with as much time.
+fn handed_on(count: usize, left: Option<u64>, delay: u64, repeated: bool) -> Vec<Observation> {
+    let mut observations = Vec::new();
+    for number in 0..count {
+        let (attempt, sent) = (format!("h{number}"), Duration::from_secs(60));
+        let (gateway, deadline) = (0, Duration::from_secs(1));
+        let (id, at) = (attempt.clone(), sent);
+        observations.push(Observation::SentWithin { attempt: id, gateway, at, deadline });
+        for millis in [Some(delay), repeated.then_some(delay + 600)].into_iter().flatten() {
+            let (attempt, at) = (attempt.clone(), sent + Duration::from_millis(millis));
+            let left = left.map(Duration::from_millis);
+            observations.push(Observation::HandedOn { attempt, at, left });
+        }
+    }
+    observations
+}
+
+/// Guards against a soak that would not notice targets that are handed more time than clients have left.
+#[test]
+fn too_much_time_handed_on_is_found() {
+    assert_eq!(kinds(&handed_on(40, Some(1_500), 10, false)), [], "half a second is allowed");
+    assert_eq!(kinds(&handed_on(40, Some(1_501), 10, false)), [PromiseKind::TimeLeft]);
+    assert_eq!(kinds(&handed_on(40, None, 10, false)), [PromiseKind::TimeLeft], "none is named");
+    assert_eq!(kinds(&handed_on(20, None, 10, false)), [], "twenty are allowed");
+    assert_eq!(kinds(&handed_on(40, Some(800), 10, true)), [], "it ends in time");
+    assert_eq!(kinds(&handed_on(40, Some(1_000), 10, true)), [PromiseKind::TimeLeft]);
+    let mut mixed = handed_on(250, Some(900), 10, false);
+    for (number, observation) in mixed.iter_mut().enumerate() {
+        if let Observation::HandedOn { left, .. } = observation
+            && number < 80
+        {
+            *left = None;
+        }
+    }
+    assert_eq!(kinds(&mixed), [], "forty of 250 are less than a fifth");
+    mixed.push(Observation::Disturbed {
+        gateway: Some(0),
+        at: Duration::from_secs(59),
+        begins: true,
+    });
+    mixed.extend(handed_on(40, None, 10, false));
+    assert_eq!(kinds(&mixed), [], "the gateway was disturbed");
+}
