Let the next sound request use a probe that was granted too late

Cause: a request waits 30 ms for the grant of a probe, which is for that request alone and keeps all others back for 5 s. Where messages take longer each grant arrived just after its request had been refused.

Change: a grant of a part that was not used within 100 ms serves the next request of the same gateway without another suspect.

Test: a_grant_that_came_too_late_serves_the_next_sound_request (refused before, by its first assertion after 300 ms).

--- a/crates/relay/src/targets/suspects/refusal.rs
+++ b/crates/relay/src/targets/suspects/refusal.rs
@@ -43,6 +43,9 @@
 const MAX_CRASHED_UNDER: usize = 32;
 /// Minimum interval between two requests of this gateway for a probe.
 const ASK_INTERVAL: Duration = Duration::from_millis(100);
+/// Time after which a probe of a part that was granted to one request is another one's of the same gateway: the first was
+/// refused before the grant arrived.
+const GRANT_WAIT: Duration = Duration::from_millis(100);
 /// Time after the end of its pause for which a refused part is remembered while nobody sends it. A refused request is
 /// remembered until it is answered.
 const PART_RETENTION: Duration = Duration::from_secs(600);
@@ -240,6 +243,14 @@
         self.granted.is_some_and(|(granted, until)| granted == request && until > now)
     }
 
+    /// Whether this gateway may start the request with the probe that it was granted for another one, which did not use it.
+    pub fn inherits_grant(&self, request: u64, now: MonoTime) -> bool {
+        let is_unused = |(_, until): (u64, MonoTime)| {
+            until > now && now.since(until - PROBE_TIMEOUT) >= GRANT_WAIT
+        };
+        self.granted.is_some_and(is_unused) && !self.has_crashed_under(request)
+    }
+
     /// Whether this gateway may ask for a probe now. Once it has, it waits for the answer.
     pub fn asks_probe(&mut self, suspect: CrashSuspect, work: ProbeWork, now: MonoTime) -> bool {
         let is_due = self.until <= now && !self.refusal(suspect, now).is_final(work);
--- a/crates/relay/src/targets/suspects/table.rs
+++ b/crates/relay/src/targets/suspects/table.rs
@@ -122,7 +122,13 @@
         };
         // Gateways ask for the parts of a request one after the other, so that none waits for a probe that another one
         // can't use.
-        let blocking = refused().find(|(_, refused)| !refused.is_granted(suspects.request, now));
+        let may_inherit = self.probe_delay(suspects).is_zero();
+        let is_granted = |suspect: CrashSuspect, refused: &RefusedSuspect| {
+            let inherits = may_inherit && matches!(suspect, CrashSuspect::Part(_));
+            refused.is_granted(suspects.request, now)
+                || (inherits && refused.inherits_grant(suspects.request, now))
+        };
+        let blocking = refused().find(|(suspect, refused)| !is_granted(*suspect, refused));
         let Some((suspect, _)) = blocking else {
             for suspect in suspects.iter() {
                 self.refused.get_mut(&suspect).into_iter().for_each(RefusedSuspect::use_grant);
--- a/crates/relay/tests/crashes.rs
+++ b/crates/relay/tests/crashes.rs
@@ -483,3 +483,21 @@
     assert!(crash(&mut table, request(5, &[9]), "t6", at(13_000)), "another one");
     assert_eq!(level(&table, 13_000), Some(2));
 }
+
+/// Guards against sound requests that stay refused on a loaded gateway: each is refused just before the grant of its probe
+/// arrives, which nobody else could use for five seconds (soak of several culprits, seed 2308).
+#[test]
+fn a_grant_that_came_too_late_serves_the_next_sound_request() {
+    let mut table = SuspectTable::default();
+    let part = CrashSuspect::Part(9);
+    table.apply_refusal(SuspectRefusal { suspect: part, level: 1, left: Duration::ZERO }, at(0));
+    table.note_crashed_under(part, &[1]);
+    assert!(asks_probe(&mut table, request(2, &[9]), at(100)));
+    assert_eq!(ask(&mut table, part, 2, at(100)), ProbeReply::Granted);
+    table.note_granted(part, 2, at(150));
+    assert!(is_refused(&mut table, request(3, &[9]), at(160)), "the first one may still wait");
+    assert!(is_refused(&mut table, request(1, &[9]), at(300)), "a target crashed under it");
+    assert!(is_refused(&mut table, request(4, &[9, 8]), at(300)), "8 was never answered");
+    assert_eq!(table.admit(request(3, &[9]), false, at(300)), SuspectAdmission::Probe);
+    assert!(is_refused(&mut table, request(5, &[9]), at(310)), "once");
+}
