Finish a takeover that failed halfway, whatever other gateways find

An accepted job had no results: three items of one job, 60 s after the faults of a soak.

Cause: the store names the gateway as the owner from the first write of a takeover on. If a later call of it gets no answer, only that gateway can finish it; its own next search was settled by another gateway's search, which found no job without a live owner.

Change: a gateway remembers the jobs of which a takeover failed, and tries them again itself.

Test: a_takeover_whose_fence_is_not_answered_is_finished (timed out before).

--- a/crates/entry/src/batch/job_registry.rs
+++ b/crates/entry/src/batch/job_registry.rs
@@ -89,6 +89,9 @@
     pub kept_failures: KeptFailures,
     /// Jobs that a task is accepting or taking over.
     busy: FastSet<String>,
+    /// Jobs of which a takeover here failed halfway: the store may name this gateway as their owner, so that no other one takes
+    /// them over.
+    pub unfinished: FastSet<String>,
     /// Jobs for which an ownership check in the store is in progress.
     checking: FastSet<String>,
     /// Stored jobs that cannot be decoded, with the revision that was logged last.
--- a/crates/entry/src/batch/takeover.rs
+++ b/crates/entry/src/batch/takeover.rs
@@ -64,7 +64,9 @@
         }
         if now >= next_takeover && !node.stop.is_stopping() && may_take_over(&node) {
             // A job that couldn't be read is tried again after the pause.
-            if take_over_known(&node, &orphans).await.is_err() {
+            let unfinished = node.jobs().unfinished.iter().cloned().collect::<Vec<_>>();
+            let known = [orphans, unfinished].concat();
+            if take_over_known(&node, &known).await.is_err() {
                 next_takeover = now + ORPHAN_SEARCH_INTERVAL;
             }
         }
@@ -138,7 +140,8 @@
     orphans.map(|(job, _)| job.to_owned()).collect()
 }
 
-/// Takes over those of the orphaned jobs for which this gateway is the preferred successor.
+/// Takes over those of the orphaned jobs for which this gateway is the preferred successor, and those whose takeover here
+/// failed halfway.
 ///
 /// # Errors
 /// The store did not answer for at least one of them.
@@ -146,7 +149,8 @@
     let mut due = Vec::new();
     let mut outcome = Ok(());
     for job in orphans {
-        if node.jobs().is_busy(job) || !is_preferred_successor(node, job) {
+        let is_unfinished = node.jobs().unfinished.contains(job);
+        if node.jobs().is_busy(job) || !(is_unfinished || is_preferred_successor(node, job)) {
             continue;
         }
         match read_job(&node.store, job, StoreCallCause::JobTakenOver).await {
@@ -156,8 +160,13 @@
             }
             Ok(Some(stored)) => node.jobs().note_owner(std::slice::from_ref(job), stored.owner()),
             Ok(None) => node.jobs().note_closed(job, node.clock.mono()),
-            Err(failure) => outcome = Err(failure),
+            Err(failure) => {
+                outcome = Err(failure);
+                continue;
+            }
         }
+        // What is still due is unfinished again if it fails again.
+        node.jobs().unfinished.remove(job);
     }
     take_over_all(node, due).await?;
     outcome
@@ -359,7 +368,12 @@
         return Ok(());
     }
     let taken = take_over_reserved(node, job).await;
-    node.jobs().finish(&job.id);
+    let mut registry = node.jobs();
+    registry.finish(&job.id);
+    if taken.is_err() {
+        registry.unfinished.insert(job.id.clone());
+    }
+    drop(registry);
     taken
 }
 
