Don't take a reset during an upload for the end of an answer

What callers saw: a server answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection. The client got that part as a complete answer (MIXED). An item got a result for good that was a part of its output.

Cause: the system reports a reset once. The write of the request took the error, which was dropped as a server may answer before it has read everything; the read then saw what had arrived and a plain end of the connection, which is how a body without a length ends.

Answers with a length or in chunks were cut already, and those that ended before the reset are delivered, before and after.

Change: the type that reads also writes the requests, and keeps the error of a failed write: where what had arrived is over, the read fails with it. Its connection can't be written to otherwise any more, so that no caller can forget it. A broken pipe is not kept: it says that the peer had ended its side before the reset, so that its answer is whole.

--- a/crates/entry/src/front/body.rs
+++ b/crates/entry/src/front/body.rs
@@ -63,7 +63,7 @@
         return Ok(RequestBody { bytes: Vec::new(), held });
     }
     if head.headers.lists("expect", "100-continue") {
-        write_all(reader.stream(), b"HTTP/1.1 100 Continue\r\n\r\n").await?;
+        reader.send(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
     }
     let reading = read_parts(reader, framing, max_bytes, &mut held);
     let bytes = timeout(BODY_TIMEOUT, reading).await.unwrap_or(Err(WireError::Closed.into()))?;
--- a/crates/entry/src/store/client.rs
+++ b/crates/entry/src/store/client.rs
@@ -246,7 +246,7 @@
         }
         let bytes = writer.with_body(body.unwrap_or_default());
         let exchange = async {
-            write_all(connection.stream(), &bytes).await?;
+            connection.send(&bytes).await?;
             let head = connection.response_head(MAX_HEAD_BYTES).await?;
             let body = connection.whole_body(head.framing()?, MAX_BODY_BYTES).await?;
             Ok::<_, WireError>((head, body))
--- a/crates/entry/src/target/connection.rs
+++ b/crates/entry/src/target/connection.rs
@@ -114,7 +114,7 @@
     }
 
     async fn ask_report(&mut self, address: SocketAddr) -> Result<Vec<u8>, WireError> {
-        write_all(self.reader.stream(), &report_request(address)).await?;
+        self.reader.send(&report_request(address)).await?;
         let head = self.reader.response_head(ANSWER_HEAD_BYTES).await?;
         let framing = head.framing().map_err(|_| WireError::Malformed)?;
         if !head.keep_alive || framing == BodyFraming::UntilClose {
@@ -129,8 +129,8 @@
         attempt: Option<&str>,
     ) -> Result<ResponseHead, AttemptFailure> {
         // A target may answer and close its side before it has read the whole request. Such an answer
-        // is valid, so a failed write only counts if no answer can be read.
-        let _ = write_all(self.reader.stream(), request).await;
+        // is valid, so a failed write only counts if no whole answer can be read.
+        let _ = self.reader.send(request).await;
         loop {
             let head = self.reader.response_head(ANSWER_HEAD_BYTES).await.map_err(head_failure)?;
             let answered = AnswerHeaders::decode(&head).attempt;
--- a/crates/h1/src/reader.rs
+++ b/crates/h1/src/reader.rs
@@ -1,5 +1,7 @@
 //! Reads messages from a connection.
 
+use std::io::ErrorKind;
+
 use async_std::{
     io::ReadExt,
     net::TcpStream,
@@ -10,6 +12,7 @@
     body::{BodyFraming, BodyProgress, ChunkStage},
     error::WireError,
     head::{MAX_HEADERS, RequestHead, ResponseHead, copy_headers, keeps_alive},
+    writer::write_all,
 };
 
 /// Size of a read: several events of a stream, or a whole typical request.
@@ -24,17 +27,30 @@
     buffer: Vec<u8>,
     /// Number of bytes at the start of the buffer that were consumed.
     consumed: usize,
+    /// Why the connection broke, if a write found out. The system reports that once, so a read only sees what had arrived
+    /// and then an end. Invariant: `None` if the peer had ended its side before, as that end is in order.
+    break_error: Option<WireError>,
 }
 
 impl WireReader {
     /// Creates a reader of `stream`.
     pub fn new(stream: TcpStream) -> Self {
-        Self { stream, buffer: Vec::new(), consumed: 0 }
+        Self { stream, buffer: Vec::new(), consumed: 0, break_error: None }
     }
 
-    /// The underlying connection.
-    pub fn stream(&self) -> &TcpStream {
-        &self.stream
+    /// Writes all bytes to the connection. Whoever reads answers writes the requests by this, so that a body that lasts until
+    /// the connection ends isn't taken for complete if a reset ended it. What had arrived can be read after a failure.
+    ///
+    /// # Errors
+    /// `Io` when the connection failed.
+    pub async fn send(&mut self, bytes: &[u8]) -> Result<(), WireError> {
+        let written = write_all(&self.stream, bytes).await;
+        match written {
+            // A reset that follows the peer's own end of the connection is reported as a broken pipe.
+            Ok(()) | Err(WireError::Io(ErrorKind::BrokenPipe)) => {}
+            Err(error) => self.break_error = self.break_error.or(Some(error)),
+        }
+        written
     }
 
     /// Whether there are bytes that were read but not consumed by a message.
@@ -50,7 +66,7 @@
     /// Reads more bytes into the buffer; returns 0 at the end of the connection.
     ///
     /// # Errors
-    /// `Io` when the read failed.
+    /// `Io` when the read failed, or the connection ended because it broke.
     pub async fn fill(&mut self) -> Result<usize, WireError> {
         self.compact();
         let buffered = self.buffer.len();
@@ -60,7 +76,10 @@
         let mut stream = &self.stream;
         let read = stream.read(&mut guard.buffer[buffered..]).await?;
         guard.buffered = buffered + read;
-        Ok(read)
+        match self.break_error {
+            Some(error) if read == 0 => Err(error),
+            _ => Ok(read),
+        }
     }
 
     /// Whether an idle connection can't be reused: it was closed, failed, or received unsolicited bytes. Doesn't wait.
