Refuse an answer whose status is none

What callers saw: of a server that answered with a status of 000, 001, 099 or 101, they got what stood in the body of that answer, if it read like one, also as an item's result; else they waited until the request's deadline. A status of 600 or 999 was passed on.

Cause: the parser takes any three digits for a status. Whatever was below 200 counted as an interim response, which is skipped without a body, so that its body was read as the next head.

Change: the type that reads refuses a status outside 100 to 599 (RFC 9110 section 15), and 101, which only answers a request to change the protocol. An attempt with such an answer fails at once.

--- a/crates/h1/src/head.rs
+++ b/crates/h1/src/head.rs
@@ -91,6 +91,12 @@
     }
 }
 
+/// Whether a response to a request of ours may have this status (RFC 9110 section 15). 101 is not an interim response: what
+/// follows it is another protocol, for which no request asks.
+pub(crate) fn is_status(code: u16) -> bool {
+    (100..600).contains(&code) && code != 101
+}
+
 /// Copies parsed headers. Values must be valid UTF-8; names are tokens, as the parser rejects all others, so that no name
 /// can hide another message.
 pub(crate) fn copy_headers(parsed: &[httparse::Header<'_>]) -> Result<HeaderList, WireError> {
--- a/crates/h1/src/reader.rs
+++ b/crates/h1/src/reader.rs
@@ -11,7 +11,7 @@
 use crate::{
     body::{BodyFraming, BodyProgress, ChunkStage},
     error::WireError,
-    head::{MAX_HEADERS, RequestHead, ResponseHead, copy_headers, keeps_alive},
+    head::{MAX_HEADERS, RequestHead, ResponseHead, copy_headers, is_status, keeps_alive},
     writer::write_all,
 };
 
@@ -231,7 +231,7 @@
         let httparse::Status::Complete(length) = status else { return Ok(None) };
         let headers = copy_headers(response.headers)?;
         let keep_alive = keeps_alive(response.version.unwrap_or(0), &headers);
-        let status = response.code.unwrap_or(0);
+        let status = response.code.filter(|&code| is_status(code)).ok_or(WireError::Malformed)?;
         self.consumed += length;
         Ok(Some(ResponseHead { status, headers, keep_alive }))
     }
