Tests of answers with a field name that is no token, and of the native path

The users saw on other systems that an answer in whose head the name of a field held a blank or a control byte reached clients. It doesn't here: the parser refuses such a head. Nothing is changed for these.

--- a/crates/h1/tests/invalid_heads.rs
+++ b/crates/h1/tests/invalid_heads.rs
@@ -1,4 +1,4 @@
-//! Responses whose head is none: without a valid status.
+//! Responses whose head is none: without a valid status, or with a field name that is no token.
 
 #![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
 
@@ -33,3 +33,27 @@
     let bytes = format!("{before}HTTP/1.1 {status} X\r\nContent-Length: {length}\r\n\r\n{WHOLE}");
     assert_eq!(task::block_on(head_of(bytes)), Err(WireError::Malformed));
 }
+
+/// Guards against a field whose name is no token: another reader may skip it, or read a length from it.
+#[rstest]
+fn a_field_name_that_is_no_token_is_malformed(
+    #[values(
+        "X Y: z",
+        "X : z",
+        "X\t: z",
+        " X: z",
+        ": z",
+        "X\0: z",
+        "X\u{1f}Y: z",
+        "X\u{7f}: z",
+        "X\rY: z",
+        "Content-Length : 3",
+        "Transfer-Encoding\u{1}: chunked",
+        "X-Of-More-Than-Sixteen-Bytes\u{1}: z"
+    )]
+    line: &str,
+    #[values("200 OK", "100 Continue")] status: &str,
+) {
+    let bytes = format!("HTTP/1.1 {status}\r\nA: b\r\n{line}\r\n\r\n{WHOLE}");
+    assert_eq!(task::block_on(head_of(bytes)), Err(WireError::Malformed));
+}
--- a/crates/http/tests/client.rs
+++ b/crates/http/tests/client.rs
@@ -174,6 +174,48 @@
     Act::Answer("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nab"),
     LostCause::Malformed
 )]
+#[case::status_000(
+    Act::Answer("HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n"),
+    LostCause::Malformed
+)]
+#[case::status_099(
+    Act::Answer("HTTP/1.1 099 X\r\nContent-Length: 0\r\n\r\n"),
+    LostCause::Malformed
+)]
+#[case::status_101(
+    Act::Answer("HTTP/1.1 101 X\r\nContent-Length: 0\r\n\r\n"),
+    LostCause::Malformed
+)]
+#[case::status_600(
+    Act::Answer("HTTP/1.1 600 X\r\nContent-Length: 0\r\n\r\n"),
+    LostCause::Malformed
+)]
+#[case::status_999(
+    Act::Answer("HTTP/1.1 999 X\r\nContent-Length: 0\r\n\r\n"),
+    LostCause::Malformed
+)]
+#[case::blank_in_a_name(
+    Act::Answer("HTTP/1.1 200 OK\r\nX Y: z\r\nContent-Length: 0\r\n\r\n"),
+    LostCause::Malformed
+)]
+#[case::blank_before_a_name(
+    Act::Answer("HTTP/1.1 200 OK\r\n X: z\r\nContent-Length: 0\r\n\r\n"),
+    LostCause::Malformed
+)]
+#[case::blank_after_a_name(
+    Act::Answer("HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\nContent-Length: 0\r\n\r\n"),
+    LostCause::Malformed
+)]
+#[case::control_byte_in_a_name(
+    Act::Answer("HTTP/1.1 200 OK\r\nX\0Y: z\r\nContent-Length: 0\r\n\r\n"),
+    LostCause::Malformed
+)]
+#[case::control_byte_in_a_long_name(
+    Act::Answer(
+        "HTTP/1.1 200 OK\r\nX-Of-More-Than-Sixteen-Bytes\u{1}: z\r\nContent-Length: 0\r\n\r\n"
+    ),
+    LostCause::Malformed
+)]
 #[case::stalled(Act::Stall, LostCause::TimedOut)]
 fn lost_answers_are_told(#[case] act: Act, #[case] cause: LostCause) {
     block_on(async {
@@ -269,6 +311,32 @@
     });
 }
 
+/// Guards against a part of an answer that counts as the whole one: the write of the upload takes the reset from the socket,
+/// which the read behind it doesn't see.
+#[rstest]
+#[case::without_a_length("\r\nabc")]
+#[case::with_a_length("Content-Length: 10\r\n\r\nabc")]
+#[case::in_chunks("Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n")]
+fn an_answer_that_is_reset_during_the_upload_is_not_whole(#[case] rest: &str) {
+    block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let url = format!("http://{}/", listener.local_addr().unwrap());
+        let answer = format!("HTTP/1.1 200 OK\r\n{rest}");
+        task::spawn(async move {
+            let mut connection = RawConnection(listener.accept().await.unwrap().0);
+            connection.until("\r\n\r\n").await;
+            connection.send(answer).await;
+            task::sleep(SOON).await;
+            // A socket that is dropped with unread bytes resets its connection.
+        });
+        let mut ask = request(Method::Post, &url);
+        ask.set_body(vec![b'x'; 32 << 20]);
+        if let Ok(mut answer) = within(HttpClient::default().send(ask)).await {
+            assert_eq!(body_of(&mut answer).await, Err(BodyError::Cut));
+        }
+    });
+}
+
 // Symptom: a server takes half an upload for a whole one. Sequence: the file being sent can't be
 // read to its end. Cause: the body is shorter than announced, or its end mark is written anyway.
 #[rstest]
