Let two runs of a test wait for each other's ports

Cause, the test's: these ports are the same in each run of it, so that the second run at the same moment finds them taken. Shown: by itself it passes; two at once, one of them failed so.

--- a/crates/magnolianotch/tests/processes_ended.rs
+++ b/crates/magnolianotch/tests/processes_ended.rs
@@ -4,7 +4,12 @@
 mod processes;
 mod support;
 
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::{
+    io::ErrorKind,
+    net::{Ipv4Addr, SocketAddr, TcpListener},
+    thread,
+    time::{Duration, Instant},
+};
 
 use async_std::task;
 use futures_util::future::join_all;
@@ -20,6 +25,8 @@
 };
 
 const ITEMS: u32 = 120;
+/// Longest time for which another run of these tests may have a port: far above what one test takes.
+const PORT_WAIT: Duration = Duration::from_secs(60);
 
 /// Which processes end in the middle.
 #[derive(Debug, Clone, Copy)]
@@ -114,9 +121,18 @@
     });
 }
 
-/// Takes a port as the system may give it to any outgoing connection.
+/// Takes a port as the system may give it to any outgoing connection. Waits while another run of this test has it.
 fn take_port(address: SocketAddr) -> TcpListener {
-    TcpListener::bind((Ipv4Addr::LOCALHOST, address.port())).expect("nobody listens there yet")
+    let began = Instant::now();
+    loop {
+        match TcpListener::bind((Ipv4Addr::LOCALHOST, address.port())) {
+            Ok(listener) => return listener,
+            Err(error) if error.kind() == ErrorKind::AddrInUse && began.elapsed() < PORT_WAIT => {
+                thread::sleep(Duration::from_millis(20));
+            }
+            Err(error) => panic!("the port can't be taken: {error}"),
+        }
+    }
 }
 
 // Guards against ports that are free when settings are written and taken when the daemon starts.
